--- a/eslint.config.js
+++ b/eslint.config.js
@@ -27,7 +27,7 @@
 }))
 
 export default tseslint.config(
-  { ignores: ['**/dist/**', '.cache/**', 'node_modules/**'] },
+  { ignores: ['**/dist/**', 'target/**', 'journal/**', '.cache/**', 'node_modules/**'] },
   js.configs.recommended,
   ...tseslint.configs.recommended,
   {
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -114,3 +114,34 @@
   parseRequestId,
 } from './segmentArchive.js'
 export type { ArchivedRecord, ArchiveLimits } from './segmentArchive.js'
+
+export { MEMBER_PARTITION, MEMBER_TABLE, MemberDirectory } from './membership/memberDirectory.js'
+export type { MemberDirectoryParts, MemberRow, MemberState } from './membership/memberDirectory.js'
+export { StoreClock } from './rows/storeClock.js'
+export { TableMirror } from './rows/tableMirror.js'
+export type { MirrorListener, TableMirrorParts } from './rows/tableMirror.js'
+export { DemandHoldingPolicy, EqualHoldingPolicy } from './prepaid/holdingPolicy.js'
+export type { BudgetView, HoldingPolicy } from './prepaid/holdingPolicy.js'
+export { HoldingState } from './prepaid/holdingState.js'
+export { PrepaidAccount } from './prepaid/prepaidAccount.js'
+export type {
+  PrepaidAccountParts,
+  PrepaidOutcome,
+  PrepaidRefusal,
+  PrepaidReservation,
+} from './prepaid/prepaidAccount.js'
+export { PrepaidLedger } from './prepaid/prepaidLedger.js'
+export type { LedgerLimits, PrepaidLedgerParts, PrepaidLimit } from './prepaid/prepaidLedger.js'
+export { planWrite } from './prepaid/writePlan.js'
+export type { WriteInputs, WritePlan } from './prepaid/writePlan.js'
+export {
+  POOL_KEY,
+  PREPAID_TABLE,
+  committedBound,
+  decodeHolder,
+  decodePool,
+  endHolding,
+  freeInPool,
+  holderKey,
+} from './prepaid/prepaidRows.js'
+export type { HolderRow, PoolRow } from './prepaid/prepaidRows.js'
--- /dev/null
+++ b/packages/coordination/src/membership/memberDirectory.ts
@@ -0,0 +1,177 @@
+import type { Clock, Milliseconds, RandomSource, Timer } from '@rackwalk/shared'
+import type { ChangedRow, RowStore } from '@rackwalk/platform'
+import type { StoreClock } from '../rows/storeClock.js'
+
+/** The instances of the fleet, each a row that it renews itself. */
+
+export const MEMBER_TABLE = 'members'
+export const MEMBER_PARTITION = ''
+
+export type MemberState = 'serving' | 'draining'
+
+/** What an instance tells the others; it is written anew with each heartbeat. */
+export interface MemberRow {
+  readonly instance: string
+  readonly incarnation: string
+  readonly region: string
+  readonly failureDomain: string
+  /** IP:PORT for callers. */
+  readonly callerAddress: string
+  /** IP:PORT for peers; empty where the instance takes no calls from peers. */
+  readonly peerAddress: string
+  readonly state: MemberState
+  readonly heartbeat: number
+}
+
+export interface MemberDirectoryParts {
+  readonly self: Omit<MemberRow, 'state' | 'heartbeat'>
+  readonly store: RowStore
+  readonly storeClock: StoreClock
+  readonly clock: Clock
+  readonly random: RandomSource
+  readonly heartbeatMilliseconds: Milliseconds
+  /** An instance whose row did not change for this long does not serve. */
+  readonly silenceMilliseconds: Milliseconds
+  readonly onEvent: (event: string, fields: Readonly<Record<string, unknown>>) => void
+}
+
+interface KnownMember {
+  row: MemberRow
+  version: number
+  /** Contact time at which the row was last seen to change. */
+  changedAt: Milliseconds
+}
+
+/** A longer gap between two reads says nothing about the others. */
+const LONGEST_COUNTED_GAP_MILLISECONDS = 1_500
+/** Rows of instances that have not been renewed for this many silences are removed. */
+const REMOVE_AFTER_SILENCES = 20
+
+export class MemberDirectory {
+  private readonly members = new Map<string, KnownMember>()
+  private heartbeat = 0
+  private draining = false
+  private timer: Timer | undefined
+  /**
+   * Time during which this instance read the rows without a gap. Silence is counted in it: an
+   * instance that was cut off itself must not take everybody else for gone when it is back.
+   */
+  private contactTime: Milliseconds = 0
+  private lastReadAt: Milliseconds | undefined
+  private lastRenewedAt: Milliseconds = Number.NEGATIVE_INFINITY
+
+  constructor(private readonly parts: MemberDirectoryParts) {}
+
+  start(): void {
+    void this.renew()
+  }
+
+  stop(): void {
+    this.timer?.cancel()
+    this.timer = undefined
+  }
+
+  /** Tells the others that this instance takes no new callers. */
+  async drain(): Promise<void> {
+    this.draining = true
+    await this.write()
+  }
+
+  /** Removes the own row. */
+  async leave(): Promise<void> {
+    this.stop()
+    await this.parts.store.write({ conditions: [], puts: [], removals: [this.address()] })
+  }
+
+  observe(rows: readonly ChangedRow[], isWhole: boolean): void {
+    for (const row of rows) this.observeRow(row)
+    if (!isWhole) return
+    const present = new Set(rows.map(row => row.key))
+    for (const key of this.members.keys()) if (!present.has(key)) this.members.delete(key)
+  }
+
+  /** Called after each read of the table that succeeded. */
+  noteRead(): void {
+    const now = this.parts.clock.monotonic()
+    const gap = now - (this.lastReadAt ?? now)
+    this.contactTime += Math.min(gap, LONGEST_COUNTED_GAP_MILLISECONDS)
+    this.lastReadAt = now
+  }
+
+  /** Other instances that serve, as far as this one can know. */
+  get others(): readonly MemberRow[] {
+    const { instance } = this.parts.self
+    return [...this.members.values()]
+      .filter(member => member.row.instance !== instance && this.isServing(member))
+      .map(member => member.row)
+  }
+
+  get isDraining(): boolean {
+    return this.draining
+  }
+
+  /** Whether this instance reached the store lately. */
+  get isInContact(): boolean {
+    const age = this.parts.clock.monotonic() - this.lastRenewedAt
+    return age < this.parts.silenceMilliseconds
+  }
+
+  private observeRow(row: ChangedRow): void {
+    const known = this.members.get(row.key)
+    if (known !== undefined && known.version > row.version) return
+    if (row.value === undefined) {
+      this.members.delete(row.key)
+      return
+    }
+    if (known?.version === row.version) return
+    const parsed = JSON.parse(row.value) as MemberRow
+    this.members.set(row.key, { row: parsed, version: row.version, changedAt: this.contactTime })
+    if (known === undefined || known.row.state !== parsed.state) {
+      this.parts.onEvent('member_state', { member: parsed.instance, state: parsed.state })
+    }
+  }
+
+  private isServing(member: KnownMember): boolean {
+    if (member.row.state !== 'serving') return false
+    return this.contactTime - member.changedAt < this.parts.silenceMilliseconds
+  }
+
+  private async renew(): Promise<void> {
+    await this.write()
+    await this.removeAbandoned()
+    const { heartbeatMilliseconds, random, clock } = this.parts
+    const delay = heartbeatMilliseconds * (0.9 + 0.2 * random.next())
+    this.timer = clock.after(delay, () => void this.renew())
+  }
+
+  private async write(): Promise<void> {
+    this.heartbeat += 1
+    const { store, self, clock, storeClock } = this.parts
+    const state: MemberState = this.draining ? 'draining' : 'serving'
+    const value = JSON.stringify({ ...self, state, heartbeat: this.heartbeat })
+    const sentAt = clock.monotonic()
+    const puts = [{ ...this.address(), value }]
+    const outcome = await store.write({ conditions: [], puts, removals: [] })
+    if (outcome.kind !== 'done') return
+    storeClock.note(outcome.storeTime, sentAt)
+    this.lastRenewedAt = sentAt
+  }
+
+  /** One instance in turn removes rows that nobody renews, so that they do not pile up. */
+  private async removeAbandoned(): Promise<void> {
+    const limit = this.parts.silenceMilliseconds * REMOVE_AFTER_SILENCES
+    const abandoned = [...this.members].find(
+      ([, member]) => this.contactTime - member.changedAt > limit,
+    )
+    if (abandoned === undefined) return
+    const [key, { version }] = abandoned
+    const address = { table: MEMBER_TABLE, partition: MEMBER_PARTITION, key }
+    const conditions = [{ ...address, version }]
+    await this.parts.store.write({ conditions, puts: [], removals: [address] })
+  }
+
+  private address() {
+    const key = this.parts.self.instance
+    return { table: MEMBER_TABLE, partition: MEMBER_PARTITION, key }
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/prepaid/holdingPolicy.ts
@@ -0,0 +1,67 @@
+import type { TokenCount } from '@rackwalk/shared'
+
+/** What one instance knows about a budget when it decides how much of it to hold. */
+export interface BudgetView {
+  /** Tokens in the pool. */
+  readonly free: TokenCount
+  /** This instance's holding that nobody has spent or reserved. */
+  readonly ownUnspent: TokenCount
+  readonly ownDemandPerSecond: number
+  /** Live instances other than this one; those without a holding count with zeros. */
+  readonly others: readonly { readonly unspent: TokenCount; readonly demandPerSecond: number }[]
+  /** The largest request lately seen here. */
+  readonly largestRequest: TokenCount
+}
+
+/** How much of a budget an instance should hold, and how fast it may spend unrecorded. */
+export interface HoldingPolicy {
+  /** Unspent tokens that this instance should hold. */
+  target(view: BudgetView): TokenCount
+  /** Tokens that stay in the pool for whoever meets a large request. */
+  poolFloor(view: BudgetView): TokenCount
+}
+
+/** Everybody the same, whatever the demand: the baseline for measurements. */
+export class EqualHoldingPolicy implements HoldingPolicy {
+  target(view: BudgetView): TokenCount {
+    return Math.floor(unspentTotal(view) / (view.others.length + 1))
+  }
+
+  poolFloor(): TokenCount {
+    return 0
+  }
+}
+
+/** Part of the mean demand that every instance is given beyond its own. */
+const BASE_SHARE = 0.35
+/** Largest requests kept in the pool, and the part of the unspent tokens that this may take. */
+const FLOOR_REQUESTS = 2
+const FLOOR_SHARE = 0.25
+
+/**
+ * Holdings follow demand. Nearly all is held while there is plenty, so that a cut from the
+ * store refuses nobody; towards the end of a budget a growing part stays in the pool, where
+ * any instance reaches it with one transaction.
+ */
+export class DemandHoldingPolicy implements HoldingPolicy {
+  target(view: BudgetView): TokenCount {
+    const total = unspentTotal(view)
+    const holdable = Math.max(0, total - this.poolFloor(view))
+    const demands = view.others.map(other => other.demandPerSecond)
+    const sum = demands.reduce((left, right) => left + right, view.ownDemandPerSecond)
+    const count = view.others.length + 1
+    const base = sum > 0 ? (BASE_SHARE * sum) / count : 1
+    const share = (view.ownDemandPerSecond + base) / (sum + base * count)
+    return Math.floor(holdable * share)
+  }
+
+  poolFloor(view: BudgetView): TokenCount {
+    const total = Math.max(0, unspentTotal(view))
+    return Math.floor(Math.min(FLOOR_SHARE * total, FLOOR_REQUESTS * view.largestRequest))
+  }
+}
+
+function unspentTotal(view: BudgetView): TokenCount {
+  const others = view.others.reduce((sum, other) => sum + other.unspent, 0)
+  return view.free + view.ownUnspent + others
+}
--- /dev/null
+++ b/packages/coordination/src/prepaid/holdingState.ts
@@ -0,0 +1,108 @@
+import type { Clock, Milliseconds, TokenCount } from '@rackwalk/shared'
+import { committedBound } from './prepaidRows.js'
+import type { HolderRow } from './prepaidRows.js'
+
+/** A holder row of this incarnation that is, or may come to be, in the store. */
+interface SentRow {
+  readonly row: HolderRow
+  readonly sentAt: Milliseconds
+}
+
+/**
+ * What this incarnation may still commit of one budget. While the outcome of a write is
+ * unknown both the old and the new row may be in force, so the smaller of their bounds holds.
+ */
+export class HoldingState {
+  private confirmed: SentRow | undefined
+  private unresolved: SentRow[] = []
+  private committedTokens: TokenCount = 0
+  private sequence = 0
+
+  constructor(private readonly clock: Clock) {}
+
+  get isRegistered(): boolean {
+    return this.confirmed !== undefined
+  }
+
+  /** Handed out or reserved by this incarnation. */
+  get committed(): TokenCount {
+    return this.committedTokens
+  }
+
+  get granted(): TokenCount {
+    const rows = this.possibleRows()
+    return rows.length === 0 ? 0 : Math.min(...rows.map(({ row }) => row.granted))
+  }
+
+  /** Held tokens that are neither handed out nor reserved. */
+  get unspent(): TokenCount {
+    return Math.max(0, this.granted - this.committedTokens)
+  }
+
+  /** Tokens that may be committed now without a write. */
+  get allowance(): TokenCount {
+    const now = this.clock.monotonic()
+    const rows = this.possibleRows()
+    if (rows.length === 0) return 0
+    const bounds = rows.map(({ row, sentAt }) => committedBound(row, now - sentAt))
+    return Math.max(0, Math.min(...bounds) - this.committedTokens)
+  }
+
+  /** Sequence of the row sent last; each row sent has its own, whatever became of it. */
+  get lastSequence(): number {
+    return this.sequence
+  }
+
+  get hasUnresolved(): boolean {
+    return this.unresolved.length > 0
+  }
+
+  /** Time since the write of the newest confirmed row was sent. */
+  get recordAge(): Milliseconds {
+    const sentAt = this.confirmed?.sentAt
+    return sentAt === undefined ? Number.POSITIVE_INFINITY : this.clock.monotonic() - sentAt
+  }
+
+  /** Tokens committed since the newest confirmed row. */
+  get unrecorded(): TokenCount {
+    return Math.abs(this.committedTokens - (this.confirmed?.row.committed ?? 0))
+  }
+
+  commit(tokens: TokenCount): void {
+    this.committedTokens += tokens
+  }
+
+  release(tokens: TokenCount): void {
+    this.committedTokens -= tokens
+  }
+
+  /** A row is about to be sent; from now on its bounds hold as well. */
+  send(row: HolderRow): void {
+    this.sequence = row.sequence
+    this.unresolved.push({ row, sentAt: this.clock.monotonic() })
+  }
+
+  /** The store took the row of this sequence; no earlier write can take effect any more. */
+  confirm(sequence: number): void {
+    const taken = this.unresolved.find(({ row }) => row.sequence === sequence)
+    if (taken !== undefined) this.confirmed = taken
+    this.unresolved = []
+  }
+
+  /** The store did not take the row of this sequence and never will. */
+  withdraw(sequence: number): void {
+    this.unresolved = this.unresolved.filter(({ row }) => row.sequence !== sequence)
+  }
+
+  /** The row in the store is no longer this incarnation's: nothing may be spent. */
+  lose(): void {
+    this.confirmed = undefined
+    this.unresolved = []
+  }
+
+  private possibleRows(): readonly SentRow[] {
+    // Before the first confirmed row nothing may be spent, whatever is on its way.
+    if (this.confirmed === undefined) return []
+    return [this.confirmed, ...this.unresolved]
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/prepaid/prepaidAccount.ts
@@ -0,0 +1,427 @@
+import type { Clock, Milliseconds, Timer, TokenCount } from '@rackwalk/shared'
+import type { RowStore, RowTransaction, RowWriteOutcome } from '@rackwalk/platform'
+import type { StoreClock } from '../rows/storeClock.js'
+import { DemandMeter } from './demandMeter.js'
+import { HoldingState } from './holdingState.js'
+import type { BudgetView, HoldingPolicy } from './holdingPolicy.js'
+import { POOL_KEY, PREPAID_TABLE, encodeRow, freeInPool, holderKey } from './prepaidRows.js'
+import type { PoolRow } from './prepaidRows.js'
+import { PartitionView } from './partitionView.js'
+import type { RowUpdate } from './partitionView.js'
+import { planWrite } from './writePlan.js'
+import type { WritePlan } from './writePlan.js'
+
+/** One budget on one instance: reserves, settles and keeps the rows in the store true. */
+
+/** Tokens set aside for one request. */
+export interface PrepaidReservation {
+  readonly budget: string
+  readonly tokens: TokenCount
+}
+
+/** `exhausted`: nobody has enough left; `unavailable`: others hold it, or it is not known. */
+export type PrepaidRefusal = 'exhausted' | 'unavailable'
+
+export type PrepaidOutcome =
+  | { readonly kind: 'reserved'; readonly reservation: PrepaidReservation; readonly path: string }
+  | { readonly kind: 'refused'; readonly reason: PrepaidRefusal; readonly known: BudgetView }
+
+export interface PrepaidAccountParts {
+  readonly budget: string
+  readonly instance: string
+  readonly incarnation: string
+  readonly store: RowStore
+  readonly storeClock: StoreClock
+  readonly clock: Clock
+  /** Monotonic time at which this process started; its predecessor was dead by then. */
+  readonly startedAt: Milliseconds
+  readonly policy: HoldingPolicy
+  /** Other instances that serve at present. */
+  readonly otherInstances: () => readonly string[]
+  /** Longest time between two writes while tokens are spent. */
+  readonly recordMilliseconds: () => Milliseconds
+  readonly onEvent: (event: string, fields: Readonly<Record<string, unknown>>) => void
+}
+
+interface Waiter {
+  readonly tokens: TokenCount
+  readonly resolve: (outcome: PrepaidOutcome) => void
+  timer: Timer | undefined
+}
+
+const RETRY_MILLISECONDS = 120
+/** A store that has not answered for this long counts as out of reach. */
+const SLOW_CALL_MILLISECONDS = 250
+/** Idle budgets are recorded this many times less often. */
+const IDLE_FACTOR = 4
+const LARGEST_DECAY = 0.98
+const LEAVE_ATTEMPTS = 12
+
+export class PrepaidAccount {
+  private readonly holding: HoldingState
+  private readonly demand: DemandMeter
+  private readonly view: PartitionView
+  private limit: TokenCount | undefined
+  private configurationVersion = 0
+  private waiters: Waiter[] = []
+  private writing: Promise<void> | undefined
+  private failures = 0
+  private retryAt: Milliseconds = 0
+  private largest: TokenCount = 0
+  private left = false
+  private calling = false
+  private callStartedAt: Milliseconds = 0
+
+  constructor(private readonly parts: PrepaidAccountParts) {
+    this.holding = new HoldingState(parts.clock)
+    this.demand = new DemandMeter(parts.clock)
+    this.view = new PartitionView(parts.instance)
+  }
+
+  /** The budget as the configuration of this version sets it. */
+  setLimit(limit: TokenCount, configurationVersion: number): void {
+    if (configurationVersion < this.configurationVersion) return
+    this.configurationVersion = configurationVersion
+    if (this.limit === limit) return
+    this.limit = limit
+    this.kick()
+  }
+
+  /** Takes in rows of this partition; with `isWhole` they are all that there are. */
+  observe(rows: readonly RowUpdate[], isWhole: boolean): void {
+    this.view.apply(rows, isWhole)
+    this.noteOwnRow()
+  }
+
+  /** Sets tokens aside, waiting at most `patience` for the store. */
+  reserve(tokens: TokenCount, patience: Milliseconds): Promise<PrepaidOutcome> {
+    this.demand.add(tokens)
+    this.largest = Math.max(tokens, this.largest * LARGEST_DECAY)
+    if (tokens <= this.holding.allowance) {
+      this.holding.commit(tokens)
+      return Promise.resolve(this.reserved(tokens, 'held'))
+    }
+    if (this.isOutOfReach || this.left) return Promise.resolve(this.refused(tokens))
+    return new Promise(resolve => {
+      const waiter: Waiter = { tokens, resolve, timer: undefined }
+      waiter.timer = this.parts.clock.after(patience, () => this.expire(waiter))
+      this.waiters.push(waiter)
+      this.kick()
+    })
+  }
+
+  /** Ends a reservation; what was not handed out is free again. */
+  settle(reservation: PrepaidReservation, spent: TokenCount): void {
+    const unused = reservation.tokens - Math.min(spent, reservation.tokens)
+    this.holding.release(unused)
+    this.demand.add(-unused)
+  }
+
+  /** Called a few times a second: records, takes and gives back. */
+  maintain(): void {
+    if (this.isWriteDue()) this.kick()
+  }
+
+  /** Settles what was spent and gives the rest back; true once the store has it. */
+  async leave(): Promise<boolean> {
+    this.left = true
+    for (const waiter of this.waiters) this.finish(waiter, this.refused(waiter.tokens))
+    this.waiters = []
+    await this.writing
+    for (let attempt = 0; attempt < LEAVE_ATTEMPTS; attempt += 1) {
+      if (await this.leaveOnce()) return true
+      await this.pause(RETRY_MILLISECONDS)
+    }
+    return false
+  }
+
+  /** What is known here, for decision records and logs. */
+  describe(): Readonly<Record<string, unknown>> {
+    return {
+      limit: this.limit,
+      granted: this.holding.granted,
+      committed: this.holding.committed,
+      allowance: this.holding.allowance,
+      recordAge: Math.round(this.holding.recordAge),
+      free: this.view.pool === undefined ? undefined : freeInPool(this.view.pool),
+      demand: Math.round(this.demand.perSecond),
+    }
+  }
+
+  private get isOutOfReach(): boolean {
+    const waited = this.parts.clock.monotonic() - this.callStartedAt
+    return this.failures > 0 || (this.calling && waited > SLOW_CALL_MILLISECONDS)
+  }
+
+  private isWriteDue(): boolean {
+    if (this.limit === undefined || this.left) return false
+    if (this.waiters.length > 0 || !this.holding.isRegistered) return true
+    if (this.holding.hasUnresolved) return true
+    const period = this.parts.recordMilliseconds()
+    const isIdle = this.holding.unrecorded === 0
+    if (this.holding.recordAge > (isIdle ? period * IDLE_FACTOR : period)) return true
+    return this.plan(false).changesPool
+  }
+
+  private kick(): void {
+    if (this.writing !== undefined || this.left) return
+    if (this.parts.clock.monotonic() < this.retryAt) return
+    this.writing = this.writeWhileDue().finally(() => {
+      this.writing = undefined
+    })
+  }
+
+  private async writeWhileDue(): Promise<void> {
+    do {
+      const succeeded = await this.writeOnce()
+      if (!succeeded) return
+    } while (this.waiters.length > 0 && !this.left)
+  }
+
+  /** One write, or the read that has to come before it; false where it should be put off. */
+  private async writeOnce(): Promise<boolean> {
+    if (this.limit === undefined) return false
+    if (!this.view.isLoaded || this.holding.hasUnresolved) {
+      if (!(await this.reload())) return false
+    }
+    const plan = this.plan(true)
+    const admitted = this.takeAdmitted(plan)
+    this.holding.send(plan.holder)
+    const sentAt = this.parts.clock.monotonic()
+    const outcome = await this.timed(this.parts.store.write(this.transactionOf(plan)))
+    this.noteOutcome(plan, outcome, sentAt)
+    if (outcome.kind === 'done') {
+      for (const waiter of admitted) this.finish(waiter, this.reserved(waiter.tokens, 'written'))
+      this.refuseHopeless()
+      return true
+    }
+    for (const waiter of admitted) this.holding.release(waiter.tokens)
+    this.waiters = [...admitted, ...this.waiters]
+    if (outcome.kind !== 'conflict') this.serveFromHolding()
+    else this.expireOverdue()
+    return outcome.kind === 'conflict'
+  }
+
+  private noteOutcome(plan: WritePlan, outcome: RowWriteOutcome, sentAt: Milliseconds): void {
+    const { sequence } = plan.holder
+    if (outcome.kind === 'done') {
+      this.parts.storeClock.note(outcome.storeTime, sentAt)
+      this.view.applyWrite(plan, outcome.version)
+      this.holding.confirm(sequence)
+      this.noteReached()
+      return
+    }
+    if (outcome.kind === 'conflict') {
+      this.parts.storeClock.note(outcome.storeTime, sentAt)
+      this.holding.withdraw(sequence)
+      this.view.applyConflict(outcome.rows, plan.changesPool)
+      this.noteOwnRow()
+      this.noteReached()
+      return
+    }
+    if (outcome.kind === 'not-done') this.holding.withdraw(sequence)
+    this.noteFailure(outcome.kind === 'not-done' ? outcome.reason : 'no answer')
+  }
+
+  private async reload(): Promise<boolean> {
+    const sentAt = this.parts.clock.monotonic()
+    const reading = this.parts.store.readPartition(PREPAID_TABLE, this.parts.budget)
+    const outcome = await this.timed(reading)
+    if (outcome.kind === 'failed') {
+      this.noteFailure(outcome.reason)
+      this.serveFromHolding()
+      return false
+    }
+    this.parts.storeClock.note(outcome.storeTime, sentAt)
+    this.view.apply(outcome.rows, true)
+    this.noteOwnRow()
+    this.noteReached()
+    return true
+  }
+
+  /** The own row shows which of the unresolved writes took effect. */
+  private noteOwnRow(): void {
+    const row = this.view.ownHolder
+    if (row === undefined) return
+    if (row.incarnation === this.parts.incarnation) {
+      if (this.holding.hasUnresolved) this.holding.confirm(row.sequence)
+      return
+    }
+    if (!this.holding.isRegistered) return
+    this.holding.lose()
+    this.parts.onEvent('prepaid_holding_lost', { budget: this.parts.budget })
+  }
+
+  /** What the row that the next write replaces grants to this incarnation. */
+  private get grantedInStore(): TokenCount {
+    const row = this.view.ownHolder
+    return row?.incarnation === this.parts.incarnation ? row.granted : 0
+  }
+
+  private plan(withWaiters: boolean): WritePlan {
+    const { instance, incarnation, storeClock, startedAt } = this.parts
+    return planWrite({
+      pool: this.view.pool,
+      previous: this.view.ownHolder,
+      incarnation,
+      instance,
+      limit: this.limit ?? 0,
+      configurationVersion: this.configurationVersion,
+      granted: this.grantedInStore,
+      committed: this.holding.committed,
+      sequence: Math.max(this.holding.lastSequence, this.view.ownHolder?.sequence ?? 0) + 1,
+      requests: withWaiters ? this.waiters.map(waiter => waiter.tokens) : [],
+      storeTime: storeClock.lowerBound ?? 0,
+      diedBefore: storeClock.upperBoundAt(startedAt),
+      policy: this.parts.policy,
+      budgetView: this.budgetView(),
+      othersWant: this.view.wantedByOthers(instance),
+    })
+  }
+
+  private budgetView(): BudgetView {
+    const pool = this.view.pool
+    const limit = Math.max(this.limit ?? 0, 0)
+    return {
+      free: pool === undefined ? limit : freeInPool(pool),
+      ownUnspent: this.holding.unspent,
+      ownDemandPerSecond: this.demand.perSecond,
+      others: this.view.othersOf(this.parts.otherInstances()),
+      largestRequest: this.largest,
+    }
+  }
+
+  /** Takes the requests that the plan covers out of the queue and commits their tokens. */
+  private takeAdmitted(plan: WritePlan): readonly Waiter[] {
+    const admitted = plan.admitted.map(index => this.waiters[index]).filter(isDefined)
+    this.waiters = this.waiters.filter(waiter => !admitted.includes(waiter))
+    for (const waiter of admitted) this.holding.commit(waiter.tokens)
+    return admitted
+  }
+
+  /** After a write nothing more can be found in the pool: whoever still waits is told so. */
+  private refuseHopeless(): void {
+    const reachable = this.holding.unspent + Math.max(0, freeInPool(this.view.pool ?? NO_POOL))
+    const hopeless = this.waiters.filter(waiter => waiter.tokens > reachable)
+    this.waiters = this.waiters.filter(waiter => !hopeless.includes(waiter))
+    for (const waiter of hopeless) this.finish(waiter, this.refused(waiter.tokens))
+  }
+
+  private transactionOf(plan: WritePlan): RowTransaction {
+    const own = this.addressOf(holderKey(this.parts.instance))
+    const pool = this.addressOf(POOL_KEY)
+    const conditions = [{ ...own, version: this.view.ownVersion }]
+    const puts = [{ ...own, value: encodeRow(plan.holder) }]
+    if (plan.changesPool) {
+      conditions.push({ ...pool, version: this.view.poolVersion })
+      puts.push({ ...pool, value: encodeRow(plan.pool) })
+    }
+    return { conditions, puts, removals: [] }
+  }
+
+  private async leaveOnce(): Promise<boolean> {
+    if (!(await this.reload())) return false
+    const pool = this.view.pool
+    const own = this.view.ownHolder
+    if (pool === undefined || own?.incarnation !== this.parts.incarnation) return true
+    const ended: PoolRow = {
+      ...pool,
+      settled: pool.settled + this.holding.committed,
+      allocated: pool.allocated - own.granted,
+    }
+    const ownAddress = this.addressOf(holderKey(this.parts.instance))
+    const poolAddress = this.addressOf(POOL_KEY)
+    const outcome = await this.parts.store.write({
+      conditions: [
+        { ...ownAddress, version: this.view.ownVersion },
+        { ...poolAddress, version: this.view.poolVersion },
+      ],
+      puts: [{ ...poolAddress, value: encodeRow(ended) }],
+      removals: [ownAddress],
+    })
+    return outcome.kind === 'done'
+  }
+
+  private addressOf(key: string) {
+    return { table: PREPAID_TABLE, partition: this.parts.budget, key }
+  }
+
+  private noteReached(): void {
+    this.failures = 0
+    this.retryAt = 0
+  }
+
+  private noteFailure(reason: string): void {
+    this.failures += 1
+    this.retryAt = this.parts.clock.monotonic() + RETRY_MILLISECONDS
+    if (this.failures === 1) {
+      this.parts.onEvent('prepaid_store_lost', { budget: this.parts.budget, reason })
+    }
+  }
+
+  /** Nobody can be given more than is held until the store answers again. */
+  private serveFromHolding(): void {
+    const waiting = this.waiters
+    this.waiters = []
+    for (const waiter of waiting) this.finishFromHolding(waiter)
+  }
+
+  /** A request whose time ran out while a write covered it is answered when that one failed. */
+  private expireOverdue(): void {
+    const overdue = this.waiters.filter(waiter => waiter.timer === undefined)
+    this.waiters = this.waiters.filter(waiter => waiter.timer !== undefined)
+    for (const waiter of overdue) this.finishFromHolding(waiter)
+  }
+
+  private finishFromHolding(waiter: Waiter): void {
+    if (waiter.tokens > this.holding.allowance)
+      return this.finish(waiter, this.refused(waiter.tokens))
+    this.holding.commit(waiter.tokens)
+    this.finish(waiter, this.reserved(waiter.tokens, 'held'))
+  }
+
+  private expire(waiter: Waiter): void {
+    waiter.timer = undefined
+    if (this.waiters.includes(waiter)) {
+      this.waiters = this.waiters.filter(other => other !== waiter)
+      this.finishFromHolding(waiter)
+    }
+  }
+
+  private finish(waiter: Waiter, outcome: PrepaidOutcome): void {
+    waiter.timer?.cancel()
+    waiter.resolve(outcome)
+  }
+
+  private reserved(tokens: TokenCount, path: string): PrepaidOutcome {
+    return { kind: 'reserved', reservation: { budget: this.parts.budget, tokens }, path }
+  }
+
+  private refused(tokens: TokenCount): PrepaidOutcome {
+    const known = this.budgetView()
+    const others = known.others.reduce((sum, other) => sum + other.unspent, 0)
+    const left = Math.max(0, known.free) + known.ownUnspent + others
+    const isKnown = this.view.isLoaded && !this.isOutOfReach
+    const reason = isKnown && tokens > left ? 'exhausted' : 'unavailable'
+    return { kind: 'refused', reason, known }
+  }
+
+  /** Notes how long a call has been on its way. */
+  private async timed<Outcome>(call: Promise<Outcome>): Promise<Outcome> {
+    this.calling = true
+    this.callStartedAt = this.parts.clock.monotonic()
+    const outcome = await call
+    this.calling = false
+    return outcome
+  }
+
+  private pause(delay: Milliseconds): Promise<void> {
+    return new Promise(resolve => this.parts.clock.after(delay, resolve))
+  }
+}
+
+const NO_POOL: PoolRow = { limit: 0, configurationVersion: 0, settled: 0, allocated: 0 }
+
+function isDefined<Value>(value: Value | undefined): value is Value {
+  return value !== undefined
+}
--- /dev/null
+++ b/packages/coordination/src/prepaid/writePlan.ts
@@ -0,0 +1,155 @@
+import type { Milliseconds, TokenCount } from '@rackwalk/shared'
+import type { BudgetView, HoldingPolicy } from './holdingPolicy.js'
+import { committedBound, endHolding, freeInPool } from './prepaidRows.js'
+import type { HolderRow, PoolRow } from './prepaidRows.js'
+
+/** Decides the next write of one holder: a pure function of what is known. */
+
+export interface WriteInputs {
+  readonly pool: PoolRow | undefined
+  /** The row under this instance's key; another incarnation's at the first write. */
+  readonly previous: HolderRow | undefined
+  readonly instance: string
+  readonly incarnation: string
+  readonly limit: TokenCount
+  readonly configurationVersion: number
+  readonly granted: TokenCount
+  readonly committed: TokenCount
+  readonly sequence: number
+  /** Requests that wait, first come first. */
+  readonly requests: readonly TokenCount[]
+  /** A time that the store's clock has reached. */
+  readonly storeTime: Milliseconds
+  /** A time of the store at which an earlier incarnation was dead. */
+  readonly diedBefore: Milliseconds | undefined
+  readonly policy: HoldingPolicy
+  readonly budgetView: BudgetView
+  readonly othersWant: TokenCount
+}
+
+export interface WritePlan {
+  readonly pool: PoolRow
+  readonly holder: HolderRow
+  readonly changesPool: boolean
+  /** Positions in `requests` that the write covers. */
+  readonly admitted: readonly number[]
+}
+
+/** Holdings are moved only where they are off their target by more than this. */
+const TOLERANCE = 0.12
+/** Time for which the burst covers the average demand. */
+const BURST_SECONDS = 0.5
+/** Requests as large as the largest that may be committed before the next write. */
+const BURST_REQUESTS = 0.5
+const RATE_DEMAND_FACTOR = 2
+/** Without demand, the time in which all of a holding could be spent. */
+const RATE_SECONDS = 16
+
+/** The next write, and the requests that it covers. */
+export function planWrite(inputs: WriteInputs): WritePlan {
+  const before = poolBefore(inputs)
+  const unspent = inputs.granted - inputs.committed
+  const admission = admit(inputs.requests, Math.max(0, unspent) + Math.max(0, freeInPool(before)))
+  const rest = unspent - admission.tokens
+  const change = holdingChange(inputs, before, rest)
+  const granted = inputs.granted + change
+  const committed = inputs.committed + admission.tokens
+  const pool = { ...before, allocated: before.allocated + change }
+  return {
+    pool,
+    holder: holderRow(inputs, granted, committed, admission.missing),
+    changesPool: inputs.pool === undefined || !isSamePool(pool, inputs.pool),
+    admitted: admission.positions,
+  }
+}
+
+/** The pool with the newest limit, and with an earlier incarnation's holding ended. */
+function poolBefore(inputs: WriteInputs): PoolRow {
+  const { pool, previous, limit, configurationVersion } = inputs
+  const empty = { limit, configurationVersion, settled: 0, allocated: 0 }
+  const known = pool ?? empty
+  const isNewer = configurationVersion > known.configurationVersion
+  const limited =
+    isNewer && limit !== known.limit ? { ...known, limit, configurationVersion } : known
+  if (previous === undefined || previous.incarnation === inputs.incarnation) return limited
+  return endHolding(limited, previous, boundAtDeath(inputs, previous))
+}
+
+function boundAtDeath(inputs: WriteInputs, previous: HolderRow): TokenCount {
+  // Without a time of the store the whole holding may be spent.
+  if (inputs.diedBefore === undefined) return previous.granted
+  return committedBound(previous, inputs.diedBefore - previous.base)
+}
+
+function admit(requests: readonly TokenCount[], available: TokenCount) {
+  const positions: number[] = []
+  let tokens = 0
+  let missing = 0
+  for (const [position, request] of requests.entries()) {
+    if (tokens + request <= available) {
+      positions.push(position)
+      tokens += request
+    } else missing = Math.max(missing, request)
+  }
+  return { positions, tokens, missing }
+}
+
+/** Tokens to take from the pool, or to give back where negative. */
+function holdingChange(inputs: WriteInputs, pool: PoolRow, rest: TokenCount): TokenCount {
+  const { policy, budgetView } = inputs
+  const free = freeInPool(pool)
+  const needed = Math.max(0, -rest)
+  const target = Math.max(0, policy.target({ ...budgetView, free }))
+  const floor =
+    inputs.othersWant > 0
+      ? Math.max(inputs.othersWant, policy.poolFloor(budgetView))
+      : policy.poolFloor(budgetView)
+  const after = rest + needed
+  if (free < 0) return -Math.min(after, -free)
+  if (after < target * (1 - TOLERANCE)) {
+    return needed + Math.max(0, Math.min(target - after, free - needed - floor))
+  }
+  const isShortElsewhere = free < floor / 2 || inputs.othersWant > free
+  const excess = after - target * (isShortElsewhere ? 1 : 1 + TOLERANCE)
+  if (excess > Math.max(1, target * TOLERANCE)) return needed - Math.floor(after - target)
+  if (inputs.othersWant > free) return needed - lendable(inputs, after, free)
+  return needed
+}
+
+/** Another instance lacks tokens for a request at hand: half of what is unspent may go. */
+function lendable(inputs: WriteInputs, after: TokenCount, free: TokenCount): TokenCount {
+  const holders = inputs.budgetView.others.length
+  const missing = inputs.othersWant - free
+  const part = Math.ceil((2 * missing) / Math.max(1, holders))
+  return Math.floor(Math.min(after / 2, part))
+}
+
+function holderRow(
+  inputs: WriteInputs,
+  granted: TokenCount,
+  committed: TokenCount,
+  wanted: TokenCount,
+): HolderRow {
+  const { ownDemandPerSecond, largestRequest } = inputs.budgetView
+  const unspent = Math.max(0, granted - committed)
+  const burst = BURST_SECONDS * ownDemandPerSecond + BURST_REQUESTS * largestRequest
+  return {
+    incarnation: inputs.incarnation,
+    sequence: inputs.sequence,
+    granted,
+    committed,
+    base: inputs.storeTime,
+    burst: Math.floor(Math.min(unspent / 2, burst)),
+    ratePerSecond: Math.ceil(RATE_DEMAND_FACTOR * ownDemandPerSecond + unspent / RATE_SECONDS),
+    demandPerSecond: Math.round(ownDemandPerSecond),
+    wanted,
+  }
+}
+
+function isSamePool(left: PoolRow, right: PoolRow): boolean {
+  return (
+    left.limit === right.limit &&
+    left.settled === right.settled &&
+    left.allocated === right.allocated
+  )
+}
--- /dev/null
+++ b/packages/coordination/src/rows/tableMirror.ts
@@ -0,0 +1,129 @@
+import type { Clock, Milliseconds } from '@rackwalk/shared'
+import type { ChangedRow, RowFeedOutcome, RowStore } from '@rackwalk/platform'
+
+/** A copy of one table of the row store, kept up to date by the store's feed. */
+
+/** What a mirror tells its owner. */
+export interface MirrorListener {
+  /**
+   * Rows as they now are. With `isWhole` these are all rows of the partitions read: what is
+   * not among them is not there.
+   */
+  onRows(rows: readonly ChangedRow[], isWhole: boolean): void
+  /** The table was read without a failure, whether or not anything had changed. */
+  onRead?(): void
+  /** The store began or ceased to answer this mirror. */
+  onReachable?(isReachable: boolean): void
+}
+
+export interface TableMirrorParts {
+  readonly store: RowStore
+  readonly table: string
+  /** Partitions to read whole at the start and after history was lost. */
+  readonly partitions: () => readonly string[]
+  readonly clock: Clock
+  readonly listener: MirrorListener
+  /** How long one call may wait for a change at the store. */
+  readonly waitMilliseconds: Milliseconds
+  /** Least time between two calls; bounds the calls on a table that changes all the time. */
+  readonly pauseMilliseconds: Milliseconds
+}
+
+const FIRST_RETRY_MILLISECONDS = 100
+const LONGEST_RETRY_MILLISECONDS = 800
+
+/** Follows a table: one whole read, then changes; again whole when the store forgot some. */
+export class TableMirror {
+  private position: number | undefined
+  private stopped = false
+  private failures = 0
+  private reachable: boolean | undefined
+  /** Monotonic time at which the last successful call was sent. */
+  private confirmedAt: Milliseconds = Number.NEGATIVE_INFINITY
+  private readPartitions = new Set<string>()
+
+  constructor(private readonly parts: TableMirrorParts) {}
+
+  start(): void {
+    void this.follow()
+  }
+
+  stop(): void {
+    this.stopped = true
+  }
+
+  /** How old what is known here may be. */
+  get age(): Milliseconds {
+    return this.parts.clock.monotonic() - this.confirmedAt
+  }
+
+  get isLoaded(): boolean {
+    return this.position !== undefined
+  }
+
+  private async follow(): Promise<void> {
+    while (!this.stopped) {
+      const sentAt = this.parts.clock.monotonic()
+      const succeeded = await this.step()
+      if (this.stopped) return
+      this.noteReachable(succeeded)
+      if (succeeded) {
+        this.confirmedAt = sentAt
+        this.parts.listener.onRead?.()
+      }
+      await this.pause(succeeded ? this.parts.pauseMilliseconds : this.retryDelay())
+    }
+  }
+
+  private async step(): Promise<boolean> {
+    const missing = this.parts.partitions().filter(name => !this.readPartitions.has(name))
+    if (this.position === undefined || missing.length > 0) return this.readWhole(missing)
+    const { store, table, waitMilliseconds } = this.parts
+    const outcome = await store.readChanges(table, this.position, waitMilliseconds)
+    return this.apply(outcome)
+  }
+
+  private apply(outcome: RowFeedOutcome): boolean {
+    if (outcome.kind === 'failed') return false
+    if (outcome.kind === 'history-gone') {
+      this.position = undefined
+      this.readPartitions = new Set()
+      return true
+    }
+    this.position = outcome.version
+    if (outcome.rows.length > 0) this.parts.listener.onRows(outcome.rows, false)
+    return true
+  }
+
+  /** Reads partitions whole; the feed continues at the oldest of their versions. */
+  private async readWhole(partitions: readonly string[]): Promise<boolean> {
+    const outcomes = await Promise.all(
+      partitions.map(name => this.parts.store.readPartition(this.parts.table, name)),
+    )
+    const versions: number[] = this.position === undefined ? [] : [this.position]
+    for (const [index, outcome] of outcomes.entries()) {
+      if (outcome.kind === 'failed') return false
+      this.readPartitions.add(partitions[index] ?? '')
+      versions.push(outcome.version)
+      this.parts.listener.onRows(outcome.rows, true)
+    }
+    if (versions.length > 0) this.position = Math.min(...versions)
+    return true
+  }
+
+  private noteReachable(isReachable: boolean): void {
+    this.failures = isReachable ? 0 : this.failures + 1
+    if (this.reachable === isReachable) return
+    this.reachable = isReachable
+    this.parts.listener.onReachable?.(isReachable)
+  }
+
+  private retryDelay(): Milliseconds {
+    const delay = FIRST_RETRY_MILLISECONDS * 2 ** Math.min(this.failures, 10)
+    return Math.min(LONGEST_RETRY_MILLISECONDS, delay)
+  }
+
+  private pause(delay: Milliseconds): Promise<void> {
+    return new Promise(resolve => this.parts.clock.after(delay, resolve))
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -0,0 +1,393 @@
+import type { Server } from 'node:http'
+import { ResultCode, SystemClock, SystemRandom, sleep } from '@rackwalk/shared'
+import type { Clock, Milliseconds, RandomSource } from '@rackwalk/shared'
+import type { ChangedRow, RowStore } from '@rackwalk/platform'
+import {
+  DemandHoldingPolicy,
+  EqualHoldingPolicy,
+  MEMBER_PARTITION,
+  MEMBER_TABLE,
+  MemberDirectory,
+  PREPAID_TABLE,
+  PrepaidLedger,
+  StoreClock,
+  TableMirror,
+} from '@rackwalk/coordination'
+import type { MirrorListener } from '@rackwalk/coordination'
+import { Gateway, RouteTable, ServerDirectory } from '@rackwalk/router'
+import type { GatewayConfiguration, GatewayRecord } from '@rackwalk/router'
+import { BoundedLogger } from '../observe/boundedLogger.js'
+import { ConsolaLogger } from '../observe/logger.js'
+import type { Logger } from '../observe/logger.js'
+import {
+  applyLimits,
+  createCallerListener,
+  createPlainListener,
+  listenAll,
+} from './gatewayListeners.js'
+import { GatewayMetrics } from './gatewayMetrics.js'
+import type { GatewaySettings } from './gatewaySettings.js'
+import type { PlainAnswer, PlatformAdapter } from './platformAdapter.js'
+import type { SettingsOutcome } from './settingsWatcher.js'
+
+export interface GatewayDaemonOptions {
+  readonly clock?: Clock
+  readonly random?: RandomSource
+  readonly logger?: Logger
+  /** The store; made by the adapter where absent. */
+  readonly store?: RowStore
+}
+
+/** Feeds that rarely change wait at the store; busy ones are asked at intervals. */
+const FEED_WAIT_MILLISECONDS = 2_000
+const QUIET_PAUSE_MILLISECONDS = 20
+const MEMBER_PAUSE_MILLISECONDS = 700
+const PREPAID_PAUSE_MILLISECONDS = 400
+/** After SIGTERM, callers that still hold an old answer are served for this long. */
+const LINGER_MILLISECONDS = 2_600
+/** The process lives at least this long after SIGTERM, so that callers learn of it. */
+const SHORTEST_DRAIN_MILLISECONDS = 3_200
+/** Kept at the end of the grace time for settling budgets. */
+const SETTLE_MILLISECONDS = 900
+const DRAIN_POLL_MILLISECONDS = 20
+
+/** One instance that serves generic routes: every part, wired together. */
+export class GatewayDaemon {
+  private readonly clock: Clock
+  private readonly random: RandomSource
+  private readonly logger: Logger
+  private readonly metrics: GatewayMetrics
+  private readonly store: RowStore
+  private readonly storeClock: StoreClock
+  private readonly members: MemberDirectory
+  private readonly ledger: PrepaidLedger
+  private readonly servers: ServerDirectory
+  private readonly gateway: Gateway
+  private readonly mirrors: readonly TableMirror[]
+  private readonly callerListener: Server
+  private readonly otherListeners: readonly { server: Server; address: string }[]
+  private routes: RouteTable | undefined
+  private draining = false
+  private refusing = false
+  private isMember = false
+
+  constructor(
+    private settings: GatewaySettings,
+    private readonly adapter: PlatformAdapter,
+    options: GatewayDaemonOptions = {},
+  ) {
+    this.clock = options.clock ?? new SystemClock()
+    this.random = options.random ?? new SystemRandom()
+    this.logger = options.logger ?? this.createLogger()
+    this.store = options.store ?? adapter.createStore(settings.store)
+    this.storeClock = new StoreClock(this.clock)
+    const incarnation = this.random.uniqueId().slice(0, 8)
+    this.members = this.createMembers(incarnation)
+    this.ledger = this.createLedger(incarnation)
+    this.servers = this.createServers()
+    this.gateway = this.createGateway()
+    this.mirrors = this.createMirrors()
+    this.metrics = this.createMetrics()
+    this.callerListener = createCallerListener((request, response) => {
+      void this.gateway.handle(request, response)
+    })
+    this.otherListeners = this.createOtherListeners()
+  }
+
+  /** Listens and begins to follow the store. */
+  async start(): Promise<void> {
+    const { callers } = this.settings.listen
+    await listenAll([{ server: this.callerListener, address: callers }, ...this.otherListeners])
+    for (const mirror of this.mirrors) mirror.start()
+    this.ledger.start()
+    this.note('instance_started', { callers, incarnation: this.settings.instance.id })
+  }
+
+  /** Whether new requests may begin here. */
+  get isReady(): boolean {
+    return this.routes !== undefined && !this.draining
+  }
+
+  /** Brings requests in progress to their end, settles and leaves. */
+  async drain(): Promise<void> {
+    if (this.draining) return
+    this.draining = true
+    const startedAt = this.clock.monotonic()
+    this.note('instance_draining', { inFlight: this.gateway.inFlight })
+    void this.members.drain()
+    await sleep(this.clock, LINGER_MILLISECONDS)
+    this.refusing = true
+    await this.waitForRequests(startedAt)
+    this.callerListener.close()
+    const isSettled = await this.ledger.leave()
+    await this.members.leave()
+    this.note('instance_left', { cutOff: this.gateway.inFlight, isSettled })
+  }
+
+  /** The settings file changed; what can change in a running process does. */
+  noteSettings(outcome: SettingsOutcome): void {
+    const { cause } = outcome
+    if (outcome.kind === 'refused') {
+      this.note('settings_refused', { cause, faults: outcome.faults })
+      return
+    }
+    this.settings = outcome.settings
+    this.note('settings_in_force', { cause })
+  }
+
+  /** Stops at once. */
+  stop(): void {
+    for (const mirror of this.mirrors) mirror.stop()
+    this.ledger.stop()
+    this.members.stop()
+    this.store.close()
+    for (const { server } of this.otherListeners) server.close()
+    this.callerListener.closeAllConnections()
+    this.callerListener.close()
+  }
+
+  private async waitForRequests(startedAt: Milliseconds): Promise<void> {
+    const grace = this.settings.shutdown.graceSeconds * 1000
+    const earliest = startedAt + SHORTEST_DRAIN_MILLISECONDS
+    const latest = startedAt + grace - SETTLE_MILLISECONDS
+    for (;;) {
+      const now = this.clock.monotonic()
+      if (now >= latest) return
+      if (this.gateway.inFlight === 0 && now >= earliest) return
+      await sleep(this.clock, DRAIN_POLL_MILLISECONDS)
+    }
+  }
+
+  private createLogger(): Logger {
+    const { log, instance } = this.settings
+    const inner = new ConsolaLogger(log.level, instance.id)
+    return new BoundedLogger(inner, this.clock, log.linesPerSecond)
+  }
+
+  private createMembers(incarnation: string): MemberDirectory {
+    const { instance, listen, membership } = this.settings
+    return new MemberDirectory({
+      self: {
+        instance: instance.id,
+        incarnation,
+        region: instance.region,
+        failureDomain: instance.failureDomain,
+        callerAddress: listen.callers,
+        peerAddress: listen.peers ?? '',
+      },
+      store: this.store,
+      storeClock: this.storeClock,
+      clock: this.clock,
+      random: this.random,
+      heartbeatMilliseconds: membership.heartbeatMilliseconds,
+      silenceMilliseconds: membership.silenceMilliseconds,
+      onEvent: (event, fields) => this.note(event, fields),
+    })
+  }
+
+  private createLedger(incarnation: string): PrepaidLedger {
+    const { instance, store, budgets } = this.settings
+    return new PrepaidLedger({
+      instance: instance.id,
+      incarnation,
+      store: this.store,
+      storeClock: this.storeClock,
+      clock: this.clock,
+      startedAt: this.clock.monotonic(),
+      policy: budgets.policy === 'equal' ? new EqualHoldingPolicy() : new DemandHoldingPolicy(),
+      otherInstances: () => this.members.others.map(member => member.instance),
+      limits: {
+        writesPerSecond: store.writesPerSecond,
+        partitionWritesPerSecond: store.partitionWritesPerSecond,
+        reserveShare: budgets.reserveShare,
+      },
+      onEvent: (event, fields) => this.note(event, fields),
+    })
+  }
+
+  private createServers(): ServerDirectory {
+    return new ServerDirectory({
+      clock: this.clock,
+      instances: () => this.instanceCount,
+      maximumConnections: name => this.routes?.service(name)?.maximumConnections ?? 1,
+      onChange: (server, change) => {
+        this.note('server_state', { server: server.id, service: server.service, change })
+      },
+    })
+  }
+
+  private createGateway(): Gateway {
+    const { requests, retries, instance } = this.settings
+    return new Gateway({
+      dialect: this.adapter.dialect,
+      directory: this.servers,
+      clock: this.clock,
+      random: this.random,
+      failureDomain: instance.failureDomain,
+      connectMilliseconds: requests.connectMilliseconds,
+      ledger: this.ledger,
+      routes: () => this.routes,
+      retryBounds: { ...retries, windowMilliseconds: retries.windowSeconds * 1000 },
+      instances: () => this.instanceCount,
+      isDraining: () => this.draining,
+      isRefusing: () => this.refusing,
+      defaultDeadlineMilliseconds: requests.defaultDeadlineMilliseconds,
+      onRecord: record => this.noteRecord(record),
+    })
+  }
+
+  private createMirrors(): readonly TableMirror[] {
+    const { configuration, servers } = this.adapter
+    return [
+      this.mirror(configuration.table, () => [configuration.partition], {
+        onRows: rows => this.noteConfiguration(rows),
+        onReachable: isReachable => this.note('store_contact', { isReachable }),
+      }),
+      this.mirror(servers.table, () => [servers.partition], {
+        onRows: (rows, isWhole) => this.noteServers(rows, isWhole),
+      }),
+      this.mirror(
+        MEMBER_TABLE,
+        () => [MEMBER_PARTITION],
+        {
+          onRows: (rows, isWhole) => this.members.observe(rows, isWhole),
+          onRead: () => this.members.noteRead(),
+        },
+        MEMBER_PAUSE_MILLISECONDS,
+      ),
+      this.mirror(
+        PREPAID_TABLE,
+        () => this.ledger.budgets,
+        { onRows: (rows, isWhole) => this.ledger.observe(rows, isWhole) },
+        PREPAID_PAUSE_MILLISECONDS,
+      ),
+    ]
+  }
+
+  private mirror(
+    table: string,
+    partitions: () => readonly string[],
+    listener: MirrorListener,
+    pause?: Milliseconds,
+  ): TableMirror {
+    return new TableMirror({
+      store: this.store,
+      table,
+      partitions,
+      clock: this.clock,
+      listener,
+      waitMilliseconds: pause === undefined ? FEED_WAIT_MILLISECONDS : 0,
+      pauseMilliseconds: pause ?? QUIET_PAUSE_MILLISECONDS,
+    })
+  }
+
+  private createMetrics(): GatewayMetrics {
+    return new GatewayMetrics({
+      inFlight: () => this.gateway.inFlight,
+      instances: () => this.instanceCount,
+      servers: () => this.servers.size,
+      configurationVersion: () => this.routes?.version ?? 0,
+      ready: () => (this.isReady ? 1 : 0),
+      storeAge: () => (this.mirrors[0]?.age ?? 0) / 1000,
+    })
+  }
+
+  private createOtherListeners(): { server: Server; address: string }[] {
+    const { readiness, directory, metrics } = this.settings.listen
+    const answers = [
+      { address: readiness, answer: (url: string) => this.answerReadiness(url) },
+      { address: directory, answer: (url: string) => this.answerDirectory(url) },
+      { address: metrics, answer: () => this.answerMetrics() },
+    ]
+    return answers.flatMap(({ address, answer }) =>
+      address === undefined ? [] : [{ server: createPlainListener(answer), address }],
+    )
+  }
+
+  private answerReadiness(url: string): PlainAnswer {
+    if (!this.adapter.isReadinessQuestion(url)) return { status: 404 }
+    return { status: this.isReady ? 200 : 503 }
+  }
+
+  private answerDirectory(url: string): PlainAnswer {
+    if (this.adapter.readDirectoryQuestion(url) === undefined) return { status: 404 }
+    const own = this.isReady ? [this.settings.listen.callers] : []
+    const addresses = [...own, ...this.members.others.map(member => member.callerAddress)]
+    if (addresses.length === 0) return { status: 503 }
+    return this.adapter.directoryAnswer(addresses, this.settings.membership.addressSeconds)
+  }
+
+  private async answerMetrics(): Promise<PlainAnswer> {
+    return { status: 200, body: await this.metrics.registry.metrics() }
+  }
+
+  private noteConfiguration(rows: readonly ChangedRow[]): void {
+    const { key, parse } = this.adapter.configuration
+    const row = rows.find(candidate => candidate.key === key)
+    if (row?.value === undefined) return
+    const configuration = this.parseConfiguration(row.value, parse)
+    if (configuration === undefined) return
+    const known = this.routes?.version ?? -1
+    // History may be read again from an older point: what is in force never goes back.
+    if (configuration.version <= known) return
+    this.routes = new RouteTable(configuration)
+    applyLimits(this.callerListener, configuration.limits)
+    const limits = configuration.tenants.flatMap(({ name, prepaid }) =>
+      prepaid === undefined ? [] : [{ budget: name, limit: prepaid }],
+    )
+    this.ledger.configure(limits, configuration.version)
+    this.note('configuration_in_force', { version: configuration.version, before: known })
+    this.becomeMember()
+  }
+
+  private parseConfiguration(value: string, parse: (value: string) => GatewayConfiguration) {
+    try {
+      return parse(value)
+    } catch (thrown) {
+      this.note('configuration_refused', { detail: String(thrown).slice(0, 500) })
+      return undefined
+    }
+  }
+
+  /** Others learn of this instance once it can serve. */
+  private becomeMember(): void {
+    if (this.isMember) return
+    this.isMember = true
+    this.members.start()
+  }
+
+  private noteServers(rows: readonly ChangedRow[], isWhole: boolean): void {
+    const { parse } = this.adapter.servers
+    for (const { key, value } of rows) {
+      const record = value === undefined ? undefined : parse(key, value)
+      if (record === undefined) this.servers.remove(key)
+      else this.servers.set(record)
+    }
+    if (isWhole) this.servers.retain(new Set(rows.map(row => row.key)))
+  }
+
+  private get instanceCount(): number {
+    return this.members.others.length + 1
+  }
+
+  private noteRecord(record: GatewayRecord): void {
+    this.metrics.noteRecord(record)
+    const { requestId, receivedAt: _, ...rest } = record
+    const rounded = {
+      ...rest,
+      firstByteMilliseconds: round(record.firstByteMilliseconds),
+      totalMilliseconds: round(record.totalMilliseconds),
+    }
+    const isServed = record.code === ResultCode.Ok
+    this.logger[isServed ? 'info' : 'warn']('request', { request: requestId, ...rounded })
+  }
+
+  private note(event: string, fields: Readonly<Record<string, unknown>>): void {
+    this.metrics?.noteEvent(event)
+    this.logger.info(event, fields)
+  }
+}
+
+function round(value: number | undefined): number | undefined {
+  return value === undefined ? undefined : Math.round(value)
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/gatewayListeners.ts
@@ -0,0 +1,56 @@
+import { createServer } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { GatewayLimits } from '@rackwalk/router'
+import { answerMalformed } from '../observe/httpAnswer.js'
+import { listenOn } from '../observe/listenOn.js'
+import type { PlainAnswer } from './platformAdapter.js'
+
+/** The sockets of a gateway instance. */
+
+/** Callers may take up a connection that rested almost this long; it must still be there. */
+const IDLE_SLACK_MILLISECONDS = 1_000
+const LONGEST_HEADER_BYTES = 64 * 1024
+const HEADER_MILLISECONDS = 10_000
+
+/** The listener for callers; a configuration changes its limits. */
+export function createCallerListener(
+  handle: (request: IncomingMessage, response: ServerResponse) => void,
+): Server {
+  const server = createServer({ maxHeaderSize: LONGEST_HEADER_BYTES, noDelay: true }, handle)
+  server.requestTimeout = 0
+  server.headersTimeout = HEADER_MILLISECONDS
+  server.on('clientError', answerMalformed)
+  return server
+}
+
+/** Puts the limits of a configuration in force for connections from now on. */
+export function applyLimits(server: Server, limits: GatewayLimits): void {
+  server.keepAliveTimeout = limits.idleMilliseconds + IDLE_SLACK_MILLISECONDS
+  server.headersTimeout = limits.headerMilliseconds + IDLE_SLACK_MILLISECONDS
+}
+
+/** A listener that gives plain answers to `GET`. */
+export function createPlainListener(
+  answer: (url: string) => PlainAnswer | Promise<PlainAnswer>,
+): Server {
+  return createServer((request, response) => {
+    request.resume()
+    void Promise.resolve(answer(request.url ?? '/')).then(result => write(response, result))
+  })
+}
+
+export async function listenAll(
+  listeners: readonly { readonly server: Server; readonly address: string }[],
+): Promise<void> {
+  await Promise.all(listeners.map(({ server, address }) => listenOn(server, address)))
+}
+
+function write(response: ServerResponse, { status, body }: PlainAnswer): void {
+  const isText = typeof body === 'string'
+  const bytes = body === undefined ? '' : isText ? body : JSON.stringify(body)
+  response.writeHead(status, {
+    'content-type': isText ? 'text/plain; version=0.0.4' : 'application/json',
+    'content-length': String(Buffer.byteLength(bytes)),
+  })
+  response.end(bytes)
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/gatewayMetrics.ts
@@ -0,0 +1,113 @@
+import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+import { ResultCode, resultName } from '@rackwalk/shared'
+import type { GatewayRecord } from '@rackwalk/router'
+
+const FIRST_BYTE_BUCKETS = [0.02, 0.05, 0.1, 0.2, 0.35, 0.5, 0.7, 1, 2, 5, 10]
+const TOTAL_BUCKETS = [0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 15, 60]
+
+/** Values read when somebody asks for the metrics. */
+export interface GatewayGauges {
+  readonly inFlight: () => number
+  readonly instances: () => number
+  readonly servers: () => number
+  readonly configurationVersion: () => number
+  readonly ready: () => number
+  readonly storeAge: () => number
+}
+
+/** The metrics of one gateway instance. */
+export class GatewayMetrics {
+  readonly registry = new Registry()
+  private readonly requests: Counter
+  private readonly attempts: Counter
+  private readonly reservations: Counter
+  private readonly tokens: Counter
+  private readonly events: Counter
+  private readonly firstByte: Histogram
+  private readonly total: Histogram
+
+  constructor(gauges: GatewayGauges) {
+    const registers = [this.registry]
+    this.requests = new Counter({
+      name: 'rackwalk_gateway_requests_total',
+      help: 'Requests that ended, by result code and route.',
+      labelNames: ['code', 'result', 'route'],
+      registers,
+    })
+    this.attempts = new Counter({
+      name: 'rackwalk_gateway_attempts_total',
+      help: 'Requests sent to servers, by service and outcome.',
+      labelNames: ['service', 'outcome'],
+      registers,
+    })
+    this.reservations = new Counter({
+      name: 'rackwalk_gateway_reservations_total',
+      help: 'Reservations of prepaid tokens, by outcome.',
+      labelNames: ['outcome'],
+      registers,
+    })
+    this.tokens = new Counter({
+      name: 'rackwalk_gateway_spent_tokens_total',
+      help: 'Prepaid tokens handed out, by tenant.',
+      labelNames: ['tenant'],
+      registers,
+    })
+    this.events = new Counter({
+      name: 'rackwalk_gateway_events_total',
+      help: 'Changes of what the process believes, by name.',
+      labelNames: ['event'],
+      registers,
+    })
+    this.firstByte = new Histogram({
+      name: 'rackwalk_gateway_first_byte_seconds',
+      help: 'Time from the arrival of a request to the first byte of its answer.',
+      buckets: FIRST_BYTE_BUCKETS,
+      registers,
+    })
+    this.total = new Histogram({
+      name: 'rackwalk_gateway_request_seconds',
+      help: 'Time from the arrival of a request to its end.',
+      buckets: TOTAL_BUCKETS,
+      registers,
+    })
+    this.observe(gauges)
+  }
+
+  noteRecord(record: GatewayRecord): void {
+    const code = record.code ?? ResultCode.Internal
+    const route = record.route ?? 'none'
+    this.requests.inc({ code: String(code), result: resultName(code), route })
+    for (const { outcome } of record.attempts) {
+      const kind = outcome.split(' ').slice(0, 2).join(' ')
+      this.attempts.inc({ service: record.service ?? 'none', outcome: kind })
+    }
+    if (record.reservation !== undefined) this.reservations.inc({ outcome: record.reservation })
+    if (record.tenant !== undefined) this.tokens.inc({ tenant: record.tenant }, record.spent ?? 0)
+    if (record.firstByteMilliseconds !== undefined) {
+      this.firstByte.observe(record.firstByteMilliseconds / 1000)
+    }
+    this.total.observe((record.totalMilliseconds ?? 0) / 1000)
+  }
+
+  noteEvent(event: string): void {
+    this.events.inc({ event })
+  }
+
+  private observe(gauges: GatewayGauges): void {
+    this.gauge('in_flight', 'Requests in progress.', gauges.inFlight)
+    this.gauge('instances', 'Instances that serve, this one included.', gauges.instances)
+    this.gauge('servers', 'Servers listed.', gauges.servers)
+    this.gauge('configuration_version', 'Version in force here.', gauges.configurationVersion)
+    this.gauge('ready', '1 while new requests may begin here.', gauges.ready)
+    this.gauge('store_age_seconds', "Time since the store's last answer.", gauges.storeAge)
+  }
+
+  private gauge(name: string, help: string, read: () => number): void {
+    const gauge: Gauge = new Gauge({
+      name: `rackwalk_gateway_${name}`,
+      help,
+      registers: [this.registry],
+      collect: (): void => gauge.set(read()),
+    })
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/gatewaySettings.ts
@@ -0,0 +1,88 @@
+import { z } from 'zod'
+import { nameSchema } from '@rackwalk/router'
+
+/** Settings of an instance that serves generic routes on a platform of its own protocol. */
+
+const ADDRESS_PATTERN = /^[0-9.]+:\d{1,5}$/
+
+const address = z.string().regex(ADDRESS_PATTERN, 'IP:PORT').describe('IP address and port')
+const milliseconds = z.number().positive()
+const seconds = z.number().positive()
+
+export const gatewaySettingsSchema = z.strictObject({
+  kind: z.literal('gateway').describe('Chooses this kind of instance'),
+  adapter: z.string().min(1).describe('Module that translates the protocol of the platform'),
+  instance: z
+    .strictObject({
+      id: nameSchema.describe('Name of this instance, the same after a restart'),
+      region: nameSchema.describe('Region it runs in'),
+      failureDomain: nameSchema.describe('Failure domain it runs in'),
+    })
+    .describe('Who this instance is'),
+  listen: z
+    .strictObject({
+      callers: address.describe('Callers connect here'),
+      readiness: address.describe('The platform asks here whether the instance is ready'),
+      directory: address.optional().describe('Callers ask here which addresses to use'),
+      peers: address.optional().describe('Other instances ask here'),
+      metrics: address.describe('Metrics as text'),
+    })
+    .describe('Addresses of the listeners'),
+  seeds: z.array(address).default([]).describe('Peers asked while the store cannot be reached'),
+  store: z
+    .strictObject({
+      address,
+      writesPerSecond: z.number().positive().describe('Writes that all instances may make'),
+      partitionWritesPerSecond: z.number().positive().describe('Writes that one partition takes'),
+      timeoutMilliseconds: milliseconds.default(1_000).describe('Wait for an answer'),
+    })
+    .describe("The platform's store of rows"),
+  requests: z
+    .strictObject({
+      connectMilliseconds: milliseconds.default(150).describe('Wait for a connection to a server'),
+      defaultDeadlineMilliseconds: milliseconds
+        .default(60_000)
+        .describe('For callers that name none'),
+    })
+    .prefault({})
+    .describe('Bounds on one request'),
+  retries: z
+    .strictObject({
+      ratio: z.number().nonnegative().describe('Retries for each request to a service'),
+      extra: z.number().nonnegative().describe('Retries beyond that, for the whole fleet'),
+      windowSeconds: seconds.describe('Length of the window in which both are counted'),
+    })
+    .describe('Bounds on requests sent to a second server'),
+  membership: z
+    .strictObject({
+      heartbeatMilliseconds: milliseconds.default(1_000).describe('Time between two heartbeats'),
+      silenceMilliseconds: milliseconds.default(3_500).describe('Then an instance counts as gone'),
+      addressSeconds: seconds.default(1).describe('How long callers keep an answer'),
+    })
+    .prefault({})
+    .describe('How instances know of each other'),
+  budgets: z
+    .strictObject({
+      policy: z.enum(['demand', 'equal']).default('demand').describe('How holdings are sized'),
+      reserveShare: z
+        .number()
+        .min(0)
+        .max(0.5)
+        .default(0.015)
+        .describe('Part of a prepaid limit that is never handed out'),
+    })
+    .prefault({})
+    .describe('Prepaid budgets'),
+  shutdown: z
+    .strictObject({ graceSeconds: seconds.describe('Time from SIGTERM to the end') })
+    .describe('How the instance stops'),
+  log: z
+    .strictObject({
+      level: z.enum(['silent', 'warn', 'info', 'debug']).default('info'),
+      linesPerSecond: z.number().positive().default(200).describe('More are counted and dropped'),
+    })
+    .prefault({})
+    .describe('What is logged'),
+})
+
+export type GatewaySettings = z.infer<typeof gatewaySettingsSchema>
--- /dev/null
+++ b/packages/daemon/src/gateway/platformAdapter.ts
@@ -0,0 +1,45 @@
+import type { RowStore } from '@rackwalk/platform'
+import type { Dialect, GatewayConfiguration, ServerRecord } from '@rackwalk/router'
+import type { Milliseconds } from '@rackwalk/shared'
+
+/** Where rows lie that somebody else writes. */
+export interface RowSource {
+  readonly table: string
+  readonly partition: string
+}
+
+/** An answer to whoever asks for addresses or readiness. */
+export interface PlainAnswer {
+  readonly status: number
+  readonly body?: unknown
+}
+
+/** What a caller says when it asks where to go. */
+export interface DirectoryQuestion {
+  readonly region: string | undefined
+  readonly failureDomain: string | undefined
+}
+
+/** Translates one platform's protocol; it decides nothing and keeps nothing. */
+export interface PlatformAdapter {
+  readonly dialect: Dialect
+  createStore(options: { address: string; timeoutMilliseconds: Milliseconds }): RowStore
+  readonly configuration: RowSource & {
+    readonly key: string
+    /** Throws where the document is not understood. */
+    parse(value: string): GatewayConfiguration
+  }
+  readonly servers: RowSource & {
+    /** Undefined where the row describes no server. */
+    parse(key: string, value: string): ServerRecord | undefined
+  }
+  /** Undefined where the path is no question for addresses. */
+  readDirectoryQuestion(url: string): DirectoryQuestion | undefined
+  directoryAnswer(addresses: readonly string[], seconds: number): PlainAnswer
+  isReadinessQuestion(url: string): boolean
+}
+
+/** What a module named in the settings exports. */
+export interface PlatformModule {
+  createPlatformAdapter(): PlatformAdapter
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/runGateway.ts
@@ -0,0 +1,19 @@
+import { resolve } from 'node:path'
+import { pathToFileURL } from 'node:url'
+import { GatewayDaemon } from './gatewayDaemon.js'
+import type { GatewaySettings } from './gatewaySettings.js'
+import type { PlatformModule } from './platformAdapter.js'
+import { SettingsWatcher } from './settingsWatcher.js'
+
+/** Starts a gateway instance and ties it to the signals of its process. */
+export async function runGateway(file: string, settings: GatewaySettings): Promise<void> {
+  const module = (await import(pathToFileURL(resolve(settings.adapter)).href)) as PlatformModule
+  const daemon = new GatewayDaemon(settings, module.createPlatformAdapter())
+  const watcher = new SettingsWatcher(file, settings, outcome => daemon.noteSettings(outcome))
+  const leave = () => void daemon.drain().then(() => process.exit(0))
+  process.once('SIGINT', leave)
+  process.once('SIGTERM', leave)
+  process.on('SIGHUP', () => watcher.look('signal'))
+  await daemon.start()
+  watcher.start()
+}
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -6,7 +6,8 @@
 export { Metrics } from './observe/metrics.js'
 export { settingsSchema } from './settings/schema.js'
 export type { SecretSource, Settings } from './settings/schema.js'
-export { SettingsError, formatFault, loadSettings, parseSettings } from './settings/load.js'
+export { SettingsError, formatFault, parseWith, settingsKind } from './settings/load.js'
+export { loadSettings, parseSettings } from './settings/openAiSettings.js'
 export type { SettingsFault } from './settings/load.js'
 export { GrpcPeerChannel } from './peers/grpcPeerChannel.js'
 export { PeerServer } from './peers/peerServer.js'
@@ -14,3 +15,18 @@
 export { openApiDescription } from './operators/openApi.js'
 export { mergePatch, parseResource } from './operators/resourceInput.js'
 export { HttpCallerConnection, incomingRequest } from './callers/httpCallerConnection.js'
+export { BoundedLogger } from './observe/boundedLogger.js'
+export { GatewayDaemon } from './gateway/gatewayDaemon.js'
+export type { GatewayDaemonOptions } from './gateway/gatewayDaemon.js'
+export { GatewayMetrics } from './gateway/gatewayMetrics.js'
+export { gatewaySettingsSchema } from './gateway/gatewaySettings.js'
+export type { GatewaySettings } from './gateway/gatewaySettings.js'
+export { SettingsWatcher } from './gateway/settingsWatcher.js'
+export type { SettingsOutcome } from './gateway/settingsWatcher.js'
+export type {
+  DirectoryQuestion,
+  PlainAnswer,
+  PlatformAdapter,
+  PlatformModule,
+  RowSource,
+} from './gateway/platformAdapter.js'
--- a/packages/daemon/src/settings/load.ts
+++ b/packages/daemon/src/settings/load.ts
@@ -1,9 +1,9 @@
 import { readFileSync } from 'node:fs'
+import type { z } from 'zod'
 import { LineCounter, isNode, parseDocument } from 'yaml'
 import type { Document } from 'yaml'
 import { RackwalkError, ResultCode } from '@rackwalk/shared'
-import { settingsSchema } from './schema.js'
-import type { SecretSource, Settings } from './schema.js'
+import type { SecretSource } from './schema.js'
 
 /** One fault of a settings file. */
 export interface SettingsFault {
@@ -28,13 +28,16 @@
   return `line ${line}: ${path || '(root)'}: ${message} [${code}]`
 }
 
-/** Reads and checks a settings file. */
-export function loadSettings(file: string): Settings {
-  return parseSettings(readText(file))
+/** What a settings file says it is; a file without a kind is the OpenAI-style instance's. */
+export function settingsKind(text: string): unknown {
+  const document = parseDocument(text)
+  return document.errors.length > 0
+    ? undefined
+    : (document.toJS() as { kind?: unknown } | null)?.kind
 }
 
-/** Checks settings given as YAML. */
-export function parseSettings(text: string): Settings {
+/** Checks settings given as YAML against a schema; all faults are told at once. */
+export function parseWith<Schema extends z.ZodType>(schema: Schema, text: string): z.infer<Schema> {
   const lines = new LineCounter()
   const document = parseDocument(text, { lineCounter: lines })
   if (document.errors.length > 0) {
@@ -46,7 +49,7 @@
     }))
     throw new SettingsError(ResultCode.UnreadableSettings, faults)
   }
-  const parsed = settingsSchema.safeParse(document.toJS())
+  const parsed = schema.safeParse(document.toJS())
   if (parsed.success) return parsed.data
   const faults = parsed.error.issues.map(issue => ({
     path: issue.path.join('.'),
@@ -65,7 +68,8 @@
   throw unreadable(`environment variable ${source.environment} is not set`)
 }
 
-function readText(file: string): string {
+/** Reads a file of settings or of a secret. */
+export function readText(file: string): string {
   try {
     return readFileSync(file, 'utf8')
   } catch (thrown) {
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -19,3 +19,16 @@
 export type { DynamodbOptions } from './dynamodbTableService.js'
 export { S3ObjectStore } from './s3ObjectStore.js'
 export type { S3Options } from './s3ObjectStore.js'
+export type {
+  ChangedRow,
+  RefusalReason,
+  RowAddress,
+  RowFeedOutcome,
+  RowPut,
+  RowReadOutcome,
+  RowStore,
+  RowTransaction,
+  RowWriteOutcome,
+  StoredRow,
+  VersionCondition,
+} from './rowStore.js'
--- /dev/null
+++ b/packages/router/src/gateway/callerReply.ts
@@ -0,0 +1,94 @@
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { RESULT_TABLE } from '@rackwalk/shared'
+import type { RackwalkError } from '@rackwalk/shared'
+import { errorBody, errorHeaders } from '../errorBody.js'
+import { withoutConnectionHeaders } from './connectionHeaders.js'
+
+/** The answer to one caller. */
+export class CallerReply {
+  private started = false
+  private ended = false
+  private hasLeft = false
+  private leaveListener: (() => void) | undefined
+
+  constructor(
+    private readonly response: ServerResponse,
+    private readonly ownHeaders: Readonly<Record<string, string>>,
+    /** Whether the connection ends with this answer. */
+    private readonly mustClose: () => boolean,
+  ) {
+    response.on('close', () => this.noteClose())
+    response.on('error', () => this.noteClose())
+  }
+
+  get isStarted(): boolean {
+    return this.started
+  }
+
+  /** Whether the caller went away before the answer was whole. */
+  get isLeft(): boolean {
+    return this.hasLeft
+  }
+
+  onLeave(listener: () => void): void {
+    this.leaveListener = listener
+  }
+
+  /**
+   * Passes on the head of a server's answer. An answer that the server ends with its
+   * connection is passed on in the same way, so that a break never looks like an end.
+   */
+  start(response: IncomingMessage, isFramed: boolean): void {
+    this.started = true
+    if (!isFramed) this.response.useChunkedEncodingByDefault = false
+    this.prepareEnd()
+    const headers = withoutConnectionHeaders(response.rawHeaders)
+    this.response.writeHead(response.statusCode ?? 0, headers as unknown as Record<string, string>)
+  }
+
+  /** False where the caller reads too slowly; `onDrain` is called when it has caught up. */
+  write(chunk: Buffer, onDrain: () => void): boolean {
+    const hasRoom = this.response.write(chunk)
+    if (!hasRoom) this.response.once('drain', onDrain)
+    return hasRoom
+  }
+
+  /** Ends an answer that is whole. */
+  end(lastChunk?: Buffer): void {
+    this.ended = true
+    this.response.end(lastChunk)
+  }
+
+  /** Breaks the answer off, so that it cannot be taken for whole. */
+  cut(): void {
+    this.ended = true
+    const socket = this.response.socket
+    if (socket === null) return
+    if (this.response.useChunkedEncodingByDefault) socket.destroy()
+    else socket.resetAndDestroy()
+  }
+
+  /** Answers with a numbered error of the gateway's own. */
+  refuse(error: RackwalkError): void {
+    this.started = true
+    this.ended = true
+    this.prepareEnd()
+    const body = Buffer.from(JSON.stringify(errorBody(error)))
+    this.response.writeHead(RESULT_TABLE[error.code].httpStatus, {
+      ...this.ownHeaders,
+      ...errorHeaders(error),
+      'content-length': String(body.length),
+    })
+    this.response.end(body)
+  }
+
+  private prepareEnd(): void {
+    if (this.mustClose()) this.response.shouldKeepAlive = false
+  }
+
+  private noteClose(): void {
+    if (this.ended || this.hasLeft) return
+    this.hasLeft = true
+    this.leaveListener?.()
+  }
+}
--- /dev/null
+++ b/packages/router/src/gateway/dialect.ts
@@ -0,0 +1,62 @@
+import type { Milliseconds, TokenCount } from '@rackwalk/shared'
+
+/**
+ * What a request and an answer mean, apart from how their headers are spelled. A dialect
+ * translates; the gateway knows only these types.
+ */
+
+/** A part of a prompt that requests may share. */
+export interface PromptPart {
+  readonly id: string
+  readonly tokens: TokenCount
+}
+
+export interface RequestMetadata {
+  readonly requestId: string
+  /** Time that the caller still waits, counted from the arrival. */
+  readonly deadlineMilliseconds: Milliseconds | undefined
+  readonly credential: string | undefined
+  /** Absent where the request asks no model for tokens. */
+  readonly tokens: { readonly prompt: TokenCount; readonly maximumOutput: TokenCount } | undefined
+  readonly promptParts: readonly PromptPart[]
+}
+
+/** What the gateway tells a server beside what the caller sent. */
+export interface ForwardMetadata {
+  readonly remainingMilliseconds: Milliseconds
+  /** The server that must answer; any other refuses without running the request. */
+  readonly instance: string
+  readonly tenant: string | undefined
+  /** 0 is the most urgent; absent where the service orders nothing. */
+  readonly priority: number | undefined
+  /** Set where an answer is continued: the last event that the caller has. */
+  readonly lastEventId: string | undefined
+}
+
+/** Load as a server tells it. */
+export interface ServerLoad {
+  readonly running: number
+  readonly waiting: number
+  readonly slots: number
+}
+
+export interface ReplyMetadata {
+  readonly requestId: string | undefined
+  /** Whether the answer carries its server's signature. */
+  readonly isSigned: boolean
+  /** The server says that it did not run the request and never will. */
+  readonly isNotExecuted: boolean
+  readonly load: ServerLoad | undefined
+}
+
+type Headers = Readonly<Record<string, string | readonly string[] | undefined>>
+
+export interface Dialect {
+  /** Undefined where the headers make no request. */
+  readRequest(headers: Headers): RequestMetadata | undefined
+  /** Headers for a server, as a flat list of names and values. */
+  forwardHeaders(rawHeaders: readonly string[], forward: ForwardMetadata): string[]
+  readReply(status: number, headers: Headers): ReplyMetadata
+  /** Headers of an answer that the gateway gives itself. */
+  ownHeaders(requestId: string | undefined): Readonly<Record<string, string>>
+}
--- /dev/null
+++ b/packages/router/src/gateway/eventRelay.ts
@@ -0,0 +1,39 @@
+import { EventSplitter } from '../engine/eventSplitter.js'
+
+/** Reads a stream of events as it passes: counts them and knows the last id. */
+
+const ID_LINE = /^id:[ ]?(.*)$/m
+
+export class EventRelay {
+  private readonly splitter = new EventSplitter()
+  private count = 0
+  private lastId: string | undefined
+
+  /** Whole events among the bytes, as one slice each; the rest waits for its end. */
+  read(chunk: Buffer): readonly Buffer[] {
+    const events = this.splitter.split(chunk)
+    for (const event of events) this.note(event)
+    return events
+  }
+
+  /** Events seen so far. */
+  get events(): number {
+    return this.count
+  }
+
+  /** Id of the last whole event. */
+  get lastEventId(): string | undefined {
+    return this.lastId
+  }
+
+  /** Whether bytes of an event without its end were seen. */
+  get isInsideEvent(): boolean {
+    return this.splitter.unfinished > 0
+  }
+
+  private note(event: Buffer): void {
+    this.count += 1
+    const id = ID_LINE.exec(event.toString('latin1'))?.[1]
+    if (id !== undefined) this.lastId = id.trim()
+  }
+}
--- /dev/null
+++ b/packages/router/src/gateway/gateway.ts
@@ -0,0 +1,235 @@
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { NotRunError, RESULT_TABLE, ResultCode, toRackwalkError } from '@rackwalk/shared'
+import type { Clock, Milliseconds, RandomSource } from '@rackwalk/shared'
+import type { PrepaidLedger, PrepaidOutcome, PrepaidReservation } from '@rackwalk/coordination'
+import { readBody } from '../readBody.js'
+import { CallerReply } from './callerReply.js'
+import type { Dialect, RequestMetadata } from './dialect.js'
+import { Dispatch, spentTokens } from './dispatch.js'
+import type { DispatchParts, DispatchResult } from './dispatch.js'
+import { chooseService } from './gatewayConfiguration.js'
+import type {
+  GatewayRoute,
+  GatewayService,
+  GatewayTenant,
+  RouteTable,
+} from './gatewayConfiguration.js'
+import type { GatewayRecord } from './gatewayRecord.js'
+import { RetryWindow } from './retryWindow.js'
+import type { RetryBounds } from './retryWindow.js'
+
+/** The request path for generic routes: identify, read, reserve, dispatch, settle, record. */
+
+export interface GatewayParts extends DispatchParts {
+  readonly dialect: Dialect
+  readonly clock: Clock
+  readonly random: RandomSource
+  readonly ledger: PrepaidLedger
+  /** The configuration in force; undefined until one is known. */
+  readonly routes: () => RouteTable | undefined
+  readonly retryBounds: RetryBounds
+  readonly instances: () => number
+  /** Whether connections end with their next answer. */
+  readonly isDraining: () => boolean
+  /** Whether new requests are refused. */
+  readonly isRefusing: () => boolean
+  readonly defaultDeadlineMilliseconds: Milliseconds
+  readonly onRecord: (record: GatewayRecord) => void
+}
+
+/** A request whose route and tenant are known. */
+interface IdentifiedRequest {
+  readonly metadata: RequestMetadata
+  readonly route: GatewayRoute
+  readonly service: GatewayService
+  readonly tenant: GatewayTenant | undefined
+  readonly deadlineAt: Milliseconds
+  readonly goalAt: Milliseconds
+}
+
+/** A refusal that comes within this part of the goal may still be made good elsewhere. */
+const REFUSAL_SHARE = 0.2
+const LONGEST_PATIENCE_MILLISECONDS = 120
+/** When to come back where other instances hold the tokens: they may have given some by then. */
+const RETURN_AFTER_SECONDS = 0.25
+
+export class Gateway {
+  private readonly retryWindows = new Map<string, RetryWindow>()
+  private running = 0
+
+  constructor(private readonly parts: GatewayParts) {}
+
+  /** Requests in progress. */
+  get inFlight(): number {
+    return this.running
+  }
+
+  /** Serves one request to its end. */
+  async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const metadata = this.parts.dialect.readRequest(request.headers)
+    const record: GatewayRecord = {
+      requestId: metadata?.requestId ?? '',
+      receivedAt: this.parts.clock.monotonic(),
+      attempts: [],
+    }
+    const ownHeaders = this.parts.dialect.ownHeaders(metadata?.requestId)
+    const reply = new CallerReply(response, ownHeaders, this.parts.isDraining)
+    this.running += 1
+    try {
+      if (metadata === undefined) throw new NotRunError(ResultCode.MalformedRequest)
+      await this.serve(request, metadata, reply, record)
+    } catch (thrown) {
+      this.refuse(request, reply, record, thrown)
+    } finally {
+      this.running -= 1
+      this.finishRecord(record, response)
+    }
+  }
+
+  private async serve(
+    request: IncomingMessage,
+    metadata: RequestMetadata,
+    reply: CallerReply,
+    record: GatewayRecord,
+  ): Promise<void> {
+    const identified = this.identify(request, metadata, record)
+    const { route, service, tenant } = identified
+    const body = await this.readBody(request)
+    const retries = this.retryWindow(service.name)
+    retries.noteRequest()
+    const reservation = await this.reserve(identified, record)
+    let result: DispatchResult = { mayHaveRun: false, events: 0, isWhole: false }
+    try {
+      const dispatch = new Dispatch(this.parts, {
+        metadata,
+        route,
+        service,
+        tenant: tenant?.name,
+        priority: service.engine === undefined ? undefined : (tenant?.priority ?? route.priority),
+        method: request.method ?? 'GET',
+        path: request.url ?? '/',
+        rawHeaders: request.rawHeaders,
+        body,
+        deadlineAt: identified.deadlineAt,
+        reply,
+        record,
+        retries,
+      })
+      result = await dispatch.run()
+      record.execution = result.mayHaveRun ? 'ran' : 'not-run'
+    } finally {
+      this.settle(identified, reservation, result, record)
+    }
+  }
+
+  private identify(
+    request: IncomingMessage,
+    metadata: RequestMetadata,
+    record: GatewayRecord,
+  ): IdentifiedRequest {
+    if (this.parts.isRefusing()) throw new NotRunError(ResultCode.InstanceDraining)
+    const routes = this.parts.routes()
+    if (routes === undefined) throw new NotRunError(ResultCode.InstanceNotReady)
+    record.configurationVersion = routes.version
+    const path = (request.url ?? '/').split('?')[0] ?? '/'
+    const route = routes.match(request.headers.host ?? '', path)
+    if (route === undefined) throw new NotRunError(ResultCode.NotFound, path)
+    record.route = route.name
+    const tenant = route.isAnonymous ? undefined : findTenant(routes, metadata)
+    record.tenant = tenant?.name
+    const serviceName = chooseService(route, this.parts.random.next())
+    const service = serviceName === undefined ? undefined : routes.service(serviceName)
+    if (service === undefined) throw new NotRunError(ResultCode.NoEndpoint, serviceName)
+    record.service = service.name
+    const patience = metadata.deadlineMilliseconds ?? this.parts.defaultDeadlineMilliseconds
+    const deadlineAt = record.receivedAt + Math.min(patience, route.timeoutMilliseconds)
+    const goalAt = record.receivedAt + route.goalMilliseconds
+    return { metadata, route, service, tenant, deadlineAt, goalAt }
+  }
+
+  private readBody(request: IncomingMessage): Promise<Buffer> {
+    const limits = this.parts.routes()?.configuration.limits
+    const bytes = limits?.bodyBytes ?? 0
+    return readBody(request, bytes, limits?.idleMilliseconds ?? 0, this.parts.clock)
+  }
+
+  /** Sets the largest cost aside where the tenant has a prepaid budget. */
+  private async reserve(
+    { metadata, tenant, route }: IdentifiedRequest,
+    record: GatewayRecord,
+  ): Promise<PrepaidReservation | undefined> {
+    if (tenant?.prepaid === undefined || metadata.tokens === undefined) return undefined
+    const tokens = metadata.tokens.prompt + metadata.tokens.maximumOutput
+    record.tokens = tokens
+    const share = REFUSAL_SHARE * route.goalMilliseconds
+    const patience = Math.min(LONGEST_PATIENCE_MILLISECONDS, share)
+    const outcome = await this.parts.ledger.reserve(tenant.name, tokens, patience)
+    if (outcome.kind === 'reserved') {
+      record.reservation = outcome.path
+      return outcome.reservation
+    }
+    throw this.budgetRefusal(tenant.name, outcome, record)
+  }
+
+  private budgetRefusal(
+    tenant: string,
+    outcome: Extract<PrepaidOutcome, { kind: 'refused' }>,
+    record: GatewayRecord,
+  ): NotRunError {
+    record.reservation = outcome.reason
+    record.budget = this.parts.ledger.describe(tenant)
+    if (outcome.reason === 'exhausted') return new NotRunError(ResultCode.BudgetExhausted)
+    return new NotRunError(ResultCode.BudgetUnavailable, undefined, RETURN_AFTER_SECONDS)
+  }
+
+  private settle(
+    { metadata, service }: IdentifiedRequest,
+    reservation: PrepaidReservation | undefined,
+    result: DispatchResult,
+    record: GatewayRecord,
+  ): void {
+    if (reservation === undefined || metadata.tokens === undefined) return
+    const spent = spentTokens(result, metadata.tokens, service.engine?.tokensPerEvent ?? 1)
+    record.spent = spent
+    this.parts.ledger.settle(reservation, spent)
+  }
+
+  private refuse(
+    request: IncomingMessage,
+    reply: CallerReply,
+    record: GatewayRecord,
+    thrown: unknown,
+  ): void {
+    const error = toRackwalkError(thrown)
+    record.code = error.code
+    record.detail = error.message
+    record.execution = RESULT_TABLE[error.code].execution
+    if (reply.isStarted) reply.cut()
+    else if (!reply.isLeft) reply.refuse(error)
+    // What is left of a body must not be taken for the next request.
+    if (!request.complete) request.resume()
+  }
+
+  private finishRecord(record: GatewayRecord, response: ServerResponse): void {
+    record.status = response.headersSent ? response.statusCode : 0
+    record.code ??= ResultCode.Ok
+    record.totalMilliseconds = this.parts.clock.monotonic() - record.receivedAt
+    this.parts.onRecord(record)
+  }
+
+  private retryWindow(service: string): RetryWindow {
+    const known = this.retryWindows.get(service)
+    if (known !== undefined) return known
+    const { retryBounds, clock, instances } = this.parts
+    const created = new RetryWindow(retryBounds, clock, instances)
+    this.retryWindows.set(service, created)
+    return created
+  }
+}
+
+function findTenant(routes: RouteTable, metadata: RequestMetadata): GatewayTenant {
+  const key = metadata.credential
+  const tenant = key === undefined ? undefined : routes.tenantOf(key)
+  if (tenant === undefined) throw new NotRunError(ResultCode.UnknownKey)
+  return tenant
+}
--- /dev/null
+++ b/packages/router/src/gateway/gatewayConfiguration.ts
@@ -0,0 +1,113 @@
+import type { Bytes, Milliseconds, TokenCount } from '@rackwalk/shared'
+
+/** The configuration of the gateway: routes, services, tenants and limits, as one version. */
+
+export interface RouteTarget {
+  readonly service: string
+  readonly weight: number
+}
+
+export interface GatewayRoute {
+  readonly name: string
+  readonly host: string
+  /** Begins and ends with a slash. */
+  readonly pathPrefix: string
+  /** Whether a request may run more than once. */
+  readonly isIdempotent: boolean
+  readonly isStreaming: boolean
+  /** Whether a broken stream may be continued at another server. */
+  readonly isResumable: boolean
+  readonly isAnonymous: boolean
+  readonly targets: readonly RouteTarget[]
+  /** Servers that one request may be sent to. */
+  readonly maximumAttempts: number
+  readonly timeoutMilliseconds: Milliseconds
+  readonly goalMilliseconds: Milliseconds
+  /** 0 is the most urgent. */
+  readonly priority: number
+}
+
+export interface GatewayService {
+  readonly name: string
+  /** Connections that one server takes from all instances together. */
+  readonly maximumConnections: number
+  /** Present where the servers run a model. */
+  readonly engine: { readonly tokensPerEvent: TokenCount } | undefined
+}
+
+export interface GatewayTenant {
+  readonly name: string
+  readonly keys: readonly string[]
+  readonly priority: number | undefined
+  /** Undefined where nothing bounds the tenant. */
+  readonly prepaid: TokenCount | undefined
+}
+
+export interface GatewayLimits {
+  readonly headerBytes: Bytes
+  readonly bodyBytes: Bytes
+  readonly headerMilliseconds: Milliseconds
+  readonly idleMilliseconds: Milliseconds
+}
+
+export interface GatewayConfiguration {
+  readonly version: number
+  readonly routes: readonly GatewayRoute[]
+  readonly services: readonly GatewayService[]
+  readonly tenants: readonly GatewayTenant[]
+  readonly limits: GatewayLimits
+}
+
+/** A configuration with the indexes that the request path needs. */
+export class RouteTable {
+  private readonly routesByHost = new Map<string, readonly GatewayRoute[]>()
+  private readonly tenantsByKey = new Map<string, GatewayTenant>()
+  private readonly servicesByName = new Map<string, GatewayService>()
+
+  constructor(readonly configuration: GatewayConfiguration) {
+    for (const route of configuration.routes) {
+      const list = this.routesByHost.get(route.host) ?? []
+      this.routesByHost.set(route.host, [...list, route])
+    }
+    for (const [host, routes] of this.routesByHost) {
+      this.routesByHost.set(host, [...routes].sort(byLongestPrefix))
+    }
+    for (const tenant of configuration.tenants) {
+      for (const key of tenant.keys) this.tenantsByKey.set(key, tenant)
+    }
+    for (const service of configuration.services) this.servicesByName.set(service.name, service)
+  }
+
+  get version(): number {
+    return this.configuration.version
+  }
+
+  /** The route with the longest prefix that begins the path; `host` may carry a port. */
+  match(host: string, path: string): GatewayRoute | undefined {
+    const name = host.toLowerCase().replace(/:\d+$/, '')
+    return this.routesByHost.get(name)?.find(route => path.startsWith(route.pathPrefix))
+  }
+
+  tenantOf(key: string): GatewayTenant | undefined {
+    return this.tenantsByKey.get(key)
+  }
+
+  service(name: string): GatewayService | undefined {
+    return this.servicesByName.get(name)
+  }
+}
+
+/** Picks a service by the weights of a route; `chance` is in [0, 1). */
+export function chooseService(route: GatewayRoute, chance: number): string | undefined {
+  const total = route.targets.reduce((sum, target) => sum + target.weight, 0)
+  let position = chance * total
+  for (const target of route.targets) {
+    position -= target.weight
+    if (position < 0) return target.service
+  }
+  return route.targets.at(-1)?.service
+}
+
+function byLongestPrefix(left: GatewayRoute, right: GatewayRoute): number {
+  return right.pathPrefix.length - left.pathPrefix.length
+}
--- /dev/null
+++ b/packages/router/src/gateway/gatewayRecord.ts
@@ -0,0 +1,36 @@
+import type { Milliseconds, TokenCount } from '@rackwalk/shared'
+import type { Execution } from '@rackwalk/shared'
+
+/** What is kept of one request's decisions; it becomes one line of the log. */
+
+export interface AttemptRecord {
+  readonly server: string
+  readonly score: number
+  /** Servers that were compared. */
+  readonly compared: number
+  readonly waitedMilliseconds: Milliseconds
+  outcome: string
+}
+
+export interface GatewayRecord {
+  readonly requestId: string
+  readonly receivedAt: Milliseconds
+  configurationVersion?: number
+  route?: string
+  tenant?: string
+  service?: string
+  /** Largest possible cost, and how it was reserved. */
+  tokens?: TokenCount
+  reservation?: string
+  /** What was known of the budget when it refused. */
+  budget?: Readonly<Record<string, unknown>>
+  spent?: TokenCount
+  attempts: AttemptRecord[]
+  status?: number
+  /** Numbered result; 0 where the server's own answer was passed on. */
+  code?: number
+  execution?: Execution
+  detail?: string
+  firstByteMilliseconds?: Milliseconds
+  totalMilliseconds?: Milliseconds
+}
--- /dev/null
+++ b/packages/router/src/gateway/serverAgent.ts
@@ -0,0 +1,57 @@
+import { Agent } from 'node:http'
+import type { ClientRequest, IncomingMessage } from 'node:http'
+import type { Socket } from 'node:net'
+import type { Duplex } from 'node:stream'
+
+/** Kept connections to one server. */
+
+/** Without a word from the server an idle connection is kept this long, in milliseconds. */
+const UNSTATED_IDLE_MILLISECONDS = 400
+/** A connection is closed this long before the server would. */
+const IDLE_MARGIN_MILLISECONDS = 600
+const SHORTEST_IDLE_MILLISECONDS = 200
+
+/**
+ * Closes idle connections before the server does, and any on which bytes arrive that no
+ * request asked for: they would be taken for the next answer.
+ */
+export class ServerAgent extends Agent {
+  private readonly idle = new WeakMap<Socket, { timer: NodeJS.Timeout; drop: () => void }>()
+
+  constructor(maximumConnections: number) {
+    super({ keepAlive: true, maxSockets: maximumConnections, scheduling: 'lifo' })
+  }
+
+  override keepSocketAlive(stream: Duplex): boolean {
+    const socket = stream as Socket & { _httpMessage?: { res?: IncomingMessage } }
+    const stated = socket._httpMessage?.res?.headers['keep-alive']
+    const drop = () => socket.destroy()
+    const timer = setTimeout(drop, idleMilliseconds(stated))
+    timer.unref()
+    socket.on('data', drop)
+    socket.once('end', drop)
+    socket.setKeepAlive(false)
+    this.idle.set(socket, { timer, drop })
+    return true
+  }
+
+  override reuseSocket(stream: Duplex, request: ClientRequest): void {
+    const socket = stream as Socket
+    const waiting = this.idle.get(socket)
+    if (waiting !== undefined) {
+      clearTimeout(waiting.timer)
+      socket.off('data', waiting.drop)
+      socket.off('end', waiting.drop)
+      this.idle.delete(socket)
+    }
+    super.reuseSocket(stream, request)
+  }
+}
+
+/** How long a connection may rest, given the server's `Keep-Alive` header. */
+export function idleMilliseconds(keepAlive: string | readonly string[] | undefined): number {
+  const text = typeof keepAlive === 'string' ? keepAlive : keepAlive?.join(',')
+  const seconds = /timeout=(\d+)/.exec(text ?? '')?.[1]
+  if (seconds === undefined) return UNSTATED_IDLE_MILLISECONDS
+  return Math.max(SHORTEST_IDLE_MILLISECONDS, Number(seconds) * 1000 - IDLE_MARGIN_MILLISECONDS)
+}
--- /dev/null
+++ b/packages/router/src/gateway/upstreamExchange.ts
@@ -0,0 +1,126 @@
+import { request as httpRequest } from 'node:http'
+import type { ClientRequest, IncomingMessage } from 'node:http'
+import type { Milliseconds } from '@rackwalk/shared'
+import type { ServerState } from './serverDirectory.js'
+
+/** One request to one server, up to the head of its answer and then its body. */
+
+export interface UpstreamRequest {
+  readonly method: string
+  readonly path: string
+  /** Names and values in turn. */
+  readonly headers: readonly string[]
+  readonly body: Buffer
+  readonly connectMilliseconds: Milliseconds
+}
+
+export type HeadOutcome =
+  | { readonly kind: 'head'; readonly response: IncomingMessage }
+  /** No connection came up: nothing was sent. */
+  | { readonly kind: 'not-sent'; readonly reason: string }
+  /** Something was sent, and no answer came. */
+  | { readonly kind: 'failed'; readonly reason: string }
+
+/** What becomes of the body of an answer. */
+export interface BodyListener {
+  onData(chunk: Buffer): void
+  /** `isWhole` is true only where the answer's own framing says so. */
+  onEnd(isWhole: boolean): void
+}
+
+export class UpstreamExchange {
+  private readonly call: ClientRequest
+  private readonly head: Promise<HeadOutcome>
+  private response: IncomingMessage | undefined
+  private broken = false
+  private connected = false
+  private ended = false
+
+  constructor(server: ServerState, request: UpstreamRequest) {
+    const [host = '', port = ''] = server.record.address.split(':')
+    this.call = httpRequest({
+      host,
+      port: Number(port),
+      method: request.method,
+      path: request.path,
+      headers: request.headers as unknown as Record<string, string>,
+      agent: server.agent,
+      setHost: false,
+    })
+    this.head = this.awaitHead(request.connectMilliseconds)
+    this.call.end(request.body)
+  }
+
+  awaitAnswer(): Promise<HeadOutcome> {
+    return this.head
+  }
+
+  /** Whether the answer tells where it ends; if not, it ends with its connection. */
+  get isFramed(): boolean {
+    const headers = this.response?.headers
+    return headers?.['content-length'] !== undefined || headers?.['transfer-encoding'] !== undefined
+  }
+
+  /** Hands the body over as it comes; call it once, after the head. */
+  readBody(listener: BodyListener): void {
+    const response = this.response
+    if (response === undefined) return
+    const finish = (isWhole: boolean) => {
+      if (this.ended) return
+      this.ended = true
+      listener.onEnd(isWhole)
+    }
+    response.on('data', (chunk: Buffer) => listener.onData(chunk))
+    // A reset is reported on the call before the parser ends an answer without a length.
+    response.on('end', () => finish(response.complete && !this.broken))
+    response.on('error', () => finish(false))
+    response.on('close', () => finish(false))
+  }
+
+  pause(): void {
+    this.response?.pause()
+  }
+
+  resume(): void {
+    this.response?.resume()
+  }
+
+  /** Ends the exchange and its connection; the server drops the request. */
+  abort(): void {
+    this.broken = true
+    this.call.destroy()
+  }
+
+  private awaitHead(connectMilliseconds: Milliseconds): Promise<HeadOutcome> {
+    return new Promise(resolve => {
+      this.watchConnection(connectMilliseconds)
+      this.call.on('error', error => {
+        this.broken = true
+        const reason = (error as NodeJS.ErrnoException).code ?? error.message
+        resolve({ kind: this.connected ? 'failed' : 'not-sent', reason })
+      })
+      this.call.on('close', () => resolve({ kind: 'failed', reason: 'closed' }))
+      this.call.on('response', response => {
+        this.response = response
+        resolve({ kind: 'head', response })
+      })
+    })
+  }
+
+  private watchConnection(connectMilliseconds: Milliseconds): void {
+    this.call.on('socket', socket => {
+      if (!socket.connecting) {
+        this.connected = true
+        return
+      }
+      const giveUp = () => this.call.destroy(new Error('no connection in time'))
+      const timer = setTimeout(giveUp, connectMilliseconds)
+      socket.setNoDelay(true)
+      socket.once('connect', () => {
+        this.connected = true
+        clearTimeout(timer)
+      })
+      socket.once('close', () => clearTimeout(timer))
+    })
+  }
+}
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -82,3 +82,35 @@
   RoutingPolicySpec,
   TeamSpec,
 } from './resources/kinds.js'
+
+export { Gateway } from './gateway/gateway.js'
+export type { GatewayParts } from './gateway/gateway.js'
+export { RouteTable, chooseService } from './gateway/gatewayConfiguration.js'
+export type {
+  GatewayConfiguration,
+  GatewayLimits,
+  GatewayRoute,
+  GatewayService,
+  GatewayTenant,
+  RouteTarget,
+} from './gateway/gatewayConfiguration.js'
+export type { AttemptRecord, GatewayRecord } from './gateway/gatewayRecord.js'
+export type {
+  Dialect,
+  ForwardMetadata,
+  PromptPart,
+  ReplyMetadata,
+  RequestMetadata,
+  ServerLoad,
+} from './gateway/dialect.js'
+export { withoutConnectionHeaders } from './gateway/connectionHeaders.js'
+export { spentTokens } from './gateway/dispatch.js'
+export type { DispatchResult } from './gateway/dispatch.js'
+export { EventRelay } from './gateway/eventRelay.js'
+export { RetryWindow } from './gateway/retryWindow.js'
+export type { RetryBounds } from './gateway/retryWindow.js'
+export { idleMilliseconds } from './gateway/serverAgent.js'
+export { rankServers } from './gateway/serverChoice.js'
+export type { ChoiceInputs, ServerScore } from './gateway/serverChoice.js'
+export { ServerDirectory, ServerState } from './gateway/serverDirectory.js'
+export type { ServerDirectoryParts, ServerRecord } from './gateway/serverDirectory.js'
--- /dev/null
+++ b/scripts/bundle.mjs
@@ -0,0 +1,23 @@
+import { build } from 'esbuild'
+
+/**
+ * Bundles the daemon and the platform's adapter into `target/`. What an instance does not
+ * need is left out of what it loads at the start: small machines pay for both time and memory.
+ */
+await build({
+  entryPoints: { rackwalkd: 'packages/daemon/src/main.ts', adapter: 'platform/src/index.ts' },
+  outdir: 'target',
+  bundle: true,
+  splitting: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'esm',
+  outExtension: { '.js': '.mjs' },
+  minifySyntax: true,
+  sourcemap: false,
+  logLevel: 'warning',
+  // Packages in the older module format call `require` for the built-in modules.
+  banner: {
+    js: "import { createRequire as createNodeRequire } from 'node:module'; const require = createNodeRequire(import.meta.url);",
+  },
+})
