--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -372,14 +372,15 @@
 
   private noteRecord(record: GatewayRecord): void {
     this.metrics.noteRecord(record)
-    const { requestId, receivedAt: _, ...rest } = record
     const rounded = {
-      ...rest,
+      ...record,
+      requestId: undefined,
+      receivedAt: undefined,
       firstByteMilliseconds: round(record.firstByteMilliseconds),
       totalMilliseconds: round(record.totalMilliseconds),
     }
     const isServed = record.code === ResultCode.Ok
-    this.logger[isServed ? 'info' : 'warn']('request', { request: requestId, ...rounded })
+    this.logger[isServed ? 'info' : 'warn']('request', { request: record.requestId, ...rounded })
   }
 
   private note(event: string, fields: Readonly<Record<string, unknown>>): void {
--- a/packages/router/src/gateway/dispatch.ts
+++ b/packages/router/src/gateway/dispatch.ts
@@ -246,6 +246,7 @@
     begun: () => void,
   ): Promise<BodyOutcome> {
     const { reply, record } = this.request
+    this.events.continueElsewhere()
     return new Promise(resolve => {
       const finish = (isWhole: boolean) => {
         if (!isWhole || this.events.isInsideEvent) return resolve('broken')
--- a/packages/router/src/gateway/eventRelay.ts
+++ b/packages/router/src/gateway/eventRelay.ts
@@ -5,7 +5,7 @@
 const ID_LINE = /^id:[ ]?(.*)$/m
 
 export class EventRelay {
-  private readonly splitter = new EventSplitter()
+  private splitter = new EventSplitter()
   private count = 0
   private lastId: string | undefined
 
@@ -16,6 +16,11 @@
     return events
   }
 
+  /** Another server continues after the last whole event: the piece of the next one is void. */
+  continueElsewhere(): void {
+    this.splitter = new EventSplitter()
+  }
+
   /** Events seen so far. */
   get events(): number {
     return this.count
