fix(gateway): the newest of several configuration versions, rows from peers, a bounded end

Processes that could not settle outlived the grace time. Change: the last row counts; mirrors give each other rows while the store does not answer; leaving is bounded by the grace time; a refusal for want of recorded allowance says when the allowance will have grown.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -119,7 +119,7 @@
 export type { MemberDirectoryParts, MemberRow, MemberState } from './membership/memberDirectory.js'
 export { StoreClock } from './rows/storeClock.js'
 export { TableMirror } from './rows/tableMirror.js'
-export type { MirrorListener, TableMirrorParts } from './rows/tableMirror.js'
+export type { MirrorListener, MirrorPage, TableMirrorParts } from './rows/tableMirror.js'
 export { DemandHoldingPolicy, EqualHoldingPolicy } from './prepaid/holdingPolicy.js'
 export type { BudgetView, HoldingPolicy } from './prepaid/holdingPolicy.js'
 export { HoldingState } from './prepaid/holdingState.js'
--- a/packages/coordination/src/prepaid/holdingState.ts
+++ b/packages/coordination/src/prepaid/holdingState.ts
@@ -48,6 +48,16 @@
     return Math.max(0, Math.min(...bounds) - this.committedTokens)
   }
 
+  /** Time after which tokens may be committed without a write; undefined where never. */
+  waitFor(tokens: TokenCount): Milliseconds | undefined {
+    const rows = this.possibleRows()
+    if (rows.length === 0 || tokens > this.unspent) return undefined
+    const missing = tokens - this.allowance
+    const slowest = Math.min(...rows.map(({ row }) => row.ratePerSecond))
+    if (slowest <= 0) return undefined
+    return (Math.max(0, missing) * 1000) / slowest
+  }
+
   /** Sequence of the row sent last; each row sent has its own, whatever became of it. */
   get lastSequence(): number {
     return this.sequence
--- a/packages/coordination/src/prepaid/prepaidAccount.ts
+++ b/packages/coordination/src/prepaid/prepaidAccount.ts
@@ -24,7 +24,12 @@
 
 export type PrepaidOutcome =
   | { readonly kind: 'reserved'; readonly reservation: PrepaidReservation; readonly path: string }
-  | { readonly kind: 'refused'; readonly reason: PrepaidRefusal; readonly known: BudgetView }
+  /** After `waitMilliseconds`, where given, this instance could serve the request. */
+  | {
+      readonly kind: 'refused'
+      readonly reason: PrepaidRefusal
+      readonly waitMilliseconds: Milliseconds | undefined
+    }
 
 export interface PrepaidAccountParts {
   readonly budget: string
@@ -403,7 +408,7 @@
     const left = Math.max(0, known.free) + known.ownUnspent + others
     const isKnown = this.view.isLoaded && !this.isOutOfReach
     const reason = isKnown && tokens > left ? 'exhausted' : 'unavailable'
-    return { kind: 'refused', reason, known }
+    return { kind: 'refused', reason, waitMilliseconds: this.holding.waitFor(tokens) }
   }
 
   /** Notes how long a call has been on its way. */
--- a/packages/coordination/src/rows/tableMirror.ts
+++ b/packages/coordination/src/rows/tableMirror.ts
@@ -16,6 +16,15 @@
   onReachable?(isReachable: boolean): void
 }
 
+/** Rows that one mirror gives another. */
+export interface MirrorPage {
+  readonly rows: readonly ChangedRow[]
+  /** Whether these are all rows, or those that changed after the version asked for. */
+  readonly isWhole: boolean
+  /** Everything up to this version is covered. */
+  readonly version: number
+}
+
 export interface TableMirrorParts {
   readonly store: RowStore
   readonly table: string
@@ -23,6 +32,8 @@
   readonly partitions: () => readonly string[]
   readonly clock: Clock
   readonly listener: MirrorListener
+  /** Asked for newer rows while the store does not answer. */
+  readonly askPeers?: (table: string, after: number) => Promise<MirrorPage | undefined>
   /** How long one call may wait for a change at the store. */
   readonly waitMilliseconds: Milliseconds
   /** Least time between two calls; bounds the calls on a table that changes all the time. */
@@ -41,6 +52,10 @@
   /** Monotonic time at which the last successful call was sent. */
   private confirmedAt: Milliseconds = Number.NEGATIVE_INFINITY
   private readPartitions = new Set<string>()
+  /** Rows and removals by partition and key, for peers that cannot reach the store. */
+  private readonly rows = new Map<string, ChangedRow>()
+  /** Changes after this version are all among `rows`. */
+  private completeAfter = 0
 
   constructor(private readonly parts: TableMirrorParts) {}
 
@@ -61,12 +76,23 @@
     return this.position !== undefined
   }
 
+  /** What a peer that knows everything up to `after` lacks; undefined where nothing is known. */
+  since(after: number): MirrorPage | undefined {
+    if (this.position === undefined) return undefined
+    const isWhole = after < this.completeAfter
+    const rows = [...this.rows.values()]
+      .filter(row => (isWhole ? row.value !== undefined : row.version > after))
+      .sort((left, right) => left.version - right.version)
+    return { rows, isWhole, version: this.position }
+  }
+
   private async follow(): Promise<void> {
     while (!this.stopped) {
       const sentAt = this.parts.clock.monotonic()
       const succeeded = await this.step()
       if (this.stopped) return
       this.noteReachable(succeeded)
+      if (!succeeded) await this.catchUpFromPeers()
       if (succeeded) {
         this.confirmedAt = sentAt
         this.parts.listener.onRead?.()
@@ -91,10 +117,25 @@
       return true
     }
     this.position = outcome.version
-    if (outcome.rows.length > 0) this.parts.listener.onRows(outcome.rows, false)
+    this.take(outcome.rows, false)
     return true
   }
 
+  /** Peers may have heard from the store what this instance could not. */
+  private async catchUpFromPeers(): Promise<void> {
+    const page = await this.parts.askPeers?.(this.parts.table, this.position ?? 0)
+    if (page === undefined || page.version <= (this.position ?? -1)) return
+    if (page.isWhole || this.position === undefined) this.completeAfter = page.version
+    this.position = page.version
+    for (const partition of this.parts.partitions()) this.readPartitions.add(partition)
+    this.take(page.rows, page.isWhole)
+  }
+
+  private take(rows: readonly ChangedRow[], isWhole: boolean): void {
+    for (const row of rows) this.rows.set(`${row.partition}/${row.key}`, row)
+    if (rows.length > 0 || isWhole) this.parts.listener.onRows(rows, isWhole)
+  }
+
   /** Reads partitions whole; the feed continues at the oldest of their versions. */
   private async readWhole(partitions: readonly string[]): Promise<boolean> {
     const outcomes = await Promise.all(
@@ -105,7 +146,8 @@
       if (outcome.kind === 'failed') return false
       this.readPartitions.add(partitions[index] ?? '')
       versions.push(outcome.version)
-      this.parts.listener.onRows(outcome.rows, true)
+      this.completeAfter = Math.max(this.completeAfter, outcome.version)
+      this.take(outcome.rows, true)
     }
     if (versions.length > 0) this.position = Math.min(...versions)
     return true
--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -27,6 +27,7 @@
 } from './gatewayListeners.js'
 import { GatewayMetrics } from './gatewayMetrics.js'
 import type { GatewaySettings } from './gatewaySettings.js'
+import { PeerRows, answerRows } from './peerRows.js'
 import type { PlainAnswer, PlatformAdapter } from './platformAdapter.js'
 import type { SettingsOutcome } from './settingsWatcher.js'
 
@@ -49,6 +50,10 @@
 const SHORTEST_DRAIN_MILLISECONDS = 3_200
 /** Kept at the end of the grace time for settling budgets. */
 const SETTLE_MILLISECONDS = 900
+/** The process ends by itself this long before it would be killed. */
+const EXIT_MILLISECONDS = 200
+/** Wait for a peer's answer. */
+const PEER_MILLISECONDS = 400
 const DRAIN_POLL_MILLISECONDS = 20
 
 /** One instance that serves generic routes: every part, wired together. */
@@ -63,7 +68,8 @@
   private readonly ledger: PrepaidLedger
   private readonly servers: ServerDirectory
   private readonly gateway: Gateway
-  private readonly mirrors: readonly TableMirror[]
+  private readonly mirrors: ReadonlyMap<string, TableMirror>
+  private readonly peerRows: PeerRows
   private readonly callerListener: Server
   private readonly otherListeners: readonly { server: Server; address: string }[]
   private routes: RouteTable | undefined
@@ -86,6 +92,7 @@
     this.ledger = this.createLedger(incarnation)
     this.servers = this.createServers()
     this.gateway = this.createGateway()
+    this.peerRows = this.createPeerRows()
     this.mirrors = this.createMirrors()
     this.metrics = this.createMetrics()
     this.callerListener = createCallerListener((request, response) => {
@@ -98,7 +105,7 @@
   async start(): Promise<void> {
     const { callers } = this.settings.listen
     await listenAll([{ server: this.callerListener, address: callers }, ...this.otherListeners])
-    for (const mirror of this.mirrors) mirror.start()
+    for (const mirror of this.mirrors.values()) mirror.start()
     this.ledger.start()
     this.note('instance_started', { callers, incarnation: this.settings.instance.id })
   }
@@ -119,9 +126,10 @@
     this.refusing = true
     await this.waitForRequests(startedAt)
     this.callerListener.close()
-    const isSettled = await this.ledger.leave()
-    await this.members.leave()
-    this.note('instance_left', { cutOff: this.gateway.inFlight, isSettled })
+    const cutOff = this.gateway.inFlight
+    // What the store does not take in time is settled by the next incarnation's bound.
+    const isSettled = await Promise.race([this.settle(), this.graceEnd(startedAt)])
+    this.note('instance_left', { cutOff, isSettled })
   }
 
   /** The settings file changed; what can change in a running process does. */
@@ -137,7 +145,7 @@
 
   /** Stops at once. */
   stop(): void {
-    for (const mirror of this.mirrors) mirror.stop()
+    for (const mirror of this.mirrors.values()) mirror.stop()
     this.ledger.stop()
     this.members.stop()
     this.store.close()
@@ -146,6 +154,19 @@
     this.callerListener.close()
   }
 
+  private async settle(): Promise<boolean> {
+    const isSettled = await this.ledger.leave()
+    await this.members.leave()
+    return isSettled
+  }
+
+  private async graceEnd(startedAt: Milliseconds): Promise<boolean> {
+    const grace = this.settings.shutdown.graceSeconds * 1000
+    const left = startedAt + grace - EXIT_MILLISECONDS - this.clock.monotonic()
+    await sleep(this.clock, Math.max(0, left))
+    return false
+  }
+
   private async waitForRequests(startedAt: Milliseconds): Promise<void> {
     const grace = this.settings.shutdown.graceSeconds * 1000
     const earliest = startedAt + SHORTEST_DRAIN_MILLISECONDS
@@ -236,32 +257,49 @@
     })
   }
 
-  private createMirrors(): readonly TableMirror[] {
+  private createPeerRows(): PeerRows {
+    const own = this.settings.listen.peers
+    return new PeerRows({
+      addresses: () => {
+        const known = this.members.others.map(member => member.peerAddress)
+        const all = new Set([...known, ...this.settings.seeds])
+        return [...all].filter(address => address !== own && address !== '')
+      },
+      random: this.random,
+      timeoutMilliseconds: PEER_MILLISECONDS,
+    })
+  }
+
+  private createMirrors(): ReadonlyMap<string, TableMirror> {
     const { configuration, servers } = this.adapter
-    return [
-      this.mirror(configuration.table, () => [configuration.partition], {
-        onRows: rows => this.noteConfiguration(rows),
-        onReachable: isReachable => this.note('store_contact', { isReachable }),
-      }),
-      this.mirror(servers.table, () => [servers.partition], {
-        onRows: (rows, isWhole) => this.noteServers(rows, isWhole),
-      }),
-      this.mirror(
-        MEMBER_TABLE,
-        () => [MEMBER_PARTITION],
-        {
-          onRows: (rows, isWhole) => this.members.observe(rows, isWhole),
-          onRead: () => this.members.noteRead(),
-        },
-        MEMBER_PAUSE_MILLISECONDS,
-      ),
-      this.mirror(
-        PREPAID_TABLE,
-        () => this.ledger.budgets,
-        { onRows: (rows, isWhole) => this.ledger.observe(rows, isWhole) },
-        PREPAID_PAUSE_MILLISECONDS,
-      ),
-    ]
+    const configurationMirror = this.mirror(configuration.table, () => [configuration.partition], {
+      onRows: rows => this.noteConfiguration(rows),
+      onReachable: isReachable => this.note('store_contact', { isReachable }),
+    })
+    const serverMirror = this.mirror(servers.table, () => [servers.partition], {
+      onRows: (rows, isWhole) => this.noteServers(rows, isWhole),
+    })
+    const memberMirror = this.mirror(
+      MEMBER_TABLE,
+      () => [MEMBER_PARTITION],
+      {
+        onRows: (rows, isWhole) => this.members.observe(rows, isWhole),
+        onRead: () => this.members.noteRead(),
+      },
+      MEMBER_PAUSE_MILLISECONDS,
+    )
+    const prepaidMirror = this.mirror(
+      PREPAID_TABLE,
+      () => this.ledger.budgets,
+      { onRows: (rows, isWhole) => this.ledger.observe(rows, isWhole) },
+      PREPAID_PAUSE_MILLISECONDS,
+    )
+    return new Map([
+      [configuration.table, configurationMirror],
+      [servers.table, serverMirror],
+      [MEMBER_TABLE, memberMirror],
+      [PREPAID_TABLE, prepaidMirror],
+    ])
   }
 
   private mirror(
@@ -276,6 +314,8 @@
       partitions,
       clock: this.clock,
       listener,
+      // Holdings and heartbeats mean something only as the store has them.
+      askPeers: pause === undefined ? (name, after) => this.peerRows.ask(name, after) : undefined,
       waitMilliseconds: pause === undefined ? FEED_WAIT_MILLISECONDS : 0,
       pauseMilliseconds: pause ?? QUIET_PAUSE_MILLISECONDS,
     })
@@ -288,15 +328,16 @@
       servers: () => this.servers.size,
       configurationVersion: () => this.routes?.version ?? 0,
       ready: () => (this.isReady ? 1 : 0),
-      storeAge: () => (this.mirrors[0]?.age ?? 0) / 1000,
+      storeAge: () => (this.mirrors.get(this.adapter.configuration.table)?.age ?? 0) / 1000,
     })
   }
 
   private createOtherListeners(): { server: Server; address: string }[] {
-    const { readiness, directory, metrics } = this.settings.listen
+    const { readiness, directory, peers, metrics } = this.settings.listen
     const answers = [
       { address: readiness, answer: (url: string) => this.answerReadiness(url) },
       { address: directory, answer: (url: string) => this.answerDirectory(url) },
+      { address: peers, answer: (url: string) => answerRows(url, this.mirrors) },
       { address: metrics, answer: () => this.answerMetrics() },
     ]
     return answers.flatMap(({ address, answer }) =>
@@ -323,7 +364,8 @@
 
   private noteConfiguration(rows: readonly ChangedRow[]): void {
     const { key, parse } = this.adapter.configuration
-    const row = rows.find(candidate => candidate.key === key)
+    // A feed that was behind gives every version that it missed, oldest first.
+    const row = rows.findLast(candidate => candidate.key === key)
     if (row?.value === undefined) return
     const configuration = this.parseConfiguration(row.value, parse)
     if (configuration === undefined) return
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -179,7 +179,9 @@
     record.reservation = outcome.reason
     record.budget = this.parts.ledger.describe(tenant)
     if (outcome.reason === 'exhausted') return new NotRunError(ResultCode.BudgetExhausted)
-    return new NotRunError(ResultCode.BudgetUnavailable, undefined, RETURN_AFTER_SECONDS)
+    const wait = (outcome.waitMilliseconds ?? 0) / 1000
+    const returnAfter = Math.max(RETURN_AFTER_SECONDS, Math.round(wait * 100) / 100)
+    return new NotRunError(ResultCode.BudgetUnavailable, undefined, returnAfter)
   }
 
   private settle(
