fix(prepaid): bounds that follow which write can still take effect; exploration of the ledger

Cause: exploring random histories (deaths, cuts, lost and late answers, leaving, raises) found two overspends. A feed that showed an older own row resolved a write still on its way, so a holding just given back was spent again; and a request whose write met a conflict was served from the holding after that had been settled. Change: each sent row knows the version that it replaces; nothing is reserved after leaving began. While the store answers, a row allows only the rate of spending (1 s); beyond that a cut rate. Takeovers are logged with what they assume.

--- a/packages/coordination/src/prepaid/holdingState.ts
+++ b/packages/coordination/src/prepaid/holdingState.ts
@@ -1,11 +1,13 @@
-import type { Clock, Milliseconds, TokenCount } from '@rackwalk/shared'
-import { committedBound } from './prepaidRows.js'
+import type { Clock, Milliseconds, TokenCount, Version } from '@rackwalk/shared'
+import { committedBound, timeOfBound } from './prepaidRows.js'
 import type { HolderRow } from './prepaidRows.js'
 
 /** A holder row of this incarnation that is, or may come to be, in the store. */
 interface SentRow {
   readonly row: HolderRow
   readonly sentAt: Milliseconds
+  /** The version that the row must replace; with any other it can never take effect. */
+  readonly replaces: Version
 }
 
 /**
@@ -52,10 +54,12 @@
   waitFor(tokens: TokenCount): Milliseconds | undefined {
     const rows = this.possibleRows()
     if (rows.length === 0 || tokens > this.unspent) return undefined
-    const missing = tokens - this.allowance
-    const slowest = Math.min(...rows.map(({ row }) => row.ratePerSecond))
-    if (slowest <= 0) return undefined
-    return (Math.max(0, missing) * 1000) / slowest
+    const now = this.clock.monotonic()
+    const waits = rows.map(({ row, sentAt }) => {
+      const time = timeOfBound(row, this.committedTokens + tokens)
+      return time === undefined ? undefined : Math.max(0, time - (now - sentAt))
+    })
+    return waits.includes(undefined) ? undefined : Math.max(...waits.filter(isNumber))
   }
 
   /** Sequence of the row sent last; each row sent has its own, whatever became of it. */
@@ -87,16 +91,19 @@
   }
 
   /** A row is about to be sent; from now on its bounds hold as well. */
-  send(row: HolderRow): void {
+  send(row: HolderRow, replaces: Version): void {
     this.sequence = row.sequence
-    this.unresolved.push({ row, sentAt: this.clock.monotonic() })
+    this.unresolved.push({ row, sentAt: this.clock.monotonic(), replaces })
   }
 
-  /** The store took the row of this sequence; no earlier write can take effect any more. */
-  confirm(sequence: number): void {
+  /**
+   * The store was seen to have the row of this sequence, as this version. Rows sent to replace
+   * an earlier version are resolved by that; one sent since may still take effect.
+   */
+  observe(sequence: number, version: Version): void {
     const taken = this.unresolved.find(({ row }) => row.sequence === sequence)
     if (taken !== undefined) this.confirmed = taken
-    this.unresolved = []
+    this.unresolved = this.unresolved.filter(({ replaces }) => replaces >= version)
   }
 
   /** The store did not take the row of this sequence and never will. */
@@ -116,3 +123,7 @@
     return [this.confirmed, ...this.unresolved]
   }
 }
+
+function isNumber(value: number | undefined): value is number {
+  return value !== undefined
+}
--- a/packages/coordination/src/prepaid/prepaidAccount.ts
+++ b/packages/coordination/src/prepaid/prepaidAccount.ts
@@ -64,7 +64,10 @@
 
 export class PrepaidAccount {
   private readonly holding: HoldingState
+  /** Tokens that callers ask for, refused ones included. */
   private readonly demand: DemandMeter
+  /** Tokens that are committed. */
+  private readonly spending: DemandMeter
   private readonly view: PartitionView
   private limit: TokenCount | undefined
   private configurationVersion = 0
@@ -80,6 +83,7 @@
   constructor(private readonly parts: PrepaidAccountParts) {
     this.holding = new HoldingState(parts.clock)
     this.demand = new DemandMeter(parts.clock)
+    this.spending = new DemandMeter(parts.clock)
     this.view = new PartitionView(parts.instance)
   }
 
@@ -102,7 +106,7 @@
   reserve(tokens: TokenCount, patience: Milliseconds): Promise<PrepaidOutcome> {
     this.demand.add(tokens)
     this.largest = Math.max(tokens, this.largest * LARGEST_DECAY)
-    if (tokens <= this.holding.allowance) {
+    if (!this.left && tokens <= this.holding.allowance) {
       this.holding.commit(tokens)
       return Promise.resolve(this.reserved(tokens, 'held'))
     }
@@ -120,6 +124,7 @@
     const unused = reservation.tokens - Math.min(spent, reservation.tokens)
     this.holding.release(unused)
     this.demand.add(-unused)
+    this.spending.add(-unused)
   }
 
   /** Called a few times a second: records, takes and gives back. */
@@ -130,9 +135,11 @@
   /** Settles what was spent and gives the rest back; true once the store has it. */
   async leave(): Promise<boolean> {
     this.left = true
+    await this.writing
+    // Found by exploration: a request whose write had met a conflict was served from the
+    // holding after that had been given back.
     for (const waiter of this.waiters) this.finish(waiter, this.refused(waiter.tokens))
     this.waiters = []
-    await this.writing
     for (let attempt = 0; attempt < LEAVE_ATTEMPTS; attempt += 1) {
       if (await this.leaveOnce()) return true
       await this.pause(RETRY_MILLISECONDS)
@@ -191,7 +198,7 @@
     }
     const plan = this.plan(true)
     const admitted = this.takeAdmitted(plan)
-    this.holding.send(plan.holder)
+    this.holding.send(plan.holder, this.view.ownVersion)
     const sentAt = this.parts.clock.monotonic()
     const outcome = await this.timed(this.parts.store.write(this.transactionOf(plan)))
     this.noteOutcome(plan, outcome, sentAt)
@@ -212,7 +219,8 @@
     if (outcome.kind === 'done') {
       this.parts.storeClock.note(outcome.storeTime, sentAt)
       this.view.applyWrite(plan, outcome.version)
-      this.holding.confirm(sequence)
+      this.noteTakeover(plan)
+      this.holding.observe(sequence, outcome.version)
       this.noteReached()
       return
     }
@@ -228,6 +236,11 @@
     this.noteFailure(outcome.kind === 'not-done' ? outcome.reason : 'no answer')
   }
 
+  private noteTakeover({ takeover }: WritePlan): void {
+    if (takeover === undefined) return
+    this.parts.onEvent('prepaid_taken_over', { budget: this.parts.budget, ...takeover })
+  }
+
   private async reload(): Promise<boolean> {
     const sentAt = this.parts.clock.monotonic()
     const reading = this.parts.store.readPartition(PREPAID_TABLE, this.parts.budget)
@@ -249,7 +262,7 @@
     const row = this.view.ownHolder
     if (row === undefined) return
     if (row.incarnation === this.parts.incarnation) {
-      if (this.holding.hasUnresolved) this.holding.confirm(row.sequence)
+      this.holding.observe(row.sequence, this.view.ownVersion)
       return
     }
     if (!this.holding.isRegistered) return
@@ -279,6 +292,7 @@
       storeTime: storeClock.lowerBound ?? 0,
       diedBefore: storeClock.upperBoundAt(startedAt),
       policy: this.parts.policy,
+      spendingPerSecond: this.spending.perSecond,
       budgetView: this.budgetView(),
       othersWant: this.view.wantedByOthers(instance),
     })
@@ -379,8 +393,9 @@
   }
 
   private finishFromHolding(waiter: Waiter): void {
-    if (waiter.tokens > this.holding.allowance)
+    if (this.left || waiter.tokens > this.holding.allowance) {
       return this.finish(waiter, this.refused(waiter.tokens))
+    }
     this.holding.commit(waiter.tokens)
     this.finish(waiter, this.reserved(waiter.tokens, 'held'))
   }
@@ -399,6 +414,7 @@
   }
 
   private reserved(tokens: TokenCount, path: string): PrepaidOutcome {
+    this.spending.add(tokens)
     return { kind: 'reserved', reservation: { budget: this.parts.budget, tokens }, path }
   }
 
--- a/packages/coordination/src/prepaid/prepaidRows.ts
+++ b/packages/coordination/src/prepaid/prepaidRows.ts
@@ -31,10 +31,12 @@
   readonly committed: TokenCount
   /** Steady time of the store, not later than the moment of writing. */
   readonly base: Milliseconds
-  /** Beyond `committed` this many tokens may be committed at once before the next write, */
-  readonly burst: TokenCount
-  /** and this many more for each second since `base`. */
-  readonly ratePerSecond: number
+  /** Beyond `committed`, tokens a second that may be committed before the next write, */
+  readonly strictRate: number
+  /** while no more than this time has passed since `base`; */
+  readonly strictMilliseconds: Milliseconds
+  /** and tokens a second after that, when the store is evidently out of reach. */
+  readonly cutRate: number
   /** Tokens a second that its callers ask for; others size their holdings by it. */
   readonly demandPerSecond: number
   /** Tokens that it lacks for a request at hand. */
@@ -56,8 +58,20 @@
 
 /** The most that a holder may have committed, `elapsed` milliseconds after its row's base. */
 export function committedBound(holder: HolderRow, elapsed: Milliseconds): TokenCount {
-  const growth = (holder.ratePerSecond * Math.max(0, elapsed)) / 1000
-  return Math.min(holder.granted, Math.floor(holder.committed + holder.burst + growth))
+  const strict = Math.max(0, Math.min(elapsed, holder.strictMilliseconds))
+  const cut = Math.max(0, elapsed - holder.strictMilliseconds)
+  const growth = (holder.strictRate * strict + holder.cutRate * cut) / 1000
+  return Math.min(holder.granted, Math.floor(holder.committed + growth))
+}
+
+/** Time after a row's base at which the bound reaches `committed`; undefined where never. */
+export function timeOfBound(holder: HolderRow, committed: TokenCount): Milliseconds | undefined {
+  if (committed > holder.granted) return undefined
+  const missing = (committed - holder.committed) * 1000
+  const byStrict = holder.strictRate * holder.strictMilliseconds
+  if (missing <= byStrict) return missing <= 0 ? 0 : missing / holder.strictRate
+  if (holder.cutRate <= 0) return undefined
+  return holder.strictMilliseconds + (missing - byStrict) / holder.cutRate
 }
 
 /** Ends a holding: what it may have committed counts as handed out, the rest is free again. */
--- a/packages/coordination/src/prepaid/writePlan.ts
+++ b/packages/coordination/src/prepaid/writePlan.ts
@@ -23,6 +23,8 @@
   /** A time of the store at which an earlier incarnation was dead. */
   readonly diedBefore: Milliseconds | undefined
   readonly policy: HoldingPolicy
+  /** Tokens a second that this instance commits. */
+  readonly spendingPerSecond: number
   readonly budgetView: BudgetView
   readonly othersWant: TokenCount
 }
@@ -31,23 +33,39 @@
   readonly pool: PoolRow
   readonly holder: HolderRow
   readonly changesPool: boolean
+  /** Set where the write ends an earlier incarnation's holding. */
+  readonly takeover: Takeover | undefined
   /** Positions in `requests` that the write covers. */
   readonly admitted: readonly number[]
 }
 
+/** An earlier incarnation's holding, and what of it counts as handed out. */
+export interface Takeover {
+  readonly incarnation: string
+  readonly granted: TokenCount
+  /** Committed as the dead incarnation last recorded. */
+  readonly recorded: TokenCount
+  /** The most that it can have committed; the rest of the holding is free again. */
+  readonly assumed: TokenCount
+}
+
 /** Holdings are moved only where they are off their target by more than this. */
 const TOLERANCE = 0.12
-/** Time for which the burst covers the average demand. */
-const BURST_SECONDS = 0.5
-/** Requests as large as the largest that may be committed before the next write. */
-const BURST_REQUESTS = 0.5
-const RATE_DEMAND_FACTOR = 2
+/**
+ * While the store answers, a row is never older than this: what may be spent in that time
+ * is lost with a killed process, so it is kept to the demand.
+ */
+const STRICT_MILLISECONDS = 1_000
+const STRICT_DEMAND_FACTOR = 1
+/** A cut is told from a death by nobody, so spending in it is bounded by the rate alone. */
+const CUT_DEMAND_FACTOR = 1.6
 /** Without demand, the time in which all of a holding could be spent. */
-const RATE_SECONDS = 16
+const CUT_SECONDS = 30
 
 /** The next write, and the requests that it covers. */
 export function planWrite(inputs: WriteInputs): WritePlan {
-  const before = poolBefore(inputs)
+  const takeover = takeoverOf(inputs)
+  const before = poolBefore(inputs, takeover)
   const unspent = inputs.granted - inputs.committed
   const admission = admit(inputs.requests, Math.max(0, unspent) + Math.max(0, freeInPool(before)))
   const rest = unspent - admission.tokens
@@ -59,20 +77,30 @@
     pool,
     holder: holderRow(inputs, granted, committed, admission.missing),
     changesPool: inputs.pool === undefined || !isSamePool(pool, inputs.pool),
+    takeover,
     admitted: admission.positions,
   }
 }
 
 /** The pool with the newest limit, and with an earlier incarnation's holding ended. */
-function poolBefore(inputs: WriteInputs): PoolRow {
+function poolBefore(inputs: WriteInputs, takeover: Takeover | undefined): PoolRow {
   const { pool, previous, limit, configurationVersion } = inputs
-  const empty = { limit, configurationVersion, settled: 0, allocated: 0 }
-  const known = pool ?? empty
-  const isNewer = configurationVersion > known.configurationVersion
-  const limited =
-    isNewer && limit !== known.limit ? { ...known, limit, configurationVersion } : known
-  if (previous === undefined || previous.incarnation === inputs.incarnation) return limited
-  return endHolding(limited, previous, boundAtDeath(inputs, previous))
+  const known = pool ?? { limit, configurationVersion, settled: 0, allocated: 0 }
+  const isNewer = configurationVersion > known.configurationVersion && limit !== known.limit
+  const limited = isNewer ? { ...known, limit, configurationVersion } : known
+  if (previous === undefined || takeover === undefined) return limited
+  return endHolding(limited, previous, takeover.assumed)
+}
+
+function takeoverOf(inputs: WriteInputs): Takeover | undefined {
+  const { previous, incarnation } = inputs
+  if (previous === undefined || previous.incarnation === incarnation) return undefined
+  return {
+    incarnation: previous.incarnation,
+    granted: previous.granted,
+    recorded: previous.committed,
+    assumed: boundAtDeath(inputs, previous),
+  }
 }
 
 function boundAtDeath(inputs: WriteInputs, previous: HolderRow): TokenCount {
@@ -130,17 +158,17 @@
   committed: TokenCount,
   wanted: TokenCount,
 ): HolderRow {
-  const { ownDemandPerSecond, largestRequest } = inputs.budgetView
+  const { ownDemandPerSecond } = inputs.budgetView
   const unspent = Math.max(0, granted - committed)
-  const burst = BURST_SECONDS * ownDemandPerSecond + BURST_REQUESTS * largestRequest
   return {
     incarnation: inputs.incarnation,
     sequence: inputs.sequence,
     granted,
     committed,
     base: inputs.storeTime,
-    burst: Math.floor(Math.min(unspent / 2, burst)),
-    ratePerSecond: Math.ceil(RATE_DEMAND_FACTOR * ownDemandPerSecond + unspent / RATE_SECONDS),
+    strictRate: Math.ceil(STRICT_DEMAND_FACTOR * inputs.spendingPerSecond),
+    strictMilliseconds: STRICT_MILLISECONDS,
+    cutRate: Math.ceil(CUT_DEMAND_FACTOR * inputs.spendingPerSecond + unspent / CUT_SECONDS),
     demandPerSecond: Math.round(ownDemandPerSecond),
     wanted,
   }
--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -73,6 +73,8 @@
   private readonly callerListener: Server
   private readonly otherListeners: readonly { server: Server; address: string }[]
   private routes: RouteTable | undefined
+  /** The process's clock counts from its start, at which its predecessor was dead. */
+  private readonly startedAt: Milliseconds = 0
   private draining = false
   private refusing = false
   private isMember = false
@@ -214,7 +216,7 @@
       store: this.store,
       storeClock: this.storeClock,
       clock: this.clock,
-      startedAt: this.clock.monotonic(),
+      startedAt: this.startedAt,
       policy: budgets.policy === 'equal' ? new EqualHoldingPolicy() : new DemandHoldingPolicy(),
       otherInstances: () => this.members.others.map(member => member.instance),
       limits: {
--- a/packages/daemon/src/gateway/gatewaySettings.ts
+++ b/packages/daemon/src/gateway/gatewaySettings.ts
@@ -68,7 +68,7 @@
         .number()
         .min(0)
         .max(0.5)
-        .default(0.015)
+        .default(0.008)
         .describe('Part of a prepaid limit that is never handed out'),
     })
     .prefault({})
--- a/packages/router/src/gateway/dispatch.ts
+++ b/packages/router/src/gateway/dispatch.ts
@@ -44,6 +44,8 @@
 export interface DispatchResult {
   /** Whether a server ran the request, or may have. */
   readonly mayHaveRun: boolean
+  /** Whether a server was sent the request and never answered: it may have made everything. */
+  readonly isUnanswered: boolean
   readonly events: number
   /** Whether the last answer came to its own end. */
   readonly isWhole: boolean
@@ -68,6 +70,7 @@
   private sent = 0
   private connectFailures = 0
   private mayHaveRun = false
+  private isUnanswered = false
   private isLate = false
   private failure: RackwalkError | undefined
 
@@ -83,7 +86,8 @@
     const timer = this.parts.clock.after(untilDeadline, () => this.passDeadline())
     try {
       const isWhole = await this.attemptAll()
-      return { mayHaveRun: this.mayHaveRun, events: this.events.events, isWhole }
+      const { mayHaveRun, isUnanswered } = this
+      return { mayHaveRun, isUnanswered, events: this.events.events, isWhole }
     } finally {
       timer.cancel()
     }
@@ -327,6 +331,7 @@
   private afterFailure(): 'again' | 'final' {
     this.sent += 1
     this.mayHaveRun = true
+    this.isUnanswered = !this.isOver
     this.failure = new DispatchedError(ResultCode.EndpointFailed)
     return this.canRepeat && this.mayRetry() ? 'again' : 'final'
   }
@@ -371,6 +376,7 @@
   tokensPerEvent: TokenCount,
 ): TokenCount {
   if (!result.mayHaveRun) return 0
+  if (result.isUnanswered) return tokens.prompt + tokens.maximumOutput
   const events = result.events + (result.isWhole ? 0 : UNSEEN_EVENTS)
   return tokens.prompt + Math.min(tokens.maximumOutput, events * tokensPerEvent)
 }
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -47,6 +47,13 @@
   readonly goalAt: Milliseconds
 }
 
+const NOT_RUN: DispatchResult = {
+  mayHaveRun: false,
+  isUnanswered: false,
+  events: 0,
+  isWhole: false,
+}
+
 /** A refusal that comes within this part of the goal may still be made good elsewhere. */
 const REFUSAL_SHARE = 0.2
 const LONGEST_PATIENCE_MILLISECONDS = 120
@@ -98,7 +105,7 @@
     const retries = this.retryWindow(service.name)
     retries.noteRequest()
     const reservation = await this.reserve(identified, record)
-    let result: DispatchResult = { mayHaveRun: false, events: 0, isWhole: false }
+    let result: DispatchResult = NOT_RUN
     try {
       const dispatch = new Dispatch(this.parts, {
         metadata,
--- /dev/null
+++ b/packages/stand-ins/src/exploration/prepaidWorld.ts
@@ -0,0 +1,359 @@
+import fc from 'fast-check'
+import { VirtualClock } from '@rackwalk/shared'
+import type { Clock, Milliseconds, TokenCount } from '@rackwalk/shared'
+import type { RowStore } from '@rackwalk/platform'
+import {
+  DemandHoldingPolicy,
+  PREPAID_TABLE,
+  PrepaidLedger,
+  StoreClock,
+} from '@rackwalk/coordination'
+import type { PrepaidReservation } from '@rackwalk/coordination'
+import { MemoryRowStore } from '../platform/memoryRowStore.js'
+import type { RowStoreFaults } from '../platform/memoryRowStore.js'
+import { PromiseBroken } from './checkers.js'
+
+/** Random histories of one prepaid budget on a few instances, checked against its limit. */
+
+export type PrepaidAction =
+  | { readonly kind: 'reserve'; readonly node: number; readonly tokens: TokenCount }
+  | { readonly kind: 'settle'; readonly node: number; readonly share: number }
+  | { readonly kind: 'kill'; readonly node: number; readonly darkMilliseconds: Milliseconds }
+  | { readonly kind: 'leave'; readonly node: number }
+  | { readonly kind: 'fault'; readonly node: number; readonly fault: PrepaidFault }
+  | { readonly kind: 'heal' }
+  | { readonly kind: 'forget' }
+  | { readonly kind: 'raise' }
+  | { readonly kind: 'wait'; readonly milliseconds: Milliseconds }
+
+export type PrepaidFault = 'cut' | 'turned-away' | 'lost' | 'late'
+
+/** A way to break the ledger that the checker must notice. */
+export interface PrepaidVariant {
+  readonly name: string
+  storeOf?(store: RowStore): RowStore
+  clockOf?(storeClock: StoreClock): StoreClock
+}
+
+export const SOUND_LEDGER: PrepaidVariant = { name: 'sound' }
+
+/** Each forgets one thing on which the promise rests. */
+export const BROKEN_LEDGERS: readonly PrepaidVariant[] = [
+  {
+    name: 'takes a write without an answer for not done',
+    storeOf: store => ({
+      readPartition: (table, partition) => store.readPartition(table, partition),
+      readChanges: (table, after, wait) => store.readChanges(table, after, wait),
+      close: () => store.close(),
+      async write(transaction) {
+        const outcome = await store.write(transaction)
+        return outcome.kind === 'unknown' ? { kind: 'not-done', reason: 'unavailable' } : outcome
+      },
+    }),
+  },
+  {
+    name: 'believes that a dead instance spent only what it recorded',
+    clockOf: storeClock => {
+      const forgetful = Object.create(storeClock) as StoreClock
+      forgetful.upperBoundAt = () => 0
+      return forgetful
+    },
+  },
+]
+
+const NODES = 3
+const BUDGET = 'team'
+const FIRST_LIMIT: TokenCount = 6_000
+const RAISE: TokenCount = 1_500
+const PATIENCE_MILLISECONDS = 100
+const FEED_MILLISECONDS = 400
+const LATE_MILLISECONDS = 2_500
+const EXHAUST_ROUNDS = 14
+const EXHAUST_TOKENS: readonly TokenCount[] = [700, 250, 60]
+
+const node = fc.integer({ min: 0, max: NODES - 1 })
+const actionArbitrary: fc.Arbitrary<PrepaidAction> = fc.oneof(
+  {
+    weight: 8,
+    arbitrary: fc.record({
+      kind: fc.constant('reserve' as const),
+      node,
+      tokens: fc.integer({ min: 50, max: 900 }),
+    }),
+  },
+  {
+    weight: 4,
+    arbitrary: fc.record({
+      kind: fc.constant('settle' as const),
+      node,
+      share: fc.double({ min: 0, max: 1, noNaN: true }),
+    }),
+  },
+  {
+    weight: 5,
+    arbitrary: fc.record({
+      kind: fc.constant('wait' as const),
+      milliseconds: fc.integer({ min: 10, max: 1_500 }),
+    }),
+  },
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      kind: fc.constant('fault' as const),
+      node,
+      fault: fc.constantFrom<PrepaidFault>('cut', 'turned-away', 'lost', 'late'),
+    }),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({
+      kind: fc.constant('kill' as const),
+      node,
+      darkMilliseconds: fc.integer({ min: 0, max: 3_000 }),
+    }),
+  },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('leave' as const), node }) },
+  { weight: 2, arbitrary: fc.constant({ kind: 'heal' as const }) },
+  { weight: 1, arbitrary: fc.constant({ kind: 'forget' as const }) },
+  { weight: 1, arbitrary: fc.constant({ kind: 'raise' as const }) },
+)
+
+export const prepaidScriptArbitrary = fc.array(actionArbitrary, { minLength: 20, maxLength: 70 })
+
+interface WorldNode {
+  readonly ledger: PrepaidLedger
+  readonly faults: RowStoreFaults
+  readonly reservations: PrepaidReservation[]
+  isDead: boolean
+}
+
+/** A monotonic clock of a process that began at some moment of the world's clock. */
+class ProcessClock implements Clock {
+  private readonly startedAt: Milliseconds
+
+  constructor(private readonly world: Clock) {
+    this.startedAt = world.monotonic()
+  }
+
+  monotonic(): Milliseconds {
+    return this.world.monotonic() - this.startedAt
+  }
+
+  wallTime(): Milliseconds {
+    return this.world.wallTime()
+  }
+
+  after(delay: Milliseconds, run: () => void) {
+    return this.world.after(delay, run)
+  }
+}
+
+export class PrepaidWorld {
+  readonly counts: Record<string, number> = {}
+  private readonly clock = new VirtualClock()
+  private readonly store = new MemoryRowStore(this.clock)
+  private readonly nodes: WorldNode[] = []
+  private limit = FIRST_LIMIT
+  private version = 1
+  private starts = 0
+  /** Tokens handed out or reserved, over all instances and their deaths. */
+  private spent: TokenCount = 0
+
+  constructor(private readonly variant: PrepaidVariant) {
+    for (let index = 0; index < NODES; index += 1) this.nodes.push(this.startNode(index))
+  }
+
+  /** Throws where more than the limit was handed out. */
+  async run(script: readonly PrepaidAction[]): Promise<void> {
+    await this.clock.advance(1_000)
+    for (const action of script) {
+      await this.perform(action)
+      this.check()
+    }
+    await this.exhaust()
+  }
+
+  /** Asks for all that is left, so that tokens counted twice are also spent twice. */
+  private async exhaust(): Promise<void> {
+    await this.perform({ kind: 'heal' })
+    for (let round = 0; round < EXHAUST_ROUNDS; round += 1) {
+      for (let index = 0; index < NODES; index += 1) {
+        for (const tokens of EXHAUST_TOKENS) await this.reserve(index, tokens)
+      }
+      await this.clock.advance(FEED_MILLISECONDS)
+      this.check()
+    }
+  }
+
+  private async perform(action: PrepaidAction): Promise<void> {
+    this.count(action.kind)
+    switch (action.kind) {
+      case 'reserve':
+        return this.reserve(action.node, action.tokens)
+      case 'settle':
+        return this.settle(action.node, action.share)
+      case 'kill':
+        return this.kill(action.node, action.darkMilliseconds)
+      case 'leave':
+        return this.leave(action.node)
+      case 'fault':
+        return this.fault(action.node, action.fault)
+      case 'heal':
+        for (const { faults } of this.nodes) Object.assign(faults, NO_FAULTS)
+        return
+      case 'forget':
+        return this.store.forgetHistory()
+      case 'raise':
+        return this.raise()
+      case 'wait':
+        return this.clock.advance(action.milliseconds)
+    }
+  }
+
+  private reserve(index: number, tokens: TokenCount): Promise<void> {
+    const node = this.nodeAt(index)
+    void node.ledger.reserve(BUDGET, tokens, PATIENCE_MILLISECONDS).then(outcome => {
+      // An answer to a process that died meanwhile is heard by nobody.
+      if (node.isDead) return
+      this.count(outcome.kind)
+      if (outcome.kind !== 'reserved') return
+      this.spent += tokens
+      node.reservations.push(outcome.reservation)
+    })
+    return this.clock.advance(1)
+  }
+
+  private settle(index: number, share: number): void {
+    const node = this.nodeAt(index)
+    const reservation = node.reservations.shift()
+    if (reservation === undefined) return
+    const actual = Math.ceil(reservation.tokens * share)
+    node.ledger.settle(reservation, actual)
+    this.spent -= reservation.tokens - actual
+  }
+
+  private async kill(index: number, darkMilliseconds: Milliseconds): Promise<void> {
+    const node = this.nodeAt(index)
+    node.isDead = true
+    node.ledger.stop()
+    node.faults.isCut = true
+    await this.clock.advance(darkMilliseconds)
+    this.nodes[index] = this.startNode(index)
+  }
+
+  private async leave(index: number): Promise<void> {
+    const node = this.nodeAt(index)
+    const left = node.ledger.leave()
+    await this.clock.advance(4_000)
+    if (await Promise.race([left, Promise.resolve(false)])) this.count('settled')
+    node.isDead = true
+    node.faults.isCut = true
+    this.nodes[index] = this.startNode(index)
+  }
+
+  private fault(index: number, fault: PrepaidFault): void {
+    const { faults } = this.nodeAt(index)
+    faults.isCut = fault === 'cut'
+    faults.isTurnedAway = fault === 'turned-away'
+    faults.losesAnswers = fault === 'lost'
+    faults.lateMilliseconds = fault === 'late' ? LATE_MILLISECONDS : 0
+  }
+
+  private raise(): void {
+    this.limit += RAISE
+    this.version += 1
+    for (const { ledger } of this.nodes) this.configure(ledger)
+  }
+
+  private startNode(index: number): WorldNode {
+    this.starts += 1
+    const clock = new ProcessClock(this.clock)
+    const { store, faults } = this.store.connect()
+    const ledger = new PrepaidLedger({
+      instance: `node-${index}`,
+      incarnation: `start-${this.starts}`,
+      store: this.variant.storeOf?.(store) ?? store,
+      storeClock: this.variant.clockOf?.(new StoreClock(clock)) ?? new StoreClock(clock),
+      clock,
+      startedAt: 0,
+      policy: new DemandHoldingPolicy(),
+      otherInstances: () => OTHERS[index] ?? [],
+      limits: { writesPerSecond: 600, partitionWritesPerSecond: 150, reserveShare: 0 },
+      onEvent: event => this.count(event),
+    })
+    this.configure(ledger)
+    ledger.start()
+    const started: WorldNode = { ledger, faults, reservations: [], isDead: false }
+    this.feed(started, store)
+    return started
+  }
+
+  private feed(node: WorldNode, store: RowStore): void {
+    this.clock.after(FEED_MILLISECONDS, () => {
+      if (node.isDead) return
+      void store.readPartition(PREPAID_TABLE, BUDGET).then(outcome => {
+        if (outcome.kind === 'rows') node.ledger.observe(outcome.rows, true)
+      })
+      this.feed(node, store)
+    })
+  }
+
+  private configure(ledger: PrepaidLedger): void {
+    ledger.configure([{ budget: BUDGET, limit: this.limit }], this.version)
+  }
+
+  private check(): void {
+    if (this.spent <= this.limit) return
+    throw new PromiseBroken('prepaid', `${this.spent} of ${this.limit} tokens handed out`)
+  }
+
+  private nodeAt(index: number): WorldNode {
+    const node = this.nodes[index]
+    if (node === undefined) throw new Error(`no node ${index}`)
+    return node
+  }
+
+  private count(name: string): void {
+    this.counts[name] = (this.counts[name] ?? 0) + 1
+  }
+}
+
+const NO_FAULTS: RowStoreFaults = {
+  isCut: false,
+  isTurnedAway: false,
+  losesAnswers: false,
+  lateMilliseconds: 0,
+}
+
+const NAMES = Array.from({ length: NODES }, (_, index) => `node-${index}`)
+const OTHERS = NAMES.map(own => NAMES.filter(name => name !== own))
+
+/** What came of exploring the ledger. */
+export interface PrepaidExploration {
+  readonly counts: Readonly<Record<string, number>>
+  readonly failure: string | undefined
+}
+
+/** Runs random histories; the same seed gives the same ones. */
+export async function explorePrepaid(options: {
+  readonly runs: number
+  readonly seed: number
+  readonly variant: PrepaidVariant
+}): Promise<PrepaidExploration> {
+  const counts: Record<string, number> = {}
+  const property = fc.asyncProperty(prepaidScriptArbitrary, async script => {
+    const world = new PrepaidWorld(options.variant)
+    await world.run(script)
+    for (const [name, count] of Object.entries(world.counts)) {
+      counts[name] = (counts[name] ?? 0) + count
+    }
+  })
+  const { runs, seed } = options
+  const details = await fc.check(property, { numRuns: runs, seed, endOnFailure: true })
+  const error = details.errorInstance
+  const message = error instanceof Error ? error.message : String(error)
+  const failure = details.failed
+    ? `${message} [path ${details.counterexamplePath}] ${JSON.stringify(details.counterexample?.[0])}`
+    : undefined
+  return { counts, failure }
+}
--- /dev/null
+++ b/packages/stand-ins/src/platform/memoryRowStore.ts
@@ -0,0 +1,172 @@
+import type { Clock, Milliseconds } from '@rackwalk/shared'
+import type {
+  ChangedRow,
+  RowFeedOutcome,
+  RowReadOutcome,
+  RowStore,
+  RowTransaction,
+  RowWriteOutcome,
+  StoredRow,
+} from '@rackwalk/platform'
+
+/** A row store in memory, on the clock of the test, that fails as it is told. */
+
+/** What becomes of the next calls of one client. */
+export interface RowStoreFaults {
+  /** Nothing reaches the store, and no answer comes. */
+  isCut: boolean
+  /** The store turns this client away and does nothing. */
+  isTurnedAway: boolean
+  /** Writes are done, but their answers are lost. */
+  losesAnswers: boolean
+  /** Writes take effect only after this time, if their conditions still hold. */
+  lateMilliseconds: Milliseconds
+}
+
+const CALL_MILLISECONDS = 5
+/** A client waits this long for an answer that does not come. */
+const TIMEOUT_MILLISECONDS = 1_000
+/** The store's clock began long before any test. */
+const STORE_EPOCH_MILLISECONDS = 50_000
+
+interface HistoryEntry extends ChangedRow {
+  readonly version: number
+}
+
+export class MemoryRowStore {
+  private readonly rows = new Map<string, StoredRow>()
+  private history: HistoryEntry[] = []
+  private version = 0
+  private forgottenVersion = 0
+
+  constructor(private readonly clock: Clock) {}
+
+  /** One client's view, with faults of its own. */
+  connect(): { readonly store: RowStore; readonly faults: RowStoreFaults } {
+    const faults: RowStoreFaults = {
+      isCut: false,
+      isTurnedAway: false,
+      losesAnswers: false,
+      lateMilliseconds: 0,
+    }
+    return { store: new MemoryRowClient(this, this.clock, faults), faults }
+  }
+
+  get now(): Milliseconds {
+    return STORE_EPOCH_MILLISECONDS + this.clock.monotonic()
+  }
+
+  /** Older changes can no longer be read. */
+  forgetHistory(): void {
+    this.forgottenVersion = this.version
+    this.history = []
+  }
+
+  /** A write of whoever is not under test. */
+  put(table: string, key: string, value: string, partition = ''): void {
+    this.apply({ conditions: [], puts: [{ table, partition, key, value }], removals: [] })
+  }
+
+  remove(table: string, key: string, partition = ''): void {
+    this.apply({ conditions: [], puts: [], removals: [{ table, partition, key }] })
+  }
+
+  apply(transaction: RowTransaction): RowWriteOutcome {
+    const current = transaction.conditions.map(row => this.rows.get(nameOf(row)))
+    const holds = transaction.conditions.every(
+      (condition, index) => (current[index]?.version ?? 0) === condition.version,
+    )
+    if (!holds) {
+      const rows = current.filter(row => row !== undefined)
+      return { kind: 'conflict', rows, storeTime: this.now }
+    }
+    this.version += 1
+    for (const put of transaction.puts) this.store({ ...put, version: this.version })
+    for (const removal of transaction.removals) {
+      this.rows.delete(nameOf(removal))
+      this.history.push({ ...removal, value: undefined, version: this.version })
+    }
+    return { kind: 'done', version: this.version, storeTime: this.now }
+  }
+
+  read(table: string, partition: string): RowReadOutcome {
+    const rows = [...this.rows.values()]
+      .filter(row => row.table === table && row.partition === partition)
+      .sort((left, right) => (left.key < right.key ? -1 : 1))
+    return { kind: 'rows', rows, version: this.version, storeTime: this.now }
+  }
+
+  changes(table: string, after: number): RowFeedOutcome {
+    if (after < this.forgottenVersion) return { kind: 'history-gone' }
+    const rows = this.history.filter(row => row.table === table && row.version > after)
+    return { kind: 'changes', rows, version: this.version, storeTime: this.now }
+  }
+
+  private store(row: StoredRow): void {
+    this.rows.set(nameOf(row), row)
+    this.history.push(row)
+  }
+}
+
+class MemoryRowClient implements RowStore {
+  constructor(
+    private readonly target: MemoryRowStore,
+    private readonly clock: Clock,
+    private readonly faults: RowStoreFaults,
+  ) {}
+
+  async write(transaction: RowTransaction): Promise<RowWriteOutcome> {
+    const { faults, target } = this
+    if (faults.isCut) return this.silence({ kind: 'unknown' })
+    if (faults.isTurnedAway) return this.answer({ kind: 'not-done', reason: 'throttled' })
+    if (faults.lateMilliseconds > 0) {
+      this.clock.after(faults.lateMilliseconds, () => target.apply(transaction))
+      return this.silence({ kind: 'unknown' })
+    }
+    const outcome = target.apply(transaction)
+    return faults.losesAnswers ? this.silence({ kind: 'unknown' }) : this.answer(outcome)
+  }
+
+  readPartition(table: string, partition: string): Promise<RowReadOutcome> {
+    return this.reading(() => this.target.read(table, partition))
+  }
+
+  async readChanges(
+    table: string,
+    after: number,
+    waitMilliseconds: Milliseconds,
+  ): Promise<RowFeedOutcome> {
+    const outcome = await this.reading(() => this.target.changes(table, after))
+    if (outcome.kind !== 'changes' || outcome.rows.length > 0) return outcome
+    await this.pause(waitMilliseconds)
+    return this.reading(() => this.target.changes(table, after))
+  }
+
+  close(): void {}
+
+  private reading<Outcome>(
+    read: () => Outcome,
+  ): Promise<Outcome | { kind: 'failed'; reason: 'unknown' | 'throttled' }> {
+    if (this.faults.isCut) return this.silence({ kind: 'failed', reason: 'unknown' })
+    if (this.faults.isTurnedAway) return this.answer({ kind: 'failed', reason: 'throttled' })
+    return this.answer(read())
+  }
+
+  private async answer<Outcome>(outcome: Outcome): Promise<Outcome> {
+    await this.pause(CALL_MILLISECONDS)
+    return outcome
+  }
+
+  private async silence<Outcome>(outcome: Outcome): Promise<Outcome> {
+    await this.pause(TIMEOUT_MILLISECONDS)
+    return outcome
+  }
+
+  private pause(delay: Milliseconds): Promise<void> {
+    return new Promise(resolve => this.clock.after(delay, resolve))
+  }
+}
+
+function nameOf(row: { table: string; partition: string; key: string }): string {
+  return `${row.table}\0${row.partition}\0${row.key}`
+}
