perf(prepaid): spending in a cut follows how scarce the budget is

Cause: whether a cut or a death follows the last record cannot be told, so what a cut allows is what a death loses. A loss hurts only a budget that will be used up; refusals in a cut hurt any. Change: a holding's bound past the first second grows with how long the budget lasts at the present demand (scarce under 15 s, plenty over 50 s): a burst of one and a half largest requests, and all of the holding in 8 instead of 16 s.

--- a/packages/coordination/src/prepaid/holdingPolicy.ts
+++ b/packages/coordination/src/prepaid/holdingPolicy.ts
@@ -34,6 +34,12 @@
 
 /** Part of the mean demand that every instance is given beyond its own. */
 const BASE_SHARE = 0.35
+/** The same while there is plenty: an even spread then bears any shift of demand. */
+const PLENTY_BASE_SHARE = 1
+/** A budget that lasts this long at the present demand is scarce, */
+const SCARCE_SECONDS = 15
+/** and one that lasts this long is not going to be missed. */
+const PLENTY_SECONDS = 50
 /** Largest requests kept in the pool, and the part of the unspent tokens that this may take. */
 const FLOOR_REQUESTS = 2
 const FLOOR_SHARE = 0.25
@@ -50,7 +56,8 @@
     const demands = view.others.map(other => other.demandPerSecond)
     const sum = demands.reduce((left, right) => left + right, view.ownDemandPerSecond)
     const count = view.others.length + 1
-    const base = sum > 0 ? (BASE_SHARE * sum) / count : 1
+    const evenness = BASE_SHARE + (PLENTY_BASE_SHARE - BASE_SHARE) * plentyOf(view)
+    const base = sum > 0 ? (evenness * sum) / count : 1
     const share = (view.ownDemandPerSecond + base) / (sum + base * count)
     return Math.floor(holdable * share)
   }
@@ -61,6 +68,19 @@
   }
 }
 
+/**
+ * How little it matters where the tokens of a budget lie: 0 when they will all be asked for
+ * soon, 1 when they last for long.
+ */
+export function plentyOf(view: BudgetView): number {
+  const demands = view.others.map(other => other.demandPerSecond)
+  const demand = demands.reduce((left, right) => left + right, view.ownDemandPerSecond)
+  if (demand <= 0) return 1
+  const seconds = unspentTotal(view) / demand
+  const position = (seconds - SCARCE_SECONDS) / (PLENTY_SECONDS - SCARCE_SECONDS)
+  return Math.max(0, Math.min(1, position))
+}
+
 function unspentTotal(view: BudgetView): TokenCount {
   const others = view.others.reduce((sum, other) => sum + other.unspent, 0)
   return view.free + view.ownUnspent + others
--- a/packages/coordination/src/prepaid/prepaidRows.ts
+++ b/packages/coordination/src/prepaid/prepaidRows.ts
@@ -35,7 +35,9 @@
   readonly strictRate: number
   /** while no more than this time has passed since `base`; */
   readonly strictMilliseconds: Milliseconds
-  /** and tokens a second after that, when the store is evidently out of reach. */
+  /** after that, when the store is evidently out of reach, so many at once, */
+  readonly cutBurst: TokenCount
+  /** and so many a second. */
   readonly cutRate: number
   /** Tokens a second that its callers ask for; others size their holdings by it. */
   readonly demandPerSecond: number
@@ -61,7 +63,8 @@
   const strict = Math.max(0, Math.min(elapsed, holder.strictMilliseconds))
   const cut = Math.max(0, elapsed - holder.strictMilliseconds)
   const growth = (holder.strictRate * strict + holder.cutRate * cut) / 1000
-  return Math.min(holder.granted, Math.floor(holder.committed + growth))
+  const burst = cut > 0 ? holder.cutBurst : 0
+  return Math.min(holder.granted, Math.floor(holder.committed + burst + growth))
 }
 
 /** Time after a row's base at which the bound reaches `committed`; undefined where never. */
@@ -70,8 +73,9 @@
   const missing = (committed - holder.committed) * 1000
   const byStrict = holder.strictRate * holder.strictMilliseconds
   if (missing <= byStrict) return missing <= 0 ? 0 : missing / holder.strictRate
-  if (holder.cutRate <= 0) return undefined
-  return holder.strictMilliseconds + (missing - byStrict) / holder.cutRate
+  const beyond = missing - byStrict - holder.cutBurst * 1000
+  if (beyond <= 0) return holder.strictMilliseconds + 1
+  return holder.cutRate > 0 ? holder.strictMilliseconds + beyond / holder.cutRate : undefined
 }
 
 /** Ends a holding: what it may have committed counts as handed out, the rest is free again. */
--- a/packages/coordination/src/prepaid/writePlan.ts
+++ b/packages/coordination/src/prepaid/writePlan.ts
@@ -1,4 +1,5 @@
 import type { Milliseconds, TokenCount } from '@rackwalk/shared'
+import { plentyOf } from './holdingPolicy.js'
 import type { BudgetView, HoldingPolicy } from './holdingPolicy.js'
 import { committedBound, endHolding, freeInPool } from './prepaidRows.js'
 import type { HolderRow, PoolRow } from './prepaidRows.js'
@@ -58,9 +59,13 @@
 const STRICT_MILLISECONDS = 1_000
 const STRICT_DEMAND_FACTOR = 1
 /** A cut is told from a death by nobody, so spending in it is bounded by the rate alone. */
-const CUT_DEMAND_FACTOR = 1.6
-/** Without demand, the time in which all of a holding could be spent. */
-const CUT_SECONDS = 30
+const CUT_DEMAND_FACTOR = 2
+/** Without demand, the time in which all of a holding could be spent: of a scarce budget, */
+const SCARCE_CUT_SECONDS = 16
+/** and of one that nobody is going to miss. */
+const PLENTY_CUT_SECONDS = 8
+/** Largest requests that may be committed at once in a cut while there is plenty. */
+const PLENTY_BURST_REQUESTS = 1.5
 
 /** The next write, and the requests that it covers. */
 export function planWrite(inputs: WriteInputs): WritePlan {
@@ -160,6 +165,9 @@
 ): HolderRow {
   const { ownDemandPerSecond } = inputs.budgetView
   const unspent = Math.max(0, granted - committed)
+  const plenty = plentyOf(inputs.budgetView)
+  const burst = plenty * PLENTY_BURST_REQUESTS * inputs.budgetView.largestRequest
+  const cutSeconds = SCARCE_CUT_SECONDS + (PLENTY_CUT_SECONDS - SCARCE_CUT_SECONDS) * plenty
   return {
     incarnation: inputs.incarnation,
     sequence: inputs.sequence,
@@ -168,7 +176,8 @@
     base: inputs.storeTime,
     strictRate: Math.ceil(STRICT_DEMAND_FACTOR * inputs.spendingPerSecond),
     strictMilliseconds: STRICT_MILLISECONDS,
-    cutRate: Math.ceil(CUT_DEMAND_FACTOR * inputs.spendingPerSecond + unspent / CUT_SECONDS),
+    cutBurst: Math.floor(Math.min(unspent / 2, burst)),
+    cutRate: Math.ceil(CUT_DEMAND_FACTOR * inputs.spendingPerSecond + unspent / cutSeconds),
     demandPerSecond: Math.round(ownDemandPerSecond),
     wanted,
   }
