--- a/eslint.config.js
+++ b/eslint.config.js
@@ -46,7 +46,7 @@
     rules: { 'no-restricted-syntax': 'off' },
   },
   {
-    files: ['examples/*.mjs'],
+    files: ['examples/*.mjs', 'scripts/*.mjs'],
     languageOptions: { globals: { console: 'readonly', process: 'readonly' } },
   },
   ...directionRules,
--- a/packages/daemon/src/gateway/peerRows.ts
+++ b/packages/daemon/src/gateway/peerRows.ts
@@ -6,15 +6,15 @@
 
 /** Instances give each other the rows that they have heard from the store. */
 
-const PATH_PREFIX = '/rows/'
+const ROWS_PATH = '/rows/'
 const ANY_ORIGIN = 'http://localhost'
 const LONGEST_ANSWER_BYTES = 8 * 1024 * 1024
 
 /** Answers a peer's question for the rows of a table. */
 export function answerRows(url: string, mirrors: ReadonlyMap<string, TableMirror>): PlainAnswer {
   const { pathname, searchParams } = new URL(url, ANY_ORIGIN)
-  const mirror = mirrors.get(decodeURIComponent(pathname.slice(PATH_PREFIX.length)))
-  if (!pathname.startsWith(PATH_PREFIX) || mirror === undefined) return { status: 404 }
+  const mirror = mirrors.get(decodeURIComponent(pathname.slice(ROWS_PATH.length)))
+  if (!pathname.startsWith(ROWS_PATH) || mirror === undefined) return { status: 404 }
   const page = mirror.since(Number(searchParams.get('after') ?? 0))
   return page === undefined ? { status: 503 } : { status: 200, body: page }
 }
@@ -34,7 +34,7 @@
     const addresses = this.parts.addresses()
     const address = addresses[randomBelow(this.parts.random, addresses.length)]
     if (address === undefined) return undefined
-    const url = `http://${address}${PATH_PREFIX}${encodeURIComponent(table)}?after=${after}`
+    const url = `http://${address}${ROWS_PATH}${encodeURIComponent(table)}?after=${after}`
     const text = await this.fetch(url)
     return text === undefined ? undefined : parsePage(text)
   }
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -4,14 +4,16 @@
 
 export default defineConfig({
   resolve: {
-    alias: PACKAGES.map(name => ({
+    alias: [
+      ...PACKAGES.map(name => [name, `packages/${name}`]),
+      ['users-platform', 'platform'],
+    ].map(([name, folder]) => ({
       find: new RegExp(`^@rackwalk/${name}$`),
-      replacement: new URL(`./packages/${name}/src/index.ts`, import.meta.url).pathname,
+      replacement: new URL(`./${folder}/src/index.ts`, import.meta.url).pathname,
     })),
   },
   test: {
-    include: ['packages/*/__tests__/**/*.spec.ts'],
-    reporters: ['default', './scripts/closingLineReporter.ts'],
+    include: ['packages/*/__tests__/**/*.spec.ts', 'platform/__tests__/**/*.spec.ts'],
     testTimeout: 60_000,
     hookTimeout: 60_000,
     maxWorkers: 4,
