fix(gateway): gaps in a settings template, rows that cannot be read, signals while loading

Cause: read as a newcomer would: a field that a deployment does not have left an empty key, which refused the whole file; a row that could not be parsed ended its mirror for good; a SIGHUP while the program loaded ended the process. Change: empty keys count as left out and every bound has a default; a mirror outlives its listener's faults and tells of them; SIGHUP is caught from the start.

--- a/packages/coordination/src/rows/tableMirror.ts
+++ b/packages/coordination/src/rows/tableMirror.ts
@@ -12,6 +12,8 @@
   onRows(rows: readonly ChangedRow[], isWhole: boolean): void
   /** The table was read without a failure, whether or not anything had changed. */
   onRead?(): void
+  /** The listener itself failed on rows; the mirror goes on with the next ones. */
+  onFault?(error: unknown): void
   /** The store began or ceased to answer this mirror. */
   onReachable?(isReachable: boolean): void
 }
@@ -133,7 +135,12 @@
 
   private take(rows: readonly ChangedRow[], isWhole: boolean): void {
     for (const row of rows) this.rows.set(`${row.partition}/${row.key}`, row)
-    if (rows.length > 0 || isWhole) this.parts.listener.onRows(rows, isWhole)
+    if (rows.length === 0 && !isWhole) return
+    try {
+      this.parts.listener.onRows(rows, isWhole)
+    } catch (error) {
+      this.parts.listener.onFault?.(error)
+    }
   }
 
   /** Reads partitions whole; the feed continues at the oldest of their versions. */
--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -145,6 +145,13 @@
     this.note('settings_in_force', { cause })
   }
 
+  /** Tells of a fault of the program; what it touched is given up, the rest goes on. */
+  noteFault(error: unknown): void {
+    const detail = error instanceof Error ? (error.stack ?? error.message) : String(error)
+    this.metrics.noteEvent('fault')
+    this.logger.warn('fault', { detail })
+  }
+
   /** Stops at once. */
   stop(): void {
     for (const mirror of this.mirrors.values()) mirror.stop()
@@ -315,7 +322,7 @@
       table,
       partitions,
       clock: this.clock,
-      listener,
+      listener: { ...listener, onFault: error => this.noteFault(error) },
       // Holdings and heartbeats mean something only as the store has them.
       askPeers: pause === undefined ? (name, after) => this.peerRows.ask(name, after) : undefined,
       waitMilliseconds: pause === undefined ? FEED_WAIT_MILLISECONDS : 0,
--- a/packages/daemon/src/gateway/gatewaySettings.ts
+++ b/packages/daemon/src/gateway/gatewaySettings.ts
@@ -32,8 +32,16 @@
   store: z
     .strictObject({
       address,
-      writesPerSecond: z.number().positive().describe('Writes that all instances may make'),
-      partitionWritesPerSecond: z.number().positive().describe('Writes that one partition takes'),
+      writesPerSecond: z
+        .number()
+        .positive()
+        .default(300)
+        .describe('Writes that all instances may make'),
+      partitionWritesPerSecond: z
+        .number()
+        .positive()
+        .default(100)
+        .describe('Writes that one partition takes'),
       timeoutMilliseconds: milliseconds.default(1_000).describe('Wait for an answer'),
     })
     .describe("The platform's store of rows"),
@@ -48,10 +56,19 @@
     .describe('Bounds on one request'),
   retries: z
     .strictObject({
-      ratio: z.number().nonnegative().describe('Retries for each request to a service'),
-      extra: z.number().nonnegative().describe('Retries beyond that, for the whole fleet'),
-      windowSeconds: seconds.describe('Length of the window in which both are counted'),
+      ratio: z
+        .number()
+        .nonnegative()
+        .default(0.1)
+        .describe('Retries for each request to a service'),
+      extra: z
+        .number()
+        .nonnegative()
+        .default(0)
+        .describe('Retries beyond that, for the whole fleet'),
+      windowSeconds: seconds.default(10).describe('Length of the window in which both are counted'),
     })
+    .prefault({})
     .describe('Bounds on requests sent to a second server'),
   membership: z
     .strictObject({
@@ -74,7 +91,8 @@
     .prefault({})
     .describe('Prepaid budgets'),
   shutdown: z
-    .strictObject({ graceSeconds: seconds.describe('Time from SIGTERM to the end') })
+    .strictObject({ graceSeconds: seconds.default(8).describe('Time from SIGTERM to the end') })
+    .prefault({})
     .describe('How the instance stops'),
   log: z
     .strictObject({
--- a/packages/daemon/src/gateway/runGateway.ts
+++ b/packages/daemon/src/gateway/runGateway.ts
@@ -14,6 +14,7 @@
   process.once('SIGINT', leave)
   process.once('SIGTERM', leave)
   process.on('SIGHUP', () => watcher.look('signal'))
+  process.on('unhandledRejection', error => daemon.noteFault(error))
   await daemon.start()
   watcher.start()
 }
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -40,6 +40,8 @@
 async function runGatewayKind(file: string, text: string, flags: Flags): Promise<void> {
   const settings = parseWith(gatewaySettingsSchema, text)
   if (flags.check) return consola.success(`${file}: the settings are valid`)
+  // A signal that comes while the program is still loading must not end it.
+  process.on('SIGHUP', () => {})
   const { runGateway } = await import('./gateway/runGateway.js')
   await runGateway(file, settings)
 }
--- a/packages/daemon/src/settings/load.ts
+++ b/packages/daemon/src/settings/load.ts
@@ -49,7 +49,7 @@
     }))
     throw new SettingsError(ResultCode.UnreadableSettings, faults)
   }
-  const parsed = schema.safeParse(document.toJS())
+  const parsed = schema.safeParse(withoutEmpty(document.toJS()))
   if (parsed.success) return parsed.data
   const faults = parsed.error.issues.map(issue => ({
     path: issue.path.join('.'),
@@ -90,3 +90,11 @@
   }
   return 0
 }
+
+/** A key without a value counts as left out, so that a filled-in template may leave gaps. */
+function withoutEmpty(value: unknown): unknown {
+  if (Array.isArray(value)) return value.filter(item => item !== null).map(withoutEmpty)
+  if (typeof value !== 'object' || value === null) return value
+  const kept = Object.entries(value).filter(([, child]) => child !== null)
+  return Object.fromEntries(kept.map(([key, child]) => [key, withoutEmpty(child)]))
+}
