fix(deploy): the bundle is made from the sources; a request is answered in its time while a write hangs

And a test of the bound in a cut hung: a request that a write covered was answered only when that write's time ran out, up to a second after its patience. Change: esbuild reads the packages' sources; a request whose patience ends is answered from the holding or refused, and the tokens of a write that succeeds later are released. Stand-in fault 'unreachable' (nothing was sent).

--- /dev/null
+++ b/packages/coordination/__tests__/prepaidLedger.spec.ts
@@ -0,0 +1,147 @@
+import { describe, expect, it } from 'vitest'
+import { VirtualClock } from '@rackwalk/shared'
+import {
+  DemandHoldingPolicy,
+  POOL_KEY,
+  PREPAID_TABLE,
+  PrepaidLedger,
+  StoreClock,
+  committedBound,
+  decodePool,
+} from '@rackwalk/coordination'
+import type { HolderRow, PoolRow } from '@rackwalk/coordination'
+import { MemoryRowStore } from '@rackwalk/stand-ins'
+
+const BUDGET = 'team'
+const LIMIT = 100_000
+const PATIENCE = 100
+
+function setUp() {
+  const clock = new VirtualClock()
+  const rows = new MemoryRowStore(clock)
+  const events: string[] = []
+  const start = (incarnation: string, startedAt: number) => {
+    const { store, faults } = rows.connect()
+    const ledger = new PrepaidLedger({
+      instance: 'node-1',
+      incarnation,
+      store,
+      storeClock: new StoreClock(clock),
+      clock,
+      startedAt,
+      policy: new DemandHoldingPolicy(),
+      otherInstances: () => [],
+      limits: { writesPerSecond: 600, partitionWritesPerSecond: 150, reserveShare: 0 },
+      onEvent: event => events.push(event),
+    })
+    ledger.configure([{ budget: BUDGET, limit: LIMIT }], 1)
+    ledger.start()
+    return { ledger, faults }
+  }
+  const pool = (): PoolRow => {
+    const outcome = rows.read(PREPAID_TABLE, BUDGET)
+    const row =
+      outcome.kind === 'rows' ? outcome.rows.find(({ key }) => key === POOL_KEY) : undefined
+    if (row === undefined) throw new Error('no pool row')
+    return decodePool(row.value)
+  }
+  return { clock, start, pool, events }
+}
+
+type Started = ReturnType<ReturnType<typeof setUp>['start']>
+
+async function ask(clock: VirtualClock, { ledger }: Started, tokens: number) {
+  const asked = ledger.reserve(BUDGET, tokens, PATIENCE)
+  await clock.advance(PATIENCE)
+  return asked
+}
+
+describe('PrepaidLedger in a cut from the store', () => {
+  it('allows more as the cut goes on, up to all that it holds', async () => {
+    const { clock, start } = setUp()
+    const node = start('first', 0)
+    await clock.advance(1_000)
+    for (let round = 0; round < 10; round += 1) {
+      expect((await ask(clock, node, 500)).kind).toBe('reserved')
+      await clock.advance(100)
+    }
+    node.faults.isUnreachable = true
+    await clock.advance(3_000)
+    const served: number[] = []
+    for (let second = 0; second < 20; second += 1) {
+      if ((await ask(clock, node, 4_000)).kind === 'reserved') served.push(second)
+      await clock.advance(1_000)
+    }
+    // Found on a played day: tries to write began the bound anew, so that it never grew.
+    expect(served.length).toBeGreaterThan(5)
+  })
+
+  it('says when to come back where the holding covers a request but the bound does not yet', async () => {
+    const { clock, start } = setUp()
+    const node = start('first', 0)
+    await clock.advance(1_000)
+    node.faults.isCut = true
+    const first = await ask(clock, node, 30_000)
+    expect(first).toMatchObject({ kind: 'refused', reason: 'unavailable' })
+    const wait = first.kind === 'refused' ? (first.waitMilliseconds ?? 0) : 0
+    expect(wait).toBeGreaterThan(0)
+    await clock.advance(wait + 1)
+    expect((await ask(clock, node, 30_000)).kind).toBe('reserved')
+  })
+})
+
+describe('PrepaidLedger after a death', () => {
+  it('settles what the dead incarnation can have spent and frees the rest', async () => {
+    const { clock, start, pool, events } = setUp()
+    const node = start('first', 0)
+    await clock.advance(1_000)
+    expect((await ask(clock, node, 5_000)).kind).toBe('reserved')
+    node.ledger.stop()
+    node.faults.isCut = true
+    await clock.advance(500)
+    const successor = start('second', clock.monotonic())
+    await clock.advance(2_000)
+    expect(events).toContain('prepaid_taken_over')
+    expect(pool().settled).toBeGreaterThanOrEqual(5_000)
+    expect(pool().settled).toBeLessThan(LIMIT / 2)
+    expect((await ask(clock, successor, 30_000)).kind).toBe('reserved')
+  })
+
+  it('leaves nothing behind when it left in order', async () => {
+    const { clock, start, pool } = setUp()
+    const node = start('first', 0)
+    await clock.advance(1_000)
+    const asked = await ask(clock, node, 5_000)
+    if (asked.kind === 'reserved') node.ledger.settle(asked.reservation, 1_234)
+    const left = node.ledger.leave()
+    await clock.advance(1_000)
+    expect(await left).toBe(true)
+    expect(pool()).toMatchObject({ settled: 1_234, allocated: 0 })
+  })
+})
+
+describe('the bound of a holder row', () => {
+  const row: HolderRow = {
+    incarnation: 'a',
+    sequence: 1,
+    granted: 10_000,
+    committed: 1_000,
+    base: 0,
+    strictRate: 100,
+    strictMilliseconds: 1_000,
+    cutBurst: 500,
+    cutRate: 1_000,
+    demandPerSecond: 100,
+    wanted: 0,
+  }
+
+  it.each([
+    [0, 1_000],
+    [1_000, 1_100],
+    [1_001, 1_601],
+    [3_000, 3_600],
+    [60_000, 10_000],
+  ])('after %i ms is %i tokens', (elapsed, tokens) => {
+    expect(committedBound(row, elapsed)).toBe(tokens)
+  })
+})
--- a/packages/coordination/src/prepaid/prepaidAccount.ts
+++ b/packages/coordination/src/prepaid/prepaidAccount.ts
@@ -52,6 +52,8 @@
   readonly tokens: TokenCount
   readonly resolve: (outcome: PrepaidOutcome) => void
   timer: Timer | undefined
+  /** Answered while a write that covers it was still on its way. */
+  isAnswered: boolean
 }
 
 const RETRY_MILLISECONDS = 120
@@ -112,7 +114,7 @@
     }
     if (this.isOutOfReach || this.left) return Promise.resolve(this.refused(tokens))
     return new Promise(resolve => {
-      const waiter: Waiter = { tokens, resolve, timer: undefined }
+      const waiter: Waiter = { tokens, resolve, timer: undefined, isAnswered: false }
       waiter.timer = this.parts.clock.after(patience, () => this.expire(waiter))
       this.waiters.push(waiter)
       this.kick()
@@ -204,14 +206,13 @@
     const outcome = await this.timed(this.parts.store.write(this.transactionOf(plan)))
     this.noteOutcome(plan, outcome, sentAt)
     if (outcome.kind === 'done') {
-      for (const waiter of admitted) this.finish(waiter, this.reserved(waiter.tokens, 'written'))
+      for (const waiter of admitted) this.finishWritten(waiter)
       this.refuseHopeless()
       return true
     }
     for (const waiter of admitted) this.holding.release(waiter.tokens)
-    this.waiters = [...admitted, ...this.waiters]
+    this.waiters = [...admitted.filter(waiter => !waiter.isAnswered), ...this.waiters]
     if (outcome.kind !== 'conflict') this.serveFromHolding()
-    else this.expireOverdue()
     return outcome.kind === 'conflict'
   }
 
@@ -386,11 +387,10 @@
     for (const waiter of waiting) this.finishFromHolding(waiter)
   }
 
-  /** A request whose time ran out while a write covered it is answered when that one failed. */
-  private expireOverdue(): void {
-    const overdue = this.waiters.filter(waiter => waiter.timer === undefined)
-    this.waiters = this.waiters.filter(waiter => waiter.timer !== undefined)
-    for (const waiter of overdue) this.finishFromHolding(waiter)
+  /** A request that has gone meanwhile gives its tokens back. */
+  private finishWritten(waiter: Waiter): void {
+    if (waiter.isAnswered) this.holding.release(waiter.tokens)
+    else this.finish(waiter, this.reserved(waiter.tokens, 'written'))
   }
 
   private finishFromHolding(waiter: Waiter): void {
@@ -401,16 +401,16 @@
     this.finish(waiter, this.reserved(waiter.tokens, 'held'))
   }
 
+  /** A request is answered in its time, also while a write that covers it hangs. */
   private expire(waiter: Waiter): void {
     waiter.timer = undefined
-    if (this.waiters.includes(waiter)) {
-      this.waiters = this.waiters.filter(other => other !== waiter)
-      this.finishFromHolding(waiter)
-    }
+    this.waiters = this.waiters.filter(other => other !== waiter)
+    this.finishFromHolding(waiter)
   }
 
   private finish(waiter: Waiter, outcome: PrepaidOutcome): void {
     waiter.timer?.cancel()
+    waiter.isAnswered = true
     waiter.resolve(outcome)
   }
 
--- a/packages/stand-ins/src/exploration/prepaidWorld.ts
+++ b/packages/stand-ins/src/exploration/prepaidWorld.ts
@@ -26,7 +26,7 @@
   | { readonly kind: 'raise' }
   | { readonly kind: 'wait'; readonly milliseconds: Milliseconds }
 
-export type PrepaidFault = 'cut' | 'turned-away' | 'lost' | 'late'
+export type PrepaidFault = 'cut' | 'unreachable' | 'turned-away' | 'lost' | 'late'
 
 /** A way to break the ledger that the checker must notice. */
 export interface PrepaidVariant {
@@ -98,7 +98,7 @@
     arbitrary: fc.record({
       kind: fc.constant('fault' as const),
       node,
-      fault: fc.constantFrom<PrepaidFault>('cut', 'turned-away', 'lost', 'late'),
+      fault: fc.constantFrom<PrepaidFault>('cut', 'unreachable', 'turned-away', 'lost', 'late'),
     }),
   },
   {
@@ -251,6 +251,7 @@
   private fault(index: number, fault: PrepaidFault): void {
     const { faults } = this.nodeAt(index)
     faults.isCut = fault === 'cut'
+    faults.isUnreachable = fault === 'unreachable'
     faults.isTurnedAway = fault === 'turned-away'
     faults.losesAnswers = fault === 'lost'
     faults.lateMilliseconds = fault === 'late' ? LATE_MILLISECONDS : 0
@@ -317,6 +318,7 @@
 
 const NO_FAULTS: RowStoreFaults = {
   isCut: false,
+  isUnreachable: false,
   isTurnedAway: false,
   losesAnswers: false,
   lateMilliseconds: 0,
--- a/packages/stand-ins/src/platform/memoryRowStore.ts
+++ b/packages/stand-ins/src/platform/memoryRowStore.ts
@@ -15,6 +15,8 @@
 export interface RowStoreFaults {
   /** Nothing reaches the store, and no answer comes. */
   isCut: boolean
+  /** No connection comes up, so that nothing was sent. */
+  isUnreachable: boolean
   /** The store turns this client away and does nothing. */
   isTurnedAway: boolean
   /** Writes are done, but their answers are lost. */
@@ -45,6 +47,7 @@
   connect(): { readonly store: RowStore; readonly faults: RowStoreFaults } {
     const faults: RowStoreFaults = {
       isCut: false,
+      isUnreachable: false,
       isTurnedAway: false,
       losesAnswers: false,
       lateMilliseconds: 0,
@@ -118,6 +121,7 @@
   async write(transaction: RowTransaction): Promise<RowWriteOutcome> {
     const { faults, target } = this
     if (faults.isCut) return this.silence({ kind: 'unknown' })
+    if (faults.isUnreachable) return this.silence({ kind: 'not-done', reason: 'unavailable' })
     if (faults.isTurnedAway) return this.answer({ kind: 'not-done', reason: 'throttled' })
     if (faults.lateMilliseconds > 0) {
       this.clock.after(faults.lateMilliseconds, () => target.apply(transaction))
@@ -147,7 +151,9 @@
   private reading<Outcome>(
     read: () => Outcome,
   ): Promise<Outcome | { kind: 'failed'; reason: 'unknown' | 'throttled' }> {
-    if (this.faults.isCut) return this.silence({ kind: 'failed', reason: 'unknown' })
+    if (this.faults.isCut || this.faults.isUnreachable) {
+      return this.silence({ kind: 'failed', reason: 'unknown' })
+    }
     if (this.faults.isTurnedAway) return this.answer({ kind: 'failed', reason: 'throttled' })
     return this.answer(read())
   }
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,5 +1,7 @@
 import { build } from 'esbuild'
 
+const PACKAGES = ['shared', 'platform', 'coordination', 'router', 'daemon']
+
 /**
  * Bundles the daemon and the platform's adapter into `target/`. What an instance does not
  * need is left out of what it loads at the start: small machines pay for both time and memory.
@@ -7,6 +9,10 @@
 await build({
   entryPoints: { rackwalkd: 'packages/daemon/src/main.ts', adapter: 'platform/src/index.ts' },
   outdir: 'target',
+  // From the sources, so that a clean checkout needs no build before this one.
+  alias: Object.fromEntries(
+    PACKAGES.map(name => [`@rackwalk/${name}`, `./packages/${name}/src/index.ts`]),
+  ),
   bundle: true,
   splitting: true,
   platform: 'node',
