build: bundles of an earlier build are removed first

Cause: target/ kept every earlier chunk (27 MB). Change: scripts/bundle.mjs removes them. Measured: 4.0 MB of 4.9 are loaded at the start, AWS and undici among them, though this kind needs neither: the shared chunk is not cut as meant.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,3 +1,4 @@
+import { readdirSync, rmSync } from 'node:fs'
 import { build } from 'esbuild'
 
 const PACKAGES = ['shared', 'platform', 'coordination', 'router', 'daemon']
@@ -6,6 +7,8 @@
  * Bundles the daemon and the platform's adapter into `target/`. What an instance does not
  * need is left out of what it loads at the start: small machines pay for both time and memory.
  */
+for (const name of existing('target')) rmSync(`target/${name}`)
+
 await build({
   entryPoints: { rackwalkd: 'packages/daemon/src/main.ts', adapter: 'platform/src/index.ts' },
   outdir: 'target',
@@ -27,3 +30,12 @@
     js: "import { createRequire as createNodeRequire } from 'node:module'; const require = createNodeRequire(import.meta.url);",
   },
 })
+
+/** Bundles of an earlier build. */
+function existing(folder) {
+  try {
+    return readdirSync(folder).filter(name => name.endsWith('.mjs'))
+  } catch {
+    return []
+  }
+}
