test: a slow machine is no verdict

Nothing in it waits on a clock of the machine: it runs 1,200 scripts to their end. The limit was a timed threshold. Change: limits of tests and hooks are 600 s, there to end a hang only. No assertion changed.

--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -14,8 +14,8 @@
   },
   test: {
     include: ['packages/*/__tests__/**/*.spec.ts', 'platform/__tests__/**/*.spec.ts'],
-    testTimeout: 60_000,
-    hookTimeout: 60_000,
+    testTimeout: 600_000,
+    hookTimeout: 600_000,
     maxWorkers: 4,
   },
 })
