refactor: one sleep for all, code that nothing called is out

Three classes had written the shared sleep again; two properties of MemberDirectory and a check in dispatch for an empty id (the dialect never gives one) were called by nobody. Change: they call sleep of @rackwalk/shared; the dead code is removed. Behaviour is the same.

--- a/packages/coordination/src/membership/memberDirectory.ts
+++ b/packages/coordination/src/membership/memberDirectory.ts
@@ -58,7 +58,6 @@
    */
   private contactTime: Milliseconds = 0
   private lastReadAt: Milliseconds | undefined
-  private lastRenewedAt: Milliseconds = Number.NEGATIVE_INFINITY
 
   constructor(private readonly parts: MemberDirectoryParts) {}
 
@@ -106,16 +105,6 @@
       .map(member => member.row)
   }
 
-  get isDraining(): boolean {
-    return this.draining
-  }
-
-  /** Whether this instance reached the store lately. */
-  get isInContact(): boolean {
-    const age = this.parts.clock.monotonic() - this.lastRenewedAt
-    return age < this.parts.silenceMilliseconds
-  }
-
   private observeRow(row: ChangedRow): void {
     const known = this.members.get(row.key)
     if (known !== undefined && known.version > row.version) return
@@ -154,7 +143,6 @@
     const outcome = await store.write({ conditions: [], puts, removals: [] })
     if (outcome.kind !== 'done') return
     storeClock.note(outcome.storeTime, sentAt)
-    this.lastRenewedAt = sentAt
   }
 
   /** One instance in turn removes rows that nobody renews, so that they do not pile up. */
--- a/packages/coordination/src/prepaid/prepaidAccount.ts
+++ b/packages/coordination/src/prepaid/prepaidAccount.ts
@@ -1,3 +1,4 @@
+import { sleep } from '@rackwalk/shared'
 import type { Clock, Milliseconds, Timer, TokenCount } from '@rackwalk/shared'
 import type { RowStore, RowTransaction, RowWriteOutcome } from '@rackwalk/platform'
 import type { StoreClock } from '../rows/storeClock.js'
@@ -144,7 +145,7 @@
     this.waiters = []
     for (let attempt = 0; attempt < LEAVE_ATTEMPTS; attempt += 1) {
       if (await this.leaveOnce()) return true
-      await this.pause(RETRY_MILLISECONDS)
+      await sleep(this.parts.clock, RETRY_MILLISECONDS)
     }
     return false
   }
@@ -436,10 +437,6 @@
     this.calling = false
     return outcome
   }
-
-  private pause(delay: Milliseconds): Promise<void> {
-    return new Promise(resolve => this.parts.clock.after(delay, resolve))
-  }
 }
 
 const NO_POOL: PoolRow = { limit: 0, configurationVersion: 0, settled: 0, allocated: 0 }
--- a/packages/coordination/src/rows/tableMirror.ts
+++ b/packages/coordination/src/rows/tableMirror.ts
@@ -1,3 +1,4 @@
+import { sleep } from '@rackwalk/shared'
 import type { Clock, Milliseconds } from '@rackwalk/shared'
 import type { ChangedRow, RowFeedOutcome, RowStore } from '@rackwalk/platform'
 
@@ -99,7 +100,7 @@
         this.confirmedAt = sentAt
         this.parts.listener.onRead?.()
       }
-      await this.pause(succeeded ? this.parts.pauseMilliseconds : this.retryDelay())
+      await sleep(this.parts.clock, succeeded ? this.parts.pauseMilliseconds : this.retryDelay())
     }
   }
 
@@ -171,8 +172,4 @@
     const delay = FIRST_RETRY_MILLISECONDS * 2 ** Math.min(this.failures, 10)
     return Math.min(LONGEST_RETRY_MILLISECONDS, delay)
   }
-
-  private pause(delay: Milliseconds): Promise<void> {
-    return new Promise(resolve => this.parts.clock.after(delay, resolve))
-  }
 }
--- a/packages/router/src/gateway/dispatch.ts
+++ b/packages/router/src/gateway/dispatch.ts
@@ -170,7 +170,7 @@
   }
 
   private open(server: ServerState): UpstreamExchange {
-    const { metadata, tenant, priority, method, path, rawHeaders, body, deadlineAt } = this.request
+    const { tenant, priority, method, path, rawHeaders, body, deadlineAt } = this.request
     const remaining = Math.max(1, Math.floor(deadlineAt - this.parts.clock.monotonic()))
     const headers = this.parts.dialect.forwardHeaders(rawHeaders, {
       remainingMilliseconds: remaining,
@@ -189,7 +189,6 @@
       connectMilliseconds,
     })
     this.exchange = exchange
-    if (metadata.requestId === '') exchange.abort()
     return exchange
   }
 
--- a/packages/stand-ins/src/platform/memoryRowStore.ts
+++ b/packages/stand-ins/src/platform/memoryRowStore.ts
@@ -1,3 +1,4 @@
+import { sleep } from '@rackwalk/shared'
 import type { Clock, Milliseconds } from '@rackwalk/shared'
 import type {
   ChangedRow,
@@ -142,7 +143,7 @@
   ): Promise<RowFeedOutcome> {
     const outcome = await this.reading(() => this.target.changes(table, after))
     if (outcome.kind !== 'changes' || outcome.rows.length > 0) return outcome
-    await this.pause(waitMilliseconds)
+    await sleep(this.clock, waitMilliseconds)
     return this.reading(() => this.target.changes(table, after))
   }
 
@@ -159,18 +160,14 @@
   }
 
   private async answer<Outcome>(outcome: Outcome): Promise<Outcome> {
-    await this.pause(CALL_MILLISECONDS)
+    await sleep(this.clock, CALL_MILLISECONDS)
     return outcome
   }
 
   private async silence<Outcome>(outcome: Outcome): Promise<Outcome> {
-    await this.pause(TIMEOUT_MILLISECONDS)
+    await sleep(this.clock, TIMEOUT_MILLISECONDS)
     return outcome
   }
-
-  private pause(delay: Milliseconds): Promise<void> {
-    return new Promise(resolve => this.clock.after(delay, resolve))
-  }
 }
 
 function nameOf(row: { table: string; partition: string; key: string }): string {
