--- a/packages/daemon/src/gateway/gatewaySettings.ts
+++ b/packages/daemon/src/gateway/gatewaySettings.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 import { nameSchema } from '@rackwalk/router'
 
 /** Settings of an instance that serves generic routes on a platform of its own protocol. */
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,17 +1,13 @@
 #!/usr/bin/env node
 import { cac } from 'cac'
 import { consola } from 'consola'
-import { RackwalkError } from '@rackwalk/shared'
 import { gatewaySettingsSchema } from './gateway/gatewaySettings.js'
-import { SettingsError, formatFault, parseWith, readText, settingsKind } from './settings/load.js'
+import { EXIT_SETTINGS, fail, report } from './report.js'
+import { parseWith, readText, settingsKind } from './settings/load.js'
 
 /** Entry point of `rackwalkd`. */
 
-const EXIT_FAULT = 1
-const EXIT_SETTINGS = 2
 const GATEWAY_KIND = 'gateway'
-/** Tells the supervisor that the process should be started anew, as a new incarnation. */
-const EXIT_SEALED = 75
 
 interface Flags {
   readonly settings?: string
@@ -26,15 +22,8 @@
   const text = readText(file)
   // Each kind loads only what it needs: start-up time and memory are paid on small machines.
   if (settingsKind(text) === GATEWAY_KIND) return runGatewayKind(file, text, flags)
-  const { parseSettings } = await import('./settings/openAiSettings.js')
-  const settings = parseSettings(text)
-  if (flags.check) return consola.success(`${file}: the settings are valid`)
-  const { RackwalkDaemon } = await import('./rackwalkDaemon.js')
-  const daemon = new RackwalkDaemon(settings, { onSealed: () => process.exit(EXIT_SEALED) })
-  await daemon.start()
-  const leave = () => void daemon.drain().then(() => process.exit(0))
-  process.once('SIGINT', leave)
-  process.once('SIGTERM', leave)
+  const { runOpenAiKind } = await import('./openAiKind.js')
+  await runOpenAiKind(file, text, flags.check === true)
 }
 
 async function runGatewayKind(file: string, text: string, flags: Flags): Promise<void> {
@@ -51,21 +40,6 @@
   return settingsFrom === undefined ? undefined : process.env[settingsFrom]
 }
 
-function fail(message: string, code: number): void {
-  consola.error(message)
-  process.exitCode = code
-}
-
-function report(thrown: unknown): void {
-  if (thrown instanceof SettingsError) {
-    for (const fault of thrown.faults) consola.error(formatFault(fault))
-    process.exitCode = EXIT_SETTINGS
-    return
-  }
-  const text = thrown instanceof RackwalkError ? `${thrown.code} ${thrown.message}` : String(thrown)
-  fail(text, EXIT_FAULT)
-}
-
 const program = cac('rackwalkd')
 program
   .command('', 'Run one instance of the router fleet')
--- /dev/null
+++ b/packages/daemon/src/openAiKind.ts
@@ -0,0 +1,27 @@
+import { consola } from 'consola'
+import { RackwalkDaemon } from './rackwalkDaemon.js'
+import { report } from './report.js'
+import { parseSettings } from './settings/openAiSettings.js'
+
+/**
+ * Runs an instance with the OpenAI-style interface. A bundle keeps this module and all that it
+ * needs in a file of its own, so it reports its own errors: their classes are not the ones of
+ * the program that loaded it.
+ */
+
+/** Tells the supervisor that the process should be started anew, as a new incarnation. */
+const EXIT_SEALED = 75
+
+export async function runOpenAiKind(file: string, text: string, isCheck: boolean): Promise<void> {
+  try {
+    const settings = parseSettings(text)
+    if (isCheck) return consola.success(`${file}: the settings are valid`)
+    const daemon = new RackwalkDaemon(settings, { onSealed: () => process.exit(EXIT_SEALED) })
+    await daemon.start()
+    const leave = () => void daemon.drain().then(() => process.exit(0))
+    process.once('SIGINT', leave)
+    process.once('SIGTERM', leave)
+  } catch (thrown) {
+    report(thrown)
+  }
+}
--- a/packages/daemon/src/operators/openApi.ts
+++ b/packages/daemon/src/operators/openApi.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 import { RESOURCE_KINDS, RESOURCE_SCHEMAS } from '@rackwalk/router'
 import type { OperatorRoute } from './operatorRoutes.js'
 
--- a/packages/daemon/src/operators/operatorRoutes.ts
+++ b/packages/daemon/src/operators/operatorRoutes.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { z } from 'zod'
+import * as z from 'zod'
 import { RackwalkError, ResultCode, asId } from '@rackwalk/shared'
 import type {
   BudgetId,
--- a/packages/daemon/src/operators/resourceInput.ts
+++ b/packages/daemon/src/operators/resourceInput.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 import { RackwalkError, ResultCode } from '@rackwalk/shared'
 import type { JsonValue } from '@rackwalk/platform'
 import { RESOURCE_SCHEMAS, nameSchema } from '@rackwalk/router'
--- /dev/null
+++ b/packages/daemon/src/report.ts
@@ -0,0 +1,25 @@
+import { consola } from 'consola'
+import { RackwalkError } from '@rackwalk/shared'
+import { SettingsError, formatFault } from './settings/load.js'
+
+/** How `rackwalkd` ends when it cannot start: a numbered message and an exit code. */
+
+export const EXIT_FAULT = 1
+export const EXIT_SETTINGS = 2
+
+/** Prints one message and sets the exit code of the process. */
+export function fail(message: string, code: number): void {
+  consola.error(message)
+  process.exitCode = code
+}
+
+/** Prints what was thrown while starting; every fault of a settings file has a line. */
+export function report(thrown: unknown): void {
+  if (thrown instanceof SettingsError) {
+    for (const fault of thrown.faults) consola.error(formatFault(fault))
+    process.exitCode = EXIT_SETTINGS
+    return
+  }
+  const text = thrown instanceof RackwalkError ? `${thrown.code} ${thrown.message}` : String(thrown)
+  fail(text, EXIT_FAULT)
+}
--- a/packages/daemon/src/settings/schema.ts
+++ b/packages/daemon/src/settings/schema.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 import { nameSchema } from '@rackwalk/router'
 
 /** The settings of one instance. What operators change at run time is not here. */
--- a/packages/platform/src/instanceListFormat.ts
+++ b/packages/platform/src/instanceListFormat.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 import { asId } from '@rackwalk/shared'
 import type { InstanceId } from '@rackwalk/shared'
 import type { ListedInstance } from './instanceList.js'
--- a/packages/router/src/engine/chatRequest.ts
+++ b/packages/router/src/engine/chatRequest.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 import { NotRunError, ResultCode, asId } from '@rackwalk/shared'
 import type { ModelId, TokenCount } from '@rackwalk/shared'
 import type { ModelLimits } from '../resources/catalogue.js'
--- a/packages/router/src/engine/reports.ts
+++ b/packages/router/src/engine/reports.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 import type { LoadReport } from '../routing/endpointView.js'
 import type { CacheEvent } from '../routing/prefixIndex.js'
 
--- a/packages/router/src/engine/usage.ts
+++ b/packages/router/src/engine/usage.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 import type { TokenCount } from '@rackwalk/shared'
 
 /** Tokens that an engine reported for one request. */
--- a/packages/router/src/resources/kinds.ts
+++ b/packages/router/src/resources/kinds.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 
 /** Shapes of everything that operators configure; the API and the settings both check them. */
 
--- a/packages/stand-ins/src/engine/engineStandIn.ts
+++ b/packages/stand-ins/src/engine/engineStandIn.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { z } from 'zod'
+import * as z from 'zod'
 import { PREFIX_BLOCK_TOKENS, prefixHashes, promptTokenEstimate } from '@rackwalk/router'
 import type { CacheEvent } from '@rackwalk/router'
 import { LocalServer } from '../localServer.js'
--- a/packages/stand-ins/src/platform/dynamodbStandIn.ts
+++ b/packages/stand-ins/src/platform/dynamodbStandIn.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { z } from 'zod'
+import * as z from 'zod'
 import { asId } from '@rackwalk/shared'
 import type { TransactionId } from '@rackwalk/shared'
 import type { JsonValue, QueryRange, Row, RowCondition, RowKey, RowWrite } from '@rackwalk/platform'
--- a/packages/stand-ins/src/quickstart.ts
+++ b/packages/stand-ins/src/quickstart.ts
@@ -1,7 +1,7 @@
 import { readFileSync } from 'node:fs'
 import { cac } from 'cac'
 import { parseAllDocuments } from 'yaml'
-import { z } from 'zod'
+import * as z from 'zod'
 import { hashKey } from '@rackwalk/router'
 import { EngineStandIn } from './engine/engineStandIn.js'
 import { LocalFleet } from './localFleet.js'
--- /dev/null
+++ b/scripts/bundles.d.mts
@@ -0,0 +1,3 @@
+import type { BuildOptions } from 'esbuild'
+
+export const bundles: readonly BuildOptions[]
