feat(prepaid): instances lend each other tokens; a store that is back is noticed at once

Change: a lender counts a loan as committed in its own holding before it answers, so a lost message or a death never counts less than was spent. A store out of reach is asked by one read in turn; when one is answered all budgets record at once. Ruled out: waiting for the pool by 'wanted' rows alone, 0.4 s late by the feed. Proof: the explorer plays loans with cut and mute peers; two broken loans (repaid as unspent, spent after being called back) are caught. The first of these two was not caught at first: the exploration now hands out everything reserved before it asks for the rest.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -123,6 +123,10 @@
 export { DemandHoldingPolicy, EqualHoldingPolicy } from './prepaid/holdingPolicy.js'
 export type { BudgetView, HoldingPolicy } from './prepaid/holdingPolicy.js'
 export { HoldingState } from './prepaid/holdingState.js'
+export { Borrower } from './prepaid/borrower.js'
+export { Lender } from './prepaid/lender.js'
+export type { LendingAccount } from './prepaid/lender.js'
+export type { Loan, LoanChannel, LoanRepayment, LoanRequest } from './prepaid/loan.js'
 export { PrepaidAccount } from './prepaid/prepaidAccount.js'
 export type {
   PrepaidAccountParts,
--- /dev/null
+++ b/packages/coordination/src/prepaid/borrower.ts
@@ -0,0 +1,93 @@
+import { sleep } from '@rackwalk/shared'
+import type { Clock, Milliseconds, TokenCount } from '@rackwalk/shared'
+import type { Loan, LoanChannel } from './loan.js'
+
+/** Borrows tokens that other instances hold, where one transaction cannot reach them. */
+
+export interface BorrowerParts {
+  readonly channel: LoanChannel
+  readonly clock: Clock
+  /** Prefix of loan ids; no other incarnation has it. */
+  readonly incarnation: string
+}
+
+/** A lender that gave no answer is not asked again for this long. */
+const SILENT_MILLISECONDS = 1_000
+/** A lender that had too little of a budget is not asked for it again for this long. */
+const SHORT_MILLISECONDS = 200
+/** Lenders that one request asks at most. */
+const LENDERS_ASKED = 6
+/** Time that a lender may take for a transaction of its own. */
+const LENDER_PATIENCE_MILLISECONDS = 50
+const REPAY_ATTEMPTS = 5
+const REPAY_RETRY_MILLISECONDS = 700
+
+export class Borrower {
+  private readonly silentUntil = new Map<string, Milliseconds>()
+  private readonly shortUntil = new Map<string, Milliseconds>()
+  private loans = 0
+
+  constructor(private readonly parts: BorrowerParts) {}
+
+  /**
+   * Loans that add up to `tokens`, from lenders in the order given; undefined where they do
+   * not, with everything repaid. Asks nobody after `patience` has passed.
+   */
+  async borrow(
+    budget: string,
+    tokens: TokenCount,
+    lenders: readonly string[],
+    patience: Milliseconds,
+  ): Promise<readonly Loan[] | undefined> {
+    const endsAt = this.parts.clock.monotonic() + patience
+    const loans: Loan[] = []
+    let missing = tokens
+    for (const lender of this.worthAsking(budget, lenders)) {
+      if (this.parts.clock.monotonic() >= endsAt) break
+      const loan = await this.ask(lender, budget, missing)
+      if (loan === undefined) continue
+      loans.push(loan)
+      missing -= loan.tokens
+      if (missing <= 0) return loans
+    }
+    for (const loan of loans) this.repay(budget, loan, 0)
+    return undefined
+  }
+
+  /** Tells the lender what of a loan was spent; a lender never reached counts all of it. */
+  repay(budget: string, loan: Loan, spent: TokenCount): void {
+    void this.repayUntilTaken(budget, loan, spent)
+  }
+
+  private worthAsking(budget: string, lenders: readonly string[]): readonly string[] {
+    const now = this.parts.clock.monotonic()
+    const isRested = (time: Milliseconds | undefined) => time === undefined || time <= now
+    return lenders
+      .filter(lender => isRested(this.silentUntil.get(lender)))
+      .filter(lender => isRested(this.shortUntil.get(`${lender}/${budget}`)))
+      .slice(0, LENDERS_ASKED)
+  }
+
+  private async ask(lender: string, budget: string, tokens: TokenCount): Promise<Loan | undefined> {
+    this.loans += 1
+    const id = `${this.parts.incarnation}/${this.loans}`
+    const patienceMilliseconds = LENDER_PATIENCE_MILLISECONDS
+    const lent = await this.parts.channel.ask(lender, { id, budget, tokens, patienceMilliseconds })
+    const now = this.parts.clock.monotonic()
+    if (lent === undefined) {
+      this.silentUntil.set(lender, now + SILENT_MILLISECONDS)
+      // The loan may have been given although the answer was lost.
+      this.repay(budget, { lender, id, tokens }, 0)
+      return undefined
+    }
+    if (lent < tokens) this.shortUntil.set(`${lender}/${budget}`, now + SHORT_MILLISECONDS)
+    return lent > 0 ? { lender, id, tokens: Math.min(lent, tokens) } : undefined
+  }
+
+  private async repayUntilTaken(budget: string, loan: Loan, spent: TokenCount): Promise<void> {
+    for (let attempt = 0; attempt < REPAY_ATTEMPTS; attempt += 1) {
+      if (await this.parts.channel.repay(loan.lender, { id: loan.id, budget, spent })) return
+      await sleep(this.parts.clock, REPAY_RETRY_MILLISECONDS * 2 ** attempt)
+    }
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/prepaid/lender.ts
@@ -0,0 +1,59 @@
+import type { Milliseconds, TokenCount } from '@rackwalk/shared'
+import type { LoanRepayment, LoanRequest } from './loan.js'
+
+/** The holding out of which a lender lends. */
+export interface LendingAccount {
+  /** Commits at most so many tokens for another instance and tells how many. */
+  lend(tokens: TokenCount, patience: Milliseconds): Promise<TokenCount>
+  /** Frees tokens that were lent and not spent. */
+  takeBack(tokens: TokenCount): void
+}
+
+/** Ended loans that are remembered, so that a request that comes after its end gets nothing. */
+const REMEMBERED_ENDS = 2_000
+/** Open loans that are remembered; older ones were never repaid and count as spent. */
+const REMEMBERED_LOANS = 20_000
+
+/** What this instance has lent to others. A loan that is never repaid counts as spent. */
+export class Lender {
+  private readonly open = new Map<string, TokenCount>()
+  private readonly ended = new Set<string>()
+
+  constructor(private readonly accountOf: (budget: string) => LendingAccount | undefined) {}
+
+  /** Tokens that the borrower may spend from now on. */
+  async lend(request: LoanRequest): Promise<TokenCount> {
+    const account = this.accountOf(request.budget)
+    if (account === undefined || this.ended.has(request.id)) return 0
+    const tokens = await account.lend(request.tokens, request.patienceMilliseconds)
+    if (tokens === 0) return 0
+    // The borrower may have given up while the store was asked.
+    if (this.ended.has(request.id)) {
+      account.takeBack(tokens)
+      return 0
+    }
+    this.open.set(request.id, tokens)
+    dropOldest(this.open, REMEMBERED_LOANS)
+    return tokens
+  }
+
+  /** Frees what was not spent; a repayment that comes twice, or for no loan, changes nothing. */
+  repay({ id, budget, spent }: LoanRepayment): void {
+    this.noteEnd(id)
+    const tokens = this.open.get(id)
+    if (tokens === undefined) return
+    this.open.delete(id)
+    this.accountOf(budget)?.takeBack(tokens - Math.min(tokens, Math.max(0, spent)))
+  }
+
+  private noteEnd(id: string): void {
+    this.ended.add(id)
+    dropOldest(this.ended, REMEMBERED_ENDS)
+  }
+}
+
+function dropOldest(entries: Map<string, unknown> | Set<string>, limit: number): void {
+  if (entries.size <= limit) return
+  const oldest = entries.keys().next().value
+  if (oldest !== undefined) entries.delete(oldest)
+}
--- a/packages/coordination/src/prepaid/partitionView.ts
+++ b/packages/coordination/src/prepaid/partitionView.ts
@@ -87,6 +87,18 @@
     })
   }
 
+  /** Of the given instances those that hold unspent tokens, the most first. */
+  lendersAmong(instances: readonly string[]): readonly string[] {
+    const holdings = this.othersOf(instances).map(({ unspent }, index) => ({
+      unspent,
+      instance: instances[index] ?? '',
+    }))
+    return holdings
+      .filter(({ unspent }) => unspent > 0)
+      .sort((left, right) => right.unspent - left.unspent)
+      .map(({ instance }) => instance)
+  }
+
   /** Tokens that other holders lack for requests at hand. */
   wantedByOthers(instance: string): TokenCount {
     let wanted = 0
--- a/packages/coordination/src/prepaid/prepaidAccount.ts
+++ b/packages/coordination/src/prepaid/prepaidAccount.ts
@@ -4,6 +4,8 @@
 import type { StoreClock } from '../rows/storeClock.js'
 import { DemandMeter } from './demandMeter.js'
 import { HoldingState } from './holdingState.js'
+import type { LendingAccount } from './lender.js'
+import type { Loan } from './loan.js'
 import type { BudgetView, HoldingPolicy } from './holdingPolicy.js'
 import { POOL_KEY, PREPAID_TABLE, encodeRow, freeInPool, holderKey } from './prepaidRows.js'
 import type { PoolRow } from './prepaidRows.js'
@@ -18,6 +20,8 @@
 export interface PrepaidReservation {
   readonly budget: string
   readonly tokens: TokenCount
+  /** The part of the tokens that other instances have committed. */
+  readonly loans: readonly Loan[]
 }
 
 /** `exhausted`: nobody has enough left; `unavailable`: others hold it, or it is not known. */
@@ -57,7 +61,7 @@
   isAnswered: boolean
 }
 
-const RETRY_MILLISECONDS = 120
+const LEAVE_RETRY_MILLISECONDS = 120
 /** A store that has not answered for this long counts as out of reach. */
 const SLOW_CALL_MILLISECONDS = 250
 /** Idle budgets are recorded this many times less often. */
@@ -65,7 +69,7 @@
 const LARGEST_DECAY = 0.98
 const LEAVE_ATTEMPTS = 12
 
-export class PrepaidAccount {
+export class PrepaidAccount implements LendingAccount {
   private readonly holding: HoldingState
   /** Tokens that callers ask for, refused ones included. */
   private readonly demand: DemandMeter
@@ -77,7 +81,6 @@
   private waiters: Waiter[] = []
   private writing: Promise<void> | undefined
   private failures = 0
-  private retryAt: Milliseconds = 0
   private largest: TokenCount = 0
   private left = false
   private calling = false
@@ -107,8 +110,51 @@
 
   /** Sets tokens aside, waiting at most `patience` for the store. */
   reserve(tokens: TokenCount, patience: Milliseconds): Promise<PrepaidOutcome> {
+    this.noteDemand(tokens)
+    return this.setAside(tokens, patience)
+  }
+
+  /** A caller here asks for tokens, whoever may hold them. */
+  noteDemand(tokens: TokenCount): void {
     this.demand.add(tokens)
     this.largest = Math.max(tokens, this.largest * LARGEST_DECAY)
+  }
+
+  /** Whether this holding, or a transaction with the pool, is likely to cover the tokens. */
+  isLikelyToCover(tokens: TokenCount): boolean {
+    const pool = this.view.pool
+    const free = this.isOutOfReach ? 0 : pool === undefined ? tokens : freeInPool(pool)
+    return tokens <= this.holding.unspent + Math.max(0, free)
+  }
+
+  /** Commits what may be committed at once, at most the tokens asked for. */
+  takeAvailable(tokens: TokenCount): TokenCount {
+    if (this.left) return 0
+    const taken = Math.min(tokens, this.holding.allowance)
+    this.holding.commit(taken)
+    this.spending.add(taken)
+    return taken
+  }
+
+  async lend(tokens: TokenCount, patience: Milliseconds): Promise<TokenCount> {
+    const held = Math.min(tokens, this.holding.unspent)
+    if (held <= 0) return 0
+    const outcome = await this.setAside(held, patience)
+    return outcome.kind === 'reserved' ? held : this.takeAvailable(held)
+  }
+
+  takeBack(tokens: TokenCount): void {
+    this.holding.release(tokens)
+    this.spending.add(-tokens)
+  }
+
+  /** Instances that hold unspent tokens of this budget, the most first. */
+  get lenders(): readonly string[] {
+    return this.view.lendersAmong(this.parts.otherInstances())
+  }
+
+  /** Sets tokens aside in this holding, for whoever asks. */
+  setAside(tokens: TokenCount, patience: Milliseconds): Promise<PrepaidOutcome> {
     if (!this.left && tokens <= this.holding.allowance) {
       this.holding.commit(tokens)
       return Promise.resolve(this.reserved(tokens, 'held'))
@@ -122,12 +168,14 @@
     })
   }
 
-  /** Ends a reservation; what was not handed out is free again. */
-  settle(reservation: PrepaidReservation, spent: TokenCount): void {
-    const unused = reservation.tokens - Math.min(spent, reservation.tokens)
-    this.holding.release(unused)
-    this.demand.add(-unused)
-    this.spending.add(-unused)
+  /** Ends a reservation: of the tokens committed here what was not handed out is free again. */
+  settle(committed: TokenCount, spent: TokenCount): void {
+    this.takeBack(committed - Math.min(spent, committed))
+  }
+
+  /** Of the tokens that a caller asked for, so many were not needed. */
+  noteUnused(tokens: TokenCount): void {
+    this.demand.add(-tokens)
   }
 
   /** Called a few times a second: records, takes and gives back. */
@@ -135,6 +183,18 @@
     if (this.isWriteDue()) this.kick()
   }
 
+  /** Whether the store last failed to answer; nothing is written until it answers a probe. */
+  get isLost(): boolean {
+    return this.failures > 0 && !this.left
+  }
+
+  /** Asks a store that was out of reach by a read; true once it answered. */
+  async probe(): Promise<boolean> {
+    const isReached = await this.read()
+    if (isReached) this.kick()
+    return isReached
+  }
+
   /** Settles what was spent and gives the rest back; true once the store has it. */
   async leave(): Promise<boolean> {
     this.left = true
@@ -145,7 +205,7 @@
     this.waiters = []
     for (let attempt = 0; attempt < LEAVE_ATTEMPTS; attempt += 1) {
       if (await this.leaveOnce()) return true
-      await sleep(this.parts.clock, RETRY_MILLISECONDS)
+      await sleep(this.parts.clock, LEAVE_RETRY_MILLISECONDS)
     }
     return false
   }
@@ -179,8 +239,8 @@
   }
 
   private kick(): void {
-    if (this.writing !== undefined || this.left) return
-    if (this.parts.clock.monotonic() < this.retryAt) return
+    // A row on its way bounds what may be spent, so a store out of reach is tried by reads.
+    if (this.writing !== undefined || this.left || this.isLost) return
     this.writing = this.writeWhileDue().finally(() => {
       this.writing = undefined
     })
@@ -196,8 +256,7 @@
   /** One write, or the read that has to come before it; false where it should be put off. */
   private async writeOnce(): Promise<boolean> {
     if (this.limit === undefined) return false
-    // A row on its way bounds what may be spent, so a store out of reach is tried by a read.
-    if (!this.view.isLoaded || this.holding.hasUnresolved || this.failures > 0) {
+    if (!this.view.isLoaded || this.holding.hasUnresolved) {
       if (!(await this.reload())) return false
     }
     const plan = this.plan(true)
@@ -245,12 +304,17 @@
   }
 
   private async reload(): Promise<boolean> {
+    const isReached = await this.timed(this.read())
+    if (!isReached) this.serveFromHolding()
+    return isReached
+  }
+
+  /** Reads all rows of the budget; false where the store did not give them. */
+  private async read(): Promise<boolean> {
     const sentAt = this.parts.clock.monotonic()
-    const reading = this.parts.store.readPartition(PREPAID_TABLE, this.parts.budget)
-    const outcome = await this.timed(reading)
+    const outcome = await this.parts.store.readPartition(PREPAID_TABLE, this.parts.budget)
     if (outcome.kind === 'failed') {
       this.noteFailure(outcome.reason)
-      this.serveFromHolding()
       return false
     }
     this.parts.storeClock.note(outcome.storeTime, sentAt)
@@ -370,12 +434,10 @@
 
   private noteReached(): void {
     this.failures = 0
-    this.retryAt = 0
   }
 
   private noteFailure(reason: string): void {
     this.failures += 1
-    this.retryAt = this.parts.clock.monotonic() + RETRY_MILLISECONDS
     if (this.failures === 1) {
       this.parts.onEvent('prepaid_store_lost', { budget: this.parts.budget, reason })
     }
@@ -417,7 +479,8 @@
 
   private reserved(tokens: TokenCount, path: string): PrepaidOutcome {
     this.spending.add(tokens)
-    return { kind: 'reserved', reservation: { budget: this.parts.budget, tokens }, path }
+    const reservation = { budget: this.parts.budget, tokens, loans: [] }
+    return { kind: 'reserved', reservation, path }
   }
 
   private refused(tokens: TokenCount): PrepaidOutcome {
--- a/packages/coordination/src/prepaid/prepaidLedger.ts
+++ b/packages/coordination/src/prepaid/prepaidLedger.ts
@@ -2,6 +2,9 @@
 import type { ChangedRow, RowStore } from '@rackwalk/platform'
 import type { StoreClock } from '../rows/storeClock.js'
 import type { HoldingPolicy } from './holdingPolicy.js'
+import { Borrower } from './borrower.js'
+import { Lender } from './lender.js'
+import type { Loan, LoanChannel } from './loan.js'
 import { PrepaidAccount } from './prepaidAccount.js'
 import type { PrepaidOutcome, PrepaidReservation } from './prepaidAccount.js'
 
@@ -17,6 +20,8 @@
   readonly policy: HoldingPolicy
   readonly otherInstances: () => readonly string[]
   readonly limits: LedgerLimits
+  /** Reaches other instances; without it nobody borrows. */
+  readonly loanChannel?: LoanChannel
   readonly onEvent: (event: string, fields: Readonly<Record<string, unknown>>) => void
 }
 
@@ -35,15 +40,24 @@
 }
 
 const MAINTAIN_MILLISECONDS = 125
+/** Longest time in which other instances are asked for tokens. */
+const BORROW_MILLISECONDS = 60
 const SHORTEST_RECORD_MILLISECONDS = 500
 /** Part of the store's writes that periodic records may take. */
 const RECORD_SHARE = 0.3
 
 export class PrepaidLedger {
   private readonly accounts = new Map<string, PrepaidAccount>()
+  private readonly borrower: Borrower | undefined
+  /** Lends to other instances out of the holdings of this one. */
+  readonly lender = new Lender(budget => this.accounts.get(budget))
   private timer: Timer | undefined
+  private probeTurn = 0
 
-  constructor(private readonly parts: PrepaidLedgerParts) {}
+  constructor(private readonly parts: PrepaidLedgerParts) {
+    const { loanChannel, clock, incarnation } = parts
+    this.borrower = loanChannel && new Borrower({ channel: loanChannel, clock, incarnation })
+  }
 
   /** Budgets in force; one that is no longer named is kept, since its rows still count. */
   configure(limits: readonly PrepaidLimit[], configurationVersion: number): void {
@@ -68,12 +82,38 @@
     for (const [budget, list] of byBudget) this.accounts.get(budget)?.observe(list, isWhole)
   }
 
-  reserve(budget: string, tokens: TokenCount, patience: Milliseconds): Promise<PrepaidOutcome> {
-    return this.accountOf(budget).reserve(tokens, patience)
+  /** Sets tokens aside: from the own holding, by a transaction, or from other instances. */
+  async reserve(
+    budget: string,
+    tokens: TokenCount,
+    patience: Milliseconds,
+  ): Promise<PrepaidOutcome> {
+    const account = this.accountOf(budget)
+    const endsAt = this.parts.clock.monotonic() + patience
+    if (account.isLikelyToCover(tokens)) {
+      const outcome = await account.reserve(tokens, patience)
+      return outcome.kind === 'reserved' ? outcome : this.borrow(account, outcome, budget, tokens)
+    }
+    account.noteDemand(tokens)
+    const borrowed = await this.borrow(account, undefined, budget, tokens)
+    if (borrowed !== undefined) return borrowed
+    const left = Math.max(0, endsAt - this.parts.clock.monotonic())
+    return account.setAside(tokens, left)
   }
 
+  /** Ends a reservation; what was not handed out is free again, here and at the lenders. */
   settle(reservation: PrepaidReservation, spent: TokenCount): void {
-    this.accounts.get(reservation.budget)?.settle(reservation, spent)
+    const { budget, tokens, loans } = reservation
+    const account = this.accounts.get(budget)
+    const lent = loans.reduce((sum, loan) => sum + loan.tokens, 0)
+    account?.settle(tokens - lent, spent)
+    account?.noteUnused(Math.max(0, tokens - spent))
+    let rest = Math.max(0, spent - (tokens - lent))
+    for (const loan of loans) {
+      const part = Math.min(rest, loan.tokens)
+      this.borrower?.repay(budget, loan, part)
+      rest -= part
+    }
   }
 
   describe(budget: string): Readonly<Record<string, unknown>> {
@@ -83,6 +123,7 @@
   start(): void {
     this.timer = this.parts.clock.after(MAINTAIN_MILLISECONDS, () => {
       for (const account of this.accounts.values()) account.maintain()
+      this.probeLost()
       this.start()
     })
   }
@@ -98,6 +139,39 @@
     return results.every(Boolean)
   }
 
+  /** What the own holding lacks, from other instances. */
+  private async borrow<Otherwise extends PrepaidOutcome | undefined>(
+    account: PrepaidAccount,
+    otherwise: Otherwise,
+    budget: string,
+    tokens: TokenCount,
+  ): Promise<PrepaidOutcome | Otherwise> {
+    const { borrower } = this
+    const { lenders } = account
+    if (borrower === undefined || lenders.length === 0) return otherwise
+    const own = account.takeAvailable(tokens)
+    const loans = await borrower.borrow(budget, tokens - own, lenders, BORROW_MILLISECONDS)
+    if (loans === undefined) {
+      account.takeBack(own)
+      return otherwise
+    }
+    return { kind: 'reserved', reservation: { budget, tokens, loans }, path: 'borrowed' }
+  }
+
+  /**
+   * One budget in turn asks a store that is out of reach; when it answers, all others do at
+   * once: until they have recorded what they spent, a death would count the most they may have.
+   */
+  private probeLost(): void {
+    const lost = [...this.accounts.values()].filter(account => account.isLost)
+    this.probeTurn += 1
+    const next = lost[this.probeTurn % Math.max(1, lost.length)]
+    void next?.probe().then(isReached => {
+      if (!isReached) return
+      for (const other of lost) if (other.isLost) void other.probe()
+    })
+  }
+
   /** All instances and budgets together stay below their part of what the store takes. */
   private recordMilliseconds(): Milliseconds {
     const instances = this.parts.otherInstances().length + 1
--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -27,6 +27,7 @@
 } from './gatewayListeners.js'
 import { GatewayMetrics } from './gatewayMetrics.js'
 import type { GatewaySettings } from './gatewaySettings.js'
+import { PeerLoans, answerLoan } from './peerLoans.js'
 import { PeerRows, answerRows } from './peerRows.js'
 import type { PlainAnswer, PlatformAdapter } from './platformAdapter.js'
 import type { SettingsOutcome } from './settingsWatcher.js'
@@ -54,6 +55,8 @@
 const EXIT_MILLISECONDS = 200
 /** Wait for a peer's answer. */
 const PEER_MILLISECONDS = 400
+/** The same where a request waits for it; the peer itself may ask the store first. */
+const LOAN_MILLISECONDS = 90
 const DRAIN_POLL_MILLISECONDS = 20
 
 /** One instance that serves generic routes: every part, wired together. */
@@ -70,6 +73,7 @@
   private readonly gateway: Gateway
   private readonly mirrors: ReadonlyMap<string, TableMirror>
   private readonly peerRows: PeerRows
+  private readonly peerLoans: PeerLoans
   private readonly callerListener: Server
   private readonly otherListeners: readonly { server: Server; address: string }[]
   private routes: RouteTable | undefined
@@ -91,6 +95,7 @@
     this.storeClock = new StoreClock(this.clock)
     const incarnation = this.random.uniqueId().slice(0, 8)
     this.members = this.createMembers(incarnation)
+    this.peerLoans = this.createPeerLoans()
     this.ledger = this.createLedger(incarnation)
     this.servers = this.createServers()
     this.gateway = this.createGateway()
@@ -158,6 +163,7 @@
     this.ledger.stop()
     this.members.stop()
     this.store.close()
+    this.peerLoans.close()
     for (const { server } of this.otherListeners) server.close()
     this.callerListener.closeAllConnections()
     this.callerListener.close()
@@ -231,10 +237,19 @@
         partitionWritesPerSecond: store.partitionWritesPerSecond,
         reserveShare: budgets.reserveShare,
       },
+      loanChannel: this.peerLoans,
       onEvent: (event, fields) => this.note(event, fields),
     })
   }
 
+  private createPeerLoans(): PeerLoans {
+    return new PeerLoans({
+      addressOf: instance =>
+        this.members.others.find(member => member.instance === instance)?.peerAddress,
+      timeoutMilliseconds: LOAN_MILLISECONDS,
+    })
+  }
+
   private createServers(): ServerDirectory {
     return new ServerDirectory({
       clock: this.clock,
@@ -346,7 +361,7 @@
     const answers = [
       { address: readiness, answer: (url: string) => this.answerReadiness(url) },
       { address: directory, answer: (url: string) => this.answerDirectory(url) },
-      { address: peers, answer: (url: string) => answerRows(url, this.mirrors) },
+      { address: peers, answer: (url: string, body: string) => this.answerPeer(url, body) },
       { address: metrics, answer: () => this.answerMetrics() },
     ]
     return answers.flatMap(({ address, answer }) =>
@@ -354,6 +369,10 @@
     )
   }
 
+  private async answerPeer(url: string, body: string): Promise<PlainAnswer> {
+    return (await answerLoan(url, body, this.ledger.lender)) ?? answerRows(url, this.mirrors)
+  }
+
   private answerReadiness(url: string): PlainAnswer {
     if (!this.adapter.isReadinessQuestion(url)) return { status: 404 }
     return { status: this.isReady ? 200 : 503 }
--- a/packages/daemon/src/gateway/gatewayListeners.ts
+++ b/packages/daemon/src/gateway/gatewayListeners.ts
@@ -29,13 +29,26 @@
   server.headersTimeout = limits.headerMilliseconds + IDLE_SLACK_MILLISECONDS
 }
 
-/** A listener that gives plain answers to `GET`. */
-export function createPlainListener(
-  answer: (url: string) => PlainAnswer | Promise<PlainAnswer>,
-): Server {
+/** Longest body of a call to a plain listener. */
+const LONGEST_PLAIN_BODY_BYTES = 64 * 1024
+
+/** Answers a path; `body` is empty for calls without one. */
+export type PlainAnswerer = (url: string, body: string) => PlainAnswer | Promise<PlainAnswer>
+
+/** A listener that gives plain answers to short calls. */
+export function createPlainListener(answer: PlainAnswerer): Server {
   return createServer((request, response) => {
-    request.resume()
-    void Promise.resolve(answer(request.url ?? '/')).then(result => write(response, result))
+    const chunks: Buffer[] = []
+    let size = 0
+    request.on('data', (chunk: Buffer) => {
+      size += chunk.length
+      if (size > LONGEST_PLAIN_BODY_BYTES) request.destroy()
+      else chunks.push(chunk)
+    })
+    request.on('end', () => {
+      const body = Buffer.concat(chunks).toString('utf8')
+      void Promise.resolve(answer(request.url ?? '/', body)).then(result => write(response, result))
+    })
   })
 }
 
--- a/packages/stand-ins/src/exploration/prepaidWorld.ts
+++ b/packages/stand-ins/src/exploration/prepaidWorld.ts
@@ -1,5 +1,5 @@
 import fc from 'fast-check'
-import { VirtualClock } from '@rackwalk/shared'
+import { VirtualClock, sleep } from '@rackwalk/shared'
 import type { Clock, Milliseconds, TokenCount } from '@rackwalk/shared'
 import type { RowStore } from '@rackwalk/platform'
 import {
@@ -8,7 +8,7 @@
   PrepaidLedger,
   StoreClock,
 } from '@rackwalk/coordination'
-import type { PrepaidReservation } from '@rackwalk/coordination'
+import type { LoanChannel, PrepaidReservation } from '@rackwalk/coordination'
 import { MemoryRowStore } from '../platform/memoryRowStore.js'
 import type { RowStoreFaults } from '../platform/memoryRowStore.js'
 import { PromiseBroken } from './checkers.js'
@@ -21,6 +21,7 @@
   | { readonly kind: 'kill'; readonly node: number; readonly darkMilliseconds: Milliseconds }
   | { readonly kind: 'leave'; readonly node: number }
   | { readonly kind: 'fault'; readonly node: number; readonly fault: PrepaidFault }
+  | { readonly kind: 'peer-fault'; readonly node: number; readonly fault: PeerFault }
   | { readonly kind: 'heal' }
   | { readonly kind: 'forget' }
   | { readonly kind: 'raise' }
@@ -28,11 +29,15 @@
 
 export type PrepaidFault = 'cut' | 'unreachable' | 'turned-away' | 'lost' | 'late'
 
+/** `cut`: no call reaches or leaves the instance; `mute`: calls reach it, answers are lost. */
+export type PeerFault = 'none' | 'cut' | 'mute'
+
 /** A way to break the ledger that the checker must notice. */
 export interface PrepaidVariant {
   readonly name: string
   storeOf?(store: RowStore): RowStore
   clockOf?(storeClock: StoreClock): StoreClock
+  channelOf?(channel: LoanChannel): LoanChannel
 }
 
 export const SOUND_LEDGER: PrepaidVariant = { name: 'sound' }
@@ -56,6 +61,24 @@
       return forgetful
     },
   },
+  {
+    name: 'repays loans as if nothing of them had been spent',
+    channelOf: channel => ({
+      ask: (lender, request) => channel.ask(lender, request),
+      repay: (lender, repayment) => channel.repay(lender, { ...repayment, spent: 0 }),
+    }),
+  },
+  {
+    name: 'spends a loan that it took for lost and called back',
+    channelOf: channel => ({
+      ask: async (lender, request) => {
+        const lent = await channel.ask(lender, request)
+        await channel.repay(lender, { id: request.id, budget: request.budget, spent: 0 })
+        return lent
+      },
+      repay: (lender, repayment) => channel.repay(lender, repayment),
+    }),
+  },
 ]
 
 const NODES = 3
@@ -65,6 +88,8 @@
 const PATIENCE_MILLISECONDS = 100
 const FEED_MILLISECONDS = 400
 const LATE_MILLISECONDS = 2_500
+const PEER_MILLISECONDS = 2
+const PEER_TIMEOUT_MILLISECONDS = 90
 const EXHAUST_ROUNDS = 14
 const EXHAUST_TOKENS: readonly TokenCount[] = [700, 250, 60]
 
@@ -109,6 +134,14 @@
       darkMilliseconds: fc.integer({ min: 0, max: 3_000 }),
     }),
   },
+  {
+    weight: 1,
+    arbitrary: fc.record({
+      kind: fc.constant('peer-fault' as const),
+      node,
+      fault: fc.constantFrom<PeerFault>('none', 'cut', 'mute'),
+    }),
+  },
   { weight: 1, arbitrary: fc.record({ kind: fc.constant('leave' as const), node }) },
   { weight: 2, arbitrary: fc.constant({ kind: 'heal' as const }) },
   { weight: 1, arbitrary: fc.constant({ kind: 'forget' as const }) },
@@ -122,6 +155,7 @@
   readonly faults: RowStoreFaults
   readonly reservations: PrepaidReservation[]
   isDead: boolean
+  peerFault: PeerFault
 }
 
 /** A monotonic clock of a process that began at some moment of the world's clock. */
@@ -173,6 +207,7 @@
   /** Asks for all that is left, so that tokens counted twice are also spent twice. */
   private async exhaust(): Promise<void> {
     await this.perform({ kind: 'heal' })
+    this.spendReserved()
     for (let round = 0; round < EXHAUST_ROUNDS; round += 1) {
       for (let index = 0; index < NODES; index += 1) {
         for (const tokens of EXHAUST_TOKENS) await this.reserve(index, tokens)
@@ -182,6 +217,13 @@
     }
   }
 
+  /** Everything reserved is handed out whole, so that none of it may be given out again. */
+  private spendReserved(): void {
+    for (const [index, { reservations }] of this.nodes.entries()) {
+      while (reservations.length > 0) this.settle(index, 1)
+    }
+  }
+
   private async perform(action: PrepaidAction): Promise<void> {
     this.count(action.kind)
     switch (action.kind) {
@@ -196,7 +238,9 @@
       case 'fault':
         return this.fault(action.node, action.fault)
       case 'heal':
-        for (const { faults } of this.nodes) Object.assign(faults, NO_FAULTS)
+        return this.heal()
+      case 'peer-fault':
+        this.nodeAt(action.node).peerFault = action.fault
         return
       case 'forget':
         return this.store.forgetHistory()
@@ -214,6 +258,7 @@
       if (node.isDead) return
       this.count(outcome.kind)
       if (outcome.kind !== 'reserved') return
+      if (outcome.reservation.loans.length > 0) this.count('borrowed')
       this.spent += tokens
       node.reservations.push(outcome.reservation)
     })
@@ -257,6 +302,13 @@
     faults.lateMilliseconds = fault === 'late' ? LATE_MILLISECONDS : 0
   }
 
+  private heal(): void {
+    for (const node of this.nodes) {
+      Object.assign(node.faults, NO_FAULTS)
+      node.peerFault = 'none'
+    }
+  }
+
   private raise(): void {
     this.limit += RAISE
     this.version += 1
@@ -267,6 +319,7 @@
     this.starts += 1
     const clock = new ProcessClock(this.clock)
     const { store, faults } = this.store.connect()
+    const channel = this.channelOf(index)
     const ledger = new PrepaidLedger({
       instance: `node-${index}`,
       incarnation: `start-${this.starts}`,
@@ -277,15 +330,51 @@
       policy: new DemandHoldingPolicy(),
       otherInstances: () => OTHERS[index] ?? [],
       limits: { writesPerSecond: 600, partitionWritesPerSecond: 150, reserveShare: 0 },
+      loanChannel: this.variant.channelOf?.(channel) ?? channel,
       onEvent: event => this.count(event),
     })
     this.configure(ledger)
     ledger.start()
-    const started: WorldNode = { ledger, faults, reservations: [], isDead: false }
+    const started: WorldNode = {
+      ledger,
+      faults,
+      reservations: [],
+      isDead: false,
+      peerFault: 'none',
+    }
     this.feed(started, store)
     return started
   }
 
+  /** Calls of one instance to others; what a dead incarnation hears no longer matters. */
+  private channelOf(index: number): LoanChannel {
+    const call = async <Answer>(
+      lender: string,
+      perform: (peer: WorldNode) => Answer | Promise<Answer>,
+    ): Promise<Answer | undefined> => {
+      const caller = this.nodeAt(index)
+      const peer = this.nodeAt(NAMES.indexOf(lender))
+      await sleep(this.clock, PEER_MILLISECONDS)
+      if (caller.peerFault === 'cut' || peer.peerFault === 'cut' || peer.isDead || caller.isDead) {
+        await sleep(this.clock, PEER_TIMEOUT_MILLISECONDS)
+        return undefined
+      }
+      const answer = await perform(peer)
+      await sleep(this.clock, PEER_MILLISECONDS)
+      return peer.peerFault === 'mute' || peer.isDead ? undefined : answer
+    }
+    return {
+      ask: (lender, request) => call(lender, peer => peer.ledger.lender.lend(request)),
+      repay: async (lender, repayment) => {
+        const taken = await call(lender, peer => {
+          peer.ledger.lender.repay(repayment)
+          return true
+        })
+        return taken === true
+      },
+    }
+  }
+
   private feed(node: WorldNode, store: RowStore): void {
     this.clock.after(FEED_MILLISECONDS, () => {
       if (node.isDead) return
