fix(gateway): a request that was never answered costs its prompt, not its most

Change: the prompt counts once a server may have read it, output as far as it was handed out, plus two events that may have passed unseen.

--- a/packages/router/src/gateway/dispatch.ts
+++ b/packages/router/src/gateway/dispatch.ts
@@ -44,8 +44,6 @@
 export interface DispatchResult {
   /** Whether a server ran the request, or may have. */
   readonly mayHaveRun: boolean
-  /** Whether a server was sent the request and never answered: it may have made everything. */
-  readonly isUnanswered: boolean
   readonly events: number
   /** Whether the last answer came to its own end. */
   readonly isWhole: boolean
@@ -70,7 +68,6 @@
   private sent = 0
   private connectFailures = 0
   private mayHaveRun = false
-  private isUnanswered = false
   private isLate = false
   private failure: RackwalkError | undefined
 
@@ -86,8 +83,7 @@
     const timer = this.parts.clock.after(untilDeadline, () => this.passDeadline())
     try {
       const isWhole = await this.attemptAll()
-      const { mayHaveRun, isUnanswered } = this
-      return { mayHaveRun, isUnanswered, events: this.events.events, isWhole }
+      return { mayHaveRun: this.mayHaveRun, events: this.events.events, isWhole }
     } finally {
       timer.cancel()
     }
@@ -330,7 +326,6 @@
   private afterFailure(): 'again' | 'final' {
     this.sent += 1
     this.mayHaveRun = true
-    this.isUnanswered = !this.isOver
     this.failure = new DispatchedError(ResultCode.EndpointFailed)
     return this.canRepeat && this.mayRetry() ? 'again' : 'final'
   }
@@ -365,17 +360,19 @@
   }
 }
 
-/** Events of an answer that broke off and may have been handed out unseen. */
+/** Events of an answer that broke off, or never began, and may have been handed out unseen. */
 const UNSEEN_EVENTS = 2
 
-/** Tokens that a request has cost its tenant; at most what was reserved. */
+/**
+ * Tokens that a request has cost its tenant; at most what was reserved. The prompt counts as
+ * soon as a server may have read it, the output only as far as it was handed out.
+ */
 export function spentTokens(
   result: DispatchResult,
   tokens: { readonly prompt: TokenCount; readonly maximumOutput: TokenCount },
   tokensPerEvent: TokenCount,
 ): TokenCount {
   if (!result.mayHaveRun) return 0
-  if (result.isUnanswered) return tokens.prompt + tokens.maximumOutput
   const events = result.events + (result.isWhole ? 0 : UNSEEN_EVENTS)
   return tokens.prompt + Math.min(tokens.maximumOutput, events * tokensPerEvent)
 }
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -49,7 +49,6 @@
 
 const NOT_RUN: DispatchResult = {
   mayHaveRun: false,
-  isUnanswered: false,
   events: 0,
   isWhole: false,
 }
