--- a/packages/coordination/src/prepaid/prepaidLedger.ts
+++ b/packages/coordination/src/prepaid/prepaidLedger.ts
@@ -4,7 +4,7 @@
 import type { HoldingPolicy } from './holdingPolicy.js'
 import { Borrower } from './borrower.js'
 import { Lender } from './lender.js'
-import type { Loan, LoanChannel } from './loan.js'
+import type { LoanChannel } from './loan.js'
 import { PrepaidAccount } from './prepaidAccount.js'
 import type { PrepaidOutcome, PrepaidReservation } from './prepaidAccount.js'
 
