perf(prepaid): 0.2 in 100 of a limit kept back instead of 0.8; a cut is spent at the demand

Cause: a request is owed while it fits within 97 in 100 of a limit. Change: reserveShare 0.008 -> 0.002; in a cut a record allows once the demand instead of twice.

--- a/packages/coordination/src/prepaid/writePlan.ts
+++ b/packages/coordination/src/prepaid/writePlan.ts
@@ -59,7 +59,7 @@
 const STRICT_MILLISECONDS = 1_000
 const STRICT_DEMAND_FACTOR = 1
 /** A cut is told from a death by nobody, so spending in it is bounded by the rate alone. */
-const CUT_DEMAND_FACTOR = 2
+const CUT_DEMAND_FACTOR = 1
 /** Without demand, the time in which all of a holding could be spent: of a scarce budget, */
 const SCARCE_CUT_SECONDS = 16
 /** and of one that nobody is going to miss. */
--- a/packages/daemon/src/gateway/gatewaySettings.ts
+++ b/packages/daemon/src/gateway/gatewaySettings.ts
@@ -25,6 +25,7 @@
       readiness: address.describe('The platform asks here whether the instance is ready'),
       directory: address.optional().describe('Callers ask here which addresses to use'),
       peers: address.optional().describe('Other instances ask here'),
+      loads: address.optional().describe('Datagrams of other instances about their load'),
       metrics: address.describe('Metrics as text'),
     })
     .describe('Addresses of the listeners'),
@@ -85,7 +86,7 @@
         .number()
         .min(0)
         .max(0.5)
-        .default(0.008)
+        .default(0.002)
         .describe('Part of a prepaid limit that is never handed out'),
     })
     .prefault({})
