feat(routing): instances tell each other what they have in progress and where prompts lie

Change: every 20 ms (rarer with more instances, 12 KB/s at most) an instance sends what changed in its requests and prompt tokens under way, and the shared parts it sent where. A server's cost is the tokens pending there from all, plus 1.5 times what it would have to read of this prompt. Also: the planned stop and the list of servers are modules of their own; entries of servers that lapsed in an outage of the store may come back for 1.8 s after it (the users: within about two seconds).

--- a/packages/coordination/src/membership/memberDirectory.ts
+++ b/packages/coordination/src/membership/memberDirectory.ts
@@ -19,6 +19,8 @@
   readonly callerAddress: string
   /** IP:PORT for peers; empty where the instance takes no calls from peers. */
   readonly peerAddress: string
+  /** IP:PORT for datagrams about load; empty where the instance takes none. */
+  readonly loadAddress: string
   readonly state: MemberState
   readonly heartbeat: number
 }
--- /dev/null
+++ b/packages/daemon/__tests__/serverFollower.spec.ts
@@ -0,0 +1,87 @@
+import { describe, expect, it } from 'vitest'
+import { VirtualClock } from '@rackwalk/shared'
+import { ServerDirectory } from '@rackwalk/router'
+import type { ServerRecord } from '@rackwalk/router'
+import { ServerFollower } from '@rackwalk/daemon'
+
+const SERVICE = 'model'
+
+function setUp() {
+  const clock = new VirtualClock()
+  const changes: string[] = []
+  const directory = new ServerDirectory({
+    clock,
+    instances: () => 1,
+    maximumConnections: () => 100,
+    onChange: (server, change) => changes.push(`${server.id} ${change}`),
+  })
+  const parse = (id: string): ServerRecord => ({
+    id,
+    service: SERVICE,
+    address: '127.0.0.1:1',
+    failureDomain: 'hall-a',
+    slots: 8,
+    isLeaving: false,
+  })
+  const follower = new ServerFollower({ directory, clock, parse })
+  let version = 0
+  const row = (key: string, value: string | undefined) => {
+    version += 1
+    return { table: 'servers', partition: '', key, value, version }
+  }
+  const list = (...ids: string[]) =>
+    follower.onRows(
+      ids.map(id => row(id, 'listed')),
+      true,
+    )
+  const drop = (id: string) => follower.onRows([row(id, undefined)], false)
+  const available = () => directory.available(SERVICE).map(server => server.record.id)
+  return { clock, changes, follower, list, drop, available }
+}
+
+describe('ServerFollower', () => {
+  it('takes a server whose entry is removed for gone at once', () => {
+    const { list, drop, available } = setUp()
+    list('s1', 's2')
+    drop('s1')
+    expect(available()).toEqual(['s2'])
+  })
+
+  it('keeps servers whose entries lapsed in an outage until they are listed again', async () => {
+    const { clock, changes, follower, list, drop, available } = setUp()
+    list('s1', 's2')
+    follower.onReachable(false)
+    // The first answer after the outage tells of both, before the word that it is over.
+    drop('s1')
+    drop('s2')
+    follower.onReachable(true)
+    expect(available()).toEqual(['s1', 's2'])
+    await clock.advance(1_000)
+    list('s1')
+    await clock.advance(2_000)
+    expect(available()).toEqual(['s1'])
+    expect(changes).toMatchInlineSnapshot(`
+      [
+        "s1 listed",
+        "s2 listed",
+        "s1 lapsed",
+        "s2 lapsed",
+        "s2 gone",
+      ]
+    `)
+  })
+
+  it('waits only for what is left of the time since the store is back', async () => {
+    const { clock, follower, list, drop, available } = setUp()
+    list('s1', 's2')
+    follower.onReachable(false)
+    follower.onReachable(true)
+    await clock.advance(1_500)
+    drop('s1')
+    expect(available()).toEqual(['s1', 's2'])
+    await clock.advance(400)
+    expect(available()).toEqual(['s2'])
+    drop('s2')
+    expect(available()).toEqual([])
+  })
+})
--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -1,5 +1,5 @@
 import type { Server } from 'node:http'
-import { ResultCode, SystemClock, SystemRandom, sleep } from '@rackwalk/shared'
+import { ResultCode, SystemClock, SystemRandom } from '@rackwalk/shared'
 import type { Clock, Milliseconds, RandomSource } from '@rackwalk/shared'
 import type { ChangedRow, RowStore } from '@rackwalk/platform'
 import {
@@ -14,7 +14,7 @@
   TableMirror,
 } from '@rackwalk/coordination'
 import type { MirrorListener } from '@rackwalk/coordination'
-import { Gateway, RouteTable, ServerDirectory } from '@rackwalk/router'
+import { FleetLoad, Gateway, RouteTable, ServerDirectory } from '@rackwalk/router'
 import type { GatewayConfiguration, GatewayRecord } from '@rackwalk/router'
 import { BoundedLogger } from '../observe/boundedLogger.js'
 import { ConsolaLogger } from '../observe/logger.js'
@@ -27,8 +27,11 @@
 } from './gatewayListeners.js'
 import { GatewayMetrics } from './gatewayMetrics.js'
 import type { GatewaySettings } from './gatewaySettings.js'
+import { LoadExchange } from './loadExchange.js'
 import { PeerLoans, answerLoan } from './peerLoans.js'
 import { PeerRows, answerRows } from './peerRows.js'
+import { ServerFollower } from './serverFollower.js'
+import { stopAsPlanned } from './plannedStop.js'
 import type { PlainAnswer, PlatformAdapter } from './platformAdapter.js'
 import type { SettingsOutcome } from './settingsWatcher.js'
 
@@ -45,19 +48,10 @@
 const QUIET_PAUSE_MILLISECONDS = 20
 const MEMBER_PAUSE_MILLISECONDS = 700
 const PREPAID_PAUSE_MILLISECONDS = 400
-/** After SIGTERM, callers that still hold an old answer are served for this long. */
-const LINGER_MILLISECONDS = 2_600
-/** The process lives at least this long after SIGTERM, so that callers learn of it. */
-const SHORTEST_DRAIN_MILLISECONDS = 3_200
-/** Kept at the end of the grace time for settling budgets. */
-const SETTLE_MILLISECONDS = 900
-/** The process ends by itself this long before it would be killed. */
-const EXIT_MILLISECONDS = 200
 /** Wait for a peer's answer. */
 const PEER_MILLISECONDS = 400
 /** The same where a request waits for it; the peer itself may ask the store first. */
 const LOAN_MILLISECONDS = 90
-const DRAIN_POLL_MILLISECONDS = 20
 
 /** One instance that serves generic routes: every part, wired together. */
 export class GatewayDaemon {
@@ -70,6 +64,8 @@
   private readonly members: MemberDirectory
   private readonly ledger: PrepaidLedger
   private readonly servers: ServerDirectory
+  private readonly fleetLoad: FleetLoad
+  private readonly loadExchange: LoadExchange | undefined
   private readonly gateway: Gateway
   private readonly mirrors: ReadonlyMap<string, TableMirror>
   private readonly peerRows: PeerRows
@@ -98,6 +94,13 @@
     this.peerLoans = this.createPeerLoans()
     this.ledger = this.createLedger(incarnation)
     this.servers = this.createServers()
+    this.fleetLoad = new FleetLoad({
+      instance: settings.instance.id,
+      directory: this.servers,
+      clock: this.clock,
+      capacityOf: name => this.routes?.service(name)?.engine?.capacity,
+    })
+    this.loadExchange = this.createLoadExchange()
     this.gateway = this.createGateway()
     this.peerRows = this.createPeerRows()
     this.mirrors = this.createMirrors()
@@ -114,6 +117,7 @@
     await listenAll([{ server: this.callerListener, address: callers }, ...this.otherListeners])
     for (const mirror of this.mirrors.values()) mirror.start()
     this.ledger.start()
+    this.loadExchange?.start()
     this.note('instance_started', { callers, incarnation: this.settings.instance.id })
   }
 
@@ -126,17 +130,17 @@
   async drain(): Promise<void> {
     if (this.draining) return
     this.draining = true
-    const startedAt = this.clock.monotonic()
     this.note('instance_draining', { inFlight: this.gateway.inFlight })
     void this.members.drain()
-    await sleep(this.clock, LINGER_MILLISECONDS)
-    this.refusing = true
-    await this.waitForRequests(startedAt)
-    this.callerListener.close()
-    const cutOff = this.gateway.inFlight
-    // What the store does not take in time is settled by the next incarnation's bound.
-    const isSettled = await Promise.race([this.settle(), this.graceEnd(startedAt)])
-    this.note('instance_left', { cutOff, isSettled })
+    const result = await stopAsPlanned({
+      clock: this.clock,
+      graceMilliseconds: () => this.settings.shutdown.graceSeconds * 1000,
+      inFlight: () => this.gateway.inFlight,
+      refuse: () => (this.refusing = true),
+      closeListener: () => this.callerListener.close(),
+      settle: () => this.settle(),
+    })
+    this.note('instance_left', { ...result })
   }
 
   /** The settings file changed; what can change in a running process does. */
@@ -164,6 +168,7 @@
     this.members.stop()
     this.store.close()
     this.peerLoans.close()
+    this.loadExchange?.stop()
     for (const { server } of this.otherListeners) server.close()
     this.callerListener.closeAllConnections()
     this.callerListener.close()
@@ -175,25 +180,6 @@
     return isSettled
   }
 
-  private async graceEnd(startedAt: Milliseconds): Promise<boolean> {
-    const grace = this.settings.shutdown.graceSeconds * 1000
-    const left = startedAt + grace - EXIT_MILLISECONDS - this.clock.monotonic()
-    await sleep(this.clock, Math.max(0, left))
-    return false
-  }
-
-  private async waitForRequests(startedAt: Milliseconds): Promise<void> {
-    const grace = this.settings.shutdown.graceSeconds * 1000
-    const earliest = startedAt + SHORTEST_DRAIN_MILLISECONDS
-    const latest = startedAt + grace - SETTLE_MILLISECONDS
-    for (;;) {
-      const now = this.clock.monotonic()
-      if (now >= latest) return
-      if (this.gateway.inFlight === 0 && now >= earliest) return
-      await sleep(this.clock, DRAIN_POLL_MILLISECONDS)
-    }
-  }
-
   private createLogger(): Logger {
     const { log, instance } = this.settings
     const inner = new ConsolaLogger(log.level, instance.id)
@@ -210,6 +196,7 @@
         failureDomain: instance.failureDomain,
         callerAddress: listen.callers,
         peerAddress: listen.peers ?? '',
+        loadAddress: listen.loads ?? '',
       },
       store: this.store,
       storeClock: this.storeClock,
@@ -257,15 +244,29 @@
       maximumConnections: name => this.routes?.service(name)?.maximumConnections ?? 1,
       onChange: (server, change) => {
         this.note('server_state', { server: server.id, service: server.service, change })
+        if (change === 'gone') this.fleetLoad.forget(server.id)
       },
     })
   }
 
+  private createLoadExchange(): LoadExchange | undefined {
+    const { listen } = this.settings
+    if (listen.loads === undefined) return undefined
+    return new LoadExchange({
+      address: listen.loads,
+      peers: () =>
+        this.members.others.map(member => member.loadAddress).filter(known => known !== ''),
+      fleetLoad: this.fleetLoad,
+      clock: this.clock,
+    })
+  }
+
   private createGateway(): Gateway {
     const { requests, retries, instance } = this.settings
     return new Gateway({
       dialect: this.adapter.dialect,
       directory: this.servers,
+      fleetLoad: this.fleetLoad,
       clock: this.clock,
       random: this.random,
       failureDomain: instance.failureDomain,
@@ -300,9 +301,12 @@
       onRows: rows => this.noteConfiguration(rows),
       onReachable: isReachable => this.note('store_contact', { isReachable }),
     })
-    const serverMirror = this.mirror(servers.table, () => [servers.partition], {
-      onRows: (rows, isWhole) => this.noteServers(rows, isWhole),
+    const serverFollower = new ServerFollower({
+      directory: this.servers,
+      clock: this.clock,
+      parse: servers.parse,
     })
+    const serverMirror = this.mirror(servers.table, () => [servers.partition], serverFollower)
     const memberMirror = this.mirror(
       MEMBER_TABLE,
       () => [MEMBER_PARTITION],
@@ -337,7 +341,12 @@
       table,
       partitions,
       clock: this.clock,
-      listener: { ...listener, onFault: error => this.noteFault(error) },
+      listener: {
+        onRows: (rows, isWhole) => listener.onRows(rows, isWhole),
+        onRead: () => listener.onRead?.(),
+        onReachable: isReachable => listener.onReachable?.(isReachable),
+        onFault: error => this.noteFault(error),
+      },
       // Holdings and heartbeats mean something only as the store has them.
       askPeers: pause === undefined ? (name, after) => this.peerRows.ask(name, after) : undefined,
       waitMilliseconds: pause === undefined ? FEED_WAIT_MILLISECONDS : 0,
@@ -426,16 +435,6 @@
     this.members.start()
   }
 
-  private noteServers(rows: readonly ChangedRow[], isWhole: boolean): void {
-    const { parse } = this.adapter.servers
-    for (const { key, value } of rows) {
-      const record = value === undefined ? undefined : parse(key, value)
-      if (record === undefined) this.servers.remove(key)
-      else this.servers.set(record)
-    }
-    if (isWhole) this.servers.retain(new Set(rows.map(row => row.key)))
-  }
-
   private get instanceCount(): number {
     return this.members.others.length + 1
   }
--- /dev/null
+++ b/packages/daemon/src/gateway/loadExchange.ts
@@ -0,0 +1,118 @@
+import { createSocket } from 'node:dgram'
+import type { Socket } from 'node:dgram'
+import * as z from 'zod'
+import type { Clock, Milliseconds, Timer } from '@rackwalk/shared'
+import type { FleetLoad, PeerLoadReport } from '@rackwalk/router'
+
+/**
+ * Instances tell each other by datagrams what they have in progress at the servers. A lost
+ * datagram costs a worse choice, never a wrong answer.
+ */
+
+/** Time between two reports in a small fleet. */
+const SHORTEST_INTERVAL_MILLISECONDS = 20
+/** Bytes a second that one instance sends to all others together. */
+const BYTES_PER_SECOND = 12_000
+/** A report with the head of its datagram, as measured on a calm day. */
+const REPORT_BYTES = 110
+
+/** `[instance, sequence, isWhole, [[server, running, pendingTokens, [[id, tokens], ...]], ...]]` */
+const wireReport = z.tuple([
+  z.string(),
+  z.number(),
+  z.boolean(),
+  z.array(
+    z.tuple([
+      z.string(),
+      z.number().nonnegative(),
+      z.number().nonnegative(),
+      z.array(z.tuple([z.string(), z.number().nonnegative()])),
+    ]),
+  ),
+])
+
+export interface LoadExchangeParts {
+  /** IP:PORT at which this instance takes reports. */
+  readonly address: string
+  /** IP:PORT of the others. */
+  readonly peers: () => readonly string[]
+  readonly fleetLoad: FleetLoad
+  readonly clock: Clock
+}
+
+export class LoadExchange {
+  private socket: Socket | undefined
+  private timer: Timer | undefined
+
+  constructor(private readonly parts: LoadExchangeParts) {}
+
+  start(): void {
+    const [host, port] = this.parts.address.split(':')
+    const socket = createSocket('udp4')
+    socket.on('message', bytes => this.take(bytes))
+    // Without the socket, choices rest on own requests and on what servers tell.
+    socket.on('error', () => this.stop())
+    socket.bind(Number(port), host, () => this.schedule())
+    this.socket = socket
+  }
+
+  stop(): void {
+    this.timer?.cancel()
+    this.socket?.close()
+    this.socket = undefined
+  }
+
+  private schedule(): void {
+    this.timer = this.parts.clock.after(this.interval, () => {
+      this.send()
+      this.parts.fleetLoad.expire()
+      this.schedule()
+    })
+  }
+
+  /** Reports grow rarer with the number of instances, so that their bytes stay bounded. */
+  private get interval(): Milliseconds {
+    const bytes = this.parts.peers().length * REPORT_BYTES
+    return Math.max(SHORTEST_INTERVAL_MILLISECONDS, (bytes * 1000) / BYTES_PER_SECOND)
+  }
+
+  private send(): void {
+    const report = this.parts.fleetLoad.nextReport()
+    if (report === undefined) return
+    const bytes = encodeReport(report)
+    for (const peer of this.parts.peers()) {
+      const [host, port] = peer.split(':')
+      this.socket?.send(bytes, Number(port), host, () => {})
+    }
+  }
+
+  private take(bytes: Buffer): void {
+    const report = decodeReport(bytes)
+    if (report !== undefined) this.parts.fleetLoad.observe(report)
+  }
+}
+
+export function encodeReport({ instance, sequence, isWhole, loads }: PeerLoadReport): Buffer {
+  const entries = loads.map(({ server, running, pendingTokens, parts }) => {
+    return [server, running, pendingTokens, parts.map(({ id, tokens }) => [id, tokens])]
+  })
+  return Buffer.from(JSON.stringify([instance, sequence, isWhole, entries]))
+}
+
+/** Undefined where the bytes are no report. */
+export function decodeReport(bytes: Buffer): PeerLoadReport | undefined {
+  try {
+    const parsed = wireReport.safeParse(JSON.parse(bytes.toString('utf8')))
+    if (!parsed.success) return undefined
+    const [instance, sequence, isWhole, entries] = parsed.data
+    const loads = entries.map(([server, running, pendingTokens, parts]) => ({
+      server,
+      running,
+      pendingTokens,
+      parts: parts.map(([id, tokens]) => ({ id, tokens })),
+    }))
+    return { instance, sequence, isWhole, loads }
+  } catch {
+    return undefined
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/serverFollower.ts
@@ -0,0 +1,51 @@
+import type { Clock, Milliseconds } from '@rackwalk/shared'
+import type { ChangedRow } from '@rackwalk/platform'
+import type { MirrorListener } from '@rackwalk/coordination'
+import type { ServerDirectory, ServerRecord } from '@rackwalk/router'
+
+/**
+ * Keeps the directory of servers as the platform lists them. Entries lapse while the store is
+ * away; those of servers that live are back soon after it, and the others are gone.
+ */
+
+/** An entry that is missing after an outage may come back for this long. */
+const LAPSE_MILLISECONDS = 1_800
+
+export interface ServerFollowerParts {
+  readonly directory: ServerDirectory
+  readonly clock: Clock
+  /** Undefined where the row describes no server. */
+  readonly parse: (key: string, value: string) => ServerRecord | undefined
+}
+
+export class ServerFollower implements MirrorListener {
+  private isReachable = true
+  private regainedAt: Milliseconds = Number.NEGATIVE_INFINITY
+
+  constructor(private readonly parts: ServerFollowerParts) {}
+
+  onRows(rows: readonly ChangedRow[], isWhole: boolean): void {
+    const { directory, parse } = this.parts
+    for (const { key, value } of rows) {
+      const record = value === undefined ? undefined : parse(key, value)
+      if (record === undefined) directory.lapse(key, this.lapseMilliseconds)
+      else directory.set(record)
+    }
+    if (!isWhole) return
+    const present = new Set(rows.map(row => row.key))
+    const missing = directory.ids.filter(id => !present.has(id))
+    for (const id of missing) directory.lapse(id, this.lapseMilliseconds)
+  }
+
+  onReachable(isReachable: boolean): void {
+    if (isReachable && !this.isReachable) this.regainedAt = this.parts.clock.monotonic()
+    this.isReachable = isReachable
+  }
+
+  /** Not positive where nothing explains a missing entry but that its server is gone. */
+  private get lapseMilliseconds(): Milliseconds {
+    // The rows of the first answer after an outage come before the word that it is over.
+    if (!this.isReachable) return LAPSE_MILLISECONDS
+    return this.regainedAt + LAPSE_MILLISECONDS - this.parts.clock.monotonic()
+  }
+}
--- /dev/null
+++ b/packages/router/__tests__/peerLoads.spec.ts
@@ -0,0 +1,148 @@
+import { describe, expect, it } from 'vitest'
+import { SystemRandom, VirtualClock } from '@rackwalk/shared'
+import {
+  LoadReporter,
+  PeerLoads,
+  PromptCaches,
+  ServerDirectory,
+  rankServers,
+} from '@rackwalk/router'
+import type { PeerLoadReport } from '@rackwalk/router'
+
+const SERVER = {
+  service: 'model',
+  address: '127.0.0.1:1',
+  failureDomain: 'hall-a',
+  slots: 8,
+  isLeaving: false,
+}
+
+const PARTS = [
+  { id: 'system', tokens: 300 },
+  { id: 'subject', tokens: 500 },
+  { id: 'own', tokens: 100 },
+]
+
+function report(sequence: number, running: number, rest: Partial<PeerLoadReport> = {}) {
+  const loads =
+    running > 0 ? [{ server: 's1', running, pendingTokens: running * 100, parts: [] }] : []
+  return { instance: 'peer', sequence, isWhole: false, loads, ...rest }
+}
+
+function directoryOf(...ids: string[]): ServerDirectory {
+  const directory = new ServerDirectory({
+    clock: new VirtualClock(),
+    instances: () => 1,
+    maximumConnections: () => 100,
+    onChange: () => {},
+  })
+  for (const id of ids) directory.set({ ...SERVER, id })
+  return directory
+}
+
+describe('PeerLoads', () => {
+  it('adds up what several instances have in progress', () => {
+    const loads = new PeerLoads(new VirtualClock())
+    loads.observe(report(1, 2))
+    loads.observe({ ...report(1, 3), instance: 'other' })
+    expect(loads.at('s1')).toEqual({ running: 5, pendingTokens: 500 })
+    expect(loads.at('s2')).toEqual({ running: 0, pendingTokens: 0 })
+  })
+
+  it('drops a report that comes late, and takes one of a new life of the instance', () => {
+    const loads = new PeerLoads(new VirtualClock())
+    loads.observe(report(100, 4))
+    loads.observe(report(99, 1))
+    expect(loads.at('s1').running).toBe(4)
+    loads.observe(report(1, 2))
+    expect(loads.at('s1').running).toBe(2)
+  })
+
+  it('makes good a lost report with the next whole one', () => {
+    const loads = new PeerLoads(new VirtualClock())
+    loads.observe(report(1, 4))
+    // The report that this had ended was lost.
+    loads.observe(report(3, 0, { isWhole: true }))
+    expect(loads.at('s1')).toEqual({ running: 0, pendingTokens: 0 })
+  })
+
+  it('forgets an instance that has fallen silent', async () => {
+    const clock = new VirtualClock()
+    const loads = new PeerLoads(clock)
+    loads.observe(report(1, 4))
+    await clock.advance(1_400)
+    loads.expire()
+    expect(loads.at('s1').running).toBe(4)
+    await clock.advance(200)
+    loads.expire()
+    expect(loads.at('s1').running).toBe(0)
+  })
+})
+
+describe('LoadReporter', () => {
+  it('tells what changed, then that it ended, and nothing in between', () => {
+    const directory = directoryOf('s1', 's2')
+    const caches = new PromptCaches()
+    const reporter = new LoadReporter('self', directory, caches)
+    const [server] = directory.available('model')
+    if (server === undefined) throw new Error('no server')
+    caches.noteSent('s1', PARTS, undefined)
+    server.running = 1
+    server.pendingTokens = 700
+    const told = [reporter.next(), reporter.next()]
+    server.running = 0
+    server.pendingTokens = 0
+    expect([...told, reporter.next(), reporter.next()]).toMatchSnapshot()
+  })
+})
+
+describe('PromptCaches', () => {
+  it('counts the first parts that a server holds, up to one that it does not', () => {
+    const caches = new PromptCaches()
+    caches.note('s1', [{ id: 'system', tokens: 300 }], undefined)
+    expect(caches.cachedTokens('s1', PARTS)).toBe(300)
+    caches.note('s1', [{ id: 'own', tokens: 100 }], undefined)
+    expect(caches.cachedTokens('s1', PARTS)).toBe(300)
+    caches.note('s1', [{ id: 'subject', tokens: 500 }], undefined)
+    expect(caches.cachedTokens('s1', PARTS)).toBe(900)
+    expect(caches.cachedTokens('s2', PARTS)).toBe(0)
+  })
+
+  it('drops what was unused for longest when a server is full', () => {
+    const caches = new PromptCaches()
+    const capacity = 1_000
+    caches.note('s1', [{ id: 'a', tokens: 300 }], capacity)
+    caches.note('s1', [{ id: 'b', tokens: 200 }], capacity)
+    caches.note('s1', [{ id: 'a', tokens: 300 }], capacity)
+    caches.note('s1', [{ id: 'c', tokens: 200 }], capacity)
+    const held = ['a', 'b', 'c'].filter(id => caches.cachedTokens('s1', [{ id, tokens: 1 }]) > 0)
+    expect(held).toEqual(['a', 'c'])
+  })
+})
+
+describe('the choice of a server', () => {
+  it('counts what other instances have sent there', () => {
+    const directory = directoryOf('s1', 's2')
+    const peers = new PeerLoads(new VirtualClock())
+    const choose = () =>
+      rankServers({
+        servers: directory.available('model'),
+        tried: new Set(),
+        peerLoad: server => peers.at(server),
+        uncachedTokens: () => 0,
+        promptParts: [],
+        failureDomain: 'hall-a',
+        now: 0,
+        chance: new SystemRandom().next(),
+      })[0]?.server.record.id
+    // Found on played days: each instance saw a seventh of a long prompt queue.
+    peers.observe(report(1, 5))
+    expect(choose()).toBe('s2')
+    peers.observe({ ...report(1, 9), instance: 'other', loads: [load('s2')] })
+    expect(choose()).toBe('s1')
+  })
+})
+
+function load(server: string) {
+  return { server, running: 9, pendingTokens: 9_000, parts: [] }
+}
--- a/packages/router/src/gateway/dispatch.ts
+++ b/packages/router/src/gateway/dispatch.ts
@@ -4,6 +4,7 @@
 import type { CallerReply } from './callerReply.js'
 import type { Dialect, RequestMetadata } from './dialect.js'
 import { EventRelay } from './eventRelay.js'
+import type { FleetLoad } from './fleetLoad.js'
 import type { GatewayRoute, GatewayService } from './gatewayConfiguration.js'
 import type { AttemptRecord, GatewayRecord } from './gatewayRecord.js'
 import type { RetryWindow } from './retryWindow.js'
@@ -16,6 +17,7 @@
 export interface DispatchParts {
   readonly dialect: Dialect
   readonly directory: ServerDirectory
+  readonly fleetLoad: FleetLoad
   readonly clock: Clock
   readonly random: RandomSource
   readonly failureDomain: string
@@ -113,12 +115,14 @@
 
   /** The best server, or undefined with the reason noted. */
   private choose(): ServerState | undefined {
-    const { directory, clock, random, failureDomain } = this.parts
+    const { directory, fleetLoad, clock, random, failureDomain } = this.parts
     const { service, metadata, record } = this.request
     const servers = directory.available(service.name)
     const ranked = rankServers({
       servers,
       tried: this.tried,
+      peerLoad: id => fleetLoad.ofPeers(id),
+      uncachedTokens: id => this.uncachedTokens(id),
       promptParts: metadata.promptParts,
       failureDomain,
       now: clock.monotonic(),
@@ -141,8 +145,8 @@
   }
 
   private async attempt(server: ServerState): Promise<'answered' | 'again' | 'final'> {
-    const { prompt } = this.request.metadata.tokens ?? { prompt: 0 }
-    let pending = prompt
+    let pending = this.uncachedTokens(server.record.id)
+    this.parts.fleetLoad.noteSent(server.record.id, this.request.metadata.promptParts)
     const begun = () => {
       server.pendingTokens -= pending
       pending = 0
@@ -165,6 +169,12 @@
     }
   }
 
+  /** Tokens of the prompt that a server would have to read. */
+  private uncachedTokens(server: string): TokenCount {
+    const { tokens, promptParts } = this.request.metadata
+    return this.parts.fleetLoad.uncachedTokens(server, tokens?.prompt ?? 0, promptParts)
+  }
+
   private open(server: ServerState): UpstreamExchange {
     const { tenant, priority, method, path, rawHeaders, body, deadlineAt } = this.request
     const remaining = Math.max(1, Math.floor(deadlineAt - this.parts.clock.monotonic()))
--- a/packages/router/src/gateway/gatewayConfiguration.ts
+++ b/packages/router/src/gateway/gatewayConfiguration.ts
@@ -32,7 +32,14 @@
   /** Connections that one server takes from all instances together. */
   readonly maximumConnections: number
   /** Present where the servers run a model. */
-  readonly engine: { readonly tokensPerEvent: TokenCount } | undefined
+  readonly engine: GatewayEngine | undefined
+}
+
+/** What the servers of a model are like. */
+export interface GatewayEngine {
+  readonly tokensPerEvent: TokenCount
+  /** Tokens that a server's memory holds; undefined where nothing is said. */
+  readonly capacity: TokenCount | undefined
 }
 
 export interface GatewayTenant {
--- /dev/null
+++ b/packages/router/src/gateway/loadReporter.ts
@@ -0,0 +1,45 @@
+import type { InstanceLoad, PeerLoadReport, ServerReport } from './peerLoads.js'
+import type { PromptCaches } from './promptCaches.js'
+import type { ServerDirectory } from './serverDirectory.js'
+
+/** Reports between two whole ones; a lost report is made good by the next whole one. */
+const REPORTS_A_WHOLE = 12
+
+/** Tells what this instance has in progress: what changed, and now and then everything. */
+export class LoadReporter {
+  private sequence = 0
+  private told = new Map<string, InstanceLoad>()
+
+  constructor(
+    private readonly instance: string,
+    private readonly directory: ServerDirectory,
+    private readonly caches: PromptCaches,
+  ) {}
+
+  /** The next report; undefined where nothing has changed and no whole one is due. */
+  next(): PeerLoadReport | undefined {
+    this.sequence += 1
+    const isWhole = this.sequence % REPORTS_A_WHOLE === 0
+    const current = this.directory.loads()
+    const parts = this.caches.takeUntold()
+    const isNews = (server: string) =>
+      parts.has(server) || !isSame(current.get(server), this.told.get(server))
+    const servers = new Set([...current.keys(), ...this.told.keys(), ...parts.keys()])
+    const loads = [...servers]
+      .filter(server => isWhole || isNews(server))
+      .map((server): ServerReport => ({
+        server,
+        ...(current.get(server) ?? NO_LOAD),
+        parts: parts.get(server) ?? [],
+      }))
+    this.told = new Map(current)
+    if (!isWhole && loads.length === 0) return undefined
+    return { instance: this.instance, sequence: this.sequence, isWhole, loads }
+  }
+}
+
+const NO_LOAD: InstanceLoad = { running: 0, pendingTokens: 0 }
+
+function isSame(load: InstanceLoad | undefined, told: InstanceLoad | undefined): boolean {
+  return load?.running === told?.running && load?.pendingTokens === told?.pendingTokens
+}
--- /dev/null
+++ b/packages/router/src/gateway/peerLoads.ts
@@ -0,0 +1,97 @@
+import type { Clock, Milliseconds, TokenCount } from '@rackwalk/shared'
+import type { PromptPart } from './dialect.js'
+
+/** What other instances have in progress at the servers, as they last told. */
+
+/** Requests in progress at one server from one or several instances. */
+export interface InstanceLoad {
+  readonly running: number
+  /** Prompt tokens of requests that have not had their first event. */
+  readonly pendingTokens: TokenCount
+}
+
+/** One instance's word on what it has in progress. */
+export interface PeerLoadReport {
+  readonly instance: string
+  /** Rises within one life of the instance; a report that comes late is dropped. */
+  readonly sequence: number
+  /** Whether servers that are not named have nothing in progress from there. */
+  readonly isWhole: boolean
+  readonly loads: readonly ServerReport[]
+}
+
+/** One instance's word on one server. */
+export interface ServerReport extends InstanceLoad {
+  readonly server: string
+  /** Shared parts of prompts that were sent there since the last report. */
+  readonly parts: readonly PromptPart[]
+}
+
+interface PeerState {
+  sequence: number
+  heardAt: Milliseconds
+  readonly loads: Map<string, InstanceLoad>
+}
+
+/** An instance that was not heard of for this long counts as having nothing in progress. */
+const SILENT_MILLISECONDS = 1_500
+/** A sequence this far back is a new life of the instance, not a late report. */
+const RESTART_DISTANCE = 50
+
+const NO_LOAD: InstanceLoad = { running: 0, pendingTokens: 0 }
+
+export class PeerLoads {
+  private readonly peers = new Map<string, PeerState>()
+  /** Sums over all peers, kept so that a choice costs one look-up a server. */
+  private readonly sums = new Map<string, InstanceLoad>()
+
+  constructor(private readonly clock: Clock) {}
+
+  observe(report: PeerLoadReport): void {
+    const known = this.peers.get(report.instance)
+    const isLate =
+      known !== undefined &&
+      report.sequence <= known.sequence &&
+      report.sequence > known.sequence - RESTART_DISTANCE
+    if (isLate) return
+    const peer = known ?? { sequence: 0, heardAt: 0, loads: new Map<string, InstanceLoad>() }
+    peer.sequence = report.sequence
+    peer.heardAt = this.clock.monotonic()
+    this.peers.set(report.instance, peer)
+    if (report.isWhole) this.clear(peer)
+    for (const { server, running, pendingTokens } of report.loads) {
+      this.replace(peer, server, { running, pendingTokens })
+    }
+  }
+
+  /** What all peers that were heard of lately have in progress at a server. */
+  at(server: string): InstanceLoad {
+    return this.sums.get(server) ?? NO_LOAD
+  }
+
+  /** Forgets instances that have fallen silent; call it now and then. */
+  expire(): void {
+    const oldest = this.clock.monotonic() - SILENT_MILLISECONDS
+    for (const [instance, peer] of this.peers) {
+      if (peer.heardAt >= oldest) continue
+      this.clear(peer)
+      this.peers.delete(instance)
+    }
+  }
+
+  private clear(peer: PeerState): void {
+    for (const server of [...peer.loads.keys()]) this.replace(peer, server, NO_LOAD)
+  }
+
+  private replace(peer: PeerState, server: string, load: InstanceLoad): void {
+    const before = peer.loads.get(server) ?? NO_LOAD
+    const isNothing = load.running === 0 && load.pendingTokens === 0
+    if (isNothing) peer.loads.delete(server)
+    else peer.loads.set(server, load)
+    const sum = this.at(server)
+    const running = sum.running + load.running - before.running
+    const pendingTokens = sum.pendingTokens + load.pendingTokens - before.pendingTokens
+    if (running === 0 && pendingTokens === 0) this.sums.delete(server)
+    else this.sums.set(server, { running, pendingTokens })
+  }
+}
--- a/packages/router/src/gateway/serverChoice.ts
+++ b/packages/router/src/gateway/serverChoice.ts
@@ -1,6 +1,7 @@
 import { rendezvousChoice } from '@rackwalk/coordination'
 import type { Milliseconds, TokenCount } from '@rackwalk/shared'
 import type { PromptPart } from './dialect.js'
+import type { InstanceLoad } from './peerLoads.js'
 import type { ServerState } from './serverDirectory.js'
 
 /** Decides which server gets a request: a pure function of what is known. */
@@ -9,6 +10,10 @@
   readonly servers: readonly ServerState[]
   /** Servers that this request has been sent to. */
   readonly tried: ReadonlySet<string>
+  /** What other instances have in progress at a server. */
+  readonly peerLoad: (server: string) => InstanceLoad
+  /** Tokens that a server would have to read of this prompt. */
+  readonly uncachedTokens: (server: string) => TokenCount
   readonly promptParts: readonly PromptPart[]
   readonly failureDomain: string
   readonly now: Milliseconds
@@ -24,8 +29,10 @@
 
 /** What one running request costs the next, in prompt tokens. */
 const RUNNING_COST: TokenCount = 60
-/** A part that is probably cached there saves at most this much of waiting. */
-const AFFINITY_BONUS: TokenCount = 500
+/** A token read here delays this request and all that run beside it. */
+const READING_WEIGHT = 1.5
+/** Instances that hear nothing of each other still agree where a shared part should lie. */
+const AFFINITY_BONUS: TokenCount = 200
 /** Bytes between failure domains have a price. */
 const NEAR_BONUS: TokenCount = 60
 /** Cost of a server of which all late requests failed. */
@@ -56,8 +63,11 @@
   const isFresh = inputs.now - server.loadAt < REPORT_MILLISECONDS
   const reported = isFresh ? (server.load?.running ?? 0) : 0
   const waiting = isFresh ? (server.load?.waiting ?? 0) : 0
-  const running = Math.max(server.running, reported)
-  const cost = server.pendingTokens + RUNNING_COST * running + WAITING_COST * waiting
+  const peers = inputs.peerLoad(server.record.id)
+  const running = Math.max(server.running + peers.running, reported)
+  const pending = server.pendingTokens + peers.pendingTokens
+  const reading = READING_WEIGHT * inputs.uncachedTokens(server.record.id)
+  const cost = pending + reading + RUNNING_COST * running + WAITING_COST * waiting
   const affinity = server.record.id === favourite ? AFFINITY_BONUS : 0
   const near = server.record.failureDomain === inputs.failureDomain ? NEAR_BONUS : 0
   return cost + FAILURE_COST * server.failures ** 2 - affinity - near
--- a/packages/router/src/gateway/serverDirectory.ts
+++ b/packages/router/src/gateway/serverDirectory.ts
@@ -1,5 +1,6 @@
-import type { Clock, Milliseconds, TokenCount } from '@rackwalk/shared'
+import type { Clock, Milliseconds, Timer, TokenCount } from '@rackwalk/shared'
 import type { ServerLoad } from './dialect.js'
+import type { InstanceLoad } from './peerLoads.js'
 import { ServerAgent } from './serverAgent.js'
 
 /** The servers of all services, with what this instance knows of each. */
@@ -85,11 +86,14 @@
 
 export class ServerDirectory {
   private readonly servers = new Map<string, ServerState>()
+  /** Servers whose entries are missing and may come back. */
+  private readonly lapsed = new Map<string, Timer>()
 
   constructor(private readonly parts: ServerDirectoryParts) {}
 
   /** A server was listed, or its record changed. */
   set(record: ServerRecord): void {
+    this.endLapse(record.id)
     const known = this.servers.get(record.id)
     if (known === undefined) {
       this.parts.onChange(record, record.isLeaving ? 'listed as leaving' : 'listed')
@@ -102,6 +106,7 @@
 
   /** A server is no longer listed; what runs there may end. */
   remove(id: string): void {
+    this.endLapse(id)
     const known = this.servers.get(id)
     if (known === undefined) return
     this.servers.delete(id)
@@ -109,9 +114,21 @@
     if (known.running === 0) known.close()
   }
 
-  /** Removes all that are not among the given ids. */
-  retain(ids: ReadonlySet<string>): void {
-    for (const id of this.servers.keys()) if (!ids.has(id)) this.remove(id)
+  /** The entry of a server is missing; unless it is listed again in time, the server is gone. */
+  lapse(id: string, milliseconds: Milliseconds): void {
+    const known = this.servers.get(id)
+    if (known === undefined || this.lapsed.has(id)) return
+    if (milliseconds <= 0) return this.remove(id)
+    this.parts.onChange(known.record, 'lapsed')
+    this.lapsed.set(
+      id,
+      this.parts.clock.after(milliseconds, () => this.remove(id)),
+    )
+  }
+
+  /** Ids of all servers known here. */
+  get ids(): readonly string[] {
+    return [...this.servers.keys()]
   }
 
   /** Servers of a service to which new requests may go. */
@@ -125,6 +142,25 @@
     return this.servers.size
   }
 
+  /** The service of a listed server. */
+  serviceOf(id: string): string | undefined {
+    return this.servers.get(id)?.record.service
+  }
+
+  /** What is in progress from here, by server; servers with nothing are left out. */
+  loads(): ReadonlyMap<string, InstanceLoad> {
+    const loads = new Map<string, InstanceLoad>()
+    for (const [id, { running, pendingTokens }] of this.servers) {
+      if (running > 0) loads.set(id, { running, pendingTokens })
+    }
+    return loads
+  }
+
+  private endLapse(id: string): void {
+    this.lapsed.get(id)?.cancel()
+    this.lapsed.delete(id)
+  }
+
   private createState(record: ServerRecord): ServerState {
     const limit = () => {
       const all = this.parts.maximumConnections(record.service) * CONNECTION_SHARE
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -88,6 +88,7 @@
 export { RouteTable, chooseService } from './gateway/gatewayConfiguration.js'
 export type {
   GatewayConfiguration,
+  GatewayEngine,
   GatewayLimits,
   GatewayRoute,
   GatewayService,
@@ -106,6 +107,12 @@
 export { withoutConnectionHeaders } from './gateway/connectionHeaders.js'
 export { spentTokens } from './gateway/dispatch.js'
 export type { DispatchResult } from './gateway/dispatch.js'
+export { FleetLoad } from './gateway/fleetLoad.js'
+export type { FleetLoadParts } from './gateway/fleetLoad.js'
+export { LoadReporter } from './gateway/loadReporter.js'
+export { PeerLoads } from './gateway/peerLoads.js'
+export { PromptCaches } from './gateway/promptCaches.js'
+export type { InstanceLoad, PeerLoadReport, ServerReport } from './gateway/peerLoads.js'
 export { EventRelay } from './gateway/eventRelay.js'
 export { RetryWindow } from './gateway/retryWindow.js'
 export type { RetryBounds } from './gateway/retryWindow.js'
