fix(gateway): a request of whose answer nothing was handed out costs nothing; quicker address answers

Change: cost follows what was handed out; prompt and events once any part of the answer was passed on. Also: an instance silent for a second is left out of the addresses (before: 3.5 s, from its row), the list of servers is read four times a second instead of at each heartbeat of each server, heartbeats slow down with the size of the fleet (a partition takes 150 writes a second), and the followed tables are a module of their own.

--- a/packages/coordination/src/membership/memberDirectory.ts
+++ b/packages/coordination/src/membership/memberDirectory.ts
@@ -31,9 +31,12 @@
   readonly storeClock: StoreClock
   readonly clock: Clock
   readonly random: RandomSource
+  /** Time between two heartbeats of a small fleet. */
   readonly heartbeatMilliseconds: Milliseconds
-  /** An instance whose row did not change for this long does not serve. */
+  /** An instance whose row did not change for this long does not serve, in a small fleet. */
   readonly silenceMilliseconds: Milliseconds
+  /** Writes a second that the partition of all rows takes. */
+  readonly partitionWritesPerSecond: number
   readonly onEvent: (event: string, fields: Readonly<Record<string, unknown>>) => void
 }
 
@@ -46,6 +49,8 @@
 
 /** A longer gap between two reads says nothing about the others. */
 const LONGEST_COUNTED_GAP_MILLISECONDS = 1_500
+/** Part of what the partition takes that heartbeats may use; with more instances they slow down. */
+const HEARTBEAT_SHARE = 0.4
 /** Rows of instances that have not been renewed for this many silences are removed. */
 const REMOVE_AFTER_SILENCES = 20
 
@@ -107,6 +112,13 @@
       .map(member => member.row)
   }
 
+  /** How many times slower than in a small fleet heartbeats are, so that the store bears them. */
+  private get slowness(): number {
+    const { heartbeatMilliseconds, partitionWritesPerSecond } = this.parts
+    const perSecond = (this.members.size * 1000) / heartbeatMilliseconds
+    return Math.max(1, perSecond / (HEARTBEAT_SHARE * partitionWritesPerSecond))
+  }
+
   private observeRow(row: ChangedRow): void {
     const known = this.members.get(row.key)
     if (known !== undefined && known.version > row.version) return
@@ -124,14 +136,14 @@
 
   private isServing(member: KnownMember): boolean {
     if (member.row.state !== 'serving') return false
-    return this.contactTime - member.changedAt < this.parts.silenceMilliseconds
+    return this.contactTime - member.changedAt < this.parts.silenceMilliseconds * this.slowness
   }
 
   private async renew(): Promise<void> {
     await this.write()
     await this.removeAbandoned()
     const { heartbeatMilliseconds, random, clock } = this.parts
-    const delay = heartbeatMilliseconds * (0.9 + 0.2 * random.next())
+    const delay = heartbeatMilliseconds * this.slowness * (0.9 + 0.2 * random.next())
     this.timer = clock.after(delay, () => void this.renew())
   }
 
@@ -149,7 +161,7 @@
 
   /** One instance in turn removes rows that nobody renews, so that they do not pile up. */
   private async removeAbandoned(): Promise<void> {
-    const limit = this.parts.silenceMilliseconds * REMOVE_AFTER_SILENCES
+    const limit = this.parts.silenceMilliseconds * this.slowness * REMOVE_AFTER_SILENCES
     const abandoned = [...this.members].find(
       ([, member]) => this.contactTime - member.changedAt > limit,
     )
--- a/packages/daemon/__tests__/loadExchange.spec.ts
+++ b/packages/daemon/__tests__/loadExchange.spec.ts
@@ -4,6 +4,7 @@
 
 const reports = fc.record({
   instance: fc.string(),
+  incarnation: fc.string(),
   sequence: fc.nat(),
   isWhole: fc.boolean(),
   loads: fc.array(
@@ -33,6 +34,6 @@
       }),
       { seed: 1 },
     )
-    expect(decodeReport(Buffer.from('["a",1,true,[["s",-1,0,[]]]]'))).toBeUndefined()
+    expect(decodeReport(Buffer.from('["a","b",1,true,[["s",-1,0,[]]]]'))).toBeUndefined()
   })
 })
--- /dev/null
+++ b/packages/daemon/src/gateway/followedTables.ts
@@ -0,0 +1,112 @@
+import type { Clock, Milliseconds } from '@rackwalk/shared'
+import type { ChangedRow, RowStore } from '@rackwalk/platform'
+import { MEMBER_PARTITION, MEMBER_TABLE, PREPAID_TABLE, TableMirror } from '@rackwalk/coordination'
+import type { MemberDirectory, MirrorListener, PrepaidLedger } from '@rackwalk/coordination'
+import type { ServerDirectory } from '@rackwalk/router'
+import type { PeerRows } from './peerRows.js'
+import type { PlatformAdapter } from './platformAdapter.js'
+import { ServerFollower } from './serverFollower.js'
+
+/** The tables of the store that an instance follows. */
+
+/** Feeds of tables that rarely change wait at the store. */
+const FEED_WAIT_MILLISECONDS = 2_000
+const CONFIGURATION_PAUSE_MILLISECONDS = 20
+/** Each server renews its row about once a second; a list this old is new enough. */
+const SERVER_PAUSE_MILLISECONDS = 250
+const MEMBER_PAUSE_MILLISECONDS = 700
+const PREPAID_PAUSE_MILLISECONDS = 400
+
+export interface FollowedTablesParts {
+  readonly store: RowStore
+  readonly clock: Clock
+  readonly adapter: PlatformAdapter
+  readonly servers: ServerDirectory
+  readonly members: MemberDirectory
+  readonly ledger: PrepaidLedger
+  readonly peerRows: PeerRows
+  readonly onConfiguration: (rows: readonly ChangedRow[]) => void
+  readonly onContact: (isReachable: boolean) => void
+  readonly onFault: (error: unknown) => void
+}
+
+interface FollowedTable {
+  readonly table: string
+  readonly partitions: () => readonly string[]
+  /** Least time between two calls. */
+  readonly pauseMilliseconds: Milliseconds
+  /** Whether somebody else writes it; peers may then tell of it while the store is away. */
+  readonly isOthers: boolean
+  readonly listener: MirrorListener
+}
+
+/** A mirror for each table, by its name; none is started. */
+export function followTables(parts: FollowedTablesParts): ReadonlyMap<string, TableMirror> {
+  const { members, ledger } = parts
+  const tables: readonly FollowedTable[] = [
+    ...othersTables(parts),
+    {
+      table: MEMBER_TABLE,
+      partitions: () => [MEMBER_PARTITION],
+      pauseMilliseconds: MEMBER_PAUSE_MILLISECONDS,
+      isOthers: false,
+      listener: {
+        onRows: (rows, isWhole) => members.observe(rows, isWhole),
+        onRead: () => members.noteRead(),
+      },
+    },
+    {
+      table: PREPAID_TABLE,
+      partitions: () => ledger.budgets,
+      pauseMilliseconds: PREPAID_PAUSE_MILLISECONDS,
+      isOthers: false,
+      listener: { onRows: (rows, isWhole) => ledger.observe(rows, isWhole) },
+    },
+  ]
+  return new Map(tables.map(followed => [followed.table, follow(parts, followed)]))
+}
+
+/** What the operator and the servers write. */
+function othersTables(parts: FollowedTablesParts): readonly FollowedTable[] {
+  const { configuration, servers } = parts.adapter
+  return [
+    {
+      table: configuration.table,
+      partitions: () => [configuration.partition],
+      pauseMilliseconds: CONFIGURATION_PAUSE_MILLISECONDS,
+      isOthers: true,
+      listener: { onRows: parts.onConfiguration, onReachable: parts.onContact },
+    },
+    {
+      table: servers.table,
+      partitions: () => [servers.partition],
+      pauseMilliseconds: SERVER_PAUSE_MILLISECONDS,
+      isOthers: true,
+      listener: new ServerFollower({
+        directory: parts.servers,
+        clock: parts.clock,
+        parse: servers.parse,
+      }),
+    },
+  ]
+}
+
+function follow(parts: FollowedTablesParts, followed: FollowedTable): TableMirror {
+  const { table, partitions, pauseMilliseconds, isOthers, listener } = followed
+  return new TableMirror({
+    store: parts.store,
+    table,
+    partitions,
+    clock: parts.clock,
+    listener: {
+      onRows: (rows, isWhole) => listener.onRows(rows, isWhole),
+      onRead: () => listener.onRead?.(),
+      onReachable: isReachable => listener.onReachable?.(isReachable),
+      onFault: parts.onFault,
+    },
+    // Holdings and heartbeats mean something only as the store has them.
+    askPeers: isOthers ? (name, after) => parts.peerRows.ask(name, after) : undefined,
+    waitMilliseconds: isOthers ? FEED_WAIT_MILLISECONDS : 0,
+    pauseMilliseconds,
+  })
+}
--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -5,15 +5,11 @@
 import {
   DemandHoldingPolicy,
   EqualHoldingPolicy,
-  MEMBER_PARTITION,
-  MEMBER_TABLE,
   MemberDirectory,
-  PREPAID_TABLE,
   PrepaidLedger,
   StoreClock,
-  TableMirror,
 } from '@rackwalk/coordination'
-import type { MirrorListener } from '@rackwalk/coordination'
+import type { MemberRow, TableMirror } from '@rackwalk/coordination'
 import { FleetLoad, Gateway, RouteTable, ServerDirectory } from '@rackwalk/router'
 import type { GatewayConfiguration, GatewayRecord } from '@rackwalk/router'
 import { BoundedLogger } from '../observe/boundedLogger.js'
@@ -30,7 +26,8 @@
 import { LoadExchange } from './loadExchange.js'
 import { PeerLoans, answerLoan } from './peerLoans.js'
 import { PeerRows, answerRows } from './peerRows.js'
-import { ServerFollower } from './serverFollower.js'
+import { requestLine } from './requestLine.js'
+import { followTables } from './followedTables.js'
 import { stopAsPlanned } from './plannedStop.js'
 import type { PlainAnswer, PlatformAdapter } from './platformAdapter.js'
 import type { SettingsOutcome } from './settingsWatcher.js'
@@ -43,11 +40,6 @@
   readonly store?: RowStore
 }
 
-/** Feeds that rarely change wait at the store; busy ones are asked at intervals. */
-const FEED_WAIT_MILLISECONDS = 2_000
-const QUIET_PAUSE_MILLISECONDS = 20
-const MEMBER_PAUSE_MILLISECONDS = 700
-const PREPAID_PAUSE_MILLISECONDS = 400
 /** Wait for a peer's answer. */
 const PEER_MILLISECONDS = 400
 /** The same where a request waits for it; the peer itself may ask the store first. */
@@ -96,6 +88,7 @@
     this.servers = this.createServers()
     this.fleetLoad = new FleetLoad({
       instance: settings.instance.id,
+      incarnation,
       directory: this.servers,
       clock: this.clock,
       capacityOf: name => this.routes?.service(name)?.engine?.capacity,
@@ -187,7 +180,7 @@
   }
 
   private createMembers(incarnation: string): MemberDirectory {
-    const { instance, listen, membership } = this.settings
+    const { instance, listen, membership, store } = this.settings
     return new MemberDirectory({
       self: {
         instance: instance.id,
@@ -204,6 +197,7 @@
       random: this.random,
       heartbeatMilliseconds: membership.heartbeatMilliseconds,
       silenceMilliseconds: membership.silenceMilliseconds,
+      partitionWritesPerSecond: store.partitionWritesPerSecond,
       onEvent: (event, fields) => this.note(event, fields),
     })
   }
@@ -296,61 +290,17 @@
   }
 
   private createMirrors(): ReadonlyMap<string, TableMirror> {
-    const { configuration, servers } = this.adapter
-    const configurationMirror = this.mirror(configuration.table, () => [configuration.partition], {
-      onRows: rows => this.noteConfiguration(rows),
-      onReachable: isReachable => this.note('store_contact', { isReachable }),
-    })
-    const serverFollower = new ServerFollower({
-      directory: this.servers,
-      clock: this.clock,
-      parse: servers.parse,
-    })
-    const serverMirror = this.mirror(servers.table, () => [servers.partition], serverFollower)
-    const memberMirror = this.mirror(
-      MEMBER_TABLE,
-      () => [MEMBER_PARTITION],
-      {
-        onRows: (rows, isWhole) => this.members.observe(rows, isWhole),
-        onRead: () => this.members.noteRead(),
-      },
-      MEMBER_PAUSE_MILLISECONDS,
-    )
-    const prepaidMirror = this.mirror(
-      PREPAID_TABLE,
-      () => this.ledger.budgets,
-      { onRows: (rows, isWhole) => this.ledger.observe(rows, isWhole) },
-      PREPAID_PAUSE_MILLISECONDS,
-    )
-    return new Map([
-      [configuration.table, configurationMirror],
-      [servers.table, serverMirror],
-      [MEMBER_TABLE, memberMirror],
-      [PREPAID_TABLE, prepaidMirror],
-    ])
-  }
-
-  private mirror(
-    table: string,
-    partitions: () => readonly string[],
-    listener: MirrorListener,
-    pause?: Milliseconds,
-  ): TableMirror {
-    return new TableMirror({
+    return followTables({
       store: this.store,
-      table,
-      partitions,
       clock: this.clock,
-      listener: {
-        onRows: (rows, isWhole) => listener.onRows(rows, isWhole),
-        onRead: () => listener.onRead?.(),
-        onReachable: isReachable => listener.onReachable?.(isReachable),
-        onFault: error => this.noteFault(error),
-      },
-      // Holdings and heartbeats mean something only as the store has them.
-      askPeers: pause === undefined ? (name, after) => this.peerRows.ask(name, after) : undefined,
-      waitMilliseconds: pause === undefined ? FEED_WAIT_MILLISECONDS : 0,
-      pauseMilliseconds: pause ?? QUIET_PAUSE_MILLISECONDS,
+      adapter: this.adapter,
+      servers: this.servers,
+      members: this.members,
+      ledger: this.ledger,
+      peerRows: this.peerRows,
+      onConfiguration: rows => this.noteConfiguration(rows),
+      onContact: isReachable => this.note('store_contact', { isReachable }),
+      onFault: error => this.noteFault(error),
     })
   }
 
@@ -390,11 +340,23 @@
   private answerDirectory(url: string): PlainAnswer {
     if (this.adapter.readDirectoryQuestion(url) === undefined) return { status: 404 }
     const own = this.isReady ? [this.settings.listen.callers] : []
-    const addresses = [...own, ...this.members.others.map(member => member.callerAddress)]
+    const addresses = [...own, ...this.reachableOthers().map(member => member.callerAddress)]
     if (addresses.length === 0) return { status: 503 }
     return this.adapter.directoryAnswer(addresses, this.settings.membership.addressSeconds)
   }
 
+  /**
+   * Other instances to which callers may go. One that has fallen silent is left out long before
+   * its row shows it, unless this instance hears nobody and may be the one that is cut off.
+   */
+  private reachableOthers(): readonly MemberRow[] {
+    const others = this.members.others
+    const heard = others.filter(
+      ({ instance, loadAddress }) => loadAddress === '' || this.fleetLoad.hears(instance),
+    )
+    return heard.length > 0 ? heard : others
+  }
+
   private async answerMetrics(): Promise<PlainAnswer> {
     return { status: 200, body: await this.metrics.registry.metrics() }
   }
@@ -441,15 +403,8 @@
 
   private noteRecord(record: GatewayRecord): void {
     this.metrics.noteRecord(record)
-    const rounded = {
-      ...record,
-      requestId: undefined,
-      receivedAt: undefined,
-      firstByteMilliseconds: round(record.firstByteMilliseconds),
-      totalMilliseconds: round(record.totalMilliseconds),
-    }
     const isServed = record.code === ResultCode.Ok
-    this.logger[isServed ? 'info' : 'warn']('request', { request: record.requestId, ...rounded })
+    this.logger[isServed ? 'info' : 'warn']('request', requestLine(record))
   }
 
   private note(event: string, fields: Readonly<Record<string, unknown>>): void {
@@ -457,7 +412,3 @@
     this.logger.info(event, fields)
   }
 }
-
-function round(value: number | undefined): number | undefined {
-  return value === undefined ? undefined : Math.round(value)
-}
--- a/packages/daemon/src/gateway/loadExchange.ts
+++ b/packages/daemon/src/gateway/loadExchange.ts
@@ -15,9 +15,14 @@
 const BYTES_PER_SECOND = 12_000
 /** A report with the head of its datagram, as measured on a calm day. */
 const REPORT_BYTES = 110
+/** An instance with nothing new gives a sign of life this often, */
+const SIGN_MILLISECONDS = 250
+/** and counts as silent when this many of them are missing. */
+const MISSING_SIGNS = 4
 
-/** `[instance, sequence, isWhole, [[server, running, pendingTokens, [[id, tokens], ...]], ...]]` */
+/** `[instance, incarnation, sequence, isWhole, [[server, running, pendingTokens, [[id, tokens], ...]], ...]]` */
 const wireReport = z.tuple([
+  z.string(),
   z.string(),
   z.number(),
   z.boolean(),
@@ -43,6 +48,7 @@
 export class LoadExchange {
   private socket: Socket | undefined
   private timer: Timer | undefined
+  private sentAt: Milliseconds = Number.NEGATIVE_INFINITY
 
   constructor(private readonly parts: LoadExchangeParts) {}
 
@@ -65,7 +71,7 @@
   private schedule(): void {
     this.timer = this.parts.clock.after(this.interval, () => {
       this.send()
-      this.parts.fleetLoad.expire()
+      this.parts.fleetLoad.expire(MISSING_SIGNS * this.signInterval)
       this.schedule()
     })
   }
@@ -76,9 +82,15 @@
     return Math.max(SHORTEST_INTERVAL_MILLISECONDS, (bytes * 1000) / BYTES_PER_SECOND)
   }
 
+  private get signInterval(): Milliseconds {
+    return Math.max(SIGN_MILLISECONDS, this.interval)
+  }
+
   private send(): void {
-    const report = this.parts.fleetLoad.nextReport()
+    const now = this.parts.clock.monotonic()
+    const report = this.parts.fleetLoad.nextReport(now - this.sentAt >= this.signInterval)
     if (report === undefined) return
+    this.sentAt = now
     const bytes = encodeReport(report)
     for (const peer of this.parts.peers()) {
       const [host, port] = peer.split(':')
@@ -92,11 +104,12 @@
   }
 }
 
-export function encodeReport({ instance, sequence, isWhole, loads }: PeerLoadReport): Buffer {
-  const entries = loads.map(({ server, running, pendingTokens, parts }) => {
+export function encodeReport(report: PeerLoadReport): Buffer {
+  const { instance, incarnation, sequence, isWhole } = report
+  const entries = report.loads.map(({ server, running, pendingTokens, parts }) => {
     return [server, running, pendingTokens, parts.map(({ id, tokens }) => [id, tokens])]
   })
-  return Buffer.from(JSON.stringify([instance, sequence, isWhole, entries]))
+  return Buffer.from(JSON.stringify([instance, incarnation, sequence, isWhole, entries]))
 }
 
 /** Undefined where the bytes are no report. */
@@ -104,14 +117,14 @@
   try {
     const parsed = wireReport.safeParse(JSON.parse(bytes.toString('utf8')))
     if (!parsed.success) return undefined
-    const [instance, sequence, isWhole, entries] = parsed.data
+    const [instance, incarnation, sequence, isWhole, entries] = parsed.data
     const loads = entries.map(([server, running, pendingTokens, parts]) => ({
       server,
       running,
       pendingTokens,
       parts: parts.map(([id, tokens]) => ({ id, tokens })),
     }))
-    return { instance, sequence, isWhole, loads }
+    return { instance, incarnation, sequence, isWhole, loads }
   } catch {
     return undefined
   }
--- a/packages/router/__tests__/peerLoads.spec.ts
+++ b/packages/router/__tests__/peerLoads.spec.ts
@@ -26,7 +26,7 @@
 function report(sequence: number, running: number, rest: Partial<PeerLoadReport> = {}) {
   const loads =
     running > 0 ? [{ server: 's1', running, pendingTokens: running * 100, parts: [] }] : []
-  return { instance: 'peer', sequence, isWhole: false, loads, ...rest }
+  return { instance: 'peer', incarnation: 'first', sequence, isWhole: false, loads, ...rest }
 }
 
 function directoryOf(...ids: string[]): ServerDirectory {
@@ -54,7 +54,7 @@
     loads.observe(report(100, 4))
     loads.observe(report(99, 1))
     expect(loads.at('s1').running).toBe(4)
-    loads.observe(report(1, 2))
+    loads.observe(report(1, 2, { incarnation: 'second' }))
     expect(loads.at('s1').running).toBe(2)
   })
 
@@ -70,11 +70,13 @@
     const clock = new VirtualClock()
     const loads = new PeerLoads(clock)
     loads.observe(report(1, 4))
-    await clock.advance(1_400)
-    loads.expire()
+    await clock.advance(900)
+    loads.expire(1_000)
+    expect(loads.hears('peer')).toBe(true)
     expect(loads.at('s1').running).toBe(4)
     await clock.advance(200)
-    loads.expire()
+    loads.expire(1_000)
+    expect(loads.hears('peer')).toBe(false)
     expect(loads.at('s1').running).toBe(0)
   })
 })
@@ -83,16 +85,21 @@
   it('tells what changed, then that it ended, and nothing in between', () => {
     const directory = directoryOf('s1', 's2')
     const caches = new PromptCaches()
-    const reporter = new LoadReporter('self', directory, caches)
+    const reporter = new LoadReporter({ instance: 'self', incarnation: 'first' }, directory, caches)
     const [server] = directory.available('model')
     if (server === undefined) throw new Error('no server')
     caches.noteSent('s1', PARTS, undefined)
     server.running = 1
     server.pendingTokens = 700
-    const told = [reporter.next(), reporter.next()]
+    const told = [reporter.next(false), reporter.next(false)]
     server.running = 0
     server.pendingTokens = 0
-    expect([...told, reporter.next(), reporter.next()]).toMatchSnapshot()
+    expect([
+      ...told,
+      reporter.next(false),
+      reporter.next(false),
+      reporter.next(true),
+    ]).toMatchSnapshot()
   })
 })
 
--- a/packages/router/src/gateway/dispatch.ts
+++ b/packages/router/src/gateway/dispatch.ts
@@ -46,6 +46,8 @@
 export interface DispatchResult {
   /** Whether a server ran the request, or may have. */
   readonly mayHaveRun: boolean
+  /** Whether the caller was given any part of a server's answer. */
+  readonly isHandedOut: boolean
   readonly events: number
   /** Whether the last answer came to its own end. */
   readonly isWhole: boolean
@@ -70,6 +72,7 @@
   private sent = 0
   private connectFailures = 0
   private mayHaveRun = false
+  private isHandedOut = false
   private isLate = false
   private failure: RackwalkError | undefined
 
@@ -85,7 +88,8 @@
     const timer = this.parts.clock.after(untilDeadline, () => this.passDeadline())
     try {
       const isWhole = await this.attemptAll()
-      return { mayHaveRun: this.mayHaveRun, events: this.events.events, isWhole }
+      const { mayHaveRun, isHandedOut } = this
+      return { mayHaveRun, isHandedOut, events: this.events.events, isWhole }
     } finally {
       timer.cancel()
     }
@@ -254,12 +258,12 @@
     response: IncomingMessage,
     begun: () => void,
   ): Promise<BodyOutcome> {
-    const { reply, record } = this.request
+    const { reply } = this.request
     this.events.continueElsewhere()
     return new Promise(resolve => {
       const finish = (isWhole: boolean) => {
         if (!isWhole || this.events.isInsideEvent) return resolve('broken')
-        if (!reply.isStarted) reply.start(response, exchange.isFramed)
+        if (!reply.isStarted) this.startReply(exchange, response)
         reply.end()
         resolve('whole')
       }
@@ -268,10 +272,7 @@
           const events = this.events.read(chunk)
           if (events.length === 0 || this.isOver) return
           begun()
-          if (!reply.isStarted) {
-            reply.start(response, exchange.isFramed)
-            record.firstByteMilliseconds = this.parts.clock.monotonic() - record.receivedAt
-          }
+          if (!reply.isStarted) this.startReply(exchange, response)
           const bytes = events.length === 1 ? (events[0] ?? chunk) : Buffer.concat(events)
           if (!reply.write(bytes, () => exchange.resume())) exchange.pause()
         },
@@ -282,15 +283,12 @@
 
   /** Keeps an answer until it is whole; a large one is passed on as it comes. */
   private relayWhole(exchange: UpstreamExchange, response: IncomingMessage): Promise<BodyOutcome> {
-    const { reply, record } = this.request
+    const { reply } = this.request
     return new Promise(resolve => {
       const held: Buffer[] = []
       let size = 0
       const flush = () => {
-        if (!reply.isStarted) {
-          reply.start(response, exchange.isFramed)
-          record.firstByteMilliseconds = this.parts.clock.monotonic() - record.receivedAt
-        }
+        if (!reply.isStarted) this.startReply(exchange, response)
         const bytes = Buffer.concat(held)
         held.length = 0
         size = 0
@@ -312,6 +310,13 @@
     })
   }
 
+  private startReply(exchange: UpstreamExchange, response: IncomingMessage): void {
+    const { reply, record } = this.request
+    this.isHandedOut = true
+    reply.start(response, exchange.isFramed)
+    record.firstByteMilliseconds = this.parts.clock.monotonic() - record.receivedAt
+  }
+
   /** Whether the route allows what may have run to run once more. */
   private get canRepeat(): boolean {
     const { route, reply } = this.request
@@ -370,19 +375,19 @@
   }
 }
 
-/** Events of an answer that broke off, or never began, and may have been handed out unseen. */
+/** Events of an answer that broke off and may have been handed out unseen. */
 const UNSEEN_EVENTS = 2
 
 /**
- * Tokens that a request has cost its tenant; at most what was reserved. The prompt counts as
- * soon as a server may have read it, the output only as far as it was handed out.
+ * Tokens that a request has cost its tenant; at most what was reserved. One of whose answer the
+ * caller was given nothing costs nothing, whether or not a server worked on it: nobody got it.
  */
 export function spentTokens(
   result: DispatchResult,
   tokens: { readonly prompt: TokenCount; readonly maximumOutput: TokenCount },
   tokensPerEvent: TokenCount,
 ): TokenCount {
-  if (!result.mayHaveRun) return 0
+  if (!result.isHandedOut) return 0
   const events = result.events + (result.isWhole ? 0 : UNSEEN_EVENTS)
   return tokens.prompt + Math.min(tokens.maximumOutput, events * tokensPerEvent)
 }
--- a/packages/router/src/gateway/fleetLoad.ts
+++ b/packages/router/src/gateway/fleetLoad.ts
@@ -1,4 +1,4 @@
-import type { Clock, TokenCount } from '@rackwalk/shared'
+import type { Clock, Milliseconds, TokenCount } from '@rackwalk/shared'
 import type { PromptPart } from './dialect.js'
 import { LoadReporter } from './loadReporter.js'
 import { PeerLoads } from './peerLoads.js'
@@ -10,6 +10,7 @@
 
 export interface FleetLoadParts {
   readonly instance: string
+  readonly incarnation: string
   readonly directory: ServerDirectory
   readonly clock: Clock
   /** Tokens that a server of a service holds; undefined where nothing is said. */
@@ -23,7 +24,11 @@
 
   constructor(private readonly parts: FleetLoadParts) {
     this.peers = new PeerLoads(parts.clock)
-    this.reporter = new LoadReporter(parts.instance, parts.directory, this.caches)
+    this.reporter = new LoadReporter(
+      { instance: parts.instance, incarnation: parts.incarnation },
+      parts.directory,
+      this.caches,
+    )
   }
 
   /** What other instances have in progress at a server. */
@@ -49,14 +54,19 @@
     }
   }
 
-  /** What to tell the others; undefined where there is nothing new. */
-  nextReport(): PeerLoadReport | undefined {
-    return this.reporter.next()
+  /** What to tell the others; undefined where there is nothing new and no sign of life due. */
+  nextReport(isSignDue: boolean): PeerLoadReport | undefined {
+    return this.reporter.next(isSignDue)
   }
 
-  /** Forgets instances that have fallen silent; call it now and then. */
-  expire(): void {
-    this.peers.expire()
+  /** Whether an instance was heard of lately. */
+  hears(instance: string): boolean {
+    return this.peers.hears(instance)
+  }
+
+  /** Forgets instances that have been silent for this long; call it now and then. */
+  expire(silence: Milliseconds): void {
+    this.peers.expire(silence)
   }
 
   /** A server is gone. */
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -49,6 +49,7 @@
 
 const NOT_RUN: DispatchResult = {
   mayHaveRun: false,
+  isHandedOut: false,
   events: 0,
   isWhole: false,
 }
@@ -172,6 +173,8 @@
     const outcome = await this.parts.ledger.reserve(tenant.name, tokens, patience)
     if (outcome.kind === 'reserved') {
       record.reservation = outcome.path
+      const { loans } = outcome.reservation
+      if (loans.length > 0) record.loans = loans.map(({ lender, tokens }) => ({ lender, tokens }))
       return outcome.reservation
     }
     throw this.budgetRefusal(tenant.name, outcome, record)
--- a/packages/router/src/gateway/gatewayRecord.ts
+++ b/packages/router/src/gateway/gatewayRecord.ts
@@ -22,6 +22,8 @@
   /** Largest possible cost, and how it was reserved. */
   tokens?: TokenCount
   reservation?: string
+  /** Instances that lent tokens for it. */
+  loans?: readonly { readonly lender: string; readonly tokens: TokenCount }[]
   /** What was known of the budget when it refused. */
   budget?: Readonly<Record<string, unknown>>
   spent?: TokenCount
--- a/packages/router/src/gateway/loadReporter.ts
+++ b/packages/router/src/gateway/loadReporter.ts
@@ -11,13 +11,13 @@
   private told = new Map<string, InstanceLoad>()
 
   constructor(
-    private readonly instance: string,
+    private readonly identity: { readonly instance: string; readonly incarnation: string },
     private readonly directory: ServerDirectory,
     private readonly caches: PromptCaches,
   ) {}
 
-  /** The next report; undefined where nothing has changed and no whole one is due. */
-  next(): PeerLoadReport | undefined {
+  /** The next report; undefined where nothing has changed, unless a sign of life is due. */
+  next(isSignDue: boolean): PeerLoadReport | undefined {
     this.sequence += 1
     const isWhole = this.sequence % REPORTS_A_WHOLE === 0
     const current = this.directory.loads()
@@ -33,8 +33,8 @@
         parts: parts.get(server) ?? [],
       }))
     this.told = new Map(current)
-    if (!isWhole && loads.length === 0) return undefined
-    return { instance: this.instance, sequence: this.sequence, isWhole, loads }
+    if (!isWhole && !isSignDue && loads.length === 0) return undefined
+    return { ...this.identity, sequence: this.sequence, isWhole, loads }
   }
 }
 
--- a/packages/router/src/gateway/peerLoads.ts
+++ b/packages/router/src/gateway/peerLoads.ts
@@ -13,6 +13,8 @@
 /** One instance's word on what it has in progress. */
 export interface PeerLoadReport {
   readonly instance: string
+  /** Names one life of the instance. */
+  readonly incarnation: string
   /** Rises within one life of the instance; a report that comes late is dropped. */
   readonly sequence: number
   /** Whether servers that are not named have nothing in progress from there. */
@@ -28,16 +30,12 @@
 }
 
 interface PeerState {
+  incarnation: string
   sequence: number
   heardAt: Milliseconds
   readonly loads: Map<string, InstanceLoad>
 }
 
-/** An instance that was not heard of for this long counts as having nothing in progress. */
-const SILENT_MILLISECONDS = 1_500
-/** A sequence this far back is a new life of the instance, not a late report. */
-const RESTART_DISTANCE = 50
-
 const NO_LOAD: InstanceLoad = { running: 0, pendingTokens: 0 }
 
 export class PeerLoads {
@@ -48,16 +46,10 @@
   constructor(private readonly clock: Clock) {}
 
   observe(report: PeerLoadReport): void {
-    const known = this.peers.get(report.instance)
-    const isLate =
-      known !== undefined &&
-      report.sequence <= known.sequence &&
-      report.sequence > known.sequence - RESTART_DISTANCE
-    if (isLate) return
-    const peer = known ?? { sequence: 0, heardAt: 0, loads: new Map<string, InstanceLoad>() }
+    const peer = this.peerOf(report)
+    if (report.sequence <= peer.sequence) return
     peer.sequence = report.sequence
     peer.heardAt = this.clock.monotonic()
-    this.peers.set(report.instance, peer)
     if (report.isWhole) this.clear(peer)
     for (const { server, running, pendingTokens } of report.loads) {
       this.replace(peer, server, { running, pendingTokens })
@@ -69,9 +61,14 @@
     return this.sums.get(server) ?? NO_LOAD
   }
 
-  /** Forgets instances that have fallen silent; call it now and then. */
-  expire(): void {
-    const oldest = this.clock.monotonic() - SILENT_MILLISECONDS
+  /** Whether an instance was heard of lately. */
+  hears(instance: string): boolean {
+    return this.peers.has(instance)
+  }
+
+  /** Forgets instances that have been silent for this long; call it now and then. */
+  expire(silence: Milliseconds): void {
+    const oldest = this.clock.monotonic() - silence
     for (const [instance, peer] of this.peers) {
       if (peer.heardAt >= oldest) continue
       this.clear(peer)
@@ -79,6 +76,16 @@
     }
   }
 
+  /** What is known of the reporting life of an instance; an earlier life has ended. */
+  private peerOf({ instance, incarnation }: PeerLoadReport): PeerState {
+    const known = this.peers.get(instance)
+    if (known?.incarnation === incarnation) return known
+    if (known !== undefined) this.clear(known)
+    const created = { incarnation, sequence: 0, heardAt: 0, loads: new Map<string, InstanceLoad>() }
+    this.peers.set(instance, created)
+    return created
+  }
+
   private clear(peer: PeerState): void {
     for (const server of [...peer.loads.keys()]) this.replace(peer, server, NO_LOAD)
   }
--- a/packages/router/src/gateway/serverChoice.ts
+++ b/packages/router/src/gateway/serverChoice.ts
@@ -30,7 +30,7 @@
 /** What one running request costs the next, in prompt tokens. */
 const RUNNING_COST: TokenCount = 60
 /** A token read here delays this request and all that run beside it. */
-const READING_WEIGHT = 1.5
+const READING_WEIGHT = 2
 /** Instances that hear nothing of each other still agree where a shared part should lie. */
 const AFFINITY_BONUS: TokenCount = 200
 /** Bytes between failure domains have a price. */
