--- a/packages/coordination/__tests__/prepaidLedger.spec.ts
+++ b/packages/coordination/__tests__/prepaidLedger.spec.ts
@@ -7,7 +7,9 @@
   PrepaidLedger,
   StoreClock,
   committedBound,
+  decodeHolder,
   decodePool,
+  holderKey,
 } from '@rackwalk/coordination'
 import type { HolderRow, PoolRow } from '@rackwalk/coordination'
 import { MemoryRowStore } from '@rackwalk/stand-ins'
@@ -45,7 +47,14 @@
     if (row === undefined) throw new Error('no pool row')
     return decodePool(row.value)
   }
-  return { clock, start, pool, events }
+  const holder = (budget: string): HolderRow => {
+    const outcome = rows.read(PREPAID_TABLE, budget)
+    const key = holderKey('node-1')
+    const row = outcome.kind === 'rows' ? outcome.rows.find(row => row.key === key) : undefined
+    if (row === undefined) throw new Error('no holder row')
+    return decodeHolder(row.value)
+  }
+  return { clock, start, pool, holder, events }
 }
 
 type Started = ReturnType<ReturnType<typeof setUp>['start']>
@@ -90,6 +99,30 @@
   })
 })
 
+describe('PrepaidLedger when the store is back', () => {
+  it('records what all budgets spent as soon as one of them is answered', async () => {
+    const { clock, start, holder } = setUp()
+    const node = start('first', 0)
+    const budgets = ['team', 'team-2', 'team-3', 'team-4']
+    node.ledger.configure(
+      budgets.map(budget => ({ budget, limit: LIMIT })),
+      2,
+    )
+    await clock.advance(1_000)
+    node.faults.isUnreachable = true
+    await clock.advance(4_000)
+    for (const budget of budgets) {
+      const asked = node.ledger.reserve(budget, 2_000, PATIENCE)
+      await clock.advance(1)
+      expect((await asked).kind).toBe('reserved')
+    }
+    node.faults.isUnreachable = false
+    // Found on a played day: each budget waited for a read of its own, up to a second.
+    await clock.advance(300)
+    expect(budgets.map(budget => holder(budget).committed)).toEqual(budgets.map(() => 2_000))
+  })
+})
+
 describe('PrepaidLedger after a death', () => {
   it('settles what the dead incarnation can have spent and frees the rest', async () => {
     const { clock, start, pool, events } = setUp()
