--- a/packages/stand-ins/__tests__/processes.spec.ts
+++ b/packages/stand-ins/__tests__/processes.spec.ts
@@ -1,10 +1,9 @@
 import { spawn } from 'node:child_process'
 import type { ChildProcess } from 'node:child_process'
-import { existsSync, mkdtempSync, rmSync, writeFileSync } from 'node:fs'
-import { createServer } from 'node:net'
-import type { AddressInfo } from 'node:net'
+import { existsSync, mkdtempSync, openSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
+import { inspect } from 'node:util'
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
 import { stringify } from 'yaml'
 import { asId } from '@rackwalk/shared'
@@ -27,10 +26,14 @@
 const TOKEN = 'operator-token'
 const LIMIT = 400_000
 const INSTANCES = 3
+/** The system chooses: a port that the test chose could be taken before the process binds it. */
+const ANY_PORT = '127.0.0.1:0'
 
 interface Instance {
   readonly name: string
   readonly process: ChildProcess
+  /** File that takes what the process prints. */
+  readonly log: string
   readonly callers: string
   readonly operators: string
   readonly peers: string
@@ -66,23 +69,12 @@
   rmSync(folder, { recursive: true })
 })
 
-async function freePort(): Promise<number> {
-  const server = createServer()
-  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
-  const { port } = server.address() as AddressInfo
-  await new Promise(resolve => server.close(resolve))
-  return port
-}
-
 async function startInstance(name: string): Promise<Instance> {
-  const [callers, operators, peers] = await Promise.all(
-    [0, 1, 2].map(async () => `127.0.0.1:${await freePort()}`),
-  )
   const secret = { environment: 'STAND_IN_SECRET' }
   const credentials = { accessKeyId: secret, secretAccessKey: secret, timeoutMilliseconds: 500 }
   const settings = {
     instance: { id: name, region: 'local', failureDomain: name },
-    listen: { callers, operators, peers },
+    listen: { callers: ANY_PORT, operators: ANY_PORT, peers: ANY_PORT },
     platform: {
       table: { ...credentials, endpoint: platform.tableUrl, name: 'rackwalk' },
       objects: { ...credentials, endpoint: platform.objectUrl, bucket: 'rackwalk' },
@@ -92,17 +84,46 @@
   }
   const file = join(folder, `${name}.yaml`)
   writeFileSync(file, stringify(settings))
+  const log = join(folder, `${name}.log`)
+  const output = openSync(log, 'a')
   const child = spawn(process.execPath, [PROGRAM, '--settings', file], {
     env: { ...process.env, STAND_IN_SECRET: 'stand-in' },
-    stdio: 'ignore',
+    stdio: ['ignore', output, output],
   })
+  const { callerAddress, operatorAddress, peerAddress } = await startedLine(name, child, log)
   return {
     name,
     process: child,
-    callers: `http://${callers}`,
-    operators: operators ?? '',
-    peers: peers ?? '',
+    log,
+    callers: `http://${callerAddress}`,
+    operators: operatorAddress,
+    peers: peerAddress,
+  }
+}
+
+interface StartedLine {
+  readonly event: string
+  readonly callerAddress: string
+  readonly operatorAddress: string
+  readonly peerAddress: string
+}
+
+/** The line in which an instance tells the addresses that it got. */
+async function startedLine(name: string, child: ChildProcess, log: string): Promise<StartedLine> {
+  let found: StartedLine | undefined
+  const isStarted = () => {
+    const lines = readFileSync(log, 'utf8').split('\n').slice(0, -1)
+    found = lines.map(parseLine).find(line => line?.event === 'instance_started')
+    return found !== undefined || child.exitCode !== null
   }
+  await vi.waitUntil(isStarted, { timeout: 30_000, interval: 20 })
+  // An instance that ended will never serve: what it printed says why.
+  if (found === undefined) throw new Error(`${name} ended: ${readFileSync(log, 'utf8')}`)
+  return found
+}
+
+function parseLine(line: string): StartedLine | undefined {
+  return line.startsWith('{') ? (JSON.parse(line) as StartedLine) : undefined
 }
 
 async function publish(listed: readonly Instance[]): Promise<void> {
@@ -117,17 +138,23 @@
 
 async function serving(instance: Instance): Promise<void> {
   const client = new OperatorClient(instance.operators, TOKEN)
-  await vi.waitUntil(
-    async () => {
-      try {
-        const { body } = await client.get('/v1/status')
-        return body['isServing'] === true && body['liveInstances'] === INSTANCES
-      } catch {
-        return false
-      }
-    },
-    { timeout: 30_000, interval: 100 },
-  )
+  let seen: unknown
+  const isServing = async () => {
+    try {
+      const { body } = await client.get('/v1/status')
+      seen = body
+      return body['isServing'] === true && body['liveInstances'] === INSTANCES
+    } catch (error) {
+      seen = error
+      return false
+    }
+  }
+  try {
+    await vi.waitUntil(isServing, { timeout: 30_000, interval: 100 })
+  } catch (cause) {
+    const printed = readFileSync(instance.log, 'utf8')
+    throw new Error(`${instance.name} does not serve: ${inspect(seen)}\n${printed}`, { cause })
+  }
 }
 
 async function configure(): Promise<void> {
