fix(daemon): a process that cannot listen ends with 6003 instead of staying half there

One taken port failed the start, but the listeners that had come up kept the process alive, serving nothing, and nobody would start it anew. Both kinds of instance did so.

Change: a failed start stops what was started; rackwalkd prints the numbered error with the address and ends with 1.

--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -107,7 +107,11 @@
   /** Listens and begins to follow the store. */
   async start(): Promise<void> {
     const { callers } = this.settings.listen
-    await listenAll([{ server: this.callerListener, address: callers }, ...this.otherListeners])
+    const listeners = [{ server: this.callerListener, address: callers }, ...this.otherListeners]
+    await listenAll(listeners).catch((error: unknown) => {
+      this.stop()
+      throw error
+    })
     for (const mirror of this.mirrors.values()) mirror.start()
     this.ledger.start()
     this.loadExchange?.start()
--- a/packages/daemon/src/observe/listenOn.ts
+++ b/packages/daemon/src/observe/listenOn.ts
@@ -1,4 +1,5 @@
 import type { Server } from 'node:http'
+import { RackwalkError, ResultCode } from '@rackwalk/shared'
 
 /** Splits `IP:PORT`; an IPv6 address stands in brackets. */
 export function parseAddress(address: string): { readonly host: string; readonly port: number } {
@@ -12,15 +13,22 @@
   return `${address.slice(0, address.lastIndexOf(':'))}:${port}`
 }
 
-/** Listens and gives the port. */
+/** Listens and gives the port; fails with `CannotListen`. */
 export function listenOn(server: Server, address: string): Promise<number> {
   const { host, port } = parseAddress(address)
   return new Promise((resolve, reject) => {
-    server.once('error', reject)
+    const fail = (error: Error) => reject(cannotListen(address, error))
+    server.once('error', fail)
     server.listen(port, host, () => {
-      server.off('error', reject)
+      server.off('error', fail)
       const bound = server.address()
       resolve(typeof bound === 'object' && bound !== null ? bound.port : port)
     })
   })
 }
+
+/** The numbered error of an address that could not be bound. */
+export function cannotListen(address: string, error: NodeJS.ErrnoException): RackwalkError {
+  const detail = `${address}: ${error.code ?? error.message}`
+  return new RackwalkError(ResultCode.CannotListen, detail, error)
+}
--- a/packages/daemon/src/peers/peerServer.ts
+++ b/packages/daemon/src/peers/peerServer.ts
@@ -3,6 +3,7 @@
 import type { ServerUnaryCall, ServiceDefinition, sendUnaryData } from '@grpc/grpc-js'
 import { RackwalkError, toRackwalkError } from '@rackwalk/shared'
 import type { PeerHandlers } from '@rackwalk/coordination'
+import { cannotListen } from '../observe/listenOn.js'
 import {
   MAXIMUM_MESSAGE_BYTES,
   PEER_KINDS,
@@ -38,7 +39,7 @@
   listen(address: string): Promise<number> {
     return new Promise((resolve, reject) => {
       this.server.bindAsync(address, ServerCredentials.createInsecure(), (error, port) => {
-        if (error) reject(error)
+        if (error) reject(cannotListen(address, error))
         else resolve(port)
       })
     })
--- a/packages/daemon/src/rackwalkDaemon.ts
+++ b/packages/daemon/src/rackwalkDaemon.ts
@@ -121,6 +121,18 @@
 
   /** Listens, then begins the background work; gives the addresses. */
   async start(): Promise<BoundAddresses> {
+    const bound = await this.listen().catch(async (error: unknown) => {
+      await this.stop()
+      throw error
+    })
+    this.node.start()
+    for (const task of this.tasks) await task.start()
+    this.logger.info('instance_started', { ...this.identity })
+    void this.findPeers(this.settings.peers.seeds)
+    return bound
+  }
+
+  private async listen(): Promise<BoundAddresses> {
     const { listen, advertise } = this.settings
     const peers = withPort(listen.peers, await this.peerServer.listen(listen.peers))
     const callers = withPort(listen.callers, await this.callerServer.listen(listen.callers))
@@ -128,10 +140,6 @@
     this.identity.peerAddress = advertise.peers ?? peers
     this.identity.callerAddress = advertise.callers ?? callers
     this.identity.operatorAddress = advertise.operators ?? operators
-    this.node.start()
-    for (const task of this.tasks) await task.start()
-    this.logger.info('instance_started', { ...this.identity })
-    void this.findPeers(this.settings.peers.seeds)
     return { callers, operators, peers }
   }
 
--- a/packages/daemon/src/report.ts
+++ b/packages/daemon/src/report.ts
@@ -7,18 +7,20 @@
 export const EXIT_FAULT = 1
 export const EXIT_SETTINGS = 2
 
-/** Prints one message and sets the exit code of the process. */
-export function fail(message: string, code: number): void {
+/**
+ * Prints one message and ends the process: listeners that did come up would keep it there,
+ * unable to serve, and nobody would start it anew.
+ */
+export function fail(message: string, code: number): never {
   consola.error(message)
-  process.exitCode = code
+  process.exit(code)
 }
 
 /** Prints what was thrown while starting; every fault of a settings file has a line. */
-export function report(thrown: unknown): void {
+export function report(thrown: unknown): never {
   if (thrown instanceof SettingsError) {
     for (const fault of thrown.faults) consola.error(formatFault(fault))
-    process.exitCode = EXIT_SETTINGS
-    return
+    process.exit(EXIT_SETTINGS)
   }
   const text = thrown instanceof RackwalkError ? `${thrown.code} ${thrown.message}` : String(thrown)
   fail(text, EXIT_FAULT)
--- a/packages/shared/src/resultCodes.ts
+++ b/packages/shared/src/resultCodes.ts
@@ -51,6 +51,7 @@
 
   InvalidSettings = 6001,
   UnreadableSettings = 6002,
+  CannotListen = 6003,
 
   PlatformUnavailable = 7001,
   PlatformThrottled = 7002,
@@ -215,6 +216,7 @@
 
   [ResultCode.InvalidSettings]: row(400, undefined, false, 'the settings are not valid'),
   [ResultCode.UnreadableSettings]: row(400, undefined, false, 'the settings cannot be read'),
+  [ResultCode.CannotListen]: row(500, undefined, false, 'cannot listen'),
 
   [ResultCode.PlatformUnavailable]: row(503, undefined, true, 'the platform is unavailable', 2),
   [ResultCode.PlatformThrottled]: row(429, undefined, true, 'the platform throttles', 1),
