feat(gateway): as few instances take callers as the load asks for; the others stand by

Cause: on the larger sites every instance took callers, so each budget was split over 73 holdings (1,752 rows) that contended for the pool, were read by everybody and were recorded every 3.9 s only. Callers go where the directory sends them, so how many holdings there are is ours to choose.

Ways weighed: one record row an instance for all its budgets (fewer writes, same split of the budget); fewer active instances (fewer holdings, fewer feeds, more own knowledge of each server's load). The second is smaller and addresses the split itself.

Change: each instance tells in its member row what it bears (from settings: processor, link) and its present load. All choose the same set: two of each failure domain, the strongest first, more while the load with a headroom of two asks for it; a silent one is replaced. An instance that stands by holds nothing, records nothing idle and reads the store at leisure; it serves whoever comes. Bounds of the fleet are shared among active instances. Requests that wait for a write are a module of their own now.

--- a/bench/src/capacity/gatewaySlopes.ts
+++ b/bench/src/capacity/gatewaySlopes.ts
@@ -135,6 +135,7 @@
     clock,
     startedAt: 0,
     policy: new DemandHoldingPolicy(),
+    isActive: () => true,
     otherInstances: () => [],
     limits: { writesPerSecond: 600, partitionWritesPerSecond: 150, reserveShare: 0 },
     onEvent: () => {},
--- /dev/null
+++ b/packages/coordination/__tests__/activeInstances.spec.ts
@@ -0,0 +1,91 @@
+import { describe, expect, it } from 'vitest'
+import fc from 'fast-check'
+import { VirtualClock } from '@rackwalk/shared'
+import { ActiveInstances, chooseActive } from '@rackwalk/coordination'
+import type { ActiveCandidate } from '@rackwalk/coordination'
+
+const BOUNDS = { minimumInDomain: 2, headroom: 2 }
+
+function candidate(instance: string, failureDomain: string, more: Partial<ActiveCandidate> = {}) {
+  const rest = { region: 'region', capacity: 40, requestsPerSecond: 0 }
+  return { instance, failureDomain, ...rest, ...more }
+}
+
+/** So many instances in each of three failure domains. */
+function fleet(inDomain: number, more: Partial<ActiveCandidate> = {}): ActiveCandidate[] {
+  return ['a', 'b', 'c'].flatMap(domain =>
+    Array.from({ length: inDomain }, (_, index) => candidate(`${domain}-${index}`, domain, more)),
+  )
+}
+
+function names(chosen: readonly ActiveCandidate[]): string[] {
+  return chosen.map(({ instance }) => instance).sort()
+}
+
+describe('the instances that take callers', () => {
+  it('are the least of each failure domain while there is little load', () => {
+    const chosen = chooseActive(fleet(10), 0, BOUNDS)
+    const domains = chosen.map(({ failureDomain }) => failureDomain).sort()
+    expect(domains).toEqual(['a', 'a', 'b', 'b', 'c', 'c'])
+  })
+
+  it('bear the load with headroom, evenly over failure domains', () => {
+    const chosen = chooseActive(fleet(10), 240, BOUNDS)
+    expect(chosen.length).toBe(12)
+    expect(chosen.filter(({ failureDomain }) => failureDomain === 'a').length).toBe(4)
+  })
+
+  it('are all where the load asks for more than there are', () => {
+    expect(chooseActive(fleet(3), 10_000, BOUNDS).length).toBe(9)
+  })
+
+  it('are the ones that bear most', () => {
+    const large = [
+      candidate('large-1', 'a', { capacity: 200 }),
+      candidate('large-2', 'a', { capacity: 200 }),
+    ]
+    const chosen = chooseActive([...fleet(5), ...large], 100, BOUNDS)
+    expect(names(chosen)).toEqual(expect.arrayContaining(['large-1', 'large-2']))
+    expect(chosen.filter(({ failureDomain }) => failureDomain === 'a').length).toBe(2)
+  })
+
+  it('are the same in whatever order the members are known', () => {
+    const order = fc.shuffledSubarray(fleet(6), { minLength: 18, maxLength: 18 })
+    const expected = names(chooseActive(fleet(6), 100, BOUNDS))
+    fc.assert(
+      fc.property(order, members => {
+        expect(names(chooseActive(members, 100, BOUNDS))).toEqual(expected)
+      }),
+    )
+  })
+
+  it('change by one when one of them is lost', () => {
+    const before = names(chooseActive(fleet(6), 0, BOUNDS))
+    const [lost] = before
+    const rest = fleet(6).filter(({ instance }) => instance !== lost)
+    const after = names(chooseActive(rest, 0, BOUNDS))
+    expect(after.length).toBe(before.length)
+    expect(after.filter(name => !before.includes(name)).length).toBe(1)
+  })
+
+  it('are chosen for each region by its own load', () => {
+    const choice = new ActiveInstances(new VirtualClock(), BOUNDS)
+    const busy = fleet(5, { region: 'busy', requestsPerSecond: 16 })
+    const idle = fleet(5, { region: 'idle' })
+    const chosen = choice.choose([...busy, ...idle])
+    expect(chosen.filter(({ region }) => region === 'busy').length).toBe(12)
+    expect(chosen.filter(({ region }) => region === 'idle').length).toBe(6)
+  })
+
+  it('follow a rise of the load at once and a fall slowly', async () => {
+    const clock = new VirtualClock()
+    const choice = new ActiveInstances(clock, BOUNDS)
+    const counts: number[] = []
+    for (const requestsPerSecond of [0, 16, 0]) {
+      counts.push(choice.choose(fleet(5, { requestsPerSecond })).length)
+    }
+    expect(counts).toEqual([6, 12, 12])
+    await clock.advance(60_000)
+    expect(choice.choose(fleet(5)).length).toBe(6)
+  })
+})
--- a/packages/coordination/__tests__/prepaidExploration.spec.ts
+++ b/packages/coordination/__tests__/prepaidExploration.spec.ts
@@ -10,7 +10,15 @@
     const result = await explorePrepaid({ runs: RUNS, seed, variant: SOUND_LEDGER })
     expect(result.failure).toBeUndefined()
     // Runs in which nothing of this happened would prove nothing.
-    const events = ['reserved', 'refused', 'borrowed', 'prepaid_taken_over', 'settled', 'fault']
+    const events = [
+      'reserved',
+      'refused',
+      'borrowed',
+      'prepaid_taken_over',
+      'settled',
+      'fault',
+      'turn',
+    ]
     for (const event of events) {
       expect(result.counts[event], event).toBeGreaterThan(RUNS / 4)
     }
--- a/packages/coordination/__tests__/prepaidLedger.spec.ts
+++ b/packages/coordination/__tests__/prepaidLedger.spec.ts
@@ -22,6 +22,7 @@
   const clock = new VirtualClock()
   const rows = new MemoryRowStore(clock)
   const events: string[] = []
+  const state = { isActive: true }
   const start = (incarnation: string, startedAt: number) => {
     const { store, faults } = rows.connect()
     const ledger = new PrepaidLedger({
@@ -32,13 +33,14 @@
       clock,
       startedAt,
       policy: new DemandHoldingPolicy(),
+      isActive: () => state.isActive,
       otherInstances: () => [],
       limits: { writesPerSecond: 600, partitionWritesPerSecond: 150, reserveShare: 0 },
       onEvent: event => events.push(event),
     })
     ledger.configure([{ budget: BUDGET, limit: LIMIT }], 1)
     ledger.start()
-    return { ledger, faults }
+    return { ledger, faults, store }
   }
   const pool = (): PoolRow => {
     const outcome = rows.read(PREPAID_TABLE, BUDGET)
@@ -54,7 +56,11 @@
     if (row === undefined) throw new Error('no holder row')
     return decodeHolder(row.value)
   }
-  return { clock, start, pool, holder, events }
+  const rowKeys = (): string[] => {
+    const outcome = rows.read(PREPAID_TABLE, BUDGET)
+    return outcome.kind === 'rows' ? outcome.rows.map(({ key }) => key) : []
+  }
+  return { clock, start, pool, holder, events, state, rowKeys }
 }
 
 type Started = ReturnType<ReturnType<typeof setUp>['start']>
@@ -153,6 +159,55 @@
   })
 })
 
+describe('PrepaidLedger on an instance that stands by', () => {
+  it('writes nothing and holds nothing until a caller comes', async () => {
+    const { clock, start, state, rowKeys, pool } = setUp()
+    state.isActive = false
+    const node = start('first', 0)
+    await clock.advance(5_000)
+    expect(rowKeys()).toEqual([])
+    expect((await ask(clock, node, 5_000)).kind).toBe('reserved')
+    expect(pool().allocated).toBeGreaterThanOrEqual(5_000)
+  })
+
+  it('gives back what it held as an active one, but for what is reserved', async () => {
+    const { clock, start, state, pool, holder } = setUp()
+    const node = start('first', 0)
+    await clock.advance(1_000)
+    const asked = await ask(clock, node, 5_000)
+    expect(pool().allocated).toBeGreaterThan(LIMIT / 2)
+    state.isActive = false
+    // What callers asked for lately may be asked for again; that fades.
+    await clock.advance(60_000)
+    expect(pool().allocated).toBe(5_000)
+    if (asked.kind === 'reserved') node.ledger.settle(asked.reservation, 1_000)
+    await clock.advance(5_000)
+    expect(holder(BUDGET)).toMatchObject({ granted: 1_000, committed: 1_000 })
+  })
+
+  it('frees what its own dead predecessor held', async () => {
+    const { clock, start, state, pool, events } = setUp()
+    const node = start('first', 0)
+    await clock.advance(1_000)
+    expect((await ask(clock, node, 5_000)).kind).toBe('reserved')
+    node.ledger.stop()
+    node.faults.isCut = true
+    state.isActive = false
+    const successor = start('second', clock.monotonic())
+    void follow(successor)
+    await clock.advance(2_000)
+    expect(events).toContain('prepaid_taken_over')
+    expect(pool().allocated).toBe(0)
+    expect(pool().settled).toBeGreaterThanOrEqual(5_000)
+  })
+})
+
+/** Shows an instance the rows of the budget, as its mirror of the table does. */
+async function follow({ ledger, store }: Started): Promise<void> {
+  const outcome = await store.readPartition(PREPAID_TABLE, BUDGET)
+  if (outcome.kind === 'rows') ledger.observe(outcome.rows, true)
+}
+
 describe('the bound of a holder row', () => {
   const row: HolderRow = {
     incarnation: 'a',
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -116,6 +116,8 @@
 export type { ArchivedRecord, ArchiveLimits } from './segmentArchive.js'
 
 export { MEMBER_PARTITION, MEMBER_TABLE, MemberDirectory } from './membership/memberDirectory.js'
+export { ActiveInstances, chooseActive } from './membership/activeInstances.js'
+export type { ActiveBounds, ActiveCandidate } from './membership/activeInstances.js'
 export type { MemberDirectoryParts, MemberRow, MemberState } from './membership/memberDirectory.js'
 export { StoreClock } from './rows/storeClock.js'
 export { TableMirror } from './rows/tableMirror.js'
@@ -134,6 +136,7 @@
   PrepaidRefusal,
   PrepaidReservation,
 } from './prepaid/prepaidOutcome.js'
+export { DemandMeter } from './prepaid/demandMeter.js'
 export { PrepaidLedger } from './prepaid/prepaidLedger.js'
 export type { LedgerLimits, PrepaidLedgerParts, PrepaidLimit } from './prepaid/prepaidLedger.js'
 export { planWrite } from './prepaid/writePlan.js'
--- /dev/null
+++ b/packages/coordination/src/membership/activeInstances.ts
@@ -0,0 +1,105 @@
+import { groupBy } from '@rackwalk/shared'
+import type { Clock, Milliseconds } from '@rackwalk/shared'
+import { rendezvousOrder } from '../rendezvous.js'
+
+/**
+ * Which instances take callers. Each instance that takes callers holds part of every budget, and
+ * knows at once only of its own requests, so a fleet uses no more of them than its load needs;
+ * the others stand by, hold nothing and follow the store at leisure. All instances choose for
+ * themselves from what they know of the members. Two that choose differently do no harm: an
+ * instance that stands by serves whoever comes.
+ */
+
+/** What the choice needs to know of an instance. */
+export interface ActiveCandidate {
+  readonly instance: string
+  readonly region: string
+  readonly failureDomain: string
+  /** Requests a second that it bears. */
+  readonly capacity: number
+  /** Requests a second that it takes at present. */
+  readonly requestsPerSecond: number
+}
+
+export interface ActiveBounds {
+  /** Active instances that each failure domain has at least. */
+  readonly minimumInDomain: number
+  /** Active instances together bear this many times the present load. */
+  readonly headroom: number
+}
+
+/** In this time the highest load seen counts for half. */
+const LOAD_HALF_LIFE_MILLISECONDS = 15_000
+/** Names of instances say nothing, so equals are ordered by a hash under this key. */
+const ORDER_KEY = 'active'
+
+/** Remembers the load, so that the choice follows a rise at once and a fall slowly. */
+export class ActiveInstances {
+  private readonly loads = new Map<string, { load: number; at: Milliseconds }>()
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly bounds: ActiveBounds,
+  ) {}
+
+  /** Of the candidates those that should take callers, region by region. */
+  choose<Candidate extends ActiveCandidate>(
+    candidates: readonly Candidate[],
+  ): readonly Candidate[] {
+    const regions = groupBy(candidates, candidate => candidate.region)
+    return [...regions].flatMap(([region, members]) => {
+      const load = this.notedLoad(
+        region,
+        sumOf(members, member => member.requestsPerSecond),
+      )
+      return chooseActive(members, load, this.bounds)
+    })
+  }
+
+  private notedLoad(region: string, present: number): number {
+    const now = this.clock.monotonic()
+    const known = this.loads.get(region) ?? { load: 0, at: now }
+    const faded = known.load * 0.5 ** ((now - known.at) / LOAD_HALF_LIFE_MILLISECONDS)
+    const load = Math.max(present, faded)
+    this.loads.set(region, { load, at: now })
+    return load
+  }
+}
+
+/**
+ * The fewest instances that bear the load with headroom: from each failure domain in turn its
+ * best, so that domains get the same number where they have as many.
+ */
+export function chooseActive<Candidate extends ActiveCandidate>(
+  candidates: readonly Candidate[],
+  load: number,
+  bounds: ActiveBounds,
+): readonly Candidate[] {
+  const domains = [...groupBy(candidates, candidate => candidate.failureDomain)]
+  const queues = domains
+    .sort(([left], [right]) => (left < right ? -1 : 1))
+    .map(([, members]) => byCapacity(members))
+  const chosen: Candidate[] = []
+  const needed = load * bounds.headroom
+  for (let round = 0; chosen.length < candidates.length; round += 1) {
+    const isEnough = sumOf(chosen, candidate => candidate.capacity) >= needed
+    if (round >= bounds.minimumInDomain && isEnough) break
+    for (const queue of queues) chosen.push(...queue.slice(round, round + 1))
+  }
+  return chosen
+}
+
+function byCapacity<Candidate extends ActiveCandidate>(
+  members: readonly Candidate[],
+): readonly Candidate[] {
+  const names = members.map(member => member.instance)
+  const places = new Map(rendezvousOrder(ORDER_KEY, names).map((name, place) => [name, place]))
+  const placeOf = (member: Candidate) => places.get(member.instance) ?? 0
+  return [...members].sort(
+    (left, right) => right.capacity - left.capacity || placeOf(left) - placeOf(right),
+  )
+}
+
+function sumOf<Item>(items: readonly Item[], value: (item: Item) => number): number {
+  return items.reduce((sum, item) => sum + value(item), 0)
+}
--- a/packages/coordination/src/membership/memberDirectory.ts
+++ b/packages/coordination/src/membership/memberDirectory.ts
@@ -21,12 +21,18 @@
   readonly peerAddress: string
   /** IP:PORT for datagrams about load; empty where the instance takes none. */
   readonly loadAddress: string
+  /** Requests a second that it bears. */
+  readonly capacity: number
+  /** Requests a second that it took when the row was written. */
+  readonly requestsPerSecond: number
   readonly state: MemberState
   readonly heartbeat: number
 }
 
 export interface MemberDirectoryParts {
-  readonly self: Omit<MemberRow, 'state' | 'heartbeat'>
+  readonly self: Omit<MemberRow, 'state' | 'heartbeat' | 'requestsPerSecond'>
+  /** Requests a second that this instance takes at present. */
+  readonly requestsPerSecond: () => number
   readonly store: RowStore
   readonly storeClock: StoreClock
   readonly clock: Clock
@@ -104,6 +110,13 @@
     this.lastReadAt = now
   }
 
+  /** What this instance tells the others. */
+  get self(): MemberRow {
+    const state: MemberState = this.draining ? 'draining' : 'serving'
+    const requestsPerSecond = Math.round(this.parts.requestsPerSecond() * 10) / 10
+    return { ...this.parts.self, requestsPerSecond, state, heartbeat: this.heartbeat }
+  }
+
   /** Other instances that serve, as far as this one can know. */
   get others(): readonly MemberRow[] {
     const { instance } = this.parts.self
@@ -149,9 +162,8 @@
 
   private async write(): Promise<void> {
     this.heartbeat += 1
-    const { store, self, clock, storeClock } = this.parts
-    const state: MemberState = this.draining ? 'draining' : 'serving'
-    const value = JSON.stringify({ ...self, state, heartbeat: this.heartbeat })
+    const { store, clock, storeClock } = this.parts
+    const value = JSON.stringify(this.self)
     const sentAt = clock.monotonic()
     const puts = [{ ...this.address(), value }]
     const outcome = await store.write({ conditions: [], puts, removals: [] })
--- a/packages/coordination/src/prepaid/holdingPolicy.ts
+++ b/packages/coordination/src/prepaid/holdingPolicy.ts
@@ -9,6 +9,8 @@
   readonly ownDemandPerSecond: number
   /** Live instances other than this one; those without a holding count with zeros. */
   readonly others: readonly { readonly unspent: TokenCount; readonly demandPerSecond: number }[]
+  /** Whether callers are sent elsewhere; then only what is asked for here is held. */
+  readonly isStandby: boolean
   /** The largest request lately seen here. */
   readonly largestRequest: TokenCount
 }
@@ -24,6 +26,7 @@
 /** Everybody the same, whatever the demand: the baseline for measurements. */
 export class EqualHoldingPolicy implements HoldingPolicy {
   target(view: BudgetView): TokenCount {
+    if (view.isStandby) return 0
     return Math.floor(unspentTotal(view) / (view.others.length + 1))
   }
 
@@ -40,6 +43,8 @@
 const SCARCE_SECONDS = 15
 /** and one that lasts this long is not going to be missed. */
 const PLENTY_SECONDS = 50
+/** An instance that stands by holds what its callers ask for in this time. */
+const STANDBY_SECONDS = 2
 /** Largest requests kept in the pool, and the part of the unspent tokens that this may take. */
 const FLOOR_REQUESTS = 2
 const FLOOR_SHARE = 0.25
@@ -55,6 +60,8 @@
     const holdable = Math.max(0, total - this.poolFloor(view))
     const demands = view.others.map(other => other.demandPerSecond)
     const sum = demands.reduce((left, right) => left + right, view.ownDemandPerSecond)
+    if (view.isStandby)
+      return Math.floor(Math.min(holdable, STANDBY_SECONDS * view.ownDemandPerSecond))
     const count = view.others.length + 1
     const evenness = BASE_SHARE + (PLENTY_BASE_SHARE - BASE_SHARE) * plentyOf(view)
     const base = sum > 0 ? (evenness * sum) / count : 1
--- a/packages/coordination/src/prepaid/prepaidAccount.ts
+++ b/packages/coordination/src/prepaid/prepaidAccount.ts
@@ -1,5 +1,5 @@
 import { sleep } from '@rackwalk/shared'
-import type { Clock, Milliseconds, Timer, TokenCount } from '@rackwalk/shared'
+import type { Clock, Milliseconds, TokenCount } from '@rackwalk/shared'
 import type { RowStore, RowTransaction, RowWriteOutcome } from '@rackwalk/platform'
 import type { StoreClock } from '../rows/storeClock.js'
 import { DemandMeter } from './demandMeter.js'
@@ -13,6 +13,8 @@
 import type { RowUpdate } from './partitionView.js'
 import { planWrite } from './writePlan.js'
 import type { WritePlan } from './writePlan.js'
+import { WaitingRequests } from './waitingRequests.js'
+import type { WaitingRequest } from './waitingRequests.js'
 
 /** One budget on one instance: reserves, settles and keeps the rows in the store true. */
 
@@ -26,21 +28,15 @@
   /** Monotonic time at which this process started; its predecessor was dead by then. */
   readonly startedAt: Milliseconds
   readonly policy: HoldingPolicy
-  /** Other instances that serve at present. */
+  /** Whether callers are sent here; otherwise only what they ask for unasked is held. */
+  readonly isActive: () => boolean
+  /** Other instances to which callers are sent. */
   readonly otherInstances: () => readonly string[]
   /** Longest time between two writes while tokens are spent. */
   readonly recordMilliseconds: () => Milliseconds
   readonly onEvent: (event: string, fields: Readonly<Record<string, unknown>>) => void
 }
 
-interface Waiter {
-  readonly tokens: TokenCount
-  readonly resolve: (outcome: PrepaidOutcome) => void
-  timer: Timer | undefined
-  /** Answered while a write that covers it was still on its way. */
-  isAnswered: boolean
-}
-
 const LEAVE_RETRY_MILLISECONDS = 120
 /** A store that has not answered for this long counts as out of reach. */
 const SLOW_CALL_MILLISECONDS = 250
@@ -62,7 +58,7 @@
   private readonly view: PartitionView
   private limit: TokenCount | undefined
   private configurationVersion = 0
-  private waiters: Waiter[] = []
+  private readonly waiting: WaitingRequests
   private writing: Promise<void> | undefined
   private failures = 0
   private throttledUntil: Milliseconds = 0
@@ -76,6 +72,7 @@
     this.demand = new DemandMeter(parts.clock)
     this.spending = new DemandMeter(parts.clock)
     this.view = new PartitionView(parts.instance)
+    this.waiting = new WaitingRequests(parts.clock)
   }
 
   /** The budget as the configuration of this version sets it. */
@@ -84,7 +81,7 @@
     this.configurationVersion = configurationVersion
     if (this.limit === limit) return
     this.limit = limit
-    this.kick()
+    if (this.parts.isActive()) this.kick()
   }
 
   /** Takes in rows of this partition; with `isWhole` they are all that there are. */
@@ -143,12 +140,10 @@
       return Promise.resolve(this.reserved(tokens, 'held'))
     }
     if (this.isOutOfReach || this.left) return Promise.resolve(this.refused(tokens))
-    return new Promise(resolve => {
-      const waiter: Waiter = { tokens, resolve, timer: undefined, isAnswered: false }
-      waiter.timer = this.parts.clock.after(patience, () => this.expire(waiter))
-      this.waiters.push(waiter)
-      this.kick()
-    })
+    // A request is answered in its time, also while a write that covers it hangs.
+    const outcome = this.waiting.add(tokens, patience, request => this.finishFromHolding(request))
+    this.kick()
+    return outcome
   }
 
   /** Ends a reservation: of the tokens committed here what was not handed out is free again. */
@@ -184,8 +179,7 @@
     await this.writing
     // Found by exploration: a request whose write had met a conflict was served from the
     // holding after that had been given back.
-    for (const waiter of this.waiters) this.finish(waiter, this.refused(waiter.tokens))
-    this.waiters = []
+    for (const request of this.waiting.takeAll()) request.finish(this.refused(request.tokens))
     for (let attempt = 0; attempt < LEAVE_ATTEMPTS; attempt += 1) {
       if (await this.leaveOnce()) return true
       await sleep(this.parts.clock, LEAVE_RETRY_MILLISECONDS)
@@ -228,16 +222,23 @@
 
   private isWriteDue(): boolean {
     if (this.limit === undefined || this.left) return false
-    if (this.waiters.length > 0 || !this.holding.isRegistered) return true
-    if (this.holding.hasUnresolved) return true
+    if (!this.waiting.isEmpty || this.holding.hasUnresolved) return true
+    if (!this.holding.isRegistered) return this.parts.isActive() || this.hasPredecessor
     const period = this.parts.recordMilliseconds()
     const isIdle = this.holding.unrecorded === 0
+    if (isIdle && this.holding.unspent === 0 && !this.parts.isActive()) return false
     const age = this.holding.recordAge
     if (age > (isIdle ? period * IDLE_FACTOR : period)) return true
     // Where many instances share a budget, moving holdings at each look would only contend.
     return age > period * ADJUST_SHARE && this.plan(false).changesPool
   }
 
+  /** Whether an earlier incarnation left a holding, which only this one can free. */
+  private get hasPredecessor(): boolean {
+    const row = this.view.ownHolder
+    return row !== undefined && row.incarnation !== this.parts.incarnation
+  }
+
   private kick(): void {
     // A row on its way bounds what may be spent, so a store out of reach is tried by reads.
     if (this.writing !== undefined || this.left || this.isLost) return
@@ -251,7 +252,7 @@
     do {
       const succeeded = await this.writeOnce()
       if (!succeeded) return
-    } while (this.waiters.length > 0 && !this.left)
+    } while (!this.waiting.isEmpty && !this.left)
   }
 
   /** One write, or the read that has to come before it; false where it should be put off. */
@@ -267,12 +268,12 @@
     const outcome = await this.timed(this.parts.store.write(this.transactionOf(plan)))
     this.noteOutcome(plan, outcome, sentAt)
     if (outcome.kind === 'done') {
-      for (const waiter of admitted) this.finishWritten(waiter)
+      for (const request of admitted) this.finishWritten(request)
       this.refuseHopeless()
       return true
     }
-    for (const waiter of admitted) this.holding.release(waiter.tokens)
-    this.waiters = [...admitted.filter(waiter => !waiter.isAnswered), ...this.waiters]
+    for (const request of admitted) this.holding.release(request.tokens)
+    this.waiting.putBack(admitted)
     if (outcome.kind !== 'conflict') this.serveFromHolding()
     return outcome.kind === 'conflict'
   }
@@ -349,7 +350,7 @@
     return row?.incarnation === this.parts.incarnation ? row.granted : 0
   }
 
-  private plan(withWaiters: boolean): WritePlan {
+  private plan(withWaiting: boolean): WritePlan {
     const { instance, incarnation, storeClock, startedAt } = this.parts
     return planWrite({
       pool: this.view.pool,
@@ -361,7 +362,7 @@
       granted: this.grantedInStore,
       committed: this.holding.committed,
       sequence: Math.max(this.holding.lastSequence, this.view.ownHolder?.sequence ?? 0) + 1,
-      requests: withWaiters ? this.waiters.map(waiter => waiter.tokens) : [],
+      requests: withWaiting ? this.waiting.tokens : [],
       storeTime: storeClock.lowerBound ?? 0,
       diedBefore: storeClock.upperBoundAt(startedAt),
       policy: this.parts.policy,
@@ -379,24 +380,23 @@
       ownUnspent: this.holding.unspent,
       ownDemandPerSecond: this.demand.perSecond,
       others: this.view.othersOf(this.parts.otherInstances()),
+      isStandby: !this.parts.isActive(),
       largestRequest: this.largest,
     }
   }
 
   /** Takes the requests that the plan covers out of the queue and commits their tokens. */
-  private takeAdmitted(plan: WritePlan): readonly Waiter[] {
-    const admitted = plan.admitted.map(index => this.waiters[index]).filter(isDefined)
-    this.waiters = this.waiters.filter(waiter => !admitted.includes(waiter))
-    for (const waiter of admitted) this.holding.commit(waiter.tokens)
+  private takeAdmitted(plan: WritePlan): readonly WaitingRequest[] {
+    const admitted = this.waiting.takeAt(plan.admitted)
+    for (const request of admitted) this.holding.commit(request.tokens)
     return admitted
   }
 
   /** After a write nothing more can be found in the pool: whoever still waits is told so. */
   private refuseHopeless(): void {
     const reachable = this.holding.unspent + Math.max(0, freeInPool(this.view.pool ?? NO_POOL))
-    const hopeless = this.waiters.filter(waiter => waiter.tokens > reachable)
-    this.waiters = this.waiters.filter(waiter => !hopeless.includes(waiter))
-    for (const waiter of hopeless) this.finish(waiter, this.refused(waiter.tokens))
+    const hopeless = this.waiting.takeWhere(request => request.tokens > reachable)
+    for (const request of hopeless) request.finish(this.refused(request.tokens))
   }
 
   private transactionOf(plan: WritePlan): RowTransaction {
@@ -451,36 +451,20 @@
 
   /** Nobody can be given more than is held until the store answers again. */
   private serveFromHolding(): void {
-    const waiting = this.waiters
-    this.waiters = []
-    for (const waiter of waiting) this.finishFromHolding(waiter)
+    for (const request of this.waiting.takeAll()) this.finishFromHolding(request)
   }
 
   /** A request that has gone meanwhile gives its tokens back. */
-  private finishWritten(waiter: Waiter): void {
-    if (waiter.isAnswered) this.holding.release(waiter.tokens)
-    else this.finish(waiter, this.reserved(waiter.tokens, 'written'))
-  }
-
-  private finishFromHolding(waiter: Waiter): void {
-    if (this.left || waiter.tokens > this.holding.allowance) {
-      return this.finish(waiter, this.refused(waiter.tokens))
-    }
-    this.holding.commit(waiter.tokens)
-    this.finish(waiter, this.reserved(waiter.tokens, 'held'))
+  private finishWritten(request: WaitingRequest): void {
+    if (request.isAnswered) this.holding.release(request.tokens)
+    else request.finish(this.reserved(request.tokens, 'written'))
   }
 
-  /** A request is answered in its time, also while a write that covers it hangs. */
-  private expire(waiter: Waiter): void {
-    waiter.timer = undefined
-    this.waiters = this.waiters.filter(other => other !== waiter)
-    this.finishFromHolding(waiter)
-  }
-
-  private finish(waiter: Waiter, outcome: PrepaidOutcome): void {
-    waiter.timer?.cancel()
-    waiter.isAnswered = true
-    waiter.resolve(outcome)
+  private finishFromHolding(request: WaitingRequest): void {
+    const { tokens } = request
+    if (this.left || tokens > this.holding.allowance) return request.finish(this.refused(tokens))
+    this.holding.commit(tokens)
+    request.finish(this.reserved(tokens, 'held'))
   }
 
   private reserved(tokens: TokenCount, path: string): PrepaidOutcome {
@@ -508,7 +492,3 @@
 }
 
 const NO_POOL: PoolRow = { limit: 0, configurationVersion: 0, settled: 0, allocated: 0 }
-
-function isDefined<Value>(value: Value | undefined): value is Value {
-  return value !== undefined
-}
--- a/packages/coordination/src/prepaid/prepaidLedger.ts
+++ b/packages/coordination/src/prepaid/prepaidLedger.ts
@@ -1,3 +1,4 @@
+import { groupBy } from '@rackwalk/shared'
 import type { Clock, Milliseconds, Timer, TokenCount } from '@rackwalk/shared'
 import type { ChangedRow, RowStore } from '@rackwalk/platform'
 import type { StoreClock } from '../rows/storeClock.js'
@@ -18,6 +19,9 @@
   readonly clock: Clock
   readonly startedAt: Milliseconds
   readonly policy: HoldingPolicy
+  /** Whether callers are sent to this instance, */
+  readonly isActive: () => boolean
+  /** and to which others. */
   readonly otherInstances: () => readonly string[]
   readonly limits: LedgerLimits
   /** Reaches other instances; without it nobody borrows. */
@@ -73,13 +77,9 @@
   }
 
   observe(rows: readonly ChangedRow[], isWhole: boolean): void {
-    const byBudget = new Map<string, ChangedRow[]>()
-    for (const row of rows) {
-      const list = byBudget.get(row.partition) ?? []
-      byBudget.set(row.partition, list)
-      list.push(row)
+    for (const [budget, ofBudget] of groupBy(rows, row => row.partition)) {
+      this.accounts.get(budget)?.observe(ofBudget, isWhole)
     }
-    for (const [budget, list] of byBudget) this.accounts.get(budget)?.observe(list, isWhole)
   }
 
   /** Sets tokens aside: from the own holding, by a transaction, or from other instances. */
--- a/packages/coordination/src/prepaid/writePlan.ts
+++ b/packages/coordination/src/prepaid/writePlan.ts
@@ -144,7 +144,8 @@
   }
   const isShortElsewhere = free < floor / 2 || inputs.othersWant > free
   const excess = after - target * (isShortElsewhere ? 1 : 1 + TOLERANCE)
-  if (excess > Math.max(1, target * TOLERANCE)) return needed - Math.floor(after - target)
+  const tolerated = target > 0 ? Math.max(1, target * TOLERANCE) : 0
+  if (excess > tolerated) return needed - Math.floor(after - target)
   if (inputs.othersWant > free) return needed - lendable(inputs, after, free)
   return needed
 }
--- /dev/null
+++ b/packages/daemon/src/gateway/activeFleet.ts
@@ -0,0 +1,101 @@
+import { ActiveInstances } from '@rackwalk/coordination'
+import type { ActiveBounds, MemberRow } from '@rackwalk/coordination'
+import type { Clock, Milliseconds } from '@rackwalk/shared'
+
+/** What this instance knows of the fleet at present: who serves, and who of them takes callers. */
+
+export interface ActiveFleetParts {
+  /** The own row; undefined while this instance takes no callers. */
+  readonly self: () => MemberRow | undefined
+  /** Other instances that serve, as the store has them. */
+  readonly others: () => readonly MemberRow[]
+  /** Whether an instance was heard of lately; undefined where nothing is ever heard. */
+  readonly hears: (member: MemberRow) => boolean | undefined
+  readonly clock: Clock
+  readonly bounds: ActiveBounds
+  /** This instance became active or began to stand by. */
+  readonly onChange: (isActive: boolean, activeInstances: number) => void
+}
+
+interface FleetView {
+  readonly at: Milliseconds
+  /** The own row as it was then; undefined while this instance took no callers. */
+  readonly self: MemberRow | undefined
+  readonly isSelfActive: boolean
+  readonly activeOthers: readonly MemberRow[]
+}
+
+/** Age up to which a view of the fleet is used again. */
+const VIEW_MILLISECONDS = 100
+
+export class ActiveFleet {
+  private readonly choice: ActiveInstances
+  private view: FleetView | undefined
+
+  constructor(private readonly parts: ActiveFleetParts) {
+    this.choice = new ActiveInstances(parts.clock, parts.bounds)
+  }
+
+  /** Whether callers are sent here. */
+  get isSelfActive(): boolean {
+    return this.current().isSelfActive
+  }
+
+  /** Other instances to which callers are sent. */
+  get activeOthers(): readonly MemberRow[] {
+    return this.current().activeOthers
+  }
+
+  /**
+   * By how many a bound of the whole fleet is divided here. Instances that stand by share such a
+   * bound among all: they use little of it, and only what callers bring them unasked.
+   */
+  get sharers(): number {
+    const { isSelfActive, activeOthers } = this.current()
+    return 1 + (isSelfActive ? activeOthers.length : this.parts.others().length)
+  }
+
+  /** Addresses for a caller of a region; of all regions where it has no instance. */
+  addresses(region: string | undefined): readonly string[] {
+    const { self, isSelfActive, activeOthers } = this.current()
+    const active = isSelfActive && self !== undefined ? [self, ...activeOthers] : activeOthers
+    const near = active.filter(member => member.region === region)
+    return (near.length > 0 ? near : active).map(member => member.callerAddress)
+  }
+
+  private current(): FleetView {
+    const before = this.view
+    const self = this.parts.self()
+    const now = this.parts.clock.monotonic()
+    const isSame = (before?.self === undefined) === (self === undefined)
+    if (before !== undefined && isSame && now - before.at < VIEW_MILLISECONDS) return before
+    const view = { at: now, ...this.look(self) }
+    this.view = view
+    if (before?.isSelfActive !== view.isSelfActive) this.tell(view)
+    return view
+  }
+
+  private tell({ isSelfActive, activeOthers }: FleetView): void {
+    this.parts.onChange(isSelfActive, activeOthers.length + (isSelfActive ? 1 : 0))
+  }
+
+  private look(self: MemberRow | undefined): Omit<FleetView, 'at'> {
+    const others = this.reachableOthers()
+    const active = this.choice.choose(self === undefined ? others : [self, ...others])
+    return {
+      self,
+      isSelfActive: active.some(member => member === self),
+      activeOthers: active.filter(member => member !== self),
+    }
+  }
+
+  /**
+   * Other instances to which callers may go. One that has fallen silent is left out long before
+   * its row shows it, unless this instance hears nobody and may be the one that is cut off.
+   */
+  private reachableOthers(): readonly MemberRow[] {
+    const others = this.parts.others()
+    const heard = others.filter(member => this.parts.hears(member) !== false)
+    return heard.length > 0 ? heard : others
+  }
+}
--- a/packages/daemon/src/gateway/followedTables.ts
+++ b/packages/daemon/src/gateway/followedTables.ts
@@ -14,6 +14,9 @@
 const CONFIGURATION_PAUSE_MILLISECONDS = 20
 /** Each server renews its row about once a second; a list this old is new enough. */
 const SERVER_PAUSE_MILLISECONDS = 250
+/** An instance that stands by reads at leisure: what it knows serves few. */
+const STANDBY_SERVER_PAUSE_MILLISECONDS = 800
+const STANDBY_PREPAID_PAUSE_MILLISECONDS = 3_000
 const MEMBER_PAUSE_MILLISECONDS = 700
 const PREPAID_PAUSE_MILLISECONDS = 400
 /** Time between two reads, as a part of that between two records of a holding. */
@@ -27,6 +30,8 @@
   readonly members: MemberDirectory
   readonly ledger: PrepaidLedger
   readonly peerRows: PeerRows
+  /** Whether callers are sent to this instance. */
+  readonly isActive: () => boolean
   readonly onConfiguration: (rows: readonly ChangedRow[]) => void
   readonly onContact: (isReachable: boolean) => void
   readonly onFault: (error: unknown) => void
@@ -60,9 +65,8 @@
     {
       table: PREPAID_TABLE,
       partitions: () => ledger.budgets,
-      // Holdings that are recorded less often need not be read more often.
       pauseMilliseconds: () =>
-        Math.max(PREPAID_PAUSE_MILLISECONDS, ledger.recordMilliseconds() * PREPAID_PAUSE_SHARE),
+        parts.isActive() ? prepaidPause(ledger) : STANDBY_PREPAID_PAUSE_MILLISECONDS,
       isOthers: false,
       listener: { onRows: (rows, isWhole) => ledger.observe(rows, isWhole) },
     },
@@ -70,6 +74,11 @@
   return new Map(tables.map(followed => [followed.table, follow(parts, followed)]))
 }
 
+/** Holdings that are recorded less often need not be read more often. */
+function prepaidPause(ledger: PrepaidLedger): Milliseconds {
+  return Math.max(PREPAID_PAUSE_MILLISECONDS, ledger.recordMilliseconds() * PREPAID_PAUSE_SHARE)
+}
+
 /** What the operator and the servers write. */
 function othersTables(parts: FollowedTablesParts): readonly FollowedTable[] {
   const { configuration, servers } = parts.adapter
@@ -84,7 +93,8 @@
     {
       table: servers.table,
       partitions: () => [servers.partition],
-      pauseMilliseconds: () => SERVER_PAUSE_MILLISECONDS,
+      pauseMilliseconds: () =>
+        parts.isActive() ? SERVER_PAUSE_MILLISECONDS : STANDBY_SERVER_PAUSE_MILLISECONDS,
       isOthers: true,
       listener: new ServerFollower({
         directory: parts.servers,
--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -4,14 +4,16 @@
 import type { ChangedRow, RowStore } from '@rackwalk/platform'
 import {
   DemandHoldingPolicy,
+  DemandMeter,
   EqualHoldingPolicy,
   MemberDirectory,
   PrepaidLedger,
   StoreClock,
 } from '@rackwalk/coordination'
-import type { MemberRow, TableMirror } from '@rackwalk/coordination'
+import type { TableMirror } from '@rackwalk/coordination'
 import { FleetLoad, Gateway, RouteTable, ServerDirectory } from '@rackwalk/router'
 import type { GatewayConfiguration, GatewayRecord } from '@rackwalk/router'
+import { ActiveFleet } from './activeFleet.js'
 import { BoundedLogger } from '../observe/boundedLogger.js'
 import { ConsolaLogger } from '../observe/logger.js'
 import type { Logger } from '../observe/logger.js'
@@ -27,6 +29,7 @@
 import { PeerLoans, answerLoan } from './peerLoans.js'
 import { PeerRows, answerRows } from './peerRows.js'
 import { requestLine } from './requestLine.js'
+import { capacityOf } from './instanceCapacity.js'
 import { followTables } from './followedTables.js'
 import { stopAsPlanned } from './plannedStop.js'
 import type { PlainAnswer, PlatformAdapter } from './platformAdapter.js'
@@ -54,6 +57,9 @@
   private readonly store: RowStore
   private readonly storeClock: StoreClock
   private readonly members: MemberDirectory
+  /** Requests that callers send here. */
+  private readonly requestRate: DemandMeter
+  private readonly fleet: ActiveFleet
   private readonly ledger: PrepaidLedger
   private readonly servers: ServerDirectory
   private readonly fleetLoad: FleetLoad
@@ -82,7 +88,9 @@
     this.store = options.store ?? adapter.createStore(settings.store)
     this.storeClock = new StoreClock(this.clock)
     const incarnation = this.random.uniqueId().slice(0, 8)
+    this.requestRate = new DemandMeter(this.clock)
     this.members = this.createMembers(incarnation)
+    this.fleet = this.createFleet()
     this.peerLoans = this.createPeerLoans()
     this.ledger = this.createLedger(incarnation)
     this.servers = this.createServers()
@@ -99,6 +107,7 @@
     this.mirrors = this.createMirrors()
     this.metrics = this.createMetrics()
     this.callerListener = createCallerListener((request, response) => {
+      this.requestRate.add(1)
       void this.gateway.handle(request, response)
     })
     this.otherListeners = this.createOtherListeners()
@@ -199,7 +208,9 @@
         callerAddress: listen.callers,
         peerAddress: listen.peers ?? '',
         loadAddress: listen.loads ?? '',
+        capacity: capacityOf(instance.capacity),
       },
+      requestsPerSecond: () => this.requestRate.perSecond,
       store: this.store,
       storeClock: this.storeClock,
       clock: this.clock,
@@ -211,6 +222,20 @@
     })
   }
 
+  private createFleet(): ActiveFleet {
+    const { activeInDomain, headroom } = this.settings.membership
+    return new ActiveFleet({
+      self: () => (this.isReady ? this.members.self : undefined),
+      others: () => this.members.others,
+      hears: ({ instance, loadAddress }) =>
+        loadAddress === '' ? undefined : this.fleetLoad.hears(instance),
+      clock: this.clock,
+      bounds: { minimumInDomain: activeInDomain, headroom },
+      onChange: (isActive, activeInstances) =>
+        this.note('active_state', { isActive, activeInstances }),
+    })
+  }
+
   private createLedger(incarnation: string): PrepaidLedger {
     const { instance, store, budgets } = this.settings
     return new PrepaidLedger({
@@ -221,7 +246,8 @@
       clock: this.clock,
       startedAt: this.startedAt,
       policy: budgets.policy === 'equal' ? new EqualHoldingPolicy() : new DemandHoldingPolicy(),
-      otherInstances: () => this.members.others.map(member => member.instance),
+      isActive: () => this.fleet.isSelfActive,
+      otherInstances: () => this.fleet.activeOthers.map(member => member.instance),
       limits: {
         writesPerSecond: store.writesPerSecond,
         partitionWritesPerSecond: store.partitionWritesPerSecond,
@@ -243,7 +269,7 @@
   private createServers(): ServerDirectory {
     return new ServerDirectory({
       clock: this.clock,
-      instances: () => this.instanceCount,
+      instances: () => this.fleet.sharers,
       maximumConnections: name => this.routes?.service(name)?.maximumConnections ?? 1,
       onChange: (server, change) => {
         this.note('server_state', { server: server.id, service: server.service, change })
@@ -277,7 +303,7 @@
       ledger: this.ledger,
       routes: () => this.routes,
       retryBounds: { ...retries, windowMilliseconds: retries.windowSeconds * 1000 },
-      instances: () => this.instanceCount,
+      instances: () => this.fleet.sharers,
       isDraining: () => this.draining,
       isRefusing: () => this.refusing,
       defaultDeadlineMilliseconds: requests.defaultDeadlineMilliseconds,
@@ -308,6 +334,7 @@
       ledger: this.ledger,
       peerRows: this.peerRows,
       onConfiguration: rows => this.noteConfiguration(rows),
+      isActive: () => this.fleet.isSelfActive,
       onContact: isReachable => this.note('store_contact', { isReachable }),
       onFault: error => this.noteFault(error),
     })
@@ -316,7 +343,7 @@
   private createMetrics(): GatewayMetrics {
     return new GatewayMetrics({
       inFlight: () => this.gateway.inFlight,
-      instances: () => this.instanceCount,
+      instances: () => this.members.others.length + 1,
       servers: () => this.servers.size,
       configurationVersion: () => this.routes?.version ?? 0,
       ready: () => (this.isReady ? 1 : 0),
@@ -347,25 +374,13 @@
   }
 
   private answerDirectory(url: string): PlainAnswer {
-    if (this.adapter.readDirectoryQuestion(url) === undefined) return { status: 404 }
-    const own = this.isReady ? [this.settings.listen.callers] : []
-    const addresses = [...own, ...this.reachableOthers().map(member => member.callerAddress)]
+    const question = this.adapter.readDirectoryQuestion(url)
+    if (question === undefined) return { status: 404 }
+    const addresses = this.fleet.addresses(question.region)
     if (addresses.length === 0) return { status: 503 }
     return this.adapter.directoryAnswer(addresses, this.settings.membership.addressSeconds)
   }
 
-  /**
-   * Other instances to which callers may go. One that has fallen silent is left out long before
-   * its row shows it, unless this instance hears nobody and may be the one that is cut off.
-   */
-  private reachableOthers(): readonly MemberRow[] {
-    const others = this.members.others
-    const heard = others.filter(
-      ({ instance, loadAddress }) => loadAddress === '' || this.fleetLoad.hears(instance),
-    )
-    return heard.length > 0 ? heard : others
-  }
-
   private async answerMetrics(): Promise<PlainAnswer> {
     return { status: 200, body: await this.metrics.registry.metrics() }
   }
@@ -406,10 +421,6 @@
     this.members.start()
   }
 
-  private get instanceCount(): number {
-    return this.members.others.length + 1
-  }
-
   private noteRecord(record: GatewayRecord): void {
     this.metrics.noteRecord(record)
     const isServed = record.code === ResultCode.Ok
--- a/packages/daemon/src/gateway/gatewaySettings.ts
+++ b/packages/daemon/src/gateway/gatewaySettings.ts
@@ -17,6 +17,14 @@
       id: nameSchema.describe('Name of this instance, the same after a restart'),
       region: nameSchema.describe('Region it runs in'),
       failureDomain: nameSchema.describe('Failure domain it runs in'),
+      capacity: z
+        .strictObject({
+          processorShare: z.number().positive().default(1).describe('Part of a core'),
+          processorSpeed: z.number().positive().default(1).describe('Times a usual core'),
+          linkMegabits: z.number().positive().default(1_000).describe('Bits of its link a second'),
+        })
+        .prefault({})
+        .describe('What its machine bears'),
     })
     .describe('Who this instance is'),
   listen: z
@@ -75,6 +83,17 @@
     .strictObject({
       heartbeatMilliseconds: milliseconds.default(1_000).describe('Time between two heartbeats'),
       silenceMilliseconds: milliseconds.default(3_500).describe('Then an instance counts as gone'),
+      activeInDomain: z
+        .number()
+        .int()
+        .positive()
+        .default(2)
+        .describe('Instances of a failure domain that take callers, at least'),
+      headroom: z
+        .number()
+        .min(1)
+        .default(2)
+        .describe('Instances that take callers bear this many times the load'),
       addressSeconds: seconds.default(1).describe('How long callers keep an answer'),
     })
     .prefault({})
--- /dev/null
+++ b/packages/daemon/src/gateway/instanceCapacity.ts
@@ -0,0 +1,17 @@
+import type { GatewaySettings } from './gatewaySettings.js'
+
+/** Requests a second that one instance bears, from what its settings say of its machine. */
+
+/** Measured on days of the users' bench: a request with its events takes some 4 ms of a core. */
+const REQUESTS_PER_CORE = 60
+/** Prompt in and out, events in and out, with heads: measured some 50 KB a streamed request. */
+const BYTES_PER_REQUEST = 50_000
+/** Part of a link that requests may take; the rest is for bursts and for the store. */
+const LINK_SHARE = 0.4
+const BYTES_PER_MEGABIT = 125_000
+
+export function capacityOf(machine: GatewaySettings['instance']['capacity']): number {
+  const byProcessor = machine.processorShare * machine.processorSpeed * REQUESTS_PER_CORE
+  const byLink = (machine.linkMegabits * BYTES_PER_MEGABIT * LINK_SHARE) / BYTES_PER_REQUEST
+  return Math.max(1, Math.min(byProcessor, byLink))
+}
--- /dev/null
+++ b/packages/shared/src/groupBy.ts
@@ -0,0 +1,14 @@
+/** Items by the key that each of them has, in the order of their first appearance. */
+export function groupBy<Item, Key>(
+  items: readonly Item[],
+  keyOf: (item: Item) => Key,
+): ReadonlyMap<Key, readonly Item[]> {
+  const groups = new Map<Key, Item[]>()
+  for (const item of items) {
+    const key = keyOf(item)
+    const group = groups.get(key)
+    if (group === undefined) groups.set(key, [item])
+    else group.push(item)
+  }
+  return groups
+}
--- a/packages/stand-ins/src/exploration/prepaidWorld.ts
+++ b/packages/stand-ins/src/exploration/prepaidWorld.ts
@@ -22,6 +22,7 @@
   | { readonly kind: 'leave'; readonly node: number }
   | { readonly kind: 'fault'; readonly node: number; readonly fault: PrepaidFault }
   | { readonly kind: 'peer-fault'; readonly node: number; readonly fault: PeerFault }
+  | { readonly kind: 'turn'; readonly node: number; readonly isActive: boolean }
   | { readonly kind: 'heal' }
   | { readonly kind: 'forget' }
   | { readonly kind: 'raise' }
@@ -143,6 +144,10 @@
     }),
   },
   { weight: 1, arbitrary: fc.record({ kind: fc.constant('leave' as const), node }) },
+  {
+    weight: 1,
+    arbitrary: fc.record({ kind: fc.constant('turn' as const), node, isActive: fc.boolean() }),
+  },
   { weight: 2, arbitrary: fc.constant({ kind: 'heal' as const }) },
   { weight: 1, arbitrary: fc.constant({ kind: 'forget' as const }) },
   { weight: 1, arbitrary: fc.constant({ kind: 'raise' as const }) },
@@ -155,6 +160,8 @@
   readonly faults: RowStoreFaults
   readonly reservations: PrepaidReservation[]
   isDead: boolean
+  /** Whether callers are sent there; what others know of it comes later. */
+  isActive: boolean
   peerFault: PeerFault
 }
 
@@ -239,6 +246,9 @@
         return this.fault(action.node, action.fault)
       case 'heal':
         return this.heal()
+      case 'turn':
+        this.nodeAt(action.node).isActive = action.isActive
+        return
       case 'peer-fault':
         this.nodeAt(action.node).peerFault = action.fault
         return
@@ -328,20 +338,22 @@
       clock,
       startedAt: 0,
       policy: new DemandHoldingPolicy(),
+      isActive: () => started.isActive,
       otherInstances: () => OTHERS[index] ?? [],
       limits: { writesPerSecond: 600, partitionWritesPerSecond: 150, reserveShare: 0 },
       loanChannel: this.variant.channelOf?.(channel) ?? channel,
       onEvent: event => this.count(event),
     })
-    this.configure(ledger)
-    ledger.start()
     const started: WorldNode = {
       ledger,
       faults,
       reservations: [],
       isDead: false,
+      isActive: true,
       peerFault: 'none',
     }
+    this.configure(ledger)
+    ledger.start()
     this.feed(started, store)
     return started
   }
