feat(gateway): reports about load go to active instances; calls to the store are counted

Cause: reports were paced by the number of all instances, 660 ms apart with 73 of them, so an instance chose servers by what others had in progress half a second ago. Instances that stand by need only to know who lives.

Change: active instances get every report, paced by their own number (64 ms with eight); the others get signs of life. rackwalk_gateway_store_calls_total tells calls by table and outcome, since calls are the largest price on the larger sites; two gauges tell who is active.

--- a/packages/daemon/__tests__/references.spec.ts
+++ b/packages/daemon/__tests__/references.spec.ts
@@ -55,6 +55,8 @@
   const gateway = new GatewayMetrics({
     inFlight: zero,
     instances: zero,
+    activeInstances: zero,
+    active: zero,
     servers: zero,
     configurationVersion: zero,
     ready: zero,
--- a/packages/daemon/src/gateway/activeFleet.ts
+++ b/packages/daemon/src/gateway/activeFleet.ts
@@ -46,6 +46,12 @@
     return this.current().activeOthers
   }
 
+  /** Other instances that stand by, or have fallen silent. */
+  get standbyOthers(): readonly MemberRow[] {
+    const active = new Set(this.activeOthers.map(member => member.instance))
+    return this.parts.others().filter(member => !active.has(member.instance))
+  }
+
   /**
    * By how many a bound of the whole fleet is divided here. Instances that stand by share such a
    * bound among all: they use little of it, and only what callers bring them unasked.
--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -10,7 +10,7 @@
   PrepaidLedger,
   StoreClock,
 } from '@rackwalk/coordination'
-import type { TableMirror } from '@rackwalk/coordination'
+import type { MemberRow, TableMirror } from '@rackwalk/coordination'
 import { FleetLoad, Gateway, RouteTable, ServerDirectory } from '@rackwalk/router'
 import type { GatewayConfiguration, GatewayRecord } from '@rackwalk/router'
 import { ActiveFleet } from './activeFleet.js'
@@ -29,6 +29,7 @@
 import { PeerLoans, answerLoan } from './peerLoans.js'
 import { PeerRows, answerRows } from './peerRows.js'
 import { requestLine } from './requestLine.js'
+import { CountedStore } from './countedStore.js'
 import { capacityOf } from './instanceCapacity.js'
 import { followTables } from './followedTables.js'
 import { stopAsPlanned } from './plannedStop.js'
@@ -85,7 +86,10 @@
     this.clock = options.clock ?? new SystemClock()
     this.random = options.random ?? new SystemRandom()
     this.logger = options.logger ?? this.createLogger()
-    this.store = options.store ?? adapter.createStore(settings.store)
+    this.store = new CountedStore(
+      options.store ?? adapter.createStore(settings.store),
+      (call, table, outcome) => this.metrics.noteStoreCall(call, table, outcome),
+    )
     this.storeClock = new StoreClock(this.clock)
     const incarnation = this.random.uniqueId().slice(0, 8)
     this.requestRate = new DemandMeter(this.clock)
@@ -283,8 +287,8 @@
     if (listen.loads === undefined) return undefined
     return new LoadExchange({
       address: listen.loads,
-      peers: () =>
-        this.members.others.map(member => member.loadAddress).filter(known => known !== ''),
+      activePeers: () => loadAddressesOf(this.fleet.activeOthers),
+      standbyPeers: () => loadAddressesOf(this.fleet.standbyOthers),
       fleetLoad: this.fleetLoad,
       clock: this.clock,
     })
@@ -344,6 +348,8 @@
     return new GatewayMetrics({
       inFlight: () => this.gateway.inFlight,
       instances: () => this.members.others.length + 1,
+      activeInstances: () => this.fleet.activeOthers.length + Number(this.fleet.isSelfActive),
+      active: () => Number(this.fleet.isSelfActive),
       servers: () => this.servers.size,
       configurationVersion: () => this.routes?.version ?? 0,
       ready: () => (this.isReady ? 1 : 0),
@@ -432,3 +438,7 @@
     this.logger.info(event, fields)
   }
 }
+
+function loadAddressesOf(members: readonly MemberRow[]): readonly string[] {
+  return members.map(member => member.loadAddress).filter(known => known !== '')
+}
--- a/packages/daemon/src/gateway/gatewayMetrics.ts
+++ b/packages/daemon/src/gateway/gatewayMetrics.ts
@@ -9,6 +9,8 @@
 export interface GatewayGauges {
   readonly inFlight: () => number
   readonly instances: () => number
+  readonly activeInstances: () => number
+  readonly active: () => number
   readonly servers: () => number
   readonly configurationVersion: () => number
   readonly ready: () => number
@@ -23,6 +25,7 @@
   private readonly reservations: Counter
   private readonly tokens: Counter
   private readonly events: Counter
+  private readonly storeCalls: Counter
   private readonly firstByte: Histogram
   private readonly total: Histogram
 
@@ -58,6 +61,12 @@
       labelNames: ['event'],
       registers,
     })
+    this.storeCalls = new Counter({
+      name: 'rackwalk_gateway_store_calls_total',
+      help: 'Calls to the store, by call, table and outcome.',
+      labelNames: ['call', 'table', 'outcome'],
+      registers,
+    })
     this.firstByte = new Histogram({
       name: 'rackwalk_gateway_first_byte_seconds',
       help: 'Time from the arrival of a request to the first byte of its answer.',
@@ -93,9 +102,15 @@
     this.events.inc({ event })
   }
 
+  noteStoreCall(call: string, table: string, outcome: string): void {
+    this.storeCalls.inc({ call, table, outcome })
+  }
+
   private observe(gauges: GatewayGauges): void {
     this.gauge('in_flight', 'Requests in progress.', gauges.inFlight)
     this.gauge('instances', 'Instances that serve, this one included.', gauges.instances)
+    this.gauge('active_instances', 'Instances that take callers.', gauges.activeInstances)
+    this.gauge('active', '1 while callers are sent here.', gauges.active)
     this.gauge('servers', 'Servers listed.', gauges.servers)
     this.gauge('configuration_version', 'Version in force here.', gauges.configurationVersion)
     this.gauge('ready', '1 while new requests may begin here.', gauges.ready)
--- a/packages/daemon/src/gateway/loadExchange.ts
+++ b/packages/daemon/src/gateway/loadExchange.ts
@@ -11,10 +11,14 @@
 
 /** Time between two reports in a small fleet. */
 const SHORTEST_INTERVAL_MILLISECONDS = 20
-/** Bytes a second that one instance sends to all others together. */
-const BYTES_PER_SECOND = 12_000
-/** A report with the head of its datagram, as measured on a calm day. */
+/** Bytes a second that one instance sends in reports, to all that get them together, */
+const REPORT_BYTES_PER_SECOND = 12_000
+/** and in signs of life to the others. */
+const SIGN_BYTES_PER_SECOND = 5_000
+/** A report with the head of its datagram, as measured on a calm day, */
 const REPORT_BYTES = 110
+/** and a sign of life. */
+const SIGN_BYTES = 80
 /** An instance with nothing new gives a sign of life this often, */
 const SIGN_MILLISECONDS = 250
 /** and counts as silent when this many of them are missing. */
@@ -39,8 +43,10 @@
 export interface LoadExchangeParts {
   /** IP:PORT at which this instance takes reports. */
   readonly address: string
-  /** IP:PORT of the others. */
-  readonly peers: () => readonly string[]
+  /** IP:PORT of others that take callers: they get every report. */
+  readonly activePeers: () => readonly string[]
+  /** IP:PORT of others that stand by: they get signs of life. */
+  readonly standbyPeers: () => readonly string[]
   readonly fleetLoad: FleetLoad
   readonly clock: Clock
 }
@@ -49,6 +55,7 @@
   private socket: Socket | undefined
   private timer: Timer | undefined
   private sentAt: Milliseconds = Number.NEGATIVE_INFINITY
+  private signedAt: Milliseconds = Number.NEGATIVE_INFINITY
 
   constructor(private readonly parts: LoadExchangeParts) {}
 
@@ -70,7 +77,8 @@
 
   private schedule(): void {
     this.timer = this.parts.clock.after(this.interval, () => {
-      this.send()
+      this.sendReport()
+      this.sendSigns()
       this.parts.fleetLoad.expire(MISSING_SIGNS * this.signInterval)
       this.schedule()
     })
@@ -78,21 +86,35 @@
 
   /** Reports grow rarer with the number of instances, so that their bytes stay bounded. */
   private get interval(): Milliseconds {
-    const bytes = this.parts.peers().length * REPORT_BYTES
-    return Math.max(SHORTEST_INTERVAL_MILLISECONDS, (bytes * 1000) / BYTES_PER_SECOND)
+    const bytes = this.parts.activePeers().length * REPORT_BYTES
+    return Math.max(SHORTEST_INTERVAL_MILLISECONDS, (bytes * 1000) / REPORT_BYTES_PER_SECOND)
   }
 
+  /** All instances know about the same number of others, and so the interval of their signs. */
   private get signInterval(): Milliseconds {
-    return Math.max(SIGN_MILLISECONDS, this.interval)
+    const peers = this.parts.activePeers().length + this.parts.standbyPeers().length
+    const slowed = (peers * SIGN_BYTES * 1000) / SIGN_BYTES_PER_SECOND
+    return Math.max(SIGN_MILLISECONDS, this.interval, slowed)
   }
 
-  private send(): void {
+  private sendReport(): void {
     const now = this.parts.clock.monotonic()
     const report = this.parts.fleetLoad.nextReport(now - this.sentAt >= this.signInterval)
     if (report === undefined) return
     this.sentAt = now
+    this.sendTo(this.parts.activePeers(), report)
+  }
+
+  private sendSigns(): void {
+    const now = this.parts.clock.monotonic()
+    if (now - this.signedAt < this.signInterval) return
+    this.signedAt = now
+    this.sendTo(this.parts.standbyPeers(), this.parts.fleetLoad.sign())
+  }
+
+  private sendTo(peers: readonly string[], report: PeerLoadReport): void {
     const bytes = encodeReport(report)
-    for (const peer of this.parts.peers()) {
+    for (const peer of peers) {
       const [host, port] = peer.split(':')
       this.socket?.send(bytes, Number(port), host, () => {})
     }
--- a/packages/router/__tests__/peerLoads.spec.ts
+++ b/packages/router/__tests__/peerLoads.spec.ts
@@ -101,6 +101,24 @@
       reporter.next(true),
     ]).toMatchSnapshot()
   })
+
+  it('gives signs of life that say of no server anything and put no whole report off', () => {
+    const directory = directoryOf('s1')
+    const reporter = new LoadReporter(
+      { instance: 'self', incarnation: 'first' },
+      directory,
+      new PromptCaches(),
+    )
+    const [server] = directory.available('model')
+    if (server === undefined) throw new Error('no server')
+    server.running = 1
+    const wholes: number[] = []
+    for (let turn = 1; turn <= 24; turn += 1) {
+      expect(reporter.sign()).toMatchObject({ isWhole: false, loads: [], sequence: 2 * turn - 1 })
+      if (reporter.next(true)?.isWhole) wholes.push(turn)
+    }
+    expect(wholes).toEqual([12, 24])
+  })
 })
 
 describe('PromptCaches', () => {
--- a/packages/router/src/gateway/fleetLoad.ts
+++ b/packages/router/src/gateway/fleetLoad.ts
@@ -59,6 +59,11 @@
     return this.reporter.next(isSignDue)
   }
 
+  /** A report of nothing but that this instance lives. */
+  sign(): PeerLoadReport {
+    return this.reporter.sign()
+  }
+
   /** Whether an instance was heard of lately. */
   hears(instance: string): boolean {
     return this.peers.hears(instance)
--- a/packages/router/src/gateway/loadReporter.ts
+++ b/packages/router/src/gateway/loadReporter.ts
@@ -8,6 +8,7 @@
 /** Tells what this instance has in progress: what changed, and now and then everything. */
 export class LoadReporter {
   private sequence = 0
+  private reports = 0
   private told = new Map<string, InstanceLoad>()
 
   constructor(
@@ -19,7 +20,8 @@
   /** The next report; undefined where nothing has changed, unless a sign of life is due. */
   next(isSignDue: boolean): PeerLoadReport | undefined {
     this.sequence += 1
-    const isWhole = this.sequence % REPORTS_A_WHOLE === 0
+    this.reports += 1
+    const isWhole = this.reports % REPORTS_A_WHOLE === 0
     const current = this.directory.loads()
     const parts = this.caches.takeUntold()
     const isNews = (server: string) =>
@@ -36,6 +38,12 @@
     if (!isWhole && !isSignDue && loads.length === 0) return undefined
     return { ...this.identity, sequence: this.sequence, isWhole, loads }
   }
+
+  /** Says of no server anything; it goes to instances that get no reports. */
+  sign(): PeerLoadReport {
+    this.sequence += 1
+    return { ...this.identity, sequence: this.sequence, isWhole: false, loads: [] }
+  }
 }
 
 const NO_LOAD: InstanceLoad = { running: 0, pendingTokens: 0 }
