--- a/bench/src/capacity/fleetSize.ts
+++ b/bench/src/capacity/fleetSize.ts
@@ -50,6 +50,20 @@
   storeReadsPerSecond: 2_000,
 }
 
+/** The booking office's larger sheet; most of its nodes stand by. */
+export const BOOKING_LARGE_SIZE: FleetSize = {
+  ...BOOKING_SIZE,
+  name: 'booking office, larger',
+  nodes: 73,
+  endpoints: 46,
+  teams: 24,
+  budgets: 24,
+  requestsPerSecond: 348,
+  tokensPerSecond: 14_000,
+  storeWritesPerSecond: 1_500,
+  storeReadsPerSecond: 6_000,
+}
+
 export const DOCWORKS_SIZE: FleetSize = {
   ...BOOKING_SIZE,
   name: 'Docworks',
--- a/bench/src/capacity/gatewayEstimate.ts
+++ b/bench/src/capacity/gatewayEstimate.ts
@@ -22,6 +22,12 @@
 const PARTITION_WRITES_PER_SECOND = 150
 /** Calls of one instance on its feeds: configuration, servers, members, budgets. */
 const FEED_CALLS_PER_SECOND = 0.5 + 4 + 1.4 + 2.5
+/** The same of an instance that stands by. */
+const STANDBY_CALLS_PER_SECOND = 0.5 + 1.25 + 1.4 + 0.3
+/** Requests a second that a node of 0.675 cores bears, and how often that covers the load. */
+const NODE_CAPACITY = 40
+const HEADROOM = 2
+const ACTIVE_IN_DOMAIN = 2
 /** A budget without a request for this long is recorded four times less often. */
 const ACTIVE_SECONDS = 6
 
@@ -29,20 +35,27 @@
   return Math.max(0, slope.fixed + slope.perUnit * size)
 }
 
+/** Nodes that take callers. */
+function activeNodes(fleet: FleetSize): number {
+  const least = ACTIVE_IN_DOMAIN * fleet.failureDomains
+  const forLoad = Math.ceil((HEADROOM * fleet.requestsPerSecond) / NODE_CAPACITY)
+  return Math.min(fleet.nodes, Math.max(least, forLoad))
+}
+
 /** Budgets that see a request at one node within the time that keeps them active. */
 function activeBudgets(fleet: FleetSize): number {
-  const requests = fleet.requestsPerSecond / fleet.nodes
+  const requests = fleet.requestsPerSecond / activeNodes(fleet)
   return Math.min(fleet.budgets, requests * ACTIVE_SECONDS)
 }
 
-/** Every budget of the configuration has an account at every node. */
+/** A node that takes callers; every budget of the configuration has an account there. */
 export function gatewayNodeCosts(fleet: FleetSize, slopes: GatewaySlopes): readonly NodeCost[] {
-  const requests = fleet.requestsPerSecond / fleet.nodes
-  const peers = fleet.nodes - 1
+  const requests = fleet.requestsPerSecond / activeNodes(fleet)
+  const peers = activeNodes(fleet) - 1
   const interval = Math.max(SHORTEST_REPORT_SECONDS, (peers * REPORT_BYTES) / LOAD_BYTES_PER_SECOND)
   const reports = peers * Math.min(1 / interval, 4 + requests * 3)
   const heartbeats = Math.min(fleet.nodes, HEARTBEAT_SHARE * PARTITION_WRITES_PER_SECOND)
-  const holders = Math.min(fleet.nodes * activeBudgets(fleet), recordsOf(fleet))
+  const holders = Math.min(activeNodes(fleet) * activeBudgets(fleet), recordsOf(fleet))
   const share = (microseconds: number) => microseconds / MICROSECONDS
   return [
     {
@@ -57,14 +70,14 @@
       coreShare: share(at(slopes.reportTaken, 1) * reports),
       bytesPerSecond: 2 * Math.min(LOAD_BYTES_PER_SECOND, reports * at(slopes.reportBytes, 1)),
       heapBytes: 0,
-      mechanism: 'daemon/gateway/loadExchange.ts (rarer with more nodes)',
+      mechanism: 'daemon/gateway/loadExchange.ts (rarer with more active nodes)',
     },
     {
       part: 'budgets',
       coreShare: share(at(slopes.prepaidMaintain, fleet.budgets)),
       bytesPerSecond: holders * HOLDER_ROW_BYTES,
       heapBytes: slopes.prepaidHeap.perUnit * fleet.budgets,
-      mechanism: 'coordination/prepaid (every node follows every budget)',
+      mechanism: 'coordination/prepaid (every active node follows every budget)',
     },
     {
       part: 'members',
@@ -94,7 +107,7 @@
     },
     {
       part: 'records of holdings',
-      writesPerSecond: Math.min(recordsOf(fleet), 2 * fleet.nodes * activeBudgets(fleet)),
+      writesPerSecond: Math.min(recordsOf(fleet), 2 * activeNodes(fleet) * activeBudgets(fleet)),
       readsPerSecond: 0,
       mechanism: 'at most 30 in 100 of the store; more budgets are recorded less often',
     },
@@ -107,8 +120,10 @@
     {
       part: 'feeds',
       writesPerSecond: 0,
-      readsPerSecond: fleet.nodes * FEED_CALLS_PER_SECOND,
-      mechanism: 'four feeds a node',
+      readsPerSecond:
+        activeNodes(fleet) * FEED_CALLS_PER_SECOND +
+        (fleet.nodes - activeNodes(fleet)) * STANDBY_CALLS_PER_SECOND,
+      mechanism: 'four feeds a node, rarer where it stands by',
     },
   ]
 }
--- a/bench/src/capacity/page.ts
+++ b/bench/src/capacity/page.ts
@@ -2,7 +2,7 @@
 import type { PathSlopes } from '../path/index.js'
 import { nodeCosts, platformCosts } from './estimate.js'
 import type { NodeCost, PlatformCost } from './estimate.js'
-import { BOOKING_SIZE, DOCWORKS_SIZE, LETTER_SIZE } from './fleetSize.js'
+import { BOOKING_LARGE_SIZE, BOOKING_SIZE, DOCWORKS_SIZE, LETTER_SIZE } from './fleetSize.js'
 import type { FleetSize } from './fleetSize.js'
 import { gatewayNodeCosts, gatewayPlatformCosts } from './gatewayEstimate.js'
 import type { GatewaySlopes } from './gatewaySlopes.js'
@@ -43,7 +43,7 @@
   gateway: GatewaySlopes,
   path: PathSlopes,
 ): readonly string[] {
-  return [LETTER_SIZE, BOOKING_SIZE, DOCWORKS_SIZE].flatMap(fleet => [
+  return [LETTER_SIZE, BOOKING_SIZE, BOOKING_LARGE_SIZE, DOCWORKS_SIZE].flatMap(fleet => [
     `## ${fleet.name}: ${fleet.nodes} nodes, ${fleet.endpoints} endpoints, ${fleet.budgets} budgets`,
     '',
     'Instances with the OpenAI-style interface:',
