--- /dev/null
+++ b/packages/daemon/src/gateway/peerCall.ts
@@ -0,0 +1,48 @@
+import { request } from 'node:http'
+import type { Agent } from 'node:http'
+import type { Milliseconds } from '@rackwalk/shared'
+
+/** One call to another instance, answered in time or not at all. */
+export interface PeerCall {
+  /** IP:PORT. */
+  readonly address: string
+  readonly path: string
+  /** Sent as JSON; without it the call is a `GET`. */
+  readonly body?: object
+  /** Keeps connections; without it each call opens one. */
+  readonly agent?: Agent
+  readonly timeoutMilliseconds: Milliseconds
+}
+
+const LONGEST_ANSWER_BYTES = 8 * 1024 * 1024
+
+/** The text of a good and whole answer; undefined where there was none in time. */
+export function callPeer(call: PeerCall): Promise<string | undefined> {
+  const { address, path, body, agent = false, timeoutMilliseconds } = call
+  const [host, port] = address.split(':')
+  const method = body === undefined ? 'GET' : 'POST'
+  return new Promise(resolve => {
+    const sent = request({ host, port, path, method, agent }, response => {
+      const chunks: Buffer[] = []
+      let size = 0
+      response.on('data', (chunk: Buffer) => {
+        size += chunk.length
+        if (size > LONGEST_ANSWER_BYTES) sent.destroy()
+        chunks.push(chunk)
+      })
+      response.on('error', () => finish(undefined))
+      response.on('end', () => {
+        const isGood = response.statusCode === 200 && response.complete
+        finish(isGood ? Buffer.concat(chunks).toString('utf8') : undefined)
+      })
+    })
+    const timer = setTimeout(() => sent.destroy(), timeoutMilliseconds)
+    const finish = (text: string | undefined) => {
+      clearTimeout(timer)
+      resolve(text)
+    }
+    sent.on('error', () => finish(undefined))
+    sent.on('close', () => finish(undefined))
+    sent.end(body === undefined ? undefined : JSON.stringify(body))
+  })
+}
--- a/packages/daemon/src/gateway/peerLoans.ts
+++ b/packages/daemon/src/gateway/peerLoans.ts
@@ -1,7 +1,8 @@
-import { Agent, request } from 'node:http'
+import { Agent } from 'node:http'
 import * as z from 'zod'
 import type { Milliseconds, TokenCount } from '@rackwalk/shared'
 import type { Lender, LoanChannel, LoanRepayment, LoanRequest } from '@rackwalk/coordination'
+import { callPeer } from './peerCall.js'
 import type { PlainAnswer } from './platformAdapter.js'
 
 /** Loans of prepaid tokens between instances, over the listener for peers. */
@@ -68,29 +69,11 @@
   }
 
   /** The answer's text; undefined where there was none, or not a good one, in time. */
-  private post(instance: string, path: string, call: object): Promise<string | undefined> {
-    const [host, port] = this.parts.addressOf(instance)?.split(':') ?? []
-    if (host === undefined || port === undefined) return Promise.resolve(undefined)
-    return new Promise(resolve => {
-      const { agent } = this
-      const sent = request({ host, port: Number(port), path, method: 'POST', agent }, response => {
-        const chunks: Buffer[] = []
-        response.on('data', (chunk: Buffer) => chunks.push(chunk))
-        response.on('error', () => finish(undefined))
-        response.on('end', () => {
-          const isGood = response.statusCode === 200 && response.complete
-          finish(isGood ? Buffer.concat(chunks).toString('utf8') : undefined)
-        })
-      })
-      const timer = setTimeout(() => sent.destroy(), this.parts.timeoutMilliseconds)
-      const finish = (text: string | undefined) => {
-        clearTimeout(timer)
-        resolve(text)
-      }
-      sent.on('error', () => finish(undefined))
-      sent.on('close', () => finish(undefined))
-      sent.end(JSON.stringify(call))
-    })
+  private post(instance: string, path: string, body: object): Promise<string | undefined> {
+    const address = this.parts.addressOf(instance)
+    if (address === undefined || address === '') return Promise.resolve(undefined)
+    const { timeoutMilliseconds } = this.parts
+    return callPeer({ address, path, body, agent: this.agent, timeoutMilliseconds })
   }
 }
 
--- a/packages/daemon/src/gateway/peerRows.ts
+++ b/packages/daemon/src/gateway/peerRows.ts
@@ -1,14 +1,13 @@
-import { get } from 'node:http'
 import { randomBelow } from '@rackwalk/shared'
 import type { Milliseconds, RandomSource } from '@rackwalk/shared'
 import type { MirrorPage, TableMirror } from '@rackwalk/coordination'
+import { callPeer } from './peerCall.js'
 import type { PlainAnswer } from './platformAdapter.js'
 
 /** Instances give each other the rows that they have heard from the store. */
 
 const ROWS_PATH = '/rows/'
 const ANY_ORIGIN = 'http://localhost'
-const LONGEST_ANSWER_BYTES = 8 * 1024 * 1024
 
 /** Answers a peer's question for the rows of a table. */
 export function answerRows(url: string, mirrors: ReadonlyMap<string, TableMirror>): PlainAnswer {
@@ -34,36 +33,11 @@
     const addresses = this.parts.addresses()
     const address = addresses[randomBelow(this.parts.random, addresses.length)]
     if (address === undefined) return undefined
-    const url = `http://${address}${ROWS_PATH}${encodeURIComponent(table)}?after=${after}`
-    const text = await this.fetch(url)
+    const path = `${ROWS_PATH}${encodeURIComponent(table)}?after=${after}`
+    const { timeoutMilliseconds } = this.parts
+    const text = await callPeer({ address, path, timeoutMilliseconds })
     return text === undefined ? undefined : parsePage(text)
   }
-
-  private fetch(url: string): Promise<string | undefined> {
-    return new Promise(resolve => {
-      const call = get(url, { agent: false }, response => {
-        const chunks: Buffer[] = []
-        let size = 0
-        response.on('data', (chunk: Buffer) => {
-          size += chunk.length
-          if (size > LONGEST_ANSWER_BYTES) call.destroy()
-          chunks.push(chunk)
-        })
-        response.on('error', () => finish(undefined))
-        response.on('end', () => {
-          const isWhole = response.statusCode === 200 && response.complete
-          finish(isWhole ? Buffer.concat(chunks).toString('utf8') : undefined)
-        })
-      })
-      const timer = setTimeout(() => call.destroy(), this.parts.timeoutMilliseconds)
-      const finish = (text: string | undefined) => {
-        clearTimeout(timer)
-        resolve(text)
-      }
-      call.on('error', () => finish(undefined))
-      call.on('close', () => finish(undefined))
-    })
-  }
 }
 
 function parsePage(text: string): MirrorPage | undefined {
