fix(gateway): an instance that has just begun does not settle as active before it can know the others

Change: holdings ahead of demand begin two seconds after an instance began to serve; the directory and requests are as before.

Test first red (no such notion): activeFleet 'does not settle as active'.

--- a/packages/daemon/__tests__/activeFleet.spec.ts
+++ b/packages/daemon/__tests__/activeFleet.spec.ts
@@ -73,6 +73,13 @@
     ])
   })
 
+  it('does not settle as active before it can know the others', async () => {
+    const { clock, fleet } = setUp({ self: member('a1'), others: [] })
+    expect([fleet.isSelfActive, fleet.isSelfSettled]).toEqual([true, false])
+    await clock.advance(2_100)
+    expect(fleet.isSelfSettled).toBe(true)
+  })
+
   it('shares bounds among active instances, and among all where it stands by', () => {
     const weak = member('a1', { capacity: 1 })
     const strong = member('a1', { capacity: 100 })
--- a/packages/daemon/src/gateway/activeFleet.ts
+++ b/packages/daemon/src/gateway/activeFleet.ts
@@ -27,10 +27,14 @@
 
 /** Age up to which a view of the fleet is used again. */
 const VIEW_MILLISECONDS = 100
+/** Others that started at the same time are known after this time. */
+const SETTLING_MILLISECONDS = 2_000
 
 export class ActiveFleet {
   private readonly choice: ActiveInstances
   private view: FleetView | undefined
+  /** Time at which this instance began to serve. */
+  private selfSince: Milliseconds = 0
 
   constructor(private readonly parts: ActiveFleetParts) {
     this.choice = new ActiveInstances(parts.clock, parts.bounds)
@@ -41,6 +45,15 @@
     return this.current().isSelfActive
   }
 
+  /**
+   * Whether this instance should hold tokens ahead of demand. One that has just begun to serve
+   * knows few of the others yet, and so always takes itself for active.
+   */
+  get isSelfSettled(): boolean {
+    const { at, isSelfActive } = this.current()
+    return isSelfActive && at - this.selfSince >= SETTLING_MILLISECONDS
+  }
+
   /** Other instances to which callers are sent. */
   get activeOthers(): readonly MemberRow[] {
     return this.current().activeOthers
@@ -75,6 +88,7 @@
     const now = this.parts.clock.monotonic()
     const isSame = (before?.self === undefined) === (self === undefined)
     if (before !== undefined && isSame && now - before.at < VIEW_MILLISECONDS) return before
+    if (!isSame) this.selfSince = now
     const view = { at: now, ...this.look(self) }
     this.view = view
     if (before?.isSelfActive !== view.isSelfActive) this.tell(view)
--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -250,7 +250,7 @@
       clock: this.clock,
       startedAt: this.startedAt,
       policy: budgets.policy === 'equal' ? new EqualHoldingPolicy() : new DemandHoldingPolicy(),
-      isActive: () => this.fleet.isSelfActive,
+      isActive: () => this.fleet.isSelfSettled,
       otherInstances: () => this.fleet.activeOthers.map(member => member.instance),
       limits: {
         writesPerSecond: store.writesPerSecond,
