refactor: packages/platform is packages/stores

The folder platform/ translates the users' platform; the package of the same name holds interfaces to stores of tables, rows and objects and a class per protocol.

--- a/bench/src/budgets/budgetSimulation.ts
+++ b/bench/src/budgets/budgetSimulation.ts
@@ -10,7 +10,7 @@
   TeamId,
   TransactionId,
 } from '@rackwalk/shared'
-import type { JsonValue, ListedInstance } from '@rackwalk/platform'
+import type { JsonValue, ListedInstance } from '@rackwalk/stores'
 import {
   CoordinationNode,
   MemoryCounters,
--- a/bench/src/budgets/simulatedPlatform.ts
+++ b/bench/src/budgets/simulatedPlatform.ts
@@ -8,7 +8,7 @@
   RowKey,
   RowWrite,
   TableService,
-} from '@rackwalk/platform'
+} from '@rackwalk/stores'
 import type {
   PeerChannel,
   PeerHandler,
--- a/bench/src/capacity/measuredSlopes.ts
+++ b/bench/src/capacity/measuredSlopes.ts
@@ -12,7 +12,7 @@
   TeamId,
   TransactionId,
 } from '@rackwalk/shared'
-import type { JsonValue } from '@rackwalk/platform'
+import type { JsonValue } from '@rackwalk/stores'
 import {
   BudgetLedger,
   BudgetStore,
--- a/bench/src/path/loadWorker.ts
+++ b/bench/src/path/loadWorker.ts
@@ -1,6 +1,6 @@
 import { parentPort } from 'node:worker_threads'
 import { EngineStandIn, LocalPlatform, ServiceStandIn, streamChat } from '@rackwalk/stand-ins'
-import type { ListedInstance } from '@rackwalk/platform'
+import type { ListedInstance } from '@rackwalk/stores'
 import { Durations } from '../percentile.js'
 
 /**
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import tseslint from 'typescript-eslint'
 
 // Packages in the order in which they may depend on each other: each imports only earlier ones.
-const LAYERS = ['shared', 'platform', 'coordination', 'router', 'daemon']
+const LAYERS = ['shared', 'stores', 'coordination', 'router', 'daemon']
 // The coordination library is embedded by others, so it must not know a transport or an engine.
 const TRANSPORTS = ['undici', '@grpc/grpc-js', 'node:http', 'http']
 
--- a/packages/coordination/__tests__/journal.spec.ts
+++ b/packages/coordination/__tests__/journal.spec.ts
@@ -1,7 +1,7 @@
 import { beforeEach, describe, expect, it } from 'vitest'
 import { RackwalkError, ResultCode, SeededRandom, VirtualClock, asId } from '@rackwalk/shared'
 import type { BudgetId, IdempotencyKey, IncarnationId, RequestId, TeamId } from '@rackwalk/shared'
-import type { RowWrite, TransactResult } from '@rackwalk/platform'
+import type { RowWrite, TransactResult } from '@rackwalk/stores'
 import { Journal, MemoryCounters, readJournal, tableKeys } from '@rackwalk/coordination'
 import type { BatchCommitter, SettleEntry } from '@rackwalk/coordination'
 import { MemoryTable } from '@rackwalk/stand-ins'
--- a/packages/coordination/__tests__/tableMirror.spec.ts
+++ b/packages/coordination/__tests__/tableMirror.spec.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from 'vitest'
 import { VirtualClock } from '@rackwalk/shared'
-import type { ChangedRow } from '@rackwalk/platform'
+import type { ChangedRow } from '@rackwalk/stores'
 import { TableMirror } from '@rackwalk/coordination'
 import type { MirrorPage } from '@rackwalk/coordination'
 import { MemoryRowStore } from '@rackwalk/stand-ins'
--- a/packages/coordination/src/budget/budgetLedger.ts
+++ b/packages/coordination/src/budget/budgetLedger.ts
@@ -11,7 +11,7 @@
   TokenCount,
   TransferId,
 } from '@rackwalk/shared'
-import type { RowWrite } from '@rackwalk/platform'
+import type { RowWrite } from '@rackwalk/stores'
 import type { Counters } from '../counters.js'
 import type { Journal, JournalTicket } from '../journal/journal.js'
 import type { SettleEntry } from '../journal/journalEntry.js'
--- a/packages/coordination/src/budget/budgetStore.ts
+++ b/packages/coordination/src/budget/budgetStore.ts
@@ -1,6 +1,6 @@
 import { RackwalkError, ResultCode, asId } from '@rackwalk/shared'
 import type { BudgetId, RandomSource, TransactionId } from '@rackwalk/shared'
-import type { JsonValue, RowWrite, TableService } from '@rackwalk/platform'
+import type { JsonValue, RowWrite, TableService } from '@rackwalk/stores'
 import type { Counters } from '../counters.js'
 import { budgetKey, holdingKey, sealingKey } from '../tableKeys.js'
 import type { BudgetRow, ExchangeRequest } from './budgetRow.js'
--- a/packages/coordination/src/budget/reclaimer.ts
+++ b/packages/coordination/src/budget/reclaimer.ts
@@ -1,6 +1,6 @@
 import { RackwalkError, asId } from '@rackwalk/shared'
 import type { BudgetId, IncarnationId, RandomSource, TransactionId } from '@rackwalk/shared'
-import type { JsonValue, RowWrite, TableService } from '@rackwalk/platform'
+import type { JsonValue, RowWrite, TableService } from '@rackwalk/stores'
 import type { Counters } from '../counters.js'
 import { entriesAfter } from '../journal/journalEntry.js'
 import type { JournalEntry, JournalSlot } from '../journal/journalEntry.js'
--- a/packages/coordination/src/claims/claims.ts
+++ b/packages/coordination/src/claims/claims.ts
@@ -8,8 +8,8 @@
   TeamId,
   Version,
 } from '@rackwalk/shared'
-import { versionAfter } from '@rackwalk/platform'
-import type { JsonValue, RowCondition, RowWrite, TableService } from '@rackwalk/platform'
+import { versionAfter } from '@rackwalk/stores'
+import type { JsonValue, RowCondition, RowWrite, TableService } from '@rackwalk/stores'
 import type { Counters } from '../counters.js'
 import type { Journal, JournalTicket } from '../journal/journal.js'
 import type { PeerChannel, PeerReply, PeerRequest } from '../peerMessages.js'
--- a/packages/coordination/src/configuration/configurationFollower.ts
+++ b/packages/coordination/src/configuration/configurationFollower.ts
@@ -1,7 +1,7 @@
 import { RackwalkError } from '@rackwalk/shared'
 import type { IncarnationId, Version } from '@rackwalk/shared'
-import type { JsonValue, Row, TableService } from '@rackwalk/platform'
-import { sortKeyOf } from '@rackwalk/platform'
+import type { JsonValue, Row, TableService } from '@rackwalk/stores'
+import { sortKeyOf } from '@rackwalk/stores'
 import type { Counters } from '../counters.js'
 import type {
   ConfigurationChange,
--- a/packages/coordination/src/configuration/resource.ts
+++ b/packages/coordination/src/configuration/resource.ts
@@ -1,5 +1,5 @@
 import type { Milliseconds, Version } from '@rackwalk/shared'
-import type { JsonValue, RowKey } from '@rackwalk/platform'
+import type { JsonValue, RowKey } from '@rackwalk/stores'
 
 /** One configured thing, as operators write it and instances apply it. */
 export interface Resource {
--- a/packages/coordination/src/configuration/resourceStore.ts
+++ b/packages/coordination/src/configuration/resourceStore.ts
@@ -1,6 +1,6 @@
 import { RackwalkError, ResultCode, asId } from '@rackwalk/shared'
 import type { Clock, RandomSource, TransactionId, Version } from '@rackwalk/shared'
-import type { JsonValue, Row, RowKey, RowWrite, TableService } from '@rackwalk/platform'
+import type { JsonValue, Row, RowKey, RowWrite, TableService } from '@rackwalk/stores'
 import type { ConfigurationChange } from '../peerMessages.js'
 import { CHANGES_PARTITION, changeKey } from '../tableKeys.js'
 import type { Resource } from './resource.js'
--- a/packages/coordination/src/coordinationNode.ts
+++ b/packages/coordination/src/coordinationNode.ts
@@ -10,7 +10,7 @@
   RegionId,
   Timer,
 } from '@rackwalk/shared'
-import type { InstanceList, ListedInstance, ObjectStore, TableService } from '@rackwalk/platform'
+import type { InstanceList, ListedInstance, ObjectStore, TableService } from '@rackwalk/stores'
 import type { AllocationPolicy } from './budget/allocationPolicy.js'
 import { BudgetLedger } from './budget/budgetLedger.js'
 import { BudgetStore } from './budget/budgetStore.js'
--- a/packages/coordination/src/countingTable.ts
+++ b/packages/coordination/src/countingTable.ts
@@ -7,7 +7,7 @@
   RowWrite,
   TableService,
   TransactResult,
-} from '@rackwalk/platform'
+} from '@rackwalk/stores'
 import type { Counters } from './counters.js'
 
 /** Counts what an instance asks of the table, since the platform takes little of it. */
--- a/packages/coordination/src/journal/batchCommitter.ts
+++ b/packages/coordination/src/journal/batchCommitter.ts
@@ -1,5 +1,5 @@
 import type { TransactionId } from '@rackwalk/shared'
-import type { RowWrite, TableService, TransactResult } from '@rackwalk/platform'
+import type { RowWrite, TableService, TransactResult } from '@rackwalk/stores'
 
 /**
  * Carries a journal's transaction to the table. Who carries it is a matter of efficiency:
--- a/packages/coordination/src/journal/journal.ts
+++ b/packages/coordination/src/journal/journal.ts
@@ -6,8 +6,8 @@
   RandomSource,
   TransactionId,
 } from '@rackwalk/shared'
-import { rowName } from '@rackwalk/platform'
-import type { JsonValue, RowWrite, TableService } from '@rackwalk/platform'
+import { rowName } from '@rackwalk/stores'
+import type { JsonValue, RowWrite, TableService } from '@rackwalk/stores'
 import type { Counters } from '../counters.js'
 import { journalSlotKey } from '../tableKeys.js'
 import type { BatchCommitter } from './batchCommitter.js'
--- a/packages/coordination/src/journal/journalEntry.ts
+++ b/packages/coordination/src/journal/journalEntry.ts
@@ -10,7 +10,7 @@
   TokenCount,
   TransferId,
 } from '@rackwalk/shared'
-import type { RowWrite } from '@rackwalk/platform'
+import type { RowWrite } from '@rackwalk/stores'
 
 /** A request that ended: its bill and what is told of it afterwards. */
 export interface SettleEntry {
--- a/packages/coordination/src/journal/journalReader.ts
+++ b/packages/coordination/src/journal/journalReader.ts
@@ -1,5 +1,5 @@
 import type { IncarnationId } from '@rackwalk/shared'
-import type { Row, TableService } from '@rackwalk/platform'
+import type { Row, TableService } from '@rackwalk/stores'
 import { journalPartition } from '../tableKeys.js'
 import type { JournalSlot } from './journalEntry.js'
 
--- a/packages/coordination/src/membership/incarnationRegistry.ts
+++ b/packages/coordination/src/membership/incarnationRegistry.ts
@@ -7,7 +7,7 @@
   RegionId,
   TransactionId,
 } from '@rackwalk/shared'
-import type { JsonValue, Row, TableService } from '@rackwalk/platform'
+import type { JsonValue, Row, TableService } from '@rackwalk/stores'
 import { INCARNATIONS_PARTITION, SEALING_PARTITION, incarnationKey } from '../tableKeys.js'
 
 /** What the table keeps of a running incarnation. */
--- a/packages/coordination/src/membership/lease.ts
+++ b/packages/coordination/src/membership/lease.ts
@@ -6,7 +6,7 @@
   RandomSource,
   TransactionId,
 } from '@rackwalk/shared'
-import type { JsonValue, Row, TableService } from '@rackwalk/platform'
+import type { JsonValue, Row, TableService } from '@rackwalk/stores'
 import { leaseKey } from '../tableKeys.js'
 
 interface LeaseRow {
--- a/packages/coordination/src/membership/memberDirectory.ts
+++ b/packages/coordination/src/membership/memberDirectory.ts
@@ -1,5 +1,5 @@
 import type { Clock, Milliseconds, RandomSource, Timer } from '@rackwalk/shared'
-import type { ChangedRow, RowStore } from '@rackwalk/platform'
+import type { ChangedRow, RowStore } from '@rackwalk/stores'
 import type { StoreClock } from '../rows/storeClock.js'
 
 /** The instances of the fleet, each a row that it renews itself. */
--- a/packages/coordination/src/membership/reaper.ts
+++ b/packages/coordination/src/membership/reaper.ts
@@ -1,5 +1,5 @@
 import type { Clock, IncarnationId, Milliseconds } from '@rackwalk/shared'
-import type { ListedInstance } from '@rackwalk/platform'
+import type { ListedInstance } from '@rackwalk/stores'
 import type { Reclaimer } from '../budget/reclaimer.js'
 import type { IncarnationRecord, IncarnationRegistry } from './incarnationRegistry.js'
 import type { Membership } from './membership.js'
--- a/packages/coordination/src/membership/sealer.ts
+++ b/packages/coordination/src/membership/sealer.ts
@@ -1,6 +1,6 @@
 import { RackwalkError, asId } from '@rackwalk/shared'
 import type { IncarnationId, RandomSource, TransactionId } from '@rackwalk/shared'
-import type { JsonValue, RowWrite, TableService } from '@rackwalk/platform'
+import type { JsonValue, RowWrite, TableService } from '@rackwalk/stores'
 import type { Counters } from '../counters.js'
 import type { HeldItem, JournalSlot } from '../journal/journalEntry.js'
 import { lastIndexOf } from '../journal/journalEntry.js'
--- a/packages/coordination/src/peerMessages.ts
+++ b/packages/coordination/src/peerMessages.ts
@@ -12,7 +12,7 @@
   TransactionId,
   TransferId,
 } from '@rackwalk/shared'
-import type { JsonValue, RowWrite, TransactResult } from '@rackwalk/platform'
+import type { JsonValue, RowWrite, TransactResult } from '@rackwalk/stores'
 import type { HeldItem } from './journal/journalEntry.js'
 import type { ClaimState } from './claims/claimRow.js'
 
--- a/packages/coordination/src/prepaid/prepaidAccount.ts
+++ b/packages/coordination/src/prepaid/prepaidAccount.ts
@@ -1,6 +1,6 @@
 import { sleep } from '@rackwalk/shared'
 import type { Clock, Milliseconds, TokenCount } from '@rackwalk/shared'
-import type { RowStore, RowTransaction, RowWriteOutcome } from '@rackwalk/platform'
+import type { RowStore, RowTransaction, RowWriteOutcome } from '@rackwalk/stores'
 import type { StoreClock } from '../rows/storeClock.js'
 import { DemandMeter } from './demandMeter.js'
 import { HoldingState } from './holdingState.js'
--- a/packages/coordination/src/prepaid/prepaidLedger.ts
+++ b/packages/coordination/src/prepaid/prepaidLedger.ts
@@ -1,6 +1,6 @@
 import { groupBy } from '@rackwalk/shared'
 import type { Clock, Milliseconds, Timer, TokenCount } from '@rackwalk/shared'
-import type { ChangedRow, RowStore } from '@rackwalk/platform'
+import type { ChangedRow, RowStore } from '@rackwalk/stores'
 import type { StoreClock } from '../rows/storeClock.js'
 import type { HoldingPolicy } from './holdingPolicy.js'
 import { Borrower } from './borrower.js'
--- a/packages/coordination/src/rows/tableMirror.ts
+++ b/packages/coordination/src/rows/tableMirror.ts
@@ -1,6 +1,6 @@
 import { sleep } from '@rackwalk/shared'
 import type { Clock, Milliseconds } from '@rackwalk/shared'
-import type { ChangedRow, RowFeedOutcome, RowStore } from '@rackwalk/platform'
+import type { ChangedRow, RowFeedOutcome, RowStore } from '@rackwalk/stores'
 
 /** A copy of one table of the row store, kept up to date by the store's feed. */
 
--- a/packages/coordination/src/segmentArchive.ts
+++ b/packages/coordination/src/segmentArchive.ts
@@ -1,6 +1,6 @@
 import type { Clock, IncarnationId, Milliseconds, RequestId } from '@rackwalk/shared'
 import { RackwalkError } from '@rackwalk/shared'
-import type { JsonValue, ObjectStore } from '@rackwalk/platform'
+import type { JsonValue, ObjectStore } from '@rackwalk/stores'
 
 /** A record that can be found by its request. */
 export interface ArchivedRecord {
--- a/packages/coordination/src/tableKeys.ts
+++ b/packages/coordination/src/tableKeys.ts
@@ -1,6 +1,6 @@
 import type { BudgetId, IdempotencyKey, IncarnationId, TeamId } from '@rackwalk/shared'
-import type { RowKey } from '@rackwalk/platform'
-import { sortKeyOf } from '@rackwalk/platform'
+import type { RowKey } from '@rackwalk/stores'
+import { sortKeyOf } from '@rackwalk/stores'
 
 /** Every row that the coordination parts keep, by the key under which it lies. */
 
--- a/packages/coordination/src/usage.ts
+++ b/packages/coordination/src/usage.ts
@@ -1,6 +1,6 @@
 import { ResultCode, asId } from '@rackwalk/shared'
 import type { IncarnationId, Milliseconds, ModelId, TeamId, TokenCount } from '@rackwalk/shared'
-import type { TableService } from '@rackwalk/platform'
+import type { TableService } from '@rackwalk/stores'
 import type { JournalSlot, SettleEntry } from './journal/journalEntry.js'
 import { readJournal } from './journal/journalReader.js'
 import { INCARNATIONS_PARTITION, RETIRED_PARTITION } from './tableKeys.js'
--- a/packages/daemon/src/explainer.ts
+++ b/packages/daemon/src/explainer.ts
@@ -1,6 +1,6 @@
 import type { RequestId } from '@rackwalk/shared'
 import { RackwalkError } from '@rackwalk/shared'
-import type { JsonValue } from '@rackwalk/platform'
+import type { JsonValue } from '@rackwalk/stores'
 import { parseRequestId } from '@rackwalk/coordination'
 import type { CoordinationNode, PeerChannel } from '@rackwalk/coordination'
 import type { DecisionRecord } from '@rackwalk/router'
--- a/packages/daemon/src/gateway/countedStore.ts
+++ b/packages/daemon/src/gateway/countedStore.ts
@@ -4,7 +4,7 @@
   RowStore,
   RowTransaction,
   RowWriteOutcome,
-} from '@rackwalk/platform'
+} from '@rackwalk/stores'
 
 /** What a call to the store was for. */
 export type StoreCall = 'write' | 'read' | 'feed'
--- a/packages/daemon/src/gateway/followedTables.ts
+++ b/packages/daemon/src/gateway/followedTables.ts
@@ -1,5 +1,5 @@
 import type { Clock, Milliseconds } from '@rackwalk/shared'
-import type { ChangedRow, RowStore } from '@rackwalk/platform'
+import type { ChangedRow, RowStore } from '@rackwalk/stores'
 import { MEMBER_PARTITION, MEMBER_TABLE, PREPAID_TABLE, TableMirror } from '@rackwalk/coordination'
 import type { MemberDirectory, MirrorListener, PrepaidLedger } from '@rackwalk/coordination'
 import type { ServerDirectory } from '@rackwalk/router'
--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -1,7 +1,7 @@
 import type { Server } from 'node:http'
 import { ResultCode, SystemClock, SystemRandom } from '@rackwalk/shared'
 import type { Clock, Milliseconds, RandomSource } from '@rackwalk/shared'
-import type { ChangedRow, RowStore } from '@rackwalk/platform'
+import type { ChangedRow, RowStore } from '@rackwalk/stores'
 import {
   DemandHoldingPolicy,
   DemandMeter,
--- a/packages/daemon/src/gateway/platformAdapter.ts
+++ b/packages/daemon/src/gateway/platformAdapter.ts
@@ -1,4 +1,4 @@
-import type { RowStore } from '@rackwalk/platform'
+import type { RowStore } from '@rackwalk/stores'
 import type { Dialect, GatewayConfiguration, ServerRecord } from '@rackwalk/router'
 import type { Milliseconds } from '@rackwalk/shared'
 
--- a/packages/daemon/src/gateway/serverFollower.ts
+++ b/packages/daemon/src/gateway/serverFollower.ts
@@ -1,5 +1,5 @@
 import type { Clock, Milliseconds } from '@rackwalk/shared'
-import type { ChangedRow } from '@rackwalk/platform'
+import type { ChangedRow } from '@rackwalk/stores'
 import type { MirrorListener } from '@rackwalk/coordination'
 import type { ServerDirectory, ServerRecord } from '@rackwalk/router'
 
--- a/packages/daemon/src/operators/budgetCompanion.ts
+++ b/packages/daemon/src/operators/budgetCompanion.ts
@@ -1,6 +1,6 @@
 import { asId } from '@rackwalk/shared'
 import type { BudgetId, TeamId } from '@rackwalk/shared'
-import type { JsonValue, RowWrite, TableService } from '@rackwalk/platform'
+import type { JsonValue, RowWrite, TableService } from '@rackwalk/stores'
 import { createBudgetRow, tableKeys, withLimit } from '@rackwalk/coordination'
 import type { BudgetRow } from '@rackwalk/coordination'
 import type { BudgetSpec } from '@rackwalk/router'
--- a/packages/daemon/src/operators/operatorRoutes.ts
+++ b/packages/daemon/src/operators/operatorRoutes.ts
@@ -9,7 +9,7 @@
   RequestId,
   TransactionId,
 } from '@rackwalk/shared'
-import type { JsonValue, TableService } from '@rackwalk/platform'
+import type { JsonValue, TableService } from '@rackwalk/stores'
 import { allocatedTokens, freeTokens, readUsage, tableKeys } from '@rackwalk/coordination'
 import type {
   AddressAnswer,
--- a/packages/daemon/src/operators/resourceApi.ts
+++ b/packages/daemon/src/operators/resourceApi.ts
@@ -1,6 +1,6 @@
 import { RackwalkError, ResultCode, asId } from '@rackwalk/shared'
 import type { RandomSource, TransactionId, Version } from '@rackwalk/shared'
-import type { JsonValue, TableService } from '@rackwalk/platform'
+import type { JsonValue, TableService } from '@rackwalk/stores'
 import { resourcePartition } from '@rackwalk/coordination'
 import type { Resource, ResourceStore, ResourceWriteResult } from '@rackwalk/coordination'
 import type { BudgetSpec, ResourceKind } from '@rackwalk/router'
--- a/packages/daemon/src/operators/resourceInput.ts
+++ b/packages/daemon/src/operators/resourceInput.ts
@@ -1,6 +1,6 @@
 import * as z from 'zod'
 import { RackwalkError, ResultCode } from '@rackwalk/shared'
-import type { JsonValue } from '@rackwalk/platform'
+import type { JsonValue } from '@rackwalk/stores'
 import { RESOURCE_SCHEMAS, nameSchema } from '@rackwalk/router'
 import type { ResourceKind } from '@rackwalk/router'
 
--- a/packages/daemon/src/rackwalkDaemon.ts
+++ b/packages/daemon/src/rackwalkDaemon.ts
@@ -8,8 +8,8 @@
   RegionId,
   Task,
 } from '@rackwalk/shared'
-import { DynamodbTableService, ObjectStoreInstanceList, S3ObjectStore } from '@rackwalk/platform'
-import type { JsonValue, ListedInstance } from '@rackwalk/platform'
+import { DynamodbTableService, ObjectStoreInstanceList, S3ObjectStore } from '@rackwalk/stores'
+import type { JsonValue, ListedInstance } from '@rackwalk/stores'
 import {
   CoordinationNode,
   DEFAULT_JOURNAL_LIMITS,
--- a/packages/daemon/src/tasks/endpointMonitor.ts
+++ b/packages/daemon/src/tasks/endpointMonitor.ts
@@ -1,6 +1,6 @@
 import type { Clock, EndpointId, Milliseconds, ModelId, Task, Timer } from '@rackwalk/shared'
 import { asId } from '@rackwalk/shared'
-import type { ListedInstance } from '@rackwalk/platform'
+import type { ListedInstance } from '@rackwalk/stores'
 import type { MemberInfo } from '@rackwalk/coordination'
 import { parseCacheEvents, parseLoadReport } from '@rackwalk/router'
 import type {
--- a/packages/stand-ins/src/exploration/faultyTable.ts
+++ b/packages/stand-ins/src/exploration/faultyTable.ts
@@ -9,7 +9,7 @@
   RowWrite,
   TableService,
   TransactResult,
-} from '@rackwalk/platform'
+} from '@rackwalk/stores'
 import type { MemoryTable } from '../platform/memoryTable.js'
 
 /** Faults of one node's way to the table. */
--- a/packages/stand-ins/src/exploration/prepaidWorld.ts
+++ b/packages/stand-ins/src/exploration/prepaidWorld.ts
@@ -1,7 +1,7 @@
 import fc from 'fast-check'
 import { VirtualClock, sleep } from '@rackwalk/shared'
 import type { Clock, Milliseconds, TokenCount } from '@rackwalk/shared'
-import type { RowStore } from '@rackwalk/platform'
+import type { RowStore } from '@rackwalk/stores'
 import {
   DemandHoldingPolicy,
   PREPAID_TABLE,
--- a/packages/stand-ins/src/exploration/variants.ts
+++ b/packages/stand-ins/src/exploration/variants.ts
@@ -6,7 +6,7 @@
   RowKey,
   RowWrite,
   TableService,
-} from '@rackwalk/platform'
+} from '@rackwalk/stores'
 import { BudgetLedger, Claims, Journal, Sealer } from '@rackwalk/coordination'
 import type {
   BudgetLedgerParts,
--- a/packages/stand-ins/src/exploration/world.ts
+++ b/packages/stand-ins/src/exploration/world.ts
@@ -1,7 +1,7 @@
 import type { Scheduler } from 'fast-check'
 import { RackwalkError, ResultCode, SeededRandom, VirtualClock, asId } from '@rackwalk/shared'
 import type { BudgetId, IdempotencyKey, RequestId, TeamId, TransactionId } from '@rackwalk/shared'
-import type { JsonValue } from '@rackwalk/platform'
+import type { JsonValue } from '@rackwalk/stores'
 import { MemoryCounters, createBudgetRow, tableKeys, withLimit } from '@rackwalk/coordination'
 import type { BudgetRow, Claim, ClaimResult, Reservation } from '@rackwalk/coordination'
 import { MemoryTable } from '../platform/memoryTable.js'
--- a/packages/stand-ins/src/localPlatform.ts
+++ b/packages/stand-ins/src/localPlatform.ts
@@ -1,6 +1,6 @@
 import { SystemClock, SystemRandom } from '@rackwalk/shared'
-import { INSTANCE_LIST_KEY } from '@rackwalk/platform'
-import type { ListedInstance } from '@rackwalk/platform'
+import { INSTANCE_LIST_KEY } from '@rackwalk/stores'
+import type { ListedInstance } from '@rackwalk/stores'
 import { DynamodbStandIn } from './platform/dynamodbStandIn.js'
 import { FaultPlan } from './platform/faultPlan.js'
 import { MemoryObjects } from './platform/memoryObjects.js'
--- a/packages/stand-ins/src/platform/memoryObjects.ts
+++ b/packages/stand-ins/src/platform/memoryObjects.ts
@@ -1,4 +1,4 @@
-import type { ObjectStore } from '@rackwalk/platform'
+import type { ObjectStore } from '@rackwalk/stores'
 
 /** An object store in memory. */
 export class MemoryObjects implements ObjectStore {
--- a/packages/stand-ins/src/platform/memoryRowStore.ts
+++ b/packages/stand-ins/src/platform/memoryRowStore.ts
@@ -8,7 +8,7 @@
   RowTransaction,
   RowWriteOutcome,
   StoredRow,
-} from '@rackwalk/platform'
+} from '@rackwalk/stores'
 
 /** A row store in memory, on the clock of the test, that fails as it is told. */
 
--- a/packages/stand-ins/src/platform/memoryTable.ts
+++ b/packages/stand-ins/src/platform/memoryTable.ts
@@ -1,5 +1,5 @@
 import type { TransactionId } from '@rackwalk/shared'
-import { rowName, versionAfter } from '@rackwalk/platform'
+import { rowName, versionAfter } from '@rackwalk/stores'
 import type {
   IdentifiedWrites,
   QueryRange,
@@ -9,7 +9,7 @@
   RowWrite,
   TableService,
   TransactResult,
-} from '@rackwalk/platform'
+} from '@rackwalk/stores'
 
 /**
  * A table in memory with the semantics of the table service: each operation is atomic and
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -1,6 +1,6 @@
 import { defineConfig } from 'vitest/config'
 
-const PACKAGES = ['shared', 'platform', 'coordination', 'router', 'daemon', 'cli', 'stand-ins']
+const PACKAGES = ['shared', 'stores', 'coordination', 'router', 'daemon', 'cli', 'stand-ins']
 
 export default defineConfig({
   resolve: {
