feat(membership): a row tells when it will be renewed; one that stands by renews it a third as often

Change: a row carries its renewal time, and silence is counted in it, where it was counted in the reader's own view of the fleet's size. Instances that stand by renew and read a third and half as often; datagrams still tell within seconds who is silent.

Tests: memberDirectory (new): what rows tell, silence of both, an instance that was cut off takes nobody for gone.

--- /dev/null
+++ b/packages/coordination/__tests__/memberDirectory.spec.ts
@@ -0,0 +1,94 @@
+import { describe, expect, it } from 'vitest'
+import { SeededRandom, VirtualClock } from '@rackwalk/shared'
+import { MEMBER_PARTITION, MEMBER_TABLE, MemberDirectory, StoreClock } from '@rackwalk/coordination'
+import { MemoryRowStore } from '@rackwalk/stand-ins'
+
+const READ_MILLISECONDS = 700
+
+function setUp() {
+  const clock = new VirtualClock()
+  const rows = new MemoryRowStore(clock)
+  const start = (instance: string, isActive: boolean) => {
+    const { store, faults } = rows.connect()
+    const directory = new MemberDirectory({
+      self: {
+        instance,
+        incarnation: 'first',
+        region: 'region',
+        failureDomain: 'domain',
+        callerAddress: `${instance}:80`,
+        peerAddress: '',
+        loadAddress: '',
+        capacity: 40,
+      },
+      requestsPerSecond: () => 7,
+      isActive: () => isActive,
+      store,
+      storeClock: new StoreClock(clock),
+      clock,
+      random: new SeededRandom(1),
+      heartbeatMilliseconds: 1_000,
+      silenceMilliseconds: 3_500,
+      partitionWritesPerSecond: 150,
+      onEvent: () => {},
+    })
+    let reads = 0
+    const read = () => {
+      void store.readPartition(MEMBER_TABLE, MEMBER_PARTITION).then(outcome => {
+        if (outcome.kind !== 'rows') return
+        reads += 1
+        directory.observe(outcome.rows, true)
+        directory.noteRead()
+      })
+      clock.after(READ_MILLISECONDS, read)
+    }
+    read()
+    directory.start()
+    return { directory, faults, reads: () => reads }
+  }
+  return { clock, start }
+}
+
+function names(directory: MemberDirectory): string[] {
+  return directory.others.map(member => member.instance).sort()
+}
+
+describe('MemberDirectory', () => {
+  it('tells the others what an instance bears and takes', async () => {
+    const { clock, start } = setUp()
+    const first = start('first', true)
+    start('second', true)
+    await clock.advance(2_000)
+    expect(first.directory.others).toMatchObject([
+      { instance: 'second', capacity: 40, requestsPerSecond: 7, state: 'serving' },
+    ])
+  })
+
+  it('counts an active instance as gone after the silence, one that stands by later', async () => {
+    const { clock, start } = setUp()
+    const observer = start('observer', true)
+    const active = start('active', true)
+    const standby = start('standby', false)
+    await clock.advance(20_000)
+    expect(names(observer.directory)).toEqual(['active', 'standby'])
+    active.directory.stop()
+    standby.directory.stop()
+    await clock.advance(6_000)
+    expect(names(observer.directory)).toEqual(['standby'])
+    await clock.advance(10_000)
+    expect(names(observer.directory)).toEqual([])
+  })
+
+  it('takes nobody for gone because it was cut off itself', async () => {
+    const { clock, start } = setUp()
+    const observer = start('observer', true)
+    start('other', true)
+    await clock.advance(2_000)
+    observer.faults.isUnreachable = true
+    await clock.advance(30_000)
+    observer.faults.isUnreachable = false
+    expect(names(observer.directory)).toEqual(['other'])
+    await clock.advance(2_000)
+    expect(names(observer.directory)).toEqual(['other'])
+  })
+})
--- a/packages/coordination/src/membership/memberDirectory.ts
+++ b/packages/coordination/src/membership/memberDirectory.ts
@@ -27,19 +27,26 @@
   readonly requestsPerSecond: number
   readonly state: MemberState
   readonly heartbeat: number
+  /** Time until the row is renewed, in milliseconds; it tells how long silence means nothing. */
+  readonly renewalMilliseconds: Milliseconds
 }
 
 export interface MemberDirectoryParts {
-  readonly self: Omit<MemberRow, 'state' | 'heartbeat' | 'requestsPerSecond'>
+  readonly self: Omit<
+    MemberRow,
+    'state' | 'heartbeat' | 'requestsPerSecond' | 'renewalMilliseconds'
+  >
   /** Requests a second that this instance takes at present. */
   readonly requestsPerSecond: () => number
+  /** Whether callers are sent here; otherwise the row is renewed more rarely. */
+  readonly isActive: () => boolean
   readonly store: RowStore
   readonly storeClock: StoreClock
   readonly clock: Clock
   readonly random: RandomSource
   /** Time between two heartbeats of a small fleet. */
   readonly heartbeatMilliseconds: Milliseconds
-  /** An instance whose row did not change for this long does not serve, in a small fleet. */
+  /** An active instance whose row did not change for this long does not serve, in a small fleet. */
   readonly silenceMilliseconds: Milliseconds
   /** Writes a second that the partition of all rows takes. */
   readonly partitionWritesPerSecond: number
@@ -57,12 +64,15 @@
 const LONGEST_COUNTED_GAP_MILLISECONDS = 1_500
 /** Part of what the partition takes that heartbeats may use; with more instances they slow down. */
 const HEARTBEAT_SHARE = 0.4
+/** How many times more rarely the row of an instance that stands by is renewed. */
+const STANDBY_FACTOR = 3
 /** Rows of instances that have not been renewed for this many silences are removed. */
 const REMOVE_AFTER_SILENCES = 20
 
 export class MemberDirectory {
   private readonly members = new Map<string, KnownMember>()
   private heartbeat = 0
+  private renewalMilliseconds: Milliseconds
   private draining = false
   private timer: Timer | undefined
   /**
@@ -72,7 +82,9 @@
   private contactTime: Milliseconds = 0
   private lastReadAt: Milliseconds | undefined
 
-  constructor(private readonly parts: MemberDirectoryParts) {}
+  constructor(private readonly parts: MemberDirectoryParts) {
+    this.renewalMilliseconds = parts.heartbeatMilliseconds
+  }
 
   start(): void {
     void this.renew()
@@ -114,7 +126,8 @@
   get self(): MemberRow {
     const state: MemberState = this.draining ? 'draining' : 'serving'
     const requestsPerSecond = Math.round(this.parts.requestsPerSecond() * 10) / 10
-    return { ...this.parts.self, requestsPerSecond, state, heartbeat: this.heartbeat }
+    const { heartbeat, renewalMilliseconds } = this
+    return { ...this.parts.self, requestsPerSecond, state, heartbeat, renewalMilliseconds }
   }
 
   /** Other instances that serve, as far as this one can know. */
@@ -149,20 +162,28 @@
 
   private isServing(member: KnownMember): boolean {
     if (member.row.state !== 'serving') return false
-    return this.contactTime - member.changedAt < this.parts.silenceMilliseconds * this.slowness
+    return this.contactTime - member.changedAt < this.silenceOf(member)
+  }
+
+  /** After this time without a change a member counts as gone. */
+  private silenceOf({ row }: KnownMember): Milliseconds {
+    const { silenceMilliseconds, heartbeatMilliseconds } = this.parts
+    return (silenceMilliseconds / heartbeatMilliseconds) * row.renewalMilliseconds
   }
 
   private async renew(): Promise<void> {
     await this.write()
     await this.removeAbandoned()
-    const { heartbeatMilliseconds, random, clock } = this.parts
-    const delay = heartbeatMilliseconds * this.slowness * (0.9 + 0.2 * random.next())
+    const { random, clock } = this.parts
+    const delay = this.renewalMilliseconds * (0.9 + 0.2 * random.next())
     this.timer = clock.after(delay, () => void this.renew())
   }
 
   private async write(): Promise<void> {
     this.heartbeat += 1
-    const { store, clock, storeClock } = this.parts
+    const { store, clock, storeClock, isActive, heartbeatMilliseconds } = this.parts
+    const factor = isActive() ? 1 : STANDBY_FACTOR
+    this.renewalMilliseconds = heartbeatMilliseconds * this.slowness * factor
     const value = JSON.stringify(this.self)
     const sentAt = clock.monotonic()
     const puts = [{ ...this.address(), value }]
@@ -173,9 +194,9 @@
 
   /** One instance in turn removes rows that nobody renews, so that they do not pile up. */
   private async removeAbandoned(): Promise<void> {
-    const limit = this.parts.silenceMilliseconds * this.slowness * REMOVE_AFTER_SILENCES
     const abandoned = [...this.members].find(
-      ([, member]) => this.contactTime - member.changedAt > limit,
+      ([, member]) =>
+        this.contactTime - member.changedAt > REMOVE_AFTER_SILENCES * this.silenceOf(member),
     )
     if (abandoned === undefined) return
     const [key, { version }] = abandoned
--- a/packages/daemon/__tests__/activeFleet.spec.ts
+++ b/packages/daemon/__tests__/activeFleet.spec.ts
@@ -16,6 +16,7 @@
     requestsPerSecond: 0,
     state: 'serving',
     heartbeat: 1,
+    renewalMilliseconds: 1_000,
     ...more,
   }
 }
--- a/packages/daemon/src/gateway/followedTables.ts
+++ b/packages/daemon/src/gateway/followedTables.ts
@@ -17,6 +17,7 @@
 /** An instance that stands by reads at leisure: what it knows serves few. */
 const STANDBY_SERVER_PAUSE_MILLISECONDS = 800
 const STANDBY_PREPAID_PAUSE_MILLISECONDS = 3_000
+const STANDBY_MEMBER_PAUSE_MILLISECONDS = 1_400
 const MEMBER_PAUSE_MILLISECONDS = 700
 const PREPAID_PAUSE_MILLISECONDS = 400
 /** Time between two reads, as a part of that between two records of a holding. */
@@ -55,7 +56,8 @@
     {
       table: MEMBER_TABLE,
       partitions: () => [MEMBER_PARTITION],
-      pauseMilliseconds: () => MEMBER_PAUSE_MILLISECONDS,
+      pauseMilliseconds: () =>
+        parts.isActive() ? MEMBER_PAUSE_MILLISECONDS : STANDBY_MEMBER_PAUSE_MILLISECONDS,
       isOthers: false,
       listener: {
         onRows: (rows, isWhole) => members.observe(rows, isWhole),
--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -215,6 +215,7 @@
         capacity: capacityOf(instance.capacity),
       },
       requestsPerSecond: () => this.requestRate.perSecond,
+      isActive: () => this.fleet.isSelfActive,
       store: this.store,
       storeClock: this.storeClock,
       clock: this.clock,
