fix(gateway): the retry bound is divided by half of all instances at least

Cause: read, not seen: parts of a fleet that cannot hear each other each choose active instances of their own, so dividing the fixed extra by the active ones of one part alone could add up to more than the bound.

Change: the divisor is the active instances or half of all, whichever is more; nothing changes where half or more are active. Test: activeFleet.

--- a/packages/daemon/__tests__/activeFleet.spec.ts
+++ b/packages/daemon/__tests__/activeFleet.spec.ts
@@ -86,5 +86,6 @@
     const strong = member('a1', { capacity: 100 })
     expect(setUp({ self: weak }).fleet.sharers).toBe(6)
     expect(setUp({ self: strong }).fleet.sharers).toBe(2)
+    expect(setUp({ self: strong }).fleet.cautiousSharers).toBe(3)
   })
 })
--- a/packages/daemon/src/gateway/activeFleet.ts
+++ b/packages/daemon/src/gateway/activeFleet.ts
@@ -74,6 +74,14 @@
     return 1 + (isSelfActive ? activeOthers.length : this.parts.others().length)
   }
 
+  /**
+   * The same for a bound that must hold while parts of the fleet cannot hear each other: each
+   * part then chooses active instances of its own, so half of all may be active at least.
+   */
+  get cautiousSharers(): number {
+    return Math.max(this.sharers, Math.ceil((this.parts.others().length + 1) / 2))
+  }
+
   /** Addresses for a caller of a region; of all regions where it has no instance. */
   addresses(region: string | undefined): readonly string[] {
     const { self, isSelfActive, activeOthers } = this.current()
--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -308,7 +308,7 @@
       ledger: this.ledger,
       routes: () => this.routes,
       retryBounds: { ...retries, windowMilliseconds: retries.windowSeconds * 1000 },
-      instances: () => this.fleet.sharers,
+      instances: () => this.fleet.cautiousSharers,
       isDraining: () => this.draining,
       isRefusing: () => this.refusing,
       defaultDeadlineMilliseconds: requests.defaultDeadlineMilliseconds,
