--- /dev/null
+++ b/packages/daemon/src/gateway/gatewayAnswers.ts
@@ -0,0 +1,69 @@
+import type { Server } from 'node:http'
+import type { Lender, TableMirror } from '@rackwalk/coordination'
+import type { ActiveFleet } from './activeFleet.js'
+import { createPlainListener } from './gatewayListeners.js'
+import type { PlainAnswerer } from './gatewayListeners.js'
+import type { GatewayMetrics } from './gatewayMetrics.js'
+import type { GatewaySettings } from './gatewaySettings.js'
+import { answerLoan } from './peerLoans.js'
+import { answerRows } from './peerRows.js'
+import type { PlainAnswer, PlatformAdapter } from './platformAdapter.js'
+
+/** The short questions that an instance answers beside requests. */
+
+export interface GatewayAnswersParts {
+  readonly adapter: PlatformAdapter
+  readonly isReady: () => boolean
+  readonly fleet: ActiveFleet
+  readonly lender: Lender
+  readonly mirrors: ReadonlyMap<string, TableMirror>
+  readonly metrics: GatewayMetrics
+  /** How long callers keep the addresses that they were told, in seconds. */
+  readonly addressSeconds: () => number
+}
+
+/** A listener and the IP:PORT at which it shall listen. */
+export interface AddressedListener {
+  readonly server: Server
+  readonly address: string
+}
+
+export class GatewayAnswers {
+  constructor(private readonly parts: GatewayAnswersParts) {}
+
+  /** A listener for each kind of question that has an address in the settings. */
+  listeners(listen: GatewaySettings['listen']): readonly AddressedListener[] {
+    const answerers: readonly [string | undefined, PlainAnswerer][] = [
+      [listen.readiness, url => this.readiness(url)],
+      [listen.directory, url => this.directory(url)],
+      [listen.peers, (url, body) => this.peer(url, body)],
+      [listen.metrics, () => this.metrics()],
+    ]
+    return answerers.flatMap(([address, answer]) =>
+      address === undefined ? [] : [{ server: createPlainListener(answer), address }],
+    )
+  }
+
+  private readiness(url: string): PlainAnswer {
+    if (!this.parts.adapter.isReadinessQuestion(url)) return { status: 404 }
+    return { status: this.parts.isReady() ? 200 : 503 }
+  }
+
+  private directory(url: string): PlainAnswer {
+    const { adapter, fleet, addressSeconds } = this.parts
+    const question = adapter.readDirectoryQuestion(url)
+    if (question === undefined) return { status: 404 }
+    const addresses = fleet.addresses(question.region)
+    if (addresses.length === 0) return { status: 503 }
+    return adapter.directoryAnswer(addresses, addressSeconds())
+  }
+
+  private async peer(url: string, body: string): Promise<PlainAnswer> {
+    const { lender, mirrors } = this.parts
+    return (await answerLoan(url, body, lender)) ?? answerRows(url, mirrors)
+  }
+
+  private async metrics(): Promise<PlainAnswer> {
+    return { status: 200, body: await this.parts.metrics.registry.metrics() }
+  }
+}
--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -17,23 +17,20 @@
 import { BoundedLogger } from '../observe/boundedLogger.js'
 import { ConsolaLogger } from '../observe/logger.js'
 import type { Logger } from '../observe/logger.js'
-import {
-  applyLimits,
-  createCallerListener,
-  createPlainListener,
-  listenAll,
-} from './gatewayListeners.js'
+import { GatewayAnswers } from './gatewayAnswers.js'
+import type { AddressedListener } from './gatewayAnswers.js'
+import { applyLimits, createCallerListener, listenAll } from './gatewayListeners.js'
 import { GatewayMetrics } from './gatewayMetrics.js'
 import type { GatewaySettings } from './gatewaySettings.js'
 import { LoadExchange } from './loadExchange.js'
-import { PeerLoans, answerLoan } from './peerLoans.js'
-import { PeerRows, answerRows } from './peerRows.js'
+import { PeerLoans } from './peerLoans.js'
+import { PeerRows } from './peerRows.js'
 import { requestLine } from './requestLine.js'
 import { CountedStore } from './countedStore.js'
 import { capacityOf } from './instanceCapacity.js'
 import { followTables } from './followedTables.js'
 import { stopAsPlanned } from './plannedStop.js'
-import type { PlainAnswer, PlatformAdapter } from './platformAdapter.js'
+import type { PlatformAdapter } from './platformAdapter.js'
 import type { SettingsOutcome } from './settingsWatcher.js'
 
 export interface GatewayDaemonOptions {
@@ -51,6 +48,8 @@
 
 /** One instance that serves generic routes: every part, wired together. */
 export class GatewayDaemon {
+  /** Names this run of the process. */
+  private readonly incarnation: string
   private readonly clock: Clock
   private readonly random: RandomSource
   private readonly logger: Logger
@@ -70,7 +69,7 @@
   private readonly peerRows: PeerRows
   private readonly peerLoans: PeerLoans
   private readonly callerListener: Server
-  private readonly otherListeners: readonly { server: Server; address: string }[]
+  private readonly otherListeners: readonly AddressedListener[]
   private routes: RouteTable | undefined
   /** The process's clock counts from its start, at which its predecessor was dead. */
   private readonly startedAt: Milliseconds = 0
@@ -91,16 +90,16 @@
       (call, table, outcome) => this.metrics.noteStoreCall(call, table, outcome),
     )
     this.storeClock = new StoreClock(this.clock)
-    const incarnation = this.random.uniqueId().slice(0, 8)
+    this.incarnation = this.random.uniqueId().slice(0, 8)
     this.requestRate = new DemandMeter(this.clock)
-    this.members = this.createMembers(incarnation)
+    this.members = this.createMembers()
     this.fleet = this.createFleet()
     this.peerLoans = this.createPeerLoans()
-    this.ledger = this.createLedger(incarnation)
+    this.ledger = this.createLedger()
     this.servers = this.createServers()
     this.fleetLoad = new FleetLoad({
       instance: settings.instance.id,
-      incarnation,
+      incarnation: this.incarnation,
       directory: this.servers,
       clock: this.clock,
       capacityOf: name => this.routes?.service(name)?.engine?.capacity,
@@ -128,7 +127,7 @@
     for (const mirror of this.mirrors.values()) mirror.start()
     this.ledger.start()
     this.loadExchange?.start()
-    this.note('instance_started', { callers, incarnation: this.settings.instance.id })
+    this.note('instance_started', { callers, incarnation: this.incarnation })
   }
 
   /** Whether new requests may begin here. */
@@ -201,12 +200,12 @@
     return new BoundedLogger(inner, this.clock, log.linesPerSecond)
   }
 
-  private createMembers(incarnation: string): MemberDirectory {
+  private createMembers(): MemberDirectory {
     const { instance, listen, membership, store } = this.settings
     return new MemberDirectory({
       self: {
         instance: instance.id,
-        incarnation,
+        incarnation: this.incarnation,
         region: instance.region,
         failureDomain: instance.failureDomain,
         callerAddress: listen.callers,
@@ -241,11 +240,11 @@
     })
   }
 
-  private createLedger(incarnation: string): PrepaidLedger {
+  private createLedger(): PrepaidLedger {
     const { instance, store, budgets } = this.settings
     return new PrepaidLedger({
       instance: instance.id,
-      incarnation,
+      incarnation: this.incarnation,
       store: this.store,
       storeClock: this.storeClock,
       clock: this.clock,
@@ -358,38 +357,17 @@
     })
   }
 
-  private createOtherListeners(): { server: Server; address: string }[] {
-    const { readiness, directory, peers, metrics } = this.settings.listen
-    const answers = [
-      { address: readiness, answer: (url: string) => this.answerReadiness(url) },
-      { address: directory, answer: (url: string) => this.answerDirectory(url) },
-      { address: peers, answer: (url: string, body: string) => this.answerPeer(url, body) },
-      { address: metrics, answer: () => this.answerMetrics() },
-    ]
-    return answers.flatMap(({ address, answer }) =>
-      address === undefined ? [] : [{ server: createPlainListener(answer), address }],
-    )
-  }
-
-  private async answerPeer(url: string, body: string): Promise<PlainAnswer> {
-    return (await answerLoan(url, body, this.ledger.lender)) ?? answerRows(url, this.mirrors)
-  }
-
-  private answerReadiness(url: string): PlainAnswer {
-    if (!this.adapter.isReadinessQuestion(url)) return { status: 404 }
-    return { status: this.isReady ? 200 : 503 }
-  }
-
-  private answerDirectory(url: string): PlainAnswer {
-    const question = this.adapter.readDirectoryQuestion(url)
-    if (question === undefined) return { status: 404 }
-    const addresses = this.fleet.addresses(question.region)
-    if (addresses.length === 0) return { status: 503 }
-    return this.adapter.directoryAnswer(addresses, this.settings.membership.addressSeconds)
-  }
-
-  private async answerMetrics(): Promise<PlainAnswer> {
-    return { status: 200, body: await this.metrics.registry.metrics() }
+  private createOtherListeners(): readonly AddressedListener[] {
+    const answers = new GatewayAnswers({
+      adapter: this.adapter,
+      isReady: () => this.isReady,
+      fleet: this.fleet,
+      lender: this.ledger.lender,
+      mirrors: this.mirrors,
+      metrics: this.metrics,
+      addressSeconds: () => this.settings.membership.addressSeconds,
+    })
+    return answers.listeners(this.settings.listen)
   }
 
   private noteConfiguration(rows: readonly ChangedRow[]): void {
