fix(gateway): instances whose callers do not follow the directory hold and are told like active ones

All of one tenant's callers went to one weak instance that no answer of the directory named (89 answers looked at, every one the eight strong instances; every instance heard all 88 others). It stood by, so it held two seconds of demand and got no load reports; each cut refused its callers.

Change: who takes half a request a second or more serves callers, active or not: it shares bounds, gets every load report, counts among the holders of a budget, and holds in proportion to its demand, at most 40 s of it.

Ruled out: different views of the fleet; lost datagrams.

--- a/packages/coordination/src/prepaid/holdingPolicy.ts
+++ b/packages/coordination/src/prepaid/holdingPolicy.ts
@@ -43,8 +43,8 @@
 const SCARCE_SECONDS = 15
 /** and one that lasts this long is not going to be missed. */
 const PLENTY_SECONDS = 50
-/** An instance that stands by holds what its callers ask for in this time. */
-const STANDBY_SECONDS = 2
+/** An instance that stands by holds at most what its callers ask for in this time. */
+const STANDBY_SECONDS = 40
 /** Largest requests kept in the pool, and the part of the unspent tokens that this may take. */
 const FLOOR_REQUESTS = 2
 const FLOOR_SHARE = 0.25
@@ -60,13 +60,15 @@
     const holdable = Math.max(0, total - this.poolFloor(view))
     const demands = view.others.map(other => other.demandPerSecond)
     const sum = demands.reduce((left, right) => left + right, view.ownDemandPerSecond)
-    if (view.isStandby)
-      return Math.floor(Math.min(holdable, STANDBY_SECONDS * view.ownDemandPerSecond))
     const count = view.others.length + 1
     const evenness = BASE_SHARE + (PLENTY_BASE_SHARE - BASE_SHARE) * plentyOf(view)
     const base = sum > 0 ? (evenness * sum) / count : 1
-    const share = (view.ownDemandPerSecond + base) / (sum + base * count)
-    return Math.floor(holdable * share)
+    const whole = sum + base * count
+    if (!view.isStandby) return Math.floor((holdable * (view.ownDemandPerSecond + base)) / whole)
+    // Callers that do not follow the directory are served like others, but nobody else is
+    // going to come, and what they asked for once fades.
+    const share = (holdable * view.ownDemandPerSecond) / whole
+    return Math.floor(Math.min(share, STANDBY_SECONDS * view.ownDemandPerSecond))
   }
 
   poolFloor(view: BudgetView): TokenCount {
--- a/packages/coordination/src/prepaid/prepaidAccount.ts
+++ b/packages/coordination/src/prepaid/prepaidAccount.ts
@@ -30,7 +30,7 @@
   readonly policy: HoldingPolicy
   /** Whether callers are sent here; otherwise only what they ask for unasked is held. */
   readonly isActive: () => boolean
-  /** Other instances to which callers are sent. */
+  /** Other instances that serve callers. */
   readonly otherInstances: () => readonly string[]
   /** Longest time between two writes while tokens are spent. */
   readonly recordMilliseconds: () => Milliseconds
--- a/packages/coordination/src/prepaid/prepaidLedger.ts
+++ b/packages/coordination/src/prepaid/prepaidLedger.ts
@@ -19,9 +19,9 @@
   readonly clock: Clock
   readonly startedAt: Milliseconds
   readonly policy: HoldingPolicy
-  /** Whether callers are sent to this instance, */
+  /** Whether callers are sent to this instance. */
   readonly isActive: () => boolean
-  /** and to which others. */
+  /** Others that serve callers. */
   readonly otherInstances: () => readonly string[]
   readonly limits: LedgerLimits
   /** Reaches other instances; without it nobody borrows. */
--- a/packages/daemon/__tests__/activeFleet.spec.ts
+++ b/packages/daemon/__tests__/activeFleet.spec.ts
@@ -74,6 +74,14 @@
     ])
   })
 
+  it('knows who serves callers that do not follow the directory', () => {
+    const busy = member('b3', { requestsPerSecond: 20, capacity: 1 })
+    const { fleet } = setUp({ self: member('a1'), others: [member('b1'), busy, member('b2')] })
+    expect(fleet.activeOthers).not.toContain(busy)
+    expect(fleet.workingOthers).toContain(busy)
+    expect(fleet.idleOthers.map(({ instance }) => instance)).not.toContain('b3')
+  })
+
   it('does not settle as active before it can know the others', async () => {
     const { clock, fleet } = setUp({ self: member('a1'), others: [] })
     expect([fleet.isSelfActive, fleet.isSelfSettled]).toEqual([true, false])
--- a/packages/daemon/src/gateway/activeFleet.ts
+++ b/packages/daemon/src/gateway/activeFleet.ts
@@ -23,6 +23,7 @@
   readonly self: MemberRow | undefined
   readonly isSelfActive: boolean
   readonly activeOthers: readonly MemberRow[]
+  readonly workingOthers: readonly MemberRow[]
 }
 
 /** Age up to which a view of the fleet is used again. */
@@ -30,6 +31,13 @@
 /** Others that started at the same time are known after this time. */
 const SETTLING_MILLISECONDS = 2_000
 
+/** An instance that takes this many requests a second serves callers, active or not. */
+const BUSY_REQUESTS_PER_SECOND = 0.5
+
+function isBusy({ requestsPerSecond }: MemberRow): boolean {
+  return requestsPerSecond >= BUSY_REQUESTS_PER_SECOND
+}
+
 export class ActiveFleet {
   private readonly choice: ActiveInstances
   private view: FleetView | undefined
@@ -59,19 +67,28 @@
     return this.current().activeOthers
   }
 
-  /** Other instances that stand by, or have fallen silent. */
-  get standbyOthers(): readonly MemberRow[] {
-    const active = new Set(this.activeOthers.map(member => member.instance))
-    return this.parts.others().filter(member => !active.has(member.instance))
+  /**
+   * Other instances that serve callers: the active ones, and those to which callers come that
+   * do not follow the directory.
+   */
+  get workingOthers(): readonly MemberRow[] {
+    return this.current().workingOthers
+  }
+
+  /** Other instances that serve nobody at present, or have fallen silent. */
+  get idleOthers(): readonly MemberRow[] {
+    const working = new Set(this.workingOthers.map(member => member.instance))
+    return this.parts.others().filter(member => !working.has(member.instance))
   }
 
   /**
-   * By how many a bound of the whole fleet is divided here. Instances that stand by share such a
-   * bound among all: they use little of it, and only what callers bring them unasked.
+   * By how many a bound of the whole fleet is divided here. Instances that serve nobody share
+   * such a bound among all: they use little of it.
    */
   get sharers(): number {
-    const { isSelfActive, activeOthers } = this.current()
-    return 1 + (isSelfActive ? activeOthers.length : this.parts.others().length)
+    const { self, isSelfActive, workingOthers } = this.current()
+    const isWorking = isSelfActive || (self !== undefined && isBusy(self))
+    return 1 + (isWorking ? workingOthers.length : this.parts.others().length)
   }
 
   /**
@@ -110,10 +127,13 @@
   private look(self: MemberRow | undefined): Omit<FleetView, 'at'> {
     const others = this.reachableOthers()
     const active = this.choice.choose(self === undefined ? others : [self, ...others])
+    const activeOthers = active.filter(member => member !== self)
+    const busyOthers = others.filter(other => isBusy(other) && !activeOthers.includes(other))
     return {
       self,
       isSelfActive: active.some(member => member === self),
-      activeOthers: active.filter(member => member !== self),
+      activeOthers,
+      workingOthers: [...activeOthers, ...busyOthers],
     }
   }
 
--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -251,7 +251,7 @@
       startedAt: this.startedAt,
       policy: budgets.policy === 'equal' ? new EqualHoldingPolicy() : new DemandHoldingPolicy(),
       isActive: () => this.fleet.isSelfSettled,
-      otherInstances: () => this.fleet.activeOthers.map(member => member.instance),
+      otherInstances: () => this.fleet.workingOthers.map(member => member.instance),
       limits: {
         writesPerSecond: store.writesPerSecond,
         partitionWritesPerSecond: store.partitionWritesPerSecond,
@@ -287,8 +287,8 @@
     if (listen.loads === undefined) return undefined
     return new LoadExchange({
       address: listen.loads,
-      activePeers: () => loadAddressesOf(this.fleet.activeOthers),
-      standbyPeers: () => loadAddressesOf(this.fleet.standbyOthers),
+      workingPeers: () => loadAddressesOf(this.fleet.workingOthers),
+      idlePeers: () => loadAddressesOf(this.fleet.idleOthers),
       fleetLoad: this.fleetLoad,
       clock: this.clock,
     })
--- a/packages/daemon/src/gateway/loadExchange.ts
+++ b/packages/daemon/src/gateway/loadExchange.ts
@@ -43,10 +43,10 @@
 export interface LoadExchangeParts {
   /** IP:PORT at which this instance takes reports. */
   readonly address: string
-  /** IP:PORT of others that take callers: they get every report. */
-  readonly activePeers: () => readonly string[]
-  /** IP:PORT of others that stand by: they get signs of life. */
-  readonly standbyPeers: () => readonly string[]
+  /** IP:PORT of others that serve callers: they get every report. */
+  readonly workingPeers: () => readonly string[]
+  /** IP:PORT of the others: they get signs of life. */
+  readonly idlePeers: () => readonly string[]
   readonly fleetLoad: FleetLoad
   readonly clock: Clock
 }
@@ -86,13 +86,13 @@
 
   /** Reports grow rarer with the number of instances, so that their bytes stay bounded. */
   private get interval(): Milliseconds {
-    const bytes = this.parts.activePeers().length * REPORT_BYTES
+    const bytes = this.parts.workingPeers().length * REPORT_BYTES
     return Math.max(SHORTEST_INTERVAL_MILLISECONDS, (bytes * 1000) / REPORT_BYTES_PER_SECOND)
   }
 
   /** All instances know about the same number of others, and so the interval of their signs. */
   private get signInterval(): Milliseconds {
-    const peers = this.parts.activePeers().length + this.parts.standbyPeers().length
+    const peers = this.parts.workingPeers().length + this.parts.idlePeers().length
     const slowed = (peers * SIGN_BYTES * 1000) / SIGN_BYTES_PER_SECOND
     return Math.max(SIGN_MILLISECONDS, this.interval, slowed)
   }
@@ -102,14 +102,14 @@
     const report = this.parts.fleetLoad.nextReport(now - this.sentAt >= this.signInterval)
     if (report === undefined) return
     this.sentAt = now
-    this.sendTo(this.parts.activePeers(), report)
+    this.sendTo(this.parts.workingPeers(), report)
   }
 
   private sendSigns(): void {
     const now = this.parts.clock.monotonic()
     if (now - this.signedAt < this.signInterval) return
     this.signedAt = now
-    this.sendTo(this.parts.standbyPeers(), this.parts.fleetLoad.sign())
+    this.sendTo(this.parts.idlePeers(), this.parts.fleetLoad.sign())
   }
 
   private sendTo(peers: readonly string[], report: PeerLoadReport): void {
