refactor(daemon): one look at the fleet serves every question; addresses are parsed in one place

Each question about the fleet built the own row, only to learn whether it is there, and the idle others were filtered anew up to three times for each datagram and, on an instance that stands by, once for each server of a choice. A view, at most 100 ms old as before, now holds all of it. How many are active was worked out twice. Peer calls and datagrams use parseAddress.

--- a/packages/daemon/__tests__/activeFleet.spec.ts
+++ b/packages/daemon/__tests__/activeFleet.spec.ts
@@ -29,7 +29,8 @@
   const changes: [boolean, number][] = []
   const state = { self, silent: new Set(silent) }
   const fleet = new ActiveFleet({
-    self: () => state.self,
+    isServing: () => state.self !== undefined,
+    self: () => state.self ?? member('a1'),
     others: () => others,
     hears: ({ instance }) => !state.silent.has(instance),
     clock,
--- a/packages/daemon/src/gateway/activeFleet.ts
+++ b/packages/daemon/src/gateway/activeFleet.ts
@@ -5,12 +5,13 @@
 /** What this instance knows of the fleet at present: who serves, and who of them takes callers. */
 
 export interface ActiveFleetParts {
-  /** The own row; undefined while this instance takes no callers. */
-  readonly self: () => MemberRow | undefined
+  /** Whether this instance takes callers; asked far more often than the own row. */
+  readonly isServing: () => boolean
+  readonly self: () => MemberRow
   /** Other instances that serve, as the store has them. */
   readonly others: () => readonly MemberRow[]
-  /** Whether an instance was heard of lately; undefined where nothing is ever heard. */
-  readonly hears: (member: MemberRow) => boolean | undefined
+  /** Whether an instance was heard of lately; true where nothing is ever heard of it. */
+  readonly hears: (member: MemberRow) => boolean
   readonly clock: Clock
   readonly bounds: ActiveBounds
   /** This instance became active or began to stand by. */
@@ -24,6 +25,7 @@
   readonly isSelfActive: boolean
   readonly activeOthers: readonly MemberRow[]
   readonly workingOthers: readonly MemberRow[]
+  readonly idleOthers: readonly MemberRow[]
 }
 
 /** Age up to which a view of the fleet is used again. */
@@ -38,6 +40,10 @@
   return requestsPerSecond >= BUSY_REQUESTS_PER_SECOND
 }
 
+function activeCountOf({ isSelfActive, activeOthers }: FleetView): number {
+  return activeOthers.length + (isSelfActive ? 1 : 0)
+}
+
 export class ActiveFleet {
   private readonly choice: ActiveInstances
   private view: FleetView | undefined
@@ -77,8 +83,12 @@
 
   /** Other instances that serve nobody at present, or have fallen silent. */
   get idleOthers(): readonly MemberRow[] {
-    const working = new Set(this.workingOthers.map(member => member.instance))
-    return this.parts.others().filter(member => !working.has(member.instance))
+    return this.current().idleOthers
+  }
+
+  /** How many instances take callers, this one counted where it does. */
+  get activeCount(): number {
+    return activeCountOf(this.current())
   }
 
   /**
@@ -86,9 +96,9 @@
    * such a bound among all: they use little of it.
    */
   get sharers(): number {
-    const { self, isSelfActive, workingOthers } = this.current()
+    const { self, isSelfActive, workingOthers, idleOthers } = this.current()
     const isWorking = isSelfActive || (self !== undefined && isBusy(self))
-    return 1 + (isWorking ? workingOthers.length : this.parts.others().length)
+    return 1 + workingOthers.length + (isWorking ? 0 : idleOthers.length)
   }
 
   /**
@@ -96,7 +106,9 @@
    * part then chooses active instances of its own, so half of all may be active at least.
    */
   get cautiousSharers(): number {
-    return Math.max(this.sharers, Math.ceil((this.parts.others().length + 1) / 2))
+    const { workingOthers, idleOthers } = this.current()
+    const instances = 1 + workingOthers.length + idleOthers.length
+    return Math.max(this.sharers, Math.ceil(instances / 2))
   }
 
   /** Addresses for a caller of a region; of all regions where it has no instance. */
@@ -109,31 +121,34 @@
 
   private current(): FleetView {
     const before = this.view
-    const self = this.parts.self()
+    const isServing = this.parts.isServing()
     const now = this.parts.clock.monotonic()
-    const isSame = (before?.self === undefined) === (self === undefined)
+    const isSame = (before?.self !== undefined) === isServing
     if (before !== undefined && isSame && now - before.at < VIEW_MILLISECONDS) return before
     if (!isSame) this.selfSince = now
-    const view = { at: now, ...this.look(self) }
+    const view = { at: now, ...this.look(isServing ? this.parts.self() : undefined) }
     this.view = view
     if (before?.isSelfActive !== view.isSelfActive) this.tell(view)
     return view
   }
 
-  private tell({ isSelfActive, activeOthers }: FleetView): void {
-    this.parts.onChange(isSelfActive, activeOthers.length + (isSelfActive ? 1 : 0))
+  private tell(view: FleetView): void {
+    this.parts.onChange(view.isSelfActive, activeCountOf(view))
   }
 
   private look(self: MemberRow | undefined): Omit<FleetView, 'at'> {
-    const others = this.reachableOthers()
+    const all = this.parts.others()
+    const others = this.reachable(all)
     const active = this.choice.choose(self === undefined ? others : [self, ...others])
     const activeOthers = active.filter(member => member !== self)
     const busyOthers = others.filter(other => isBusy(other) && !activeOthers.includes(other))
+    const workingOthers = [...activeOthers, ...busyOthers]
     return {
       self,
       isSelfActive: active.some(member => member === self),
       activeOthers,
-      workingOthers: [...activeOthers, ...busyOthers],
+      workingOthers,
+      idleOthers: all.filter(other => !workingOthers.includes(other)),
     }
   }
 
@@ -141,9 +156,8 @@
    * Other instances to which callers may go. One that has fallen silent is left out long before
    * its row shows it, unless this instance hears nobody and may be the one that is cut off.
    */
-  private reachableOthers(): readonly MemberRow[] {
-    const others = this.parts.others()
-    const heard = others.filter(member => this.parts.hears(member) !== false)
+  private reachable(others: readonly MemberRow[]): readonly MemberRow[] {
+    const heard = others.filter(member => this.parts.hears(member))
     return heard.length > 0 ? heard : others
   }
 }
--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -229,10 +229,10 @@
   private createFleet(): ActiveFleet {
     const { activeInDomain, headroom } = this.settings.membership
     return new ActiveFleet({
-      self: () => (this.isReady ? this.members.self : undefined),
+      isServing: () => this.isReady,
+      self: () => this.members.self,
       others: () => this.members.others,
-      hears: ({ instance, loadAddress }) =>
-        loadAddress === '' ? undefined : this.fleetLoad.hears(instance),
+      hears: ({ instance, loadAddress }) => loadAddress === '' || this.fleetLoad.hears(instance),
       clock: this.clock,
       bounds: { minimumInDomain: activeInDomain, headroom },
       onChange: (isActive, activeInstances) =>
@@ -348,7 +348,7 @@
     return new GatewayMetrics({
       inFlight: () => this.gateway.inFlight,
       instances: () => this.members.others.length + 1,
-      activeInstances: () => this.fleet.activeOthers.length + Number(this.fleet.isSelfActive),
+      activeInstances: () => this.fleet.activeCount,
       active: () => Number(this.fleet.isSelfActive),
       servers: () => this.servers.size,
       configurationVersion: () => this.routes?.version ?? 0,
--- a/packages/daemon/src/gateway/loadExchange.ts
+++ b/packages/daemon/src/gateway/loadExchange.ts
@@ -3,6 +3,7 @@
 import * as z from 'zod'
 import type { Clock, Milliseconds, Timer } from '@rackwalk/shared'
 import type { FleetLoad, PeerLoadReport } from '@rackwalk/router'
+import { parseAddress } from '../observe/listenOn.js'
 
 /**
  * Instances tell each other by datagrams what they have in progress at the servers. A lost
@@ -60,12 +61,12 @@
   constructor(private readonly parts: LoadExchangeParts) {}
 
   start(): void {
-    const [host, port] = this.parts.address.split(':')
+    const { host, port } = parseAddress(this.parts.address)
     const socket = createSocket('udp4')
     socket.on('message', bytes => this.take(bytes))
     // Without the socket, choices rest on own requests and on what servers tell.
     socket.on('error', () => this.stop())
-    socket.bind(Number(port), host, () => this.schedule())
+    socket.bind(port, host, () => this.schedule())
     this.socket = socket
   }
 
@@ -84,7 +85,7 @@
     })
   }
 
-  /** Reports grow rarer with the number of instances, so that their bytes stay bounded. */
+  /** Reports grow rarer with the number of instances that get them, so that their bytes stay bounded. */
   private get interval(): Milliseconds {
     const bytes = this.parts.workingPeers().length * REPORT_BYTES
     return Math.max(SHORTEST_INTERVAL_MILLISECONDS, (bytes * 1000) / REPORT_BYTES_PER_SECOND)
@@ -115,8 +116,8 @@
   private sendTo(peers: readonly string[], report: PeerLoadReport): void {
     const bytes = encodeReport(report)
     for (const peer of peers) {
-      const [host, port] = peer.split(':')
-      this.socket?.send(bytes, Number(port), host, () => {})
+      const { host, port } = parseAddress(peer)
+      this.socket?.send(bytes, port, host, () => {})
     }
   }
 
--- a/packages/daemon/src/gateway/peerCall.ts
+++ b/packages/daemon/src/gateway/peerCall.ts
@@ -1,6 +1,7 @@
 import { request } from 'node:http'
 import type { Agent } from 'node:http'
 import type { Milliseconds } from '@rackwalk/shared'
+import { parseAddress } from '../observe/listenOn.js'
 
 /** One call to another instance, answered in time or not at all. */
 export interface PeerCall {
@@ -19,7 +20,7 @@
 /** The text of a good and whole answer; undefined where there was none in time. */
 export function callPeer(call: PeerCall): Promise<string | undefined> {
   const { address, path, body, agent = false, timeoutMilliseconds } = call
-  const [host, port] = address.split(':')
+  const { host, port } = parseAddress(address)
   const method = body === undefined ? 'GET' : 'POST'
   return new Promise(resolve => {
     const sent = request({ host, port, path, method, agent }, response => {
