feat(observe): refusals for tokens that exist are told as episodes, with who was asked in vain

Cause: the lines could not tell the hypotheses apart. No counter carried the team's requests, nothing told of a holding that stands still against its demand, and a refusal did not say what its loans came to.

Change: events budget_short and budget_covered; in a refusal's budget what all holders' rows tell of demand, among how many holdings are divided, how old the sight of the rows is and how long a call to the store has been on its way; in its line each lender that was asked and its answer. Metrics team_requests_total{tenant,outcome}, short_budgets, caller_connections. What describes an account is a module of its own.

Ruled out: a line for each holding that moves: it is no state of its own, and the rows have it.

--- a/packages/coordination/__tests__/loans.spec.ts
+++ b/packages/coordination/__tests__/loans.spec.ts
@@ -81,8 +81,8 @@
     },
   }
   const borrower = new Borrower({ channel, clock, incarnation: 'self' })
-  const borrow = (tokens: TokenCount) =>
-    borrower.borrow(BUDGET, tokens, Object.keys(held), PATIENCE)
+  const borrow = async (tokens: TokenCount) =>
+    (await borrower.borrow(BUDGET, tokens, Object.keys(held), PATIENCE)).loans
   return { clock, asked, repaid, borrow }
 }
 
--- a/packages/coordination/__tests__/prepaidEvents.spec.ts
+++ b/packages/coordination/__tests__/prepaidEvents.spec.ts
@@ -5,8 +5,12 @@
   PREPAID_TABLE,
   PrepaidLedger,
   StoreClock,
+  POOL_KEY,
   holderKey,
+  holderRowCodec,
+  poolRowCodec,
 } from '@rackwalk/coordination'
+import type { HolderRow, LoanChannel, PoolRow } from '@rackwalk/coordination'
 import { MemoryRowStore } from '@rackwalk/stand-ins'
 
 /** Events that a prepaid ledger tells its owner, which become lines of the log as they are. */
@@ -17,7 +21,7 @@
   const clock = new VirtualClock()
   const rows = new MemoryRowStore(clock)
   const events: [string, Readonly<Record<string, unknown>>][] = []
-  const start = (incarnation: string, startedAt: number) => {
+  const start = (incarnation: string, startedAt: number, loanChannel?: LoanChannel) => {
     const { store, faults } = rows.connect()
     const ledger = new PrepaidLedger({
       instance: 'instance-1',
@@ -28,10 +32,11 @@
       startedAt,
       policy: new DemandHoldingPolicy(),
       isActive: () => true,
-      otherInstances: () => [],
+      otherInstances: () => (loanChannel === undefined ? [] : ['instance-2']),
       limits: { writesPerSecond: 600, partitionWritesPerSecond: 150, reserveShare: 0 },
       onEvent: (event, fields) => events.push([event, fields]),
       onMalformedRow: () => {},
+      ...(loanChannel === undefined ? {} : { loanChannel }),
     })
     ledger.configure([{ budget: BUDGET, limit: 100_000 }], 1)
     ledger.start()
@@ -48,7 +53,11 @@
     faults.isCut = true
     void ledger.reserve(BUDGET, 500, 100)
     await clock.advance(6_000)
-    expect(events).toEqual([['prepaid_store_lost', { budget: BUDGET, reason: 'no answer' }]])
+    expect(events).toEqual([
+      ['budget_short', expect.objectContaining({ budget: BUDGET, allowance: 0, callAge: 100 })],
+      ['prepaid_store_lost', { budget: BUDGET, reason: 'no answer' }],
+      ['budget_covered', { budget: BUDGET, milliseconds: 0, refused: 1 }],
+    ])
   })
 
   it("tell that a dead predecessor's holding was ended, and what of it counts as spent", async () => {
@@ -86,4 +95,51 @@
     await clock.advance(1_000)
     expect(events[0]).toEqual(['prepaid_holding_lost', { budget: BUDGET }])
   })
+
+  it('tell when refusals for tokens that exist begin and end, and who was asked in vain', async () => {
+    const { clock, rows, events, start } = setUp()
+    const other = { granted: 100_000, committed: 0, demandPerSecond: 0, wanted: 0 }
+    rows.put(PREPAID_TABLE, holderKey('instance-2'), holderText(other), BUDGET)
+    rows.put(PREPAID_TABLE, POOL_KEY, poolText({ limit: 100_000, allocated: 100_000 }), BUDGET)
+    const { ledger } = start('first', 0, {
+      ask: () => Promise.resolve(0),
+      repay: () => Promise.resolve(true),
+    })
+    await clock.advance(1_000)
+    const outcomes: unknown[] = []
+    for (let round = 0; round < 3; round += 1) {
+      void ledger.reserve(BUDGET, 500, 100).then(outcome => outcomes.push(outcome))
+      await clock.advance(1_000)
+    }
+    expect(outcomes[0]).toMatchObject({
+      kind: 'refused',
+      reason: 'unavailable',
+      lenders: [{ lender: 'instance-2', asked: 500, lent: 0 }],
+    })
+    await clock.advance(3_000)
+    expect(events.map(([event]) => event)).toEqual(['budget_short', 'budget_covered'])
+    expect(events[0]?.[1]).toMatchObject({
+      granted: 0,
+      free: 0,
+      othersUnspent: 100_000,
+      sharers: 2,
+    })
+    expect(events[1]?.[1]).toMatchObject({ refused: 3 })
+  })
 })
+
+function holderText(row: Partial<HolderRow>): string {
+  const empty = { strictRate: 0, strictMilliseconds: 0, cutBurst: 0, cutRate: 0, base: 0 }
+  const known = { incarnation: 'other', sequence: 1, granted: 0, committed: 0, wanted: 0 }
+  return holderRowCodec.encode({ ...empty, ...known, demandPerSecond: 0, ...row })
+}
+
+function poolText(row: Partial<PoolRow>): string {
+  return poolRowCodec.encode({
+    limit: 0,
+    configurationVersion: 1,
+    settled: 0,
+    allocated: 0,
+    ...row,
+  })
+}
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -136,6 +136,7 @@
 export type { BudgetView, HoldingPolicy } from './prepaid/holdingPolicy.js'
 export { HoldingState } from './prepaid/holdingState.js'
 export { Borrower } from './prepaid/borrower.js'
+export type { LenderAnswer } from './prepaid/borrower.js'
 export { Lender } from './prepaid/lender.js'
 export type { LendingAccount } from './prepaid/lender.js'
 export type { Loan, LoanChannel, LoanRepayment, LoanRequest } from './prepaid/loan.js'
@@ -145,6 +146,7 @@
   PrepaidOutcome,
   PrepaidRefusal,
   PrepaidReservation,
+  RefusedOutcome,
 } from './prepaid/prepaidOutcome.js'
 export { DemandMeter } from './prepaid/demandMeter.js'
 export { PrepaidLedger } from './prepaid/prepaidLedger.js'
--- a/packages/coordination/src/prepaid/borrower.ts
+++ b/packages/coordination/src/prepaid/borrower.ts
@@ -16,6 +16,23 @@
   readonly incarnation: string
 }
 
+/** What a lender answered to one request. */
+export interface LenderAnswer {
+  readonly lender: string
+  readonly asked: TokenCount
+  /** Undefined where no answer came. */
+  readonly lent: TokenCount | undefined
+  readonly milliseconds: Milliseconds
+}
+
+/** What came of borrowing for one request. */
+export interface Borrowing {
+  /** Undefined where the loans do not add up; they are repaid then. */
+  readonly loans: readonly Loan[] | undefined
+  /** Every lender that was asked, in order. */
+  readonly answers: readonly LenderAnswer[]
+}
+
 /** A lender that gave no answer is not asked again for this long. */
 const SILENT_MILLISECONDS = 1_000
 /** A lender that had too little of a budget is not asked for it again for this long. */
@@ -36,28 +53,33 @@
   constructor(private readonly parts: BorrowerParts) {}
 
   /**
-   * Loans that add up to `tokens`, from lenders in the order given; undefined where they do
-   * not, with everything repaid. Asks nobody after `patience` has passed.
+   * Loans that add up to `tokens`, from lenders in the order given; none where they do not, with
+   * everything repaid. Asks nobody after `patience` has passed.
    */
   async borrow(
     budget: string,
     tokens: TokenCount,
     lenders: readonly string[],
     patience: Milliseconds,
-  ): Promise<readonly Loan[] | undefined> {
+  ): Promise<Borrowing> {
     const endsAt = this.parts.clock.monotonic() + patience
     const loans: Loan[] = []
+    const answers: LenderAnswer[] = []
     let missing = tokens
     for (const lender of this.worthAsking(budget, lenders)) {
-      if (this.parts.clock.monotonic() >= endsAt) break
-      const loan = await this.ask(lender, budget, missing)
-      if (loan === undefined) continue
+      const askedAt = this.parts.clock.monotonic()
+      if (askedAt >= endsAt) break
+      const asked = missing
+      const loan = await this.ask(lender, budget, asked)
+      const milliseconds = this.parts.clock.monotonic() - askedAt
+      answers.push({ lender, asked, lent: loan?.tokens, milliseconds })
+      if (loan === undefined || loan.tokens === 0) continue
       loans.push(loan)
       missing -= loan.tokens
-      if (missing <= 0) return loans
+      if (missing <= 0) return { loans, answers }
     }
     for (const loan of loans) this.repay(budget, loan, 0)
-    return undefined
+    return { loans: undefined, answers }
   }
 
   /** Tells the lender what of a loan was spent; a lender never reached counts all of it. */
@@ -74,6 +96,7 @@
       .slice(0, LENDERS_ASKED)
   }
 
+  /** Undefined where no answer came. */
   private async ask(lender: string, budget: string, tokens: TokenCount): Promise<Loan | undefined> {
     this.loans += 1
     const id = `${this.parts.incarnation}/${this.loans}`
@@ -87,7 +110,7 @@
       return undefined
     }
     if (lent < tokens) this.shortUntil.set(`${lender}/${budget}`, now + SHORT_MILLISECONDS)
-    return lent > 0 ? { lender, id, tokens: Math.min(lent, tokens) } : undefined
+    return { lender, id, tokens: Math.min(lent, tokens) }
   }
 
   private async repayUntilTaken(budget: string, loan: Loan, spent: TokenCount): Promise<void> {
--- a/packages/coordination/src/prepaid/partitionView.ts
+++ b/packages/coordination/src/prepaid/partitionView.ts
@@ -58,11 +58,13 @@
     return conditionVersion(this.holders.get(this.instance) ?? ABSENT)
   }
 
-  apply(updates: readonly RowUpdate[], isWhole: boolean): void {
-    for (const update of updates) this.set(update)
-    if (!isWhole) return
+  /** True where any row was of its form, or all that there are were told. */
+  apply(updates: readonly RowUpdate[], isWhole: boolean): boolean {
+    const taken = updates.filter(update => this.set(update))
+    if (!isWhole) return taken.length > 0
     this.loaded = true
     this.forgetAbsent(updates)
+    return taken.length > 0 || updates.length === 0
   }
 
   /** A transaction of this instance was done. */
@@ -97,6 +99,13 @@
     })
   }
 
+  /** Tokens a second that callers of all holders ask for, as their rows tell. */
+  get demandOfAll(): number {
+    let demand = 0
+    for (const { row } of this.holders.values()) demand += row?.demandPerSecond ?? 0
+    return demand
+  }
+
   /** Of the given instances those that hold unspent tokens, the most first. */
   lendersAmong(instances: readonly string[]): readonly string[] {
     const holdings = this.othersOf(instances).map(({ unspent }, index) => ({
@@ -128,17 +137,25 @@
     }
   }
 
-  private set({ key, value, version }: RowUpdate): void {
+  /** False where the row is not of its form. */
+  private set({ key, value, version }: RowUpdate): boolean {
     if (key === POOL_KEY) {
       const row = value === undefined ? undefined : poolRowCodec.decode(value)
-      if (value !== undefined && row === undefined) return this.onMalformed(key)
-      return this.setPool({ row, version })
+      if (value !== undefined && row === undefined) return this.refuse(key)
+      this.setPool({ row, version })
+      return true
     }
     const instance = instanceOfKey(key)
-    if (instance === undefined) return
+    if (instance === undefined) return false
     const row = value === undefined ? undefined : holderRowCodec.decode(value)
-    if (value !== undefined && row === undefined) return this.onMalformed(key)
+    if (value !== undefined && row === undefined) return this.refuse(key)
     this.setHolder(instance, { row, version })
+    return true
+  }
+
+  private refuse(key: string): false {
+    this.onMalformed(key)
+    return false
   }
 
   private setPool(known: KnownRow<PoolRow>): void {
--- a/packages/coordination/src/prepaid/prepaidAccount.ts
+++ b/packages/coordination/src/prepaid/prepaidAccount.ts
@@ -8,6 +8,7 @@
 import type { Clock, Milliseconds, TokenCount } from '@rackwalk/shared'
 import type { RowAddress, RowStore, RowTransaction, RowWriteOutcome } from '@rackwalk/stores'
 import type { StoreClock } from '../rows/storeClock.js'
+import { AccountReport } from './accountReport.js'
 import { DemandMeter } from './demandMeter.js'
 import { HoldingState } from './holdingState.js'
 import type { LendingAccount } from './lender.js'
@@ -15,13 +16,14 @@
 import {
   POOL_KEY,
   PREPAID_TABLE,
+  endHolding,
   freeInPool,
   holderKey,
   holderRowCodec,
   poolRowCodec,
 } from './prepaidRows.js'
 import type { PoolRow } from './prepaidRows.js'
-import type { PrepaidOutcome } from './prepaidOutcome.js'
+import type { PrepaidOutcome, RefusedOutcome, ReservedOutcome } from './prepaidOutcome.js'
 import { PartitionView } from './partitionView.js'
 import type { RowUpdate } from './partitionView.js'
 import { planWrite } from './writePlan.js'
@@ -84,6 +86,7 @@
   private left = false
   private calling = false
   private callStartedAt: Milliseconds = 0
+  private readonly report: AccountReport
 
   constructor(private readonly parts: PrepaidAccountParts) {
     this.holding = new HoldingState(parts.clock)
@@ -91,6 +94,7 @@
     this.spending = new DemandMeter(parts.clock)
     this.view = new PartitionView(parts.instance, key => parts.onMalformedRow(this.addressOf(key)))
     this.waiting = new WaitingRequests(parts.clock)
+    this.report = this.createReport()
   }
 
   /** The budget as the configuration of this version sets it. */
@@ -104,7 +108,7 @@
 
   /** Takes in rows of this partition; with `isWhole` they are all that there are. */
   observe(rows: readonly RowUpdate[], isWhole: boolean): void {
-    this.view.apply(rows, isWhole)
+    this.sight(rows, isWhole)
     this.noteOwnRow()
   }
 
@@ -177,6 +181,17 @@
   /** Called a few times a second: records, takes and gives back. */
   maintain(): void {
     if (this.isWriteDue()) this.kick()
+    this.report.tellEnded()
+  }
+
+  /** Whether callers here are being refused tokens that exist. */
+  get isShort(): boolean {
+    return this.report.isShort
+  }
+
+  /** A caller was refused tokens that other instances hold, or that are out of reach. */
+  noteRefused(): void {
+    this.report.noteRefused()
   }
 
   /** Whether the store last failed to answer; nothing is written until it answers a probe. */
@@ -207,16 +222,26 @@
 
   /** What is known here, for decision records and logs. */
   describe(): Readonly<Record<string, unknown>> {
-    return {
-      limit: this.limit,
-      granted: this.holding.granted,
-      committed: this.holding.committed,
-      allowance: this.holding.allowance,
-      recordAge: Math.round(this.holding.recordAge),
-      free: this.view.pool === undefined ? undefined : freeInPool(this.view.pool),
-      othersUnspent: this.othersUnspent,
-      demand: Math.round(this.demand.perSecond),
-    }
+    return this.report.describe()
+  }
+
+  private createReport(): AccountReport {
+    const { budget, clock, otherInstances, onEvent } = this.parts
+    return new AccountReport({
+      budget,
+      clock,
+      holding: this.holding,
+      view: this.view,
+      limit: () => this.limit,
+      demandPerSecond: () => this.demand.perSecond,
+      others: otherInstances,
+      callAge: () => (this.calling ? clock.monotonic() - this.callStartedAt : undefined),
+      onEvent,
+    })
+  }
+
+  private sight(rows: readonly RowUpdate[], isWhole: boolean): void {
+    if (this.view.apply(rows, isWhole)) this.report.noteSight()
   }
 
   /** Tokens that this holding can come to commit, with a transaction where the store answers. */
@@ -325,7 +350,7 @@
 
   private noteTakeover({ takeover }: WritePlan): void {
     if (takeover === undefined) return
-    this.parts.onEvent('prepaid_taken_over', { budget: this.parts.budget, ...takeover })
+    this.report.tell('prepaid_taken_over', { ...takeover })
   }
 
   private async reload(): Promise<boolean> {
@@ -343,7 +368,7 @@
       return false
     }
     this.parts.storeClock.note(outcome.storeTime, sentAt)
-    this.view.apply(outcome.rows, true)
+    this.sight(outcome.rows, true)
     this.noteOwnRow()
     this.noteReached()
     return true
@@ -359,7 +384,7 @@
     }
     if (!this.holding.isRegistered) return
     this.holding.lose()
-    this.parts.onEvent('prepaid_holding_lost', { budget: this.parts.budget })
+    this.report.tell('prepaid_holding_lost', {})
   }
 
   /** What the row that the next write replaces grants to this incarnation. */
@@ -431,24 +456,18 @@
 
   private async leaveOnce(): Promise<boolean> {
     if (!(await this.reload())) return false
-    const pool = this.view.pool
     const own = this.view.ownHolder
+    const { pool } = this.view
     if (pool === undefined || own?.incarnation !== this.parts.incarnation) return true
-    const ended: PoolRow = {
-      ...pool,
-      settled: pool.settled + this.holding.committed,
-      allocated: pool.allocated - own.granted,
-    }
+    const ended = poolRowCodec.encode(endHolding(pool, own, this.holding.committed))
     const ownAddress = this.addressOf(holderKey(this.parts.instance))
     const poolAddress = this.addressOf(POOL_KEY)
-    const outcome = await this.parts.store.write({
-      conditions: [
-        { ...ownAddress, version: this.view.ownVersion },
-        { ...poolAddress, version: this.view.poolVersion },
-      ],
-      puts: [{ ...poolAddress, value: poolRowCodec.encode(ended) }],
-      removals: [ownAddress],
-    })
+    const conditions = [
+      { ...ownAddress, version: this.view.ownVersion },
+      { ...poolAddress, version: this.view.poolVersion },
+    ]
+    const puts = [{ ...poolAddress, value: ended }]
+    const outcome = await this.parts.store.write({ conditions, puts, removals: [ownAddress] })
     return outcome.kind === 'done'
   }
 
@@ -463,7 +482,7 @@
   private noteFailure(reason: string): void {
     this.failures += 1
     if (this.failures === 1) {
-      this.parts.onEvent('prepaid_store_lost', { budget: this.parts.budget, reason })
+      this.report.tell('prepaid_store_lost', { reason })
     }
   }
 
@@ -485,18 +504,19 @@
     request.finish(this.reserved(tokens, 'held'))
   }
 
-  private reserved(tokens: TokenCount, path: string): PrepaidOutcome {
+  private reserved(tokens: TokenCount, path: string): ReservedOutcome {
     this.spending.add(tokens)
     const reservation = { budget: this.parts.budget, tokens, loans: [] }
     return { kind: 'reserved', reservation, path }
   }
 
-  private refused(tokens: TokenCount): PrepaidOutcome {
+  private refused(tokens: TokenCount): RefusedOutcome {
     const known = this.budgetView()
     const left = Math.max(0, known.free) + known.ownUnspent + this.othersUnspent
     const isKnown = this.view.isLoaded && !this.isOutOfReach
     const reason = isKnown && tokens > left ? 'exhausted' : 'unavailable'
-    return { kind: 'refused', reason, waitMilliseconds: this.holding.waitFor(tokens) }
+    const waitMilliseconds = this.holding.waitFor(tokens)
+    return { kind: 'refused', reason, waitMilliseconds, lenders: [] }
   }
 
   /** Notes how long a call has been on its way. */
--- a/packages/coordination/src/prepaid/prepaidLedger.ts
+++ b/packages/coordination/src/prepaid/prepaidLedger.ts
@@ -9,10 +9,16 @@
 import type { StoreClock } from '../rows/storeClock.js'
 import type { HoldingPolicy } from './holdingPolicy.js'
 import { Borrower } from './borrower.js'
+import type { LenderAnswer } from './borrower.js'
 import { Lender } from './lender.js'
 import type { LoanChannel } from './loan.js'
 import { PrepaidAccount } from './prepaidAccount.js'
-import type { PrepaidOutcome, PrepaidReservation } from './prepaidOutcome.js'
+import type {
+  PrepaidOutcome,
+  PrepaidReservation,
+  RefusedOutcome,
+  ReservedOutcome,
+} from './prepaidOutcome.js'
 
 /** What a ledger works with. */
 export interface PrepaidLedgerParts {
@@ -58,6 +64,17 @@
 /** Share of the store's writes that periodic records may take. Chosen, not measured. */
 const RECORD_SHARE = 0.3
 
+/** What came of asking other instances. */
+interface BorrowingOutcome {
+  /** Undefined where they do not cover the request. */
+  readonly reserved?: ReservedOutcome
+  readonly answers: readonly LenderAnswer[]
+}
+
+function reservedBy(reservation: PrepaidReservation, path: string): BorrowingOutcome {
+  return { reserved: { kind: 'reserved', reservation, path }, answers: [] }
+}
+
 /** All prepaid budgets on one instance. */
 export class PrepaidLedger {
   private readonly accounts = new Map<string, PrepaidAccount>()
@@ -101,13 +118,21 @@
     const endsAt = this.parts.clock.monotonic() + patience
     if (account.isLikelyToCover(tokens)) {
       const outcome = await account.reserve(tokens, patience)
-      return outcome.kind === 'reserved' ? outcome : this.borrow(account, outcome, budget, tokens)
+      if (outcome.kind === 'reserved') return outcome
+      const { reserved, answers } = await this.borrow(account, budget, tokens)
+      return reserved ?? this.refuse(account, outcome, answers)
     }
     account.noteDemand(tokens)
-    const borrowed = await this.borrow(account, undefined, budget, tokens)
-    if (borrowed !== undefined) return borrowed
+    const { reserved, answers } = await this.borrow(account, budget, tokens)
+    if (reserved !== undefined) return reserved
     const left = Math.max(0, endsAt - this.parts.clock.monotonic())
-    return account.setAside(tokens, left)
+    const outcome = await account.setAside(tokens, left)
+    return outcome.kind === 'reserved' ? outcome : this.refuse(account, outcome, answers)
+  }
+
+  /** Budgets whose callers are being refused tokens that exist. */
+  get shortBudgets(): number {
+    return [...this.accounts.values()].filter(account => account.isShort).length
   }
 
   /** Ends a reservation; what was not handed out is free again, here and at the lenders. */
@@ -149,24 +174,32 @@
   }
 
   /** What the own holding lacks, from other instances. */
-  private async borrow<Otherwise extends PrepaidOutcome | undefined>(
+  private async borrow(
     account: PrepaidAccount,
-    otherwise: Otherwise,
     budget: string,
     tokens: TokenCount,
-  ): Promise<PrepaidOutcome | Otherwise> {
+  ): Promise<BorrowingOutcome> {
     const { borrower } = this
     const { lenders } = account
-    if (borrower === undefined || lenders.length === 0) return otherwise
+    if (borrower === undefined || lenders.length === 0) return { answers: [] }
     const own = await account.lend(tokens, BORROW_MILLISECONDS)
-    if (own === tokens)
-      return { kind: 'reserved', reservation: { budget, tokens, loans: [] }, path: 'written' }
-    const loans = await borrower.borrow(budget, tokens - own, lenders, BORROW_MILLISECONDS)
+    if (own === tokens) return reservedBy({ budget, tokens, loans: [] }, 'written')
+    const missing = tokens - own
+    const { loans, answers } = await borrower.borrow(budget, missing, lenders, BORROW_MILLISECONDS)
     if (loans === undefined) {
       account.takeBack(own)
-      return otherwise
+      return { answers }
     }
-    return { kind: 'reserved', reservation: { budget, tokens, loans }, path: 'borrowed' }
+    return reservedBy({ budget, tokens, loans }, 'borrowed')
+  }
+
+  private refuse(
+    account: PrepaidAccount,
+    outcome: RefusedOutcome,
+    lenders: readonly LenderAnswer[],
+  ): RefusedOutcome {
+    if (outcome.reason === 'unavailable') account.noteRefused()
+    return { ...outcome, lenders }
   }
 
   /**
--- a/packages/daemon/__tests__/references.spec.ts
+++ b/packages/daemon/__tests__/references.spec.ts
@@ -75,6 +75,8 @@
     configurationVersion: zero,
     ready: zero,
     storeAge: zero,
+    shortBudgets: zero,
+    callerConnections: zero,
   })
   const rows = [...(await metricRows(metrics.registry)), ...(await metricRows(gateway.registry))]
   const head = [
--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -33,6 +33,7 @@
 import { PeerRows } from './peerRows.js'
 import { requestLine } from './requestLine.js'
 import { CountedStore } from './countedStore.js'
+import { OpenConnections } from './openConnections.js'
 import { capacityOf } from './instanceCapacity.js'
 import { followTables } from './followedTables.js'
 import { stopAsPlanned } from './plannedStop.js'
@@ -77,6 +78,7 @@
   private readonly peerRows: PeerRows
   private readonly peerLoans: PeerLoans
   private readonly callerListener: Server
+  private readonly callerConnections: OpenConnections
   private readonly otherListeners: readonly AddressedListener[]
   private routes: RouteTable | undefined
   /** The process's clock counts from its start, at which its predecessor was dead. */
@@ -121,6 +123,7 @@
       this.requestRate.add(1)
       void this.gateway.handle(request, response)
     })
+    this.callerConnections = new OpenConnections(this.callerListener)
     this.otherListeners = this.createOtherListeners()
   }
 
@@ -380,6 +383,8 @@
       endpoints: () => this.endpoints.size,
       configurationVersion: () => this.routes?.version ?? 0,
       ready: () => (this.isReady ? 1 : 0),
+      shortBudgets: () => this.ledger.shortBudgets,
+      callerConnections: () => this.callerConnections.size,
       storeAge: () => (this.mirrors.get(this.adapter.configuration.table)?.age ?? 0) / 1000,
     })
   }
--- a/packages/daemon/src/gateway/gatewayMetrics.ts
+++ b/packages/daemon/src/gateway/gatewayMetrics.ts
@@ -5,7 +5,7 @@
 
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 import { outcomeLabel } from '@rackwalk/decisions'
-import { ResultCode, resultName } from '@rackwalk/shared'
+import { RESULT_TABLE, ResultCode, resultName } from '@rackwalk/shared'
 import type { GatewayRecord } from '@rackwalk/router'
 
 const FIRST_BYTE_BUCKETS = [0.02, 0.05, 0.1, 0.2, 0.35, 0.5, 0.7, 1, 2, 5, 10]
@@ -21,12 +21,15 @@
   readonly configurationVersion: () => number
   readonly ready: () => number
   readonly storeAge: () => number
+  readonly shortBudgets: () => number
+  readonly callerConnections: () => number
 }
 
 /** The metrics of one gateway instance. */
 export class GatewayMetrics {
   readonly registry = new Registry()
   private readonly requests: Counter
+  private readonly teamRequests: Counter
   private readonly attempts: Counter
   private readonly reservations: Counter
   private readonly tokens: Counter
@@ -43,6 +46,12 @@
       labelNames: ['code', 'result', 'route'],
       registers,
     })
+    this.teamRequests = new Counter({
+      name: 'rackwalk_gateway_team_requests_total',
+      help: 'Requests that ended, by tenant: served, refused (not run) or failed.',
+      labelNames: ['tenant', 'outcome'],
+      registers,
+    })
     this.attempts = new Counter({
       name: 'rackwalk_gateway_attempts_total',
       help: 'Requests sent to servers, by service and outcome.',
@@ -96,13 +105,19 @@
       this.attempts.inc({ service: record.service ?? 'none', outcome: outcomeLabel(outcome) })
     }
     if (record.reservation !== undefined) this.reservations.inc({ outcome: record.reservation })
-    if (record.team !== undefined) this.tokens.inc({ tenant: record.team }, record.spent ?? 0)
+    this.noteTeam(record, code)
     if (record.firstByteMilliseconds !== undefined) {
       this.firstByte.observe(record.firstByteMilliseconds / 1000)
     }
     this.total.observe((record.totalMilliseconds ?? 0) / 1000)
   }
 
+  private noteTeam({ team, spent }: GatewayRecord, code: ResultCode): void {
+    if (team === undefined) return
+    this.teamRequests.inc({ tenant: team, outcome: teamOutcome(code) })
+    this.tokens.inc({ tenant: team }, spent ?? 0)
+  }
+
   noteEvent(event: string): void {
     this.events.inc({ event })
   }
@@ -119,6 +134,12 @@
     this.gauge('servers', 'Servers listed.', gauges.endpoints)
     this.gauge('configuration_version', 'Version in force here.', gauges.configurationVersion)
     this.gauge('ready', '1 while new requests may begin here.', gauges.ready)
+    this.gauge(
+      'short_budgets',
+      'Budgets whose callers are refused tokens that exist.',
+      gauges.shortBudgets,
+    )
+    this.gauge('caller_connections', 'Open connections of callers.', gauges.callerConnections)
     this.gauge('store_age_seconds', "Time since the store's last answer.", gauges.storeAge)
   }
 
@@ -131,3 +152,9 @@
     })
   }
 }
+
+/** What a team's own people ask first; the codes tell the rest. */
+function teamOutcome(code: ResultCode): 'served' | 'refused' | 'failed' {
+  if (code === ResultCode.Ok) return 'served'
+  return RESULT_TABLE[code].execution === 'not-run' ? 'refused' : 'failed'
+}
--- a/packages/daemon/src/gateway/requestLine.ts
+++ b/packages/daemon/src/gateway/requestLine.ts
@@ -21,6 +21,10 @@
     tokens: record.tokens,
     reservation: record.reservation,
     loans: record.loans,
+    lenders: record.lenders?.map(answer => ({
+      ...answer,
+      milliseconds: Math.round(answer.milliseconds),
+    })),
     budget: record.budget,
     spent: record.spent,
     status: record.status,
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -13,7 +13,7 @@
   settledCost,
 } from '@rackwalk/decisions'
 import type { RetryBounds } from '@rackwalk/decisions'
-import type { PrepaidLedger, PrepaidOutcome, PrepaidReservation } from '@rackwalk/coordination'
+import type { PrepaidLedger, PrepaidReservation, RefusedOutcome } from '@rackwalk/coordination'
 import { readBody } from '../readBody.js'
 import { CallerReply } from './callerReply.js'
 import type { Dialect, RequestMetadata } from './dialect.js'
@@ -185,13 +185,10 @@
     throw this.budgetRefusal(team.name, outcome, record)
   }
 
-  private budgetRefusal(
-    team: string,
-    outcome: Extract<PrepaidOutcome, { kind: 'refused' }>,
-    record: GatewayRecord,
-  ): NotRunError {
+  private budgetRefusal(team: string, outcome: RefusedOutcome, record: GatewayRecord): NotRunError {
     record.reservation = outcome.reason
     record.budget = this.parts.ledger.describe(team)
+    if (outcome.lenders.length > 0) record.lenders = outcome.lenders
     if (outcome.reason === 'exhausted') return new NotRunError(ResultCode.BudgetExhausted)
     const returnAfter = returnAfterSeconds(outcome.waitMilliseconds)
     return new NotRunError(ResultCode.BudgetUnavailable, undefined, returnAfter)
--- a/packages/router/src/gateway/gatewayRecord.ts
+++ b/packages/router/src/gateway/gatewayRecord.ts
@@ -2,6 +2,7 @@
 
 import type { Milliseconds, TokenCount } from '@rackwalk/shared'
 import type { AttemptOutcome } from '@rackwalk/decisions'
+import type { LenderAnswer } from '@rackwalk/coordination'
 import type { Execution } from '@rackwalk/shared'
 
 interface AttemptRecord {
@@ -27,6 +28,8 @@
   reservation?: string
   /** Instances that lent tokens for it. */
   loans?: readonly { readonly lender: string; readonly tokens: TokenCount }[]
+  /** Instances that were asked for tokens in vain, and what each answered. */
+  lenders?: readonly LenderAnswer[]
   /** What was known of the budget when it refused. */
   budget?: Readonly<Record<string, unknown>>
   spent?: TokenCount
