fix(active): stray requests and callers that come all the same do not widen the fleet

Change: the rate of requests takes a single one for one of a whole window, as before; tokens are read over two seconds at least. Among equals the one that takes more than twice what it bears comes last.

Safe: the strongest still come first whatever they take, so nobody alternates.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -148,7 +148,7 @@
   PrepaidReservation,
   RefusedOutcome,
 } from './prepaid/prepaidOutcome.js'
-export { DemandMeter } from './prepaid/demandMeter.js'
+export { DEMAND_WINDOW_MILLISECONDS, DemandMeter } from './prepaid/demandMeter.js'
 export { PrepaidLedger } from './prepaid/prepaidLedger.js'
 export type { LedgerLimits, PrepaidLedgerParts, PrepaidLimit } from './prepaid/prepaidLedger.js'
 export { planWrite } from './prepaid/writePlan.js'
--- a/packages/coordination/src/prepaid/demandMeter.ts
+++ b/packages/coordination/src/prepaid/demandMeter.ts
@@ -2,13 +2,13 @@
 
 import type { Clock, Milliseconds, TokenCount } from '@rackwalk/shared'
 
-/** Time over which demand is averaged. */
-const WINDOW_MILLISECONDS = 6_000
+/** Time over which demand is averaged. Chosen, not measured. */
+export const DEMAND_WINDOW_MILLISECONDS = 6_000
 
 /** After so long without demand the next one is taken for the beginning of another. Chosen. */
-const IDLE_MILLISECONDS = 2 * WINDOW_MILLISECONDS
-/** The first demand is not taken for that of less than this time. Chosen. */
-const SHORTEST_SEEN_MILLISECONDS = 1_000
+const IDLE_MILLISECONDS = 2 * DEMAND_WINDOW_MILLISECONDS
+/** A single request is not taken for the demand of less time than this. Chosen. */
+const SHORTEST_SEEN_MILLISECONDS = 2_000
 
 /** Measures tokens a second with exponential forgetting. */
 export class DemandMeter {
@@ -18,7 +18,11 @@
   /** Beginning of the present demand. */
   private startedAt: Milliseconds
 
-  constructor(private readonly clock: Clock) {
+  constructor(
+    private readonly clock: Clock,
+    /** The longer, the less a single request says; the window's length takes each for one of many. */
+    private readonly shortestSeen: Milliseconds = SHORTEST_SEEN_MILLISECONDS,
+  ) {
     this.startedAt = clock.monotonic()
     this.countedAt = this.startedAt
   }
@@ -32,7 +36,7 @@
 
   get perSecond(): number {
     this.forget()
-    return (this.weighted * 1000) / Math.max(SHORTEST_SEEN_MILLISECONDS, this.seenMilliseconds)
+    return (this.weighted * 1000) / Math.max(this.shortestSeen, this.seenMilliseconds)
   }
 
   /**
@@ -41,12 +45,12 @@
    */
   private get seenMilliseconds(): Milliseconds {
     const age = this.countedAt - this.startedAt
-    return WINDOW_MILLISECONDS * (1 - Math.exp(-age / WINDOW_MILLISECONDS))
+    return DEMAND_WINDOW_MILLISECONDS * (1 - Math.exp(-age / DEMAND_WINDOW_MILLISECONDS))
   }
 
   private forget(): void {
     const now = this.clock.monotonic()
-    this.weighted *= Math.exp((this.countedAt - now) / WINDOW_MILLISECONDS)
+    this.weighted *= Math.exp((this.countedAt - now) / DEMAND_WINDOW_MILLISECONDS)
     this.countedAt = now
   }
 }
--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -8,6 +8,7 @@
 import type { Clock, Milliseconds, RandomSource } from '@rackwalk/shared'
 import type { ChangedRow, RowAddress, RowStore } from '@rackwalk/stores'
 import {
+  DEMAND_WINDOW_MILLISECONDS,
   DemandHoldingPolicy,
   DemandMeter,
   EqualHoldingPolicy,
@@ -101,7 +102,8 @@
     )
     this.storeClock = new StoreClock(this.clock)
     this.incarnation = this.random.uniqueId().slice(0, 8)
-    this.requestRate = new DemandMeter(this.clock)
+    // A stray request, as a health check sends, must not make an instance count as working.
+    this.requestRate = new DemandMeter(this.clock, DEMAND_WINDOW_MILLISECONDS)
     this.members = this.createMembers()
     this.fleet = this.createFleet()
     this.peerLoans = this.createPeerLoans()
--- a/packages/decisions/__tests__/activeInstances.spec.ts
+++ b/packages/decisions/__tests__/activeInstances.spec.ts
@@ -49,6 +49,16 @@
     expect(chosen.filter(({ failureDomain }) => failureDomain === 'a').length).toBe(2)
   })
 
+  it('are not those that more callers come to than they can bear, while others are as strong', () => {
+    const [first = ''] = names(chooseActive(fleet(6), 0, BOUNDS))
+    const crowded = fleet(6).map(member =>
+      member.instance === first ? { ...member, requestsPerSecond: 85 } : member,
+    )
+    expect(names(chooseActive(crowded, 0, BOUNDS))).not.toContain(first)
+    const all = names(chooseActive(crowded, 10_000, BOUNDS))
+    expect(all).toContain(first)
+  })
+
   it('are the same in whatever order the members are known', () => {
     const order = fc.shuffledSubarray(fleet(6), { minLength: 18, maxLength: 18 })
     const expected = names(chooseActive(fleet(6), 100, BOUNDS))
--- a/packages/decisions/src/placing/activeInstances.ts
+++ b/packages/decisions/src/placing/activeInstances.ts
@@ -101,12 +101,25 @@
   return requestsPerSecond >= BUSY_REQUESTS_PER_SECOND
 }
 
+/**
+ * An instance that takes this many times what it can has callers that do not follow the directory. Others
+ * of its capacity come first, since more callers would cost it the ones that it has. Chosen.
+ */
+const OVERLOADED_FACTOR = 2
+
+function isOverloaded({ requestsPerSecond, capacity }: ActiveCandidate): boolean {
+  return requestsPerSecond > OVERLOADED_FACTOR * capacity
+}
+
 function byCapacity<Candidate extends ActiveCandidate>(
   members: readonly Candidate[],
   order: RendezvousWeights,
 ): readonly Candidate[] {
   return [...members].sort(
-    (left, right) => right.capacity - left.capacity || order.compare(left.instance, right.instance),
+    (left, right) =>
+      right.capacity - left.capacity ||
+      Number(isOverloaded(left)) - Number(isOverloaded(right)) ||
+      order.compare(left.instance, right.instance),
   )
 }
 
