perf(prepaid): an instance that stands by follows no budgets and reads one when a caller comes for it

Change: a mirror may be told that its table is not wanted; when it is again it reads it whole. An instance that stands by reads a budget's rows, at most a second old, before it writes. Ruled out: a longer pause: the feed would give all changes of the pause in one bulk.

Safe: the first read is made in any case, since it shows what a predecessor left behind.

--- a/packages/coordination/__tests__/standbyDemand.spec.ts
+++ b/packages/coordination/__tests__/standbyDemand.spec.ts
@@ -26,9 +26,8 @@
 const LIMIT = 10_000_000
 const ACTIVE = Array.from({ length: 8 }, (_, index) => `active-${index + 1}`)
 const STANDBY = 'standby-1'
-/** How often an instance reads the rows of budgets, active and standing by. */
+/** How often an active instance reads the rows of budgets; one that stands by does not follow them. */
 const ACTIVE_READ_MILLISECONDS = 400
-const STANDBY_READ_MILLISECONDS = 3_000
 /** After this time the others know that callers come to an instance that stands by. */
 const MEMBERSHIP_MILLISECONDS = 4_400
 const REQUEST_TOKENS = 6_000
@@ -102,7 +101,6 @@
     })
     ledger.configure([{ budget: BUDGET, limit: LIMIT }], 1)
     ledger.start()
-    const pause = isActive ? ACTIVE_READ_MILLISECONDS : STANDBY_READ_MILLISECONDS
     const mirror = new TableMirror({
       store,
       table: PREPAID_TABLE,
@@ -110,7 +108,8 @@
       clock,
       listener: { onRows: (rows, isWhole) => ledger.observe(rows, isWhole) },
       waitMilliseconds: 0,
-      pauseMilliseconds: () => pause,
+      pauseMilliseconds: () => ACTIVE_READ_MILLISECONDS,
+      isWanted: () => isActive,
     })
     mirror.start()
     this.ledgers.set(instance, ledger)
--- a/packages/coordination/__tests__/tableMirror.spec.ts
+++ b/packages/coordination/__tests__/tableMirror.spec.ts
@@ -20,6 +20,7 @@
       seen.set(row.key, row.value)
     }
   }
+  const wanted = { isWanted: true }
   const mirror = new TableMirror({
     store: client.store,
     table: TABLE,
@@ -29,9 +30,10 @@
     askPeers,
     waitMilliseconds: 500,
     pauseMilliseconds: () => 20,
+    isWanted: () => wanted.isWanted,
   })
   mirror.start()
-  return { clock, store, faults: client.faults, seen, mirror, listenerFaults: faults }
+  return { clock, store, faults: client.faults, seen, mirror, listenerFaults: faults, wanted }
 }
 
 describe('TableMirror', () => {
@@ -95,4 +97,26 @@
     expect(listenerFaults).toHaveLength(1)
     expect(seen.get('b')).toBe('2')
   })
+
+  it('reads nothing while changes are not wanted, and the table whole when they are again', async () => {
+    const { clock, store, seen, wanted } = setUp()
+    store.put(TABLE, 'a', '1')
+    await clock.advance(1_000)
+    wanted.isWanted = false
+    await clock.advance(1_000)
+    store.put(TABLE, 'b', '2')
+    store.remove(TABLE, 'a')
+    await clock.advance(5_000)
+    expect([...seen]).toEqual([['a', '1']])
+    wanted.isWanted = true
+    await clock.advance(1_000)
+    expect([...seen]).toEqual([['b', '2']])
+  })
+
+  it('reads the table once though its changes were never wanted', async () => {
+    const { clock, mirror, wanted } = setUp()
+    wanted.isWanted = false
+    await clock.advance(1_000)
+    expect(mirror.age).toBeLessThanOrEqual(1_000)
+  })
 })
--- a/packages/coordination/src/prepaid/accountReport.ts
+++ b/packages/coordination/src/prepaid/accountReport.ts
@@ -81,7 +81,8 @@
     this.parts.onEvent(event, { budget: this.parts.budget, ...fields })
   }
 
-  private get sightAge(): Milliseconds | undefined {
+  /** Time since rows of the budget were last told here. */
+  get sightAge(): Milliseconds | undefined {
     if (this.sightedAt === undefined) return undefined
     return Math.round(this.parts.clock.monotonic() - this.sightedAt)
   }
--- a/packages/coordination/src/prepaid/prepaidAccount.ts
+++ b/packages/coordination/src/prepaid/prepaidAccount.ts
@@ -62,6 +62,11 @@
 const ADJUST_SHARE = 0.25
 /** Factor by which the largest request seen fades with each request. Chosen, not measured. */
 const LARGEST_DECAY = 0.98
+/**
+ * Age of the rows at which an instance that stands by reads them again. Chosen: what others hold and ask for
+ * decides how much it holds; whether the pool has enough each write finds out by itself.
+ */
+const STANDBY_SIGHT_MILLISECONDS = 1_000
 /**
  * A holder whose row tells of demand shares the budget for this long after the row was written. Chosen:
  * longer than any time between two records, so that a late record takes nothing from it.
@@ -298,6 +303,11 @@
     })
   }
 
+  /** An instance that stands by follows no budgets: it looks at the rows before it writes. */
+  private get isSightOld(): boolean {
+    return !this.parts.isActive() && (this.report.sightAge ?? 0) > STANDBY_SIGHT_MILLISECONDS
+  }
+
   private async writeWhileDue(): Promise<void> {
     do {
       const succeeded = await this.writeOnce()
@@ -308,7 +318,7 @@
   /** One write, or the read that has to come before it; false where it should be put off. */
   private async writeOnce(): Promise<boolean> {
     if (this.limit === undefined) return false
-    if (!this.view.isLoaded || this.holding.hasUnresolved) {
+    if (!this.view.isLoaded || this.holding.hasUnresolved || this.isSightOld) {
       if (!(await this.reload())) return false
     }
     const plan = this.plan(true)
--- a/packages/coordination/src/rows/tableMirror.ts
+++ b/packages/coordination/src/rows/tableMirror.ts
@@ -45,10 +45,17 @@
   readonly waitMilliseconds: Milliseconds
   /** Least time between two calls; bounds the calls on a table that changes all the time. */
   readonly pauseMilliseconds: () => Milliseconds
+  /**
+   * Whether the changes are wanted at present; always where absent. A mirror that was not wanted for a
+   * while reads the table whole when it is again: that is less than all the changes in between.
+   */
+  readonly isWanted?: () => boolean
 }
 
 const FIRST_RETRY_MILLISECONDS = 100
 const LONGEST_RETRY_MILLISECONDS = 800
+/** Time between two looks whether changes are wanted again. Chosen: no call is made. */
+const UNWANTED_MILLISECONDS = 200
 
 /** Follows a table: one whole read, then changes; again whole when the store forgot some. */
 export class TableMirror {
@@ -95,6 +102,11 @@
 
   private async follow(): Promise<void> {
     while (!this.stopped) {
+      if (this.isUnwanted) {
+        this.forgetPosition()
+        await sleep(this.parts.clock, UNWANTED_MILLISECONDS)
+        continue
+      }
       const sentAt = this.parts.clock.monotonic()
       const succeeded = await this.step()
       if (this.stopped) return
@@ -108,6 +120,17 @@
     }
   }
 
+  /** The first read is made in any case: it shows what an earlier incarnation left behind. */
+  private get isUnwanted(): boolean {
+    const wasRead = this.confirmedAt !== Number.NEGATIVE_INFINITY
+    return wasRead && this.parts.isWanted?.() === false
+  }
+
+  private forgetPosition(): void {
+    this.position = undefined
+    this.readPartitions = new Set()
+  }
+
   private async step(): Promise<boolean> {
     const missing = this.parts.partitions().filter(name => !this.readPartitions.has(name))
     if (this.position === undefined || missing.length > 0) return this.readWhole(missing)
@@ -119,8 +142,7 @@
   private apply(outcome: RowFeedOutcome): boolean {
     if (outcome.kind === 'failed') return false
     if (outcome.kind === 'history-gone') {
-      this.position = undefined
-      this.readPartitions = new Set()
+      this.forgetPosition()
       return true
     }
     this.position = outcome.version
--- a/packages/daemon/src/gateway/followedTables.ts
+++ b/packages/daemon/src/gateway/followedTables.ts
@@ -23,7 +23,6 @@
 const ENDPOINT_PAUSE_MILLISECONDS = 250
 /** A standby instance reads less often: few requests depend on what it knows. */
 const STANDBY_ENDPOINT_PAUSE_MILLISECONDS = 800
-const STANDBY_PREPAID_PAUSE_MILLISECONDS = 3_000
 const STANDBY_MEMBER_PAUSE_MILLISECONDS = 1_400
 const MEMBER_PAUSE_MILLISECONDS = 700
 const PREPAID_PAUSE_MILLISECONDS = 400
@@ -52,6 +51,8 @@
   readonly partitions: () => readonly string[]
   /** Least time between two calls. */
   readonly pauseMilliseconds: () => Milliseconds
+  /** Whether its changes are wanted at present; always where absent. */
+  readonly isWanted?: () => boolean
   /** Whether somebody else writes it; peers may then tell of it while the store is away. */
   readonly isOthers: boolean
   readonly listener: MirrorListener
@@ -76,8 +77,9 @@
     {
       table: PREPAID_TABLE,
       partitions: () => ledger.budgets,
-      pauseMilliseconds: () =>
-        parts.isActive() ? prepaidPause(ledger) : STANDBY_PREPAID_PAUSE_MILLISECONDS,
+      pauseMilliseconds: () => prepaidPause(ledger),
+      // An instance that stands by reads the rows of a budget when a caller comes for it.
+      isWanted: parts.isActive,
       isOthers: false,
       listener: { onRows: (rows, isWhole) => ledger.observe(rows, isWhole) },
     },
@@ -118,7 +120,7 @@
 }
 
 function follow(parts: FollowedTablesParts, followed: FollowedTable): TableMirror {
-  const { table, partitions, pauseMilliseconds, isOthers, listener } = followed
+  const { table, partitions, pauseMilliseconds, isWanted, isOthers, listener } = followed
   return new TableMirror({
     store: parts.store,
     table,
@@ -134,5 +136,6 @@
     askPeers: isOthers ? (name, after) => parts.peerRows.ask(name, after) : undefined,
     waitMilliseconds: isOthers ? FEED_WAIT_MILLISECONDS : 0,
     pauseMilliseconds,
+    isWanted,
   })
 }
