refactor(decisions): how much of a budget an instance holds is a rule among the others

Cause: docs/decisions.md listed the holding policy as still elsewhere.

Safe: no line of the policy changed; imports only.

--- a/packages/coordination/src/prepaid/prepaidAccount.ts
+++ b/packages/coordination/src/prepaid/prepaidAccount.ts
@@ -12,7 +12,7 @@
 import { DemandMeter } from './demandMeter.js'
 import { HoldingState } from './holdingState.js'
 import type { LendingAccount } from './lender.js'
-import type { BudgetView, HoldingPolicy } from './holdingPolicy.js'
+import type { BudgetView, HoldingPolicy } from '@rackwalk/decisions'
 import {
   POOL_KEY,
   PREPAID_TABLE,
--- a/packages/coordination/src/prepaid/writePlan.ts
+++ b/packages/coordination/src/prepaid/writePlan.ts
@@ -4,9 +4,8 @@
  */
 
 import type { Milliseconds, TokenCount } from '@rackwalk/shared'
-import { plentyOf } from './holdingPolicy.js'
-import type { BudgetView, HoldingPolicy } from './holdingPolicy.js'
-import { committedBound } from '@rackwalk/decisions'
+import { committedBound, plentyOf } from '@rackwalk/decisions'
+import type { BudgetView, HoldingPolicy } from '@rackwalk/decisions'
 import { endHolding, freeInPool } from './prepaidRows.js'
 import type { HolderRow, PoolRow } from './prepaidRows.js'
 
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -17,6 +17,8 @@
 export { isPromising, isServerError, nextStep } from './retrying/nextStep.js'
 export type { NextStep } from './retrying/nextStep.js'
 
+export { DemandHoldingPolicy, EqualHoldingPolicy, plentyOf } from './placing/holdingPolicy.js'
+export type { BudgetView, HoldingPolicy } from './placing/holdingPolicy.js'
 export { ActiveInstances, chooseActive, isBusy } from './placing/activeInstances.js'
 export type { ActiveBounds, ActiveCandidate } from './placing/activeInstances.js'
 
