--- a/bench/src/capacity/gatewayEstimate.ts
+++ b/bench/src/capacity/gatewayEstimate.ts
@@ -22,8 +22,8 @@
 const PARTITION_WRITES_PER_SECOND = 150
 /** Calls of one instance on its feeds: configuration, servers, members, budgets. */
 const FEED_CALLS_PER_SECOND = 0.5 + 4 + 1.4 + 2.5
-/** The same of an instance that stands by. */
-const STANDBY_CALLS_PER_SECOND = 0.5 + 1.25 + 1.4 + 0.3
+/** The same of an instance that stands by: it follows no budgets. */
+const STANDBY_CALLS_PER_SECOND = 0.5 + 1.25 + 0.7
 /** Requests a second that a node of 0.675 cores bears, and how often that covers the load. */
 const NODE_CAPACITY = 40
 const HEADROOM = 2
