docs: one page for operators of both kinds of daemon, one page of settings

Cause: an engineer at night had five pages to choose from: operators, runbook, operations and two of settings.

Change: operations has a part for each kind, the runbook's table among them; settings has a section for each kind. Nothing that the pages said is left out. Safe: words and links; the test of settings holds both sections in one file, where two tests held two.

--- a/packages/cli/src/exitCodes.ts
+++ b/packages/cli/src/exitCodes.ts
@@ -15,7 +15,7 @@
   Different = 8,
 }
 
-/** What each exit code means; a test holds docs/operators.md to it. */
+/** What each exit code means; a test holds docs/OPERATIONS.md to it. */
 export const EXIT_CODE_MEANINGS: Readonly<Record<ExitCode, string>> = {
   [ExitCode.Ok]: 'done',
   [ExitCode.Fault]: 'unexpected failure',
--- a/packages/daemon/__tests__/references.spec.ts
+++ b/packages/daemon/__tests__/references.spec.ts
@@ -120,17 +120,20 @@
   return `| \`${path}\` | ${fallback} | ${meaning} |`
 }
 
-function settingsPage(schema: unknown): string {
-  const rows = settingRows(schema as ShapedSchema, '')
-  const head = [
+function settingsSection(title: string, schema: unknown): readonly string[] {
+  const head = [`## ${title}`, '', '| setting | default | meaning |', '| --- | --- | --- |']
+  return [...head, ...settingRows(schema as ShapedSchema, ''), '']
+}
+
+function settingsPage(): string {
+  return [
     '# Settings',
     '',
     GENERATED,
     '',
-    '| setting | default | meaning |',
-    '| --- | --- | --- |',
-  ]
-  return [...head, ...rows, ''].join('\n')
+    ...settingsSection('Instances of `kind: gateway`', gatewaySettingsSchema),
+    ...settingsSection('Instances of the OpenAI-style kind', settingsSchema),
+  ].join('\n')
 }
 
 describe('reference pages', () => {
@@ -142,13 +145,8 @@
     await expect(await metricsPage()).toMatchFileSnapshot('../../../docs/metrics.md')
   })
 
-  it('list every setting', async () => {
-    await expect(settingsPage(settingsSchema)).toMatchFileSnapshot('../../../docs/settings.md')
-  })
-
-  it('list every setting of a gateway instance', async () => {
-    const page = settingsPage(gatewaySettingsSchema)
-    await expect(page).toMatchFileSnapshot('../../../docs/settings-gateway.md')
+  it('list every setting of both kinds of instance', async () => {
+    await expect(settingsPage()).toMatchFileSnapshot('../../../docs/settings.md')
   })
 
   it('describe every route of the operator API', async () => {
--- a/packages/daemon/src/gateway/gatewaySettings.ts
+++ b/packages/daemon/src/gateway/gatewaySettings.ts
@@ -1,6 +1,6 @@
 /**
  * Settings of an instance that serves generic routes on a platform of its own protocol: names, bounds,
- * defaults and what each is for. docs/settings-gateway.md is made from it.
+ * defaults and what each is for. docs/settings.md is made from it.
  */
 
 import * as z from 'zod'
