docs(code): router opens each module with its purpose

Change: purpose and owned state of each; a line on each export; the linter's rule covers all of router. Safe: comments only; the gateway kind's module is the same, byte for byte.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -13,7 +13,7 @@
   'packages/decisions/src',
   'packages/stores/src',
   'packages/coordination/src',
-  'packages/router/src/gateway',
+  'packages/router/src',
   'packages/daemon/src/gateway',
   'packages/cli/src',
   'platform/src',
--- a/packages/router/src/callerConnection.ts
+++ b/packages/router/src/callerConnection.ts
@@ -1,3 +1,8 @@
+/**
+ * The caller's side of a request of the OpenAI-style kind, apart from what carries it: filters write to it
+ * and learn from it that the caller has left.
+ */
+
 import type { Readable } from 'node:stream'
 
 /** A caller's side of one request, whatever carries it. */
--- a/packages/router/src/decisionRecord.ts
+++ b/packages/router/src/decisionRecord.ts
@@ -1,3 +1,8 @@
+/**
+ * What is kept of one request's decisions in the OpenAI-style kind. Filters fill it in as they go;
+ * `explain` shows it.
+ */
+
 import type {
   EndpointId,
   Execution,
--- a/packages/router/src/engine/chatRequest.ts
+++ b/packages/router/src/engine/chatRequest.ts
@@ -1,3 +1,8 @@
+/**
+ * Reads the body of a chat request: what routing and billing need is checked and bounded, the rest goes to
+ * the engine untouched.
+ */
+
 import * as z from 'zod'
 import { NotRunError, ResultCode, asId } from '@rackwalk/shared'
 import type { ModelId, TokenCount } from '@rackwalk/shared'
--- a/packages/router/src/engine/endpointClient.ts
+++ b/packages/router/src/engine/endpointClient.ts
@@ -1,3 +1,7 @@
+/**
+ * Kept connections to the endpoints of the OpenAI-style kind. Owns one pool for each address.
+ */
+
 import { Agent, request as sendRequest } from 'undici'
 import type { Readable } from 'node:stream'
 import type { EndpointId, Milliseconds } from '@rackwalk/shared'
--- a/packages/router/src/engine/endpointExchange.ts
+++ b/packages/router/src/engine/endpointExchange.ts
@@ -1,3 +1,8 @@
+/**
+ * One exchange with an endpoint, from its first byte to its end. Tells a request that was never sent from
+ * one that may have run: only the former may be sent again whatever it is.
+ */
+
 import type { Dispatcher } from 'undici'
 import { deferred } from '@rackwalk/shared'
 import type { EndpointId } from '@rackwalk/shared'
--- a/packages/router/src/engine/eventSplitter.ts
+++ b/packages/router/src/engine/eventSplitter.ts
@@ -1,3 +1,8 @@
+/**
+ * Cuts a stream into events and recognises the ones that matter to relaying: the report of usage and the
+ * end.
+ */
+
 const EVENT_END = Buffer.from('\n\n')
 /** An event longer than this is not one of a model's answer. */
 const MAXIMUM_EVENT_BYTES = 1024 * 1024
--- a/packages/router/src/engine/reports.ts
+++ b/packages/router/src/engine/reports.ts
@@ -1,9 +1,12 @@
+/**
+ * Reads what engines tell of themselves (`GET /load`, `GET /cache-events?after=N`). A malformed report is no report, so that a bad reading is never
+ * taken for an idle engine.
+ */
+
 import * as z from 'zod'
 import type { LoadReport } from '../routing/endpointView.js'
 import type { CacheEvent } from '../routing/prefixIndex.js'
 
-/** What engines tell of themselves: `GET /load` and `GET /cache-events?after=N`. */
-
 const loadSchema = z.looseObject({
   running: z.number().nonnegative(),
   waiting: z.number().nonnegative(),
--- a/packages/router/src/engine/tokenBound.ts
+++ b/packages/router/src/engine/tokenBound.ts
@@ -1,3 +1,8 @@
+/**
+ * How many tokens can a prompt have, and how many has it probably? The bound is what a budget reserves and
+ * is never exceeded; the estimate serves routing alone.
+ */
+
 import type { TokenCount } from '@rackwalk/shared'
 
 /** Tokens that a chat template may add around one message. */
--- a/packages/router/src/engine/usage.ts
+++ b/packages/router/src/engine/usage.ts
@@ -1,3 +1,7 @@
+/**
+ * Finds what an engine reported of a request's tokens in the text of its answer. What is found is billed.
+ */
+
 import * as z from 'zod'
 import type { TokenCount } from '@rackwalk/shared'
 
--- a/packages/router/src/errorBody.ts
+++ b/packages/router/src/errorBody.ts
@@ -1,3 +1,8 @@
+/**
+ * Every refusal and failure as callers see it: body, headers, or the last event of a stream. The same for
+ * both kinds of daemon.
+ */
+
 import { NotRunError, RESULT_TABLE, ResultCode, resultName } from '@rackwalk/shared'
 import type { Execution, RackwalkError, RequestId } from '@rackwalk/shared'
 
--- a/packages/router/src/filters/admit.ts
+++ b/packages/router/src/filters/admit.ts
@@ -1,3 +1,8 @@
+/**
+ * Is there room for the request at some endpoint? Owns the waiting rooms of the models; a request that
+ * cannot be served in time is refused at once instead of waiting for its deadline.
+ */
+
 import { NotRunError, ResultCode } from '@rackwalk/shared'
 import type { Clock, Milliseconds } from '@rackwalk/shared'
 import { FairQueue } from '../limits/fairQueue.js'
--- a/packages/router/src/filters/authenticate.ts
+++ b/packages/router/src/filters/authenticate.ts
@@ -1,3 +1,7 @@
+/**
+ * Whose request is it? The key decides; an unknown one ends the request before anything is read.
+ */
+
 import { NotRunError, ResultCode } from '@rackwalk/shared'
 import type { Catalogue } from '../resources/catalogue.js'
 import type { AuthenticatedRequest, Filter, ReceivedRequest } from './stages.js'
--- a/packages/router/src/filters/claim.ts
+++ b/packages/router/src/filters/claim.ts
@@ -1,3 +1,8 @@
+/**
+ * May this request run, given that it must run once only? The claim is taken in the table right before
+ * dispatch and released where the request turns out not to have run.
+ */
+
 import { DispatchedError, NotRunError, ResultCode } from '@rackwalk/shared'
 import type { ClaimResult, Claims } from '@rackwalk/coordination'
 import type { ClaimedRequest, Filter, ReservedRequest } from './stages.js'
--- a/packages/router/src/filters/complete.ts
+++ b/packages/router/src/filters/complete.ts
@@ -1,3 +1,8 @@
+/**
+ * Ends the answer at the caller. The end is held back until the bill is safe, so that nobody has a whole
+ * answer that nobody pays for.
+ */
+
 import { DispatchedError, ResultCode } from '@rackwalk/shared'
 import { errorEvent } from '../errorBody.js'
 import type { Filter, SettledRequest } from './stages.js'
--- a/packages/router/src/filters/deduplicate.ts
+++ b/packages/router/src/filters/deduplicate.ts
@@ -1,3 +1,8 @@
+/**
+ * Does an attempt with the same key run already, and what was billed for it? Relies on the key's
+ * registrar.
+ */
+
 import { DispatchedError, NotRunError, ResultCode } from '@rackwalk/shared'
 import type { IdempotencyKey, IncarnationId, TokenCount } from '@rackwalk/shared'
 import type { KeyRegistrarClient, KeyRegistration } from '@rackwalk/coordination'
--- a/packages/router/src/filters/dispatch.ts
+++ b/packages/router/src/filters/dispatch.ts
@@ -1,3 +1,8 @@
+/**
+ * Sends the request to endpoints until one answers. Owns the attempts of one request; relies on the router
+ * for the endpoint and on the retry budget for another try.
+ */
+
 import { DispatchedError, NotRunError, ResultCode, sleep } from '@rackwalk/shared'
 import type { Clock, EndpointId, Milliseconds, RandomSource } from '@rackwalk/shared'
 import type { AttemptResult } from '../engine/attemptResult.js'
--- a/packages/router/src/filters/parse.ts
+++ b/packages/router/src/filters/parse.ts
@@ -1,3 +1,8 @@
+/**
+ * What does the caller ask for? Everything that a caller can get wrong is refused here, before it costs
+ * anybody anything.
+ */
+
 import { createHash } from 'node:crypto'
 import { NotRunError, ResultCode, asId } from '@rackwalk/shared'
 import type { BudgetId, Bytes, Clock, IdempotencyKey, Milliseconds } from '@rackwalk/shared'
--- a/packages/router/src/filters/relay.ts
+++ b/packages/router/src/filters/relay.ts
@@ -1,3 +1,7 @@
+/**
+ * Passes an endpoint's answer on at the caller's pace, keeps back its end, and finds out what it cost.
+ */
+
 import { ResultCode } from '@rackwalk/shared'
 import type { AfterDispatchCode, Clock, TokenCount } from '@rackwalk/shared'
 import type { BudgetLedger } from '@rackwalk/coordination'
--- a/packages/router/src/filters/reserve.ts
+++ b/packages/router/src/filters/reserve.ts
@@ -1,3 +1,5 @@
+/** Is the most that the request can cost covered by its budget? Nothing is sent before it is. */
+
 import { NotRunError, ResultCode } from '@rackwalk/shared'
 import type { TokenCount } from '@rackwalk/shared'
 import type { BudgetLedger } from '@rackwalk/coordination'
--- a/packages/router/src/filters/route.ts
+++ b/packages/router/src/filters/route.ts
@@ -1,3 +1,8 @@
+/**
+ * Where does the first attempt go? Asked once before dispatch, so that a request without a usable endpoint
+ * is never sent.
+ */
+
 import type { EndpointRouter } from '../routing/endpointRouter.js'
 import type { ClaimedRequest, Filter, RoutedRequest } from './stages.js'
 
--- a/packages/router/src/filters/settle.ts
+++ b/packages/router/src/filters/settle.ts
@@ -1,3 +1,8 @@
+/**
+ * Bills what the request cost and waits until the bill outlives this instance. A request that failed costs
+ * nothing and is journalled all the same.
+ */
+
 import { RackwalkError } from '@rackwalk/shared'
 import type { AfterDispatchCode, Clock, Milliseconds } from '@rackwalk/shared'
 import type { BudgetLedger, Claims, JournalTicket, SettleEntry } from '@rackwalk/coordination'
--- a/packages/router/src/filters/stages.ts
+++ b/packages/router/src/filters/stages.ts
@@ -1,3 +1,8 @@
+/**
+ * The stages of a request of the OpenAI-style kind. Each filter takes one and gives the next, so that a
+ * list of filters in the wrong order does not compile.
+ */
+
 import type {
   AfterDispatchCode,
   BudgetId,
@@ -20,7 +25,7 @@
   apply(input: Input): Promise<Output>
 }
 
-/** The types below are the stages; each says what is known by then. */
+/** As it arrived, with its id. */
 export interface ReceivedRequest {
   readonly requestId: RequestId
   /** Monotonic time. */
@@ -30,6 +35,7 @@
   readonly record: DecisionRecord
 }
 
+/** Its team is known. */
 export interface AuthenticatedRequest extends ReceivedRequest {
   readonly team: Team
 }
@@ -39,6 +45,7 @@
   | { readonly kind: 'chat'; readonly chat: ChatRequest }
   | { readonly kind: 'service'; readonly service: string; readonly path: string }
 
+/** What it asks for is known and within bounds. */
 export interface ParsedRequest extends AuthenticatedRequest {
   readonly call: Call
   /** Model or service, by which policies and queues are kept. */
@@ -57,16 +64,19 @@
   readonly fingerprint: string
 }
 
+/** No other attempt with its key runs, as far as the registrar knows. */
 export interface DeduplicatedRequest extends ParsedRequest {
   /** Billed for the same key before, and so not billed again. */
   readonly creditedTokens: TokenCount
 }
 
+/** An endpoint has room for it. */
 export interface AdmittedRequest extends DeduplicatedRequest {
   /** To be called when an endpoint has the request; again has no effect. */
   readonly notePlaced: () => void
 }
 
+/** The most that it can cost is set aside. */
 export interface ReservedRequest extends AdmittedRequest {
   readonly reservation: Reservation
 }
@@ -103,6 +113,7 @@
   fail(error: Error): void
 }
 
+/** An endpoint has begun to answer it. */
 export interface DispatchedRequest extends RoutedRequest {
   readonly answer: EndpointAnswer
 }
@@ -117,6 +128,7 @@
   readonly billedTokens: TokenCount
 }
 
+/** Its bill is written, and safe or not. */
 export interface SettledRequest extends RelayedRequest {
   /** Whether the bill is kept; without it the end is not released. */
   readonly isBillSafe: boolean
--- a/packages/router/src/limits/ejection.ts
+++ b/packages/router/src/limits/ejection.ts
@@ -1,3 +1,8 @@
+/**
+ * Which endpoints are left out because they keep failing? Owns the failures in a row and the times of
+ * return.
+ */
+
 import type { Clock, EndpointId, Milliseconds } from '@rackwalk/shared'
 
 interface Health {
--- a/packages/router/src/limits/fairQueue.ts
+++ b/packages/router/src/limits/fairQueue.ts
@@ -1,9 +1,15 @@
+/**
+ * Who of those that wait for an endpoint goes next, and who is refused when the room is full? Owns the
+ * waiting requests of one model.
+ */
+
 import { ResultCode, deferred } from '@rackwalk/shared'
 import type { Clock, Deferred, Milliseconds, TeamId, Timer } from '@rackwalk/shared'
 
 /** Why a queued request was refused; it was not run. */
 export type QueueRefusal = ResultCode.Overloaded | ResultCode.DeadlineUnreachable
 
+/** A place, after how long, or why there is none. */
 export type QueueOutcome =
   | { readonly kind: 'admitted'; readonly waited: Milliseconds }
   | { readonly kind: 'refused'; readonly code: QueueRefusal; readonly waited: Milliseconds }
--- a/packages/router/src/limits/retryBudget.ts
+++ b/packages/router/src/limits/retryBudget.ts
@@ -1,3 +1,8 @@
+/**
+ * May a request that failed be tried again, and after how long? Owns the retries that this instance has
+ * saved up.
+ */
+
 import type { Clock, Milliseconds } from '@rackwalk/shared'
 
 /** Retries that may be saved up while nothing fails. */
--- a/packages/router/src/placement/planner.ts
+++ b/packages/router/src/placement/planner.ts
@@ -1,3 +1,8 @@
+/**
+ * Which models should which endpoints load or unload? Pure, so that whoever holds the planner's lease
+ * comes to the same orders.
+ */
+
 import type { EndpointId, ModelId } from '@rackwalk/shared'
 import type { ModelEndpointSpec, PlacementSpec } from '../resources/kinds.js'
 
--- a/packages/router/src/readBody.ts
+++ b/packages/router/src/readBody.ts
@@ -1,3 +1,8 @@
+/**
+ * Reads a caller's body within bounds of size and time, so that a slow or endless one holds nothing for
+ * long.
+ */
+
 import type { Readable } from 'node:stream'
 import { NotRunError, ResultCode } from '@rackwalk/shared'
 import type { Bytes, Clock, Milliseconds } from '@rackwalk/shared'
--- a/packages/router/src/requestPipeline.ts
+++ b/packages/router/src/requestPipeline.ts
@@ -1,3 +1,8 @@
+/**
+ * The way of a request of the OpenAI-style kind through its filters, and what a caller is told when one of
+ * them throws. Owns nothing but the order.
+ */
+
 import { DispatchedError, RESULT_TABLE, ResultCode, toRackwalkError } from '@rackwalk/shared'
 import type { Clock, IncarnationId, RackwalkError, RequestId } from '@rackwalk/shared'
 import type { IncomingRequest } from './callerConnection.js'
--- a/packages/router/src/resources/catalogue.ts
+++ b/packages/router/src/resources/catalogue.ts
@@ -1,3 +1,8 @@
+/**
+ * The configuration in force, indexed by what the request path asks for. Owns the indexes; a change of the
+ * configuration makes them anew.
+ */
+
 import { createHash } from 'node:crypto'
 import { asId } from '@rackwalk/shared'
 import type { BudgetId, EndpointId, ModelId, TeamId } from '@rackwalk/shared'
--- a/packages/router/src/resources/kinds.ts
+++ b/packages/router/src/resources/kinds.ts
@@ -1,7 +1,7 @@
-import * as z from 'zod'
-
 /** Shapes of everything that operators configure; the API and the settings both check them. */
 
+import * as z from 'zod'
+
 const NAME_PATTERN = /^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$/
 /** Lower-case hexadecimal SHA-256. */
 const HASH_PATTERN = /^[0-9a-f]{64}$/
@@ -84,12 +84,19 @@
   retryShare: z.number().min(0).max(1).default(0.1),
 })
 
+/** A team as operators write it. */
 export type TeamSpec = z.infer<typeof teamSpecSchema>
+/** A budget as operators write it. */
 export type BudgetSpec = z.infer<typeof budgetSpecSchema>
+/** An endpoint of either kind as operators write it. */
 export type EndpointSpec = z.infer<typeof endpointSpecSchema>
+/** An endpoint that serves models. */
 export type ModelEndpointSpec = Extract<EndpointSpec, { kind: 'model' }>
+/** A placement as operators write it. */
 export type PlacementSpec = z.infer<typeof placementSpecSchema>
+/** How requests are routed and queued, with defaults filled in. */
 export type RoutingPolicySpec = z.infer<typeof routingPolicySpecSchema>
+/** The name of a way to choose an endpoint. */
 export type RoutingPolicyName = (typeof ROUTING_POLICY_NAMES)[number]
 
 /** Every kind of resource with the schema of its spec. */
@@ -101,6 +108,7 @@
   'routing-policies': routingPolicySpecSchema,
 } as const
 
+/** The kind of a resource, as it stands in paths. */
 export type ResourceKind = keyof typeof RESOURCE_SCHEMAS
 
 export const RESOURCE_KINDS = Object.keys(RESOURCE_SCHEMAS) as readonly ResourceKind[]
@@ -116,6 +124,7 @@
   'routing-policies',
 ]
 
+/** Whether a text names a kind of resource. */
 export function isResourceKind(kind: string): kind is ResourceKind {
   return kind in RESOURCE_SCHEMAS
 }
--- a/packages/router/src/routing/endpointRouter.ts
+++ b/packages/router/src/routing/endpointRouter.ts
@@ -1,3 +1,8 @@
+/**
+ * Makes the routing decision of each attempt: collects what is known of the usable endpoints, asks the
+ * policy and keeps what was compared.
+ */
+
 import { NotRunError, ResultCode } from '@rackwalk/shared'
 import type { EndpointId, RandomSource } from '@rackwalk/shared'
 import type { RoutingRecord } from '../decisionRecord.js'
--- a/packages/router/src/routing/endpointTable.ts
+++ b/packages/router/src/routing/endpointTable.ts
@@ -1,3 +1,8 @@
+/**
+ * What this instance knows of every endpoint. Owns the requests in progress, the newest reports, health
+ * and who leaves; decides nothing.
+ */
+
 import type { Clock, EndpointId, Milliseconds, ModelId, TokenCount } from '@rackwalk/shared'
 import type { Catalogue, ConfiguredEndpoint } from '../resources/catalogue.js'
 import { Ejection } from '../limits/ejection.js'
--- a/packages/router/src/routing/endpointView.ts
+++ b/packages/router/src/routing/endpointView.ts
@@ -1,3 +1,5 @@
+/** What a routing decision looks at and what it gives back, as decision records keep both. */
+
 import type { EndpointId, Milliseconds, TokenCount } from '@rackwalk/shared'
 
 /** What an engine said of its load, and when it was heard. */
--- a/packages/router/src/routing/prefixIndex.ts
+++ b/packages/router/src/routing/prefixIndex.ts
@@ -1,3 +1,8 @@
+/**
+ * Which endpoint probably has which prompt cached? Owns block hashes by endpoint; a wrong guess costs
+ * time, never a wrong answer.
+ */
+
 import { createHash } from 'node:crypto'
 import type { Clock, EndpointId, Milliseconds, TokenCount } from '@rackwalk/shared'
 
--- a/packages/router/src/routing/routingPolicy.ts
+++ b/packages/router/src/routing/routingPolicy.ts
@@ -1,3 +1,8 @@
+/**
+ * Which of the usable endpoints gets the request? The policies of the OpenAI-style kind, one class for
+ * each name that a resource may give; pure but for the chance that they are given.
+ */
+
 import { randomBelow } from '@rackwalk/shared'
 import type { Milliseconds, RandomSource } from '@rackwalk/shared'
 import type { RoutingPolicyName } from '../resources/kinds.js'
