--- a/eslint.config.js
+++ b/eslint.config.js
@@ -14,7 +14,7 @@
   'packages/stores/src',
   'packages/coordination/src',
   'packages/router/src',
-  'packages/daemon/src/gateway',
+  'packages/daemon/src',
   'packages/cli/src',
   'platform/src',
   'bench/src',
--- a/packages/daemon/src/callers/callerServer.ts
+++ b/packages/daemon/src/callers/callerServer.ts
@@ -1,3 +1,8 @@
+/**
+ * The listener for callers of the OpenAI-style kind. Owns its connections and their bound; relies on the
+ * request path for every answer.
+ */
+
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Duplex } from 'node:stream'
--- a/packages/daemon/src/callers/httpCallerConnection.ts
+++ b/packages/daemon/src/callers/httpCallerConnection.ts
@@ -1,3 +1,7 @@
+/**
+ * A caller's request and answer over HTTP, as the filters see them. Owns whether the caller has left.
+ */
+
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { CallerConnection, IncomingRequest } from '@rackwalk/router'
 
--- a/packages/daemon/src/explainer.ts
+++ b/packages/daemon/src/explainer.ts
@@ -1,3 +1,7 @@
+/**
+ * Why was a request decided as it was, wherever and whenever that was? Reads records and writes none.
+ */
+
 import type { RequestId } from '@rackwalk/shared'
 import { RackwalkError } from '@rackwalk/shared'
 import type { JsonValue } from '@rackwalk/stores'
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,12 +1,12 @@
 #!/usr/bin/env node
+/** Entry point of `rackwalkd`: the settings say which kind of instance the process becomes. */
+
 import { cac } from 'cac'
 import { consola } from 'consola'
 import { gatewaySettingsSchema } from './gateway/gatewaySettings.js'
 import { EXIT_SETTINGS, fail, report } from './report.js'
 import { parseWith, readText, settingsKind } from './settings/load.js'
 
-/** Entry point of `rackwalkd`. */
-
 const GATEWAY_KIND = 'gateway'
 
 interface Flags {
--- a/packages/daemon/src/observe/boundedLogger.ts
+++ b/packages/daemon/src/observe/boundedLogger.ts
@@ -1,3 +1,5 @@
+/** Bounds the lines that are written, whatever happens. Owns the count of the lines dropped. */
+
 import type { Clock, Milliseconds } from '@rackwalk/shared'
 import type { Logger } from './logger.js'
 
--- a/packages/daemon/src/observe/httpAnswer.ts
+++ b/packages/daemon/src/observe/httpAnswer.ts
@@ -1,3 +1,5 @@
+/** Short HTTP answers: JSON, numbered errors, and what is said to bytes that are no request. */
+
 import type { ServerResponse } from 'node:http'
 import type { Duplex } from 'node:stream'
 import { NotRunError, RESULT_TABLE, ResultCode } from '@rackwalk/shared'
--- a/packages/daemon/src/observe/listenOn.ts
+++ b/packages/daemon/src/observe/listenOn.ts
@@ -1,3 +1,7 @@
+/**
+ * Addresses as settings write them, and listening at them with a numbered error where that fails.
+ */
+
 import type { Server } from 'node:http'
 import { RackwalkError, ResultCode } from '@rackwalk/shared'
 
--- a/packages/daemon/src/observe/logger.ts
+++ b/packages/daemon/src/observe/logger.ts
@@ -1,3 +1,5 @@
+/** Lines of the log: an event and its fields, as JSON on standard output. */
+
 import { LogLevels, createConsola } from 'consola'
 import type { ConsolaInstance } from 'consola'
 import type { Settings } from '../settings/schema.js'
--- a/packages/daemon/src/observe/metrics.ts
+++ b/packages/daemon/src/observe/metrics.ts
@@ -1,3 +1,8 @@
+/**
+ * The metrics of an instance of the OpenAI-style kind. Owns their registry; names and labels are an
+ * interface to operators and change only on purpose.
+ */
+
 import { Counter, Gauge, Histogram, Registry, collectDefaultMetrics } from 'prom-client'
 import { ResultCode, resultName } from '@rackwalk/shared'
 import type { CounterName, Counters } from '@rackwalk/coordination'
--- a/packages/daemon/src/openAiKind.ts
+++ b/packages/daemon/src/openAiKind.ts
@@ -1,17 +1,18 @@
+/**
+ * Starts an instance of the OpenAI-style kind and ties it to the signals of its process. A bundle keeps
+ * this module and all that it needs in a file of its own, so it reports its own errors: their classes
+ * are not the ones of the program that loaded it.
+ */
+
 import { consola } from 'consola'
 import { RackwalkDaemon } from './rackwalkDaemon.js'
 import { report } from './report.js'
 import { parseSettings } from './settings/openAiSettings.js'
 
-/**
- * Runs an instance with the OpenAI-style interface. A bundle keeps this module and all that it
- * needs in a file of its own, so it reports its own errors: their classes are not the ones of
- * the program that loaded it.
- */
-
 /** Tells the supervisor that the process should be started anew, as a new incarnation. */
 const EXIT_SEALED = 75
 
+/** Runs an instance, or only checks its settings. */
 export async function runOpenAiKind(file: string, text: string, isCheck: boolean): Promise<void> {
   try {
     const settings = parseSettings(text)
--- a/packages/daemon/src/operators/budgetCompanion.ts
+++ b/packages/daemon/src/operators/budgetCompanion.ts
@@ -1,3 +1,5 @@
+/** What a change of a budget's resource means for its row, in the same transaction. */
+
 import { asId } from '@rackwalk/shared'
 import type { BudgetId, TeamId } from '@rackwalk/shared'
 import type { RowWrite, TableService } from '@rackwalk/stores'
--- a/packages/daemon/src/operators/inForceTracker.ts
+++ b/packages/daemon/src/operators/inForceTracker.ts
@@ -1,3 +1,8 @@
+/**
+ * Where is which revision of the configuration in force, and since when? Owns the times at which
+ * heartbeats told it.
+ */
+
 import type { Clock, IncarnationId, InstanceId, Milliseconds, Version } from '@rackwalk/shared'
 import type { Membership } from '@rackwalk/coordination'
 
--- a/packages/daemon/src/operators/openApi.ts
+++ b/packages/daemon/src/operators/openApi.ts
@@ -1,3 +1,8 @@
+/**
+ * The machine-readable description of the operator API, drawn from what serves it, so that it cannot say
+ * something else.
+ */
+
 import * as z from 'zod'
 import { RESOURCE_KINDS, RESOURCE_SCHEMAS } from '@rackwalk/router'
 import type { OperatorRoute } from './operatorRoute.js'
--- a/packages/daemon/src/operators/operatorAuthentication.ts
+++ b/packages/daemon/src/operators/operatorAuthentication.ts
@@ -1,3 +1,5 @@
+/** Which operator asks? Settings hold hashes of tokens, never the tokens. */
+
 import type { IncomingMessage } from 'node:http'
 import { RackwalkError, ResultCode } from '@rackwalk/shared'
 import { hashKey } from '@rackwalk/router'
--- a/packages/daemon/src/operators/operatorRoutes.ts
+++ b/packages/daemon/src/operators/operatorRoutes.ts
@@ -1,3 +1,8 @@
+/**
+ * The operator API: a table of routes with what each does. Owns nothing; relies on the resource API, the
+ * books and the fleet's state.
+ */
+
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import * as z from 'zod'
 import { RackwalkError, ResultCode, asId } from '@rackwalk/shared'
--- a/packages/daemon/src/operators/operatorServer.ts
+++ b/packages/daemon/src/operators/operatorServer.ts
@@ -1,3 +1,8 @@
+/**
+ * The listener for operators: finds the route, authenticates, and turns errors into answers. Owns its
+ * connections.
+ */
+
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { RackwalkError, ResultCode, toRackwalkError } from '@rackwalk/shared'
--- a/packages/daemon/src/operators/resourceApi.ts
+++ b/packages/daemon/src/operators/resourceApi.ts
@@ -1,3 +1,8 @@
+/**
+ * Reads and writes resources with conditions, dry runs and conflicts that show the other's state; knows no
+ * transport.
+ */
+
 import { RackwalkError, ResultCode, asId } from '@rackwalk/shared'
 import type { RandomSource, TransactionId, Version } from '@rackwalk/shared'
 import type { JsonValue, TableService } from '@rackwalk/stores'
--- a/packages/daemon/src/operators/resourceInput.ts
+++ b/packages/daemon/src/operators/resourceInput.ts
@@ -1,3 +1,7 @@
+/**
+ * Checks what an operator sent: every fault is named at once, so that one round mends all of them.
+ */
+
 import * as z from 'zod'
 import { RackwalkError, ResultCode } from '@rackwalk/shared'
 import type { JsonValue } from '@rackwalk/stores'
--- a/packages/daemon/src/operators/watchStream.ts
+++ b/packages/daemon/src/operators/watchStream.ts
@@ -1,3 +1,8 @@
+/**
+ * Changes of resources as a stream to one watcher. Owns its position; a watcher that reads too slowly is
+ * cut off and comes back with it.
+ */
+
 import type { ServerResponse } from 'node:http'
 import { RackwalkError, ResultCode } from '@rackwalk/shared'
 import type { Clock, Timer, Version } from '@rackwalk/shared'
--- a/packages/daemon/src/peers/grpcPeerChannel.ts
+++ b/packages/daemon/src/peers/grpcPeerChannel.ts
@@ -1,3 +1,8 @@
+/**
+ * The calling side of messages between instances. Owns a connection for each address; a call that gives no
+ * answer in time fails, and its sender decides what that means.
+ */
+
 import { Client, Metadata, credentials } from '@grpc/grpc-js'
 import type { IncarnationId, Milliseconds } from '@rackwalk/shared'
 import { PEER_FORMS } from '@rackwalk/coordination'
--- a/packages/daemon/src/peers/peerServer.ts
+++ b/packages/daemon/src/peers/peerServer.ts
@@ -1,3 +1,7 @@
+/**
+ * The receiving side of messages between instances: decodes, hands over, answers. Owns the listener.
+ */
+
 import { timingSafeEqual } from 'node:crypto'
 import { Server, ServerCredentials, status } from '@grpc/grpc-js'
 import type { ServerUnaryCall, ServiceDefinition, sendUnaryData } from '@grpc/grpc-js'
--- a/packages/daemon/src/rackwalkDaemon.ts
+++ b/packages/daemon/src/rackwalkDaemon.ts
@@ -1,3 +1,8 @@
+/**
+ * One instance of the OpenAI-style kind: every part, wired together. Owns the phase of the instance's
+ * life; relies on each part for what it does.
+ */
+
 import { ResultCode, SystemClock, SystemRandom, asId, sleep } from '@rackwalk/shared'
 import type {
   Clock,
--- a/packages/daemon/src/report.ts
+++ b/packages/daemon/src/report.ts
@@ -1,9 +1,9 @@
+/** How `rackwalkd` ends when it cannot start: a numbered message and an exit code. */
+
 import { consola } from 'consola'
 import { RackwalkError } from '@rackwalk/shared'
 import { SettingsError, formatFault } from './settings/load.js'
 
-/** How `rackwalkd` ends when it cannot start: a numbered message and an exit code. */
-
 const EXIT_FAULT = 1
 export const EXIT_SETTINGS = 2
 
--- a/packages/daemon/src/requestPath.ts
+++ b/packages/daemon/src/requestPath.ts
@@ -1,3 +1,5 @@
+/** Puts the filters of the OpenAI-style kind together. Owns nothing. */
+
 import type { Clock, RandomSource } from '@rackwalk/shared'
 import { NotRunError, ResultCode } from '@rackwalk/shared'
 import type { CoordinationNode } from '@rackwalk/coordination'
--- a/packages/daemon/src/settings/load.ts
+++ b/packages/daemon/src/settings/load.ts
@@ -1,3 +1,5 @@
+/** Reads settings and secrets, and names every fault of a file with its line at once. */
+
 import { readFileSync } from 'node:fs'
 import type { z } from 'zod'
 import { LineCounter, isNode, parseDocument } from 'yaml'
@@ -24,6 +26,7 @@
   }
 }
 
+/** A fault as one line of a message. */
 export function formatFault({ path, line, code, message }: SettingsFault): string {
   return `line ${line}: ${path || '(root)'}: ${message} [${code}]`
 }
--- a/packages/daemon/src/settings/openAiSettings.ts
+++ b/packages/daemon/src/settings/openAiSettings.ts
@@ -1,9 +1,9 @@
+/** Settings of an instance with the OpenAI-style interface. */
+
 import { parseWith } from './load.js'
 import { settingsSchema } from './schema.js'
 import type { Settings } from './schema.js'
 
-/** Settings of an instance with the OpenAI-style interface. */
-
 /** Checks settings given as YAML. */
 export function parseSettings(text: string): Settings {
   return parseWith(settingsSchema, text)
--- a/packages/daemon/src/settings/schema.ts
+++ b/packages/daemon/src/settings/schema.ts
@@ -1,8 +1,10 @@
+/**
+ * The settings of one instance of the OpenAI-style kind. What operators change at run time is not here.
+ */
+
 import * as z from 'zod'
 import { nameSchema } from '@rackwalk/router'
 
-/** The settings of one instance. What operators change at run time is not here. */
-
 const ADDRESS_PATTERN = /^(\[[0-9a-fA-F:]+\]|[0-9.]+):\d{1,5}$/
 const HASH_PATTERN = /^[0-9a-f]{64}$/
 
@@ -130,5 +132,7 @@
     .describe('What is logged'),
 })
 
+/** Settings that were checked, with defaults filled in. */
 export type Settings = z.infer<typeof settingsSchema>
+/** Where a secret is to be read from. */
 export type SecretSource = z.infer<typeof secretSource>
--- a/packages/daemon/src/tasks/endpointMonitor.ts
+++ b/packages/daemon/src/tasks/endpointMonitor.ts
@@ -1,3 +1,8 @@
+/**
+ * Asks engines of the OpenAI-style kind for load and cache events and hears from the list who leaves. Owns
+ * the rounds; what is learned goes to the endpoint table.
+ */
+
 import type { Clock, EndpointId, Milliseconds, ModelId, Task, Timer } from '@rackwalk/shared'
 import { asId } from '@rackwalk/shared'
 import type { ListedInstance } from '@rackwalk/stores'
--- a/packages/daemon/src/tasks/placementTask.ts
+++ b/packages/daemon/src/tasks/placementTask.ts
@@ -1,3 +1,8 @@
+/**
+ * Turns placements into orders to engines while this instance is the planner. Owns the orders that are not
+ * yet fulfilled; relies on the lease for who plans.
+ */
+
 import type { Clock, EndpointId, Milliseconds, ModelId, Task, Timer } from '@rackwalk/shared'
 import type { ConfigurationFollower, Lease } from '@rackwalk/coordination'
 import { planPlacements } from '@rackwalk/router'
