fix(prepaid): an instance that stood by until the store went away asks those that serve callers for loans

It follows no budgets while it stands by, so it knew nobody who held any; with the feed that it had before it knew them three seconds late.

Change: with a sight older than 5 s any other instance that serves callers may hold tokens and is asked, after those that are known to. More cases: store away from the beginning, a kill, a cut one second after the first caller. Ruled out: reading all budgets now and then: 24 calls each time on 81 instances, for what is seldom needed.

--- a/packages/coordination/__tests__/standbyDemand.spec.ts
+++ b/packages/coordination/__tests__/standbyDemand.spec.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest'
-import { VirtualClock } from '@rackwalk/shared'
+import { VirtualClock, sleep } from '@rackwalk/shared'
 import type { Milliseconds } from '@rackwalk/shared'
 import {
   DemandHoldingPolicy,
@@ -8,6 +8,7 @@
   StoreClock,
   TableMirror,
 } from '@rackwalk/coordination'
+import type { LoanChannel } from '@rackwalk/coordination'
 import { MemoryRowStore } from '@rackwalk/stand-ins'
 
 /**
@@ -33,6 +34,8 @@
 const REQUEST_TOKENS = 6_000
 const REQUEST_MILLISECONDS = 300
 const PATIENCE_MILLISECONDS = 100
+const PEER_MILLISECONDS = 2
+const PEER_TIMEOUT_MILLISECONDS = 90
 /** 30 requests a second. */
 const PAUSE_MILLISECONDS = 1_000 / 30
 
@@ -40,7 +43,10 @@
   readonly clock = new VirtualClock()
   private readonly rows = new MemoryRowStore(this.clock)
   private readonly ledgers = new Map<string, PrepaidLedger>()
-  private readonly faults: { isCut: boolean }[] = []
+  private readonly faults = new Map<string, { isCut: boolean; isTurnedAway: boolean }>()
+  /** Instances that no other instance reaches. */
+  private readonly unreached = new Set<string>()
+  private starts = 0
   private knownToWorkAt: Milliseconds = Number.POSITIVE_INFINITY
 
   constructor() {
@@ -66,9 +72,26 @@
     return served / asked
   }
 
-  /** Cuts all instances off from the store and from each other. */
-  cut(): void {
-    for (const faults of this.faults) faults.isCut = true
+  /** Cuts these instances off from the store and from all others. */
+  cut(instances: readonly string[]): void {
+    for (const instance of instances) {
+      this.unreached.add(instance)
+      Object.assign(this.faults.get(instance) ?? {}, { isCut: true })
+    }
+  }
+
+  /** The store turns this instance away; others reach it. */
+  turnAway(instance: string): void {
+    Object.assign(this.faults.get(instance) ?? {}, { isTurnedAway: true })
+  }
+
+  /** Kills the process of an instance and starts another one later. */
+  async restart(instance: string, milliseconds: Milliseconds): Promise<void> {
+    this.ledgers.get(instance)?.stop()
+    this.cut([instance])
+    await this.clock.advance(milliseconds)
+    this.unreached.delete(instance)
+    this.start(instance)
   }
 
   private async serve(instance: string): Promise<boolean> {
@@ -84,18 +107,21 @@
   private start(instance: string): void {
     const { clock } = this
     const { store, faults } = this.rows.connect()
+    const startedAt = clock.monotonic()
+    this.starts += 1
     const isActive = instance !== STANDBY
     const ledger = new PrepaidLedger({
       instance,
-      incarnation: instance,
+      incarnation: `start-${this.starts}`,
       store,
       storeClock: new StoreClock(clock),
       clock,
-      startedAt: 0,
+      startedAt,
       policy: new DemandHoldingPolicy(),
       isActive: () => isActive,
       otherInstances: () => this.workingOthers(instance),
       limits: { writesPerSecond: 1_500, partitionWritesPerSecond: 150, reserveShare: 0 },
+      loanChannel: this.loansOf(instance),
       onEvent: () => {},
       onMalformedRow: () => {},
     })
@@ -113,7 +139,23 @@
     })
     mirror.start()
     this.ledgers.set(instance, ledger)
-    this.faults.push(faults)
+    this.faults.set(instance, faults)
+  }
+
+  private loansOf(borrower: string): LoanChannel {
+    const reach = async (lender: string): Promise<PrepaidLedger | undefined> => {
+      const isReached = !this.unreached.has(borrower) && !this.unreached.has(lender)
+      await sleep(this.clock, isReached ? PEER_MILLISECONDS : PEER_TIMEOUT_MILLISECONDS)
+      return isReached ? this.ledgers.get(lender) : undefined
+    }
+    return {
+      ask: async (lender, request) => (await reach(lender))?.lender.lend(request),
+      repay: async (lender, repayment) => {
+        const ledger = await reach(lender)
+        ledger?.lender.repay(repayment)
+        return ledger !== undefined
+      },
+    }
   }
 
   /** Others that serve callers, as membership has them. */
@@ -143,7 +185,31 @@
     const fleet = new Fleet()
     await fleet.clock.advance(16_000)
     await fleet.ask([STANDBY], 5_000)
-    fleet.cut()
+    fleet.cut([...ACTIVE, STANDBY])
     expect(await fleet.ask([STANDBY], 8_000)).toBeGreaterThan(0.85)
   })
+
+  it('is served by loans where the store turns its instance away from the beginning', async () => {
+    const fleet = new Fleet()
+    await fleet.clock.advance(16_000)
+    fleet.turnAway(STANDBY)
+    expect(await fleet.ask([STANDBY], 9_000)).toBeGreaterThan(0.9)
+  })
+
+  it('is served again within a second after its instance was killed and started anew', async () => {
+    const fleet = new Fleet()
+    await fleet.clock.advance(16_000)
+    await fleet.ask([STANDBY], 5_000)
+    await fleet.restart(STANDBY, 1_500)
+    await fleet.ask([STANDBY], 1_000)
+    expect(await fleet.ask([STANDBY], 4_000)).toBeGreaterThan(0.95)
+  })
+
+  it('has what one second of its demand could fetch where all are cut off a second after it began', async () => {
+    const fleet = new Fleet()
+    await fleet.clock.advance(16_000)
+    await fleet.ask([STANDBY], 1_000)
+    fleet.cut([...ACTIVE, STANDBY])
+    expect(await fleet.ask([STANDBY], 8_000)).toBeGreaterThan(0.5)
+  })
 })
--- a/packages/coordination/src/prepaid/prepaidAccount.ts
+++ b/packages/coordination/src/prepaid/prepaidAccount.ts
@@ -67,6 +67,8 @@
  * decides how much it holds; whether the pool has enough each write finds out by itself.
  */
 const STANDBY_SIGHT_MILLISECONDS = 1_000
+/** Who holds nothing by rows seen longer ago may hold something now. Chosen: some reads of an active one. */
+const TRUSTED_SIGHT_MILLISECONDS = 5_000
 /**
  * A holder whose row tells of demand shares the budget for this long after the row was written. Chosen:
  * longer than any time between two records, so that a late record takes nothing from it.
@@ -157,9 +159,15 @@
     this.spending.add(-tokens)
   }
 
-  /** Instances that hold unspent tokens of this budget, the most first. */
+  /**
+   * Instances that hold unspent tokens of this budget, the most first. Where the rows were seen too long
+   * ago, as on an instance that stood by until the store went away, any other may hold some by now.
+   */
   get lenders(): readonly string[] {
-    return this.view.lendersAmong(this.others)
+    const { others } = this
+    const known = this.view.lendersAmong(others)
+    if ((this.report.sightAge ?? Infinity) < TRUSTED_SIGHT_MILLISECONDS) return known
+    return [...known, ...others.filter(other => !known.includes(other))]
   }
 
   /** Sets tokens aside in this holding, for whoever asks. */
