fix(prepaid): an instance that stands by asks for a holding also where loans pay for every request

Where the pool is empty and each request is paid for by a loan, nothing was ever written, so no row told of its demand and nobody gave back; in a later cut it would hold nothing.

Change: callers of a token a second or more are reason enough for a row.

--- a/packages/coordination/__tests__/prepaidLedger.spec.ts
+++ b/packages/coordination/__tests__/prepaidLedger.spec.ts
@@ -11,7 +11,7 @@
   holderRowCodec,
   poolRowCodec,
 } from '@rackwalk/coordination'
-import type { HolderRow, PoolRow } from '@rackwalk/coordination'
+import type { HolderRow, LoanChannel, PoolRow } from '@rackwalk/coordination'
 import { MemoryRowStore } from '@rackwalk/stand-ins'
 
 const BUDGET = 'team'
@@ -28,7 +28,7 @@
   const rows = new MemoryRowStore(clock)
   const events: string[] = []
   const state = { isActive: true }
-  const start = (incarnation: string, startedAt: number) => {
+  const start = (incarnation: string, startedAt: number, loanChannel?: LoanChannel) => {
     const { store, faults } = rows.connect()
     const ledger = new PrepaidLedger({
       instance: 'node-1',
@@ -39,7 +39,8 @@
       startedAt,
       policy: new DemandHoldingPolicy(),
       isActive: () => state.isActive,
-      otherInstances: () => [],
+      otherInstances: () => (loanChannel === undefined ? [] : ['node-2']),
+      ...(loanChannel === undefined ? {} : { loanChannel }),
       limits: { writesPerSecond: 600, partitionWritesPerSecond: 150, reserveShare: 0 },
       onEvent: event => events.push(event),
       onMalformedRow: () => {},
@@ -66,7 +67,21 @@
     const outcome = rows.read(PREPAID_TABLE, BUDGET)
     return outcome.kind === 'rows' ? outcome.rows.map(({ key }) => key) : []
   }
-  return { clock, start, pool, holder, events, state, rowKeys }
+  return { clock, rows, start, pool, holder, events, state, rowKeys }
+}
+
+const EMPTY_HOLDER: HolderRow = {
+  incarnation: 'other',
+  sequence: 1,
+  granted: 0,
+  committed: 0,
+  base: 0,
+  strictRate: 0,
+  strictMilliseconds: 0,
+  cutBurst: 0,
+  cutRate: 0,
+  demandPerSecond: 0,
+  wanted: 0,
 }
 
 type Started = ReturnType<ReturnType<typeof setUp>['start']>
@@ -211,6 +226,26 @@
     expect(served).toBeGreaterThan(7)
   })
 
+  it('asks for a holding of its own though the pool is empty and loans pay for each request', async () => {
+    const { clock, rows, start, state, rowKeys } = setUp()
+    state.isActive = false
+    const other = { ...EMPTY_HOLDER, granted: LIMIT }
+    const full = { limit: LIMIT, configurationVersion: 1, settled: 0, allocated: LIMIT }
+    rows.put(PREPAID_TABLE, holderKey('node-2'), holderRowCodec.encode(other), BUDGET)
+    rows.put(PREPAID_TABLE, POOL_KEY, poolRowCodec.encode(full), BUDGET)
+    const node = start('first', 0, {
+      ask: (_, { tokens }) => Promise.resolve(tokens),
+      repay: () => Promise.resolve(true),
+    })
+    void follow(node)
+    await clock.advance(1_000)
+    for (let round = 0; round < 20; round += 1) {
+      expect((await ask(clock, node, 500)).kind).toBe('reserved')
+    }
+    // Others give back for demand that rows tell; without a row nobody learns of it.
+    expect(rowKeys()).toContain(holderKey('node-1'))
+  })
+
   it('frees what its own dead predecessor held', async () => {
     const { clock, start, state, pool, events } = setUp()
     const node = start('first', 0)
--- a/packages/coordination/__tests__/standbyDemand.spec.ts
+++ b/packages/coordination/__tests__/standbyDemand.spec.ts
@@ -212,4 +212,16 @@
     fleet.cut([...ACTIVE, STANDBY])
     expect(await fleet.ask([STANDBY], 8_000)).toBeGreaterThan(0.5)
   })
+
+  it('comes to hold what it asks for, though loans would pay for each request', async () => {
+    const fleet = new Fleet()
+    await fleet.clock.advance(2_000)
+    await fleet.ask(ACTIVE, 8_000)
+    // The new process reads the rows once, at a time when the pool has nothing to spare.
+    await fleet.restart(STANDBY, 1_000)
+    await fleet.clock.advance(1_000)
+    await fleet.ask([STANDBY], 4_000)
+    fleet.cut([...ACTIVE, STANDBY])
+    expect(await fleet.ask([STANDBY], 8_000)).toBeGreaterThan(0.85)
+  })
 })
--- a/packages/coordination/src/prepaid/prepaidAccount.ts
+++ b/packages/coordination/src/prepaid/prepaidAccount.ts
@@ -67,6 +67,8 @@
  * decides how much it holds; whether the pool has enough each write finds out by itself.
  */
 const STANDBY_SIGHT_MILLISECONDS = 1_000
+/** Tokens a second below which an instance that stands by asks for no holding. Chosen: as rows round. */
+const LEAST_DEMAND_PER_SECOND = 1
 /** Who holds nothing by rows seen longer ago may hold something now. Chosen: some reads of an active one. */
 const TRUSTED_SIGHT_MILLISECONDS = 5_000
 /**
@@ -286,7 +288,9 @@
   private isWriteDue(): boolean {
     if (this.limit === undefined || this.left) return false
     if (!this.waiting.isEmpty || this.holding.hasUnresolved) return true
-    if (!this.holding.isRegistered) return this.parts.isActive() || this.hasPredecessor
+    if (!this.holding.isRegistered) {
+      return this.parts.isActive() || this.hasPredecessor || this.hasCallers
+    }
     const period = this.parts.recordMilliseconds()
     const isIdle = this.holding.unrecorded === 0
     if (isIdle && this.holding.unspent === 0 && !this.parts.isActive()) return false
@@ -296,6 +300,11 @@
     return age > period * ADJUST_SHARE && this.plan(false).changesPool
   }
 
+  /** Whether callers ask here; others learn of it by the row alone, also while loans pay for them. */
+  private get hasCallers(): boolean {
+    return this.demand.perSecond >= LEAST_DEMAND_PER_SECOND
+  }
+
   /** Whether an earlier incarnation left a holding, which only this one can free. */
   private get hasPredecessor(): boolean {
     const row = this.view.ownHolder
