--- a/eslint.config.js
+++ b/eslint.config.js
@@ -16,6 +16,7 @@
   'packages/router/src',
   'packages/daemon/src',
   'packages/cli/src',
+  'packages/stand-ins/src',
   'platform/src',
   'bench/src',
 ]
--- a/packages/stand-ins/src/chatClient.ts
+++ b/packages/stand-ins/src/chatClient.ts
@@ -1,3 +1,5 @@
+/** A caller of the OpenAI-style kind, as tests and measurements need it. */
+
 import { Agent, request } from 'undici'
 import { TEAM_KEY } from './configuredFleet.js'
 
--- a/packages/stand-ins/src/configuredFleet.ts
+++ b/packages/stand-ins/src/configuredFleet.ts
@@ -1,3 +1,7 @@
+/**
+ * A small fleet of the OpenAI-style kind that is configured and serves, for tests that begin there.
+ */
+
 import { hashKey } from '@rackwalk/router'
 import type { Logger } from '@rackwalk/daemon'
 import { EngineStandIn } from './engine/engineStandIn.js'
--- a/packages/stand-ins/src/engine/engineStandIn.ts
+++ b/packages/stand-ins/src/engine/engineStandIn.ts
@@ -1,3 +1,8 @@
+/**
+ * A model engine for tests: times, caches and refuses as one would. Its shapes are this project's own; no
+ * real engine is met here.
+ */
+
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import * as z from 'zod'
 import { PREFIX_BLOCK_TOKENS, prefixHashes, promptTokenEstimate } from '@rackwalk/router'
--- a/packages/stand-ins/src/exploration/checkers.ts
+++ b/packages/stand-ins/src/exploration/checkers.ts
@@ -1,3 +1,8 @@
+/**
+ * The promises that exploration holds each run to. Each reads what callers, endpoints and the table saw,
+ * never what a node believes.
+ */
+
 import type { BudgetId, IncarnationId } from '@rackwalk/shared'
 import { allocatedTokens, foldBills, readJournal, tableKeys } from '@rackwalk/coordination'
 import type { BudgetRow, SettleEntry } from '@rackwalk/coordination'
--- a/packages/stand-ins/src/exploration/explore.ts
+++ b/packages/stand-ins/src/exploration/explore.ts
@@ -1,3 +1,8 @@
+/**
+ * Runs scripts of the OpenAI-style kind's coordination under random schedules, and gives what broke with
+ * the way to it.
+ */
+
 import fc from 'fast-check'
 import { scriptArbitrary } from './script.js'
 import type { Variant } from './variants.js'
--- a/packages/stand-ins/src/exploration/faultyPeers.ts
+++ b/packages/stand-ins/src/exploration/faultyPeers.ts
@@ -1,3 +1,5 @@
+/** Messages between the nodes of a run: delayed, lost, answered late, as the script says. */
+
 import type { Scheduler } from 'fast-check'
 import { RackwalkError, ResultCode } from '@rackwalk/shared'
 import type { Clock, IncarnationId, RandomSource } from '@rackwalk/shared'
--- a/packages/stand-ins/src/exploration/faultyTable.ts
+++ b/packages/stand-ins/src/exploration/faultyTable.ts
@@ -1,3 +1,5 @@
+/** The way of a node to the table of a run: delayed, lost, answered late, as the script says. */
+
 import type { Scheduler } from 'fast-check'
 import { RackwalkError, ResultCode } from '@rackwalk/shared'
 import type { RandomSource, TransactionId } from '@rackwalk/shared'
--- a/packages/stand-ins/src/exploration/history.ts
+++ b/packages/stand-ins/src/exploration/history.ts
@@ -1,3 +1,5 @@
+/** What was seen of the requests of a run from outside, for the checkers. */
+
 import type { BudgetId, IdempotencyKey, RequestId, ResultCode, TokenCount } from '@rackwalk/shared'
 
 /** What was seen from outside of one request in a run. */
--- a/packages/stand-ins/src/exploration/prepaidWorld.ts
+++ b/packages/stand-ins/src/exploration/prepaidWorld.ts
@@ -1,3 +1,5 @@
+/** Random histories of one prepaid budget on a few instances, checked against its limit. */
+
 import fc from 'fast-check'
 import { VirtualClock, sleep } from '@rackwalk/shared'
 import type { Clock, Milliseconds, TokenCount } from '@rackwalk/shared'
@@ -13,8 +15,6 @@
 import type { RowStoreFaults } from '../platform/memoryRowStore.js'
 import { PromiseBroken } from './checkers.js'
 
-/** Random histories of one prepaid budget on a few instances, checked against its limit. */
-
 type PrepaidAction =
   | { readonly kind: 'reserve'; readonly node: number; readonly tokens: TokenCount }
   | { readonly kind: 'settle'; readonly node: number; readonly share: number }
--- a/packages/stand-ins/src/exploration/script.ts
+++ b/packages/stand-ins/src/exploration/script.ts
@@ -1,3 +1,8 @@
+/**
+ * What may happen in a run, and how likely. Scripts shrink to the shortest one that still breaks a
+ * promise.
+ */
+
 import fc from 'fast-check'
 
 /** Nodes, budgets and keys of a run; few, so that actions meet often. */
--- a/packages/stand-ins/src/exploration/variants.ts
+++ b/packages/stand-ins/src/exploration/variants.ts
@@ -1,3 +1,8 @@
+/**
+ * The code as it ships, and copies with one thing broken on purpose: a checker that does not notice proves
+ * nothing.
+ */
+
 import type { Reservation, ReservationResult, SealOutcome } from '@rackwalk/coordination'
 import type {
   IdentifiedWrites,
--- a/packages/stand-ins/src/exploration/world.ts
+++ b/packages/stand-ins/src/exploration/world.ts
@@ -1,3 +1,5 @@
+/** One run of exploration: nodes, table and network on a clock and a scheduler of its own. */
+
 import type { Scheduler } from 'fast-check'
 import { RackwalkError, ResultCode, SeededRandom, VirtualClock, asId } from '@rackwalk/shared'
 import type { BudgetId, IdempotencyKey, RequestId, TeamId, TransactionId } from '@rackwalk/shared'
--- a/packages/stand-ins/src/exploration/worldNode.ts
+++ b/packages/stand-ins/src/exploration/worldNode.ts
@@ -1,3 +1,8 @@
+/**
+ * One node of a run: the real coordination parts over surroundings that fail as told. The smallest wiring
+ * there is.
+ */
+
 import type { Scheduler } from 'fast-check'
 import { asId } from '@rackwalk/shared'
 import type {
--- a/packages/stand-ins/src/localFleet.ts
+++ b/packages/stand-ins/src/localFleet.ts
@@ -1,3 +1,5 @@
+/** Several real daemons of the OpenAI-style kind in one process. */
+
 import { asId } from '@rackwalk/shared'
 import type { InstanceId } from '@rackwalk/shared'
 import { RackwalkDaemon, settingsSchema } from '@rackwalk/daemon'
--- a/packages/stand-ins/src/localPlatform.ts
+++ b/packages/stand-ins/src/localPlatform.ts
@@ -1,3 +1,7 @@
+/**
+ * The platform of the OpenAI-style kind on loopback: table, objects and the list of instances.
+ */
+
 import { SystemClock, SystemRandom } from '@rackwalk/shared'
 import { INSTANCE_LIST_KEY } from '@rackwalk/stores'
 import type { ListedInstance } from '@rackwalk/stores'
--- a/packages/stand-ins/src/localServer.ts
+++ b/packages/stand-ins/src/localServer.ts
@@ -1,3 +1,5 @@
+/** An HTTP server on a loopback port that the system chooses; base of the stand-ins. */
+
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 
--- a/packages/stand-ins/src/operatorClient.ts
+++ b/packages/stand-ins/src/operatorClient.ts
@@ -1,3 +1,5 @@
+/** An operator's calls to the operator API, for tests and the quick start. */
+
 import { request } from 'undici'
 
 /** A resource as an operator writes it. */
--- a/packages/stand-ins/src/platform/dynamodbStandIn.ts
+++ b/packages/stand-ins/src/platform/dynamodbStandIn.ts
@@ -1,3 +1,5 @@
+/** The table service's protocol over a table in memory. */
+
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import * as z from 'zod'
 import { asId } from '@rackwalk/shared'
--- a/packages/stand-ins/src/platform/faultPlan.ts
+++ b/packages/stand-ins/src/platform/faultPlan.ts
@@ -1,3 +1,5 @@
+/** What may go wrong with the platform's stand-ins, switched by tests. */
+
 import type { Clock, Milliseconds, RandomSource } from '@rackwalk/shared'
 
 /** What may go wrong with the platform; tests switch it on and off. */
--- a/packages/stand-ins/src/platform/memoryObjects.ts
+++ b/packages/stand-ins/src/platform/memoryObjects.ts
@@ -1,3 +1,5 @@
+/** An object store without its protocol. */
+
 import type { ObjectStore } from '@rackwalk/stores'
 
 /** An object store in memory. */
--- a/packages/stand-ins/src/platform/memoryRowStore.ts
+++ b/packages/stand-ins/src/platform/memoryRowStore.ts
@@ -1,3 +1,7 @@
+/**
+ * The gateway kind's row store without its protocol, on the clock of the test, that fails as it is told.
+ */
+
 import { sleep } from '@rackwalk/shared'
 import type { Clock, Milliseconds } from '@rackwalk/shared'
 import type {
@@ -10,8 +14,6 @@
   StoredRow,
 } from '@rackwalk/stores'
 
-/** A row store in memory, on the clock of the test, that fails as it is told. */
-
 /** What becomes of the next calls of one client. */
 export interface RowStoreFaults {
   /** Nothing reaches the store, and no answer comes. */
@@ -36,6 +38,7 @@
   readonly version: number
 }
 
+/** The store that all clients of a test share. */
 export class MemoryRowStore {
   private readonly rows = new Map<string, StoredRow>()
   private history: HistoryEntry[] = []
--- a/packages/stand-ins/src/platform/memoryTable.ts
+++ b/packages/stand-ins/src/platform/memoryTable.ts
@@ -1,3 +1,5 @@
+/** The table service without its protocol. */
+
 import type { TransactionId } from '@rackwalk/shared'
 import { rowName, versionAfter } from '@rackwalk/stores'
 import type {
--- a/packages/stand-ins/src/platform/s3StandIn.ts
+++ b/packages/stand-ins/src/platform/s3StandIn.ts
@@ -1,3 +1,5 @@
+/** The object store's protocol over objects in memory. */
+
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { LocalServer } from '../localServer.js'
 import type { FaultPlan } from './faultPlan.js'
--- a/packages/stand-ins/src/quickstart.ts
+++ b/packages/stand-ins/src/quickstart.ts
@@ -1,3 +1,7 @@
+/**
+ * Brings a whole fleet of the OpenAI-style kind up in one process, configured as an operator would do it.
+ */
+
 import { readFileSync } from 'node:fs'
 import { cac } from 'cac'
 import { parseAllDocuments } from 'yaml'
@@ -9,8 +13,6 @@
 import type { OperatorClient, ResourceDocument } from './operatorClient.js'
 import { ServiceStandIn } from './serviceStandIn.js'
 
-/** Brings a whole fleet up in one process, configured as an operator would do it. */
-
 const INSTANCES = 3
 const ENGINES = 4
 const SERVICES = ['pitches', 'manuals']
--- a/packages/stand-ins/src/serviceStandIn.ts
+++ b/packages/stand-ins/src/serviceStandIn.ts
@@ -1,3 +1,5 @@
+/** A plain service for tests. */
+
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { LocalServer } from './localServer.js'
 
