test(exploration): what the rows say is left reaches callers wherever they come

Cause: exploration held each history to what may be spent, and nothing to who is served, so the incident's cause passed it.

Change: at the end of each history all is healed, all callers come to one instance that stands by, and of 20 requests for half of what is left at the most three may be refused. A ledger that tells nobody that callers ask, and borrows nothing, is caught. The variants are a module of their own.

--- a/packages/coordination/__tests__/prepaidExploration.spec.ts
+++ b/packages/coordination/__tests__/prepaidExploration.spec.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest'
-import { BROKEN_LEDGERS, SOUND_LEDGER, explorePrepaid } from '@rackwalk/stand-ins'
+import { BROKEN_LEDGERS, SECRETIVE_LEDGER, SOUND_LEDGER, explorePrepaid } from '@rackwalk/stand-ins'
 
 const SEEDS = [1, 20261202]
 const RUNS = 400
@@ -18,12 +18,19 @@
       'settled',
       'fault',
       'turn',
+      'crowded',
     ]
     for (const event of events) {
       expect(result.counts[event], event).toBeGreaterThan(RUNS / 4)
     }
   })
 
+  it('is seen to be out of reach with a ledger that tells nobody that callers ask', async () => {
+    const variant = SECRETIVE_LEDGER
+    const result = await explorePrepaid({ runs: CONTROL_RUNS, seed: 1, variant })
+    expect(result.failure).toContain('reach')
+  })
+
   it.each(BROKEN_LEDGERS)('is seen to be overspent by a ledger that $name', async variant => {
     const result = await explorePrepaid({ runs: CONTROL_RUNS, seed: 1, variant })
     expect(result.failure).toContain('prepaid')
--- a/packages/stand-ins/src/exploration/prepaidWorld.ts
+++ b/packages/stand-ins/src/exploration/prepaidWorld.ts
@@ -6,14 +6,18 @@
 import type { RowStore } from '@rackwalk/stores'
 import {
   DemandHoldingPolicy,
+  POOL_KEY,
   PREPAID_TABLE,
   PrepaidLedger,
   StoreClock,
+  holderRowCodec,
+  poolRowCodec,
 } from '@rackwalk/coordination'
 import type { LoanChannel, PrepaidReservation } from '@rackwalk/coordination'
 import { MemoryRowStore } from '../platform/memoryRowStore.js'
 import type { RowStoreFaults } from '../platform/memoryRowStore.js'
 import { PromiseBroken } from './checkers.js'
+import type { PrepaidVariant } from './prepaidVariants.js'
 
 type PrepaidAction =
   | { readonly kind: 'reserve'; readonly node: number; readonly tokens: TokenCount }
@@ -33,55 +37,6 @@
 /** `cut`: no call reaches or leaves the instance; `mute`: calls reach it, answers are lost. */
 type PeerFault = 'none' | 'cut' | 'mute'
 
-/** A way to break the ledger that the checker must notice. */
-export interface PrepaidVariant {
-  readonly name: string
-  storeOf?(store: RowStore): RowStore
-  clockOf?(storeClock: StoreClock): StoreClock
-  channelOf?(channel: LoanChannel): LoanChannel
-}
-
-export const SOUND_LEDGER: PrepaidVariant = { name: 'sound' }
-
-/** Each forgets one thing on which the promise rests. */
-export const BROKEN_LEDGERS: readonly PrepaidVariant[] = [
-  {
-    name: 'writes whatever others wrote meanwhile',
-    storeOf: store => ({
-      readPartition: (table, partition) => store.readPartition(table, partition),
-      readChanges: (table, after, wait) => store.readChanges(table, after, wait),
-      write: transaction => store.write({ ...transaction, conditions: [] }),
-      close: () => store.close(),
-    }),
-  },
-  {
-    name: 'believes that a dead instance spent only what it recorded',
-    clockOf: storeClock => {
-      const forgetful = Object.create(storeClock) as StoreClock
-      forgetful.upperBoundAt = () => 0
-      return forgetful
-    },
-  },
-  {
-    name: 'repays loans as if nothing of them had been spent',
-    channelOf: channel => ({
-      ask: (lender, request) => channel.ask(lender, request),
-      repay: (lender, repayment) => channel.repay(lender, { ...repayment, spent: 0 }),
-    }),
-  },
-  {
-    name: 'spends a loan that it took for lost and called back',
-    channelOf: channel => ({
-      ask: async (lender, request) => {
-        const lent = await channel.ask(lender, request)
-        await channel.repay(lender, { id: request.id, budget: request.budget, spent: 0 })
-        return lent
-      },
-      repay: (lender, repayment) => channel.repay(lender, repayment),
-    }),
-  },
-]
-
 const NODES = 3
 const BUDGET = 'team'
 const FIRST_LIMIT: TokenCount = 6_000
@@ -94,6 +49,18 @@
 const EXHAUST_ROUNDS = 14
 const EXHAUST_TOKENS: readonly TokenCount[] = [700, 250, 60]
 
+/** The instance to which all callers come at the end, and what they ask for. */
+const CROWDED = 0
+const CROWD_REQUESTS = 20
+const CROWD_TOKENS: TokenCount = 60
+const CROWD_PAUSE_MILLISECONDS = 100
+/** Holders keep tokens for their own callers, and deaths strand some: so many times what is asked for. */
+const CROWD_SHARE = 2
+/** Requests that may be refused while the others learn of the demand. */
+const CROWD_REFUSALS = 3
+/** Long enough for every write on its way, every repeat of a repayment and some records. */
+const REST_MILLISECONDS = 6_000
+
 const node = fc.integer({ min: 0, max: NODES - 1 })
 const actionArbitrary: fc.Arbitrary<PrepaidAction> = fc.oneof(
   {
@@ -208,9 +175,44 @@
       await this.perform(action)
       this.check()
     }
+    await this.askWhereNobodyAsked()
     await this.exhaust()
   }
 
+  /**
+   * All callers come to one instance that stands by, once everything is healed and has come to rest. What
+   * the rows say is left is a lower bound of what exists, so each request must find its tokens there.
+   */
+  private async askWhereNobodyAsked(): Promise<void> {
+    await this.perform({ kind: 'heal' })
+    for (const [index, node] of this.nodes.entries()) node.isActive = index !== CROWDED
+    await this.clock.advance(REST_MILLISECONDS)
+    if (this.leftByRows() < CROWD_SHARE * CROWD_REQUESTS * CROWD_TOKENS) return
+    this.count('crowded')
+    const before = this.counts['refused'] ?? 0
+    for (let request = 0; request < CROWD_REQUESTS; request += 1) {
+      await this.reserve(CROWDED, CROWD_TOKENS)
+      await this.clock.advance(CROWD_PAUSE_MILLISECONDS)
+    }
+    await this.clock.advance(PATIENCE_MILLISECONDS)
+    const refused = (this.counts['refused'] ?? 0) - before
+    if (refused > CROWD_REFUSALS) {
+      throw new PromiseBroken('reach', `${refused} of ${CROWD_REQUESTS} requests refused`)
+    }
+  }
+
+  /** Tokens that no row counts as handed out or reserved. */
+  private leftByRows(): TokenCount {
+    const outcome = this.store.read(PREPAID_TABLE, BUDGET)
+    if (outcome.kind !== 'rows') return 0
+    let left = this.limit
+    for (const { key, value } of outcome.rows) {
+      if (key === POOL_KEY) left -= poolRowCodec.decode(value)?.settled ?? 0
+      else left -= holderRowCodec.decode(value)?.committed ?? 0
+    }
+    return left
+  }
+
   /** Asks for all that is left, so that tokens counted twice are also spent twice. */
   private async exhaust(): Promise<void> {
     await this.perform({ kind: 'heal' })
