--- a/packages/coordination/src/prepaid/prepaidAccount.ts
+++ b/packages/coordination/src/prepaid/prepaidAccount.ts
@@ -4,6 +4,7 @@
  * PartitionView for what the others hold, and on writePlan for what the next write says.
  */
 
+import type { BudgetView, HoldingPolicy } from '@rackwalk/decisions'
 import { sleep } from '@rackwalk/shared'
 import type { Clock, Milliseconds, TokenCount } from '@rackwalk/shared'
 import type { RowAddress, RowStore, RowTransaction, RowWriteOutcome } from '@rackwalk/stores'
@@ -12,7 +13,6 @@
 import { DemandMeter } from './demandMeter.js'
 import { HoldingState } from './holdingState.js'
 import type { LendingAccount } from './lender.js'
-import type { BudgetView, HoldingPolicy } from '@rackwalk/decisions'
 import {
   POOL_KEY,
   PREPAID_TABLE,
--- a/packages/coordination/src/prepaid/prepaidLedger.ts
+++ b/packages/coordination/src/prepaid/prepaidLedger.ts
@@ -3,11 +3,11 @@
  * by the own holding, a write or loans; relies on accounts, borrower and lender to do it.
  */
 
+import type { HoldingPolicy } from '@rackwalk/decisions'
 import { groupBy } from '@rackwalk/shared'
 import type { Clock, Milliseconds, Timer, TokenCount } from '@rackwalk/shared'
 import type { ChangedRow, RowAddress, RowStore } from '@rackwalk/stores'
 import type { StoreClock } from '../rows/storeClock.js'
-import type { HoldingPolicy } from '@rackwalk/decisions'
 import { Borrower } from './borrower.js'
 import type { LenderAnswer } from './borrower.js'
 import { Lender } from './lender.js'
--- a/packages/coordination/src/prepaid/writePlan.ts
+++ b/packages/coordination/src/prepaid/writePlan.ts
@@ -3,9 +3,9 @@
  * how the holding changes, and how much may be spent before the write after it.
  */
 
-import type { Milliseconds, TokenCount } from '@rackwalk/shared'
 import { committedBound, plentyOf } from '@rackwalk/decisions'
 import type { BudgetView, HoldingPolicy } from '@rackwalk/decisions'
+import type { Milliseconds, TokenCount } from '@rackwalk/shared'
 import { endHolding, freeInPool } from './prepaidRows.js'
 import type { HolderRow, PoolRow } from './prepaidRows.js'
 
