refactor: what others hold, what is free and the first row of a budget are reckoned in one place each

Cause: read once more. A refusal summed what others hold twice and drew up who shares the budget four times; the report had a copy of the sum. Exploration wrote a budget's first row as createBudget does, and the exit code of a sealed incarnation stood twice.

Change: PartitionView.unspentOf and one getter for what is free; a refusal no longer draws up a whole view; exploration calls createBudget; one constant for the exit code. Safe: the same figures in lines and refusals; no test was touched.

--- a/packages/coordination/src/embedding.ts
+++ b/packages/coordination/src/embedding.ts
@@ -25,7 +25,7 @@
 import { budgetKey } from './tableKeys.js'
 
 /** Exit code of a process whose incarnation was sealed; its supervisor starts it anew. */
-const SEALED_EXIT_CODE = 75
+export const SEALED_EXIT_CODE = 75
 const ONLY_REGION = asId<RegionId>('only')
 const ONLY_DOMAIN = asId<FailureDomainId>('only')
 
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -3,7 +3,7 @@
  * with exactly-once bills, claims for at-most-once requests, membership and configuration.
  * It takes the platform and a channel to peers as interfaces.
  */
-export { billOf, createBudget, standaloneParts } from './embedding.js'
+export { SEALED_EXIT_CODE, billOf, createBudget, standaloneParts } from './embedding.js'
 export type { NewBudget, ServedRequest, StandaloneOptions } from './embedding.js'
 export { CoordinationNode, notServingCode } from './coordinationNode.js'
 export type { CoordinationNodeParts, NodeIdentity } from './coordinationNode.js'
--- a/packages/coordination/src/prepaid/accountReport.ts
+++ b/packages/coordination/src/prepaid/accountReport.ts
@@ -58,8 +58,8 @@
 
   /** What is known here, for decision records and logs. */
   describe(): Readonly<Record<string, unknown>> {
-    const { holding, view, limit, others, demandPerSecond, callAge } = this.parts
-    const unspent = view.othersOf(others()).reduce((sum, other) => sum + other.unspent, 0)
+    const { holding, view, limit, demandPerSecond, callAge } = this.parts
+    const others = this.parts.others()
     return {
       limit: limit(),
       granted: holding.granted,
@@ -67,10 +67,10 @@
       allowance: holding.allowance,
       recordAge: Math.round(holding.recordAge),
       free: view.pool === undefined ? undefined : freeInPool(view.pool),
-      othersUnspent: unspent,
+      othersUnspent: view.unspentOf(others),
       demand: Math.round(demandPerSecond()),
       toldDemand: view.demandOfAll,
-      sharers: others().length + 1,
+      sharers: others.length + 1,
       sightAge: this.sightAge,
       callAge: callAge(),
     }
--- a/packages/coordination/src/prepaid/partitionView.ts
+++ b/packages/coordination/src/prepaid/partitionView.ts
@@ -99,6 +99,11 @@
     })
   }
 
+  /** Tokens that the given instances held unspent when their rows were last seen. */
+  unspentOf(instances: readonly string[]): TokenCount {
+    return this.othersOf(instances).reduce((sum, other) => sum + other.unspent, 0)
+  }
+
   /** Tokens a second that callers of all holders ask for, as their rows tell. */
   get demandOfAll(): number {
     let demand = 0
--- a/packages/coordination/src/prepaid/prepaidAccount.ts
+++ b/packages/coordination/src/prepaid/prepaidAccount.ts
@@ -279,12 +279,6 @@
     return [...working, ...askers.filter(asker => !working.includes(asker))]
   }
 
-  /** Tokens that other instances held unspent when their rows were last seen. */
-  private get othersUnspent(): TokenCount {
-    const others = this.view.othersOf(this.others)
-    return others.reduce((sum, other) => sum + other.unspent, 0)
-  }
-
   private isWriteDue(): boolean {
     if (this.limit === undefined || this.left) return false
     if (!this.waiting.isEmpty || this.holding.hasUnresolved) return true
@@ -449,11 +443,15 @@
     })
   }
 
+  /** Tokens in the pool as far as known here; before there is a pool row all of them. */
+  private get free(): TokenCount {
+    const { pool } = this.view
+    return pool === undefined ? Math.max(this.limit ?? 0, 0) : freeInPool(pool)
+  }
+
   private budgetView(): BudgetView {
-    const pool = this.view.pool
-    const limit = Math.max(this.limit ?? 0, 0)
     return {
-      free: pool === undefined ? limit : freeInPool(pool),
+      free: this.free,
       ownUnspent: this.holding.unspent,
       ownDemandPerSecond: this.demand.perSecond,
       others: this.view.othersOf(this.others),
@@ -532,8 +530,7 @@
   }
 
   private refused(tokens: TokenCount): RefusedOutcome {
-    const known = this.budgetView()
-    const left = Math.max(0, known.free) + known.ownUnspent + this.othersUnspent
+    const left = Math.max(0, this.free) + this.holding.unspent + this.view.unspentOf(this.others)
     const isKnown = this.view.isLoaded && !this.contact.isOutOfReach
     const reason = isKnown && tokens > left ? 'exhausted' : 'unavailable'
     const waitMilliseconds = this.holding.waitFor(tokens)
--- a/packages/daemon/src/openAiKind.ts
+++ b/packages/daemon/src/openAiKind.ts
@@ -5,19 +5,17 @@
  */
 
 import { consola } from 'consola'
+import { SEALED_EXIT_CODE } from '@rackwalk/coordination'
 import { RackwalkDaemon } from './rackwalkDaemon.js'
 import { report } from './report.js'
 import { parseSettings } from './settings/openAiSettings.js'
 
-/** Tells the supervisor that the process should be started anew, as a new incarnation. */
-const EXIT_SEALED = 75
-
 /** Runs an instance, or only checks its settings. */
 export async function runOpenAiKind(file: string, text: string, isCheck: boolean): Promise<void> {
   try {
     const settings = parseSettings(text)
     if (isCheck) return consola.success(`${file}: the settings are valid`)
-    const daemon = new RackwalkDaemon(settings, { onSealed: () => process.exit(EXIT_SEALED) })
+    const daemon = new RackwalkDaemon(settings, { onSealed: () => process.exit(SEALED_EXIT_CODE) })
     await daemon.start()
     const leave = () => void daemon.drain().then(() => process.exit(0))
     process.once('SIGINT', leave)
--- a/packages/stand-ins/src/exploration/world.ts
+++ b/packages/stand-ins/src/exploration/world.ts
@@ -4,7 +4,7 @@
 import { RackwalkError, ResultCode, SeededRandom, VirtualClock, asId } from '@rackwalk/shared'
 import type { BudgetId, IdempotencyKey, RequestId, TeamId, TransactionId } from '@rackwalk/shared'
 import type { JsonValue } from '@rackwalk/stores'
-import { MemoryCounters, createBudgetRow, tableKeys, withLimit } from '@rackwalk/coordination'
+import { MemoryCounters, createBudget, tableKeys, withLimit } from '@rackwalk/coordination'
 import type { BudgetRow, Claim, ClaimResult, Reservation } from '@rackwalk/coordination'
 import { MemoryTable } from '../platform/memoryTable.js'
 import { checkAlways, checkAtEnd } from './checkers.js'
@@ -106,16 +106,8 @@
   }
 
   private async createBudget(budgetId: BudgetId): Promise<void> {
-    const row = createBudgetRow(budgetId, TEAM, FIRST_LIMIT)
     this.greatestLimits.set(budgetId, FIRST_LIMIT)
-    await this.table.transact(this.nextTransaction(), [
-      {
-        kind: 'put',
-        key: tableKeys.budgetKey(budgetId),
-        condition: { kind: 'absent' },
-        value: row as unknown as JsonValue,
-      },
-    ])
+    await createBudget(this.table, { budgetId, teamId: TEAM, limit: FIRST_LIMIT })
   }
 
   private async perform(action: Action): Promise<void> {
