fix(choosing): nothing more is sent to an address that something else has taken

Cause: endpoints that crash while all instances are cut from the store come back under other ids at the same addresses. The list tells of it only after the cut; until then each request goes there, is answered 421, and ends with 3007 where its route allows one attempt.

Change: an endpoint whose address answered 421 is chosen no more; server_state tells it as replaced. An id names one start of an endpoint, so it cannot come back.

Ruled out: learning the new id from the answer, since another service may have the address.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -21,7 +21,7 @@
 export type { AttemptOutcome } from './retrying/attemptOutcome.js'
 export { FleetRetryBudget } from './retrying/fleetRetryBudget.js'
 export type { RetryBounds } from './retrying/fleetRetryBudget.js'
-export { isPromising, isServerError, nextStep } from './retrying/nextStep.js'
+export { isMisdirected, isPromising, isServerError, nextStep } from './retrying/nextStep.js'
 export type { NextStep } from './retrying/nextStep.js'
 
 export { DemandHoldingPolicy, EqualHoldingPolicy, plentyOf } from './placing/holdingPolicy.js'
--- a/packages/decisions/src/retrying/nextStep.ts
+++ b/packages/decisions/src/retrying/nextStep.ts
@@ -57,6 +57,11 @@
   return PROMISING_STATUSES.has(status)
 }
 
+/** Whether an answer says that the endpoint which was meant is no longer at its address. */
+export function isMisdirected(status: number): boolean {
+  return status === STATUS_MISDIRECTED
+}
+
 /** Whether an answer says that the endpoint failed. */
 export function isServerError(status: number): boolean {
   return status >= STATUS_SERVER_ERROR
--- a/packages/router/src/gateway/endpointDirectory.ts
+++ b/packages/router/src/gateway/endpointDirectory.ts
@@ -46,6 +46,8 @@
   loadAt: Milliseconds = Number.NEGATIVE_INFINITY
   /** Milliseconds an event of its answers, at their quickest; undefined until one was timed. */
   pace: Milliseconds | undefined
+  /** Whether something else answered at its address: this start of it is over, whatever is listed. */
+  hasEnded = false
   private failureShare = 0
   private failureAt: Milliseconds = 0
   private connections: EndpointAgent | undefined
@@ -152,6 +154,17 @@
     known.record = record
   }
 
+  /**
+   * Something else answers at the address of an endpoint: nothing more is sent there. While the
+   * store is out of reach, the list tells of an end only seconds later.
+   */
+  noteEnded(id: string): void {
+    const known = this.endpoints.get(id)
+    if (known === undefined || known.hasEnded) return
+    known.hasEnded = true
+    this.parts.onChange(known.record, 'replaced')
+  }
+
   /** An endpoint is no longer listed; what runs there may end. */
   remove(id: string): void {
     this.endLapse(id)
@@ -182,7 +195,8 @@
   /** Endpoints of a service to which new requests may go. */
   available(service: string): readonly EndpointState[] {
     return [...this.endpoints.values()].filter(
-      endpoint => endpoint.record.service === service && !endpoint.record.isLeaving,
+      endpoint =>
+        endpoint.record.service === service && !endpoint.record.isLeaving && !endpoint.hasEnded,
     )
   }
 
--- a/packages/router/src/gateway/requestAttempts.ts
+++ b/packages/router/src/gateway/requestAttempts.ts
@@ -8,6 +8,7 @@
 import type { IncomingMessage } from 'node:http'
 import {
   finalError,
+  isMisdirected,
   isPromising,
   isServerError,
   mayHaveRun,
@@ -246,6 +247,9 @@
     const reply = this.parts.dialect.readReply(status, response.headers)
     if (reply.load !== undefined) endpoint.noteLoad(reply.load)
     const outcome = this.judge(status, reply)
+    if (outcome.kind === 'refused' && isMisdirected(status)) {
+      this.parts.directory.noteEnded(endpoint.record.id)
+    }
     // An endpoint that refuses is full, not broken.
     if (outcome.kind !== 'refused') endpoint.noteOutcome(isAnsweredWell(outcome))
     const step = this.note(outcome)
