feat(prepaid): a budget that will soon be used up counts less as spent after a death

Cause: a row allows its writer two seconds of spending until the store takes the next one, and all of it counts as spent when the writer dies, also the time its machine is without power.

Change: the first time of a row covers the next record (1.5 times the time between two) where the budget lasts less than 8 s at its demand, and grows to two seconds where it lasts 14 s. Between it and the evidence of a cut nothing more may be spent without a write. What a cut refuses of such a budget is spent later; what a death hides is not. Rows have one more field; an earlier version reads a later bound, which counts more, and rows without it are read as before.

Ruled out: allowing a cut sooner, since a cut and a loss of power look the same from the store; shorter times for all budgets, which would refuse in each cut what is never missed.

--- a/packages/coordination/__tests__/prepaidEvents.spec.ts
+++ b/packages/coordination/__tests__/prepaidEvents.spec.ts
@@ -129,7 +129,14 @@
 })
 
 function holderText(row: Partial<HolderRow>): string {
-  const empty = { strictRate: 0, strictMilliseconds: 0, cutBurst: 0, cutRate: 0, base: 0 }
+  const empty = {
+    strictRate: 0,
+    strictMilliseconds: 0,
+    cutAfterMilliseconds: 0,
+    cutBurst: 0,
+    cutRate: 0,
+    base: 0,
+  }
   const known = { incarnation: 'other', sequence: 1, granted: 0, committed: 0, wanted: 0 }
   return holderRowCodec.encode({ ...empty, ...known, demandPerSecond: 0, ...row })
 }
--- a/packages/coordination/src/prepaid/prepaidAccount.ts
+++ b/packages/coordination/src/prepaid/prepaidAccount.ts
@@ -437,6 +437,7 @@
       storeTime: storeClock.lowerBound ?? 0,
       diedBefore: storeClock.upperBoundAt(startedAt),
       policy: this.parts.policy,
+      recordMilliseconds: this.parts.recordMilliseconds(),
       spendingPerSecond: this.spending.perSecond,
       budgetView: this.budgetView(),
       othersWant: this.view.wantedByOthers(instance),
--- a/packages/coordination/src/prepaid/prepaidRows.ts
+++ b/packages/coordination/src/prepaid/prepaidRows.ts
@@ -38,7 +38,8 @@
   readonly strictRate: number
   /** while no more than this time has passed since `base`; */
   readonly strictMilliseconds: Milliseconds
-  /** after that, when the store is evidently out of reach, so many at once, */
+  /** after this time, when the store is evidently out of reach, so many at once, */
+  readonly cutAfterMilliseconds: Milliseconds
   readonly cutBurst: TokenCount
   /** and so many a second. */
   readonly cutRate: number
@@ -102,6 +103,8 @@
   base: z.number(),
   strictRate: z.number(),
   strictMilliseconds: z.number(),
+  // Rows of earlier versions have none: for them a cut is evident when the first time is over.
+  cutAfterMilliseconds: z.number().optional(),
   cutBurst: z.number(),
   cutRate: z.number(),
   demandPerSecond: z.number(),
@@ -119,6 +122,7 @@
     base: row.base,
     strictRate: row.strictRate,
     strictMilliseconds: row.strictMilliseconds,
+    cutAfterMilliseconds: row.cutAfterMilliseconds,
     cutBurst: row.cutBurst,
     cutRate: row.cutRate,
     demandPerSecond: row.demandPerSecond,
@@ -131,5 +135,8 @@
   schema: holderSchema,
   toWire: holderToWire,
   // The names in the store are those of the type at present.
-  fromWire: wire => wire,
+  fromWire: wire => ({
+    ...wire,
+    cutAfterMilliseconds: wire.cutAfterMilliseconds ?? wire.strictMilliseconds,
+  }),
 })
--- a/packages/coordination/src/prepaid/writePlan.ts
+++ b/packages/coordination/src/prepaid/writePlan.ts
@@ -3,7 +3,13 @@
  * how the holding changes, and how much may be spent before the write after it.
  */
 
-import { committedBound, plentyOf } from '@rackwalk/decisions'
+import {
+  CUT_AFTER_MILLISECONDS,
+  committedBound,
+  plentyOf,
+  secondsLeft,
+  strictSpan,
+} from '@rackwalk/decisions'
 import type { BudgetView, HoldingPolicy } from '@rackwalk/decisions'
 import type { Milliseconds, TokenCount } from '@rackwalk/shared'
 import { endHolding, freeInPool } from './prepaidRows.js'
@@ -28,6 +34,8 @@
   /** A time of the store at which an earlier incarnation was dead. */
   readonly diedBefore: Milliseconds | undefined
   readonly policy: HoldingPolicy
+  /** Longest time between two writes while tokens are spent. */
+  readonly recordMilliseconds: Milliseconds
   /** Tokens a second that this instance commits. */
   readonly spendingPerSecond: number
   readonly budgetView: BudgetView
@@ -65,12 +73,6 @@
  * write that contends for the pool. Chosen, not measured by itself.
  */
 const TOLERANCE = 0.12
-/**
- * While the store answers, a row is never older than this. What may be spent in that time is lost
- * when the process is killed, so it is kept to the demand. Measured: 1.6 s gave a mean worth of 0.510
- * and 0.646, 2 s gave 0.553 and 0.681 on other code (docs/measurements.md).
- */
-const STRICT_MILLISECONDS = 2_000
 /** Times the present spending that the first time allows. Chosen: the demand once. */
 const STRICT_DEMAND_FACTOR = 1
 /**
@@ -211,7 +213,8 @@
     committed,
     base: inputs.storeTime,
     strictRate: Math.ceil(STRICT_DEMAND_FACTOR * strictDemand(inputs, unspent)),
-    strictMilliseconds: STRICT_MILLISECONDS,
+    strictMilliseconds: strictSpan(secondsLeft(inputs.budgetView), inputs.recordMilliseconds),
+    cutAfterMilliseconds: CUT_AFTER_MILLISECONDS,
     cutBurst: Math.floor(Math.min(unspent / 2, burst)),
     cutRate: Math.ceil(CUT_DEMAND_FACTOR * inputs.spendingPerSecond + unspent / cutSeconds),
     demandPerSecond: Math.round(ownDemandPerSecond),
--- a/packages/decisions/__tests__/spendingBound.spec.ts
+++ b/packages/decisions/__tests__/spendingBound.spec.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
-import { committedBound, timeOfBound } from '@rackwalk/decisions'
+import { committedBound, strictSpan, timeOfBound } from '@rackwalk/decisions'
 
 /** What an instance may spend by its own row while the store is away. */
 
@@ -9,6 +9,7 @@
   committed: 1_000,
   strictRate: 100,
   strictMilliseconds: 2_000,
+  cutAfterMilliseconds: 2_000,
   cutBurst: 500,
   cutRate: 1_000,
 }
@@ -59,4 +60,35 @@
       { seed: 1 },
     )
   })
+
+  it('stands still between its first time and the evidence of a cut', () => {
+    const bound = { ...BOUND, strictMilliseconds: 750 }
+    const times = [750, 1_000, 2_000, 2_001]
+    expect(times.map(time => committedBound(bound, time))).toEqual([1_075, 1_075, 1_075, 1_576])
+    expect(timeOfBound(bound, 1_076)).toBe(2_001)
+  })
+})
+
+describe('the first time of a row', () => {
+  it('is shorter where the budget will soon be used up, and covers the next record', () => {
+    const cases = [
+      [60, 500],
+      [14, 500],
+      [11, 500],
+      [8, 500],
+      [0, 500],
+      [0, 1_600],
+    ] as const
+    const table = cases.map(([left, record]) => `${left} s, ${record}: ${strictSpan(left, record)}`)
+    expect(table).toMatchInlineSnapshot(`
+      [
+        "60 s, 500: 2000",
+        "14 s, 500: 2000",
+        "11 s, 500: 1375",
+        "8 s, 500: 750",
+        "0 s, 500: 750",
+        "0 s, 1600: 2000",
+      ]
+    `)
+  })
 })
--- a/packages/decisions/src/admitting/spendingBound.ts
+++ b/packages/decisions/src/admitting/spendingBound.ts
@@ -1,9 +1,9 @@
 /**
  * How much of a budget may an instance spend while the store is away?
  *
- * The instance wrote its bound into its row before: a rate for the first two seconds, in which the
- * store normally takes the next row, then a burst and another rate, since by then the store is
- * evidently out of reach. The instance never goes beyond the bound, counted from before the row
+ * The instance wrote its bound into its row before: a rate for the first time, in which the store
+ * normally takes the next row, then a burst and another rate from when the store is evidently out
+ * of reach. The first time is shorter where the budget will soon be used up. The instance never goes beyond the bound, counted from before the row
  * was sent. Whether a row is old because its writer was cut off or because it died cannot be told,
  * so what a cut may spend is also what a death loses: the next incarnation counts the bound as
  * spent up to its own start. How the rates are set: coordination/prepaid/writePlan.ts. While the
@@ -21,9 +21,11 @@
   readonly committed: TokenCount
   /** Tokens a second beyond `committed` in the first time, */
   readonly strictRate: number
-  /** which is so long; */
+  /** which is so long; then no more until a cut is evident, */
   readonly strictMilliseconds: Milliseconds
-  /** after it, so many at once, */
+  /** which is at this time; */
+  readonly cutAfterMilliseconds: Milliseconds
+  /** from then on, so many at once, */
   readonly cutBurst: TokenCount
   /** and so many a second. */
   readonly cutRate: number
@@ -32,7 +34,7 @@
 /** The most that may have been committed, `elapsed` milliseconds after the row's base time. */
 export function committedBound(bound: SpendingBound, elapsed: Milliseconds): TokenCount {
   const strict = Math.max(0, Math.min(elapsed, bound.strictMilliseconds))
-  const cut = Math.max(0, elapsed - bound.strictMilliseconds)
+  const cut = Math.max(0, elapsed - bound.cutAfterMilliseconds)
   const growth = (bound.strictRate * strict + bound.cutRate * cut) / 1000
   const burst = cut > 0 ? bound.cutBurst : 0
   return Math.min(bound.granted, Math.floor(bound.committed + burst + growth))
@@ -45,6 +47,32 @@
   const byStrict = bound.strictRate * bound.strictMilliseconds
   if (missing <= byStrict) return missing <= 0 ? 0 : missing / bound.strictRate
   const beyond = missing - byStrict - bound.cutBurst * 1000
-  if (beyond <= 0) return bound.strictMilliseconds + 1
-  return bound.cutRate > 0 ? bound.strictMilliseconds + beyond / bound.cutRate : undefined
+  if (beyond <= 0) return bound.cutAfterMilliseconds + 1
+  return bound.cutRate > 0 ? bound.cutAfterMilliseconds + beyond / bound.cutRate : undefined
+}
+
+/** A row this old says that the store is out of reach: while it answers, no row is older. */
+export const CUT_AFTER_MILLISECONDS = 2_000
+/**
+ * Times between two records that the first time covers at least: a write that is due takes a part of
+ * one. Chosen, not measured.
+ */
+const COVERED_RECORDS = 1.5
+/**
+ * A budget that will be used up in `MISSED_SECONDS` misses what a death hides within seconds, and
+ * spends later what a cut refuses; one that lasts `UNMISSED_SECONDS` does neither.
+ */
+const MISSED_SECONDS = 8
+const UNMISSED_SECONDS = 14
+
+/**
+ * How long an instance may go on spending by a row before it waits for the next one, or for the
+ * evidence of a cut. All that it may spend after its death counts as spent: machines that were
+ * without power for a second cost their teams a second's tokens that nobody got.
+ */
+export function strictSpan(secondsLeft: number, recordMilliseconds: Milliseconds): Milliseconds {
+  const least = Math.min(CUT_AFTER_MILLISECONDS, COVERED_RECORDS * recordMilliseconds)
+  const position = (secondsLeft - MISSED_SECONDS) / (UNMISSED_SECONDS - MISSED_SECONDS)
+  const share = Math.max(0, Math.min(1, position))
+  return Math.round(least + share * (CUT_AFTER_MILLISECONDS - least))
 }
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -13,7 +13,12 @@
 export { nextPace, slownessOf, usualPace } from './choosing/slowness.js'
 export { rendezvousChoice, rendezvousOrder } from './choosing/rendezvous.js'
 
-export { committedBound, timeOfBound } from './admitting/spendingBound.js'
+export {
+  CUT_AFTER_MILLISECONDS,
+  committedBound,
+  strictSpan,
+  timeOfBound,
+} from './admitting/spendingBound.js'
 export { budgetPatience, returnAfterSeconds } from './admitting/budgetPatience.js'
 export { settledCost } from './admitting/settledCost.js'
 
@@ -24,7 +29,12 @@
 export { isMisdirected, isPromising, isServerError, nextStep } from './retrying/nextStep.js'
 export type { NextStep } from './retrying/nextStep.js'
 
-export { DemandHoldingPolicy, EqualHoldingPolicy, plentyOf } from './placing/holdingPolicy.js'
+export {
+  DemandHoldingPolicy,
+  EqualHoldingPolicy,
+  plentyOf,
+  secondsLeft,
+} from './placing/holdingPolicy.js'
 export type { BudgetView, HoldingPolicy } from './placing/holdingPolicy.js'
 export { ActiveInstances, chooseActive, isBusy } from './placing/activeInstances.js'
 export type { ActiveBounds, ActiveCandidate } from './placing/activeInstances.js'
--- a/packages/decisions/src/placing/holdingPolicy.ts
+++ b/packages/decisions/src/placing/holdingPolicy.ts
@@ -93,12 +93,15 @@
  * matters) to 1 (plentiful: it does not).
  */
 export function plentyOf(view: BudgetView): number {
+  const position = (secondsLeft(view) - SCARCE_SECONDS) / (PLENTY_SECONDS - SCARCE_SECONDS)
+  return Math.max(0, Math.min(1, position))
+}
+
+/** Seconds for which a budget will last at the present demand; infinite where there is none. */
+export function secondsLeft(view: BudgetView): number {
   const demands = view.others.map(other => other.demandPerSecond)
   const demand = demands.reduce((left, right) => left + right, view.ownDemandPerSecond)
-  if (demand <= 0) return 1
-  const seconds = unspentTotal(view) / demand
-  const position = (seconds - SCARCE_SECONDS) / (PLENTY_SECONDS - SCARCE_SECONDS)
-  return Math.max(0, Math.min(1, position))
+  return demand <= 0 ? Number.POSITIVE_INFINITY : unspentTotal(view) / demand
 }
 
 function unspentTotal(view: BudgetView): TokenCount {
