refactor(prepaid): who shares a budget and who is asked for tokens is a rule of its own

Cause: both choices stood between the reads and writes of prepaidAccount, with their constants, and could only be tried through a whole ledger. Change: placing/budgetSharers.ts, pure, with a table; prepaidAccount collects what it needs.

--- a/packages/coordination/src/prepaid/prepaidAccount.ts
+++ b/packages/coordination/src/prepaid/prepaidAccount.ts
@@ -4,6 +4,7 @@
  * PartitionView for what the others hold, and on writePlan for what the next write says.
  */
 
+import { askingSince, budgetLenders, budgetSharers } from '@rackwalk/decisions'
 import type { BudgetView, HoldingPolicy } from '@rackwalk/decisions'
 import { sleep } from '@rackwalk/shared'
 import type { Clock, Milliseconds, TokenCount } from '@rackwalk/shared'
@@ -69,13 +70,6 @@
 const STANDBY_SIGHT_MILLISECONDS = 1_000
 /** Tokens a second below which an instance that stands by asks for no holding. Chosen: as rows round. */
 const LEAST_DEMAND_PER_SECOND = 1
-/** Who holds nothing by rows seen longer ago may hold something now. Chosen: some reads of an active one. */
-const TRUSTED_SIGHT_MILLISECONDS = 5_000
-/**
- * A holder whose row tells of demand shares the budget for this long after the row was written. Chosen:
- * longer than any time between two records, so that a late record takes nothing from it.
- */
-const ASKING_MILLISECONDS = 15_000
 /** Tries to give everything back at a planned stop; the grace time ends them earlier. Chosen. */
 const LEAVE_ATTEMPTS = 12
 
@@ -161,15 +155,10 @@
     this.spending.add(-tokens)
   }
 
-  /**
-   * Instances that hold unspent tokens of this budget, the most first. Where the rows were seen too long
-   * ago, as on an instance that stood by until the store went away, any other may hold some by now.
-   */
+  /** Instances to ask for tokens of this budget, the likeliest first. */
   get lenders(): readonly string[] {
     const { others } = this
-    const known = this.view.lendersAmong(others)
-    if ((this.report.sightAge ?? Infinity) < TRUSTED_SIGHT_MILLISECONDS) return known
-    return [...known, ...others.filter(other => !known.includes(other))]
+    return budgetLenders(this.view.lendersAmong(others), others, this.report.sightAge)
   }
 
   /** Sets tokens aside in this holding, for whoever asks. */
@@ -267,16 +256,10 @@
     return this.holding.unspent + Math.max(0, free)
   }
 
-  /**
-   * The instances with which this one shares the budget: those that serve callers, and those whose
-   * rows tell of demand. Without the latter a team whose callers all come to an instance that
-   * stands by was served 0.10 of its requests in the first five seconds (standbyDemand.spec).
-   */
+  /** The other instances with which this one shares the budget. */
   private get others(): readonly string[] {
-    const working = this.parts.otherInstances()
-    const since = (this.parts.storeClock.lowerBound ?? Infinity) - ASKING_MILLISECONDS
-    const askers = this.view.askersSince(since)
-    return [...working, ...askers.filter(asker => !working.includes(asker))]
+    const askers = this.view.askersSince(askingSince(this.parts.storeClock.lowerBound))
+    return budgetSharers(this.parts.otherInstances(), askers)
   }
 
   private isWriteDue(): boolean {
--- /dev/null
+++ b/packages/decisions/__tests__/budgetSharers.spec.ts
@@ -0,0 +1,24 @@
+import { describe, expect, it } from 'vitest'
+import { askingSince, budgetLenders, budgetSharers } from '@rackwalk/decisions'
+
+/** Who shares a budget, and who is asked for tokens. */
+
+describe('the sharers of a budget', () => {
+  it('are those that serve callers and those whose rows tell of demand, each once', () => {
+    expect(budgetSharers(['a', 'b'], ['b', 'c'])).toEqual(['a', 'b', 'c'])
+  })
+
+  it('tell of demand for 15 s, and never before a time of the store is known', () => {
+    expect([askingSince(20_000), askingSince(undefined)]).toEqual([5_000, Infinity])
+  })
+})
+
+describe('the lenders of a budget', () => {
+  it.each([
+    ['lately', 4_999, 'b'],
+    ['long ago', 5_000, 'b, a, c'],
+    ['never', undefined, 'b, a, c'],
+  ] as const)('where rows were seen %s', (_, sightAge, expected) => {
+    expect(budgetLenders(['b'], ['a', 'b', 'c'], sightAge).join(', ')).toBe(expected)
+  })
+})
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -37,6 +37,7 @@
   secondsLeft,
 } from './placing/holdingPolicy.js'
 export type { BudgetView, HoldingPolicy } from './placing/holdingPolicy.js'
+export { askingSince, budgetLenders, budgetSharers } from './placing/budgetSharers.js'
 export { ActiveInstances, chooseActive, isBusy } from './placing/activeInstances.js'
 export type { ActiveBounds, ActiveCandidate } from './placing/activeInstances.js'
 
