feat(metrics): late answers by team, and why a request was late

Cause: nothing told that an answer was late by a pause; the first events of the answers that callers counted as late came early. Change: lateness (first-byte or pause) in the line of a request, by the goals of its route, and rackwalk_gateway_late_answers_total by team and cause.

--- a/packages/daemon/src/gateway/gatewayMetrics.ts
+++ b/packages/daemon/src/gateway/gatewayMetrics.ts
@@ -31,6 +31,7 @@
   readonly registry = new Registry()
   private readonly requests: Counter
   private readonly teamRequests: Counter
+  private readonly lateAnswers: Counter
   private readonly attempts: Counter
   private readonly reservations: Counter
   private readonly tokens: Counter
@@ -54,6 +55,12 @@
       labelNames: ['tenant', 'outcome'],
       registers,
     })
+    this.lateAnswers = new Counter({
+      name: 'rackwalk_gateway_late_answers_total',
+      help: 'Answers that came late, by tenant and by what was late: first-byte or pause.',
+      labelNames: ['tenant', 'cause'],
+      registers,
+    })
     this.attempts = new Counter({
       name: 'rackwalk_gateway_attempts_total',
       help: 'Requests sent to servers, by service and outcome.',
@@ -124,8 +131,9 @@
     this.total.observe((record.totalMilliseconds ?? 0) / 1000)
   }
 
-  private noteTeam({ team, spent }: GatewayRecord, code: ResultCode): void {
+  private noteTeam({ team, spent, lateness }: GatewayRecord, code: ResultCode): void {
     if (team === undefined) return
+    if (lateness !== undefined) this.lateAnswers.inc({ tenant: team, cause: lateness })
     this.teamRequests.inc({ tenant: team, outcome: teamOutcome(code) })
     this.tokens.inc({ tenant: team }, spent ?? 0)
   }
--- a/packages/daemon/src/gateway/requestLine.ts
+++ b/packages/daemon/src/gateway/requestLine.ts
@@ -36,6 +36,7 @@
     execution: record.execution,
     detail: record.detail,
     firstByteMilliseconds: rounded(record.firstByteMilliseconds),
+    lateness: record.lateness,
     totalMilliseconds: rounded(record.totalMilliseconds),
   }
 }
--- a/packages/router/__tests__/streamPace.spec.ts
+++ b/packages/router/__tests__/streamPace.spec.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest'
-import { PauseMeter, ReadingMeter, StreamPace } from '@rackwalk/router'
+import { PauseMeter, ReadingMeter, StreamPace, latenessOf } from '@rackwalk/router'
 import { VirtualClock } from '@rackwalk/shared'
 
 /** Sight of streams: their pauses and pace, and what endpoints read beside them. */
@@ -68,3 +68,24 @@
     expect([meter.stretchOf('model'), meter.stretchOf('other')]).toEqual([0.9, undefined])
   })
 })
+
+describe('an answer', () => {
+  const route = { goalMilliseconds: 1_000, pauseGoalMilliseconds: 300 }
+  const pause = (milliseconds: number) => ({ milliseconds, pendingTokens: 0 })
+
+  it.each([
+    ['none began', undefined, undefined, undefined],
+    ['in time', 1_000, pause(300), undefined],
+    ['without a second event', 500, undefined, undefined],
+    ['late at its beginning', 1_001, pause(400), 'first-byte'],
+    ['late by a pause', 500, pause(301), 'pause'],
+  ] as const)('is judged where %s', (_, firstByteMilliseconds, longestPause, expected) => {
+    expect(latenessOf(route, { firstByteMilliseconds, longestPause })).toBe(expected)
+  })
+
+  it('may pause where callers accept any pause', () => {
+    const patient = { ...route, pauseGoalMilliseconds: undefined }
+    const times = { firstByteMilliseconds: 500, longestPause: pause(9_000) }
+    expect(latenessOf(patient, times)).toBeUndefined()
+  })
+})
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -26,6 +26,7 @@
   RouteTable,
 } from './gatewayConfiguration.js'
 import type { GatewayRecord } from './gatewayRecord.js'
+import { latenessOf } from './lateness.js'
 import { RequestAttempts } from './requestAttempts.js'
 import type { AttemptsParts, AttemptsResult } from './requestAttempts.js'
 
@@ -137,11 +138,20 @@
       })
       result = await attempts.run()
       record.execution = result.mayHaveRun ? 'ran' : 'not-run'
+      this.noteLateness(route, record)
     } finally {
       this.settle(identified, reservation, result, record)
     }
   }
 
+  private noteLateness(route: GatewayRoute, record: GatewayRecord): void {
+    const lateness = latenessOf(route, {
+      firstByteMilliseconds: record.firstByteMilliseconds,
+      longestPause: record.attempts.at(-1)?.longestPause,
+    })
+    if (lateness !== undefined) record.lateness = lateness
+  }
+
   private identify(
     request: IncomingMessage,
     metadata: RequestMetadata,
--- a/packages/router/src/gateway/gatewayRecord.ts
+++ b/packages/router/src/gateway/gatewayRecord.ts
@@ -3,6 +3,7 @@
 import type { Milliseconds, TokenCount } from '@rackwalk/shared'
 import type { AttemptOutcome } from '@rackwalk/decisions'
 import type { LenderAnswer } from '@rackwalk/coordination'
+import type { Lateness } from './lateness.js'
 import type { StreamPause } from './streamPace.js'
 import type { Execution } from '@rackwalk/shared'
 
@@ -47,5 +48,7 @@
   execution?: Execution
   detail?: string
   firstByteMilliseconds?: Milliseconds
+  /** Why its caller counts a served answer as late. */
+  lateness?: Lateness
   totalMilliseconds?: Milliseconds
 }
