fix(admitting): the link budget counts bodies that come without a length

Change: a body of unknown size is let in where one of the usual size fits, and counts when it is read. A body with a length counts as before.

--- a/packages/decisions/__tests__/linkBudget.spec.ts
+++ b/packages/decisions/__tests__/linkBudget.spec.ts
@@ -25,6 +25,19 @@
     expect(budget.take(7_000, 0)).toBeCloseTo(120)
   })
 
+  it('lets bodies of unknown size in by what such bodies were before', () => {
+    const budget = new LinkBudget(LINK)
+    const first = budget.take(undefined, 0)
+    budget.noteRead(130_000, 0)
+    expect([first, budget.take(undefined, 0), budget.take(undefined, 400)]).toMatchInlineSnapshot(`
+      [
+        0,
+        342.85714285714283,
+        0,
+      ]
+    `)
+  })
+
   it('takes a body larger than all of it when untouched', () => {
     const budget = new LinkBudget(LINK)
     expect(budget.take(5_000_000, 1_000)).toBe(0)
--- a/packages/decisions/src/admitting/linkBudget.ts
+++ b/packages/decisions/src/admitting/linkBudget.ts
@@ -12,6 +12,7 @@
  */
 
 import type { Bytes, Milliseconds } from '@rackwalk/shared'
+import { trackedValue } from '../choosing/trackedValue.js'
 
 /**
  * Part of the link that the bodies of requests may take in: each goes out again to an endpoint, and a
@@ -24,12 +25,17 @@
 /** A body that fits into a few packets costs no more than its refusal. */
 const SMALL_BYTES: Bytes = 4_096
 
+/** Weights of one body in the mean of those that come without a length. Chosen: some twenty count. */
+const MEAN_WEIGHTS = { above: 0.05, below: 0.05 }
+
 /** What the own link still carries; it refills with time. */
 export class LinkBudget {
   private readonly perMillisecond: number
   private readonly most: Bytes
   private left: Bytes
   private at: Milliseconds = 0
+  /** Mean of the bodies that came without a length; undefined before the first. */
+  private usualBytes: number | undefined
 
   /** A budget for a link of so many bytes a second. */
   constructor(linkBytesPerSecond: number) {
@@ -40,16 +46,30 @@
 
   /**
    * Takes a body of this size where the link carries it: 0, or else the time after which it will;
-   * `now` is monotonic.
+   * `now` is monotonic. A body of unknown size is let in where one of the usual size fits, and
+   * counts when it is read.
    */
-  take(bytes: Bytes, now: Milliseconds): Milliseconds {
+  take(bytes: Bytes | undefined, now: Milliseconds): Milliseconds {
     this.refill(now)
-    const needed = bytes <= SMALL_BYTES ? Number.NEGATIVE_INFINITY : Math.min(bytes, this.most)
+    const expected = bytes ?? this.usualBytes ?? 0
+    const needed =
+      expected <= SMALL_BYTES ? Number.NEGATIVE_INFINITY : Math.min(expected, this.most)
     if (this.left < needed) return (needed - this.left) / this.perMillisecond
-    this.left = Math.max(-this.most, this.left - bytes)
+    if (bytes !== undefined) this.spend(bytes)
     return 0
   }
 
+  /** A body that was let in without its size has been read. */
+  noteRead(bytes: Bytes, now: Milliseconds): void {
+    this.refill(now)
+    this.spend(bytes)
+    this.usualBytes = trackedValue(this.usualBytes, bytes, MEAN_WEIGHTS)
+  }
+
+  private spend(bytes: Bytes): void {
+    this.left = Math.max(-this.most, this.left - bytes)
+  }
+
   private refill(now: Milliseconds): void {
     this.left = Math.min(this.most, this.left + (now - this.at) * this.perMillisecond)
     this.at = now
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -5,7 +5,7 @@
 
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { NotRunError, RESULT_TABLE, ResultCode, toRackwalkError } from '@rackwalk/shared'
-import type { Clock, Milliseconds, RandomSource } from '@rackwalk/shared'
+import type { Bytes, Clock, Milliseconds, RandomSource } from '@rackwalk/shared'
 import {
   FleetRetryBudget,
   LinkBudget,
@@ -114,8 +114,9 @@
     const identified = this.identify(request, metadata, record)
     const { route, service, team } = identified
     this.takeFromLink(request)
-    const body = await this.readBody(request)
     const { clock, instances } = this.parts
+    const body = await this.readBody(request)
+    if (announcedBytes(request) === undefined) this.link.noteRead(body.length, clock.monotonic())
     const retries = this.retryBudget(service.name)
     retries.noteRequest(clock.monotonic())
     const reservation = await this.reserve(identified, record)
@@ -179,9 +180,7 @@
 
   /** Refuses a request whose body the own link cannot take in now, before any of it is read. */
   private takeFromLink(request: IncomingMessage): void {
-    // A body that comes in chunks tells no size; it counts as small.
-    const bytes = Number(request.headers['content-length'] ?? 0)
-    const wait = this.link.take(bytes, this.parts.clock.monotonic())
+    const wait = this.link.take(announcedBytes(request), this.parts.clock.monotonic())
     if (wait === 0) return
     this.postponeBody(request, wait)
     throw new NotRunError(ResultCode.LinkFull, undefined, returnAfterSeconds(wait))
@@ -275,6 +274,12 @@
   }
 }
 
+/** The size of a body, told ahead; undefined where it comes in chunks. */
+function announcedBytes({ headers }: IncomingMessage): Bytes | undefined {
+  if (headers['transfer-encoding'] !== undefined) return undefined
+  return Number(headers['content-length'] ?? 0)
+}
+
 function findTeam(routes: RouteTable, metadata: RequestMetadata): GatewayTeam {
   const key = metadata.credential
   const team = key === undefined ? undefined : routes.teamOf(key)
