--- a/packages/router/src/gateway/streamPace.ts
+++ b/packages/router/src/gateway/streamPace.ts
@@ -1,6 +1,6 @@
 /**
- * Times the events of one stream as they come from its endpoint: the first one, the longest pause
- * and the quickest pace. Owns those figures.
+ * Times the events of one stream as they come from its endpoint: the longest pause, with what was
+ * read meanwhile, and the pace while nothing was. Owns those figures.
  */
 
 import type { Clock, Milliseconds, TokenCount } from '@rackwalk/shared'
@@ -47,10 +47,12 @@
   noteEvents(count: number): void {
     const now = this.parts.clock.monotonic()
     const pendingTokens = this.parts.pendingTokens()
+    const beside = Math.max(pendingTokens, this.lastPendingTokens)
     if (this.lastAt === undefined) this.windowAt = now
-    else this.notePause(now - this.lastAt, Math.max(pendingTokens, this.lastPendingTokens))
-    if (this.lastAt !== undefined)
-      this.noteWindow(now, count, Math.max(pendingTokens, this.lastPendingTokens))
+    else {
+      this.notePause(now - this.lastAt, beside)
+      this.noteWindow(now, count, beside)
+    }
     this.lastAt = now
     this.lastPendingTokens = pendingTokens
   }
