--- a/bench/src/capacity/gatewaySlopes.ts
+++ b/bench/src/capacity/gatewaySlopes.ts
@@ -101,7 +101,14 @@
       isLeaving: false,
     })
   }
-  const fleetLoad = new FleetLoad({ ...INSTANCE, directory, clock, capacityOf: () => CAPACITY })
+  const fleetLoad = new FleetLoad({
+    ...INSTANCE,
+    directory,
+    clock,
+    capacityOf: () => CAPACITY,
+    isTold: () => true,
+    users: () => 7,
+  })
   return { directory, fleetLoad }
 }
 
--- a/packages/coordination/__tests__/malformedRows.spec.ts
+++ b/packages/coordination/__tests__/malformedRows.spec.ts
@@ -53,7 +53,7 @@
       heartbeatMilliseconds: 1_000,
       silenceMilliseconds: 3_500,
       partitionWritesPerSecond: 150,
-      onEvent: () => {},
+      onStateChange: () => {},
       onMalformedRow: ({ key }) => malformed.push(key),
     })
     const address = { table: MEMBER_TABLE, partition: MEMBER_PARTITION, key: 'instance-2' }
--- a/packages/coordination/__tests__/memberDirectory.spec.ts
+++ b/packages/coordination/__tests__/memberDirectory.spec.ts
@@ -8,8 +8,9 @@
 function setUp() {
   const clock = new VirtualClock()
   const rows = new MemoryRowStore(clock)
-  const start = (instance: string, isActive: boolean) => {
+  const start = (instance: string, isActive: boolean, isCut = false) => {
     const { store, faults } = rows.connect()
+    faults.isCut = isCut
     const directory = new MemberDirectory({
       self: {
         instance,
@@ -30,7 +31,7 @@
       heartbeatMilliseconds: 1_000,
       silenceMilliseconds: 3_500,
       partitionWritesPerSecond: 150,
-      onEvent: () => {},
+      onStateChange: () => {},
       onMalformedRow: () => {},
     })
     let reads = 0
@@ -92,4 +93,15 @@
     await clock.advance(2_000)
     expect(names(observer.directory)).toEqual(['other'])
   })
+
+  it('knows the fleet once the rows were read, or nobody gave them for a while', async () => {
+    const { clock, start } = setUp()
+    const reached = start('reached', true)
+    const cut = start('cut', true, true)
+    expect([reached.directory.isKnown, cut.directory.isKnown]).toEqual([false, false])
+    await clock.advance(100)
+    expect([reached.directory.isKnown, cut.directory.isKnown]).toEqual([true, false])
+    await clock.advance(1_500)
+    expect(cut.directory.isKnown).toBe(true)
+  })
 })
--- a/packages/coordination/__tests__/storedRows.spec.ts
+++ b/packages/coordination/__tests__/storedRows.spec.ts
@@ -96,7 +96,7 @@
     heartbeatMilliseconds: 1_000,
     silenceMilliseconds: 3_500,
     partitionWritesPerSecond: 150,
-    onEvent: (event, fields) => events.push({ event, ...fields }),
+    onStateChange: (member, state) => events.push({ event: 'member_state', member, state }),
     onMalformedRow: () => {},
   })
 }
--- a/packages/coordination/src/membership/memberDirectory.ts
+++ b/packages/coordination/src/membership/memberDirectory.ts
@@ -30,7 +30,8 @@
   readonly silenceMilliseconds: Milliseconds
   /** Writes a second that the partition of all rows takes. */
   readonly partitionWritesPerSecond: number
-  readonly onEvent: (event: string, fields: Readonly<Record<string, unknown>>) => void
+  /** An instance appeared, or began to drain. */
+  readonly onStateChange: (instance: string, state: MemberState) => void
   /** A row that is no member's; it is left out, and what was known before stays. */
   readonly onMalformedRow: (row: RowAddress) => void
 }
@@ -51,12 +52,20 @@
 /** Rows of instances that have not been renewed for this many silences are removed. */
 const REMOVE_AFTER_SILENCES = 20
 
+/**
+ * An instance waits this long for the rows before it takes itself for the only one. Chosen: a store or a peer
+ * that answers gives them in a tenth of it.
+ */
+const FIRST_READ_MILLISECONDS = 1_500
+
 /** The members of the fleet, on one instance. */
 export class MemberDirectory {
   private readonly members = new Map<string, KnownMember>()
   private heartbeat = 0
   private renewalMilliseconds: Milliseconds
   private draining = false
+  private loaded = false
+  private startedAt: Milliseconds | undefined
   private timer: Timer | undefined
   /**
    * Time during which this instance read the rows without a gap. Silence is counted in it: an
@@ -70,6 +79,7 @@
   }
 
   start(): void {
+    this.startedAt = this.parts.clock.monotonic()
     void this.renew()
   }
 
@@ -93,6 +103,7 @@
   observe(rows: readonly ChangedRow[], isWhole: boolean): void {
     for (const row of rows) this.observeRow(row)
     if (!isWhole) return
+    this.loaded = true
     const present = new Set(rows.map(row => row.key))
     for (const key of this.members.keys()) if (!present.has(key)) this.members.delete(key)
   }
@@ -105,6 +116,18 @@
     this.lastReadAt = now
   }
 
+  /**
+   * Whether it is known who else is there: all rows were told once, or nobody told them for a while. Callers who
+   * ask before that are told nothing: each of a fleet that starts as one would name itself.
+   */
+  get isKnown(): boolean {
+    if (this.loaded) return true
+    const { startedAt } = this
+    return (
+      startedAt !== undefined && this.parts.clock.monotonic() - startedAt >= FIRST_READ_MILLISECONDS
+    )
+  }
+
   /** What this instance tells the others. */
   get self(): MemberRow {
     const state: MemberState = this.draining ? 'draining' : 'serving'
@@ -140,7 +163,7 @@
     if (parsed === undefined) return this.parts.onMalformedRow(row)
     this.members.set(row.key, { row: parsed, version: row.version, changedAt: this.contactTime })
     if (known === undefined || known.row.state !== parsed.state) {
-      this.parts.onEvent('member_state', { member: parsed.instance, state: parsed.state })
+      this.parts.onStateChange(parsed.instance, parsed.state)
     }
   }
 
--- a/packages/coordination/src/prepaid/partitionView.ts
+++ b/packages/coordination/src/prepaid/partitionView.ts
@@ -94,8 +94,7 @@
     return instances.map(instance => {
       const row = this.holders.get(instance)?.row
       if (row === undefined) return { unspent: 0, demandPerSecond: 0 }
-      const { granted, committed, demandPerSecond } = row
-      return { unspent: Math.max(0, granted - committed), demandPerSecond }
+      return { unspent: unspentOf(row), demandPerSecond: row.demandPerSecond }
     })
   }
 
@@ -124,14 +123,14 @@
     return askers
   }
 
-  /** Of the given instances those that hold unspent tokens, the most first. */
-  lendersAmong(instances: readonly string[]): readonly string[] {
-    const holdings = this.othersOf(instances).map(({ unspent }, index) => ({
-      unspent,
-      instance: instances[index] ?? '',
-    }))
-    return holdings
-      .filter(({ unspent }) => unspent > 0)
+  /**
+   * Other instances that hold unspent tokens, the most first. Whether they take callers does not matter:
+   * what an instance held that has begun to stand by is back in the pool only with its next record.
+   */
+  get lenders(): readonly string[] {
+    return [...this.holders]
+      .map(([instance, { row }]) => ({ instance, unspent: row === undefined ? 0 : unspentOf(row) }))
+      .filter(({ instance, unspent }) => instance !== this.instance && unspent > 0)
       .sort((left, right) => right.unspent - left.unspent)
       .map(({ instance }) => instance)
   }
@@ -186,6 +185,10 @@
   }
 }
 
+function unspentOf({ granted, committed }: HolderRow): TokenCount {
+  return Math.max(0, granted - committed)
+}
+
 function conditionVersion({ row, version }: KnownRow<unknown>): number {
   return row === undefined ? 0 : version
 }
--- a/packages/coordination/src/prepaid/prepaidAccount.ts
+++ b/packages/coordination/src/prepaid/prepaidAccount.ts
@@ -46,7 +46,7 @@
   readonly policy: HoldingPolicy
   /** Whether the directory sends callers here; a standby instance holds for observed demand only. */
   readonly isActive: () => boolean
-  /** Other instances that serve callers. */
+  /** Other instances to which callers are sent. */
   readonly otherInstances: () => readonly string[]
   /** Longest time between two writes while tokens are spent. */
   readonly recordMilliseconds: () => Milliseconds
@@ -157,8 +157,7 @@
 
   /** Instances to ask for tokens of this budget, the likeliest first. */
   get lenders(): readonly string[] {
-    const { others } = this
-    return budgetLenders(this.view.lendersAmong(others), others, this.report.sightAge)
+    return budgetLenders(this.view.lenders, this.others, this.report.sightAge)
   }
 
   /** Sets tokens aside in this holding, for whoever asks. */
@@ -190,6 +189,11 @@
     this.report.tellEnded()
   }
 
+  /** The number of instances that share the budget, this one included. */
+  get sharers(): number {
+    return this.others.length + 1
+  }
+
   /** Whether callers here are being refused tokens that exist. */
   get isShort(): boolean {
     return this.report.isShort
--- a/packages/coordination/src/prepaid/prepaidLedger.ts
+++ b/packages/coordination/src/prepaid/prepaidLedger.ts
@@ -3,6 +3,7 @@
  * by the own holding, a write or loans; relies on accounts, borrower and lender to do it.
  */
 
+import { recordInterval } from '@rackwalk/decisions'
 import type { HoldingPolicy } from '@rackwalk/decisions'
 import { groupBy } from '@rackwalk/shared'
 import type { Clock, Milliseconds, Timer, TokenCount } from '@rackwalk/shared'
@@ -31,7 +32,7 @@
   readonly policy: HoldingPolicy
   /** Whether callers are sent to this instance. */
   readonly isActive: () => boolean
-  /** Others that serve callers. */
+  /** Others to which callers are sent; who else draws on a budget is seen from its rows. */
   readonly otherInstances: () => readonly string[]
   readonly limits: LedgerLimits
   /** Reaches other instances; without it nobody borrows. */
@@ -57,12 +58,10 @@
 
 /** Time between two looks at what is due. Chosen, not measured. */
 const MAINTAIN_MILLISECONDS = 125
+/** Looks at what is due between two reckonings of how often holdings are recorded. Chosen. */
+const LOOKS_A_RECKONING = 4
 /** Longest time in which other instances are asked for tokens, for one request. Chosen. */
 const BORROW_MILLISECONDS = 60
-/** Least time between two records of one holding. Chosen, not measured. */
-const SHORTEST_RECORD_MILLISECONDS = 500
-/** Share of the store's writes that periodic records may take. Chosen, not measured. */
-const RECORD_SHARE = 0.3
 
 /** What came of asking other instances. */
 interface BorrowingOutcome {
@@ -83,10 +82,14 @@
   readonly lender = new Lender(budget => this.accounts.get(budget))
   private timer: Timer | undefined
   private probeTurn = 0
+  private recordEvery: Milliseconds = 0
+  /** Looks at what is due until the time between two records is reckoned anew. */
+  private looksToReckoning = 0
 
   constructor(private readonly parts: PrepaidLedgerParts) {
     const { loanChannel, clock, incarnation } = parts
     this.borrower = loanChannel && new Borrower({ channel: loanChannel, clock, incarnation })
+    this.reckonRecordInterval()
   }
 
   /** Budgets in force; one that is no longer named is kept, since its rows still count. */
@@ -156,6 +159,7 @@
 
   start(): void {
     this.timer = this.parts.clock.after(MAINTAIN_MILLISECONDS, () => {
+      this.reckonRecordInterval()
       for (const account of this.accounts.values()) account.maintain()
       this.probeLost()
       this.start()
@@ -216,13 +220,20 @@
     })
   }
 
-  /** All instances and budgets together stay below their part of what the store takes. */
+  /** Time between two records of one holding. */
   recordMilliseconds(): Milliseconds {
-    const instances = this.parts.otherInstances().length + 1
-    const { writesPerSecond, partitionWritesPerSecond } = this.parts.limits
-    const all = (instances * this.accounts.size * 1000) / (RECORD_SHARE * writesPerSecond)
-    const each = (instances * 1000) / (RECORD_SHARE * partitionWritesPerSecond)
-    return Math.max(SHORTEST_RECORD_MILLISECONDS, all, each)
+    return this.recordEvery
+  }
+
+  /** Who shares a budget changes within seconds, and there may be very many of them. */
+  private reckonRecordInterval(): void {
+    this.looksToReckoning -= 1
+    if (this.looksToReckoning > 0) return
+    this.looksToReckoning = LOOKS_A_RECKONING
+    const sharers = [...this.accounts.values()].map(account => account.sharers)
+    const inAll = sharers.reduce((sum, count) => sum + count, 0)
+    const inOneBudget = sharers.reduce((most, count) => Math.max(most, count), 0)
+    this.recordEvery = recordInterval({ inAll, inOneBudget }, this.parts.limits)
   }
 
   private accountOf(budget: string): PrepaidAccount {
--- a/packages/daemon/__tests__/activeFleet.spec.ts
+++ b/packages/daemon/__tests__/activeFleet.spec.ts
@@ -23,8 +23,18 @@
 
 const OTHERS = ['a2', 'a3', 'b1', 'b2', 'b3'].map(name => member(name))
 
-function setUp(options: { self?: MemberRow; others?: MemberRow[]; silent?: string[] }) {
-  const { self, others = OTHERS, silent = [] } = options
+const SILENCE_MILLISECONDS = 1_000
+
+interface SetUpOptions {
+  readonly self?: MemberRow
+  readonly others?: MemberRow[]
+  readonly silent?: string[]
+  /** Instances that have work at endpoints. */
+  readonly using?: string[]
+}
+
+function setUp(options: SetUpOptions) {
+  const { self, others = OTHERS, silent = [], using = [] } = options
   const clock = new VirtualClock()
   const changes: [boolean, number][] = []
   const state = { self, silent: new Set(silent) }
@@ -33,6 +43,9 @@
     self: () => state.self ?? member('a1'),
     others: () => others,
     hears: ({ instance }) => !state.silent.has(instance),
+    silenceMilliseconds: () => SILENCE_MILLISECONDS,
+    isUsing: ({ instance }) => using.includes(instance),
+    isSelfUsing: () => using.includes('a1'),
     clock,
     bounds: { minimumInDomain: 1, headroom: 2 },
     onChange: (isActive, count) => changes.push([isActive, count]),
@@ -75,14 +88,27 @@
     ])
   })
 
-  it('knows who serves callers that do not follow the directory', () => {
-    const busy = member('b3', { requestsPerSecond: 20, capacity: 1 })
-    const { fleet } = setUp({ self: member('a1'), others: [member('b1'), busy, member('b2')] })
-    expect(fleet.activeOthers).not.toContain(busy)
-    expect(fleet.workingOthers).toContain(busy)
+  it('knows who has work at endpoints though callers are not sent there', () => {
+    const weak = member('b3', { capacity: 1 })
+    const others = [member('b1'), weak, member('b2')]
+    const { fleet } = setUp({ self: member('a1'), others, using: ['b3'] })
+    expect(fleet.activeOthers).not.toContain(weak)
+    expect(fleet.usingOthers).toContain(weak)
     expect(fleet.idleOthers.map(({ instance }) => instance)).not.toContain('b3')
   })
 
+  it('shares bounds with nobody to whom only health checks and plain requests come', () => {
+    const strays = Array.from({ length: 200 }, (_, index) =>
+      member(`b${index}`, { requestsPerSecond: 0.7, capacity: 40 }),
+    )
+    const self = member('a1', { capacity: 200, requestsPerSecond: 40 })
+    const { fleet } = setUp({ self, others: strays, using: ['b7'] })
+    expect(fleet.activeCount).toBeLessThan(10)
+    // The active ones, and the one whose callers stay with it.
+    expect(fleet.sharers).toBeLessThanOrEqual(fleet.activeCount + 1)
+    expect(fleet.usingOthers.length).toBeLessThanOrEqual(fleet.activeCount)
+  })
+
   it('does not settle as active before it can know the others', async () => {
     const { clock, fleet } = setUp({ self: member('a1'), others: [] })
     expect([fleet.isSelfActive, fleet.isSelfSettled]).toEqual([true, false])
@@ -97,4 +123,48 @@
     expect(setUp({ self: strong }).fleet.sharers).toBe(2)
     expect(setUp({ self: strong }).fleet.cautiousSharers).toBe(3)
   })
+
+  it('shares bounds as a user where it has work though it stands by', () => {
+    const weak = member('a1', { capacity: 1 })
+    expect(setUp({ self: weak, using: ['a1'] }).fleet.sharers).toBe(3)
+  })
+})
+
+describe('a fleet that starts as one', () => {
+  const FLEET = Array.from({ length: 60 }, (_, index) => member(`${'abc'[index % 3]}${index}`))
+  const NAMES = FLEET.map(({ instance }) => instance)
+
+  /** The fleet as one of it sees it, with the rows of the last life read and those heard so far. */
+  function startOne(self: MemberRow, heard: readonly string[]) {
+    const others = FLEET.filter(other => other !== self)
+    return setUp({ self, others, silent: NAMES.filter(name => !heard.includes(name)) })
+  }
+
+  it('names the instances that took callers before, whomever each has heard', () => {
+    const named = FLEET.map((self, index) => {
+      const heard = [
+        NAMES[(index + 7) % NAMES.length] ?? '',
+        NAMES[(index + 31) % NAMES.length] ?? '',
+      ]
+      return startOne(self, heard).fleet.addresses('near').toSorted().join(' ')
+    })
+    expect(new Set(named).size).toBe(1)
+    expect(named[0]?.split(' ').length).toBe(3)
+  })
+
+  it('takes no more instances for active than before', () => {
+    const active = FLEET.filter(self => startOne(self, [NAMES[5] ?? '']).fleet.isSelfActive)
+    expect(active.length).toBe(3)
+  })
+
+  it('leaves out who stays silent for as long as silence takes to notice', async () => {
+    const [self = member('a1')] = FLEET
+    const lost = startOne(self, []).fleet.activeOthers.map(({ instance }) => instance)
+    const heard = NAMES.filter(name => !lost.includes(name))
+    const later = startOne(self, heard)
+    expect(later.fleet.activeOthers.map(({ instance }) => instance)).toEqual(lost)
+    await later.clock.advance(SILENCE_MILLISECONDS + 100)
+    const names = later.fleet.activeOthers.map(({ instance }) => instance)
+    expect(names.some(name => lost.includes(name))).toBe(false)
+  })
 })
--- a/packages/daemon/__tests__/references.spec.ts
+++ b/packages/daemon/__tests__/references.spec.ts
@@ -70,6 +70,8 @@
     inFlight: zero,
     instances: zero,
     activeInstances: zero,
+    sharers: zero,
+    recordSeconds: zero,
     active: zero,
     endpoints: zero,
     configurationVersion: zero,
--- a/packages/daemon/src/gateway/activeFleet.ts
+++ b/packages/daemon/src/gateway/activeFleet.ts
@@ -4,8 +4,8 @@
  * datagrams for who was heard of, and on decisions/placing/activeInstances.
  */
 
-import { ActiveInstances, isBusy } from '@rackwalk/decisions'
-import type { ActiveBounds } from '@rackwalk/decisions'
+import { ActiveInstances, SilentInstances, cautiousSharersOf, sharersOf } from '@rackwalk/decisions'
+import type { ActiveBounds, FleetUse } from '@rackwalk/decisions'
 import type { MemberRow } from '@rackwalk/coordination'
 import type { Clock, Milliseconds } from '@rackwalk/shared'
 
@@ -18,6 +18,12 @@
   readonly others: () => readonly MemberRow[]
   /** Whether an instance was heard of lately; true where nothing is ever heard of it. */
   readonly hears: (member: MemberRow) => boolean
+  /** An instance that is heard of was heard of within this time. */
+  readonly silenceMilliseconds: () => Milliseconds
+  /** Whether an instance told of work at endpoints lately. */
+  readonly isUsing: (member: MemberRow) => boolean
+  /** The same for this instance. */
+  readonly isSelfUsing: () => boolean
   readonly clock: Clock
   readonly bounds: ActiveBounds
   /** This instance became active or began to stand by. */
@@ -30,7 +36,7 @@
   readonly self: MemberRow | undefined
   readonly isSelfActive: boolean
   readonly activeOthers: readonly MemberRow[]
-  readonly workingOthers: readonly MemberRow[]
+  readonly usingOthers: readonly MemberRow[]
   readonly idleOthers: readonly MemberRow[]
 }
 
@@ -46,6 +52,7 @@
 /** The fleet as this instance sees it. */
 export class ActiveFleet {
   private readonly choice: ActiveInstances
+  private readonly silent = new SilentInstances()
   private view: FleetView | undefined
   /** Time at which this instance began to serve. */
   private selfSince: Milliseconds = 0
@@ -74,14 +81,14 @@
   }
 
   /**
-   * Other instances that serve callers: the active ones, and those to which callers come that
-   * do not follow the directory.
+   * Other instances that use endpoints: the active ones, and those with work there though callers
+   * are not sent to them.
    */
-  get workingOthers(): readonly MemberRow[] {
-    return this.current().workingOthers
+  get usingOthers(): readonly MemberRow[] {
+    return this.current().usingOthers
   }
 
-  /** Other instances that serve nobody at present, or have fallen silent. */
+  /** Other instances that use nothing of the fleet's at present, or have fallen silent. */
   get idleOthers(): readonly MemberRow[] {
     return this.current().idleOthers
   }
@@ -91,24 +98,14 @@
     return activeCountOf(this.current())
   }
 
-  /**
-   * The number of instances that share a bound of the whole fleet, this one included. An idle
-   * instance shares it with all others: it uses little of its part.
-   */
+  /** The number of instances that share a bound of the whole fleet, this one included. */
   get sharers(): number {
-    const { self, isSelfActive, workingOthers, idleOthers } = this.current()
-    const isWorking = isSelfActive || (self !== undefined && isBusy(self))
-    return 1 + workingOthers.length + (isWorking ? 0 : idleOthers.length)
+    return sharersOf(this.use)
   }
 
-  /**
-   * The same for a bound that must hold while parts of the fleet cannot hear each other: each
-   * part then chooses active instances of its own, so half of all may be active at least.
-   */
+  /** The same for a bound that must hold while parts of the fleet cannot hear each other. */
   get cautiousSharers(): number {
-    const { workingOthers, idleOthers } = this.current()
-    const instances = 1 + workingOthers.length + idleOthers.length
-    return Math.max(this.sharers, Math.ceil(instances / 2))
+    return cautiousSharersOf(this.use)
   }
 
   /** Addresses for a caller of a region; of all regions where it has no instance. */
@@ -119,6 +116,15 @@
     return (near.length > 0 ? near : active).map(member => member.callerAddress)
   }
 
+  private get use(): FleetUse {
+    const { isSelfActive, usingOthers, idleOthers } = this.current()
+    return {
+      isSelfUsing: isSelfActive || this.parts.isSelfUsing(),
+      usingOthers: usingOthers.length,
+      others: usingOthers.length + idleOthers.length,
+    }
+  }
+
   private current(): FleetView {
     const before = this.view
     const isServing = this.parts.isServing()
@@ -142,14 +148,15 @@
     const candidates = self === undefined ? others : [self, ...others]
     const active = this.choice.choose(candidates, this.parts.clock.monotonic())
     const activeOthers = active.filter(member => member !== self)
-    const busyOthers = others.filter(other => isBusy(other) && !activeOthers.includes(other))
-    const workingOthers = [...activeOthers, ...busyOthers]
+    const { isUsing } = this.parts
+    const strays = others.filter(other => isUsing(other) && !activeOthers.includes(other))
+    const usingOthers = [...activeOthers, ...strays]
     return {
       self,
       isSelfActive: active.some(member => member === self),
       activeOthers,
-      workingOthers,
-      idleOthers: all.filter(other => !workingOthers.includes(other)),
+      usingOthers,
+      idleOthers: all.filter(other => !usingOthers.includes(other)),
     }
   }
 
@@ -158,7 +165,9 @@
    * its row shows it, unless this instance hears nobody and may be the one that is cut off.
    */
   private reachable(others: readonly MemberRow[]): readonly MemberRow[] {
-    const heard = others.filter(member => this.parts.hears(member))
-    return heard.length > 0 ? heard : others
+    const { hears, clock, silenceMilliseconds } = this.parts
+    const now = clock.monotonic()
+    const audible = this.silent.audible(others, hears, now, silenceMilliseconds())
+    return others.some(member => hears(member)) ? audible : others
   }
 }
--- a/packages/daemon/src/gateway/followedTables.ts
+++ b/packages/daemon/src/gateway/followedTables.ts
@@ -53,8 +53,10 @@
   readonly pauseMilliseconds: () => Milliseconds
   /** Whether its changes are wanted at present; always where absent. */
   readonly isWanted?: () => boolean
-  /** Whether somebody else writes it; peers may then tell of it while the store is away. */
-  readonly isOthers: boolean
+  /** How long a question for changes may wait at the store; 0 where they come all the time. */
+  readonly waitMilliseconds: Milliseconds
+  /** Whether peers may tell of it while the store is away. */
+  readonly isToldByPeers: boolean
   readonly listener: MirrorListener
 }
 
@@ -68,7 +70,9 @@
       partitions: () => [MEMBER_PARTITION],
       pauseMilliseconds: () =>
         parts.isActive() ? MEMBER_PAUSE_MILLISECONDS : STANDBY_MEMBER_PAUSE_MILLISECONDS,
-      isOthers: false,
+      waitMilliseconds: 0,
+      // Who starts while the store is away would take itself for the only one and name itself alone.
+      isToldByPeers: true,
       listener: {
         onRows: (rows, isWhole) => members.observe(rows, isWhole),
         onRead: () => members.noteRead(),
@@ -80,7 +84,9 @@
       pauseMilliseconds: () => prepaidPause(ledger),
       // An instance that stands by reads the rows of a budget when a caller comes for it.
       isWanted: parts.isActive,
-      isOthers: false,
+      waitMilliseconds: 0,
+      // Holdings mean something only as the store has them.
+      isToldByPeers: false,
       listener: { onRows: (rows, isWhole) => ledger.observe(rows, isWhole) },
     },
   ]
@@ -100,7 +106,8 @@
       table: configuration.table,
       partitions: () => [configuration.partition],
       pauseMilliseconds: () => CONFIGURATION_PAUSE_MILLISECONDS,
-      isOthers: true,
+      waitMilliseconds: FEED_WAIT_MILLISECONDS,
+      isToldByPeers: true,
       listener: { onRows: parts.onConfiguration, onReachable: parts.onContact },
     },
     {
@@ -108,7 +115,8 @@
       partitions: () => [endpoints.partition],
       pauseMilliseconds: () =>
         parts.isActive() ? ENDPOINT_PAUSE_MILLISECONDS : STANDBY_ENDPOINT_PAUSE_MILLISECONDS,
-      isOthers: true,
+      waitMilliseconds: FEED_WAIT_MILLISECONDS,
+      isToldByPeers: true,
       listener: new EndpointFollower({
         directory: parts.endpoints,
         clock: parts.clock,
@@ -120,7 +128,7 @@
 }
 
 function follow(parts: FollowedTablesParts, followed: FollowedTable): TableMirror {
-  const { table, partitions, pauseMilliseconds, isWanted, isOthers, listener } = followed
+  const { table, partitions, pauseMilliseconds, waitMilliseconds, isWanted, listener } = followed
   return new TableMirror({
     store: parts.store,
     table,
@@ -132,9 +140,8 @@
       onReachable: isReachable => listener.onReachable?.(isReachable),
       onFault: parts.onFault,
     },
-    // Holdings and heartbeats mean something only as the store has them.
-    askPeers: isOthers ? (name, after) => parts.peerRows.ask(name, after) : undefined,
-    waitMilliseconds: isOthers ? FEED_WAIT_MILLISECONDS : 0,
+    askPeers: followed.isToldByPeers ? (name, after) => parts.peerRows.ask(name, after) : undefined,
+    waitMilliseconds,
     pauseMilliseconds,
     isWanted,
   })
--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -16,11 +16,12 @@
   PrepaidLedger,
   StoreClock,
 } from '@rackwalk/coordination'
-import type { MemberRow, TableMirror } from '@rackwalk/coordination'
+import type { TableMirror } from '@rackwalk/coordination'
 import { FleetLoad, Gateway, RouteTable, EndpointDirectory } from '@rackwalk/router'
 import type { GatewayConfiguration, GatewayRecord } from '@rackwalk/router'
 import { ActiveFleet } from './activeFleet.js'
 import { BoundedLogger } from '../observe/boundedLogger.js'
+import { ChangeBatch } from '../observe/changeBatch.js'
 import { MalformedForms } from '../observe/malformedForms.js'
 import { ConsolaLogger } from '../observe/logger.js'
 import type { Logger } from '../observe/logger.js'
@@ -29,7 +30,7 @@
 import { applyLimits, createCallerListener, listenAll } from './gatewayListeners.js'
 import { GatewayMetrics } from './gatewayMetrics.js'
 import type { GatewaySettings } from './gatewaySettings.js'
-import { LoadExchange } from './loadExchange.js'
+import { LoadExchange, loadPeersOf } from './loadExchange.js'
 import { PeerLoans } from './peerLoans.js'
 import { PeerRows } from './peerRows.js'
 import { requestLine } from './requestLine.js'
@@ -54,7 +55,6 @@
 const PEER_MILLISECONDS = 400
 /** The same where a request waits for it; the peer itself may ask the store first. */
 const LOAN_MILLISECONDS = 90
-
 /** One instance that serves generic routes: every part, wired together. */
 export class GatewayDaemon {
   /** Names this run of the process. */
@@ -64,6 +64,7 @@
   private readonly logger: Logger
   private readonly metrics: GatewayMetrics
   private readonly malformed: MalformedForms
+  private readonly changes = new ChangeBatch((event, fields) => this.logger.info(event, fields))
   private readonly store: RowStore
   private readonly storeClock: StoreClock
   private readonly members: MemberDirectory
@@ -109,13 +110,7 @@
     this.peerLoans = this.createPeerLoans()
     this.ledger = this.createLedger()
     this.endpoints = this.createEndpoints()
-    this.fleetLoad = new FleetLoad({
-      instance: settings.instance.id,
-      incarnation: this.incarnation,
-      directory: this.endpoints,
-      clock: this.clock,
-      capacityOf: name => this.routes?.service(name)?.engine?.capacity,
-    })
+    this.fleetLoad = this.createFleetLoad()
     this.loadExchange = this.createLoadExchange()
     this.gateway = this.createGateway()
     this.peerRows = this.createPeerRows()
@@ -248,7 +243,7 @@
       heartbeatMilliseconds: membership.heartbeatMilliseconds,
       silenceMilliseconds: membership.silenceMilliseconds,
       partitionWritesPerSecond: store.partitionWritesPerSecond,
-      onEvent: (event, fields) => this.note(event, fields),
+      onStateChange: (member, state) => this.noteChange('member_state', state, { member, state }),
       onMalformedRow: row => this.noteMalformedRow(row),
     })
   }
@@ -256,10 +251,13 @@
   private createFleet(): ActiveFleet {
     const { activeInDomain, headroom } = this.settings.membership
     return new ActiveFleet({
-      isServing: () => this.isReady,
+      isServing: () => this.isReady && this.members.isKnown,
       self: () => this.members.self,
       others: () => this.members.others,
       hears: ({ instance, loadAddress }) => loadAddress === '' || this.fleetLoad.hears(instance),
+      silenceMilliseconds: () => this.loadExchange?.silenceMilliseconds ?? 0,
+      isUsing: ({ instance }) => this.fleetLoad.isUsing(instance),
+      isSelfUsing: () => this.fleetLoad.isSelfUsing,
       clock: this.clock,
       bounds: { minimumInDomain: activeInDomain, headroom },
       onChange: (isActive, activeInstances) =>
@@ -278,7 +276,7 @@
       startedAt: this.startedAt,
       policy: budgets.policy === 'equal' ? new EqualHoldingPolicy() : new DemandHoldingPolicy(),
       isActive: () => this.fleet.isSelfSettled,
-      otherInstances: () => this.fleet.workingOthers.map(member => member.instance),
+      otherInstances: () => this.fleet.activeOthers.map(member => member.instance),
       limits: {
         writesPerSecond: store.writesPerSecond,
         partitionWritesPerSecond: store.partitionWritesPerSecond,
@@ -305,19 +303,35 @@
       instances: () => this.fleet.sharers,
       maximumConnections: name => this.routes?.service(name)?.maximumConnections ?? 1,
       onChange: (endpoint, change) => {
-        this.note('server_state', { server: endpoint.id, service: endpoint.service, change })
+        const fields = { server: endpoint.id, service: endpoint.service, change }
+        this.noteChange('server_state', change, fields)
         if (change === 'gone') this.fleetLoad.forget(endpoint.id)
       },
     })
   }
 
+  private createFleetLoad(): FleetLoad {
+    return new FleetLoad({
+      instance: this.settings.instance.id,
+      incarnation: this.incarnation,
+      directory: this.endpoints,
+      clock: this.clock,
+      capacityOf: name => this.routes?.service(name)?.engine?.capacity,
+      // An instance that stands by tells of prompts alone: they make others wait for as long as they are
+      // read, while endpoints' own answers tell of its plain requests soon enough.
+      isTold: name => this.fleet.isSelfActive || this.routes?.service(name)?.engine !== undefined,
+      users: () => this.fleet.usingOthers.length + 1,
+      onSent: () => this.loadExchange?.noteSent(),
+    })
+  }
+
   private createLoadExchange(): LoadExchange | undefined {
     const { listen } = this.settings
     if (listen.loads === undefined) return undefined
     return new LoadExchange({
       address: listen.loads,
-      workingPeers: () => loadAddressesOf(this.fleet.workingOthers),
-      idlePeers: () => loadAddressesOf(this.fleet.idleOthers),
+      usingPeers: () => loadPeersOf(this.fleet.usingOthers),
+      idlePeers: () => loadPeersOf(this.fleet.idleOthers),
       fleetLoad: this.fleetLoad,
       clock: this.clock,
       onMalformed: form => this.malformed.note(form),
@@ -338,6 +352,7 @@
       routes: () => this.routes,
       retryBounds: { ...retries, windowMilliseconds: retries.windowSeconds * 1000 },
       linkBytesPerSecond: linkBytesPerSecond(instance.capacity),
+      storeAge: () => Math.min(...[...this.mirrors.values()].map(({ age }) => age)),
       instances: () => this.fleet.cautiousSharers,
       isDraining: () => this.draining,
       isRefusing: () => this.refusing,
@@ -382,6 +397,8 @@
       inFlight: () => this.gateway.inFlight,
       instances: () => this.members.others.length + 1,
       activeInstances: () => this.fleet.activeCount,
+      sharers: () => this.fleet.sharers,
+      recordSeconds: () => this.ledger.recordMilliseconds() / 1000,
       active: () => Number(this.fleet.isSelfActive),
       endpoints: () => this.endpoints.size,
       configurationVersion: () => this.routes?.version ?? 0,
@@ -447,12 +464,13 @@
     this.logger[isServed ? 'info' : 'warn']('request', requestLine(record))
   }
 
+  private noteChange(event: string, kind: string, fields: Readonly<Record<string, unknown>>): void {
+    this.metrics?.noteEvent(event)
+    this.changes.note(event, { kind, fields })
+  }
+
   private note(event: string, fields: Readonly<Record<string, unknown>>): void {
     this.metrics?.noteEvent(event)
     this.logger.info(event, fields)
   }
 }
-
-function loadAddressesOf(members: readonly MemberRow[]): readonly string[] {
-  return members.map(member => member.loadAddress).filter(known => known !== '')
-}
--- a/packages/daemon/src/gateway/gatewayMetrics.ts
+++ b/packages/daemon/src/gateway/gatewayMetrics.ts
@@ -17,6 +17,8 @@
   readonly inFlight: () => number
   readonly instances: () => number
   readonly activeInstances: () => number
+  readonly sharers: () => number
+  readonly recordSeconds: () => number
   readonly active: () => number
   readonly endpoints: () => number
   readonly configurationVersion: () => number
@@ -150,6 +152,12 @@
     this.gauge('in_flight', 'Requests in progress.', gauges.inFlight)
     this.gauge('instances', 'Instances that serve, this one included.', gauges.instances)
     this.gauge('active_instances', 'Instances that take callers.', gauges.activeInstances)
+    this.gauge('sharers', 'Instances that share bounds of the fleet.', gauges.sharers)
+    this.gauge(
+      'record_seconds',
+      'Time between two records of what was spent of a holding.',
+      gauges.recordSeconds,
+    )
     this.gauge('active', '1 while callers are sent here.', gauges.active)
     this.gauge('servers', 'Servers listed.', gauges.endpoints)
     this.gauge('configuration_version', 'Version in force here.', gauges.configurationVersion)
--- a/packages/daemon/src/gateway/loadExchange.ts
+++ b/packages/daemon/src/gateway/loadExchange.ts
@@ -9,11 +9,12 @@
 import * as z from 'zod'
 import { parseJson } from '@rackwalk/stores'
 import type { Clock, Milliseconds, Timer } from '@rackwalk/shared'
+import type { MemberRow } from '@rackwalk/coordination'
 import type { FleetLoad, PeerLoadReport } from '@rackwalk/router'
 import { parseAddress } from '../observe/listenOn.js'
 import type { MalformedForm } from '../observe/malformedForms.js'
 
-/** Time between two reports in a small fleet. */
+/** Time between two reports in a small fleet, and of what must be told at once in any. */
 const SHORTEST_INTERVAL_MILLISECONDS = 20
 /** Bytes a second that one instance sends in reports, to all that get them together, */
 const REPORT_BYTES_PER_SECOND = 12_000
@@ -44,14 +45,28 @@
   ),
 ])
 
+/** Another instance, as the exchange reaches it. */
+export interface LoadPeer {
+  readonly instance: string
+  /** IP:PORT. */
+  readonly address: string
+}
+
+/** Those of the members that take reports. */
+export function loadPeersOf(members: readonly MemberRow[]): readonly LoadPeer[] {
+  return members
+    .filter(({ loadAddress }) => loadAddress !== '')
+    .map(({ instance, loadAddress }) => ({ instance, address: loadAddress }))
+}
+
 /** What the exchange works with. */
 export interface LoadExchangeParts {
   /** IP:PORT at which this instance takes reports. */
   readonly address: string
-  /** IP:PORT of others that serve callers: they get every report. */
-  readonly workingPeers: () => readonly string[]
-  /** IP:PORT of the others: they get signs of life. */
-  readonly idlePeers: () => readonly string[]
+  /** Others that use endpoints: they get every report. */
+  readonly usingPeers: () => readonly LoadPeer[]
+  /** The others: they get signs of life. */
+  readonly idlePeers: () => readonly LoadPeer[]
   readonly fleetLoad: FleetLoad
   readonly clock: Clock
   readonly onMalformed: (form: MalformedForm) => void
@@ -61,8 +76,14 @@
 export class LoadExchange {
   private socket: Socket | undefined
   private timer: Timer | undefined
+  /** Set while something waits to be told at once. */
+  private urgentTimer: Timer | undefined
   private sentAt: Milliseconds = Number.NEGATIVE_INFINITY
   private signedAt: Milliseconds = Number.NEGATIVE_INFINITY
+  /** An instance that is heard of was heard of within this time; reckoned at each report. */
+  silenceMilliseconds: Milliseconds = MISSING_SIGNS * SIGN_MILLISECONDS
+  /** Addresses to which the last report went. */
+  private told: ReadonlySet<string> = new Set()
 
   constructor(private readonly parts: LoadExchangeParts) {}
 
@@ -78,38 +99,67 @@
 
   stop(): void {
     this.timer?.cancel()
+    this.urgentTimer?.cancel()
     this.socket?.close()
     this.socket = undefined
   }
 
+  /** Something was sent to an endpoint: who is at home there is told before the next report. */
+  noteSent(): void {
+    if (this.urgentTimer !== undefined || this.interval <= SHORTEST_INTERVAL_MILLISECONDS) return
+    this.urgentTimer = this.parts.clock.after(SHORTEST_INTERVAL_MILLISECONDS, () => {
+      this.urgentTimer = undefined
+      this.sendUrgent()
+    })
+  }
+
   private schedule(): void {
     this.timer = this.parts.clock.after(this.interval, () => {
       this.sendReport()
       this.sendSigns()
-      this.parts.fleetLoad.expire(MISSING_SIGNS * this.signInterval)
+      this.silenceMilliseconds = MISSING_SIGNS * this.signInterval
+      this.parts.fleetLoad.expire(this.silenceMilliseconds)
       this.schedule()
     })
   }
 
   /** Reports grow rarer with the number of instances that get them, so that their bytes stay bounded. */
   private get interval(): Milliseconds {
-    const bytes = this.parts.workingPeers().length * REPORT_BYTES
+    const bytes = this.parts.usingPeers().length * REPORT_BYTES
     return Math.max(SHORTEST_INTERVAL_MILLISECONDS, (bytes * 1000) / REPORT_BYTES_PER_SECOND)
   }
 
   /** All instances know about the same number of others, and so the interval of their signs. */
   private get signInterval(): Milliseconds {
-    const peers = this.parts.workingPeers().length + this.parts.idlePeers().length
+    const peers = this.parts.usingPeers().length + this.parts.idlePeers().length
     const slowed = (peers * SIGN_BYTES * 1000) / SIGN_BYTES_PER_SECOND
     return Math.max(SIGN_MILLISECONDS, this.interval, slowed)
   }
 
   private sendReport(): void {
     const now = this.parts.clock.monotonic()
+    this.tellNewcomers()
     const report = this.parts.fleetLoad.nextReport(now - this.sentAt >= this.signInterval)
     if (report === undefined) return
     this.sentAt = now
-    this.sendTo(this.parts.workingPeers(), report)
+    this.sendTo(this.parts.usingPeers(), report)
+  }
+
+  private sendUrgent(): void {
+    const peers = this.parts.usingPeers()
+    const reports = this.parts.fleetLoad.urgentReports(peers.map(({ instance }) => instance))
+    for (const peer of peers) {
+      const report = reports.get(peer.instance)
+      if (report !== undefined) this.sendTo([peer], report)
+    }
+  }
+
+  /** Who begins to use endpoints would know only of changes until the next whole report. */
+  private tellNewcomers(): void {
+    const peers = this.parts.usingPeers()
+    const newcomers = peers.filter(({ address }) => !this.told.has(address))
+    this.told = new Set(peers.map(({ address }) => address))
+    if (newcomers.length > 0) this.sendTo(newcomers, this.parts.fleetLoad.wholeReport())
   }
 
   private sendSigns(): void {
@@ -119,10 +169,10 @@
     this.sendTo(this.parts.idlePeers(), this.parts.fleetLoad.sign())
   }
 
-  private sendTo(peers: readonly string[], report: PeerLoadReport): void {
+  private sendTo(peers: readonly LoadPeer[], report: PeerLoadReport): void {
     const bytes = encodeReport(report)
-    for (const peer of peers) {
-      const { host, port } = parseAddress(peer)
+    for (const { address } of peers) {
+      const { host, port } = parseAddress(address)
       this.socket?.send(bytes, port, host, () => {})
     }
   }
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -9,6 +9,7 @@
 export { parseSettings } from './settings/openAiSettings.js'
 export { GrpcPeerChannel } from './peers/grpcPeerChannel.js'
 export { PeerServer } from './peers/peerServer.js'
+export { ChangeBatch } from './observe/changeBatch.js'
 export type { MalformedForm } from './observe/malformedForms.js'
 export { OperatorRoutes } from './operators/operatorRoutes.js'
 export { openApiDescription } from './operators/openApi.js'
--- a/packages/decisions/__tests__/endpointChoice.spec.ts
+++ b/packages/decisions/__tests__/endpointChoice.spec.ts
@@ -15,6 +15,7 @@
   slowness: 1,
   reported: undefined,
   failureShare: 0,
+  isHome: true,
 }
 
 function endpoint(id: string, more: Partial<EndpointSnapshot>): EndpointSnapshot {
--- /dev/null
+++ b/packages/decisions/src/admitting/processorBudget.ts
@@ -0,0 +1,90 @@
+/**
+ * Does this instance's own processor bear one more request, and if not, which are let go?
+ *
+ * Load pattern: all callers of a team stay with one weak instance while the team sends twice its usual.
+ * What comes takes more processor time than there is, so everything waits in one queue: first events are
+ * late, connections to endpoints are not made in time, and requests end at their deadlines that could
+ * have been refused at once, so that their callers turn elsewhere.
+ *
+ * The sign is the delay of a timer: work that is ready waits for as long. A queue that does not empty for
+ * some looks in a row stands, and then a growing part of the requests is refused before anything
+ * of them is read: the least urgent first, and of equally urgent ones those with the longest answers,
+ * which take the most of the processor. The part shrinks again once the queue is gone.
+ *
+ * Limits: a single long delay, as of a process that was paused, refuses nothing; a part of the most
+ * urgent work is always taken, since only work tells that the processor bears it again.
+ */
+
+import type { Milliseconds, TokenCount } from '@rackwalk/shared'
+
+/** Time between two looks at the delay. */
+export const DELAY_LOOK_MILLISECONDS = 50
+/** A queue stands where the least delay of so many looks is too long. Chosen: a fifth of a second. */
+const STANDING_LOOKS = 4
+/**
+ * A standing queue of this length delays first events noticeably beside the goals of callers, which are
+ * some hundreds of milliseconds. Chosen: an instance that bears its load shows under 10.
+ */
+const LONGEST_DELAY_MILLISECONDS = 40
+/** By how much the part that is let go grows with a look at a standing queue, and shrinks without. Chosen. */
+const GROWTH = 0.04
+const SHRINKAGE = 0.02
+/** At most this part is let go. */
+const LARGEST_PART = 0.95
+/** Requests by which the usual work is known. Chosen: a second or two of a weak instance. */
+const REMEMBERED_REQUESTS = 64
+
+/** How much a request's caller would lose, and what it takes. */
+export interface WorkRank {
+  /** 0 is the most urgent. */
+  readonly priority: number
+  readonly answerTokens: TokenCount
+}
+
+/** What the own processor still bears, by the delays observed. */
+export class ProcessorBudget {
+  private readonly delays: Milliseconds[] = []
+  private readonly recent: WorkRank[] = []
+  private part = 0
+
+  /** A timer ran so much later than it was set; call it at each look. */
+  noteDelay(delay: Milliseconds): void {
+    this.delays.push(delay)
+    if (this.delays.length > STANDING_LOOKS) this.delays.shift()
+    const isStanding =
+      this.delays.length === STANDING_LOOKS && Math.min(...this.delays) > LONGEST_DELAY_MILLISECONDS
+    const change = isStanding ? GROWTH : -SHRINKAGE
+    this.part = Math.max(0, Math.min(LARGEST_PART, this.part + change))
+  }
+
+  /** The part of the requests that is let go at present, in [0, 1]. */
+  get refusedPart(): number {
+    return this.part
+  }
+
+  /** Time after which nothing is let go any more if no queue stands; 0 where nothing is. */
+  get reliefMilliseconds(): Milliseconds {
+    return (this.part / SHRINKAGE) * DELAY_LOOK_MILLISECONDS
+  }
+
+  /** Whether a request is taken; `chance` in [0, 1) decides among equals. */
+  takes(rank: WorkRank, chance: number): boolean {
+    const position = this.positionOf(rank, chance)
+    this.recent.push(rank)
+    if (this.recent.length > REMEMBERED_REQUESTS) this.recent.shift()
+    return position >= this.part
+  }
+
+  /** The share of recent requests that are let go before this one. */
+  private positionOf(rank: WorkRank, chance: number): number {
+    const count = this.recent.length + 1
+    const before = this.recent.filter(other => compareRanks(other, rank) < 0).length
+    const equal = this.recent.filter(other => compareRanks(other, rank) === 0).length + 1
+    return (before + chance * equal) / count
+  }
+}
+
+/** Negative where `left` is let go first. */
+function compareRanks(left: WorkRank, right: WorkRank): number {
+  return right.priority - left.priority || right.answerTokens - left.answerTokens
+}
--- a/packages/decisions/src/choosing/endpointChoice.ts
+++ b/packages/decisions/src/choosing/endpointChoice.ts
@@ -12,6 +12,7 @@
  */
 
 import type { Milliseconds, TokenCount } from '@rackwalk/shared'
+import { AWAY_COST } from './homeEndpoints.js'
 import { harmWeights, readingHarm } from './readingHarm.js'
 import type { HarmWeights } from './readingHarm.js'
 import { rendezvousChoice } from './rendezvous.js'
@@ -36,6 +37,8 @@
   readonly reported: ReportedLoad | undefined
   /** Share of late requests that failed there, in [0, 1]. */
   readonly failureShare: number
+  /** Whether this instance hears at once what others send there. */
+  readonly isHome: boolean
 }
 
 /** Load as an endpoint told it with an answer. */
@@ -149,7 +152,8 @@
   const failing = FAILURE_COST * endpoint.failureShare ** 2
   const affinity = endpoint.id === context.favourite ? AFFINITY_BONUS : 0
   const near = endpoint.failureDomain === context.failureDomain ? NEAR_BONUS : 0
-  return readingCost(endpoint, context.weights) + busy + harm + failing - affinity - near
+  const away = endpoint.isHome ? 0 : AWAY_COST
+  return readingCost(endpoint, context.weights) + busy + harm + failing + away - affinity - near
 }
 
 /** What is read before this request's turn, itself included. */
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -10,6 +10,7 @@
   nextStretch,
   readingHarm,
 } from './choosing/readingHarm.js'
+export { HomeEndpoints } from './choosing/homeEndpoints.js'
 export { nextPace, slownessOf, usualPace } from './choosing/slowness.js'
 export { rendezvousChoice, rendezvousOrder } from './choosing/rendezvous.js'
 
@@ -21,6 +22,8 @@
 } from './admitting/spendingBound.js'
 export { budgetPatience, returnAfterSeconds } from './admitting/budgetPatience.js'
 export { LinkBudget } from './admitting/linkBudget.js'
+export { DELAY_LOOK_MILLISECONDS, ProcessorBudget } from './admitting/processorBudget.js'
+export type { WorkRank } from './admitting/processorBudget.js'
 export { settledCost } from './admitting/settledCost.js'
 
 export { mayHaveRun, outcomeLabel, outcomeText } from './retrying/attemptOutcome.js'
@@ -38,8 +41,12 @@
 } from './placing/holdingPolicy.js'
 export type { BudgetView, HoldingPolicy } from './placing/holdingPolicy.js'
 export { askingSince, budgetLenders, budgetSharers } from './placing/budgetSharers.js'
-export { ActiveInstances, chooseActive, isBusy } from './placing/activeInstances.js'
+export { ActiveInstances, chooseActive } from './placing/activeInstances.js'
 export type { ActiveBounds, ActiveCandidate } from './placing/activeInstances.js'
+export { cautiousSharersOf, sharersOf } from './placing/fleetSharers.js'
+export type { FleetUse } from './placing/fleetSharers.js'
+export { recordInterval } from './placing/recordInterval.js'
+export { SilentInstances } from './placing/silentInstances.js'
 
 export { LINGER_MILLISECONDS, exitTime, isTimeToSettle } from './stopping/drainPhases.js'
 export { finalError } from './stopping/finalError.js'
--- a/packages/decisions/src/placing/activeInstances.ts
+++ b/packages/decisions/src/placing/activeInstances.ts
@@ -90,17 +90,6 @@
   return chosen
 }
 
-/** An instance that takes this many requests a second serves callers, active or not. Chosen. */
-const BUSY_REQUESTS_PER_SECOND = 0.5
-
-/**
- * Whether callers come to an instance, whether or not it was chosen: some do not follow the
- * directory, and who serves them shares the bounds of the whole fleet.
- */
-export function isBusy({ requestsPerSecond }: Pick<ActiveCandidate, 'requestsPerSecond'>): boolean {
-  return requestsPerSecond >= BUSY_REQUESTS_PER_SECOND
-}
-
 /**
  * An instance that takes this many times what it can has callers that do not follow the directory. Others
  * of its capacity come first, since more callers would cost it the ones that it has. Chosen.
--- a/packages/router/__tests__/peerLoads.spec.ts
+++ b/packages/router/__tests__/peerLoads.spec.ts
@@ -18,6 +18,8 @@
   isLeaving: false,
 }
 
+const SELF = { instance: 'self', incarnation: 'first' }
+
 const PARTS = [
   { id: 'system', tokens: 300 },
   { id: 'subject', tokens: 500 },
@@ -82,11 +84,31 @@
   })
 })
 
+describe('who uses endpoints', () => {
+  it('is seen from the work that it tells of, until some time after that has ended', async () => {
+    const clock = new VirtualClock()
+    const loads = new PeerLoads(clock)
+    loads.observe(report(1, 0))
+    expect(loads.isUsing('peer')).toBe(false)
+    loads.observe(report(2, 3))
+    await clock.advance(10_000)
+    // A long answer is told of once.
+    expect(loads.isUsing('peer')).toBe(true)
+    loads.observe(report(3, 0, { isWhole: true }))
+    expect(loads.isUsing('peer')).toBe(false)
+    loads.observe(report(4, 1))
+    loads.observe(report(5, 0, { isWhole: true }))
+    expect(loads.isUsing('peer')).toBe(true)
+    await clock.advance(2_000)
+    expect(loads.isUsing('peer')).toBe(false)
+  })
+})
+
 describe('LoadReporter', () => {
   it('tells what changed, then that it ended, and nothing in between', () => {
     const directory = directoryOf('s1', 's2')
     const caches = new PromptCaches()
-    const reporter = new LoadReporter({ instance: 'self', incarnation: 'first' }, directory, caches)
+    const reporter = new LoadReporter(SELF, directory, caches, () => true)
     const [endpoint] = directory.available('model')
     if (endpoint === undefined) throw new Error('no endpoint')
     caches.noteSent('s1', PARTS, undefined)
@@ -103,13 +125,34 @@
     ]).toMatchSnapshot()
   })
 
+  it('tells of no service that the others need not know of', () => {
+    const directory = directoryOf('s1')
+    directory.set({ ...SERVER, id: 'plain-1', service: 'plain' })
+    for (const endpoint of [...directory.available('model'), ...directory.available('plain')]) {
+      endpoint.running = 1
+    }
+    const isTold = (service: string) => service === 'model'
+    const reporter = new LoadReporter(SELF, directory, new PromptCaches(), isTold)
+    expect(reporter.next(false)?.loads.map(({ endpoint }) => endpoint)).toEqual(['s1'])
+  })
+
+  it('tells a newcomer everything at once, and what came later as a change', () => {
+    const directory = directoryOf('s1', 's2')
+    const reporter = new LoadReporter(SELF, directory, new PromptCaches(), () => true)
+    const [first, second] = directory.available('model')
+    if (first === undefined || second === undefined) throw new Error('no endpoint')
+    first.running = 3
+    const before = reporter.next(false)
+    const whole = reporter.whole()
+    expect(whole).toMatchObject({ isWhole: true, loads: [{ endpoint: 's1', running: 3 }] })
+    expect(whole.sequence).toBeGreaterThan(before?.sequence ?? 0)
+    second.running = 1
+    expect(reporter.next(false)?.loads.map(({ endpoint }) => endpoint)).toEqual(['s2'])
+  })
+
   it('gives signs of life that say of no endpoint anything and put no whole report off', () => {
     const directory = directoryOf('s1')
-    const reporter = new LoadReporter(
-      { instance: 'self', incarnation: 'first' },
-      directory,
-      new PromptCaches(),
-    )
+    const reporter = new LoadReporter(SELF, directory, new PromptCaches(), () => true)
     const [endpoint] = directory.available('model')
     if (endpoint === undefined) throw new Error('no endpoint')
     endpoint.running = 1
@@ -154,6 +197,7 @@
       ofPeers: (endpoint: string) => peers.at(endpoint),
       recentTokens: () => 0,
       slowness: () => 1,
+      isHome: () => true,
       uncachedTokens: () => 0,
     }
     const prompt = { tokens: undefined, promptParts: [] }
--- a/packages/router/src/gateway/endpointDirectory.ts
+++ b/packages/router/src/gateway/endpointDirectory.ts
@@ -225,11 +225,11 @@
     return this.endpoints.get(id)?.record.service
   }
 
-  /** What is in progress from here, by endpoint; endpoints with nothing are left out. */
-  loads(): ReadonlyMap<string, InstanceLoad> {
+  /** What is in progress from here, by endpoint of such services; those with nothing are left out. */
+  loads(isWanted: (service: string) => boolean): ReadonlyMap<string, InstanceLoad> {
     const loads = new Map<string, InstanceLoad>()
-    for (const [id, { running, pendingTokens }] of this.endpoints) {
-      if (running > 0) loads.set(id, { running, pendingTokens })
+    for (const [id, { running, pendingTokens, record }] of this.endpoints) {
+      if (running > 0 && isWanted(record.service)) loads.set(id, { running, pendingTokens })
     }
     return loads
   }
--- a/packages/router/src/gateway/endpointSnapshots.ts
+++ b/packages/router/src/gateway/endpointSnapshots.ts
@@ -14,6 +14,8 @@
   recentTokens(endpoint: string): TokenCount
   /** How many times as long as a usual one it takes for an answer; 1 or more. */
   slowness(endpoint: EndpointState): number
+  /** Whether this instance hears at once what others send there. */
+  isHome(endpoint: string): boolean
   /** Tokens of a prompt that it would have to read. */
   uncachedTokens(
     endpoint: string,
@@ -49,6 +51,8 @@
       ageMilliseconds: now - endpoint.loadAt,
     },
     failureShare: endpoint.failures,
+    // Where no prompt is read, sending unheard costs nothing that the endpoint's own word does not tell.
+    isHome: prompt.tokens === undefined || fleet.isHome(id),
   }
 }
 
--- a/packages/router/src/gateway/fleetLoad.ts
+++ b/packages/router/src/gateway/fleetLoad.ts
@@ -3,10 +3,11 @@
  * told and the reckoning of prompt caches; relies on the directory for this instance's own requests.
  */
 
+import { HomeEndpoints } from '@rackwalk/decisions'
 import type { Clock, Milliseconds, TokenCount } from '@rackwalk/shared'
 import type { PromptPart } from './dialect.js'
 import { LoadReporter } from './loadReporter.js'
-import { PeerLoads } from './peerLoads.js'
+import { PeerLoads, USING_MILLISECONDS } from './peerLoads.js'
 import type { InstanceLoad, PeerLoadReport } from './peerLoads.js'
 import { PauseMeter } from './pauseMeter.js'
 import { PromptCaches } from './promptCaches.js'
@@ -21,6 +22,12 @@
   readonly clock: Clock
   /** Tokens that an endpoint of a service holds; undefined where nothing is said. */
   readonly capacityOf: (service: string) => TokenCount | undefined
+  /** Instances that use endpoints, this one included. */
+  readonly users: () => number
+  /** Something was sent to an endpoint, of which the others are told. */
+  readonly onSent?: () => void
+  /** Whether the others are told of work at endpoints of a service. */
+  readonly isTold: (service: string) => boolean
 }
 
 /** The knowledge of the whole fleet, on one instance. */
@@ -31,6 +38,9 @@
   readonly pauses = new PauseMeter()
   private readonly reporter: LoadReporter
   private readonly readings: ReadingMeter
+  private readonly homes = new HomeEndpoints()
+  /** Monotonic time at which a report last told of work here. */
+  private workedAt: Milliseconds = Number.NEGATIVE_INFINITY
 
   constructor(private readonly parts: FleetLoadParts) {
     this.peers = new PeerLoads(parts.clock)
@@ -39,6 +49,7 @@
       { instance: parts.instance, incarnation: parts.incarnation },
       parts.directory,
       this.caches,
+      parts.isTold,
     )
   }
 
@@ -66,6 +77,12 @@
   noteSent(endpoint: string, parts: readonly PromptPart[], uncachedTokens: TokenCount): void {
     this.readings.note(endpoint, uncachedTokens)
     this.caches.noteSent(endpoint, parts, this.capacityAt(endpoint))
+    this.parts.onSent?.()
+  }
+
+  /** Whether this instance hears at once what others send to an endpoint. */
+  isHome(endpoint: string): boolean {
+    return this.homes.isHome(this.parts.instance, endpoint, this.parts.users())
   }
 
   /** Takes in what another instance told. */
@@ -80,7 +97,29 @@
 
   /** What to tell the others; undefined where there is nothing new and no sign of life due. */
   nextReport(isSignDue: boolean): PeerLoadReport | undefined {
-    return this.reporter.next(isSignDue)
+    const report = this.reporter.next(isSignDue)
+    if (this.reporter.hasWork) this.workedAt = this.parts.clock.monotonic()
+    return report
+  }
+
+  /**
+   * What was sent since the last report, for each of these instances that is at home where it was
+   * sent; the others hear of it with the next report.
+   */
+  urgentReports(instances: readonly string[]): ReadonlyMap<string, PeerLoadReport> {
+    const grown = this.reporter.takeGrown()
+    const users = this.parts.users()
+    const reports = new Map<string, PeerLoadReport>()
+    for (const instance of instances) {
+      const loads = grown.filter(({ endpoint }) => this.homes.isHome(instance, endpoint, users))
+      if (loads.length > 0) reports.set(instance, this.reporter.partial(loads))
+    }
+    return reports
+  }
+
+  /** Everything that the others were told, for one that got no reports before. */
+  wholeReport(): PeerLoadReport {
+    return this.reporter.whole()
   }
 
   /** A report of nothing but that this instance lives. */
@@ -93,6 +132,16 @@
     return this.peers.hears(instance)
   }
 
+  /** Whether an instance told of work at endpoints lately. */
+  isUsing(instance: string): boolean {
+    return this.peers.isUsing(instance)
+  }
+
+  /** Whether the others were told of work here lately. */
+  get isSelfUsing(): boolean {
+    return this.parts.clock.monotonic() - this.workedAt < USING_MILLISECONDS
+  }
+
   /** Forgets instances that have been silent for this long; call it now and then. */
   expire(silence: Milliseconds): void {
     this.peers.expire(silence)
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -5,15 +5,14 @@
 
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { NotRunError, RESULT_TABLE, ResultCode, toRackwalkError } from '@rackwalk/shared'
-import type { Bytes, Clock, Milliseconds, RandomSource } from '@rackwalk/shared'
+import type { Clock, Milliseconds, RandomSource } from '@rackwalk/shared'
 import {
   FleetRetryBudget,
-  LinkBudget,
   budgetPatience,
   returnAfterSeconds,
   settledCost,
 } from '@rackwalk/decisions'
-import type { RetryBounds } from '@rackwalk/decisions'
+import type { RetryBounds, WorkRank } from '@rackwalk/decisions'
 import type { PrepaidLedger, PrepaidReservation, RefusedOutcome } from '@rackwalk/coordination'
 import { readBody } from '../readBody.js'
 import { CallerReply } from './callerReply.js'
@@ -26,12 +25,14 @@
   RouteTable,
 } from './gatewayConfiguration.js'
 import type { GatewayRecord } from './gatewayRecord.js'
+import { InstanceAdmission } from './instanceAdmission.js'
+import type { InstanceAdmissionParts } from './instanceAdmission.js'
 import { latenessOf } from './lateness.js'
 import { RequestAttempts } from './requestAttempts.js'
 import type { AttemptsParts, AttemptsResult } from './requestAttempts.js'
 
 /** What the gateway works with. */
-export interface GatewayParts extends AttemptsParts {
+export interface GatewayParts extends AttemptsParts, InstanceAdmissionParts {
   readonly dialect: Dialect
   readonly clock: Clock
   readonly random: RandomSource
@@ -39,8 +40,6 @@
   /** The configuration in force; undefined until one is known. */
   readonly routes: () => RouteTable | undefined
   readonly retryBounds: RetryBounds
-  /** What the own link carries. */
-  readonly linkBytesPerSecond: number
   readonly instances: () => number
   /** Whether connections end with their next answer. */
   readonly isDraining: () => boolean
@@ -71,11 +70,11 @@
 export class Gateway {
   /** By service. */
   private readonly retryBudgets = new Map<string, FleetRetryBudget>()
-  private readonly link: LinkBudget
+  private readonly admission: InstanceAdmission
   private running = 0
 
   constructor(private readonly parts: GatewayParts) {
-    this.link = new LinkBudget(parts.linkBytesPerSecond)
+    this.admission = new InstanceAdmission(parts, () => this.running)
   }
 
   /** Requests in progress. */
@@ -113,10 +112,10 @@
   ): Promise<void> {
     const identified = this.identify(request, metadata, record)
     const { route, service, team } = identified
-    this.takeFromLink(request)
+    this.admission.admit(request, workRankOf(identified))
     const { clock, instances } = this.parts
     const body = await this.readBody(request)
-    if (announcedBytes(request) === undefined) this.link.noteRead(body.length, clock.monotonic())
+    this.admission.noteBody(request, body.length)
     const retries = this.retryBudget(service.name)
     retries.noteRequest(clock.monotonic())
     const reservation = await this.reserve(identified, record)
@@ -178,24 +177,6 @@
     return { metadata, route, service, team, deadlineAt, goalAt }
   }
 
-  /** Refuses a request whose body the own link cannot take in now, before any of it is read. */
-  private takeFromLink(request: IncomingMessage): void {
-    const wait = this.link.take(announcedBytes(request), this.parts.clock.monotonic())
-    if (wait === 0) return
-    this.postponeBody(request, wait)
-    throw new NotRunError(ResultCode.LinkFull, undefined, returnAfterSeconds(wait))
-  }
-
-  /**
-   * A body that nobody reads stays with its caller: the rest is read, and thrown away, when the link
-   * has room for it. Until then the refusal reaches the caller, who may close the connection.
-   */
-  private postponeBody(request: IncomingMessage, wait: Milliseconds): void {
-    request.on('data', () => {})
-    request.pause()
-    this.parts.clock.after(wait, () => request.resume())
-  }
-
   private readBody(request: IncomingMessage): Promise<Buffer> {
     const limits = this.parts.routes()?.configuration.limits
     const bytes = limits?.bodyBytes ?? 0
@@ -274,10 +255,10 @@
   }
 }
 
-/** The size of a body, told ahead; undefined where it comes in chunks. */
-function announcedBytes({ headers }: IncomingMessage): Bytes | undefined {
-  if (headers['transfer-encoding'] !== undefined) return undefined
-  return Number(headers['content-length'] ?? 0)
+/** What the caller would lose by a refusal, and what the request takes. */
+function workRankOf({ team, route, metadata }: IdentifiedRequest): WorkRank {
+  const priority = team?.priority ?? route.priority
+  return { priority, answerTokens: metadata.tokens?.maximumOutput ?? 0 }
 }
 
 function findTeam(routes: RouteTable, metadata: RequestMetadata): GatewayTeam {
--- /dev/null
+++ b/packages/router/src/gateway/instanceAdmission.ts
@@ -0,0 +1,93 @@
+/**
+ * Refuses at once what this instance itself cannot carry: its link, or its processor. Owns what both still
+ * bear and the timer that tells how long ready work waits; the rules are in decisions/admitting.
+ */
+
+import type { IncomingMessage } from 'node:http'
+import { NotRunError, ResultCode } from '@rackwalk/shared'
+import type { Bytes, Clock, Milliseconds, RandomSource } from '@rackwalk/shared'
+import {
+  DELAY_LOOK_MILLISECONDS,
+  LinkBudget,
+  ProcessorBudget,
+  returnAfterSeconds,
+} from '@rackwalk/decisions'
+import type { WorkRank } from '@rackwalk/decisions'
+
+/** What the admission works with. */
+export interface InstanceAdmissionParts {
+  readonly clock: Clock
+  readonly random: RandomSource
+  /** What the own link carries. */
+  readonly linkBytesPerSecond: number
+  /** Time since the store last answered this instance. */
+  readonly storeAge: () => Milliseconds
+}
+
+/** Takes requests as long as link and processor bear them. */
+export class InstanceAdmission {
+  private readonly link: LinkBudget
+  private readonly processor = new ProcessorBudget()
+  private isWatching = false
+
+  constructor(
+    private readonly parts: InstanceAdmissionParts,
+    /** Requests in progress. */
+    private readonly running: () => number,
+  ) {
+    this.link = new LinkBudget(parts.linkBytesPerSecond)
+  }
+
+  /** Throws where the request cannot be carried; nothing of its body has been read then. */
+  admit(request: IncomingMessage, rank: WorkRank): void {
+    this.watchDelay()
+    if (!this.processor.takes(rank, this.parts.random.next())) {
+      const wait = this.processor.reliefMilliseconds
+      throw new NotRunError(ResultCode.ProcessorFull, undefined, returnAfterSeconds(wait))
+    }
+    this.takeFromLink(request)
+  }
+
+  /** A body has been read. */
+  noteBody(request: IncomingMessage, bytes: Bytes): void {
+    if (announcedBytes(request) !== undefined) return
+    this.link.noteRead(bytes, this.parts.clock.monotonic())
+  }
+
+  private takeFromLink(request: IncomingMessage): void {
+    const { clock, storeAge } = this.parts
+    const wait = this.link.take(announcedBytes(request), clock.monotonic(), storeAge())
+    if (wait === 0) return
+    this.postponeBody(request, wait)
+    throw new NotRunError(ResultCode.LinkFull, undefined, returnAfterSeconds(wait))
+  }
+
+  /**
+   * A body that nobody reads stays with its caller: the rest is read, and thrown away, when the link
+   * has room for it. Until then the refusal reaches the caller, who may close the connection.
+   */
+  private postponeBody(request: IncomingMessage, wait: Milliseconds): void {
+    request.on('data', () => {})
+    request.pause()
+    this.parts.clock.after(wait, () => request.resume())
+  }
+
+  /** Looks at the delay while there is work; an idle instance wakes for nothing. */
+  private watchDelay(): void {
+    if (this.isWatching) return
+    this.isWatching = true
+    const { clock } = this.parts
+    const dueAt = clock.monotonic() + DELAY_LOOK_MILLISECONDS
+    clock.after(DELAY_LOOK_MILLISECONDS, () => {
+      this.isWatching = false
+      this.processor.noteDelay(Math.max(0, clock.monotonic() - dueAt))
+      if (this.running() > 0 || this.processor.refusedPart > 0) this.watchDelay()
+    })
+  }
+}
+
+/** The size of a body, told ahead; undefined where it comes in chunks. */
+function announcedBytes({ headers }: IncomingMessage): Bytes | undefined {
+  if (headers['transfer-encoding'] !== undefined) return undefined
+  return Number(headers['content-length'] ?? 0)
+}
--- a/packages/router/src/gateway/loadReporter.ts
+++ b/packages/router/src/gateway/loadReporter.ts
@@ -15,19 +15,28 @@
   private sequence = 0
   private reports = 0
   private told = new Map<string, InstanceLoad>()
+  /** What was in progress when somebody was last told of it. */
+  private seen: ReadonlyMap<string, InstanceLoad> = new Map()
 
   constructor(
     private readonly identity: { readonly instance: string; readonly incarnation: string },
     private readonly directory: EndpointDirectory,
     private readonly caches: PromptCaches,
+    /** Whether the others are told of work at endpoints of a service. */
+    private readonly isTold: (service: string) => boolean,
   ) {}
 
+  /** Whether the last report told of work in progress. */
+  get hasWork(): boolean {
+    return this.told.size > 0
+  }
+
   /** The next report; undefined where nothing has changed, unless a sign of life is due. */
   next(isSignDue: boolean): PeerLoadReport | undefined {
     this.sequence += 1
     this.reports += 1
     const isWhole = this.reports % REPORTS_A_WHOLE === 0
-    const current = this.directory.loads()
+    const current = this.directory.loads(this.isTold)
     const parts = this.caches.takeUntold()
     const isNews = (endpoint: string) =>
       parts.has(endpoint) || !isSame(current.get(endpoint), this.told.get(endpoint))
@@ -40,14 +49,38 @@
         parts: parts.get(endpoint) ?? [],
       }))
     this.told = new Map(current)
+    this.seen = current
     if (!isWhole && !isSignDue && loads.length === 0) return undefined
     return { ...this.identity, sequence: this.sequence, isWhole, loads }
   }
 
+  /** Endpoints to which something was sent since the last report or the last call. */
+  takeGrown(): readonly EndpointReport[] {
+    const current = this.directory.loads(this.isTold)
+    const grown = [...current].filter(([endpoint, { running, pendingTokens }]) => {
+      const before = this.seen.get(endpoint) ?? NO_LOAD
+      return running > before.running || pendingTokens > before.pendingTokens
+    })
+    this.seen = current
+    return grown.map(([endpoint, load]) => ({ endpoint, ...load, parts: [] }))
+  }
+
+  /** A report of these endpoints alone. */
+  partial(loads: readonly EndpointReport[]): PeerLoadReport {
+    this.sequence += 1
+    return { ...this.identity, sequence: this.sequence, isWhole: false, loads }
+  }
+
+  /** Everything as last told, for an instance that got no reports before. */
+  whole(): PeerLoadReport {
+    this.sequence += 1
+    const loads = [...this.told].map(([endpoint, load]) => ({ endpoint, ...load, parts: [] }))
+    return { ...this.identity, sequence: this.sequence, isWhole: true, loads }
+  }
+
   /** Says of no endpoint anything; it goes to instances that get no reports. */
   sign(): PeerLoadReport {
-    this.sequence += 1
-    return { ...this.identity, sequence: this.sequence, isWhole: false, loads: [] }
+    return this.partial([])
   }
 }
 
--- a/packages/router/src/gateway/peerLoads.ts
+++ b/packages/router/src/gateway/peerLoads.ts
@@ -38,10 +38,18 @@
   readonly tokens: TokenCount
 }
 
+/**
+ * An instance that had work at an endpoint within this time uses endpoints. Chosen: one to which a request
+ * comes each second stays among those that are told of load, one to which a request strays does not.
+ */
+export const USING_MILLISECONDS = 2_000
+
 interface PeerState {
   incarnation: string
   sequence: number
   heardAt: Milliseconds
+  /** Monotonic time at which it last told of work. */
+  workedAt: Milliseconds
   readonly loads: Map<string, InstanceLoad>
 }
 
@@ -69,6 +77,7 @@
     for (const { endpoint, running, pendingTokens } of report.loads) {
       this.replace(peer, endpoint, { running, pendingTokens })
     }
+    if (report.loads.length > 0) peer.workedAt = peer.heardAt
     return growths
   }
 
@@ -82,6 +91,13 @@
     return this.peers.has(instance)
   }
 
+  /** Whether an instance told of work at endpoints lately. */
+  isUsing(instance: string): boolean {
+    const peer = this.peers.get(instance)
+    if (peer === undefined) return false
+    return peer.loads.size > 0 || this.clock.monotonic() - peer.workedAt < USING_MILLISECONDS
+  }
+
   /** Forgets instances that have been silent for this long; call it now and then. */
   expire(silence: Milliseconds): void {
     const oldest = this.clock.monotonic() - silence
@@ -97,7 +113,13 @@
     const known = this.peers.get(instance)
     if (known?.incarnation === incarnation) return known
     if (known !== undefined) this.clear(known)
-    const created = { incarnation, sequence: 0, heardAt: 0, loads: new Map<string, InstanceLoad>() }
+    const created: PeerState = {
+      incarnation,
+      sequence: 0,
+      heardAt: 0,
+      workedAt: Number.NEGATIVE_INFINITY,
+      loads: new Map(),
+    }
     this.peers.set(instance, created)
     return created
   }
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -86,7 +86,7 @@
 export { withoutConnectionHeaders } from './gateway/connectionHeaders.js'
 export { FleetLoad } from './gateway/fleetLoad.js'
 export { LoadReporter } from './gateway/loadReporter.js'
-export { PeerLoads } from './gateway/peerLoads.js'
+export { PeerLoads, USING_MILLISECONDS } from './gateway/peerLoads.js'
 export { PromptCaches } from './gateway/promptCaches.js'
 export type { PeerLoadReport } from './gateway/peerLoads.js'
 export { latenessOf } from './gateway/lateness.js'
--- a/packages/shared/src/resultCodes.ts
+++ b/packages/shared/src/resultCodes.ts
@@ -32,6 +32,7 @@
   EndpointRefused = 3007,
   ClaimUnconfirmed = 3008,
   LinkFull = 3009,
+  ProcessorFull = 3010,
 
   EndpointFailed = 4001,
   EndpointStalled = 4002,
@@ -89,6 +90,7 @@
   | ResultCode.EndpointRefused
   | ResultCode.ClaimUnconfirmed
   | ResultCode.LinkFull
+  | ResultCode.ProcessorFull
 
 /** Codes for a request that an earlier or this attempt may have run. */
 export type AfterDispatchCode =
@@ -183,6 +185,13 @@
     2,
   ),
   [ResultCode.LinkFull]: row(503, 'not-run', true, 'the link of this instance is full', 1),
+  [ResultCode.ProcessorFull]: row(
+    503,
+    'not-run',
+    true,
+    'the processor of this instance is full',
+    1,
+  ),
 
   [ResultCode.EndpointFailed]: row(502, 'unknown', true, 'the endpoint did not answer'),
   [ResultCode.EndpointStalled]: row(504, 'ran', true, 'the endpoint stalled'),
--- /dev/null
+++ b/packages/stand-ins/__tests__/largeFleet.spec.ts
@@ -0,0 +1,76 @@
+import { describe, expect, it } from 'vitest'
+import { FleetReplay } from '@rackwalk/stand-ins'
+
+/**
+ * A fleet of which few instances take callers, though something comes to each: plain requests and checks to
+ * all, one team's callers to one that stands by. In brackets: what the same gave when whoever got half a
+ * request a second shared every bound, and whoever was not heard yet was left out of the addresses.
+ */
+
+const SMALL = 40
+const LARGE = 120
+const TIMEOUT_MILLISECONDS = 60_000
+/** Heartbeats of all are known, and who was not active has given back what it held. */
+const SETTLE_MILLISECONDS = 9_000
+
+async function settledFleet(instances: number): Promise<FleetReplay> {
+  const fleet = new FleetReplay(
+    {
+      instances,
+      failureDomains: 6,
+      budgets: 20,
+      limit: 3_000_000,
+      requestsPerSecond: 200,
+      straysPerSecond: 0.7,
+      stayingPerSecond: 15,
+    },
+    1,
+  )
+  await fleet.clock.advance(SETTLE_MILLISECONDS)
+  return fleet
+}
+
+function share({ asked, served }: { asked: number; served: number }): number {
+  return served / asked
+}
+
+describe('a large fleet to which something comes everywhere', () => {
+  it(
+    'costs each instance no more as it grows, and shares budgets among those that draw on them',
+    async () => {
+      const costs: number[] = []
+      for (const instances of [SMALL, LARGE]) {
+        const fleet = await settledFleet(instances)
+        const outcome = await fleet.run(3_000)
+        expect(share(outcome)).toBeGreaterThan(0.98)
+        costs.push(fleet.storeCalls / instances)
+        // [25 at forty instances.]
+        expect(fleet.mostSharers).toBeLessThanOrEqual(fleet.active.length + 2)
+        expect(fleet.recordMilliseconds).toBeLessThan(700)
+      }
+      const [small = 0, large = 0] = costs
+      expect(large).toBeLessThan(1.5 * small)
+    },
+    TIMEOUT_MILLISECONDS,
+  )
+
+  it(
+    'comes back from a loss of all power as the fleet that it was',
+    async () => {
+      const fleet = await settledFleet(LARGE)
+      await fleet.run(2_000)
+      const before = fleet.active
+      await fleet.loseAll(1_500)
+      const first = await fleet.run(700)
+      // [28 named and 26 active.]
+      expect(fleet.named.size).toBeLessThanOrEqual(before.length + 2)
+      expect(fleet.active.length).toBeLessThanOrEqual(before.length + 2)
+      expect(share(first)).toBeGreaterThan(0.9)
+      const later = await fleet.run(2_000)
+      expect(share(later)).toBeGreaterThan(0.98)
+      // [64]
+      expect(fleet.mostSharers).toBeLessThanOrEqual(before.length + 2)
+    },
+    TIMEOUT_MILLISECONDS,
+  )
+})
--- a/packages/stand-ins/__tests__/replay.spec.ts
+++ b/packages/stand-ins/__tests__/replay.spec.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from 'vitest'
 import { SeededRandom } from '@rackwalk/shared'
-import { Replay, longPromptLoad } from '@rackwalk/stand-ins'
+import { Replay, largeFleetLoad, longPromptLoad } from '@rackwalk/stand-ins'
 import type { LongPromptVariation } from '@rackwalk/stand-ins'
 
 /**
@@ -90,6 +90,38 @@
   })
 })
 
+describe('prompts that come to dozens of instances at once', () => {
+  /** Time between two reports of one instance to all others where two dozen use endpoints. */
+  const REPORT_MILLISECONDS = 230
+
+  async function lateOf(rate: number): Promise<Record<string, number>> {
+    const variation = { reportMilliseconds: REPORT_MILLISECONDS, rate, milliseconds: 6_000 }
+    const replay = new Replay(largeFleetLoad(new SeededRandom(101), variation), 1)
+    const late: Record<string, number> = {}
+    for (const [name, outcome] of await replay.run()) {
+      late[name] = (outcome.lateFirstEvents + outcome.latePauses) / outcome.requests
+    }
+    return late
+  }
+
+  // In brackets: without homes, each told of what others send by their reports alone.
+  it('do not gather where all knew a place to be free', async () => {
+    const { long, middle, short } = await lateOf(1)
+    // [0.31, 0.09, 0.11]
+    expect(long).toBeLessThan(0.15)
+    expect(middle).toBeLessThan(0.04)
+    expect(short).toBeLessThan(0.06)
+  })
+
+  it('are served in time for the most part also at 1.3 times the load', async () => {
+    const { long, middle, short } = await lateOf(1.3)
+    // [0.41, 0.20, 0.26]
+    expect(long).toBeLessThan(0.2)
+    expect(middle).toBeLessThan(0.1)
+    expect(short).toBeLessThan(0.15)
+  })
+})
+
 describe('the slowness of endpoints', () => {
   it('is known within seconds, whatever they read', async () => {
     const slowness = [1, 1, 1.3, 1, 1, 2, 1, 1]
--- a/packages/stand-ins/src/platform/memoryRowStore.ts
+++ b/packages/stand-ins/src/platform/memoryRowStore.ts
@@ -105,7 +105,13 @@
 
   changes(table: string, after: number): RowFeedOutcome {
     if (after < this.forgottenVersion) return { kind: 'history-gone' }
-    const rows = this.history.filter(row => row.table === table && row.version > after)
+    const rows: HistoryEntry[] = []
+    for (let index = this.history.length - 1; index >= 0; index -= 1) {
+      const row = this.history[index]
+      if (row === undefined || row.version <= after) break
+      if (row.table === table) rows.push(row)
+    }
+    rows.reverse()
     return { kind: 'changes', rows, version: this.version, storeTime: this.now }
   }
 
--- /dev/null
+++ b/packages/stand-ins/src/replay/largeFleetLoad.ts
@@ -0,0 +1,95 @@
+/**
+ * The load of a large fleet: four hundred requests a second with prompts, on eighty engines, by a dozen
+ * instances that take callers and a dozen others with which the callers of one team each stay.
+ */
+
+import type { Milliseconds, RandomSource } from '@rackwalk/shared'
+import type { EngineCapacity } from '../engine/engineModel.js'
+import { replayedKind } from './promptKind.js'
+import type { PromptKind } from './promptKind.js'
+import type { ReplayedLoad } from './replay.js'
+
+/** How a load differs from the usual one. */
+export interface LargeFleetVariation {
+  readonly reportMilliseconds: Milliseconds
+  /** Factor on the rate of all requests. */
+  readonly rate?: number
+  readonly milliseconds?: Milliseconds
+}
+
+const TOKENS_PER_EVENT = 3
+const PAUSE_GOAL_MILLISECONDS = 300
+const RUN_MILLISECONDS = 12_000
+const ENGINES = 82
+/** Requests a second, as seen: those of the active instances, then of the others. */
+const INSTANCES = [
+  ...[28, 27, 25, 25, 25, 23, 23, 22, 22, 21, 20, 20, 20],
+  ...[32, 19, 16, 10, 7, 6, 5, 4, 3, 3, 3, 2, 2],
+]
+
+const LONG: PromptKind = {
+  name: 'long',
+  perSecond: 180,
+  goalMilliseconds: 608,
+  pauseGoalMilliseconds: PAUSE_GOAL_MILLISECONDS,
+  tokensPerEvent: TOKENS_PER_EVENT,
+  beginnings: 4,
+  beginning: { mean: 2_520, spread: 0.4, maximum: 6_290 },
+  conversations: 2_180,
+  history: { mean: 3_780, spread: 0.7, maximum: 11_300 },
+  question: { mean: 2_890, spread: 1, maximum: 39_600 },
+  events: { mean: 17.4, spread: 1.4, maximum: 69 },
+}
+
+const MIDDLE: PromptKind = {
+  name: 'middle',
+  perSecond: 125,
+  goalMilliseconds: 504,
+  pauseGoalMilliseconds: PAUSE_GOAL_MILLISECONDS,
+  tokensPerEvent: TOKENS_PER_EVENT,
+  beginnings: 39,
+  beginning: { mean: 341, spread: 0.4, maximum: 851 },
+  conversations: 1_513,
+  history: { mean: 227, spread: 0.7, maximum: 681 },
+  question: { mean: 1_800, spread: 1.3, maximum: 6_870 },
+  events: { mean: 7.52, spread: 1.4, maximum: 30 },
+}
+
+const SHORT: PromptKind = {
+  name: 'short',
+  perSecond: 97.4,
+  goalMilliseconds: 403,
+  pauseGoalMilliseconds: PAUSE_GOAL_MILLISECONDS,
+  tokensPerEvent: TOKENS_PER_EVENT,
+  beginnings: 39,
+  beginning: { mean: 103, spread: 0.4, maximum: 257 },
+  conversations: 789,
+  history: { mean: 68.6, spread: 0.7, maximum: 206 },
+  question: { mean: 543, spread: 0.89, maximum: 2_310 },
+  events: { mean: 93.3, spread: 0.7, maximum: 253 },
+}
+
+const ENGINE: EngineCapacity = {
+  slots: 24,
+  pieceTokens: 2_048,
+  promptTokensPerMillisecond: 38.4,
+  stepMilliseconds: 5.23,
+  answerMilliseconds: 0.00367,
+  thousandContextMilliseconds: 0.00853,
+  millionPairsMilliseconds: 0.647,
+  cacheTokens: 260_000,
+}
+
+/** The load; `random` draws what conversations are like. */
+export function largeFleetLoad(random: RandomSource, variation: LargeFleetVariation): ReplayedLoad {
+  const rate = () => variation.rate ?? 1
+  return {
+    instances: INSTANCES,
+    reportMilliseconds: variation.reportMilliseconds,
+    engines: Array.from({ length: ENGINES }, () => ENGINE),
+    tokensPerEvent: TOKENS_PER_EVENT,
+    milliseconds: variation.milliseconds ?? RUN_MILLISECONDS,
+    losses: [],
+    kinds: [LONG, MIDDLE, SHORT].map(kind => replayedKind(kind, rate, random)),
+  }
+}
--- a/packages/stand-ins/src/replay/longPromptLoad.ts
+++ b/packages/stand-ins/src/replay/longPromptLoad.ts
@@ -3,10 +3,11 @@
  * whose prompts make up most of what is read.
  */
 
-import { randomBelow } from '@rackwalk/shared'
-import type { Milliseconds, RandomSource, TokenCount } from '@rackwalk/shared'
-import type { EngineCapacity, EnginePromptPart } from '../engine/engineModel.js'
-import type { ReplayedKind, ReplayedLoad } from './replay.js'
+import type { Milliseconds, RandomSource } from '@rackwalk/shared'
+import type { EngineCapacity } from '../engine/engineModel.js'
+import { replayedKind } from './promptKind.js'
+import type { PromptKind } from './promptKind.js'
+import type { ReplayedLoad } from './replay.js'
 
 /** How a load differs from the usual one. */
 export interface LongPromptVariation {
@@ -21,38 +22,21 @@
   readonly isAllLong?: boolean
 }
 
-/** Sizes that scatter as those of real requests do: many small ones, few large ones. */
-interface SizeDistribution {
-  readonly mean: TokenCount
-  readonly spread: number
-  readonly maximum: TokenCount
-}
-
-/** What a kind of request is like. */
-interface KindShape {
-  readonly name: string
-  readonly perSecond: number
-  readonly goalMilliseconds: Milliseconds
-  /** Beginnings that all conversations share. */
-  readonly beginnings: number
-  readonly beginning: SizeDistribution
-  readonly conversations: number
-  readonly history: SizeDistribution
-  readonly question: SizeDistribution
-  readonly events: SizeDistribution
-}
-
 const TOKENS_PER_EVENT = 3
 const PAUSE_GOAL_MILLISECONDS = 300
 const RUN_MILLISECONDS = 40_000
 const INSTANCES = 3
+/** Time between two reports of one instance in a small fleet. */
+const REPORT_MILLISECONDS = 20
 const SLOTS = 128
 const ENGINES_SLOWNESS = [1, 1, 1.3, 1, 1, 1.3, 1, 1]
 
-const LONG: KindShape = {
+const LONG: PromptKind = {
   name: 'long',
   perSecond: 10.3,
   goalMilliseconds: 930,
+  pauseGoalMilliseconds: PAUSE_GOAL_MILLISECONDS,
+  tokensPerEvent: TOKENS_PER_EVENT,
   beginnings: 4,
   beginning: { mean: 2_520, spread: 0.4, maximum: 6_290 },
   conversations: 140,
@@ -61,10 +45,12 @@
   events: { mean: 17.4, spread: 1.4, maximum: 69 },
 }
 
-const SHORT: KindShape = {
+const SHORT: PromptKind = {
   name: 'short',
   perSecond: 34.6,
   goalMilliseconds: 1_130,
+  pauseGoalMilliseconds: PAUSE_GOAL_MILLISECONDS,
+  tokensPerEvent: TOKENS_PER_EVENT,
   beginnings: 8,
   beginning: { mean: 119, spread: 0.4, maximum: 298 },
   conversations: 475,
@@ -81,7 +67,8 @@
   const rate = variation.rate ?? (() => 1)
   const short = variation.isAllLong === true ? { ...LONG, name: 'short' } : SHORT
   return {
-    instances: INSTANCES,
+    instances: Array.from({ length: INSTANCES }, () => 1),
+    reportMilliseconds: REPORT_MILLISECONDS,
     engines: (variation.slowness ?? ENGINES_SLOWNESS).map(slowness => ({
       ...engineOf(slowness),
       slots: variation.slots ?? SLOTS,
@@ -89,7 +76,7 @@
     tokensPerEvent: TOKENS_PER_EVENT,
     milliseconds: RUN_MILLISECONDS,
     losses: variation.losses ?? [],
-    kinds: [kindOf(LONG, rate, random), kindOf(short, rate, random)],
+    kinds: [replayedKind(LONG, rate, random), replayedKind(short, rate, random)],
   }
 }
 
@@ -104,53 +91,3 @@
     cacheTokens: 200_000,
   }
 }
-
-function kindOf(
-  shape: KindShape,
-  rate: (now: Milliseconds) => number,
-  random: RandomSource,
-): ReplayedKind {
-  const beginnings = partsOf(`${shape.name}-beginning`, shape.beginnings, shape.beginning, random)
-  const histories = partsOf(`${shape.name}-history`, shape.conversations, shape.history, random)
-  let questions = 0
-  return {
-    name: shape.name,
-    perSecond: now => shape.perSecond * rate(now),
-    goalMilliseconds: shape.goalMilliseconds,
-    pauseGoalMilliseconds: PAUSE_GOAL_MILLISECONDS,
-    nextRequest: chance => {
-      const conversation = randomBelow(chance, shape.conversations)
-      const beginning = beginnings[conversation % shape.beginnings]
-      const history = histories[conversation]
-      questions += 1
-      const question = {
-        id: `${shape.name}-question-${questions}`,
-        tokens: drawSize(chance, shape.question),
-      }
-      return {
-        parts: [beginning, history, question].filter(part => part !== undefined),
-        answerTokens: drawSize(chance, shape.events) * TOKENS_PER_EVENT,
-      }
-    },
-  }
-}
-
-function partsOf(
-  name: string,
-  count: number,
-  sizes: SizeDistribution,
-  random: RandomSource,
-): readonly EnginePromptPart[] {
-  return Array.from({ length: count }, (_, index) => ({
-    id: `${name}-${index}`,
-    tokens: drawSize(random, sizes),
-  }))
-}
-
-/** A size whose logarithm is normally distributed. */
-function drawSize(random: RandomSource, { mean, spread, maximum }: SizeDistribution): TokenCount {
-  const radius = Math.sqrt(-2 * Math.log(1 - random.next()))
-  const normal = radius * Math.cos(2 * Math.PI * random.next())
-  const size = Math.exp(Math.log(mean) - spread ** 2 / 2 + spread * normal)
-  return Math.max(1, Math.min(maximum, Math.round(size)))
-}
--- a/packages/stand-ins/src/replay/replay.ts
+++ b/packages/stand-ins/src/replay/replay.ts
@@ -12,7 +12,7 @@
   snapshotEndpoint,
 } from '@rackwalk/router'
 import type { EndpointState } from '@rackwalk/router'
-import { SeededRandom, VirtualClock, asId, randomBelow } from '@rackwalk/shared'
+import { SeededRandom, VirtualClock, asId } from '@rackwalk/shared'
 import type { EndpointId, Milliseconds, RandomSource, TokenCount } from '@rackwalk/shared'
 import { EngineModel } from '../engine/engineModel.js'
 import type { EngineCapacity, EnginePromptPart } from '../engine/engineModel.js'
@@ -36,7 +36,10 @@
 
 /** A load and the engines that serve it. */
 export interface ReplayedLoad {
-  readonly instances: number
+  /** The part of all requests that comes to each instance, as a weight. */
+  readonly instances: readonly number[]
+  /** Time between two reports of one instance to the others. */
+  readonly reportMilliseconds: Milliseconds
   readonly engines: readonly EngineCapacity[]
   readonly kinds: readonly ReplayedKind[]
   readonly tokensPerEvent: TokenCount
@@ -55,13 +58,14 @@
 }
 
 interface ReplayedInstance {
+  readonly name: string
   readonly directory: EndpointDirectory
   readonly fleetLoad: FleetLoad
 }
 
 const SERVICE = 'model'
-/** Time between two reports of one instance, as in a small fleet. */
-const REPORT_MILLISECONDS = 20
+/** Time after which what was sent is told to those that are at home there. */
+const URGENT_MILLISECONDS = 20
 const FAILURE_DOMAIN = 'domain-0'
 const FAILURE_DOMAINS = 3
 const MEMORY_TOKENS = 260_000
@@ -84,13 +88,17 @@
     this.engines = load.engines.map(
       (capacity, index) => new EngineModel(engineId(index), capacity, this.clock),
     )
-    this.instances = Array.from({ length: load.instances }, (_, index) => this.instance(index))
+    this.instances = load.instances.map((_, index) => this.instance(index))
   }
 
   /** What became of the requests that ended, by kind. */
   async run(): Promise<ReadonlyMap<string, KindOutcome>> {
     for (const kind of this.load.kinds) this.scheduleArrival(kind)
-    for (const instance of this.instances) this.scheduleReport(instance)
+    for (const instance of this.instances) {
+      const phase = this.random.next() * this.load.reportMilliseconds
+      this.clock.after(phase, () => this.scheduleReport(instance))
+      this.scheduleUrgent(instance)
+    }
     for (const { engine, at } of this.load.losses) this.clock.after(at, () => this.lose(engine))
     await this.clock.advance(this.load.milliseconds)
     return this.kinds
@@ -112,7 +120,7 @@
     const { clock } = this
     const directory = new EndpointDirectory({
       clock,
-      instances: () => this.load.instances,
+      instances: () => this.load.instances.length,
       maximumConnections: () => PLENTY_OF_CONNECTIONS,
       onChange: () => {},
     })
@@ -128,7 +136,13 @@
     }
     const identity = { instance: `instance-${index}`, incarnation: '1' }
     const capacityOf = () => MEMORY_TOKENS
-    return { directory, fleetLoad: new FleetLoad({ ...identity, directory, clock, capacityOf }) }
+    const isTold = () => true
+    const users = () => this.load.instances.length
+    return {
+      name: identity.instance,
+      directory,
+      fleetLoad: new FleetLoad({ ...identity, directory, clock, capacityOf, isTold, users }),
+    }
   }
 
   private lose(engine: number): void {
@@ -136,7 +150,7 @@
   }
 
   private scheduleReport(instance: ReplayedInstance): void {
-    this.clock.after(REPORT_MILLISECONDS, () => {
+    this.clock.after(this.load.reportMilliseconds, () => {
       const report = instance.fleetLoad.nextReport(true)
       const others = this.instances.filter(other => other !== instance)
       if (report !== undefined) for (const other of others) other.fleetLoad.observe(report)
@@ -144,6 +158,18 @@
     })
   }
 
+  /** What must be told at once goes round as in a small fleet. */
+  private scheduleUrgent(instance: ReplayedInstance): void {
+    this.clock.after(URGENT_MILLISECONDS, () => {
+      const reports = instance.fleetLoad.urgentReports(this.instances.map(({ name }) => name))
+      for (const other of this.instances) {
+        const report = other === instance ? undefined : reports.get(other.name)
+        if (report !== undefined) other.fleetLoad.observe(report)
+      }
+      this.scheduleUrgent(instance)
+    })
+  }
+
   private scheduleArrival(kind: ReplayedKind): void {
     const perSecond = kind.perSecond(this.clock.monotonic())
     const delay = (-Math.log(1 - this.random.next()) * 1000) / perSecond
@@ -154,7 +180,7 @@
   }
 
   private arrive(kind: ReplayedKind, request: ReplayedRequest): void {
-    const instance = this.instances[randomBelow(this.random, this.instances.length)]
+    const instance = this.drawInstance()
     const endpoint = instance && this.choose(instance, request)
     const engine = this.engines.find(({ endpointId }) => endpointId === endpoint?.record.id)
     if (instance === undefined || endpoint === undefined || engine === undefined) {
@@ -164,6 +190,13 @@
     this.mostRunning = Math.max(this.mostRunning, engine.runningRequests + engine.waitingRequests)
   }
 
+  private drawInstance(): ReplayedInstance | undefined {
+    const weights = this.load.instances
+    let position = this.random.next() * weights.reduce((sum, weight) => sum + weight, 0)
+    const index = weights.findIndex(weight => (position -= weight) < 0)
+    return this.instances[index] ?? this.instances.at(-1)
+  }
+
   private choose(
     { directory, fleetLoad }: ReplayedInstance,
     { parts, answerTokens }: ReplayedRequest,
