--- a/packages/coordination/__tests__/tableMirror.spec.ts
+++ b/packages/coordination/__tests__/tableMirror.spec.ts
@@ -2,14 +2,18 @@
 import { VirtualClock } from '@rackwalk/shared'
 import type { ChangedRow } from '@rackwalk/stores'
 import { TableMirror } from '@rackwalk/coordination'
-import type { MirrorPage } from '@rackwalk/coordination'
+import type { MirrorPage, NearPeer } from '@rackwalk/coordination'
 import { MemoryRowStore } from '@rackwalk/stand-ins'
 
 const TABLE = 'things'
 
-function setUp(askPeers?: (table: string, after: number) => Promise<MirrorPage | undefined>) {
-  const clock = new VirtualClock()
-  const store = new MemoryRowStore(clock)
+function setUp(
+  askPeers?: (table: string, after: number) => Promise<MirrorPage | undefined>,
+  nearPeer?: NearPeer,
+  clock = new VirtualClock(),
+  store = new MemoryRowStore(clock),
+  waitMilliseconds = 500,
+) {
   const client = store.connect()
   const seen = new Map<string, string | undefined>()
   const faults: unknown[] = []
@@ -28,7 +32,8 @@
     clock,
     listener: { onRows, onFault: error => faults.push(error) },
     askPeers,
-    waitMilliseconds: 500,
+    nearPeer,
+    waitMilliseconds,
     pauseMilliseconds: () => 20,
     isWanted: () => wanted.isWanted,
   })
@@ -125,3 +130,69 @@
     expect([...seen]).toEqual([['a', '1']])
   })
 })
+
+describe('a mirror with a near peer', () => {
+  /** A mirror that follows the store, and another that asks it first. */
+  async function setUpTwo() {
+    const clock = new VirtualClock()
+    const store = new MemoryRowStore(clock)
+    // Endpoints and members change all the time, so nobody waits for a change.
+    const source = setUp(undefined, undefined, clock, store, 0)
+    let isPreferred = true
+    let asked = 0
+    const nearPeer: NearPeer = {
+      isPreferred: () => isPreferred,
+      ask: (_, after) => {
+        asked += 1
+        return Promise.resolve(source.mirror.since(after))
+      },
+      oldestMilliseconds: 600,
+    }
+    const follower = setUp(undefined, nearPeer, clock, store, 0)
+    source.store.put(TABLE, 'a', '1')
+    await source.clock.advance(1_000)
+    return { source, follower, asked: () => asked, prefer: (is: boolean) => (isPreferred = is) }
+  }
+
+  it('has each change without a call to the store', async () => {
+    const { source, follower, asked } = await setUpTwo()
+    follower.faults.isCut = true
+    source.store.put(TABLE, 'b', '2')
+    source.store.remove(TABLE, 'a')
+    await source.clock.advance(700)
+    expect([...follower.seen]).toEqual([
+      ['a', undefined],
+      ['b', '2'],
+    ])
+    expect(asked()).toBeGreaterThan(10)
+    expect(follower.mirror.age).toBeLessThan(600)
+  })
+
+  it('asks the store where the peer knows nothing new enough', async () => {
+    const { source, follower } = await setUpTwo()
+    source.faults.isCut = true
+    await source.clock.advance(2_000)
+    source.store.put(TABLE, 'b', '2')
+    await source.clock.advance(600)
+    expect(source.seen.get('b')).toBeUndefined()
+    expect(follower.seen.get('b')).toBe('2')
+  })
+
+  it('is as old as what the peer told, never younger', async () => {
+    const { source, follower } = await setUpTwo()
+    follower.faults.isCut = true
+    source.faults.isCut = true
+    await source.clock.advance(3_000)
+    expect(follower.mirror.age).toBeGreaterThan(2_000)
+  })
+
+  it('follows the store itself where it is active', async () => {
+    const { source, follower, asked, prefer } = await setUpTwo()
+    prefer(false)
+    await source.clock.advance(100)
+    const before = asked()
+    source.store.put(TABLE, 'b', '2')
+    await source.clock.advance(700)
+    expect([follower.seen.get('b'), asked()]).toEqual(['2', before])
+  })
+})
--- a/packages/coordination/src/rows/tableMirror.ts
+++ b/packages/coordination/src/rows/tableMirror.ts
@@ -29,6 +29,23 @@
   readonly isWhole: boolean
   /** Everything up to this version is covered. */
   readonly version: number
+  /** How old what it covers may be, when it was given; undefined where the giver does not say. */
+  readonly age?: Milliseconds
+}
+
+/** Asks a peer for the rows of a table that are newer than a version. */
+export type AskPeer = (table: string, after: number) => Promise<MirrorPage | undefined>
+
+/**
+ * A peer that follows the table at the store and is asked before it. Hundreds of instances that read each
+ * change themselves cost the store bytes that grow with the square of their number.
+ */
+export interface NearPeer {
+  /** Whether it is asked at present. */
+  readonly isPreferred: () => boolean
+  readonly ask: AskPeer
+  /** What it tells counts only where it is no older than this. */
+  readonly oldestMilliseconds: Milliseconds
 }
 
 /** What a mirror works with. */
@@ -40,7 +57,9 @@
   readonly clock: Clock
   readonly listener: MirrorListener
   /** Asked for newer rows while the store does not answer. */
-  readonly askPeers?: (table: string, after: number) => Promise<MirrorPage | undefined>
+  readonly askPeers?: AskPeer
+  /** Absent where the store alone is asked. */
+  readonly nearPeer?: NearPeer
   /** How long one call may wait for a change at the store. */
   readonly waitMilliseconds: Milliseconds
   /** Least time between two calls; bounds the calls on a table that changes all the time. */
@@ -54,6 +73,8 @@
 
 const FIRST_RETRY_MILLISECONDS = 100
 const LONGEST_RETRY_MILLISECONDS = 800
+/** A near peer that did not tell anything new enough is not asked again for this long. Chosen. */
+const NEAR_PEER_REST_MILLISECONDS = 2_000
 /** Time between two looks whether changes are wanted again. Chosen: no call is made. */
 const UNWANTED_MILLISECONDS = 200
 
@@ -72,6 +93,8 @@
   private readonly rows = new Map<string, ChangedRow>()
   /** Changes after this version are all among `rows`. */
   private completeAfter = 0
+  /** Until then the near peer is left alone. */
+  private nearPeerRestsUntil: Milliseconds = Number.NEGATIVE_INFINITY
 
   constructor(private readonly parts: TableMirrorParts) {}
 
@@ -99,7 +122,7 @@
     const rows = [...this.rows.values()]
       .filter(row => (isWhole ? row.value !== undefined : row.version > after))
       .sort((left, right) => left.version - right.version)
-    return { rows, isWhole, version: this.position }
+    return { rows, isWhole, version: this.position, age: this.age }
   }
 
   private async follow(): Promise<void> {
@@ -109,6 +132,10 @@
         await sleep(this.parts.clock, UNWANTED_MILLISECONDS)
         continue
       }
+      if (await this.followNearPeer()) {
+        await sleep(this.parts.clock, this.parts.pauseMilliseconds())
+        continue
+      }
       const sentAt = this.parts.clock.monotonic()
       const succeeded = await this.step()
       if (this.stopped) return
@@ -153,10 +180,38 @@
     return true
   }
 
+  /** Takes what a near peer has read of the store lately; false where the store is to be asked. */
+  private async followNearPeer(): Promise<boolean> {
+    const sentAt = this.parts.clock.monotonic()
+    const page = await this.askNearPeer()
+    if (page?.age === undefined) return false
+    if (this.stopped) return true
+    this.takePage(page)
+    this.noteReachable(true)
+    this.confirmedAt = Math.max(this.confirmedAt, sentAt - page.age)
+    this.parts.listener.onRead?.()
+    return true
+  }
+
+  /** What a near peer tells, where it is asked and its sight of the store is new enough. */
+  private async askNearPeer(): Promise<MirrorPage | undefined> {
+    const { nearPeer, clock, table } = this.parts
+    if (nearPeer === undefined || this.position === undefined) return undefined
+    if (!nearPeer.isPreferred() || clock.monotonic() < this.nearPeerRestsUntil) return undefined
+    const page = await nearPeer.ask(table, this.position)
+    if (page?.age !== undefined && page.age <= nearPeer.oldestMilliseconds) return page
+    this.nearPeerRestsUntil = clock.monotonic() + NEAR_PEER_REST_MILLISECONDS
+    return undefined
+  }
+
   /** Peers may have heard from the store what this instance could not. */
   private async catchUpFromPeers(): Promise<void> {
     const page = await this.parts.askPeers?.(this.parts.table, this.position ?? 0)
-    if (page === undefined || page.version <= (this.position ?? -1)) return
+    if (page !== undefined) this.takePage(page)
+  }
+
+  private takePage(page: MirrorPage): void {
+    if (page.version <= (this.position ?? -1)) return
     if (page.isWhole || this.position === undefined) this.completeAfter = page.version
     this.position = page.version
     for (const partition of this.parts.partitions()) this.readPartitions.add(partition)
--- a/packages/daemon/src/gateway/activeFleet.ts
+++ b/packages/daemon/src/gateway/activeFleet.ts
@@ -116,6 +116,13 @@
     return (near.length > 0 ? near : active).map(member => member.callerAddress)
   }
 
+  /** Addresses for peers of the active others in a failure domain. */
+  nearAddresses(failureDomain: string): readonly string[] {
+    return this.activeOthers
+      .filter(member => member.failureDomain === failureDomain && member.peerAddress !== '')
+      .map(({ peerAddress }) => peerAddress)
+  }
+
   private get use(): FleetUse {
     const { isSelfActive, usingOthers, idleOthers } = this.current()
     return {
--- a/packages/daemon/src/gateway/followedTables.ts
+++ b/packages/daemon/src/gateway/followedTables.ts
@@ -6,7 +6,12 @@
 import type { Clock, Milliseconds } from '@rackwalk/shared'
 import type { ChangedRow, RowAddress, RowStore } from '@rackwalk/stores'
 import { MEMBER_PARTITION, MEMBER_TABLE, PREPAID_TABLE, TableMirror } from '@rackwalk/coordination'
-import type { MemberDirectory, MirrorListener, PrepaidLedger } from '@rackwalk/coordination'
+import type {
+  MemberDirectory,
+  MirrorListener,
+  NearPeer,
+  PrepaidLedger,
+} from '@rackwalk/coordination'
 import type { EndpointDirectory } from '@rackwalk/router'
 import type { PeerRows } from './peerRows.js'
 import type { PlatformAdapter } from './platformAdapter.js'
@@ -26,6 +31,13 @@
 const STANDBY_MEMBER_PAUSE_MILLISECONDS = 1_400
 const MEMBER_PAUSE_MILLISECONDS = 700
 const PREPAID_PAUSE_MILLISECONDS = 400
+/**
+ * An instance that stands by takes these tables from an active one of its failure domain where what that knows is
+ * no older than this: with its own pause the sight of endpoints stays under a second and a half, less than a leaving
+ * endpoint is given by any configuration seen (2 s). Chosen.
+ */
+const NEAR_ENDPOINT_MILLISECONDS = 600
+const NEAR_MEMBER_MILLISECONDS = 1_500
 /** Time between two reads, as a share of that between two records of a holding. */
 const PREPAID_PAUSE_SHARE = 0.5
 
@@ -57,6 +69,8 @@
   readonly waitMilliseconds: Milliseconds
   /** Whether peers may tell of it while the store is away. */
   readonly isToldByPeers: boolean
+  /** A near peer may tell what is no older than this; where absent the store alone is asked. */
+  readonly nearPeerMilliseconds?: Milliseconds
   readonly listener: MirrorListener
 }
 
@@ -73,6 +87,7 @@
       waitMilliseconds: 0,
       // Who starts while the store is away would take itself for the only one and name itself alone.
       isToldByPeers: true,
+      nearPeerMilliseconds: NEAR_MEMBER_MILLISECONDS,
       listener: {
         onRows: (rows, isWhole) => members.observe(rows, isWhole),
         onRead: () => members.noteRead(),
@@ -117,6 +132,7 @@
         parts.isActive() ? ENDPOINT_PAUSE_MILLISECONDS : STANDBY_ENDPOINT_PAUSE_MILLISECONDS,
       waitMilliseconds: FEED_WAIT_MILLISECONDS,
       isToldByPeers: true,
+      nearPeerMilliseconds: NEAR_ENDPOINT_MILLISECONDS,
       listener: new EndpointFollower({
         directory: parts.endpoints,
         clock: parts.clock,
@@ -141,8 +157,21 @@
       onFault: parts.onFault,
     },
     askPeers: followed.isToldByPeers ? (name, after) => parts.peerRows.ask(name, after) : undefined,
+    nearPeer: nearPeerOf(parts, followed),
     waitMilliseconds,
     pauseMilliseconds,
     isWanted,
   })
 }
+
+function nearPeerOf(
+  { isActive, peerRows }: FollowedTablesParts,
+  { nearPeerMilliseconds }: FollowedTable,
+): NearPeer | undefined {
+  if (nearPeerMilliseconds === undefined) return undefined
+  return {
+    isPreferred: () => !isActive(),
+    ask: (table, after) => peerRows.askNear(table, after),
+    oldestMilliseconds: nearPeerMilliseconds,
+  }
+}
--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -369,6 +369,7 @@
         const all = new Set([...known, ...this.settings.seeds])
         return [...all].filter(address => address !== own && address !== '')
       },
+      nearAddresses: () => this.fleet.nearAddresses(this.settings.instance.failureDomain),
       random: this.random,
       timeoutMilliseconds: PEER_MILLISECONDS,
       onMalformed: form => this.malformed.note(form),
--- a/packages/daemon/src/gateway/peerRows.ts
+++ b/packages/daemon/src/gateway/peerRows.ts
@@ -28,6 +28,8 @@
   ),
   isWhole: z.boolean(),
   version: z.number(),
+  // Earlier versions do not tell it.
+  age: z.number().optional(),
 })
 
 type PageWire = z.infer<typeof pageSchema>
@@ -35,7 +37,7 @@
 /** The form of an answer with rows. */
 const pageCodec = new JsonCodec<PageWire, MirrorPage>({
   schema: pageSchema,
-  toWire: ({ rows, isWhole, version }) => ({
+  toWire: ({ rows, isWhole, version, age }) => ({
     rows: rows.map(row => ({
       table: row.table,
       partition: row.partition,
@@ -45,11 +47,13 @@
     })),
     isWhole,
     version,
+    age: age === undefined ? undefined : Math.round(age),
   }),
-  fromWire: ({ rows, isWhole, version }) => ({
+  fromWire: ({ rows, isWhole, version, age }) => ({
     rows: rows.map(row => ({ ...row, value: row.value })),
     isWhole,
     version,
+    age,
   }),
 })
 
@@ -66,17 +70,32 @@
 export interface PeerRowsParts {
   /** Addresses of other instances, the likeliest to answer first or in no order. */
   readonly addresses: () => readonly string[]
+  /** Addresses of active instances of the own failure domain, in no order. */
+  readonly nearAddresses: () => readonly string[]
   readonly random: RandomSource
   readonly timeoutMilliseconds: Milliseconds
   readonly onMalformed: (form: MalformedForm) => void
 }
 
-/** Asks one other instance, chosen at random, for newer rows. */
+/** Asks other instances for newer rows. */
 export class PeerRows {
   constructor(private readonly parts: PeerRowsParts) {}
 
-  async ask(table: string, after: number): Promise<MirrorPage | undefined> {
-    const addresses = this.parts.addresses()
+  /** Asks any other instance, chosen at random. */
+  ask(table: string, after: number): Promise<MirrorPage | undefined> {
+    return this.askOneOf(this.parts.addresses(), table, after)
+  }
+
+  /** Asks an active instance nearby, chosen at random. */
+  askNear(table: string, after: number): Promise<MirrorPage | undefined> {
+    return this.askOneOf(this.parts.nearAddresses(), table, after)
+  }
+
+  private async askOneOf(
+    addresses: readonly string[],
+    table: string,
+    after: number,
+  ): Promise<MirrorPage | undefined> {
     const address = addresses[randomBelow(this.parts.random, addresses.length)]
     if (address === undefined) return undefined
     const path = `${ROWS_PATH}${encodeURIComponent(table)}?after=${after}`
