--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -352,7 +352,6 @@
       routes: () => this.routes,
       retryBounds: { ...retries, windowMilliseconds: retries.windowSeconds * 1000 },
       linkBytesPerSecond: linkBytesPerSecond(instance.capacity),
-      storeAge: () => Math.min(...[...this.mirrors.values()].map(({ age }) => age)),
       instances: () => this.fleet.cautiousSharers,
       isDraining: () => this.draining,
       isRefusing: () => this.refusing,
--- a/packages/decisions/src/admitting/linkBudget.ts
+++ b/packages/decisions/src/admitting/linkBudget.ts
@@ -6,9 +6,6 @@
  * left, and the store's answers, so that the instance serves by a configuration that is seconds old.
  * What the link cannot carry is refused at once, before its body is read.
  *
- * Where the store has been silent for a second beside such callers, the link may be what keeps it so:
- * then bodies get less of it, until the store is heard again.
- *
  * Limits: part of the link stays free for the store and for other instances; small requests are
  * always taken, since refusing one costs the link as much as taking it, and count against the
  * others; a body larger than the whole budget is taken when the budget is untouched.
@@ -23,13 +20,6 @@
  * sent 0.9 of its link refused 15 of some 900 requests, and went on losing connections.
  */
 const LINK_SHARE = 0.35
-/**
- * Part of that share that is left to bodies while the store is silent. Chosen: a seventh of the link, which an
- * instance that is cut off from the store and otherwise sound does not come near.
- */
-const SILENT_STORE_PART = 0.4
-/** Answers of a store that is reached are never this far apart: some table is read each second. */
-const SILENT_STORE_MILLISECONDS = 1_500
 /** Bodies that may come at once, as the time in which the budget refills. Chosen: a burst, no queue. */
 const BURST_MILLISECONDS = 400
 /** A body that fits into a few packets costs no more than its refusal. */
@@ -44,7 +34,6 @@
   private readonly most: Bytes
   private left: Bytes
   private at: Milliseconds = 0
-  private isStoreSilent = false
   /** Mean of the bodies that came without a length; undefined before the first. */
   private usualBytes: number | undefined
 
@@ -58,15 +47,14 @@
   /**
    * Takes a body of this size where the link carries it: 0, or else the time after which it will;
    * `now` is monotonic. A body of unknown size is let in where one of the usual size fits, and
-   * counts when it is read. `storeAge` is the time since the store last answered.
+   * counts when it is read.
    */
-  take(bytes: Bytes | undefined, now: Milliseconds, storeAge: Milliseconds): Milliseconds {
-    this.isStoreSilent = storeAge > SILENT_STORE_MILLISECONDS
+  take(bytes: Bytes | undefined, now: Milliseconds): Milliseconds {
     this.refill(now)
     const expected = bytes ?? this.usualBytes ?? 0
     const needed =
       expected <= SMALL_BYTES ? Number.NEGATIVE_INFINITY : Math.min(expected, this.most)
-    if (this.left < needed) return (needed - this.left) / this.refillRate
+    if (this.left < needed) return (needed - this.left) / this.perMillisecond
     if (bytes !== undefined) this.spend(bytes)
     return 0
   }
@@ -78,16 +66,12 @@
     this.usualBytes = trackedValue(this.usualBytes, bytes, MEAN_WEIGHTS)
   }
 
-  private get refillRate(): number {
-    return this.perMillisecond * (this.isStoreSilent ? SILENT_STORE_PART : 1)
-  }
-
   private spend(bytes: Bytes): void {
     this.left = Math.max(-this.most, this.left - bytes)
   }
 
   private refill(now: Milliseconds): void {
-    this.left = Math.min(this.most, this.left + (now - this.at) * this.refillRate)
+    this.left = Math.min(this.most, this.left + (now - this.at) * this.perMillisecond)
     this.at = now
   }
 }
--- a/packages/router/src/gateway/instanceAdmission.ts
+++ b/packages/router/src/gateway/instanceAdmission.ts
@@ -20,8 +20,6 @@
   readonly random: RandomSource
   /** What the own link carries. */
   readonly linkBytesPerSecond: number
-  /** Time since the store last answered this instance. */
-  readonly storeAge: () => Milliseconds
 }
 
 /** Takes requests as long as link and processor bear them. */
@@ -55,8 +53,7 @@
   }
 
   private takeFromLink(request: IncomingMessage): void {
-    const { clock, storeAge } = this.parts
-    const wait = this.link.take(announcedBytes(request), clock.monotonic(), storeAge())
+    const wait = this.link.take(announcedBytes(request), this.parts.clock.monotonic())
     if (wait === 0) return
     this.postponeBody(request, wait)
     throw new NotRunError(ResultCode.LinkFull, undefined, returnAfterSeconds(wait))
