--- a/packages/coordination/src/rows/tableMirror.ts
+++ b/packages/coordination/src/rows/tableMirror.ts
@@ -34,7 +34,7 @@
 }
 
 /** Asks a peer for the rows of a table that are newer than a version. */
-export type AskPeer = (table: string, after: number) => Promise<MirrorPage | undefined>
+type AskPeer = (table: string, after: number) => Promise<MirrorPage | undefined>
 
 /**
  * A peer that follows the table at the store and is asked before it. Hundreds of instances that read each
