--- a/packages/daemon/__tests__/activeFleet.spec.ts
+++ b/packages/daemon/__tests__/activeFleet.spec.ts
@@ -98,11 +98,11 @@
   })
 
   it('shares bounds with nobody to whom only health checks and plain requests come', () => {
-    const strays = Array.from({ length: 200 }, (_, index) =>
+    const others = Array.from({ length: 200 }, (_, index) =>
       member(`b${index}`, { requestsPerSecond: 0.7, capacity: 40 }),
     )
     const self = member('a1', { capacity: 200, requestsPerSecond: 40 })
-    const { fleet } = setUp({ self, others: strays, using: ['b7'] })
+    const { fleet } = setUp({ self, others, using: ['b7'] })
     expect(fleet.activeCount).toBeLessThan(10)
     // The active ones, and the one whose callers stay with it.
     expect(fleet.sharers).toBeLessThanOrEqual(fleet.activeCount + 1)
--- a/packages/daemon/src/gateway/activeFleet.ts
+++ b/packages/daemon/src/gateway/activeFleet.ts
@@ -156,8 +156,8 @@
     const active = this.choice.choose(candidates, this.parts.clock.monotonic())
     const activeOthers = active.filter(member => member !== self)
     const { isUsing } = this.parts
-    const strays = others.filter(other => isUsing(other) && !activeOthers.includes(other))
-    const usingOthers = [...activeOthers, ...strays]
+    const standbyUsers = others.filter(other => isUsing(other) && !activeOthers.includes(other))
+    const usingOthers = [...activeOthers, ...standbyUsers]
     return {
       self,
       isSelfActive: active.some(member => member === self),
--- a/packages/stand-ins/__tests__/largeFleet.spec.ts
+++ b/packages/stand-ins/__tests__/largeFleet.spec.ts
@@ -21,7 +21,7 @@
       budgets: 20,
       limit: 3_000_000,
       requestsPerSecond: 200,
-      straysPerSecond: 0.7,
+      anywherePerSecond: 0.7,
       stayingPerSecond: 15,
     },
     1,
--- a/packages/stand-ins/src/replay/fleetReplay.ts
+++ b/packages/stand-ins/src/replay/fleetReplay.ts
@@ -34,7 +34,7 @@
   /** Requests with a budget a second, of all callers together. */
   readonly requestsPerSecond: number
   /** Plain requests and checks a second that come to each instance, whether it is active or not. */
-  readonly straysPerSecond: number
+  readonly anywherePerSecond: number
   /** Requests a second of one team whose callers all stay with the last instance. */
   readonly stayingPerSecond: number
 }
@@ -119,7 +119,7 @@
       end,
       () => void this.ask(this.members.at(-1), STAYING_BUDGET),
     )
-    this.repeat(this.shape.straysPerSecond * this.shape.instances, end, () => this.stray())
+    this.repeat(this.shape.anywherePerSecond * this.shape.instances, end, () => this.askAnywhere())
     this.refreshAddresses(end)
     await this.clock.advance(milliseconds)
     return this.outcome
@@ -193,7 +193,7 @@
     return `team-${randomBelow(this.random, this.shape.budgets)}`
   }
 
-  private stray(): void {
+  private askAnywhere(): void {
     this.members[randomBelow(this.random, this.members.length)]?.requestRate.add(1)
   }
 
