--- a/packages/decisions/src/admitting/processorBudget.ts
+++ b/packages/decisions/src/admitting/processorBudget.ts
@@ -23,7 +23,7 @@
 const STANDING_LOOKS = 4
 /**
  * A standing queue of this length delays first events noticeably beside the goals of callers, which are
- * some hundreds of milliseconds. Chosen: an instance that bears its load shows under 10.
+ * some hundreds of milliseconds. Chosen, not measured.
  */
 const LONGEST_DELAY_MILLISECONDS = 40
 /** By how much the part that is let go grows with a look at a standing queue, and shrinks without. Chosen. */
--- a/packages/decisions/src/choosing/homeEndpoints.ts
+++ b/packages/decisions/src/choosing/homeEndpoints.ts
@@ -22,7 +22,7 @@
 /**
  * What it costs to send where others send unheard, in prompt tokens: what they may have sent meanwhile.
  * Measured on replayed load (largeFleetLoad, reports each 230 ms, two seeds), long prompts late at the usual
- * load and at 1.6 times it: without homes 0.24 and 0.53, 1,000 gave 0.14 and 0.44, 3,000 0.10 and 0.36,
+ * load and at 1.6 times it: without homes 0.24 and 0.53 (one seed), 1,000 gave 0.14 and 0.44, 3,000 0.10 and 0.36,
  * 6,000 0.06 and 0.27.
  */
 export const AWAY_COST: TokenCount = 6_000
