feat(admitting): an instance that cannot know its configuration is fresh refuses, and asks peers before

A silent connection to the store was noticed after the wait and the time-out together (3 s), later than the bound of most deployments; nothing forbade serving by old rows.

Change: the age of the configuration's rows and of the endpoints' rows is held against the bound of each (new settings freshness.*). Questions for changes wait half a bound at most; after 0.6 of it two peers are asked, also while a call to the store hangs, and their sight counts with its age. At 0.9 of it an instance refuses (3011, not run, with when to come back) if it was pressed since, or the store answers its other calls, and no peer says that it knows nothing newer. decisions/admitting/freshKnowledge.ts holds the rule; knowledge_state tells of changes.

Ruled out: refusing by age alone. While the store is away for all nobody knows better, and all would refuse for the whole cut.

Tests: one instance's link slow, one whose store is silent, all cut, alone cut (virtual time).

The daemon's own telling (log, events, malformed input) and the configuration in force are modules of their own.

--- a/packages/coordination/src/rows/tableMirror.ts
+++ b/packages/coordination/src/rows/tableMirror.ts
@@ -84,7 +84,9 @@
   private stopped = false
   private failures = 0
   private reachable: boolean | undefined
-  /** Monotonic time at which the last successful call was sent. */
+  /** How long the store found nothing new in the last call, after that was sent. */
+  private quietMilliseconds: Milliseconds = 0
+  /** Monotonic time at which the store had nothing newer than what is known here. */
   private confirmedAt: Milliseconds = Number.NEGATIVE_INFINITY
   private readPartitions = new Set<string>()
   /** Partitions that were read whole at least once. */
@@ -125,6 +127,25 @@
     return { rows, isWhole, version: this.position, age: this.age }
   }
 
+  /**
+   * Asks a peer for what it knows beyond this mirror, also while a call to the store is on its way;
+   * whether one answered.
+   */
+  async askPeers(): Promise<boolean> {
+    const sentAt = this.parts.clock.monotonic()
+    const page = await this.parts.askPeers?.(this.parts.table, this.position ?? 0)
+    if (page === undefined || this.stopped) return false
+    this.takePage(page)
+    this.noteConfirmed(page, sentAt)
+    return true
+  }
+
+  /** A peer's sight counts where it covers all that is known here. */
+  private noteConfirmed({ version, age }: MirrorPage, sentAt: Milliseconds): void {
+    if (age === undefined || version < (this.position ?? 0)) return
+    this.confirmedAt = Math.max(this.confirmedAt, sentAt - age)
+  }
+
   private async follow(): Promise<void> {
     while (!this.stopped) {
       if (this.isUnwanted) {
@@ -140,9 +161,9 @@
       const succeeded = await this.step()
       if (this.stopped) return
       this.noteReachable(succeeded)
-      if (!succeeded) await this.catchUpFromPeers()
+      if (!succeeded) await this.askPeers()
       if (succeeded) {
-        this.confirmedAt = sentAt
+        this.confirmedAt = Math.max(this.confirmedAt, sentAt + this.quietMilliseconds)
         this.parts.listener.onRead?.()
       }
       await sleep(this.parts.clock, succeeded ? this.parts.pauseMilliseconds() : this.retryDelay())
@@ -163,18 +184,24 @@
 
   private async step(): Promise<boolean> {
     const missing = this.parts.partitions().filter(name => !this.readPartitions.has(name))
+    this.quietMilliseconds = 0
     if (this.position === undefined || missing.length > 0) return this.readWhole(missing)
     const { store, table, waitMilliseconds } = this.parts
+    const sentAt = this.parts.clock.monotonic()
     const outcome = await store.readChanges(table, this.position, waitMilliseconds)
-    return this.apply(outcome)
+    return this.apply(outcome, this.parts.clock.monotonic() - sentAt)
   }
 
-  private apply(outcome: RowFeedOutcome): boolean {
+  /** Takes in what the store answered after so long. */
+  private apply(outcome: RowFeedOutcome, took: Milliseconds): boolean {
+    const { waitMilliseconds } = this.parts
     if (outcome.kind === 'failed') return false
     if (outcome.kind === 'history-gone') {
       this.forgetPosition()
       return true
     }
+    // The store answers before the wait has passed only where something changed.
+    if (outcome.rows.length === 0) this.quietMilliseconds = Math.min(waitMilliseconds, took)
     this.position = outcome.version
     this.take(outcome.rows, false)
     return true
@@ -188,7 +215,7 @@
     if (this.stopped) return true
     this.takePage(page)
     this.noteReachable(true)
-    this.confirmedAt = Math.max(this.confirmedAt, sentAt - page.age)
+    this.noteConfirmed(page, sentAt)
     this.parts.listener.onRead?.()
     return true
   }
@@ -204,12 +231,6 @@
     return undefined
   }
 
-  /** Peers may have heard from the store what this instance could not. */
-  private async catchUpFromPeers(): Promise<void> {
-    const page = await this.parts.askPeers?.(this.parts.table, this.position ?? 0)
-    if (page !== undefined) this.takePage(page)
-  }
-
   private takePage(page: MirrorPage): void {
     if (page.version <= (this.position ?? -1)) return
     if (page.isWhole || this.position === undefined) this.completeAfter = page.version
--- a/packages/daemon/src/gateway/countedStore.ts
+++ b/packages/daemon/src/gateway/countedStore.ts
@@ -1,5 +1,6 @@
-/** The store with its calls counted: each has a price and a limit. Owns nothing. */
+/** The store with its calls counted: each has a price and a limit. Owns when it last answered. */
 
+import type { Clock, Milliseconds } from '@rackwalk/shared'
 import type {
   RowFeedOutcome,
   RowReadOutcome,
@@ -11,23 +12,36 @@
 /** What a call to the store was for. */
 export type StoreCall = 'write' | 'read' | 'feed'
 
+type OutcomeKind = (RowWriteOutcome | RowReadOutcome | RowFeedOutcome)['kind']
+
+/** Outcomes that do not show that the store serves this instance. */
+const NO_ANSWERS: ReadonlySet<OutcomeKind> = new Set<OutcomeKind>(['failed', 'not-done', 'unknown'])
+
 /** Counts the calls to the store by table and outcome: each has a price and a limit. */
 export class CountedStore implements RowStore {
+  private answeredAt: Milliseconds = Number.NEGATIVE_INFINITY
+
   constructor(
     private readonly store: RowStore,
+    private readonly clock: Clock,
     private readonly count: (call: StoreCall, table: string, outcome: string) => void,
   ) {}
 
+  /** Time since the store last did what it was asked; a call that it turned away is no answer. */
+  get answeredAgoMilliseconds(): Milliseconds {
+    return this.clock.monotonic() - this.answeredAt
+  }
+
   async write(transaction: RowTransaction): Promise<RowWriteOutcome> {
     const outcome = await this.store.write(transaction)
     const [first] = [...transaction.puts, ...transaction.removals]
-    this.count('write', first?.table ?? '', outcome.kind)
+    this.note('write', first?.table ?? '', outcome.kind)
     return outcome
   }
 
   async readPartition(table: string, partition: string): Promise<RowReadOutcome> {
     const outcome = await this.store.readPartition(table, partition)
-    this.count('read', table, outcome.kind)
+    this.note('read', table, outcome.kind)
     return outcome
   }
 
@@ -37,11 +51,16 @@
     waitMilliseconds: number,
   ): Promise<RowFeedOutcome> {
     const outcome = await this.store.readChanges(table, after, waitMilliseconds)
-    this.count('feed', table, outcome.kind)
+    this.note('feed', table, outcome.kind)
     return outcome
   }
 
   close(): void {
     this.store.close()
   }
+
+  private note(call: StoreCall, table: string, outcome: OutcomeKind): void {
+    if (!NO_ANSWERS.has(outcome)) this.answeredAt = this.clock.monotonic()
+    this.count(call, table, outcome)
+  }
 }
--- a/packages/daemon/src/gateway/followedTables.ts
+++ b/packages/daemon/src/gateway/followedTables.ts
@@ -4,6 +4,7 @@
  */
 
 import type { Clock, Milliseconds } from '@rackwalk/shared'
+import { longestFeedWait } from '@rackwalk/decisions'
 import type { ChangedRow, RowAddress, RowStore } from '@rackwalk/stores'
 import { MEMBER_PARTITION, MEMBER_TABLE, PREPAID_TABLE, TableMirror } from '@rackwalk/coordination'
 import type {
@@ -41,6 +42,12 @@
 /** Time between two reads, as a share of that between two records of a holding. */
 const PREPAID_PAUSE_SHARE = 0.5
 
+/** How old what is known of two tables may be. */
+interface FreshnessBounds {
+  readonly configurationMilliseconds: Milliseconds
+  readonly endpointsMilliseconds: Milliseconds
+}
+
 /** What the mirrors are connected to. */
 export interface FollowedTablesParts {
   readonly store: RowStore
@@ -52,6 +59,7 @@
   readonly peerRows: PeerRows
   /** Whether callers are sent to this instance. */
   readonly isActive: () => boolean
+  readonly freshness: FreshnessBounds
   readonly onConfiguration: (rows: readonly ChangedRow[]) => void
   readonly onContact: (isReachable: boolean) => void
   readonly onFault: (error: unknown) => void
@@ -113,15 +121,21 @@
   return Math.max(PREPAID_PAUSE_MILLISECONDS, ledger.recordMilliseconds() * PREPAID_PAUSE_SHARE)
 }
 
+/** How long a question for changes of a table with this bound waits at the store. */
+function feedWait(boundMilliseconds: Milliseconds): Milliseconds {
+  return Math.min(FEED_WAIT_MILLISECONDS, longestFeedWait(boundMilliseconds))
+}
+
 /** What the operator and the endpoints write. */
 function othersTables(parts: FollowedTablesParts): readonly FollowedTable[] {
   const { configuration, endpoints } = parts.adapter
+  const { configurationMilliseconds, endpointsMilliseconds } = parts.freshness
   return [
     {
       table: configuration.table,
       partitions: () => [configuration.partition],
       pauseMilliseconds: () => CONFIGURATION_PAUSE_MILLISECONDS,
-      waitMilliseconds: FEED_WAIT_MILLISECONDS,
+      waitMilliseconds: feedWait(configurationMilliseconds),
       isToldByPeers: true,
       listener: { onRows: parts.onConfiguration, onReachable: parts.onContact },
     },
@@ -130,7 +144,7 @@
       partitions: () => [endpoints.partition],
       pauseMilliseconds: () =>
         parts.isActive() ? ENDPOINT_PAUSE_MILLISECONDS : STANDBY_ENDPOINT_PAUSE_MILLISECONDS,
-      waitMilliseconds: FEED_WAIT_MILLISECONDS,
+      waitMilliseconds: feedWait(endpointsMilliseconds),
       isToldByPeers: true,
       nearPeerMilliseconds: NEAR_ENDPOINT_MILLISECONDS,
       listener: new EndpointFollower({
--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -4,9 +4,9 @@
  */
 
 import type { Server } from 'node:http'
-import { ResultCode, SystemClock, SystemRandom } from '@rackwalk/shared'
+import { SystemClock, SystemRandom } from '@rackwalk/shared'
 import type { Clock, Milliseconds, RandomSource } from '@rackwalk/shared'
-import type { ChangedRow, RowAddress, RowStore } from '@rackwalk/stores'
+import type { RowStore } from '@rackwalk/stores'
 import {
   DEMAND_WINDOW_MILLISECONDS,
   DemandHoldingPolicy,
@@ -17,26 +17,25 @@
   StoreClock,
 } from '@rackwalk/coordination'
 import type { TableMirror } from '@rackwalk/coordination'
-import { FleetLoad, Gateway, RouteTable, EndpointDirectory } from '@rackwalk/router'
-import type { GatewayConfiguration, GatewayRecord } from '@rackwalk/router'
+import { FleetLoad, Gateway, EndpointDirectory } from '@rackwalk/router'
+import type { RouteTable } from '@rackwalk/router'
 import { ActiveFleet } from './activeFleet.js'
-import { BoundedLogger } from '../observe/boundedLogger.js'
-import { ChangeBatch } from '../observe/changeBatch.js'
-import { MalformedForms } from '../observe/malformedForms.js'
-import { ConsolaLogger } from '../observe/logger.js'
 import type { Logger } from '../observe/logger.js'
 import { GatewayAnswers } from './gatewayAnswers.js'
 import type { AddressedListener } from './gatewayAnswers.js'
 import { applyLimits, createCallerListener, listenAll } from './gatewayListeners.js'
-import { GatewayMetrics } from './gatewayMetrics.js'
+import type { GatewayMetrics } from './gatewayMetrics.js'
+import { GatewayTelemetry, createGatewayLogger } from './gatewayTelemetry.js'
 import type { GatewaySettings } from './gatewaySettings.js'
 import { LoadExchange, loadPeersOf } from './loadExchange.js'
 import { PeerLoans } from './peerLoans.js'
+import { KnowledgeWatch, watchedTables } from './knowledgeWatch.js'
 import { PeerRows } from './peerRows.js'
-import { requestLine } from './requestLine.js'
+import { ConfigurationInForce } from './configurationInForce.js'
 import { CountedStore } from './countedStore.js'
 import { OpenConnections } from './openConnections.js'
-import { capacityOf, linkBytesPerSecond } from './instanceCapacity.js'
+import { linkBytesPerSecond } from './instanceCapacity.js'
+import { ownMember } from './ownMember.js'
 import { followTables } from './followedTables.js'
 import { stopAsPlanned } from './plannedStop.js'
 import type { PlatformAdapter } from './platformAdapter.js'
@@ -61,11 +60,9 @@
   private readonly incarnation: string
   private readonly clock: Clock
   private readonly random: RandomSource
-  private readonly logger: Logger
+  private readonly telemetry: GatewayTelemetry
   private readonly metrics: GatewayMetrics
-  private readonly malformed: MalformedForms
-  private readonly changes = new ChangeBatch((event, fields) => this.logger.info(event, fields))
-  private readonly store: RowStore
+  private readonly store: CountedStore
   private readonly storeClock: StoreClock
   private readonly members: MemberDirectory
   /** Requests that callers send here. */
@@ -77,12 +74,13 @@
   private readonly loadExchange: LoadExchange | undefined
   private readonly gateway: Gateway
   private readonly mirrors: ReadonlyMap<string, TableMirror>
+  private readonly knowledge: KnowledgeWatch
   private readonly peerRows: PeerRows
   private readonly peerLoans: PeerLoans
   private readonly callerListener: Server
   private readonly callerConnections: OpenConnections
   private readonly otherListeners: readonly AddressedListener[]
-  private routes: RouteTable | undefined
+  private readonly configuration: ConfigurationInForce
   /** The process's clock counts from its start, at which its predecessor was dead. */
   private readonly startedAt: Milliseconds = 0
   private draining = false
@@ -96,15 +94,18 @@
   ) {
     this.clock = options.clock ?? new SystemClock()
     this.random = options.random ?? new SystemRandom()
-    this.logger = options.logger ?? this.createLogger()
-    this.malformed = new MalformedForms(this.logger, () => this.metrics.noteEvent('malformed_form'))
-    this.store = new CountedStore(options.store ?? this.createStore(), (call, table, outcome) =>
-      this.metrics.noteStoreCall(call, table, outcome),
+    this.telemetry = new GatewayTelemetry(
+      options.logger ?? createGatewayLogger(settings, this.clock),
+    )
+    const store = options.store ?? this.createStore()
+    this.store = new CountedStore(store, this.clock, (call, table, outcome) =>
+      this.telemetry.noteStoreCall(call, table, outcome),
     )
     this.storeClock = new StoreClock(this.clock)
     this.incarnation = this.random.uniqueId().slice(0, 8)
     // A stray request, as a health check sends, must not make an instance count as working.
     this.requestRate = new DemandMeter(this.clock, DEMAND_WINDOW_MILLISECONDS)
+    this.configuration = this.createConfiguration()
     this.members = this.createMembers()
     this.fleet = this.createFleet()
     this.peerLoans = this.createPeerLoans()
@@ -115,6 +116,7 @@
     this.gateway = this.createGateway()
     this.peerRows = this.createPeerRows()
     this.mirrors = this.createMirrors()
+    this.knowledge = this.createKnowledge()
     this.metrics = this.createMetrics()
     this.callerListener = createCallerListener((request, response) => {
       this.requestRate.add(1)
@@ -134,13 +136,14 @@
     })
     for (const mirror of this.mirrors.values()) mirror.start()
     this.ledger.start()
+    this.knowledge.start()
     this.loadExchange?.start()
     this.note('instance_started', { callers, incarnation: this.incarnation })
   }
 
   /** Whether new requests may begin here. */
   get isReady(): boolean {
-    return this.routes !== undefined && !this.draining
+    return this.configuration.routes !== undefined && !this.draining
   }
 
   /** What is known here of a team's budget. */
@@ -178,14 +181,13 @@
 
   /** Tells of a fault of the program; what it touched is given up, the rest goes on. */
   noteFault(error: unknown): void {
-    const detail = error instanceof Error ? (error.stack ?? error.message) : String(error)
-    this.metrics.noteEvent('fault')
-    this.logger.warn('fault', { detail })
+    this.telemetry.noteFault(error)
   }
 
   /** Stops at once. */
   stop(): void {
     for (const mirror of this.mirrors.values()) mirror.stop()
+    this.knowledge.stop()
     this.ledger.stop()
     this.members.stop()
     this.store.close()
@@ -207,33 +209,15 @@
     return this.adapter.createStore({
       address,
       timeoutMilliseconds,
-      onMalformedAnswer: call => this.malformed.note({ form: 'answer of the store', source: call }),
+      onMalformedAnswer: call =>
+        this.telemetry.noteMalformed({ form: 'answer of the store', source: call }),
     })
   }
 
-  private noteMalformedRow({ table, partition, key }: RowAddress): void {
-    this.malformed.note({ form: 'row', source: `${table}/${partition}/${key}` })
-  }
-
-  private createLogger(): Logger {
-    const { log, instance } = this.settings
-    const inner = new ConsolaLogger(log.level, instance.id)
-    return new BoundedLogger(inner, this.clock, log.linesPerSecond)
-  }
-
   private createMembers(): MemberDirectory {
-    const { instance, listen, membership, store } = this.settings
+    const { membership, store } = this.settings
     return new MemberDirectory({
-      self: {
-        instance: instance.id,
-        incarnation: this.incarnation,
-        region: instance.region,
-        failureDomain: instance.failureDomain,
-        callerAddress: listen.callers,
-        peerAddress: listen.peers ?? '',
-        loadAddress: listen.loads ?? '',
-        capacity: capacityOf(instance.capacity),
-      },
+      self: ownMember(this.settings, this.incarnation),
       requestsPerSecond: () => this.requestRate.perSecond,
       isActive: () => this.fleet.isSelfActive,
       store: this.store,
@@ -243,8 +227,9 @@
       heartbeatMilliseconds: membership.heartbeatMilliseconds,
       silenceMilliseconds: membership.silenceMilliseconds,
       partitionWritesPerSecond: store.partitionWritesPerSecond,
-      onStateChange: (member, state) => this.noteChange('member_state', state, { member, state }),
-      onMalformedRow: row => this.noteMalformedRow(row),
+      onStateChange: (member, state) =>
+        this.telemetry.noteChange('member_state', state, { member, state }),
+      onMalformedRow: row => this.telemetry.noteMalformedRow(row),
     })
   }
 
@@ -284,7 +269,7 @@
       },
       loanChannel: this.peerLoans,
       onEvent: (event, fields) => this.note(event, fields),
-      onMalformedRow: row => this.noteMalformedRow(row),
+      onMalformedRow: row => this.telemetry.noteMalformedRow(row),
     })
   }
 
@@ -293,7 +278,7 @@
       addressOf: instance =>
         this.members.others.find(member => member.instance === instance)?.peerAddress,
       timeoutMilliseconds: LOAN_MILLISECONDS,
-      onMalformed: form => this.malformed.note(form),
+      onMalformed: form => this.telemetry.noteMalformed(form),
     })
   }
 
@@ -301,10 +286,10 @@
     return new EndpointDirectory({
       clock: this.clock,
       instances: () => this.fleet.sharers,
-      maximumConnections: name => this.routes?.service(name)?.maximumConnections ?? 1,
+      maximumConnections: name => this.configuration.routes?.service(name)?.maximumConnections ?? 1,
       onChange: (endpoint, change) => {
         const fields = { server: endpoint.id, service: endpoint.service, change }
-        this.noteChange('server_state', change, fields)
+        this.telemetry.noteChange('server_state', change, fields)
         if (change === 'gone') this.fleetLoad.forget(endpoint.id)
       },
     })
@@ -316,10 +301,11 @@
       incarnation: this.incarnation,
       directory: this.endpoints,
       clock: this.clock,
-      capacityOf: name => this.routes?.service(name)?.engine?.capacity,
+      capacityOf: name => this.configuration.routes?.service(name)?.engine?.capacity,
       // An instance that stands by tells of prompts alone: they make others wait for as long as they are
       // read, while endpoints' own answers tell of its plain requests soon enough.
-      isTold: name => this.fleet.isSelfActive || this.routes?.service(name)?.engine !== undefined,
+      isTold: name =>
+        this.fleet.isSelfActive || this.configuration.routes?.service(name)?.engine !== undefined,
       users: () => this.fleet.usingOthers.length + 1,
       onSent: () => this.loadExchange?.noteSent(),
     })
@@ -334,7 +320,7 @@
       idlePeers: () => loadPeersOf(this.fleet.idleOthers),
       fleetLoad: this.fleetLoad,
       clock: this.clock,
-      onMalformed: form => this.malformed.note(form),
+      onMalformed: form => this.telemetry.noteMalformed(form),
     })
   }
 
@@ -349,14 +335,15 @@
       failureDomain: instance.failureDomain,
       connectMilliseconds: requests.connectMilliseconds,
       ledger: this.ledger,
-      routes: () => this.routes,
+      routes: () => this.configuration.routes,
       retryBounds: { ...retries, windowMilliseconds: retries.windowSeconds * 1000 },
       linkBytesPerSecond: linkBytesPerSecond(instance.capacity),
       instances: () => this.fleet.cautiousSharers,
+      checkKnowledge: () => this.knowledge.check(),
       isDraining: () => this.draining,
       isRefusing: () => this.refusing,
       defaultDeadlineMilliseconds: requests.defaultDeadlineMilliseconds,
-      onRecord: record => this.noteRecord(record),
+      onRecord: record => this.telemetry.noteRecord(record),
     })
   }
 
@@ -371,7 +358,7 @@
       nearAddresses: () => this.fleet.nearAddresses(this.settings.instance.failureDomain),
       random: this.random,
       timeoutMilliseconds: PEER_MILLISECONDS,
-      onMalformed: form => this.malformed.note(form),
+      onMalformed: form => this.telemetry.noteMalformed(form),
     })
   }
 
@@ -384,16 +371,31 @@
       members: this.members,
       ledger: this.ledger,
       peerRows: this.peerRows,
-      onConfiguration: rows => this.noteConfiguration(rows),
+      freshness: this.settings.freshness,
+      onConfiguration: rows => this.configuration.observe(rows),
       isActive: () => this.fleet.isSelfActive,
       onContact: isReachable => this.note('store_contact', { isReachable }),
       onFault: error => this.noteFault(error),
-      onMalformedRow: row => this.noteMalformedRow(row),
+      onMalformedRow: row => this.telemetry.noteMalformedRow(row),
+    })
+  }
+
+  private createKnowledge(): KnowledgeWatch {
+    return new KnowledgeWatch({
+      clock: this.clock,
+      tables: watchedTables(this.adapter, this.mirrors, this.settings.freshness),
+      reachability: () => ({
+        pressedAgoMilliseconds: this.gateway.pressedAgoMilliseconds,
+        answeredAgoMilliseconds: this.store.answeredAgoMilliseconds,
+      }),
+      onChange: (isRefusing, table, age) =>
+        this.note('knowledge_state', { isRefusing, table, ageMilliseconds: Math.round(age) }),
+      onFault: error => this.noteFault(error),
     })
   }
 
   private createMetrics(): GatewayMetrics {
-    return new GatewayMetrics({
+    return this.telemetry.createMetrics({
       inFlight: () => this.gateway.inFlight,
       instances: () => this.members.others.length + 1,
       activeInstances: () => this.fleet.activeCount,
@@ -401,7 +403,7 @@
       recordSeconds: () => this.ledger.recordMilliseconds() / 1000,
       active: () => Number(this.fleet.isSelfActive),
       endpoints: () => this.endpoints.size,
-      configurationVersion: () => this.routes?.version ?? 0,
+      configurationVersion: () => this.configuration.routes?.version ?? 0,
       ready: () => (this.isReady ? 1 : 0),
       shortBudgets: () => this.ledger.shortBudgets,
       callerConnections: () => this.callerConnections.size,
@@ -422,35 +424,25 @@
     return answers.listeners(this.settings.listen)
   }
 
-  private noteConfiguration(rows: readonly ChangedRow[]): void {
-    const { key, parse } = this.adapter.configuration
-    // A feed that was behind gives every version that it missed, oldest first.
-    const row = rows.findLast(candidate => candidate.key === key)
-    if (row?.value === undefined) return
-    const configuration = this.parseConfiguration(row.value, parse)
-    if (configuration === undefined) return
-    const known = this.routes?.version ?? -1
-    // History may be read again from an older point: what is in force never goes back.
-    if (configuration.version <= known) return
-    this.routes = new RouteTable(configuration)
-    applyLimits(this.callerListener, configuration.limits)
-    const limits = configuration.teams.flatMap(({ name, prepaid }) =>
+  private createConfiguration(): ConfigurationInForce {
+    return new ConfigurationInForce({
+      source: this.adapter.configuration,
+      onConfiguration: (routes, before) => this.noteConfiguration(routes, before),
+      onRefused: detail => this.note('configuration_refused', { detail }),
+    })
+  }
+
+  private noteConfiguration({ configuration }: RouteTable, before: number): void {
+    const { version, limits, teams } = configuration
+    applyLimits(this.callerListener, limits)
+    const budgets = teams.flatMap(({ name, prepaid }) =>
       prepaid === undefined ? [] : [{ budget: name, limit: prepaid }],
     )
-    this.ledger.configure(limits, configuration.version)
-    this.note('configuration_in_force', { version: configuration.version, before: known })
+    this.ledger.configure(budgets, version)
+    this.note('configuration_in_force', { version, before })
     this.becomeMember()
   }
 
-  private parseConfiguration(value: string, parse: (value: string) => GatewayConfiguration) {
-    try {
-      return parse(value)
-    } catch (thrown) {
-      this.note('configuration_refused', { detail: String(thrown).slice(0, 500) })
-      return undefined
-    }
-  }
-
   /** Others learn of this instance once it can serve. */
   private becomeMember(): void {
     if (this.isMember) return
@@ -458,19 +450,7 @@
     this.members.start()
   }
 
-  private noteRecord(record: GatewayRecord): void {
-    this.metrics.noteRecord(record)
-    const isServed = record.code === ResultCode.Ok
-    this.logger[isServed ? 'info' : 'warn']('request', requestLine(record))
-  }
-
-  private noteChange(event: string, kind: string, fields: Readonly<Record<string, unknown>>): void {
-    this.metrics?.noteEvent(event)
-    this.changes.note(event, { kind, fields })
-  }
-
   private note(event: string, fields: Readonly<Record<string, unknown>>): void {
-    this.metrics?.noteEvent(event)
-    this.logger.info(event, fields)
+    this.telemetry.note(event, fields)
   }
 }
--- a/packages/daemon/src/gateway/gatewaySettings.ts
+++ b/packages/daemon/src/gateway/gatewaySettings.ts
@@ -101,6 +101,17 @@
     })
     .prefault({})
     .describe('How instances know of each other'),
+  freshness: z
+    .strictObject({
+      configurationMilliseconds: milliseconds
+        .default(3_000)
+        .describe('Time after which a change of the configuration is in force'),
+      endpointsMilliseconds: milliseconds
+        .default(3_000)
+        .describe('Time after which nothing is sent to a server that is leaving'),
+    })
+    .prefault({})
+    .describe('How old what an instance serves by may be'),
   budgets: z
     .strictObject({
       policy: z.enum(['demand', 'equal']).default('demand').describe('How holdings are sized'),
--- /dev/null
+++ b/packages/daemon/src/gateway/gatewayTelemetry.ts
@@ -0,0 +1,88 @@
+/**
+ * What an instance tells of itself: lines of the log, events counted, malformed input. Owns the logger, the batch
+ * of changes and, once the parts that it reads are there, the metrics.
+ */
+
+import { ResultCode } from '@rackwalk/shared'
+import type { Clock } from '@rackwalk/shared'
+import type { RowAddress } from '@rackwalk/stores'
+import type { GatewayRecord } from '@rackwalk/router'
+import { BoundedLogger } from '../observe/boundedLogger.js'
+import { ChangeBatch } from '../observe/changeBatch.js'
+import { ConsolaLogger } from '../observe/logger.js'
+import type { Logger } from '../observe/logger.js'
+import { MalformedForms } from '../observe/malformedForms.js'
+import type { MalformedForm } from '../observe/malformedForms.js'
+import { GatewayMetrics } from './gatewayMetrics.js'
+import type { GatewayGauges } from './gatewayMetrics.js'
+import type { GatewaySettings } from './gatewaySettings.js'
+import { requestLine } from './requestLine.js'
+
+type Fields = Readonly<Record<string, unknown>>
+
+/** The log of an instance, bounded as its settings say. */
+export function createGatewayLogger({ log, instance }: GatewaySettings, clock: Clock): Logger {
+  const inner = new ConsolaLogger(log.level, instance.id)
+  return new BoundedLogger(inner, clock, log.linesPerSecond)
+}
+
+/** Counts and tells what an instance does and believes. */
+export class GatewayTelemetry {
+  /** Undefined until all parts that gauges read are there. */
+  private gauged: GatewayMetrics | undefined
+  private readonly malformed: MalformedForms
+  private readonly changes: ChangeBatch
+
+  constructor(private readonly logger: Logger) {
+    this.malformed = new MalformedForms(logger, () => this.count('malformed_form'))
+    this.changes = new ChangeBatch((event, fields) => logger.info(event, fields))
+  }
+
+  /** Begins to count; call it once. */
+  createMetrics(gauges: GatewayGauges): GatewayMetrics {
+    this.gauged = new GatewayMetrics(gauges)
+    return this.gauged
+  }
+
+  /** An event of which each is a line. */
+  note(event: string, fields: Fields): void {
+    this.count(event)
+    this.logger.info(event, fields)
+  }
+
+  /** A change of what is believed of one of many; those that come together are one line. */
+  noteChange(event: string, kind: string, fields: Fields): void {
+    this.count(event)
+    this.changes.note(event, { kind, fields })
+  }
+
+  /** A fault of the program; what it touched is given up, the rest goes on. */
+  noteFault(error: unknown): void {
+    const detail = error instanceof Error ? (error.stack ?? error.message) : String(error)
+    this.count('fault')
+    this.logger.warn('fault', { detail })
+  }
+
+  noteMalformed(form: MalformedForm): void {
+    this.malformed.note(form)
+  }
+
+  noteMalformedRow({ table, partition, key }: RowAddress): void {
+    this.malformed.note({ form: 'row', source: `${table}/${partition}/${key}` })
+  }
+
+  /** A request has ended. */
+  noteRecord(record: GatewayRecord): void {
+    this.gauged?.noteRecord(record)
+    const isServed = record.code === ResultCode.Ok
+    this.logger[isServed ? 'info' : 'warn']('request', requestLine(record))
+  }
+
+  noteStoreCall(call: string, table: string, outcome: string): void {
+    this.gauged?.noteStoreCall(call, table, outcome)
+  }
+
+  private count(event: string): void {
+    this.gauged?.noteEvent(event)
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/knowledgeWatch.ts
@@ -0,0 +1,128 @@
+/**
+ * Watches how old the rows are by which this instance serves, and asks peers before they are too old. Owns
+ * when peers last answered; the rule is in decisions/admitting/freshKnowledge.
+ */
+
+import { NotRunError, ResultCode } from '@rackwalk/shared'
+import type { Clock, Milliseconds, Timer } from '@rackwalk/shared'
+import { isTooOld, returnAfterSeconds, shouldAskPeers } from '@rackwalk/decisions'
+import type { KnownRows, Reachability } from '@rackwalk/decisions'
+import type { TableMirror } from '@rackwalk/coordination'
+import type { GatewaySettings } from './gatewaySettings.js'
+import type { PlatformAdapter } from './platformAdapter.js'
+
+/** A table whose changes have to be in force after a time. */
+export interface WatchedTable {
+  readonly mirror: TableMirror
+  readonly boundMilliseconds: Milliseconds
+}
+
+/** The tables of an instance whose changes have to be in force in time, by name. */
+export function watchedTables(
+  { configuration, endpoints }: Pick<PlatformAdapter, 'configuration' | 'endpoints'>,
+  mirrors: ReadonlyMap<string, TableMirror>,
+  { configurationMilliseconds, endpointsMilliseconds }: GatewaySettings['freshness'],
+): ReadonlyMap<string, WatchedTable> {
+  const bounds: readonly [string, Milliseconds][] = [
+    [configuration.table, configurationMilliseconds],
+    [endpoints.table, endpointsMilliseconds],
+  ]
+  const tables = bounds.flatMap(([table, boundMilliseconds]) => {
+    const mirror = mirrors.get(table)
+    return mirror === undefined ? [] : [[table, { mirror, boundMilliseconds }] as const]
+  })
+  return new Map(tables)
+}
+
+/** What the watch works with. */
+export interface KnowledgeWatchParts {
+  readonly clock: Clock
+  /** By name, for the text of a refusal. */
+  readonly tables: ReadonlyMap<string, WatchedTable>
+  readonly reachability: () => Reachability
+  /** The instance began to refuse by the age of what it knows, or ceased to. */
+  readonly onChange: (isRefusing: boolean, table: string, age: Milliseconds) => void
+  readonly onFault: (error: unknown) => void
+}
+
+/** Time between two looks; a look costs no call unless rows are old. Chosen: a tenth of the least bound. */
+const LOOK_MILLISECONDS = 200
+/** Peers asked at each look: one may be cut off from the store as well. Chosen. */
+const PEERS_ASKED = 2
+/** An answer of a peer speaks for this part of a bound. Chosen: two or three looks of one that is asked. */
+const ANSWER_SHARE = 0.25
+
+/** Keeps an instance from serving by rows that are too old through its own fault. */
+export class KnowledgeWatch {
+  private readonly answeredAt = new Map<string, Milliseconds>()
+  private readonly asking = new Set<string>()
+  private timer: Timer | undefined
+  private refusedTable: string | undefined
+
+  constructor(private readonly parts: KnowledgeWatchParts) {}
+
+  start(): void {
+    this.timer = this.parts.clock.after(LOOK_MILLISECONDS, () => {
+      this.look()
+      this.start()
+    })
+  }
+
+  stop(): void {
+    this.timer?.cancel()
+  }
+
+  /** Throws where a request may not be served by what is known here. */
+  check(): void {
+    const table = this.tooOldTable()
+    if (table === undefined) return
+    throw new NotRunError(ResultCode.KnowledgeTooOld, table, returnAfterSeconds(undefined))
+  }
+
+  private look(): void {
+    for (const [name, watched] of this.parts.tables) {
+      if (watched.mirror.isLoaded && shouldAskPeers(this.known(name, watched))) this.ask(name)
+    }
+    this.tell(this.tooOldTable())
+  }
+
+  private tell(table: string | undefined): void {
+    if (table === this.refusedTable) return
+    const name = table ?? this.refusedTable ?? ''
+    this.refusedTable = table
+    this.parts.onChange(table !== undefined, name, this.parts.tables.get(name)?.mirror.age ?? 0)
+  }
+
+  private ask(name: string): void {
+    if (this.asking.has(name)) return
+    this.asking.add(name)
+    this.askAll(name)
+      .catch((error: unknown) => this.parts.onFault(error))
+      .finally(() => this.asking.delete(name))
+  }
+
+  private async askAll(name: string): Promise<void> {
+    const mirror = this.parts.tables.get(name)?.mirror
+    if (mirror === undefined) return
+    const questions = Array.from({ length: PEERS_ASKED }, () => mirror.askPeers())
+    const answers = await Promise.all(questions)
+    if (answers.includes(true)) this.answeredAt.set(name, this.parts.clock.monotonic())
+  }
+
+  private tooOldTable(): string | undefined {
+    const reachability = this.parts.reachability()
+    for (const [name, watched] of this.parts.tables) {
+      // What was never read is waited for: the instance is not ready then.
+      if (!watched.mirror.isLoaded) continue
+      if (isTooOld(this.known(name, watched), reachability)) return name
+    }
+    return undefined
+  }
+
+  private known(name: string, { mirror, boundMilliseconds }: WatchedTable): KnownRows {
+    const answeredAt = this.answeredAt.get(name) ?? Number.NEGATIVE_INFINITY
+    const isConfirmedOld =
+      this.parts.clock.monotonic() - answeredAt <= ANSWER_SHARE * boundMilliseconds
+    return { ageMilliseconds: mirror.age, boundMilliseconds, isConfirmedOld }
+  }
+}
--- /dev/null
+++ b/packages/decisions/__tests__/freshKnowledge.spec.ts
@@ -0,0 +1,46 @@
+import { describe, expect, it } from 'vitest'
+import { isTooOld, longestFeedWait, shouldAskPeers } from '@rackwalk/decisions'
+import type { KnownRows, Reachability } from '@rackwalk/decisions'
+
+const NEVER = Number.POSITIVE_INFINITY
+
+function rows(ageMilliseconds: number, more: Partial<KnownRows> = {}): KnownRows {
+  return { ageMilliseconds, boundMilliseconds: 3_000, isConfirmedOld: false, ...more }
+}
+
+function reach(pressed: number, answered: number): Reachability {
+  return { pressedAgoMilliseconds: pressed, answeredAgoMilliseconds: answered }
+}
+
+describe('rows that an instance serves by', () => {
+  it('are refused by their age only where the instance itself explains it', () => {
+    const ages = [1_000, 2_600, 2_701, 8_000]
+    const cases: readonly [string, Partial<KnownRows>, Reachability][] = [
+      ['pressed, nobody answers', {}, reach(500, NEVER)],
+      ['pressed before it last knew', {}, reach(9_000, NEVER)],
+      ['the store answers other calls', {}, reach(NEVER, 700)],
+      ['the store fell silent for all', {}, reach(NEVER, 1_200)],
+      ['a peer knows nothing newer either', { isConfirmedOld: true }, reach(100, 100)],
+    ]
+    const decided = cases.map(([name, more, reachability]) => {
+      const refused = ages.filter(age => isTooOld(rows(age, more), reachability))
+      return `${name}: refused at ${refused.join(', ') || 'none'}`
+    })
+    expect(decided).toMatchInlineSnapshot(`
+      [
+        "pressed, nobody answers: refused at 2701, 8000",
+        "pressed before it last knew: refused at none",
+        "the store answers other calls: refused at 2701, 8000",
+        "the store fell silent for all: refused at none",
+        "a peer knows nothing newer either: refused at none",
+      ]
+    `)
+  })
+
+  it('are asked of peers before their bound, and not while a question for changes waits', () => {
+    const bound = 3_000
+    expect(longestFeedWait(bound)).toBe(1_500)
+    expect(shouldAskPeers(rows(longestFeedWait(bound) + 100))).toBe(false)
+    expect(shouldAskPeers(rows(1_900))).toBe(true)
+  })
+})
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -21,6 +21,8 @@
   timeOfBound,
 } from './admitting/spendingBound.js'
 export { budgetPatience, returnAfterSeconds } from './admitting/budgetPatience.js'
+export { isTooOld, longestFeedWait, shouldAskPeers } from './admitting/freshKnowledge.js'
+export type { KnownRows, Reachability } from './admitting/freshKnowledge.js'
 export { LinkBudget } from './admitting/linkBudget.js'
 export { DELAY_LOOK_MILLISECONDS, ProcessorBudget } from './admitting/processorBudget.js'
 export type { WorkRank } from './admitting/processorBudget.js'
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -41,6 +41,8 @@
   readonly routes: () => RouteTable | undefined
   readonly retryBounds: RetryBounds
   readonly instances: () => number
+  /** Throws where what this instance knows is too old to serve by. */
+  readonly checkKnowledge: () => void
   /** Whether connections end with their next answer. */
   readonly isDraining: () => boolean
   /** Whether new requests are refused. */
@@ -82,6 +84,11 @@
     return this.running
   }
 
+  /** Time since this instance last could not carry what came. */
+  get pressedAgoMilliseconds(): Milliseconds {
+    return this.admission.pressedAgoMilliseconds
+  }
+
   /** Serves one request to its end. */
   async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const metadata = this.parts.dialect.readRequest(request.headers)
@@ -158,6 +165,7 @@
     record: GatewayRecord,
   ): IdentifiedRequest {
     if (this.parts.isRefusing()) throw new NotRunError(ResultCode.InstanceDraining)
+    this.parts.checkKnowledge()
     const routes = this.parts.routes()
     if (routes === undefined) throw new NotRunError(ResultCode.InstanceNotReady)
     record.configurationVersion = routes.version
--- a/packages/router/src/gateway/instanceAdmission.ts
+++ b/packages/router/src/gateway/instanceAdmission.ts
@@ -27,6 +27,7 @@
   private readonly link: LinkBudget
   private readonly processor = new ProcessorBudget()
   private isWatching = false
+  private pressedAt: Milliseconds = Number.NEGATIVE_INFINITY
 
   constructor(
     private readonly parts: InstanceAdmissionParts,
@@ -46,6 +47,11 @@
     this.takeFromLink(request)
   }
 
+  /** Time since link or processor last could not carry what came. */
+  get pressedAgoMilliseconds(): Milliseconds {
+    return this.parts.clock.monotonic() - this.pressedAt
+  }
+
   /** A body has been read. */
   noteBody(request: IncomingMessage, bytes: Bytes): void {
     if (announcedBytes(request) !== undefined) return
@@ -55,6 +61,7 @@
   private takeFromLink(request: IncomingMessage): void {
     const wait = this.link.take(announcedBytes(request), this.parts.clock.monotonic())
     if (wait === 0) return
+    this.pressedAt = this.parts.clock.monotonic()
     this.postponeBody(request, wait)
     throw new NotRunError(ResultCode.LinkFull, undefined, returnAfterSeconds(wait))
   }
@@ -78,6 +85,7 @@
     clock.after(DELAY_LOOK_MILLISECONDS, () => {
       this.isWatching = false
       this.processor.noteDelay(Math.max(0, clock.monotonic() - dueAt))
+      if (this.processor.refusedPart > 0) this.pressedAt = clock.monotonic()
       if (this.running() > 0 || this.processor.refusedPart > 0) this.watchDelay()
     })
   }
--- a/packages/shared/src/resultCodes.ts
+++ b/packages/shared/src/resultCodes.ts
@@ -33,6 +33,7 @@
   ClaimUnconfirmed = 3008,
   LinkFull = 3009,
   ProcessorFull = 3010,
+  KnowledgeTooOld = 3011,
 
   EndpointFailed = 4001,
   EndpointStalled = 4002,
@@ -91,6 +92,7 @@
   | ResultCode.ClaimUnconfirmed
   | ResultCode.LinkFull
   | ResultCode.ProcessorFull
+  | ResultCode.KnowledgeTooOld
 
 /** Codes for a request that an earlier or this attempt may have run. */
 export type AfterDispatchCode =
@@ -192,6 +194,13 @@
     'the processor of this instance is full',
     1,
   ),
+  [ResultCode.KnowledgeTooOld]: row(
+    503,
+    'not-run',
+    true,
+    'this instance cannot know that its configuration is the newest',
+    1,
+  ),
 
   [ResultCode.EndpointFailed]: row(502, 'unknown', true, 'the endpoint did not answer'),
   [ResultCode.EndpointStalled]: row(504, 'ran', true, 'the endpoint stalled'),
--- /dev/null
+++ b/packages/stand-ins/__tests__/knowledgeWatch.spec.ts
@@ -0,0 +1,134 @@
+import { describe, expect, it } from 'vitest'
+import { NotRunError, ResultCode, VirtualClock } from '@rackwalk/shared'
+import { TableMirror } from '@rackwalk/coordination'
+import type { MirrorPage } from '@rackwalk/coordination'
+import { KnowledgeWatch } from '@rackwalk/daemon'
+import { MemoryRowStore } from '@rackwalk/stand-ins'
+
+/**
+ * One instance whose way to the store is bad while others reach it: by a full link, by a store that is silent to
+ * it alone, or by a store that is away for all. A change is made; what does the instance serve by when its bound
+ * has passed?
+ */
+
+const TABLE = 'op'
+const BOUND_MILLISECONDS = 3_000
+const STEP_MILLISECONDS = 50
+
+type AskPeers = (after: number) => MirrorPage | undefined
+
+function instanceOn(store: MemoryRowStore, clock: VirtualClock, askPeers?: AskPeers) {
+  const { store: client, faults } = store.connect()
+  const known = { value: undefined as string | undefined, pressedAt: Number.NEGATIVE_INFINITY }
+  const answered = { at: Number.NEGATIVE_INFINITY }
+  const mirror = new TableMirror({
+    store: client,
+    table: TABLE,
+    partitions: () => [''],
+    clock,
+    listener: { onRows: rows => rows.forEach(({ value }) => (known.value = value)) },
+    askPeers: (_, after) => Promise.resolve(askPeers?.(after)),
+    waitMilliseconds: BOUND_MILLISECONDS / 2,
+    pauseMilliseconds: () => 20,
+  })
+  const changes: boolean[] = []
+  const watch = new KnowledgeWatch({
+    clock,
+    tables: new Map([[TABLE, { mirror, boundMilliseconds: BOUND_MILLISECONDS }]]),
+    reachability: () => ({
+      pressedAgoMilliseconds: clock.monotonic() - known.pressedAt,
+      answeredAgoMilliseconds: clock.monotonic() - answered.at,
+    }),
+    onChange: isRefusing => changes.push(isRefusing),
+    onFault: error => expect.unreachable(String(error)),
+  })
+  mirror.start()
+  watch.start()
+  return { known, answered, faults, mirror, watch, changes, clock }
+}
+
+type WatchedInstance = ReturnType<typeof instanceOn>
+
+/** What a request meets: the value by which it would be served, or the code of its refusal. */
+function serve({ watch, known }: WatchedInstance): string | ResultCode {
+  try {
+    watch.check()
+    return known.value ?? 'nothing'
+  } catch (thrown) {
+    expect(thrown).toBeInstanceOf(NotRunError)
+    return (thrown as NotRunError).code
+  }
+}
+
+/** What requests met from the bound on that began with a change, each value once. */
+async function servedAfterBound(instance: WatchedInstance, spanMilliseconds: number) {
+  await instance.clock.advance(BOUND_MILLISECONDS)
+  const met = new Set<string | ResultCode>()
+  for (let passed = 0; passed < spanMilliseconds; passed += STEP_MILLISECONDS) {
+    met.add(serve(instance))
+    await instance.clock.advance(STEP_MILLISECONDS)
+  }
+  return [...met]
+}
+
+async function setUp(askPeers?: (peer: WatchedInstance, after: number) => MirrorPage | undefined) {
+  const clock = new VirtualClock()
+  const store = new MemoryRowStore(clock)
+  store.put(TABLE, 'config', 'old')
+  const peer = instanceOn(store, clock)
+  const instance = instanceOn(store, clock, after => askPeers?.(peer, after))
+  await clock.advance(4_000)
+  return { clock, store, peer, instance }
+}
+
+describe('an instance whose sight of the configuration is old', () => {
+  it('has from a peer in time what the store tells it late', async () => {
+    const { store, instance } = await setUp((peer, after) => peer.mirror.since(after))
+    instance.faults.slowMilliseconds = 20_000
+    store.put(TABLE, 'config', 'new')
+    expect(await servedAfterBound(instance, 5_000)).toEqual(['new'])
+  })
+
+  it('refuses while its own link is full and nobody tells it anything', async () => {
+    const { clock, store, instance } = await setUp()
+    instance.faults.slowMilliseconds = 20_000
+    store.put(TABLE, 'config', 'new')
+    instance.known.pressedAt = clock.monotonic() + 500
+    expect(await servedAfterBound(instance, 5_000)).toEqual([ResultCode.KnowledgeTooOld])
+    instance.faults.slowMilliseconds = 0
+    await clock.advance(30_000)
+    expect(serve(instance)).toBe('new')
+    expect(instance.changes).toEqual([true, false])
+  })
+
+  it('refuses while the store answers its other calls, and nobody tells it anything', async () => {
+    const { clock, store, instance } = await setUp()
+    instance.faults.isCut = true
+    store.put(TABLE, 'config', 'new')
+    const answering = async () => {
+      for (let call = 0; call < 160; call += 1) {
+        instance.answered.at = clock.monotonic()
+        await clock.advance(STEP_MILLISECONDS)
+        if (call * STEP_MILLISECONDS >= BOUND_MILLISECONDS) {
+          expect(serve(instance)).toBe(ResultCode.KnowledgeTooOld)
+        }
+      }
+    }
+    await answering()
+  })
+
+  it('serves on while the store is away for all, also under load', async () => {
+    const { clock, peer, instance } = await setUp((other, after) => other.mirror.since(after))
+    instance.faults.isCut = true
+    peer.faults.isCut = true
+    instance.known.pressedAt = clock.monotonic() + 500
+    expect(await servedAfterBound(instance, 8_000)).toEqual(['old'])
+  })
+
+  it('serves on where it is cut off from everybody and bears its load', async () => {
+    const { instance } = await setUp()
+    instance.faults.isCut = true
+    expect(await servedAfterBound(instance, 8_000)).toEqual(['old'])
+    expect(instance.changes).toEqual([])
+  })
+})
