feat(choosing): endpoints that warm up, failure domains that are emptied, starts under an old id, unreadable rows

Cause: no line of code read how long an endpoint stays cold, that a failure domain is being emptied, or that an endpoint started again under the id that it had.

A row of another start replaces all that was believed, and what an earlier start says late is not taken for the new one. - A row with anything that cannot be relied on names no endpoint; a known endpoint whose row turns unreadable is used no more.

Two ways on paper and in warmUp.spec: equal parts in whole requests let 75 instances send 75 in a second where 16.5 are allowed; licences by hash over recorded ids never gave more than 7.7 (1 to 360 instances), nor more than the bound while eleven join and half of the others know it. An order leased in the store costs calls and stops in a cut; not built.

--- a/packages/coordination/src/membership/memberDirectory.ts
+++ b/packages/coordination/src/membership/memberDirectory.ts
@@ -52,6 +52,12 @@
 /** Rows of instances that have not been renewed for this many silences are removed. */
 const REMOVE_AFTER_SILENCES = 20
 
+/**
+ * The others know of an instance this long after its row was there: rows are read every second and a half at the
+ * latest while the store answers. Chosen as twice that.
+ */
+const MUTUAL_MILLISECONDS = 3_000
+
 /**
  * An instance waits this long for the rows before it takes itself for the only one. Chosen: a store or a peer
  * that answers gives them in a tenth of it.
@@ -73,6 +79,8 @@
    */
   private contactTime: Milliseconds = 0
   private lastReadAt: Milliseconds | undefined
+  /** Monotonic time from which the others know of this instance; undefined while its row was not seen. */
+  private recordedSince: Milliseconds | undefined
 
   constructor(private readonly parts: MemberDirectoryParts) {
     this.renewalMilliseconds = parts.heartbeatMilliseconds
@@ -102,6 +110,7 @@
 
   observe(rows: readonly ChangedRow[], isWhole: boolean): void {
     for (const row of rows) this.observeRow(row)
+    this.noteOwnRow(rows)
     if (!isWhole) return
     this.loaded = true
     const present = new Set(rows.map(row => row.key))
@@ -128,6 +137,17 @@
     )
   }
 
+  /**
+   * All instances that are recorded, whether or not they are heard, this one included; undefined while the others
+   * may not know of this one yet.
+   */
+  get recordedInstances(): readonly string[] | undefined {
+    const since = this.recordedSince
+    if (!this.loaded || since === undefined) return undefined
+    if (this.parts.clock.monotonic() - since < MUTUAL_MILLISECONDS) return undefined
+    return [...this.members.keys()]
+  }
+
   /** What this instance tells the others. */
   get self(): MemberRow {
     const state: MemberState = this.draining ? 'draining' : 'serving'
@@ -167,6 +187,14 @@
     }
   }
 
+  private noteOwnRow(rows: readonly ChangedRow[]): void {
+    const { instance } = this.parts.self
+    if (this.recordedSince !== undefined || !rows.some(({ key }) => key === instance)) return
+    // A row that was there before this instance read anything is known to all: it is an earlier life's.
+    const isOlder = !this.loaded
+    this.recordedSince = isOlder ? Number.NEGATIVE_INFINITY : this.parts.clock.monotonic()
+  }
+
   private isServing(member: KnownMember): boolean {
     if (member.row.state !== 'serving') return false
     return this.contactTime - member.changedAt < this.silenceOf(member)
--- a/packages/daemon/__tests__/endpointFollower.spec.ts
+++ b/packages/daemon/__tests__/endpointFollower.spec.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest'
-import { VirtualClock } from '@rackwalk/shared'
+import { VirtualClock, endpointStart } from '@rackwalk/shared'
 import { EndpointDirectory } from '@rackwalk/router'
 import type { EndpointRecord } from '@rackwalk/router'
 import { EndpointFollower } from '@rackwalk/daemon'
@@ -13,15 +13,18 @@
     clock,
     instances: () => 1,
     maximumConnections: () => 100,
+    coldMilliseconds: () => 0,
     onChange: (server, change) => changes.push(`${server.id} ${change}`),
   })
   const parse = (id: string): EndpointRecord => ({
     id,
+    start: endpointStart(id, undefined),
     service: SERVICE,
     address: '127.0.0.1:1',
     failureDomain: 'hall-a',
     slots: 8,
     isLeaving: false,
+    coldMilliseconds: 0,
   })
   const follower = new EndpointFollower({ directory, clock, parse, onMalformedRow: () => {} })
   let version = 0
--- a/packages/daemon/src/gateway/endpointFollower.ts
+++ b/packages/daemon/src/gateway/endpointFollower.ts
@@ -35,9 +35,9 @@
     for (const row of rows) {
       const { key, value } = row
       const record = value === undefined ? undefined : parse(key, value)
-      if (value !== undefined && record === undefined) this.parts.onMalformedRow(row)
-      if (record === undefined) directory.lapse(key, this.lapseMilliseconds)
-      else directory.set(record)
+      if (record !== undefined) directory.set(record)
+      else if (value === undefined) directory.lapse(key, this.lapseMilliseconds)
+      else this.leaveOut(row)
     }
     if (!isWhole) return
     const present = new Set(rows.map(row => row.key))
@@ -45,6 +45,15 @@
     for (const id of missing) directory.lapse(id, this.lapseMilliseconds)
   }
 
+  /**
+   * A row that names no endpoint did not lapse: somebody wrote it, and whatever was listed under its key before is
+   * no longer known to be there, so nothing more is sent to it.
+   */
+  private leaveOut(row: ChangedRow): void {
+    this.parts.onMalformedRow(row)
+    this.parts.directory.remove(row.key)
+  }
+
   onReachable(isReachable: boolean): void {
     if (isReachable && !this.isReachable) this.regainedAt = this.parts.clock.monotonic()
     this.isReachable = isReachable
--- a/packages/daemon/src/gateway/followedTables.ts
+++ b/packages/daemon/src/gateway/followedTables.ts
@@ -60,7 +60,7 @@
   /** Whether callers are sent to this instance. */
   readonly isActive: () => boolean
   readonly freshness: FreshnessBounds
-  readonly onConfiguration: (rows: readonly ChangedRow[]) => void
+  readonly onConfiguration: (rows: readonly ChangedRow[], isWhole: boolean) => void
   readonly onContact: (isReachable: boolean) => void
   readonly onFault: (error: unknown) => void
   readonly onMalformedRow: (row: RowAddress) => void
--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -17,7 +17,7 @@
   StoreClock,
 } from '@rackwalk/coordination'
 import type { TableMirror } from '@rackwalk/coordination'
-import { FleetLoad, Gateway, EndpointDirectory } from '@rackwalk/router'
+import { EndpointDirectory, FleetLoad, Gateway, WarmUps } from '@rackwalk/router'
 import type { RouteTable } from '@rackwalk/router'
 import { ActiveFleet } from './activeFleet.js'
 import type { Logger } from '../observe/logger.js'
@@ -94,9 +94,8 @@
   ) {
     this.clock = options.clock ?? new SystemClock()
     this.random = options.random ?? new SystemRandom()
-    this.telemetry = new GatewayTelemetry(
-      options.logger ?? createGatewayLogger(settings, this.clock),
-    )
+    const logger = options.logger ?? createGatewayLogger(settings, this.clock)
+    this.telemetry = new GatewayTelemetry(logger)
     const store = options.store ?? this.createStore()
     this.store = new CountedStore(store, this.clock, (call, table, outcome) =>
       this.telemetry.noteStoreCall(call, table, outcome),
@@ -287,6 +286,7 @@
       clock: this.clock,
       instances: () => this.fleet.sharers,
       maximumConnections: name => this.configuration.routes?.service(name)?.maximumConnections ?? 1,
+      coldMilliseconds: name => this.warmUpOf(name)?.durationMilliseconds ?? 0,
       onChange: (endpoint, change) => {
         const fields = { server: endpoint.id, service: endpoint.service, change }
         this.telemetry.noteChange('server_state', change, fields)
@@ -295,6 +295,19 @@
     })
   }
 
+  private warmUpOf(service: string) {
+    return this.configuration.routes?.service(service)?.warmUp
+  }
+
+  private createWarmUps(): WarmUps {
+    return new WarmUps({
+      clock: this.clock,
+      instance: this.settings.instance.id,
+      recordedInstances: () => this.members.recordedInstances,
+      boundsOf: service => this.warmUpOf(service),
+    })
+  }
+
   private createFleetLoad(): FleetLoad {
     return new FleetLoad({
       instance: this.settings.instance.id,
@@ -330,6 +343,7 @@
       dialect: this.adapter.dialect,
       directory: this.endpoints,
       fleetLoad: this.fleetLoad,
+      warmUps: this.createWarmUps(),
       clock: this.clock,
       random: this.random,
       failureDomain: instance.failureDomain,
@@ -348,13 +362,10 @@
   }
 
   private createPeerRows(): PeerRows {
-    const own = this.settings.listen.peers
     return new PeerRows({
-      addresses: () => {
-        const known = this.members.others.map(member => member.peerAddress)
-        const all = new Set([...known, ...this.settings.seeds])
-        return [...all].filter(address => address !== own && address !== '')
-      },
+      own: this.settings.listen.peers,
+      seeds: this.settings.seeds,
+      knownAddresses: () => this.members.others.map(member => member.peerAddress),
       nearAddresses: () => this.fleet.nearAddresses(this.settings.instance.failureDomain),
       random: this.random,
       timeoutMilliseconds: PEER_MILLISECONDS,
@@ -372,7 +383,7 @@
       ledger: this.ledger,
       peerRows: this.peerRows,
       freshness: this.settings.freshness,
-      onConfiguration: rows => this.configuration.observe(rows),
+      onConfiguration: (rows, isWhole) => this.configuration.observe(rows, isWhole),
       isActive: () => this.fleet.isSelfActive,
       onContact: isReachable => this.note('store_contact', { isReachable }),
       onFault: error => this.noteFault(error),
@@ -403,6 +414,9 @@
       recordSeconds: () => this.ledger.recordMilliseconds() / 1000,
       active: () => Number(this.fleet.isSelfActive),
       endpoints: () => this.endpoints.size,
+      coldEndpoints: () => this.endpoints.coldCount,
+      evacuatedDomains: () => this.configuration.evacuations.length,
+      evacuatedInFlight: () => this.endpoints.runningInEvacuated,
       configurationVersion: () => this.configuration.routes?.version ?? 0,
       ready: () => (this.isReady ? 1 : 0),
       shortBudgets: () => this.ledger.shortBudgets,
@@ -428,6 +442,11 @@
     return new ConfigurationInForce({
       source: this.adapter.configuration,
       onConfiguration: (routes, before) => this.noteConfiguration(routes, before),
+      onEvacuation: (failureDomain, isEvacuated) => {
+        this.endpoints.setEvacuated(failureDomain, isEvacuated)
+        const event = isEvacuated ? 'failure_domain_evacuated' : 'failure_domain_restored'
+        this.note(event, { failureDomain })
+      },
       onRefused: detail => this.note('configuration_refused', { detail }),
     })
   }
--- a/packages/daemon/src/gateway/gatewayMetrics.ts
+++ b/packages/daemon/src/gateway/gatewayMetrics.ts
@@ -21,6 +21,9 @@
   readonly recordSeconds: () => number
   readonly active: () => number
   readonly endpoints: () => number
+  readonly coldEndpoints: () => number
+  readonly evacuatedDomains: () => number
+  readonly evacuatedInFlight: () => number
   readonly configurationVersion: () => number
   readonly ready: () => number
   readonly storeAge: () => number
@@ -160,6 +163,17 @@
     )
     this.gauge('active', '1 while callers are sent here.', gauges.active)
     this.gauge('servers', 'Servers listed.', gauges.endpoints)
+    this.gauge('cold_servers', 'Servers that warm up.', gauges.coldEndpoints)
+    this.gauge(
+      'evacuated_domains',
+      'Failure domains that are being emptied.',
+      gauges.evacuatedDomains,
+    )
+    this.gauge(
+      'evacuated_in_flight',
+      'Requests from here that still run in failure domains that are being emptied.',
+      gauges.evacuatedInFlight,
+    )
     this.gauge('configuration_version', 'Version in force here.', gauges.configurationVersion)
     this.gauge('ready', '1 while new requests may begin here.', gauges.ready)
     this.gauge(
--- a/packages/daemon/src/gateway/peerRows.ts
+++ b/packages/daemon/src/gateway/peerRows.ts
@@ -68,8 +68,12 @@
 
 /** What the questions for rows work with. */
 export interface PeerRowsParts {
-  /** Addresses of other instances, the likeliest to answer first or in no order. */
-  readonly addresses: () => readonly string[]
+  /** Where this instance answers such questions itself. */
+  readonly own: string | undefined
+  /** Addresses that are asked whether or not an instance is known there. */
+  readonly seeds: readonly string[]
+  /** Addresses of other instances, in no order; empty texts among them name none. */
+  readonly knownAddresses: () => readonly string[]
   /** Addresses of active instances of the own failure domain, in no order. */
   readonly nearAddresses: () => readonly string[]
   readonly random: RandomSource
@@ -83,7 +87,7 @@
 
   /** Asks any other instance, chosen at random. */
   ask(table: string, after: number): Promise<MirrorPage | undefined> {
-    return this.askOneOf(this.parts.addresses(), table, after)
+    return this.askOneOf(this.addresses, table, after)
   }
 
   /** Asks an active instance nearby, chosen at random. */
@@ -91,6 +95,12 @@
     return this.askOneOf(this.parts.nearAddresses(), table, after)
   }
 
+  private get addresses(): readonly string[] {
+    const { own, seeds, knownAddresses } = this.parts
+    const all = new Set([...knownAddresses(), ...seeds])
+    return [...all].filter(address => address !== own && address !== '')
+  }
+
   private async askOneOf(
     addresses: readonly string[],
     table: string,
--- a/packages/daemon/src/gateway/platformAdapter.ts
+++ b/packages/daemon/src/gateway/platformAdapter.ts
@@ -46,6 +46,8 @@
     readonly key: string
     /** Throws where the document is not understood. */
     parse(value: string): GatewayConfiguration
+    /** The failure domain that a row under this key asks to empty; undefined for other rows. */
+    readEvacuation(key: string): string | undefined
   }
   readonly endpoints: RowSource & {
     /** Undefined where the row describes no endpoint. */
--- a/packages/decisions/__tests__/finalError.spec.ts
+++ b/packages/decisions/__tests__/finalError.spec.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest'
 import { finalError } from '@rackwalk/decisions'
 import type { AttemptOutcome, NoChoice } from '@rackwalk/decisions'
-import { RESULT_TABLE } from '@rackwalk/shared'
+import { RESULT_TABLE, ResultCode } from '@rackwalk/shared'
 
 /** What a caller is told whose request came to no whole answer. */
 
@@ -64,9 +64,20 @@
 
   it('says that nobody could be asked, or that the caller left', () => {
     expect([
-      told([], { noChoice: 'none-listed' }),
-      told([], { noChoice: 'none-with-room' }),
+      told([], { noChoice: { kind: 'none-listed' } }),
+      told([], { noChoice: { kind: 'none-with-room' } }),
       told([FAILED], { isCallerGone: true, isLate: true }),
     ]).toMatchSnapshot()
   })
+
+  it('says when the first endpoint is warm where all that are free warm up', () => {
+    const error = finalError({
+      service: 'model',
+      history: [],
+      isCallerGone: false,
+      isLate: false,
+      noChoice: { kind: 'none-warm', warmInMilliseconds: 1_700 },
+    })
+    expect(error).toMatchObject({ code: ResultCode.WarmingUp, retryAfterSeconds: 1.7 })
+  })
 })
--- /dev/null
+++ b/packages/decisions/__tests__/warmUp.spec.ts
@@ -0,0 +1,81 @@
+import { describe, expect, it } from 'vitest'
+import { holdsLicence, warmUpShares } from '@rackwalk/decisions'
+
+/** What a whole fleet sends at most to one cold endpoint in a second, by the licences that instances hold. */
+function mostInASecond(licence: (instance: string) => number, instances: readonly string[]) {
+  return instances.reduce((sum, instance) => sum + licence(instance), 0)
+}
+
+function fleet(count: number): string[] {
+  return Array.from({ length: count }, (_, index) => `instance-${index}`)
+}
+
+/** Requests that an instance may send in a second, given those that it knows to be recorded. */
+function licensed(instance: string, recorded: readonly string[], perSecond: number, start: string) {
+  const { holders, licence } = warmUpShares(perSecond, recorded.length)
+  if (!holdsLicence(instance, recorded, start, holders)) return 0
+  return (licence.requests * 1_000) / licence.windowMilliseconds
+}
+
+const STARTS = Array.from({ length: 40 }, (_, index) => `endpoint-${index}@1700000000000`)
+
+describe('what a cold endpoint bears', () => {
+  it('is given out in whole requests', () => {
+    const table = [0.4, 1, 7.7, 20].flatMap(perSecond =>
+      [1, 3, 7, 75].map(instances => {
+        const { holders, licence } = warmUpShares(perSecond, instances)
+        const { requests, windowMilliseconds } = licence
+        return `${perSecond}/s, ${instances}: ${holders} x ${requests} in ${Math.round(windowMilliseconds)} ms`
+      }),
+    )
+    expect(table).toMatchInlineSnapshot(`
+      [
+        "0.4/s, 1: 1 x 1 in 2500 ms",
+        "0.4/s, 3: 1 x 1 in 2500 ms",
+        "0.4/s, 7: 1 x 1 in 2500 ms",
+        "0.4/s, 75: 1 x 1 in 2500 ms",
+        "1/s, 1: 1 x 1 in 1000 ms",
+        "1/s, 3: 1 x 1 in 1000 ms",
+        "1/s, 7: 1 x 1 in 1000 ms",
+        "1/s, 75: 1 x 1 in 1000 ms",
+        "7.7/s, 1: 1 x 7 in 1000 ms",
+        "7.7/s, 3: 3 x 2 in 1000 ms",
+        "7.7/s, 7: 7 x 1 in 1000 ms",
+        "7.7/s, 75: 7 x 1 in 1000 ms",
+        "20/s, 1: 1 x 20 in 1000 ms",
+        "20/s, 3: 3 x 6 in 1000 ms",
+        "20/s, 7: 7 x 2 in 1000 ms",
+        "20/s, 75: 20 x 1 in 1000 ms",
+      ]
+    `)
+  })
+
+  it.each([1, 3, 7, 75, 360])('is never exceeded by %i instances that hear nobody', count => {
+    const all = fleet(count)
+    // Each instance hashes all others for each start: fewer starts where there are many.
+    for (const start of STARTS.slice(0, Math.ceil(300 / count))) {
+      const sum = mostInASecond(instance => licensed(instance, all, 7.7, start), all)
+      expect(sum).toBeGreaterThan(0)
+      expect(sum).toBeLessThanOrEqual(7.7)
+    }
+  })
+
+  it('stays within twice that while instances join and only some know of it', () => {
+    const before = fleet(75)
+    const after = fleet(86)
+    for (const start of STARTS) {
+      const sum = mostInASecond((instance): number => {
+        const knowsAll = before.indexOf(instance) % 2 === 1 || !before.includes(instance)
+        return licensed(instance, knowsAll ? after : before, 7.7, start)
+      }, after)
+      // The bound of the whole fleet is 1.5 times what an endpoint bears and 5 more.
+      expect(sum).toBeLessThanOrEqual(7.7 * 1.5 + 5)
+    }
+  })
+
+  it('is exceeded where each takes an equal part in whole requests: the bound is broken so', () => {
+    const all = fleet(75)
+    const equalPart = () => Math.max(1, Math.floor(7.7 / all.length))
+    expect(mostInASecond(equalPart, all)).toBeGreaterThan(7.7 * 1.5 + 5)
+  })
+})
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -12,6 +12,8 @@
 } from './choosing/readingHarm.js'
 export { HomeEndpoints } from './choosing/homeEndpoints.js'
 export { nextPace, slownessOf, usualPace } from './choosing/slowness.js'
+export { holdsLicence, warmUpShares } from './choosing/warmUp.js'
+export type { WarmUpBounds, WarmUpLicence } from './choosing/warmUp.js'
 export { rendezvousChoice, rendezvousOrder } from './choosing/rendezvous.js'
 
 export {
--- a/packages/decisions/src/stopping/finalError.ts
+++ b/packages/decisions/src/stopping/finalError.ts
@@ -6,13 +6,18 @@
  */
 
 import { DispatchedError, NotRunError, ResultCode } from '@rackwalk/shared'
-import type { RackwalkError } from '@rackwalk/shared'
+import type { Milliseconds, RackwalkError } from '@rackwalk/shared'
+import { returnAfterSeconds } from '../admitting/budgetPatience.js'
 import type { AttemptOutcome } from '../retrying/attemptOutcome.js'
 import { mayHaveRun } from '../retrying/attemptOutcome.js'
 import { isPromising } from '../retrying/nextStep.js'
 
 /** Why no endpoint was asked at all. */
-export type NoChoice = 'none-listed' | 'none-with-room'
+export type NoChoice =
+  | { readonly kind: 'none-listed' }
+  | { readonly kind: 'none-with-room' }
+  /** All that have room are warming up and get no more from here; the first is warm after this time. */
+  | { readonly kind: 'none-warm'; readonly warmInMilliseconds: Milliseconds }
 
 /** How a request ended that came to no whole answer. */
 export interface EndedRequest {
@@ -39,8 +44,7 @@
 }
 
 function errorAfter({ service, history, noChoice }: EndedRequest): RackwalkError {
-  if (noChoice === 'none-listed') return new NotRunError(ResultCode.NoEndpoint, service)
-  if (noChoice === 'none-with-room') return new NotRunError(ResultCode.Overloaded, service)
+  if (noChoice !== undefined) return errorOfNoChoice(service, noChoice)
   const ran = history.filter(mayHaveRun)
   const failure = ran.findLast(isFailure) ?? ran.at(-1)
   if (failure !== undefined) return errorOfRun(failure)
@@ -49,6 +53,19 @@
   return new NotRunError(ResultCode.NoEndpoint, detail)
 }
 
+function errorOfNoChoice(service: string, noChoice: NoChoice): RackwalkError {
+  switch (noChoice.kind) {
+    case 'none-listed':
+      return new NotRunError(ResultCode.NoEndpoint, service)
+    case 'none-with-room':
+      return new NotRunError(ResultCode.Overloaded, service)
+    case 'none-warm': {
+      const returnAfter = returnAfterSeconds(noChoice.warmInMilliseconds)
+      return new NotRunError(ResultCode.WarmingUp, service, returnAfter)
+    }
+  }
+}
+
 /** An answer is a failure of its own only where it must not be passed on. */
 function isFailure(outcome: AttemptOutcome): boolean {
   return outcome.kind !== 'answered' || isPromising(outcome.status)
--- a/packages/router/__tests__/peerLoads.spec.ts
+++ b/packages/router/__tests__/peerLoads.spec.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest'
-import { SystemRandom, VirtualClock } from '@rackwalk/shared'
+import { SystemRandom, VirtualClock, endpointStart } from '@rackwalk/shared'
 import {
   LoadReporter,
   PeerLoads,
@@ -16,6 +16,7 @@
   failureDomain: 'hall-a',
   slots: 8,
   isLeaving: false,
+  coldMilliseconds: 0,
 }
 
 const SELF = { instance: 'self', incarnation: 'first' }
@@ -37,9 +38,10 @@
     clock: new VirtualClock(),
     instances: () => 1,
     maximumConnections: () => 100,
+    coldMilliseconds: () => 0,
     onChange: () => {},
   })
-  for (const id of ids) directory.set({ ...SERVER, id })
+  for (const id of ids) directory.set({ ...SERVER, id, start: endpointStart(id, undefined) })
   return directory
 }
 
@@ -127,7 +129,8 @@
 
   it('tells of no service that the others need not know of', () => {
     const directory = directoryOf('s1')
-    directory.set({ ...SERVER, id: 'plain-1', service: 'plain' })
+    const start = endpointStart('plain-1', undefined)
+    directory.set({ ...SERVER, id: 'plain-1', start, service: 'plain' })
     for (const endpoint of [...directory.available('model'), ...directory.available('plain')]) {
       endpoint.running = 1
     }
--- a/packages/router/src/gateway/endpointDirectory.ts
+++ b/packages/router/src/gateway/endpointDirectory.ts
@@ -4,21 +4,24 @@
  */
 
 import { nextPace, slownessOf, usualPace } from '@rackwalk/decisions'
-import type { Clock, Milliseconds, Timer, TokenCount } from '@rackwalk/shared'
+import type { Clock, EndpointStart, Milliseconds, Timer, TokenCount } from '@rackwalk/shared'
 import type { EndpointLoad } from './dialect.js'
 import type { InstanceLoad } from './peerLoads.js'
 import { EndpointAgent } from './endpointAgent.js'
 
 /** An endpoint as the platform lists it. */
 export interface EndpointRecord {
-  /** Names one start of an endpoint. */
+  /** Under which the platform lists it, and which it answers to. */
   readonly id: string
+  readonly start: EndpointStart
   readonly service: string
   /** IP:PORT. */
   readonly address: string
   readonly failureDomain: string
   readonly slots: number
   readonly isLeaving: boolean
+  /** How much longer it bears only few requests; 0 once it is warm. */
+  readonly coldMilliseconds: Milliseconds
 }
 
 /** Weight of the newest outcome in an endpoint's failure share. Chosen, not measured. */
@@ -29,6 +32,9 @@
  * that count their number differently for a moment. Chosen, not measured. */
 const CONNECTION_SHARE = 0.85
 
+/** Times of requests that are remembered at the most. Chosen: far more than a cold endpoint is sent. */
+const REMEMBERED_SENDS = 64
+
 /** A request in progress at an endpoint. */
 export interface RequestInProgress {
   /** Its first event came, so its prompt is read; may be called again. */
@@ -48,6 +54,9 @@
   pace: Milliseconds | undefined
   /** Whether something else answered at its address: this start of it is over, whatever is listed. */
   hasEnded = false
+  private coldUntil: Milliseconds
+  /** Times at which requests were sent there, the newest last. */
+  private readonly sends: Milliseconds[] = []
   private failureShare = 0
   private failureAt: Milliseconds = 0
   private connections: EndpointAgent | undefined
@@ -56,7 +65,36 @@
     public record: EndpointRecord,
     private readonly clock: Clock,
     private readonly connectionLimit: () => number,
-  ) {}
+  ) {
+    this.coldUntil = clock.monotonic() + record.coldMilliseconds
+  }
+
+  /** Takes a newer record of the same start in. */
+  update(record: EndpointRecord): void {
+    this.record = record
+    this.coldUntil = this.clock.monotonic() + record.coldMilliseconds
+  }
+
+  /** Whether it bears only few requests at present. */
+  get isCold(): boolean {
+    return this.clock.monotonic() < this.coldUntil
+  }
+
+  /** Time until it is warm; 0 where it is. */
+  get coldMilliseconds(): Milliseconds {
+    return Math.max(0, this.coldUntil - this.clock.monotonic())
+  }
+
+  /** It may have turned cold unseen, and counts as cold for this long. */
+  suspectCold(milliseconds: Milliseconds): void {
+    this.coldUntil = Math.max(this.coldUntil, this.clock.monotonic() + milliseconds)
+  }
+
+  /** Requests that were sent there from here within this time. */
+  sentWithin(milliseconds: Milliseconds): number {
+    const after = this.clock.monotonic() - milliseconds
+    return this.sends.filter(sentAt => sentAt > after).length
+  }
 
   get agent(): EndpointAgent {
     const limit = this.connectionLimit()
@@ -72,6 +110,7 @@
   /** A request is sent there; `tokens` of its prompt have to be read. */
   beginRequest(tokens: TokenCount): RequestInProgress {
     let pending = tokens
+    this.noteSend()
     const noteBegun = () => {
       this.pendingTokens -= pending
       pending = 0
@@ -85,6 +124,11 @@
     return { noteBegun, end }
   }
 
+  private noteSend(): void {
+    this.sends.push(this.clock.monotonic())
+    if (this.sends.length > REMEMBERED_SENDS) this.sends.shift()
+  }
+
   /** An answer from there ran at this pace for a while; milliseconds an event. */
   notePace(pace: Milliseconds): void {
     this.pace = nextPace(this.pace, pace)
@@ -120,6 +164,8 @@
   readonly instances: () => number
   /** Connections that one endpoint of a service takes. */
   readonly maximumConnections: (service: string) => number
+  /** How long endpoints of a service stay cold after a start; 0 where they never are. */
+  readonly coldMilliseconds: (service: string) => Milliseconds
   readonly onChange: (endpoint: EndpointRecord, change: string) => void
 }
 
@@ -136,6 +182,8 @@
   private readonly endpoints = new Map<string, EndpointState>()
   /** Endpoints whose entries are missing and may come back. */
   private readonly lapsed = new Map<string, Timer>()
+  /** Failure domains to which nothing new may be sent. */
+  private readonly evacuated = new Set<string>()
   /** Usual paces, by service. */
   private readonly usualPaces = new Map<string, KnownPace>()
 
@@ -150,17 +198,58 @@
       this.endpoints.set(record.id, this.createState(record))
       return
     }
+    if (record.start !== known.record.start) return this.replace(known, record)
     if (record.isLeaving && !known.record.isLeaving) this.parts.onChange(record, 'leaving')
-    known.record = record
+    if (record.coldMilliseconds > 0 && !known.isCold) this.parts.onChange(record, 'cold')
+    known.update(record)
+  }
+
+  /** An endpoint started again under its id: nothing that was believed of the start before holds. */
+  private replace(known: EndpointState, record: EndpointRecord): void {
+    this.remove(record.id)
+    known.hasEnded = true
+    this.parts.onChange(record, 'started again')
+    this.endpoints.set(record.id, this.createState(record))
+  }
+
+  /**
+   * Nothing new is sent to the endpoints of a failure domain that is evacuated; what runs there goes on. When it
+   * is restored, its endpoints may have turned cold while nobody sent there, which their rows tell up to a heartbeat
+   * later: they count as cold until they would be warm.
+   */
+  setEvacuated(failureDomain: string, isEvacuated: boolean): void {
+    if (isEvacuated) this.evacuated.add(failureDomain)
+    else if (this.evacuated.delete(failureDomain)) this.suspectCold(failureDomain)
+  }
+
+  private suspectCold(failureDomain: string): void {
+    for (const endpoint of this.endpoints.values()) {
+      const { record } = endpoint
+      if (record.failureDomain !== failureDomain) continue
+      endpoint.suspectCold(this.parts.coldMilliseconds(record.service))
+    }
+  }
+
+  /** Requests from here that still run in failure domains that are being emptied. */
+  get runningInEvacuated(): number {
+    return [...this.endpoints.values()]
+      .filter(({ record }) => this.evacuated.has(record.failureDomain))
+      .reduce((sum, { running }) => sum + running, 0)
+  }
+
+  /** Endpoints that bear only few requests at present. */
+  get coldCount(): number {
+    return [...this.endpoints.values()].filter(({ isCold }) => isCold).length
   }
 
   /**
    * Something else answers at the address of an endpoint: nothing more is sent there. While the
    * store is out of reach, the list tells of an end only seconds later.
    */
-  noteEnded(id: string): void {
+  noteEnded({ id, start }: Pick<EndpointRecord, 'id' | 'start'>): void {
     const known = this.endpoints.get(id)
-    if (known === undefined || known.hasEnded) return
+    // What an earlier start is told late does not speak of the one that is there now.
+    if (known === undefined || known.hasEnded || known.record.start !== start) return
     known.hasEnded = true
     this.parts.onChange(known.record, 'replaced')
   }
@@ -194,10 +283,11 @@
 
   /** Endpoints of a service to which new requests may go. */
   available(service: string): readonly EndpointState[] {
-    return [...this.endpoints.values()].filter(
-      endpoint =>
-        endpoint.record.service === service && !endpoint.record.isLeaving && !endpoint.hasEnded,
-    )
+    return [...this.endpoints.values()].filter(endpoint => {
+      const { record, hasEnded } = endpoint
+      const isOpen = !record.isLeaving && !hasEnded && !this.evacuated.has(record.failureDomain)
+      return record.service === service && isOpen
+    })
   }
 
   /** How many times as long as a usual endpoint of its service one takes for an answer; 1 or more. */
--- a/packages/router/src/gateway/fleetLoad.ts
+++ b/packages/router/src/gateway/fleetLoad.ts
@@ -149,6 +149,7 @@
 
   /** An endpoint is gone. */
   forget(endpoint: string): void {
+    this.peers.forget(endpoint)
     this.caches.forget(endpoint)
     this.readings.forget(endpoint)
   }
--- a/packages/router/src/gateway/gatewayConfiguration.ts
+++ b/packages/router/src/gateway/gatewayConfiguration.ts
@@ -3,6 +3,7 @@
  * indexes that the way of a request needs.
  */
 
+import type { WarmUpBounds } from '@rackwalk/decisions'
 import type { Bytes, Milliseconds, TokenCount } from '@rackwalk/shared'
 
 interface RouteTarget {
@@ -40,6 +41,8 @@
   readonly maximumConnections: number
   /** Present where the endpoints run a model. */
   readonly engine: GatewayEngine | undefined
+  /** Present where endpoints that have just started bear less. */
+  readonly warmUp: WarmUpBounds | undefined
 }
 
 /** What the endpoints of a model are like. */
--- a/packages/router/src/gateway/peerLoads.ts
+++ b/packages/router/src/gateway/peerLoads.ts
@@ -99,6 +99,11 @@
     return peer.loads.size > 0 || this.clock.monotonic() - peer.workedAt < USING_MILLISECONDS
   }
 
+  /** An endpoint is gone, or started again: nothing that was told of it holds. */
+  forget(endpoint: string): void {
+    for (const peer of this.peers.values()) this.replace(peer, endpoint, NO_LOAD)
+  }
+
   /** Forgets instances that have been silent for this long; call it now and then. */
   expire(silence: Milliseconds): void {
     const oldest = this.clock.monotonic() - silence
--- a/packages/router/src/gateway/requestAttempts.ts
+++ b/packages/router/src/gateway/requestAttempts.ts
@@ -16,7 +16,7 @@
   rankEndpoints,
 } from '@rackwalk/decisions'
 import type { AttemptOutcome, NextStep, NoChoice } from '@rackwalk/decisions'
-import type { Clock, Milliseconds, RandomSource, TokenCount } from '@rackwalk/shared'
+import type { Clock, EndpointStart, Milliseconds, RandomSource, TokenCount } from '@rackwalk/shared'
 import { AnswerRelay } from './answerRelay.js'
 import type { CallerReply } from './callerReply.js'
 import type { Dialect, ReplyMetadata, RequestMetadata } from './dialect.js'
@@ -26,6 +26,7 @@
 import type { GatewayRoute, GatewayService } from './gatewayConfiguration.js'
 import type { GatewayRecord } from './gatewayRecord.js'
 import type { EndpointDirectory, EndpointState } from './endpointDirectory.js'
+import type { WarmUps } from './warmUps.js'
 import { StreamPace } from './streamPace.js'
 import { UpstreamExchange } from './upstreamExchange.js'
 
@@ -34,6 +35,7 @@
   readonly dialect: Dialect
   readonly directory: EndpointDirectory
   readonly fleetLoad: FleetLoad
+  readonly warmUps: WarmUps
   readonly clock: Clock
   readonly random: RandomSource
   readonly failureDomain: string
@@ -84,7 +86,7 @@
 
 /** The attempts at one request. */
 export class RequestAttempts {
-  private readonly tried = new Set<string>()
+  private readonly tried = new Set<EndpointStart>()
   private readonly events = new EventRelay()
   private readonly history: AttemptOutcome[] = []
   private exchange: UpstreamExchange | undefined
@@ -140,11 +142,12 @@
 
   /** The best endpoint, or undefined where none may take the request. */
   private choose(): EndpointState | undefined {
-    const { directory, fleetLoad, clock, random, failureDomain } = this.parts
+    const { directory, fleetLoad, warmUps, clock, random, failureDomain } = this.parts
     const { service, metadata } = this.request
     const now = clock.monotonic()
     const available = directory.available(service.name)
-    const open = available.filter(({ hasRoom, record }) => hasRoom && !this.tried.has(record.id))
+    const free = available.filter(({ hasRoom, record }) => hasRoom && !this.tried.has(record.start))
+    const open = free.filter(endpoint => warmUps.takes(endpoint))
     const ranked = rankEndpoints({
       open: open.map(endpoint => snapshotEndpoint(endpoint, fleetLoad, metadata, now)),
       serviceIds: available.map(({ record }) => record.id),
@@ -156,8 +159,7 @@
     })
     const [best] = ranked
     if (best === undefined) {
-      const reason = available.length === 0 ? 'none-listed' : 'none-with-room'
-      if (this.tried.size === 0) this.noChoice = reason
+      if (this.tried.size === 0) this.noChoice = noChoiceOf(available, free)
       return undefined
     }
     const chosen = open.find(({ record }) => record.id === best.id)
@@ -185,7 +187,7 @@
     const uncachedTokens = this.uncachedTokens(id)
     const pending = endpoint.beginRequest(uncachedTokens)
     this.parts.fleetLoad.noteSent(id, this.request.metadata.promptParts, uncachedTokens)
-    this.tried.add(id)
+    this.tried.add(endpoint.record.start)
     try {
       const exchange = this.open(endpoint)
       const head = await exchange.awaitAnswer()
@@ -248,7 +250,7 @@
     if (reply.load !== undefined) endpoint.noteLoad(reply.load)
     const outcome = this.judge(status, reply)
     if (outcome.kind === 'refused' && isMisdirected(status)) {
-      this.parts.directory.noteEnded(endpoint.record.id)
+      this.parts.directory.noteEnded(endpoint.record)
     }
     // An endpoint that refuses is full, not broken.
     if (outcome.kind !== 'refused') endpoint.noteOutcome(isAnsweredWell(outcome))
@@ -341,7 +343,7 @@
       history: this.history,
       isReplyStarted: reply.isStarted,
       isOver: this.isOver,
-      hasUntried: available.some(endpoint => !this.tried.has(endpoint.record.id)),
+      hasUntried: available.some(endpoint => !this.tried.has(endpoint.record.start)),
       takeRetry,
     })
   }
@@ -369,6 +371,14 @@
   }
 }
 
+/** Why nothing was open, given the endpoints that are available and those of them that are not full. */
+function noChoiceOf(available: readonly EndpointState[], free: readonly EndpointState[]): NoChoice {
+  if (available.length === 0) return { kind: 'none-listed' }
+  if (free.length === 0) return { kind: 'none-with-room' }
+  const warmInMilliseconds = Math.min(...free.map(({ coldMilliseconds }) => coldMilliseconds))
+  return { kind: 'none-warm', warmInMilliseconds }
+}
+
 function isAnsweredWell(outcome: AttemptOutcome): boolean {
   return outcome.kind === 'answered' && !isServerError(outcome.status)
 }
--- a/packages/shared/src/ids.ts
+++ b/packages/shared/src/ids.ts
@@ -21,6 +21,11 @@
 export type BudgetId = Branded<'BudgetId'>
 /** Names one model engine or plain service that serves requests. */
 export type EndpointId = Branded<'EndpointId'>
+/**
+ * Names one start of an endpoint, which may come back under the id that it had. What is believed of one start says
+ * nothing of the next.
+ */
+export type EndpointStart = Branded<'EndpointStart'>
 /** Names a model that endpoints load and callers ask for. */
 export type ModelId = Branded<'ModelId'>
 /** Names one request in logs, headers and decision records. */
@@ -32,6 +37,11 @@
 /** Identifies one movement of tokens between two instances. */
 export type TransferId = Branded<'TransferId'>
 
+/** The start of an endpoint at this time; undefined where its platform gives each start an id of its own. */
+export function endpointStart(endpoint: string, bornAt: number | undefined): EndpointStart {
+  return asId(bornAt === undefined ? endpoint : `${endpoint}@${bornAt}`)
+}
+
 /** Brands a string; the one place where the cast is made. */
 export function asId<Id extends Branded<string>>(value: string): Id {
   return value as Id
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -1,8 +1,9 @@
 /** What every package shares: ids, units, result codes, errors, time and chance. */
-export { asId } from './ids.js'
+export { asId, endpointStart } from './ids.js'
 export type {
   BudgetId,
   EndpointId,
+  EndpointStart,
   FailureDomainId,
   IdempotencyKey,
   IncarnationId,
--- a/packages/shared/src/resultCodes.ts
+++ b/packages/shared/src/resultCodes.ts
@@ -34,6 +34,7 @@
   LinkFull = 3009,
   ProcessorFull = 3010,
   KnowledgeTooOld = 3011,
+  WarmingUp = 3012,
 
   EndpointFailed = 4001,
   EndpointStalled = 4002,
@@ -93,6 +94,7 @@
   | ResultCode.LinkFull
   | ResultCode.ProcessorFull
   | ResultCode.KnowledgeTooOld
+  | ResultCode.WarmingUp
 
 /** Codes for a request that an earlier or this attempt may have run. */
 export type AfterDispatchCode =
@@ -201,6 +203,7 @@
     'this instance cannot know that its configuration is the newest',
     1,
   ),
+  [ResultCode.WarmingUp]: row(503, 'not-run', true, 'every endpoint that is free is warming up', 1),
 
   [ResultCode.EndpointFailed]: row(502, 'unknown', true, 'the endpoint did not answer'),
   [ResultCode.EndpointStalled]: row(504, 'ran', true, 'the endpoint stalled'),
--- a/packages/stand-ins/src/replay/replay.ts
+++ b/packages/stand-ins/src/replay/replay.ts
@@ -12,7 +12,7 @@
   snapshotEndpoint,
 } from '@rackwalk/router'
 import type { EndpointState } from '@rackwalk/router'
-import { SeededRandom, VirtualClock, asId } from '@rackwalk/shared'
+import { SeededRandom, VirtualClock, asId, endpointStart } from '@rackwalk/shared'
 import type { EndpointId, Milliseconds, RandomSource, TokenCount } from '@rackwalk/shared'
 import { EngineModel } from '../engine/engineModel.js'
 import type { EngineCapacity, EnginePromptPart } from '../engine/engineModel.js'
@@ -122,16 +122,19 @@
       clock,
       instances: () => this.load.instances.length,
       maximumConnections: () => PLENTY_OF_CONNECTIONS,
+      coldMilliseconds: () => 0,
       onChange: () => {},
     })
     for (const [position, { endpointId, capacity }] of this.engines.entries()) {
       directory.set({
         id: endpointId,
+        start: endpointStart(endpointId, undefined),
         service: SERVICE,
         address: '127.0.0.1:1',
         failureDomain: `domain-${position % FAILURE_DOMAINS}`,
         slots: capacity.slots,
         isLeaving: false,
+        coldMilliseconds: 0,
       })
     }
     const identity = { instance: `instance-${index}`, incarnation: '1' }
