feat(prepaid): a record counts one request ahead, so that nobody is refused what his own instance holds

Change: a record counts one request of the size lately seen as committed already (at most 0.1 of what is unspent, nothing where nobody asks or the budget is nearly used up). It is served at once and taken back by the next record.

A hold for each large request costs a write each; not built.

--- a/packages/coordination/src/prepaid/holdingState.ts
+++ b/packages/coordination/src/prepaid/holdingState.ts
@@ -10,6 +10,8 @@
 /** A holder row of this incarnation that is, or may come to be, in the store. */
 interface SentRow {
   readonly row: HolderRow
+  /** Tokens that the row counts as committed before anybody asked for them. */
+  readonly ahead: TokenCount
   readonly sentAt: Milliseconds
   /** The version that the row must replace; with any other it can never take effect. */
   readonly replaces: Version
@@ -84,7 +86,8 @@
 
   /** Tokens committed since the newest confirmed row. */
   get unrecorded(): TokenCount {
-    return Math.abs(this.committedTokens - (this.confirmed?.row.committed ?? 0))
+    const { row, ahead } = this.confirmed ?? NO_ROW
+    return Math.abs(this.committedTokens - (row.committed - ahead))
   }
 
   commit(tokens: TokenCount): void {
@@ -96,9 +99,9 @@
   }
 
   /** A row is about to be sent; from now on its bounds hold as well. */
-  send(row: HolderRow, replaces: Version): void {
+  send(row: HolderRow, ahead: TokenCount, replaces: Version): void {
     this.sequence = row.sequence
-    this.unresolved.push({ row, sentAt: this.clock.monotonic(), replaces })
+    this.unresolved.push({ row, ahead, sentAt: this.clock.monotonic(), replaces })
   }
 
   /**
@@ -129,6 +132,9 @@
   }
 }
 
+/** What is recorded before the first row. */
+const NO_ROW = { row: { committed: 0 }, ahead: 0 }
+
 function isNumber(value: number | undefined): value is number {
   return value !== undefined
 }
--- a/packages/coordination/src/prepaid/prepaidAccount.ts
+++ b/packages/coordination/src/prepaid/prepaidAccount.ts
@@ -326,7 +326,7 @@
     }
     const plan = this.plan(true)
     const admitted = this.takeAdmitted(plan)
-    this.holding.send(plan.holder, this.view.ownVersion)
+    this.holding.send(plan.holder, plan.ahead, this.view.ownVersion)
     const sentAt = this.parts.clock.monotonic()
     const outcome = await this.contact.timed(this.parts.store.write(this.transactionOf(plan)))
     this.noteOutcome(plan, outcome, sentAt)
--- a/packages/coordination/src/prepaid/writePlan.ts
+++ b/packages/coordination/src/prepaid/writePlan.ts
@@ -9,6 +9,7 @@
   plentyOf,
   secondsLeft,
   strictSpan,
+  writtenAhead,
 } from '@rackwalk/decisions'
 import type { BudgetView, HoldingPolicy } from '@rackwalk/decisions'
 import type { Milliseconds, TokenCount } from '@rackwalk/shared'
@@ -46,6 +47,8 @@
 export interface WritePlan {
   readonly pool: PoolRow
   readonly holder: HolderRow
+  /** Tokens that `holder.committed` counts before anybody asked for them. */
+  readonly ahead: TokenCount
   readonly changesPool: boolean
   /**
    * Whether the plan is right only for the pool that it knows: it changes the pool, or finds too
@@ -106,11 +109,16 @@
   const change = holdingChange(inputs, before, rest)
   const granted = inputs.granted + change
   const committed = inputs.committed + admission.tokens
+  const ahead = writtenAhead(granted - committed, inputs.budgetView)
   const pool = { ...before, allocated: before.allocated + change }
   const changesPool = inputs.pool === undefined || !isSamePool(pool, inputs.pool)
   return {
     pool,
-    holder: holderRow(inputs, granted, committed, admission.missing),
+    holder: {
+      ...holderRow(inputs, granted, committed, admission.missing),
+      committed: committed + ahead,
+    },
+    ahead,
     changesPool,
     restsOnPool: changesPool || admission.missing > 0 || isShort(inputs, pool, granted - committed),
     takeover,
--- a/packages/decisions/src/admitting/spendingBound.ts
+++ b/packages/decisions/src/admitting/spendingBound.ts
@@ -72,7 +72,11 @@
  */
 export function strictSpan(secondsLeft: number, recordMilliseconds: Milliseconds): Milliseconds {
   const least = Math.min(CUT_AFTER_MILLISECONDS, COVERED_RECORDS * recordMilliseconds)
+  return Math.round(least + lastingShare(secondsLeft) * (CUT_AFTER_MILLISECONDS - least))
+}
+
+/** How far a budget is from being used up so soon that hidden tokens are missed: 0 (soon) to 1. */
+export function lastingShare(secondsLeft: number): number {
   const position = (secondsLeft - MISSED_SECONDS) / (UNMISSED_SECONDS - MISSED_SECONDS)
-  const share = Math.max(0, Math.min(1, position))
-  return Math.round(least + share * (CUT_AFTER_MILLISECONDS - least))
+  return Math.max(0, Math.min(1, position))
 }
--- /dev/null
+++ b/packages/decisions/src/admitting/writtenAhead.ts
@@ -0,0 +1,42 @@
+/**
+ * How many tokens does a record of a holding count as committed before anybody asks for them?
+ *
+ * Load pattern: requests are large beside what is spent in a second. A record allows its writer a rate until the next
+ * one, and each record begins it anew, so a holding of 267,000 tokens refused a request for 9,180: its newest
+ * record was 74 ms old and allowed 2,935. Of the refusals in the first seconds of a played day (75 instances) 114 of
+ * 114 asked for less than the refusing instance held. While the store is slow it is worse: with calls of 0.7 s, 0.50
+ * of requests that the holdings cover were served.
+ *
+ * So a record counts a few requests of the size that callers make as committed already; they are served at once, and
+ * the next record counts anew. It is taken back with the first record after callers have gone. The stored form
+ * stays what it was: whoever takes a dead instance's holding over counts those tokens as spent.
+ *
+ * Limits: a death loses what is written ahead, so it is a small part of the holding, and nothing of a budget that is
+ * nearly used up.
+ */
+
+import type { TokenCount } from '@rackwalk/shared'
+import type { BudgetView } from '../placing/holdingPolicy.js'
+import { secondsLeft } from '../placing/holdingPolicy.js'
+import { lastingShare } from './spendingBound.js'
+
+/**
+ * Requests that are written ahead. Measured (twelve holders, 0.5 large requests a second each, calls to the store of
+ * 0.7 s, replayed, three seeds): 0 served 0.50, 0.58, 0.38, and 1, 2 and 3 served all.
+ */
+const REQUESTS_AHEAD = 1
+/**
+ * Part of what is unspent that is written ahead at the most. Chosen: a death of three seconds hides as much again by
+ * the rate that a cut allows.
+ */
+const LARGEST_SHARE = 0.1
+/** Demand below this, in tokens a second, is nobody's: rows round to whole tokens. */
+const LEAST_DEMAND_PER_SECOND = 1
+
+/** Tokens that a record counts as committed ahead, of so many that are unspent. */
+export function writtenAhead(unspent: TokenCount, view: BudgetView): TokenCount {
+  if (view.ownDemandPerSecond < LEAST_DEMAND_PER_SECOND) return 0
+  const most = LARGEST_SHARE * Math.max(0, unspent)
+  const wanted = REQUESTS_AHEAD * view.largestRequest
+  return Math.floor(lastingShare(secondsLeft(view)) * Math.min(most, wanted))
+}
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -29,6 +29,7 @@
 export { LinkBudget } from './admitting/linkBudget.js'
 export { DELAY_LOOK_MILLISECONDS, ProcessorBudget } from './admitting/processorBudget.js'
 export type { ProcessorLook, WorkRank } from './admitting/processorBudget.js'
+export { writtenAhead } from './admitting/writtenAhead.js'
 export { settledCost } from './admitting/settledCost.js'
 
 export { mayHaveRun, outcomeLabel, outcomeText } from './retrying/attemptOutcome.js'
