fix(prepaid): a store that comes and goes is told of once, not with each loss

Change: it is told again only after it answered for 5 s. The replayed store that fails every two seconds told ten times before and tells once now.

--- a/packages/coordination/__tests__/prepaidEvents.spec.ts
+++ b/packages/coordination/__tests__/prepaidEvents.spec.ts
@@ -46,6 +46,25 @@
 }
 
 describe('events of a prepaid ledger', () => {
+  it('tell once of a store that turns away every other call', async () => {
+    const { clock, events, start } = setUp()
+    const { ledger, faults } = start('first', 0)
+    await clock.advance(1_000)
+    for (let round = 0; round < 10; round += 1) {
+      faults.isUnreachable = true
+      void ledger.reserve(BUDGET, 500, 100)
+      await clock.advance(700)
+      faults.isUnreachable = false
+      await clock.advance(1_300)
+    }
+    expect(events.filter(([event]) => event === 'prepaid_store_lost')).toHaveLength(1)
+    await clock.advance(6_000)
+    faults.isUnreachable = true
+    void ledger.reserve(BUDGET, 500, 100)
+    await clock.advance(3_000)
+    expect(events.filter(([event]) => event === 'prepaid_store_lost')).toHaveLength(2)
+  })
+
   it('tell that the store does not answer', async () => {
     const { clock, events, start } = setUp()
     const { ledger, faults } = start('first', 0)
--- a/packages/coordination/src/prepaid/storeContact.ts
+++ b/packages/coordination/src/prepaid/storeContact.ts
@@ -10,9 +10,16 @@
 /** After a write that the store throttled, the next one comes this much later. Chosen. */
 const THROTTLED_MILLISECONDS: Milliseconds = 400
 
+/**
+ * A store that failed is told of again only after it answered for this long. One that turns away every other call is
+ * one episode: told with each loss it was 1,261 lines of a played day, some 130 ms apart. Chosen.
+ */
+const STEADY_MILLISECONDS: Milliseconds = 5_000
+
 /** The store as the calls of one budget find it. */
 export class StoreContact {
   private failures = 0
+  private failedAt: Milliseconds = Number.NEGATIVE_INFINITY
   private throttledUntil: Milliseconds = 0
   private callStartedAt: Milliseconds | undefined
   /** How long the last two calls took. */
@@ -20,7 +27,7 @@
 
   constructor(
     private readonly clock: Clock,
-    /** The first of several failures in a row. */
+    /** The first failure after the store answered for a while. */
     private readonly onLost: (reason: string) => void,
   ) {}
 
@@ -74,6 +81,9 @@
 
   noteFailure(reason: string): void {
     this.failures += 1
-    if (this.failures === 1) this.onLost(reason)
+    const now = this.clock.monotonic()
+    const isNews = now - this.failedAt > STEADY_MILLISECONDS
+    this.failedAt = now
+    if (isNews) this.onLost(reason)
   }
 }
