fix(admitting): who else is heard decides whether old knowledge is one's own fault, not how pressed one is

Change: the rule asks whether the store answered any call, or a peer's datagram came, within a quarter of the bound; who hears nobody is cut off and serves. That it is pressed explains nothing: a full processor still reads the store's answers in its next turn.

--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -392,8 +392,8 @@
       clock: this.clock,
       tables: watchedTables(this.adapter, this.mirrors, this.settings.freshness),
       reachability: () => ({
-        pressedAgoMilliseconds: this.gateway.pressedAgoMilliseconds,
         answeredAgoMilliseconds: this.store.answeredAgoMilliseconds,
+        heardAgoMilliseconds: this.fleetLoad.heardAgoMilliseconds,
       }),
       onChange: (isRefusing, table, age) =>
         this.note('knowledge_state', { isRefusing, table, ageMilliseconds: Math.round(age) }),
--- a/packages/decisions/src/admitting/freshKnowledge.ts
+++ b/packages/decisions/src/admitting/freshKnowledge.ts
@@ -1,16 +1,16 @@
 /**
  * May an instance serve by what it knows of the operator's and the endpoints' rows, or is that too old?
  *
- * Load pattern: the callers of a busy team fill the link of a weak instance, or its processor. The store's
- * answers wait behind their bodies, so the instance goes on serving by a configuration that was replaced
- * seconds ago: by keys that were taken away, by routes that are gone, to endpoints that leave. It was seen to
- * serve for 1.2 s by a configuration whose bound had passed (86 instances, one played day).
+ * Load pattern: the callers of a busy team fill the link of a weak instance, or its processor, or its one connection
+ * to the store has fallen silent. It goes on serving by a configuration that was replaced seconds ago: by keys that
+ * were taken away, by routes that are gone, to endpoints that leave. One was seen to serve for 1.2 s by a
+ * configuration whose bound had passed (86 instances, one played day).
  *
  * An old age alone proves nothing: while the store is away for all, nobody can know better, and an instance
- * that refused then would refuse for the whole outage. So what decides is who else answers. A peer that answers
- * tells either newer rows or that it has none either. Where none answers, an instance that has itself been
- * pressed since, or that got an answer of the store meanwhile, is late by its own fault and refuses; one that
- * hears nobody at all is cut off, and serves by what it knows.
+ * that refused then would refuse for the whole outage. So what decides is who else is there. A peer that answers
+ * tells either newer rows or that it has none either. Where none answers, an instance to which the store answered
+ * another call, or of which a peer's word came, is not cut off: it is late itself, and refuses. One that hears
+ * nobody at all is cut off, and serves by what it knows.
  *
  * Limits: the margin covers the way of a request to its endpoint. Peers are asked well before, so that
  * their answer is there when the bound comes.
@@ -28,12 +28,12 @@
   readonly isConfirmedOld: boolean
 }
 
-/** What explains an old age, as the instance observes it. */
+/** Who else is there, as the instance observes it. */
 export interface Reachability {
-  /** Time since link or processor of this instance were last full. */
-  readonly pressedAgoMilliseconds: Milliseconds
   /** Time since the store last answered any call. */
   readonly answeredAgoMilliseconds: Milliseconds
+  /** Time since another instance was last heard of. */
+  readonly heardAgoMilliseconds: Milliseconds
 }
 
 /**
@@ -44,10 +44,10 @@
 /** Part of a bound after which peers are asked; a question for changes waits half a bound at the store. */
 const ASKING_SHARE = 0.6
 /**
- * An answer of the store within this part of a bound says that it is not out of reach. A cut that begins while a
- * question waits is older than this when the bound comes.
+ * A word of the store or of a peer within this part of a bound says that this instance is not cut off. A cut that
+ * begins while a question waits is older than this when the bound comes.
  */
-const ANSWERED_SHARE = 0.25
+const HEARD_SHARE = 0.25
 /** Part of a bound for which a question for changes may wait, so that the age tells of a silent store. */
 const WAIT_SHARE = 0.5
 
@@ -65,8 +65,7 @@
 export function isTooOld(rows: KnownRows, reachability: Reachability): boolean {
   const { ageMilliseconds, boundMilliseconds, isConfirmedOld } = rows
   if (ageMilliseconds <= (1 - MARGIN_SHARE) * boundMilliseconds || isConfirmedOld) return false
-  const { pressedAgoMilliseconds, answeredAgoMilliseconds } = reachability
-  const wasPressed = pressedAgoMilliseconds <= ageMilliseconds
-  const isAnswering = answeredAgoMilliseconds <= ANSWERED_SHARE * boundMilliseconds
-  return wasPressed || isAnswering
+  const { answeredAgoMilliseconds, heardAgoMilliseconds } = reachability
+  const heardAgo = Math.min(answeredAgoMilliseconds, heardAgoMilliseconds)
+  return heardAgo <= HEARD_SHARE * boundMilliseconds
 }
--- a/packages/router/src/gateway/fleetLoad.ts
+++ b/packages/router/src/gateway/fleetLoad.ts
@@ -132,6 +132,11 @@
     return this.peers.hears(instance)
   }
 
+  /** Time since any instance was last heard of. */
+  get heardAgoMilliseconds(): Milliseconds {
+    return this.peers.heardAgoMilliseconds
+  }
+
   /** Whether an instance told of work at endpoints lately. */
   isUsing(instance: string): boolean {
     return this.peers.isUsing(instance)
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -84,11 +84,6 @@
     return this.running
   }
 
-  /** Time since this instance last could not carry what came. */
-  get pressedAgoMilliseconds(): Milliseconds {
-    return this.admission.pressedAgoMilliseconds
-  }
-
   /** The share of requests read lately whose callers had left before, in [0, 1]. */
   get abandonedShare(): number {
     return this.admission.abandonedShare
--- a/packages/router/src/gateway/instanceAdmission.ts
+++ b/packages/router/src/gateway/instanceAdmission.ts
@@ -30,7 +30,6 @@
   private readonly processor = new ProcessorBudget()
   private readonly abandoned = new AbandonedWork()
   private isWatching = false
-  private pressedAt: Milliseconds = Number.NEGATIVE_INFINITY
 
   constructor(
     private readonly parts: InstanceAdmissionParts,
@@ -50,11 +49,6 @@
     this.takeFromLink(request)
   }
 
-  /** Time since link or processor last could not carry what came. */
-  get pressedAgoMilliseconds(): Milliseconds {
-    return this.parts.clock.monotonic() - this.pressedAt
-  }
-
   /** The share of requests read lately whose callers had left before, in [0, 1]. */
   get abandonedShare(): number {
     return this.abandoned.share(this.parts.clock.monotonic())
@@ -78,7 +72,6 @@
       const now = clock.monotonic()
       this.abandoned.noteLeft(now - readAt, now)
     })
-    if (this.abandoned.isSuspect(readAt)) this.pressedAt = readAt
     const wait = this.abandoned.confirmationMilliseconds(readAt)
     if (wait > 0) await sleep(clock, wait)
     if (reply.isLeft) throw new NotRunError(ResultCode.CallerLeftUnsent)
@@ -88,7 +81,6 @@
     const now = this.parts.clock.monotonic()
     const wait = this.link.take(announcedBytes(request), now)
     if (wait === 0) return
-    this.pressedAt = this.parts.clock.monotonic()
     this.postponeBody(request, wait)
     throw new NotRunError(ResultCode.LinkFull, undefined, returnAfterSeconds(wait))
   }
@@ -116,7 +108,6 @@
         delayMilliseconds: Math.max(0, now - dueAt),
         abandonedShare: this.abandoned.share(now),
       })
-      if (this.processor.refusedPart > 0) this.pressedAt = clock.monotonic()
       if (this.running() > 0 || this.processor.refusedPart > 0) this.watchDelay()
     })
   }
--- a/packages/router/src/gateway/peerLoads.ts
+++ b/packages/router/src/gateway/peerLoads.ts
@@ -62,8 +62,15 @@
   /** Sums over all peers, kept so that a choice costs one look-up an endpoint. */
   private readonly sums = new Map<string, InstanceLoad>()
 
+  private lastHeardAt: Milliseconds = Number.NEGATIVE_INFINITY
+
   constructor(private readonly clock: Clock) {}
 
+  /** Time since any peer was last heard of. */
+  get heardAgoMilliseconds(): Milliseconds {
+    return this.clock.monotonic() - this.lastHeardAt
+  }
+
   /** Takes a report in; by how much prompt tokens grew since the one before, by endpoint. */
   observe(report: PeerLoadReport): readonly TokenGrowth[] {
     const peer = this.peerOf(report)
@@ -74,6 +81,7 @@
     }))
     peer.sequence = report.sequence
     peer.heardAt = this.clock.monotonic()
+    this.lastHeardAt = peer.heardAt
     if (report.isWhole) this.clear(peer)
     for (const { endpoint, running, pendingTokens } of report.loads) {
       this.replace(peer, endpoint, { running, pendingTokens })
