feat(operators): rackwalk evacuate and restore, as a resource that every instance follows

Cause: operators of the OpenAI-style kind had no way to empty a failure domain. Change: the resource kind evacuations, named for the domain; its endpoints are no candidates while it is there, for first and repeated sends alike. It is versioned, told to peers and shown with the instances that have taken it in like the rest (describe).

--- a/bench/src/capacity/measuredSlopes.ts
+++ b/bench/src/capacity/measuredSlopes.ts
@@ -213,7 +213,7 @@
   }))
   const find = (id: EndpointId) => endpoints.find(({ endpointId }) => endpointId === id)
   const table = new EndpointTable(
-    { endpoints, findEndpoint: find },
+    { endpoints, findEndpoint: find, isEvacuated: () => false },
     new VirtualClock(),
     () => undefined,
   )
--- a/bench/src/routing/routingSimulation.ts
+++ b/bench/src/routing/routingSimulation.ts
@@ -205,5 +205,6 @@
   return {
     endpoints,
     findEndpoint: id => endpoints.find(({ endpointId }) => endpointId === id),
+    isEvacuated: () => false,
   }
 }
--- a/packages/cli/src/commands/fleet.ts
+++ b/packages/cli/src/commands/fleet.ts
@@ -104,6 +104,33 @@
   context.environment.print(`${name} takes no new requests`)
 }
 
+/** Options of `evacuate`. */
+export interface EvacuateFlags {
+  readonly reason?: string
+}
+
+const EVACUATIONS_PATH = '/v1/evacuations'
+
+/** `evacuate DOMAIN`: what runs there ends, nothing new is sent there. */
+export async function evacuate(
+  context: CommandContext,
+  domain: string,
+  { reason }: EvacuateFlags,
+): Promise<void> {
+  const spec = reason === undefined ? {} : { reason }
+  const resource = { kind: 'evacuations', metadata: { name: domain }, spec }
+  await context.connection.exchange('PUT', `${EVACUATIONS_PATH}/${domain}`, resource)
+  context.environment.print(
+    `${domain} gets nothing new; \`describe evacuations ${domain}\` shows who has taken it in`,
+  )
+}
+
+/** `restore DOMAIN`. */
+export async function restore(context: CommandContext, domain: string): Promise<void> {
+  await context.connection.exchange('DELETE', `${EVACUATIONS_PATH}/${domain}`)
+  context.environment.print(`${domain} is used again`)
+}
+
 /** `status`: the instance that answers. */
 export async function status(context: CommandContext): Promise<void> {
   const document = await context.connection.get('/v1/status')
--- a/packages/cli/src/completion.ts
+++ b/packages/cli/src/completion.ts
@@ -3,7 +3,7 @@
 import { usageError } from './errors.js'
 
 /** Kinds of resources, offered as arguments. */
-const KINDS = ['teams', 'budgets', 'endpoints', 'placements', 'routing-policies']
+const KINDS = ['teams', 'budgets', 'endpoints', 'placements', 'routing-policies', 'evacuations']
 
 /** A completion script for a shell. */
 export function completionScript(shell: string, commands: readonly string[]): string {
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -135,6 +135,14 @@
   program
     .command('drain <instance>', 'Let an instance take no new requests')
     .action(async (name, flags) => fleet.drain(await contextOf(flags), name))
+  program
+    .command('evacuate <domain>', 'Send nothing new to the endpoints of a failure domain')
+    .option('--reason <text>', 'Why, for whoever asks later')
+    .example('rackwalk evacuate hall-a --reason "new power supply"')
+    .action(async (domain, flags) => fleet.evacuate(await contextOf(flags), domain, flags))
+  program
+    .command('restore <domain>', 'Use the endpoints of a failure domain again')
+    .action(async (domain, flags) => fleet.restore(await contextOf(flags), domain))
   program
     .command('status', 'State of the instance that answers')
     .action(async flags => fleet.status(await contextOf(flags)))
--- a/packages/router/src/resources/catalogue.ts
+++ b/packages/router/src/resources/catalogue.ts
@@ -37,6 +37,7 @@
   private teamsByKeyHash = new Map<string, Team>()
   private endpointsById = new Map<EndpointId, ConfiguredEndpoint>()
   private limitsByModel = new Map<ModelId, ModelLimits>()
+  private evacuatedDomains: ReadonlySet<string> = new Set()
   private policiesByTarget = new Map<string, RoutingPolicySpec>()
   private isStale = true
 
@@ -62,6 +63,12 @@
     return this.endpointsById.get(endpointId)
   }
 
+  /** Whether nothing new may be sent to an endpoint, since its failure domain is being emptied. */
+  isEvacuated({ spec }: ConfiguredEndpoint): boolean {
+    this.refresh()
+    return spec.failureDomain !== undefined && this.evacuatedDomains.has(spec.failureDomain)
+  }
+
   /** Models that are placed. */
   get models(): readonly ModelLimits[] {
     this.refresh()
@@ -95,6 +102,8 @@
     this.teamsByKeyHash = indexTeams(this.configuration.list('teams'))
     this.endpointsById = indexEndpoints(this.configuration.list('endpoints'))
     this.limitsByModel = indexModels(this.configuration.list('placements'))
+    const evacuations = this.configuration.list('evacuations')
+    this.evacuatedDomains = new Set(evacuations.map(({ metadata }) => metadata.name))
     this.policiesByTarget = indexPolicies(this.configuration.list('routing-policies'))
   }
 }
--- a/packages/router/src/resources/kinds.ts
+++ b/packages/router/src/resources/kinds.ts
@@ -84,6 +84,12 @@
   retryShare: z.number().min(0).max(1).default(0.1),
 })
 
+/** A failure domain, by the resource's name, whose endpoints get nothing new while the resource is there. */
+const evacuationSpecSchema = z.strictObject({
+  /** Why, for whoever asks later. */
+  reason: z.string().max(200).optional(),
+})
+
 /** A team as operators write it. */
 export type TeamSpec = z.infer<typeof teamSpecSchema>
 /** A budget as operators write it. */
@@ -106,6 +112,7 @@
   endpoints: endpointSpecSchema,
   placements: placementSpecSchema,
   'routing-policies': routingPolicySpecSchema,
+  evacuations: evacuationSpecSchema,
 } as const
 
 /** The kind of a resource, as it stands in paths. */
@@ -122,6 +129,7 @@
   'endpoints',
   'placements',
   'routing-policies',
+  'evacuations',
 ]
 
 /** Whether a text names a kind of resource. */
--- a/packages/router/src/routing/endpointTable.ts
+++ b/packages/router/src/routing/endpointTable.ts
@@ -26,7 +26,7 @@
 }
 
 /** Where the configured endpoints are looked up. */
-export type EndpointSource = Pick<Catalogue, 'endpoints' | 'findEndpoint'>
+export type EndpointSource = Pick<Catalogue, 'endpoints' | 'findEndpoint' | 'isEvacuated'>
 
 /** Who said that an endpoint leaves. */
 export type LeavingSource = 'list' | 'refusal' | 'report' | 'peer'
@@ -145,8 +145,10 @@
     pool: readonly ConfiguredEndpoint[],
     hashes: readonly PrefixHash[],
   ): readonly EndpointView[] {
-    const staying = pool.filter(({ endpointId }) => !this.isLeaving(endpointId))
-    return this.ejection.usable(staying).map(endpoint => this.viewOf(endpoint, hashes))
+    const open = pool.filter(
+      endpoint => !this.isLeaving(endpoint.endpointId) && !this.catalogue.isEvacuated(endpoint),
+    )
+    return this.ejection.usable(open).map(endpoint => this.viewOf(endpoint, hashes))
   }
 
   private isLeaving(endpointId: EndpointId): boolean {
--- a/packages/stand-ins/__tests__/operators.spec.ts
+++ b/packages/stand-ins/__tests__/operators.spec.ts
@@ -242,6 +242,62 @@
     expect(seen.join('\n')).toMatchSnapshot()
   })
 
+  it('empties a failure domain, says who has taken it in, and restores it', async () => {
+    const engine = {
+      kind: 'endpoints',
+      metadata: { name: 'hall-engine' },
+      spec: {
+        kind: 'service',
+        address: 'http://127.0.0.1:9',
+        service: 'hall-service',
+        failureDomain: 'hall-a',
+      },
+    }
+    await operator().put(engine)
+    const address = fleet.fleet.members[0]?.addresses.callers ?? ''
+    const ask = async () => {
+      const headers = { authorization: `Bearer ${TEAM_KEY}` }
+      const { body } = await request(`http://${address}/services/hall-service/x`, { headers })
+      const text = await body.text()
+      return (JSON.parse(text) as { error?: { code?: number } }).error?.code
+    }
+    const codes = async (expected: number) =>
+      vi.waitFor(async () => expect(await ask()).toBe(expected), { timeout: 5_000 })
+    // Nothing listens at its address.
+    await codes(ResultCode.EndpointRefused)
+    const evacuated = await run(['evacuate', 'hall-a', '--reason', 'new power supply'])
+    expect(evacuated).toMatchInlineSnapshot(`
+      {
+        "code": 0,
+        "output": "hall-a gets nothing new; \`describe evacuations hall-a\` shows who has taken it in",
+      }
+    `)
+    await codes(ResultCode.NoEndpoint)
+    const inForce = async () => stable((await run(['describe', 'evacuations', 'hall-a'])).output)
+    await vi.waitFor(async () => expect(await inForce()).not.toContain('not yet'), {
+      timeout: 5_000,
+    })
+    expect((await inForce()).replace(/version \d+/, 'version N')).toMatchInlineSnapshot(`
+      "FIELD VALUE
+      kind evacuations
+      name hall-a
+      version N
+      spec.reason new power supply
+      in force on instance-0 yes
+      in force on instance-1 yes
+      in force on instance-2 yes"
+    `)
+    expect(await run(['restore', 'hall-a'])).toMatchInlineSnapshot(`
+      {
+        "code": 0,
+        "output": "hall-a is used again",
+      }
+    `)
+    await codes(ResultCode.EndpointRefused)
+    expect((await run(['restore', 'hall-a'])).code).toBe(ExitCode.NotFound)
+    await run(['delete', 'endpoints', 'hall-engine'])
+  })
+
   it('explains a request, and shows where the tokens are', async () => {
     const answer = await streamChat(fleet.callers(), { word: 'w', tokens: 2 })
     const explained = await run(['explain', answer.requestId])
