refactor(decisions): a count over a sliding window stands once

Cause: the retry budget and the count of abandoned work cut a window into parts and forgot old ones each for itself.

--- a/packages/decisions/src/admitting/abandonedWork.ts
+++ b/packages/decisions/src/admitting/abandonedWork.ts
@@ -17,6 +17,7 @@
 
 import type { Milliseconds } from '@rackwalk/shared'
 import { trackedValue } from '../choosing/trackedValue.js'
+import { SlidingCount } from '../slidingCount.js'
 
 /** A caller that leaves within this time of being read had given up before. Chosen: a few round trips of any. */
 const PROMPT_LEAVE_MILLISECONDS: Milliseconds = 100
@@ -34,39 +35,28 @@
 const DELAY_MARGIN = 1.25
 const LONGEST_CONFIRMATION_MILLISECONDS: Milliseconds = 60
 
-interface Slice {
-  read: number
-  abandoned: number
-}
-
 /** Counts requests whose callers left before they were read. */
 export class AbandonedWork {
-  private readonly slices = new Map<number, Slice>()
+  private readonly read = new SlidingCount(WINDOW_MILLISECONDS, SLICES)
+  private readonly left = new SlidingCount(WINDOW_MILLISECONDS, SLICES)
   private leaveDelay: Milliseconds | undefined
 
   /** A request was read; `now` is monotonic. */
   noteRead(now: Milliseconds): void {
-    this.sliceAt(now).read += 1
+    this.read.add(now)
   }
 
   /** Its caller left so long after. */
   noteLeft(delay: Milliseconds, now: Milliseconds): void {
     if (delay > PROMPT_LEAVE_MILLISECONDS) return
-    this.sliceAt(now).abandoned += 1
+    this.left.add(now)
     this.leaveDelay = trackedValue(this.leaveDelay, delay, DELAY_WEIGHTS)
   }
 
   /** The share of requests read lately whose callers had left, in [0, 1]. */
   share(now: Milliseconds): number {
-    const oldest = sliceNumber(now) - SLICES
-    let read = 0
-    let abandoned = 0
-    for (const [number, slice] of this.slices) {
-      if (number <= oldest) continue
-      read += slice.read
-      abandoned += slice.abandoned
-    }
-    return read < LEAST_REQUESTS ? 0 : Math.min(1, abandoned / read)
+    const read = this.read.at(now)
+    return read < LEAST_REQUESTS ? 0 : Math.min(1, this.left.at(now) / read)
   }
 
   /** Whether so many callers have left that what is read cannot be taken for wanted. */
@@ -79,18 +69,4 @@
     if (!this.isSuspect(now)) return 0
     return Math.min(LONGEST_CONFIRMATION_MILLISECONDS, DELAY_MARGIN * (this.leaveDelay ?? 0))
   }
-
-  private sliceAt(now: Milliseconds): Slice {
-    const number = sliceNumber(now)
-    const known = this.slices.get(number)
-    if (known !== undefined) return known
-    for (const old of this.slices.keys()) if (old <= number - SLICES) this.slices.delete(old)
-    const created = { read: 0, abandoned: 0 }
-    this.slices.set(number, created)
-    return created
-  }
-}
-
-function sliceNumber(now: Milliseconds): number {
-  return Math.floor((now * SLICES) / WINDOW_MILLISECONDS)
 }
--- a/packages/decisions/src/retrying/fleetRetryBudget.ts
+++ b/packages/decisions/src/retrying/fleetRetryBudget.ts
@@ -8,6 +8,7 @@
  */
 
 import type { Milliseconds } from '@rackwalk/shared'
+import { SlidingCount } from '../slidingCount.js'
 
 /** Bounds on requests sent again, for the whole fleet and one service; from the settings. */
 export interface RetryBounds {
@@ -29,39 +30,25 @@
 
 /** This instance's part of the fleet's retries of one service. */
 export class FleetRetryBudget {
-  private readonly requests = new Map<number, number>()
-  private readonly retries = new Map<number, number>()
+  private readonly requests: SlidingCount
+  private readonly retries: SlidingCount
 
-  constructor(private readonly bounds: RetryBounds) {}
+  constructor(private readonly bounds: RetryBounds) {
+    this.requests = new SlidingCount(bounds.windowMilliseconds, SLICES)
+    this.retries = new SlidingCount(bounds.windowMilliseconds, SLICES)
+  }
 
   /** A request came; `now` is monotonic. */
   noteRequest(now: Milliseconds): void {
-    this.add(this.requests, this.sliceAt(now))
+    this.requests.add(now)
   }
 
   /** Takes one retry, if there is one; `instances` are those that share the extra. */
   take(now: Milliseconds, instances: number): boolean {
-    const slice = this.sliceAt(now)
-    const earned = this.bounds.ratio * count(this.requests, slice)
+    const earned = this.bounds.ratio * this.requests.at(now)
     const share = this.bounds.extra / Math.max(1, instances)
-    if (count(this.retries, slice) + 1 > USED_SHARE * (earned + share)) return false
-    this.add(this.retries, slice)
+    if (this.retries.at(now) + 1 > USED_SHARE * (earned + share)) return false
+    this.retries.add(now)
     return true
   }
-
-  private add(counts: Map<number, number>, slice: number): void {
-    counts.set(slice, (counts.get(slice) ?? 0) + 1)
-    for (const old of counts.keys()) if (old <= slice - SLICES) counts.delete(old)
-  }
-
-  private sliceAt(now: Milliseconds): number {
-    return Math.floor((now * SLICES) / this.bounds.windowMilliseconds)
-  }
-}
-
-function count(counts: ReadonlyMap<number, number>, slice: number): number {
-  const oldest = slice - SLICES
-  let sum = 0
-  for (const [counted, number] of counts) if (counted > oldest) sum += number
-  return sum
 }
