fix(choosing): a row that was on its way does not make an endpoint warm whose evacuation just ended

Cause, found in reading: a restored failure domain counts as cold, since rows tell up to a heartbeat late, and the next row ended that though it was written before. Change: what is suspected is kept apart from the endpoint's own word and ends by its time alone.

--- a/packages/router/src/gateway/endpointDirectory.ts
+++ b/packages/router/src/gateway/endpointDirectory.ts
@@ -54,7 +54,10 @@
   pace: Milliseconds | undefined
   /** Whether something else answered at its address: this start of it is over, whatever is listed. */
   hasEnded = false
+  /** By its own word, */
   private coldUntil: Milliseconds
+  /** and where it may have turned cold since its newest word. */
+  private suspectUntil: Milliseconds = Number.NEGATIVE_INFINITY
   /** Times at which requests were sent there, the newest last. */
   private readonly sends: Milliseconds[] = []
   private failureShare = 0
@@ -77,17 +80,18 @@
 
   /** Whether it bears only few requests at present. */
   get isCold(): boolean {
-    return this.clock.monotonic() < this.coldUntil
+    return this.coldMilliseconds > 0
   }
 
   /** Time until it is warm; 0 where it is. */
   get coldMilliseconds(): Milliseconds {
-    return Math.max(0, this.coldUntil - this.clock.monotonic())
+    const until = Math.max(this.coldUntil, this.suspectUntil)
+    return Math.max(0, until - this.clock.monotonic())
   }
 
   /** It may have turned cold unseen, and counts as cold for this long. */
   suspectCold(milliseconds: Milliseconds): void {
-    this.coldUntil = Math.max(this.coldUntil, this.clock.monotonic() + milliseconds)
+    this.suspectUntil = this.clock.monotonic() + milliseconds
   }
 
   /** Requests that were sent there from here within this time. */
