refactor(router): what belongs to one start of an endpoint is a module of its own

Change: EndpointState and its record stand in endpointState.ts; the directory lists, replaces and empties. Behaviour is the same; specs unchanged.

--- a/packages/router/src/gateway/endpointSnapshots.ts
+++ b/packages/router/src/gateway/endpointSnapshots.ts
@@ -4,7 +4,7 @@
 import type { Milliseconds, TokenCount } from '@rackwalk/shared'
 import type { RequestMetadata } from './dialect.js'
 import type { InstanceLoad } from './peerLoads.js'
-import type { EndpointState } from './endpointDirectory.js'
+import type { EndpointState } from './endpointState.js'
 
 /** What the fleet knows of an endpoint beyond this instance's own requests. */
 export interface FleetKnowledge {
--- /dev/null
+++ b/packages/router/src/gateway/endpointState.ts
@@ -0,0 +1,157 @@
+/**
+ * One start of an endpoint: its record, and what this instance knows of it. Owns what is in progress there from
+ * here, the connections, late failures, and until when it is cold. All of it ends with the start.
+ */
+
+import { nextPace } from '@rackwalk/decisions'
+import type { Clock, EndpointStart, Milliseconds, TokenCount } from '@rackwalk/shared'
+import type { EndpointLoad } from './dialect.js'
+import { EndpointAgent } from './endpointAgent.js'
+
+/** An endpoint as the platform lists it. */
+export interface EndpointRecord {
+  /** Under which the platform lists it, and which it answers to. */
+  readonly id: string
+  readonly start: EndpointStart
+  readonly service: string
+  /** IP:PORT. */
+  readonly address: string
+  readonly failureDomain: string
+  readonly slots: number
+  readonly isLeaving: boolean
+  /** How much longer it bears only few requests; 0 once it is warm. */
+  readonly coldMilliseconds: Milliseconds
+}
+
+/** Weight of the newest outcome in an endpoint's failure share. Chosen, not measured. */
+const FAILURE_WEIGHT = 0.3
+/** Time in which a failure share halves while nothing is sent there. Chosen, not measured. */
+const FAILURE_HALF_LIFE_MILLISECONDS = 2_500
+/** Times of requests that are remembered at the most. Chosen: far more than a cold endpoint is sent. */
+const REMEMBERED_SENDS = 64
+
+/** A request in progress at an endpoint. */
+export interface RequestInProgress {
+  /** Its first event came, so its prompt is read; may be called again. */
+  noteBegun(): void
+  /** It has ended; call it once. */
+  end(): void
+}
+
+/** One endpoint: its record, and what is in progress there from this instance. */
+export class EndpointState {
+  running = 0
+  /** Prompt tokens of requests that have not had their first event. */
+  pendingTokens: TokenCount = 0
+  load: EndpointLoad | undefined
+  loadAt: Milliseconds = Number.NEGATIVE_INFINITY
+  /** Milliseconds an event of its answers, at their quickest; undefined until one was timed. */
+  pace: Milliseconds | undefined
+  /** Whether something else answered at its address: this start of it is over, whatever is listed. */
+  hasEnded = false
+  /** By its own word, */
+  private coldUntil: Milliseconds
+  /** and where it may have turned cold since its newest word. */
+  private suspectUntil: Milliseconds = Number.NEGATIVE_INFINITY
+  /** Times at which requests were sent there, the newest last. */
+  private readonly sends: Milliseconds[] = []
+  private failureShare = 0
+  private failureAt: Milliseconds = 0
+  private connections: EndpointAgent | undefined
+
+  constructor(
+    public record: EndpointRecord,
+    private readonly clock: Clock,
+    private readonly connectionLimit: () => number,
+  ) {
+    this.coldUntil = clock.monotonic() + record.coldMilliseconds
+  }
+
+  /** Takes a newer record of the same start in. */
+  update(record: EndpointRecord): void {
+    this.record = record
+    this.coldUntil = this.clock.monotonic() + record.coldMilliseconds
+  }
+
+  /** Whether it bears only few requests at present. */
+  get isCold(): boolean {
+    return this.coldMilliseconds > 0
+  }
+
+  /** Time until it is warm; 0 where it is. */
+  get coldMilliseconds(): Milliseconds {
+    const until = Math.max(this.coldUntil, this.suspectUntil)
+    return Math.max(0, until - this.clock.monotonic())
+  }
+
+  /** It may have turned cold unseen, and counts as cold for this long. */
+  suspectCold(milliseconds: Milliseconds): void {
+    this.suspectUntil = this.clock.monotonic() + milliseconds
+  }
+
+  /** Requests that were sent there from here within this time. */
+  sentWithin(milliseconds: Milliseconds): number {
+    const after = this.clock.monotonic() - milliseconds
+    return this.sends.filter(sentAt => sentAt > after).length
+  }
+
+  get agent(): EndpointAgent {
+    const limit = this.connectionLimit()
+    this.connections ??= new EndpointAgent(limit)
+    this.connections.maxSockets = limit
+    return this.connections
+  }
+
+  get hasRoom(): boolean {
+    return this.running < this.connectionLimit()
+  }
+
+  /** A request is sent there; `tokens` of its prompt have to be read. */
+  beginRequest(tokens: TokenCount): RequestInProgress {
+    let pending = tokens
+    this.noteSend()
+    const noteBegun = () => {
+      this.pendingTokens -= pending
+      pending = 0
+    }
+    this.running += 1
+    this.pendingTokens += tokens
+    const end = () => {
+      noteBegun()
+      this.running -= 1
+    }
+    return { noteBegun, end }
+  }
+
+  private noteSend(): void {
+    this.sends.push(this.clock.monotonic())
+    if (this.sends.length > REMEMBERED_SENDS) this.sends.shift()
+  }
+
+  /** An answer from there ran at this pace for a while; milliseconds an event. */
+  notePace(pace: Milliseconds): void {
+    this.pace = nextPace(this.pace, pace)
+  }
+
+  noteLoad(load: EndpointLoad): void {
+    this.load = load
+    this.loadAt = this.clock.monotonic()
+  }
+
+  /** Notes whether a request sent there came to an answer. */
+  noteOutcome(succeeded: boolean): void {
+    const share = this.failures
+    this.failureShare = share + FAILURE_WEIGHT * ((succeeded ? 0 : 1) - share)
+    this.failureAt = this.clock.monotonic()
+  }
+
+  /** Share of late requests that failed there, in [0, 1], fading with time. */
+  get failures(): number {
+    const age = this.clock.monotonic() - this.failureAt
+    return this.failureShare * 0.5 ** (age / FAILURE_HALF_LIFE_MILLISECONDS)
+  }
+
+  close(): void {
+    this.connections?.destroy()
+  }
+}
--- a/packages/router/src/gateway/fleetLoad.ts
+++ b/packages/router/src/gateway/fleetLoad.ts
@@ -12,7 +12,8 @@
 import { PauseMeter } from './pauseMeter.js'
 import { PromptCaches } from './promptCaches.js'
 import { ReadingMeter } from './readingMeter.js'
-import type { EndpointDirectory, EndpointState } from './endpointDirectory.js'
+import type { EndpointDirectory } from './endpointDirectory.js'
+import type { EndpointState } from './endpointState.js'
 
 /** What the knowledge of the fleet rests on. */
 export interface FleetLoadParts {
--- a/packages/router/src/gateway/upstreamExchange.ts
+++ b/packages/router/src/gateway/upstreamExchange.ts
@@ -6,7 +6,7 @@
 import { request as httpRequest } from 'node:http'
 import type { ClientRequest, IncomingMessage } from 'node:http'
 import type { Milliseconds } from '@rackwalk/shared'
-import type { EndpointState } from './endpointDirectory.js'
+import type { EndpointState } from './endpointState.js'
 
 /** What is sent. */
 export interface UpstreamRequest {
--- a/packages/router/src/gateway/warmUps.ts
+++ b/packages/router/src/gateway/warmUps.ts
@@ -6,7 +6,7 @@
 import { holdsLicence, warmUpShares } from '@rackwalk/decisions'
 import type { WarmUpBounds, WarmUpLicence } from '@rackwalk/decisions'
 import type { Clock, EndpointStart, Milliseconds } from '@rackwalk/shared'
-import type { EndpointState } from './endpointDirectory.js'
+import type { EndpointState } from './endpointState.js'
 
 /** What the licences rest on. */
 export interface WarmUpsParts {
