--- a/packages/coordination/src/prepaid/storeContact.ts
+++ b/packages/coordination/src/prepaid/storeContact.ts
@@ -11,7 +11,7 @@
 const THROTTLED_MILLISECONDS: Milliseconds = 400
 
 /**
- * A store that failed is told of again only after it answered for this long. One that turns away every other call is
+ * A store that failed is told of again only after no call failed for this long. One that turns away every other call is
  * one episode: told with each loss it was 1,261 lines of a played day, some 130 ms apart. Chosen.
  */
 const STEADY_MILLISECONDS: Milliseconds = 5_000
--- a/packages/decisions/src/admitting/abandonedWork.ts
+++ b/packages/decisions/src/admitting/abandonedWork.ts
@@ -27,11 +27,11 @@
 const SLICES = 10
 /** Fewer requests in that time tell nothing. Chosen: a collapse takes dozens a second. */
 const LEAST_REQUESTS = 8
-/** Above this share callers are waited for. Those who leave by themselves were 0.02 at the most on calm days. */
+/** Above this share callers are waited for. Chosen, not measured: above those who leave by themselves. */
 const SUSPECT_SHARE = 0.05
 /** The delay that nine in ten leavers stay under: one above it counts nine times as much as one below. */
 const DELAY_WEIGHTS = { above: 0.18, below: 0.02 }
-/** Margin on that delay, and the longest wait: a tenth of the goal of the most urgent requests seen is 20 ms. Chosen. */
+/** Margin on that delay, and the longest wait. Chosen, not measured. */
 const DELAY_MARGIN = 1.25
 const LONGEST_CONFIRMATION_MILLISECONDS: Milliseconds = 60
 
--- a/packages/decisions/src/admitting/processorBudget.ts
+++ b/packages/decisions/src/admitting/processorBudget.ts
@@ -30,7 +30,7 @@
  * 40 ms 44, 0 and 26, 0; 200 ms 75, 0 and 29, 0; 500 ms 75, 0 and 32, 0, but 7, 161 at 195 where 200 ms has 14, 35.
  */
 const LONGEST_ACCEPT_MILLISECONDS = 200
-/** Above this share of callers that had left a queue stands. Those who leave by themselves are a few in a hundred. */
+/** Above this share of callers that had left a queue stands. Chosen, not measured: above those who leave by themselves. */
 const ABANDONED_SHARE = 0.1
 /**
  * A standing queue of this length delays first events noticeably beside the goals of callers, which are
--- a/packages/decisions/src/choosing/rendezvous.ts
+++ b/packages/decisions/src/choosing/rendezvous.ts
@@ -61,8 +61,8 @@
 }
 
 /**
- * One call instead of a hash object: with 98 endpoints a prompt's choice took 0.37 of some 4 ms that a request takes
- * of the processor, and takes 0.11 (profile of one instance, 98 candidates hashed 20,000 times).
+ * One call instead of a hash object: 98 candidates take 0.07 ms instead of 0.23 (mean of 2,000 keys); with the object
+ * they were 0.37 of some 4 ms that a request took of the processor (profile of one instance).
  */
 function weightOf(key: string, candidate: string): string {
   return hash('sha1', `${key}\0${candidate}`, 'hex')
