feat(operators): a line and a counter for endpoints that end, and which request it was

Change: a request that an endpoint breaks off before any part of an answer is named by path, team and body (fingerprint); one connection to the address tells whether anything still listens; server_ended names all such requests. Nothing is decided by it yet. Ruled out: counting each broken connection as an end (an endpoint that still listens is not one).

--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -17,7 +17,14 @@
   StoreClock,
 } from '@rackwalk/coordination'
 import type { TableMirror } from '@rackwalk/coordination'
-import { EndpointDirectory, FleetLoad, Gateway, WarmUps } from '@rackwalk/router'
+import {
+  EndpointDirectory,
+  EndpointEnds,
+  FleetLoad,
+  Gateway,
+  WarmUps,
+  probeAddress,
+} from '@rackwalk/router'
 import type { RouteTable } from '@rackwalk/router'
 import { AcceptProbe } from './acceptProbe.js'
 import { ActiveFleet } from './activeFleet.js'
@@ -71,6 +78,7 @@
   private readonly fleet: ActiveFleet
   private readonly ledger: PrepaidLedger
   private readonly endpoints: EndpointDirectory
+  private readonly ends: EndpointEnds
   private readonly fleetLoad: FleetLoad
   private readonly loadExchange: LoadExchange | undefined
   private readonly gateway: Gateway
@@ -112,6 +120,7 @@
     this.peerLoans = this.createPeerLoans()
     this.ledger = this.createLedger()
     this.endpoints = this.createEndpoints()
+    this.ends = this.createEnds()
     this.fleetLoad = this.createFleetLoad()
     this.loadExchange = this.createLoadExchange()
     this.gateway = this.createGateway()
@@ -296,6 +305,16 @@
         this.telemetry.noteChange('server_state', change, fields)
         if (change === 'gone') this.fleetLoad.forget(endpoint.id)
       },
+      onReplaced: start => this.ends.noteReplaced(start),
+    })
+  }
+
+  private createEnds(): EndpointEnds {
+    const { connectMilliseconds } = this.settings.requests
+    return new EndpointEnds({
+      clock: this.clock,
+      probe: address => probeAddress(address, connectMilliseconds),
+      onEnd: end => this.telemetry.noteEndpointEnd(end),
     })
   }
 
@@ -334,6 +353,7 @@
       dialect: this.adapter.dialect,
       directory: this.endpoints,
       fleetLoad: this.fleetLoad,
+      ends: this.ends,
       warmUps: new WarmUps({
         clock: this.clock,
         instance: instance.id,
--- a/packages/daemon/src/gateway/gatewayMetrics.ts
+++ b/packages/daemon/src/gateway/gatewayMetrics.ts
@@ -39,6 +39,7 @@
   private readonly teamRequests: Counter
   private readonly lateAnswers: Counter
   private readonly attempts: Counter
+  private readonly endpointEnds: Counter
   private readonly reservations: Counter
   private readonly tokens: Counter
   private readonly events: Counter
@@ -73,6 +74,12 @@
       labelNames: ['service', 'outcome'],
       registers,
     })
+    this.endpointEnds = new Counter({
+      name: 'rackwalk_gateway_server_ends_total',
+      help: 'Servers that were seen to end unannounced with unanswered requests from here, by service.',
+      labelNames: ['service'],
+      registers,
+    })
     this.reservations = new Counter({
       name: 'rackwalk_gateway_reservations_total',
       help: 'Reservations of prepaid tokens, by outcome.',
@@ -144,6 +151,10 @@
     this.tokens.inc({ tenant: team }, spent ?? 0)
   }
 
+  noteEndpointEnd(service: string): void {
+    this.endpointEnds.inc({ service })
+  }
+
   noteEvent(event: string): void {
     this.events.inc({ event })
   }
--- a/packages/daemon/src/gateway/gatewayTelemetry.ts
+++ b/packages/daemon/src/gateway/gatewayTelemetry.ts
@@ -6,7 +6,7 @@
 import { ResultCode } from '@rackwalk/shared'
 import type { Clock } from '@rackwalk/shared'
 import type { RowAddress } from '@rackwalk/stores'
-import type { GatewayRecord } from '@rackwalk/router'
+import type { EndpointEnd, GatewayRecord } from '@rackwalk/router'
 import { BoundedLogger } from '../observe/boundedLogger.js'
 import { ChangeBatch } from '../observe/changeBatch.js'
 import { ConsolaLogger } from '../observe/logger.js'
@@ -78,6 +78,13 @@
     this.logger[isServed ? 'info' : 'warn']('request', requestLine(record))
   }
 
+  /** An endpoint ended unannounced; each request that it had not begun to answer is named. */
+  noteEndpointEnd({ endpoint, unanswered }: EndpointEnd): void {
+    const { id, service } = endpoint
+    this.gauged?.noteEndpointEnd(service)
+    this.logger.warn('server_ended', { server: id, service, unanswered })
+  }
+
   noteStoreCall(call: string, table: string, outcome: string): void {
     this.gauged?.noteStoreCall(call, table, outcome)
   }
--- a/packages/daemon/src/gateway/requestLine.ts
+++ b/packages/daemon/src/gateway/requestLine.ts
@@ -7,6 +7,7 @@
 export function requestLine(record: GatewayRecord): Readonly<Record<string, unknown>> {
   return {
     request: record.requestId,
+    fingerprint: record.fingerprint,
     attempts: record.attempts.map(attempt => ({
       server: attempt.endpoint,
       score: attempt.score,
--- /dev/null
+++ b/packages/router/__tests__/endpointEnds.spec.ts
@@ -0,0 +1,84 @@
+import { describe, expect, it } from 'vitest'
+import { VirtualClock, asId, endpointStart } from '@rackwalk/shared'
+import type { RequestFingerprint } from '@rackwalk/shared'
+import { EndpointDirectory, EndpointEnds } from '@rackwalk/router'
+import type { EndpointEnd, EndpointRecord, EndpointState } from '@rackwalk/router'
+
+/** When a broken request says that its endpoint has ended, and when it doesn't. */
+
+const FIRST = asId<RequestFingerprint>('first')
+const SECOND = asId<RequestFingerprint>('second')
+
+function recordOf(bornAt?: number): EndpointRecord {
+  return {
+    id: 'endpoint-1',
+    start: endpointStart('endpoint-1', bornAt),
+    service: 'models',
+    address: '127.0.0.1:1',
+    failureDomain: 'domain-a',
+    slots: 8,
+    isLeaving: false,
+    coldMilliseconds: 0,
+  }
+}
+
+function watch(outcome: 'listening' | 'refused' | 'silent') {
+  const clock = new VirtualClock()
+  const told: EndpointEnd[] = []
+  let probes = 0
+  const ends = new EndpointEnds({
+    clock,
+    probe: async () => {
+      probes += 1
+      return outcome
+    },
+    onEnd: end => told.push(end),
+  })
+  const directory = new EndpointDirectory({
+    clock,
+    instances: () => 1,
+    maximumConnections: () => 8,
+    coldMilliseconds: () => 0,
+    onChange: () => {},
+    onReplaced: start => ends.noteReplaced(start),
+  })
+  directory.set(recordOf(1))
+  const [endpoint] = directory.available('models')
+  const unanswered = () => told.map(end => end.unanswered)
+  return { ends, directory, endpoint: endpoint as EndpointState, unanswered, probes: () => probes }
+}
+
+describe('an endpoint that breaks requests off', () => {
+  it('has ended where nobody listens there: one look tells of all that it had not answered', async () => {
+    const { ends, endpoint, unanswered, probes } = watch('refused')
+    await Promise.all([ends.noteBroken(endpoint, FIRST), ends.noteBroken(endpoint, SECOND)])
+    expect(unanswered()).toEqual([['first', 'second']])
+    await ends.noteBroken(endpoint, asId('late'))
+    expect(unanswered()).toEqual([['first', 'second'], ['late']])
+    expect(probes()).toBe(1)
+  })
+
+  it.each(['listening', 'silent'] as const)('has not ended where the look says %s', async look => {
+    const { ends, endpoint, unanswered } = watch(look)
+    await ends.noteBroken(endpoint, FIRST)
+    expect(unanswered()).toEqual([])
+  })
+
+  it('has ended also where it listens again, once its row tells of a new start', async () => {
+    const { ends, directory, endpoint, unanswered } = watch('listening')
+    await ends.noteBroken(endpoint, FIRST)
+    directory.set(recordOf(2))
+    expect(unanswered()).toEqual([['first']])
+  })
+
+  it('ends as planned where it said that it leaves, or where its entry went first', async () => {
+    const leaving = watch('refused')
+    leaving.directory.set({ ...recordOf(1), isLeaving: true })
+    await leaving.ends.noteBroken(leaving.endpoint, FIRST)
+    expect(leaving.unanswered()).toEqual([])
+    const gone = watch('refused')
+    gone.directory.remove('endpoint-1')
+    await gone.ends.noteBroken(gone.endpoint, FIRST)
+    expect(gone.unanswered()).toEqual([])
+  })
+})
--- a/packages/router/src/gateway/answerRelay.ts
+++ b/packages/router/src/gateway/answerRelay.ts
@@ -22,6 +22,8 @@
   readonly onStart: () => void
   /** Whole events have come from the endpoint; the first ones say that its prompt is read. */
   readonly onEvents: (count: number) => void
+  /** Bytes of an answer that is no stream have come. */
+  readonly onBytes: () => void
 }
 
 /** Answers up to this size are kept until they are whole, so that a broken one can be repeated. */
@@ -81,6 +83,7 @@
   }
 
   private hold(chunk: Buffer): void {
+    this.parts.onBytes()
     this.held.push(chunk)
     this.heldBytes += chunk.length
     if (this.heldBytes < MAXIMUM_HELD_BYTES || this.parts.isOver()) return
--- a/packages/router/src/gateway/endpointDirectory.ts
+++ b/packages/router/src/gateway/endpointDirectory.ts
@@ -4,7 +4,7 @@
  */
 
 import { slownessOf, usualPace } from '@rackwalk/decisions'
-import type { Clock, Milliseconds, Timer } from '@rackwalk/shared'
+import type { Clock, EndpointStart, Milliseconds, Timer } from '@rackwalk/shared'
 import { EndpointState } from './endpointState.js'
 import type { EndpointRecord } from './endpointState.js'
 import type { InstanceLoad } from './peerLoads.js'
@@ -23,6 +23,8 @@
   /** How long endpoints of a service stay cold after a start; 0 where they never are. */
   readonly coldMilliseconds: (service: string) => Milliseconds
   readonly onChange: (endpoint: EndpointRecord, change: string) => void
+  /** A start of an endpoint is over, since another one is listed under its id. */
+  readonly onReplaced?: (start: EndpointStart) => void
 }
 
 /** The usual pace of a service is reckoned anew after this time. Chosen: it changes in seconds. */
@@ -64,6 +66,7 @@
   private replace(known: EndpointState, record: EndpointRecord): void {
     this.remove(record.id)
     known.hasEnded = true
+    this.parts.onReplaced?.(known.record.start)
     this.parts.onChange(record, 'started again')
     this.endpoints.set(record.id, this.createState(record))
   }
@@ -116,6 +119,7 @@
     const known = this.endpoints.get(id)
     if (known === undefined) return
     this.endpoints.delete(id)
+    known.isListed = false
     this.parts.onChange(known.record, 'gone')
     if (known.running === 0) known.close()
   }
--- a/packages/router/src/gateway/endpointState.ts
+++ b/packages/router/src/gateway/endpointState.ts
@@ -49,6 +49,8 @@
   pace: Milliseconds | undefined
   /** Whether something else answered at its address: this start of it is over, whatever is listed. */
   hasEnded = false
+  /** False once its entry has gone. */
+  isListed = true
   /** By its own word, */
   private coldUntil: Milliseconds
   /** and where it may have turned cold since its newest word. */
@@ -73,6 +75,11 @@
     this.coldUntil = this.clock.monotonic() + record.coldMilliseconds
   }
 
+  /** Whether its end was announced: it said that it leaves, or its entry went while it went on. */
+  get leavesAsPlanned(): boolean {
+    return this.record.isLeaving || (!this.isListed && !this.hasEnded)
+  }
+
   /** Whether it bears only few requests at present. */
   get isCold(): boolean {
     return this.coldMilliseconds > 0
--- a/packages/router/src/gateway/gatewayRecord.ts
+++ b/packages/router/src/gateway/gatewayRecord.ts
@@ -5,7 +5,7 @@
 import type { LenderAnswer } from '@rackwalk/coordination'
 import type { Lateness } from './lateness.js'
 import type { StreamPause } from './streamPace.js'
-import type { Execution } from '@rackwalk/shared'
+import type { Execution, RequestFingerprint } from '@rackwalk/shared'
 
 interface AttemptRecord {
   readonly endpoint: string
@@ -27,6 +27,8 @@
 export interface GatewayRecord {
   readonly requestId: string
   readonly receivedAt: Milliseconds
+  /** Undefined where nobody had to tell it from others. */
+  fingerprint?: RequestFingerprint
   configurationVersion?: number
   route?: string
   team?: string
--- a/packages/router/src/gateway/requestAttempts.ts
+++ b/packages/router/src/gateway/requestAttempts.ts
@@ -21,6 +21,7 @@
 import type { CallerReply } from './callerReply.js'
 import type { Dialect, ReplyMetadata, RequestMetadata } from './dialect.js'
 import { sharedPartOf, snapshotEndpoint } from './endpointSnapshots.js'
+import type { EndpointEnds } from './endpointEnds.js'
 import { EventRelay } from './eventRelay.js'
 import type { FleetLoad } from './fleetLoad.js'
 import type { GatewayRoute, GatewayService } from './gatewayConfiguration.js'
@@ -28,6 +29,7 @@
 import type { EndpointDirectory } from './endpointDirectory.js'
 import type { EndpointState } from './endpointState.js'
 import type { WarmUps } from './warmUps.js'
+import { requestFingerprint } from '../requestFingerprint.js'
 import { StreamPace } from './streamPace.js'
 import { UpstreamExchange } from './upstreamExchange.js'
 
@@ -37,6 +39,7 @@
   readonly directory: EndpointDirectory
   readonly fleetLoad: FleetLoad
   readonly warmUps: WarmUps
+  readonly ends: EndpointEnds
   readonly clock: Clock
   readonly random: RandomSource
   readonly failureDomain: string
@@ -196,6 +199,7 @@
         return await this.takeAnswer(endpoint, exchange, head.response, pending.noteBegun)
       }
       endpoint.noteOutcome(false)
+      if (head.kind === 'failed') this.noteBroken(endpoint)
       const kind = head.kind === 'not-sent' ? 'connect-failed' : 'failed'
       return this.endAttempt({ kind, reason: head.reason })
     } finally {
@@ -204,6 +208,14 @@
     }
   }
 
+  /** The endpoint broke the request off before any part of an answer. */
+  private noteBroken(endpoint: EndpointState): void {
+    if (this.isOver) return
+    const { path, team, body, record } = this.request
+    record.fingerprint = requestFingerprint({ path, team, body })
+    void this.parts.ends.noteBroken(endpoint, record.fingerprint)
+  }
+
   /** Tokens of the prompt that an endpoint would have to read. */
   private uncachedTokens(endpoint: string): TokenCount {
     const { tokens, promptParts } = this.request.metadata
@@ -279,6 +291,11 @@
     noteBegun: () => void,
   ): Promise<AttemptEnd> {
     const pace = this.startPace(endpoint)
+    let hasBegun = false
+    const noteBytes = () => {
+      hasBegun = true
+      noteBegun()
+    }
     const relay = new AnswerRelay({
       exchange,
       response,
@@ -287,9 +304,10 @@
       isOver: () => this.isOver,
       onStart: () => this.noteStart(),
       onEvents: count => {
-        noteBegun()
+        noteBytes()
         pace.noteEvents(count)
       },
+      onBytes: noteBytes,
     })
     const isStream = this.request.route.isStreaming && response.statusCode === STATUS_OK
     const isWhole = await (isStream ? relay.relayEvents() : relay.relayWhole())
@@ -297,6 +315,7 @@
     if (isWhole) return 'done'
     if (this.isOver) return 'give-up'
     endpoint.noteOutcome(false)
+    if (!hasBegun) this.noteBroken(endpoint)
     // The attempt was noted as answered; now more is known of it.
     this.history.pop()
     return this.endAttempt({ kind: 'broke-off', events: this.events.events })
--- a/packages/shared/src/ids.ts
+++ b/packages/shared/src/ids.ts
@@ -30,6 +30,11 @@
 export type ModelId = Branded<'ModelId'>
 /** Names one request in logs, headers and decision records. */
 export type RequestId = Branded<'RequestId'>
+/**
+ * Names what a request is, apart from this try of it: path, team and body. The same request sent again has the same
+ * one, under whatever `RequestId`.
+ */
+export type RequestFingerprint = Branded<'RequestFingerprint'>
 /** Chosen by the caller; with the team it is the identity of a bill. */
 export type IdempotencyKey = Branded<'IdempotencyKey'>
 /** Identifies one conditional write, so that a lost answer can be asked about. */
