refactor(daemon): gauges and calls to peers of a gateway instance are modules of their own

Change: gatewayGauges.ts and peerCalls.ts; behaviour and outside forms as before. Measured: tests of the daemon and of the gateway over sockets passed.

--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -30,15 +30,18 @@
 import { ActiveFleet } from './activeFleet.js'
 import type { Logger } from '../observe/logger.js'
 import { GatewayAnswers } from './gatewayAnswers.js'
+import { gaugesOf } from './gatewayGauges.js'
 import type { AddressedListener } from './gatewayAnswers.js'
 import { applyLimits, createCallerListener, listenAll } from './gatewayListeners.js'
 import type { GatewayMetrics } from './gatewayMetrics.js'
 import { GatewayTelemetry, createGatewayLogger } from './gatewayTelemetry.js'
 import type { GatewaySettings } from './gatewaySettings.js'
 import { LoadExchange, loadPeersOf } from './loadExchange.js'
-import { PeerLoans } from './peerLoans.js'
 import { KnowledgeWatch, watchedTables } from './knowledgeWatch.js'
-import { PeerRows } from './peerRows.js'
+import { createPeerLoans, createPeerRows } from './peerCalls.js'
+import type { PeerCallSources } from './peerCalls.js'
+import type { PeerLoans } from './peerLoans.js'
+import type { PeerRows } from './peerRows.js'
 import { ConfigurationInForce } from './configurationInForce.js'
 import { CountedStore } from './countedStore.js'
 import { OpenConnections } from './openConnections.js'
@@ -58,10 +61,6 @@
   readonly store?: RowStore
 }
 
-/** Wait for a peer's answer. */
-const PEER_MILLISECONDS = 400
-/** The same where a request waits for it; the peer itself may ask the store first. */
-const LOAN_MILLISECONDS = 90
 /** One instance that serves generic routes: every part, wired together. */
 export class GatewayDaemon {
   /** Names this run of the process. */
@@ -117,22 +116,22 @@
     this.configuration = this.createConfiguration()
     this.members = this.createMembers()
     this.fleet = this.createFleet()
-    this.peerLoans = this.createPeerLoans()
+    this.peerLoans = createPeerLoans(this.peerCallSources)
     this.ledger = this.createLedger()
     this.endpoints = this.createEndpoints()
     this.ends = this.createEnds()
     this.fleetLoad = this.createFleetLoad()
     this.loadExchange = this.createLoadExchange()
     this.gateway = this.createGateway()
-    this.peerRows = this.createPeerRows()
+    this.peerRows = createPeerRows(this.peerCallSources, this.fleet, this.random)
     this.mirrors = this.createMirrors()
     this.knowledge = this.createKnowledge()
-    this.metrics = this.createMetrics()
     this.callerListener = createCallerListener((request, response) => {
       this.requestRate.add(1)
       void this.gateway.handle(request, response)
     })
     this.callerConnections = new OpenConnections(this.callerListener)
+    this.metrics = this.createMetrics()
     this.acceptProbe = new AcceptProbe(this.callerListener, settings.listen.callers, this.clock)
     this.otherListeners = this.createOtherListeners()
   }
@@ -284,13 +283,9 @@
     })
   }
 
-  private createPeerLoans(): PeerLoans {
-    return new PeerLoans({
-      addressOf: instance =>
-        this.members.others.find(member => member.instance === instance)?.peerAddress,
-      timeoutMilliseconds: LOAN_MILLISECONDS,
-      onMalformed: form => this.telemetry.noteMalformed(form),
-    })
+  private get peerCallSources(): PeerCallSources {
+    const { settings, members, telemetry } = this
+    return { settings, members, telemetry }
   }
 
   private createEndpoints(): EndpointDirectory {
@@ -378,18 +373,6 @@
     })
   }
 
-  private createPeerRows(): PeerRows {
-    return new PeerRows({
-      own: this.settings.listen.peers,
-      seeds: this.settings.seeds,
-      knownAddresses: () => this.members.others.map(member => member.peerAddress),
-      nearAddresses: () => this.fleet.nearAddresses(this.settings.instance.failureDomain),
-      random: this.random,
-      timeoutMilliseconds: PEER_MILLISECONDS,
-      onMalformed: form => this.telemetry.noteMalformed(form),
-    })
-  }
-
   private createMirrors(): ReadonlyMap<string, TableMirror> {
     return followTables({
       store: this.store,
@@ -423,24 +406,20 @@
   }
 
   private createMetrics(): GatewayMetrics {
-    return this.telemetry.createMetrics({
-      inFlight: () => this.gateway.inFlight,
-      instances: () => this.members.others.length + 1,
-      activeInstances: () => this.fleet.activeCount,
-      sharers: () => this.fleet.sharers,
-      recordSeconds: () => this.ledger.recordMilliseconds() / 1000,
-      active: () => Number(this.fleet.isSelfActive),
-      abandonedShare: () => this.gateway.abandonedShare,
-      endpoints: () => this.endpoints.size,
-      coldEndpoints: () => this.endpoints.coldCount,
-      evacuatedDomains: () => this.configuration.evacuations.length,
-      evacuatedInFlight: () => this.endpoints.runningInEvacuated,
-      configurationVersion: () => this.configuration.routes?.version ?? 0,
-      ready: () => (this.isReady ? 1 : 0),
-      shortBudgets: () => this.ledger.shortBudgets,
-      callerConnections: () => this.callerConnections.size,
-      storeAge: () => (this.mirrors.get(this.adapter.configuration.table)?.age ?? 0) / 1000,
-    })
+    const { gateway, members, fleet, ledger, endpoints, configuration, callerConnections } = this
+    return this.telemetry.createMetrics(
+      gaugesOf({
+        gateway,
+        members,
+        fleet,
+        ledger,
+        endpoints,
+        configuration,
+        callerConnections,
+        configurationMirror: this.mirrors.get(this.adapter.configuration.table),
+        isReady: () => this.isReady,
+      }),
+    )
   }
 
   private createOtherListeners(): readonly AddressedListener[] {
--- /dev/null
+++ b/packages/daemon/src/gateway/gatewayGauges.ts
@@ -0,0 +1,45 @@
+/** Where the gauges of a gateway instance are read. Owns nothing. */
+
+import type { MemberDirectory, PrepaidLedger, TableMirror } from '@rackwalk/coordination'
+import type { EndpointDirectory, Gateway } from '@rackwalk/router'
+import type { ActiveFleet } from './activeFleet.js'
+import type { ConfigurationInForce } from './configurationInForce.js'
+import type { GatewayGauges } from './gatewayMetrics.js'
+import type { OpenConnections } from './openConnections.js'
+
+/** The parts that know the values. */
+export interface GaugeSources {
+  readonly gateway: Gateway
+  readonly members: MemberDirectory
+  readonly fleet: ActiveFleet
+  readonly ledger: PrepaidLedger
+  readonly endpoints: EndpointDirectory
+  readonly configuration: ConfigurationInForce
+  readonly callerConnections: OpenConnections
+  /** Follows the configuration; its age is that of the store's last answer. */
+  readonly configurationMirror: TableMirror | undefined
+  readonly isReady: () => boolean
+}
+
+/** Readers of all gauges. */
+export function gaugesOf(sources: GaugeSources): GatewayGauges {
+  const { gateway, members, fleet, ledger, endpoints, configuration } = sources
+  return {
+    inFlight: () => gateway.inFlight,
+    instances: () => members.others.length + 1,
+    activeInstances: () => fleet.activeCount,
+    sharers: () => fleet.sharers,
+    recordSeconds: () => ledger.recordMilliseconds() / 1000,
+    active: () => Number(fleet.isSelfActive),
+    abandonedShare: () => gateway.abandonedShare,
+    endpoints: () => endpoints.size,
+    coldEndpoints: () => endpoints.coldCount,
+    evacuatedDomains: () => configuration.evacuations.length,
+    evacuatedInFlight: () => endpoints.runningInEvacuated,
+    configurationVersion: () => configuration.routes?.version ?? 0,
+    ready: () => (sources.isReady() ? 1 : 0),
+    shortBudgets: () => ledger.shortBudgets,
+    callerConnections: () => sources.callerConnections.size,
+    storeAge: () => (sources.configurationMirror?.age ?? 0) / 1000,
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/peerCalls.ts
@@ -0,0 +1,47 @@
+/** The calls of one gateway instance to others over HTTP: for rows and for loans. Owns how long each is awaited. */
+
+import type { MemberDirectory } from '@rackwalk/coordination'
+import type { Milliseconds, RandomSource } from '@rackwalk/shared'
+import type { ActiveFleet } from './activeFleet.js'
+import type { GatewaySettings } from './gatewaySettings.js'
+import type { GatewayTelemetry } from './gatewayTelemetry.js'
+import { PeerLoans } from './peerLoans.js'
+import { PeerRows } from './peerRows.js'
+
+/** Wait for a peer's answer. */
+const PEER_MILLISECONDS: Milliseconds = 400
+/** The same where a request waits for it; the peer itself may ask the store first. */
+const LOAN_MILLISECONDS: Milliseconds = 90
+
+/** What such calls rest on. */
+export interface PeerCallSources {
+  readonly settings: GatewaySettings
+  readonly members: MemberDirectory
+  readonly telemetry: GatewayTelemetry
+}
+
+/** Asks other instances for tokens. */
+export function createPeerLoans({ members, telemetry }: PeerCallSources): PeerLoans {
+  return new PeerLoans({
+    addressOf: instance => members.others.find(member => member.instance === instance)?.peerAddress,
+    timeoutMilliseconds: LOAN_MILLISECONDS,
+    onMalformed: form => telemetry.noteMalformed(form),
+  })
+}
+
+/** Asks other instances for rows of the store. */
+export function createPeerRows(
+  { settings, members, telemetry }: PeerCallSources,
+  fleet: ActiveFleet,
+  random: RandomSource,
+): PeerRows {
+  return new PeerRows({
+    own: settings.listen.peers,
+    seeds: settings.seeds,
+    knownAddresses: () => members.others.map(member => member.peerAddress),
+    nearAddresses: () => fleet.nearAddresses(settings.instance.failureDomain),
+    random,
+    timeoutMilliseconds: PEER_MILLISECONDS,
+    onMalformed: form => telemetry.noteMalformed(form),
+  })
+}
