--- a/packages/shared/src/clock.ts
+++ b/packages/shared/src/clock.ts
@@ -19,14 +19,29 @@
   after(delay: Milliseconds, run: () => void): Timer
 }
 
+/** Where a clock reads time. */
+export interface TimeSources {
+  /** Never goes back, and stands still while the machine is suspended. */
+  steady(): Milliseconds
+  /** Goes on while the machine is suspended; may be set forward or back. */
+  timeOfDay(): Milliseconds
+}
+
+const PROCESS_TIME: TimeSources = {
+  steady: () => performance.now(),
+  timeOfDay: () => Date.now(),
+}
+
 /** The clock of the process. */
 export class SystemClock implements Clock {
+  constructor(private readonly sources: TimeSources = PROCESS_TIME) {}
+
   monotonic(): Milliseconds {
-    return performance.now()
+    return this.sources.steady()
   }
 
   wallTime(): Milliseconds {
-    return Date.now()
+    return this.sources.timeOfDay()
   }
 
   after(delay: Milliseconds, run: () => void): Timer {
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -18,7 +18,7 @@
 } from './ids.js'
 export type { Bytes, Milliseconds, TokenCount, Version } from './quantities.js'
 export { SystemClock, sleep } from './clock.js'
-export type { Clock, Timer } from './clock.js'
+export type { Clock, TimeSources, Timer } from './clock.js'
 export { VirtualClock } from './virtualClock.js'
 export { SeededRandom, SystemRandom, randomBelow } from './randomSource.js'
 export type { RandomSource } from './randomSource.js'
