--- /dev/null
+++ b/packages/coordination/__tests__/crashRecords.spec.ts
@@ -0,0 +1,136 @@
+import { describe, expect, it } from 'vitest'
+import { CRASH_PARTITION, CRASH_TABLE, CrashRecords, TableMirror } from '@rackwalk/coordination'
+import { VirtualClock, asId } from '@rackwalk/shared'
+import type { EndpointStart, RequestFingerprint } from '@rackwalk/shared'
+import { MemoryRowStore } from '@rackwalk/stand-ins'
+
+/** Records of ends of endpoints under a request: written by several, read by all, and gone when they are cleared. */
+
+const REQUEST = asId<RequestFingerprint>('request')
+const DAY_MILLISECONDS = 24 * 3_600_000
+
+function mark(start: string, wasIsolated = false) {
+  return { fingerprint: REQUEST, start: asId<EndpointStart>(start), wasIsolated }
+}
+
+/** Days pass on the calendar without each second of them being played. */
+class CalendarClock extends VirtualClock {
+  daysLater = 0
+
+  override wallTime(): number {
+    return super.wallTime() + this.daysLater * DAY_MILLISECONDS
+  }
+}
+
+function setUp() {
+  const clock = new CalendarClock()
+  const store = new MemoryRowStore(clock)
+  const startInstance = () => {
+    const client = store.connect()
+    const told: string[] = []
+    const records = new CrashRecords({
+      store: client.store,
+      clock,
+      onMarks: marks =>
+        told.push(...marks.map(({ start, wasIsolated }) => `${start} ${wasIsolated}`)),
+      onCleared: fingerprint => told.push(`${fingerprint} cleared`),
+      onMalformedRow: ({ key }) => told.push(`${key} malformed`),
+    })
+    const mirror = new TableMirror({
+      store: client.store,
+      table: CRASH_TABLE,
+      partitions: () => [CRASH_PARTITION],
+      clock,
+      listener: records,
+      waitMilliseconds: 200,
+      pauseMilliseconds: () => 20,
+    })
+    mirror.start()
+    return { records, told, faults: client.faults }
+  }
+  const rows = () => {
+    const outcome = store.read(CRASH_TABLE, CRASH_PARTITION)
+    return outcome.kind === 'rows' ? outcome.rows.map(({ value }) => value) : []
+  }
+  return { clock, store, startInstance, rows }
+}
+
+describe('records of ends', () => {
+  it('of two instances that write at once are joined, and reach a third', async () => {
+    const { clock, startInstance, rows } = setUp()
+    const [first, second, third] = [startInstance(), startInstance(), startInstance()]
+    await clock.advance(1_000)
+    first.records.record([mark('a')])
+    second.records.record([mark('b', true)])
+    await clock.advance(3_000)
+    expect(rows()).toHaveLength(1)
+    expect(third.told).toContain('a false')
+    expect(third.told).toContain('b true')
+  })
+
+  it('are written as soon as a store that was away takes them', async () => {
+    const { clock, startInstance, rows } = setUp()
+    const { records, faults } = startInstance()
+    await clock.advance(1_000)
+    faults.isTurnedAway = true
+    records.record([mark('a')])
+    await clock.advance(5_000)
+    expect(rows()).toHaveLength(0)
+    faults.isTurnedAway = false
+    await clock.advance(2_000)
+    expect(rows()).toHaveLength(1)
+  })
+
+  it('that go clear the request at every instance', async () => {
+    const { clock, store, startInstance } = setUp()
+    const [first, second] = [startInstance(), startInstance()]
+    await clock.advance(1_000)
+    first.records.record([mark('a')])
+    await clock.advance(1_000)
+    store.remove(CRASH_TABLE, REQUEST)
+    await clock.advance(1_000)
+    expect(first.told).toContain('request cleared')
+    expect(second.told).toContain('request cleared')
+  })
+
+  it('are removed by the instance that saw the request answered', async () => {
+    const { clock, startInstance, rows } = setUp()
+    const [first, second] = [startInstance(), startInstance()]
+    await clock.advance(1_000)
+    first.records.record([mark('a')])
+    await clock.advance(1_000)
+    second.records.remove(REQUEST)
+    await clock.advance(1_000)
+    expect(rows()).toEqual([])
+    expect(first.told).toContain('request cleared')
+  })
+
+  it('are kept for a week, and removed by whoever reads them after it', async () => {
+    const { clock, startInstance, rows } = setUp()
+    const { records } = startInstance()
+    await clock.advance(1_000)
+    records.record([mark('a'), mark('b', true)])
+    await clock.advance(1_000)
+    expect(rows()).toMatchInlineSnapshot(`
+      [
+        "{"ends":[{"start":"a","wasIsolated":false},{"start":"b","wasIsolated":true}],"at":1000}",
+      ]
+    `)
+    clock.daysLater = 6
+    startInstance()
+    await clock.advance(5_000)
+    expect(rows()).toHaveLength(1)
+    clock.daysLater = 8
+    startInstance()
+    await clock.advance(5_000)
+    expect(rows()).toHaveLength(0)
+  })
+
+  it('of another form are told of and left out', async () => {
+    const { clock, store, startInstance } = setUp()
+    store.put(CRASH_TABLE, 'strange', '{"ends":3}')
+    const { told } = startInstance()
+    await clock.advance(1_000)
+    expect(told).toEqual(['strange malformed'])
+  })
+})
--- /dev/null
+++ b/packages/daemon/__tests__/crashNews.spec.ts
@@ -0,0 +1,47 @@
+import { describe, expect, it } from 'vitest'
+import { decodeReport, encodeReport, newsOf, reportsOf } from '@rackwalk/daemon'
+import { asId } from '@rackwalk/shared'
+import type { CrashNews } from '@rackwalk/router'
+
+/** News of requests that end endpoints, as they travel beside reports of load. */
+
+const SENDER = { instance: 'instance-1', incarnation: 'life-1' }
+const NEWS: CrashNews = {
+  marks: [
+    { fingerprint: asId('first'), start: asId('endpoint-1@17'), wasIsolated: false },
+    { fingerprint: asId('second'), start: asId('endpoint-1@17'), wasIsolated: true },
+  ],
+  cleared: [{ fingerprint: asId('third'), starts: [asId('endpoint-2'), asId('endpoint-3')] }],
+}
+
+function received(news: CrashNews): readonly CrashNews[] {
+  return reportsOf(news, SENDER).map(report => {
+    const decoded = decodeReport(encodeReport(report))
+    expect(decoded).toBeDefined()
+    return decoded === undefined ? { marks: [], cleared: [] } : newsOf(decoded)
+  })
+}
+
+describe('news of requests that end endpoints', () => {
+  it('comes as it was told', () => {
+    expect(received(NEWS)).toEqual([NEWS])
+  })
+
+  it('has the form of a report that an earlier version reads and drops as too late', () => {
+    const [report] = reportsOf(NEWS, SENDER)
+    expect(report && encodeReport(report).toString()).toMatchInlineSnapshot(
+      `"["instance-1","life-1",0,false,[["ended endpoint-1@17",0,0,[["first",0]]],["ended endpoint-1@17",0,0,[["second",1]]],["cleared third",0,0,[["endpoint-2",0],["endpoint-3",0]]]]]"`,
+    )
+  })
+
+  it('is cut so that each datagram stays under what a link passes on whole', () => {
+    const marks = Array.from({ length: 100 }, (_, count) => ({
+      fingerprint: asId<CrashNews['marks'][number]['fingerprint']>(`request-${count}`.padEnd(16)),
+      start: asId<CrashNews['marks'][number]['start']>('e'.repeat(40)),
+      wasIsolated: false,
+    }))
+    const reports = reportsOf({ marks, cleared: [] }, SENDER)
+    expect(Math.max(...reports.map(report => encodeReport(report).length))).toBeLessThan(1_300)
+    expect(reports.flatMap(report => newsOf(report).marks)).toEqual(marks)
+  })
+})
--- a/packages/daemon/__tests__/references.spec.ts
+++ b/packages/daemon/__tests__/references.spec.ts
@@ -76,6 +76,7 @@
     abandonedShare: zero,
     endpoints: zero,
     coldEndpoints: zero,
+    crashingRequests: zero,
     evacuatedDomains: zero,
     evacuatedInFlight: zero,
     configurationVersion: zero,
--- /dev/null
+++ b/packages/daemon/src/gateway/crashNews.ts
@@ -0,0 +1,65 @@
+/**
+ * News of requests that end endpoints, as datagrams between instances. They have the form of a load report that comes too
+ * late (sequence 0), so that an earlier version, which knows nothing of them, drops them as such. Owns nothing.
+ */
+
+import type { CrashMark } from '@rackwalk/decisions'
+import { asId } from '@rackwalk/shared'
+import type { CrashNews, PeerLoadReport } from '@rackwalk/router'
+
+/** No report of load has it: their sequences count from 1. */
+const NEWS_SEQUENCE = 0
+/** Entries of a report are named for endpoints, and no endpoint has a blank in its id. */
+const ENDED_PREFIX = 'ended '
+const CLEARED_PREFIX = 'cleared '
+/** Entries in one datagram: it stays under 1,300 bytes with ids of 40 characters. */
+const ENTRIES_A_DATAGRAM = 12
+
+type Entry = PeerLoadReport['loads'][number]
+
+/** Whether a report is such news. */
+export function isCrashNews({ sequence }: PeerLoadReport): boolean {
+  return sequence === NEWS_SEQUENCE
+}
+
+/** The reports that tell this. */
+export function reportsOf(
+  news: CrashNews,
+  identity: Pick<PeerLoadReport, 'instance' | 'incarnation'>,
+): readonly PeerLoadReport[] {
+  const entries = [...news.marks.map(endedEntry), ...news.cleared.map(clearedEntry)]
+  const reports: PeerLoadReport[] = []
+  for (let from = 0; from < entries.length; from += ENTRIES_A_DATAGRAM) {
+    const loads = entries.slice(from, from + ENTRIES_A_DATAGRAM)
+    reports.push({ ...identity, sequence: NEWS_SEQUENCE, isWhole: false, loads })
+  }
+  return reports
+}
+
+/** What such a report tells; entries of any other kind are passed over. */
+export function newsOf({ loads }: PeerLoadReport): CrashNews {
+  return {
+    marks: loads.flatMap(entry => marksOf(entry)),
+    cleared: loads.flatMap(({ endpoint, parts }) => {
+      if (!endpoint.startsWith(CLEARED_PREFIX)) return []
+      const fingerprint = endpoint.slice(CLEARED_PREFIX.length)
+      return [{ fingerprint: asId(fingerprint), starts: parts.map(({ id }) => asId(id)) }]
+    }),
+  }
+}
+
+function endedEntry({ fingerprint, start, wasIsolated }: CrashMark): Entry {
+  const parts = [{ id: fingerprint, tokens: Number(wasIsolated) }]
+  return { endpoint: `${ENDED_PREFIX}${start}`, running: 0, pendingTokens: 0, parts }
+}
+
+function clearedEntry({ fingerprint, starts }: CrashNews['cleared'][number]): Entry {
+  const parts = starts.map(start => ({ id: start, tokens: 0 }))
+  return { endpoint: `${CLEARED_PREFIX}${fingerprint}`, running: 0, pendingTokens: 0, parts }
+}
+
+function marksOf({ endpoint, parts }: Entry): readonly CrashMark[] {
+  if (!endpoint.startsWith(ENDED_PREFIX)) return []
+  const start = asId<CrashMark['start']>(endpoint.slice(ENDED_PREFIX.length))
+  return parts.map(({ id, tokens }) => ({ fingerprint: asId(id), start, wasIsolated: tokens > 0 }))
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/crashWatch.ts
@@ -0,0 +1,67 @@
+/**
+ * Joins what an instance finds out of requests that end endpoints with those who must know: the other instances, the
+ * store, the log. Owns the guard and the records; relies on the exchange of datagrams to tell at once.
+ */
+
+import { CrashRecords } from '@rackwalk/coordination'
+import { CrashGuard, probeAddress } from '@rackwalk/router'
+import type { CrashNews, EndpointDirectory } from '@rackwalk/router'
+import type { Clock, Milliseconds, RequestFingerprint } from '@rackwalk/shared'
+import type { RowStore } from '@rackwalk/stores'
+import type { GatewayTelemetry } from './gatewayTelemetry.js'
+
+/** What the watch works with. */
+export interface CrashWatchParts {
+  readonly clock: Clock
+  readonly store: RowStore
+  readonly directory: () => EndpointDirectory
+  /** Tells all other instances, whether or not they use endpoints. */
+  readonly tell: (news: CrashNews) => void
+  readonly telemetry: GatewayTelemetry
+}
+
+/** Whether anything listens at an address is known within this time, or not at all. Chosen: some fifty times its way. */
+const PROBE_MILLISECONDS: Milliseconds = 100
+/** A datagram may be lost: each is sent again after this time. Chosen: the store's rows make good what is lost twice. */
+const REPEAT_MILLISECONDS: Milliseconds = 250
+
+/** What one instance does about requests that end endpoints. */
+export class CrashWatch {
+  readonly guard: CrashGuard
+  readonly records: CrashRecords
+
+  constructor(private readonly parts: CrashWatchParts) {
+    const { clock, store, telemetry } = parts
+    this.guard = new CrashGuard({
+      clock,
+      probe: address => probeAddress(address, PROBE_MILLISECONDS),
+      onEnd: end => telemetry.noteEndpointEnd(end),
+      onUnreachable: start => parts.directory().noteUnreachable(start),
+      onNews: news => this.share(news),
+      onVerdict: (fingerprint, isRefused) => this.noteVerdict(fingerprint, isRefused),
+    })
+    this.records = new CrashRecords({
+      store,
+      clock,
+      onMarks: marks => this.guard.observe({ marks, cleared: [] }),
+      onCleared: fingerprint => this.guard.forget(fingerprint),
+      onMalformedRow: row => telemetry.noteMalformedRow(row),
+    })
+  }
+
+  stop(): void {
+    this.records.stop()
+  }
+
+  private share(news: CrashNews): void {
+    this.parts.tell(news)
+    this.parts.clock.after(REPEAT_MILLISECONDS, () => this.parts.tell(news))
+    this.records.record(news.marks)
+    for (const { fingerprint } of news.cleared) this.records.remove(fingerprint)
+  }
+
+  private noteVerdict(fingerprint: RequestFingerprint, isRefused: boolean): void {
+    const event = isRefused ? 'crashing_request_refused' : 'crashing_request_cleared'
+    this.parts.telemetry.note(event, { fingerprint })
+  }
+}
--- a/packages/daemon/src/gateway/followedTables.ts
+++ b/packages/daemon/src/gateway/followedTables.ts
@@ -6,8 +6,16 @@
 import type { Clock, Milliseconds } from '@rackwalk/shared'
 import { longestFeedWait } from '@rackwalk/decisions'
 import type { ChangedRow, RowAddress, RowStore } from '@rackwalk/stores'
-import { MEMBER_PARTITION, MEMBER_TABLE, PREPAID_TABLE, TableMirror } from '@rackwalk/coordination'
+import {
+  CRASH_PARTITION,
+  CRASH_TABLE,
+  MEMBER_PARTITION,
+  MEMBER_TABLE,
+  PREPAID_TABLE,
+  TableMirror,
+} from '@rackwalk/coordination'
 import type {
+  CrashRecords,
   MemberDirectory,
   MirrorListener,
   NearPeer,
@@ -25,6 +33,8 @@
  */
 const FEED_WAIT_MILLISECONDS = 2_000
 const CONFIGURATION_PAUSE_MILLISECONDS = 20
+/** One call in this time: the store answers at once when something changes, and each call has a price. */
+const CRASH_WAIT_MILLISECONDS = 20_000
 /** Each endpoint renews its row about once a second; a list this old is new enough. */
 const ENDPOINT_PAUSE_MILLISECONDS = 250
 /** A standby instance reads less often: few requests depend on what it knows. */
@@ -56,6 +66,7 @@
   readonly endpoints: EndpointDirectory
   readonly members: MemberDirectory
   readonly ledger: PrepaidLedger
+  readonly crashRecords: CrashRecords
   readonly peerRows: PeerRows
   /** Whether callers are sent to this instance. */
   readonly isActive: () => boolean
@@ -113,7 +124,21 @@
       listener: { onRows: (rows, isWhole) => ledger.observe(rows, isWhole) },
     },
   ]
-  return new Map(tables.map(followed => [followed.table, follow(parts, followed)]))
+  return new Map(
+    [...tables, crashTable(parts)].map(followed => [followed.table, follow(parts, followed)]),
+  )
+}
+
+/** Rows that hardly ever change: instances that are heard tell of the news before the store does. */
+function crashTable({ crashRecords }: FollowedTablesParts): FollowedTable {
+  return {
+    table: CRASH_TABLE,
+    partitions: () => [CRASH_PARTITION],
+    pauseMilliseconds: () => CONFIGURATION_PAUSE_MILLISECONDS,
+    waitMilliseconds: CRASH_WAIT_MILLISECONDS,
+    isToldByPeers: true,
+    listener: crashRecords,
+  }
 }
 
 /** Holdings that are recorded less often need not be read more often. */
--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -5,7 +5,7 @@
 
 import type { Server } from 'node:http'
 import { SystemClock, SystemRandom } from '@rackwalk/shared'
-import type { Clock, Milliseconds, RandomSource } from '@rackwalk/shared'
+import type { Clock, RandomSource } from '@rackwalk/shared'
 import type { RowStore } from '@rackwalk/stores'
 import {
   DEMAND_WINDOW_MILLISECONDS,
@@ -17,14 +17,7 @@
   StoreClock,
 } from '@rackwalk/coordination'
 import type { TableMirror } from '@rackwalk/coordination'
-import {
-  EndpointDirectory,
-  EndpointEnds,
-  FleetLoad,
-  Gateway,
-  WarmUps,
-  probeAddress,
-} from '@rackwalk/router'
+import { EndpointDirectory, FleetLoad, Gateway, WarmUps } from '@rackwalk/router'
 import type { RouteTable } from '@rackwalk/router'
 import { AcceptProbe } from './acceptProbe.js'
 import { ActiveFleet } from './activeFleet.js'
@@ -44,6 +37,7 @@
 import type { PeerRows } from './peerRows.js'
 import { ConfigurationInForce } from './configurationInForce.js'
 import { CountedStore } from './countedStore.js'
+import { CrashWatch } from './crashWatch.js'
 import { OpenConnections } from './openConnections.js'
 import { linkBytesPerSecond } from './instanceCapacity.js'
 import { ownMember } from './ownMember.js'
@@ -77,7 +71,7 @@
   private readonly fleet: ActiveFleet
   private readonly ledger: PrepaidLedger
   private readonly endpoints: EndpointDirectory
-  private readonly ends: EndpointEnds
+  private readonly crashes: CrashWatch
   private readonly fleetLoad: FleetLoad
   private readonly loadExchange: LoadExchange | undefined
   private readonly gateway: Gateway
@@ -90,8 +84,6 @@
   private readonly acceptProbe: AcceptProbe
   private readonly otherListeners: readonly AddressedListener[]
   private readonly configuration: ConfigurationInForce
-  /** The process's clock counts from its start, at which its predecessor was dead. */
-  private readonly startedAt: Milliseconds = 0
   private draining = false
   private refusing = false
   private isMember = false
@@ -119,7 +111,7 @@
     this.peerLoans = createPeerLoans(this.peerCallSources)
     this.ledger = this.createLedger()
     this.endpoints = this.createEndpoints()
-    this.ends = this.createEnds()
+    this.crashes = this.createCrashes()
     this.fleetLoad = this.createFleetLoad()
     this.loadExchange = this.createLoadExchange()
     this.gateway = this.createGateway()
@@ -202,6 +194,7 @@
     this.members.stop()
     this.store.close()
     this.peerLoans.close()
+    this.crashes.stop()
     this.loadExchange?.stop()
     for (const { server } of this.otherListeners) server.close()
     this.callerListener.closeAllConnections()
@@ -268,7 +261,8 @@
       store: this.store,
       storeClock: this.storeClock,
       clock: this.clock,
-      startedAt: this.startedAt,
+      // The process's clock counts from its start, at which its predecessor was dead.
+      startedAt: 0,
       policy: budgets.policy === 'equal' ? new EqualHoldingPolicy() : new DemandHoldingPolicy(),
       isActive: () => this.fleet.isSelfSettled,
       otherInstances: () => this.fleet.activeOthers.map(member => member.instance),
@@ -300,16 +294,17 @@
         this.telemetry.noteChange('server_state', change, fields)
         if (change === 'gone') this.fleetLoad.forget(endpoint.id)
       },
-      onReplaced: start => this.ends.noteReplaced(start),
+      onReplaced: start => this.crashes.guard.noteReplaced(start),
     })
   }
 
-  private createEnds(): EndpointEnds {
-    const { connectMilliseconds } = this.settings.requests
-    return new EndpointEnds({
+  private createCrashes(): CrashWatch {
+    return new CrashWatch({
       clock: this.clock,
-      probe: address => probeAddress(address, connectMilliseconds),
-      onEnd: end => this.telemetry.noteEndpointEnd(end),
+      store: this.store,
+      directory: () => this.endpoints,
+      tell: news => this.loadExchange?.tellCrashes(news),
+      telemetry: this.telemetry,
     })
   }
 
@@ -337,6 +332,8 @@
       usingPeers: () => loadPeersOf(this.fleet.usingOthers),
       idlePeers: () => loadPeersOf(this.fleet.idleOthers),
       fleetLoad: this.fleetLoad,
+      identity: { instance: this.settings.instance.id, incarnation: this.incarnation },
+      onCrashNews: news => this.crashes.guard.observe(news),
       clock: this.clock,
       onMalformed: form => this.telemetry.noteMalformed(form),
     })
@@ -348,7 +345,7 @@
       dialect: this.adapter.dialect,
       directory: this.endpoints,
       fleetLoad: this.fleetLoad,
-      ends: this.ends,
+      crashes: this.crashes.guard,
       warmUps: new WarmUps({
         clock: this.clock,
         instance: instance.id,
@@ -381,6 +378,7 @@
       endpoints: this.endpoints,
       members: this.members,
       ledger: this.ledger,
+      crashRecords: this.crashes.records,
       peerRows: this.peerRows,
       freshness: this.settings.freshness,
       onConfiguration: (rows, isWhole) => this.configuration.observe(rows, isWhole),
@@ -415,6 +413,7 @@
         ledger,
         endpoints,
         configuration,
+        crashes: this.crashes.guard,
         callerConnections,
         configurationMirror: this.mirrors.get(this.adapter.configuration.table),
         isReady: () => this.isReady,
--- a/packages/daemon/src/gateway/gatewayGauges.ts
+++ b/packages/daemon/src/gateway/gatewayGauges.ts
@@ -1,7 +1,7 @@
 /** Where the gauges of a gateway instance are read. Owns nothing. */
 
 import type { MemberDirectory, PrepaidLedger, TableMirror } from '@rackwalk/coordination'
-import type { EndpointDirectory, Gateway } from '@rackwalk/router'
+import type { CrashGuard, EndpointDirectory, Gateway } from '@rackwalk/router'
 import type { ActiveFleet } from './activeFleet.js'
 import type { ConfigurationInForce } from './configurationInForce.js'
 import type { GatewayGauges } from './gatewayMetrics.js'
@@ -14,6 +14,7 @@
   readonly fleet: ActiveFleet
   readonly ledger: PrepaidLedger
   readonly endpoints: EndpointDirectory
+  readonly crashes: CrashGuard
   readonly configuration: ConfigurationInForce
   readonly callerConnections: OpenConnections
   /** Follows the configuration; its age is that of the store's last answer. */
@@ -34,6 +35,7 @@
     abandonedShare: () => gateway.abandonedShare,
     endpoints: () => endpoints.size,
     coldEndpoints: () => endpoints.coldCount,
+    crashingRequests: () => sources.crashes.refusedCount,
     evacuatedDomains: () => configuration.evacuations.length,
     evacuatedInFlight: () => endpoints.runningInEvacuated,
     configurationVersion: () => configuration.routes?.version ?? 0,
--- a/packages/daemon/src/gateway/gatewayMetrics.ts
+++ b/packages/daemon/src/gateway/gatewayMetrics.ts
@@ -23,6 +23,7 @@
   readonly abandonedShare: () => number
   readonly endpoints: () => number
   readonly coldEndpoints: () => number
+  readonly crashingRequests: () => number
   readonly evacuatedDomains: () => number
   readonly evacuatedInFlight: () => number
   readonly configurationVersion: () => number
@@ -174,6 +175,11 @@
       gauges.recordSeconds,
     )
     this.gauge('active', '1 while callers are sent here.', gauges.active)
+    this.observeEndpoints(gauges)
+    this.observeKnowledge(gauges)
+  }
+
+  private observeEndpoints(gauges: GatewayGauges): void {
     this.gauge('servers', 'Servers listed.', gauges.endpoints)
     this.gauge(
       'abandoned_share',
@@ -181,6 +187,11 @@
       gauges.abandonedShare,
     )
     this.gauge('cold_servers', 'Servers that warm up.', gauges.coldEndpoints)
+    this.gauge(
+      'crashing_requests',
+      'Requests that are refused since servers ended as they began to run them.',
+      gauges.crashingRequests,
+    )
     this.gauge(
       'evacuated_domains',
       'Failure domains that are being emptied.',
@@ -191,6 +202,9 @@
       'Requests from here that still run in failure domains that are being emptied.',
       gauges.evacuatedInFlight,
     )
+  }
+
+  private observeKnowledge(gauges: GatewayGauges): void {
     this.gauge('configuration_version', 'Version in force here.', gauges.configurationVersion)
     this.gauge('ready', '1 while new requests may begin here.', gauges.ready)
     this.gauge(
--- a/packages/daemon/src/gateway/gatewayTelemetry.ts
+++ b/packages/daemon/src/gateway/gatewayTelemetry.ts
@@ -82,7 +82,8 @@
   noteEndpointEnd({ endpoint, unanswered }: EndpointEnd): void {
     const { id, service } = endpoint
     this.gauged?.noteEndpointEnd(service)
-    this.logger.warn('server_ended', { server: id, service, unanswered })
+    const requests = unanswered.map(({ fingerprint }) => fingerprint)
+    this.logger.warn('server_ended', { server: id, service, unanswered: requests })
   }
 
   noteStoreCall(call: string, table: string, outcome: string): void {
--- a/packages/daemon/src/gateway/loadExchange.ts
+++ b/packages/daemon/src/gateway/loadExchange.ts
@@ -10,9 +10,10 @@
 import { parseJson } from '@rackwalk/stores'
 import type { Clock, Milliseconds, Timer } from '@rackwalk/shared'
 import type { MemberRow } from '@rackwalk/coordination'
-import type { FleetLoad, PeerLoadReport } from '@rackwalk/router'
+import type { CrashNews, FleetLoad, PeerLoadReport } from '@rackwalk/router'
 import { parseAddress } from '../observe/listenOn.js'
 import type { MalformedForm } from '../observe/malformedForms.js'
+import { isCrashNews, newsOf, reportsOf } from './crashNews.js'
 
 /** Time between two reports in a small fleet, and of what must be told at once in any. */
 const SHORTEST_INTERVAL_MILLISECONDS = 20
@@ -68,6 +69,10 @@
   /** The others: they get signs of life. */
   readonly idlePeers: () => readonly LoadPeer[]
   readonly fleetLoad: FleetLoad
+  /** Names this instance in news. */
+  readonly identity: Pick<PeerLoadReport, 'instance' | 'incarnation'>
+  /** Another instance told of requests that end endpoints. */
+  readonly onCrashNews: (news: CrashNews) => void
   readonly clock: Clock
   readonly onMalformed: (form: MalformedForm) => void
 }
@@ -113,6 +118,13 @@
     })
   }
 
+  /** Tells all others of requests that end endpoints, at once. */
+  tellCrashes(news: CrashNews): void {
+    const { usingPeers, idlePeers, identity } = this.parts
+    const peers = [...usingPeers(), ...idlePeers()]
+    for (const report of reportsOf(news, identity)) this.sendTo(peers, report)
+  }
+
   private schedule(): void {
     this.timer = this.parts.clock.after(this.interval, () => {
       this.sendReport()
@@ -180,6 +192,7 @@
   private take(bytes: Buffer, source: string): void {
     const report = decodeReport(bytes)
     if (report === undefined) this.parts.onMalformed({ form: 'load report', source })
+    else if (isCrashNews(report)) this.parts.onCrashNews(newsOf(report))
     else this.parts.fleetLoad.observe(report)
   }
 }
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -34,6 +34,8 @@
 
 export { mayHaveRun, outcomeLabel, outcomeText } from './retrying/attemptOutcome.js'
 export type { AttemptOutcome } from './retrying/attemptOutcome.js'
+export { CrashSuspicions } from './retrying/crashSuspicion.js'
+export type { CrashMark, CrashVerdict } from './retrying/crashSuspicion.js'
 export { FleetRetryBudget } from './retrying/fleetRetryBudget.js'
 export type { RetryBounds } from './retrying/fleetRetryBudget.js'
 export { isMisdirected, isPromising, isServerError, nextStep } from './retrying/nextStep.js'
--- /dev/null
+++ b/packages/decisions/src/retrying/crashSuspicion.ts
@@ -0,0 +1,121 @@
+/**
+ * Is a request sent that may have ended an endpoint, and where?
+ *
+ * Load pattern: a caller's request ends whatever begins to run it, and comes again every quarter of a second, each time
+ * under a new id and at another instance. Sent on as if it were new it ended eight endpoints of eight in 15 s, and 50 starts
+ * in 20 s where they come back after 3 s.
+ *
+ * An endpoint's end has many causes, and many innocent requests run there. So one end only makes suspected what had no
+ * part of an answer yet: the request goes on to be served, but at the one endpoint that all instances choose for it by
+ * hash, so that tries that come at once from several of them cost one endpoint and not several. An end under a request
+ * that was sent in this way proves it: it is refused everywhere from then on. Any part of an answer clears it.
+ *
+ * | ends while it was unanswered          | verdict | goes to                                    |
+ * | ------------------------------------- | ------- | ------------------------------------------ |
+ * | none                                  | send    | the best endpoint                          |
+ * | one or several, sent as any other     | isolate | the endpoint that its hash names           |
+ * | one or more, sent as suspected        | refuse  | none, until an answer or an operator clears |
+ *
+ * Limits: several ends at once (a rack without power) prove nothing, since nobody had sent the request as suspected. What
+ * had begun to answer is not suspected. What is known of an end is a set that only grows, so instances that hear of ends
+ * and answers in any order believe the same.
+ */
+
+import type { EndpointStart, RequestFingerprint } from '@rackwalk/shared'
+
+/** What to do with a request. */
+export type CrashVerdict = 'send' | 'isolate' | 'refuse'
+
+/** An endpoint ended while a request was there and had no part of an answer. */
+export interface CrashMark {
+  readonly fingerprint: RequestFingerprint
+  readonly start: EndpointStart
+  /** Whether the request was sent there as suspected. */
+  readonly wasIsolated: boolean
+}
+
+interface Suspicion {
+  /** By start: whether the request was sent there as suspected. */
+  readonly ends: Map<EndpointStart, boolean>
+  /** Ends of which it was cleared; kept, since news of them may come late. */
+  readonly cleared: Set<EndpointStart>
+}
+
+/**
+ * Requests that are remembered at the most. Chosen: some 1 MB; a caller who sends that many different ones loses each
+ * instance the oldest of them, those that are only suspected first.
+ */
+const REMEMBERED_REQUESTS = 4_096
+/** Ends that are remembered of one request: a proven one has two or three. Chosen. */
+const REMEMBERED_ENDS = 16
+
+/** What one instance believes of requests under which endpoints ended. */
+export class CrashSuspicions {
+  /** The one that was touched last stands last. */
+  private readonly requests = new Map<RequestFingerprint, Suspicion>()
+
+  /** Whether nothing is suspected, so that no request has to be looked at. */
+  get isEmpty(): boolean {
+    return this.requests.size === 0
+  }
+
+  /** Requests that are refused. */
+  get refusedCount(): number {
+    return this.fingerprints.filter(fingerprint => this.verdict(fingerprint) === 'refuse').length
+  }
+
+  get fingerprints(): readonly RequestFingerprint[] {
+    return [...this.requests.keys()]
+  }
+
+  verdict(fingerprint: RequestFingerprint): CrashVerdict {
+    const ends = this.openEnds(fingerprint)
+    if (ends.length === 0) return 'send'
+    return ends.some(([, wasIsolated]) => wasIsolated) ? 'refuse' : 'isolate'
+  }
+
+  /** Ends of which a request is not cleared. */
+  marksOf(fingerprint: RequestFingerprint): readonly CrashMark[] {
+    return this.openEnds(fingerprint).map(([start, wasIsolated]) => {
+      return { fingerprint, start, wasIsolated }
+    })
+  }
+
+  /** Takes an end in, in whatever order; false where nothing is new. */
+  note({ fingerprint, start, wasIsolated }: CrashMark): boolean {
+    const { ends } = this.touch(fingerprint)
+    const known = ends.get(start)
+    if (known === true || known === wasIsolated) return false
+    if (known === undefined && ends.size >= REMEMBERED_ENDS) return false
+    ends.set(start, wasIsolated)
+    return true
+  }
+
+  /** An endpoint answered a part of it, or an operator says so: these ends are not held against it. */
+  clear(fingerprint: RequestFingerprint, starts: readonly EndpointStart[]): void {
+    const { cleared } = this.touch(fingerprint)
+    for (const start of starts) if (cleared.size < REMEMBERED_ENDS) cleared.add(start)
+  }
+
+  private openEnds(fingerprint: RequestFingerprint): readonly [EndpointStart, boolean][] {
+    const known = this.requests.get(fingerprint)
+    if (known === undefined) return []
+    return [...known.ends].filter(([start]) => !known.cleared.has(start))
+  }
+
+  private touch(fingerprint: RequestFingerprint): Suspicion {
+    const known = this.requests.get(fingerprint) ?? { ends: new Map(), cleared: new Set() }
+    this.requests.delete(fingerprint)
+    if (this.requests.size >= REMEMBERED_REQUESTS) this.forgetOne()
+    this.requests.set(fingerprint, known)
+    return known
+  }
+
+  /** The oldest that is not refused, or else the oldest. */
+  private forgetOne(): void {
+    const { fingerprints } = this
+    const harmless = fingerprints.find(candidate => this.verdict(candidate) !== 'refuse')
+    const oldest = harmless ?? fingerprints[0]
+    if (oldest !== undefined) this.requests.delete(oldest)
+  }
+}
--- a/packages/decisions/src/stopping/finalError.ts
+++ b/packages/decisions/src/stopping/finalError.ts
@@ -18,6 +18,8 @@
   | { readonly kind: 'none-with-room' }
   /** All that have room are warming up and get no more from here; the first is warm after this time. */
   | { readonly kind: 'none-warm'; readonly warmInMilliseconds: Milliseconds }
+  /** Endpoints ended under the request, and none is lost to it any more. */
+  | { readonly kind: 'crashing' }
 
 /** How a request ended that came to no whole answer. */
 export interface EndedRequest {
@@ -26,7 +28,7 @@
   readonly history: readonly AttemptOutcome[]
   readonly isCallerGone: boolean
   readonly isLate: boolean
-  /** Why nothing was chosen for the first attempt; undefined where something was. */
+  /** Why nothing was chosen while no attempt had reached an endpoint; undefined where something was. */
   readonly noChoice: NoChoice | undefined
 }
 
@@ -59,6 +61,8 @@
       return new NotRunError(ResultCode.NoEndpoint, service)
     case 'none-with-room':
       return new NotRunError(ResultCode.Overloaded, service)
+    case 'crashing':
+      return new NotRunError(ResultCode.EndsEndpoints)
     case 'none-warm': {
       const returnAfter = returnAfterSeconds(noChoice.warmInMilliseconds)
       return new NotRunError(ResultCode.WarmingUp, service, returnAfter)
--- a/packages/router/__tests__/endpointEnds.spec.ts
+++ b/packages/router/__tests__/endpointEnds.spec.ts
@@ -6,8 +6,12 @@
 
 /** When a broken request says that its endpoint has ended, and when it doesn't. */
 
-const FIRST = asId<RequestFingerprint>('first')
-const SECOND = asId<RequestFingerprint>('second')
+const FIRST = broken('first')
+const SECOND = broken('second')
+
+function broken(fingerprint: string) {
+  return { fingerprint: asId<RequestFingerprint>(fingerprint), wasIsolated: false }
+}
 
 function recordOf(bornAt?: number): EndpointRecord {
   return {
@@ -44,7 +48,7 @@
   })
   directory.set(recordOf(1))
   const [endpoint] = directory.available('models')
-  const unanswered = () => told.map(end => end.unanswered)
+  const unanswered = () => told.map(end => end.unanswered.map(request => request.fingerprint))
   return { ends, directory, endpoint: endpoint as EndpointState, unanswered, probes: () => probes }
 }
 
@@ -53,7 +57,7 @@
     const { ends, endpoint, unanswered, probes } = watch('refused')
     await Promise.all([ends.noteBroken(endpoint, FIRST), ends.noteBroken(endpoint, SECOND)])
     expect(unanswered()).toEqual([['first', 'second']])
-    await ends.noteBroken(endpoint, asId('late'))
+    await ends.noteBroken(endpoint, broken('late'))
     expect(unanswered()).toEqual([['first', 'second'], ['late']])
     expect(probes()).toBe(1)
   })
--- /dev/null
+++ b/packages/router/src/gateway/crashGuard.ts
@@ -0,0 +1,119 @@
+/**
+ * Keeps requests from endpoint after endpoint that they end. Owns what this instance believes of them; the rule is in
+ * decisions/retrying/crashSuspicion, the search for ends in endpointEnds. Others are told by whoever made the guard.
+ */
+
+import { CrashSuspicions } from '@rackwalk/decisions'
+import type { CrashMark, CrashVerdict } from '@rackwalk/decisions'
+import type { Clock, EndpointStart, RequestFingerprint } from '@rackwalk/shared'
+import { EndpointEnds } from './endpointEnds.js'
+import type { BrokenRequest, EndpointEnd } from './endpointEnds.js'
+import type { ProbeOutcome } from './endpointProbe.js'
+import type { EndpointState } from './endpointState.js'
+
+/** A request that is cleared of these ends. */
+interface ClearedRequest {
+  readonly fingerprint: RequestFingerprint
+  readonly starts: readonly EndpointStart[]
+}
+
+/** What an instance has found out and the others should know. */
+export interface CrashNews {
+  readonly marks: readonly CrashMark[]
+  readonly cleared: readonly ClearedRequest[]
+}
+
+/** What the guard works with. */
+export interface CrashGuardParts {
+  readonly clock: Clock
+  readonly probe: (address: string) => Promise<ProbeOutcome>
+  /** An endpoint ended under requests from here. */
+  readonly onEnd: (end: EndpointEnd) => void
+  /** A start of an endpoint has ended, as this instance saw or was told. */
+  readonly onUnreachable: (start: EndpointStart) => void
+  /** For all other instances. */
+  readonly onNews: (news: CrashNews) => void
+  /** A request is refused from now on, or is no longer. */
+  readonly onVerdict: (fingerprint: RequestFingerprint, isRefused: boolean) => void
+}
+
+/** What one instance knows of requests that end endpoints. */
+export class CrashGuard {
+  private readonly suspicions = new CrashSuspicions()
+  private readonly ends: EndpointEnds
+
+  constructor(private readonly parts: CrashGuardParts) {
+    this.ends = new EndpointEnds({ ...parts, onEnd: end => this.noteEnd(end) })
+  }
+
+  /** Whether no request has to be looked at. */
+  get isIdle(): boolean {
+    return this.suspicions.isEmpty
+  }
+
+  /** Requests that are refused. */
+  get refusedCount(): number {
+    return this.suspicions.refusedCount
+  }
+
+  verdict(fingerprint: RequestFingerprint): CrashVerdict {
+    return this.suspicions.verdict(fingerprint)
+  }
+
+  /** An endpoint broke a request off before any part of an answer; resolves when it is known whether it ended. */
+  noteBroken(endpoint: EndpointState, request: BrokenRequest): Promise<void> {
+    return this.ends.noteBroken(endpoint, request)
+  }
+
+  /** A start of an endpoint is over, by its row. */
+  noteReplaced(start: EndpointStart): void {
+    this.ends.noteReplaced(start)
+  }
+
+  /** An endpoint answered a part of a request, so that is not what ended others. */
+  noteAnswered(fingerprint: RequestFingerprint): void {
+    const starts = this.suspicions.marksOf(fingerprint).map(({ start }) => start)
+    if (starts.length === 0) return
+    this.take({ marks: [], cleared: [{ fingerprint, starts }] })
+    this.parts.onNews({ marks: [], cleared: [{ fingerprint, starts }] })
+  }
+
+  /** Takes in what others found out. */
+  observe(news: CrashNews): void {
+    this.take(news)
+  }
+
+  /** Nothing is held against a request any more: an operator, or another instance, removed its record. */
+  forget(fingerprint: RequestFingerprint): void {
+    const starts = this.suspicions.marksOf(fingerprint).map(({ start }) => start)
+    this.take({ marks: [], cleared: [{ fingerprint, starts }] })
+  }
+
+  private noteEnd(end: EndpointEnd): void {
+    this.parts.onEnd(end)
+    const { start } = end.endpoint
+    const marks = end.unanswered.map(request => ({ ...request, start }))
+    this.take({ marks, cleared: [] })
+    this.parts.onNews({ marks, cleared: [] })
+  }
+
+  private take({ marks, cleared }: CrashNews): void {
+    for (const mark of marks) {
+      this.watchVerdict(mark.fingerprint, () => this.noteMark(mark))
+    }
+    for (const { fingerprint, starts } of cleared) {
+      this.watchVerdict(fingerprint, () => this.suspicions.clear(fingerprint, starts))
+    }
+  }
+
+  private noteMark(mark: CrashMark): void {
+    if (this.suspicions.note(mark)) this.parts.onUnreachable(mark.start)
+  }
+
+  private watchVerdict(fingerprint: RequestFingerprint, change: () => void): void {
+    const wasRefused = this.verdict(fingerprint) === 'refuse'
+    change()
+    const isRefused = this.verdict(fingerprint) === 'refuse'
+    if (isRefused !== wasRefused) this.parts.onVerdict(fingerprint, isRefused)
+  }
+}
--- a/packages/router/src/gateway/endpointDirectory.ts
+++ b/packages/router/src/gateway/endpointDirectory.ts
@@ -113,6 +113,13 @@
     this.parts.onChange(known.record, 'replaced')
   }
 
+  /** Nobody listens any more where this start of an endpoint did. */
+  noteUnreachable(start: EndpointStart): void {
+    for (const endpoint of this.endpoints.values()) {
+      if (endpoint.record.start === start) endpoint.noteUnreachable()
+    }
+  }
+
   /** An endpoint is no longer listed; what runs there may end. */
   remove(id: string): void {
     this.endLapse(id)
@@ -144,9 +151,9 @@
   /** Endpoints of a service to which new requests may go. */
   available(service: string): readonly EndpointState[] {
     return [...this.endpoints.values()].filter(endpoint => {
-      const { record, hasEnded } = endpoint
-      const isOpen = !record.isLeaving && !hasEnded && !this.evacuated.has(record.failureDomain)
-      return record.service === service && isOpen
+      const { record, hasEnded, isUnreachable } = endpoint
+      if (record.service !== service || record.isLeaving) return false
+      return !hasEnded && !isUnreachable && !this.evacuated.has(record.failureDomain)
     })
   }
 
--- a/packages/router/src/gateway/endpointEnds.ts
+++ b/packages/router/src/gateway/endpointEnds.ts
@@ -14,7 +14,14 @@
 export interface EndpointEnd {
   readonly endpoint: EndpointRecord
   /** Requests from here that were there and had no part of an answer; each is told once. */
-  readonly unanswered: readonly RequestFingerprint[]
+  readonly unanswered: readonly BrokenRequest[]
+}
+
+/** A request that an endpoint broke off. */
+export interface BrokenRequest {
+  readonly fingerprint: RequestFingerprint
+  /** Whether it was sent there as one that may have ended endpoints. */
+  readonly wasIsolated: boolean
 }
 
 /** What the search for ends works with. */
@@ -27,7 +34,7 @@
 /** Requests that one start of an endpoint broke off. */
 interface Breaks {
   readonly endpoint: EndpointRecord
-  readonly untold: Set<RequestFingerprint>
+  readonly untold: BrokenRequest[]
   newestAt: Milliseconds
   hasEnded: boolean
   probing: Promise<void> | undefined
@@ -46,10 +53,10 @@
   constructor(private readonly parts: EndpointEndsParts) {}
 
   /** An endpoint broke a request off before any part of an answer; resolves when it is known whether it ended. */
-  async noteBroken(endpoint: EndpointState, fingerprint: RequestFingerprint): Promise<void> {
+  async noteBroken(endpoint: EndpointState, request: BrokenRequest): Promise<void> {
     if (endpoint.leavesAsPlanned) return
     const breaks = this.breaksOf(endpoint)
-    breaks.untold.add(fingerprint)
+    breaks.untold.push(request)
     if (breaks.hasEnded) return this.tell(breaks)
     breaks.probing ??= this.probe(breaks)
     await breaks.probing
@@ -73,9 +80,8 @@
   }
 
   private tell({ endpoint, untold }: Breaks): void {
-    if (untold.size === 0) return
-    this.parts.onEnd({ endpoint, unanswered: [...untold] })
-    untold.clear()
+    if (untold.length === 0) return
+    this.parts.onEnd({ endpoint, unanswered: untold.splice(0) })
   }
 
   private breaksOf({ record, hasEnded }: EndpointState): Breaks {
@@ -86,8 +92,7 @@
       known.newestAt = now
       return known
     }
-    const untold = new Set<RequestFingerprint>()
-    const created = { endpoint: record, untold, newestAt: now, hasEnded, probing: undefined }
+    const created = { endpoint: record, untold: [], newestAt: now, hasEnded, probing: undefined }
     this.breaks.set(record.start, created)
     return created
   }
--- a/packages/router/src/gateway/endpointState.ts
+++ b/packages/router/src/gateway/endpointState.ts
@@ -27,6 +27,12 @@
 const FAILURE_WEIGHT = 0.3
 /** Time in which a failure share halves while nothing is sent there. Chosen, not measured. */
 const FAILURE_HALF_LIFE_MILLISECONDS = 2_500
+/**
+ * An endpoint where nobody listened is left alone for this long. Each instance found out with a request of its own, three
+ * such endpoints refused 13 requests in two seconds at all three attempts, and their rows stood for 2 to 3.5 s more; one
+ * that is back in the meantime is missed for so long at the most.
+ */
+const UNREACHABLE_MILLISECONDS = 1_000
 /** Times of requests that are remembered at the most. Chosen: far more than a cold endpoint is sent. */
 const REMEMBERED_SENDS = 64
 
@@ -57,6 +63,8 @@
   private suspectUntil: Milliseconds = Number.NEGATIVE_INFINITY
   /** Times at which requests were sent there, the newest last. */
   private readonly sends: Milliseconds[] = []
+  /** Nobody listened there a moment ago; until then it is not tried again. */
+  private unreachableUntil: Milliseconds = Number.NEGATIVE_INFINITY
   private failureShare = 0
   private failureAt: Milliseconds = 0
   private connections: EndpointAgent | undefined
@@ -80,6 +88,16 @@
     return this.record.isLeaving || (!this.isListed && !this.hasEnded)
   }
 
+  /** Nobody listens there. */
+  noteUnreachable(): void {
+    this.unreachableUntil = this.clock.monotonic() + UNREACHABLE_MILLISECONDS
+  }
+
+  /** Whether nobody listened there a moment ago. */
+  get isUnreachable(): boolean {
+    return this.clock.monotonic() < this.unreachableUntil
+  }
+
   /** Whether it bears only few requests at present. */
   get isCold(): boolean {
     return this.coldMilliseconds > 0
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -15,6 +15,7 @@
 import type { RetryBounds, WorkRank } from '@rackwalk/decisions'
 import type { PrepaidLedger, PrepaidReservation, RefusedOutcome } from '@rackwalk/coordination'
 import { readBody } from '../readBody.js'
+import { requestFingerprint } from '../requestFingerprint.js'
 import { CallerReply } from './callerReply.js'
 import type { Dialect, RequestMetadata } from './dialect.js'
 import { chooseService } from './gatewayConfiguration.js'
@@ -121,9 +122,8 @@
     const { route, service, team } = identified
     this.admission.admit(request, workRankOf(identified))
     const { clock, instances } = this.parts
-    const body = await this.readBody(request)
-    this.admission.noteBody(request, body.length)
-    await this.admission.confirmCaller(reply)
+    const body = await this.readWhole(request, reply)
+    this.refuseCrashing(identified, request.url ?? '/', body, record)
     const retries = this.retryBudget(service.name)
     retries.noteRequest(clock.monotonic())
     const reservation = await this.reserve(identified, record)
@@ -152,6 +152,20 @@
     }
   }
 
+  /** A request that ends endpoints is refused before tokens are set aside for it. */
+  private refuseCrashing(
+    { team }: IdentifiedRequest,
+    path: string,
+    body: Buffer,
+    record: GatewayRecord,
+  ): void {
+    const { crashes } = this.parts
+    if (crashes.isIdle) return
+    record.fingerprint = requestFingerprint({ path, team: team?.name, body })
+    if (crashes.verdict(record.fingerprint) !== 'refuse') return
+    throw new NotRunError(ResultCode.EndsEndpoints)
+  }
+
   private noteLateness(route: GatewayRoute, record: GatewayRecord): void {
     const lateness = latenessOf(route, {
       firstByteMilliseconds: record.firstByteMilliseconds,
@@ -186,10 +200,14 @@
     return { metadata, route, service, team, deadlineAt, goalAt }
   }
 
-  private readBody(request: IncomingMessage): Promise<Buffer> {
+  /** The whole body; the caller still waits when it is there. */
+  private async readWhole(request: IncomingMessage, reply: CallerReply): Promise<Buffer> {
     const limits = this.parts.routes()?.configuration.limits
-    const bytes = limits?.bodyBytes ?? 0
-    return readBody(request, bytes, limits?.idleMilliseconds ?? 0, this.parts.clock)
+    const idle = limits?.idleMilliseconds ?? 0
+    const body = await readBody(request, limits?.bodyBytes ?? 0, idle, this.parts.clock)
+    this.admission.noteBody(request, body.length)
+    await this.admission.confirmCaller(reply)
+    return body
   }
 
   /** Sets the largest cost aside where the team has a prepaid budget. */
--- a/packages/router/src/gateway/requestAttempts.ts
+++ b/packages/router/src/gateway/requestAttempts.ts
@@ -14,14 +14,23 @@
   mayHaveRun,
   nextStep,
   rankEndpoints,
+  rendezvousChoice,
 } from '@rackwalk/decisions'
-import type { AttemptOutcome, NextStep, NoChoice } from '@rackwalk/decisions'
-import type { Clock, EndpointStart, Milliseconds, RandomSource, TokenCount } from '@rackwalk/shared'
+import type { AttemptOutcome, CrashVerdict, NextStep, NoChoice } from '@rackwalk/decisions'
+import { sleep } from '@rackwalk/shared'
+import type {
+  Clock,
+  EndpointStart,
+  Milliseconds,
+  RandomSource,
+  RequestFingerprint,
+  TokenCount,
+} from '@rackwalk/shared'
 import { AnswerRelay } from './answerRelay.js'
 import type { CallerReply } from './callerReply.js'
 import type { Dialect, ReplyMetadata, RequestMetadata } from './dialect.js'
 import { sharedPartOf, snapshotEndpoint } from './endpointSnapshots.js'
-import type { EndpointEnds } from './endpointEnds.js'
+import type { CrashGuard } from './crashGuard.js'
 import { EventRelay } from './eventRelay.js'
 import type { FleetLoad } from './fleetLoad.js'
 import type { GatewayRoute, GatewayService } from './gatewayConfiguration.js'
@@ -32,6 +41,7 @@
 import { requestFingerprint } from '../requestFingerprint.js'
 import { StreamPace } from './streamPace.js'
 import { UpstreamExchange } from './upstreamExchange.js'
+import type { HeadOutcome } from './upstreamExchange.js'
 
 /** What the attempts at requests work with. */
 export interface AttemptsParts {
@@ -39,7 +49,7 @@
   readonly directory: EndpointDirectory
   readonly fleetLoad: FleetLoad
   readonly warmUps: WarmUps
-  readonly ends: EndpointEnds
+  readonly crashes: CrashGuard
   readonly clock: Clock
   readonly random: RandomSource
   readonly failureDomain: string
@@ -84,6 +94,13 @@
  * Chosen, not measured.
  */
 const DEADLINE_SLACK_MILLISECONDS = 80
+/**
+ * Where the endpoint of a suspected request refuses the connection, another try of the same request may just have ended it:
+ * its news is awaited this long before the next endpoint is put at risk. Chosen: news takes 25 ms.
+ */
+const NEWS_MILLISECONDS = 100
+/** No process listens at the address. */
+const CONNECTION_REFUSED = 'ECONNREFUSED'
 const STATUS_OK = 200
 /** Statuses below this one are successes, which an endpoint signs. */
 const STATUS_REDIRECT = 300
@@ -97,6 +114,8 @@
   private noChoice: NoChoice | undefined
   private isHandedOut = false
   private isLate = false
+  /** What is believed of the request, as of the newest choice. */
+  private verdict: CrashVerdict = 'send'
 
   constructor(
     private readonly parts: AttemptsParts,
@@ -152,6 +171,9 @@
     const available = directory.available(service.name)
     const free = available.filter(({ hasRoom, record }) => hasRoom && !this.tried.has(record.start))
     const open = free.filter(endpoint => warmUps.takes(endpoint))
+    this.verdict = this.judgeCrashes()
+    if (this.verdict === 'refuse') return this.refuseCrashing()
+    if (this.verdict === 'isolate' && open.length > 0) return this.chooseIsolated(open)
     const ranked = rankEndpoints({
       open: open.map(endpoint => snapshotEndpoint(endpoint, fleetLoad, metadata, now)),
       serviceIds: available.map(({ record }) => record.id),
@@ -171,6 +193,33 @@
     return chosen
   }
 
+  private judgeCrashes(): CrashVerdict {
+    const { crashes } = this.parts
+    return crashes.isIdle ? 'send' : crashes.verdict(this.fingerprint)
+  }
+
+  private refuseCrashing(): undefined {
+    if (!this.history.some(mayHaveRun)) this.noChoice = { kind: 'crashing' }
+  }
+
+  /** The one among these at which all instances try a suspected request. */
+  private chooseIsolated(open: readonly EndpointState[]): EndpointState | undefined {
+    const id = rendezvousChoice(
+      this.fingerprint,
+      open.map(({ record }) => record.id),
+    )
+    const chosen = open.find(({ record }) => record.id === id)
+    if (chosen !== undefined) this.noteChoice(chosen, 0, open.length)
+    return chosen
+  }
+
+  /** What the request is, apart from this try of it. */
+  private get fingerprint(): RequestFingerprint {
+    const { path, team, body, record } = this.request
+    record.fingerprint ??= requestFingerprint({ path, team, body })
+    return record.fingerprint
+  }
+
   private noteChoice(chosen: EndpointState, score: number, compared: number): void {
     const { record } = this.request
     const { id } = chosen.record
@@ -198,22 +247,39 @@
       if (head.kind === 'head') {
         return await this.takeAnswer(endpoint, exchange, head.response, pending.noteBegun)
       }
-      endpoint.noteOutcome(false)
-      if (head.kind === 'failed') this.noteBroken(endpoint)
-      const kind = head.kind === 'not-sent' ? 'connect-failed' : 'failed'
-      return this.endAttempt({ kind, reason: head.reason })
+      return await this.endWithoutAnswer(endpoint, head)
     } finally {
       pending.end()
       this.exchange = undefined
     }
   }
 
-  /** The endpoint broke the request off before any part of an answer. */
-  private noteBroken(endpoint: EndpointState): void {
-    if (this.isOver) return
-    const { path, team, body, record } = this.request
-    record.fingerprint = requestFingerprint({ path, team, body })
-    void this.parts.ends.noteBroken(endpoint, record.fingerprint)
+  private async endWithoutAnswer(
+    endpoint: EndpointState,
+    { kind, reason }: Exclude<HeadOutcome, { kind: 'head' }>,
+  ): Promise<AttemptEnd> {
+    endpoint.noteOutcome(false)
+    if (kind === 'failed') return this.endBroken(endpoint, { kind, reason })
+    if (reason === CONNECTION_REFUSED) endpoint.noteUnreachable()
+    const end = this.endAttempt({ kind: 'connect-failed', reason })
+    const mayBeNews = end === 'try-another' && this.verdict === 'isolate'
+    if (mayBeNews) await sleep(this.parts.clock, NEWS_MILLISECONDS)
+    return end
+  }
+
+  /**
+   * The endpoint broke the request off before any part of an answer. Before it goes to another one, it must be known
+   * whether it ended this one.
+   */
+  private async endBroken(endpoint: EndpointState, outcome: AttemptOutcome): Promise<AttemptEnd> {
+    const wasIsolated = this.verdict === 'isolate'
+    const { fingerprint } = this
+    const isKnown = this.isOver
+      ? undefined
+      : this.parts.crashes.noteBroken(endpoint, { fingerprint, wasIsolated })
+    const end = this.endAttempt(outcome)
+    if (end === 'try-another') await isKnown
+    return end
   }
 
   /** Tokens of the prompt that an endpoint would have to read. */
@@ -293,8 +359,9 @@
     const pace = this.startPace(endpoint)
     let hasBegun = false
     const noteBytes = () => {
-      hasBegun = true
       noteBegun()
+      if (!hasBegun) this.noteAnswered()
+      hasBegun = true
     }
     const relay = new AnswerRelay({
       exchange,
@@ -315,10 +382,16 @@
     if (isWhole) return 'done'
     if (this.isOver) return 'give-up'
     endpoint.noteOutcome(false)
-    if (!hasBegun) this.noteBroken(endpoint)
     // The attempt was noted as answered; now more is known of it.
     this.history.pop()
-    return this.endAttempt({ kind: 'broke-off', events: this.events.events })
+    const outcome = { kind: 'broke-off', events: this.events.events } as const
+    return hasBegun ? this.endAttempt(outcome) : this.endBroken(endpoint, outcome)
+  }
+
+  /** An endpoint has given a part of its answer, so this request does not end what begins to run it. */
+  private noteAnswered(): void {
+    const { crashes } = this.parts
+    if (!crashes.isIdle) crashes.noteAnswered(this.fingerprint)
   }
 
   private startPace(endpoint: EndpointState): StreamPace {
--- a/packages/shared/src/resultCodes.ts
+++ b/packages/shared/src/resultCodes.ts
@@ -36,6 +36,7 @@
   KnowledgeTooOld = 3011,
   WarmingUp = 3012,
   CallerLeftUnsent = 3013,
+  EndsEndpoints = 3014,
 
   EndpointFailed = 4001,
   EndpointStalled = 4002,
@@ -97,6 +98,7 @@
   | ResultCode.KnowledgeTooOld
   | ResultCode.WarmingUp
   | ResultCode.CallerLeftUnsent
+  | ResultCode.EndsEndpoints
 
 /** Codes for a request that an earlier or this attempt may have run. */
 export type AfterDispatchCode =
@@ -212,6 +214,13 @@
     true,
     'the caller left before its request was sent on',
   ),
+  [ResultCode.EndsEndpoints]: row(
+    503,
+    'not-run',
+    false,
+    'endpoints ended as they began to run this request; it is not sent to another one',
+    3_600,
+  ),
 
   [ResultCode.EndpointFailed]: row(502, 'unknown', true, 'the endpoint did not answer'),
   [ResultCode.EndpointStalled]: row(504, 'ran', true, 'the endpoint stalled'),
