--- a/packages/stand-ins/src/engine/engineStandIn.ts
+++ b/packages/stand-ins/src/engine/engineStandIn.ts
@@ -102,6 +102,14 @@
   readonly taken: string[] = []
   generatedTokens = 0
   cancelled = 0
+  /** Ends as it begins to run a request whose answer would have this word, and is back after a while. */
+  endsUnderWord: string | undefined
+  /** Time from such an end to the next start under the same address. */
+  backAfterMilliseconds = 1_500
+  /** How often it has ended so. */
+  ends = 0
+  private port = 0
+  private revival: NodeJS.Timeout | undefined
   /** Breaks the connection off after so many tokens of each answer. */
   breakAfterTokens: number | undefined
 
@@ -114,6 +122,7 @@
 
   override async listen(port = 0): Promise<number> {
     const bound = await super.listen(port)
+    this.port = bound
     this.timer = setInterval(() => this.step(), this.options.tokenMilliseconds)
     return bound
   }
@@ -135,6 +144,7 @@
   /** Breaks off everything at once. */
   die(): void {
     clearInterval(this.timer)
+    clearTimeout(this.revival)
     this.stop()
   }
 
@@ -174,6 +184,15 @@
     this.waiting.sort((left, right) => left.body.priority - right.body.priority)
   }
 
+  /** Its process is gone; another one listens at its address after a while. */
+  private end(): void {
+    this.ends += 1
+    this.waiting = []
+    this.running = []
+    this.die()
+    this.revival = setTimeout(() => void this.listen(this.port), this.backAfterMilliseconds)
+  }
+
   /** One step of the batch: takes prompts in, then sends a token of every answer. */
   private step(): void {
     this.takeSnapshot()
@@ -181,6 +200,8 @@
     while (this.running.length < this.options.slots && this.waiting.length > 0) {
       const next = this.waiting.shift()
       if (next !== undefined) this.running.push(next)
+      const word = next?.body.stand_in?.word
+      if (word !== undefined && word === this.endsUnderWord) return this.end()
     }
     let prefill = (this.options.prefillTokensPerSecond * this.options.tokenMilliseconds) / 1000
     for (const job of [...this.running]) {
