--- a/packages/cli/src/commands/fleet.ts
+++ b/packages/cli/src/commands/fleet.ts
@@ -131,6 +131,21 @@
   context.environment.print(`${domain} is used again`)
 }
 
+const CRASHES_PATH = '/v1/crashes'
+
+/** `crashes`: requests under which endpoints ended. */
+export async function crashes(context: CommandContext): Promise<void> {
+  const document = await context.connection.get(CRASHES_PATH)
+  const items = document['items'] as readonly Row[]
+  printRows(context, document, items, ['fingerprint', 'verdict', 'ends'])
+}
+
+/** `clear FINGERPRINT`: the request is sent on as any other again. */
+export async function clear(context: CommandContext, fingerprint: string): Promise<void> {
+  await context.connection.exchange('DELETE', `${CRASHES_PATH}/${fingerprint}`)
+  context.environment.print(`${fingerprint} is sent to endpoints again`)
+}
+
 /** `status`: the instance that answers. */
 export async function status(context: CommandContext): Promise<void> {
   const document = await context.connection.get('/v1/status')
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -53,6 +53,7 @@
   const contextOf = (flags: CommonFlags) => createContext(environment, flags)
   addResourceCommands(program, contextOf)
   addFleetCommands(program, contextOf)
+  addEndpointCommands(program, contextOf)
   program.command('completion <shell>', 'Print a completion script').action((shell: string) => {
     environment.print(
       completionScript(
@@ -135,6 +136,17 @@
   program
     .command('drain <instance>', 'Let an instance take no new requests')
     .action(async (name, flags) => fleet.drain(await contextOf(flags), name))
+  program
+    .command('status', 'State of the instance that answers')
+    .action(async flags => fleet.status(await contextOf(flags)))
+  program
+    .command('audit', 'Who changed what')
+    .option('--from <version>', 'Begin after this version')
+    .action(async flags => fleet.audit(await contextOf(flags), flags))
+}
+
+/** What an operator does about endpoints. */
+function addEndpointCommands(program: CAC, contextOf: ContextOf): void {
   program
     .command('evacuate <domain>', 'Send nothing new to the endpoints of a failure domain')
     .option('--reason <text>', 'Why, for whoever asks later')
@@ -144,12 +156,11 @@
     .command('restore <domain>', 'Use the endpoints of a failure domain again')
     .action(async (domain, flags) => fleet.restore(await contextOf(flags), domain))
   program
-    .command('status', 'State of the instance that answers')
-    .action(async flags => fleet.status(await contextOf(flags)))
+    .command('crashes', 'Requests under which endpoints ended: suspected, or refused everywhere')
+    .action(async flags => fleet.crashes(await contextOf(flags)))
   program
-    .command('audit', 'Who changed what')
-    .option('--from <version>', 'Begin after this version')
-    .action(async flags => fleet.audit(await contextOf(flags), flags))
+    .command('clear <fingerprint>', 'Send such a request to endpoints again')
+    .action(async (fingerprint, flags) => fleet.clear(await contextOf(flags), fingerprint))
 }
 
 async function createContext(
--- a/packages/coordination/src/checkedTable.ts
+++ b/packages/coordination/src/checkedTable.ts
@@ -16,6 +16,7 @@
 } from '@rackwalk/stores'
 import { budgetRowCodec } from './budget/budgetRow.js'
 import { claimRowCodec } from './claims/claimRow.js'
+import { crashRowCodec } from './crashes/crashRow.js'
 import { changeCodec } from './configuration/configurationChange.js'
 import { resourceCodec } from './configuration/resource.js'
 import { writeRecordCodec } from './configuration/resourceStore.js'
@@ -26,6 +27,7 @@
 import {
   BUDGETS_PARTITION,
   CHANGES_PARTITION,
+  CRASHES_PARTITION,
   INCARNATIONS_PARTITION,
   LEASES_PARTITION,
 } from './tableKeys.js'
@@ -39,6 +41,7 @@
 const FORMS: Readonly<Record<string, RowForm>> = {
   [BUDGETS_PARTITION]: budgetRowCodec,
   [CHANGES_PARTITION]: changeCodec,
+  [CRASHES_PARTITION]: crashRowCodec,
   [INCARNATIONS_PARTITION]: incarnationRecordCodec,
   [LEASES_PARTITION]: leaseRowCodec,
   claim: claimRowCodec,
--- a/packages/coordination/src/coordinationNode.ts
+++ b/packages/coordination/src/coordinationNode.ts
@@ -3,6 +3,7 @@
  * work. Owns the timers and the state of the instance's life; each part owns the rest.
  */
 
+import type { CrashNews } from '@rackwalk/decisions'
 import { RackwalkError, ResultCode } from '@rackwalk/shared'
 import type {
   BudgetId,
@@ -73,6 +74,8 @@
   readonly inFlight?: () => number
   /** Endpoints seen leaving here, told to peers. */
   readonly leavingEndpoints?: () => readonly string[]
+  /** A peer told of requests that end endpoints. */
+  readonly onCrashNews?: (news: CrashNews) => void
   /** Learns peers' addresses from the platform's list, so that the channel can reach them. */
   readonly onListed?: (listed: readonly ListedInstance[]) => Promise<void> | void
   /** Called after each round of heartbeats. */
@@ -214,6 +217,7 @@
       describe: () => this.describe(),
       mayHold: () => this.mayHold(),
       drain: () => this.drain(),
+      noteCrashes: news => this.parts.onCrashNews?.(news),
       askForMembers: (target, group) => this.askForMembers(target, group),
     })
   }
--- a/packages/coordination/src/counters.ts
+++ b/packages/coordination/src/counters.ts
@@ -26,6 +26,7 @@
   | 'table_reads'
   | 'table_writes'
   | 'malformed_forms'
+  | 'crash_news_failed'
 
 /** Receives counts; must not throw. */
 export interface Counters {
--- a/packages/coordination/src/crashes/crashRecords.ts
+++ b/packages/coordination/src/crashes/crashRecords.ts
@@ -10,7 +10,14 @@
 import type { Clock, Milliseconds, RequestFingerprint, Timer } from '@rackwalk/shared'
 import type { ChangedRow, RowAddress, RowStore, StoredRow } from '@rackwalk/stores'
 import type { MirrorListener } from '../rows/tableMirror.js'
-import { CRASH_PARTITION, CRASH_TABLE, crashRowCodec, marksOf, withMarks } from './crashRow.js'
+import {
+  CRASH_PARTITION,
+  CRASH_TABLE,
+  KEPT_MILLISECONDS,
+  crashRowCodec,
+  marksOf,
+  withMarks,
+} from './crashRow.js'
 import type { CrashRow } from './crashRow.js'
 
 /** What the records work with. */
@@ -35,12 +42,6 @@
 const ROWS_A_WRITE = 50
 /** A write that the store did not take is tried again after this time. Chosen. */
 const RETRY_MILLISECONDS: Milliseconds = 1_000
-/**
- * A record is kept for this long after the newest end. Chosen: a request that comes daily is recognised; one that
- * outlasts it costs two endpoints a week until an operator acts.
- */
-const KEPT_MILLISECONDS: Milliseconds = 7 * 24 * 3_600_000
-
 /** The records of ends, on one instance. */
 export class CrashRecords implements MirrorListener {
   private readonly rows = new Map<RequestFingerprint, KnownRow>()
--- a/packages/coordination/src/crashes/crashRow.ts
+++ b/packages/coordination/src/crashes/crashRow.ts
@@ -11,6 +11,12 @@
 /** Partition of the rows; one for all, so that one read gives them. */
 export const CRASH_PARTITION = ''
 
+/**
+ * A record is kept for this long after the newest end. Chosen: a request that comes daily is recognised; one that
+ * outlasts it costs two endpoints a week until an operator acts.
+ */
+export const KEPT_MILLISECONDS: Milliseconds = 7 * 24 * 3_600_000
+
 /** One end of an endpoint under the request. */
 interface RecordedEnd {
   readonly start: EndpointStart
--- /dev/null
+++ b/packages/coordination/src/crashes/crashTable.ts
@@ -0,0 +1,109 @@
+/**
+ * The records of requests that end endpoints, for the OpenAI-style kind: rows of its table, read now and then, since peers
+ * tell each other at once. Owns what is still to be written and which rows were seen.
+ */
+
+import type { CrashMark } from '@rackwalk/decisions'
+import { asId, groupBy } from '@rackwalk/shared'
+import type { Clock, RandomSource, RequestFingerprint, TransactionId } from '@rackwalk/shared'
+import type { Row, RowCondition, RowWrite, TableService } from '@rackwalk/stores'
+import { valueOf } from '../forms.js'
+import { CRASHES_PARTITION, crashKey } from '../tableKeys.js'
+import { KEPT_MILLISECONDS, crashRowCodec, marksOf, withMarks } from './crashRow.js'
+
+/** What the records work with. */
+export interface CrashTableParts {
+  readonly table: TableService
+  readonly clock: Clock
+  readonly random: RandomSource
+  /** Rows say so. */
+  readonly onMarks: (marks: readonly CrashMark[]) => void
+  /** The row of a request has gone. */
+  readonly onCleared: (fingerprint: RequestFingerprint) => void
+}
+
+/** The records, on one instance of the OpenAI-style kind. */
+export class CrashTable {
+  private seen: ReadonlySet<RequestFingerprint> = new Set()
+  private unwritten: readonly CrashMark[] = []
+  private removals: readonly RequestFingerprint[] = []
+
+  constructor(private readonly parts: CrashTableParts) {}
+
+  /** Ends that this instance saw, for the next round. */
+  record(marks: readonly CrashMark[]): void {
+    this.unwritten = [...this.unwritten, ...marks]
+  }
+
+  /** A request is cleared: its row goes with the next round. */
+  remove(fingerprint: RequestFingerprint): void {
+    this.unwritten = this.unwritten.filter(mark => mark.fingerprint !== fingerprint)
+    this.removals = [...this.removals, fingerprint]
+  }
+
+  /** Writes what is to be written and reads what others wrote; throws where the table does not answer. */
+  async round(): Promise<void> {
+    await this.writeAll()
+    await this.read()
+  }
+
+  private async writeAll(): Promise<void> {
+    for (const [fingerprint, marks] of groupBy(this.unwritten, mark => mark.fingerprint)) {
+      if (await this.write(fingerprint, marks)) {
+        this.unwritten = this.unwritten.filter(mark => !marks.includes(mark))
+      }
+    }
+    for (const fingerprint of this.removals) {
+      const row = await this.parts.table.get(crashKey(fingerprint))
+      if (row === undefined || (await this.transact(deletionOf(row)))) {
+        this.removals = this.removals.filter(other => other !== fingerprint)
+      }
+    }
+  }
+
+  /** False where another instance wrote at the same time: the next round rests on what it wrote. */
+  private async write(
+    fingerprint: RequestFingerprint,
+    marks: readonly CrashMark[],
+  ): Promise<boolean> {
+    const key = crashKey(fingerprint)
+    const row = await this.parts.table.get(key)
+    const before = row && valueOf(crashRowCodec, row)
+    const after = withMarks(before, marks, this.parts.clock.wallTime())
+    const value = crashRowCodec.toJson(after)
+    return this.transact({ kind: 'put', key, condition: conditionOf(row), value })
+  }
+
+  private async transact(write: RowWrite): Promise<boolean> {
+    const id = asId<TransactionId>(this.parts.random.uniqueId())
+    return (await this.parts.table.transact(id, [write])).committed
+  }
+
+  private async read(): Promise<void> {
+    const rows = await this.parts.table.query(CRASHES_PARTITION)
+    const present = new Set<RequestFingerprint>()
+    for (const row of rows) {
+      const fingerprint = asId<RequestFingerprint>(row.key.sort)
+      present.add(fingerprint)
+      await this.take(fingerprint, row)
+    }
+    const gone = [...this.seen].filter(fingerprint => !present.has(fingerprint))
+    this.seen = present
+    for (const fingerprint of gone) this.parts.onCleared(fingerprint)
+  }
+
+  private async take(fingerprint: RequestFingerprint, row: Row): Promise<void> {
+    const record = valueOf(crashRowCodec, row)
+    const isExpired = this.parts.clock.wallTime() - record.at > KEPT_MILLISECONDS
+    if (isExpired) await this.transact(deletionOf(row))
+    else this.parts.onMarks(marksOf(fingerprint, record))
+  }
+}
+
+function deletionOf({ key, version }: Row): RowWrite {
+  return { kind: 'delete', key, condition: { kind: 'version', version } }
+}
+
+function conditionOf(row: Row | undefined): RowCondition {
+  return row === undefined ? { kind: 'absent' } : { kind: 'version', version: row.version }
+}
--- a/packages/coordination/src/nodeHandlers.ts
+++ b/packages/coordination/src/nodeHandlers.ts
@@ -1,5 +1,6 @@
 /** One handler for each kind of message between instances of the OpenAI-style kind. */
 
+import type { CrashNews } from '@rackwalk/decisions'
 import type { IncarnationId } from '@rackwalk/shared'
 import type { BudgetLedger } from './budget/budgetLedger.js'
 import type { Claims } from './claims/claims.js'
@@ -24,6 +25,7 @@
   readonly describe: () => MemberInfo
   readonly mayHold: () => boolean
   readonly drain: () => Promise<void>
+  readonly noteCrashes: (news: CrashNews) => void
   readonly askForMembers: (target: IncarnationId, group: string) => Promise<void>
 }
 
@@ -51,6 +53,10 @@
     endKey: request => registrar.end(request),
     commitBatch: request => joiner.commit(request),
     configurationSince: request => configuration.answer(request),
+    crashNews: news => {
+      parts.noteCrashes(news)
+      return {}
+    },
     drain: async () => {
       await parts.drain()
       return {}
--- a/packages/coordination/src/peerForms.ts
+++ b/packages/coordination/src/peerForms.ts
@@ -7,11 +7,13 @@
 import * as z from 'zod'
 import type {
   BudgetId,
+  EndpointStart,
   FailureDomainId,
   IdempotencyKey,
   IncarnationId,
   InstanceId,
   RegionId,
+  RequestFingerprint,
   RequestId,
   TeamId,
   TransactionId,
@@ -50,6 +52,8 @@
 const requestId = idSchema<RequestId>()
 const teamId = idSchema<TeamId>()
 const key = idSchema<IdempotencyKey>()
+const fingerprint = idSchema<RequestFingerprint>()
+const start = idSchema<EndpointStart>()
 
 const memberSchema: z.ZodType<MemberInfo> = z.object({
   instanceId: idSchema<InstanceId>(),
@@ -147,6 +151,13 @@
     z.object({ revision: z.number() }),
     z.object({ changes: z.array(changeSchema).optional(), snapshot: snapshotSchema.optional() }),
   ),
+  crashNews: form<'crashNews'>(
+    z.object({
+      marks: z.array(z.object({ fingerprint, start, wasIsolated: z.boolean() })),
+      cleared: z.array(z.object({ fingerprint, starts: z.array(start) })),
+    }),
+    nothing,
+  ),
   drain: form<'drain'>(nothing, nothing),
   explain: form<'explain'>(z.object({ requestId }), z.object({ record: anyJson.optional() })),
 }
--- a/packages/coordination/src/peerMessages.ts
+++ b/packages/coordination/src/peerMessages.ts
@@ -3,6 +3,7 @@
  * them. Their forms on the wire stand in peerForms.ts.
  */
 
+import type { CrashNews } from '@rackwalk/decisions'
 import type {
   BudgetId,
   FailureDomainId,
@@ -141,6 +142,11 @@
       readonly snapshot?: ConfigurationSnapshot
     }
   }
+  /** Tells of requests that end endpoints, at once; heartbeats would be too late. */
+  crashNews: {
+    request: CrashNews
+    reply: Record<string, never>
+  }
   /** Asks an instance to take no new requests. */
   drain: {
     request: Record<string, never>
--- a/packages/coordination/src/tableKeys.ts
+++ b/packages/coordination/src/tableKeys.ts
@@ -1,6 +1,12 @@
 /** Every row that the OpenAI-style kind keeps in the table, by the key under which it lies. */
 
-import type { BudgetId, IdempotencyKey, IncarnationId, TeamId } from '@rackwalk/shared'
+import type {
+  BudgetId,
+  IdempotencyKey,
+  IncarnationId,
+  RequestFingerprint,
+  TeamId,
+} from '@rackwalk/shared'
 import type { RowKey } from '@rackwalk/stores'
 import { sortKeyOf } from '@rackwalk/stores'
 
@@ -17,6 +23,14 @@
 /** Partition of the leases. */
 export const LEASES_PARTITION = 'leases'
 
+/** Partition of the records of requests that end endpoints. */
+export const CRASHES_PARTITION = 'crashes'
+
+/** The key of the record of one such request. */
+export function crashKey(fingerprint: RequestFingerprint): RowKey {
+  return { partition: CRASHES_PARTITION, sort: fingerprint }
+}
+
 /** The partition of an incarnation's journal. */
 export function journalPartition(incarnation: IncarnationId): string {
   return `journal/${incarnation}`
--- a/packages/daemon/__tests__/crashNews.spec.ts
+++ b/packages/daemon/__tests__/crashNews.spec.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest'
 import { decodeReport, encodeReport, newsOf, reportsOf } from '@rackwalk/daemon'
 import { asId } from '@rackwalk/shared'
-import type { CrashNews } from '@rackwalk/router'
+import type { CrashNews } from '@rackwalk/decisions'
 
 /** News of requests that end endpoints, as they travel beside reports of load. */
 
--- a/packages/daemon/__tests__/peerProtocol.spec.ts
+++ b/packages/daemon/__tests__/peerProtocol.spec.ts
@@ -49,6 +49,14 @@
   ['endKey', { ...KEY, complete: true, billedTokens: 15 }, {}],
   ['commitBatch', { id: 'id-1', writes: [] }, { committed: false, conflicts: [0] }],
   ['configurationSince', { revision: 0 }, { changes: [] }],
+  [
+    'crashNews',
+    {
+      marks: [{ fingerprint: 'f', start: 'engine-1', wasIsolated: true }],
+      cleared: [{ fingerprint: 'g', starts: ['engine-2'] }],
+    },
+    {},
+  ],
   ['drain', {}, {}],
   ['explain', { requestId: 'r-1' }, { record: { code: 0 } }],
 ]
--- a/packages/daemon/__tests__/references.spec.ts
+++ b/packages/daemon/__tests__/references.spec.ts
@@ -65,6 +65,7 @@
     liveInstances: zero,
     configurationRevision: zero,
     serving: zero,
+    crashingRequests: zero,
   })
   const gateway = new GatewayMetrics({
     inFlight: zero,
--- a/packages/daemon/src/gateway/crashNews.ts
+++ b/packages/daemon/src/gateway/crashNews.ts
@@ -3,9 +3,9 @@
  * late (sequence 0), so that an earlier version, which knows nothing of them, drops them as such. Owns nothing.
  */
 
-import type { CrashMark } from '@rackwalk/decisions'
+import type { CrashMark, CrashNews } from '@rackwalk/decisions'
 import { asId } from '@rackwalk/shared'
-import type { CrashNews, PeerLoadReport } from '@rackwalk/router'
+import type { PeerLoadReport } from '@rackwalk/router'
 
 /** No report of load has it: their sequences count from 1. */
 const NEWS_SEQUENCE = 0
--- a/packages/daemon/src/gateway/crashWatch.ts
+++ b/packages/daemon/src/gateway/crashWatch.ts
@@ -5,7 +5,8 @@
 
 import { CrashRecords } from '@rackwalk/coordination'
 import { CrashGuard, probeAddress } from '@rackwalk/router'
-import type { CrashNews, EndpointDirectory } from '@rackwalk/router'
+import type { CrashNews } from '@rackwalk/decisions'
+import type { EndpointDirectory } from '@rackwalk/router'
 import type { Clock, Milliseconds, RequestFingerprint } from '@rackwalk/shared'
 import type { RowStore } from '@rackwalk/stores'
 import type { GatewayTelemetry } from './gatewayTelemetry.js'
--- a/packages/daemon/src/observe/metrics.ts
+++ b/packages/daemon/src/observe/metrics.ts
@@ -19,6 +19,7 @@
   readonly liveInstances: () => number
   readonly configurationRevision: () => number
   readonly serving: () => number
+  readonly crashingRequests: () => number
 }
 
 /** The metrics of one instance, in a registry of its own. */
@@ -27,6 +28,7 @@
   private readonly coordination: Counter
   private readonly requests: Counter
   private readonly retries: Counter
+  private readonly endpointEnds: Counter
   private readonly tokens: Counter
   private readonly billed: Counter
   private readonly firstByte: Histogram
@@ -52,6 +54,11 @@
       help: 'Attempts made again after one that may have run.',
       registers,
     })
+    this.endpointEnds = new Counter({
+      name: 'rackwalk_endpoint_ends_total',
+      help: 'Endpoints that were seen to end unannounced with unanswered requests from here.',
+      registers,
+    })
     this.tokens = new Counter({
       name: 'rackwalk_relayed_events_total',
       help: 'Events of streamed answers passed on.',
@@ -80,6 +87,10 @@
     this.coordination.inc({ event: name }, amount)
   }
 
+  noteEndpointEnd(): void {
+    this.endpointEnds.inc()
+  }
+
   noteRetry(): void {
     this.retries.inc()
   }
@@ -118,6 +129,11 @@
       'Configuration revision in force here.',
       sources.configurationRevision,
     )
+    this.gauge(
+      'rackwalk_crashing_requests',
+      'Requests that are refused since endpoints ended as they began to run them.',
+      sources.crashingRequests,
+    )
     this.gauge('rackwalk_serving', '1 while new requests may begin here.', sources.serving)
   }
 
--- a/packages/daemon/src/operators/openApi.ts
+++ b/packages/daemon/src/operators/openApi.ts
@@ -19,6 +19,8 @@
   'GET /v1/writes/{name}': 'What became of a write, by its id',
   'GET /v1/requests/{name}': 'Why a request was decided as it was',
   'GET /v1/budgets/{name}/allocations': 'Where the tokens of a budget are',
+  'GET /v1/crashes': 'Requests under which endpoints ended, and what is done about them',
+  'DELETE /v1/crashes/{name}': 'Send such a request on as any other again',
   'GET /v1/{kind}': 'List resources of a kind',
   'GET /v1/{kind}/{name}': 'One resource with its status',
   'PUT /v1/{kind}/{name}': 'Create or replace a resource',
--- a/packages/daemon/src/operators/operatorRoutes.ts
+++ b/packages/daemon/src/operators/operatorRoutes.ts
@@ -11,6 +11,7 @@
   Clock,
   IncarnationId,
   InstanceId,
+  RequestFingerprint,
   RequestId,
   TransactionId,
 } from '@rackwalk/shared'
@@ -33,7 +34,7 @@
   ResourceStore,
 } from '@rackwalk/coordination'
 import { RESOURCE_KINDS, isResourceKind, readBody } from '@rackwalk/router'
-import type { DecisionRecord, ResourceKind } from '@rackwalk/router'
+import type { CrashGuard, DecisionRecord, ResourceKind } from '@rackwalk/router'
 import { answerJson } from '../observe/httpAnswer.js'
 import type { InForceTracker } from './inForceTracker.js'
 import { openApiDescription } from './openApi.js'
@@ -55,6 +56,7 @@
   readonly explain: (requestId: RequestId) => Promise<DecisionRecord | undefined>
   readonly drainHere: () => Promise<void>
   readonly status: () => JsonValue
+  readonly crashes: CrashGuard
 }
 
 const MAXIMUM_BODY_BYTES = 1024 * 1024
@@ -84,6 +86,8 @@
       this.route('GET', '/v1/budgets/{name}/allocations', (request, name) =>
         this.getAllocations(request, name),
       ),
+      this.route('GET', '/v1/crashes', request => this.getCrashes(request)),
+      this.route('DELETE', '/v1/crashes/{name}', (request, name) => this.clearCrash(request, name)),
       this.route('GET', '/v1/{kind}', (request, kind) => this.list(request, kind)),
       this.route('GET', '/v1/{kind}/{name}', (request, kind, name) =>
         this.get(request, kind, name),
@@ -183,6 +187,25 @@
     answerJson(response, 200, this.describeBudget(valueOf(budgetRowCodec, stored)))
   }
 
+  private getCrashes({ response }: OperatorRequest): void {
+    const { crashes } = this.parts
+    const items = crashes.suspects.map(fingerprint => ({
+      fingerprint,
+      verdict: crashes.verdict(fingerprint),
+      ends: crashes.marksOf(fingerprint).map(({ start }) => start),
+    }))
+    answerJson(response, 200, { items })
+  }
+
+  private clearCrash({ response }: OperatorRequest, name = ''): void {
+    const fingerprint = asId<RequestFingerprint>(name)
+    if (this.parts.crashes.verdict(fingerprint) === 'send') {
+      throw new RackwalkError(ResultCode.ResourceNotFound, `crashes/${name}`)
+    }
+    this.parts.crashes.clear(fingerprint)
+    answerJson(response, 200, { fingerprint, cleared: true })
+  }
+
   private describeBudget(row: BudgetRow) {
     const holders = Object.entries(row.holders).map(([incarnation, holding]) => {
       const member = this.parts.membership.find(asId<IncarnationId>(incarnation))
--- /dev/null
+++ b/packages/daemon/src/platformClients.ts
@@ -0,0 +1,46 @@
+/** What the settings of an OpenAI-style instance name: the clients of its platform, and how budgets are divided. */
+
+import { DynamodbTableService, S3ObjectStore } from '@rackwalk/stores'
+import { EqualSplitPolicy, RateProportionalPolicy, WeighedPolicy } from '@rackwalk/coordination'
+import type { AllocationPolicy } from '@rackwalk/coordination'
+import { readSecret } from './settings/load.js'
+import type { Settings } from './settings/schema.js'
+
+/** The policy that divides budgets among instances. */
+export function createPolicy(policy: Settings['budgetPolicy']): AllocationPolicy {
+  switch (policy.name) {
+    case 'equal-split':
+      return new EqualSplitPolicy()
+    case 'rate-proportional':
+      return new RateProportionalPolicy()
+    case 'weighed':
+      return new WeighedPolicy({
+        overspend: policy.overspendWeight,
+        falseRefusal: policy.falseRefusalWeight,
+      })
+  }
+}
+
+/** The client of the table. */
+export function createTable({ platform: { table } }: Settings): DynamodbTableService {
+  return new DynamodbTableService({
+    endpoint: table.endpoint,
+    region: table.region,
+    tableName: table.name,
+    accessKeyId: readSecret(table.accessKeyId),
+    secretAccessKey: readSecret(table.secretAccessKey),
+    timeoutMilliseconds: table.timeoutMilliseconds,
+  })
+}
+
+/** The client of the object store. */
+export function createObjects({ platform: { objects } }: Settings): S3ObjectStore {
+  return new S3ObjectStore({
+    endpoint: objects.endpoint,
+    region: objects.region,
+    bucket: objects.bucket,
+    accessKeyId: readSecret(objects.accessKeyId),
+    secretAccessKey: readSecret(objects.secretAccessKey),
+    timeoutMilliseconds: objects.timeoutMilliseconds,
+  })
+}
--- a/packages/daemon/src/rackwalkDaemon.ts
+++ b/packages/daemon/src/rackwalkDaemon.ts
@@ -13,20 +13,18 @@
   RegionId,
   Task,
 } from '@rackwalk/shared'
-import { DynamodbTableService, ObjectStoreInstanceList, S3ObjectStore } from '@rackwalk/stores'
+import { ObjectStoreInstanceList } from '@rackwalk/stores'
+import type { DynamodbTableService, S3ObjectStore } from '@rackwalk/stores'
 import type { JsonValue, ListedInstance, TableService } from '@rackwalk/stores'
 import {
   CheckedTable,
   CoordinationNode,
   DEFAULT_JOURNAL_LIMITS,
-  EqualSplitPolicy,
   Lease,
-  RateProportionalPolicy,
   ResourceStore,
-  WeighedPolicy,
   chooseAddresses,
 } from '@rackwalk/coordination'
-import type { AllocationPolicy, NodeIdentity } from '@rackwalk/coordination'
+import type { NodeIdentity } from '@rackwalk/coordination'
 import { Catalogue, EndpointClient, EndpointTable, FOLLOWED_KINDS } from '@rackwalk/router'
 import type { DecisionRecord } from '@rackwalk/router'
 import { CallerServer } from './callers/callerServer.js'
@@ -42,10 +40,12 @@
 import { ResourceApi } from './operators/resourceApi.js'
 import { GrpcPeerChannel } from './peers/grpcPeerChannel.js'
 import { PeerServer } from './peers/peerServer.js'
+import { createObjects, createPolicy, createTable } from './platformClients.js'
 import { createRequestPath } from './requestPath.js'
 import type { RequestPath } from './requestPath.js'
 import { readSecret } from './settings/load.js'
 import type { Settings } from './settings/schema.js'
+import { CrashTask } from './tasks/crashTask.js'
 import { EndpointMonitor } from './tasks/endpointMonitor.js'
 import { PlacementTask } from './tasks/placementTask.js'
 
@@ -93,6 +93,7 @@
   private readonly path: RequestPath
   private readonly explainer: Explainer
   private readonly inForce: InForceTracker
+  private readonly crashes: CrashTask
   private readonly monitor: EndpointMonitor
   private readonly tasks: readonly Task[]
   private readonly peerServer: PeerServer
@@ -124,11 +125,12 @@
     this.endpoints = new EndpointTable(this.catalogue, this.clock, (endpoint, change) =>
       this.logger.info('endpoint_state', { endpoint, change }),
     )
+    this.crashes = this.createCrashTask()
     this.path = this.createPath()
     this.explainer = new Explainer(this.node, this.peers)
     this.inForce = new InForceTracker(this.node.membership, this.clock)
     this.monitor = this.createMonitor()
-    this.tasks = [this.monitor, this.createPlacementTask()]
+    this.tasks = [this.monitor, this.crashes, this.createPlacementTask()]
     this.peerServer = new PeerServer(this.node.handlers, this.peerSecret(), form =>
       this.malformed.note(form),
     )
@@ -243,6 +245,7 @@
       journalLimits: { ...DEFAULT_JOURNAL_LIMITS, maximumBacklog: limits.journalBacklog },
       inFlight: () => this.path.pipeline.inFlight,
       leavingEndpoints: () => this.endpoints.leaving,
+      onCrashNews: news => this.crashes.guard.observe(news),
       onHeartbeat: () => this.afterHeartbeat(),
       onListed: listed => this.noteListed(listed),
       onSealed: () => this.endSealed(),
@@ -256,6 +259,7 @@
       catalogue: this.catalogue,
       endpoints: this.endpoints,
       client: this.client,
+      crashes: this.crashes.guard,
       clock: this.clock,
       random: this.random,
       logger: this.logger,
@@ -266,6 +270,20 @@
     })
   }
 
+  private createCrashTask(): CrashTask {
+    const { table, clock, random, logger, metrics, peers } = this
+    return new CrashTask({
+      membership: () => this.node.membership,
+      peers,
+      table,
+      clock,
+      random,
+      logger,
+      metrics,
+      onFault: error => this.noteFault(error),
+    })
+  }
+
   private createMonitor(): EndpointMonitor {
     return new EndpointMonitor({
       catalogue: this.catalogue,
@@ -327,6 +345,7 @@
       explain: requestId => this.explainer.find(requestId),
       drainHere: () => this.node.drain(),
       status: () => this.status(),
+      crashes: this.crashes.guard,
     })
     return new OperatorServer({
       routes,
@@ -344,6 +363,7 @@
       liveInstances: () => this.node.membership.live().length,
       configurationRevision: () => this.node.configuration.revision,
       serving: () => (this.isServing ? 1 : 0),
+      crashingRequests: () => this.crashes.guard.refusedCount,
     })
     this.node.configuration.subscribe(() => {
       void this.node.warm(this.catalogue.teamBudgets)
@@ -432,39 +452,3 @@
     operatorAddress: settings.listen.operators,
   }
 }
-
-function createPolicy(policy: Settings['budgetPolicy']): AllocationPolicy {
-  switch (policy.name) {
-    case 'equal-split':
-      return new EqualSplitPolicy()
-    case 'rate-proportional':
-      return new RateProportionalPolicy()
-    case 'weighed':
-      return new WeighedPolicy({
-        overspend: policy.overspendWeight,
-        falseRefusal: policy.falseRefusalWeight,
-      })
-  }
-}
-
-function createTable({ platform: { table } }: Settings): DynamodbTableService {
-  return new DynamodbTableService({
-    endpoint: table.endpoint,
-    region: table.region,
-    tableName: table.name,
-    accessKeyId: readSecret(table.accessKeyId),
-    secretAccessKey: readSecret(table.secretAccessKey),
-    timeoutMilliseconds: table.timeoutMilliseconds,
-  })
-}
-
-function createObjects({ platform: { objects } }: Settings): S3ObjectStore {
-  return new S3ObjectStore({
-    endpoint: objects.endpoint,
-    region: objects.region,
-    bucket: objects.bucket,
-    accessKeyId: readSecret(objects.accessKeyId),
-    secretAccessKey: readSecret(objects.secretAccessKey),
-    timeoutMilliseconds: objects.timeoutMilliseconds,
-  })
-}
--- a/packages/daemon/src/requestPath.ts
+++ b/packages/daemon/src/requestPath.ts
@@ -17,10 +17,12 @@
   RequestPipeline,
   ReserveFilter,
   RouteFilter,
+  ScreenFilter,
   SettleFilter,
 } from '@rackwalk/router'
 import type {
   Catalogue,
+  CrashGuard,
   DecisionRecord,
   EndpointClient,
   EndpointTable,
@@ -37,6 +39,7 @@
   readonly catalogue: Catalogue
   readonly endpoints: EndpointTable
   readonly client: EndpointClient
+  readonly crashes: CrashGuard
   readonly clock: Clock
   readonly random: RandomSource
   readonly logger: Logger
@@ -63,6 +66,7 @@
     endpoints,
     random,
     instances,
+    crashes: parts.crashes,
     onDecision: (request, decision) => logDecision(parts.logger, request, decision),
   })
   const checkServing = () => requireServing(node)
@@ -75,6 +79,7 @@
       defaultDeadlineMilliseconds: limits.defaultDeadlineMilliseconds,
       longestDeadlineMilliseconds: limits.longestRequestMilliseconds,
     }),
+    screen: new ScreenFilter(parts.crashes),
     deduplicate: new DeduplicateFilter(keys, incarnation),
     admit,
     reserve: new ReserveFilter(ledger),
@@ -85,6 +90,7 @@
       endpoints,
       router,
       client,
+      crashes: parts.crashes,
       clock,
       random,
       firstByteMilliseconds: limits.firstByteMilliseconds,
--- /dev/null
+++ b/packages/daemon/src/tasks/crashTask.ts
@@ -0,0 +1,122 @@
+/**
+ * Joins what an instance of the OpenAI-style kind finds out of requests that end endpoints with those who must know: the
+ * peers at once, the table, the log. Owns the guard and the time between two looks at the table.
+ */
+
+import { CrashTable } from '@rackwalk/coordination'
+import type { Membership, PeerChannel } from '@rackwalk/coordination'
+import type { CrashNews } from '@rackwalk/decisions'
+import { CrashGuard, probeAddress } from '@rackwalk/router'
+import type { Clock, Milliseconds, RandomSource, Task, Timer } from '@rackwalk/shared'
+import { RackwalkError } from '@rackwalk/shared'
+import type { TableService } from '@rackwalk/stores'
+import type { Logger } from '../observe/logger.js'
+import type { Metrics } from '../observe/metrics.js'
+
+/** What the task works with. */
+export interface CrashTaskParts {
+  readonly membership: () => Membership
+  readonly peers: PeerChannel
+  readonly table: TableService
+  readonly clock: Clock
+  readonly random: RandomSource
+  readonly logger: Logger
+  readonly metrics: Metrics
+  readonly onFault: (error: unknown) => void
+}
+
+/** Whether anything listens at an address is known within this time, or not at all. Chosen. */
+const PROBE_MILLISECONDS: Milliseconds = 100
+/** Time between two looks at the table, for an instance that no peer could tell. Chosen: a look is one query. */
+const LOOK_MILLISECONDS: Milliseconds = 30_000
+
+/** What an instance of the OpenAI-style kind does about requests that end endpoints. */
+export class CrashTask implements Task {
+  readonly guard: CrashGuard
+  private readonly records: CrashTable
+  private timer: Timer | undefined
+  private isAtWork = false
+  private isAgainDue = false
+  private stopped = false
+
+  constructor(private readonly parts: CrashTaskParts) {
+    const { clock, table, random, logger, metrics } = parts
+    this.guard = new CrashGuard({
+      clock,
+      probe: address => probeAddress(address, PROBE_MILLISECONDS),
+      onEnd: ({ endpoint, unanswered }) => {
+        metrics.noteEndpointEnd()
+        const requests = unanswered.map(({ fingerprint }) => fingerprint)
+        logger.warn('endpoint_ended', { endpoint: endpoint.id, unanswered: requests })
+      },
+      // Failures in a row eject it, as any endpoint that does not answer.
+      onUnreachable: () => {},
+      onNews: news => this.share(news),
+      onVerdict: (fingerprint, isRefused) => {
+        const event = isRefused ? 'crashing_request_refused' : 'crashing_request_cleared'
+        logger.warn(event, { fingerprint })
+      },
+    })
+    this.records = new CrashTable({
+      table,
+      clock,
+      random,
+      onMarks: marks => this.guard.observe({ marks, cleared: [] }),
+      onCleared: fingerprint => this.guard.forget(fingerprint),
+    })
+  }
+
+  async start(): Promise<void> {
+    void this.work()
+  }
+
+  async drain(): Promise<void> {
+    // Requests in progress still need the guard.
+  }
+
+  async stop(): Promise<void> {
+    this.stopped = true
+    this.timer?.cancel()
+  }
+
+  /** An operator clears a request, or it was answered. */
+  clear(news: CrashNews['cleared']): void {
+    for (const { fingerprint } of news) this.records.remove(fingerprint)
+    void this.work()
+  }
+
+  private share(news: CrashNews): void {
+    this.records.record(news.marks)
+    this.clear(news.cleared)
+    this.tell(news)
+  }
+
+  /** A peer that does not hear it reads the table. */
+  private tell(news: CrashNews): void {
+    const membership = this.parts.membership()
+    for (const { incarnation } of membership.live()) {
+      if (incarnation === membership.self.incarnation) continue
+      this.parts.peers.call(incarnation, 'crashNews', news).catch(() => {
+        this.parts.metrics.increment('crash_news_failed')
+      })
+    }
+  }
+
+  /** One round at a time; what comes up meanwhile makes another one. */
+  private async work(): Promise<void> {
+    this.isAgainDue = this.isAtWork
+    if (this.isAtWork || this.stopped) return
+    this.isAtWork = true
+    this.timer?.cancel()
+    try {
+      await this.records.round()
+    } catch (error) {
+      // A table that does not answer is tried again; anything else is a fault.
+      if (!(error instanceof RackwalkError)) this.parts.onFault(error)
+    }
+    this.isAtWork = false
+    if (this.stopped) return
+    if (this.isAgainDue) return void this.work()
+    this.timer = this.parts.clock.after(LOOK_MILLISECONDS, () => void this.work())
+  }
+}
--- a/packages/decisions/src/retrying/crashSuspicion.ts
+++ b/packages/decisions/src/retrying/crashSuspicion.ts
@@ -34,6 +34,18 @@
   readonly wasIsolated: boolean
 }
 
+/** A request that is cleared of these ends. */
+interface ClearedRequest {
+  readonly fingerprint: RequestFingerprint
+  readonly starts: readonly EndpointStart[]
+}
+
+/** What an instance has found out and the others should know. */
+export interface CrashNews {
+  readonly marks: readonly CrashMark[]
+  readonly cleared: readonly ClearedRequest[]
+}
+
 interface Suspicion {
   /** By start: whether the request was sent there as suspected. */
   readonly ends: Map<EndpointStart, boolean>
--- a/packages/router/__tests__/endpointEnds.spec.ts
+++ b/packages/router/__tests__/endpointEnds.spec.ts
@@ -2,7 +2,7 @@
 import { VirtualClock, asId, endpointStart } from '@rackwalk/shared'
 import type { RequestFingerprint } from '@rackwalk/shared'
 import { EndpointDirectory, EndpointEnds } from '@rackwalk/router'
-import type { EndpointEnd, EndpointRecord, EndpointState } from '@rackwalk/router'
+import type { EndpointEnd, EndpointRecord } from '@rackwalk/router'
 
 /** When a broken request says that its endpoint has ended, and when it doesn't. */
 
@@ -47,30 +47,35 @@
     onReplaced: start => ends.noteReplaced(start),
   })
   directory.set(recordOf(1))
-  const [endpoint] = directory.available('models')
+  const [state] = directory.available('models')
+  /** The endpoint as it is known when it breaks a request off. */
+  const endpoint = () => {
+    const { record = recordOf(1), leavesAsPlanned = false, hasEnded = false } = state ?? {}
+    return { ...record, leavesAsPlanned, hasEnded }
+  }
   const unanswered = () => told.map(end => end.unanswered.map(request => request.fingerprint))
-  return { ends, directory, endpoint: endpoint as EndpointState, unanswered, probes: () => probes }
+  return { ends, directory, endpoint, unanswered, probes: () => probes }
 }
 
 describe('an endpoint that breaks requests off', () => {
   it('has ended where nobody listens there: one look tells of all that it had not answered', async () => {
     const { ends, endpoint, unanswered, probes } = watch('refused')
-    await Promise.all([ends.noteBroken(endpoint, FIRST), ends.noteBroken(endpoint, SECOND)])
+    await Promise.all([ends.noteBroken(endpoint(), FIRST), ends.noteBroken(endpoint(), SECOND)])
     expect(unanswered()).toEqual([['first', 'second']])
-    await ends.noteBroken(endpoint, broken('late'))
+    await ends.noteBroken(endpoint(), broken('late'))
     expect(unanswered()).toEqual([['first', 'second'], ['late']])
     expect(probes()).toBe(1)
   })
 
   it.each(['listening', 'silent'] as const)('has not ended where the look says %s', async look => {
     const { ends, endpoint, unanswered } = watch(look)
-    await ends.noteBroken(endpoint, FIRST)
+    await ends.noteBroken(endpoint(), FIRST)
     expect(unanswered()).toEqual([])
   })
 
   it('has ended also where it listens again, once its row tells of a new start', async () => {
     const { ends, directory, endpoint, unanswered } = watch('listening')
-    await ends.noteBroken(endpoint, FIRST)
+    await ends.noteBroken(endpoint(), FIRST)
     directory.set(recordOf(2))
     expect(unanswered()).toEqual([['first']])
   })
@@ -78,11 +83,11 @@
   it('ends as planned where it said that it leaves, or where its entry went first', async () => {
     const leaving = watch('refused')
     leaving.directory.set({ ...recordOf(1), isLeaving: true })
-    await leaving.ends.noteBroken(leaving.endpoint, FIRST)
+    await leaving.ends.noteBroken(leaving.endpoint(), FIRST)
     expect(leaving.unanswered()).toEqual([])
     const gone = watch('refused')
     gone.directory.remove('endpoint-1')
-    await gone.ends.noteBroken(gone.endpoint, FIRST)
+    await gone.ends.noteBroken(gone.endpoint(), FIRST)
     expect(gone.unanswered()).toEqual([])
   })
 })
--- a/packages/router/src/gateway/crashGuard.ts
+++ b/packages/router/src/crashes/crashGuard.ts
@@ -4,24 +4,11 @@
  */
 
 import { CrashSuspicions } from '@rackwalk/decisions'
-import type { CrashMark, CrashVerdict } from '@rackwalk/decisions'
+import type { CrashMark, CrashNews, CrashVerdict } from '@rackwalk/decisions'
 import type { Clock, EndpointStart, RequestFingerprint } from '@rackwalk/shared'
 import { EndpointEnds } from './endpointEnds.js'
-import type { BrokenRequest, EndpointEnd } from './endpointEnds.js'
+import type { BreakingEndpoint, BrokenRequest, EndpointEnd } from './endpointEnds.js'
 import type { ProbeOutcome } from './endpointProbe.js'
-import type { EndpointState } from './endpointState.js'
-
-/** A request that is cleared of these ends. */
-interface ClearedRequest {
-  readonly fingerprint: RequestFingerprint
-  readonly starts: readonly EndpointStart[]
-}
-
-/** What an instance has found out and the others should know. */
-export interface CrashNews {
-  readonly marks: readonly CrashMark[]
-  readonly cleared: readonly ClearedRequest[]
-}
 
 /** What the guard works with. */
 export interface CrashGuardParts {
@@ -56,12 +43,22 @@
     return this.suspicions.refusedCount
   }
 
+  /** What is held against a request. */
+  marksOf(fingerprint: RequestFingerprint): readonly CrashMark[] {
+    return this.suspicions.marksOf(fingerprint)
+  }
+
+  /** Requests that are not sent as any other. */
+  get suspects(): readonly RequestFingerprint[] {
+    return this.suspicions.fingerprints.filter(suspect => this.verdict(suspect) !== 'send')
+  }
+
   verdict(fingerprint: RequestFingerprint): CrashVerdict {
     return this.suspicions.verdict(fingerprint)
   }
 
   /** An endpoint broke a request off before any part of an answer; resolves when it is known whether it ended. */
-  noteBroken(endpoint: EndpointState, request: BrokenRequest): Promise<void> {
+  noteBroken(endpoint: BreakingEndpoint, request: BrokenRequest): Promise<void> {
     return this.ends.noteBroken(endpoint, request)
   }
 
@@ -72,6 +69,11 @@
 
   /** An endpoint answered a part of a request, so that is not what ended others. */
   noteAnswered(fingerprint: RequestFingerprint): void {
+    this.clear(fingerprint)
+  }
+
+  /** Nothing is held against a request any more, here and at all other instances. */
+  clear(fingerprint: RequestFingerprint): void {
     const starts = this.suspicions.marksOf(fingerprint).map(({ start }) => start)
     if (starts.length === 0) return
     this.take({ marks: [], cleared: [{ fingerprint, starts }] })
--- a/packages/router/src/gateway/endpointEnds.ts
+++ b/packages/router/src/crashes/endpointEnds.ts
@@ -8,11 +8,24 @@
 
 import type { Clock, EndpointStart, Milliseconds, RequestFingerprint } from '@rackwalk/shared'
 import type { ProbeOutcome } from './endpointProbe.js'
-import type { EndpointRecord, EndpointState } from './endpointState.js'
+
+/** An endpoint that broke a request off, as it is known at that moment. */
+export interface BreakingEndpoint {
+  readonly id: string
+  readonly start: EndpointStart
+  /** Service or model. */
+  readonly service: string
+  /** IP:PORT. */
+  readonly address: string
+  /** Whether its end was announced. */
+  readonly leavesAsPlanned: boolean
+  /** Whether this start of it is known to be over. */
+  readonly hasEnded: boolean
+}
 
 /** An endpoint ended unannounced. */
 export interface EndpointEnd {
-  readonly endpoint: EndpointRecord
+  readonly endpoint: BreakingEndpoint
   /** Requests from here that were there and had no part of an answer; each is told once. */
   readonly unanswered: readonly BrokenRequest[]
 }
@@ -33,7 +46,7 @@
 
 /** Requests that one start of an endpoint broke off. */
 interface Breaks {
-  readonly endpoint: EndpointRecord
+  readonly endpoint: BreakingEndpoint
   readonly untold: BrokenRequest[]
   newestAt: Milliseconds
   hasEnded: boolean
@@ -53,7 +66,7 @@
   constructor(private readonly parts: EndpointEndsParts) {}
 
   /** An endpoint broke a request off before any part of an answer; resolves when it is known whether it ended. */
-  async noteBroken(endpoint: EndpointState, request: BrokenRequest): Promise<void> {
+  async noteBroken(endpoint: BreakingEndpoint, request: BrokenRequest): Promise<void> {
     if (endpoint.leavesAsPlanned) return
     const breaks = this.breaksOf(endpoint)
     breaks.untold.push(request)
@@ -84,16 +97,17 @@
     this.parts.onEnd({ endpoint, unanswered: untold.splice(0) })
   }
 
-  private breaksOf({ record, hasEnded }: EndpointState): Breaks {
+  private breaksOf(endpoint: BreakingEndpoint): Breaks {
     const now = this.parts.clock.monotonic()
     this.forgetOlderThan(now - REMEMBERED_MILLISECONDS)
-    const known = this.breaks.get(record.start)
+    const known = this.breaks.get(endpoint.start)
     if (known !== undefined) {
       known.newestAt = now
       return known
     }
-    const created = { endpoint: record, untold: [], newestAt: now, hasEnded, probing: undefined }
-    this.breaks.set(record.start, created)
+    const { hasEnded, start } = endpoint
+    const created = { endpoint, untold: [], newestAt: now, hasEnded, probing: undefined }
+    this.breaks.set(start, created)
     return created
   }
 
--- a/packages/router/src/filters/dispatch.ts
+++ b/packages/router/src/filters/dispatch.ts
@@ -3,8 +3,9 @@
  * for the endpoint and on the retry budget for another try.
  */
 
-import { DispatchedError, NotRunError, ResultCode, sleep } from '@rackwalk/shared'
+import { DispatchedError, NotRunError, ResultCode, endpointStart, sleep } from '@rackwalk/shared'
 import type { Clock, EndpointId, Milliseconds, RandomSource } from '@rackwalk/shared'
+import type { CrashGuard } from '../crashes/crashGuard.js'
 import type { AttemptResult } from '../engine/attemptResult.js'
 import type { EndpointClient } from '../engine/endpointClient.js'
 import { RetryBudget, backoffMilliseconds } from '../limits/retryBudget.js'
@@ -19,6 +20,7 @@
   readonly endpoints: EndpointTable
   readonly router: EndpointRouter
   readonly client: EndpointClient
+  readonly crashes: CrashGuard
   readonly clock: Clock
   readonly random: RandomSource
   readonly firstByteMilliseconds: Milliseconds
@@ -26,6 +28,8 @@
 }
 
 const MAXIMUM_ATTEMPTS = 4
+/** Breaks of one endpoint within this time are of one start of it. Chosen: an engine takes longer to be back. */
+const START_MILLISECONDS = 1_000
 /** Header with which an endpoint says that it is going. */
 const LEAVING_HEADER = 'x-endpoint-state'
 const REFUSED_STATUS = 503
@@ -68,11 +72,14 @@
     let mayHaveRun = false
     for (let attempt = 1; ; attempt += 1) {
       tried.add(endpointId)
+      const wasIsolated = this.isIsolated(request)
       const result = await this.attempt(request, endpointId)
       const answer = acceptedAnswer(result, request)
       if (answer !== undefined) return { ...request, answer }
       mayHaveRun ||= result.kind !== 'unsent'
+      const isKnown = this.noteBroken(request, endpointId, result, wasIsolated)
       const verdict = this.judge(request, result, attempt)
+      if (verdict === 'retry') await isKnown
       if (verdict === 'give-up') throw this.failure(request, result, mayHaveRun)
       if (verdict === 'retry') await this.backOff(attempt)
       endpointId = this.chooseAnother(request, result, tried, mayHaveRun)
@@ -96,6 +103,36 @@
     return result
   }
 
+  private isIsolated({ crashFingerprint }: RoutedRequest): boolean {
+    if (crashFingerprint === undefined) return false
+    return this.parts.crashes.verdict(crashFingerprint) === 'isolate'
+  }
+
+  /** Resolves when it is known whether the endpoint ended as it broke the request off. */
+  private async noteBroken(
+    request: RoutedRequest,
+    endpointId: EndpointId,
+    result: AttemptResult,
+    wasIsolated: boolean,
+  ): Promise<void> {
+    const { crashFingerprint: fingerprint, target, incoming } = request
+    if (result.kind !== 'failed' || result.stalled || fingerprint === undefined) return
+    if (incoming.caller.left.aborted || this.isLate(request)) return
+    const { catalogue, clock, crashes, endpoints } = this.parts
+    const address = catalogue.findEndpoint(endpointId)?.spec.address
+    if (address === undefined) return
+    const breaking = {
+      id: endpointId,
+      // Its platform does not tell one start from the next: the time of the end does.
+      start: endpointStart(endpointId, Math.floor(clock.wallTime() / START_MILLISECONDS)),
+      service: target,
+      address: new URL(address).host,
+      leavesAsPlanned: endpoints.isLeaving(endpointId),
+      hasEnded: false,
+    }
+    await crashes.noteBroken(breaking, { fingerprint, wasIsolated })
+  }
+
   private exchange(request: RoutedRequest) {
     const { incoming, call, requestId } = request
     const headers = { ...passedHeaders(incoming.headers), 'x-request-id': requestId }
@@ -129,6 +166,8 @@
     const routing = request.record.routing.at(-1)
     if (routing !== undefined) routing.outcome = describe(result)
     if (acceptedAnswer(result, request) !== undefined) {
+      const { crashFingerprint } = request
+      if (crashFingerprint !== undefined) this.parts.crashes.noteAnswered(crashFingerprint)
       request.scope.commit()
       request.scope.onEnd(() => this.parts.endpoints.noteEnded(endpointId))
       return
--- a/packages/router/src/filters/parse.ts
+++ b/packages/router/src/filters/parse.ts
@@ -5,7 +5,15 @@
 
 import { createHash } from 'node:crypto'
 import { NotRunError, ResultCode, asId } from '@rackwalk/shared'
-import type { BudgetId, Bytes, Clock, IdempotencyKey, Milliseconds } from '@rackwalk/shared'
+import type {
+  BudgetId,
+  Bytes,
+  Clock,
+  IdempotencyKey,
+  Milliseconds,
+  RequestFingerprint,
+} from '@rackwalk/shared'
+import { requestFingerprint } from '../crashes/requestFingerprint.js'
 import { parseChatRequest } from '../engine/chatRequest.js'
 import { readBody } from '../readBody.js'
 import type { Catalogue, Team } from '../resources/catalogue.js'
@@ -58,6 +66,7 @@
       callerKey,
       billKey,
       fingerprint,
+      crashFingerprint: crashFingerprintOf(request, call, fingerprint),
     }
   }
 
@@ -98,6 +107,18 @@
   return hash.digest('base64')
 }
 
+/** The hash of the body stands for the body; a body that streams through is not known before it is sent. */
+function crashFingerprintOf(
+  { incoming, team }: AuthenticatedRequest,
+  call: Call,
+  fingerprint: string,
+): RequestFingerprint | undefined {
+  const { headers, target } = incoming
+  const hasBody = headers.has('content-length') || headers.has('transfer-encoding')
+  if (call.kind === 'service' && hasBody) return undefined
+  return requestFingerprint({ path: target, team: team.teamId, body: Buffer.from(fingerprint) })
+}
+
 function servicePath(target: string, service: string): string {
   const path = target.slice(`/services/${service}`.length)
   return path.startsWith('/') ? path : `/${path}`
--- /dev/null
+++ b/packages/router/src/filters/screen.ts
@@ -0,0 +1,19 @@
+/**
+ * Has this request ended endpoints? One that is known to is refused before a key, a place or tokens are taken for it.
+ */
+
+import { NotRunError, ResultCode } from '@rackwalk/shared'
+import type { CrashGuard } from '../crashes/crashGuard.js'
+import type { Filter, ParsedRequest } from './stages.js'
+
+/** Refuses requests that end endpoints. */
+export class ScreenFilter implements Filter<ParsedRequest, ParsedRequest> {
+  constructor(private readonly crashes: CrashGuard) {}
+
+  async apply(request: ParsedRequest): Promise<ParsedRequest> {
+    const { crashFingerprint } = request
+    if (crashFingerprint === undefined) return request
+    if (this.crashes.verdict(crashFingerprint) !== 'refuse') return request
+    throw new NotRunError(ResultCode.EndsEndpoints)
+  }
+}
--- a/packages/router/src/filters/stages.ts
+++ b/packages/router/src/filters/stages.ts
@@ -9,6 +9,7 @@
   EndpointId,
   IdempotencyKey,
   Milliseconds,
+  RequestFingerprint,
   RequestId,
   TokenCount,
 } from '@rackwalk/shared'
@@ -62,6 +63,8 @@
   readonly billKey: IdempotencyKey
   /** Hash of what the key stands for. */
   readonly fingerprint: string
+  /** What it is apart from this try; undefined where its body streams through and is not known. */
+  readonly crashFingerprint: RequestFingerprint | undefined
 }
 
 /** No other attempt with its key runs, as far as the registrar knows. */
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -15,7 +15,7 @@
 import type { RetryBounds, WorkRank } from '@rackwalk/decisions'
 import type { PrepaidLedger, PrepaidReservation, RefusedOutcome } from '@rackwalk/coordination'
 import { readBody } from '../readBody.js'
-import { requestFingerprint } from '../requestFingerprint.js'
+import { requestFingerprint } from '../crashes/requestFingerprint.js'
 import { CallerReply } from './callerReply.js'
 import type { Dialect, RequestMetadata } from './dialect.js'
 import { chooseService } from './gatewayConfiguration.js'
--- a/packages/router/src/gateway/requestAttempts.ts
+++ b/packages/router/src/gateway/requestAttempts.ts
@@ -30,7 +30,7 @@
 import type { CallerReply } from './callerReply.js'
 import type { Dialect, ReplyMetadata, RequestMetadata } from './dialect.js'
 import { sharedPartOf, snapshotEndpoint } from './endpointSnapshots.js'
-import type { CrashGuard } from './crashGuard.js'
+import type { CrashGuard } from '../crashes/crashGuard.js'
 import { EventRelay } from './eventRelay.js'
 import type { FleetLoad } from './fleetLoad.js'
 import type { GatewayRoute, GatewayService } from './gatewayConfiguration.js'
@@ -38,7 +38,7 @@
 import type { EndpointDirectory } from './endpointDirectory.js'
 import type { EndpointState } from './endpointState.js'
 import type { WarmUps } from './warmUps.js'
-import { requestFingerprint } from '../requestFingerprint.js'
+import { requestFingerprint } from '../crashes/requestFingerprint.js'
 import { StreamPace } from './streamPace.js'
 import { UpstreamExchange } from './upstreamExchange.js'
 import type { HeadOutcome } from './upstreamExchange.js'
@@ -274,9 +274,11 @@
   private async endBroken(endpoint: EndpointState, outcome: AttemptOutcome): Promise<AttemptEnd> {
     const wasIsolated = this.verdict === 'isolate'
     const { fingerprint } = this
+    const { record, leavesAsPlanned, hasEnded } = endpoint
+    const breaking = { ...record, leavesAsPlanned, hasEnded }
     const isKnown = this.isOver
       ? undefined
-      : this.parts.crashes.noteBroken(endpoint, { fingerprint, wasIsolated })
+      : this.parts.crashes.noteBroken(breaking, { fingerprint, wasIsolated })
     const end = this.endAttempt(outcome)
     if (end === 'try-another') await isKnown
     return end
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -15,6 +15,7 @@
 export { RelayFilter } from './filters/relay.js'
 export { ReserveFilter } from './filters/reserve.js'
 export { RouteFilter } from './filters/route.js'
+export { ScreenFilter } from './filters/screen.js'
 export { SettleFilter } from './filters/settle.js'
 export type { ParsedRequest } from './filters/stages.js'
 
@@ -65,6 +66,11 @@
   RoutingPolicyName,
 } from './resources/kinds.js'
 
+export { EndpointEnds } from './crashes/endpointEnds.js'
+export type { EndpointEnd } from './crashes/endpointEnds.js'
+export { CrashGuard } from './crashes/crashGuard.js'
+export { probeAddress } from './crashes/endpointProbe.js'
+
 export { Gateway } from './gateway/gateway.js'
 export { RouteTable } from './gateway/gatewayConfiguration.js'
 export type {
@@ -97,9 +103,4 @@
 export { sharedPartOf, snapshotEndpoint } from './gateway/endpointSnapshots.js'
 export { EndpointDirectory } from './gateway/endpointDirectory.js'
 export type { EndpointRecord, EndpointState } from './gateway/endpointState.js'
-export { EndpointEnds } from './gateway/endpointEnds.js'
-export type { EndpointEnd } from './gateway/endpointEnds.js'
-export { CrashGuard } from './gateway/crashGuard.js'
-export type { CrashNews } from './gateway/crashGuard.js'
-export { probeAddress } from './gateway/endpointProbe.js'
 export { WarmUps } from './gateway/warmUps.js'
--- a/packages/router/src/requestPipeline.ts
+++ b/packages/router/src/requestPipeline.ts
@@ -18,6 +18,7 @@
 import type { RelayFilter } from './filters/relay.js'
 import type { ReserveFilter } from './filters/reserve.js'
 import type { RouteFilter } from './filters/route.js'
+import type { ScreenFilter } from './filters/screen.js'
 import type { SettleFilter } from './filters/settle.js'
 import type {
   DispatchedRequest,
@@ -31,6 +32,7 @@
 export interface RequestFilters {
   readonly authenticate: AuthenticateFilter
   readonly parse: ParseFilter
+  readonly screen: ScreenFilter
   readonly deduplicate: DeduplicateFilter
   readonly admit: AdmitFilter
   readonly reserve: ReserveFilter
@@ -85,7 +87,8 @@
   private async run(received: ReceivedRequest): Promise<SettledRequest> {
     const authenticated = await this.filters.authenticate.apply(received)
     const parsed = await this.filters.parse.apply(authenticated)
-    const deduplicated = await this.filters.deduplicate.apply(parsed)
+    const screened = await this.filters.screen.apply(parsed)
+    const deduplicated = await this.filters.deduplicate.apply(screened)
     const admitted = await this.filters.admit.apply(deduplicated)
     const reserved = await this.filters.reserve.apply(admitted)
     const claimed = await this.filters.claim.apply(reserved)
--- a/packages/router/src/routing/endpointRouter.ts
+++ b/packages/router/src/routing/endpointRouter.ts
@@ -3,9 +3,11 @@
  * policy and keeps what was compared.
  */
 
+import { rendezvousChoice } from '@rackwalk/decisions'
 import { NotRunError, ResultCode } from '@rackwalk/shared'
 import type { EndpointId, RandomSource } from '@rackwalk/shared'
 import type { RoutingRecord } from '../decisionRecord.js'
+import type { CrashGuard } from '../crashes/crashGuard.js'
 import type { ParsedRequest } from '../filters/stages.js'
 import type { Catalogue } from '../resources/catalogue.js'
 import type { EndpointTable } from './endpointTable.js'
@@ -21,10 +23,16 @@
   readonly endpoints: EndpointTable
   readonly random: RandomSource
   readonly instances: () => number
+  readonly crashes: CrashGuard
   /** Writes the one log line of a decision. */
   readonly onDecision: (request: ParsedRequest, decision: RoutingRecord) => void
 }
 
+/** Named in the record of a decision where the request may end endpoints. */
+const ISOLATING_POLICY = 'isolated'
+
+type EndpointChoice = Pick<RoutingRecord, 'endpointId' | 'compared'>
+
 /** Makes the routing decision for each attempt and keeps it in the request's record. */
 export class EndpointRouter {
   private readonly policies = new Map<string, RoutingPolicy>()
@@ -37,11 +45,36 @@
     const hashes = request.call.kind === 'chat' ? prefixHashes(request.call.chat.prompt) : []
     const candidates = this.candidates(request, hashes)
     const untried = candidates.filter(view => !tried.has(view.endpointId))
+    const isolated = this.isolate(request, untried)
+    if (isolated !== undefined) return this.note(request, ISOLATING_POLICY, isolated, hashes)
     const policy = this.policyFor(request)
     const choice = policy.choose(untried, this.demandOf(request), this.parts.random)
     if (choice === undefined) throw new NotRunError(ResultCode.NoEndpoint)
+    return this.note(request, policy.name, choice, hashes)
+  }
+
+  /** The endpoint at which all instances try a request that may end endpoints; refuses one that does. */
+  private isolate(
+    { crashFingerprint }: ParsedRequest,
+    untried: readonly EndpointView[],
+  ): EndpointChoice | undefined {
+    if (crashFingerprint === undefined) return undefined
+    const verdict = this.parts.crashes.verdict(crashFingerprint)
+    if (verdict === 'refuse') throw new NotRunError(ResultCode.EndsEndpoints)
+    if (verdict === 'send') return undefined
+    const ids = untried.map(({ endpointId }) => endpointId)
+    const endpointId = rendezvousChoice(crashFingerprint, ids)
+    return endpointId === undefined ? undefined : { endpointId, compared: [] }
+  }
+
+  private note(
+    request: ParsedRequest,
+    policy: string,
+    choice: EndpointChoice,
+    hashes: readonly PrefixHash[],
+  ): RoutingRecord {
     if (hashes.length > 0) this.parts.endpoints.prefixes.assume(choice.endpointId, hashes)
-    const record: RoutingRecord = { policy: policy.name, outcome: 'sent', ...choice }
+    const record: RoutingRecord = { policy, outcome: 'sent', ...choice }
     request.record.routing.push(record)
     this.parts.onDecision(request, record)
     return record
--- a/packages/router/src/routing/endpointTable.ts
+++ b/packages/router/src/routing/endpointTable.ts
@@ -151,7 +151,8 @@
     return this.ejection.usable(open).map(endpoint => this.viewOf(endpoint, hashes))
   }
 
-  private isLeaving(endpointId: EndpointId): boolean {
+  /** Whether it is known that an endpoint takes nothing new since it is about to end. */
+  isLeaving(endpointId: EndpointId): boolean {
     return this.states.get(endpointId)?.leavingSince !== undefined
   }
 
--- a/packages/stand-ins/__tests__/crashingRequest.spec.ts
+++ b/packages/stand-ins/__tests__/crashingRequest.spec.ts
@@ -1,4 +1,6 @@
-import { afterEach, describe, expect, it } from 'vitest'
+import { afterEach, describe, expect, it, vi } from 'vitest'
+import { GrpcPeerChannel } from '@rackwalk/daemon'
+import { ResultCode } from '@rackwalk/shared'
 import { ConfiguredFleet, streamChat } from '@rackwalk/stand-ins'
 import type { ChatAnswer } from '@rackwalk/stand-ins'
 
@@ -55,6 +57,7 @@
 }
 
 afterEach(async () => {
+  vi.restoreAllMocks()
   await current?.stop()
   current = undefined
 })
@@ -70,3 +73,61 @@
     expect(whole.length / served.length).toBeGreaterThanOrEqual(LEAST_SERVED)
   })
 })
+
+async function askMarked(fleet: ConfiguredFleet, instance: number): Promise<ChatAnswer> {
+  return streamChat(fleet.callers(instance), { word: MARK, tokens: 8 })
+}
+
+interface CrashList {
+  readonly items: readonly { readonly fingerprint: string; readonly verdict: string }[]
+}
+
+async function crashes(fleet: ConfiguredFleet): Promise<CrashList['items']> {
+  const { body } = await fleet.fleet.operator().get('/v1/crashes')
+  return (body as unknown as CrashList).items
+}
+
+describe('a request that is known to end engines', () => {
+  it('is refused at once by every instance, also by one that starts after all others died', async () => {
+    const fleet = await start()
+    await repeat(fleet, MARK)
+    const before = ends(fleet)
+    const refusal = await askMarked(fleet, 0)
+    expect(refusal).toMatchObject({ status: 503, errorCode: ResultCode.EndsEndpoints })
+    expect(refusal.totalMilliseconds).toBeLessThan(200)
+    for (const member of [...fleet.fleet.members]) await fleet.fleet.kill(member)
+    await fleet.fleet.add(INSTANCES)
+    await fleet.fleet.publish()
+    await fleet.fleet.whenServing()
+    await expect
+      .poll(async () => (await askMarked(fleet, 0)).errorCode, { timeout: 20_000 })
+      .toBe(ResultCode.EndsEndpoints)
+    expect(ends(fleet)).toBe(before)
+  })
+
+  it('is listed for operators, and sent again once one has cleared it', async () => {
+    const fleet = await start()
+    await repeat(fleet, MARK)
+    const [refused] = await crashes(fleet)
+    expect(refused?.verdict).toBe('refuse')
+    const before = ends(fleet)
+    await fleet.fleet.operator().send('DELETE', `/v1/crashes/${refused?.fingerprint}`)
+    await pause(INTERVAL_MILLISECONDS)
+    await askMarked(fleet, 1)
+    expect(ends(fleet)).toBeGreaterThan(before)
+  })
+})
+
+describe('a control', () => {
+  it('loses more than three where no instance tells another', async () => {
+    const fleet = await start()
+    const original = GrpcPeerChannel.prototype.call
+    const call = vi.spyOn(GrpcPeerChannel.prototype, 'call')
+    call.mockImplementation(function (this: GrpcPeerChannel, target, kind, request) {
+      if (kind === 'crashNews') return Promise.reject(new Error('not told'))
+      return original.call(this, target, kind as 'members', request as never)
+    })
+    await repeat(fleet, MARK)
+    expect(ends(fleet)).toBeGreaterThan(MOST_ENDS)
+  })
+})
--- a/packages/stand-ins/src/engine/engineStandIn.ts
+++ b/packages/stand-ins/src/engine/engineStandIn.ts
@@ -197,12 +197,7 @@
   private step(): void {
     this.takeSnapshot()
     if (this.stalled) return
-    while (this.running.length < this.options.slots && this.waiting.length > 0) {
-      const next = this.waiting.shift()
-      if (next !== undefined) this.running.push(next)
-      const word = next?.body.stand_in?.word
-      if (word !== undefined && word === this.endsUnderWord) return this.end()
-    }
+    if (!this.beginWaiting()) return
     let prefill = (this.options.prefillTokensPerSecond * this.options.tokenMilliseconds) / 1000
     for (const job of [...this.running]) {
       if (job.prefillLeft > 0) {
@@ -214,6 +209,20 @@
     }
   }
 
+  /** Begins what there are slots for; false where the engine has ended under it. */
+  private beginWaiting(): boolean {
+    while (this.running.length < this.options.slots) {
+      const next = this.waiting.shift()
+      if (next === undefined) return true
+      this.running.push(next)
+      const word = next.body.stand_in?.word
+      if (word === undefined || word !== this.endsUnderWord) continue
+      this.end()
+      return false
+    }
+    return true
+  }
+
   private sendToken(job: Job): void {
     const word = job.body.stand_in?.word ?? 'token'
     job.sent += 1
