fix(shared): what must not be believed for too long counts the time of a suspension

Cause: a suspended machine's steady clock stands still; leases, ages of rows and peers' words, and deadlines went by it. Change: Clock.sinceStart counts suspensions, read as a jump of the time of day over the steady clock, since Node.js gives no clock that counts them. Leases, ages of rows, the store's and peers' last words, warm-up licences and deadlines go by it; spending, retries, sends to cold endpoints and timers stay on the steady clock, where less time allows less. Ruled out: os.uptime (a file is read at each look; 10 ms; a jump of the time of day is seen without it). Costs: a time of day that is set forward ages what is known once; it is confirmed again within a round trip.

--- a/packages/coordination/src/membership/lease.ts
+++ b/packages/coordination/src/membership/lease.ts
@@ -57,7 +57,7 @@
 
   /** The epoch under which this instance may act now, if it holds the lease. */
   get epoch(): number | undefined {
-    return this.parts.clock.monotonic() < this.heldUntil ? this.heldEpoch : undefined
+    return this.parts.clock.sinceStart() < this.heldUntil ? this.heldEpoch : undefined
   }
 
   /** Renews the lease, or takes it when its holder has not renewed it for its duration. */
@@ -76,7 +76,7 @@
   /** Lapsed means: seen unchanged for the whole duration on this instance's own clock. */
   private isLapsed(row: Row | undefined): boolean {
     if (row === undefined) return true
-    const now = this.parts.clock.monotonic()
+    const now = this.parts.clock.sinceStart()
     if (this.observed?.version !== row.version) {
       this.observed = { version: row.version, since: now }
     }
@@ -84,7 +84,7 @@
   }
 
   private async write(epoch: number, row: Row | undefined): Promise<void> {
-    const asked = this.parts.clock.monotonic()
+    const asked = this.parts.clock.sinceStart()
     const id = asId<TransactionId>(this.parts.random.uniqueId())
     const value: LeaseRow = { holder: this.parts.incarnation, epoch }
     const result = await this.parts.table.transact(id, [
--- a/packages/coordination/src/rows/tableMirror.ts
+++ b/packages/coordination/src/rows/tableMirror.ts
@@ -86,7 +86,7 @@
   private reachable: boolean | undefined
   /** How long the store found nothing new in the last call, after that was sent. */
   private quietMilliseconds: Milliseconds = 0
-  /** Monotonic time at which the store had nothing newer than what is known here. */
+  /** Time, suspensions included, at which the store had nothing newer than what is known here. */
   private confirmedAt: Milliseconds = Number.NEGATIVE_INFINITY
   private readPartitions = new Set<string>()
   /** Partitions that were read whole at least once. */
@@ -110,7 +110,7 @@
 
   /** How old what is known here may be. */
   get age(): Milliseconds {
-    return this.parts.clock.monotonic() - this.confirmedAt
+    return this.parts.clock.sinceStart() - this.confirmedAt
   }
 
   get isLoaded(): boolean {
@@ -132,7 +132,7 @@
    * whether one answered.
    */
   async askPeers(): Promise<boolean> {
-    const sentAt = this.parts.clock.monotonic()
+    const sentAt = this.parts.clock.sinceStart()
     const page = await this.parts.askPeers?.(this.parts.table, this.position ?? 0)
     if (page === undefined || this.stopped) return false
     this.takePage(page)
@@ -157,7 +157,7 @@
         await sleep(this.parts.clock, this.parts.pauseMilliseconds())
         continue
       }
-      const sentAt = this.parts.clock.monotonic()
+      const sentAt = this.parts.clock.sinceStart()
       const succeeded = await this.step()
       if (this.stopped) return
       this.noteReachable(succeeded)
@@ -187,9 +187,9 @@
     this.quietMilliseconds = 0
     if (this.position === undefined || missing.length > 0) return this.readWhole(missing)
     const { store, table, waitMilliseconds } = this.parts
-    const sentAt = this.parts.clock.monotonic()
+    const sentAt = this.parts.clock.sinceStart()
     const outcome = await store.readChanges(table, this.position, waitMilliseconds)
-    return this.apply(outcome, this.parts.clock.monotonic() - sentAt)
+    return this.apply(outcome, this.parts.clock.sinceStart() - sentAt)
   }
 
   /** Takes in what the store answered after so long. */
@@ -209,7 +209,7 @@
 
   /** Takes what a near peer has read of the store lately; false where the store is to be asked. */
   private async followNearPeer(): Promise<boolean> {
-    const sentAt = this.parts.clock.monotonic()
+    const sentAt = this.parts.clock.sinceStart()
     const page = await this.askNearPeer()
     if (page?.age === undefined) return false
     if (this.stopped) return true
@@ -224,10 +224,10 @@
   private async askNearPeer(): Promise<MirrorPage | undefined> {
     const { nearPeer, clock, table } = this.parts
     if (nearPeer === undefined || this.position === undefined) return undefined
-    if (!nearPeer.isPreferred() || clock.monotonic() < this.nearPeerRestsUntil) return undefined
+    if (!nearPeer.isPreferred() || clock.sinceStart() < this.nearPeerRestsUntil) return undefined
     const page = await nearPeer.ask(table, this.position)
     if (page?.age !== undefined && page.age <= nearPeer.oldestMilliseconds) return page
-    this.nearPeerRestsUntil = clock.monotonic() + NEAR_PEER_REST_MILLISECONDS
+    this.nearPeerRestsUntil = clock.sinceStart() + NEAR_PEER_REST_MILLISECONDS
     return undefined
   }
 
--- a/packages/daemon/src/gateway/countedStore.ts
+++ b/packages/daemon/src/gateway/countedStore.ts
@@ -29,7 +29,7 @@
 
   /** Time since the store last did what it was asked; a call that it turned away is no answer. */
   get answeredAgoMilliseconds(): Milliseconds {
-    return this.clock.monotonic() - this.answeredAt
+    return this.clock.sinceStart() - this.answeredAt
   }
 
   async write(transaction: RowTransaction): Promise<RowWriteOutcome> {
@@ -60,7 +60,7 @@
   }
 
   private note(call: StoreCall, table: string, outcome: OutcomeKind): void {
-    if (!NO_ANSWERS.has(outcome)) this.answeredAt = this.clock.monotonic()
+    if (!NO_ANSWERS.has(outcome)) this.answeredAt = this.clock.sinceStart()
     this.count(call, table, outcome)
   }
 }
--- a/packages/daemon/src/gateway/knowledgeWatch.ts
+++ b/packages/daemon/src/gateway/knowledgeWatch.ts
@@ -106,7 +106,7 @@
     if (mirror === undefined) return
     const questions = Array.from({ length: PEERS_ASKED }, () => mirror.askPeers())
     const answers = await Promise.all(questions)
-    if (answers.includes(true)) this.answeredAt.set(name, this.parts.clock.monotonic())
+    if (answers.includes(true)) this.answeredAt.set(name, this.parts.clock.sinceStart())
   }
 
   private tooOldTable(): string | undefined {
@@ -122,7 +122,7 @@
   private known(name: string, { mirror, boundMilliseconds }: WatchedTable): KnownRows {
     const answeredAt = this.answeredAt.get(name) ?? Number.NEGATIVE_INFINITY
     const isConfirmedOld =
-      this.parts.clock.monotonic() - answeredAt <= ANSWER_SHARE * boundMilliseconds
+      this.parts.clock.sinceStart() - answeredAt <= ANSWER_SHARE * boundMilliseconds
     return { ageMilliseconds: mirror.age, boundMilliseconds, isConfirmedOld }
   }
 }
--- a/packages/router/src/filters/admit.ts
+++ b/packages/router/src/filters/admit.ts
@@ -86,7 +86,7 @@
       instances: this.parts.instances(),
     }
     const soonest = Math.min(...views.map(view => expectedFirstToken(view, demand)))
-    if (this.parts.clock.monotonic() + soonest <= request.deadline) return
+    if (this.parts.clock.sinceStart() + soonest <= request.deadline) return
     throw new NotRunError(ResultCode.DeadlineUnreachable)
   }
 
--- a/packages/router/src/filters/dispatch.ts
+++ b/packages/router/src/filters/dispatch.ts
@@ -150,7 +150,7 @@
   private signalOf(request: RoutedRequest): AbortSignal {
     const controller = new AbortController()
     const abort = () => controller.abort()
-    const remaining = Math.max(0, request.deadline - this.parts.clock.monotonic())
+    const remaining = Math.max(0, request.deadline - this.parts.clock.sinceStart())
     const timer = this.parts.clock.after(remaining, abort)
     const { left } = request.incoming.caller
     if (left.aborted) abort()
@@ -225,7 +225,7 @@
   }
 
   private isLate(request: RoutedRequest): boolean {
-    return this.parts.clock.monotonic() >= request.deadline
+    return this.parts.clock.sinceStart() >= request.deadline
   }
 
   private backOff(attempt: number): Promise<void> {
--- a/packages/router/src/filters/relay.ts
+++ b/packages/router/src/filters/relay.ts
@@ -37,7 +37,7 @@
 
   async apply(request: DispatchedRequest): Promise<RelayedRequest> {
     const { record, receivedAt, answer, incoming } = request
-    record.firstByteMilliseconds = this.parts.clock.monotonic() - receivedAt
+    record.firstByteMilliseconds = this.parts.clock.sinceStart() - receivedAt
     const passage = isEventStream(request)
       ? new EventPassage(request, this.parts)
       : new PlainPassage(request)
@@ -95,7 +95,8 @@
   }
 
   private brokenEnd(request: DispatchedRequest, failure: Error): RelayEnd {
-    if (this.parts.clock.monotonic() >= request.deadline) return { code: ResultCode.DeadlinePassed }
+    if (this.parts.clock.sinceStart() >= request.deadline)
+      return { code: ResultCode.DeadlinePassed }
     this.parts.endpoints.noteFailure(request.answer.endpointId)
     const detail = failure.message
     const code = isStall(failure) ? ResultCode.EndpointStalled : ResultCode.EndpointBrokeOff
--- a/packages/router/src/filters/stages.ts
+++ b/packages/router/src/filters/stages.ts
@@ -29,7 +29,7 @@
 /** As it arrived, with its id. */
 export interface ReceivedRequest {
   readonly requestId: RequestId
-  /** Monotonic time. */
+  /** Time, suspensions included. */
   readonly receivedAt: Milliseconds
   readonly incoming: IncomingRequest
   readonly scope: RequestScope
@@ -55,7 +55,7 @@
   readonly budgetId: BudgetId
   readonly repeatable: boolean
   readonly priority: number
-  /** Monotonic time by which the caller wants the whole answer. */
+  /** Time, suspensions included, by which the caller wants the whole answer. */
   readonly deadline: Milliseconds
   /** The caller's key, if it gave one. */
   readonly callerKey: IdempotencyKey | undefined
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -59,7 +59,6 @@
   readonly service: GatewayService
   readonly team: GatewayTeam | undefined
   readonly deadlineAt: Milliseconds
-  readonly goalAt: Milliseconds
 }
 
 const NOT_RUN: AttemptsResult = {
@@ -95,7 +94,7 @@
     const metadata = this.parts.dialect.readRequest(request.headers)
     const record: GatewayRecord = {
       requestId: metadata?.requestId ?? '',
-      receivedAt: this.parts.clock.monotonic(),
+      receivedAt: this.parts.clock.sinceStart(),
       attempts: [],
     }
     const ownHeaders = this.parts.dialect.ownHeaders(metadata?.requestId)
@@ -196,8 +195,7 @@
     record.service = service.name
     const patience = metadata.deadlineMilliseconds ?? this.parts.defaultDeadlineMilliseconds
     const deadlineAt = record.receivedAt + Math.min(patience, route.timeoutMilliseconds)
-    const goalAt = record.receivedAt + route.goalMilliseconds
-    return { metadata, route, service, team, deadlineAt, goalAt }
+    return { metadata, route, service, team, deadlineAt }
   }
 
   /** The whole body; the caller still waits when it is there. */
@@ -269,7 +267,7 @@
   private finishRecord(record: GatewayRecord, response: ServerResponse): void {
     record.status = response.headersSent ? response.statusCode : 0
     record.code ??= ResultCode.Ok
-    record.totalMilliseconds = this.parts.clock.monotonic() - record.receivedAt
+    record.totalMilliseconds = this.parts.clock.sinceStart() - record.receivedAt
     this.parts.onRecord(record)
   }
 
--- a/packages/router/src/gateway/peerLoads.ts
+++ b/packages/router/src/gateway/peerLoads.ts
@@ -68,7 +68,7 @@
 
   /** Time since any peer was last heard of. */
   get heardAgoMilliseconds(): Milliseconds {
-    return this.clock.monotonic() - this.lastHeardAt
+    return this.clock.sinceStart() - this.lastHeardAt
   }
 
   /** Takes a report in; by how much prompt tokens grew since the one before, by endpoint. */
@@ -80,7 +80,7 @@
       tokens: pendingTokens - (peer.loads.get(endpoint) ?? NO_LOAD).pendingTokens,
     }))
     peer.sequence = report.sequence
-    peer.heardAt = this.clock.monotonic()
+    peer.heardAt = this.clock.sinceStart()
     this.lastHeardAt = peer.heardAt
     if (report.isWhole) this.clear(peer)
     for (const { endpoint, running, pendingTokens } of report.loads) {
@@ -104,7 +104,7 @@
   isUsing(instance: string): boolean {
     const peer = this.peers.get(instance)
     if (peer === undefined) return false
-    return peer.loads.size > 0 || this.clock.monotonic() - peer.workedAt < USING_MILLISECONDS
+    return peer.loads.size > 0 || this.clock.sinceStart() - peer.workedAt < USING_MILLISECONDS
   }
 
   /** An endpoint is gone, or started again: nothing that was told of it holds. */
@@ -114,7 +114,7 @@
 
   /** Forgets instances that have been silent for this long; call it now and then. */
   expire(silence: Milliseconds): void {
-    const oldest = this.clock.monotonic() - silence
+    const oldest = this.clock.sinceStart() - silence
     for (const [instance, peer] of this.peers) {
       if (peer.heardAt >= oldest) continue
       this.clear(peer)
--- a/packages/router/src/gateway/requestAttempts.ts
+++ b/packages/router/src/gateway/requestAttempts.ts
@@ -67,7 +67,7 @@
   readonly path: string
   readonly rawHeaders: readonly string[]
   readonly body: Buffer
-  /** Monotonic time at which the caller or the route gives up. */
+  /** Time, suspensions included, at which the caller or the route gives up. */
   readonly deadlineAt: Milliseconds
   readonly reply: CallerReply
   readonly record: GatewayRecord
@@ -124,10 +124,10 @@
 
   /** Serves the request to its end; the caller has an answer or a refusal when it resolves. */
   async run(): Promise<AttemptsResult> {
-    const { reply, deadlineAt } = this.request
+    const { reply } = this.request
     reply.onLeave(() => this.exchange?.abort())
-    const untilDeadline = deadlineAt - this.parts.clock.monotonic() + DEADLINE_SLACK_MILLISECONDS
-    const timer = this.parts.clock.after(untilDeadline, () => this.passDeadline())
+    const untilLate = this.lateAt - this.parts.clock.sinceStart()
+    const timer = this.parts.clock.after(untilLate, () => this.passDeadline())
     try {
       const isWhole = await this.attemptUntilDone()
       return {
@@ -147,9 +147,15 @@
   }
 
   private get isOver(): boolean {
+    // The timer does not count the time of a suspension.
+    this.isLate ||= this.parts.clock.sinceStart() >= this.lateAt
     return this.isLate || this.request.reply.isLeft
   }
 
+  private get lateAt(): Milliseconds {
+    return this.request.deadlineAt + DEADLINE_SLACK_MILLISECONDS
+  }
+
   /** True where an answer was passed on whole. */
   private async attemptUntilDone(): Promise<boolean> {
     while (!this.isOver) {
@@ -229,7 +235,7 @@
       compared,
       pendingTokens: this.pendingTokens(chosen),
       uncachedTokens: this.uncachedTokens(id),
-      waitedMilliseconds: Math.round(this.parts.clock.monotonic() - record.receivedAt),
+      waitedMilliseconds: Math.round(this.parts.clock.sinceStart() - record.receivedAt),
       outcome: undefined,
       longestPause: undefined,
     })
@@ -298,7 +304,7 @@
 
   private open(endpoint: EndpointState): UpstreamExchange {
     const { team, priority, method, path, rawHeaders, body, deadlineAt } = this.request
-    const remaining = Math.max(1, Math.floor(deadlineAt - this.parts.clock.monotonic()))
+    const remaining = Math.max(1, Math.floor(deadlineAt - this.parts.clock.sinceStart()))
     const headers = this.parts.dialect.forwardHeaders(rawHeaders, {
       remainingMilliseconds: remaining,
       endpoint: endpoint.record.id,
@@ -446,7 +452,7 @@
   private noteStart(): void {
     const { record } = this.request
     this.isHandedOut = true
-    record.firstByteMilliseconds = this.parts.clock.monotonic() - record.receivedAt
+    record.firstByteMilliseconds = this.parts.clock.sinceStart() - record.receivedAt
   }
 
   private giveUp(): void {
--- a/packages/router/src/gateway/warmUps.ts
+++ b/packages/router/src/gateway/warmUps.ts
@@ -46,7 +46,7 @@
   }
 
   private licenceFor(start: EndpointStart, bounds: WarmUpBounds): WarmUpLicence | undefined {
-    const now = this.parts.clock.monotonic()
+    const now = this.parts.clock.sinceStart()
     const known = this.licences.get(start)
     if (known !== undefined && now - known.at < LICENCE_MILLISECONDS) return known.licence
     if (this.licences.size >= REMEMBERED_LICENCES) this.licences.clear()
--- a/packages/router/src/limits/fairQueue.ts
+++ b/packages/router/src/limits/fairQueue.ts
@@ -20,7 +20,7 @@
   readonly weight: number
   /** Greater is more urgent. */
   readonly priority: number
-  /** Monotonic time after which an admission is useless. */
+  /** Time, suspensions included, after which an admission is useless. */
   readonly latestStart: Milliseconds
   /** Expected cost, in any unit that is the same for all; teams share it by weight. */
   readonly cost: number
@@ -98,7 +98,7 @@
     const start = Math.max(this.virtualTime, this.lastFinish.get(demand.teamId) ?? 0)
     const finishTag = start + demand.cost / demand.weight
     this.lastFinish.set(demand.teamId, finishTag)
-    const queuedAt = this.clock.monotonic()
+    const queuedAt = this.clock.sinceStart()
     return {
       ...demand,
       finishTag,
@@ -110,7 +110,7 @@
 
   private armTimer(entry: Entry, limits: QueueLimits): void {
     if (!this.entries.includes(entry)) return
-    const untilLatest = entry.latestStart - this.clock.monotonic()
+    const untilLatest = entry.latestStart - this.clock.sinceStart()
     const isDeadlineFirst = untilLatest < limits.maximumWaitMilliseconds
     const wait = Math.max(0, Math.min(untilLatest, limits.maximumWaitMilliseconds))
     const code = isDeadlineFirst ? ResultCode.DeadlineUnreachable : ResultCode.Overloaded
@@ -141,7 +141,7 @@
   }
 
   private waitedBy(entry: Entry): Milliseconds {
-    return this.clock.monotonic() - entry.queuedAt
+    return this.clock.sinceStart() - entry.queuedAt
   }
 }
 
--- a/packages/router/src/requestPipeline.ts
+++ b/packages/router/src/requestPipeline.ts
@@ -117,7 +117,7 @@
       receivedAt: this.parts.clock.wallTime(),
       routing: [],
     }
-    const receivedAt = this.parts.clock.monotonic()
+    const receivedAt = this.parts.clock.sinceStart()
     return { requestId, receivedAt, incoming, record, scope: new RequestScope() }
   }
 
@@ -157,7 +157,7 @@
   }
 
   private finish({ scope, record, receivedAt }: ReceivedRequest): void {
-    record.totalMilliseconds = this.parts.clock.monotonic() - receivedAt
+    record.totalMilliseconds = this.parts.clock.sinceStart() - receivedAt
     scope.close()
     this.parts.onRecord(record)
   }
--- a/packages/shared/src/virtualClock.ts
+++ b/packages/shared/src/virtualClock.ts
@@ -14,6 +14,7 @@
 /** A clock that moves only when told to; tests and benches drive the real code on it. */
 export class VirtualClock implements Clock {
   private now: Milliseconds = 0
+  private suspended: Milliseconds = 0
   private order = 0
   private readonly timers = new TinyQueue<ScheduledTimer>([], compareTimers)
 
@@ -21,8 +22,17 @@
     return this.now
   }
 
+  sinceStart(): Milliseconds {
+    return this.now + this.suspended
+  }
+
   wallTime(): Milliseconds {
-    return this.now
+    return this.now + this.suspended
+  }
+
+  /** The machine was suspended for so long, just now: no timer counts that time. */
+  suspend(duration: Milliseconds): void {
+    this.suspended += duration
   }
 
   after(delay: Milliseconds, run: () => void): Timer {
--- a/packages/stand-ins/src/exploration/prepaidWorld.ts
+++ b/packages/stand-ins/src/exploration/prepaidWorld.ts
@@ -144,6 +144,10 @@
     return this.world.monotonic() - this.startedAt
   }
 
+  sinceStart(): Milliseconds {
+    return this.monotonic()
+  }
+
   wallTime(): Milliseconds {
     return this.world.wallTime()
   }
