test(stand-ins): ways of meeting a request that ends endpoints, replayed beside each other

Cause: the way that was kept had no figures beside the others. Three endpoints without power every 2 s: refused falsely 0.120 after one end, 0.098 and 0.075 after two, none with the way kept.

--- /dev/null
+++ b/packages/stand-ins/__tests__/crashReplay.spec.ts
@@ -0,0 +1,83 @@
+import { describe, expect, it } from 'vitest'
+import { CountedEnds, IsolatedTry, NoMemory, replayCrashes } from '@rackwalk/stand-ins'
+import type { CrashLoad, CrashOutcome, CrashPolicy } from '@rackwalk/stand-ins'
+
+/**
+ * What is done about a request that ends endpoints, replayed: it comes every quarter of a second for 20 s beside 50 others a
+ * second, or a rack loses power every two seconds and no request is to blame.
+ */
+
+const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8]
+const LEAST_SERVED = 0.95
+
+const POLICIES: Readonly<Record<string, () => CrashPolicy>> = {
+  'each try is new': () => new NoMemory(),
+  'refused after one end': () => new CountedEnds(1, 'send'),
+  'refused after two ends, sent as any other between': () => new CountedEnds(2, 'send'),
+  'refused after two ends, sent by hash between': () => new CountedEnds(2, 'isolate'),
+  'refused after an end that was sent by hash': () => new IsolatedTry(),
+}
+
+async function play(create: () => CrashPolicy, load: Omit<CrashLoad, 'seed'>) {
+  const outcomes: CrashOutcome[] = []
+  for (const seed of SEEDS) outcomes.push(await replayCrashes(create(), { ...load, seed }))
+  const sum = (field: keyof CrashOutcome) =>
+    outcomes.reduce((total, outcome) => total + outcome[field], 0)
+  return { outcomes, sum }
+}
+
+async function table(load: Omit<CrashLoad, 'seed'>): Promise<readonly string[]> {
+  const rows: string[] = []
+  for (const [name, create] of Object.entries(POLICIES)) {
+    const { sum } = await play(create, load)
+    const ends = (sum('endsUnderMarked') / SEEDS.length).toFixed(1)
+    const others = ['served', 'brokenOff', 'refused'] as const
+    const shares = others.map(field => `${field} ${(sum(field) / sum('others')).toFixed(3)}`)
+    rows.push(`${name}: ${ends} ends; ${shares.join(', ')}`)
+  }
+  return rows
+}
+
+describe('a request that ends endpoints, every quarter of a second', () => {
+  it('costs what each way lets it cost', async () => {
+    expect(await table({ markedMilliseconds: 250, powerless: 0 })).toMatchInlineSnapshot(`
+      [
+        "each try is new: 49.0 ends; served 0.008, brokenOff 0.609, refused 0.375",
+        "refused after one end: 1.0 ends; served 0.926, brokenOff 0.002, refused 0.000",
+        "refused after two ends, sent as any other between: 2.0 ends; served 0.923, brokenOff 0.006, refused 0.000",
+        "refused after two ends, sent by hash between: 2.0 ends; served 0.922, brokenOff 0.006, refused 0.000",
+        "refused after an end that was sent by hash: 2.0 ends; served 0.922, brokenOff 0.006, refused 0.000",
+      ]
+    `)
+  })
+
+  it('costs three endpoints at the most, and others at the same model are served', async () => {
+    const { outcomes, sum } = await play(() => new IsolatedTry(), {
+      markedMilliseconds: 250,
+      powerless: 0,
+    })
+    expect(Math.max(...outcomes.map(({ endsUnderMarked }) => endsUnderMarked))).toBeLessThan(4)
+    // What still runs at the end of the replay counts as neither.
+    const ended = sum('served') + sum('brokenOff') + sum('refused')
+    expect(sum('served') / ended).toBeGreaterThanOrEqual(LEAST_SERVED)
+  })
+})
+
+describe('a rack that loses power', () => {
+  it('makes requests refused that many send, where ends alone are counted', async () => {
+    expect(await table({ powerless: 3 })).toMatchInlineSnapshot(`
+      [
+        "each try is new: 0.0 ends; served 0.651, brokenOff 0.308, refused 0.000",
+        "refused after one end: 0.0 ends; served 0.569, brokenOff 0.278, refused 0.120",
+        "refused after two ends, sent as any other between: 0.0 ends; served 0.587, brokenOff 0.279, refused 0.098",
+        "refused after two ends, sent by hash between: 0.0 ends; served 0.599, brokenOff 0.288, refused 0.075",
+        "refused after an end that was sent by hash: 0.0 ends; served 0.649, brokenOff 0.308, refused 0.000",
+      ]
+    `)
+  })
+
+  it('proves nothing', async () => {
+    const { sum } = await play(() => new IsolatedTry(), { powerless: 3 })
+    expect(sum('refused')).toBe(0)
+  })
+})
