--- a/packages/router/__tests__/endpointEnds.spec.ts
+++ b/packages/router/__tests__/endpointEnds.spec.ts
@@ -54,7 +54,7 @@
     return { ...record, leavesAsPlanned, hasEnded }
   }
   const unanswered = () => told.map(end => end.unanswered.map(request => request.fingerprint))
-  return { ends, directory, endpoint, unanswered, probes: () => probes }
+  return { clock, ends, directory, endpoint, unanswered, probes: () => probes }
 }
 
 describe('an endpoint that breaks requests off', () => {
@@ -91,3 +91,21 @@
     expect(gone.unanswered()).toEqual([])
   })
 })
+
+describe('an endpoint where nobody listens', () => {
+  it('is left alone for a second, by whoever saw it or was told', async () => {
+    const { directory, endpoint, clock } = watch('refused')
+    directory.noteUnreachable(endpoint().start)
+    expect(directory.available('models')).toEqual([])
+    await clock.advance(1_000)
+    expect(directory.available('models')).toHaveLength(1)
+  })
+
+  it('says nothing of the start that follows it', () => {
+    const { directory, endpoint } = watch('refused')
+    const { start } = endpoint()
+    directory.set(recordOf(2))
+    directory.noteUnreachable(start)
+    expect(directory.available('models')).toHaveLength(1)
+  })
+})
--- a/packages/stand-ins/__tests__/operators.spec.ts
+++ b/packages/stand-ins/__tests__/operators.spec.ts
@@ -242,6 +242,16 @@
     expect(seen.join('\n')).toMatchSnapshot()
   })
 
+  it('lists requests under which endpoints ended, and clears none that is not there', async () => {
+    expect(await run(['crashes'])).toMatchInlineSnapshot(`
+      {
+        "code": 0,
+        "output": "FINGERPRINT  VERDICT  ENDS",
+      }
+    `)
+    expect((await run(['clear', 'unknown'])).code).toBe(ExitCode.NotFound)
+  })
+
   it('empties a failure domain, says who has taken it in, and restores it', async () => {
     const engine = {
       kind: 'endpoints',
