--- a/packages/daemon/__tests__/acceptProbe.spec.ts
+++ b/packages/daemon/__tests__/acceptProbe.spec.ts
@@ -1,4 +1,5 @@
 import { createServer, get } from 'node:http'
+import { connect, createServer as createNetServer } from 'node:net'
 import type { AddressInfo } from 'node:net'
 import { describe, expect, it } from 'vitest'
 import { SystemClock, sleep } from '@rackwalk/shared'
@@ -35,6 +36,45 @@
     listener.close()
   })
 
+  it('says nothing of a wait where its connection ended unseen, and is made again', async () => {
+    let taken = 0
+    const stranger = createNetServer(socket => {
+      taken += 1
+      socket.destroy()
+    })
+    await new Promise<void>(resolve => stranger.listen(0, '127.0.0.1', resolve))
+    const address = `127.0.0.1:${(stranger.address() as AddressInfo).port}`
+    const clock = new SystemClock()
+    // The listener never sees it: something else listens at the address.
+    const probe = new AcceptProbe(createServer(), address, clock)
+    for (let look = 0; look < 10; look += 1) {
+      probe.look()
+      await sleep(clock, 50)
+    }
+    expect(probe.look()).toBe(0)
+    expect(taken).toBeGreaterThan(1)
+    stranger.close()
+  })
+
+  it('is known whether the caller or the listener has its side first', async () => {
+    const listener = createServer((_, response) => response.end())
+    await new Promise<void>(resolve => listener.listen(0, '127.0.0.1', resolve))
+    const { port } = listener.address() as AddressInfo
+    const clock = new SystemClock()
+    const probe = new AcceptProbe(listener, `127.0.0.1:${port}`, clock)
+    // Callers come between the probe's two sides all the time.
+    const callers = Array.from({ length: 20 }, () => connect({ host: '127.0.0.1', port }))
+    for (let look = 0; look < 20; look += 1) {
+      probe.look()
+      callers.push(connect({ host: '127.0.0.1', port }))
+      await sleep(clock, 30)
+    }
+    expect(probe.look()).toBeLessThan(200)
+    for (const caller of callers) caller.destroy()
+    listener.closeAllConnections()
+    listener.close()
+  })
+
   it('says nothing where nobody listens', async () => {
     const clock = new SystemClock()
     const probe = new AcceptProbe(createServer(), '127.0.0.1:9', clock)
