refactor(router): one wait for the look at an address, one reading of open ends

Cause: both daemons set the same constant beside the same call, and the guard read and told the ends of a request twice over. Change: the wait stands where the look is made; clear and forget share what they read. Behaviour and outside forms as before.

--- a/packages/coordination/src/crashes/crashRecords.ts
+++ b/packages/coordination/src/crashes/crashRecords.ts
@@ -42,6 +42,7 @@
 const ROWS_A_WRITE = 50
 /** A write that the store did not take is tried again after this time. Chosen. */
 const RETRY_MILLISECONDS: Milliseconds = 1_000
+
 /** The records of ends, on one instance. */
 export class CrashRecords implements MirrorListener {
   private readonly rows = new Map<RequestFingerprint, KnownRow>()
--- a/packages/daemon/src/gateway/crashWatch.ts
+++ b/packages/daemon/src/gateway/crashWatch.ts
@@ -21,8 +21,6 @@
   readonly telemetry: GatewayTelemetry
 }
 
-/** Whether anything listens at an address is known within this time, or not at all. Chosen: some fifty times its way. */
-const PROBE_MILLISECONDS: Milliseconds = 100
 /** A datagram may be lost: each is sent again after this time. Chosen: the store's rows make good what is lost twice. */
 const REPEAT_MILLISECONDS: Milliseconds = 250
 
@@ -35,7 +33,7 @@
     const { clock, store, telemetry } = parts
     this.guard = new CrashGuard({
       clock,
-      probe: address => probeAddress(address, PROBE_MILLISECONDS),
+      probe: probeAddress,
       onEnd: end => telemetry.noteEndpointEnd(end),
       onUnreachable: start => parts.directory().noteUnreachable(start),
       onNews: news => this.share(news),
--- a/packages/daemon/src/tasks/crashTask.ts
+++ b/packages/daemon/src/tasks/crashTask.ts
@@ -25,8 +25,6 @@
   readonly onFault: (error: unknown) => void
 }
 
-/** Whether anything listens at an address is known within this time, or not at all. Chosen. */
-const PROBE_MILLISECONDS: Milliseconds = 100
 /** Time between two looks at the table, for an instance that no peer could tell. Chosen: a look is one query. */
 const LOOK_MILLISECONDS: Milliseconds = 30_000
 
@@ -43,7 +41,7 @@
     const { clock, table, random, logger, metrics } = parts
     this.guard = new CrashGuard({
       clock,
-      probe: address => probeAddress(address, PROBE_MILLISECONDS),
+      probe: probeAddress,
       onEnd: ({ endpoint, unanswered }) => {
         metrics.noteEndpointEnd()
         const requests = unanswered.map(({ fingerprint }) => fingerprint)
--- a/packages/router/src/crashes/crashGuard.ts
+++ b/packages/router/src/crashes/crashGuard.ts
@@ -74,10 +74,11 @@
 
   /** Nothing is held against a request any more, here and at all other instances. */
   clear(fingerprint: RequestFingerprint): void {
-    const starts = this.suspicions.marksOf(fingerprint).map(({ start }) => start)
+    const starts = this.openStarts(fingerprint)
     if (starts.length === 0) return
-    this.take({ marks: [], cleared: [{ fingerprint, starts }] })
-    this.parts.onNews({ marks: [], cleared: [{ fingerprint, starts }] })
+    const news: CrashNews = { marks: [], cleared: [{ fingerprint, starts }] }
+    this.take(news)
+    this.parts.onNews(news)
   }
 
   /** Takes in what others found out. */
@@ -87,8 +88,11 @@
 
   /** Nothing is held against a request any more: an operator, or another instance, removed its record. */
   forget(fingerprint: RequestFingerprint): void {
-    const starts = this.suspicions.marksOf(fingerprint).map(({ start }) => start)
-    this.take({ marks: [], cleared: [{ fingerprint, starts }] })
+    this.take({ marks: [], cleared: [{ fingerprint, starts: this.openStarts(fingerprint) }] })
+  }
+
+  private openStarts(fingerprint: RequestFingerprint): readonly EndpointStart[] {
+    return this.marksOf(fingerprint).map(({ start }) => start)
   }
 
   private noteEnd(end: EndpointEnd): void {
--- a/packages/router/src/crashes/endpointProbe.ts
+++ b/packages/router/src/crashes/endpointProbe.ts
@@ -6,12 +6,15 @@
 /** `refused`: the system there answers, and no process listens. `silent`: nothing is known. */
 export type ProbeOutcome = 'listening' | 'refused' | 'silent'
 
+/** Whether anything listens is known within this time, or not at all. Chosen: a retry may wait for it. */
+const PROBE_MILLISECONDS: Milliseconds = 100
+
 /** Opens a connection to IP:PORT and closes it again. */
-export function probeAddress(address: string, timeout: Milliseconds): Promise<ProbeOutcome> {
+export function probeAddress(address: string): Promise<ProbeOutcome> {
   const [host = '', port = ''] = address.split(':')
   return new Promise(resolve => {
     const socket = connect({ host, port: Number(port) })
-    const timer = setTimeout(() => finish('silent'), timeout)
+    const timer = setTimeout(() => finish('silent'), PROBE_MILLISECONDS)
     const finish = (outcome: ProbeOutcome) => {
       clearTimeout(timer)
       socket.destroy()
