feat(choosing): what an endpoint says of itself in an answer is read and told

No choice rests on it yet. Setting requests.longestRestMilliseconds (60 s): what is asked for is bounded. Ruled out: reading it where a choice is made (each kind of daemon would read anew).

--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -355,7 +355,7 @@
       clock: this.clock,
       random: this.random,
       failureDomain: instance.failureDomain,
-      connectMilliseconds: requests.connectMilliseconds,
+      ...requests,
       ledger: this.ledger,
       routes: () => this.configuration.routes,
       retryBounds: { ...retries, windowMilliseconds: retries.windowSeconds * 1000 },
@@ -365,7 +365,6 @@
       checkKnowledge: () => this.knowledge.check(),
       isDraining: () => this.draining,
       isRefusing: () => this.refusing,
-      defaultDeadlineMilliseconds: requests.defaultDeadlineMilliseconds,
       onRecord: record => this.telemetry.noteRecord(record),
     })
   }
--- a/packages/daemon/src/gateway/gatewaySettings.ts
+++ b/packages/daemon/src/gateway/gatewaySettings.ts
@@ -63,6 +63,9 @@
       defaultDeadlineMilliseconds: milliseconds
         .default(60_000)
         .describe('For callers that name none'),
+      longestRestMilliseconds: milliseconds
+        .default(60_000)
+        .describe('A server that asks for rest is left alone for no longer'),
     })
     .prefault({})
     .describe('Bounds on one request'),
--- a/packages/daemon/src/gateway/requestLine.ts
+++ b/packages/daemon/src/gateway/requestLine.ts
@@ -16,6 +16,7 @@
       pendingTokens: attempt.pendingTokens,
       uncachedTokens: attempt.uncachedTokens,
       outcome: outcomeText(attempt.outcome),
+      said: attempt.said,
       longestPauseMilliseconds: rounded(attempt.longestPause?.milliseconds),
       pausePendingTokens: attempt.longestPause?.pendingTokens,
     })),
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -10,6 +10,8 @@
   nextStretch,
   readingHarm,
 } from './choosing/readingHarm.js'
+export { NO_ADVICE_TEXTS, adviceText, readAdvice } from './choosing/endpointAdvice.js'
+export type { AdviceTexts, EndpointAdvice } from './choosing/endpointAdvice.js'
 export { HomeEndpoints } from './choosing/homeEndpoints.js'
 export { nextPace, slownessOf, usualPace } from './choosing/slowness.js'
 export { holdsLicence, warmUpShares } from './choosing/warmUp.js'
--- a/packages/router/src/gateway/dialect.ts
+++ b/packages/router/src/gateway/dialect.ts
@@ -3,6 +3,7 @@
  * gateway knows only these types.
  */
 
+import type { AdviceTexts } from '@rackwalk/decisions'
 import type { Milliseconds, TokenCount } from '@rackwalk/shared'
 
 /** A part of a prompt that requests may share. */
@@ -49,6 +50,8 @@
   /** The endpoint says that it did not run the request and never will. */
   readonly isNotExecuted: boolean
   readonly load: EndpointLoad | undefined
+  /** What bears on what it may be sent next, not yet read. */
+  readonly advice: AdviceTexts
 }
 
 type Headers = Readonly<Record<string, string | readonly string[] | undefined>>
--- a/packages/router/src/gateway/gatewayRecord.ts
+++ b/packages/router/src/gateway/gatewayRecord.ts
@@ -19,6 +19,8 @@
   readonly uncachedTokens: TokenCount
   /** Undefined until the attempt has ended. */
   outcome: AttemptOutcome | undefined
+  /** What the endpoint said of itself with its answer; undefined where it said nothing. */
+  said?: string
   /** Undefined where no second event came. */
   longestPause: StreamPause | undefined
 }
--- a/packages/router/src/gateway/requestAttempts.ts
+++ b/packages/router/src/gateway/requestAttempts.ts
@@ -7,6 +7,7 @@
 
 import type { IncomingMessage } from 'node:http'
 import {
+  adviceText,
   finalError,
   isMisdirected,
   isPromising,
@@ -14,6 +15,7 @@
   mayHaveRun,
   nextStep,
   rankEndpoints,
+  readAdvice,
   rendezvousChoice,
 } from '@rackwalk/decisions'
 import type { AttemptOutcome, CrashVerdict, NextStep, NoChoice } from '@rackwalk/decisions'
@@ -54,6 +56,8 @@
   readonly random: RandomSource
   readonly failureDomain: string
   readonly connectMilliseconds: Milliseconds
+  /** No endpoint is left alone for longer than this by its own word. */
+  readonly longestRestMilliseconds: Milliseconds
 }
 
 /** A request that may be sent: admitted, read and paid for. */
@@ -339,6 +343,7 @@
     const status = response.statusCode ?? 0
     const reply = this.parts.dialect.readReply(status, response.headers)
     if (reply.load !== undefined) endpoint.noteLoad(reply.load)
+    this.noteAdvice(endpoint, reply)
     const outcome = this.judge(status, reply)
     if (outcome.kind === 'refused' && isMisdirected(status)) {
       this.parts.directory.noteEnded(endpoint.record)
@@ -351,6 +356,15 @@
     return step
   }
 
+  /** What the endpoint says of itself with this answer. */
+  private noteAdvice(endpoint: EndpointState, { advice }: ReplyMetadata): void {
+    const { clock, longestRestMilliseconds } = this.parts
+    const said = readAdvice(advice, { wallTime: clock.wallTime(), longestRestMilliseconds })
+    const attempt = this.request.record.attempts.at(-1)
+    if (attempt !== undefined) attempt.said = adviceText(said)
+    this.parts.directory.noteSaid(endpoint.record, said)
+  }
+
   private judge(status: number, reply: ReplyMetadata): AttemptOutcome {
     if (reply.isNotExecuted) return { kind: 'refused', status }
     if (reply.requestId !== this.request.metadata.requestId) {
