--- /dev/null
+++ b/packages/stand-ins/src/replay/namedRateReplay.ts
@@ -0,0 +1,173 @@
+/**
+ * Replays a fleet before endpoints of which one names a rate, on virtual time: how many requests the whole fleet sends it,
+ * at whatever size, and what becomes of the rest. Owns the endpoints' answers and the news between instances; what each
+ * instance knows and keeps to is the product's own.
+ */
+
+import type { EndpointAdvice } from '@rackwalk/decisions'
+import { EndpointDirectory, WarmUps } from '@rackwalk/router'
+import type { EndpointRecord, EndpointState } from '@rackwalk/router'
+import { SeededRandom, VirtualClock, asId, randomBelow } from '@rackwalk/shared'
+import type { EndpointStart, Milliseconds } from '@rackwalk/shared'
+
+/** What is played. */
+export interface NamedRateLoad {
+  readonly instances: number
+  /** Those of them to which callers come. */
+  readonly users: number
+  /** The rate that the first endpoint names, requests a second. */
+  readonly rate: number
+  /** Requests a second of all callers. */
+  readonly requestsPerSecond: number
+  readonly seed: number
+  /** No instance hears another. */
+  readonly isDeaf?: boolean
+}
+
+/** What became of it. */
+export interface NamedRateOutcome {
+  /** The most requests that reached the endpoint in four seconds, from instances told half a second before. */
+  readonly mostInWindow: number
+  /** Requests that reached it while it named the rate, a second. */
+  readonly takenPerSecond: number
+  /** Share of all requests that found an endpoint. */
+  readonly servedShare: number
+}
+
+const ENDPOINTS = 8
+const NAMING_FROM: Milliseconds = 2_000
+const RUN_MILLISECONDS: Milliseconds = 26_000
+const WINDOW_MILLISECONDS: Milliseconds = 4_000
+const TOLD_MILLISECONDS: Milliseconds = 500
+const HEAD_MILLISECONDS = { least: 30, spread: 300 }
+const SERVICE = 'models'
+const SAYS_NOTHING: EndpointAdvice = {
+  rate: 'none',
+  isLeaving: false,
+  restMilliseconds: undefined,
+  faults: [],
+}
+
+interface ReplayedInstance {
+  readonly id: string
+  readonly directory: EndpointDirectory
+  readonly permits: WarmUps
+  /** Time at which an answer first named the rate here. */
+  toldAt: Milliseconds
+}
+
+/** Plays one load. */
+export async function replayNamedRate(load: NamedRateLoad): Promise<NamedRateOutcome> {
+  return new NamedRateReplay(load).run()
+}
+
+class NamedRateReplay {
+  private readonly clock = new VirtualClock()
+  private readonly random: SeededRandom
+  private readonly fleet: readonly ReplayedInstance[]
+  /** Times at which the endpoint was sent something by an instance that counts as told. */
+  private readonly counted: Milliseconds[] = []
+  private taken = 0
+  private sent = 0
+  private refused = 0
+
+  constructor(private readonly load: NamedRateLoad) {
+    this.random = new SeededRandom(load.seed)
+    const ids = Array.from({ length: load.instances }, (_, index) => `instance-${index}`)
+    this.fleet = ids.map(id => this.createInstance(id, ids))
+  }
+
+  async run(): Promise<NamedRateOutcome> {
+    this.sendNext()
+    await this.clock.advance(RUN_MILLISECONDS)
+    const seconds = (RUN_MILLISECONDS - NAMING_FROM) / 1_000
+    return {
+      mostInWindow: this.mostInWindow(),
+      takenPerSecond: this.taken / seconds,
+      servedShare: this.sent / (this.sent + this.refused),
+    }
+  }
+
+  private createInstance(id: string, recorded: readonly string[]): ReplayedInstance {
+    const { clock } = this
+    const directory = new EndpointDirectory({
+      clock,
+      instances: () => 1,
+      maximumConnections: () => 10_000,
+      coldMilliseconds: () => 0,
+      onChange: () => {},
+    })
+    for (let index = 0; index < ENDPOINTS; index += 1) directory.set(recordOf(index))
+    const permits = new WarmUps({
+      clock,
+      instance: id,
+      recordedInstances: () => recorded,
+      boundsOf: () => undefined,
+    })
+    return { id, directory, permits, toldAt: Number.POSITIVE_INFINITY }
+  }
+
+  /** Requests come at random, as many callers' do. */
+  private sendNext(): void {
+    const mean = 1_000 / this.load.requestsPerSecond
+    this.clock.after(-mean * Math.log(1 - this.random.next()), () => {
+      const instance = this.fleet[randomBelow(this.random, this.load.users)]
+      if (instance !== undefined) this.serve(instance)
+      this.sendNext()
+    })
+  }
+
+  private serve(instance: ReplayedInstance): void {
+    const available = instance.directory.available(SERVICE)
+    const open = available.filter(endpoint => instance.permits.takes(endpoint))
+    const endpoint = open[randomBelow(this.random, open.length)]
+    if (endpoint === undefined) {
+      this.refused += 1
+      return
+    }
+    this.sent += 1
+    const progress = endpoint.beginRequest(0)
+    if (endpoint.record.id === recordOf(0).id) this.noteSent(instance)
+    const head = HEAD_MILLISECONDS.least + HEAD_MILLISECONDS.spread * this.random.next()
+    this.clock.after(head, () => {
+      progress.end()
+      this.takeHead(instance, endpoint)
+    })
+  }
+
+  private noteSent({ toldAt }: ReplayedInstance): void {
+    const now = this.clock.monotonic()
+    if (now >= NAMING_FROM) this.taken += 1
+    if (now >= toldAt + TOLD_MILLISECONDS) this.counted.push(now)
+  }
+
+  private takeHead(instance: ReplayedInstance, { record }: EndpointState): void {
+    const now = this.clock.monotonic()
+    const isNaming = record.id === recordOf(0).id && now >= NAMING_FROM
+    if (isNaming) instance.toldAt = Math.min(instance.toldAt, now)
+    const advice = isNaming ? { ...SAYS_NOTHING, rate: this.load.rate } : SAYS_NOTHING
+    instance.directory.noteSaid(record, advice)
+  }
+
+  private mostInWindow(): number {
+    const { counted } = this
+    const counts = counted.map(
+      from => counted.filter(at => at >= from && at < from + WINDOW_MILLISECONDS).length,
+    )
+    return Math.max(0, ...counts)
+  }
+}
+
+function recordOf(index: number): EndpointRecord {
+  const id = `endpoint-${index}`
+  return {
+    id,
+    start: asId<EndpointStart>(id),
+    service: SERVICE,
+    address: `10.0.0.${index}:80`,
+    failureDomain: 'domain',
+    slots: 64,
+    isLeaving: false,
+    coldMilliseconds: 0,
+  }
+}
