test(stand-ins): an engine that names a rate in the published form, red

Cause: the OpenAI-style kind of daemon reads no rate from an answer either. Change: stand-in engines say things of themselves in answers; the failing test; listed.

--- /dev/null
+++ b/packages/stand-ins/__tests__/endpointAdvice.spec.ts
@@ -0,0 +1,78 @@
+import { afterEach, describe, expect, it } from 'vitest'
+import { ConfiguredFleet, streamChat } from '@rackwalk/stand-ins'
+import type { ChatAnswer, EngineStandIn } from '@rackwalk/stand-ins'
+
+/**
+ * Engines behind the published protocol say what they bear in the heads of their answers: a rate (`x-ratelimit-limit-requests`
+ * by the minute, `RateLimit-Policy` with a window), when to come back, that they leave. This kind of daemon read a leaving
+ * header in refusals alone and nothing else, so an engine that named 78 requests a minute got as many as one that named none.
+ */
+
+const INSTANCES = 3
+const ENGINES = 4
+const RATE = 1.3
+const WINDOW_MILLISECONDS = 4_000
+/** One and a half times what the rate allows in the window, and five more. */
+const ALLOWED = 1.5 * RATE * (WINDOW_MILLISECONDS / 1_000) + 5
+/** An instance that was told keeps to it from then on. */
+const TOLD_MILLISECONDS = 500
+const INTERVAL_MILLISECONDS = 25
+const LEAST_SERVED = 0.99
+
+let current: ConfiguredFleet | undefined
+
+async function start(): Promise<{ fleet: ConfiguredFleet; first: EngineStandIn }> {
+  current = await new ConfiguredFleet({ instances: INSTANCES, engines: ENGINES }).start()
+  const [first] = current.engines
+  if (first === undefined) throw new Error('no engine')
+  return { fleet: current, first }
+}
+
+function pause(milliseconds: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, milliseconds))
+}
+
+/** Sends chats to the instances in turn for so long; each has a prompt of its own. */
+async function send(fleet: ConfiguredFleet, duration: number): Promise<readonly ChatAnswer[]> {
+  const answers: Promise<ChatAnswer>[] = []
+  const until = Date.now() + duration
+  while (Date.now() < until) {
+    const demand = { word: 'any', tokens: 4, prompt: `prompt ${answers.length}` }
+    answers.push(streamChat(fleet.callers(answers.length % INSTANCES), demand))
+    await pause(INTERVAL_MILLISECONDS)
+  }
+  return Promise.all(answers)
+}
+
+/** The most arrivals within the window, of those after this time. */
+function mostInWindow(arrivals: readonly number[], after: number): number {
+  const late = arrivals.filter(at => at > after)
+  const counts = late.map(
+    from => late.filter(at => at >= from && at < from + WINDOW_MILLISECONDS).length,
+  )
+  return Math.max(0, ...counts)
+}
+
+function servedShare(answers: readonly ChatAnswer[]): number {
+  return answers.filter(({ isWhole }) => isWhole).length / answers.length
+}
+
+afterEach(async () => {
+  await current?.stop()
+  current = undefined
+})
+
+describe('an engine that names a rate', () => {
+  it('gets no more than that from the whole fleet, and all others are served elsewhere', async () => {
+    const { fleet, first } = await start()
+    await send(fleet, 1_000)
+    const namedAt = Date.now()
+    first.says = { 'x-ratelimit-limit-requests': String(RATE * 60) }
+    const answers = await send(fleet, 9_000)
+    const [toldAt = 0] = first.arrivals.filter(at => at >= namedAt)
+    const most = mostInWindow(first.arrivals, toldAt + TOLD_MILLISECONDS)
+    expect(most).toBeGreaterThan(0)
+    expect(most).toBeLessThanOrEqual(ALLOWED)
+    expect(servedShare(answers)).toBeGreaterThanOrEqual(LEAST_SERVED)
+  })
+})
--- a/packages/stand-ins/src/engine/engineStandIn.ts
+++ b/packages/stand-ins/src/engine/engineStandIn.ts
@@ -110,6 +110,12 @@
   ends = 0
   private port = 0
   private revival: NodeJS.Timeout | undefined
+  /** Headers of each answer to a chat, in which it says something of itself. */
+  says: Readonly<Record<string, string>> = {}
+  /** Times at which chats reached it. */
+  readonly arrivals: number[] = []
+  /** Turns each chat away unrun with this status; undefined where it takes them. */
+  turnsAwayWith: number | undefined
   /** Breaks the connection off after so many tokens of each answer. */
   breakAfterTokens: number | undefined
 
@@ -164,6 +170,9 @@
 
   private chat(request: IncomingMessage, document: unknown, response: ServerResponse): void {
     const body = bodySchema.parse(document)
+    this.arrivals.push(Date.now())
+    for (const [name, value] of Object.entries(this.says)) response.setHeader(name, value)
+    if (this.turnsAwayWith !== undefined) return answer(response, this.turnsAwayWith, {})
     if (this.leaving) return answer(response, 503, {}, { 'x-endpoint-state': 'leaving' })
     if (!this.loaded.has(body.model)) return answer(response, 404, { error: 'not loaded' })
     this.taken.push(String(request.headers['x-request-id']))
