--- a/packages/coordination/src/membership/memberDirectory.ts
+++ b/packages/coordination/src/membership/memberDirectory.ts
@@ -4,6 +4,7 @@
  * the rows, and on the store to write its own.
  */
 
+import type { RecordedInstance } from '@rackwalk/decisions'
 import type { Clock, Milliseconds, RandomSource, Timer } from '@rackwalk/shared'
 import type { ChangedRow, RowAddress, RowStore } from '@rackwalk/stores'
 import type { StoreClock } from '../rows/storeClock.js'
@@ -57,6 +58,8 @@
  * latest while the store answers. Chosen as twice that.
  */
 const MUTUAL_MILLISECONDS = 3_000
+/** A stray request, as a check of the configuration sends, does not make an instance one to which callers come. */
+const WORKING_REQUESTS_PER_SECOND = 1
 
 /**
  * An instance waits this long for the rows before it takes itself for the only one. Chosen: a store or a peer
@@ -141,11 +144,14 @@
    * All instances that are recorded, whether or not they are heard, this one included; undefined while the others
    * may not know of this one yet.
    */
-  get recordedInstances(): readonly string[] | undefined {
+  get recordedInstances(): readonly RecordedInstance[] | undefined {
     const since = this.recordedSince
     if (!this.loaded || since === undefined) return undefined
     if (this.parts.clock.monotonic() - since < MUTUAL_MILLISECONDS) return undefined
-    return [...this.members.keys()]
+    return [...this.members.values()].map(({ row }) => ({
+      instance: row.instance,
+      isWorking: row.requestsPerSecond >= WORKING_REQUESTS_PER_SECOND,
+    }))
   }
 
   /** What this instance tells the others. */
--- a/packages/daemon/__tests__/references.spec.ts
+++ b/packages/daemon/__tests__/references.spec.ts
@@ -77,6 +77,7 @@
     abandonedShare: zero,
     endpoints: zero,
     coldEndpoints: zero,
+    limitedEndpoints: zero,
     crashingRequests: zero,
     evacuatedDomains: zero,
     evacuatedInFlight: zero,
--- /dev/null
+++ b/packages/daemon/src/gateway/adviceNews.ts
@@ -0,0 +1,48 @@
+/**
+ * News of what endpoints say of themselves, as datagrams between instances. They travel as news of requests that end
+ * endpoints do: in the form of a load report that comes too late, which an earlier version drops. Owns nothing.
+ */
+
+import { asId } from '@rackwalk/shared'
+import type { AdviceNews, PeerLoadReport } from '@rackwalk/router'
+import { NEWS_SEQUENCE } from './crashNews.js'
+
+/** Entries of a report are named for endpoints, and no endpoint has a blank in its id. */
+const SAYS_PREFIX = 'says '
+/** Requests a second that it takes. */
+const RATE_PART = 'rate'
+/** Entries in one datagram: it stays under 1,300 bytes with ids of 40 characters. */
+const ENTRIES_A_DATAGRAM = 12
+
+type Entry = PeerLoadReport['loads'][number]
+
+/** The reports that tell this. */
+export function adviceReportsOf(
+  news: readonly AdviceNews[],
+  identity: Pick<PeerLoadReport, 'instance' | 'incarnation'>,
+): readonly PeerLoadReport[] {
+  const reports: PeerLoadReport[] = []
+  for (let from = 0; from < news.length; from += ENTRIES_A_DATAGRAM) {
+    const loads = news.slice(from, from + ENTRIES_A_DATAGRAM).map(entryOf)
+    reports.push({ ...identity, sequence: NEWS_SEQUENCE, isWhole: false, loads })
+  }
+  return reports
+}
+
+/** What such a report tells; entries of any other kind are passed over. */
+export function adviceNewsOf({ loads }: PeerLoadReport): readonly AdviceNews[] {
+  return loads.flatMap(({ endpoint, pendingTokens, parts }) => {
+    if (!endpoint.startsWith(SAYS_PREFIX)) return []
+    const rate = parts.find(({ id }) => id === RATE_PART)?.tokens
+    // A rate of nothing would keep everybody away for good.
+    const requestsPerSecond = rate === 0 ? undefined : rate
+    const start: AdviceNews['start'] = asId(endpoint.slice(SAYS_PREFIX.length))
+    return [{ start, requestsPerSecond, ageMilliseconds: pendingTokens }]
+  })
+}
+
+function entryOf({ start, requestsPerSecond, ageMilliseconds }: AdviceNews): Entry {
+  const rate = requestsPerSecond === undefined ? [] : [{ id: RATE_PART, tokens: requestsPerSecond }]
+  const pendingTokens = Math.max(0, Math.round(ageMilliseconds))
+  return { endpoint: `${SAYS_PREFIX}${start}`, running: 0, pendingTokens, parts: rate }
+}
--- a/packages/daemon/src/gateway/crashNews.ts
+++ b/packages/daemon/src/gateway/crashNews.ts
@@ -7,8 +7,8 @@
 import { asId } from '@rackwalk/shared'
 import type { PeerLoadReport } from '@rackwalk/router'
 
-/** No report of load has it: their sequences count from 1. */
-const NEWS_SEQUENCE = 0
+/** Of all reports that tell news; no report of load has it, since their sequences count from 1. */
+export const NEWS_SEQUENCE = 0
 /** Entries of a report are named for endpoints, and no endpoint has a blank in its id. */
 const ENDED_PREFIX = 'ended '
 const CLEARED_PREFIX = 'cleared '
@@ -17,8 +17,8 @@
 
 type Entry = PeerLoadReport['loads'][number]
 
-/** Whether a report is such news. */
-export function isCrashNews({ sequence }: PeerLoadReport): boolean {
+/** Whether a report tells news, and not of load. */
+export function isNews({ sequence }: PeerLoadReport): boolean {
   return sequence === NEWS_SEQUENCE
 }
 
--- /dev/null
+++ b/packages/daemon/src/gateway/endpointKnowledge.ts
@@ -0,0 +1,136 @@
+/**
+ * What an instance knows of endpoints, wired together: which are listed, what they said of themselves, which requests
+ * end them, what the fleet has in progress there. Owns these parts and the datagrams that keep them alike on all
+ * instances; decides nothing.
+ */
+
+import { EndpointDirectory, FleetLoad } from '@rackwalk/router'
+import type { EndpointRecord, GatewayService } from '@rackwalk/router'
+import type { MemberDirectory } from '@rackwalk/coordination'
+import type { Clock, EndpointStart } from '@rackwalk/shared'
+import type { RowStore } from '@rackwalk/stores'
+import type { ActiveFleet } from './activeFleet.js'
+import { AdviceWatch } from './adviceWatch.js'
+import { CrashWatch } from './crashWatch.js'
+import type { GatewayTelemetry } from './gatewayTelemetry.js'
+import { LoadExchange, loadPeersOf } from './loadExchange.js'
+
+/** What the knowledge rests on. */
+export interface EndpointKnowledgeParts {
+  readonly instance: string
+  readonly incarnation: string
+  /** IP:PORT for datagrams; undefined where this instance takes none. */
+  readonly loadAddress: string | undefined
+  readonly clock: Clock
+  readonly store: RowStore
+  readonly telemetry: GatewayTelemetry
+  readonly members: MemberDirectory
+  readonly fleet: () => ActiveFleet
+  /** By the configuration in force; undefined where it has no such service. */
+  readonly service: (name: string) => GatewayService | undefined
+}
+
+/** The parts that know of endpoints. */
+export class EndpointKnowledge {
+  readonly directory: EndpointDirectory
+  readonly crashes: CrashWatch
+  readonly advice: AdviceWatch
+  readonly fleetLoad: FleetLoad
+  readonly exchange: LoadExchange | undefined
+
+  constructor(private readonly parts: EndpointKnowledgeParts) {
+    this.directory = this.createDirectory()
+    this.crashes = this.createCrashes()
+    this.advice = this.createAdvice()
+    this.fleetLoad = this.createFleetLoad()
+    this.exchange = this.createExchange()
+  }
+
+  start(): void {
+    this.exchange?.start()
+  }
+
+  stop(): void {
+    this.crashes.stop()
+    this.exchange?.stop()
+  }
+
+  private createDirectory(): EndpointDirectory {
+    const { clock, fleet, service } = this.parts
+    return new EndpointDirectory({
+      clock,
+      instances: () => fleet().sharers,
+      maximumConnections: name => service(name)?.maximumConnections ?? 1,
+      coldMilliseconds: name => service(name)?.warmUp?.durationMilliseconds ?? 0,
+      onChange: (endpoint, change) => this.noteChange(endpoint, change),
+      onReplaced: start => this.noteReplaced(start),
+    })
+  }
+
+  private noteChange({ id, service }: EndpointRecord, change: string): void {
+    this.parts.telemetry.noteChange('server_state', change, { server: id, service, change })
+    if (change === 'gone') this.fleetLoad.forget(id)
+  }
+
+  private noteReplaced(start: EndpointStart): void {
+    this.crashes.guard.noteReplaced(start)
+    this.advice.advices.forget(start)
+  }
+
+  private createCrashes(): CrashWatch {
+    const { clock, store, telemetry } = this.parts
+    return new CrashWatch({
+      clock,
+      store,
+      directory: () => this.directory,
+      tell: news => this.exchange?.tellCrashes(news),
+      telemetry,
+    })
+  }
+
+  private createAdvice(): AdviceWatch {
+    const { clock, instance, members, service, telemetry } = this.parts
+    return new AdviceWatch({
+      clock,
+      instance,
+      recordedInstances: () => members.recordedInstances,
+      boundsOf: name => service(name)?.warmUp,
+      tell: news => this.exchange?.tellAdvice(news),
+      telemetry,
+    })
+  }
+
+  private createFleetLoad(): FleetLoad {
+    const { instance, incarnation, clock, fleet, service } = this.parts
+    return new FleetLoad({
+      instance,
+      incarnation,
+      directory: this.directory,
+      clock,
+      capacityOf: name => service(name)?.engine?.capacity,
+      // An instance that stands by tells of prompts alone: they make others wait for as long as they are
+      // read, while endpoints' own answers tell of its plain requests soon enough.
+      isTold: name => fleet().isSelfActive || service(name)?.engine !== undefined,
+      users: () => fleet().usingOthers.length + 1,
+      onSent: () => this.exchange?.noteSent(),
+      onAsked: id => this.advice.noteAsked(this.directory.startOf(id)),
+    })
+  }
+
+  private createExchange(): LoadExchange | undefined {
+    const { loadAddress, instance, incarnation, clock, fleet, telemetry } = this.parts
+    if (loadAddress === undefined) return undefined
+    return new LoadExchange({
+      address: loadAddress,
+      usingPeers: () => loadPeersOf(fleet().usingOthers),
+      idlePeers: () => loadPeersOf(fleet().idleOthers),
+      fleetLoad: this.fleetLoad,
+      identity: { instance, incarnation },
+      onCrashNews: news => this.crashes.guard.observe(news),
+      onAdviceNews: news => this.advice.observe(news),
+      standingAdvice: () => this.advice.advices.standingNews,
+      clock,
+      onMalformed: form => telemetry.noteMalformed(form),
+    })
+  }
+}
--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -17,7 +17,7 @@
   StoreClock,
 } from '@rackwalk/coordination'
 import type { TableMirror } from '@rackwalk/coordination'
-import { EndpointDirectory, FleetLoad, Gateway, WarmUps } from '@rackwalk/router'
+import { Gateway } from '@rackwalk/router'
 import type { RouteTable } from '@rackwalk/router'
 import { AcceptProbe } from './acceptProbe.js'
 import { ActiveFleet } from './activeFleet.js'
@@ -29,7 +29,6 @@
 import type { GatewayMetrics } from './gatewayMetrics.js'
 import { GatewayTelemetry, createGatewayLogger } from './gatewayTelemetry.js'
 import type { GatewaySettings } from './gatewaySettings.js'
-import { LoadExchange, loadPeersOf } from './loadExchange.js'
 import { KnowledgeWatch, watchedTables } from './knowledgeWatch.js'
 import { createPeerLoans, createPeerRows } from './peerCalls.js'
 import type { PeerCallSources } from './peerCalls.js'
@@ -37,10 +36,10 @@
 import type { PeerRows } from './peerRows.js'
 import { ConfigurationInForce } from './configurationInForce.js'
 import { CountedStore } from './countedStore.js'
-import { CrashWatch } from './crashWatch.js'
 import { OpenConnections } from './openConnections.js'
 import { linkBytesPerSecond } from './instanceCapacity.js'
 import { ownMember } from './ownMember.js'
+import { EndpointKnowledge } from './endpointKnowledge.js'
 import { followTables } from './followedTables.js'
 import { stopAsPlanned } from './plannedStop.js'
 import type { PlatformAdapter } from './platformAdapter.js'
@@ -70,10 +69,8 @@
   private readonly requestRate: DemandMeter
   private readonly fleet: ActiveFleet
   private readonly ledger: PrepaidLedger
-  private readonly endpoints: EndpointDirectory
-  private readonly crashes: CrashWatch
-  private readonly fleetLoad: FleetLoad
-  private readonly loadExchange: LoadExchange | undefined
+  /** What is known of endpoints. */
+  private readonly known: EndpointKnowledge
   private readonly gateway: Gateway
   private readonly mirrors: ReadonlyMap<string, TableMirror>
   private readonly knowledge: KnowledgeWatch
@@ -110,10 +107,7 @@
     this.fleet = this.createFleet()
     this.peerLoans = createPeerLoans(this.peerCallSources)
     this.ledger = this.createLedger()
-    this.endpoints = this.createEndpoints()
-    this.crashes = this.createCrashes()
-    this.fleetLoad = this.createFleetLoad()
-    this.loadExchange = this.createLoadExchange()
+    this.known = this.createKnown()
     this.gateway = this.createGateway()
     this.peerRows = createPeerRows(this.peerCallSources, this.fleet, this.random)
     this.mirrors = this.createMirrors()
@@ -139,7 +133,7 @@
     for (const mirror of this.mirrors.values()) mirror.start()
     this.ledger.start()
     this.knowledge.start()
-    this.loadExchange?.start()
+    this.known.start()
     this.note('instance_started', { callers, incarnation: this.incarnation })
   }
 
@@ -194,8 +188,7 @@
     this.members.stop()
     this.store.close()
     this.peerLoans.close()
-    this.crashes.stop()
-    this.loadExchange?.stop()
+    this.known.stop()
     for (const { server } of this.otherListeners) server.close()
     this.callerListener.closeAllConnections()
     this.callerListener.close()
@@ -242,10 +235,11 @@
       isServing: () => this.isReady && this.members.isKnown,
       self: () => this.members.self,
       others: () => this.members.others,
-      hears: ({ instance, loadAddress }) => loadAddress === '' || this.fleetLoad.hears(instance),
-      silenceMilliseconds: () => this.loadExchange?.silenceMilliseconds ?? 0,
-      isUsing: ({ instance }) => this.fleetLoad.isUsing(instance),
-      isSelfUsing: () => this.fleetLoad.isSelfUsing,
+      hears: ({ instance, loadAddress }) =>
+        loadAddress === '' || this.known.fleetLoad.hears(instance),
+      silenceMilliseconds: () => this.known.exchange?.silenceMilliseconds ?? 0,
+      isUsing: ({ instance }) => this.known.fleetLoad.isUsing(instance),
+      isSelfUsing: () => this.known.fleetLoad.isSelfUsing,
       clock: this.clock,
       bounds: { minimumInDomain: activeInDomain, headroom },
       onChange: (isActive, activeInstances) =>
@@ -282,60 +276,18 @@
     return { settings, members, telemetry }
   }
 
-  private createEndpoints(): EndpointDirectory {
-    return new EndpointDirectory({
-      clock: this.clock,
-      instances: () => this.fleet.sharers,
-      maximumConnections: name => this.configuration.routes?.service(name)?.maximumConnections ?? 1,
-      coldMilliseconds: name =>
-        this.configuration.routes?.service(name)?.warmUp?.durationMilliseconds ?? 0,
-      onChange: (endpoint, change) => {
-        const fields = { server: endpoint.id, service: endpoint.service, change }
-        this.telemetry.noteChange('server_state', change, fields)
-        if (change === 'gone') this.fleetLoad.forget(endpoint.id)
-      },
-      onReplaced: start => this.crashes.guard.noteReplaced(start),
-    })
-  }
-
-  private createCrashes(): CrashWatch {
-    return new CrashWatch({
-      clock: this.clock,
-      store: this.store,
-      directory: () => this.endpoints,
-      tell: news => this.loadExchange?.tellCrashes(news),
-      telemetry: this.telemetry,
-    })
-  }
-
-  private createFleetLoad(): FleetLoad {
-    return new FleetLoad({
-      instance: this.settings.instance.id,
-      incarnation: this.incarnation,
-      directory: this.endpoints,
-      clock: this.clock,
-      capacityOf: name => this.configuration.routes?.service(name)?.engine?.capacity,
-      // An instance that stands by tells of prompts alone: they make others wait for as long as they are
-      // read, while endpoints' own answers tell of its plain requests soon enough.
-      isTold: name =>
-        this.fleet.isSelfActive || this.configuration.routes?.service(name)?.engine !== undefined,
-      users: () => this.fleet.usingOthers.length + 1,
-      onSent: () => this.loadExchange?.noteSent(),
-    })
-  }
-
-  private createLoadExchange(): LoadExchange | undefined {
-    const { listen } = this.settings
-    if (listen.loads === undefined) return undefined
-    return new LoadExchange({
-      address: listen.loads,
-      usingPeers: () => loadPeersOf(this.fleet.usingOthers),
-      idlePeers: () => loadPeersOf(this.fleet.idleOthers),
-      fleetLoad: this.fleetLoad,
-      identity: { instance: this.settings.instance.id, incarnation: this.incarnation },
-      onCrashNews: news => this.crashes.guard.observe(news),
-      clock: this.clock,
-      onMalformed: form => this.telemetry.noteMalformed(form),
+  private createKnown(): EndpointKnowledge {
+    const { settings, incarnation, clock, store, telemetry, members } = this
+    return new EndpointKnowledge({
+      instance: settings.instance.id,
+      incarnation,
+      loadAddress: settings.listen.loads,
+      clock,
+      store,
+      telemetry,
+      members,
+      fleet: () => this.fleet,
+      service: name => this.configuration.routes?.service(name),
     })
   }
 
@@ -343,15 +295,11 @@
     const { requests, retries, instance } = this.settings
     return new Gateway({
       dialect: this.adapter.dialect,
-      directory: this.endpoints,
-      fleetLoad: this.fleetLoad,
-      crashes: this.crashes.guard,
-      warmUps: new WarmUps({
-        clock: this.clock,
-        instance: instance.id,
-        recordedInstances: () => this.members.recordedInstances,
-        boundsOf: service => this.configuration.routes?.service(service)?.warmUp,
-      }),
+      directory: this.known.directory,
+      fleetLoad: this.known.fleetLoad,
+      crashes: this.known.crashes.guard,
+      advices: this.known.advice.advices,
+      permits: this.known.advice.permits,
       clock: this.clock,
       random: this.random,
       failureDomain: instance.failureDomain,
@@ -374,10 +322,10 @@
       store: this.store,
       clock: this.clock,
       adapter: this.adapter,
-      endpoints: this.endpoints,
+      endpoints: this.known.directory,
       members: this.members,
       ledger: this.ledger,
-      crashRecords: this.crashes.records,
+      crashRecords: this.known.crashes.records,
       peerRows: this.peerRows,
       freshness: this.settings.freshness,
       onConfiguration: (rows, isWhole) => this.configuration.observe(rows, isWhole),
@@ -394,7 +342,7 @@
       tables: watchedTables(this.adapter, this.mirrors, this.settings.freshness),
       reachability: () => ({
         answeredAgoMilliseconds: this.store.answeredAgoMilliseconds,
-        heardAgoMilliseconds: this.fleetLoad.heardAgoMilliseconds,
+        heardAgoMilliseconds: this.known.fleetLoad.heardAgoMilliseconds,
       }),
       onChange: (isRefusing, table, age) =>
         this.note('knowledge_state', { isRefusing, table, ageMilliseconds: Math.round(age) }),
@@ -403,16 +351,17 @@
   }
 
   private createMetrics(): GatewayMetrics {
-    const { gateway, members, fleet, ledger, endpoints, configuration, callerConnections } = this
+    const { gateway, members, fleet, ledger, known, configuration, callerConnections } = this
     return this.telemetry.createMetrics(
       gaugesOf({
         gateway,
         members,
         fleet,
         ledger,
-        endpoints,
+        endpoints: known.directory,
         configuration,
-        crashes: this.crashes.guard,
+        crashes: known.crashes.guard,
+        advices: known.advice.advices,
         callerConnections,
         configurationMirror: this.mirrors.get(this.adapter.configuration.table),
         isReady: () => this.isReady,
@@ -438,7 +387,7 @@
       source: this.adapter.configuration,
       onConfiguration: (routes, before) => this.noteConfiguration(routes, before),
       onEvacuation: (failureDomain, isEvacuated) => {
-        this.endpoints.setEvacuated(failureDomain, isEvacuated)
+        this.known.directory.setEvacuated(failureDomain, isEvacuated)
         const event = isEvacuated ? 'failure_domain_evacuated' : 'failure_domain_restored'
         this.note(event, { failureDomain })
       },
--- a/packages/daemon/src/gateway/gatewayGauges.ts
+++ b/packages/daemon/src/gateway/gatewayGauges.ts
@@ -1,7 +1,7 @@
 /** Where the gauges of a gateway instance are read. Owns nothing. */
 
 import type { MemberDirectory, PrepaidLedger, TableMirror } from '@rackwalk/coordination'
-import type { CrashGuard, EndpointDirectory, Gateway } from '@rackwalk/router'
+import type { CrashGuard, EndpointAdvices, EndpointDirectory, Gateway } from '@rackwalk/router'
 import type { ActiveFleet } from './activeFleet.js'
 import type { ConfigurationInForce } from './configurationInForce.js'
 import type { GatewayGauges } from './gatewayMetrics.js'
@@ -15,6 +15,7 @@
   readonly ledger: PrepaidLedger
   readonly endpoints: EndpointDirectory
   readonly crashes: CrashGuard
+  readonly advices: EndpointAdvices
   readonly configuration: ConfigurationInForce
   readonly callerConnections: OpenConnections
   /** Follows the configuration; its age is that of the store's last answer. */
@@ -35,6 +36,7 @@
     abandonedShare: () => gateway.abandonedShare,
     endpoints: () => endpoints.size,
     coldEndpoints: () => endpoints.coldCount,
+    limitedEndpoints: () => sources.advices.limitedCount,
     crashingRequests: () => sources.crashes.refusedCount,
     evacuatedDomains: () => configuration.evacuations.length,
     evacuatedInFlight: () => endpoints.runningInEvacuated,
--- a/packages/daemon/src/gateway/gatewayMetrics.ts
+++ b/packages/daemon/src/gateway/gatewayMetrics.ts
@@ -23,6 +23,7 @@
   readonly abandonedShare: () => number
   readonly endpoints: () => number
   readonly coldEndpoints: () => number
+  readonly limitedEndpoints: () => number
   readonly crashingRequests: () => number
   readonly evacuatedDomains: () => number
   readonly evacuatedInFlight: () => number
@@ -187,6 +188,11 @@
       gauges.abandonedShare,
     )
     this.gauge('cold_servers', 'Servers that warm up.', gauges.coldEndpoints)
+    this.gauge(
+      'limited_servers',
+      'Servers that named how many requests they take.',
+      gauges.limitedEndpoints,
+    )
     this.gauge(
       'crashing_requests',
       'Requests that are refused since servers ended as they began to run them.',
--- a/packages/daemon/src/gateway/loadExchange.ts
+++ b/packages/daemon/src/gateway/loadExchange.ts
@@ -11,10 +11,11 @@
 import type { Clock, Milliseconds, Timer } from '@rackwalk/shared'
 import type { MemberRow } from '@rackwalk/coordination'
 import type { CrashNews } from '@rackwalk/decisions'
-import type { FleetLoad, PeerLoadReport } from '@rackwalk/router'
+import type { AdviceNews, FleetLoad, PeerLoadReport } from '@rackwalk/router'
 import { parseAddress } from '../observe/listenOn.js'
 import type { MalformedForm } from '../observe/malformedForms.js'
-import { isCrashNews, newsOf, reportsOf } from './crashNews.js'
+import { adviceNewsOf, adviceReportsOf } from './adviceNews.js'
+import { isNews, newsOf, reportsOf } from './crashNews.js'
 
 /** Time between two reports in a small fleet, and of what must be told at once in any. */
 const SHORTEST_INTERVAL_MILLISECONDS = 20
@@ -74,6 +75,10 @@
   readonly identity: Pick<PeerLoadReport, 'instance' | 'incarnation'>
   /** Another instance told of requests that end endpoints. */
   readonly onCrashNews: (news: CrashNews) => void
+  /** Another instance told what endpoints say of themselves. */
+  readonly onAdviceNews: (news: readonly AdviceNews[]) => void
+  /** What holds of endpoints by their own word, for instances that may not have heard it. */
+  readonly standingAdvice: () => readonly AdviceNews[]
   readonly clock: Clock
   readonly onMalformed: (form: MalformedForm) => void
 }
@@ -121,9 +126,17 @@
 
   /** Tells all others of requests that end endpoints, at once. */
   tellCrashes(news: CrashNews): void {
-    const { usingPeers, idlePeers, identity } = this.parts
-    const peers = [...usingPeers(), ...idlePeers()]
-    for (const report of reportsOf(news, identity)) this.sendTo(peers, report)
+    this.tellAll(reportsOf(news, this.parts.identity))
+  }
+
+  /** Tells all others what endpoints say of themselves, at once. */
+  tellAdvice(news: readonly AdviceNews[]): void {
+    this.tellAll(adviceReportsOf(news, this.parts.identity))
+  }
+
+  private tellAll(reports: readonly PeerLoadReport[]): void {
+    const peers = [...this.parts.usingPeers(), ...this.parts.idlePeers()]
+    for (const report of reports) this.sendTo(peers, report)
   }
 
   private schedule(): void {
@@ -172,7 +185,10 @@
     const peers = this.parts.usingPeers()
     const newcomers = peers.filter(({ address }) => !this.told.has(address))
     this.told = new Set(peers.map(({ address }) => address))
-    if (newcomers.length > 0) this.sendTo(newcomers, this.parts.fleetLoad.wholeReport())
+    if (newcomers.length === 0) return
+    this.sendTo(newcomers, this.parts.fleetLoad.wholeReport())
+    const standing = adviceReportsOf(this.parts.standingAdvice(), this.parts.identity)
+    for (const report of standing) this.sendTo(newcomers, report)
   }
 
   private sendSigns(): void {
@@ -193,9 +209,14 @@
   private take(bytes: Buffer, source: string): void {
     const report = decodeReport(bytes)
     if (report === undefined) this.parts.onMalformed({ form: 'load report', source })
-    else if (isCrashNews(report)) this.parts.onCrashNews(newsOf(report))
+    else if (isNews(report)) this.takeNews(report)
     else this.parts.fleetLoad.observe(report)
   }
+
+  private takeNews(report: PeerLoadReport): void {
+    this.parts.onCrashNews(newsOf(report))
+    this.parts.onAdviceNews(adviceNewsOf(report))
+  }
 }
 
 /** The bytes of a report. */
--- a/packages/decisions/__tests__/finalError.spec.ts
+++ b/packages/decisions/__tests__/finalError.spec.ts
@@ -76,7 +76,11 @@
       history: [],
       isCallerGone: false,
       isLate: false,
-      noChoice: { kind: 'none-warm', warmInMilliseconds: 1_700 },
+      noChoice: {
+        kind: 'none-permitted',
+        refusal: { kind: 'cold', waitMilliseconds: 1_700 },
+        chance: 0,
+      },
     })
     expect(error).toMatchObject({ code: ResultCode.WarmingUp, retryAfterSeconds: 1.7 })
   })
--- a/packages/decisions/__tests__/warmUp.spec.ts
+++ b/packages/decisions/__tests__/rateLicence.spec.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest'
-import { holdsLicence, warmUpShares } from '@rackwalk/decisions'
+import { licenceAt, licenceRank, rateShares } from '@rackwalk/decisions'
 
 /** What a whole fleet sends at most to one cold endpoint in a second, by the licences that instances hold. */
 function mostInASecond(licence: (instance: string) => number, instances: readonly string[]) {
@@ -12,8 +12,11 @@
 
 /** Requests that an instance may send in a second, given those that it knows to be recorded. */
 function licensed(instance: string, recorded: readonly string[], perSecond: number, start: string) {
-  const { holders, licence } = warmUpShares(perSecond, recorded.length)
-  if (!holdsLicence(instance, recorded, start, holders)) return 0
+  const rows = recorded.map(other => ({ instance: other, isWorking: true }))
+  const rank = licenceRank(instance, rows, start)
+  if (rank === undefined) return 0
+  const licence = licenceAt(rank, rateShares(perSecond, recorded.length), 0)
+  if (licence === undefined) return 0
   return (licence.requests * 1_000) / licence.windowMilliseconds
 }
 
@@ -23,7 +26,7 @@
   it('is given out in whole requests', () => {
     const table = [0.4, 1, 7.7, 20].flatMap(perSecond =>
       [1, 3, 7, 75].map(instances => {
-        const { holders, licence } = warmUpShares(perSecond, instances)
+        const { holders, licence } = rateShares(perSecond, instances)
         const { requests, windowMilliseconds } = licence
         return `${perSecond}/s, ${instances}: ${holders} x ${requests} in ${Math.round(windowMilliseconds)} ms`
       }),
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -14,8 +14,15 @@
 export type { AdviceTexts, EndpointAdvice } from './choosing/endpointAdvice.js'
 export { HomeEndpoints } from './choosing/homeEndpoints.js'
 export { nextPace, slownessOf, usualPace } from './choosing/slowness.js'
-export { holdsLicence, warmUpShares } from './choosing/warmUp.js'
-export type { WarmUpBounds, WarmUpLicence } from './choosing/warmUp.js'
+export { licenceAt, licenceRank, rateShares } from './choosing/rateLicence.js'
+export type {
+  RateLicence,
+  RateShares,
+  RecordedInstance,
+  WarmUpBounds,
+} from './choosing/rateLicence.js'
+export { soonestRefusal } from './choosing/sendRefusal.js'
+export type { SendRefusal } from './choosing/sendRefusal.js'
 export { rendezvousChoice, rendezvousOrder } from './choosing/rendezvous.js'
 
 export {
--- a/packages/decisions/src/stopping/finalError.ts
+++ b/packages/decisions/src/stopping/finalError.ts
@@ -6,18 +6,24 @@
  */
 
 import { DispatchedError, NotRunError, ResultCode } from '@rackwalk/shared'
-import type { Milliseconds, RackwalkError } from '@rackwalk/shared'
+import type { RackwalkError } from '@rackwalk/shared'
 import { returnAfterSeconds } from '../admitting/budgetPatience.js'
+import type { SendRefusal } from '../choosing/sendRefusal.js'
 import type { AttemptOutcome } from '../retrying/attemptOutcome.js'
 import { mayHaveRun } from '../retrying/attemptOutcome.js'
 import { isPromising } from '../retrying/nextStep.js'
 
+const CODE_OF_REFUSAL = {
+  cold: ResultCode.WarmingUp,
+  rate: ResultCode.RateNamed,
+} as const
+
 /** Why no endpoint was asked at all. */
 export type NoChoice =
   | { readonly kind: 'none-listed' }
   | { readonly kind: 'none-with-room' }
-  /** All that have room are warming up and get no more from here; the first is warm after this time. */
-  | { readonly kind: 'none-warm'; readonly warmInMilliseconds: Milliseconds }
+  /** All that have room may be sent nothing from here now; this is over first. `chance` in [0, 1) spreads callers. */
+  | { readonly kind: 'none-permitted'; readonly refusal: SendRefusal; readonly chance: number }
   /** Endpoints ended under the request, and none is lost to it any more. */
   | { readonly kind: 'crashing' }
 
@@ -63,9 +69,11 @@
       return new NotRunError(ResultCode.Overloaded, service)
     case 'crashing':
       return new NotRunError(ResultCode.EndsEndpoints)
-    case 'none-warm': {
-      const returnAfter = returnAfterSeconds(noChoice.warmInMilliseconds)
-      return new NotRunError(ResultCode.WarmingUp, service, returnAfter)
+    case 'none-permitted': {
+      const { refusal, chance } = noChoice
+      // Callers who are refused together must not return together.
+      const returnAfter = returnAfterSeconds(refusal.waitMilliseconds * (1 + chance))
+      return new NotRunError(CODE_OF_REFUSAL[refusal.kind], service, returnAfter)
     }
   }
 }
--- /dev/null
+++ b/packages/router/src/advice/endpointAdvices.ts
@@ -0,0 +1,107 @@
+/**
+ * What all starts of endpoints have said of themselves. Owns the memory of each, which outlasts its row; tells what is
+ * new to whoever made it.
+ */
+
+import { adviceText } from '@rackwalk/decisions'
+import type { EndpointAdvice } from '@rackwalk/decisions'
+import type { Clock, EndpointStart } from '@rackwalk/shared'
+import { StartAdvice } from './startAdvice.js'
+import type { AdviceNews } from './startAdvice.js'
+
+/** What the memory works with. */
+export interface EndpointAdvicesParts {
+  readonly clock: Clock
+  /** A start said something else of itself than before, in words; undefined where it says nothing any more. */
+  readonly onChange: (start: EndpointStart, said: string | undefined) => void
+  /** For all other instances. */
+  readonly onNews: (news: AdviceNews) => void
+}
+
+/** Starts that are remembered at the most; the one that was touched longest ago is forgotten first. */
+const REMEMBERED_STARTS = 4_096
+
+interface Remembered {
+  readonly advice: StartAdvice
+  /** Which kinds of things it said, and not their figures: a line for each answer would tell nothing. */
+  said: string
+}
+
+/** The memory of one instance. */
+export class EndpointAdvices {
+  /** The one that was touched last stands last. */
+  private readonly starts = new Map<EndpointStart, Remembered>()
+
+  constructor(private readonly parts: EndpointAdvicesParts) {}
+
+  /** What a start has said, if anything. */
+  of(start: EndpointStart): StartAdvice | undefined {
+    return this.starts.get(start)?.advice
+  }
+
+  /** An endpoint said this in an answer. `isTrusted`: it is its own answer to what was asked, and whole. */
+  note(start: EndpointStart, advice: EndpointAdvice, isTrusted: boolean): void {
+    const known = this.starts.get(start)
+    const isSilent = adviceText(advice) === undefined
+    if (known === undefined && isSilent) return
+    const remembered = this.touch(start)
+    this.noteRate(remembered.advice, advice, isTrusted)
+    this.noteChange(start, remembered, advice)
+  }
+
+  /** Another instance had such an answer. */
+  observe(news: AdviceNews): void {
+    if (news.requestsPerSecond === undefined && !this.starts.has(news.start)) return
+    this.touch(news.start).advice.observe(news)
+  }
+
+  /** Another instance has requests in progress there: it will tell what it hears. */
+  noteAsked(start: EndpointStart): void {
+    this.starts.get(start)?.advice.noteAsked()
+  }
+
+  /** A start is over. */
+  forget(start: EndpointStart): void {
+    this.starts.delete(start)
+  }
+
+  /** What holds of all starts, for an instance that may not have heard it. */
+  get standingNews(): readonly AdviceNews[] {
+    return [...this.starts.values()].flatMap(({ advice }) => advice.standingNews ?? [])
+  }
+
+  /** Starts that name a rate. */
+  get limitedCount(): number {
+    return this.standingNews.length
+  }
+
+  private noteRate(memory: StartAdvice, { rate }: EndpointAdvice, isTrusted: boolean): void {
+    if (rate === 'unreadable') return
+    // What is no answer of the endpoint's own does not end a rate that it named.
+    if (rate === 'none' && !isTrusted) return
+    const news = memory.noteRate(rate === 'none' ? undefined : rate)
+    if (news !== undefined) this.parts.onNews(news)
+  }
+
+  private noteChange(start: EndpointStart, remembered: Remembered, advice: EndpointAdvice): void {
+    const said = kindsOf(advice)
+    if (said === remembered.said) return
+    remembered.said = said
+    this.parts.onChange(start, adviceText(advice))
+  }
+
+  private touch(start: EndpointStart): Remembered {
+    const known = this.starts.get(start)
+    const remembered = known ?? { advice: new StartAdvice(start, this.parts.clock), said: '' }
+    this.starts.delete(start)
+    const [oldest] = this.starts.keys()
+    if (this.starts.size >= REMEMBERED_STARTS && oldest !== undefined) this.starts.delete(oldest)
+    this.starts.set(start, remembered)
+    return remembered
+  }
+}
+
+function kindsOf({ rate, isLeaving, restMilliseconds, faults }: EndpointAdvice): string {
+  const hasRate = typeof rate === 'number'
+  return [hasRate, isLeaving, restMilliseconds !== undefined, ...faults].join()
+}
--- /dev/null
+++ b/packages/router/src/advice/startAdvice.ts
@@ -0,0 +1,87 @@
+/**
+ * What one start of an endpoint has said of itself in answers, here or to other instances. Owns it for as long as the
+ * start is remembered, whatever rows say of it; decides nothing.
+ */
+
+import type { Clock, EndpointStart, Milliseconds } from '@rackwalk/shared'
+
+/** What instances tell each other of a start. */
+export interface AdviceNews {
+  readonly start: EndpointStart
+  /** Requests a second that it takes; undefined where it names no rate any more. */
+  readonly requestsPerSecond: number | undefined
+  /** Time since an answer said so. */
+  readonly ageMilliseconds: Milliseconds
+}
+
+/** A rate that is named from answer to answer anew is told this often at the most; a stricter one at once. */
+const TELL_MILLISECONDS: Milliseconds = 500
+
+/** The memory of one start. */
+export class StartAdvice {
+  /** Requests a second that it takes from the whole fleet; undefined where it names none. */
+  requestsPerSecond: number | undefined
+  /** Time, suspensions included, of the newest answer that told of a rate or of none. */
+  private rateAt: Milliseconds = Number.NEGATIVE_INFINITY
+  /** Monotonic time at which anything was last heard of it. */
+  private heardAt: Milliseconds = Number.NEGATIVE_INFINITY
+  /** What the others were told last, and when. */
+  private told: number | undefined
+  private toldAt: Milliseconds = Number.NEGATIVE_INFINITY
+
+  constructor(
+    readonly start: EndpointStart,
+    private readonly clock: Clock,
+  ) {}
+
+  /** Time since anything was heard of it, without suspensions. */
+  get silenceMilliseconds(): Milliseconds {
+    return this.clock.monotonic() - this.heardAt
+  }
+
+  /** Somebody asked it, and will tell what it answers if that is new. */
+  noteAsked(): void {
+    this.heardAt = this.clock.monotonic()
+  }
+
+  /** An answer told of a rate, or of none; news for the others where they don't know it. */
+  noteRate(requestsPerSecond: number | undefined): AdviceNews | undefined {
+    this.noteAsked()
+    this.rateAt = this.clock.sinceStart()
+    this.requestsPerSecond = requestsPerSecond
+    return this.mustTell ? this.tell() : undefined
+  }
+
+  /** Another instance had such an answer; what is newer here counts. */
+  observe({ requestsPerSecond, ageMilliseconds }: AdviceNews): void {
+    this.noteAsked()
+    const saidAt = this.clock.sinceStart() - ageMilliseconds
+    if (saidAt < this.rateAt) return
+    this.rateAt = saidAt
+    this.requestsPerSecond = requestsPerSecond
+    this.told = requestsPerSecond
+  }
+
+  /** What is known, for an instance that may not have heard it; undefined where nothing holds. */
+  get standingNews(): AdviceNews | undefined {
+    return this.requestsPerSecond === undefined ? undefined : this.news
+  }
+
+  private get mustTell(): boolean {
+    const { requestsPerSecond: now, told } = this
+    if (now === told) return false
+    if (now === undefined || told === undefined || now < told) return true
+    return this.clock.monotonic() - this.toldAt >= TELL_MILLISECONDS
+  }
+
+  private tell(): AdviceNews {
+    this.told = this.requestsPerSecond
+    this.toldAt = this.clock.monotonic()
+    return this.news
+  }
+
+  private get news(): AdviceNews {
+    const { start, requestsPerSecond } = this
+    return { start, requestsPerSecond, ageMilliseconds: this.clock.sinceStart() - this.rateAt }
+  }
+}
--- /dev/null
+++ b/packages/router/src/gateway/attemptChoice.ts
@@ -0,0 +1,150 @@
+/**
+ * Chooses the endpoint of each attempt at one request: collects what is known of those that may be sent something now,
+ * and asks the rules. Owns why nothing was chosen, and what was believed of the request at the newest choice.
+ */
+
+import { rankEndpoints, rendezvousChoice, soonestRefusal } from '@rackwalk/decisions'
+import type { CrashVerdict, NoChoice } from '@rackwalk/decisions'
+import type { Clock, EndpointStart, RandomSource, RequestFingerprint } from '@rackwalk/shared'
+import type { SendPermits } from '../advice/sendPermits.js'
+import type { CrashGuard } from '../crashes/crashGuard.js'
+import { requestFingerprint, requestScope } from '../crashes/requestFingerprint.js'
+import type { RequestMetadata } from './dialect.js'
+import type { EndpointDirectory } from './endpointDirectory.js'
+import { sharedPartOf, snapshotEndpoint } from './endpointSnapshots.js'
+import type { EndpointState } from './endpointState.js'
+import type { FleetLoad } from './fleetLoad.js'
+import type { GatewayRoute, GatewayService } from './gatewayConfiguration.js'
+import type { GatewayRecord } from './gatewayRecord.js'
+
+/** What a choice rests on. */
+export interface AttemptChoiceParts {
+  readonly directory: EndpointDirectory
+  readonly fleetLoad: FleetLoad
+  readonly permits: SendPermits
+  readonly crashes: CrashGuard
+  readonly clock: Clock
+  readonly random: RandomSource
+  readonly failureDomain: string
+}
+
+/** What a choice looks at of its request. */
+export interface ChoosingRequest {
+  readonly metadata: RequestMetadata
+  readonly route: GatewayRoute
+  readonly service: GatewayService
+  readonly team: string | undefined
+  readonly path: string
+  readonly body: Buffer
+  readonly record: GatewayRecord
+}
+
+/** The endpoint that was chosen, and how. */
+export interface ChosenEndpoint {
+  readonly endpoint: EndpointState
+  readonly score: number
+  /** Endpoints that were compared. */
+  readonly compared: number
+}
+
+/** The choices for one request. */
+export class AttemptChoice {
+  /** What is believed of the request, as of the newest choice. */
+  verdict: CrashVerdict = 'send'
+  /** Why nothing was chosen; undefined where something was, or where an attempt tells more. */
+  noChoice: NoChoice | undefined
+  /** What the fingerprint begins with: all that is known without the body. */
+  private readonly scope: string
+
+  constructor(
+    private readonly parts: AttemptChoiceParts,
+    private readonly request: ChoosingRequest,
+    /** Starts that the request was sent to. */
+    private readonly tried: ReadonlySet<EndpointStart>,
+  ) {
+    this.scope = requestScope(request)
+  }
+
+  /** The best endpoint, or undefined where none may take the request. */
+  choose(mayHaveRun: boolean): ChosenEndpoint | undefined {
+    const available = this.parts.directory.available(this.request.service.name)
+    const free = available.filter(({ hasRoom, start }) => hasRoom && !this.tried.has(start))
+    const open = free.filter(endpoint => this.parts.permits.takes(endpoint))
+    this.verdict = this.isSuspect ? this.parts.crashes.verdict(this.fingerprint) : 'send'
+    if (this.verdict === 'refuse') {
+      if (!mayHaveRun) this.noChoice = { kind: 'crashing' }
+      return undefined
+    }
+    const isIsolated = this.verdict === 'isolate' && open.length > 0
+    const chosen = isIsolated ? this.chooseIsolated(open) : this.chooseBest(available, open)
+    const isFirst = this.tried.size === 0
+    if (chosen === undefined && isFirst) this.noChoice = this.whyNone(available, free)
+    return chosen
+  }
+
+  /** Whether an endpoint that was not tried may be sent something now. */
+  get hasUntried(): boolean {
+    const { directory, permits } = this.parts
+    return directory
+      .available(this.request.service.name)
+      .some(endpoint => !this.tried.has(endpoint.start) && permits.takes(endpoint))
+  }
+
+  /** Whether the request may be suspected of ending endpoints, by what is known of it without its body. */
+  get isSuspect(): boolean {
+    return this.parts.crashes.mayConcern(this.scope)
+  }
+
+  /** What the request is, apart from this try of it. */
+  get fingerprint(): RequestFingerprint {
+    const { path, team, body, record } = this.request
+    record.fingerprint ??= requestFingerprint({ path, team, body })
+    return record.fingerprint
+  }
+
+  private chooseBest(
+    available: readonly EndpointState[],
+    open: readonly EndpointState[],
+  ): ChosenEndpoint | undefined {
+    const { fleetLoad, clock, random, failureDomain } = this.parts
+    const { metadata } = this.request
+    const now = clock.monotonic()
+    const ranked = rankEndpoints({
+      open: open.map(endpoint => snapshotEndpoint(endpoint, fleetLoad, metadata, now)),
+      serviceIds: available.map(({ record }) => record.id),
+      sharedPartId: sharedPartOf(metadata),
+      answerTokens: metadata.tokens?.maximumOutput ?? 0,
+      pauseStretch: this.pauseStretch,
+      failureDomain,
+      chance: random.next(),
+    })
+    const [best] = ranked
+    const endpoint = open.find(({ record }) => record.id === best?.id)
+    if (best === undefined || endpoint === undefined) return undefined
+    return { endpoint, score: best.score, compared: ranked.length }
+  }
+
+  /** The one among these at which all instances try a suspected request. */
+  private chooseIsolated(open: readonly EndpointState[]): ChosenEndpoint | undefined {
+    const ids = open.map(({ record }) => record.id)
+    const id = rendezvousChoice(this.fingerprint, ids)
+    const endpoint = open.find(({ record }) => record.id === id)
+    return endpoint && { endpoint, score: 0, compared: open.length }
+  }
+
+  /** Why nothing was open, given the endpoints that are available and those of them that are not full. */
+  private whyNone(available: readonly EndpointState[], free: readonly EndpointState[]): NoChoice {
+    if (available.length === 0) return { kind: 'none-listed' }
+    const { permits, random } = this.parts
+    const refusal = soonestRefusal(free.flatMap(endpoint => permits.refusalOf(endpoint) ?? []))
+    if (refusal === undefined) return { kind: 'none-with-room' }
+    return { kind: 'none-permitted', refusal, chance: random.next() }
+  }
+
+  /** Callers that accept any pause are harmed by none. */
+  private get pauseStretch(): number | undefined {
+    const { route, service } = this.request
+    if (route.pauseGoalMilliseconds === undefined) return 0
+    return this.parts.fleetLoad.pauses.stretchOf(service.name)
+  }
+}
--- a/packages/router/src/gateway/endpointDirectory.ts
+++ b/packages/router/src/gateway/endpointDirectory.ts
@@ -3,8 +3,7 @@
  * and the timers of entries that lapsed.
  */
 
-import { adviceText, slownessOf, usualPace } from '@rackwalk/decisions'
-import type { EndpointAdvice } from '@rackwalk/decisions'
+import { slownessOf, usualPace } from '@rackwalk/decisions'
 import type { Clock, EndpointStart, Milliseconds, Timer } from '@rackwalk/shared'
 import { EndpointState } from './endpointState.js'
 import type { EndpointRecord } from './endpointState.js'
@@ -31,9 +30,6 @@
 /** The usual pace of a service is reckoned anew after this time. Chosen: it changes in seconds. */
 const USUAL_PACE_MILLISECONDS = 200
 
-/** Starts of endpoints of which it is remembered what they said, the oldest given up first. */
-const REMEMBERED_STARTS = 4_096
-
 interface KnownPace {
   readonly pace: Milliseconds | undefined
   readonly at: Milliseconds
@@ -46,8 +42,6 @@
   private readonly lapsed = new Map<string, Timer>()
   /** Failure domains to which nothing new may be sent. */
   private readonly evacuated = new Set<string>()
-  /** What endpoints said of themselves in their newest answers. */
-  private readonly said = new Map<EndpointStart, string>()
   /** Usual paces, by service. */
   private readonly usualPaces = new Map<string, KnownPace>()
 
@@ -119,22 +113,6 @@
     this.parts.onChange(known.record, 'replaced')
   }
 
-  /** What a start of an endpoint says of itself in an answer; told where it differs from what it said before. */
-  noteSaid(record: EndpointRecord, advice: EndpointAdvice): void {
-    const said = adviceText(advice)
-    const before = this.said.get(record.start)
-    if (said === before) return
-    this.rememberSaid(record.start, said)
-    this.parts.onChange(record, said ?? 'says nothing of itself any more')
-  }
-
-  private rememberSaid(start: EndpointStart, said: string | undefined): void {
-    if (said === undefined) this.said.delete(start)
-    else this.said.set(start, said)
-    const [oldest] = this.said.keys()
-    if (this.said.size > REMEMBERED_STARTS && oldest !== undefined) this.said.delete(oldest)
-  }
-
   /** Nobody listens any more where this start of an endpoint did. */
   noteUnreachable(start: EndpointStart): void {
     for (const endpoint of this.endpoints.values()) {
@@ -199,6 +177,11 @@
     return this.endpoints.size
   }
 
+  /** The start of a listed endpoint. */
+  startOf(id: string): EndpointStart | undefined {
+    return this.endpoints.get(id)?.record.start
+  }
+
   /** The service of a listed endpoint. */
   serviceOf(id: string): string | undefined {
     return this.endpoints.get(id)?.record.service
--- a/packages/router/src/gateway/endpointState.ts
+++ b/packages/router/src/gateway/endpointState.ts
@@ -4,6 +4,7 @@
  */
 
 import { nextPace } from '@rackwalk/decisions'
+import type { RateLicence } from '@rackwalk/decisions'
 import type { Clock, EndpointStart, Milliseconds, TokenCount } from '@rackwalk/shared'
 import type { EndpointLoad } from './dialect.js'
 import { EndpointAgent } from './endpointAgent.js'
@@ -33,7 +34,7 @@
  * that is back in the meantime is missed for so long at the most.
  */
 const UNREACHABLE_MILLISECONDS = 1_000
-/** Times of requests that are remembered at the most. Chosen: far more than a cold endpoint is sent. */
+/** Times of requests that are remembered at the most: no licence allows more in its window. */
 const REMEMBERED_SENDS = 64
 
 /** A request in progress at an endpoint. */
@@ -114,10 +115,18 @@
     this.suspectUntil = this.clock.monotonic() + milliseconds
   }
 
-  /** Requests that were sent there from here within this time. */
-  sentWithin(milliseconds: Milliseconds): number {
-    const after = this.clock.monotonic() - milliseconds
-    return this.sends.filter(sentAt => sentAt > after).length
+  get start(): EndpointStart {
+    return this.record.start
+  }
+
+  get service(): string {
+    return this.record.service
+  }
+
+  /** Time until fewer than so many requests were sent there from here within a window; 0 where that is so now. */
+  waitFor({ requests, windowMilliseconds }: RateLicence): Milliseconds {
+    const sentAt = this.sends.at(-requests) ?? Number.NEGATIVE_INFINITY
+    return Math.max(0, sentAt + windowMilliseconds - this.clock.monotonic())
   }
 
   get agent(): EndpointAgent {
--- a/packages/router/src/gateway/fleetLoad.ts
+++ b/packages/router/src/gateway/fleetLoad.ts
@@ -27,6 +27,8 @@
   readonly users: () => number
   /** Something was sent to an endpoint, of which the others are told. */
   readonly onSent?: () => void
+  /** Another instance told of requests in progress at an endpoint. */
+  readonly onAsked?: (endpoint: string) => void
   /** Whether the others are told of work at endpoints of a service. */
   readonly isTold: (service: string) => boolean
 }
@@ -91,7 +93,8 @@
     for (const { endpoint, tokens } of this.peers.observe(report)) {
       this.readings.note(endpoint, tokens)
     }
-    for (const { endpoint, parts } of report.loads) {
+    for (const { endpoint, running, parts } of report.loads) {
+      if (running > 0) this.parts.onAsked?.(endpoint)
       if (parts.length > 0) this.caches.note(endpoint, parts, this.capacityAt(endpoint))
     }
   }
--- a/packages/router/src/gateway/requestAttempts.ts
+++ b/packages/router/src/gateway/requestAttempts.ts
@@ -14,67 +14,40 @@
   isServerError,
   mayHaveRun,
   nextStep,
-  rankEndpoints,
   readAdvice,
-  rendezvousChoice,
 } from '@rackwalk/decisions'
-import type { AttemptOutcome, CrashVerdict, NextStep, NoChoice } from '@rackwalk/decisions'
+import type { AttemptOutcome, NextStep } from '@rackwalk/decisions'
 import { sleep } from '@rackwalk/shared'
-import type {
-  Clock,
-  EndpointStart,
-  Milliseconds,
-  RandomSource,
-  RequestFingerprint,
-  TokenCount,
-} from '@rackwalk/shared'
+import type { EndpointStart, Milliseconds, TokenCount } from '@rackwalk/shared'
 import { AnswerRelay } from './answerRelay.js'
+import { AttemptChoice } from './attemptChoice.js'
+import type { AttemptChoiceParts, ChoosingRequest, ChosenEndpoint } from './attemptChoice.js'
 import type { CallerReply } from './callerReply.js'
-import type { Dialect, ReplyMetadata, RequestMetadata } from './dialect.js'
-import { sharedPartOf, snapshotEndpoint } from './endpointSnapshots.js'
-import type { CrashGuard } from '../crashes/crashGuard.js'
+import type { Dialect, ReplyMetadata } from './dialect.js'
+import type { EndpointAdvices } from '../advice/endpointAdvices.js'
 import { EventRelay } from './eventRelay.js'
-import type { FleetLoad } from './fleetLoad.js'
-import type { GatewayRoute, GatewayService } from './gatewayConfiguration.js'
-import type { GatewayRecord } from './gatewayRecord.js'
-import type { EndpointDirectory } from './endpointDirectory.js'
 import type { EndpointState } from './endpointState.js'
-import type { WarmUps } from './warmUps.js'
-import { requestFingerprint, requestScope } from '../crashes/requestFingerprint.js'
 import { StreamPace } from './streamPace.js'
 import { UpstreamExchange } from './upstreamExchange.js'
 import type { HeadOutcome } from './upstreamExchange.js'
 
 /** What the attempts at requests work with. */
-export interface AttemptsParts {
+export interface AttemptsParts extends AttemptChoiceParts {
   readonly dialect: Dialect
-  readonly directory: EndpointDirectory
-  readonly fleetLoad: FleetLoad
-  readonly warmUps: WarmUps
-  readonly crashes: CrashGuard
-  readonly clock: Clock
-  readonly random: RandomSource
-  readonly failureDomain: string
+  readonly advices: EndpointAdvices
   readonly connectMilliseconds: Milliseconds
   /** No endpoint is left alone for longer than this by its own word. */
   readonly longestRestMilliseconds: Milliseconds
 }
 
 /** A request that may be sent: admitted, read and paid for. */
-export interface AttemptedRequest {
-  readonly metadata: RequestMetadata
-  readonly route: GatewayRoute
-  readonly service: GatewayService
-  readonly team: string | undefined
+export interface AttemptedRequest extends ChoosingRequest {
   readonly priority: number | undefined
   readonly method: string
-  readonly path: string
   readonly rawHeaders: readonly string[]
-  readonly body: Buffer
   /** Time, suspensions included, at which the caller or the route gives up. */
   readonly deadlineAt: Milliseconds
   readonly reply: CallerReply
-  readonly record: GatewayRecord
   /** Takes one retry of the service's budget, if there is one. */
   readonly takeRetry: () => boolean
 }
@@ -115,19 +88,15 @@
   private readonly events = new EventRelay()
   private readonly history: AttemptOutcome[] = []
   private exchange: UpstreamExchange | undefined
-  private noChoice: NoChoice | undefined
   private isHandedOut = false
   private isLate = false
-  /** What the fingerprint begins with: all that is known without the body. */
-  private readonly scope: string
-  /** What is believed of the request, as of the newest choice. */
-  private verdict: CrashVerdict = 'send'
+  private readonly choice: AttemptChoice
 
   constructor(
     private readonly parts: AttemptsParts,
     private readonly request: AttemptedRequest,
   ) {
-    this.scope = requestScope(request)
+    this.choice = new AttemptChoice(parts, request, this.tried)
   }
 
   /** Serves the request to its end; the caller has an answer or a refusal when it resolves. */
@@ -167,9 +136,10 @@
   /** True where an answer was passed on whole. */
   private async attemptUntilDone(): Promise<boolean> {
     while (!this.isOver) {
-      const endpoint = this.choose()
-      if (endpoint === undefined) break
-      const end = await this.attempt(endpoint)
+      const chosen = this.choice.choose(this.history.some(mayHaveRun))
+      if (chosen === undefined) break
+      this.noteChoice(chosen)
+      const end = await this.attempt(chosen.endpoint)
       if (end === 'done') return true
       if (end === 'give-up') break
     }
@@ -177,71 +147,14 @@
     return false
   }
 
-  /** The best endpoint, or undefined where none may take the request. */
-  private choose(): EndpointState | undefined {
-    const { directory, fleetLoad, warmUps, clock, random, failureDomain } = this.parts
-    const { service, metadata } = this.request
-    const now = clock.monotonic()
-    const available = directory.available(service.name)
-    const free = available.filter(({ hasRoom, record }) => hasRoom && !this.tried.has(record.start))
-    const open = free.filter(endpoint => warmUps.takes(endpoint))
-    this.verdict = this.judgeCrashes()
-    if (this.verdict === 'refuse') return this.refuseCrashing()
-    if (this.verdict === 'isolate' && open.length > 0) return this.chooseIsolated(open)
-    const ranked = rankEndpoints({
-      open: open.map(endpoint => snapshotEndpoint(endpoint, fleetLoad, metadata, now)),
-      serviceIds: available.map(({ record }) => record.id),
-      sharedPartId: sharedPartOf(metadata),
-      answerTokens: metadata.tokens?.maximumOutput ?? 0,
-      pauseStretch: this.pauseStretch,
-      failureDomain,
-      chance: random.next(),
-    })
-    const [best] = ranked
-    if (best === undefined) {
-      if (this.tried.size === 0) this.noChoice = noChoiceOf(available, free)
-      return undefined
-    }
-    const chosen = open.find(({ record }) => record.id === best.id)
-    if (chosen !== undefined) this.noteChoice(chosen, best.score, ranked.length)
-    return chosen
-  }
-
-  private judgeCrashes(): CrashVerdict {
-    const isSuspect = this.parts.crashes.mayConcern(this.scope)
-    return isSuspect ? this.parts.crashes.verdict(this.fingerprint) : 'send'
-  }
-
-  private refuseCrashing(): undefined {
-    if (!this.history.some(mayHaveRun)) this.noChoice = { kind: 'crashing' }
-  }
-
-  /** The one among these at which all instances try a suspected request. */
-  private chooseIsolated(open: readonly EndpointState[]): EndpointState | undefined {
-    const id = rendezvousChoice(
-      this.fingerprint,
-      open.map(({ record }) => record.id),
-    )
-    const chosen = open.find(({ record }) => record.id === id)
-    if (chosen !== undefined) this.noteChoice(chosen, 0, open.length)
-    return chosen
-  }
-
-  /** What the request is, apart from this try of it. */
-  private get fingerprint(): RequestFingerprint {
-    const { path, team, body, record } = this.request
-    record.fingerprint ??= requestFingerprint({ path, team, body })
-    return record.fingerprint
-  }
-
-  private noteChoice(chosen: EndpointState, score: number, compared: number): void {
+  private noteChoice({ endpoint, score, compared }: ChosenEndpoint): void {
     const { record } = this.request
-    const { id } = chosen.record
+    const { id } = endpoint.record
     record.attempts.push({
       endpoint: id,
       score: Math.round(score),
       compared,
-      pendingTokens: this.pendingTokens(chosen),
+      pendingTokens: this.pendingTokens(endpoint),
       uncachedTokens: this.uncachedTokens(id),
       waitedMilliseconds: Math.round(this.parts.clock.sinceStart() - record.receivedAt),
       outcome: undefined,
@@ -276,7 +189,7 @@
     if (kind === 'failed') return this.endBroken(endpoint, { kind, reason })
     if (reason === CONNECTION_REFUSED) endpoint.noteUnreachable()
     const end = this.endAttempt({ kind: 'connect-failed', reason })
-    const mayBeNews = end === 'try-another' && this.verdict === 'isolate'
+    const mayBeNews = end === 'try-another' && this.choice.verdict === 'isolate'
     if (mayBeNews) await sleep(this.parts.clock, NEWS_MILLISECONDS)
     return end
   }
@@ -286,8 +199,8 @@
    * whether it ended this one.
    */
   private async endBroken(endpoint: EndpointState, outcome: AttemptOutcome): Promise<AttemptEnd> {
-    const wasIsolated = this.verdict === 'isolate'
-    const { fingerprint } = this
+    const wasIsolated = this.choice.verdict === 'isolate'
+    const { fingerprint } = this.choice
     const { record, leavesAsPlanned, hasEnded } = endpoint
     const breaking = { ...record, leavesAsPlanned, hasEnded }
     const isKnown = this.isOver
@@ -343,8 +256,8 @@
     const status = response.statusCode ?? 0
     const reply = this.parts.dialect.readReply(status, response.headers)
     if (reply.load !== undefined) endpoint.noteLoad(reply.load)
-    this.noteAdvice(endpoint, reply)
     const outcome = this.judge(status, reply)
+    this.noteAdvice(endpoint, reply, outcome)
     if (outcome.kind === 'refused' && isMisdirected(status)) {
       this.parts.directory.noteEnded(endpoint.record)
     }
@@ -357,12 +270,16 @@
   }
 
   /** What the endpoint says of itself with this answer. */
-  private noteAdvice(endpoint: EndpointState, { advice }: ReplyMetadata): void {
-    const { clock, longestRestMilliseconds } = this.parts
+  private noteAdvice(
+    endpoint: EndpointState,
+    { advice }: ReplyMetadata,
+    { kind }: AttemptOutcome,
+  ): void {
+    const { clock, longestRestMilliseconds, advices } = this.parts
     const said = readAdvice(advice, { wallTime: clock.wallTime(), longestRestMilliseconds })
     const attempt = this.request.record.attempts.at(-1)
     if (attempt !== undefined) attempt.said = adviceText(said)
-    this.parts.directory.noteSaid(endpoint.record, said)
+    advices.note(endpoint.start, said, kind === 'answered')
   }
 
   private judge(status: number, reply: ReplyMetadata): AttemptOutcome {
@@ -416,8 +333,8 @@
 
   /** An endpoint has given a part of its answer, so this request does not end what begins to run it. */
   private noteAnswered(): void {
-    const { crashes } = this.parts
-    if (crashes.mayConcern(this.scope)) crashes.noteAnswered(this.fingerprint)
+    const { choice } = this
+    if (choice.isSuspect) this.parts.crashes.noteAnswered(choice.fingerprint)
   }
 
   private startPace(endpoint: EndpointState): StreamPace {
@@ -437,13 +354,6 @@
     this.parts.fleetLoad.pauses.note(service.name, longestPause, goal)
   }
 
-  /** Callers that accept any pause are harmed by none. */
-  private get pauseStretch(): number | undefined {
-    const { route, service } = this.request
-    if (route.pauseGoalMilliseconds === undefined) return 0
-    return this.parts.fleetLoad.pauses.stretchOf(service.name)
-  }
-
   /** Notes an outcome after which nothing can be passed on. */
   private endAttempt(outcome: AttemptOutcome): AttemptEnd {
     const step = this.note(outcome)
@@ -452,17 +362,16 @@
 
   /** Notes the outcome of the attempt in progress and asks what to do next. */
   private note(outcome: AttemptOutcome): NextStep {
-    const { route, service, reply, record, takeRetry } = this.request
+    const { route, reply, record, takeRetry } = this.request
     this.history.push(outcome)
     const attempt = record.attempts.at(-1)
     if (attempt !== undefined) attempt.outcome = outcome
-    const available = this.parts.directory.available(service.name)
     return nextStep({
       route,
       history: this.history,
       isReplyStarted: reply.isStarted,
       isOver: this.isOver,
-      hasUntried: available.some(endpoint => !this.tried.has(endpoint.record.start)),
+      hasUntried: this.choice.hasUntried,
       takeRetry,
     })
   }
@@ -480,7 +389,7 @@
       history: this.history,
       isCallerGone: reply.isLeft,
       isLate: this.isLate,
-      noChoice: this.noChoice,
+      noChoice: this.choice.noChoice,
     })
     record.code = error.code
     record.detail = error.message
@@ -490,14 +399,6 @@
   }
 }
 
-/** Why nothing was open, given the endpoints that are available and those of them that are not full. */
-function noChoiceOf(available: readonly EndpointState[], free: readonly EndpointState[]): NoChoice {
-  if (available.length === 0) return { kind: 'none-listed' }
-  if (free.length === 0) return { kind: 'none-with-room' }
-  const warmInMilliseconds = Math.min(...free.map(({ coldMilliseconds }) => coldMilliseconds))
-  return { kind: 'none-warm', warmInMilliseconds }
-}
-
 function isAnsweredWell(outcome: AttemptOutcome): boolean {
   return outcome.kind === 'answered' && !isServerError(outcome.status)
 }
--- a/packages/shared/src/resultCodes.ts
+++ b/packages/shared/src/resultCodes.ts
@@ -37,6 +37,7 @@
   WarmingUp = 3012,
   CallerLeftUnsent = 3013,
   EndsEndpoints = 3014,
+  RateNamed = 3015,
 
   EndpointFailed = 4001,
   EndpointStalled = 4002,
@@ -99,6 +100,7 @@
   | ResultCode.WarmingUp
   | ResultCode.CallerLeftUnsent
   | ResultCode.EndsEndpoints
+  | ResultCode.RateNamed
 
 /** Codes for a request that an earlier or this attempt may have run. */
 export type AfterDispatchCode =
@@ -221,6 +223,13 @@
     'endpoints ended as they began to run this request; it is not sent to another one',
     3_600,
   ),
+  [ResultCode.RateNamed]: row(
+    503,
+    'not-run',
+    true,
+    'every endpoint that is free has named how many requests it takes, and gets no more from here',
+    1,
+  ),
 
   [ResultCode.EndpointFailed]: row(502, 'unknown', true, 'the endpoint did not answer'),
   [ResultCode.EndpointStalled]: row(504, 'ran', true, 'the endpoint stalled'),
--- a/packages/stand-ins/__tests__/namedRate.spec.ts
+++ b/packages/stand-ins/__tests__/namedRate.spec.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from 'vitest'
-import { replayNamedRate } from '@rackwalk/stand-ins'
-import type { NamedRateLoad } from '@rackwalk/stand-ins'
+import { DividedRate, UnheededRate, licensedRate, replayNamedRate } from '@rackwalk/stand-ins'
+import type { NamedRateLoad, RatePolicy, RatePolicyParts } from '@rackwalk/stand-ins'
 
 /**
  * A rate that an endpoint names is one for the whole fleet, so a rule that holds for three instances may break at size: eight
@@ -32,4 +32,54 @@
     }
     expect(over).toEqual([])
   })
+
+  it('is kept where no instance hears another', async () => {
+    for (const instances of [8, 75, 195]) {
+      const { mostInWindow } = await replayNamedRate(loadOf(instances, 1.3, { isDeaf: true }))
+      expect(mostInWindow).toBeLessThanOrEqual(allowed(1.3))
+    }
+  })
+
+  it('is used, and all others are served, where callers come to a few of many instances', async () => {
+    const outcome = await replayNamedRate(loadOf(75, 1.3, { users: 12 }))
+    expect(outcome.takenPerSecond).toBeGreaterThan(0.5)
+    expect(outcome.servedShare).toBe(1)
+  })
+})
+
+const POLICIES: Readonly<Record<string, (parts: RatePolicyParts) => RatePolicy>> = {
+  'nobody reads it': () => new UnheededRate(),
+  'each keeps to the whole': ({ advices }) => new DividedRate(advices, 1),
+  'divided by those that are heard': ({ advices, users }) => new DividedRate(advices, users),
+  'licences by hash': licensedRate,
+}
+
+describe('ways of keeping a rate of 1.3 a second', () => {
+  it('send what each lets be sent in four seconds', async () => {
+    const rows: string[] = []
+    for (const [name, policy] of Object.entries(POLICIES)) {
+      const cells: string[] = []
+      for (const [instances, users] of [
+        [8, 8],
+        [75, 12],
+        [195, 195],
+      ] as const) {
+        for (const isDeaf of [false, true]) {
+          const more = { users, isDeaf, policy, requestsPerSecond: 300 }
+          const outcome = await replayNamedRate(loadOf(instances, 1.3, more))
+          const { mostInWindow, takenPerSecond } = outcome
+          cells.push(`${mostInWindow} (${takenPerSecond.toFixed(1)}/s)`)
+        }
+      }
+      rows.push(`${name}: ${cells.join(', ')}`)
+    }
+    expect(rows).toMatchInlineSnapshot(`
+      [
+        "nobody reads it: 172 (38.6/s), 172 (38.6/s), 182 (38.0/s), 182 (38.0/s), 168 (37.3/s), 168 (37.3/s)",
+        "each keeps to the whole: 38 (8.2/s), 38 (8.3/s), 50 (11.0/s), 50 (11.3/s), 148 (33.2/s), 149 (33.3/s)",
+        "divided by those that are heard: 8 (1.0/s), 38 (8.3/s), 12 (1.1/s), 50 (11.3/s), 0 (5.2/s), 149 (33.3/s)",
+        "licences by hash: 4 (0.9/s), 7 (1.4/s), 4 (0.9/s), 8 (1.8/s), 2 (0.3/s), 3 (8.0/s)",
+      ]
+    `)
+  })
 })
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -29,5 +29,10 @@
 export type { CacheChange, EngineCapacity } from './engine/engineModel.js'
 export { CountedEnds, IsolatedTry, NoMemory, replayCrashes } from './replay/crashReplay.js'
 export type { CrashLoad, CrashOutcome, CrashPolicy } from './replay/crashReplay.js'
-export { replayNamedRate } from './replay/namedRateReplay.js'
-export type { NamedRateLoad } from './replay/namedRateReplay.js'
+export {
+  DividedRate,
+  UnheededRate,
+  licensedRate,
+  replayNamedRate,
+} from './replay/namedRateReplay.js'
+export type { NamedRateLoad, RatePolicy, RatePolicyParts } from './replay/namedRateReplay.js'
--- a/packages/stand-ins/src/replay/namedRateReplay.ts
+++ b/packages/stand-ins/src/replay/namedRateReplay.ts
@@ -4,11 +4,57 @@
  * instance knows and keeps to is the product's own.
  */
 
-import type { EndpointAdvice } from '@rackwalk/decisions'
-import { EndpointDirectory, WarmUps } from '@rackwalk/router'
-import type { EndpointRecord, EndpointState } from '@rackwalk/router'
+import type { EndpointAdvice, RecordedInstance } from '@rackwalk/decisions'
+import { EndpointAdvices, EndpointDirectory, SendPermits } from '@rackwalk/router'
+import type { AdviceNews, EndpointRecord, EndpointState } from '@rackwalk/router'
 import { SeededRandom, VirtualClock, asId, randomBelow } from '@rackwalk/shared'
-import type { EndpointStart, Milliseconds } from '@rackwalk/shared'
+import type { Clock, EndpointStart, Milliseconds } from '@rackwalk/shared'
+
+/** What an instance does about a rate that an endpoint named. */
+export interface RatePolicy {
+  takes(endpoint: EndpointState): boolean
+}
+
+/** What a policy rests on. */
+export interface RatePolicyParts {
+  readonly clock: Clock
+  readonly instance: string
+  readonly recorded: readonly RecordedInstance[]
+  readonly advices: EndpointAdvices
+  /** Instances to which callers come, as far as this one hears of them. */
+  readonly users: number
+}
+
+/** Nobody reads it: what was done before. */
+export class UnheededRate implements RatePolicy {
+  takes(): boolean {
+    return true
+  }
+}
+
+/** Each of so many instances keeps to its part of it by itself. */
+export class DividedRate implements RatePolicy {
+  constructor(
+    private readonly advices: EndpointAdvices,
+    private readonly parts: number,
+  ) {}
+
+  takes(endpoint: EndpointState): boolean {
+    const rate = this.advices.of(endpoint.start)?.requestsPerSecond
+    if (rate === undefined) return true
+    const licence = { requests: 1, windowMilliseconds: (1_000 * this.parts) / rate }
+    return endpoint.waitFor(licence) === 0
+  }
+}
+
+/** What the product does. */
+export function licensedRate({ recorded, ...parts }: RatePolicyParts): RatePolicy {
+  return new SendPermits({
+    ...parts,
+    recordedInstances: () => recorded,
+    boundsOf: () => undefined,
+  })
+}
 
 /** What is played. */
 export interface NamedRateLoad {
@@ -22,6 +68,8 @@
   readonly seed: number
   /** No instance hears another. */
   readonly isDeaf?: boolean
+  /** What the product does, where absent. */
+  readonly policy?: (parts: RatePolicyParts) => RatePolicy
 }
 
 /** What became of it. */
@@ -40,6 +88,7 @@
 const WINDOW_MILLISECONDS: Milliseconds = 4_000
 const TOLD_MILLISECONDS: Milliseconds = 500
 const HEAD_MILLISECONDS = { least: 30, spread: 300 }
+const NEWS_MILLISECONDS: Milliseconds = 25
 const SERVICE = 'models'
 const SAYS_NOTHING: EndpointAdvice = {
   rate: 'none',
@@ -51,7 +100,8 @@
 interface ReplayedInstance {
   readonly id: string
   readonly directory: EndpointDirectory
-  readonly permits: WarmUps
+  readonly advices: EndpointAdvices
+  readonly policy: RatePolicy
   /** Time at which an answer first named the rate here. */
   toldAt: Milliseconds
 }
@@ -73,8 +123,11 @@
 
   constructor(private readonly load: NamedRateLoad) {
     this.random = new SeededRandom(load.seed)
-    const ids = Array.from({ length: load.instances }, (_, index) => `instance-${index}`)
-    this.fleet = ids.map(id => this.createInstance(id, ids))
+    const recorded = Array.from({ length: load.instances }, (_, index) => ({
+      instance: `instance-${index}`,
+      isWorking: index < load.users,
+    }))
+    this.fleet = recorded.map(({ instance }) => this.createInstance(instance, recorded))
   }
 
   async run(): Promise<NamedRateOutcome> {
@@ -88,7 +141,7 @@
     }
   }
 
-  private createInstance(id: string, recorded: readonly string[]): ReplayedInstance {
+  private createInstance(id: string, recorded: readonly RecordedInstance[]): ReplayedInstance {
     const { clock } = this
     const directory = new EndpointDirectory({
       clock,
@@ -98,13 +151,15 @@
       onChange: () => {},
     })
     for (let index = 0; index < ENDPOINTS; index += 1) directory.set(recordOf(index))
-    const permits = new WarmUps({
+    const advices = new EndpointAdvices({
       clock,
-      instance: id,
-      recordedInstances: () => recorded,
-      boundsOf: () => undefined,
+      onChange: () => {},
+      onNews: news => this.tell(id, news),
     })
-    return { id, directory, permits, toldAt: Number.POSITIVE_INFINITY }
+    const { users, isDeaf = false, policy: create = licensedRate } = this.load
+    const heard = isDeaf ? 1 : users
+    const policy = create({ clock, instance: id, recorded, advices, users: heard })
+    return { id, directory, advices, policy, toldAt: Number.POSITIVE_INFINITY }
   }
 
   /** Requests come at random, as many callers' do. */
@@ -119,7 +174,7 @@
 
   private serve(instance: ReplayedInstance): void {
     const available = instance.directory.available(SERVICE)
-    const open = available.filter(endpoint => instance.permits.takes(endpoint))
+    const open = available.filter(endpoint => instance.policy.takes(endpoint))
     const endpoint = open[randomBelow(this.random, open.length)]
     if (endpoint === undefined) {
       this.refused += 1
@@ -127,7 +182,7 @@
     }
     this.sent += 1
     const progress = endpoint.beginRequest(0)
-    if (endpoint.record.id === recordOf(0).id) this.noteSent(instance)
+    if (endpoint.record.id === recordOf(0).id) this.noteSent(instance, endpoint.start)
     const head = HEAD_MILLISECONDS.least + HEAD_MILLISECONDS.spread * this.random.next()
     this.clock.after(head, () => {
       progress.end()
@@ -135,8 +190,9 @@
     })
   }
 
-  private noteSent({ toldAt }: ReplayedInstance): void {
+  private noteSent({ id, toldAt }: ReplayedInstance, start: EndpointStart): void {
     const now = this.clock.monotonic()
+    this.reach(id, ({ advices }) => advices.noteAsked(start))
     if (now >= NAMING_FROM) this.taken += 1
     if (now >= toldAt + TOLD_MILLISECONDS) this.counted.push(now)
   }
@@ -146,7 +202,19 @@
     const isNaming = record.id === recordOf(0).id && now >= NAMING_FROM
     if (isNaming) instance.toldAt = Math.min(instance.toldAt, now)
     const advice = isNaming ? { ...SAYS_NOTHING, rate: this.load.rate } : SAYS_NOTHING
-    instance.directory.noteSaid(record, advice)
+    instance.advices.note(record.start, advice, true)
+  }
+
+  /** Datagrams reach all others after a moment, or nobody. */
+  private tell(from: string, news: AdviceNews): void {
+    this.reach(from, ({ advices }) => advices.observe(news))
+  }
+
+  private reach(from: string, hear: (instance: ReplayedInstance) => void): void {
+    if (this.load.isDeaf === true) return
+    this.clock.after(NEWS_MILLISECONDS, () => {
+      for (const instance of this.fleet) if (instance.id !== from) hear(instance)
+    })
   }
 
   private mostInWindow(): number {
