fix(router): a rate that an engine names holds for the whole fleet in the OpenAI-style kind too

Callers saw nothing; an engine that named 78 requests a minute got over 600. Cause: the same as in the gateway kind: an answer's head was read for a leaving state in refusals and for nothing else. Ruled out: telling by heartbeats alone (an old copy of a member would look newer with each look at it).

--- a/bench/src/capacity/measuredSlopes.ts
+++ b/bench/src/capacity/measuredSlopes.ts
@@ -215,6 +215,7 @@
   const table = new EndpointTable(
     { endpoints, findEndpoint: find, isEvacuated: () => false },
     new VirtualClock(),
+    { takes: () => true, refusalOf: () => undefined },
     () => undefined,
   )
   const report = { running: 10, waiting: 0, cacheUse: 0, leaving: false, queuedPromptTokens: 0 }
--- a/bench/src/routing/routingSimulation.ts
+++ b/bench/src/routing/routingSimulation.ts
@@ -87,8 +87,9 @@
     )
     for (const [index, engine] of this.engines.entries()) this.reports[index]?.follow(engine)
     const source = endpointSource(ids)
+    const permits = { takes: () => true, refusalOf: () => undefined }
     this.routers = Array.from({ length: profile.instances }, () => ({
-      table: new EndpointTable(source, this.clock, () => undefined),
+      table: new EndpointTable(source, this.clock, permits, () => undefined),
       policy: createRoutingPolicy(policy),
       positions: new Map<EndpointId, number>(),
     }))
--- a/packages/coordination/src/coordinationNode.ts
+++ b/packages/coordination/src/coordinationNode.ts
@@ -3,7 +3,7 @@
  * work. Owns the timers and the state of the instance's life; each part owns the rest.
  */
 
-import type { CrashNews } from '@rackwalk/decisions'
+import type { AdviceNews, CrashNews } from '@rackwalk/decisions'
 import { RackwalkError, ResultCode } from '@rackwalk/shared'
 import type {
   BudgetId,
@@ -72,6 +72,8 @@
   readonly resourceKinds: readonly string[]
   /** Requests in progress, told to peers. */
   readonly inFlight?: () => number
+  /** A peer told what endpoints say of themselves. */
+  readonly onAdviceNews?: (news: readonly AdviceNews[]) => void
   /** Endpoints seen leaving here, told to peers. */
   readonly leavingEndpoints?: () => readonly string[]
   /** A peer told of requests that end endpoints. */
@@ -218,6 +220,7 @@
       mayHold: () => this.mayHold(),
       drain: () => this.drain(),
       noteCrashes: news => this.parts.onCrashNews?.(news),
+      noteAdvice: news => this.parts.onAdviceNews?.(news),
       askForMembers: (target, group) => this.askForMembers(target, group),
     })
   }
--- a/packages/coordination/src/counters.ts
+++ b/packages/coordination/src/counters.ts
@@ -27,6 +27,8 @@
   | 'table_writes'
   | 'malformed_forms'
   | 'crash_news_failed'
+  | 'advice_news_failed'
+  | 'endpoint_advice'
 
 /** Receives counts; must not throw. */
 export interface Counters {
--- a/packages/coordination/src/membership/membership.ts
+++ b/packages/coordination/src/membership/membership.ts
@@ -47,6 +47,8 @@
   readonly incarnations: readonly IncarnationId[]
 }
 
+/** A member that was silent for longer than so many silences shares no bound any more. */
+const REMEMBERED_SILENCES = 12
 /** Age up to which a view of the live members is used again. */
 const VIEW_MILLISECONDS = 50
 
@@ -136,6 +138,16 @@
     return this.live().find(member => member.instanceId === instanceId)
   }
 
+  /**
+   * Instances that may be there though nothing was heard of them lately, this one included: those that share bounds of the
+   * whole fleet, whichever parts of it hear each other.
+   */
+  get rememberedInstances(): readonly InstanceId[] {
+    const oldest = this.clock.monotonic() - REMEMBERED_SILENCES * this.timings.silenceMilliseconds
+    const others = [...this.members.values()].filter(({ heardAt }) => heardAt >= oldest)
+    return [...new Set([this.self, ...others.map(({ info }) => info)].map(info => info.instanceId))]
+  }
+
   liveInRegion(region: RegionId): readonly MemberInfo[] {
     return this.live().filter(member => member.region === region)
   }
--- a/packages/coordination/src/nodeHandlers.ts
+++ b/packages/coordination/src/nodeHandlers.ts
@@ -1,6 +1,6 @@
 /** One handler for each kind of message between instances of the OpenAI-style kind. */
 
-import type { CrashNews } from '@rackwalk/decisions'
+import type { AdviceNews, CrashNews } from '@rackwalk/decisions'
 import type { IncarnationId } from '@rackwalk/shared'
 import type { BudgetLedger } from './budget/budgetLedger.js'
 import type { Claims } from './claims/claims.js'
@@ -26,6 +26,7 @@
   readonly mayHold: () => boolean
   readonly drain: () => Promise<void>
   readonly noteCrashes: (news: CrashNews) => void
+  readonly noteAdvice: (news: readonly AdviceNews[]) => void
   readonly askForMembers: (target: IncarnationId, group: string) => Promise<void>
 }
 
@@ -57,6 +58,10 @@
       parts.noteCrashes(news)
       return {}
     },
+    adviceNews: ({ news }) => {
+      parts.noteAdvice(news)
+      return {}
+    },
     drain: async () => {
       await parts.drain()
       return {}
--- a/packages/coordination/src/peerForms.ts
+++ b/packages/coordination/src/peerForms.ts
@@ -158,6 +158,18 @@
     }),
     nothing,
   ),
+  adviceNews: form<'adviceNews'>(
+    z.object({
+      news: z.array(
+        z.object({
+          start,
+          requestsPerSecond: z.number().positive().optional(),
+          ageMilliseconds: z.number().nonnegative(),
+        }),
+      ),
+    }),
+    nothing,
+  ),
   drain: form<'drain'>(nothing, nothing),
   explain: form<'explain'>(z.object({ requestId }), z.object({ record: anyJson.optional() })),
 }
--- a/packages/coordination/src/peerMessages.ts
+++ b/packages/coordination/src/peerMessages.ts
@@ -3,7 +3,7 @@
  * them. Their forms on the wire stand in peerForms.ts.
  */
 
-import type { CrashNews } from '@rackwalk/decisions'
+import type { AdviceNews, CrashNews } from '@rackwalk/decisions'
 import type {
   BudgetId,
   FailureDomainId,
@@ -147,6 +147,11 @@
     request: CrashNews
     reply: Record<string, never>
   }
+  /** Tells what endpoints say of themselves, at once. */
+  adviceNews: {
+    request: { readonly news: readonly AdviceNews[] }
+    reply: Record<string, never>
+  }
   /** Asks an instance to take no new requests. */
   drain: {
     request: Record<string, never>
--- a/packages/daemon/__tests__/peerProtocol.spec.ts
+++ b/packages/daemon/__tests__/peerProtocol.spec.ts
@@ -57,6 +57,7 @@
     },
     {},
   ],
+  ['adviceNews', { news: [{ start: 'engine-1', requestsPerSecond: 1.3, ageMilliseconds: 5 }] }, {}],
   ['drain', {}, {}],
   ['explain', { requestId: 'r-1' }, { record: { code: 0 } }],
 ]
--- a/packages/daemon/src/gateway/adviceNews.ts
+++ b/packages/daemon/src/gateway/adviceNews.ts
@@ -4,7 +4,8 @@
  */
 
 import { asId } from '@rackwalk/shared'
-import type { AdviceNews, PeerLoadReport } from '@rackwalk/router'
+import type { AdviceNews } from '@rackwalk/decisions'
+import type { PeerLoadReport } from '@rackwalk/router'
 import { NEWS_SEQUENCE } from './crashNews.js'
 
 /** Entries of a report are named for endpoints, and no endpoint has a blank in its id. */
--- a/packages/daemon/src/gateway/adviceWatch.ts
+++ b/packages/daemon/src/gateway/adviceWatch.ts
@@ -3,9 +3,8 @@
  * the log. Owns the memory and the permits; relies on the exchange of datagrams to tell at once.
  */
 
-import type { RecordedInstance, WarmUpBounds } from '@rackwalk/decisions'
+import type { AdviceNews, RecordedInstance, WarmUpBounds } from '@rackwalk/decisions'
 import { EndpointAdvices, SendPermits } from '@rackwalk/router'
-import type { AdviceNews } from '@rackwalk/router'
 import type { Clock, EndpointStart, Milliseconds } from '@rackwalk/shared'
 import type { GatewayTelemetry } from './gatewayTelemetry.js'
 
@@ -35,7 +34,11 @@
       onChange: (start, said) => this.noteChange(start, said),
       onNews: news => this.share(news),
     })
-    this.permits = new SendPermits({ ...parts, advices: this.advices })
+    this.permits = new SendPermits({
+      ...parts,
+      instance: () => parts.instance,
+      advices: this.advices,
+    })
   }
 
   /** Another instance told what endpoints say. */
--- a/packages/daemon/src/rackwalkDaemon.ts
+++ b/packages/daemon/src/rackwalkDaemon.ts
@@ -6,6 +6,7 @@
 import { ResultCode, SystemClock, SystemRandom, asId, sleep } from '@rackwalk/shared'
 import type {
   Clock,
+  EndpointId,
   FailureDomainId,
   IncarnationId,
   InstanceId,
@@ -45,6 +46,7 @@
 import type { RequestPath } from './requestPath.js'
 import { readSecret } from './settings/load.js'
 import type { Settings } from './settings/schema.js'
+import { AdviceTask } from './tasks/adviceTask.js'
 import { CrashTask } from './tasks/crashTask.js'
 import { EndpointMonitor } from './tasks/endpointMonitor.js'
 import { PlacementTask } from './tasks/placementTask.js'
@@ -94,6 +96,7 @@
   private readonly explainer: Explainer
   private readonly inForce: InForceTracker
   private readonly crashes: CrashTask
+  private readonly advice: AdviceTask
   private readonly monitor: EndpointMonitor
   private readonly tasks: readonly Task[]
   private readonly peerServer: PeerServer
@@ -122,9 +125,8 @@
     this.peers = this.createPeerChannel()
     this.node = this.createNode()
     this.catalogue = new Catalogue(this.node.configuration)
-    this.endpoints = new EndpointTable(this.catalogue, this.clock, (endpoint, change) =>
-      this.logger.info('endpoint_state', { endpoint, change }),
-    )
+    this.advice = this.createAdviceTask()
+    this.endpoints = this.createEndpoints()
     this.crashes = this.createCrashTask()
     this.path = this.createPath()
     this.explainer = new Explainer(this.node, this.peers)
@@ -246,6 +248,7 @@
       inFlight: () => this.path.pipeline.inFlight,
       leavingEndpoints: () => this.endpoints.leaving,
       onCrashNews: news => this.crashes.guard.observe(news),
+      onAdviceNews: news => this.advice.observe(news),
       onHeartbeat: () => this.afterHeartbeat(),
       onListed: listed => this.noteListed(listed),
       onSealed: () => this.endSealed(),
@@ -260,6 +263,7 @@
       endpoints: this.endpoints,
       client: this.client,
       crashes: this.crashes.guard,
+      advices: this.advice.advices,
       clock: this.clock,
       random: this.random,
       logger: this.logger,
@@ -270,6 +274,19 @@
     })
   }
 
+  private createAdviceTask(): AdviceTask {
+    const { clock, logger, metrics, peers } = this
+    const membership = () => this.node.membership
+    return new AdviceTask({ membership, peers, clock, logger, metrics })
+  }
+
+  private createEndpoints(): EndpointTable {
+    const { catalogue, clock, advice, logger } = this
+    const onChange = (endpoint: EndpointId, change: string) =>
+      logger.info('endpoint_state', { endpoint, change })
+    return new EndpointTable(catalogue, clock, advice.permits, onChange)
+  }
+
   private createCrashTask(): CrashTask {
     const { table, clock, random, logger, metrics, peers } = this
     return new CrashTask({
--- a/packages/daemon/src/requestPath.ts
+++ b/packages/daemon/src/requestPath.ts
@@ -24,6 +24,7 @@
   Catalogue,
   CrashGuard,
   DecisionRecord,
+  EndpointAdvices,
   EndpointClient,
   EndpointTable,
   ParsedRequest,
@@ -40,6 +41,7 @@
   readonly endpoints: EndpointTable
   readonly client: EndpointClient
   readonly crashes: CrashGuard
+  readonly advices: EndpointAdvices
   readonly clock: Clock
   readonly random: RandomSource
   readonly logger: Logger
@@ -70,7 +72,7 @@
     onDecision: (request, decision) => logDecision(parts.logger, request, decision),
   })
   const checkServing = () => requireServing(node)
-  const admit = new AdmitFilter({ catalogue, endpoints, clock, instances, checkServing })
+  const admit = new AdmitFilter({ catalogue, endpoints, clock, random, instances, checkServing })
   const filters = {
     authenticate: new AuthenticateFilter(catalogue),
     parse: new ParseFilter(catalogue, clock, {
@@ -91,6 +93,8 @@
       router,
       client,
       crashes: parts.crashes,
+      advices: parts.advices,
+      longestRestMilliseconds: limits.longestRestMilliseconds,
       clock,
       random,
       firstByteMilliseconds: limits.firstByteMilliseconds,
--- a/packages/daemon/src/settings/schema.ts
+++ b/packages/daemon/src/settings/schema.ts
@@ -101,6 +101,9 @@
       longestRequestMilliseconds: milliseconds.default(600_000),
       firstByteMilliseconds: milliseconds.default(30_000),
       stallMilliseconds: milliseconds.default(20_000),
+      longestRestMilliseconds: milliseconds
+        .default(60_000)
+        .describe('An endpoint that asks for rest is left alone for no longer'),
       billMilliseconds: milliseconds.default(10_000),
       journalBacklog: z.number().int().positive().default(50_000),
       drainMilliseconds: milliseconds.default(600_000),
--- /dev/null
+++ b/packages/daemon/src/tasks/adviceTask.ts
@@ -0,0 +1,67 @@
+/**
+ * Joins what endpoints of the OpenAI-style kind say of themselves with those who must know: the choice of an endpoint
+ * here, the peers, the log. Owns the memory; a peer that does not hear it is told by the endpoint itself.
+ */
+
+import type { Membership, PeerChannel } from '@rackwalk/coordination'
+import type { AdviceNews, RecordedInstance } from '@rackwalk/decisions'
+import { EndpointAdvices, SendPermits } from '@rackwalk/router'
+import type { Clock } from '@rackwalk/shared'
+import type { Logger } from '../observe/logger.js'
+import type { Metrics } from '../observe/metrics.js'
+
+/** What the task works with. */
+export interface AdviceTaskParts {
+  readonly membership: () => Membership
+  readonly peers: PeerChannel
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly metrics: Metrics
+}
+
+/** What an instance of the OpenAI-style kind does about what endpoints say of themselves. */
+export class AdviceTask {
+  readonly advices: EndpointAdvices
+  readonly permits: SendPermits
+
+  constructor(private readonly parts: AdviceTaskParts) {
+    this.advices = new EndpointAdvices({
+      clock: parts.clock,
+      onChange: (endpoint, said) => {
+        parts.metrics.increment('endpoint_advice')
+        parts.logger.info('endpoint_advice', { endpoint, said: said ?? 'nothing' })
+      },
+      onNews: news => this.tell(news),
+    })
+    const { advices } = this
+    this.permits = new SendPermits({
+      clock: parts.clock,
+      instance: () => parts.membership().self.instanceId,
+      recordedInstances: () => this.recordedInstances,
+      // This kind knows no warm-up.
+      boundsOf: () => undefined,
+      advices,
+    })
+  }
+
+  /** A peer told what endpoints say. */
+  observe(news: readonly AdviceNews[]): void {
+    for (const one of news) this.advices.observe(one)
+  }
+
+  private get recordedInstances(): readonly RecordedInstance[] {
+    const instances = this.parts.membership().rememberedInstances
+    // Callers are spread over all of them.
+    return instances.map(instance => ({ instance, isWorking: true }))
+  }
+
+  private tell(news: AdviceNews): void {
+    const membership = this.parts.membership()
+    for (const { incarnation } of membership.live()) {
+      if (incarnation === membership.self.incarnation) continue
+      this.parts.peers.call(incarnation, 'adviceNews', { news: [news] }).catch(() => {
+        this.parts.metrics.increment('advice_news_failed')
+      })
+    }
+  }
+}
--- a/packages/decisions/src/choosing/endpointAdvice.ts
+++ b/packages/decisions/src/choosing/endpointAdvice.ts
@@ -9,7 +9,7 @@
  * asked for is bounded: nobody may shut a fleet out of an endpoint for longer than its operator allows.
  */
 
-import type { Milliseconds } from '@rackwalk/shared'
+import type { EndpointStart, Milliseconds } from '@rackwalk/shared'
 
 /** A rate as it stands in a head. */
 interface RateText {
@@ -42,6 +42,15 @@
   readonly faults: readonly AdviceFault[]
 }
 
+/** What instances tell each other of a start of an endpoint. */
+export interface AdviceNews {
+  readonly start: EndpointStart
+  /** Requests a second that it takes; absent where it names no rate any more. */
+  readonly requestsPerSecond?: number
+  /** Time since an answer said so. */
+  readonly ageMilliseconds: Milliseconds
+}
+
 /** What an answer is read with. */
 export interface AdviceContext {
   /** Unix milliseconds, against which a date counts. */
@@ -126,7 +135,7 @@
   faults,
 }: EndpointAdvice): string | undefined {
   const words = [
-    ...(typeof rate === 'number' ? [`takes ${rate} a second`] : []),
+    ...(typeof rate === 'number' ? [`takes ${Number(rate.toPrecision(3))} a second`] : []),
     ...(isLeaving ? ['leaving'] : []),
     ...(restMilliseconds === undefined ? [] : [`rest of ${Math.round(restMilliseconds)} ms`]),
     ...faults.map(field => `unreadable ${field}`),
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -11,7 +11,7 @@
   readingHarm,
 } from './choosing/readingHarm.js'
 export { NO_ADVICE_TEXTS, adviceText, readAdvice } from './choosing/endpointAdvice.js'
-export type { AdviceTexts, EndpointAdvice } from './choosing/endpointAdvice.js'
+export type { AdviceNews, AdviceTexts, EndpointAdvice } from './choosing/endpointAdvice.js'
 export { HomeEndpoints } from './choosing/homeEndpoints.js'
 export { nextPace, slownessOf, usualPace } from './choosing/slowness.js'
 export { licenceAt, licenceRank, rateShares } from './choosing/rateLicence.js'
@@ -67,5 +67,5 @@
 export { SilentInstances } from './placing/silentInstances.js'
 
 export { LINGER_MILLISECONDS, exitTime, isTimeToSettle } from './stopping/drainPhases.js'
-export { finalError } from './stopping/finalError.js'
+export { finalError, refusedByAll } from './stopping/finalError.js'
 export type { NoChoice } from './stopping/finalError.js'
--- a/packages/decisions/src/stopping/finalError.ts
+++ b/packages/decisions/src/stopping/finalError.ts
@@ -71,13 +71,20 @@
       return new NotRunError(ResultCode.EndsEndpoints)
     case 'none-permitted': {
       const { refusal, chance } = noChoice
-      // Callers who are refused together must not return together.
-      const returnAfter = returnAfterSeconds(refusal.waitMilliseconds * (1 + chance))
-      return new NotRunError(CODE_OF_REFUSAL[refusal.kind], service, returnAfter)
+      return refusedByAll(service, refusal, chance)
     }
   }
 }
 
+/**
+ * The error where all endpoints that are free may be sent nothing now. Callers who are refused together must not return
+ * together: `chance` in [0, 1) spreads them.
+ */
+export function refusedByAll(service: string, refusal: SendRefusal, chance: number): NotRunError {
+  const returnAfter = returnAfterSeconds(refusal.waitMilliseconds * (1 + chance))
+  return new NotRunError(CODE_OF_REFUSAL[refusal.kind], service, returnAfter)
+}
+
 /** An answer is a failure of its own only where it must not be passed on. */
 function isFailure(outcome: AttemptOutcome): boolean {
   return outcome.kind !== 'answered' || isPromising(outcome.status)
--- a/packages/router/src/advice/endpointAdvices.ts
+++ b/packages/router/src/advice/endpointAdvices.ts
@@ -4,10 +4,9 @@
  */
 
 import { adviceText } from '@rackwalk/decisions'
-import type { EndpointAdvice } from '@rackwalk/decisions'
+import type { AdviceNews, EndpointAdvice } from '@rackwalk/decisions'
 import type { Clock, EndpointStart } from '@rackwalk/shared'
 import { StartAdvice } from './startAdvice.js'
-import type { AdviceNews } from './startAdvice.js'
 
 /** What the memory works with. */
 export interface EndpointAdvicesParts {
--- a/packages/router/src/advice/sendPermits.ts
+++ b/packages/router/src/advice/sendPermits.ts
@@ -28,7 +28,8 @@
 /** What permits rest on. */
 export interface SendPermitsParts {
   readonly clock: Clock
-  readonly instance: string
+  /** The name under which this instance is recorded. */
+  readonly instance: () => string
   /** All instances that are recorded, this one included; undefined while this one may not be known to them. */
   readonly recordedInstances: () => readonly RecordedInstance[] | undefined
   /** Undefined where the endpoints of a service need no warm-up. */
@@ -100,7 +101,7 @@
     if (known !== undefined && now - known.at < PLACE_MILLISECONDS) return known
     const recorded = this.parts.recordedInstances()
     if (recorded === undefined) return undefined
-    const rank = licenceRank(this.parts.instance, recorded, start)
+    const rank = licenceRank(this.parts.instance(), recorded, start)
     if (rank === undefined) return undefined
     const place = { rank, instances: recorded.length, at: now }
     if (this.places.size >= REMEMBERED_PLACES) this.places.clear()
--- a/packages/router/src/advice/startAdvice.ts
+++ b/packages/router/src/advice/startAdvice.ts
@@ -3,17 +3,9 @@
  * start is remembered, whatever rows say of it; decides nothing.
  */
 
+import type { AdviceNews } from '@rackwalk/decisions'
 import type { Clock, EndpointStart, Milliseconds } from '@rackwalk/shared'
 
-/** What instances tell each other of a start. */
-export interface AdviceNews {
-  readonly start: EndpointStart
-  /** Requests a second that it takes; undefined where it names no rate any more. */
-  readonly requestsPerSecond: number | undefined
-  /** Time since an answer said so. */
-  readonly ageMilliseconds: Milliseconds
-}
-
 /** A rate that is named from answer to answer anew is told this often at the most; a stricter one at once. */
 const TELL_MILLISECONDS: Milliseconds = 500
 
--- a/packages/router/src/filters/admit.ts
+++ b/packages/router/src/filters/admit.ts
@@ -4,11 +4,12 @@
  */
 
 import { NotRunError, ResultCode } from '@rackwalk/shared'
-import type { Clock, Milliseconds } from '@rackwalk/shared'
+import type { Clock, Milliseconds, RandomSource } from '@rackwalk/shared'
 import { FairQueue } from '../limits/fairQueue.js'
 import type { Catalogue } from '../resources/catalogue.js'
 import type { EndpointTable } from '../routing/endpointTable.js'
 import type { EndpointView } from '../routing/endpointView.js'
+import { noCandidateError } from '../routing/noCandidate.js'
 import { estimatedRequests, expectedFirstToken } from '../routing/routingPolicy.js'
 import type { AdmittedRequest, Call, DeduplicatedRequest, Filter } from './stages.js'
 
@@ -17,6 +18,7 @@
   readonly catalogue: Catalogue
   readonly endpoints: EndpointTable
   readonly clock: Clock
+  readonly random: RandomSource
   readonly instances: () => number
   /** Throws when this instance takes no new requests. */
   readonly checkServing: () => void
@@ -34,7 +36,7 @@
   async apply(request: DeduplicatedRequest): Promise<AdmittedRequest> {
     this.parts.checkServing()
     const views = this.candidates(request.call)
-    if (views.length === 0) throw new NotRunError(ResultCode.NoEndpoint)
+    if (views.length === 0) throw noCandidateError(this.parts, request)
     this.checkDeadline(request, views)
     const waited = await this.enter(request)
     request.record.queuedMilliseconds = waited
--- a/packages/router/src/filters/dispatch.ts
+++ b/packages/router/src/filters/dispatch.ts
@@ -5,6 +5,9 @@
 
 import { DispatchedError, NotRunError, ResultCode, endpointStart, sleep } from '@rackwalk/shared'
 import type { Clock, EndpointId, Milliseconds, RandomSource } from '@rackwalk/shared'
+import { readAdvice } from '@rackwalk/decisions'
+import type { EndpointAdvices } from '../advice/endpointAdvices.js'
+import { publishedAdvice } from '../advice/publishedAdvice.js'
 import type { CrashGuard } from '../crashes/crashGuard.js'
 import type { AttemptResult } from '../engine/attemptResult.js'
 import type { EndpointClient } from '../engine/endpointClient.js'
@@ -21,6 +24,9 @@
   readonly router: EndpointRouter
   readonly client: EndpointClient
   readonly crashes: CrashGuard
+  readonly advices: EndpointAdvices
+  /** No endpoint is left alone for longer than this by its own word. */
+  readonly longestRestMilliseconds: Milliseconds
   readonly clock: Clock
   readonly random: RandomSource
   readonly firstByteMilliseconds: Milliseconds
@@ -162,9 +168,19 @@
     return controller.signal
   }
 
+  /** What the endpoint says of itself with this answer, whatever becomes of the answer. */
+  private noteAdvice(endpointId: EndpointId, { status, headers }: EndpointAnswer): void {
+    const { clock, longestRestMilliseconds, advices } = this.parts
+    const context = { wallTime: clock.wallTime(), longestRestMilliseconds }
+    const advice = readAdvice(publishedAdvice(status, headers), context)
+    const isTurnedAway = status === REFUSED_STATUS || status === TOO_MANY_STATUS
+    advices.note(endpointStart(endpointId, undefined), advice, !isTurnedAway)
+  }
+
   private noteResult(request: RoutedRequest, endpointId: EndpointId, result: AttemptResult): void {
     const routing = request.record.routing.at(-1)
     if (routing !== undefined) routing.outcome = describe(result)
+    if (result.kind === 'answering') this.noteAdvice(endpointId, result.answer)
     if (acceptedAnswer(result, request) !== undefined) {
       const { crashFingerprint } = request
       if (crashFingerprint !== undefined) this.parts.crashes.noteAnswered(crashFingerprint)
--- a/packages/router/src/gateway/endpointState.ts
+++ b/packages/router/src/gateway/endpointState.ts
@@ -6,6 +6,7 @@
 import { nextPace } from '@rackwalk/decisions'
 import type { RateLicence } from '@rackwalk/decisions'
 import type { Clock, EndpointStart, Milliseconds, TokenCount } from '@rackwalk/shared'
+import { RecentSends } from '../advice/recentSends.js'
 import type { EndpointLoad } from './dialect.js'
 import { EndpointAgent } from './endpointAgent.js'
 
@@ -34,9 +35,6 @@
  * that is back in the meantime is missed for so long at the most.
  */
 const UNREACHABLE_MILLISECONDS = 1_000
-/** Times of requests that are remembered at the most: no licence allows more in its window. */
-const REMEMBERED_SENDS = 64
-
 /** A request in progress at an endpoint. */
 export interface RequestInProgress {
   /** Its first event came, so its prompt is read; may be called again. */
@@ -62,8 +60,8 @@
   private coldUntil: Milliseconds
   /** and where it may have turned cold since its newest word. */
   private suspectUntil: Milliseconds = Number.NEGATIVE_INFINITY
-  /** Times at which requests were sent there, the newest last. */
-  private readonly sends: Milliseconds[] = []
+  /** Requests that were sent there from here. */
+  private readonly sends: RecentSends
   /** Nobody listened there a moment ago; until then it is not tried again. */
   private unreachableUntil: Milliseconds = Number.NEGATIVE_INFINITY
   private failureShare = 0
@@ -76,6 +74,7 @@
     private readonly connectionLimit: () => number,
   ) {
     this.coldUntil = clock.monotonic() + record.coldMilliseconds
+    this.sends = new RecentSends(clock)
   }
 
   /** Takes a newer record of the same start in. */
@@ -124,9 +123,8 @@
   }
 
   /** Time until fewer than so many requests were sent there from here within a window; 0 where that is so now. */
-  waitFor({ requests, windowMilliseconds }: RateLicence): Milliseconds {
-    const sentAt = this.sends.at(-requests) ?? Number.NEGATIVE_INFINITY
-    return Math.max(0, sentAt + windowMilliseconds - this.clock.monotonic())
+  waitFor(licence: RateLicence): Milliseconds {
+    return this.sends.waitFor(licence)
   }
 
   get agent(): EndpointAgent {
@@ -143,7 +141,7 @@
   /** A request is sent there; `tokens` of its prompt have to be read. */
   beginRequest(tokens: TokenCount): RequestInProgress {
     let pending = tokens
-    this.noteSend()
+    this.sends.note()
     const noteBegun = () => {
       this.pendingTokens -= pending
       pending = 0
@@ -157,11 +155,6 @@
     return { noteBegun, end }
   }
 
-  private noteSend(): void {
-    this.sends.push(this.clock.monotonic())
-    if (this.sends.length > REMEMBERED_SENDS) this.sends.shift()
-  }
-
   /** An answer from there ran at this pace for a while; milliseconds an event. */
   notePace(pace: Milliseconds): void {
     this.pace = nextPace(this.pace, pace)
--- a/packages/router/src/routing/endpointRouter.ts
+++ b/packages/router/src/routing/endpointRouter.ts
@@ -13,6 +13,7 @@
 import type { EndpointTable } from './endpointTable.js'
 import type { EndpointView } from './endpointView.js'
 import type { PrefixHash } from './prefixIndex.js'
+import { noCandidateError } from './noCandidate.js'
 import { prefixHashes } from './prefixIndex.js'
 import type { RoutingPolicy } from './routingPolicy.js'
 import { LeastInFlightPolicy, createRoutingPolicy } from './routingPolicy.js'
@@ -49,7 +50,7 @@
     if (isolated !== undefined) return this.note(request, ISOLATING_POLICY, isolated, hashes)
     const policy = this.policyFor(request)
     const choice = policy.choose(untried, this.demandOf(request), this.parts.random)
-    if (choice === undefined) throw new NotRunError(ResultCode.NoEndpoint)
+    if (choice === undefined) throw noCandidateError(this.parts, request)
     return this.note(request, policy.name, choice, hashes)
   }
 
--- a/packages/router/src/routing/endpointTable.ts
+++ b/packages/router/src/routing/endpointTable.ts
@@ -3,7 +3,12 @@
  * and who leaves; decides nothing.
  */
 
+import { soonestRefusal } from '@rackwalk/decisions'
+import type { SendRefusal } from '@rackwalk/decisions'
+import { endpointStart } from '@rackwalk/shared'
 import type { Clock, EndpointId, Milliseconds, ModelId, TokenCount } from '@rackwalk/shared'
+import { RecentSends } from '../advice/recentSends.js'
+import type { PermitSubject, SendPermits } from '../advice/sendPermits.js'
 import type { Catalogue, ConfiguredEndpoint } from '../resources/catalogue.js'
 import { Ejection } from '../limits/ejection.js'
 import type { EndpointView, LoadReport } from './endpointView.js'
@@ -21,6 +26,8 @@
   reportAt: Milliseconds
   /** What was sent there of late, oldest first. */
   recent: SentRequest[]
+  /** Requests that were sent there from here, as licences count them. */
+  readonly sends: RecentSends
   /** Monotonic time at which somebody first said that it leaves. */
   leavingSince: Milliseconds | undefined
 }
@@ -52,6 +59,7 @@
   constructor(
     private readonly catalogue: EndpointSource,
     private readonly clock: Clock,
+    private readonly permits: Pick<SendPermits, 'takes' | 'refusalOf'>,
     private readonly onChange: EndpointListener,
   ) {
     this.prefixes = new PrefixIndex(clock)
@@ -60,24 +68,41 @@
 
   /** Endpoints that may get new work for a model, as a decision sees them. */
   modelCandidates(modelId: ModelId, hashes: readonly PrefixHash[]): readonly EndpointView[] {
-    const pool = this.catalogue.endpoints.filter(
-      ({ spec }) => spec.kind === 'model' && spec.models.includes(modelId),
-    )
-    return this.viewsOf(pool, hashes).filter(view => isLoaded(view, modelId))
+    return this.viewsOf(this.modelPool(modelId), hashes).filter(view => isLoaded(view, modelId))
+  }
+
+  /** Why a model may be asked nowhere now; undefined where nothing that its endpoints said is the reason. */
+  modelRefusal(modelId: ModelId): SendRefusal | undefined {
+    return this.refusalIn(this.modelPool(modelId))
   }
 
   /** Endpoints that may get new work for a plain service. */
   serviceCandidates(service: string): readonly EndpointView[] {
-    const pool = this.catalogue.endpoints.filter(
+    return this.viewsOf(this.servicePool(service), [])
+  }
+
+  /** The same for a plain service. */
+  serviceRefusal(service: string): SendRefusal | undefined {
+    return this.refusalIn(this.servicePool(service))
+  }
+
+  private modelPool(modelId: ModelId): readonly ConfiguredEndpoint[] {
+    return this.catalogue.endpoints.filter(
+      ({ spec }) => spec.kind === 'model' && spec.models.includes(modelId),
+    )
+  }
+
+  private servicePool(service: string): readonly ConfiguredEndpoint[] {
+    return this.catalogue.endpoints.filter(
       ({ spec }) => spec.kind === 'service' && spec.service === service,
     )
-    return this.viewsOf(pool, [])
   }
 
   /** A request goes there now. */
   noteSent(endpointId: EndpointId, promptTokens: TokenCount): void {
     const state = this.stateOf(endpointId)
     state.inFlight += 1
+    state.sends.note()
     state.recent.push({ at: this.clock.monotonic(), promptTokens })
   }
 
@@ -145,10 +170,32 @@
     pool: readonly ConfiguredEndpoint[],
     hashes: readonly PrefixHash[],
   ): readonly EndpointView[] {
-    const open = pool.filter(
+    const open = this.usable(pool).filter(endpoint => this.permits.takes(this.subjectOf(endpoint)))
+    return this.ejection.usable(open).map(endpoint => this.viewOf(endpoint, hashes))
+  }
+
+  private usable(pool: readonly ConfiguredEndpoint[]): readonly ConfiguredEndpoint[] {
+    return pool.filter(
       endpoint => !this.isLeaving(endpoint.endpointId) && !this.catalogue.isEvacuated(endpoint),
     )
-    return this.ejection.usable(open).map(endpoint => this.viewOf(endpoint, hashes))
+  }
+
+  /** Why the endpoints of a model or service may be sent nothing now, the one that is over first. */
+  private refusalIn(pool: readonly ConfiguredEndpoint[]): SendRefusal | undefined {
+    const usable = this.usable(pool)
+    return soonestRefusal(
+      usable.flatMap(endpoint => this.permits.refusalOf(this.subjectOf(endpoint)) ?? []),
+    )
+  }
+
+  private subjectOf({ endpointId, spec }: ConfiguredEndpoint): PermitSubject {
+    return {
+      // Its platform does not tell one start from the next.
+      start: endpointStart(endpointId, undefined),
+      service: spec.kind === 'service' ? spec.service : endpointId,
+      coldMilliseconds: 0,
+      waitFor: licence => this.stateOf(endpointId).sends.waitFor(licence),
+    }
   }
 
   /** Whether it is known that an endpoint takes nothing new since it is about to end. */
@@ -183,6 +230,7 @@
       report: undefined,
       reportAt: this.clock.monotonic(),
       recent: [],
+      sends: new RecentSends(this.clock),
       leavingSince: undefined,
     }
     this.states.set(endpointId, created)
--- a/packages/stand-ins/src/replay/namedRateReplay.ts
+++ b/packages/stand-ins/src/replay/namedRateReplay.ts
@@ -4,9 +4,9 @@
  * instance knows and keeps to is the product's own.
  */
 
-import type { EndpointAdvice, RecordedInstance } from '@rackwalk/decisions'
+import type { AdviceNews, EndpointAdvice, RecordedInstance } from '@rackwalk/decisions'
 import { EndpointAdvices, EndpointDirectory, SendPermits } from '@rackwalk/router'
-import type { AdviceNews, EndpointRecord, EndpointState } from '@rackwalk/router'
+import type { EndpointRecord, EndpointState } from '@rackwalk/router'
 import { SeededRandom, VirtualClock, asId, randomBelow } from '@rackwalk/shared'
 import type { Clock, EndpointStart, Milliseconds } from '@rackwalk/shared'
 
@@ -48,9 +48,10 @@
 }
 
 /** What the product does. */
-export function licensedRate({ recorded, ...parts }: RatePolicyParts): RatePolicy {
+export function licensedRate({ recorded, instance, ...parts }: RatePolicyParts): RatePolicy {
   return new SendPermits({
     ...parts,
+    instance: () => instance,
     recordedInstances: () => recorded,
     boundsOf: () => undefined,
   })
