--- /dev/null
+++ b/packages/daemon/__tests__/adviceNews.spec.ts
@@ -0,0 +1,57 @@
+import fc from 'fast-check'
+import { describe, expect, it } from 'vitest'
+import { adviceNewsOf, adviceReportsOf, decodeReport, encodeReport, newsOf } from '@rackwalk/daemon'
+import { asId } from '@rackwalk/shared'
+import type { EndpointStart } from '@rackwalk/shared'
+
+/** News of what endpoints say of themselves, as they travel beside reports of load. */
+
+const SENDER = { instance: 'instance-1', incarnation: 'life-1' }
+
+const news = fc.record(
+  {
+    start: fc.string({ minLength: 1, maxLength: 40 }).map(text => asId<EndpointStart>(text)),
+    requestsPerSecond: fc.double({ min: 0.001, max: 1e6, noNaN: true }),
+    ageMilliseconds: fc.nat(60_000),
+  },
+  { requiredKeys: ['start', 'ageMilliseconds'] },
+)
+
+describe('news of what endpoints say', () => {
+  it('come as they were told, each datagram under what a link passes on whole', () => {
+    fc.assert(
+      fc.property(fc.array(news, { maxLength: 40 }), all => {
+        const received = adviceReportsOf(all, SENDER).flatMap(report => {
+          const bytes = encodeReport(report)
+          expect(bytes.length).toBeLessThan(6_000)
+          const decoded = decodeReport(bytes)
+          return decoded === undefined ? [] : adviceNewsOf(decoded)
+        })
+        expect(received).toEqual(all)
+      }),
+      { seed: 7 },
+    )
+  })
+
+  it('have the form of a report that an earlier version drops as too late', () => {
+    const start = asId<EndpointStart>('endpoint-1@17')
+    const reports = adviceReportsOf(
+      [
+        { start, requestsPerSecond: 1.3, ageMilliseconds: 12 },
+        { start, ageMilliseconds: 12 },
+      ],
+      SENDER,
+    )
+    expect(reports.map(report => encodeReport(report).toString())).toMatchInlineSnapshot(`
+      [
+        "["instance-1","life-1",0,false,[["says endpoint-1@17",0,12,[["rate",1.3]]],["says endpoint-1@17",0,12,[]]]]",
+      ]
+    `)
+    expect(reports.map(report => newsOf(report))).toEqual([{ marks: [], cleared: [] }])
+  })
+
+  it('name no rate where a datagram says that nothing is taken at all', () => {
+    const report = decodeReport(Buffer.from('["a","b",0,false,[["says e",0,5,[["rate",0]]]]]'))
+    expect(report && adviceNewsOf(report)).toEqual([{ start: 'e', ageMilliseconds: 5 }])
+  })
+})
--- a/packages/daemon/src/gateway/loadExchange.ts
+++ b/packages/daemon/src/gateway/loadExchange.ts
@@ -95,6 +95,8 @@
   silenceMilliseconds: Milliseconds = MISSING_SIGNS * SIGN_MILLISECONDS
   /** Addresses to which the last report went. */
   private told: ReadonlySet<string> = new Set()
+  /** Addresses that were told what holds of endpoints, or were there when it was told to all. */
+  private advised: ReadonlySet<string> = new Set()
 
   constructor(private readonly parts: LoadExchangeParts) {}
 
@@ -185,10 +187,18 @@
     const peers = this.parts.usingPeers()
     const newcomers = peers.filter(({ address }) => !this.told.has(address))
     this.told = new Set(peers.map(({ address }) => address))
+    if (newcomers.length > 0) this.sendTo(newcomers, this.parts.fleetLoad.wholeReport())
+    this.adviseNewcomers()
+  }
+
+  /** Who wasn't there when an endpoint said something would send there until it is told by the endpoint itself. */
+  private adviseNewcomers(): void {
+    const { usingPeers, idlePeers, identity, standingAdvice } = this.parts
+    const peers = [...usingPeers(), ...idlePeers()]
+    const newcomers = peers.filter(({ address }) => !this.advised.has(address))
+    this.advised = new Set(peers.map(({ address }) => address))
     if (newcomers.length === 0) return
-    this.sendTo(newcomers, this.parts.fleetLoad.wholeReport())
-    const standing = adviceReportsOf(this.parts.standingAdvice(), this.parts.identity)
-    for (const report of standing) this.sendTo(newcomers, report)
+    for (const report of adviceReportsOf(standingAdvice(), identity)) this.sendTo(newcomers, report)
   }
 
   private sendSigns(): void {
