--- a/packages/stand-ins/__tests__/endpointAdvice.spec.ts
+++ b/packages/stand-ins/__tests__/endpointAdvice.spec.ts
@@ -76,3 +76,20 @@
     expect(servedShare(answers)).toBeGreaterThanOrEqual(LEAST_SERVED)
   })
 })
+
+/** Arrivals so long after the first one that was told are too late. */
+const GRACE_MILLISECONDS = 500
+
+describe('an engine that says in a good answer that it leaves', () => {
+  it('gets nothing new from any instance, and all others are served elsewhere', async () => {
+    const { fleet, first } = await start()
+    await send(fleet, 1_000)
+    const saidAt = Date.now()
+    first.says = { 'x-endpoint-state': 'leaving' }
+    const answers = await send(fleet, 3_000)
+    const [toldAt = 0] = first.arrivals.filter(at => at >= saidAt)
+    expect(toldAt).toBeGreaterThan(0)
+    expect(first.arrivals.filter(at => at > toldAt + GRACE_MILLISECONDS)).toEqual([])
+    expect(servedShare(answers)).toBeGreaterThanOrEqual(LEAST_SERVED)
+  })
+})
