fix(choosing): an endpoint that says in any answer that it leaves gets nothing new from anybody, in both kinds

Endpoints that were about to end were sent requests for as long as their row was late: 3.1 to 4.1 s in the records, 13 s at the most. Cause: only the row counted (gateway kind), or a refusal (OpenAI-style kind). Class: what the endpoint itself says was weaker than a copy that may be old. Change: the memory of a start holds that it leaves, whatever rows say, until that start is over; told to all at once. In the OpenAI-style kind reports no longer set it back unless they could not be fetched meanwhile (a new start), or after a minute. Ruled out: holding it in the entry of the directory (a row that lapses and comes again would forget it; tested).

--- a/packages/coordination/src/peerForms.ts
+++ b/packages/coordination/src/peerForms.ts
@@ -164,6 +164,7 @@
         z.object({
           start,
           requestsPerSecond: z.number().positive().optional(),
+          isLeaving: z.boolean().optional(),
           ageMilliseconds: z.number().nonnegative(),
         }),
       ),
--- a/packages/daemon/src/gateway/adviceNews.ts
+++ b/packages/daemon/src/gateway/adviceNews.ts
@@ -12,6 +12,8 @@
 const SAYS_PREFIX = 'says '
 /** Requests a second that it takes. */
 const RATE_PART = 'rate'
+/** That it leaves. */
+const LEAVING_PART = 'leaving'
 /** Entries in one datagram: it stays under 1,300 bytes with ids of 40 characters. */
 const ENTRIES_A_DATAGRAM = 12
 
@@ -34,16 +36,25 @@
 export function adviceNewsOf({ loads }: PeerLoadReport): readonly AdviceNews[] {
   return loads.flatMap(({ endpoint, pendingTokens, parts }) => {
     if (!endpoint.startsWith(SAYS_PREFIX)) return []
-    const rate = parts.find(({ id }) => id === RATE_PART)?.tokens
-    // A rate of nothing would keep everybody away for good.
-    const requestsPerSecond = rate === 0 ? undefined : rate
-    const start: AdviceNews['start'] = asId(endpoint.slice(SAYS_PREFIX.length))
-    return [{ start, requestsPerSecond, ageMilliseconds: pendingTokens }]
+    const rate = parts.find(({ id }) => id === RATE_PART)?.tokens ?? 0
+    const isLeaving = parts.some(({ id }) => id === LEAVING_PART)
+    return [
+      {
+        start: asId(endpoint.slice(SAYS_PREFIX.length)),
+        // A rate of nothing would keep everybody away for good.
+        ...(rate > 0 ? { requestsPerSecond: rate } : {}),
+        ...(isLeaving ? { isLeaving } : {}),
+        ageMilliseconds: pendingTokens,
+      },
+    ]
   })
 }
 
-function entryOf({ start, requestsPerSecond, ageMilliseconds }: AdviceNews): Entry {
-  const rate = requestsPerSecond === undefined ? [] : [{ id: RATE_PART, tokens: requestsPerSecond }]
+function entryOf({ start, requestsPerSecond, isLeaving, ageMilliseconds }: AdviceNews): Entry {
+  const parts = [
+    ...(requestsPerSecond === undefined ? [] : [{ id: RATE_PART, tokens: requestsPerSecond }]),
+    ...(isLeaving === true ? [{ id: LEAVING_PART, tokens: 1 }] : []),
+  ]
   const pendingTokens = Math.max(0, Math.round(ageMilliseconds))
-  return { endpoint: `${SAYS_PREFIX}${start}`, running: 0, pendingTokens, parts: rate }
+  return { endpoint: `${SAYS_PREFIX}${start}`, running: 0, pendingTokens, parts }
 }
--- a/packages/daemon/src/gateway/endpointKnowledge.ts
+++ b/packages/daemon/src/gateway/endpointKnowledge.ts
@@ -62,6 +62,7 @@
       instances: () => fleet().sharers,
       maximumConnections: name => service(name)?.maximumConnections ?? 1,
       coldMilliseconds: name => service(name)?.warmUp?.durationMilliseconds ?? 0,
+      saysLeaving: start => this.advice.advices.isLeaving(start),
       onChange: (endpoint, change) => this.noteChange(endpoint, change),
       onReplaced: start => this.noteReplaced(start),
     })
--- a/packages/daemon/src/rackwalkDaemon.ts
+++ b/packages/daemon/src/rackwalkDaemon.ts
@@ -277,7 +277,8 @@
   private createAdviceTask(): AdviceTask {
     const { clock, logger, metrics, peers } = this
     const membership = () => this.node.membership
-    return new AdviceTask({ membership, peers, clock, logger, metrics })
+    const onLeaving = (endpoint: EndpointId) => this.endpoints.noteLeaving(endpoint, 'peer')
+    return new AdviceTask({ membership, peers, clock, logger, metrics, onLeaving })
   }
 
   private createEndpoints(): EndpointTable {
--- a/packages/daemon/src/tasks/adviceTask.ts
+++ b/packages/daemon/src/tasks/adviceTask.ts
@@ -6,7 +6,8 @@
 import type { Membership, PeerChannel } from '@rackwalk/coordination'
 import type { AdviceNews, RecordedInstance } from '@rackwalk/decisions'
 import { EndpointAdvices, SendPermits } from '@rackwalk/router'
-import type { Clock } from '@rackwalk/shared'
+import { asId } from '@rackwalk/shared'
+import type { Clock, EndpointId } from '@rackwalk/shared'
 import type { Logger } from '../observe/logger.js'
 import type { Metrics } from '../observe/metrics.js'
 
@@ -17,6 +18,8 @@
   readonly clock: Clock
   readonly logger: Logger
   readonly metrics: Metrics
+  /** A peer was told by an endpoint that it leaves. */
+  readonly onLeaving: (endpoint: EndpointId) => void
 }
 
 /** What an instance of the OpenAI-style kind does about what endpoints say of themselves. */
@@ -46,7 +49,11 @@
 
   /** A peer told what endpoints say. */
   observe(news: readonly AdviceNews[]): void {
-    for (const one of news) this.advices.observe(one)
+    for (const one of news) {
+      this.advices.observe(one)
+      // A start has the name of its endpoint in this kind.
+      if (one.isLeaving === true) this.parts.onLeaving(asId<EndpointId>(one.start))
+    }
   }
 
   private get recordedInstances(): readonly RecordedInstance[] {
--- a/packages/daemon/src/tasks/endpointMonitor.ts
+++ b/packages/daemon/src/tasks/endpointMonitor.ts
@@ -103,6 +103,7 @@
       if (this.rounds % CACHE_EVENT_ROUNDS === 0) await this.askCacheEvents(endpoint)
     } catch {
       // An endpoint that does not report is judged by its requests alone.
+      this.parts.endpoints.noteSilent(endpointId)
     } finally {
       this.asking.delete(endpointId)
     }
--- a/packages/decisions/src/choosing/endpointAdvice.ts
+++ b/packages/decisions/src/choosing/endpointAdvice.ts
@@ -47,6 +47,8 @@
   readonly start: EndpointStart
   /** Requests a second that it takes; absent where it names no rate any more. */
   readonly requestsPerSecond?: number
+  /** Whether it said that it leaves, which holds until its end. */
+  readonly isLeaving?: boolean
   /** Time since an answer said so. */
   readonly ageMilliseconds: Milliseconds
 }
--- a/packages/router/src/advice/endpointAdvices.ts
+++ b/packages/router/src/advice/endpointAdvices.ts
@@ -45,12 +45,14 @@
     if (known === undefined && isSilent) return
     const remembered = this.touch(start)
     this.noteRate(remembered.advice, advice, isTrusted)
+    if (advice.isLeaving) this.tell(remembered.advice.noteLeaving())
     this.noteChange(start, remembered, advice)
   }
 
   /** Another instance had such an answer. */
   observe(news: AdviceNews): void {
-    if (news.requestsPerSecond === undefined && !this.starts.has(news.start)) return
+    const isNothing = news.requestsPerSecond === undefined && news.isLeaving !== true
+    if (isNothing && !this.starts.has(news.start)) return
     this.touch(news.start).advice.observe(news)
   }
 
@@ -71,14 +73,23 @@
 
   /** Starts that name a rate. */
   get limitedCount(): number {
-    return this.standingNews.length
+    return this.standingNews.filter(({ requestsPerSecond }) => requestsPerSecond !== undefined)
+      .length
+  }
+
+  /** Whether a start said that it leaves. */
+  isLeaving(start: EndpointStart): boolean {
+    return this.of(start)?.isLeaving === true
   }
 
   private noteRate(memory: StartAdvice, { rate }: EndpointAdvice, isTrusted: boolean): void {
     if (rate === 'unreadable') return
     // What is no answer of the endpoint's own does not end a rate that it named.
     if (rate === 'none' && !isTrusted) return
-    const news = memory.noteRate(rate === 'none' ? undefined : rate)
+    this.tell(memory.noteRate(rate === 'none' ? undefined : rate))
+  }
+
+  private tell(news: AdviceNews | undefined): void {
     if (news !== undefined) this.parts.onNews(news)
   }
 
--- a/packages/router/src/advice/startAdvice.ts
+++ b/packages/router/src/advice/startAdvice.ts
@@ -9,10 +9,15 @@
 /** A rate that is named from answer to answer anew is told this often at the most; a stricter one at once. */
 const TELL_MILLISECONDS: Milliseconds = 500
 
+/** Age of what was never said, in news: more than anything is remembered. */
+const OLDEST_MILLISECONDS: Milliseconds = 86_400_000
+
 /** The memory of one start. */
 export class StartAdvice {
   /** Requests a second that it takes from the whole fleet; undefined where it names none. */
   requestsPerSecond: number | undefined
+  /** Whether it said that it leaves: that holds until its end, whatever a row says that was written before. */
+  isLeaving = false
   /** Time, suspensions included, of the newest answer that told of a rate or of none. */
   private rateAt: Milliseconds = Number.NEGATIVE_INFINITY
   /** Monotonic time at which anything was last heard of it. */
@@ -44,9 +49,17 @@
     return this.mustTell ? this.tell() : undefined
   }
 
+  /** An answer said that it leaves; news for the others where they don't know it. */
+  noteLeaving(): AdviceNews | undefined {
+    if (this.isLeaving) return undefined
+    this.isLeaving = true
+    return this.news
+  }
+
   /** Another instance had such an answer; what is newer here counts. */
-  observe({ requestsPerSecond, ageMilliseconds }: AdviceNews): void {
+  observe({ requestsPerSecond, isLeaving = false, ageMilliseconds }: AdviceNews): void {
     this.noteAsked()
+    this.isLeaving ||= isLeaving
     const saidAt = this.clock.sinceStart() - ageMilliseconds
     if (saidAt < this.rateAt) return
     this.rateAt = saidAt
@@ -56,7 +69,7 @@
 
   /** What is known, for an instance that may not have heard it; undefined where nothing holds. */
   get standingNews(): AdviceNews | undefined {
-    return this.requestsPerSecond === undefined ? undefined : this.news
+    return this.requestsPerSecond === undefined && !this.isLeaving ? undefined : this.news
   }
 
   private get mustTell(): boolean {
@@ -73,7 +86,13 @@
   }
 
   private get news(): AdviceNews {
-    const { start, requestsPerSecond } = this
-    return { start, requestsPerSecond, ageMilliseconds: this.clock.sinceStart() - this.rateAt }
+    const { start, requestsPerSecond, isLeaving } = this
+    return {
+      start,
+      ...(requestsPerSecond === undefined ? {} : { requestsPerSecond }),
+      ...(isLeaving ? { isLeaving } : {}),
+      // What was never said is older than anything.
+      ageMilliseconds: Math.min(OLDEST_MILLISECONDS, this.clock.sinceStart() - this.rateAt),
+    }
   }
 }
--- a/packages/router/src/filters/dispatch.ts
+++ b/packages/router/src/filters/dispatch.ts
@@ -36,8 +36,6 @@
 const MAXIMUM_ATTEMPTS = 4
 /** Breaks of one endpoint within this time are of one start of it. Chosen: an engine takes longer to be back. */
 const START_MILLISECONDS = 1_000
-/** Header with which an endpoint says that it is going. */
-const LEAVING_HEADER = 'x-endpoint-state'
 const REFUSED_STATUS = 503
 const TOO_MANY_STATUS = 429
 /** Request headers that describe the caller's connection or are none of the endpoint's business. */
@@ -175,6 +173,7 @@
     const advice = readAdvice(publishedAdvice(status, headers), context)
     const isTurnedAway = status === REFUSED_STATUS || status === TOO_MANY_STATUS
     advices.note(endpointStart(endpointId, undefined), advice, !isTurnedAway)
+    if (advice.isLeaving) this.parts.endpoints.noteLeaving(endpointId, 'answer')
   }
 
   private noteResult(request: RoutedRequest, endpointId: EndpointId, result: AttemptResult): void {
@@ -188,18 +187,12 @@
       request.scope.onEnd(() => this.parts.endpoints.noteEnded(endpointId))
       return
     }
-    if (result.kind === 'answering') this.noteRefusal(endpointId, result.answer)
+    if (result.kind === 'answering') result.answer.cancel()
     this.parts.endpoints.noteEnded(endpointId)
     const isCallersDoing = request.incoming.caller.left.aborted || this.isLate(request)
     if (!isCallersDoing) this.parts.endpoints.noteFailure(endpointId)
   }
 
-  private noteRefusal(endpointId: EndpointId, answer: EndpointAnswer): void {
-    answer.cancel()
-    const isLeaving = answer.headers[LEAVING_HEADER] === 'leaving'
-    if (isLeaving) this.parts.endpoints.noteLeaving(endpointId, 'refusal')
-  }
-
   private judge(request: RoutedRequest, result: AttemptResult, attempt: number): Verdict {
     const isOver = request.incoming.caller.left.aborted || this.isLate(request)
     if (isOver || attempt >= MAXIMUM_ATTEMPTS) return 'give-up'
--- a/packages/router/src/gateway/endpointDirectory.ts
+++ b/packages/router/src/gateway/endpointDirectory.ts
@@ -22,6 +22,8 @@
   readonly maximumConnections: (service: string) => number
   /** How long endpoints of a service stay cold after a start; 0 where they never are. */
   readonly coldMilliseconds: (service: string) => Milliseconds
+  /** Whether a start said in an answer that it leaves. */
+  readonly saysLeaving?: (start: EndpointStart) => boolean
   readonly onChange: (endpoint: EndpointRecord, change: string) => void
   /** A start of an endpoint is over, since another one is listed under its id. */
   readonly onReplaced?: (start: EndpointStart) => void
@@ -152,7 +154,7 @@
   available(service: string): readonly EndpointState[] {
     return [...this.endpoints.values()].filter(endpoint => {
       const { record, hasEnded, isUnreachable } = endpoint
-      if (record.service !== service || record.isLeaving) return false
+      if (record.service !== service || endpoint.isLeaving) return false
       return !hasEnded && !isUnreachable && !this.evacuated.has(record.failureDomain)
     })
   }
@@ -206,6 +208,6 @@
       const all = this.parts.maximumConnections(record.service) * CONNECTION_SHARE
       return Math.max(1, Math.floor(all / Math.max(1, this.parts.instances())))
     }
-    return new EndpointState(record, this.parts.clock, limit)
+    return new EndpointState(record, this.parts.clock, limit, this.parts.saysLeaving)
   }
 }
--- a/packages/router/src/gateway/endpointState.ts
+++ b/packages/router/src/gateway/endpointState.ts
@@ -72,6 +72,7 @@
     public record: EndpointRecord,
     private readonly clock: Clock,
     private readonly connectionLimit: () => number,
+    private readonly saysLeaving: (start: EndpointStart) => boolean = () => false,
   ) {
     this.coldUntil = clock.monotonic() + record.coldMilliseconds
     this.sends = new RecentSends(clock)
@@ -83,9 +84,14 @@
     this.coldUntil = this.clock.monotonic() + record.coldMilliseconds
   }
 
+  /** Whether it said that it leaves, in its row or in an answer: a row may come late, or not at all. */
+  get isLeaving(): boolean {
+    return this.record.isLeaving || this.saysLeaving(this.record.start)
+  }
+
   /** Whether its end was announced: it said that it leaves, or its entry went while it went on. */
   get leavesAsPlanned(): boolean {
-    return this.record.isLeaving || (!this.isListed && !this.hasEnded)
+    return this.isLeaving || (!this.isListed && !this.hasEnded)
   }
 
   /** Nobody listens there. */
--- a/packages/router/src/routing/endpointTable.ts
+++ b/packages/router/src/routing/endpointTable.ts
@@ -30,13 +30,15 @@
   readonly sends: RecentSends
   /** Monotonic time at which somebody first said that it leaves. */
   leavingSince: Milliseconds | undefined
+  /** Whether an answer said so, and nothing was seen since of its end: a report may be older than the answer. */
+  isLeavingForGood: boolean
 }
 
 /** Where the configured endpoints are looked up. */
 export type EndpointSource = Pick<Catalogue, 'endpoints' | 'findEndpoint' | 'isEvacuated'>
 
 /** Who said that an endpoint leaves. */
-export type LeavingSource = 'list' | 'refusal' | 'report' | 'peer'
+export type LeavingSource = 'list' | 'answer' | 'report' | 'peer'
 
 function isLoaded({ report }: EndpointView, modelId: ModelId): boolean {
   return report?.loadedModels === undefined || report.loadedModels.includes(modelId)
@@ -44,6 +46,8 @@
 
 /** Age that a load report is taken to have when it arrives. */
 const REPORT_LAG_MILLISECONDS = 400
+/** An endpoint that said in an answer that it leaves and is still there after this time is asked again. */
+const LONGEST_LEAVING_MILLISECONDS = 60_000
 /** Default rate of prompt tokens where an endpoint's is not configured: plain services. */
 const SERVICE_PREFILL_RATE = 1_000_000
 
@@ -133,6 +137,7 @@
 
   noteLeaving(endpointId: EndpointId, source: LeavingSource): void {
     const state = this.stateOf(endpointId)
+    state.isLeavingForGood ||= source === 'answer'
     if (state.leavingSince !== undefined) return
     state.leavingSince = this.clock.monotonic()
     this.onChange(endpointId, `leaving (${source})`)
@@ -159,10 +164,21 @@
     }
   }
 
+  /** Its reports can't be fetched: what it said in answers may be over with its start. */
+  noteSilent(endpointId: EndpointId): void {
+    this.stateOf(endpointId).isLeavingForGood = false
+  }
+
+  private isStillLeaving({ isLeavingForGood, leavingSince = 0 }: EndpointState): boolean {
+    const age = this.clock.monotonic() - leavingSince
+    return isLeavingForGood && age < LONGEST_LEAVING_MILLISECONDS
+  }
+
   private noteStaying(endpointId: EndpointId): void {
     const state = this.stateOf(endpointId)
-    if (state.leavingSince === undefined) return
+    if (state.leavingSince === undefined || this.isStillLeaving(state)) return
     state.leavingSince = undefined
+    state.isLeavingForGood = false
     this.onChange(endpointId, 'staying')
   }
 
@@ -232,6 +248,7 @@
       recent: [],
       sends: new RecentSends(this.clock),
       leavingSince: undefined,
+      isLeavingForGood: false,
     }
     this.states.set(endpointId, created)
     return created
