test(stand-ins): an engine that turns chats away and asks for rest, red

Cause: the OpenAI-style kind reads no Retry-After; three refusals in a row eject the engine for 5 s, whatever it asked for. Change: the failing test, with both statuses; listed.

--- a/packages/stand-ins/__tests__/endpointAdvice.spec.ts
+++ b/packages/stand-ins/__tests__/endpointAdvice.spec.ts
@@ -93,3 +93,23 @@
     expect(servedShare(answers)).toBeGreaterThanOrEqual(LEAST_SERVED)
   })
 })
+
+const REST_SECONDS = 6
+
+describe('an engine that turns a chat away and asks for rest', () => {
+  it.each([429, 503])(
+    'with %i gets little from any instance until the rest is over',
+    async status => {
+      const { fleet, first } = await start()
+      await send(fleet, 1_000)
+      const askedAt = Date.now()
+      first.turnsAwayWith = status
+      first.says = { 'retry-after': String(REST_SECONDS) }
+      const answers = await send(fleet, REST_SECONDS * 1_000)
+      const late = first.arrivals.filter(at => at > askedAt + GRACE_MILLISECONDS)
+      // Each instance is asked for rest by an answer of its own.
+      expect(late.length).toBeLessThanOrEqual(2 * INSTANCES)
+      expect(servedShare(answers)).toBeGreaterThanOrEqual(LEAST_SERVED)
+    },
+  )
+})
