fix(choosing): an endpoint that asks for rest gets nothing from that instance until it is over, in both kinds

Callers were refused (3007) while six of eight endpoints had room, and an endpoint in need got nine requests in three seconds of rest. Class: what was learned in one request of one instance ended with it. Change: rest is part of the memory of a start; the one place that permits sends asks it, for first tries and others; after it one request in half a second until one is taken. Rest counts as no failure and costs no wait before the next try. All that are free rest: 3016, not run, at once, with the soonest end, spread. The same where the last one that could be asked just turned it away. Ruled out: taking refusals for failures (an ejection of 5 s knows nothing of a rest of 3 or 6); telling others (it is between two).

--- a/packages/daemon/__tests__/references.spec.ts
+++ b/packages/daemon/__tests__/references.spec.ts
@@ -78,6 +78,7 @@
     endpoints: zero,
     coldEndpoints: zero,
     limitedEndpoints: zero,
+    restingEndpoints: zero,
     crashingRequests: zero,
     evacuatedDomains: zero,
     evacuatedInFlight: zero,
--- a/packages/daemon/src/gateway/gatewayGauges.ts
+++ b/packages/daemon/src/gateway/gatewayGauges.ts
@@ -37,6 +37,7 @@
     endpoints: () => endpoints.size,
     coldEndpoints: () => endpoints.coldCount,
     limitedEndpoints: () => sources.advices.limitedCount,
+    restingEndpoints: () => sources.advices.restingCount,
     crashingRequests: () => sources.crashes.refusedCount,
     evacuatedDomains: () => configuration.evacuations.length,
     evacuatedInFlight: () => endpoints.runningInEvacuated,
--- a/packages/daemon/src/gateway/gatewayMetrics.ts
+++ b/packages/daemon/src/gateway/gatewayMetrics.ts
@@ -24,6 +24,7 @@
   readonly endpoints: () => number
   readonly coldEndpoints: () => number
   readonly limitedEndpoints: () => number
+  readonly restingEndpoints: () => number
   readonly crashingRequests: () => number
   readonly evacuatedDomains: () => number
   readonly evacuatedInFlight: () => number
@@ -188,6 +189,11 @@
       gauges.abandonedShare,
     )
     this.gauge('cold_servers', 'Servers that warm up.', gauges.coldEndpoints)
+    this.gauge(
+      'resting_servers',
+      'Servers that want nothing from here for now.',
+      gauges.restingEndpoints,
+    )
     this.gauge(
       'limited_servers',
       'Servers that named how many requests they take.',
--- a/packages/decisions/src/choosing/rateLicence.ts
+++ b/packages/decisions/src/choosing/rateLicence.ts
@@ -52,6 +52,9 @@
 /** What an instance that stands in may send. */
 const STAND_IN_LICENCE: RateLicence = { requests: 1, windowMilliseconds: STAND_IN_MILLISECONDS }
 
+/** What an endpoint that rested is sent from each instance until it has taken something: requests that waited come all at once. */
+export const TRIAL_LICENCE: RateLicence = { requests: 1, windowMilliseconds: 500 }
+
 /** How a rate is given out among so many recorded instances; at least one. */
 export function rateShares(requestsPerSecond: number, instances: number): RateShares {
   const holders = Math.max(1, Math.min(instances, Math.floor(requestsPerSecond)))
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -14,7 +14,7 @@
 export type { AdviceNews, AdviceTexts, EndpointAdvice } from './choosing/endpointAdvice.js'
 export { HomeEndpoints } from './choosing/homeEndpoints.js'
 export { nextPace, slownessOf, usualPace } from './choosing/slowness.js'
-export { licenceAt, licenceRank, rateShares } from './choosing/rateLicence.js'
+export { TRIAL_LICENCE, licenceAt, licenceRank, rateShares } from './choosing/rateLicence.js'
 export type {
   RateLicence,
   RateShares,
--- a/packages/decisions/src/stopping/finalError.ts
+++ b/packages/decisions/src/stopping/finalError.ts
@@ -16,6 +16,7 @@
 const CODE_OF_REFUSAL = {
   cold: ResultCode.WarmingUp,
   rate: ResultCode.RateNamed,
+  rest: ResultCode.EndpointsResting,
 } as const
 
 /** Why no endpoint was asked at all. */
--- a/packages/router/src/advice/endpointAdvices.ts
+++ b/packages/router/src/advice/endpointAdvices.ts
@@ -46,6 +46,8 @@
     const remembered = this.touch(start)
     this.noteRate(remembered.advice, advice, isTrusted)
     if (advice.isLeaving) this.tell(remembered.advice.noteLeaving())
+    if (advice.restMilliseconds !== undefined) remembered.advice.noteRest(advice.restMilliseconds)
+    else if (isTrusted) remembered.advice.noteTaken()
     this.noteChange(start, remembered, advice)
   }
 
@@ -77,6 +79,11 @@
       .length
   }
 
+  /** Starts that want nothing from this instance for now. */
+  get restingCount(): number {
+    return [...this.starts.values()].filter(({ advice }) => advice.restMilliseconds > 0).length
+  }
+
   /** Whether a start said that it leaves. */
   isLeaving(start: EndpointStart): boolean {
     return this.of(start)?.isLeaving === true
--- a/packages/router/src/advice/sendPermits.ts
+++ b/packages/router/src/advice/sendPermits.ts
@@ -4,7 +4,7 @@
  * in decisions/choosing (rateLicence, sendRefusal).
  */
 
-import { licenceAt, licenceRank, rateShares } from '@rackwalk/decisions'
+import { TRIAL_LICENCE, licenceAt, licenceRank, rateShares } from '@rackwalk/decisions'
 import type {
   RateLicence,
   RateShares,
@@ -62,7 +62,16 @@
 
   /** Why an endpoint may be sent nothing now; undefined where it may. */
   refusalOf(subject: PermitSubject): SendRefusal | undefined {
-    return this.coldRefusal(subject) ?? this.rateRefusal(subject)
+    return this.restRefusal(subject) ?? this.coldRefusal(subject) ?? this.rateRefusal(subject)
+  }
+
+  private restRefusal(subject: PermitSubject): SendRefusal | undefined {
+    const advice = this.parts.advices.of(subject.start)
+    if (advice === undefined) return undefined
+    const { restMilliseconds, isOnTrial } = advice
+    const trial = isOnTrial ? subject.waitFor(TRIAL_LICENCE) : 0
+    const waitMilliseconds = Math.max(restMilliseconds, trial)
+    return waitMilliseconds === 0 ? undefined : { kind: 'rest', waitMilliseconds }
   }
 
   private coldRefusal(subject: PermitSubject): SendRefusal | undefined {
--- a/packages/router/src/advice/startAdvice.ts
+++ b/packages/router/src/advice/startAdvice.ts
@@ -20,6 +20,10 @@
   isLeaving = false
   /** Time, suspensions included, of the newest answer that told of a rate or of none. */
   private rateAt: Milliseconds = Number.NEGATIVE_INFINITY
+  /** Monotonic time until which it wants nothing from this instance. */
+  private restUntil: Milliseconds = Number.NEGATIVE_INFINITY
+  /** Whether it asked for rest and has taken nothing from here since. */
+  isOnTrial = false
   /** Monotonic time at which anything was last heard of it. */
   private heardAt: Milliseconds = Number.NEGATIVE_INFINITY
   /** What the others were told last, and when. */
@@ -49,6 +53,22 @@
     return this.mustTell ? this.tell() : undefined
   }
 
+  /** Time until it wants something from this instance again; 0 where it does. */
+  get restMilliseconds(): Milliseconds {
+    return Math.max(0, this.restUntil - this.clock.monotonic())
+  }
+
+  /** It turned a request from here away and asked for rest; a shorter wish does not end a longer one. */
+  noteRest(milliseconds: Milliseconds): void {
+    this.restUntil = Math.max(this.restUntil, this.clock.monotonic() + milliseconds)
+    this.isOnTrial = true
+  }
+
+  /** It took a request from here; one that was sent before it asked for rest says nothing of that. */
+  noteTaken(): void {
+    if (this.restMilliseconds === 0) this.isOnTrial = false
+  }
+
   /** An answer said that it leaves; news for the others where they don't know it. */
   noteLeaving(): AdviceNews | undefined {
     if (this.isLeaving) return undefined
--- a/packages/router/src/filters/dispatch.ts
+++ b/packages/router/src/filters/dispatch.ts
@@ -85,7 +85,8 @@
       const verdict = this.judge(request, result, attempt)
       if (verdict === 'retry') await isKnown
       if (verdict === 'give-up') throw this.failure(request, result, mayHaveRun)
-      if (verdict === 'retry') await this.backOff(attempt)
+      // Who asked for rest is not asked again, so there is nothing to wait for.
+      if (verdict === 'retry' && !this.isResting(endpointId)) await this.backOff(attempt)
       endpointId = this.chooseAnother(request, result, tried, mayHaveRun)
     }
   }
@@ -166,6 +167,12 @@
     return controller.signal
   }
 
+  /** An endpoint that asks for rest has not failed. */
+  private isResting(endpointId: EndpointId): boolean {
+    const advice = this.parts.advices.of(endpointStart(endpointId, undefined))
+    return advice !== undefined && advice.restMilliseconds > 0
+  }
+
   /** What the endpoint says of itself with this answer, whatever becomes of the answer. */
   private noteAdvice(endpointId: EndpointId, { status, headers }: EndpointAnswer): void {
     const { clock, longestRestMilliseconds, advices } = this.parts
@@ -190,7 +197,7 @@
     if (result.kind === 'answering') result.answer.cancel()
     this.parts.endpoints.noteEnded(endpointId)
     const isCallersDoing = request.incoming.caller.left.aborted || this.isLate(request)
-    if (!isCallersDoing) this.parts.endpoints.noteFailure(endpointId)
+    if (!isCallersDoing && !this.isResting(endpointId)) this.parts.endpoints.noteFailure(endpointId)
   }
 
   private judge(request: RoutedRequest, result: AttemptResult, attempt: number): Verdict {
--- a/packages/router/src/gateway/attemptChoice.ts
+++ b/packages/router/src/gateway/attemptChoice.ts
@@ -82,6 +82,17 @@
     return chosen
   }
 
+  /** All that it was sent to turned it away: why no other one may be asked, for its caller to know when to return. */
+  noteTurnedAway(): void {
+    const available = this.parts.directory.available(this.request.service.name)
+    const why = this.whyNone(
+      available,
+      available.filter(({ hasRoom }) => hasRoom),
+    )
+    const hasOpen = available.some(endpoint => this.parts.permits.takes(endpoint))
+    if (why.kind === 'none-permitted' && !hasOpen) this.noChoice = why
+  }
+
   /** Whether an endpoint that was not tried may be sent something now. */
   get hasUntried(): boolean {
     const { directory, permits } = this.parts
--- a/packages/router/src/gateway/requestAttempts.ts
+++ b/packages/router/src/gateway/requestAttempts.ts
@@ -382,8 +382,15 @@
     record.firstByteMilliseconds = this.parts.clock.sinceStart() - record.receivedAt
   }
 
+  /** Whether all that got the request say that they did not run it. */
+  private get isTurnedAway(): boolean {
+    const { history } = this
+    return history.at(-1)?.kind === 'refused' && !history.some(mayHaveRun)
+  }
+
   private giveUp(): void {
     const { reply, record, service } = this.request
+    if (this.isTurnedAway) this.choice.noteTurnedAway()
     const error = finalError({
       service: service.name,
       history: this.history,
--- a/packages/shared/src/resultCodes.ts
+++ b/packages/shared/src/resultCodes.ts
@@ -38,6 +38,7 @@
   CallerLeftUnsent = 3013,
   EndsEndpoints = 3014,
   RateNamed = 3015,
+  EndpointsResting = 3016,
 
   EndpointFailed = 4001,
   EndpointStalled = 4002,
@@ -101,6 +102,7 @@
   | ResultCode.CallerLeftUnsent
   | ResultCode.EndsEndpoints
   | ResultCode.RateNamed
+  | ResultCode.EndpointsResting
 
 /** Codes for a request that an earlier or this attempt may have run. */
 export type AfterDispatchCode =
@@ -230,6 +232,13 @@
     'every endpoint that is free has named how many requests it takes, and gets no more from here',
     1,
   ),
+  [ResultCode.EndpointsResting]: row(
+    503,
+    'not-run',
+    true,
+    'every endpoint that is free has turned this instance away and asked for rest',
+    1,
+  ),
 
   [ResultCode.EndpointFailed]: row(502, 'unknown', true, 'the endpoint did not answer'),
   [ResultCode.EndpointStalled]: row(504, 'ran', true, 'the endpoint stalled'),
