fix(retrying): an endpoint that ends behind a front that goes on listening is recognised, in the gateway kind

Cause: the only sign of an end was that nobody listens. Class: a sign that holds for one way of deploying was taken for the thing itself. Change: looks ask for the state that takes no slot (decisions/retrying/endSigns): two in a row without an answer, and nothing else heard from there, are an end; errors that the endpoint did not sign make instances look as well; while its front goes on it is left alone by all (news each half second) until it tells its state; what its front breaks off later is held against nobody. 'signs' in server_ended.

--- a/packages/daemon/__tests__/crashNews.spec.ts
+++ b/packages/daemon/__tests__/crashNews.spec.ts
@@ -44,4 +44,9 @@
     expect(Math.max(...reports.map(report => encodeReport(report).length))).toBeLessThan(1_300)
     expect(reports.flatMap(report => newsOf(report).marks)).toEqual(marks)
   })
+
+  it('tells of starts behind whose address something listens that does not answer', () => {
+    const away = [asId<CrashNews['marks'][number]['start']>('endpoint-1@17')]
+    expect(received({ marks: [], cleared: [], away })).toEqual([{ marks: [], cleared: [], away }])
+  })
 })
--- a/packages/daemon/src/gateway/crashNews.ts
+++ b/packages/daemon/src/gateway/crashNews.ts
@@ -12,6 +12,7 @@
 /** Entries of a report are named for endpoints, and no endpoint has a blank in its id. */
 const ENDED_PREFIX = 'ended '
 const CLEARED_PREFIX = 'cleared '
+const AWAY_PREFIX = 'away '
 /** Entries in one datagram: it stays under 1,300 bytes with ids of 40 characters. */
 const ENTRIES_A_DATAGRAM = 12
 
@@ -27,7 +28,8 @@
   news: CrashNews,
   identity: Pick<PeerLoadReport, 'instance' | 'incarnation'>,
 ): readonly PeerLoadReport[] {
-  const entries = [...news.marks.map(endedEntry), ...news.cleared.map(clearedEntry)]
+  const away = (news.away ?? []).map(awayEntry)
+  const entries = [...news.marks.map(endedEntry), ...news.cleared.map(clearedEntry), ...away]
   const reports: PeerLoadReport[] = []
   for (let from = 0; from < entries.length; from += ENTRIES_A_DATAGRAM) {
     const loads = entries.slice(from, from + ENTRIES_A_DATAGRAM)
@@ -38,7 +40,9 @@
 
 /** What such a report tells; entries of any other kind are passed over. */
 export function newsOf({ loads }: PeerLoadReport): CrashNews {
+  const away = loads.flatMap(({ endpoint }) => awayOf(endpoint))
   return {
+    ...(away.length === 0 ? {} : { away }),
     marks: loads.flatMap(entry => marksOf(entry)),
     cleared: loads.flatMap(({ endpoint, parts }) => {
       if (!endpoint.startsWith(CLEARED_PREFIX)) return []
@@ -48,6 +52,14 @@
   }
 }
 
+function awayEntry(start: CrashMark['start']): Entry {
+  return { endpoint: `${AWAY_PREFIX}${start}`, running: 0, pendingTokens: 0, parts: [] }
+}
+
+function awayOf(name: string): readonly CrashMark['start'][] {
+  return name.startsWith(AWAY_PREFIX) ? [asId(name.slice(AWAY_PREFIX.length))] : []
+}
+
 function endedEntry({ fingerprint, start, wasIsolated }: CrashMark): Entry {
   const parts = [{ id: fingerprint, tokens: Number(wasIsolated) }]
   return { endpoint: `${ENDED_PREFIX}${start}`, running: 0, pendingTokens: 0, parts }
--- a/packages/daemon/src/gateway/crashWatch.ts
+++ b/packages/daemon/src/gateway/crashWatch.ts
@@ -4,7 +4,7 @@
  */
 
 import { CrashRecords } from '@rackwalk/coordination'
-import { CrashGuard, probeAddress } from '@rackwalk/router'
+import { CrashGuard, probeEndpoint } from '@rackwalk/router'
 import type { CrashNews } from '@rackwalk/decisions'
 import type { EndpointDirectory } from '@rackwalk/router'
 import type { Clock, Milliseconds, RequestFingerprint } from '@rackwalk/shared'
@@ -33,7 +33,7 @@
     const { clock, store, telemetry } = parts
     this.guard = new CrashGuard({
       clock,
-      probe: probeAddress,
+      probe: probeEndpoint,
       onEnd: end => telemetry.noteEndpointEnd(end),
       onUnreachable: start => parts.directory().noteUnreachable(start),
       onNews: news => this.share(news),
@@ -50,10 +50,12 @@
 
   stop(): void {
     this.records.stop()
+    this.guard.stop()
   }
 
   private share(news: CrashNews): void {
     this.parts.tell(news)
+    if (news.marks.length + news.cleared.length === 0) return
     this.parts.clock.after(REPEAT_MILLISECONDS, () => this.parts.tell(news))
     this.records.record(news.marks)
     for (const { fingerprint } of news.cleared) this.records.remove(fingerprint)
--- a/packages/daemon/src/gateway/gatewayTelemetry.ts
+++ b/packages/daemon/src/gateway/gatewayTelemetry.ts
@@ -79,11 +79,11 @@
   }
 
   /** An endpoint ended unannounced; each request that it had not begun to answer is named. */
-  noteEndpointEnd({ endpoint, unanswered }: EndpointEnd): void {
+  noteEndpointEnd({ endpoint, signs, unanswered }: EndpointEnd): void {
     const { id, service } = endpoint
     this.gauged?.noteEndpointEnd(service)
     const requests = unanswered.map(({ fingerprint }) => fingerprint)
-    this.logger.warn('server_ended', { server: id, service, unanswered: requests })
+    this.logger.warn('server_ended', { server: id, service, signs, unanswered: requests })
   }
 
   noteStoreCall(call: string, table: string, outcome: string): void {
--- a/packages/daemon/src/tasks/crashTask.ts
+++ b/packages/daemon/src/tasks/crashTask.ts
@@ -6,7 +6,7 @@
 import { CrashTable } from '@rackwalk/coordination'
 import type { Membership, PeerChannel } from '@rackwalk/coordination'
 import type { CrashNews } from '@rackwalk/decisions'
-import { CrashGuard, probeAddress } from '@rackwalk/router'
+import { CrashGuard, probeEndpoint } from '@rackwalk/router'
 import type { Clock, Milliseconds, RandomSource, Task, Timer } from '@rackwalk/shared'
 import { RackwalkError } from '@rackwalk/shared'
 import type { TableService } from '@rackwalk/stores'
@@ -41,11 +41,11 @@
     const { clock, table, random, logger, metrics } = parts
     this.guard = new CrashGuard({
       clock,
-      probe: probeAddress,
-      onEnd: ({ endpoint, unanswered }) => {
+      probe: probeEndpoint,
+      onEnd: ({ endpoint, signs, unanswered }) => {
         metrics.noteEndpointEnd()
         const requests = unanswered.map(({ fingerprint }) => fingerprint)
-        logger.warn('endpoint_ended', { endpoint: endpoint.id, unanswered: requests })
+        logger.warn('endpoint_ended', { endpoint: endpoint.id, signs, unanswered: requests })
       },
       // Failures in a row eject it, as any endpoint that does not answer.
       onUnreachable: () => {},
@@ -75,6 +75,7 @@
   async stop(): Promise<void> {
     this.stopped = true
     this.timer?.cancel()
+    this.guard.stop()
   }
 
   /** An operator clears a request, or it was answered. */
--- /dev/null
+++ b/packages/decisions/__tests__/endSigns.spec.ts
@@ -0,0 +1,52 @@
+import fc from 'fast-check'
+import { describe, expect, it } from 'vitest'
+import { judgeEnd } from '@rackwalk/decisions'
+import type { EndSign } from '@rackwalk/decisions'
+
+/** What looks at an endpoint that broke a request off say of it. */
+
+const SIGNS: readonly EndSign[] = ['nobody-listens', 'lives', 'does-not-answer', 'no-connection']
+
+describe('an endpoint that broke a request off', () => {
+  it('has ended, lives, or is looked at again, by what the looks show', () => {
+    const one = SIGNS.map(sign => `${sign}: ${judgeEnd([sign], false)}`)
+    const two = SIGNS.map(
+      sign => `does-not-answer, ${sign}: ${judgeEnd(['does-not-answer', sign], false)}`,
+    )
+    expect([...one, ...two]).toMatchInlineSnapshot(`
+      [
+        "nobody-listens: ended",
+        "lives: lives",
+        "does-not-answer: look-again",
+        "no-connection: unknown",
+        "does-not-answer, nobody-listens: ended",
+        "does-not-answer, lives: lives",
+        "does-not-answer, does-not-answer: ended",
+        "does-not-answer, no-connection: unknown",
+      ]
+    `)
+  })
+
+  it('has not ended by looks alone while other requests from here go on there', () => {
+    const looks = fc.array(fc.constantFrom(...SIGNS.filter(sign => sign !== 'nobody-listens')))
+    fc.assert(
+      fc.property(looks, signs => {
+        expect(judgeEnd(signs, true)).not.toBe('ended')
+      }),
+      { seed: 7 },
+    )
+  })
+
+  it('has never ended by one look that a full endpoint or a lost packet would give as well', () => {
+    const looks = fc.array(fc.constantFrom(...SIGNS), { minLength: 1 })
+    fc.assert(
+      fc.property(looks, signs => {
+        const isEnded = judgeEnd(signs, false) === 'ended'
+        const newest = signs.slice(-2)
+        const isTwice = newest.length === 2 && newest.every(sign => sign === 'does-not-answer')
+        expect(isEnded).toBe(signs.at(-1) === 'nobody-listens' || isTwice)
+      }),
+      { seed: 7 },
+    )
+  })
+})
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -45,6 +45,8 @@
 export type { AttemptOutcome } from './retrying/attemptOutcome.js'
 export { CrashSuspicions, SCOPE_CHARACTERS } from './retrying/crashSuspicion.js'
 export type { CrashMark, CrashNews, CrashVerdict } from './retrying/crashSuspicion.js'
+export { judgeEnd } from './retrying/endSigns.js'
+export type { EndSign, EndVerdict } from './retrying/endSigns.js'
 export { FleetRetryBudget } from './retrying/fleetRetryBudget.js'
 export type { RetryBounds } from './retrying/fleetRetryBudget.js'
 export { isMisdirected, isPromising, isServerError, nextStep } from './retrying/nextStep.js'
--- a/packages/decisions/src/retrying/crashSuspicion.ts
+++ b/packages/decisions/src/retrying/crashSuspicion.ts
@@ -44,6 +44,8 @@
 export interface CrashNews {
   readonly marks: readonly CrashMark[]
   readonly cleared: readonly ClearedRequest[]
+  /** Starts behind whose address something listens that did not answer a moment ago. */
+  readonly away?: readonly EndpointStart[]
 }
 
 interface Suspicion {
--- a/packages/router/src/crashes/crashGuard.ts
+++ b/packages/router/src/crashes/crashGuard.ts
@@ -4,16 +4,16 @@
  */
 
 import { CrashSuspicions } from '@rackwalk/decisions'
-import type { CrashMark, CrashNews, CrashVerdict } from '@rackwalk/decisions'
+import type { CrashMark, CrashNews, CrashVerdict, EndSign } from '@rackwalk/decisions'
 import type { Clock, EndpointStart, RequestFingerprint } from '@rackwalk/shared'
 import { EndpointEnds } from './endpointEnds.js'
 import type { BreakingEndpoint, BrokenRequest, EndpointEnd } from './endpointEnds.js'
-import type { ProbeOutcome } from './endpointProbe.js'
+import type { ProbedEndpoint } from './endpointProbe.js'
 
 /** What the guard works with. */
 export interface CrashGuardParts {
   readonly clock: Clock
-  readonly probe: (address: string) => Promise<ProbeOutcome>
+  readonly probe: (endpoint: ProbedEndpoint) => Promise<EndSign>
   /** An endpoint ended under requests from here. */
   readonly onEnd: (end: EndpointEnd) => void
   /** A start of an endpoint has ended, as this instance saw or was told. */
@@ -30,7 +30,15 @@
   private readonly ends: EndpointEnds
 
   constructor(private readonly parts: CrashGuardParts) {
-    this.ends = new EndpointEnds({ ...parts, onEnd: end => this.noteEnd(end) })
+    this.ends = new EndpointEnds({
+      ...parts,
+      onEnd: end => this.noteEnd(end),
+      onAway: start => this.noteAway(start),
+    })
+  }
+
+  stop(): void {
+    this.ends.stop()
   }
 
   /** Whether a request may be suspected, by what is known of it without its body. */
@@ -95,6 +103,11 @@
     return this.marksOf(fingerprint).map(({ start }) => start)
   }
 
+  private noteAway(start: EndpointStart): void {
+    this.parts.onUnreachable(start)
+    this.parts.onNews({ marks: [], cleared: [], away: [start] })
+  }
+
   private noteEnd(end: EndpointEnd): void {
     this.parts.onEnd(end)
     const { start } = end.endpoint
@@ -103,7 +116,8 @@
     this.parts.onNews({ marks, cleared: [] })
   }
 
-  private take({ marks, cleared }: CrashNews): void {
+  private take({ marks, cleared, away = [] }: CrashNews): void {
+    for (const start of away) this.parts.onUnreachable(start)
     for (const mark of marks) {
       this.watchVerdict(mark.fingerprint, () => this.noteMark(mark))
     }
--- a/packages/router/src/crashes/endpointEnds.ts
+++ b/packages/router/src/crashes/endpointEnds.ts
@@ -1,31 +1,36 @@
 /**
- * Finds out whether an endpoint has ended when it breaks a request off, and which requests from here it had answered
- * nothing of. Owns the breaks of the last seconds; relies on a probe of the address.
+ * Finds out whether an endpoint has ended when it breaks a request off, which requests from here it had answered nothing
+ * of, and when it is back. Owns the breaks of the last seconds; relies on looks at the endpoint, the rule is in
+ * decisions/retrying/endSigns.
  *
- * An end that was announced (the endpoint was leaving, or was no longer listed) is none of its business, and a broken
- * connection to an endpoint that still listens is not an end.
+ * An end that was announced (the endpoint was leaving, or was no longer listed) is none of its business.
  */
 
+import { judgeEnd } from '@rackwalk/decisions'
+import type { EndSign, EndVerdict } from '@rackwalk/decisions'
+import { sleep } from '@rackwalk/shared'
 import type { Clock, EndpointStart, Milliseconds, RequestFingerprint } from '@rackwalk/shared'
-import type { ProbeOutcome } from './endpointProbe.js'
+import type { ProbedEndpoint } from './endpointProbe.js'
 
 /** An endpoint that broke a request off, as it is known at that moment. */
-export interface BreakingEndpoint {
+export interface BreakingEndpoint extends ProbedEndpoint {
   readonly id: string
   readonly start: EndpointStart
   /** Service or model. */
   readonly service: string
-  /** IP:PORT. */
-  readonly address: string
   /** Whether its end was announced. */
   readonly leavesAsPlanned: boolean
   /** Whether this start of it is known to be over. */
   readonly hasEnded: boolean
+  /** Monotonic time at which anything last came from it. */
+  readonly heardAt: () => Milliseconds
 }
 
 /** An endpoint ended unannounced. */
 export interface EndpointEnd {
   readonly endpoint: BreakingEndpoint
+  /** What the looks at it showed; empty where its row told of a new start. */
+  readonly signs: readonly EndSign[]
   /** Requests from here that were there and had no part of an answer; each is told once. */
   readonly unanswered: readonly BrokenRequest[]
 }
@@ -40,39 +45,58 @@
 /** What the search for ends works with. */
 export interface EndpointEndsParts {
   readonly clock: Clock
-  readonly probe: (address: string) => Promise<ProbeOutcome>
+  readonly probe: (endpoint: ProbedEndpoint) => Promise<EndSign>
   readonly onEnd: (end: EndpointEnd) => void
+  /** Something listens where a start has ended, and does not answer; told again for as long as that lasts. */
+  readonly onAway: (start: EndpointStart) => void
 }
 
 /** Requests that one start of an endpoint broke off. */
 interface Breaks {
   readonly endpoint: BreakingEndpoint
   readonly untold: BrokenRequest[]
+  /** Monotonic time of the break for which it is looked. */
+  brokenAt: Milliseconds
   newestAt: Milliseconds
+  signs: EndSign[]
   hasEnded: boolean
-  probing: Promise<void> | undefined
+  looking: Promise<void> | undefined
 }
 
 /**
  * Breaks are kept this long, for an endpoint that is back under its address before anybody looked: its row tells of a
- * new start within a heartbeat and a read. Chosen.
+ * new start within a heartbeat and a read.
  */
 const REMEMBERED_MILLISECONDS = 5_000
+/** Time between two looks at an endpoint that did not answer the first one. */
+const LOOK_AGAIN_MILLISECONDS: Milliseconds = 25
+/** What was there when an endpoint ended is broken off within this time; what comes later was sent to its front. */
+const TOGETHER_MILLISECONDS: Milliseconds = 400
+/** Time between two looks at one that has ended behind something that listens, */
+const AWAY_LOOK_MILLISECONDS: Milliseconds = 500
+/** and how many of them are made: it is tried like any other after that. */
+const AWAY_LOOKS = 120
 
 /** The endpoints that break requests off, as one instance sees it. */
 export class EndpointEnds {
   private readonly breaks = new Map<EndpointStart, Breaks>()
+  private isStopped = false
 
   constructor(private readonly parts: EndpointEndsParts) {}
 
+  stop(): void {
+    this.isStopped = true
+  }
+
   /** An endpoint broke a request off before any part of an answer; resolves when it is known whether it ended. */
   async noteBroken(endpoint: BreakingEndpoint, request: BrokenRequest): Promise<void> {
     if (endpoint.leavesAsPlanned) return
     const breaks = this.breaksOf(endpoint)
+    if (breaks.hasEnded && this.isFrontOf(breaks)) return
     breaks.untold.push(request)
     if (breaks.hasEnded) return this.tell(breaks)
-    breaks.probing ??= this.probe(breaks)
-    await breaks.probing
+    breaks.looking ??= this.beginLook(breaks)
+    await breaks.looking
   }
 
   /** A start of an endpoint is over, by its row. */
@@ -81,10 +105,45 @@
     if (breaks !== undefined) this.end(breaks)
   }
 
-  private async probe(breaks: Breaks): Promise<void> {
-    const outcome = await this.parts.probe(breaks.endpoint.address)
-    breaks.probing = undefined
-    if (outcome === 'refused') this.end(breaks)
+  /** Whether what is broken off now was sent to whatever listens there after the end. */
+  private isFrontOf({ brokenAt, signs }: Breaks): boolean {
+    const isFronted = signs.at(-1) === 'does-not-answer'
+    return isFronted && this.parts.clock.monotonic() - brokenAt > TOGETHER_MILLISECONDS
+  }
+
+  private beginLook(breaks: Breaks): Promise<void> {
+    breaks.brokenAt = this.parts.clock.monotonic()
+    breaks.signs = []
+    return this.look(breaks)
+  }
+
+  private async look(breaks: Breaks): Promise<void> {
+    let verdict = await this.lookOnce(breaks)
+    while (verdict === 'look-again') {
+      await sleep(this.parts.clock, LOOK_AGAIN_MILLISECONDS)
+      verdict = await this.lookOnce(breaks)
+    }
+    breaks.looking = undefined
+    if (verdict !== 'ended' || breaks.hasEnded) return
+    this.end(breaks)
+    if (breaks.signs.at(-1) === 'does-not-answer') void this.watchReturn(breaks)
+  }
+
+  private async lookOnce(breaks: Breaks): Promise<EndVerdict> {
+    const { endpoint, signs, brokenAt } = breaks
+    signs.push(await this.parts.probe(endpoint))
+    return judgeEnd(signs, endpoint.heardAt() > brokenAt)
+  }
+
+  /** An engine that is back behind its front is used again as soon as it tells its state. */
+  private async watchReturn({ endpoint }: Breaks): Promise<void> {
+    const { start } = endpoint
+    for (let look = 0; look < AWAY_LOOKS && !this.isStopped; look += 1) {
+      this.parts.onAway(start)
+      await sleep(this.parts.clock, AWAY_LOOK_MILLISECONDS)
+      if ((await this.parts.probe(endpoint)) !== 'does-not-answer') break
+    }
+    this.breaks.delete(start)
   }
 
   private end(breaks: Breaks): void {
@@ -92,9 +151,9 @@
     this.tell(breaks)
   }
 
-  private tell({ endpoint, untold }: Breaks): void {
+  private tell({ endpoint, signs, untold }: Breaks): void {
     if (untold.length === 0) return
-    this.parts.onEnd({ endpoint, unanswered: untold.splice(0) })
+    this.parts.onEnd({ endpoint, signs: [...signs], unanswered: untold.splice(0) })
   }
 
   private breaksOf(endpoint: BreakingEndpoint): Breaks {
@@ -106,7 +165,15 @@
       return known
     }
     const { hasEnded, start } = endpoint
-    const created = { endpoint, untold: [], newestAt: now, hasEnded, probing: undefined }
+    const created: Breaks = {
+      endpoint,
+      untold: [],
+      brokenAt: now,
+      newestAt: now,
+      signs: [],
+      hasEnded,
+      looking: undefined,
+    }
     this.breaks.set(start, created)
     return created
   }
--- a/packages/router/src/crashes/endpointProbe.ts
+++ b/packages/router/src/crashes/endpointProbe.ts
@@ -1,28 +1,63 @@
-/** Looks whether anything listens at an endpoint's address. Sends nothing. */
+/** Looks whether an endpoint is still there. Sends no request that would run. */
 
+import { request } from 'node:http'
 import { connect } from 'node:net'
+import type { EndSign } from '@rackwalk/decisions'
 import type { Milliseconds } from '@rackwalk/shared'
 
-/** `refused`: the system there answers, and no process listens. `silent`: nothing is known. */
-export type ProbeOutcome = 'listening' | 'refused' | 'silent'
+/** Where to look. */
+export interface ProbedEndpoint {
+  /** IP:PORT. */
+  readonly address: string
+  /** Where it tells its state without using a slot; undefined where it has no such place. */
+  readonly statePath: string | undefined
+}
 
-/** Whether anything listens is known within this time, or not at all. Chosen: a retry may wait for it. */
-const PROBE_MILLISECONDS: Milliseconds = 100
+/** A connection comes up within this time, or nothing is known: a retry may wait for it. */
+const CONNECT_MILLISECONDS: Milliseconds = 100
+/** An endpoint that lives tells its state within this time. */
+const STATE_MILLISECONDS: Milliseconds = 100
+/** From here on a status says that what answers has no engine behind it. */
+const STATUS_SERVER_ERROR = 500
 
-/** Opens a connection to IP:PORT and closes it again. */
-export function probeAddress(address: string): Promise<ProbeOutcome> {
+/** One look at an endpoint. */
+export function probeEndpoint({ address, statePath }: ProbedEndpoint): Promise<EndSign> {
   const [host = '', port = ''] = address.split(':')
   return new Promise(resolve => {
     const socket = connect({ host, port: Number(port) })
-    const timer = setTimeout(() => finish('silent'), PROBE_MILLISECONDS)
-    const finish = (outcome: ProbeOutcome) => {
+    const timer = setTimeout(() => finish('no-connection'), CONNECT_MILLISECONDS)
+    const finish = (sign: EndSign) => {
       clearTimeout(timer)
       socket.destroy()
-      resolve(outcome)
+      resolve(sign)
     }
-    socket.on('connect', () => finish('listening'))
+    socket.on('connect', () => {
+      clearTimeout(timer)
+      // Where there is nothing to ask for, whoever takes connections counts as alive.
+      if (statePath === undefined) finish('lives')
+      else void askState(host, port, statePath).then(finish)
+    })
     socket.on('error', (error: NodeJS.ErrnoException) => {
-      finish(error.code === 'ECONNREFUSED' ? 'refused' : 'silent')
+      finish(error.code === 'ECONNREFUSED' ? 'nobody-listens' : 'no-connection')
+    })
+  })
+}
+
+function askState(host: string, port: string, path: string): Promise<EndSign> {
+  return new Promise(resolve => {
+    const call = request({ host, port: Number(port), path, agent: false })
+    // On a busy processor the answer may be there and wait to be read: that comes first.
+    const giveUp = () => setImmediate(() => finish('does-not-answer'))
+    const timer = setTimeout(giveUp, STATE_MILLISECONDS)
+    const finish = (sign: EndSign) => {
+      clearTimeout(timer)
+      call.destroy()
+      resolve(sign)
+    }
+    call.on('response', ({ statusCode = 0 }) => {
+      finish(statusCode < STATUS_SERVER_ERROR ? 'lives' : 'does-not-answer')
     })
+    call.on('error', () => finish('does-not-answer'))
+    call.end()
   })
 }
--- a/packages/router/src/filters/dispatch.ts
+++ b/packages/router/src/filters/dispatch.ts
@@ -36,6 +36,8 @@
 const MAXIMUM_ATTEMPTS = 4
 /** Breaks of one endpoint within this time are of one start of it. Chosen: an engine takes longer to be back. */
 const START_MILLISECONDS = 1_000
+/** Where engines tell their state without using a slot. */
+const STATE_PATH = '/load'
 const REFUSED_STATUS = 503
 const TOO_MANY_STATUS = 429
 /** Request headers that describe the caller's connection or are none of the endpoint's business. */
@@ -133,6 +135,8 @@
       service: target,
       address: new URL(address).host,
       leavesAsPlanned: endpoints.isLeaving(endpointId),
+      statePath: STATE_PATH,
+      heardAt: () => endpoints.heardAt(endpointId),
       hasEnded: false,
     }
     await crashes.noteBroken(breaking, { fingerprint, wasIsolated })
--- a/packages/router/src/gateway/endpointState.ts
+++ b/packages/router/src/gateway/endpointState.ts
@@ -54,6 +54,8 @@
   pace: Milliseconds | undefined
   /** Whether something else answered at its address: this start of it is over, whatever is listed. */
   hasEnded = false
+  /** Monotonic time at which anything last came from it. */
+  heardAt: Milliseconds = Number.NEGATIVE_INFINITY
   /** False once its entry has gone. */
   isListed = true
   /** By its own word, */
@@ -161,6 +163,11 @@
     return { noteBegun, end }
   }
 
+  /** Something came from it: it lives. */
+  noteHeard(): void {
+    this.heardAt = this.clock.monotonic()
+  }
+
   /** An answer from there ran at this pace for a while; milliseconds an event. */
   notePace(pace: Milliseconds): void {
     this.pace = nextPace(this.pace, pace)
--- a/packages/router/src/gateway/gatewayConfiguration.ts
+++ b/packages/router/src/gateway/gatewayConfiguration.ts
@@ -47,6 +47,8 @@
 
 /** What the endpoints of a model are like. */
 interface GatewayEngine {
+  /** Where an endpoint tells its state without using a slot. */
+  readonly statePath: string
   readonly tokensPerEvent: TokenCount
   /** Tokens that an endpoint's memory holds; undefined where nothing is said. */
   readonly capacity: TokenCount | undefined
--- a/packages/router/src/gateway/requestAttempts.ts
+++ b/packages/router/src/gateway/requestAttempts.ts
@@ -202,7 +202,9 @@
     const wasIsolated = this.choice.verdict === 'isolate'
     const { fingerprint } = this.choice
     const { record, leavesAsPlanned, hasEnded } = endpoint
-    const breaking = { ...record, leavesAsPlanned, hasEnded }
+    const statePath = this.request.service.engine?.statePath
+    const heardAt = () => endpoint.heardAt
+    const breaking = { ...record, leavesAsPlanned, hasEnded, statePath, heardAt }
     const isKnown = this.isOver
       ? undefined
       : this.parts.crashes.noteBroken(breaking, { fingerprint, wasIsolated })
@@ -263,6 +265,11 @@
     }
     // An endpoint that refuses is full, not broken.
     if (outcome.kind !== 'refused') endpoint.noteOutcome(isAnsweredWell(outcome))
+    if (isOfFront(status, outcome)) {
+      exchange.abort()
+      return this.endBroken(endpoint, outcome)
+    }
+    if (outcome.kind !== 'not-trusted') endpoint.noteHeard()
     const step = this.note(outcome)
     if (step === 'pass-on') return this.passOn(endpoint, exchange, response, noteBegun)
     discard(exchange, outcome, step)
@@ -303,6 +310,7 @@
     let hasBegun = false
     const noteBytes = () => {
       noteBegun()
+      endpoint.noteHeard()
       if (!hasBegun) this.noteAnswered()
       hasBegun = true
     }
@@ -406,6 +414,11 @@
   }
 }
 
+/** An error that the endpoint itself did not sign comes from what listens before it: the endpoint may have ended. */
+function isOfFront(status: number, { kind }: AttemptOutcome): boolean {
+  return kind === 'not-trusted' && isServerError(status)
+}
+
 function isAnsweredWell(outcome: AttemptOutcome): boolean {
   return outcome.kind === 'answered' && !isServerError(outcome.status)
 }
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -69,7 +69,7 @@
 export { EndpointEnds } from './crashes/endpointEnds.js'
 export type { EndpointEnd } from './crashes/endpointEnds.js'
 export { CrashGuard } from './crashes/crashGuard.js'
-export { probeAddress } from './crashes/endpointProbe.js'
+export { probeEndpoint } from './crashes/endpointProbe.js'
 
 export { Gateway } from './gateway/gateway.js'
 export { RouteTable } from './gateway/gatewayConfiguration.js'
--- a/packages/router/src/routing/endpointTable.ts
+++ b/packages/router/src/routing/endpointTable.ts
@@ -214,6 +214,11 @@
     }
   }
 
+  /** Monotonic time at which an endpoint last told its state. */
+  heardAt(endpointId: EndpointId): Milliseconds {
+    return this.states.get(endpointId)?.reportAt ?? Number.NEGATIVE_INFINITY
+  }
+
   /** Whether it is known that an endpoint takes nothing new since it is about to end. */
   isLeaving(endpointId: EndpointId): boolean {
     return this.states.get(endpointId)?.leavingSince !== undefined
