--- a/packages/stand-ins/src/engine/engineStandIn.ts
+++ b/packages/stand-ins/src/engine/engineStandIn.ts
@@ -28,6 +28,9 @@
   readonly checksOrders: boolean
 }
 
+/** What an API server or a sidecar does whose engine has ended. */
+export type EngineFront = 'closes' | 'silent' | 'answers 500' | 'answers 503'
+
 const DEFAULT_ENGINE_OPTIONS: EngineOptions = {
   models: ['assistant'],
   slots: 64,
@@ -106,6 +109,9 @@
   endsUnderWord: string | undefined
   /** Time from such an end to the next start under the same address. */
   backAfterMilliseconds = 1_500
+  /** What goes on listening at its address when it has ended so; nothing where undefined. */
+  front: EngineFront | undefined
+  private isBehindFront = false
   /** How often it has ended so. */
   ends = 0
   private port = 0
@@ -159,6 +165,7 @@
   }
 
   protected handle(request: IncomingMessage, raw: Buffer, response: ServerResponse): void {
+    if (this.isBehindFront) return this.answerFront(response)
     const url = new URL(request.url ?? '/', 'http://engine')
     if (url.pathname === '/load') return answer(response, 200, this.laggedReport())
     if (url.pathname === '/cache-events') return this.answerEvents(url, response)
@@ -198,10 +205,27 @@
     this.ends += 1
     this.waiting = []
     this.running = []
+    if (this.front !== undefined) return this.endBehindFront()
     this.die()
     this.revival = setTimeout(() => void this.listen(this.port), this.backAfterMilliseconds)
   }
 
+  private endBehindFront(): void {
+    clearInterval(this.timer)
+    this.isBehindFront = true
+    this.breakAll()
+    this.revival = setTimeout(() => {
+      this.isBehindFront = false
+      this.timer = setInterval(() => this.step(), this.options.tokenMilliseconds)
+    }, this.backAfterMilliseconds)
+  }
+
+  private answerFront(response: ServerResponse): void {
+    if (this.front === 'closes') return void response.destroy()
+    if (this.front === 'answers 500') return answer(response, 500, { error: 'no engine' })
+    if (this.front === 'answers 503') return answer(response, 503, { error: 'no engine' })
+  }
+
   /** One step of the batch: takes prompts in, then sends a token of every answer. */
   private step(): void {
     this.takeSnapshot()
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,5 +1,6 @@
 /** Fakes of the platform and of endpoints, for tests, benches and the quick start. */
 export { EngineStandIn } from './engine/engineStandIn.js'
+export type { EngineFront } from './engine/engineStandIn.js'
 export { LocalFleet } from './localFleet.js'
 export type { FleetPlatform } from './localFleet.js'
 export { LocalPlatform } from './localPlatform.js'
--- a/packages/stand-ins/src/localServer.ts
+++ b/packages/stand-ins/src/localServer.ts
@@ -30,6 +30,11 @@
     this.server.closeAllConnections()
   }
 
+  /** Breaks all connections off, and goes on listening. */
+  protected breakAll(): void {
+    this.server.closeAllConnections()
+  }
+
   protected abstract handle(
     request: IncomingMessage,
     body: Buffer,
