fix(router): a dead engine's front that answers 500 is told from the engine, in the OpenAI-style kind

Cause: a 500 was passed on as the engine's own word, and instances that were told of an end went on sending there. Change: an error of 500 or more is passed on only where the engine tells its state; else the chat goes elsewhere within its retries. All instances leave an ended engine alone for a second, and again for as long as whoever saw it looks in vain. Ruled out: taking every 500 for a failure (a request that is wrong in itself would be tried at four engines).

--- a/packages/daemon/src/rackwalkDaemon.ts
+++ b/packages/daemon/src/rackwalkDaemon.ts
@@ -6,7 +6,6 @@
 import { ResultCode, SystemClock, SystemRandom, asId, sleep } from '@rackwalk/shared'
 import type {
   Clock,
-  EndpointId,
   FailureDomainId,
   IncarnationId,
   InstanceId,
@@ -277,15 +276,15 @@
   private createAdviceTask(): AdviceTask {
     const { clock, logger, metrics, peers } = this
     const membership = () => this.node.membership
-    const onLeaving = (endpoint: EndpointId) => this.endpoints.noteLeaving(endpoint, 'peer')
-    return new AdviceTask({ membership, peers, clock, logger, metrics, onLeaving })
+    const endpoints = () => this.endpoints
+    return new AdviceTask({ membership, endpoints, peers, clock, logger, metrics })
   }
 
   private createEndpoints(): EndpointTable {
     const { catalogue, clock, advice, logger } = this
-    const onChange = (endpoint: EndpointId, change: string) =>
-      logger.info('endpoint_state', { endpoint, change })
-    return new EndpointTable(catalogue, clock, advice.permits, onChange)
+    return new EndpointTable(catalogue, clock, advice.permits, (endpoint, change) =>
+      logger.info('endpoint_state', { endpoint, change }),
+    )
   }
 
   private createCrashTask(): CrashTask {
@@ -298,6 +297,7 @@
       random,
       logger,
       metrics,
+      onUnreachable: endpoint => this.endpoints.noteUnreachable(endpoint),
       onFault: error => this.noteFault(error),
     })
   }
--- a/packages/daemon/src/tasks/adviceTask.ts
+++ b/packages/daemon/src/tasks/adviceTask.ts
@@ -6,6 +6,7 @@
 import type { Membership, PeerChannel } from '@rackwalk/coordination'
 import type { AdviceNews, RecordedInstance } from '@rackwalk/decisions'
 import { EndpointAdvices, SendPermits } from '@rackwalk/router'
+import type { EndpointTable } from '@rackwalk/router'
 import { asId } from '@rackwalk/shared'
 import type { Clock, EndpointId } from '@rackwalk/shared'
 import type { Logger } from '../observe/logger.js'
@@ -18,8 +19,7 @@
   readonly clock: Clock
   readonly logger: Logger
   readonly metrics: Metrics
-  /** A peer was told by an endpoint that it leaves. */
-  readonly onLeaving: (endpoint: EndpointId) => void
+  readonly endpoints: () => EndpointTable
 }
 
 /** What an instance of the OpenAI-style kind does about what endpoints say of themselves. */
@@ -52,7 +52,8 @@
     for (const one of news) {
       this.advices.observe(one)
       // A start has the name of its endpoint in this kind.
-      if (one.isLeaving === true) this.parts.onLeaving(asId<EndpointId>(one.start))
+      if (one.isLeaving !== true) continue
+      this.parts.endpoints().noteLeaving(asId<EndpointId>(one.start), 'peer')
     }
   }
 
--- a/packages/daemon/src/tasks/crashTask.ts
+++ b/packages/daemon/src/tasks/crashTask.ts
@@ -7,8 +7,8 @@
 import type { Membership, PeerChannel } from '@rackwalk/coordination'
 import type { CrashNews } from '@rackwalk/decisions'
 import { CrashGuard, probeEndpoint } from '@rackwalk/router'
-import type { Clock, Milliseconds, RandomSource, Task, Timer } from '@rackwalk/shared'
-import { RackwalkError } from '@rackwalk/shared'
+import type { Clock, EndpointId, Milliseconds, RandomSource, Task, Timer } from '@rackwalk/shared'
+import { RackwalkError, endpointOf } from '@rackwalk/shared'
 import type { TableService } from '@rackwalk/stores'
 import type { Logger } from '../observe/logger.js'
 import type { Metrics } from '../observe/metrics.js'
@@ -22,6 +22,8 @@
   readonly random: RandomSource
   readonly logger: Logger
   readonly metrics: Metrics
+  /** An endpoint has ended, as this instance saw or was told. */
+  readonly onUnreachable: (endpoint: EndpointId) => void
   readonly onFault: (error: unknown) => void
 }
 
@@ -47,8 +49,7 @@
         const requests = unanswered.map(({ fingerprint }) => fingerprint)
         logger.warn('endpoint_ended', { endpoint: endpoint.id, signs, unanswered: requests })
       },
-      // Failures in a row eject it, as any endpoint that does not answer.
-      onUnreachable: () => {},
+      onUnreachable: start => parts.onUnreachable(endpointOf(start)),
       onNews: news => this.share(news),
       onVerdict: (fingerprint, isRefused) => {
         const event = isRefused ? 'crashing_request_refused' : 'crashing_request_cleared'
--- a/packages/router/src/crashes/crashGuard.ts
+++ b/packages/router/src/crashes/crashGuard.ts
@@ -65,8 +65,8 @@
     return this.suspicions.verdict(fingerprint)
   }
 
-  /** An endpoint broke a request off before any part of an answer; resolves when it is known whether it ended. */
-  noteBroken(endpoint: BreakingEndpoint, request: BrokenRequest): Promise<void> {
+  /** An endpoint broke a request off before any part of an answer; resolves with whether it is known to have ended. */
+  noteBroken(endpoint: BreakingEndpoint, request: BrokenRequest): Promise<boolean> {
     return this.ends.noteBroken(endpoint, request)
   }
 
--- a/packages/router/src/crashes/endpointEnds.ts
+++ b/packages/router/src/crashes/endpointEnds.ts
@@ -88,15 +88,19 @@
     this.isStopped = true
   }
 
-  /** An endpoint broke a request off before any part of an answer; resolves when it is known whether it ended. */
-  async noteBroken(endpoint: BreakingEndpoint, request: BrokenRequest): Promise<void> {
-    if (endpoint.leavesAsPlanned) return
+  /** An endpoint broke a request off before any part of an answer; resolves with whether it is known to have ended. */
+  async noteBroken(endpoint: BreakingEndpoint, request: BrokenRequest): Promise<boolean> {
+    if (endpoint.leavesAsPlanned) return false
     const breaks = this.breaksOf(endpoint)
-    if (breaks.hasEnded && this.isFrontOf(breaks)) return
+    if (breaks.hasEnded && this.isFrontOf(breaks)) return true
     breaks.untold.push(request)
-    if (breaks.hasEnded) return this.tell(breaks)
+    if (breaks.hasEnded) {
+      this.tell(breaks)
+      return true
+    }
     breaks.looking ??= this.beginLook(breaks)
     await breaks.looking
+    return breaks.hasEnded
   }
 
   /** A start of an endpoint is over, by its row. */
--- a/packages/router/src/engine/attemptResult.ts
+++ b/packages/router/src/engine/attemptResult.ts
@@ -8,4 +8,10 @@
 export type AttemptResult =
   | { readonly kind: 'answering'; readonly answer: EndpointAnswer }
   | { readonly kind: 'unsent'; readonly reason: string }
-  | { readonly kind: 'failed'; readonly reason: string; readonly stalled: boolean }
+  | {
+      readonly kind: 'failed'
+      readonly reason: string
+      readonly stalled: boolean
+      /** Whether the endpoint is already known to have ended. */
+      readonly isLookedAt?: boolean
+    }
--- a/packages/router/src/filters/dispatch.ts
+++ b/packages/router/src/filters/dispatch.ts
@@ -5,7 +5,7 @@
 
 import { DispatchedError, NotRunError, ResultCode, endpointStart, sleep } from '@rackwalk/shared'
 import type { Clock, EndpointId, Milliseconds, RandomSource } from '@rackwalk/shared'
-import { readAdvice } from '@rackwalk/decisions'
+import { isServerError, readAdvice } from '@rackwalk/decisions'
 import type { EndpointAdvices } from '../advice/endpointAdvices.js'
 import { publishedAdvice } from '../advice/publishedAdvice.js'
 import type { CrashGuard } from '../crashes/crashGuard.js'
@@ -56,6 +56,12 @@
   'upgrade',
 ])
 
+/** What came of a try, and whether it was sent as one that may end endpoints. */
+interface TriedRequest {
+  readonly result: AttemptResult
+  readonly wasIsolated: boolean
+}
+
 /** What to do about an attempt that gave no usable answer. */
 type Verdict = 'try-another' | 'retry' | 'give-up'
 
@@ -79,11 +85,11 @@
     for (let attempt = 1; ; attempt += 1) {
       tried.add(endpointId)
       const wasIsolated = this.isIsolated(request)
-      const result = await this.attempt(request, endpointId)
+      const result = await this.attempt(request, endpointId, wasIsolated)
       const answer = acceptedAnswer(result, request)
       if (answer !== undefined) return { ...request, answer }
       mayHaveRun ||= result.kind !== 'unsent'
-      const isKnown = this.noteBroken(request, endpointId, result, wasIsolated)
+      const isKnown = this.noteBroken(request, endpointId, { result, wasIsolated })
       const verdict = this.judge(request, result, attempt)
       if (verdict === 'retry') await isKnown
       if (verdict === 'give-up') throw this.failure(request, result, mayHaveRun)
@@ -93,23 +99,43 @@
     }
   }
 
-  private async attempt(request: RoutedRequest, endpointId: EndpointId): Promise<AttemptResult> {
+  private async attempt(
+    request: RoutedRequest,
+    endpointId: EndpointId,
+    wasIsolated: boolean,
+  ): Promise<AttemptResult> {
     const endpoint = this.parts.catalogue.findEndpoint(endpointId)
     if (endpoint === undefined) return { kind: 'unsent', reason: 'removed' }
     const promptTokens = promptEstimate(request)
     this.parts.endpoints.noteSent(endpointId, promptTokens)
     request.notePlaced()
-    const result = await this.parts.client.attempt({
+    const sent = await this.parts.client.attempt({
       endpointId,
       address: endpoint.spec.address,
       ...this.exchange(request),
       firstByteMilliseconds: this.parts.firstByteMilliseconds,
       signal: this.signalOf(request),
     })
+    const result = await this.withoutFront(request, endpointId, { result: sent, wasIsolated })
     this.noteResult(request, endpointId, result)
     return result
   }
 
+  /** An error that came from what listens before an engine that has ended is no answer: the request may go elsewhere. */
+  private async withoutFront(
+    request: RoutedRequest,
+    endpointId: EndpointId,
+    { result, wasIsolated }: TriedRequest,
+  ): Promise<AttemptResult> {
+    if (result.kind !== 'answering' || !isServerError(result.answer.status)) return result
+    const reason = `status ${result.answer.status} of its front`
+    const failed = { kind: 'failed', reason, stalled: false } as const
+    const hasEnded = await this.noteBroken(request, endpointId, { result: failed, wasIsolated })
+    if (!hasEnded) return result
+    result.answer.cancel()
+    return { ...failed, isLookedAt: true }
+  }
+
   private isIsolated({ crashFingerprint }: RoutedRequest): boolean {
     if (crashFingerprint === undefined) return false
     return this.parts.crashes.verdict(crashFingerprint) === 'isolate'
@@ -119,15 +145,15 @@
   private async noteBroken(
     request: RoutedRequest,
     endpointId: EndpointId,
-    result: AttemptResult,
-    wasIsolated: boolean,
-  ): Promise<void> {
+    { result, wasIsolated }: TriedRequest,
+  ): Promise<boolean> {
     const { crashFingerprint: fingerprint, target, incoming } = request
-    if (result.kind !== 'failed' || result.stalled || fingerprint === undefined) return
-    if (incoming.caller.left.aborted || this.isLate(request)) return
+    if (result.kind !== 'failed' || result.stalled || fingerprint === undefined) return false
+    if (result.isLookedAt === true) return true
+    if (incoming.caller.left.aborted || this.isLate(request)) return false
     const { catalogue, clock, crashes, endpoints } = this.parts
     const address = catalogue.findEndpoint(endpointId)?.spec.address
-    if (address === undefined) return
+    if (address === undefined) return false
     const breaking = {
       id: endpointId,
       // Its platform does not tell one start from the next: the time of the end does.
@@ -139,7 +165,7 @@
       heardAt: () => endpoints.heardAt(endpointId),
       hasEnded: false,
     }
-    await crashes.noteBroken(breaking, { fingerprint, wasIsolated })
+    return crashes.noteBroken(breaking, { fingerprint, wasIsolated })
   }
 
   private exchange(request: RoutedRequest) {
--- a/packages/router/src/routing/endpointTable.ts
+++ b/packages/router/src/routing/endpointTable.ts
@@ -26,6 +26,8 @@
   reportAt: Milliseconds
   /** What was sent there of late, oldest first. */
   recent: SentRequest[]
+  /** Monotonic time until which it is left alone, since it has ended and may not be back. */
+  unreachableUntil: Milliseconds
   /** Requests that were sent there from here, as licences count them. */
   readonly sends: RecentSends
   /** Monotonic time at which somebody first said that it leaves. */
@@ -48,6 +50,8 @@
 const REPORT_LAG_MILLISECONDS = 400
 /** An endpoint that said in an answer that it leaves and is still there after this time is asked again. */
 const LONGEST_LEAVING_MILLISECONDS = 60_000
+/** An endpoint that has ended is left alone for this long; one that is back sooner is missed for so long at the most. */
+const UNREACHABLE_MILLISECONDS = 1_000
 /** Default rate of prompt tokens where an endpoint's is not configured: plain services. */
 const SERVICE_PREFILL_RATE = 1_000_000
 
@@ -164,6 +168,16 @@
     }
   }
 
+  /** It has ended; whoever looks at it tells again while it is not back. */
+  noteUnreachable(endpointId: EndpointId): void {
+    this.stateOf(endpointId).unreachableUntil = this.clock.monotonic() + UNREACHABLE_MILLISECONDS
+  }
+
+  private isUnreachable(endpointId: EndpointId): boolean {
+    const until = this.states.get(endpointId)?.unreachableUntil ?? Number.NEGATIVE_INFINITY
+    return this.clock.monotonic() < until
+  }
+
   /** Its reports can't be fetched: what it said in answers may be over with its start. */
   noteSilent(endpointId: EndpointId): void {
     this.stateOf(endpointId).isLeavingForGood = false
@@ -192,7 +206,10 @@
 
   private usable(pool: readonly ConfiguredEndpoint[]): readonly ConfiguredEndpoint[] {
     return pool.filter(
-      endpoint => !this.isLeaving(endpoint.endpointId) && !this.catalogue.isEvacuated(endpoint),
+      endpoint =>
+        !this.isLeaving(endpoint.endpointId) &&
+        !this.isUnreachable(endpoint.endpointId) &&
+        !this.catalogue.isEvacuated(endpoint),
     )
   }
 
@@ -251,6 +268,7 @@
       report: undefined,
       reportAt: this.clock.monotonic(),
       recent: [],
+      unreachableUntil: Number.NEGATIVE_INFINITY,
       sends: new RecentSends(this.clock),
       leavingSince: undefined,
       isLeavingForGood: false,
--- a/packages/shared/src/ids.ts
+++ b/packages/shared/src/ids.ts
@@ -47,6 +47,12 @@
   return asId(bornAt === undefined ? endpoint : `${endpoint}@${bornAt}`)
 }
 
+/** The endpoint of a start that `endpointStart` named. */
+export function endpointOf(start: EndpointStart): EndpointId {
+  const end = start.lastIndexOf('@')
+  return asId(end < 0 ? start : start.slice(0, end))
+}
+
 /** Brands a string; the one place where the cast is made. */
 export function asId<Id extends Branded<string>>(value: string): Id {
   return value as Id
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -1,5 +1,5 @@
 /** What every package shares: ids, units, result codes, errors, time and chance. */
-export { asId, endpointStart } from './ids.js'
+export { asId, endpointOf, endpointStart } from './ids.js'
 export type {
   BudgetId,
   EndpointId,
