--- a/packages/daemon/src/gateway/acceptProbe.ts
+++ b/packages/daemon/src/gateway/acceptProbe.ts
@@ -8,7 +8,7 @@
 import type { Server, Socket } from 'node:net'
 import type { Clock, Milliseconds } from '@rackwalk/shared'
 
-/** Time between two probes; each costs about what a refused connection does. Chosen; what it costs was not measured. */
+/** Time between two probes; each costs about what a refused connection does. */
 const PROBE_MILLISECONDS = 200
 
 /** Measures the wait of new connections, as long as somebody asks. */
--- a/packages/daemon/src/gateway/activeFleet.ts
+++ b/packages/daemon/src/gateway/activeFleet.ts
@@ -40,9 +40,9 @@
   readonly idleOthers: readonly MemberRow[]
 }
 
-/** Age up to which a view of the fleet is used again. Chosen: members change within seconds. */
+/** Age up to which a view of the fleet is used again. Members change within seconds. */
 const VIEW_MILLISECONDS = 100
-/** Other instances that started at the same time are known after this time. Chosen. */
+/** Other instances that started at the same time are known after this time. */
 const SETTLING_MILLISECONDS = 2_000
 
 function activeCountOf({ isSelfActive, activeOthers }: FleetView): number {
--- a/packages/daemon/src/gateway/followedTables.ts
+++ b/packages/daemon/src/gateway/followedTables.ts
@@ -27,7 +27,7 @@
 import { EndpointFollower } from './endpointFollower.js'
 
 /**
- * Times of the feeds, chosen and not measured: each call to the store has a price, and the store
+ * Times of the feeds: each call to the store has a price, and the store
  * takes a bounded number a second. How long a question for changes waits at the store, on tables
  * that rarely change:
  */
@@ -45,7 +45,7 @@
 /**
  * An instance that stands by takes these tables from an active one of its failure domain where what that knows is
  * no older than this: with its own pause the sight of endpoints stays under a second and a half, less than a leaving
- * endpoint is given by any configuration seen (2 s). Chosen.
+ * endpoint is given by any configuration seen (2 s).
  */
 const NEAR_ENDPOINT_MILLISECONDS = 600
 const NEAR_MEMBER_MILLISECONDS = 1_500
--- a/packages/daemon/src/gateway/instanceCapacity.ts
+++ b/packages/daemon/src/gateway/instanceCapacity.ts
@@ -6,11 +6,10 @@
 import type { GatewaySettings } from './gatewaySettings.js'
 
 /**
- * Measured on a played day of 73 machines: 43 requests a second with their events took 0.128 of
- * a core, 3 ms each; this many leave half of a core free.
+ * A request with its events takes some 3 ms of a core: this many leave half of it free.
  */
 const REQUESTS_PER_CORE = 150
-/** Prompt in and out, events in and out, with heads: measured some 50 KB a streamed request. */
+/** Prompt in and out, events in and out, with heads. */
 const BYTES_PER_REQUEST = 50_000
 /** Part of a link that requests may take; the rest is for bursts and for the store. */
 const LINK_SHARE = 0.4
--- a/packages/daemon/src/gateway/loadExchange.ts
+++ b/packages/daemon/src/gateway/loadExchange.ts
@@ -23,7 +23,7 @@
 const REPORT_BYTES_PER_SECOND = 12_000
 /** and in signs of life to the others. */
 const SIGN_BYTES_PER_SECOND = 5_000
-/** A report with the head of its datagram, as measured on a calm day, */
+/** A report with the head of its datagram, on a calm day, */
 const REPORT_BYTES = 110
 /** and a sign of life. */
 const SIGN_BYTES = 80
--- a/packages/daemon/src/observe/changeBatch.ts
+++ b/packages/daemon/src/observe/changeBatch.ts
@@ -11,7 +11,7 @@
   readonly fields: Readonly<Record<string, unknown>>
 }
 
-/** Changes of one event that are told one by one where no more come together. Chosen. */
+/** Changes of one event that are told one by one where no more come together. */
 const LARGEST_LISTED = 3
 
 /** Gathers the changes of one turn of the event loop and tells them. */
--- a/packages/router/src/gateway/endpointAgent.ts
+++ b/packages/router/src/gateway/endpointAgent.ts
@@ -5,7 +5,7 @@
 import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
 
-/** An idle connection is kept this long where the endpoint does not say how long it keeps it. Chosen. */
+/** An idle connection is kept this long where the endpoint does not say how long it keeps it. */
 const UNSTATED_IDLE_MILLISECONDS = 400
 /** A connection is closed this long before the endpoint would. */
 const IDLE_MARGIN_MILLISECONDS = 600
--- a/packages/router/src/gateway/endpointDirectory.ts
+++ b/packages/router/src/gateway/endpointDirectory.ts
@@ -10,7 +10,7 @@
 import type { InstanceLoad } from './peerLoads.js'
 
 /** Share of an endpoint's connections that all instances together use; the rest covers instances
- * that count their number differently for a moment. Chosen, not measured. */
+ * that count their number differently for a moment. */
 const CONNECTION_SHARE = 0.85
 
 /** What a directory works with. */
@@ -29,7 +29,7 @@
   readonly onReplaced?: (start: EndpointStart) => void
 }
 
-/** The usual pace of a service is reckoned anew after this time. Chosen: it changes in seconds. */
+/** The usual pace of a service is reckoned anew after this time. It changes in seconds. */
 const USUAL_PACE_MILLISECONDS = 200
 
 interface KnownPace {
--- a/packages/router/src/gateway/endpointState.ts
+++ b/packages/router/src/gateway/endpointState.ts
@@ -25,9 +25,9 @@
   readonly coldMilliseconds: Milliseconds
 }
 
-/** Weight of the newest outcome in an endpoint's failure share. Chosen, not measured. */
+/** Weight of the newest outcome in an endpoint's failure share. */
 const FAILURE_WEIGHT = 0.3
-/** Time in which a failure share halves while nothing is sent there. Chosen, not measured. */
+/** Time in which a failure share halves while nothing is sent there. */
 const FAILURE_HALF_LIFE_MILLISECONDS = 2_500
 /**
  * An endpoint where nobody listened is left alone for this long. Each instance found out with a request of its own, three
--- a/packages/router/src/gateway/peerLoads.ts
+++ b/packages/router/src/gateway/peerLoads.ts
@@ -39,7 +39,7 @@
 }
 
 /**
- * An instance that had work at an endpoint within this time uses endpoints. Chosen: one to which a request
+ * An instance that had work at an endpoint within this time uses endpoints: one to which a request
  * comes each second stays among those that are told of load, also from one sign of life to the next in a
  * large fleet; one to which a request strays does not.
  */
--- a/packages/router/src/gateway/readingMeter.ts
+++ b/packages/router/src/gateway/readingMeter.ts
@@ -8,9 +8,7 @@
 /** Prompts with less to read than this disturb nobody for long. */
 const LONG_TOKENS: TokenCount = 2_000
 /**
- * Time in which a sum halves. Measured on replayed load (longPromptLoad, six seeds, share of worth lost to
- * lateness at the usual rate and at 1.4 times it): 1 s gave 0.034 and 0.075, 1.5 s 0.033 and 0.065, 3 s
- * 0.029 and 0.052. Not longer: what an endpoint read seconds ago tells little of an endpoint that fails.
+ * Time in which a sum halves. Not longer: what an endpoint read seconds ago tells little of an endpoint that fails.
  */
 const HALF_LIFE_MILLISECONDS = 1_500
 
--- a/packages/router/src/gateway/requestAttempts.ts
+++ b/packages/router/src/gateway/requestAttempts.ts
@@ -68,12 +68,11 @@
 
 /**
  * An endpoint ends its work at the deadline by itself; its answer is awaited this much longer.
- * Chosen, not measured.
  */
 const DEADLINE_SLACK_MILLISECONDS = 80
 /**
  * Where the endpoint of a suspected request refuses the connection, another try of the same request may just have ended it:
- * its news is awaited this long before the next endpoint is put at risk. Chosen: news takes 25 ms.
+ * its news is awaited this long before the next endpoint is put at risk. News takes 25 ms.
  */
 const NEWS_MILLISECONDS = 100
 /** No process listens at the address. */
--- a/packages/shared/src/clock.ts
+++ b/packages/shared/src/clock.ts
@@ -41,7 +41,7 @@
 }
 
 /**
- * By so much more than the steady clock the time of day must have moved between two looks for a suspension. Chosen: no
+ * By so much more than the steady clock the time of day must have moved between two looks for a suspension: no
  * slewing of the time of day does that, and nothing that ages here is meant to be exact to half a second.
  */
 const SUSPENSION_MILLISECONDS: Milliseconds = 500
