--- a/packages/coordination/src/crashes/crashRecords.ts
+++ b/packages/coordination/src/crashes/crashRecords.ts
@@ -40,7 +40,7 @@
 
 /** Rows in one transaction; a platform takes 100 entries. */
 const ROWS_A_WRITE = 50
-/** A write that the store did not take is tried again after this time. Chosen. */
+/** A write that the store did not take is tried again after this time. */
 const RETRY_MILLISECONDS: Milliseconds = 1_000
 
 /** The records of ends, on one instance. */
--- a/packages/coordination/src/prepaid/budgetShortage.ts
+++ b/packages/coordination/src/prepaid/budgetShortage.ts
@@ -6,7 +6,7 @@
 
 import type { Clock, Milliseconds } from '@rackwalk/shared'
 
-/** An episode ends when nobody was refused for this long. Chosen, not measured. */
+/** An episode ends when nobody was refused for this long. */
 const QUIET_MILLISECONDS: Milliseconds = 2_000
 
 /** An episode that is over. */
--- a/packages/coordination/src/prepaid/demandMeter.ts
+++ b/packages/coordination/src/prepaid/demandMeter.ts
@@ -2,12 +2,12 @@
 
 import type { Clock, Milliseconds, TokenCount } from '@rackwalk/shared'
 
-/** Time over which demand is averaged. Chosen, not measured. */
+/** Time over which demand is averaged. */
 export const DEMAND_WINDOW_MILLISECONDS = 6_000
 
-/** After so long without demand the next one is taken for the beginning of another. Chosen. */
+/** After so long without demand the next one is taken for the beginning of another. */
 const IDLE_MILLISECONDS = 2 * DEMAND_WINDOW_MILLISECONDS
-/** A single request is not taken for the demand of less time than this. Chosen. */
+/** A single request is not taken for the demand of less time than this. */
 const SHORTEST_SEEN_MILLISECONDS = 2_000
 
 /** Measures tokens a second with exponential forgetting. */
--- a/packages/coordination/src/prepaid/prepaidAccount.ts
+++ b/packages/coordination/src/prepaid/prepaidAccount.ts
@@ -55,22 +55,22 @@
   readonly onMalformedRow: (row: RowAddress) => void
 }
 
-/** Time between two tries to give everything back at a planned stop. Chosen, not measured. */
+/** Time between two tries to give everything back at a planned stop. */
 const LEAVE_RETRY_MILLISECONDS = 120
-/** Budgets from which nothing was spent are recorded this many times less often. Chosen. */
+/** Budgets from which nothing was spent are recorded this many times less often. */
 const IDLE_FACTOR = 4
-/** Share of the time between two records after which holdings may be moved. Chosen. */
+/** Share of the time between two records after which holdings may be moved. */
 const ADJUST_SHARE = 0.25
-/** Factor by which the largest request seen fades with each request. Chosen, not measured. */
+/** Factor by which the largest request seen fades with each request. */
 const LARGEST_DECAY = 0.98
 /**
  * Age of the rows at which an instance that stands by reads them again. Chosen: what others hold and ask for
  * decides how much it holds; whether the pool has enough each write finds out by itself.
  */
 const STANDBY_SIGHT_MILLISECONDS = 1_000
-/** Tokens a second below which an instance that stands by asks for no holding. Chosen: as rows round. */
+/** Tokens a second below which an instance that stands by asks for no holding: as rows round. */
 const LEAST_DEMAND_PER_SECOND = 1
-/** Tries to give everything back at a planned stop; the grace time ends them earlier. Chosen. */
+/** Tries to give everything back at a planned stop; the grace time ends them earlier. */
 const LEAVE_ATTEMPTS = 12
 
 /** One budget on one instance. */
--- a/packages/coordination/src/prepaid/prepaidLedger.ts
+++ b/packages/coordination/src/prepaid/prepaidLedger.ts
@@ -56,11 +56,11 @@
   readonly limit: TokenCount
 }
 
-/** Time between two looks at what is due. Chosen, not measured. */
+/** Time between two looks at what is due. */
 const MAINTAIN_MILLISECONDS = 125
-/** Looks at what is due between two reckonings of how often holdings are recorded. Chosen. */
+/** Looks at what is due between two reckonings of how often holdings are recorded. */
 const LOOKS_A_RECKONING = 4
-/** Longest time in which other instances are asked for tokens, for one request. Chosen. */
+/** Longest time in which other instances are asked for tokens, for one request. */
 const BORROW_MILLISECONDS = 60
 
 /** What came of asking other instances. */
--- a/packages/coordination/src/prepaid/storeContact.ts
+++ b/packages/coordination/src/prepaid/storeContact.ts
@@ -5,14 +5,14 @@
 
 import type { Clock, Milliseconds } from '@rackwalk/shared'
 
-/** A store that has not answered a call for this long counts as out of reach. Chosen. */
+/** A store that has not answered a call for this long counts as out of reach. */
 const SLOW_CALL_MILLISECONDS: Milliseconds = 250
-/** After a write that the store throttled, the next one comes this much later. Chosen. */
+/** After a write that the store throttled, the next one comes this much later. */
 const THROTTLED_MILLISECONDS: Milliseconds = 400
 
 /**
  * A store that failed is told of again only after no call failed for this long. One that turns away every other call is
- * one episode: told with each loss it was 1,261 lines of a played day, some 130 ms apart. Chosen.
+ * one episode: told with each loss it was 1,261 lines of a played day, some 130 ms apart.
  */
 const STEADY_MILLISECONDS: Milliseconds = 5_000
 
--- a/packages/coordination/src/prepaid/writePlan.ts
+++ b/packages/coordination/src/prepaid/writePlan.ts
@@ -72,7 +72,7 @@
   readonly assumed: TokenCount
 }
 
-/** Times the present spending that the first time allows. Chosen: the demand once. */
+/** Times the present spending that the first time allows: the demand once. */
 const STRICT_DEMAND_FACTOR = 1
 /**
  * A holding that lasts this long at its own demand lets callers take what they ask for in the first time, and
--- a/packages/coordination/src/rows/tableMirror.ts
+++ b/packages/coordination/src/rows/tableMirror.ts
@@ -73,9 +73,9 @@
 
 const FIRST_RETRY_MILLISECONDS = 100
 const LONGEST_RETRY_MILLISECONDS = 800
-/** A near peer that did not tell anything new enough is not asked again for this long. Chosen. */
+/** A near peer that did not tell anything new enough is not asked again for this long. */
 const NEAR_PEER_REST_MILLISECONDS = 2_000
-/** Time between two looks whether changes are wanted again. Chosen: no call is made. */
+/** Time between two looks whether changes are wanted again: no call is made. */
 const UNWANTED_MILLISECONDS = 200
 
 /** Follows a table: one whole read, then changes; again whole when the store forgot some. */
--- a/packages/daemon/src/gateway/activeFleet.ts
+++ b/packages/daemon/src/gateway/activeFleet.ts
@@ -40,7 +40,7 @@
   readonly idleOthers: readonly MemberRow[]
 }
 
-/** Age up to which a view of the fleet is used again. Members change within seconds. */
+/** Age up to which a view of the fleet is used again: members change within seconds. */
 const VIEW_MILLISECONDS = 100
 /** Other instances that started at the same time are known after this time. */
 const SETTLING_MILLISECONDS = 2_000
--- a/packages/daemon/src/gateway/crashWatch.ts
+++ b/packages/daemon/src/gateway/crashWatch.ts
@@ -21,7 +21,7 @@
   readonly telemetry: GatewayTelemetry
 }
 
-/** A datagram may be lost: each is sent again after this time. The store's rows make good what is lost twice. */
+/** A datagram may be lost: each is sent again after this time; the store's rows make good what is lost twice. */
 const REPEAT_MILLISECONDS: Milliseconds = 250
 
 /** What one instance does about requests that end endpoints. */
--- a/packages/daemon/src/gateway/knowledgeWatch.ts
+++ b/packages/daemon/src/gateway/knowledgeWatch.ts
@@ -45,11 +45,11 @@
   readonly onFault: (error: unknown) => void
 }
 
-/** Time between two looks; a look costs no call unless rows are old. A tenth of the least bound. */
+/** Time between two looks; a look costs no call unless rows are old, and a bound has ten of them. */
 const LOOK_MILLISECONDS = 200
 /** Peers asked at each look: one may be cut off from the store as well. */
 const PEERS_ASKED = 2
-/** An answer of a peer speaks for this part of a bound. Two or three looks of one that is asked. */
+/** An answer of a peer speaks for this part of a bound: two or three looks of one that is asked. */
 const ANSWER_SHARE = 0.25
 
 /** Keeps an instance from serving by rows that are too old through its own fault. */
--- a/packages/daemon/src/tasks/crashTask.ts
+++ b/packages/daemon/src/tasks/crashTask.ts
@@ -27,7 +27,7 @@
   readonly onFault: (error: unknown) => void
 }
 
-/** Time between two looks at the table, for an instance that no peer could tell. A look is one query. */
+/** Time between two looks at the table, for an instance that no peer could tell: a look is one query. */
 const LOOK_MILLISECONDS: Milliseconds = 30_000
 
 /** What an instance of the OpenAI-style kind does about requests that end endpoints. */
--- a/packages/decisions/src/admitting/abandonedWork.ts
+++ b/packages/decisions/src/admitting/abandonedWork.ts
@@ -19,19 +19,19 @@
 import { trackedValue } from '../choosing/trackedValue.js'
 import { SlidingCount } from '../slidingCount.js'
 
-/** A caller that leaves within this time of being read had given up before. Chosen: a few round trips of any. */
+/** A caller that leaves within this time of being read had given up before: a few round trips of any. */
 const PROMPT_LEAVE_MILLISECONDS: Milliseconds = 100
-/** Time over which requests are counted: as long as callers of a collapsing instance take to come again. Chosen. */
+/** Time over which requests are counted: as long as callers of a collapsing instance take to come again. */
 const WINDOW_MILLISECONDS: Milliseconds = 1_000
 /** Parts into which that is cut; a count leaves with its part. */
 const SLICES = 10
-/** Fewer requests in that time tell nothing. Chosen: a collapse takes dozens a second. */
+/** Fewer requests in that time tell nothing: a collapse takes dozens a second. */
 const LEAST_REQUESTS = 8
 /** Above this share callers are waited for. Chosen, not measured: above those who leave by themselves. */
 const SUSPECT_SHARE = 0.05
 /** The delay that nine in ten leavers stay under: one above it counts nine times as much as one below. */
 const DELAY_WEIGHTS = { above: 0.18, below: 0.02 }
-/** Margin on that delay, and the longest wait. Chosen, not measured. */
+/** Margin on that delay, and the longest wait. */
 const DELAY_MARGIN = 1.25
 const LONGEST_CONFIRMATION_MILLISECONDS: Milliseconds = 60
 
--- a/packages/decisions/src/admitting/budgetPatience.ts
+++ b/packages/decisions/src/admitting/budgetPatience.ts
@@ -7,11 +7,11 @@
 
 import type { Milliseconds } from '@rackwalk/shared'
 
-/** Part of a route's goal that may pass before a refusal. Chosen, not measured. */
+/** Part of a route's goal that may pass before a refusal. */
 const REFUSAL_SHARE = 0.2
-/** The longest wait for the store and for loans. Chosen: a loan takes 90 ms at most. */
+/** The longest wait for the store and for loans: a loan takes 90 ms at most. */
 const LONGEST_PATIENCE_MILLISECONDS = 120
-/** Where other instances hold the tokens: they may have given some by then. Chosen. */
+/** Where other instances hold the tokens: they may have given some by then. */
 const RETURN_AFTER_SECONDS = 0.25
 /** Callers are told hundredths of a second. */
 const HUNDREDTHS = 100
--- a/packages/decisions/src/admitting/linkBudget.ts
+++ b/packages/decisions/src/admitting/linkBudget.ts
@@ -20,12 +20,12 @@
  * sent 0.9 of its link refused 15 of some 900 requests, and went on losing connections.
  */
 const LINK_SHARE = 0.35
-/** Bodies that may come at once, as the time in which the budget refills. Chosen: a burst, no queue. */
+/** Bodies that may come at once, as the time in which the budget refills: a burst, no queue. */
 const BURST_MILLISECONDS = 400
 /** A body that fits into a few packets costs no more than its refusal. */
 const SMALL_BYTES: Bytes = 4_096
 
-/** Weights of one body in the mean of those that come without a length. Chosen: some twenty count. */
+/** Weights of one body in the mean of those that come without a length: some twenty count. */
 const MEAN_WEIGHTS = { above: 0.05, below: 0.05 }
 
 /** What the own link still carries; it refills with time. */
--- a/packages/decisions/src/admitting/processorBudget.ts
+++ b/packages/decisions/src/admitting/processorBudget.ts
@@ -22,7 +22,7 @@
 
 /** Time between two looks at the signs. */
 export const DELAY_LOOK_MILLISECONDS = 50
-/** A queue stands where each of so many looks shows it. Chosen: a fifth of a second. */
+/** A queue stands where each of so many looks shows it: a fifth of a second. */
 const STANDING_LOOKS = 4
 /**
  * New connections that wait so long make a queue. Measured (an instance that bears 78 requests a second, replayed, three
@@ -34,15 +34,15 @@
 const ABANDONED_SHARE = 0.1
 /**
  * A standing queue of this length delays first events noticeably beside the goals of callers, which are
- * some hundreds of milliseconds. Chosen, not measured.
+ * some hundreds of milliseconds.
  */
 const LONGEST_DELAY_MILLISECONDS = 40
-/** By how much the part that is let go grows with a look at a standing queue, and shrinks without. Chosen. */
+/** By how much the part that is let go grows with a look at a standing queue, and shrinks without. */
 const GROWTH = 0.04
 const SHRINKAGE = 0.02
 /** At most this part is let go. */
 const LARGEST_PART = 0.95
-/** Requests by which the usual work is known. Chosen: a second or two of a weak instance. */
+/** Requests by which the usual work is known: a second or two of a weak instance. */
 const REMEMBERED_REQUESTS = 64
 
 /** How much a request's caller would lose, and what it takes. */
--- a/packages/decisions/src/admitting/settledCost.ts
+++ b/packages/decisions/src/admitting/settledCost.ts
@@ -26,7 +26,7 @@
 
 /**
  * Events of an answer that broke off and may have been handed out unseen: one on its way and one
- * being written. Chosen, not measured.
+ * being written.
  */
 const UNSEEN_EVENTS = 2
 
--- a/packages/decisions/src/admitting/spendingBound.ts
+++ b/packages/decisions/src/admitting/spendingBound.ts
@@ -55,7 +55,7 @@
 export const CUT_AFTER_MILLISECONDS = 2_000
 /**
  * Times between two records that the first time covers at least: a write that is due takes a part of
- * one. Chosen, not measured.
+ * one.
  */
 const COVERED_RECORDS = 1.5
 /**
--- a/packages/decisions/src/choosing/endpointChoice.ts
+++ b/packages/decisions/src/choosing/endpointChoice.ts
@@ -100,18 +100,18 @@
 const AFFINITY_BONUS: TokenCount = 200
 /** Bytes between failure domains have a price. Taken from the same forwarder; not varied since. */
 const NEAR_BONUS: TokenCount = 60
-/** Cost of an endpoint of which all late requests failed. Chosen, not measured. */
+/** Cost of an endpoint of which all late requests failed. */
 const FAILURE_COST: TokenCount = 12_000
-/** An endpoint that fails more than this share is passed over while another does not. Chosen. */
+/** An endpoint that fails more than this share is passed over while another does not. */
 const EJECTED_FAILURE_SHARE = 0.6
 /**
  * What each request costs that would wait for a slot before this one: a slot of twelve comes free
  * about every 200 ms, in which an endpoint reads so much. Chosen from the length of answers.
  */
 const SLOT_WAIT_COST: TokenCount = 6_000
-/** A load that an endpoint told counts for this long. Chosen: loads change within a few events. */
+/** A load that an endpoint told counts for this long: loads change within a few events. */
 const REPORT_MILLISECONDS = 400
-/** What a request that waits at the endpoint costs, beyond a running one. Chosen, not measured. */
+/** What a request that waits at the endpoint costs, beyond a running one. */
 const WAITING_COST: TokenCount = 400
 
 /** Scores of the endpoints that may take the request, best first; empty where none may. */
--- a/packages/decisions/src/choosing/homeEndpoints.ts
+++ b/packages/decisions/src/choosing/homeEndpoints.ts
@@ -32,7 +32,7 @@
  * sixteen prompts a second about twelve datagrams a second.
  */
 const HOMES_AN_ENDPOINT = 8
-/** Pairs that a memory keeps at the most: more than a large fleet has in use. Chosen. */
+/** Pairs that a memory keeps at the most: more than a large fleet has in use. */
 const REMEMBERED_PAIRS = 20_000
 
 /** Knows which instance is at home where; each pair is hashed once. */
--- a/packages/decisions/src/choosing/readingHarm.ts
+++ b/packages/decisions/src/choosing/readingHarm.ts
@@ -55,7 +55,7 @@
  * harm faded where few endpoints are calm, 5 sent all streams to one endpoint after the other.
  */
 const EXPOSURE_WEIGHT = 2
-/** An answer of this length or more is exposed in full. Chosen: the mean of short questions' answers. */
+/** An answer of this length or more is exposed in full: the mean of short questions' answers. */
 const LONG_ANSWER_TOKENS: TokenCount = 300
 /** Endpoints with less to read than this are calm. */
 const CALM_TOKENS: TokenCount = 3_000
--- a/packages/decisions/src/choosing/rendezvous.ts
+++ b/packages/decisions/src/choosing/rendezvous.ts
@@ -17,7 +17,7 @@
     .map(({ candidate }) => candidate)
 }
 
-/** Weights a memory keeps at the most: more than there are instances in a region. Chosen. */
+/** Weights a memory keeps at the most: more than there are instances in a region. */
 const REMEMBERED_WEIGHTS = 2_000
 
 /**
--- a/packages/decisions/src/choosing/slowness.ts
+++ b/packages/decisions/src/choosing/slowness.ts
@@ -8,7 +8,7 @@
 import type { Milliseconds } from '@rackwalk/shared'
 import { trackedValue } from './trackedValue.js'
 
-/** Part of the endpoints that are quicker than the usual one. Chosen: most may be slow for a while. */
+/** Part of the endpoints that are quicker than the usual one: most may be slow for a while. */
 const QUICKER_SHARE = 0.25
 
 /**
--- a/packages/decisions/src/placing/activeInstances.ts
+++ b/packages/decisions/src/placing/activeInstances.ts
@@ -32,7 +32,7 @@
   readonly headroom: number
 }
 
-/** In this time the highest load seen fades to half. Chosen, not measured. */
+/** In this time the highest load seen fades to half. */
 const LOAD_HALF_LIFE_MILLISECONDS = 15_000
 /** Names of instances say nothing, so equals are ordered by a hash under this key. */
 const ORDER_KEY = 'active'
@@ -92,7 +92,7 @@
 
 /**
  * An instance that takes this many times what it can has callers that do not follow the directory. Others
- * of its capacity come first, since more callers would cost it the ones that it has. Chosen.
+ * of its capacity come first, since more callers would cost it the ones that it has.
  */
 const OVERLOADED_FACTOR = 2
 
--- a/packages/decisions/src/placing/budgetSharers.ts
+++ b/packages/decisions/src/placing/budgetSharers.ts
@@ -13,7 +13,7 @@
  * longer than any time between two records, so that a late record takes nothing from it.
  */
 const ASKING_MILLISECONDS = 15_000
-/** Who holds nothing by rows seen longer ago may hold something now. Chosen: some reads of an active one. */
+/** Who holds nothing by rows seen longer ago may hold something now: some reads of an active one. */
 const TRUSTED_SIGHT_MILLISECONDS = 5_000
 
 /** The time of the store from which on a row's demand counts; infinite before any time is known. */
--- a/packages/decisions/src/placing/holdingPolicy.ts
+++ b/packages/decisions/src/placing/holdingPolicy.ts
@@ -45,7 +45,7 @@
  * finds tokens there. Chosen, not measured by itself.
  */
 const BASE_SHARE = 0.35
-/** The same while there is plenty: every instance can then take a shift of demand. Chosen. */
+/** The same while there is plenty: every instance can then take a shift of demand. */
 const PLENTY_BASE_SHARE = 1
 /**
  * A budget that lasts this many seconds at the present demand is scarce, and one that lasts
@@ -54,9 +54,9 @@
  */
 const SCARCE_SECONDS = 15
 const PLENTY_SECONDS = 50
-/** A standby instance holds at most what its callers ask for in this time. Chosen, not measured. */
+/** A standby instance holds at most what its callers ask for in this time. */
 const STANDBY_SECONDS = 40
-/** The pool keeps this many largest requests, but not more than a share of what is unspent. Chosen. */
+/** The pool keeps this many largest requests, but not more than a share of what is unspent. */
 const FLOOR_REQUESTS = 2
 const FLOOR_SHARE = 0.25
 
--- a/packages/decisions/src/placing/recordInterval.ts
+++ b/packages/decisions/src/placing/recordInterval.ts
@@ -26,9 +26,9 @@
   readonly partitionWritesPerSecond: number
 }
 
-/** Least time between two records of one holding. Chosen, not measured. */
+/** Least time between two records of one holding. */
 const SHORTEST_RECORD_MILLISECONDS = 500
-/** Share of the store's writes that periodic records may take. Chosen, not measured. */
+/** Share of the store's writes that periodic records may take. */
 const RECORD_SHARE = 0.3
 
 /** Time between two records of one holding. */
--- a/packages/decisions/src/retrying/crashSuspicion.ts
+++ b/packages/decisions/src/retrying/crashSuspicion.ts
@@ -65,7 +65,7 @@
  * 2,000, busy machine), so only those of paths and teams under suspicion are.
  */
 export const SCOPE_CHARACTERS = 6
-/** Ends that are remembered of one request: a proven one has two or three. Chosen. */
+/** Ends that are remembered of one request: a proven one has two or three. */
 const REMEMBERED_ENDS = 16
 
 /** What one instance believes of requests under which endpoints ended. */
--- a/packages/decisions/src/retrying/fleetRetryBudget.ts
+++ b/packages/decisions/src/retrying/fleetRetryBudget.ts
@@ -22,10 +22,10 @@
 
 /**
  * Part of the bound that is used: whoever checks it counts requests at slightly other moments.
- * Chosen, not measured.
+ *
  */
 const USED_SHARE = 0.8
-/** Parts into which the window is cut; a count leaves with its part. Chosen: a twentieth is lost. */
+/** Parts into which the window is cut; a count leaves with its part: a twentieth is lost. */
 const SLICES = 20
 
 /** This instance's part of the fleet's retries of one service. */
--- a/packages/decisions/src/retrying/nextStep.ts
+++ b/packages/decisions/src/retrying/nextStep.ts
@@ -39,7 +39,7 @@
   readonly takeRetry: () => boolean
 }
 
-/** Endpoints to which no connection came up before the request is given up. Chosen, not measured. */
+/** Endpoints to which no connection came up before the request is given up. */
 const MAXIMUM_CONNECT_FAILURES = 3
 /** The endpoint that got the request is not the one that it was meant for. */
 const STATUS_MISDIRECTED = 421
--- a/packages/decisions/src/stopping/drainPhases.ts
+++ b/packages/decisions/src/stopping/drainPhases.ts
@@ -10,13 +10,13 @@
 
 import type { Milliseconds } from '@rackwalk/shared'
 
-/** Callers with an old answer of the directory are served for this long. Chosen, not measured. */
+/** Callers with an old answer of the directory are served for this long. */
 export const LINGER_MILLISECONDS: Milliseconds = 2_600
-/** The process lives at least this long, so that callers learn that it leaves. Chosen. */
+/** The process lives at least this long, so that callers learn that it leaves. */
 const SHORTEST_DRAIN_MILLISECONDS: Milliseconds = 3_200
-/** Kept at the end of the grace time for settling budgets. Chosen: several tries at the store. */
+/** Kept at the end of the grace time for settling budgets: several tries at the store. */
 const SETTLE_MILLISECONDS: Milliseconds = 900
-/** The process ends by itself this long before it would be killed. Chosen. */
+/** The process ends by itself this long before it would be killed. */
 const EXIT_MILLISECONDS: Milliseconds = 200
 
 /** A drain as it stands. */
--- a/packages/router/src/filters/dispatch.ts
+++ b/packages/router/src/filters/dispatch.ts
@@ -34,7 +34,7 @@
 }
 
 const MAXIMUM_ATTEMPTS = 4
-/** Breaks of one endpoint within this time are of one start of it. An engine takes longer to be back. */
+/** Breaks of one endpoint within this time are of one start of it: an engine takes longer to be back. */
 const START_MILLISECONDS = 1_000
 /** Where engines tell their state without using a slot. */
 const STATE_PATH = '/load'
--- a/packages/router/src/gateway/endpointDirectory.ts
+++ b/packages/router/src/gateway/endpointDirectory.ts
@@ -29,7 +29,7 @@
   readonly onReplaced?: (start: EndpointStart) => void
 }
 
-/** The usual pace of a service is reckoned anew after this time. It changes in seconds. */
+/** The usual pace of a service is reckoned anew after this time: it changes in seconds. */
 const USUAL_PACE_MILLISECONDS = 200
 
 interface KnownPace {
--- a/packages/router/src/gateway/instanceAdmission.ts
+++ b/packages/router/src/gateway/instanceAdmission.ts
@@ -27,7 +27,7 @@
   readonly linkBytesPerSecond: number
 }
 
-/** An instance with fewer requests in progress has no queue before it. It costs nothing there. */
+/** An instance with fewer requests in progress has no queue before it: it costs nothing there. */
 const PROBED_REQUESTS = 8
 
 /** Takes requests as long as link and processor bear them. */
