--- a/packages/router/src/advice/sendPermits.ts
+++ b/packages/router/src/advice/sendPermits.ts
@@ -37,6 +37,7 @@
   readonly advices: EndpointAdvices
 }
 
+const SECOND_MILLISECONDS: Milliseconds = 1_000
 /** Places are reckoned anew after this time: rows of instances are read about once a second. */
 const PLACE_MILLISECONDS: Milliseconds = 1_000
 /** Places that are remembered at the most: more than there are endpoints under a rate at once. */
@@ -89,7 +90,8 @@
     if (advice === undefined || rate === undefined) return undefined
     const licence = this.licenceFor(subject.start, rate, advice.silenceMilliseconds)
     // Who has no part of it can't tell when others have used theirs up.
-    const waitMilliseconds = licence === undefined ? 1_000 / rate : subject.waitFor(licence)
+    const waitMilliseconds =
+      licence === undefined ? SECOND_MILLISECONDS / rate : subject.waitFor(licence)
     return waitMilliseconds === 0 ? undefined : { kind: 'rate', waitMilliseconds }
   }
 
