refactor(daemon, router): news is cut into datagrams in one place, peers are told by one loop, a guard shares by one call

Cause: the last reading found the cutting of news into reports, the loop over live peers and take-then-tell written twice, and the status from which an answer is a failure as a number beside the rule that knows it. Change: newsReports, tellPeers, CrashGuard.share, isServerError; a parameter of judgeEnd named for what it is given. Behaviour, forms on the wire and tests as before.

--- a/packages/daemon/src/gateway/adviceNews.ts
+++ b/packages/daemon/src/gateway/adviceNews.ts
@@ -6,7 +6,8 @@
 import { asId } from '@rackwalk/shared'
 import type { AdviceNews } from '@rackwalk/decisions'
 import type { PeerLoadReport } from '@rackwalk/router'
-import { NEWS_SEQUENCE } from './crashNews.js'
+import { newsReports } from './crashNews.js'
+import type { NewsEntry } from './crashNews.js'
 
 /** Entries of a report are named for endpoints, and no endpoint has a blank in its id. */
 const SAYS_PREFIX = 'says '
@@ -14,22 +15,13 @@
 const RATE_PART = 'rate'
 /** That it leaves. */
 const LEAVING_PART = 'leaving'
-/** Entries in one datagram: it stays under 1,300 bytes with ids of 40 characters. */
-const ENTRIES_A_DATAGRAM = 12
-
-type Entry = PeerLoadReport['loads'][number]
 
 /** The reports that tell this. */
 export function adviceReportsOf(
   news: readonly AdviceNews[],
   identity: Pick<PeerLoadReport, 'instance' | 'incarnation'>,
 ): readonly PeerLoadReport[] {
-  const reports: PeerLoadReport[] = []
-  for (let from = 0; from < news.length; from += ENTRIES_A_DATAGRAM) {
-    const loads = news.slice(from, from + ENTRIES_A_DATAGRAM).map(entryOf)
-    reports.push({ ...identity, sequence: NEWS_SEQUENCE, isWhole: false, loads })
-  }
-  return reports
+  return newsReports(news.map(entryOf), identity)
 }
 
 /** What such a report tells; entries of any other kind are passed over. */
@@ -50,7 +42,7 @@
   })
 }
 
-function entryOf({ start, requestsPerSecond, isLeaving, ageMilliseconds }: AdviceNews): Entry {
+function entryOf({ start, requestsPerSecond, isLeaving, ageMilliseconds }: AdviceNews): NewsEntry {
   const parts = [
     ...(requestsPerSecond === undefined ? [] : [{ id: RATE_PART, tokens: requestsPerSecond }]),
     ...(isLeaving === true ? [{ id: LEAVING_PART, tokens: 1 }] : []),
--- a/packages/daemon/src/gateway/crashNews.ts
+++ b/packages/daemon/src/gateway/crashNews.ts
@@ -8,7 +8,7 @@
 import type { PeerLoadReport } from '@rackwalk/router'
 
 /** Of all reports that tell news; no report of load has it, since their sequences count from 1. */
-export const NEWS_SEQUENCE = 0
+const NEWS_SEQUENCE = 0
 /** Entries of a report are named for endpoints, and no endpoint has a blank in its id. */
 const ENDED_PREFIX = 'ended '
 const CLEARED_PREFIX = 'cleared '
@@ -16,7 +16,8 @@
 /** Entries in one datagram: it stays under 1,300 bytes with ids of 40 characters. */
 const ENTRIES_A_DATAGRAM = 12
 
-type Entry = PeerLoadReport['loads'][number]
+/** One piece of news, in the form of an entry of load. */
+export type NewsEntry = PeerLoadReport['loads'][number]
 
 /** Whether a report tells news, and not of load. */
 export function isNews({ sequence }: PeerLoadReport): boolean {
@@ -30,6 +31,14 @@
 ): readonly PeerLoadReport[] {
   const away = (news.away ?? []).map(awayEntry)
   const entries = [...news.marks.map(endedEntry), ...news.cleared.map(clearedEntry), ...away]
+  return newsReports(entries, identity)
+}
+
+/** Reports that carry news, each small enough for one datagram. */
+export function newsReports(
+  entries: readonly NewsEntry[],
+  identity: Pick<PeerLoadReport, 'instance' | 'incarnation'>,
+): readonly PeerLoadReport[] {
   const reports: PeerLoadReport[] = []
   for (let from = 0; from < entries.length; from += ENTRIES_A_DATAGRAM) {
     const loads = entries.slice(from, from + ENTRIES_A_DATAGRAM)
@@ -52,7 +61,7 @@
   }
 }
 
-function awayEntry(start: CrashMark['start']): Entry {
+function awayEntry(start: CrashMark['start']): NewsEntry {
   return { endpoint: `${AWAY_PREFIX}${start}`, running: 0, pendingTokens: 0, parts: [] }
 }
 
@@ -60,17 +69,17 @@
   return name.startsWith(AWAY_PREFIX) ? [asId(name.slice(AWAY_PREFIX.length))] : []
 }
 
-function endedEntry({ fingerprint, start, wasIsolated }: CrashMark): Entry {
+function endedEntry({ fingerprint, start, wasIsolated }: CrashMark): NewsEntry {
   const parts = [{ id: fingerprint, tokens: Number(wasIsolated) }]
   return { endpoint: `${ENDED_PREFIX}${start}`, running: 0, pendingTokens: 0, parts }
 }
 
-function clearedEntry({ fingerprint, starts }: CrashNews['cleared'][number]): Entry {
+function clearedEntry({ fingerprint, starts }: CrashNews['cleared'][number]): NewsEntry {
   const parts = starts.map(start => ({ id: start, tokens: 0 }))
   return { endpoint: `${CLEARED_PREFIX}${fingerprint}`, running: 0, pendingTokens: 0, parts }
 }
 
-function marksOf({ endpoint, parts }: Entry): readonly CrashMark[] {
+function marksOf({ endpoint, parts }: NewsEntry): readonly CrashMark[] {
   if (!endpoint.startsWith(ENDED_PREFIX)) return []
   const start = asId<CrashMark['start']>(endpoint.slice(ENDED_PREFIX.length))
   return parts.map(({ id, tokens }) => ({ fingerprint: asId(id), start, wasIsolated: tokens > 0 }))
--- a/packages/daemon/src/tasks/adviceTask.ts
+++ b/packages/daemon/src/tasks/adviceTask.ts
@@ -3,7 +3,6 @@
  * here, the peers, the log. Owns the memory; a peer that does not hear it is told by the endpoint itself.
  */
 
-import type { Membership, PeerChannel } from '@rackwalk/coordination'
 import type { AdviceNews, RecordedInstance } from '@rackwalk/decisions'
 import { EndpointAdvices, SendPermits } from '@rackwalk/router'
 import type { EndpointTable } from '@rackwalk/router'
@@ -11,11 +10,11 @@
 import type { Clock, EndpointId } from '@rackwalk/shared'
 import type { Logger } from '../observe/logger.js'
 import type { Metrics } from '../observe/metrics.js'
+import { tellPeers } from './tellPeers.js'
+import type { TellingParts } from './tellPeers.js'
 
 /** What the task works with. */
-export interface AdviceTaskParts {
-  readonly membership: () => Membership
-  readonly peers: PeerChannel
+export interface AdviceTaskParts extends TellingParts {
   readonly clock: Clock
   readonly logger: Logger
   readonly metrics: Metrics
@@ -64,12 +63,7 @@
   }
 
   private tell(news: AdviceNews): void {
-    const membership = this.parts.membership()
-    for (const { incarnation } of membership.live()) {
-      if (incarnation === membership.self.incarnation) continue
-      this.parts.peers.call(incarnation, 'adviceNews', { news: [news] }).catch(() => {
-        this.parts.metrics.increment('advice_news_failed')
-      })
-    }
+    const onFailed = () => this.parts.metrics.increment('advice_news_failed')
+    tellPeers(this.parts, 'adviceNews', { news: [news] }, onFailed)
   }
 }
--- a/packages/daemon/src/tasks/crashTask.ts
+++ b/packages/daemon/src/tasks/crashTask.ts
@@ -4,7 +4,6 @@
  */
 
 import { CrashTable } from '@rackwalk/coordination'
-import type { Membership, PeerChannel } from '@rackwalk/coordination'
 import type { CrashNews } from '@rackwalk/decisions'
 import { CrashGuard, probeEndpoint } from '@rackwalk/router'
 import type { Clock, EndpointId, Milliseconds, RandomSource, Task, Timer } from '@rackwalk/shared'
@@ -12,11 +11,11 @@
 import type { TableService } from '@rackwalk/stores'
 import type { Logger } from '../observe/logger.js'
 import type { Metrics } from '../observe/metrics.js'
+import { tellPeers } from './tellPeers.js'
+import type { TellingParts } from './tellPeers.js'
 
 /** What the task works with. */
-export interface CrashTaskParts {
-  readonly membership: () => Membership
-  readonly peers: PeerChannel
+export interface CrashTaskParts extends TellingParts {
   readonly table: TableService
   readonly clock: Clock
   readonly random: RandomSource
@@ -93,13 +92,8 @@
 
   /** A peer that does not hear it reads the table. */
   private tell(news: CrashNews): void {
-    const membership = this.parts.membership()
-    for (const { incarnation } of membership.live()) {
-      if (incarnation === membership.self.incarnation) continue
-      this.parts.peers.call(incarnation, 'crashNews', news).catch(() => {
-        this.parts.metrics.increment('crash_news_failed')
-      })
-    }
+    const onFailed = () => this.parts.metrics.increment('crash_news_failed')
+    tellPeers(this.parts, 'crashNews', news, onFailed)
   }
 
   /** One round at a time; what comes up meanwhile makes another one. */
--- a/packages/decisions/src/retrying/endSigns.ts
+++ b/packages/decisions/src/retrying/endSigns.ts
@@ -27,11 +27,11 @@
 /** Looks that must say the same before it counts. */
 const LOOKS_THAT_COUNT = 2
 
-/** By the looks so far, the newest last, and whether other requests from here go on there. */
-export function judgeEnd(looks: readonly EndSign[], hasOthersRunning: boolean): EndVerdict {
+/** By the looks so far, the newest last, and whether anything else came from it since the break. */
+export function judgeEnd(looks: readonly EndSign[], wasHeardSince: boolean): EndVerdict {
   const newest = looks.at(-1)
   if (newest === 'nobody-listens') return 'ended'
-  if (newest === 'lives' || hasOthersRunning) return 'lives'
+  if (newest === 'lives' || wasHeardSince) return 'lives'
   if (newest === 'no-connection') return 'unknown'
   const sames = looks.slice(-LOOKS_THAT_COUNT).filter(look => look === 'does-not-answer')
   return sames.length === LOOKS_THAT_COUNT ? 'ended' : 'look-again'
--- a/packages/router/src/crashes/crashGuard.ts
+++ b/packages/router/src/crashes/crashGuard.ts
@@ -85,8 +85,7 @@
     const starts = this.openStarts(fingerprint)
     if (starts.length === 0) return
     const news: CrashNews = { marks: [], cleared: [{ fingerprint, starts }] }
-    this.take(news)
-    this.parts.onNews(news)
+    this.share(news)
   }
 
   /** Takes in what others found out. */
@@ -104,16 +103,20 @@
   }
 
   private noteAway(start: EndpointStart): void {
-    this.parts.onUnreachable(start)
-    this.parts.onNews({ marks: [], cleared: [], away: [start] })
+    this.share({ marks: [], cleared: [], away: [start] })
   }
 
   private noteEnd(end: EndpointEnd): void {
     this.parts.onEnd(end)
     const { start } = end.endpoint
     const marks = end.unanswered.map(request => ({ ...request, start }))
-    this.take({ marks, cleared: [] })
-    this.parts.onNews({ marks, cleared: [] })
+    this.share({ marks, cleared: [] })
+  }
+
+  /** What this instance found out holds here and is told to all others. */
+  private share(news: CrashNews): void {
+    this.take(news)
+    this.parts.onNews(news)
   }
 
   private take({ marks, cleared, away = [] }: CrashNews): void {
--- a/packages/router/src/crashes/endpointProbe.ts
+++ b/packages/router/src/crashes/endpointProbe.ts
@@ -2,6 +2,7 @@
 
 import { request } from 'node:http'
 import { connect } from 'node:net'
+import { isServerError } from '@rackwalk/decisions'
 import type { EndSign } from '@rackwalk/decisions'
 import type { Milliseconds } from '@rackwalk/shared'
 
@@ -17,8 +18,6 @@
 const CONNECT_MILLISECONDS: Milliseconds = 100
 /** An endpoint that lives tells its state within this time. */
 const STATE_MILLISECONDS: Milliseconds = 100
-/** From here on a status says that what answers has no engine behind it. */
-const STATUS_SERVER_ERROR = 500
 
 /** One look at an endpoint. */
 export function probeEndpoint({ address, statePath }: ProbedEndpoint): Promise<EndSign> {
@@ -55,7 +54,8 @@
       resolve(sign)
     }
     call.on('response', ({ statusCode = 0 }) => {
-      finish(statusCode < STATUS_SERVER_ERROR ? 'lives' : 'does-not-answer')
+      // What fails at this has no engine behind it.
+      finish(isServerError(statusCode) ? 'does-not-answer' : 'lives')
     })
     call.on('error', () => finish('does-not-answer'))
     call.end()
