fix(daemon): that an engine leaves holds at peers that were told as it does where it was said

Cause: endpointAdvice 'gets nothing new from any instance' failed once beside other tests. A peer that was told by news took the word for weaker than an own answer, so its next load report, which is older, set it back, and it sent until an answer told it itself. Change: news of an answer counts as an answer. Found by reading after the failure; which request was late was not traced.

--- a/packages/daemon/src/tasks/adviceTask.ts
+++ b/packages/daemon/src/tasks/adviceTask.ts
@@ -52,7 +52,8 @@
       this.advices.observe(one)
       // A start has the name of its endpoint in this kind.
       if (one.isLeaving !== true) continue
-      this.parts.endpoints().noteLeaving(asId<EndpointId>(one.start), 'peer')
+      // An answer said so to a peer: no report that is older may set it back here either.
+      this.parts.endpoints().noteLeaving(asId<EndpointId>(one.start), 'answer')
     }
   }
 
