test(router): what ends that an engine leaves, by reports and by silence

Cause: the test over sockets that failed once showed no rule by itself; the rule had no test of its own. Change: two tests of the endpoint table; nothing else.

--- /dev/null
+++ b/packages/router/__tests__/endpointTable.spec.ts
@@ -0,0 +1,39 @@
+import { describe, expect, it } from 'vitest'
+import { EndpointTable } from '@rackwalk/router'
+import { VirtualClock, asId } from '@rackwalk/shared'
+import type { EndpointId } from '@rackwalk/shared'
+
+/** What ends that an engine leaves: a report that is older than the answer that said so must not. */
+
+const ENGINE = asId<EndpointId>('engine-1')
+const STAYING = { running: 0, waiting: 0, cacheUse: 0, leaving: false, queuedPromptTokens: 0 }
+
+function create() {
+  const clock = new VirtualClock()
+  const source = { endpoints: [], findEndpoint: () => undefined, isEvacuated: () => false }
+  const permits = { takes: () => true, refusalOf: () => undefined }
+  return { clock, table: new EndpointTable(source, clock, permits, () => undefined) }
+}
+
+describe('an engine that said in an answer that it leaves', () => {
+  it('leaves though reports say that it stays, until none could be fetched or a minute has passed', async () => {
+    const { clock, table } = create()
+    table.noteLeaving(ENGINE, 'answer')
+    table.noteReport(ENGINE, STAYING)
+    expect(table.isLeaving(ENGINE)).toBe(true)
+    table.noteSilent(ENGINE)
+    table.noteReport(ENGINE, STAYING)
+    expect(table.isLeaving(ENGINE)).toBe(false)
+    table.noteLeaving(ENGINE, 'answer')
+    await clock.advance(60_000)
+    table.noteReport(ENGINE, STAYING)
+    expect(table.isLeaving(ENGINE)).toBe(false)
+  })
+
+  it('stays by its report where only a list or a heartbeat said so', () => {
+    const { table } = create()
+    table.noteLeaving(ENGINE, 'peer')
+    table.noteReport(ENGINE, STAYING)
+    expect(table.isLeaving(ENGINE)).toBe(false)
+  })
+})
