--- a/packages/coordination/src/crashes/crashRow.ts
+++ b/packages/coordination/src/crashes/crashRow.ts
@@ -12,7 +12,7 @@
 export const CRASH_PARTITION = ''
 
 /**
- * A record is kept for this long after the newest end. Chosen: a request that comes daily is recognised; one that
+ * A record is kept for this long after the newest end: a request that comes daily is recognised; one that
  * outlasts it costs two endpoints a week until an operator acts.
  */
 export const KEPT_MILLISECONDS: Milliseconds = 7 * 24 * 3_600_000
--- a/packages/coordination/src/membership/memberDirectory.ts
+++ b/packages/coordination/src/membership/memberDirectory.ts
@@ -55,14 +55,14 @@
 
 /**
  * The others know of an instance this long after its row was there: rows are read every second and a half at the
- * latest while the store answers. Chosen as twice that.
+ * latest while the store answers, and one such read may be missed.
  */
 const MUTUAL_MILLISECONDS = 3_000
 /** A stray request, as a check of the configuration sends, does not make an instance one to which callers come. */
 const WORKING_REQUESTS_PER_SECOND = 1
 
 /**
- * An instance waits this long for the rows before it takes itself for the only one. Chosen: a store or a peer
+ * An instance waits this long for the rows before it takes itself for the only one: a store or a peer
  * that answers gives them in a tenth of it.
  */
 const FIRST_READ_MILLISECONDS = 1_500
--- a/packages/coordination/src/prepaid/prepaidAccount.ts
+++ b/packages/coordination/src/prepaid/prepaidAccount.ts
@@ -64,7 +64,7 @@
 /** Factor by which the largest request seen fades with each request. */
 const LARGEST_DECAY = 0.98
 /**
- * Age of the rows at which an instance that stands by reads them again. Chosen: what others hold and ask for
+ * Age of the rows at which an instance that stands by reads them again: what others hold and ask for
  * decides how much it holds; whether the pool has enough each write finds out by itself.
  */
 const STANDBY_SIGHT_MILLISECONDS = 1_000
--- a/packages/coordination/src/prepaid/writePlan.ts
+++ b/packages/coordination/src/prepaid/writePlan.ts
@@ -76,23 +76,22 @@
 const STRICT_DEMAND_FACTOR = 1
 /**
  * A holding that lasts this long at its own demand lets callers take what they ask for in the first time, and
- * one that lasts `SHORT_HOLDING_SECONDS` only what they took before. Chosen, not measured by themselves.
+ * one that lasts `SHORT_HOLDING_SECONDS` only what they took before.
  */
 const LONG_HOLDING_SECONDS = 10
 const SHORT_HOLDING_SECONDS = 2
 /**
  * Times the present spending that a cut allows. Whether a row is old because of a cut or a death
- * cannot be told, so what a cut allows is also what a death loses. Measured: once instead of twice
- * raised the mean worth (docs/measurements.md, "cuts spent at the demand once").
+ * cannot be told, so what a cut allows is also what a death loses.
  */
 const CUT_DEMAND_FACTOR = 1
 /**
  * Seconds in which a whole holding could be spent without demand, of a scarce and of a plentiful
- * budget. Measured together with the burst: 0.568 and 0.689 (docs/measurements.md).
+ * budget.
  */
 const SCARCE_CUT_SECONDS = 12
 const PLENTY_CUT_SECONDS = 8
-/** Largest requests that may be committed at once in a cut while there is plenty. Measured: as above. */
+/** Largest requests that may be committed at once in a cut while there is plenty. */
 const PLENTY_BURST_REQUESTS = 0.8
 
 /** The next write, and the requests that it covers. */
--- a/packages/decisions/src/choosing/endpointChoice.ts
+++ b/packages/decisions/src/choosing/endpointChoice.ts
@@ -75,30 +75,18 @@
   readonly score: number
 }
 
-/**
- * What one request in progress costs the next one, in prompt tokens. Taken from the forwarder
- * without budgets that docs/measurements.md compares with; not varied since.
- */
+/** What one request in progress costs the next one, in prompt tokens. */
 const RUNNING_COST: TokenCount = 60
-/**
- * A token that is read delays this request and all that run beside it, so it counts more than once.
- * Measured: 1.5 gave a mean worth of 0.550 and 0.673, 2 gave 0.556 and 0.679, 3 gave 0.521 and 0.684
- * (booking office and Docworks, docs/measurements.md).
- */
+/** A token that is read delays this request and all that run beside it, so it counts more than once. */
 const READING_WEIGHT = 2
-/**
- * A slow endpoint reads longer and stretches each pause beside it, so even short prompts harm there.
- * Measured on replayed load (longPromptLoad with a quarter of the endpoints 1.3 times as slow, six seeds,
- * share of worth lost to lateness, slowness known for certain): 1 gave 0.028, 3 0.023, 4 0.022; not
- * known at all 0.036.
- */
+/** A slow endpoint reads longer and stretches each pause beside it, so even short prompts harm there. */
 const SLOWNESS_EXPONENT = 4
 /**
- * Takes a shared prompt to the same endpoint from instances that hear nothing of each other.
- * Chosen, not measured by itself; too much affinity is known to cost far more than it saves.
+ * Takes a shared prompt to the same endpoint from instances that hear nothing of each other. Small, since too much affinity
+ * crowds an endpoint, which costs far more than reading a shared part again.
  */
 const AFFINITY_BONUS: TokenCount = 200
-/** Bytes between failure domains have a price. Taken from the same forwarder; not varied since. */
+/** Bytes between failure domains have a price. */
 const NEAR_BONUS: TokenCount = 60
 /** Cost of an endpoint of which all late requests failed. */
 const FAILURE_COST: TokenCount = 12_000
@@ -106,7 +94,7 @@
 const EJECTED_FAILURE_SHARE = 0.6
 /**
  * What each request costs that would wait for a slot before this one: a slot of twelve comes free
- * about every 200 ms, in which an endpoint reads so much. Chosen from the length of answers.
+ * about every 200 ms, in which an endpoint reads so much.
  */
 const SLOT_WAIT_COST: TokenCount = 6_000
 /** A load that an endpoint told counts for this long: loads change within a few events. */
--- a/packages/decisions/src/choosing/readingHarm.ts
+++ b/packages/decisions/src/choosing/readingHarm.ts
@@ -32,27 +32,15 @@
   readonly slowness: number
 }
 
-/**
- * Tokens that a usual endpoint reads without stretching a pause too far. Measured on replayed load
- * (longPromptLoad, six seeds, share of worth lost to lateness at the usual rate and at 1.4 times it):
- * 3,000 gave 0.030 and 0.070, 5,000 0.033 and 0.065, 8,000 0.032 and 0.063.
- */
+/** Tokens that a usual endpoint reads without stretching a pause too far. */
 const HARMLESS_TOKENS: TokenCount = 5_000
-/**
- * Tokens beyond these, from where on all streams are harmed. Measured in the same way: 3,000 gave
- * 0.031 and 0.064, 6,000 0.033 and 0.065, 12,000 0.032 and 0.067.
- */
+/** Tokens beyond these, from where on all streams are harmed. */
 const HARM_SPAN_TOKENS: TokenCount = 6_000
-/**
- * What one harmed stream costs: about what an ordinary streamed answer costs its team. Measured at
- * 1.7 times the rate: without it 0.17 of short answers and 0.17 of long ones were late, with it
- * 0.10 and 0.20; the share of worth lost is the same.
- */
+/** What one harmed stream costs: about what an ordinary streamed answer costs its team. */
 const HARMED_STREAM_COST: TokenCount = 1_000
 /**
- * What a token read lately costs a long answer that comes to run there. Measured as above: none gave
- * 0.066 and 0.126, 1 0.038 and 0.081, 2 0.033 and 0.065, 3 0.029 and 0.060. Not raised further: before
- * harm faded where few endpoints are calm, 5 sent all streams to one endpoint after the other.
+ * What a token read lately costs a long answer that comes to run there. A much larger weight would send all streams to one
+ * endpoint after the other.
  */
 const EXPOSURE_WEIGHT = 2
 /** An answer of this length or more is exposed in full: the mean of short questions' answers. */
@@ -64,21 +52,19 @@
 
 /**
  * What each stream at an endpoint costs the next one more than elsewhere, since streams gather where
- * nothing is read. Measured in the same way: 60 gave 0.029 and answers of 2.6 s in the median, 180
- * 0.033 and 2.5 s; on played days the shorter answers were worth more (0.687 and 0.676, mean of ten).
+ * nothing is read and lengthen each other's answers there.
  */
 const CROWDING_COST: TokenCount = 180
 /** A pause counts as one beside a long prompt where there was so much to read. */
 const LONG_READING_TOKENS: TokenCount = 6_000
 /**
  * Weights of a pause that is longer than the one known, and of one that is not: the known one follows
- * about the longest tenth. Chosen, as for the pace of answers.
+ * about the longest tenth.
  */
 const STRETCH_WEIGHTS = { above: 0.2, below: 0.02 }
 /**
  * Longest pauses beside long prompts, over what callers accept, from which on harm counts at all and
- * in full. Measured: 0.7 to 0.77 where no stream was late by its pauses, 1.05 and more where a
- * sixth was.
+ * in full: from where some streams are late by their pauses to where all such pauses are too long.
  */
 const HARMLESS_STRETCH = 0.8
 const HARMFUL_STRETCH = 1
--- a/packages/decisions/src/choosing/rendezvous.ts
+++ b/packages/decisions/src/choosing/rendezvous.ts
@@ -21,8 +21,8 @@
 const REMEMBERED_WEIGHTS = 2_000
 
 /**
- * Weights of candidates under one key, each hashed once. Measured: hashing all of 60 candidates at each look was a
- * quarter of what an instance without requests computes (430 of 1,730 ms, 60 instances in 10 s).
+ * Weights of candidates under one key, each hashed once: hashing all of them at each look is a large part of what an
+ * idle instance computes.
  */
 export class RendezvousWeights {
   private readonly weights = new Map<string, string>()
--- a/packages/decisions/src/choosing/slowness.ts
+++ b/packages/decisions/src/choosing/slowness.ts
@@ -13,8 +13,8 @@
 
 /**
  * Weights of a pace that is slower than the one known, and of one that is quicker. Readings beside a
- * stream slow most of its paces, so the known pace follows the quickest tenth or so. Chosen: an
- * endpoint with five streams a second that turns slow is known to be so in about two seconds.
+ * stream slow most of its paces, so the known pace follows the quickest tenth or so. An endpoint with
+ * five streams a second that turns slow is known to be so in about two seconds.
  */
 const PACE_WEIGHTS = { above: 0.03, below: 0.3 }
 
--- a/packages/decisions/src/placing/budgetSharers.ts
+++ b/packages/decisions/src/placing/budgetSharers.ts
@@ -9,8 +9,8 @@
 import type { Milliseconds } from '@rackwalk/shared'
 
 /**
- * A holder whose row tells of demand shares the budget for this long after the row was written. Chosen:
- * longer than any time between two records, so that a late record takes nothing from it.
+ * A holder whose row tells of demand shares the budget for this long after the row was written: longer than any time
+ * between two records, so that a late record takes nothing from it.
  */
 const ASKING_MILLISECONDS = 15_000
 /** Who holds nothing by rows seen longer ago may hold something now: some reads of an active one. */
--- a/packages/decisions/src/placing/holdingPolicy.ts
+++ b/packages/decisions/src/placing/holdingPolicy.ts
@@ -42,15 +42,15 @@
 
 /**
  * Share of the mean demand that every instance is given beyond its own, so that a shift of demand
- * finds tokens there. Chosen, not measured by itself.
+ * finds tokens there.
  */
 const BASE_SHARE = 0.35
 /** The same while there is plenty: every instance can then take a shift of demand. */
 const PLENTY_BASE_SHARE = 1
 /**
  * A budget that lasts this many seconds at the present demand is scarce, and one that lasts
- * `PLENTY_SECONDS` is plentiful. Measured against 10 and 40 seconds, the trade between calm days and
- * days with deaths: docs/measurements.md, "Bounds of a holder row".
+ * `PLENTY_SECONDS` is plentiful: a trade between calm days, which need tokens at hand, and days with deaths, which lose
+ * those held.
  */
 const SCARCE_SECONDS = 15
 const PLENTY_SECONDS = 50
--- a/packages/decisions/src/placing/holdingTolerance.ts
+++ b/packages/decisions/src/placing/holdingTolerance.ts
@@ -15,13 +15,9 @@
 import { secondsLeft } from './holdingPolicy.js'
 import type { BudgetView } from './holdingPolicy.js'
 
-/** Share of its target by which a holding of a budget that is nearly used up may be off. Chosen, not measured by itself. */
+/** Share of its target by which a holding of a budget that is nearly used up may be off. */
 const SCARCE_TOLERANCE = 0.12
-/**
- * The same for a budget that lasts. Measured (8 holders, 24 budgets that last 40 s and 14 s, 400 requests a second, ten
- * seconds replayed, writes that met a conflict): 0.12 2,537 and 3,648; 0.25 1,317 and 1,902; 0.4 936 and 1,292; 0.6 743
- * and 966; all requests served with each.
- */
+/** The same for a budget that lasts: each move changes the pool's row, and moves that meet there are made again. */
 const LASTING_TOLERANCE = 0.4
 
 /** Share of its target by which a holding may be off. */
--- a/packages/decisions/src/retrying/crashSuspicion.ts
+++ b/packages/decisions/src/retrying/crashSuspicion.ts
@@ -56,8 +56,8 @@
 }
 
 /**
- * Requests that are remembered at the most. Measured: 2.0 MB with one end each. A caller who sends that many different ones loses each
- * instance the oldest of them, those that are only suspected first.
+ * Requests that are remembered at the most, so that a caller who sends many different ones can't fill the memory. Beyond them
+ * each instance loses the oldest, those that are only suspected first.
  */
 const REMEMBERED_REQUESTS = 4_096
 /**
