fix(router): Retry-After is in whole seconds, retry-after-ms has the exact time

Cause: `errorHeaders` wrote the time as it stands in the body, so a refusal carried `retry-after: 0.25`. RFC 9110 has whole seconds there; a client that parses an integer drops the header and falls back to a schedule of its own. Change: `StandardReturnTime` spells the time for the OpenAI-style kind and the operator API: whole seconds, rounded up, and the exact time in `retry-after-ms`; the body keeps its exact `retryAfterSeconds`. `Dialect` is a `ReturnTimeSpelling` too, so an adapter says how its platform publishes the time. Ruled out: rounding down or to the nearest, since who comes too early is refused again; `retry-after-ms` on the users' platform, whose page does not have it.

--- a/packages/router/src/errorBody.ts
+++ b/packages/router/src/errorBody.ts
@@ -5,6 +5,10 @@
 
 import { NotRunError, RESULT_TABLE, ResultCode, resultName } from '@rackwalk/shared'
 import type { Execution, RackwalkError, RequestId } from '@rackwalk/shared'
+import { StandardReturnTime } from './returnTime.js'
+import type { ReturnTimeSpelling } from './returnTime.js'
+
+const STANDARD_RETURN_TIME = new StandardReturnTime()
 
 /** The JSON that a caller gets for every refusal and failure. */
 export interface ErrorBody {
@@ -49,10 +53,14 @@
 }
 
 /** Headers that go with an error's body. */
-export function errorHeaders(error: RackwalkError, requestId?: RequestId): Record<string, string> {
+export function errorHeaders(
+  error: RackwalkError,
+  requestId?: RequestId,
+  returnTime: ReturnTimeSpelling = STANDARD_RETURN_TIME,
+): Record<string, string> {
   const headers: Record<string, string> = { 'content-type': 'application/json' }
   const wait = retryAfterSeconds(error)
-  if (wait !== undefined) headers['retry-after'] = String(wait)
+  if (wait !== undefined) Object.assign(headers, returnTime.returnHeaders(wait))
   if (requestId !== undefined) headers['rackwalk-request-id'] = requestId
   return headers
 }
--- a/packages/router/src/gateway/callerReply.ts
+++ b/packages/router/src/gateway/callerReply.ts
@@ -7,6 +7,7 @@
 import { RESULT_TABLE } from '@rackwalk/shared'
 import type { RackwalkError } from '@rackwalk/shared'
 import { errorBody, errorHeaders } from '../errorBody.js'
+import type { ReturnTimeSpelling } from '../returnTime.js'
 import { withoutConnectionHeaders } from './connectionHeaders.js'
 
 /** The answer to one caller. */
@@ -19,6 +20,7 @@
   constructor(
     private readonly response: ServerResponse,
     private readonly ownHeaders: Readonly<Record<string, string>>,
+    private readonly returnTime: ReturnTimeSpelling,
     /** Whether the connection ends with this answer. */
     private readonly mustClose: () => boolean,
   ) {
@@ -81,7 +83,7 @@
     const body = Buffer.from(JSON.stringify(errorBody(error)))
     this.response.writeHead(RESULT_TABLE[error.code].httpStatus, {
       ...this.ownHeaders,
-      ...errorHeaders(error),
+      ...errorHeaders(error, undefined, this.returnTime),
       'content-length': String(body.length),
     })
     this.response.end(body)
--- a/packages/router/src/gateway/dialect.ts
+++ b/packages/router/src/gateway/dialect.ts
@@ -5,6 +5,7 @@
 
 import type { AdviceTexts } from '@rackwalk/decisions'
 import type { Milliseconds, TokenCount } from '@rackwalk/shared'
+import type { ReturnTimeSpelling } from '../returnTime.js'
 
 /** A part of a prompt that requests may share. */
 export interface PromptPart {
@@ -57,7 +58,7 @@
 type Headers = Readonly<Record<string, string | readonly string[] | undefined>>
 
 /** Spells requests and answers as one platform does. */
-export interface Dialect {
+export interface Dialect extends ReturnTimeSpelling {
   /** Undefined where the headers make no request. */
   readRequest(headers: Headers): RequestMetadata | undefined
   /** Headers for an endpoint, as a flat list of names and values. */
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -91,14 +91,15 @@
 
   /** Serves one request to its end. */
   async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const metadata = this.parts.dialect.readRequest(request.headers)
+    const { dialect, isDraining } = this.parts
+    const metadata = dialect.readRequest(request.headers)
     const record: GatewayRecord = {
       requestId: metadata?.requestId ?? '',
       receivedAt: this.parts.clock.sinceStart(),
       attempts: [],
     }
-    const ownHeaders = this.parts.dialect.ownHeaders(metadata?.requestId)
-    const reply = new CallerReply(response, ownHeaders, this.parts.isDraining)
+    const ownHeaders = dialect.ownHeaders(metadata?.requestId)
+    const reply = new CallerReply(response, ownHeaders, dialect, isDraining)
     this.running += 1
     try {
       if (metadata === undefined) throw new NotRunError(ResultCode.MalformedRequest)
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -2,6 +2,7 @@
 export type { CallerConnection, IncomingRequest } from './callerConnection.js'
 export type { DecisionRecord, RoutingRecord } from './decisionRecord.js'
 export { errorBody, errorEvent, errorHeaders } from './errorBody.js'
+export { StandardReturnTime } from './returnTime.js'
 export { readBody } from './readBody.js'
 export { RequestPipeline } from './requestPipeline.js'
 
