fix(router): whom all endpoints turn away is told "not run" and when to come back

Cause: the OpenAI-style kind took an endpoint's 429 or 503 for an attempt that may have run, whatever it said. Where no endpoint was left to ask, or the retries were spent, the caller got 502 (4001, unknown) without a time, though all endpoints had said when they take requests again. It hit the first callers at each instance, until the instance knew that all rest; who came later got 3016. Change: `dispatchFailure` says what a caller is told, by all attempts: "not run" where each was not sent or turned away (429; 503 with a wish for rest or word that the endpoint leaves), and the time of the first endpoint that may be asked again. A run that is unknown stays 502 and has that time too where all rest (`DispatchedError` has a time). A bare 503 proves nothing, since fronts of endpoints that failed send it, and stays 502, unknown. Ruled out: the gateway kind. Not changed: an answer that may not be repeated is still passed on as the endpoint gave it, also a 429 or 503.

--- a/packages/router/src/advice/publishedAdvice.ts
+++ b/packages/router/src/advice/publishedAdvice.ts
@@ -27,8 +27,10 @@
 const LEAVING = 'x-endpoint-state'
 
 const MINUTE_SECONDS = 60
+const TOO_MANY_STATUS = 429
+const UNAVAILABLE_STATUS = 503
 /** With one of these an endpoint turns a request away. */
-const TURNING_AWAY = new Set([429, 503])
+const TURNING_AWAY = new Set([TOO_MANY_STATUS, UNAVAILABLE_STATUS])
 /** Hours, minutes, seconds and milliseconds, each at most once. */
 const DURATION_PATTERN = /^(?:(\d+)h)?(?:(\d+)m(?!s))?(?:(\d+(?:\.\d+)?)s)?(?:(\d+)ms)?$/
 const NOTHING_LEFT = '0'
@@ -45,6 +47,17 @@
   }
 }
 
+/**
+ * Whether an endpoint turned the request away, so that it was not run. A 429 says so by itself; a 503 only where the
+ * endpoint says that it wants rest or leaves, since others come from what stands before an endpoint that has failed.
+ */
+export function isTurnedAway(status: number, headers: Headers): boolean {
+  if (status === TOO_MANY_STATUS) return true
+  if (status !== UNAVAILABLE_STATUS) return false
+  const { rest, leaving } = publishedAdvice(status, headers)
+  return rest !== undefined || leaving !== undefined
+}
+
 function minuteRates(headers: Headers): RateTexts {
   const text = headers[MINUTE_LIMIT]
   return text === undefined ? [] : [{ text, windowSeconds: MINUTE_SECONDS }]
--- a/packages/router/src/errorBody.ts
+++ b/packages/router/src/errorBody.ts
@@ -3,7 +3,13 @@
  * both kinds of daemon.
  */
 
-import { NotRunError, RESULT_TABLE, ResultCode, resultName } from '@rackwalk/shared'
+import {
+  DispatchedError,
+  NotRunError,
+  RESULT_TABLE,
+  ResultCode,
+  resultName,
+} from '@rackwalk/shared'
 import type { Execution, RackwalkError, RequestId } from '@rackwalk/shared'
 import { StandardReturnTime } from './returnTime.js'
 import type { ReturnTimeSpelling } from './returnTime.js'
@@ -71,6 +77,7 @@
 }
 
 function retryAfterSeconds(error: RackwalkError): number | undefined {
-  if (error instanceof NotRunError) return error.retryAfterSeconds
+  const isTimed = error instanceof NotRunError || error instanceof DispatchedError
+  if (isTimed) return error.retryAfterSeconds
   return RESULT_TABLE[error.code].retryAfterSeconds
 }
--- a/packages/router/src/filters/dispatch.ts
+++ b/packages/router/src/filters/dispatch.ts
@@ -3,7 +3,7 @@
  * for the endpoint and on the retry budget for another try.
  */
 
-import { DispatchedError, NotRunError, ResultCode, endpointStart, sleep } from '@rackwalk/shared'
+import { DispatchedError, NotRunError, endpointStart, sleep } from '@rackwalk/shared'
 import type { Clock, EndpointId, Milliseconds, RandomSource } from '@rackwalk/shared'
 import { isServerError, readAdvice } from '@rackwalk/decisions'
 import type { EndpointAdvices } from '../advice/endpointAdvices.js'
@@ -15,6 +15,7 @@
 import type { Catalogue } from '../resources/catalogue.js'
 import type { EndpointRouter } from '../routing/endpointRouter.js'
 import type { EndpointTable } from '../routing/endpointTable.js'
+import { dispatchFailure, resultText } from './dispatchFailure.js'
 import type { DispatchedRequest, EndpointAnswer, Filter, RoutedRequest } from './stages.js'
 
 /** Parts that dispatch works with. */
@@ -81,21 +82,21 @@
     this.retries.deposit(this.parts.catalogue.policyFor(request.target).retryShare)
     const tried = new Set<EndpointId>()
     let endpointId = request.endpointId
-    let mayHaveRun = false
+    const results: AttemptResult[] = []
     for (let attempt = 1; ; attempt += 1) {
       tried.add(endpointId)
       const wasIsolated = this.isIsolated(request)
       const result = await this.attempt(request, endpointId, wasIsolated)
       const answer = acceptedAnswer(result, request)
       if (answer !== undefined) return { ...request, answer }
-      mayHaveRun ||= result.kind !== 'unsent'
+      results.push(result)
       const isKnown = this.noteBroken(request, endpointId, { result, wasIsolated })
       const verdict = this.judge(request, result, attempt)
       if (verdict === 'retry') await isKnown
-      if (verdict === 'give-up') throw this.failure(request, result, mayHaveRun)
+      if (verdict === 'give-up') throw this.failure(request, results)
       // Who asked for rest is not asked again, so there is nothing to wait for.
       if (verdict === 'retry' && !this.isResting(endpointId)) await this.backOff(attempt)
-      endpointId = this.chooseAnother(request, result, tried, mayHaveRun)
+      endpointId = this.chooseAnother(request, results, tried)
     }
   }
 
@@ -215,7 +216,7 @@
 
   private noteResult(request: RoutedRequest, endpointId: EndpointId, result: AttemptResult): void {
     const routing = request.record.routing.at(-1)
-    if (routing !== undefined) routing.outcome = describe(result)
+    if (routing !== undefined) routing.outcome = resultText(result)
     if (result.kind === 'answering') this.noteAdvice(endpointId, result.answer)
     if (acceptedAnswer(result, request) !== undefined) {
       const { crashFingerprint } = request
@@ -245,29 +246,27 @@
 
   private chooseAnother(
     request: RoutedRequest,
-    result: AttemptResult,
+    results: readonly AttemptResult[],
     tried: ReadonlySet<EndpointId>,
-    mayHaveRun: boolean,
   ): EndpointId {
     try {
       return this.parts.router.choose(request, tried).endpointId
     } catch (thrown) {
-      if (thrown instanceof NotRunError) throw this.failure(request, result, mayHaveRun)
+      if (thrown instanceof NotRunError) throw this.failure(request, results)
       throw thrown
     }
   }
 
-  private failure(request: RoutedRequest, result: AttemptResult, mayHaveRun: boolean): Error {
-    const detail = describe(result)
-    // Nothing left this instance in any attempt, so the request was truly not run.
-    if (!mayHaveRun) return new NotRunError(ResultCode.EndpointRefused, detail)
-    request.scope.commit()
-    if (request.incoming.caller.left.aborted) return new DispatchedError(ResultCode.CallerLeft)
-    if (this.isLate(request)) return new DispatchedError(ResultCode.DeadlinePassed)
-    if (!request.repeatable) return new DispatchedError(ResultCode.OutcomeUnknown, detail)
-    const isStalled = result.kind === 'failed' && result.stalled
-    const code = isStalled ? ResultCode.EndpointStalled : ResultCode.EndpointFailed
-    return new DispatchedError(code, detail)
+  private failure(request: RoutedRequest, results: readonly AttemptResult[]): Error {
+    const error = dispatchFailure({
+      results,
+      isCallerGone: request.incoming.caller.left.aborted,
+      isLate: this.isLate(request),
+      isRepeatable: request.repeatable,
+      refusal: this.parts.router.refusal(request),
+    })
+    if (error instanceof DispatchedError) request.scope.commit()
+    return error
   }
 
   private isLate(request: RoutedRequest): boolean {
@@ -287,11 +286,6 @@
   return isRefusal && request.repeatable ? undefined : result.answer
 }
 
-function describe(result: AttemptResult): string {
-  if (result.kind === 'answering') return `status ${result.answer.status}`
-  return `${result.kind}: ${result.reason}`
-}
-
 function promptEstimate({ call }: RoutedRequest): number {
   return call.kind === 'chat' ? call.chat.promptTokenEstimate : 0
 }
--- /dev/null
+++ b/packages/router/src/filters/dispatchFailure.ts
@@ -0,0 +1,59 @@
+/**
+ * What is a caller of the OpenAI-style kind told whose request no endpoint answered?
+ *
+ * "Not run" is said only where no attempt can have run the request: nothing of it was sent, or the endpoint turned it
+ * away. Where all endpoints have asked for rest, the caller learns when the first one may be asked again.
+ */
+
+import { DispatchedError, NotRunError, ResultCode } from '@rackwalk/shared'
+import type { RackwalkError } from '@rackwalk/shared'
+import { isTurnedAway } from '../advice/publishedAdvice.js'
+import type { AttemptResult } from '../engine/attemptResult.js'
+
+/** How a request ended that no endpoint answered. */
+export interface UnansweredRequest {
+  /** What came of its attempts, the newest last. */
+  readonly results: readonly AttemptResult[]
+  readonly isCallerGone: boolean
+  readonly isLate: boolean
+  readonly isRepeatable: boolean
+  /** Why no endpoint may be asked now; undefined where one may. */
+  readonly refusal: NotRunError | undefined
+}
+
+/** The error of a request that no endpoint answered. */
+export function dispatchFailure(request: UnansweredRequest): RackwalkError {
+  const { results, refusal } = request
+  if (results.some(mayHaveRun)) return failureAfterRun(request)
+  return refusal ?? new NotRunError(ResultCode.EndpointRefused, newestText(results))
+}
+
+function failureAfterRun(request: UnansweredRequest): DispatchedError {
+  const { results, refusal, isCallerGone, isLate, isRepeatable } = request
+  const detail = newestText(results)
+  if (isCallerGone) return new DispatchedError(ResultCode.CallerLeft)
+  if (isLate) return new DispatchedError(ResultCode.DeadlinePassed)
+  if (!isRepeatable) return new DispatchedError(ResultCode.OutcomeUnknown, detail)
+  const newest = results.at(-1)
+  const isStalled = newest?.kind === 'failed' && newest.stalled
+  const code = isStalled ? ResultCode.EndpointStalled : ResultCode.EndpointFailed
+  return new DispatchedError(code, detail, refusal?.retryAfterSeconds)
+}
+
+function newestText(results: readonly AttemptResult[]): string | undefined {
+  const newest = results.at(-1)
+  return newest && resultText(newest)
+}
+
+/** Whether an endpoint ran the request, or may have. */
+function mayHaveRun(result: AttemptResult): boolean {
+  if (result.kind !== 'answering') return result.kind === 'failed'
+  const { status, headers } = result.answer
+  return !isTurnedAway(status, headers)
+}
+
+/** What came of an attempt, for records and messages. */
+export function resultText(result: AttemptResult): string {
+  if (result.kind === 'answering') return `status ${result.answer.status}`
+  return `${result.kind}: ${result.reason}`
+}
--- a/packages/router/src/routing/endpointRouter.ts
+++ b/packages/router/src/routing/endpointRouter.ts
@@ -13,7 +13,7 @@
 import type { EndpointTable } from './endpointTable.js'
 import type { EndpointView } from './endpointView.js'
 import type { PrefixHash } from './prefixIndex.js'
-import { noCandidateError } from './noCandidate.js'
+import { noCandidateError, refusalByAdvice } from './noCandidate.js'
 import { prefixHashes } from './prefixIndex.js'
 import type { RoutingPolicy } from './routingPolicy.js'
 import { LeastInFlightPolicy, createRoutingPolicy } from './routingPolicy.js'
@@ -54,6 +54,16 @@
     return this.note(request, policy.name, choice, hashes)
   }
 
+  /** Why no endpoint may get the request now, tried or not; undefined where one may, or where there is none. */
+  refusal(request: ParsedRequest): NotRunError | undefined {
+    const { crashFingerprint } = request
+    const endsEndpoints =
+      crashFingerprint !== undefined && this.parts.crashes.verdict(crashFingerprint) === 'refuse'
+    if (endsEndpoints) return new NotRunError(ResultCode.EndsEndpoints)
+    if (this.candidates(request, []).length > 0) return undefined
+    return refusalByAdvice(this.parts, request)
+  }
+
   /** The endpoint at which all instances try a request that may end endpoints; refuses one that does. */
   private isolate(
     { crashFingerprint }: ParsedRequest,
--- a/packages/router/src/routing/noCandidate.ts
+++ b/packages/router/src/routing/noCandidate.ts
@@ -12,15 +12,25 @@
   readonly random: RandomSource
 }
 
+/** A request that finds no endpoint. */
+interface UnplacedRequest {
+  readonly call: Call
+  readonly target: string
+}
+
 /** By what the endpoints said of themselves, or else that there is none. */
-export function noCandidateError(
+export function noCandidateError(parts: NoCandidateParts, request: UnplacedRequest): NotRunError {
+  return refusalByAdvice(parts, request) ?? new NotRunError(ResultCode.NoEndpoint)
+}
+
+/** By what the endpoints said of themselves; undefined where they said nothing that forbids the request. */
+export function refusalByAdvice(
   { endpoints, random }: NoCandidateParts,
-  { call, target }: { readonly call: Call; readonly target: string },
-): NotRunError {
+  { call, target }: UnplacedRequest,
+): NotRunError | undefined {
   const refusal =
     call.kind === 'chat'
       ? endpoints.modelRefusal(call.chat.modelId)
       : endpoints.serviceRefusal(call.service)
-  if (refusal === undefined) return new NotRunError(ResultCode.NoEndpoint)
-  return refusedByAll(target, refusal, random.next())
+  return refusal && refusedByAll(target, refusal, random.next())
 }
--- a/packages/shared/src/errors.ts
+++ b/packages/shared/src/errors.ts
@@ -24,8 +24,8 @@
 }
 
 /**
- * Says that a request was not run. Its constructor takes only codes of that class, and
- * only the filters before dispatch throw it, so that "not run" stays true.
+ * Says that a request was not run. Its constructor takes only codes of that class. It is made before dispatch, or where
+ * no attempt was sent or all were turned away, so that "not run" stays true.
  */
 export class NotRunError extends RackwalkError {
   constructor(
@@ -42,6 +42,7 @@
   constructor(
     override readonly code: AfterDispatchCode,
     detail?: string,
+    readonly retryAfterSeconds = RESULT_TABLE[code].retryAfterSeconds,
   ) {
     super(code, detail)
   }
--- a/packages/stand-ins/__tests__/endpointAdvice.spec.ts
+++ b/packages/stand-ins/__tests__/endpointAdvice.spec.ts
@@ -1,5 +1,5 @@
 import { afterEach, describe, expect, it } from 'vitest'
-import { ConfiguredFleet, streamChat } from '@rackwalk/stand-ins'
+import { ConfiguredFleet, TEAM_KEY, chatBody, streamChat } from '@rackwalk/stand-ins'
 import type { ChatAnswer, EngineStandIn } from '@rackwalk/stand-ins'
 
 /**
@@ -113,3 +113,58 @@
     },
   )
 })
+
+/** A refusal as its caller has it. */
+interface Refusal {
+  /** The status, the code and what is said of the run. */
+  readonly told: string
+  readonly returnAfter: string | null
+  readonly returnAfterMilliseconds: number
+}
+
+async function ask(address: string, prompt: string): Promise<Refusal> {
+  const response = await fetch(`${address}/v1/chat/completions`, {
+    method: 'POST',
+    headers: { authorization: `Bearer ${TEAM_KEY}` },
+    body: chatBody({ word: 'any', tokens: 4, prompt }, true),
+  })
+  const { error } = (await response.json()) as { error: { code: number; execution: string } }
+  return {
+    told: `${response.status} ${error.code} ${error.execution}`,
+    returnAfter: response.headers.get('retry-after'),
+    returnAfterMilliseconds: Number(response.headers.get('retry-after-ms')),
+  }
+}
+
+const REQUESTS = 120
+
+describe('engines that all turn chats away and ask for rest', () => {
+  it.each([429, 503])(
+    'with %i: every caller is told that its chat did not run, and when to come back',
+    async status => {
+      const { fleet } = await start()
+      const ran = () => fleet.engines.reduce((sum, { taken }) => sum + taken.length, 0)
+      await send(fleet, 500)
+      const ranBefore = ran()
+      for (const engine of fleet.engines) {
+        engine.turnsAwayWith = status
+        engine.says = { 'retry-after': String(REST_SECONDS) }
+      }
+      const asked: Promise<Refusal>[] = []
+      for (let number = 0; number < REQUESTS; number += 1) {
+        asked.push(ask(fleet.callers(number % INSTANCES), `prompt ${number}`))
+        await pause(INTERVAL_MILLISECONDS / 5)
+      }
+      const refusals = await Promise.all(asked)
+      expect(ran()).toBe(ranBefore)
+      // Who had no other engine left to ask, or no retry; and who came later.
+      const others = refusals.filter(({ told }) => !/^503 (3007|3016) not-run$/.test(told))
+      expect(others).toEqual([])
+      for (const { returnAfter, returnAfterMilliseconds } of refusals) {
+        expect(returnAfter).toMatch(/^[1-9]\d*$/)
+        expect(returnAfterMilliseconds).toBeGreaterThan(0)
+        expect(returnAfterMilliseconds).toBeLessThanOrEqual(2 * REST_SECONDS * 1_000)
+      }
+    },
+  )
+})
