--- a/packages/router/src/errorBody.ts
+++ b/packages/router/src/errorBody.ts
@@ -3,8 +3,18 @@
  * both kinds of daemon.
  */
 
-import { NotRunError, RESULT_TABLE, ResultCode, resultName } from '@rackwalk/shared'
+import {
+  DispatchedError,
+  NotRunError,
+  RESULT_TABLE,
+  ResultCode,
+  resultName,
+} from '@rackwalk/shared'
 import type { Execution, RackwalkError, RequestId } from '@rackwalk/shared'
+import { StandardReturnTime } from './returnTime.js'
+import type { ReturnTimeSpelling } from './returnTime.js'
+
+const STANDARD_RETURN_TIME = new StandardReturnTime()
 
 /** The JSON that a caller gets for every refusal and failure. */
 export interface ErrorBody {
@@ -49,10 +59,14 @@
 }
 
 /** Headers that go with an error's body. */
-export function errorHeaders(error: RackwalkError, requestId?: RequestId): Record<string, string> {
+export function errorHeaders(
+  error: RackwalkError,
+  requestId?: RequestId,
+  returnTime: ReturnTimeSpelling = STANDARD_RETURN_TIME,
+): Record<string, string> {
   const headers: Record<string, string> = { 'content-type': 'application/json' }
   const wait = retryAfterSeconds(error)
-  if (wait !== undefined) headers['retry-after'] = String(wait)
+  if (wait !== undefined) Object.assign(headers, returnTime.returnHeaders(wait))
   if (requestId !== undefined) headers['rackwalk-request-id'] = requestId
   return headers
 }
@@ -63,6 +77,7 @@
 }
 
 function retryAfterSeconds(error: RackwalkError): number | undefined {
-  if (error instanceof NotRunError) return error.retryAfterSeconds
+  const isTimed = error instanceof NotRunError || error instanceof DispatchedError
+  if (isTimed) return error.retryAfterSeconds
   return RESULT_TABLE[error.code].retryAfterSeconds
 }
