fix(router): an answer given up at its deadline is told as late, whatever the clock says at that moment

What callers saw: a request that may run once was told 4003 (unknown, 409) where its deadline had passed, or 4006 (504), by chance. Cause: the timer of the deadline fires up to a millisecond before the clock that it was set by has come so far; what was told was asked of the clock alone. Change: the signal that gives an exchange up carries why, and its end says so.

--- a/packages/router/src/engine/attemptResult.ts
+++ b/packages/router/src/engine/attemptResult.ts
@@ -1,5 +1,6 @@
 /** What came of sending a request to an endpoint of the OpenAI-style kind once. */
 
+import type { AnswerEnd, AnswerFraming } from '@rackwalk/decisions'
 import type { EndpointAnswer } from '../filters/stages.js'
 
 /**
@@ -12,6 +13,10 @@
       readonly kind: 'failed'
       readonly reason: string
       readonly stalled: boolean
+      /** What the reading ended with; undefined where it was not the reading that failed. */
+      readonly end?: AnswerEnd
+      /** How an answer was framed that had begun; undefined where no head had come. */
+      readonly framing?: AnswerFraming
       /** Whether the endpoint is already known to have ended. */
       readonly isLookedAt?: boolean
     }
--- a/packages/router/src/engine/endpointClient.ts
+++ b/packages/router/src/engine/endpointClient.ts
@@ -19,7 +19,7 @@
   readonly body: string | Readable | undefined
   /** Longest wait for the first bytes of the answer. */
   readonly firstByteMilliseconds: Milliseconds
-  /** Aborted when the caller left or the deadline passed. */
+  /** Aborted when the caller left or the deadline passed; its reason says which. */
   readonly signal: AbortSignal
 }
 
@@ -42,7 +42,7 @@
   /** Sends and waits for the first bytes of the answer. */
   attempt(call: EndpointCall): Promise<AttemptResult> {
     if (call.signal.aborted) return Promise.resolve({ kind: 'unsent', reason: 'the caller left' })
-    const exchange = new EndpointExchange(call.endpointId, call.signal)
+    const exchange = new EndpointExchange(call.endpointId, call.method, call.signal)
     try {
       this.agent.dispatch(
         {
--- a/packages/router/src/engine/endpointExchange.ts
+++ b/packages/router/src/engine/endpointExchange.ts
@@ -4,6 +4,8 @@
  */
 
 import type { Dispatcher } from 'undici'
+import { answerFraming } from '@rackwalk/decisions'
+import type { AnswerEnd, AnswerFraming } from '@rackwalk/decisions'
 import { deferred } from '@rackwalk/shared'
 import type { EndpointId } from '@rackwalk/shared'
 import type { AnswerConsumer, EndpointAnswer } from '../filters/stages.js'
@@ -17,6 +19,8 @@
   'UND_ERR_CONNECT_TIMEOUT',
 ])
 const STALLED = new Set(['UND_ERR_HEADERS_TIMEOUT', 'UND_ERR_BODY_TIMEOUT'])
+// Errors that say this instance closes its connections.
+const STOPPED = new Set(['UND_ERR_DESTROYED', 'UND_ERR_CLOSED'])
 
 type Headers = Record<string, string | string[] | undefined>
 
@@ -27,19 +31,21 @@
 export class EndpointExchange implements Dispatcher.DispatchHandler, EndpointAnswer {
   status = 0
   headers: Readonly<Record<string, string>> = {}
+  framing: AnswerFraming = 'connection'
+  end: AnswerEnd | undefined
   private readonly begun = deferred<AttemptResult>()
   private readonly early: Buffer[] = []
   private controller: Dispatcher.DispatchController | undefined
   private consumer: AnswerConsumer | undefined
   private hasBegun = false
-  private isEnded = false
   private failure: Error | undefined
 
   constructor(
     readonly endpointId: EndpointId,
+    private readonly method: string,
     private readonly signal: AbortSignal,
   ) {
-    signal.addEventListener('abort', this.cancel, { once: true })
+    signal.addEventListener('abort', this.abandon, { once: true })
   }
 
   /** Settles when the first bytes of the answer are there, or there will be none. */
@@ -48,7 +54,7 @@
   }
 
   readonly cancel = (): void => {
-    if (!this.isEnded) this.controller?.abort(new CancelledError())
+    if (!this.isEnded) this.controller?.abort(new CancelledError('aborted'))
   }
 
   /** Hands the answer over; nothing was read beyond its first chunk until now. */
@@ -66,12 +72,18 @@
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.controller = controller
-    if (this.signal.aborted) this.cancel()
+    if (this.signal.aborted) this.abandon()
   }
 
   onResponseStart(_: Dispatcher.DispatchController, status: number, headers: Headers): void {
     this.status = status
     this.headers = flatHeaders(headers)
+    this.framing = answerFraming({
+      method: this.method,
+      status,
+      transferEncoding: this.headers['transfer-encoding'],
+      contentLength: this.headers['content-length'],
+    })
   }
 
   onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
@@ -82,18 +94,34 @@
   }
 
   onResponseEnd(): void {
-    this.finish()
+    this.finish(this.framing === 'connection' ? 'closed' : 'complete')
     this.begin()
     this.consumer?.end()
   }
 
   onResponseError(_: Dispatcher.DispatchController, error: Error): void {
-    this.finish()
+    this.finish(endOf(error))
     this.failure = error
-    if (!this.hasBegun) this.begun.resolve(classify(error))
+    if (!this.hasBegun) this.begun.resolve(this.classified(error))
     this.consumer?.fail(error)
   }
 
+  private get isEnded(): boolean {
+    return this.end !== undefined
+  }
+
+  /** Its signal says that nobody waits for it any more, and why. */
+  private readonly abandon = (): void => {
+    const end = (this.signal.reason as AnswerEnd | undefined) ?? 'aborted'
+    if (!this.isEnded) this.controller?.abort(new CancelledError(end))
+  }
+
+  private classified(error: Error): AttemptResult {
+    const result = classify(error)
+    if (result.kind !== 'failed' || this.status === 0) return result
+    return { ...result, framing: this.framing }
+  }
+
   private pass(chunk: Buffer): void {
     this.consumer?.take(chunk)
     if (this.consumer?.isFull) this.controller?.pause()
@@ -105,22 +133,33 @@
     this.begun.resolve({ kind: 'answering', answer: this })
   }
 
-  private finish(): void {
-    this.isEnded = true
-    this.signal.removeEventListener('abort', this.cancel)
+  private finish(end: AnswerEnd): void {
+    this.end = end
+    this.signal.removeEventListener('abort', this.abandon)
   }
 }
 
 /** Breaks an exchange off on this side. */
 class CancelledError extends Error {
   readonly code = 'CANCELLED'
+
+  constructor(readonly end: AnswerEnd) {
+    super(`given up: ${end}`)
+  }
 }
 
 /** What an error before any answer says of the request. */
 export function classify(thrown: unknown): AttemptResult {
   const code = errorCode(thrown)
   if (NEVER_CONNECTED.has(code)) return { kind: 'unsent', reason: code }
-  return { kind: 'failed', reason: code, stalled: STALLED.has(code) }
+  return { kind: 'failed', reason: code, stalled: STALLED.has(code), end: endOf(thrown) }
+}
+
+/** What the reading of an answer ended with, by the error that ended it. */
+export function endOf(thrown: unknown): AnswerEnd {
+  if (thrown instanceof CancelledError) return thrown.end
+  if (isStall(thrown)) return 'silence'
+  return STOPPED.has(errorCode(thrown)) ? 'instance-stopped' : 'reset'
 }
 
 /** Whether an error means that an endpoint stopped sending. */
--- a/packages/router/src/filters/dispatch.ts
+++ b/packages/router/src/filters/dispatch.ts
@@ -6,6 +6,7 @@
 import { DispatchedError, NotRunError, ResultCode, endpointStart, sleep } from '@rackwalk/shared'
 import type { Clock, EndpointId, Milliseconds, RandomSource } from '@rackwalk/shared'
 import { isServerError, readAdvice } from '@rackwalk/decisions'
+import type { AnswerEnd } from '@rackwalk/decisions'
 import type { EndpointAdvices } from '../advice/endpointAdvices.js'
 import { publishedAdvice } from '../advice/publishedAdvice.js'
 import type { CrashGuard } from '../crashes/crashGuard.js'
@@ -147,10 +148,10 @@
     endpointId: EndpointId,
     { result, wasIsolated }: TriedRequest,
   ): Promise<boolean> {
-    const { crashFingerprint: fingerprint, target, incoming } = request
+    const { crashFingerprint: fingerprint, target } = request
     if (result.kind !== 'failed' || result.stalled || fingerprint === undefined) return false
     if (result.isLookedAt === true) return true
-    if (incoming.caller.left.aborted || this.isLate(request)) return false
+    if (this.isOver(request, result)) return false
     const { catalogue, clock, crashes, endpoints } = this.parts
     const address = catalogue.findEndpoint(endpointId)?.spec.address
     if (address === undefined) return false
@@ -184,15 +185,16 @@
   /** Aborts the exchange when the caller leaves or its deadline passes. */
   private signalOf(request: RoutedRequest): AbortSignal {
     const controller = new AbortController()
-    const abort = () => controller.abort()
+    const abort = (end: AnswerEnd) => controller.abort(end)
+    const noteLeft = () => abort('caller-left')
     const remaining = Math.max(0, request.deadline - this.parts.clock.sinceStart())
-    const timer = this.parts.clock.after(remaining, abort)
+    const timer = this.parts.clock.after(remaining, () => abort('deadline'))
     const { left } = request.incoming.caller
-    if (left.aborted) abort()
-    left.addEventListener('abort', abort, { once: true })
+    if (left.aborted) noteLeft()
+    left.addEventListener('abort', noteLeft, { once: true })
     request.scope.onEnd(() => {
       timer.cancel()
-      left.removeEventListener('abort', abort)
+      left.removeEventListener('abort', noteLeft)
     })
     return controller.signal
   }
@@ -226,13 +228,12 @@
     }
     if (result.kind === 'answering') result.answer.cancel()
     this.parts.endpoints.noteEnded(endpointId)
-    const isCallersDoing = request.incoming.caller.left.aborted || this.isLate(request)
-    if (!isCallersDoing && !this.isResting(endpointId)) this.parts.endpoints.noteFailure(endpointId)
+    if (!this.isOver(request, result) && !this.isResting(endpointId))
+      this.parts.endpoints.noteFailure(endpointId)
   }
 
   private judge(request: RoutedRequest, result: AttemptResult, attempt: number): Verdict {
-    const isOver = request.incoming.caller.left.aborted || this.isLate(request)
-    if (isOver || attempt >= MAXIMUM_ATTEMPTS) return 'give-up'
+    if (this.isOver(request, result) || attempt >= MAXIMUM_ATTEMPTS) return 'give-up'
     // A body that streams through can be sent once.
     const isBodySpent = request.call.kind === 'service' && request.incoming.body.readableDidRead
     if (isBodySpent) return 'give-up'
@@ -263,14 +264,21 @@
     if (!mayHaveRun) return new NotRunError(ResultCode.EndpointRefused, detail)
     request.scope.commit()
     if (request.incoming.caller.left.aborted) return new DispatchedError(ResultCode.CallerLeft)
-    if (this.isLate(request)) return new DispatchedError(ResultCode.DeadlinePassed)
+    if (this.isLate(request, result)) return new DispatchedError(ResultCode.DeadlinePassed)
     if (!request.repeatable) return new DispatchedError(ResultCode.OutcomeUnknown, detail)
     const isStalled = result.kind === 'failed' && result.stalled
     const code = isStalled ? ResultCode.EndpointStalled : ResultCode.EndpointFailed
     return new DispatchedError(code, detail)
   }
 
-  private isLate(request: RoutedRequest): boolean {
+  /** Whether nobody waits for an answer any more. */
+  private isOver(request: RoutedRequest, result: AttemptResult): boolean {
+    return request.incoming.caller.left.aborted || this.isLate(request, result)
+  }
+
+  /** A timer may fire a moment before the clock that it was set by has come so far. */
+  private isLate(request: RoutedRequest, result: AttemptResult): boolean {
+    if (result.kind === 'failed' && result.end === 'deadline') return true
     return this.parts.clock.sinceStart() >= request.deadline
   }
 
--- a/packages/router/src/filters/relay.ts
+++ b/packages/router/src/filters/relay.ts
@@ -6,7 +6,7 @@
 import type { AfterDispatchCode, Clock, TokenCount } from '@rackwalk/shared'
 import type { BudgetLedger } from '@rackwalk/coordination'
 import { EventSplitter, isDoneEvent, isUsageEvent } from '../engine/eventSplitter.js'
-import { isStall } from '../engine/endpointExchange.js'
+import { endOf, isStall } from '../engine/endpointExchange.js'
 import type { ReportedUsage } from '../engine/usage.js'
 import { findUsage } from '../engine/usage.js'
 import type { EndpointTable } from '../routing/endpointTable.js'
@@ -95,7 +95,7 @@
   }
 
   private brokenEnd(request: DispatchedRequest, failure: Error): RelayEnd {
-    if (this.parts.clock.sinceStart() >= request.deadline)
+    if (endOf(failure) === 'deadline' || this.parts.clock.sinceStart() >= request.deadline)
       return { code: ResultCode.DeadlinePassed }
     this.parts.endpoints.noteFailure(request.answer.endpointId)
     const detail = failure.message
--- a/packages/router/src/filters/stages.ts
+++ b/packages/router/src/filters/stages.ts
@@ -14,6 +14,7 @@
   TokenCount,
 } from '@rackwalk/shared'
 import type { Claim, Reservation } from '@rackwalk/coordination'
+import type { AnswerEnd, AnswerFraming } from '@rackwalk/decisions'
 import type { IncomingRequest } from '../callerConnection.js'
 import type { DecisionRecord } from '../decisionRecord.js'
 import type { ChatRequest } from '../engine/chatRequest.js'
@@ -99,6 +100,9 @@
   readonly endpointId: EndpointId
   readonly status: number
   readonly headers: Readonly<Record<string, string>>
+  readonly framing: AnswerFraming
+  /** What its reading ended with; undefined while more is read. */
+  readonly end: AnswerEnd | undefined
   /** Begins to hand the chunks over; once. */
   start(consumer: AnswerConsumer): void
   /** Goes on after the consumer was full. */
