feat(router, daemon): the record, the line and a counter tell how each answer was framed, what its reading ended with and its fate

Cause: from outside nothing told an answer that its framing proves whole from one that merely ended, nor how many were cut. Change: the decision record has framing, end and fate for each attempt whose head came; the line request_not_completed has them, and rackwalk_endpoint_answers_total counts them.

--- a/packages/daemon/src/observe/metrics.ts
+++ b/packages/daemon/src/observe/metrics.ts
@@ -27,6 +27,7 @@
   readonly registry = new Registry()
   private readonly coordination: Counter
   private readonly requests: Counter
+  private readonly answers: Counter
   private readonly retries: Counter
   private readonly endpointEnds: Counter
   private readonly tokens: Counter
@@ -49,6 +50,12 @@
       labelNames: ['code', 'result', 'execution'],
       registers,
     })
+    this.answers = new Counter({
+      name: 'rackwalk_endpoint_answers_total',
+      help: 'Answers of endpoints, by framing, by what their reading ended with and by what became of them.',
+      labelNames: ['framing', 'end', 'fate'],
+      registers,
+    })
     this.retries = new Counter({
       name: 'rackwalk_retries_total',
       help: 'Attempts made again after one that may have run.',
@@ -103,6 +110,9 @@
     const code = record.code ?? ResultCode.Internal
     const execution = record.execution ?? 'unknown'
     this.requests.inc({ code: String(code), result: resultName(code), execution })
+    for (const { answer } of record.routing) {
+      if (answer !== undefined) this.answers.inc({ ...answer })
+    }
     this.billed.inc(record.billedTokens ?? 0)
     if (record.firstByteMilliseconds !== undefined) {
       this.firstByte.observe(record.firstByteMilliseconds / 1000)
--- a/packages/daemon/src/rackwalkDaemon.ts
+++ b/packages/daemon/src/rackwalkDaemon.ts
@@ -33,6 +33,7 @@
 import { ConsolaLogger } from './observe/logger.js'
 import { MalformedForms } from './observe/malformedForms.js'
 import type { Logger } from './observe/logger.js'
+import { unfinishedLine } from './observe/unfinishedLine.js'
 import { Metrics } from './observe/metrics.js'
 import { InForceTracker } from './operators/inForceTracker.js'
 import { OperatorRoutes } from './operators/operatorRoutes.js'
@@ -436,13 +437,7 @@
     const { requestId } = record
     this.node.archive.add({ requestId, record: record as unknown as JsonValue })
     if (record.code !== ResultCode.Ok) {
-      this.logger.info('request_not_completed', {
-        request: requestId,
-        team: record.teamId,
-        code: record.code,
-        execution: record.execution,
-        detail: record.detail,
-      })
+      this.logger.info('request_not_completed', unfinishedLine(record))
     }
   }
 
--- a/packages/router/src/decisionRecord.ts
+++ b/packages/router/src/decisionRecord.ts
@@ -14,6 +14,7 @@
   TokenCount,
 } from '@rackwalk/shared'
 import type { AllocationView } from '@rackwalk/coordination'
+import type { AnswerEnd, AnswerFate, AnswerFraming } from '@rackwalk/decisions'
 import type { ScoredEndpoint } from './routing/endpointView.js'
 
 /** One choice of an endpoint: one for each attempt. */
@@ -23,6 +24,15 @@
   readonly compared: readonly ScoredEndpoint[]
   /** What came of the attempt. */
   outcome: string
+  /** How its answer ended; undefined where no head of one came. */
+  answer?: AnswerRecord
+}
+
+/** How an endpoint's answer was framed, what its reading ended with, and what became of it. */
+export interface AnswerRecord {
+  readonly framing: AnswerFraming
+  readonly end: AnswerEnd
+  readonly fate: AnswerFate
 }
 
 /** Everything that decided about one request; what `explain` shows. */
--- a/packages/router/src/filters/dispatch.ts
+++ b/packages/router/src/filters/dispatch.ts
@@ -6,11 +6,12 @@
 import { DispatchedError, NotRunError, ResultCode, endpointStart, sleep } from '@rackwalk/shared'
 import type { Clock, EndpointId, Milliseconds, RandomSource } from '@rackwalk/shared'
 import { isServerError, readAdvice } from '@rackwalk/decisions'
-import type { AnswerEnd } from '@rackwalk/decisions'
+import type { AnswerEnd, AnswerFate } from '@rackwalk/decisions'
 import type { EndpointAdvices } from '../advice/endpointAdvices.js'
 import { publishedAdvice } from '../advice/publishedAdvice.js'
 import type { CrashGuard } from '../crashes/crashGuard.js'
 import type { AttemptResult } from '../engine/attemptResult.js'
+import type { RoutingRecord } from '../decisionRecord.js'
 import type { EndpointClient } from '../engine/endpointClient.js'
 import { RetryBudget, backoffMilliseconds } from '../limits/retryBudget.js'
 import type { Catalogue } from '../resources/catalogue.js'
@@ -79,6 +80,7 @@
   }
 
   async apply(request: RoutedRequest): Promise<DispatchedRequest> {
+    const { incoming } = request
     this.retries.deposit(this.parts.catalogue.policyFor(request.target).retryShare)
     const tried = new Set<EndpointId>()
     let endpointId = request.endpointId
@@ -92,11 +94,14 @@
       mayHaveRun ||= result.kind !== 'unsent'
       const isKnown = this.noteBroken(request, endpointId, { result, wasIsolated })
       const verdict = this.judge(request, result, attempt)
+      const routing = request.record.routing.at(-1)
+      noteFate(routing, result, incoming.caller.left.aborted ? 'dropped' : 'refused')
       if (verdict === 'retry') await isKnown
       if (verdict === 'give-up') throw this.failure(request, result, mayHaveRun)
       // Who asked for rest is not asked again, so there is nothing to wait for.
       if (verdict === 'retry' && !this.isResting(endpointId)) await this.backOff(attempt)
       endpointId = this.chooseAnother(request, result, tried, mayHaveRun)
+      noteFate(routing, result, 'repeated')
     }
   }
 
@@ -300,6 +305,13 @@
   return `${result.kind}: ${result.reason}`
 }
 
+/** Notes what becomes of an answer that broke off before anything of it was passed on. */
+function noteFate(routing: RoutingRecord | undefined, result: AttemptResult, fate: AnswerFate) {
+  if (routing === undefined || result.kind !== 'failed') return
+  const { framing, end } = result
+  if (framing !== undefined && end !== undefined) routing.answer = { framing, end, fate }
+}
+
 function promptEstimate({ call }: RoutedRequest): number {
   return call.kind === 'chat' ? call.chat.promptTokenEstimate : 0
 }
--- a/packages/router/src/filters/relay.ts
+++ b/packages/router/src/filters/relay.ts
@@ -45,6 +45,7 @@
     const failure = await this.pass(request, passage)
     answer.cancel()
     const end = this.endOf(request, passage, failure)
+    noteFate(request, end)
     const usage = passage.usage()
     const billedTokens = billable(request, end, usage)
     const { code, detail } = end
@@ -222,6 +223,16 @@
   return Math.max(0, cost - request.creditedTokens)
 }
 
+/** Notes what became of an answer that was passed on, all or in part. */
+function noteFate({ record, answer }: DispatchedRequest, { code }: RelayEnd): void {
+  const routing = record.routing.at(-1)
+  if (routing === undefined) return
+  const isWhole = code === ResultCode.Ok || code === ResultCode.EndpointError
+  const broken = code === ResultCode.CallerLeft ? 'dropped' : 'cut'
+  const { framing, end = 'aborted' } = answer
+  routing.answer = { framing, end, fate: isWhole ? 'whole' : broken }
+}
+
 function isEventStream({ answer }: DispatchedRequest): boolean {
   return (answer.headers['content-type'] ?? '').startsWith('text/event-stream')
 }
--- a/packages/stand-ins/__tests__/answersFramedAsComplete.spec.ts
+++ b/packages/stand-ins/__tests__/answersFramedAsComplete.spec.ts
@@ -1,4 +1,5 @@
 import type { Socket } from 'node:net'
+import { request } from 'undici'
 import { afterAll, beforeAll, describe, expect, it } from 'vitest'
 import { ConfiguredFleet, SocketEndpoint, TEAM_KEY, callOverSocket } from '@rackwalk/stand-ins'
 import type { SocketReply } from '@rackwalk/stand-ins'
@@ -158,6 +159,12 @@
   return [framing, part, ...(hasLastChunk ? ['last chunk'] : []), end].join(', ')
 }
 
+async function metricsText(): Promise<string> {
+  const operators = fleet.fleet.members[0]?.addresses.operators
+  const response = await request(`http://${operators}/metrics`)
+  return response.body.text()
+}
+
 async function play(chosen: readonly Row[]): Promise<readonly string[]> {
   const told: string[] = []
   const waiting = [...chosen.entries()]
@@ -176,4 +183,11 @@
   it.each(Object.keys(KINDS) as Kind[])('%s', async kind => {
     expect(await play(ROWS.filter(row => row.kind === kind))).toMatchSnapshot()
   })
+  it('is counted by framing, end and fate', async () => {
+    const text = await metricsText()
+    const counts = text
+      .split('\n')
+      .filter(line => line.startsWith('rackwalk_endpoint_answers_total{'))
+    expect(counts.sort()).toMatchSnapshot()
+  })
 })
