fix(router): an answer that is no stream is held until it is whole, so that a broken one is a numbered error or another attempt

What callers saw: of answers with a length or in chunks whose connection ended early, the caller had a closed connection without any answer, or a 200 that broke off, where nothing had to be sent before the answer was whole; the request was never asked for elsewhere. Cause: the head went out with the first bytes of the body, and what had gone out could not be taken back. Change: the exchange holds an answer up to 1 MiB, 64 MiB for all of an instance, before it counts as an attempt that is answering; one that breaks off is a failed attempt, with the rule of retries and the retry budget as for any other. The head of a held answer goes out when its bill is safe, with its length. Events go as they come. An answer without a length that is no JSON document may be meant to be read while it arrives: it is held for a second at most. Larger ones are cut visibly, as before. Ruled out: holding by content type alone (a log that is followed has any type).

--- a/packages/daemon/src/rackwalkDaemon.ts
+++ b/packages/daemon/src/rackwalkDaemon.ts
@@ -121,7 +121,7 @@
       this.malformed.note({ form: 'row', source: `${partition}/${sort}` }),
     )
     this.objects = createObjects(settings)
-    this.client = new EndpointClient(settings.limits.stallMilliseconds)
+    this.client = new EndpointClient(this.clock, settings.limits.stallMilliseconds)
     this.peers = this.createPeerChannel()
     this.node = this.createNode()
     this.catalogue = new Catalogue(this.node.configuration)
--- a/packages/router/src/engine/endpointClient.ts
+++ b/packages/router/src/engine/endpointClient.ts
@@ -4,7 +4,8 @@
 
 import { Agent, request as sendRequest } from 'undici'
 import type { Readable } from 'node:stream'
-import type { EndpointId, Milliseconds } from '@rackwalk/shared'
+import type { Clock, EndpointId, Milliseconds } from '@rackwalk/shared'
+import { HOLD_LIMITS, HoldSpace } from './answerHold.js'
 import type { AttemptResult } from './attemptResult.js'
 import { EndpointExchange, classify } from './endpointExchange.js'
 
@@ -30,7 +31,12 @@
 export class EndpointClient {
   private readonly agent: Agent
 
-  constructor(private readonly stallMilliseconds: Milliseconds) {
+  private readonly space = new HoldSpace(HOLD_LIMITS)
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly stallMilliseconds: Milliseconds,
+  ) {
     this.agent = new Agent({
       connections: CONNECTIONS_PER_ENDPOINT,
       pipelining: 1,
@@ -39,10 +45,12 @@
     })
   }
 
-  /** Sends and waits for the first bytes of the answer. */
+  /** Sends, and waits until the answer is whole or goes on as it comes. */
   attempt(call: EndpointCall): Promise<AttemptResult> {
     if (call.signal.aborted) return Promise.resolve({ kind: 'unsent', reason: 'the caller left' })
-    const exchange = new EndpointExchange(call.endpointId, call.method, call.signal)
+    const { endpointId, method, signal } = call
+    const { space, clock } = this
+    const exchange = new EndpointExchange({ endpointId, method, signal, space, clock })
     try {
       this.agent.dispatch(
         {
--- a/packages/router/src/engine/endpointExchange.ts
+++ b/packages/router/src/engine/endpointExchange.ts
@@ -7,8 +7,10 @@
 import { answerFraming } from '@rackwalk/decisions'
 import type { AnswerEnd, AnswerFraming } from '@rackwalk/decisions'
 import { deferred } from '@rackwalk/shared'
-import type { EndpointId } from '@rackwalk/shared'
+import type { Clock, EndpointId, Timer } from '@rackwalk/shared'
 import type { AnswerConsumer, EndpointAnswer } from '../filters/stages.js'
+import type { AnswerHold, HoldSpace } from './answerHold.js'
+import { holdKind } from './answerHold.js'
 import type { AttemptResult } from './attemptResult.js'
 
 // Errors that say the connection was never made.
@@ -24,6 +26,16 @@
 
 type Headers = Record<string, string | string[] | undefined>
 
+/** What is asked of an endpoint, and what an exchange works with. */
+export interface ExchangeParts {
+  readonly endpointId: EndpointId
+  readonly method: string
+  /** Aborted when nobody waits any more; its reason says why. */
+  readonly signal: AbortSignal
+  readonly space: HoldSpace
+  readonly clock: Clock
+}
+
 /**
  * One exchange with an endpoint. Chunks go straight from the connection's parser to whoever
  * relays them: a stream object between the two took a third of the time of each token.
@@ -34,21 +46,22 @@
   framing: AnswerFraming = 'connection'
   end: AnswerEnd | undefined
   private readonly begun = deferred<AttemptResult>()
+  readonly endpointId: EndpointId
   private readonly early: Buffer[] = []
+  private readonly hold: AnswerHold
+  private holdTimer: Timer | undefined
   private controller: Dispatcher.DispatchController | undefined
   private consumer: AnswerConsumer | undefined
   private hasBegun = false
   private failure: Error | undefined
 
-  constructor(
-    readonly endpointId: EndpointId,
-    private readonly method: string,
-    private readonly signal: AbortSignal,
-  ) {
-    signal.addEventListener('abort', this.abandon, { once: true })
+  constructor(private readonly parts: ExchangeParts) {
+    this.endpointId = parts.endpointId
+    this.hold = parts.space.open()
+    parts.signal.addEventListener('abort', this.abandon, { once: true })
   }
 
-  /** Settles when the first bytes of the answer are there, or there will be none. */
+  /** Settles when the answer is whole, or so much of it is there that it goes on as it comes, or there will be none. */
   get result(): Promise<AttemptResult> {
     return this.begun.promise
   }
@@ -57,7 +70,15 @@
     if (!this.isEnded) this.controller?.abort(new CancelledError('aborted'))
   }
 
-  /** Hands the answer over; nothing was read beyond its first chunk until now. */
+  get isWhole(): boolean {
+    return this.isEnded && this.failure === undefined
+  }
+
+  release(): void {
+    this.hold.release()
+  }
+
+  /** Hands the answer over; nothing was read until now beyond what is held of it and the chunk after that. */
   start(consumer: AnswerConsumer): void {
     this.consumer = consumer
     for (const chunk of this.early.splice(0)) this.pass(chunk)
@@ -72,23 +93,27 @@
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.controller = controller
-    if (this.signal.aborted) this.abandon()
+    if (this.parts.signal.aborted) this.abandon()
   }
 
   onResponseStart(_: Dispatcher.DispatchController, status: number, headers: Headers): void {
     this.status = status
     this.headers = flatHeaders(headers)
     this.framing = answerFraming({
-      method: this.method,
+      method: this.parts.method,
       status,
       transferEncoding: this.headers['transfer-encoding'],
       contentLength: this.headers['content-length'],
     })
+    const kind = holdKind(this.headers)
+    if (kind === 'not') this.hold.close()
+    if (kind === 'for-a-while') this.limitHold()
   }
 
   onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
     if (this.consumer !== undefined) return this.pass(chunk)
     this.early.push(chunk)
+    if (this.hold.take(chunk.length)) return
     controller.pause()
     this.begin()
   }
@@ -102,7 +127,10 @@
   onResponseError(_: Dispatcher.DispatchController, error: Error): void {
     this.finish(endOf(error))
     this.failure = error
-    if (!this.hasBegun) this.begun.resolve(this.classified(error))
+    if (!this.hasBegun) {
+      this.release()
+      this.begun.resolve(this.classified(error))
+    }
     this.consumer?.fail(error)
   }
 
@@ -112,7 +140,7 @@
 
   /** Its signal says that nobody waits for it any more, and why. */
   private readonly abandon = (): void => {
-    const end = (this.signal.reason as AnswerEnd | undefined) ?? 'aborted'
+    const end = (this.parts.signal.reason as AnswerEnd | undefined) ?? 'aborted'
     if (!this.isEnded) this.controller?.abort(new CancelledError(end))
   }
 
@@ -127,7 +155,19 @@
     if (this.consumer?.isFull) this.controller?.pause()
   }
 
+  /** An answer that may be meant to be read while it arrives is not held for long. */
+  private limitHold(): void {
+    const { clock, space } = this.parts
+    this.holdTimer = clock.after(space.limits.openEndedMilliseconds, () => {
+      this.hold.close()
+      if (this.early.length === 0) return
+      this.controller?.pause()
+      this.begin()
+    })
+  }
+
   private begin(): void {
+    this.holdTimer?.cancel()
     if (this.hasBegun) return
     this.hasBegun = true
     this.begun.resolve({ kind: 'answering', answer: this })
@@ -135,7 +175,8 @@
 
   private finish(end: AnswerEnd): void {
     this.end = end
-    this.signal.removeEventListener('abort', this.abandon)
+    this.holdTimer?.cancel()
+    this.parts.signal.removeEventListener('abort', this.abandon)
   }
 }
 
--- a/packages/router/src/filters/complete.ts
+++ b/packages/router/src/filters/complete.ts
@@ -5,6 +5,7 @@
 
 import { DispatchedError, ResultCode } from '@rackwalk/shared'
 import { errorEvent } from '../errorBody.js'
+import { wholeAnswerHeaders } from './answerHeaders.js'
 import type { Filter, SettledRequest } from './stages.js'
 
 /** Releases the end of an answer whose bill is safe; cuts off one that is not whole. */
@@ -14,6 +15,7 @@
     if (request.code === ResultCode.CallerLeft) return request
     const isWhole = request.code === ResultCode.Ok || request.code === ResultCode.EndpointError
     if (isWhole && request.isBillSafe) {
+      this.begin(request)
       for (const chunk of request.heldBack) caller.write(chunk)
       await caller.end()
       return request
@@ -23,9 +25,17 @@
     return { ...request, code }
   }
 
-  /** A stream can still carry a last event; any other answer ends by its connection. */
+  /** Sends the head of an answer that was held as a whole. */
+  private begin(request: SettledRequest): void {
+    const { caller } = request.incoming
+    if (caller.hasBegun) return
+    caller.begin(request.answer.status, wholeAnswerHeaders(request, request.heldBack))
+  }
+
+  /** A stream can still carry a last event; any other answer that has begun ends by its connection. */
   private async cutOff(request: SettledRequest, error: DispatchedError): Promise<void> {
     const { caller } = request.incoming
+    if (!caller.hasBegun) throw error
     const type = request.answer.headers['content-type'] ?? ''
     if (type.startsWith('text/event-stream')) await caller.end(errorEvent(error, request.requestId))
     else caller.destroy()
--- a/packages/router/src/filters/dispatch.ts
+++ b/packages/router/src/filters/dispatch.ts
@@ -138,7 +138,7 @@
     const failed = { kind: 'failed', reason, stalled: false } as const
     const hasEnded = await this.noteBroken(request, endpointId, { result: failed, wasIsolated })
     if (!hasEnded) return result
-    result.answer.cancel()
+    drop(result.answer)
     return { ...failed, isLookedAt: true }
   }
 
@@ -229,9 +229,10 @@
       if (crashFingerprint !== undefined) this.parts.crashes.noteAnswered(crashFingerprint)
       request.scope.commit()
       request.scope.onEnd(() => this.parts.endpoints.noteEnded(endpointId))
+      if (result.kind === 'answering') request.scope.onEnd(() => result.answer.release())
       return
     }
-    if (result.kind === 'answering') result.answer.cancel()
+    if (result.kind === 'answering') drop(result.answer)
     this.parts.endpoints.noteEnded(endpointId)
     if (!this.isOver(request, result) && !this.isResting(endpointId))
       this.parts.endpoints.noteFailure(endpointId)
@@ -271,9 +272,7 @@
     if (request.incoming.caller.left.aborted) return new DispatchedError(ResultCode.CallerLeft)
     if (this.isLate(request, result)) return new DispatchedError(ResultCode.DeadlinePassed)
     if (!request.repeatable) return new DispatchedError(ResultCode.OutcomeUnknown, detail)
-    const isStalled = result.kind === 'failed' && result.stalled
-    const code = isStalled ? ResultCode.EndpointStalled : ResultCode.EndpointFailed
-    return new DispatchedError(code, detail)
+    return new DispatchedError(failureCode(result), detail)
   }
 
   /** Whether nobody waits for an answer any more. */
@@ -300,6 +299,20 @@
   return isRefusal && request.repeatable ? undefined : result.answer
 }
 
+/** What the newest failure says of a request that may have run. */
+function failureCode(result: AttemptResult) {
+  if (result.kind !== 'failed') return ResultCode.EndpointFailed
+  if (result.stalled) return ResultCode.EndpointStalled
+  // Who has begun to answer has run the request.
+  return result.framing === undefined ? ResultCode.EndpointFailed : ResultCode.EndpointBrokeOff
+}
+
+/** Nobody wants the answer. */
+function drop(answer: EndpointAnswer): void {
+  answer.cancel()
+  answer.release()
+}
+
 function describe(result: AttemptResult): string {
   if (result.kind === 'answering') return `status ${result.answer.status}`
   return `${result.kind}: ${result.reason}`
--- a/packages/router/src/filters/relay.ts
+++ b/packages/router/src/filters/relay.ts
@@ -10,6 +10,7 @@
 import type { ReportedUsage } from '../engine/usage.js'
 import { findUsage } from '../engine/usage.js'
 import type { EndpointTable } from '../routing/endpointTable.js'
+import { answerHeaders } from './answerHeaders.js'
 import type { DispatchedRequest, Filter, RelayedRequest } from './stages.js'
 
 /** Parts that relaying works with. */
@@ -22,8 +23,7 @@
 
 /** Bytes at the end of a plain answer in which its usage report is looked for. */
 const TAIL_BYTES = 64 * 1024
-/** Response headers that describe one connection and not the answer. */
-const DROPPED_HEADERS = new Set(['connection', 'keep-alive', 'transfer-encoding', 'content-length'])
+const NO_USAGE: ReportedUsage = { promptTokens: 0, generatedTokens: 0 }
 
 /** How the passing-on ended. */
 interface RelayEnd {
@@ -38,10 +38,9 @@
   async apply(request: DispatchedRequest): Promise<RelayedRequest> {
     const { record, receivedAt, answer, incoming } = request
     record.firstByteMilliseconds = this.parts.clock.sinceStart() - receivedAt
-    const passage = isEventStream(request)
-      ? new EventPassage(request, this.parts)
-      : new PlainPassage(request)
-    incoming.caller.begin(answer.status, answerHeaders(request))
+    const passage = this.passageOf(request)
+    // A whole answer has its head sent with it, so that it may still become an error.
+    if (!passage.isHeld) incoming.caller.begin(answer.status, answerHeaders(request))
     const failure = await this.pass(request, passage)
     answer.cancel()
     const end = this.endOf(request, passage, failure)
@@ -52,6 +51,11 @@
     return { ...request, code, detail, heldBack: passage.heldBack, usage, billedTokens }
   }
 
+  private passageOf(request: DispatchedRequest): Passage {
+    if (isEventStream(request)) return new EventPassage(request, this.parts)
+    return request.answer.isWhole ? new HeldPassage(request) : new PlainPassage(request)
+  }
+
   /** Resolves with what broke the answer off, or with nothing at its end. */
   private pass(request: DispatchedRequest, passage: Passage): Promise<Error | undefined> {
     const { answer, incoming } = request
@@ -113,6 +117,8 @@
   readonly heldBack: readonly Buffer[]
   /** Whether the answer came to its proper end. */
   readonly isWhole: boolean
+  /** Whether nothing of it is passed on before its bill is safe. */
+  readonly isHeld: boolean
   usage(): ReportedUsage
 }
 
@@ -120,6 +126,7 @@
 class EventPassage implements Passage {
   readonly heldBack: Buffer[] = []
   isWhole = false
+  readonly isHeld = false
   private readonly splitter = new EventSplitter()
   private readonly wantsUsage: boolean
   private lastEvent: Buffer | undefined
@@ -178,11 +185,31 @@
   }
 }
 
-/** Any other answer: its last chunk is kept back. */
+/** Any other answer that is whole: all of it is kept back. */
+class HeldPassage implements Passage {
+  readonly heldBack: Buffer[] = []
+  readonly isWhole = true
+  readonly isHeld = true
+
+  constructor(private readonly request: DispatchedRequest) {}
+
+  take(chunk: Buffer): boolean {
+    this.heldBack.push(chunk)
+    return true
+  }
+
+  usage(): ReportedUsage {
+    if (this.request.call.kind !== 'chat') return NO_USAGE
+    return findUsage(tailOf(this.heldBack).toString('utf8')) ?? NO_USAGE
+  }
+}
+
+/** Any other answer that goes as it comes: its last chunk is kept back. */
 class PlainPassage implements Passage {
-  isWhole = true
+  readonly isWhole = true
+  readonly isHeld = false
   private last: Buffer | undefined
-  private tail = Buffer.alloc(0)
+  private tail: Buffer = Buffer.alloc(0)
 
   constructor(private readonly request: DispatchedRequest) {}
 
@@ -198,16 +225,20 @@
   }
 
   usage(): ReportedUsage {
-    const reported = findUsage(this.tail.toString('utf8'))
-    return reported ?? { promptTokens: 0, generatedTokens: 0 }
+    return findUsage(this.tail.toString('utf8')) ?? NO_USAGE
   }
 
   private keepTail(chunk: Buffer): void {
-    const data = Buffer.concat([this.tail, chunk])
-    this.tail = data.subarray(Math.max(0, data.length - TAIL_BYTES))
+    this.tail = tailOf([this.tail, chunk])
   }
 }
 
+/** The end of an answer, in which its usage is reported. */
+function tailOf(chunks: readonly Buffer[]): Buffer {
+  const data = Buffer.concat(chunks)
+  return data.subarray(Math.max(0, data.length - TAIL_BYTES))
+}
+
 /**
  * What a request costs: whole answers and those that the caller gave up. An answer that the
  * fleet failed to bring to its end costs its team nothing.
@@ -237,11 +268,6 @@
   return (answer.headers['content-type'] ?? '').startsWith('text/event-stream')
 }
 
-function answerHeaders({ answer, requestId }: DispatchedRequest): Record<string, string> {
-  const kept = Object.entries(answer.headers).filter(([name]) => !DROPPED_HEADERS.has(name))
-  return { ...Object.fromEntries(kept), 'rackwalk-request-id': requestId }
-}
-
 function joined(events: readonly Buffer[]): Buffer {
   const [only] = events
   return events.length === 1 && only !== undefined ? only : Buffer.concat(events)
--- a/packages/router/src/filters/stages.ts
+++ b/packages/router/src/filters/stages.ts
@@ -103,12 +103,16 @@
   readonly framing: AnswerFraming
   /** What its reading ended with; undefined while more is read. */
   readonly end: AnswerEnd | undefined
+  /** Whether all of it is there. */
+  readonly isWhole: boolean
   /** Begins to hand the chunks over; once. */
   start(consumer: AnswerConsumer): void
   /** Goes on after the consumer was full. */
   resume(): void
   /** Breaks the exchange off, which cancels the work at the endpoint. */
   readonly cancel: () => void
+  /** Gives back the memory of what was held of it; again has no effect. */
+  release(): void
 }
 
 /** Takes an answer in as it arrives. */
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -19,6 +19,7 @@
 export { SettleFilter } from './filters/settle.js'
 export type { ParsedRequest } from './filters/stages.js'
 
+export { HoldSpace, holdKind } from './engine/answerHold.js'
 export { EndpointClient } from './engine/endpointClient.js'
 export { EventSplitter } from './engine/eventSplitter.js'
 export { parseChatRequest } from './engine/chatRequest.js'
