fix(router): half a JSON document whose connection ended is not framed as complete

What callers saw: a complete 200 with a part of a JSON document, or with nothing of it, where the endpoint sent no length and its connection ended early, by an orderly end or by a reset. Cause: an answer without a length was taken for whole whenever its connection ended, and passed on in chunks with a last one. Change: a JSON document proves itself: one with something left open is a failed attempt, one that is closed is whole whatever becomes of its connection afterwards (silence, a deadline). Bodies that prove nothing are passed on as they came: without a length, ended by the caller's connection, which is reset where the answer is cut. Ruled out: JSON.parse, since it refuses whole documents of lenient writers, needs the document in one piece, and can't tell a number that was cut from a whole one.

--- a/packages/daemon/src/callers/httpCallerConnection.ts
+++ b/packages/daemon/src/callers/httpCallerConnection.ts
@@ -23,8 +23,9 @@
     return this.response.headersSent
   }
 
-  begin(status: number, headers: Readonly<Record<string, string>>): void {
+  begin(status: number, headers: Readonly<Record<string, string>>, isDelimited = true): void {
     if (this.response.destroyed) return
+    if (!isDelimited) this.response.useChunkedEncodingByDefault = false
     this.response.writeHead(status, headers)
   }
 
@@ -41,6 +42,8 @@
   }
 
   destroy(): void {
+    // Without chunks, an orderly close would be taken for the end of the answer.
+    if (!this.response.useChunkedEncodingByDefault) this.response.socket?.resetAndDestroy()
     this.response.destroy()
   }
 
--- a/packages/router/src/callerConnection.ts
+++ b/packages/router/src/callerConnection.ts
@@ -9,8 +9,11 @@
 export interface CallerConnection {
   /** Aborts when the caller is gone. */
   readonly left: AbortSignal
-  /** Sends the status and headers; once. */
-  begin(status: number, headers: Readonly<Record<string, string>>): void
+  /**
+   * Sends the status and headers; once. An answer that is not delimited ends with the caller's connection, so that
+   * nothing says that it is whole.
+   */
+  begin(status: number, headers: Readonly<Record<string, string>>, isDelimited?: boolean): void
   /** Whether `begin` was called. */
   readonly hasBegun: boolean
   /** Sends bytes; false when the caller's side should first be allowed to drain. */
--- /dev/null
+++ b/packages/router/src/engine/bodyProof.ts
@@ -0,0 +1,90 @@
+/**
+ * Does the body of an answer say by itself whether it is whole? Asked where nothing else does: an answer without a
+ * length ends with its connection, whatever ended that.
+ */
+
+import type { AnswerFraming } from '@rackwalk/decisions'
+import { isJson } from './answerHold.js'
+
+/** `open`: something is missing. `closed`: nothing is. `unknown`: such a body doesn't tell. */
+export type BodyState = 'open' | 'closed' | 'unknown'
+
+/** Reads a body along as it arrives. */
+export interface BodyProof {
+  read(chunk: Buffer): void
+  readonly state: BodyState
+}
+
+/** What an answer's body can prove, by its head. */
+export function bodyProof(
+  framing: AnswerFraming,
+  headers: Readonly<Record<string, string>>,
+): BodyProof {
+  return framing === 'connection' && isJson(headers) ? new JsonProof() : NO_PROOF
+}
+
+/** A body that proves nothing, or need not. */
+class NoProof implements BodyProof {
+  readonly state = 'unknown'
+
+  read(): void {
+    // Nothing in it would tell.
+  }
+}
+
+const NO_PROOF = new NoProof()
+
+const QUOTE = 0x22
+const BACKSLASH = 0x5c
+const OPENING = new Set([0x5b, 0x7b])
+const CLOSING = new Set([0x5d, 0x7d])
+const BLANK = new Set([0x09, 0x0a, 0x0d, 0x20])
+
+/**
+ * A JSON document: whole where all that it opened is closed. Only that is looked at, so that a document which a strict
+ * parser would refuse is not taken for a part of one. A bare number or word may go on, so it proves nothing.
+ */
+export class JsonProof implements BodyProof {
+  private depth = 0
+  private isInString = false
+  private isEscaped = false
+  private hasBegun = false
+  private hasClosed = false
+
+  get state(): BodyState {
+    if (this.depth > 0 || this.isInString || !this.hasBegun) return 'open'
+    return this.hasClosed ? 'closed' : 'unknown'
+  }
+
+  read(chunk: Buffer): void {
+    for (const byte of chunk) {
+      if (this.isInString) this.readInString(byte)
+      else this.readOutside(byte)
+    }
+  }
+
+  private readInString(byte: number): void {
+    if (this.isEscaped) this.isEscaped = false
+    else if (byte === BACKSLASH) this.isEscaped = true
+    else if (byte === QUOTE) this.endString()
+  }
+
+  private endString(): void {
+    this.isInString = false
+    this.hasClosed = this.depth === 0
+  }
+
+  private readOutside(byte: number): void {
+    if (BLANK.has(byte)) return
+    this.hasBegun = true
+    this.hasClosed = false
+    if (byte === QUOTE) this.isInString = true
+    else if (OPENING.has(byte)) this.depth += 1
+    else if (CLOSING.has(byte)) this.close()
+  }
+
+  private close(): void {
+    this.depth -= 1
+    this.hasClosed = this.depth === 0
+  }
+}
--- a/packages/router/src/engine/endpointExchange.ts
+++ b/packages/router/src/engine/endpointExchange.ts
@@ -4,7 +4,7 @@
  */
 
 import type { Dispatcher } from 'undici'
-import { answerFraming } from '@rackwalk/decisions'
+import { answerFraming, isProvenWhole } from '@rackwalk/decisions'
 import type { AnswerEnd, AnswerFraming } from '@rackwalk/decisions'
 import { deferred } from '@rackwalk/shared'
 import type { Clock, EndpointId, Timer } from '@rackwalk/shared'
@@ -12,6 +12,8 @@
 import type { AnswerHold, HoldSpace } from './answerHold.js'
 import { holdKind } from './answerHold.js'
 import type { AttemptResult } from './attemptResult.js'
+import { bodyProof } from './bodyProof.js'
+import type { BodyProof } from './bodyProof.js'
 
 // Errors that say the connection was never made.
 const NEVER_CONNECTED = new Set([
@@ -45,6 +47,7 @@
   headers: Readonly<Record<string, string>> = {}
   framing: AnswerFraming = 'connection'
   end: AnswerEnd | undefined
+  private proof: BodyProof | undefined
   private readonly begun = deferred<AttemptResult>()
   readonly endpointId: EndpointId
   private readonly early: Buffer[] = []
@@ -74,6 +77,10 @@
     return this.isEnded && this.failure === undefined
   }
 
+  get isDelimited(): boolean {
+    return this.framing !== 'connection' || (this.isWhole && this.proof?.state === 'closed')
+  }
+
   release(): void {
     this.hold.release()
   }
@@ -105,12 +112,14 @@
       transferEncoding: this.headers['transfer-encoding'],
       contentLength: this.headers['content-length'],
     })
+    this.proof = bodyProof(this.framing, this.headers)
     const kind = holdKind(this.headers)
     if (kind === 'not') this.hold.close()
     if (kind === 'for-a-while') this.limitHold()
   }
 
   onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.proof?.read(chunk)
     if (this.consumer !== undefined) return this.pass(chunk)
     this.early.push(chunk)
     if (this.hold.take(chunk.length)) return
@@ -119,13 +128,26 @@
   }
 
   onResponseEnd(): void {
-    this.finish(this.framing === 'connection' ? 'closed' : 'complete')
+    const end = this.framing === 'connection' ? 'closed' : 'complete'
+    const isBodyOpen = this.proof?.state === 'open'
+    if (isProvenWhole({ framing: this.framing, end, isBodyOpen })) this.succeed(end)
+    else this.fail(end, new UnfinishedError())
+  }
+
+  onResponseError(_: Dispatcher.DispatchController, error: Error): void {
+    // What its body proves whole is whole, whatever became of its connection.
+    if (this.proof?.state === 'closed') this.succeed(endOf(error))
+    else this.fail(endOf(error), error)
+  }
+
+  private succeed(end: AnswerEnd): void {
+    this.finish(end)
     this.begin()
     this.consumer?.end()
   }
 
-  onResponseError(_: Dispatcher.DispatchController, error: Error): void {
-    this.finish(endOf(error))
+  private fail(end: AnswerEnd, error: Error): void {
+    this.finish(end)
     this.failure = error
     if (!this.hasBegun) {
       this.release()
@@ -147,7 +169,7 @@
   private classified(error: Error): AttemptResult {
     const result = classify(error)
     if (result.kind !== 'failed' || this.status === 0) return result
-    return { ...result, framing: this.framing }
+    return { ...result, end: this.end, framing: this.framing }
   }
 
   private pass(chunk: Buffer): void {
@@ -189,6 +211,15 @@
   }
 }
 
+/** The body of an answer ended in the middle of its document. */
+class UnfinishedError extends Error {
+  readonly code = 'UNFINISHED'
+
+  constructor() {
+    super('the answer has no end')
+  }
+}
+
 /** What an error before any answer says of the request. */
 export function classify(thrown: unknown): AttemptResult {
   const code = errorCode(thrown)
--- a/packages/router/src/filters/answerHeaders.ts
+++ b/packages/router/src/filters/answerHeaders.ts
@@ -11,13 +11,14 @@
   return { ...Object.fromEntries(kept), 'rackwalk-request-id': requestId }
 }
 
-/** The same for an answer that is there as a whole; its length goes with it where it may have a body. */
+/** The same for an answer that is there as a whole; its length goes with it where that is known to be all. */
 export function wholeAnswerHeaders(
   request: DispatchedRequest,
   body: readonly Buffer[],
 ): Record<string, string> {
   const headers = answerHeaders(request)
-  if (request.answer.framing === 'bodiless') return headers
+  const { framing, isDelimited } = request.answer
+  if (framing === 'bodiless' || !isDelimited) return headers
   const length = body.reduce((sum, chunk) => sum + chunk.length, 0)
   return { ...headers, 'content-length': String(length) }
 }
--- a/packages/router/src/filters/complete.ts
+++ b/packages/router/src/filters/complete.ts
@@ -28,8 +28,9 @@
   /** Sends the head of an answer that was held as a whole. */
   private begin(request: SettledRequest): void {
     const { caller } = request.incoming
+    const { status, isDelimited } = request.answer
     if (caller.hasBegun) return
-    caller.begin(request.answer.status, wholeAnswerHeaders(request, request.heldBack))
+    caller.begin(status, wholeAnswerHeaders(request, request.heldBack), isDelimited)
   }
 
   /** A stream can still carry a last event; any other answer that has begun ends by its connection. */
--- a/packages/router/src/filters/relay.ts
+++ b/packages/router/src/filters/relay.ts
@@ -40,7 +40,9 @@
     record.firstByteMilliseconds = this.parts.clock.sinceStart() - receivedAt
     const passage = this.passageOf(request)
     // A whole answer has its head sent with it, so that it may still become an error.
-    if (!passage.isHeld) incoming.caller.begin(answer.status, answerHeaders(request))
+    if (!passage.isHeld) {
+      incoming.caller.begin(answer.status, answerHeaders(request), passage.isDelimited)
+    }
     const failure = await this.pass(request, passage)
     answer.cancel()
     const end = this.endOf(request, passage, failure)
@@ -119,6 +121,8 @@
   readonly isWhole: boolean
   /** Whether nothing of it is passed on before its bill is safe. */
   readonly isHeld: boolean
+  /** Whether the caller can tell where it ends without the end of its connection. */
+  readonly isDelimited: boolean
   usage(): ReportedUsage
 }
 
@@ -127,6 +131,8 @@
   readonly heldBack: Buffer[] = []
   isWhole = false
   readonly isHeld = false
+  /** Its last event tells, or an error event in place of it. */
+  readonly isDelimited = true
   private readonly splitter = new EventSplitter()
   private readonly wantsUsage: boolean
   private lastEvent: Buffer | undefined
@@ -193,6 +199,10 @@
 
   constructor(private readonly request: DispatchedRequest) {}
 
+  get isDelimited(): boolean {
+    return this.request.answer.isDelimited
+  }
+
   take(chunk: Buffer): boolean {
     this.heldBack.push(chunk)
     return true
@@ -213,6 +223,10 @@
 
   constructor(private readonly request: DispatchedRequest) {}
 
+  get isDelimited(): boolean {
+    return this.request.answer.isDelimited
+  }
+
   get heldBack(): readonly Buffer[] {
     return this.last === undefined ? [] : [this.last]
   }
--- a/packages/router/src/filters/stages.ts
+++ b/packages/router/src/filters/stages.ts
@@ -105,6 +105,8 @@
   readonly end: AnswerEnd | undefined
   /** Whether all of it is there. */
   readonly isWhole: boolean
+  /** Whether more tells where it ends than the end of its connection. */
+  readonly isDelimited: boolean
   /** Begins to hand the chunks over; once. */
   start(consumer: AnswerConsumer): void
   /** Goes on after the consumer was full. */
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -20,6 +20,7 @@
 export type { ParsedRequest } from './filters/stages.js'
 
 export { HoldSpace, holdKind } from './engine/answerHold.js'
+export { JsonProof } from './engine/bodyProof.js'
 export { EndpointClient } from './engine/endpointClient.js'
 export { EventSplitter } from './engine/eventSplitter.js'
 export { parseChatRequest } from './engine/chatRequest.js'
