fix(router): the head of an answer goes out with its first bytes

What callers saw: a closed connection without an answer where an endpoint broke off after a single chunk of an answer that was held no more. Cause: the head was prepared before the newest chunk, which is kept back, so nothing had gone out and an error could not either. Change: the head of an answer that is no stream is sent with the first bytes that are passed on. Measured: the new case of heldAnswers.spec fails on the code before (status 0, no answer) and passes now.

--- a/packages/router/src/filters/relay.ts
+++ b/packages/router/src/filters/relay.ts
@@ -4,6 +4,7 @@
 
 import { ResultCode } from '@rackwalk/shared'
 import type { AfterDispatchCode, Clock, TokenCount } from '@rackwalk/shared'
+import type { AnswerFate } from '@rackwalk/decisions'
 import type { BudgetLedger } from '@rackwalk/coordination'
 import { EventSplitter, isDoneEvent, isUsageEvent } from '../engine/eventSplitter.js'
 import { endOf, isStall } from '../engine/endpointExchange.js'
@@ -36,13 +37,9 @@
   constructor(private readonly parts: RelayParts) {}
 
   async apply(request: DispatchedRequest): Promise<RelayedRequest> {
-    const { record, receivedAt, answer, incoming } = request
+    const { record, receivedAt, answer } = request
     record.firstByteMilliseconds = this.parts.clock.sinceStart() - receivedAt
     const passage = this.passageOf(request)
-    // A whole answer has its head sent with it, so that it may still become an error.
-    if (!passage.isHeld) {
-      incoming.caller.begin(answer.status, answerHeaders(request), passage.isDelimited)
-    }
     const failure = await this.pass(request, passage)
     answer.cancel()
     const end = this.endOf(request, passage, failure)
@@ -117,22 +114,17 @@
   take(chunk: Buffer): boolean
   /** What must not be passed on before the bill is safe. */
   readonly heldBack: readonly Buffer[]
-  /** Whether the answer came to its proper end. */
+  /** Whether something in the answer says that it is whole. */
+  readonly isClosed: boolean
+  /** Whether it is whole where its framing says so. */
   readonly isWhole: boolean
-  /** Whether nothing of it is passed on before its bill is safe. */
-  readonly isHeld: boolean
-  /** Whether the caller can tell where it ends without the end of its connection. */
-  readonly isDelimited: boolean
   usage(): ReportedUsage
 }
 
 /** A stream of events: keeps back the closing ones and watches the usage reports. */
 class EventPassage implements Passage {
   readonly heldBack: Buffer[] = []
-  isWhole = false
-  readonly isHeld = false
-  /** Its last event tells, or an error event in place of it. */
-  readonly isDelimited = true
+  isClosed = false
   private readonly splitter = new EventSplitter()
   private readonly wantsUsage: boolean
   private lastEvent: Buffer | undefined
@@ -145,6 +137,8 @@
     private readonly parts: RelayParts,
   ) {
     this.wantsUsage = request.call.kind === 'chat' && request.call.chat.wantsUsage
+    // Its last event tells that it is whole, or an error event in place of it.
+    request.incoming.caller.begin(request.answer.status, answerHeaders(request))
   }
 
   take(chunk: Buffer): boolean {
@@ -158,6 +152,10 @@
     return this.request.incoming.caller.write(joined(passed))
   }
 
+  get isWhole(): boolean {
+    return this.isClosed
+  }
+
   usage(): ReportedUsage {
     const closing = this.heldBack.find(event => isUsageEvent(event)) ?? this.usageEvent
     const reported = findUsage((closing ?? this.lastEvent)?.toString('utf8') ?? '')
@@ -171,7 +169,7 @@
   /** False for the events that close the answer; those are kept back or dropped. */
   private passes(event: Buffer): boolean {
     if (isDoneEvent(event)) {
-      this.isWhole = true
+      this.isClosed = true
       this.heldBack.push(Buffer.from(event))
       return false
     }
@@ -191,18 +189,14 @@
   }
 }
 
-/** Any other answer that is whole: all of it is kept back. */
+/** Any other answer that is whole: all of it is kept back, its head as well, so that it may still become an error. */
 class HeldPassage implements Passage {
   readonly heldBack: Buffer[] = []
+  readonly isClosed = false
   readonly isWhole = true
-  readonly isHeld = true
 
   constructor(private readonly request: DispatchedRequest) {}
 
-  get isDelimited(): boolean {
-    return this.request.answer.isDelimited
-  }
-
   take(chunk: Buffer): boolean {
     this.heldBack.push(chunk)
     return true
@@ -216,17 +210,13 @@
 
 /** Any other answer that goes as it comes: its last chunk is kept back. */
 class PlainPassage implements Passage {
+  readonly isClosed = false
   readonly isWhole = true
-  readonly isHeld = false
   private last: Buffer | undefined
   private tail: Buffer = Buffer.alloc(0)
 
   constructor(private readonly request: DispatchedRequest) {}
 
-  get isDelimited(): boolean {
-    return this.request.answer.isDelimited
-  }
-
   get heldBack(): readonly Buffer[] {
     return this.last === undefined ? [] : [this.last]
   }
@@ -235,13 +225,22 @@
     const previous = this.last
     this.last = chunk
     if (this.request.call.kind === 'chat') this.keepTail(chunk)
-    return previous === undefined || this.request.incoming.caller.write(previous)
+    return previous === undefined || this.write(previous)
   }
 
   usage(): ReportedUsage {
     return findUsage(this.tail.toString('utf8')) ?? NO_USAGE
   }
 
+  /** The head goes with the first bytes: until then the answer may still become an error. */
+  private write(chunk: Buffer): boolean {
+    const { incoming, answer } = this.request
+    if (!incoming.caller.hasBegun) {
+      incoming.caller.begin(answer.status, answerHeaders(this.request), answer.isDelimited)
+    }
+    return incoming.caller.write(chunk)
+  }
+
   private keepTail(chunk: Buffer): void {
     this.tail = tailOf([this.tail, chunk])
   }
@@ -269,13 +268,17 @@
 }
 
 /** Notes what became of an answer that was passed on, all or in part. */
-function noteFate({ record, answer }: DispatchedRequest, { code }: RelayEnd): void {
-  const routing = record.routing.at(-1)
+function noteFate(request: DispatchedRequest, { code }: RelayEnd): void {
+  const routing = request.record.routing.at(-1)
   if (routing === undefined) return
-  const isWhole = code === ResultCode.Ok || code === ResultCode.EndpointError
-  const broken = code === ResultCode.CallerLeft ? 'dropped' : 'cut'
-  const { framing, end = 'aborted' } = answer
-  routing.answer = { framing, end, fate: isWhole ? 'whole' : broken }
+  const { framing, end = 'aborted' } = request.answer
+  routing.answer = { framing, end, fate: fateOf(request, code) }
+}
+
+function fateOf({ incoming }: DispatchedRequest, code: AfterDispatchCode): AnswerFate {
+  if (code === ResultCode.Ok || code === ResultCode.EndpointError) return 'whole'
+  if (code === ResultCode.CallerLeft) return 'dropped'
+  return incoming.caller.hasBegun ? 'cut' : 'refused'
 }
 
 function isEventStream({ answer }: DispatchedRequest): boolean {
--- a/packages/stand-ins/__tests__/heldAnswers.spec.ts
+++ b/packages/stand-ins/__tests__/heldAnswers.spec.ts
@@ -11,6 +11,8 @@
 const LENGTH_HEAD = head(`content-length: ${DOCUMENT.length}`)
 const CHUNKS_HEAD = head('transfer-encoding: chunked')
 const REQUESTS = 8
+/** After this time an answer that may be read while it arrives is held no more. */
+const PAST_HOLD_MILLISECONDS = 1_500
 const TRICKLE_MILLISECONDS = 3_000
 /** Within this time all that was written has arrived. */
 const ARRIVAL_MILLISECONDS = 300
@@ -90,6 +92,16 @@
     expect(endpoints.flatMap(({ taken }) => taken)).toHaveLength(1)
   })
 
+  it('is an error in place of it where nothing of it was passed on, however late it breaks', async () => {
+    await start(socket => {
+      socket.write(head('transfer-encoding: chunked', 'text/plain') + chunk('first\n'))
+      setTimeout(() => socket.resetAndDestroy(), PAST_HOLD_MILLISECONDS)
+    })
+    const { status, body, ending } = await call('/late')
+    expect({ status, ending }).toEqual({ status: 502, ending: 'length' })
+    expect(JSON.parse(body)).toMatchObject({ error: { code: 4008, execution: 'ran' } })
+  })
+
   it('is cut where it is too large to be held', async () => {
     await start(socket => {
       socket.write(CHUNKS_HEAD + chunk(LARGE))
