fix(router): a stream that has come to its last event is not told as broken

What callers saw: all events of a chat and then an error event in place of [DONE], where the endpoint's connection broke, fell silent or was given up at the deadline behind the last event. A whole answer was lost, unbilled, and its endpoint counted as failing. Cause: whatever ended the reading counted before what the stream says of itself. Change: a stream with its last event is whole, whatever became of its connection afterwards.

--- a/packages/router/src/filters/relay.ts
+++ b/packages/router/src/filters/relay.ts
@@ -82,7 +82,8 @@
 
   private endOf(request: DispatchedRequest, passage: Passage, failure: Error | undefined) {
     if (request.incoming.caller.left.aborted) return { code: ResultCode.CallerLeft } as const
-    return failure === undefined
+    // What the answer itself proves whole is whole, whatever became of its connection.
+    return failure === undefined || passage.isClosed
       ? this.wholeEnd(request, passage)
       : this.brokenEnd(request, failure)
   }
