--- a/packages/router/__tests__/dispatchFailure.spec.ts
+++ b/packages/router/__tests__/dispatchFailure.spec.ts
@@ -20,10 +20,15 @@
     endpointId: asId<EndpointId>('engine-0'),
     status,
     headers,
+    framing: 'length',
+    end: 'complete',
+    isWhole: true,
+    isDelimited: true,
     start: nothing,
     resume: nothing,
     cancel: nothing,
-  }
+    release: nothing,
+  } as const
   return { kind: 'answering', answer }
 }
 
--- a/packages/router/src/engine/endpointExchange.ts
+++ b/packages/router/src/engine/endpointExchange.ts
@@ -4,10 +4,16 @@
  */
 
 import type { Dispatcher } from 'undici'
+import { answerFraming, isProvenWhole } from '@rackwalk/decisions'
+import type { AnswerEnd, AnswerFraming } from '@rackwalk/decisions'
 import { deferred } from '@rackwalk/shared'
-import type { EndpointId } from '@rackwalk/shared'
+import type { Clock, EndpointId, Timer } from '@rackwalk/shared'
 import type { AnswerConsumer, EndpointAnswer } from '../filters/stages.js'
+import type { AnswerHold, HoldSpace } from './answerHold.js'
+import { holdKind } from './answerHold.js'
 import type { AttemptResult } from './attemptResult.js'
+import { bodyProof } from './bodyProof.js'
+import type { BodyProof } from './bodyProof.js'
 
 // Errors that say the connection was never made.
 const NEVER_CONNECTED = new Set([
@@ -17,9 +23,21 @@
   'UND_ERR_CONNECT_TIMEOUT',
 ])
 const STALLED = new Set(['UND_ERR_HEADERS_TIMEOUT', 'UND_ERR_BODY_TIMEOUT'])
+// Errors that say this instance closes its connections.
+const STOPPED = new Set(['UND_ERR_DESTROYED', 'UND_ERR_CLOSED'])
 
 type Headers = Record<string, string | string[] | undefined>
 
+/** What is asked of an endpoint, and what an exchange works with. */
+export interface ExchangeParts {
+  readonly endpointId: EndpointId
+  readonly method: string
+  /** Aborted when nobody waits any more; its reason says why. */
+  readonly signal: AbortSignal
+  readonly space: HoldSpace
+  readonly clock: Clock
+}
+
 /**
  * One exchange with an endpoint. Chunks go straight from the connection's parser to whoever
  * relays them: a stream object between the two took a third of the time of each token.
@@ -27,31 +45,47 @@
 export class EndpointExchange implements Dispatcher.DispatchHandler, EndpointAnswer {
   status = 0
   headers: Readonly<Record<string, string>> = {}
+  framing: AnswerFraming = 'connection'
+  end: AnswerEnd | undefined
+  private proof: BodyProof | undefined
   private readonly begun = deferred<AttemptResult>()
+  readonly endpointId: EndpointId
   private readonly early: Buffer[] = []
+  private readonly hold: AnswerHold
+  private holdTimer: Timer | undefined
   private controller: Dispatcher.DispatchController | undefined
   private consumer: AnswerConsumer | undefined
   private hasBegun = false
-  private isEnded = false
   private failure: Error | undefined
 
-  constructor(
-    readonly endpointId: EndpointId,
-    private readonly signal: AbortSignal,
-  ) {
-    signal.addEventListener('abort', this.cancel, { once: true })
+  constructor(private readonly parts: ExchangeParts) {
+    this.endpointId = parts.endpointId
+    this.hold = parts.space.open()
+    parts.signal.addEventListener('abort', this.abandon, { once: true })
   }
 
-  /** Settles when the first bytes of the answer are there, or there will be none. */
+  /** Settles when the answer is whole, or so much of it is there that it goes on as it comes, or there will be none. */
   get result(): Promise<AttemptResult> {
     return this.begun.promise
   }
 
   readonly cancel = (): void => {
-    if (!this.isEnded) this.controller?.abort(new CancelledError())
+    if (!this.isEnded) this.controller?.abort(new CancelledError('aborted'))
+  }
+
+  get isWhole(): boolean {
+    return this.isEnded && this.failure === undefined
+  }
+
+  get isDelimited(): boolean {
+    return this.framing !== 'connection' || (this.isWhole && this.proof?.state === 'closed')
+  }
+
+  release(): void {
+    this.hold.release()
   }
 
-  /** Hands the answer over; nothing was read beyond its first chunk until now. */
+  /** Hands the answer over; nothing was read until now beyond what is held of it and the chunk after that. */
   start(consumer: AnswerConsumer): void {
     this.consumer = consumer
     for (const chunk of this.early.splice(0)) this.pass(chunk)
@@ -66,61 +100,138 @@
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.controller = controller
-    if (this.signal.aborted) this.cancel()
+    if (this.parts.signal.aborted) this.abandon()
   }
 
   onResponseStart(_: Dispatcher.DispatchController, status: number, headers: Headers): void {
     this.status = status
     this.headers = flatHeaders(headers)
+    this.framing = answerFraming({
+      method: this.parts.method,
+      status,
+      transferEncoding: this.headers['transfer-encoding'],
+      contentLength: this.headers['content-length'],
+    })
+    this.proof = bodyProof(this.framing, this.headers)
+    const kind = holdKind(this.headers)
+    if (kind === 'not') this.hold.close()
+    if (kind === 'for-a-while') this.limitHold()
   }
 
   onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.proof?.read(chunk)
     if (this.consumer !== undefined) return this.pass(chunk)
     this.early.push(chunk)
+    if (this.hold.take(chunk.length)) return
     controller.pause()
     this.begin()
   }
 
   onResponseEnd(): void {
-    this.finish()
+    const end = this.framing === 'connection' ? 'closed' : 'complete'
+    const isBodyOpen = this.proof?.state === 'open'
+    if (isProvenWhole({ framing: this.framing, end, isBodyOpen })) this.succeed(end)
+    else this.fail(end, new UnfinishedError())
+  }
+
+  onResponseError(_: Dispatcher.DispatchController, error: Error): void {
+    // What its body proves whole is whole, whatever became of its connection.
+    if (this.proof?.state === 'closed') this.succeed(endOf(error))
+    else this.fail(endOf(error), error)
+  }
+
+  private succeed(end: AnswerEnd): void {
+    this.finish(end)
     this.begin()
     this.consumer?.end()
   }
 
-  onResponseError(_: Dispatcher.DispatchController, error: Error): void {
-    this.finish()
+  private fail(end: AnswerEnd, error: Error): void {
+    this.finish(end)
     this.failure = error
-    if (!this.hasBegun) this.begun.resolve(classify(error))
+    if (!this.hasBegun) {
+      this.release()
+      this.begun.resolve(this.classified(error))
+    }
     this.consumer?.fail(error)
   }
 
+  private get isEnded(): boolean {
+    return this.end !== undefined
+  }
+
+  /** Its signal says that nobody waits for it any more, and why. */
+  private readonly abandon = (): void => {
+    const end = (this.parts.signal.reason as AnswerEnd | undefined) ?? 'aborted'
+    if (!this.isEnded) this.controller?.abort(new CancelledError(end))
+  }
+
+  private classified(error: Error): AttemptResult {
+    const result = classify(error)
+    if (result.kind !== 'failed' || this.status === 0) return result
+    return { ...result, end: this.end, framing: this.framing }
+  }
+
   private pass(chunk: Buffer): void {
     this.consumer?.take(chunk)
     if (this.consumer?.isFull) this.controller?.pause()
   }
 
+  /** An answer that may be meant to be read while it arrives is not held for long. */
+  private limitHold(): void {
+    const { clock, space } = this.parts
+    this.holdTimer = clock.after(space.limits.openEndedMilliseconds, () => {
+      this.hold.close()
+      if (this.early.length === 0) return
+      this.controller?.pause()
+      this.begin()
+    })
+  }
+
   private begin(): void {
+    this.holdTimer?.cancel()
     if (this.hasBegun) return
     this.hasBegun = true
     this.begun.resolve({ kind: 'answering', answer: this })
   }
 
-  private finish(): void {
-    this.isEnded = true
-    this.signal.removeEventListener('abort', this.cancel)
+  private finish(end: AnswerEnd): void {
+    this.end = end
+    this.holdTimer?.cancel()
+    this.parts.signal.removeEventListener('abort', this.abandon)
   }
 }
 
 /** Breaks an exchange off on this side. */
 class CancelledError extends Error {
   readonly code = 'CANCELLED'
+
+  constructor(readonly end: AnswerEnd) {
+    super(`given up: ${end}`)
+  }
+}
+
+/** The body of an answer ended in the middle of its document. */
+class UnfinishedError extends Error {
+  readonly code = 'UNFINISHED'
+
+  constructor() {
+    super('the answer has no end')
+  }
 }
 
 /** What an error before any answer says of the request. */
 export function classify(thrown: unknown): AttemptResult {
   const code = errorCode(thrown)
   if (NEVER_CONNECTED.has(code)) return { kind: 'unsent', reason: code }
-  return { kind: 'failed', reason: code, stalled: STALLED.has(code) }
+  return { kind: 'failed', reason: code, stalled: STALLED.has(code), end: endOf(thrown) }
+}
+
+/** What the reading of an answer ended with, by the error that ended it. */
+export function endOf(thrown: unknown): AnswerEnd {
+  if (thrown instanceof CancelledError) return thrown.end
+  if (isStall(thrown)) return 'silence'
+  return STOPPED.has(errorCode(thrown)) ? 'instance-stopped' : 'reset'
 }
 
 /** Whether an error means that an endpoint stopped sending. */
--- a/packages/router/src/filters/dispatch.ts
+++ b/packages/router/src/filters/dispatch.ts
@@ -6,10 +6,12 @@
 import { DispatchedError, NotRunError, endpointStart, sleep } from '@rackwalk/shared'
 import type { Clock, EndpointId, Milliseconds, RandomSource } from '@rackwalk/shared'
 import { isServerError, readAdvice } from '@rackwalk/decisions'
+import type { AnswerEnd, AnswerFate } from '@rackwalk/decisions'
 import type { EndpointAdvices } from '../advice/endpointAdvices.js'
 import { publishedAdvice } from '../advice/publishedAdvice.js'
 import type { CrashGuard } from '../crashes/crashGuard.js'
 import type { AttemptResult } from '../engine/attemptResult.js'
+import type { RoutingRecord } from '../decisionRecord.js'
 import type { EndpointClient } from '../engine/endpointClient.js'
 import { RetryBudget, backoffMilliseconds } from '../limits/retryBudget.js'
 import type { Catalogue } from '../resources/catalogue.js'
@@ -79,6 +81,7 @@
   }
 
   async apply(request: RoutedRequest): Promise<DispatchedRequest> {
+    const { incoming } = request
     this.retries.deposit(this.parts.catalogue.policyFor(request.target).retryShare)
     const tried = new Set<EndpointId>()
     let endpointId = request.endpointId
@@ -92,11 +95,14 @@
       results.push(result)
       const isKnown = this.noteBroken(request, endpointId, { result, wasIsolated })
       const verdict = this.judge(request, result, attempt)
+      const routing = request.record.routing.at(-1)
+      noteFate(routing, result, incoming.caller.left.aborted ? 'dropped' : 'refused')
       if (verdict === 'retry') await isKnown
       if (verdict === 'give-up') throw this.failure(request, results)
       // Who asked for rest is not asked again, so there is nothing to wait for.
       if (verdict === 'retry' && !this.isResting(endpointId)) await this.backOff(attempt)
       endpointId = this.chooseAnother(request, results, tried)
+      noteFate(routing, result, 'repeated')
     }
   }
 
@@ -133,7 +139,7 @@
     const failed = { kind: 'failed', reason, stalled: false } as const
     const hasEnded = await this.noteBroken(request, endpointId, { result: failed, wasIsolated })
     if (!hasEnded) return result
-    result.answer.cancel()
+    drop(result.answer)
     return { ...failed, isLookedAt: true }
   }
 
@@ -148,10 +154,10 @@
     endpointId: EndpointId,
     { result, wasIsolated }: TriedRequest,
   ): Promise<boolean> {
-    const { crashFingerprint: fingerprint, target, incoming } = request
+    const { crashFingerprint: fingerprint, target } = request
     if (result.kind !== 'failed' || result.stalled || fingerprint === undefined) return false
     if (result.isLookedAt === true) return true
-    if (incoming.caller.left.aborted || this.isLate(request)) return false
+    if (this.isOver(request, result)) return false
     const { catalogue, clock, crashes, endpoints } = this.parts
     const address = catalogue.findEndpoint(endpointId)?.spec.address
     if (address === undefined) return false
@@ -185,15 +191,16 @@
   /** Aborts the exchange when the caller leaves or its deadline passes. */
   private signalOf(request: RoutedRequest): AbortSignal {
     const controller = new AbortController()
-    const abort = () => controller.abort()
+    const abort = (end: AnswerEnd) => controller.abort(end)
+    const noteLeft = () => abort('caller-left')
     const remaining = Math.max(0, request.deadline - this.parts.clock.sinceStart())
-    const timer = this.parts.clock.after(remaining, abort)
+    const timer = this.parts.clock.after(remaining, () => abort('deadline'))
     const { left } = request.incoming.caller
-    if (left.aborted) abort()
-    left.addEventListener('abort', abort, { once: true })
+    if (left.aborted) noteLeft()
+    left.addEventListener('abort', noteLeft, { once: true })
     request.scope.onEnd(() => {
       timer.cancel()
-      left.removeEventListener('abort', abort)
+      left.removeEventListener('abort', noteLeft)
     })
     return controller.signal
   }
@@ -223,17 +230,17 @@
       if (crashFingerprint !== undefined) this.parts.crashes.noteAnswered(crashFingerprint)
       request.scope.commit()
       request.scope.onEnd(() => this.parts.endpoints.noteEnded(endpointId))
+      if (result.kind === 'answering') request.scope.onEnd(() => result.answer.release())
       return
     }
-    if (result.kind === 'answering') result.answer.cancel()
+    if (result.kind === 'answering') drop(result.answer)
     this.parts.endpoints.noteEnded(endpointId)
-    const isCallersDoing = request.incoming.caller.left.aborted || this.isLate(request)
-    if (!isCallersDoing && !this.isResting(endpointId)) this.parts.endpoints.noteFailure(endpointId)
+    if (!this.isOver(request, result) && !this.isResting(endpointId))
+      this.parts.endpoints.noteFailure(endpointId)
   }
 
   private judge(request: RoutedRequest, result: AttemptResult, attempt: number): Verdict {
-    const isOver = request.incoming.caller.left.aborted || this.isLate(request)
-    if (isOver || attempt >= MAXIMUM_ATTEMPTS) return 'give-up'
+    if (this.isOver(request, result) || attempt >= MAXIMUM_ATTEMPTS) return 'give-up'
     // A body that streams through can be sent once.
     const isBodySpent = request.call.kind === 'service' && request.incoming.body.readableDidRead
     if (isBodySpent) return 'give-up'
@@ -261,7 +268,7 @@
     const error = dispatchFailure({
       results,
       isCallerGone: request.incoming.caller.left.aborted,
-      isLate: this.isLate(request),
+      isLate: this.isLate(request, results.at(-1)),
       isRepeatable: request.repeatable,
       refusal: this.parts.router.refusal(request),
     })
@@ -269,7 +276,14 @@
     return error
   }
 
-  private isLate(request: RoutedRequest): boolean {
+  /** Whether nobody waits for an answer any more. */
+  private isOver(request: RoutedRequest, result: AttemptResult): boolean {
+    return request.incoming.caller.left.aborted || this.isLate(request, result)
+  }
+
+  /** A timer may fire a moment before the clock that it was set by has come so far. */
+  private isLate(request: RoutedRequest, result: AttemptResult | undefined): boolean {
+    if (result?.kind === 'failed' && result.end === 'deadline') return true
     return this.parts.clock.sinceStart() >= request.deadline
   }
 
@@ -286,6 +300,19 @@
   return isRefusal && request.repeatable ? undefined : result.answer
 }
 
+/** Nobody wants the answer. */
+function drop(answer: EndpointAnswer): void {
+  answer.cancel()
+  answer.release()
+}
+
+/** Notes what becomes of an answer that broke off before anything of it was passed on. */
+function noteFate(routing: RoutingRecord | undefined, result: AttemptResult, fate: AnswerFate) {
+  if (routing === undefined || result.kind !== 'failed') return
+  const { framing, end } = result
+  if (framing !== undefined && end !== undefined) routing.answer = { framing, end, fate }
+}
+
 function promptEstimate({ call }: RoutedRequest): number {
   return call.kind === 'chat' ? call.chat.promptTokenEstimate : 0
 }
--- a/packages/router/src/filters/dispatchFailure.ts
+++ b/packages/router/src/filters/dispatchFailure.ts
@@ -34,10 +34,15 @@
   if (isCallerGone) return new DispatchedError(ResultCode.CallerLeft)
   if (isLate) return new DispatchedError(ResultCode.DeadlinePassed)
   if (!isRepeatable) return new DispatchedError(ResultCode.OutcomeUnknown, detail)
-  const newest = results.at(-1)
-  const isStalled = newest?.kind === 'failed' && newest.stalled
-  const code = isStalled ? ResultCode.EndpointStalled : ResultCode.EndpointFailed
-  return new DispatchedError(code, detail, refusal?.retryAfterSeconds)
+  return new DispatchedError(failureCode(results.at(-1)), detail, refusal?.retryAfterSeconds)
+}
+
+/** What the newest failure says of a request that may have run. */
+function failureCode(newest: AttemptResult | undefined) {
+  if (newest?.kind !== 'failed') return ResultCode.EndpointFailed
+  if (newest.stalled) return ResultCode.EndpointStalled
+  // Who has begun to answer has run the request.
+  return newest.framing === undefined ? ResultCode.EndpointFailed : ResultCode.EndpointBrokeOff
 }
 
 function newestText(results: readonly AttemptResult[]): string | undefined {
--- a/packages/router/src/filters/relay.ts
+++ b/packages/router/src/filters/relay.ts
@@ -4,12 +4,14 @@
 
 import { ResultCode } from '@rackwalk/shared'
 import type { AfterDispatchCode, Clock, TokenCount } from '@rackwalk/shared'
+import type { AnswerFate } from '@rackwalk/decisions'
 import type { BudgetLedger } from '@rackwalk/coordination'
 import { EventSplitter, isDoneEvent, isUsageEvent } from '../engine/eventSplitter.js'
-import { isStall } from '../engine/endpointExchange.js'
+import { endOf, isStall } from '../engine/endpointExchange.js'
 import type { ReportedUsage } from '../engine/usage.js'
 import { findUsage } from '../engine/usage.js'
 import type { EndpointTable } from '../routing/endpointTable.js'
+import { answerHeaders } from './answerHeaders.js'
 import type { DispatchedRequest, Filter, RelayedRequest } from './stages.js'
 
 /** Parts that relaying works with. */
@@ -22,8 +24,7 @@
 
 /** Bytes at the end of a plain answer in which its usage report is looked for. */
 const TAIL_BYTES = 64 * 1024
-/** Response headers that describe one connection and not the answer. */
-const DROPPED_HEADERS = new Set(['connection', 'keep-alive', 'transfer-encoding', 'content-length'])
+const NO_USAGE: ReportedUsage = { promptTokens: 0, generatedTokens: 0 }
 
 /** How the passing-on ended. */
 interface RelayEnd {
@@ -36,21 +37,24 @@
   constructor(private readonly parts: RelayParts) {}
 
   async apply(request: DispatchedRequest): Promise<RelayedRequest> {
-    const { record, receivedAt, answer, incoming } = request
+    const { record, receivedAt, answer } = request
     record.firstByteMilliseconds = this.parts.clock.sinceStart() - receivedAt
-    const passage = isEventStream(request)
-      ? new EventPassage(request, this.parts)
-      : new PlainPassage(request)
-    incoming.caller.begin(answer.status, answerHeaders(request))
+    const passage = this.passageOf(request)
     const failure = await this.pass(request, passage)
     answer.cancel()
     const end = this.endOf(request, passage, failure)
+    noteFate(request, end)
     const usage = passage.usage()
     const billedTokens = billable(request, end, usage)
     const { code, detail } = end
     return { ...request, code, detail, heldBack: passage.heldBack, usage, billedTokens }
   }
 
+  private passageOf(request: DispatchedRequest): Passage {
+    if (isEventStream(request)) return new EventPassage(request, this.parts)
+    return request.answer.isWhole ? new HeldPassage(request) : new PlainPassage(request)
+  }
+
   /** Resolves with what broke the answer off, or with nothing at its end. */
   private pass(request: DispatchedRequest, passage: Passage): Promise<Error | undefined> {
     const { answer, incoming } = request
@@ -63,6 +67,8 @@
           } catch (thrown) {
             return resolve(thrown as Error)
           }
+          // What was held comes at once, and one wait for the caller is enough for all of it.
+          if (consumer.isFull) return
           consumer.isFull = true
           void incoming.caller.drained().then(() => {
             consumer.isFull = false
@@ -78,7 +84,8 @@
 
   private endOf(request: DispatchedRequest, passage: Passage, failure: Error | undefined) {
     if (request.incoming.caller.left.aborted) return { code: ResultCode.CallerLeft } as const
-    return failure === undefined
+    // What the answer itself proves whole is whole, whatever became of its connection.
+    return failure === undefined || passage.isClosed
       ? this.wholeEnd(request, passage)
       : this.brokenEnd(request, failure)
   }
@@ -95,7 +102,7 @@
   }
 
   private brokenEnd(request: DispatchedRequest, failure: Error): RelayEnd {
-    if (this.parts.clock.sinceStart() >= request.deadline)
+    if (endOf(failure) === 'deadline' || this.parts.clock.sinceStart() >= request.deadline)
       return { code: ResultCode.DeadlinePassed }
     this.parts.endpoints.noteFailure(request.answer.endpointId)
     const detail = failure.message
@@ -110,7 +117,9 @@
   take(chunk: Buffer): boolean
   /** What must not be passed on before the bill is safe. */
   readonly heldBack: readonly Buffer[]
-  /** Whether the answer came to its proper end. */
+  /** Whether something in the answer says that it is whole. */
+  readonly isClosed: boolean
+  /** Whether it is whole where its framing says so. */
   readonly isWhole: boolean
   usage(): ReportedUsage
 }
@@ -118,7 +127,7 @@
 /** A stream of events: keeps back the closing ones and watches the usage reports. */
 class EventPassage implements Passage {
   readonly heldBack: Buffer[] = []
-  isWhole = false
+  isClosed = false
   private readonly splitter = new EventSplitter()
   private readonly wantsUsage: boolean
   private lastEvent: Buffer | undefined
@@ -131,6 +140,8 @@
     private readonly parts: RelayParts,
   ) {
     this.wantsUsage = request.call.kind === 'chat' && request.call.chat.wantsUsage
+    // Its last event tells that it is whole, or an error event in place of it.
+    request.incoming.caller.begin(request.answer.status, answerHeaders(request))
   }
 
   take(chunk: Buffer): boolean {
@@ -144,6 +155,10 @@
     return this.request.incoming.caller.write(joined(passed))
   }
 
+  get isWhole(): boolean {
+    return this.isClosed
+  }
+
   usage(): ReportedUsage {
     const closing = this.heldBack.find(event => isUsageEvent(event)) ?? this.usageEvent
     const reported = findUsage((closing ?? this.lastEvent)?.toString('utf8') ?? '')
@@ -157,7 +172,7 @@
   /** False for the events that close the answer; those are kept back or dropped. */
   private passes(event: Buffer): boolean {
     if (isDoneEvent(event)) {
-      this.isWhole = true
+      this.isClosed = true
       this.heldBack.push(Buffer.from(event))
       return false
     }
@@ -177,11 +192,31 @@
   }
 }
 
-/** Any other answer: its last chunk is kept back. */
+/** Any other answer that is whole: all of it is kept back, its head as well, so that it may still become an error. */
+class HeldPassage implements Passage {
+  readonly heldBack: Buffer[] = []
+  readonly isClosed = false
+  readonly isWhole = true
+
+  constructor(private readonly request: DispatchedRequest) {}
+
+  take(chunk: Buffer): boolean {
+    this.heldBack.push(chunk)
+    return true
+  }
+
+  usage(): ReportedUsage {
+    if (this.request.call.kind !== 'chat') return NO_USAGE
+    return findUsage(tailOf(this.heldBack).toString('utf8')) ?? NO_USAGE
+  }
+}
+
+/** Any other answer that goes as it comes: its last chunk is kept back. */
 class PlainPassage implements Passage {
-  isWhole = true
+  readonly isClosed = false
+  readonly isWhole = true
   private last: Buffer | undefined
-  private tail = Buffer.alloc(0)
+  private tail: Buffer = Buffer.alloc(0)
 
   constructor(private readonly request: DispatchedRequest) {}
 
@@ -193,20 +228,33 @@
     const previous = this.last
     this.last = chunk
     if (this.request.call.kind === 'chat') this.keepTail(chunk)
-    return previous === undefined || this.request.incoming.caller.write(previous)
+    return previous === undefined || this.write(previous)
   }
 
   usage(): ReportedUsage {
-    const reported = findUsage(this.tail.toString('utf8'))
-    return reported ?? { promptTokens: 0, generatedTokens: 0 }
+    return findUsage(this.tail.toString('utf8')) ?? NO_USAGE
+  }
+
+  /** The head goes with the first bytes: until then the answer may still become an error. */
+  private write(chunk: Buffer): boolean {
+    const { incoming, answer } = this.request
+    if (!incoming.caller.hasBegun) {
+      incoming.caller.begin(answer.status, answerHeaders(this.request), answer.isDelimited)
+    }
+    return incoming.caller.write(chunk)
   }
 
   private keepTail(chunk: Buffer): void {
-    const data = Buffer.concat([this.tail, chunk])
-    this.tail = data.subarray(Math.max(0, data.length - TAIL_BYTES))
+    this.tail = tailOf([this.tail, chunk])
   }
 }
 
+/** The end of an answer, in which its usage is reported. */
+function tailOf(chunks: readonly Buffer[]): Buffer {
+  const data = Buffer.concat(chunks)
+  return data.subarray(Math.max(0, data.length - TAIL_BYTES))
+}
+
 /**
  * What a request costs: whole answers and those that the caller gave up. An answer that the
  * fleet failed to bring to its end costs its team nothing.
@@ -222,13 +270,22 @@
   return Math.max(0, cost - request.creditedTokens)
 }
 
-function isEventStream({ answer }: DispatchedRequest): boolean {
-  return (answer.headers['content-type'] ?? '').startsWith('text/event-stream')
+/** Notes what became of an answer that was passed on, all or in part. */
+function noteFate(request: DispatchedRequest, { code }: RelayEnd): void {
+  const routing = request.record.routing.at(-1)
+  if (routing === undefined) return
+  const { framing, end = 'aborted' } = request.answer
+  routing.answer = { framing, end, fate: fateOf(request, code) }
+}
+
+function fateOf({ incoming }: DispatchedRequest, code: AfterDispatchCode): AnswerFate {
+  if (code === ResultCode.Ok || code === ResultCode.EndpointError) return 'whole'
+  if (code === ResultCode.CallerLeft) return 'dropped'
+  return incoming.caller.hasBegun ? 'cut' : 'refused'
 }
 
-function answerHeaders({ answer, requestId }: DispatchedRequest): Record<string, string> {
-  const kept = Object.entries(answer.headers).filter(([name]) => !DROPPED_HEADERS.has(name))
-  return { ...Object.fromEntries(kept), 'rackwalk-request-id': requestId }
+function isEventStream({ answer }: DispatchedRequest): boolean {
+  return (answer.headers['content-type'] ?? '').startsWith('text/event-stream')
 }
 
 function joined(events: readonly Buffer[]): Buffer {
--- a/packages/router/src/filters/stages.ts
+++ b/packages/router/src/filters/stages.ts
@@ -14,6 +14,7 @@
   TokenCount,
 } from '@rackwalk/shared'
 import type { Claim, Reservation } from '@rackwalk/coordination'
+import type { AnswerEnd, AnswerFraming } from '@rackwalk/decisions'
 import type { IncomingRequest } from '../callerConnection.js'
 import type { DecisionRecord } from '../decisionRecord.js'
 import type { ChatRequest } from '../engine/chatRequest.js'
@@ -99,12 +100,21 @@
   readonly endpointId: EndpointId
   readonly status: number
   readonly headers: Readonly<Record<string, string>>
+  readonly framing: AnswerFraming
+  /** What its reading ended with; undefined while more is read. */
+  readonly end: AnswerEnd | undefined
+  /** Whether all of it is there. */
+  readonly isWhole: boolean
+  /** Whether more tells where it ends than the end of its connection. */
+  readonly isDelimited: boolean
   /** Begins to hand the chunks over; once. */
   start(consumer: AnswerConsumer): void
   /** Goes on after the consumer was full. */
   resume(): void
   /** Breaks the exchange off, which cancels the work at the endpoint. */
   readonly cancel: () => void
+  /** Gives back the memory of what was held of it; again has no effect. */
+  release(): void
 }
 
 /** Takes an answer in as it arrives. */
