fix(daemon): callers of an instance that gets more than it bears are led to others

What callers saw: a team whose callers all stay with one weak instance was served 240 of 3,816 requests while all others were served as usual.

Cause: an instance that cannot bear what comes had one answer, a refusal with a status. It does not move its callers, costs a connection, a head and a line, and the body comes over the link all the same; the more is refused the less is left to serve with. Overload without a way out for those who cause it.

Change: while more than a fifth of what comes is refused for reasons of the instance itself (3009, 3010, 3011, 3013), the listener for callers is closed in short pauses. The kernel refuses new connections then, which costs the instance nothing, and a caller whose connection does not come up goes to another address. Open connections, idle ones included, are served on; the readiness listener stays. Pauses are at most a second, never while nobody or mostly pressed instances are heard (a pressed one says so by a datagram that earlier versions drop), and not while the instance stops.

The new tests fail with the rule switched off. Requests a second that were refused or left, each with its body: 279 -> 7.

`pausesListener` and `others` are new in the replay; its earlier figures are unchanged.

--- /dev/null
+++ b/packages/daemon/__tests__/listenerPauses.spec.ts
@@ -0,0 +1,99 @@
+import { createServer } from 'node:http'
+import { describe, expect, it } from 'vitest'
+import { ListenerPauses, PausableListener } from '@rackwalk/daemon'
+import type { HeardInstances } from '@rackwalk/decisions'
+import { SeededRandom, VirtualClock } from '@rackwalk/shared'
+
+const ROOM: HeardInstances = { count: 7, pressed: 0 }
+
+/** Notes when it is paused and resumed instead of listening. */
+class NotedListener extends PausableListener {
+  override pause(): void {
+    this.note('pause')
+  }
+
+  override resume(): Promise<void> {
+    this.note('resume')
+    return Promise.resolve()
+  }
+
+  constructor(
+    clock: VirtualClock,
+    private readonly note: (what: string) => void,
+  ) {
+    super(createServer(), '127.0.0.1:0', clock, () => {})
+  }
+}
+
+function setUp() {
+  const clock = new VirtualClock()
+  const state = { share: 0, others: ROOM, isServing: true }
+  const notes: string[] = []
+  const note = (what: string) => notes.push(`${Math.round(clock.monotonic())} ${what}`)
+  const pauses = new ListenerPauses({
+    clock,
+    random: new SeededRandom(1),
+    listener: new NotedListener(clock, note),
+    refusedShare: () => state.share,
+    others: () => state.others,
+    isServing: () => state.isServing,
+    tellPressed: () => note('tell'),
+    onPause: () => {},
+    onChange: isPausing => note(isPausing ? 'begin' : 'cease'),
+    onFault: () => note('fault'),
+  })
+  pauses.start()
+  return { clock, state, notes, pauses }
+}
+
+describe('the pauses of an instance', () => {
+  it('are told once as they begin and cease, and to the others each second', async () => {
+    const { clock, state, notes } = setUp()
+    await clock.advance(1_000)
+    expect(notes).toEqual([])
+    state.share = 0.6
+    await clock.advance(2_500)
+    state.share = 0
+    await clock.advance(4_000)
+    expect(notes).toMatchInlineSnapshot(`
+      [
+        "1014 tell",
+        "1014 begin",
+        "1014 pause",
+        "1300 resume",
+        "1535 pause",
+        "1913 resume",
+        "2189 tell",
+        "2189 pause",
+        "2522 resume",
+        "2772 pause",
+        "3134 resume",
+        "3347 tell",
+        "3347 pause",
+        "3759 resume",
+        "4501 tell",
+        "5420 cease",
+      ]
+    `)
+  })
+
+  it.each([
+    ['it stops', { isServing: false, others: ROOM }],
+    ['it hears nobody', { isServing: true, others: { count: 0, pressed: 0 } }],
+  ])('do not come while %s', async (_case, change) => {
+    const { clock, state, notes } = setUp()
+    Object.assign(state, change, { share: 0.9 })
+    await clock.advance(3_000)
+    expect(notes.filter(note => !note.endsWith('tell'))).toEqual([])
+  })
+
+  it('end with the instance', async () => {
+    const { clock, state, notes, pauses } = setUp()
+    state.share = 0.9
+    await clock.advance(500)
+    pauses.stop()
+    const before = notes.length
+    await clock.advance(5_000)
+    expect(notes.length).toBe(before)
+  })
+})
--- a/packages/daemon/__tests__/references.spec.ts
+++ b/packages/daemon/__tests__/references.spec.ts
@@ -75,6 +75,8 @@
     recordSeconds: zero,
     active: zero,
     abandonedShare: zero,
+    refusedShare: zero,
+    listening: zero,
     endpoints: zero,
     coldEndpoints: zero,
     limitedEndpoints: zero,
--- a/packages/daemon/src/gateway/endpointKnowledge.ts
+++ b/packages/daemon/src/gateway/endpointKnowledge.ts
@@ -14,6 +14,7 @@
 import { CrashWatch } from './crashWatch.js'
 import type { GatewayTelemetry } from './gatewayTelemetry.js'
 import { LoadExchange, loadPeersOf } from './loadExchange.js'
+import { PressedInstances } from './pressureNews.js'
 
 /** What the knowledge rests on. */
 export interface EndpointKnowledgeParts {
@@ -37,12 +38,15 @@
   readonly advice: AdviceWatch
   readonly fleetLoad: FleetLoad
   readonly exchange: LoadExchange | undefined
+  /** Other instances that get more than they bear. */
+  readonly pressed: PressedInstances
 
   constructor(private readonly parts: EndpointKnowledgeParts) {
     this.directory = this.createDirectory()
     this.crashes = this.createCrashes()
     this.advice = this.createAdvice()
     this.fleetLoad = this.createFleetLoad()
+    this.pressed = new PressedInstances(parts.clock)
     this.exchange = this.createExchange()
   }
 
@@ -129,6 +133,7 @@
       identity: { instance, incarnation },
       onCrashNews: news => this.crashes.guard.observe(news),
       onAdviceNews: news => this.advice.observe(news),
+      onPressed: instance => this.pressed.note(instance),
       standingAdvice: () => this.advice.advices.standingNews,
       clock,
       onMalformed: form => telemetry.noteMalformed(form),
--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -3,9 +3,9 @@
  * phase of the instance's life; relies on each part for what it does.
  */
 
-import type { Server } from 'node:http'
 import { SystemClock, SystemRandom } from '@rackwalk/shared'
-import type { Clock, RandomSource } from '@rackwalk/shared'
+import type { Clock, Milliseconds, RandomSource } from '@rackwalk/shared'
+import type { HeardInstances } from '@rackwalk/decisions'
 import type { RowStore } from '@rackwalk/stores'
 import {
   DEMAND_WINDOW_MILLISECONDS,
@@ -29,6 +29,7 @@
 import type { GatewayMetrics } from './gatewayMetrics.js'
 import { GatewayTelemetry, createGatewayLogger } from './gatewayTelemetry.js'
 import type { GatewaySettings } from './gatewaySettings.js'
+import { ListenerPauses } from './listenerPauses.js'
 import { KnowledgeWatch, watchedTables } from './knowledgeWatch.js'
 import { createPeerLoans, createPeerRows } from './peerCalls.js'
 import type { PeerCallSources } from './peerCalls.js'
@@ -37,6 +38,7 @@
 import { ConfigurationInForce } from './configurationInForce.js'
 import { CountedStore } from './countedStore.js'
 import { OpenConnections } from './openConnections.js'
+import { PausableListener } from './pausableListener.js'
 import { linkBytesPerSecond } from './instanceCapacity.js'
 import { ownMember } from './ownMember.js'
 import { EndpointKnowledge } from './endpointKnowledge.js'
@@ -45,6 +47,9 @@
 import type { PlatformAdapter } from './platformAdapter.js'
 import type { SettingsOutcome } from './settingsWatcher.js'
 
+/** An instance that has heard nobody for this long is cut off from all others. */
+const CUT_OFF_MILLISECONDS: Milliseconds = 1_500
+
 /** What may be replaced in tests and in programs that embed a daemon. */
 export interface GatewayDaemonOptions {
   readonly clock?: Clock
@@ -76,7 +81,8 @@
   private readonly knowledge: KnowledgeWatch
   private readonly peerRows: PeerRows
   private readonly peerLoans: PeerLoans
-  private readonly callerListener: Server
+  private readonly callerListener: PausableListener
+  private readonly pauses: ListenerPauses
   private readonly callerConnections: OpenConnections
   private readonly acceptProbe: AcceptProbe
   private readonly otherListeners: readonly AddressedListener[]
@@ -112,21 +118,20 @@
     this.peerRows = createPeerRows(this.peerCallSources, this.fleet, this.random)
     this.mirrors = this.createMirrors()
     this.knowledge = this.createKnowledge()
-    this.callerListener = createCallerListener((request, response) => {
-      this.requestRate.add(1)
-      void this.gateway.handle(request, response)
-    })
-    this.callerConnections = new OpenConnections(this.callerListener)
+    this.callerListener = this.createCallerListener()
+    const { server } = this.callerListener
+    this.callerConnections = new OpenConnections(server)
     this.metrics = this.createMetrics()
-    this.acceptProbe = new AcceptProbe(this.callerListener, settings.listen.callers, this.clock)
+    this.acceptProbe = new AcceptProbe(server, settings.listen.callers, this.clock)
+    this.pauses = this.createPauses()
     this.otherListeners = this.createOtherListeners()
   }
 
   /** Listens and begins to follow the store. */
   async start(): Promise<void> {
     const { callers } = this.settings.listen
-    const listeners = [{ server: this.callerListener, address: callers }, ...this.otherListeners]
-    await listenAll(listeners).catch((error: unknown) => {
+    const opened = [this.callerListener.open(), listenAll(this.otherListeners)]
+    await Promise.all(opened).catch((error: unknown) => {
       this.stop()
       throw error
     })
@@ -134,6 +139,7 @@
     this.ledger.start()
     this.knowledge.start()
     this.known.start()
+    this.pauses.start()
     this.note('instance_started', { callers, incarnation: this.incarnation })
   }
 
@@ -190,7 +196,8 @@
     this.peerLoans.close()
     this.known.stop()
     for (const { server } of this.otherListeners) server.close()
-    this.callerListener.closeAllConnections()
+    this.pauses.stop()
+    this.callerListener.server.closeAllConnections()
     this.callerListener.close()
   }
 
@@ -317,6 +324,42 @@
     })
   }
 
+  private createCallerListener(): PausableListener {
+    const server = createCallerListener((request, response) => {
+      this.requestRate.add(1)
+      void this.gateway.handle(request, response)
+    })
+    const { callers } = this.settings.listen
+    return new PausableListener(server, callers, this.clock, error =>
+      this.note('listener_address_taken', { detail: String(error) }),
+    )
+  }
+
+  private createPauses(): ListenerPauses {
+    return new ListenerPauses({
+      clock: this.clock,
+      random: this.random,
+      listener: this.callerListener,
+      refusedShare: () => this.gateway.refusedShare,
+      others: () => this.heardOthers,
+      isServing: () => this.isReady,
+      tellPressed: () => this.known.exchange?.tellPressed(),
+      onPause: () => this.telemetry.noteListenerPause(),
+      onChange: (isPausing, refusedShare, others) =>
+        this.note('listener_state', { isPausing, refusedShare, ...others }),
+      onFault: error => this.noteFault(error),
+    })
+  }
+
+  /** Others to which callers may go. */
+  private get heardOthers(): HeardInstances {
+    const { fleetLoad, pressed } = this.known
+    if (fleetLoad.heardAgoMilliseconds > CUT_OFF_MILLISECONDS) return { count: 0, pressed: 0 }
+    const heard = this.fleet.activeOthers.filter(({ instance }) => fleetLoad.hears(instance))
+    const pressedOnes = heard.filter(({ instance }) => pressed.has(instance))
+    return { count: heard.length, pressed: pressedOnes.length }
+  }
+
   private createMirrors(): ReadonlyMap<string, TableMirror> {
     return followTables({
       store: this.store,
@@ -363,6 +406,7 @@
         crashes: known.crashes.guard,
         advices: known.advice.advices,
         callerConnections,
+        callerListener: this.callerListener,
         configurationMirror: this.mirrors.get(this.adapter.configuration.table),
         isReady: () => this.isReady,
       }),
@@ -397,7 +441,7 @@
 
   private noteConfiguration({ configuration }: RouteTable, before: number): void {
     const { version, limits, teams } = configuration
-    applyLimits(this.callerListener, limits)
+    applyLimits(this.callerListener.server, limits)
     const budgets = teams.flatMap(({ name, prepaid }) =>
       prepaid === undefined ? [] : [{ budget: name, limit: prepaid }],
     )
--- a/packages/daemon/src/gateway/gatewayGauges.ts
+++ b/packages/daemon/src/gateway/gatewayGauges.ts
@@ -6,6 +6,7 @@
 import type { ConfigurationInForce } from './configurationInForce.js'
 import type { GatewayGauges } from './gatewayMetrics.js'
 import type { OpenConnections } from './openConnections.js'
+import type { PausableListener } from './pausableListener.js'
 
 /** The parts that know the values. */
 export interface GaugeSources {
@@ -18,6 +19,7 @@
   readonly advices: EndpointAdvices
   readonly configuration: ConfigurationInForce
   readonly callerConnections: OpenConnections
+  readonly callerListener: PausableListener
   /** Follows the configuration; its age is that of the store's last answer. */
   readonly configurationMirror: TableMirror | undefined
   readonly isReady: () => boolean
@@ -34,6 +36,8 @@
     recordSeconds: () => ledger.recordMilliseconds() / 1000,
     active: () => Number(fleet.isSelfActive),
     abandonedShare: () => gateway.abandonedShare,
+    refusedShare: () => gateway.refusedShare,
+    listening: () => Number(sources.callerListener.isListening),
     endpoints: () => endpoints.size,
     coldEndpoints: () => endpoints.coldCount,
     limitedEndpoints: () => sources.advices.limitedCount,
--- a/packages/daemon/src/gateway/gatewayMetrics.ts
+++ b/packages/daemon/src/gateway/gatewayMetrics.ts
@@ -21,6 +21,8 @@
   readonly recordSeconds: () => number
   readonly active: () => number
   readonly abandonedShare: () => number
+  readonly refusedShare: () => number
+  readonly listening: () => number
   readonly endpoints: () => number
   readonly coldEndpoints: () => number
   readonly limitedEndpoints: () => number
@@ -47,6 +49,7 @@
   private readonly tokens: Counter
   private readonly events: Counter
   private readonly storeCalls: Counter
+  private readonly listenerPauses: Counter
   private readonly firstByte: Histogram
   private readonly total: Histogram
   private readonly longestPause: Histogram
@@ -107,6 +110,11 @@
       labelNames: ['call', 'table', 'outcome'],
       registers,
     })
+    this.listenerPauses = new Counter({
+      name: 'rackwalk_gateway_listener_pauses_total',
+      help: 'Times that the listener for callers was closed for a moment, so that callers turn to other instances.',
+      registers,
+    })
     this.firstByte = new Histogram({
       name: 'rackwalk_gateway_first_byte_seconds',
       help: 'Time from the arrival of a request to the first byte of its answer.',
@@ -162,6 +170,10 @@
     this.events.inc({ event })
   }
 
+  noteListenerPause(): void {
+    this.listenerPauses.inc()
+  }
+
   noteStoreCall(call: string, table: string, outcome: string): void {
     this.storeCalls.inc({ call, table, outcome })
   }
@@ -188,6 +200,12 @@
       'Share of the requests read in the last second whose callers had left before.',
       gauges.abandonedShare,
     )
+    this.gauge(
+      'own_refused_share',
+      'Share of the requests of the last second that were turned away since this instance could not carry them.',
+      gauges.refusedShare,
+    )
+    this.gauge('listening', '1 while new connections of callers are taken.', gauges.listening)
     this.gauge('cold_servers', 'Servers that warm up.', gauges.coldEndpoints)
     this.gauge(
       'resting_servers',
--- a/packages/daemon/src/gateway/gatewayTelemetry.ts
+++ b/packages/daemon/src/gateway/gatewayTelemetry.ts
@@ -86,6 +86,11 @@
     this.logger.warn('server_ended', { server: id, service, signs, unanswered: requests })
   }
 
+  /** The listener for callers was closed for a moment. */
+  noteListenerPause(): void {
+    this.gauged?.noteListenerPause()
+  }
+
   noteStoreCall(call: string, table: string, outcome: string): void {
     this.gauged?.noteStoreCall(call, table, outcome)
   }
--- /dev/null
+++ b/packages/daemon/src/gateway/listenerPauses.ts
@@ -0,0 +1,85 @@
+/**
+ * Closes the listener for callers for moments while this instance gets more than it bears, and tells the others that it
+ * does. Owns the timer; the rule is in decisions/admitting/listenerPause.
+ */
+
+import { ListenerPause, listenerWindow } from '@rackwalk/decisions'
+import type { HeardInstances } from '@rackwalk/decisions'
+import type { Clock, Milliseconds, RandomSource, Timer } from '@rackwalk/shared'
+import type { PausableListener } from './pausableListener.js'
+import { PRESSED_NEWS_MILLISECONDS } from './pressureNews.js'
+
+/** What the pauses rest on. */
+export interface ListenerPausesParts {
+  readonly clock: Clock
+  readonly random: RandomSource
+  readonly listener: PausableListener
+  /** Share of the requests of the last moments that this instance turned away for reasons of its own. */
+  readonly refusedShare: () => number
+  readonly others: () => HeardInstances
+  /** Whether new requests may begin here. */
+  readonly isServing: () => boolean
+  /** Tells the others that this instance gets more than it bears. */
+  readonly tellPressed: () => void
+  readonly onPause: () => void
+  /** The instance began to pause its listener, or ceased to. */
+  readonly onChange: (isPausing: boolean, refusedShare: number, others: HeardInstances) => void
+  readonly onFault: (error: unknown) => void
+}
+
+/** Pauses of one instance's listener. */
+export class ListenerPauses {
+  private readonly rule = new ListenerPause()
+  private timer: Timer | undefined
+  private toldAt: Milliseconds = Number.NEGATIVE_INFINITY
+  private isPausing = false
+  private isStopped = false
+
+  constructor(private readonly parts: ListenerPausesParts) {}
+
+  /** Begins with an open window. */
+  start(): void {
+    if (this.isStopped) return
+    const { clock, random } = this.parts
+    this.timer = clock.after(listenerWindow(random.next()), () => this.look())
+  }
+
+  /** The listener stays as it is. */
+  stop(): void {
+    this.isStopped = true
+    this.timer?.cancel()
+  }
+
+  private look(): void {
+    const { clock, random, refusedShare, isServing } = this.parts
+    const now = clock.monotonic()
+    const share = refusedShare()
+    this.rule.noteRefused(share, now)
+    this.tell(now)
+    const others = this.parts.others()
+    const pause = isServing() ? this.rule.pauseMilliseconds(others, now, random.next()) : 0
+    const isPausing = pause > 0 || (this.isPausing && this.rule.mayPause(others, now))
+    if (isPausing !== this.isPausing) this.parts.onChange(isPausing, share, others)
+    this.isPausing = isPausing
+    if (pause > 0) this.pause(pause)
+    else this.start()
+  }
+
+  private tell(now: Milliseconds): void {
+    if (!this.rule.isPressed(now) || now - this.toldAt < PRESSED_NEWS_MILLISECONDS) return
+    this.toldAt = now
+    this.parts.tellPressed()
+  }
+
+  private pause(milliseconds: Milliseconds): void {
+    const { clock, listener, onPause, onFault } = this.parts
+    onPause()
+    listener.pause()
+    this.timer = clock.after(milliseconds, () => {
+      listener
+        .resume()
+        .then(() => this.start())
+        .catch(onFault)
+    })
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/pausableListener.ts
@@ -0,0 +1,65 @@
+/**
+ * The listener for callers, which can stop taking new connections for a while: the kernel refuses them then, and open ones
+ * are served on, idle ones included. Owns whether and where it listens.
+ */
+
+import { Server as NetServer } from 'node:net'
+import type { Server } from 'node:http'
+import { sleep } from '@rackwalk/shared'
+import type { Clock, Milliseconds } from '@rackwalk/shared'
+import { listenOn, withPort } from '../observe/listenOn.js'
+
+/** Time between two tries to listen again where the address is taken. */
+const REOPEN_MILLISECONDS: Milliseconds = 100
+
+/** A listener that can be paused. */
+export class PausableListener {
+  private isClosed = false
+
+  constructor(
+    readonly server: Server,
+    /** IP:PORT. */
+    private address: string,
+    private readonly clock: Clock,
+    /** The address was taken while the listener was paused; it is tried again. */
+    private readonly onTaken: (error: unknown) => void,
+  ) {}
+
+  /** Whether new connections are taken. */
+  get isListening(): boolean {
+    return this.server.listening
+  }
+
+  /** Begins to listen; fails with `CannotListen`. */
+  async open(): Promise<void> {
+    const port = await listenOn(this.server, this.address)
+    this.address = withPort(this.address, port)
+  }
+
+  /** Takes no new connections until it is resumed. */
+  pause(): void {
+    // Closing it as an HTTP server would end the idle connections as well.
+    NetServer.prototype.close.call(this.server)
+  }
+
+  /** Listens again, as soon as the address is free; not after a close. */
+  async resume(): Promise<void> {
+    let hasTold = false
+    while (!this.isClosed && !this.isListening) {
+      try {
+        await listenOn(this.server, this.address)
+      } catch (error) {
+        if (!hasTold) this.onTaken(error)
+        hasTold = true
+        await sleep(this.clock, REOPEN_MILLISECONDS)
+      }
+    }
+    if (this.isClosed) this.server.close()
+  }
+
+  /** Takes no new connections any more, and ends idle ones. */
+  close(): void {
+    this.isClosed = true
+    this.server.close()
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/pressureNews.ts
@@ -0,0 +1,52 @@
+/**
+ * The news that an instance gets more than it bears, as a datagram between instances, and who told it lately. It travels as
+ * news of requests that end endpoints do: in the form of a load report that comes too late, which an earlier version
+ * drops. Owns when each instance last told it.
+ */
+
+import type { PeerLoadReport } from '@rackwalk/router'
+import type { Clock, Milliseconds } from '@rackwalk/shared'
+import { newsReports } from './crashNews.js'
+
+/** Entries of a report are named for endpoints, and no endpoint has a blank in its id. */
+const PRESSED_ENTRY = 'instance pressed'
+/** Time between two datagrams of an instance that stays pressed. */
+export const PRESSED_NEWS_MILLISECONDS: Milliseconds = 1_000
+/** An instance counts as pressed for so long after its last one: two may be lost. */
+const BELIEVED_MILLISECONDS: Milliseconds = 3_500
+
+/** The reports that tell that this instance is pressed. */
+export function pressureReports(
+  identity: Pick<PeerLoadReport, 'instance' | 'incarnation'>,
+): readonly PeerLoadReport[] {
+  return newsReports(
+    [{ endpoint: PRESSED_ENTRY, running: 0, pendingTokens: 0, parts: [] }],
+    identity,
+  )
+}
+
+/** Whether a report that carries news tells that its instance is pressed. */
+export function tellsPressure({ loads }: PeerLoadReport): boolean {
+  return loads.some(({ endpoint }) => endpoint === PRESSED_ENTRY)
+}
+
+/** Instances that said lately that they get more than they bear. */
+export class PressedInstances {
+  private readonly toldAt = new Map<string, Milliseconds>()
+
+  constructor(private readonly clock: Clock) {}
+
+  /** An instance told it. */
+  note(instance: string): void {
+    this.toldAt.set(instance, this.clock.monotonic())
+  }
+
+  /** Whether it did lately. */
+  has(instance: string): boolean {
+    const toldAt = this.toldAt.get(instance)
+    if (toldAt === undefined) return false
+    if (this.clock.monotonic() - toldAt < BELIEVED_MILLISECONDS) return true
+    this.toldAt.delete(instance)
+    return false
+  }
+}
--- /dev/null
+++ b/packages/decisions/__tests__/listenerPause.spec.ts
@@ -0,0 +1,82 @@
+import { describe, expect, it } from 'vitest'
+import { ListenerPause } from '@rackwalk/decisions'
+import type { HeardInstances } from '@rackwalk/decisions'
+
+const ROOM: HeardInstances = { count: 7, pressed: 0 }
+const LOOK_MILLISECONDS = 250
+
+/** Pauses at looks that each show such a share of refused requests. */
+function pauses(shares: readonly number[], others: HeardInstances = ROOM): readonly number[] {
+  const rule = new ListenerPause()
+  return shares.map((share, index) => {
+    const now = index * LOOK_MILLISECONDS
+    rule.noteRefused(share, now)
+    return Math.round(rule.pauseMilliseconds(others, now, 0.5))
+  })
+}
+
+describe('the pauses of a listener', () => {
+  it('grow with the share that is refused, and stay far under a contact time', () => {
+    expect(pauses([0, 0.1, 0.2, 0.5, 0.75, 0.9, 1])).toMatchInlineSnapshot(`
+      [
+        0,
+        0,
+        100,
+        250,
+        750,
+        1000,
+        1000,
+      ]
+    `)
+  })
+
+  it('go on through a moment of relief, and end with it', () => {
+    expect(pauses([0.1, 0.3, 0.1, 0.06, 0.04, 0.1, 0])).toMatchInlineSnapshot(`
+      [
+        0,
+        107,
+        100,
+        100,
+        0,
+        100,
+        0,
+      ]
+    `)
+    const relieved = new Array<number>(9).fill(0)
+    expect(pauses([0.3, ...relieved, 0.1])).toMatchInlineSnapshot(`
+      [
+        107,
+        0,
+        0,
+        0,
+        0,
+        0,
+        0,
+        0,
+        0,
+        0,
+        0,
+      ]
+    `)
+  })
+
+  it.each([
+    ['nobody is heard', { count: 0, pressed: 0 }],
+    ['most of the others are pressed as well', { count: 7, pressed: 4 }],
+    ['the only other one is', { count: 1, pressed: 1 }],
+  ])('do not come where %s', (_case, others) => {
+    expect(pauses([0.5, 0.9, 1], others)).toEqual([0, 0, 0])
+  })
+
+  it('vary, so that instances do not close together', () => {
+    const rule = new ListenerPause()
+    rule.noteRefused(0.5, 0)
+    const [least, most] = [0, 0.999].map(chance => rule.pauseMilliseconds(ROOM, 0, chance))
+    expect([Math.round(least ?? 0), Math.round(most ?? 0)]).toMatchInlineSnapshot(`
+      [
+        188,
+        312,
+      ]
+    `)
+  })
+})
--- a/packages/decisions/src/admitting/abandonedWork.ts
+++ b/packages/decisions/src/admitting/abandonedWork.ts
@@ -17,7 +17,7 @@
 
 import type { Milliseconds } from '@rackwalk/shared'
 import { trackedValue } from '../choosing/trackedValue.js'
-import { SlidingCount } from '../slidingCount.js'
+import { SlidingShare } from '../slidingCount.js'
 
 /** A caller that leaves within this time of being read had given up before: a few round trips of any. */
 const PROMPT_LEAVE_MILLISECONDS: Milliseconds = 100
@@ -37,26 +37,24 @@
 
 /** Counts requests whose callers left before they were read. */
 export class AbandonedWork {
-  private readonly read = new SlidingCount(WINDOW_MILLISECONDS, SLICES)
-  private readonly left = new SlidingCount(WINDOW_MILLISECONDS, SLICES)
+  private readonly requests = new SlidingShare(WINDOW_MILLISECONDS, SLICES, LEAST_REQUESTS)
   private leaveDelay: Milliseconds | undefined
 
   /** A request was read; `now` is monotonic. */
   noteRead(now: Milliseconds): void {
-    this.read.add(now)
+    this.requests.note(now)
   }
 
   /** Its caller left so long after. */
   noteLeft(delay: Milliseconds, now: Milliseconds): void {
     if (delay > PROMPT_LEAVE_MILLISECONDS) return
-    this.left.add(now)
+    this.requests.noteCounted(now)
     this.leaveDelay = trackedValue(this.leaveDelay, delay, DELAY_WEIGHTS)
   }
 
   /** The share of requests read lately whose callers had left, in [0, 1]. */
   share(now: Milliseconds): number {
-    const read = this.read.at(now)
-    return read < LEAST_REQUESTS ? 0 : Math.min(1, this.left.at(now) / read)
+    return this.requests.at(now)
   }
 
   /** Whether so many callers have left that what is read cannot be taken for wanted. */
--- /dev/null
+++ b/packages/decisions/src/admitting/listenerPause.ts
@@ -0,0 +1,80 @@
+/**
+ * Should an instance that gets more than it bears take no new connections for a moment, so that callers turn to others?
+ *
+ * Load pattern: all callers of a team stay with one weak instance. A refusal with a status does not move them, and
+ * each refused request has cost the instance a connection, a head and a part of its link, so what it serves falls to
+ * next to nothing while the others have room. A connection that does not come up costs it nothing, and the caller goes to
+ * another address.
+ *
+ * The listener is closed in short pauses between open windows; the larger the share of the requests that is
+ * refused, the longer the pauses. Open connections are served on.
+ *
+ * Limits: each pause is far shorter than callers and readiness checks take an instance for lost by; an
+ * instance keeps its listener open while it hears nobody, or while half of those whom it hears are pressed
+ * themselves, since callers that are turned away there would be served nowhere. Pauses and windows vary, so
+ * that instances do not close together.
+ */
+
+import type { Milliseconds } from '@rackwalk/shared'
+
+/** Pauses begin where this share of the requests is refused, */
+const PRESSED_SHARE = 0.2
+/** and end below this one: hysteresis keeps the listener from closing and opening with each burst. */
+const RELIEVED_SHARE = 0.05
+/** An instance stays pressed for so long after its last sign of it, since a pause relieves it for a moment. */
+const PRESSED_MILLISECONDS: Milliseconds = 2_000
+/** Mean time for which the listener is open between two pauses. */
+const WINDOW_MILLISECONDS: Milliseconds = 250
+const SHORTEST_PAUSE_MILLISECONDS: Milliseconds = 100
+const LONGEST_PAUSE_MILLISECONDS: Milliseconds = 1_000
+/** Windows and pauses are up to this share longer or shorter. */
+const SPREAD = 0.25
+/** The listener stays open where more than this share of the others is pressed too. */
+const LARGEST_PRESSED_FLEET = 0.5
+
+/** The other instances that take callers and are heard of. */
+export interface HeardInstances {
+  readonly count: number
+  /** Those that said lately that they get more than they bear. */
+  readonly pressed: number
+}
+
+/** When an instance closes its listener, and for how long. */
+export class ListenerPause {
+  private pressedAt: Milliseconds = Number.NEGATIVE_INFINITY
+  private share = 0
+
+  /** Call it at each look; `share` of the requests is refused, and `now` is monotonic. */
+  noteRefused(share: number, now: Milliseconds): void {
+    const limit = this.isPressed(now) ? RELIEVED_SHARE : PRESSED_SHARE
+    if (share >= limit) this.pressedAt = now
+    this.share = share
+  }
+
+  /** Whether this instance gets more than it bears. */
+  isPressed(now: Milliseconds): boolean {
+    return now - this.pressedAt < PRESSED_MILLISECONDS
+  }
+
+  /** Whether callers who are turned away are served elsewhere. */
+  mayPause({ count, pressed }: HeardInstances, now: Milliseconds): boolean {
+    return this.isPressed(now) && count > 0 && pressed <= LARGEST_PRESSED_FLEET * count
+  }
+
+  /** How long to close the listener now; 0 where it stays open. `chance` is in [0, 1). */
+  pauseMilliseconds(others: HeardInstances, now: Milliseconds, chance: number): Milliseconds {
+    if (!this.mayPause(others, now) || this.share < RELIEVED_SHARE) return 0
+    const mean = (WINDOW_MILLISECONDS * this.share) / Math.max(Number.EPSILON, 1 - this.share)
+    const pause = Math.max(SHORTEST_PAUSE_MILLISECONDS, spread(mean, chance))
+    return Math.min(LONGEST_PAUSE_MILLISECONDS, pause)
+  }
+}
+
+/** How long the listener is open before the next look. */
+export function listenerWindow(chance: number): Milliseconds {
+  return spread(WINDOW_MILLISECONDS, chance)
+}
+
+function spread(mean: Milliseconds, chance: number): Milliseconds {
+  return mean * (1 - SPREAD + 2 * SPREAD * chance)
+}
--- a/packages/decisions/src/slidingCount.ts
+++ b/packages/decisions/src/slidingCount.ts
@@ -32,3 +32,35 @@
     return Math.floor((now * this.parts) / this.windowMilliseconds)
   }
 }
+
+/** The share of events of one kind among all in a time that goes with the clock. */
+export class SlidingShare {
+  private readonly all: SlidingCount
+  private readonly counted: SlidingCount
+
+  constructor(
+    windowMilliseconds: Milliseconds,
+    slices: number,
+    /** Fewer events in that time tell nothing. */
+    private readonly leastEvents: number,
+  ) {
+    this.all = new SlidingCount(windowMilliseconds, slices)
+    this.counted = new SlidingCount(windowMilliseconds, slices)
+  }
+
+  /** An event of any kind. */
+  note(now: Milliseconds): void {
+    this.all.add(now)
+  }
+
+  /** One of those noted was of the kind that is counted. */
+  noteCounted(now: Milliseconds): void {
+    this.counted.add(now)
+  }
+
+  /** The share, in [0, 1]; 0 where too few events tell. */
+  at(now: Milliseconds): number {
+    const all = this.all.at(now)
+    return all < this.leastEvents ? 0 : Math.min(1, this.counted.at(now) / all)
+  }
+}
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -89,6 +89,11 @@
     return this.admission.abandonedShare
   }
 
+  /** The share of requests that ended lately and were turned away for reasons of this instance, in [0, 1]. */
+  get refusedShare(): number {
+    return this.admission.refusedShare
+  }
+
   /** Serves one request to its end. */
   async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const metadata = this.parts.dialect.readRequest(request.headers)
@@ -268,6 +273,7 @@
   private finishRecord(record: GatewayRecord, response: ServerResponse): void {
     record.status = response.headersSent ? response.statusCode : 0
     record.code ??= ResultCode.Ok
+    this.admission.noteEnd(record.code)
     record.totalMilliseconds = this.parts.clock.sinceStart() - record.receivedAt
     this.parts.onRecord(record)
   }
--- a/packages/router/src/gateway/instanceAdmission.ts
+++ b/packages/router/src/gateway/instanceAdmission.ts
@@ -11,6 +11,7 @@
   AbandonedWork,
   DELAY_LOOK_MILLISECONDS,
   LinkBudget,
+  OwnRefusals,
   ProcessorBudget,
   returnAfterSeconds,
 } from '@rackwalk/decisions'
@@ -35,6 +36,7 @@
   private readonly link: LinkBudget
   private readonly processor = new ProcessorBudget()
   private readonly abandoned = new AbandonedWork()
+  private readonly refusals = new OwnRefusals()
   private isWatching = false
 
   constructor(
@@ -60,6 +62,16 @@
     return this.abandoned.share(this.parts.clock.monotonic())
   }
 
+  /** A request has ended. */
+  noteEnd(code: ResultCode): void {
+    this.refusals.noteEnd(code, this.parts.clock.monotonic())
+  }
+
+  /** The share of requests that ended lately and were turned away for reasons of this instance, in [0, 1]. */
+  get refusedShare(): number {
+    return this.refusals.share(this.parts.clock.monotonic())
+  }
+
   /** A body has been read. */
   noteBody(request: IncomingMessage, bytes: Bytes): void {
     if (announcedBytes(request) !== undefined) return
--- a/packages/stand-ins/__tests__/weakProcessor.spec.ts
+++ b/packages/stand-ins/__tests__/weakProcessor.spec.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from 'vitest'
 import { WeakProcessorReplay } from '@rackwalk/stand-ins'
-import type { WeakProcessorPolicy } from '@rackwalk/stand-ins'
+import type { WeakProcessorOutcome, WeakProcessorPolicy } from '@rackwalk/stand-ins'
 
 /**
  * The callers of a team stay with one weak instance, which bears 78 requests a second: more come than that,
@@ -14,22 +14,28 @@
   seesAcceptWait: false,
   seesAbandoned: false,
   confirmsCallers: false,
+  pausesListener: false,
+  others: { count: 0, pressed: 0 },
 }
 const NOW: WeakProcessorPolicy = {
   seesDelay: true,
   seesAcceptWait: true,
   seesAbandoned: true,
   confirmsCallers: true,
+  pausesListener: true,
+  others: { count: 0, pressed: 0 },
 }
 
+const BESIDE_OTHERS: WeakProcessorPolicy = { ...NOW, others: { count: 7, pressed: 0 } }
+
 /** What became of requests at so many times what is borne, summed over seeds. */
 function play(policy: WeakProcessorPolicy, times: number, laterTimes = times) {
   const load = { burst: BORNE * times, burstMilliseconds: 4_000, usual: BORNE * laterTimes }
   const outcomes = SEEDS.map(seed => new WeakProcessorReplay(policy, load, seed).run())
-  const perSecond = (what: keyof (typeof outcomes)[number]) => {
-    const total = outcomes.reduce((sum, outcome) => sum + outcome[what], 0)
-    return Math.round(total / (12 * SEEDS.length))
-  }
+  const total = (what: keyof WeakProcessorOutcome) =>
+    outcomes.reduce((sum, outcome) => sum + outcome[what], 0)
+  const perSecond = (what: keyof WeakProcessorOutcome) =>
+    Math.round(total(what) / (12 * SEEDS.length))
   return {
     served: perSecond('served'),
     refused: perSecond('refused'),
@@ -89,3 +95,66 @@
     expect(play(NOW, 4, usual).served).toBeGreaterThan(0.9 * usual * BORNE)
   })
 })
+
+describe('a team whose callers all stay with one weak instance', () => {
+  /** The share of its requests that some instance serves, at so many times what that instance bears. */
+  function servedShare(policy: WeakProcessorPolicy, times: number): number {
+    const load = { burst: BORNE * times, burstMilliseconds: 4_000, usual: BORNE * times }
+    const outcomes = SEEDS.map(seed => new WeakProcessorReplay(policy, load, seed).run())
+    const sum = (of: (outcome: WeakProcessorOutcome) => number) =>
+      outcomes.reduce((total, outcome) => total + of(outcome), 0)
+    const share =
+      sum(({ served, servedElsewhere }) => served + servedElsewhere) / sum(({ asked }) => asked)
+    // Callers that waited as the counted time began are served within it.
+    return Math.min(1, Number(share.toFixed(2)))
+  }
+
+  it('is not starved while other instances have room', () => {
+    const times = [1, 2, 4]
+    const stays = times.map(count =>
+      servedShare({ ...BESIDE_OTHERS, pausesListener: false }, count),
+    )
+    const moves = times.map(count => servedShare(BESIDE_OTHERS, count))
+    expect({ stays, moves }).toMatchInlineSnapshot(`
+      {
+        "moves": [
+          1,
+          1,
+          0.95,
+        ],
+        "stays": [
+          0.98,
+          0.18,
+          0,
+        ],
+      }
+    `)
+    expect(Math.min(...moves)).toBeGreaterThan(0.9)
+  })
+
+  it('does not fill the link with bodies of requests that are refused', () => {
+    const inVain = (policy: WeakProcessorPolicy) => {
+      const { refused, left } = play(policy, 2)
+      return refused + left
+    }
+    const stays = inVain({ ...BESIDE_OTHERS, pausesListener: false })
+    expect({ stays, moves: inVain(BESIDE_OTHERS) }).toMatchInlineSnapshot(`
+      {
+        "moves": 7,
+        "stays": 279,
+      }
+    `)
+    expect(inVain(BESIDE_OTHERS)).toBeLessThan(0.1 * stays)
+  })
+
+  it('is served as before where nobody else has room', () => {
+    const alone = [
+      { ...NOW, others: { count: 0, pressed: 0 } },
+      { ...NOW, others: { count: 7, pressed: 4 } },
+    ]
+    const without = { ...NOW, pausesListener: false }
+    for (const policy of alone) {
+      expect(servedShare(policy, 2)).toBe(servedShare(without, 2))
+    }
+  })
+})
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -22,7 +22,7 @@
 export { Replay } from './replay/replay.js'
 export { FleetReplay } from './replay/fleetReplay.js'
 export { WeakProcessorReplay } from './replay/weakProcessorReplay.js'
-export type { WeakProcessorPolicy } from './replay/weakProcessorReplay.js'
+export type { WeakProcessorOutcome, WeakProcessorPolicy } from './replay/weakProcessorReplay.js'
 export { largeFleetLoad } from './replay/largeFleetLoad.js'
 export { longPromptLoad } from './replay/longPromptLoad.js'
 export type { LongPromptVariation } from './replay/longPromptLoad.js'
--- a/packages/stand-ins/src/replay/weakProcessorReplay.ts
+++ b/packages/stand-ins/src/replay/weakProcessorReplay.ts
@@ -5,9 +5,16 @@
  * their requests; the rules under test are the product's own.
  */
 
-import { AbandonedWork, DELAY_LOOK_MILLISECONDS, ProcessorBudget } from '@rackwalk/decisions'
-import type { ProcessorLook, WorkRank } from '@rackwalk/decisions'
-import { SeededRandom } from '@rackwalk/shared'
+import {
+  AbandonedWork,
+  DELAY_LOOK_MILLISECONDS,
+  ListenerPause,
+  OwnRefusals,
+  ProcessorBudget,
+  listenerWindow,
+} from '@rackwalk/decisions'
+import type { HeardInstances, ProcessorLook, WorkRank } from '@rackwalk/decisions'
+import { ResultCode, SeededRandom } from '@rackwalk/shared'
 import type { Milliseconds } from '@rackwalk/shared'
 import TinyQueue from 'tinyqueue'
 
@@ -19,6 +26,10 @@
   readonly seesAbandoned: boolean
   /** Whether it waits for the word that a caller has left before it sends a request on. */
   readonly confirmsCallers: boolean
+  /** Whether it closes its listener for moments while it is pressed. */
+  readonly pausesListener: boolean
+  /** Others that take callers; those that are not pressed serve whoever turns to them. */
+  readonly others: HeardInstances
 }
 
 /** Requests a second that callers make for the first time: at first so many, and later so many. */
@@ -30,8 +41,12 @@
 
 /** What came of the requests in the part of the run that counts. */
 export interface WeakProcessorOutcome {
+  /** Requests that callers made for the first time, wherever they went. */
+  asked: number
   tries: number
   served: number
+  /** By other instances, to which callers turned as their connections did not come up. */
+  servedElsewhere: number
   /** Told at once that they are not taken. */
   refused: number
   /** Got nothing for as long as they waited. */
@@ -54,6 +69,9 @@
 /** What comes before this does not count. */
 const COUNTED_FROM_MILLISECONDS: Milliseconds = 12_000
 const RANK: WorkRank = { priority: 1, answerTokens: 50 }
+/** Callers of the team, each of whom remembers for so long that this instance has failed it. */
+const CALLERS = 60
+const REMEMBERED_MILLISECONDS: Milliseconds = 3_000
 
 /** A connection that the process makes to itself, and the time between two. */
 const PROBE = Symbol('probe')
@@ -61,6 +79,7 @@
 
 /** One try of a caller. */
 interface CallerTry {
+  readonly caller: number
   readonly number: number
   hasLeft: boolean
   isOver: boolean
@@ -84,7 +103,22 @@
   private readonly abandoned = new AbandonedWork()
   private lookDue: Milliseconds = DELAY_LOOK_MILLISECONDS
   private readonly random: SeededRandom
-  private readonly outcome = { tries: 0, served: 0, refused: 0, left: 0, sentInVain: 0 }
+  /** Apart, so that requests come at the same times whether or not it matters who sends them. */
+  private readonly callers: SeededRandom
+  private readonly pause = new ListenerPause()
+  private readonly refusals = new OwnRefusals()
+  private isListening = true
+  /** Time until which a caller goes elsewhere. */
+  private readonly awayUntil: Milliseconds[] = new Array<Milliseconds>(CALLERS).fill(0)
+  private readonly outcome: WeakProcessorOutcome = {
+    asked: 0,
+    tries: 0,
+    served: 0,
+    servedElsewhere: 0,
+    refused: 0,
+    left: 0,
+    sentInVain: 0,
+  }
 
   constructor(
     private readonly policy: WeakProcessorPolicy,
@@ -92,11 +126,13 @@
     seed: number,
   ) {
     this.random = new SeededRandom(seed)
+    this.callers = new SeededRandom(seed)
   }
 
   /** Plays the load to its end. */
   run(): WeakProcessorOutcome {
     this.scheduleNext(0)
+    if (this.policy.pausesListener) this.scheduleWindow()
     while (this.now < RUN_MILLISECONDS) this.turn()
     return this.outcome
   }
@@ -148,17 +184,26 @@
     const age = this.now - probe.madeAt
     if (probe.isWaiting) return age
     if (age >= PROBE_MILLISECONDS) {
-      probe.isWaiting = true
-      probe.madeAt = this.now
-      this.backlog.push(PROBE)
+      if (!this.isListening) probe.waited = 0
+      else this.makeProbe()
     }
     return probe.waited
   }
 
+  private makeProbe(): void {
+    this.probe.isWaiting = true
+    this.probe.madeAt = this.now
+    this.backlog.push(PROBE)
+  }
+
   private takeProbe(): void {
     this.work(ACCEPT_MILLISECONDS)
+    this.endProbe(this.now - this.probe.madeAt)
+  }
+
+  private endProbe(waited: Milliseconds): void {
     this.probe.isWaiting = false
-    this.probe.waited = this.now - this.probe.madeAt
+    this.probe.waited = waited
   }
 
   /** Callers come whether or not the loop has time for them. */
@@ -167,15 +212,18 @@
     const rate = from < burstMilliseconds ? burst : usual
     const due = from - Math.log(1 - this.random.next()) * (1000 / rate)
     const run = () => {
-      this.connect(1)
+      this.count('asked')
+      this.connect(Math.floor(this.callers.next() * CALLERS), 1)
       this.scheduleNext(due)
     }
     this.scheduled.push({ due, run })
   }
 
-  private connect(number: number): void {
-    const attempt = { number, hasLeft: false, isOver: false }
+  private connect(caller: number, number: number): void {
+    const attempt = { caller, number, hasLeft: false, isOver: false }
+    if (this.now < (this.awayUntil[caller] ?? 0)) return this.serveElsewhere(attempt)
     this.count('tries')
+    if (!this.isListening) return this.turnAway(attempt)
     this.after(PATIENCE_MILLISECONDS, () => this.giveUp(attempt))
     this.backlog.push(attempt)
   }
@@ -184,7 +232,39 @@
     if (attempt.isOver) return
     attempt.hasLeft = true
     this.count('left')
-    if (attempt.number < TRIES) this.connect(attempt.number + 1)
+    if (attempt.number < TRIES) this.connect(attempt.caller, attempt.number + 1)
+  }
+
+  /** A connection that did not come up, or ended before anything was read: its caller goes elsewhere. */
+  private turnAway(attempt: CallerTry): void {
+    this.awayUntil[attempt.caller] = this.now + REMEMBERED_MILLISECONDS
+    this.serveElsewhere(attempt)
+  }
+
+  private serveElsewhere(attempt: CallerTry): void {
+    attempt.isOver = true
+    this.count('servedElsewhere')
+  }
+
+  private scheduleWindow(): void {
+    this.after(listenerWindow(this.callers.next()), () => this.closeListener())
+  }
+
+  /** Whoever waits to be taken is turned away with the listener. */
+  private closeListener(): void {
+    const { pause, now } = this
+    pause.noteRefused(this.refusals.share(now), now)
+    const milliseconds = pause.pauseMilliseconds(this.policy.others, now, this.callers.next())
+    if (milliseconds === 0) return this.scheduleWindow()
+    this.isListening = false
+    for (const waiting of this.backlog.splice(0)) {
+      if (waiting === PROBE) this.endProbe(0)
+      else if (!waiting.hasLeft) this.turnAway(waiting)
+    }
+    this.after(milliseconds, () => {
+      this.isListening = true
+      this.scheduleWindow()
+    })
   }
 
   private accept(attempt: CallerTry): void {
@@ -205,8 +285,9 @@
   }
 
   private confirm(attempt: CallerTry): void {
-    if (attempt.hasLeft) this.work(REFUSAL_MILLISECONDS)
-    else this.sendOn(attempt)
+    if (!attempt.hasLeft) return this.sendOn(attempt)
+    this.work(REFUSAL_MILLISECONDS)
+    this.refusals.noteEnd(ResultCode.CallerLeftUnsent, this.now)
   }
 
   private sendOn(attempt: CallerTry): void {
@@ -218,17 +299,20 @@
   private answer(attempt: CallerTry): void {
     if (attempt.hasLeft) return
     this.work(ANSWER_MILLISECONDS)
+    this.refusals.noteEnd(ResultCode.Ok, this.now)
     attempt.isOver = true
     this.count('served')
   }
 
   private refuse(attempt: CallerTry): void {
     this.work(REFUSAL_MILLISECONDS)
+    this.refusals.noteEnd(ResultCode.ProcessorFull, this.now)
     if (attempt.hasLeft) return
     attempt.isOver = true
     this.count('refused')
     const wait = this.processor.reliefMilliseconds
-    if (attempt.number < TRIES) this.after(wait, () => this.connect(attempt.number + 1))
+    if (attempt.number < TRIES)
+      this.after(wait, () => this.connect(attempt.caller, attempt.number + 1))
   }
 
   private after(delay: Milliseconds, run: () => void): void {
