fix(router): a refusal by an instance's own state names route and team

Cause: a request was named after the checks of the instance's phase and of the age of what it knows, so refusals with 3004, 3005 and 3011 carried neither route nor team, and a team that was refused everything showed in no counter. Change: the routes known here name the request first, for the record alone; it is served or refused as before. Ruled out: naming in the refusal path, which would match routes twice and leave served and refused lines apart. What callers saw: nothing changes for them.

--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -52,6 +52,16 @@
   readonly onRecord: (record: GatewayRecord) => void
 }
 
+/** What the routes known here make of a request. */
+interface NamedRequest {
+  readonly routes: RouteTable
+  readonly path: string
+  /** Undefined where no route takes the path. */
+  readonly route: GatewayRoute | undefined
+  /** Undefined where the route asks for no key, or nobody holds the one shown. */
+  readonly team: GatewayTeam | undefined
+}
+
 /** A request whose route and team are known. */
 interface IdentifiedRequest {
   readonly metadata: RequestMetadata
@@ -179,17 +189,13 @@
     metadata: RequestMetadata,
     record: GatewayRecord,
   ): IdentifiedRequest {
+    const named = this.nameRequest(request, metadata, record)
     if (this.parts.isRefusing()) throw new NotRunError(ResultCode.InstanceDraining)
     this.parts.checkKnowledge()
-    const routes = this.parts.routes()
-    if (routes === undefined) throw new NotRunError(ResultCode.InstanceNotReady)
-    record.configurationVersion = routes.version
-    const path = (request.url ?? '/').split('?')[0] ?? '/'
-    const route = routes.match(request.headers.host ?? '', path)
+    if (named === undefined) throw new NotRunError(ResultCode.InstanceNotReady)
+    const { routes, path, route, team } = named
     if (route === undefined) throw new NotRunError(ResultCode.NotFound, path)
-    record.route = route.name
-    const team = route.isAnonymous ? undefined : findTeam(routes, metadata)
-    record.team = team?.name
+    if (team === undefined && !route.isAnonymous) throw new NotRunError(ResultCode.UnknownKey)
     const serviceName = chooseService(route, this.parts.random.next())
     const service = serviceName === undefined ? undefined : routes.service(serviceName)
     if (service === undefined) throw new NotRunError(ResultCode.NoEndpoint, serviceName)
@@ -199,6 +205,28 @@
     return { metadata, route, service, team, deadlineAt }
   }
 
+  /**
+   * What the routes known here make of a request; undefined where none are known. The record names it also where the
+   * request is then refused, so that a team that is refused everything is seen in its own counters.
+   */
+  private nameRequest(
+    request: IncomingMessage,
+    metadata: RequestMetadata,
+    record: GatewayRecord,
+  ): NamedRequest | undefined {
+    const routes = this.parts.routes()
+    if (routes === undefined) return undefined
+    const path = (request.url ?? '/').split('?')[0] ?? '/'
+    const route = routes.match(request.headers.host ?? '', path)
+    const key = metadata.credential
+    const isKeyed = route !== undefined && !route.isAnonymous && key !== undefined
+    const team = isKeyed ? routes.teamOf(key) : undefined
+    record.configurationVersion = routes.version
+    record.route = route?.name
+    record.team = team?.name
+    return { routes, path, route, team }
+  }
+
   /** The whole body; the caller still waits when it is there. */
   private async readWhole(request: IncomingMessage, reply: CallerReply): Promise<Buffer> {
     const limits = this.parts.routes()?.configuration.limits
@@ -286,10 +314,3 @@
   const priority = team?.priority ?? route.priority
   return { priority, answerTokens: metadata.tokens?.maximumOutput ?? 0 }
 }
-
-function findTeam(routes: RouteTable, metadata: RequestMetadata): GatewayTeam {
-  const key = metadata.credential
-  const team = key === undefined ? undefined : routes.teamOf(key)
-  if (team === undefined) throw new NotRunError(ResultCode.UnknownKey)
-  return team
-}
