feat(daemon): knowledge_state tells who was heard and when, and whether a peer confirmed

Cause: the line gave the age of the rows alone; whether an instance refused since the store answered its other calls, or since datagrams of others came through while its own questions went unanswered, could not be told apart. Change: the line carries the time since the store answered any call, since a peer was heard and since a peer answered a question for the table. The decision is unchanged. Ruled out: a line for each question, which a late instance asks several times a second. What callers saw: nothing changes for them.

--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -29,7 +29,7 @@
 import type { GatewayMetrics } from './gatewayMetrics.js'
 import { GatewayTelemetry, createGatewayLogger } from './gatewayTelemetry.js'
 import type { GatewaySettings } from './gatewaySettings.js'
-import { KnowledgeWatch, watchedTables } from './knowledgeWatch.js'
+import { KnowledgeWatch, knowledgeFields, watchedTables } from './knowledgeWatch.js'
 import { createPeerLoans, createPeerRows } from './peerCalls.js'
 import type { PeerCallSources } from './peerCalls.js'
 import type { PeerLoans } from './peerLoans.js'
@@ -344,8 +344,7 @@
         answeredAgoMilliseconds: this.store.answeredAgoMilliseconds,
         heardAgoMilliseconds: this.known.fleetLoad.heardAgoMilliseconds,
       }),
-      onChange: (isRefusing, table, age) =>
-        this.note('knowledge_state', { isRefusing, table, ageMilliseconds: Math.round(age) }),
+      onChange: change => this.note('knowledge_state', knowledgeFields(change)),
       onFault: error => this.noteFault(error),
     })
   }
--- a/packages/daemon/src/gateway/knowledgeWatch.ts
+++ b/packages/daemon/src/gateway/knowledgeWatch.ts
@@ -34,6 +34,33 @@
   return new Map(tables)
 }
 
+/** What the instance went by when it began or ceased to refuse. */
+export interface KnowledgeChange {
+  readonly isRefusing: boolean
+  readonly table: string
+  readonly rows: KnownRows
+  readonly reachability: Reachability
+  /** Time since a peer last answered a question for the table; infinite where none did. */
+  readonly confirmedAgoMilliseconds: Milliseconds
+}
+
+/** Fields of the line about such a change; an age that is infinite is left out of its JSON. */
+export function knowledgeFields(change: KnowledgeChange): Readonly<Record<string, unknown>> {
+  const { isRefusing, table, rows, reachability, confirmedAgoMilliseconds } = change
+  return {
+    isRefusing,
+    table,
+    ageMilliseconds: finite(rows.ageMilliseconds),
+    storeAnsweredAgoMilliseconds: finite(reachability.answeredAgoMilliseconds),
+    peerHeardAgoMilliseconds: finite(reachability.heardAgoMilliseconds),
+    peerConfirmedAgoMilliseconds: finite(confirmedAgoMilliseconds),
+  }
+}
+
+function finite(milliseconds: Milliseconds): Milliseconds | undefined {
+  return Number.isFinite(milliseconds) ? Math.round(milliseconds) : undefined
+}
+
 /** What the watch works with. */
 export interface KnowledgeWatchParts {
   readonly clock: Clock
@@ -41,7 +68,7 @@
   readonly tables: ReadonlyMap<string, WatchedTable>
   readonly reachability: () => Reachability
   /** The instance began to refuse by the age of what it knows, or ceased to. */
-  readonly onChange: (isRefusing: boolean, table: string, age: Milliseconds) => void
+  readonly onChange: (change: KnowledgeChange) => void
   readonly onFault: (error: unknown) => void
 }
 
@@ -90,7 +117,15 @@
     if (table === this.refusedTable) return
     const name = table ?? this.refusedTable ?? ''
     this.refusedTable = table
-    this.parts.onChange(table !== undefined, name, this.parts.tables.get(name)?.mirror.age ?? 0)
+    const watched = this.parts.tables.get(name)
+    if (watched === undefined) return
+    this.parts.onChange({
+      isRefusing: table !== undefined,
+      table: name,
+      rows: this.known(name, watched),
+      reachability: this.parts.reachability(),
+      confirmedAgoMilliseconds: this.confirmedAgo(name),
+    })
   }
 
   private ask(name: string): void {
@@ -120,9 +155,12 @@
   }
 
   private known(name: string, { mirror, boundMilliseconds }: WatchedTable): KnownRows {
-    const answeredAt = this.answeredAt.get(name) ?? Number.NEGATIVE_INFINITY
-    const isConfirmedOld =
-      this.parts.clock.sinceStart() - answeredAt <= ANSWER_SHARE * boundMilliseconds
+    const isConfirmedOld = this.confirmedAgo(name) <= ANSWER_SHARE * boundMilliseconds
     return { ageMilliseconds: mirror.age, boundMilliseconds, isConfirmedOld }
   }
+
+  private confirmedAgo(name: string): Milliseconds {
+    const answeredAt = this.answeredAt.get(name) ?? Number.NEGATIVE_INFINITY
+    return this.parts.clock.sinceStart() - answeredAt
+  }
 }
--- a/packages/stand-ins/__tests__/knowledgeWatch.spec.ts
+++ b/packages/stand-ins/__tests__/knowledgeWatch.spec.ts
@@ -41,7 +41,7 @@
       heardAgoMilliseconds: heard.isHeard ? 20 : Number.POSITIVE_INFINITY,
       answeredAgoMilliseconds: clock.monotonic() - answered.at,
     }),
-    onChange: isRefusing => changes.push(isRefusing),
+    onChange: ({ isRefusing }) => changes.push(isRefusing),
     onFault: error => expect.unreachable(String(error)),
   })
   mirror.start()
