feat(daemon): a line, a gauge and a counter tell which team is served next to nothing

Cause: one team's callers all stay with one instance that refuses nearly everything; sums over the fleet stay good, and no line says that a team is starved, nor why. Change: each instance counts requests by team over five seconds. A team of which under a quarter is served (of ten or more) is told once as `team_starved`, with the commonest code and the instance's own state (part refused by the processor, part left by callers, link, age of what it knows, who was heard), and as `team_served` when half is served or nothing is asked. `rackwalk_gateway_starved_teams` and `rackwalk_gateway_starved_requests_total{tenant,code}` count. Both watches of an instance over itself are in `InstanceHealth`, out of the daemon's wiring. Ruled out: comparing with what the others at the same instance are served. A share of all that a team asks finds these, and whoever gets a quarter of what others get. What callers saw: nothing changes for them.

--- a/packages/daemon/__tests__/references.spec.ts
+++ b/packages/daemon/__tests__/references.spec.ts
@@ -85,6 +85,7 @@
     configurationVersion: zero,
     ready: zero,
     storeAge: zero,
+    starvedTeams: zero,
     shortBudgets: zero,
     callerConnections: zero,
   })
--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -29,7 +29,7 @@
 import type { GatewayMetrics } from './gatewayMetrics.js'
 import { GatewayTelemetry, createGatewayLogger } from './gatewayTelemetry.js'
 import type { GatewaySettings } from './gatewaySettings.js'
-import { KnowledgeWatch, knowledgeFields, watchedTables } from './knowledgeWatch.js'
+import { watchedTables } from './knowledgeWatch.js'
 import { createPeerLoans, createPeerRows } from './peerCalls.js'
 import type { PeerCallSources } from './peerCalls.js'
 import type { PeerLoans } from './peerLoans.js'
@@ -37,6 +37,7 @@
 import { ConfigurationInForce } from './configurationInForce.js'
 import { CountedStore } from './countedStore.js'
 import { OpenConnections } from './openConnections.js'
+import { InstanceHealth } from './instanceHealth.js'
 import { linkBytesPerSecond } from './instanceCapacity.js'
 import { ownMember } from './ownMember.js'
 import { EndpointKnowledge } from './endpointKnowledge.js'
@@ -73,7 +74,7 @@
   private readonly known: EndpointKnowledge
   private readonly gateway: Gateway
   private readonly mirrors: ReadonlyMap<string, TableMirror>
-  private readonly knowledge: KnowledgeWatch
+  private readonly health: InstanceHealth
   private readonly peerRows: PeerRows
   private readonly peerLoans: PeerLoans
   private readonly callerListener: Server
@@ -111,7 +112,7 @@
     this.gateway = this.createGateway()
     this.peerRows = createPeerRows(this.peerCallSources, this.fleet, this.random)
     this.mirrors = this.createMirrors()
-    this.knowledge = this.createKnowledge()
+    this.health = this.createHealth()
     this.callerListener = createCallerListener((request, response) => {
       this.requestRate.add(1)
       void this.gateway.handle(request, response)
@@ -132,7 +133,7 @@
     })
     for (const mirror of this.mirrors.values()) mirror.start()
     this.ledger.start()
-    this.knowledge.start()
+    this.health.start()
     this.known.start()
     this.note('instance_started', { callers, incarnation: this.incarnation })
   }
@@ -183,7 +184,7 @@
   /** Stops at once. */
   stop(): void {
     for (const mirror of this.mirrors.values()) mirror.stop()
-    this.knowledge.stop()
+    this.health.stop()
     this.ledger.stop()
     this.members.stop()
     this.store.close()
@@ -310,10 +311,13 @@
       acceptMilliseconds: () => this.acceptProbe.look(),
       linkBytesPerSecond: linkBytesPerSecond(instance.capacity),
       instances: () => this.fleet.cautiousSharers,
-      checkKnowledge: () => this.knowledge.check(),
+      checkKnowledge: () => this.health.checkKnowledge(),
       isDraining: () => this.draining,
       isRefusing: () => this.refusing,
-      onRecord: record => this.telemetry.noteRecord(record),
+      onRecord: record => {
+        this.telemetry.noteRecord(record)
+        this.health.noteRecord(record)
+      },
     })
   }
 
@@ -336,21 +340,22 @@
     })
   }
 
-  private createKnowledge(): KnowledgeWatch {
-    return new KnowledgeWatch({
+  private createHealth(): InstanceHealth {
+    return new InstanceHealth({
       clock: this.clock,
+      telemetry: this.telemetry,
+      gateway: this.gateway,
       tables: watchedTables(this.adapter, this.mirrors, this.settings.freshness),
       reachability: () => ({
         answeredAgoMilliseconds: this.store.answeredAgoMilliseconds,
         heardAgoMilliseconds: this.known.fleetLoad.heardAgoMilliseconds,
       }),
-      onChange: change => this.note('knowledge_state', knowledgeFields(change)),
-      onFault: error => this.noteFault(error),
     })
   }
 
   private createMetrics(): GatewayMetrics {
     const { gateway, members, fleet, ledger, known, configuration, callerConnections } = this
+    const { health } = this
     return this.telemetry.createMetrics(
       gaugesOf({
         gateway,
@@ -359,6 +364,7 @@
         ledger,
         endpoints: known.directory,
         configuration,
+        health,
         crashes: known.crashes.guard,
         advices: known.advice.advices,
         callerConnections,
--- a/packages/daemon/src/gateway/gatewayGauges.ts
+++ b/packages/daemon/src/gateway/gatewayGauges.ts
@@ -5,6 +5,7 @@
 import type { ActiveFleet } from './activeFleet.js'
 import type { ConfigurationInForce } from './configurationInForce.js'
 import type { GatewayGauges } from './gatewayMetrics.js'
+import type { InstanceHealth } from './instanceHealth.js'
 import type { OpenConnections } from './openConnections.js'
 
 /** The parts that know the values. */
@@ -20,6 +21,7 @@
   readonly callerConnections: OpenConnections
   /** Follows the configuration; its age is that of the store's last answer. */
   readonly configurationMirror: TableMirror | undefined
+  readonly health: InstanceHealth
   readonly isReady: () => boolean
 }
 
@@ -33,7 +35,7 @@
     sharers: () => fleet.sharers,
     recordSeconds: () => ledger.recordMilliseconds() / 1000,
     active: () => Number(fleet.isSelfActive),
-    abandonedShare: () => gateway.abandonedShare,
+    abandonedShare: () => gateway.admissionState.abandonedShare,
     endpoints: () => endpoints.size,
     coldEndpoints: () => endpoints.coldCount,
     limitedEndpoints: () => sources.advices.limitedCount,
@@ -43,6 +45,7 @@
     evacuatedInFlight: () => endpoints.runningInEvacuated,
     configurationVersion: () => configuration.routes?.version ?? 0,
     ready: () => (sources.isReady() ? 1 : 0),
+    starvedTeams: () => sources.health.starvedTeams,
     shortBudgets: () => ledger.shortBudgets,
     callerConnections: () => sources.callerConnections.size,
     storeAge: () => (sources.configurationMirror?.age ?? 0) / 1000,
--- a/packages/daemon/src/gateway/gatewayMetrics.ts
+++ b/packages/daemon/src/gateway/gatewayMetrics.ts
@@ -6,6 +6,7 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 import { outcomeLabel } from '@rackwalk/decisions'
 import { RESULT_TABLE, ResultCode, resultName } from '@rackwalk/shared'
+import type { TeamId } from '@rackwalk/shared'
 import type { GatewayRecord } from '@rackwalk/router'
 
 const FIRST_BYTE_BUCKETS = [0.02, 0.05, 0.1, 0.2, 0.35, 0.5, 0.7, 1, 2, 5, 10]
@@ -31,6 +32,7 @@
   readonly configurationVersion: () => number
   readonly ready: () => number
   readonly storeAge: () => number
+  readonly starvedTeams: () => number
   readonly shortBudgets: () => number
   readonly callerConnections: () => number
 }
@@ -40,6 +42,7 @@
   readonly registry = new Registry()
   private readonly requests: Counter
   private readonly teamRequests: Counter
+  private readonly starvedRequests: Counter
   private readonly lateAnswers: Counter
   private readonly attempts: Counter
   private readonly endpointEnds: Counter
@@ -65,6 +68,12 @@
       labelNames: ['tenant', 'outcome'],
       registers,
     })
+    this.starvedRequests = new Counter({
+      name: 'rackwalk_gateway_starved_requests_total',
+      help: 'Requests of teams that are served next to nothing here that were not served, by tenant and code.',
+      labelNames: ['tenant', 'code'],
+      registers,
+    })
     this.lateAnswers = new Counter({
       name: 'rackwalk_gateway_late_answers_total',
       help: 'Answers that came late, by tenant and by what was late: first-byte or pause.',
@@ -154,6 +163,11 @@
     this.tokens.inc({ tenant: team }, spent ?? 0)
   }
 
+  /** A request of a team that is served next to nothing was not served either. */
+  noteStarvedRequest(team: TeamId, code: ResultCode): void {
+    this.starvedRequests.inc({ tenant: team, code: String(code) })
+  }
+
   noteEndpointEnd(service: string): void {
     this.endpointEnds.inc({ service })
   }
@@ -219,6 +233,11 @@
   private observeKnowledge(gauges: GatewayGauges): void {
     this.gauge('configuration_version', 'Version in force here.', gauges.configurationVersion)
     this.gauge('ready', '1 while new requests may begin here.', gauges.ready)
+    this.gauge(
+      'starved_teams',
+      'Teams that are served next to nothing of what they ask here.',
+      gauges.starvedTeams,
+    )
     this.gauge(
       'short_budgets',
       'Budgets whose callers are refused tokens that exist.',
--- a/packages/daemon/src/gateway/gatewayTelemetry.ts
+++ b/packages/daemon/src/gateway/gatewayTelemetry.ts
@@ -4,7 +4,7 @@
  */
 
 import { ResultCode } from '@rackwalk/shared'
-import type { Clock } from '@rackwalk/shared'
+import type { Clock, TeamId } from '@rackwalk/shared'
 import type { RowAddress } from '@rackwalk/stores'
 import type { EndpointEnd, GatewayRecord } from '@rackwalk/router'
 import { BoundedLogger } from '../observe/boundedLogger.js'
@@ -86,6 +86,11 @@
     this.logger.warn('server_ended', { server: id, service, signs, unanswered: requests })
   }
 
+  /** A request of a team that is served next to nothing was not served either. */
+  noteStarvedRequest(team: TeamId, code: ResultCode): void {
+    this.gauged?.noteStarvedRequest(team, code)
+  }
+
   noteStoreCall(call: string, table: string, outcome: string): void {
     this.gauged?.noteStoreCall(call, table, outcome)
   }
--- /dev/null
+++ b/packages/daemon/src/gateway/instanceHealth.ts
@@ -0,0 +1,81 @@
+/**
+ * What an instance watches of its own service: how old what it knows is, and whom it serves next to nothing. Owns both
+ * watches; tells the telemetry of their changes.
+ */
+
+import type { Clock } from '@rackwalk/shared'
+import type { Reachability } from '@rackwalk/decisions'
+import type { Gateway, GatewayRecord } from '@rackwalk/router'
+import type { GatewayTelemetry } from './gatewayTelemetry.js'
+import { KnowledgeWatch, knowledgeFields, reachabilityFields } from './knowledgeWatch.js'
+import type { WatchedTable } from './knowledgeWatch.js'
+import { StarvationWatch } from './starvationWatch.js'
+
+/** What the watches work with. */
+export interface InstanceHealthParts {
+  readonly clock: Clock
+  readonly telemetry: GatewayTelemetry
+  readonly gateway: Pick<Gateway, 'admissionState' | 'inFlight'>
+  /** Tables whose changes have to be in force in time, by name. */
+  readonly tables: ReadonlyMap<string, WatchedTable>
+  readonly reachability: () => Reachability
+}
+
+/** The watches of one instance over its own service. */
+export class InstanceHealth {
+  private readonly knowledge: KnowledgeWatch
+  private readonly starvation: StarvationWatch
+
+  constructor(private readonly parts: InstanceHealthParts) {
+    const { clock, telemetry, tables, reachability } = parts
+    this.knowledge = new KnowledgeWatch({
+      clock,
+      tables,
+      reachability,
+      onChange: change => telemetry.note('knowledge_state', knowledgeFields(change)),
+      onFault: error => telemetry.noteFault(error),
+    })
+    this.starvation = new StarvationWatch({
+      clock,
+      ownState: () => this.ownState(),
+      onChange: (event, fields) => telemetry.note(event, fields),
+      onUnserved: (team, code) => telemetry.noteStarvedRequest(team, code),
+    })
+  }
+
+  start(): void {
+    this.knowledge.start()
+    this.starvation.start()
+  }
+
+  stop(): void {
+    this.knowledge.stop()
+    this.starvation.stop()
+  }
+
+  /** Throws where a request may not be served by what is known here. */
+  checkKnowledge(): void {
+    this.knowledge.check()
+  }
+
+  /** A request has ended. */
+  noteRecord(record: GatewayRecord): void {
+    this.starvation.noteRecord(record)
+  }
+
+  /** Teams that are served next to nothing here. */
+  get starvedTeams(): number {
+    return this.starvation.size
+  }
+
+  private ownState(): Readonly<Record<string, unknown>> {
+    const { gateway, tables, reachability } = this.parts
+    const ages = [...tables.values()].map(({ mirror }) => mirror.age)
+    return {
+      inFlight: gateway.inFlight,
+      ...gateway.admissionState,
+      knowledgeAgeMilliseconds: Math.round(Math.max(0, ...ages)),
+      ...reachabilityFields(reachability()),
+    }
+  }
+}
--- a/packages/daemon/src/gateway/knowledgeWatch.ts
+++ b/packages/daemon/src/gateway/knowledgeWatch.ts
@@ -51,12 +51,22 @@
     isRefusing,
     table,
     ageMilliseconds: finite(rows.ageMilliseconds),
-    storeAnsweredAgoMilliseconds: finite(reachability.answeredAgoMilliseconds),
-    peerHeardAgoMilliseconds: finite(reachability.heardAgoMilliseconds),
+    ...reachabilityFields(reachability),
     peerConfirmedAgoMilliseconds: finite(confirmedAgoMilliseconds),
   }
 }
 
+/** Fields of a line about who was heard, and when. */
+export function reachabilityFields({
+  answeredAgoMilliseconds,
+  heardAgoMilliseconds,
+}: Reachability): Readonly<Record<string, unknown>> {
+  return {
+    storeAnsweredAgoMilliseconds: finite(answeredAgoMilliseconds),
+    peerHeardAgoMilliseconds: finite(heardAgoMilliseconds),
+  }
+}
+
 function finite(milliseconds: Milliseconds): Milliseconds | undefined {
   return Number.isFinite(milliseconds) ? Math.round(milliseconds) : undefined
 }
--- /dev/null
+++ b/packages/daemon/src/gateway/starvationWatch.ts
@@ -0,0 +1,91 @@
+/**
+ * Tells operators which teams are served next to nothing here, and in which state the instance is then. Owns the time
+ * of looking; the rule is in decisions/admitting/starvedTeams.
+ */
+
+import { ResultCode, resultName } from '@rackwalk/shared'
+import type { Clock, Milliseconds, TeamId, Timer } from '@rackwalk/shared'
+import { StarvedTeams } from '@rackwalk/decisions'
+import type { StarvationChange } from '@rackwalk/decisions'
+import type { GatewayRecord } from '@rackwalk/router'
+
+/** What the watch works with. */
+export interface StarvationWatchParts {
+  readonly clock: Clock
+  /** What this instance knows of itself, for the line. */
+  readonly ownState: () => Readonly<Record<string, unknown>>
+  /** A team's state changed. */
+  readonly onChange: (event: StarvationEvent, fields: Readonly<Record<string, unknown>>) => void
+  /** A request of a starved team was not served either. */
+  readonly onUnserved: (team: TeamId, code: ResultCode) => void
+}
+
+type StarvationEvent = 'team_starved' | 'team_served'
+
+const LOOK_MILLISECONDS: Milliseconds = 1_000
+/** Teams told of at one look, so that an outage for all fills no log; the gauge counts every one. */
+const MOST_TOLD = 8
+
+/** Refusals that a team brings about by itself: no instance would serve such a request. */
+const OWN_DOING: ReadonlySet<ResultCode> = new Set([
+  ResultCode.MalformedRequest,
+  ResultCode.BodyTooLarge,
+  ResultCode.RequestTimeout,
+  ResultCode.BudgetExhausted,
+  ResultCode.NoBudget,
+  ResultCode.LargerThanBudget,
+  ResultCode.EndsEndpoints,
+])
+
+/** Watches how much of its requests each team is served here. */
+export class StarvationWatch {
+  private readonly teams = new StarvedTeams()
+  private timer: Timer | undefined
+
+  constructor(private readonly parts: StarvationWatchParts) {}
+
+  /** Starved teams. */
+  get size(): number {
+    return this.teams.size
+  }
+
+  start(): void {
+    this.timer = this.parts.clock.after(LOOK_MILLISECONDS, () => {
+      this.look()
+      this.start()
+    })
+  }
+
+  stop(): void {
+    this.timer?.cancel()
+  }
+
+  /** A request has ended. */
+  noteRecord(record: GatewayRecord): void {
+    const code: ResultCode = record.code ?? ResultCode.Internal
+    if (record.team === undefined || OWN_DOING.has(code)) return
+    const team = record.team as TeamId
+    const isServed = code === ResultCode.Ok
+    this.teams.note({ team, code, isServed }, this.parts.clock.monotonic())
+    if (!isServed && this.teams.isStarved(team)) this.parts.onUnserved(team, code)
+  }
+
+  private look(): void {
+    const changes = this.teams.takeChanges(this.parts.clock.monotonic())
+    const busiest = [...changes].sort((left, right) => right.requests - left.requests)
+    for (const change of busiest.slice(0, MOST_TOLD)) this.tell(change, changes.length)
+  }
+
+  private tell(change: StarvationChange, changedTeams: number): void {
+    const { team, isStarved, requests, served, commonestCode } = change
+    this.parts.onChange(isStarved ? 'team_starved' : 'team_served', {
+      tenant: team,
+      requests,
+      served,
+      commonestCode,
+      commonestResult: commonestCode === undefined ? undefined : resultName(commonestCode),
+      changedTeams,
+      ...this.parts.ownState(),
+    })
+  }
+}
--- a/packages/decisions/src/admitting/linkBudget.ts
+++ b/packages/decisions/src/admitting/linkBudget.ts
@@ -66,6 +66,12 @@
     this.usualBytes = trackedValue(this.usualBytes, bytes, MEAN_WEIGHTS)
   }
 
+  /** The part of what bodies may take that is spent, in [0, 1]; `now` is monotonic. */
+  usedShare(now: Milliseconds): number {
+    this.refill(now)
+    return Math.min(1, 1 - this.left / this.most)
+  }
+
   private spend(bytes: Bytes): void {
     this.left = Math.max(-this.most, this.left - bytes)
   }
--- /dev/null
+++ b/packages/decisions/src/admitting/starvedTeams.ts
@@ -0,0 +1,144 @@
+/**
+ * Which teams get next to nothing of what they ask of an instance?
+ *
+ * Load pattern: all callers of one team stay with an instance that is too weak for them, or that refuses by its own
+ * state. The fleet as a whole serves well, so no sum over all teams shows it.
+ *
+ * A team is compared with all of its own requests, not with what others are served here: one that uses an instance
+ * alone has nobody beside it, and an instance that refuses everybody would starve nobody. No team is served more than
+ * all of its requests, so whoever gets under a quarter of what others get is found as well.
+ *
+ * Limits: only teams with requests in the window are held; few requests tell nothing; a team has to be served twice the
+ * share that starved it before that is over.
+ */
+
+import type { Milliseconds, ResultCode, TeamId } from '@rackwalk/shared'
+
+/** How one request of a team ended. */
+export interface TeamOutcome {
+  readonly team: TeamId
+  readonly code: ResultCode
+  readonly isServed: boolean
+}
+
+/** A team began to be starved, or no longer is. */
+export interface StarvationChange {
+  readonly team: TeamId
+  readonly isStarved: boolean
+  /** Requests that ended within the window, and those of them that were served. */
+  readonly requests: number
+  readonly served: number
+  /** The commonest code of those that were not served; undefined where all were. */
+  readonly commonestCode: ResultCode | undefined
+}
+
+const WINDOW_MILLISECONDS = 5_000
+/** Parts of the window: the more, the less is lost when one leaves. */
+const PARTS = 5
+const PART_MILLISECONDS = WINDOW_MILLISECONDS / PARTS
+/** Fewer requests within the window tell nothing of a team. */
+const LEAST_REQUESTS = 10
+/** A team of which no larger share is served is starved. */
+const STARVED_SHARE = 0.25
+/** A starved team of which this share is served is no longer. */
+const SERVED_SHARE = 0.5
+
+/** Requests of one team within a part of the window. */
+interface TeamCount {
+  requests: number
+  served: number
+  /** Requests that were not served, by code. */
+  readonly unserved: Map<ResultCode, number>
+}
+
+/** Counts requests by team over a sliding window and tells whose state changes. Times are monotonic. */
+export class StarvedTeams {
+  /** By number of the part, then by team. */
+  private readonly parts = new Map<number, Map<TeamId, TeamCount>>()
+  private readonly starved = new Set<TeamId>()
+
+  /** Starved teams. */
+  get size(): number {
+    return this.starved.size
+  }
+
+  /** Teams that are held in memory. */
+  get heldTeams(): number {
+    return new Set([...this.parts.values()].flatMap(teams => [...teams.keys()])).size
+  }
+
+  isStarved(team: TeamId): boolean {
+    return this.starved.has(team)
+  }
+
+  /** A request of a team has ended. */
+  note({ team, code, isServed }: TeamOutcome, now: Milliseconds): void {
+    const count = this.countAt(team, now)
+    count.requests += 1
+    if (isServed) count.served += 1
+    else count.unserved.set(code, (count.unserved.get(code) ?? 0) + 1)
+  }
+
+  /** Teams whose state changed since the last call; call it at least once for each part of the window. */
+  takeChanges(now: Milliseconds): readonly StarvationChange[] {
+    this.expire(now)
+    const counts = this.sums()
+    const ended = [...this.starved].filter(team => !counts.has(team))
+    const changes = [...counts].flatMap(([team, count]) => this.judge(team, count) ?? [])
+    return [...changes, ...ended.flatMap(team => this.judge(team, emptyCount()) ?? [])]
+  }
+
+  private judge(team: TeamId, count: TeamCount): StarvationChange | undefined {
+    const { requests, served, unserved } = count
+    const wasStarved = this.starved.has(team)
+    const isStarved = wasStarved
+      ? requests > 0 && served < SERVED_SHARE * requests
+      : requests >= LEAST_REQUESTS && served < STARVED_SHARE * requests
+    if (isStarved === wasStarved) return undefined
+    if (isStarved) this.starved.add(team)
+    else this.starved.delete(team)
+    return { team, isStarved, requests, served, commonestCode: commonest(unserved) }
+  }
+
+  private countAt(team: TeamId, now: Milliseconds): TeamCount {
+    this.expire(now)
+    const part = partAt(now)
+    const teams = this.parts.get(part) ?? new Map<TeamId, TeamCount>()
+    this.parts.set(part, teams)
+    const known = teams.get(team) ?? emptyCount()
+    teams.set(team, known)
+    return known
+  }
+
+  private expire(now: Milliseconds): void {
+    const oldest = partAt(now) - PARTS
+    for (const part of this.parts.keys()) if (part <= oldest) this.parts.delete(part)
+  }
+
+  private sums(): ReadonlyMap<TeamId, TeamCount> {
+    const sums = new Map<TeamId, TeamCount>()
+    for (const [team, count] of [...this.parts.values()].flatMap(teams => [...teams])) {
+      const sum = sums.get(team) ?? emptyCount()
+      sum.requests += count.requests
+      sum.served += count.served
+      for (const [code, number] of count.unserved) {
+        sum.unserved.set(code, (sum.unserved.get(code) ?? 0) + number)
+      }
+      sums.set(team, sum)
+    }
+    return sums
+  }
+}
+
+function emptyCount(): TeamCount {
+  return { requests: 0, served: 0, unserved: new Map() }
+}
+
+function partAt(now: Milliseconds): number {
+  return Math.floor(now / PART_MILLISECONDS)
+}
+
+function commonest(counts: ReadonlyMap<ResultCode, number>): ResultCode | undefined {
+  const [first] = [...counts].sort(([, left], [, right]) => right - left)
+  return first?.[0]
+}
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -27,7 +27,7 @@
 } from './gatewayConfiguration.js'
 import type { GatewayRecord } from './gatewayRecord.js'
 import { InstanceAdmission } from './instanceAdmission.js'
-import type { InstanceAdmissionParts } from './instanceAdmission.js'
+import type { AdmissionState, InstanceAdmissionParts } from './instanceAdmission.js'
 import { latenessOf } from './lateness.js'
 import { RequestAttempts } from './requestAttempts.js'
 import type { AttemptsParts, AttemptsResult } from './requestAttempts.js'
@@ -94,9 +94,9 @@
     return this.running
   }
 
-  /** The share of requests read lately whose callers had left before, in [0, 1]. */
-  get abandonedShare(): number {
-    return this.admission.abandonedShare
+  /** How much of what the instance bears is in use. */
+  get admissionState(): AdmissionState {
+    return this.admission.state
   }
 
   /** Serves one request to its end. */
--- a/packages/router/src/gateway/instanceAdmission.ts
+++ b/packages/router/src/gateway/instanceAdmission.ts
@@ -27,6 +27,16 @@
   readonly linkBytesPerSecond: number
 }
 
+/** How much of what the instance bears is in use; each in [0, 1]. */
+export interface AdmissionState {
+  /** Part of the requests that is refused since the processor is full. */
+  readonly refusedPart: number
+  /** Part of the requests read lately whose callers had left before. */
+  readonly abandonedShare: number
+  /** Part of the link's budget for bodies that is spent. */
+  readonly linkShare: number
+}
+
 /** An instance with fewer requests in progress has no queue before it: it costs nothing there. */
 const PROBED_REQUESTS = 8
 
@@ -55,9 +65,13 @@
     this.takeFromLink(request)
   }
 
-  /** The share of requests read lately whose callers had left before, in [0, 1]. */
-  get abandonedShare(): number {
-    return this.abandoned.share(this.parts.clock.monotonic())
+  get state(): AdmissionState {
+    const now = this.parts.clock.monotonic()
+    return {
+      refusedPart: this.processor.refusedPart,
+      abandonedShare: this.abandoned.share(now),
+      linkShare: this.link.usedShare(now),
+    }
   }
 
   /** A body has been read. */
