fix(daemon): an answer of a peer speaks for the time of its question, however late it comes

What callers saw: one weak instance refused every request of one team with 3011, 130 to 226 a second for 15 s and for 6 s, through a cut of all instances from the store and seconds beyond it, while all others served. Cause: the cut parts instances from the store alone. Each hears the others' datagrams all along, so none takes itself for cut off, and what lets it serve is a peer's answer that it knows nothing newer. That answer was awaited for 400 ms on a new connection, one question at a time, and counted from when it was read. Behind the bodies of its callers the weak instance had none in time, so it judged itself late among others that knew no more than it did; after the cut it threw away the rows that peers sent it, each time anew. Its refusals bring its callers back with their bodies. Change: an answer is dated by its question and speaks for 0.4 of the bound from then on; it is awaited as long. Questions overlap (one look does not wait for the last one's answers), the two of a look go to different peers, and they are put at 0.64 of the bound, so that an answer may take 0.5 s before the bound. Why it is no weaker: before, an answer spoke for up to 0.4 s + 0.25 of the bound from its question on (1.15 s of 3 s), now for 1.2 s; with the half bound by which a peer that follows the store may be late itself that is the bound less its margin, and freshKnowledge.spec.ts holds the sum. The tests that a late instance refuses are unchanged and pass; an answer that takes a whole bound still speaks for nothing. Ruled out: what was heard dated by when it was sent (a late datagram taken for a fresh one): the instance does hear others, so it would go on refusing or, taken for cut off, serve by old rows beside instances that know better. Rows in datagrams: lost where a link is full, and the form of a report would change.

--- a/packages/coordination/src/rows/tableMirror.ts
+++ b/packages/coordination/src/rows/tableMirror.ts
@@ -33,8 +33,12 @@
   readonly age?: Milliseconds
 }
 
-/** Asks a peer for the rows of a table that are newer than a version. */
-type AskPeer = (table: string, after: number) => Promise<MirrorPage | undefined>
+/** Asks a peer for the rows of a table that are newer than a version; waits the usual time unless one is named. */
+type AskPeer = (
+  table: string,
+  after: number,
+  patienceMilliseconds?: Milliseconds,
+) => Promise<MirrorPage | undefined>
 
 /**
  * A peer that follows the table at the store and is asked before it. Hundreds of instances that read each
@@ -131,9 +135,10 @@
    * Asks a peer for what it knows beyond this mirror, also while a call to the store is on its way;
    * whether one answered.
    */
-  async askPeers(): Promise<boolean> {
-    const sentAt = this.parts.clock.sinceStart()
-    const page = await this.parts.askPeers?.(this.parts.table, this.position ?? 0)
+  async askPeers(patienceMilliseconds?: Milliseconds): Promise<boolean> {
+    const { table, clock, askPeers } = this.parts
+    const sentAt = clock.sinceStart()
+    const page = await askPeers?.(table, this.position ?? 0, patienceMilliseconds)
     if (page === undefined || this.stopped) return false
     this.takePage(page)
     this.noteConfirmed(page, sentAt)
--- a/packages/daemon/src/gateway/followedTables.ts
+++ b/packages/daemon/src/gateway/followedTables.ts
@@ -195,7 +195,7 @@
       onReachable: isReachable => listener.onReachable?.(isReachable),
       onFault: parts.onFault,
     },
-    askPeers: followed.isToldByPeers ? (name, after) => parts.peerRows.ask(name, after) : undefined,
+    askPeers: followed.isToldByPeers ? (...question) => parts.peerRows.ask(...question) : undefined,
     nearPeer: nearPeerOf(parts, followed),
     waitMilliseconds,
     pauseMilliseconds,
--- a/packages/daemon/src/gateway/knowledgeWatch.ts
+++ b/packages/daemon/src/gateway/knowledgeWatch.ts
@@ -5,7 +5,7 @@
 
 import { NotRunError, ResultCode } from '@rackwalk/shared'
 import type { Clock, Milliseconds, Timer } from '@rackwalk/shared'
-import { isTooOld, returnAfterSeconds, shouldAskPeers } from '@rackwalk/decisions'
+import { confirmationSpan, isTooOld, returnAfterSeconds, shouldAskPeers } from '@rackwalk/decisions'
 import type { KnownRows, Reachability } from '@rackwalk/decisions'
 import type { TableMirror } from '@rackwalk/coordination'
 import type { GatewaySettings } from './gatewaySettings.js'
@@ -40,19 +40,17 @@
   readonly table: string
   readonly rows: KnownRows
   readonly reachability: Reachability
-  /** Time since a peer last answered a question for the table; infinite where none did. */
-  readonly confirmedAgoMilliseconds: Milliseconds
 }
 
 /** Fields of the line about such a change; an age that is infinite is left out of its JSON. */
 export function knowledgeFields(change: KnowledgeChange): Readonly<Record<string, unknown>> {
-  const { isRefusing, table, rows, reachability, confirmedAgoMilliseconds } = change
+  const { isRefusing, table, rows, reachability } = change
   return {
     isRefusing,
     table,
     ageMilliseconds: finite(rows.ageMilliseconds),
     ...reachabilityFields(reachability),
-    peerConfirmedAgoMilliseconds: finite(confirmedAgoMilliseconds),
+    peerConfirmedAgoMilliseconds: finite(rows.confirmedAgoMilliseconds),
   }
 }
 
@@ -86,13 +84,11 @@
 const LOOK_MILLISECONDS = 200
 /** Peers asked at each look: one may be cut off from the store as well. */
 const PEERS_ASKED = 2
-/** An answer of a peer speaks for this part of a bound: two or three looks of one that is asked. */
-const ANSWER_SHARE = 0.25
 
 /** Keeps an instance from serving by rows that are too old through its own fault. */
 export class KnowledgeWatch {
-  private readonly answeredAt = new Map<string, Milliseconds>()
-  private readonly asking = new Set<string>()
+  /** When the newest question was sent that a peer answered, by table. */
+  private readonly confirmedAt = new Map<string, Milliseconds>()
   private timer: Timer | undefined
   private refusedTable: string | undefined
 
@@ -118,7 +114,9 @@
 
   private look(): void {
     for (const [name, watched] of this.parts.tables) {
-      if (watched.mirror.isLoaded && shouldAskPeers(this.known(name, watched))) this.ask(name)
+      if (watched.mirror.isLoaded && shouldAskPeers(this.known(name, watched))) {
+        this.ask(name, watched)
+      }
     }
     this.tell(this.tooOldTable())
   }
@@ -134,24 +132,25 @@
       table: name,
       rows: this.known(name, watched),
       reachability: this.parts.reachability(),
-      confirmedAgoMilliseconds: this.confirmedAgo(name),
     })
   }
 
-  private ask(name: string): void {
-    if (this.asking.has(name)) return
-    this.asking.add(name)
-    this.askAll(name)
-      .catch((error: unknown) => this.parts.onFault(error))
-      .finally(() => this.asking.delete(name))
+  /** Questions overlap: one that waits behind a full link must not keep the next from being sent. */
+  private ask(name: string, { mirror, boundMilliseconds }: WatchedTable): void {
+    const sentAt = this.parts.clock.sinceStart()
+    for (let asked = 0; asked < PEERS_ASKED; asked += 1) {
+      mirror
+        .askPeers(confirmationSpan(boundMilliseconds))
+        .then(isAnswered => {
+          if (isAnswered) this.noteConfirmed(name, sentAt)
+        })
+        .catch((error: unknown) => this.parts.onFault(error))
+    }
   }
 
-  private async askAll(name: string): Promise<void> {
-    const mirror = this.parts.tables.get(name)?.mirror
-    if (mirror === undefined) return
-    const questions = Array.from({ length: PEERS_ASKED }, () => mirror.askPeers())
-    const answers = await Promise.all(questions)
-    if (answers.includes(true)) this.answeredAt.set(name, this.parts.clock.sinceStart())
+  private noteConfirmed(name: string, sentAt: Milliseconds): void {
+    const before = this.confirmedAt.get(name) ?? Number.NEGATIVE_INFINITY
+    this.confirmedAt.set(name, Math.max(before, sentAt))
   }
 
   private tooOldTable(): string | undefined {
@@ -165,12 +164,8 @@
   }
 
   private known(name: string, { mirror, boundMilliseconds }: WatchedTable): KnownRows {
-    const isConfirmedOld = this.confirmedAgo(name) <= ANSWER_SHARE * boundMilliseconds
-    return { ageMilliseconds: mirror.age, boundMilliseconds, isConfirmedOld }
-  }
-
-  private confirmedAgo(name: string): Milliseconds {
-    const answeredAt = this.answeredAt.get(name) ?? Number.NEGATIVE_INFINITY
-    return this.parts.clock.sinceStart() - answeredAt
+    const confirmedAt = this.confirmedAt.get(name) ?? Number.NEGATIVE_INFINITY
+    const confirmedAgoMilliseconds = this.parts.clock.sinceStart() - confirmedAt
+    return { ageMilliseconds: mirror.age, boundMilliseconds, confirmedAgoMilliseconds }
   }
 }
--- a/packages/daemon/src/gateway/peerRows.ts
+++ b/packages/daemon/src/gateway/peerRows.ts
@@ -81,18 +81,42 @@
   readonly onMalformed: (form: MalformedForm) => void
 }
 
+/** One question for rows. */
+interface RowsQuestion {
+  readonly table: string
+  /** Rows up to this version are known. */
+  readonly after: number
+  readonly patienceMilliseconds: Milliseconds
+}
+
 /** Asks other instances for newer rows. */
 export class PeerRows {
+  private askedBefore: string | undefined
+
   constructor(private readonly parts: PeerRowsParts) {}
 
-  /** Asks any other instance, chosen at random. */
-  ask(table: string, after: number): Promise<MirrorPage | undefined> {
-    return this.askOneOf(this.addresses, table, after)
+  /**
+   * Asks any other instance, chosen at random but for the one that was asked before it: that may be silent. Waits the
+   * usual time unless one is named.
+   */
+  ask(
+    table: string,
+    after: number,
+    patienceMilliseconds: Milliseconds = this.parts.timeoutMilliseconds,
+  ): Promise<MirrorPage | undefined> {
+    const { addresses } = this
+    const others = addresses.filter(address => address !== this.askedBefore)
+    const candidates = others.length > 0 ? others : addresses
+    const address = this.choose(candidates)
+    this.askedBefore = address
+    return this.askAt(address, { table, after, patienceMilliseconds })
   }
 
   /** Asks an active instance nearby, chosen at random. */
   askNear(table: string, after: number): Promise<MirrorPage | undefined> {
-    return this.askOneOf(this.parts.nearAddresses(), table, after)
+    const patienceMilliseconds = this.parts.timeoutMilliseconds
+    const address = this.choose(this.parts.nearAddresses())
+    return this.askAt(address, { table, after, patienceMilliseconds })
   }
 
   private get addresses(): readonly string[] {
@@ -101,19 +125,20 @@
     return [...all].filter(address => address !== own && address !== '')
   }
 
-  private async askOneOf(
-    addresses: readonly string[],
-    table: string,
-    after: number,
+  private choose(addresses: readonly string[]): string | undefined {
+    return addresses[randomBelow(this.parts.random, addresses.length)]
+  }
+
+  private async askAt(
+    address: string | undefined,
+    { table, after, patienceMilliseconds }: RowsQuestion,
   ): Promise<MirrorPage | undefined> {
-    const address = addresses[randomBelow(this.parts.random, addresses.length)]
     if (address === undefined) return undefined
     const path = `${ROWS_PATH}${encodeURIComponent(table)}?after=${after}`
-    const { timeoutMilliseconds, onMalformed } = this.parts
-    const text = await callPeer({ address, path, timeoutMilliseconds })
+    const text = await callPeer({ address, path, timeoutMilliseconds: patienceMilliseconds })
     if (text === undefined) return undefined
     const page = pageCodec.decode(text)
-    if (page === undefined) onMalformed({ form: 'rows of a peer', source: address })
+    if (page === undefined) this.parts.onMalformed({ form: 'rows of a peer', source: address })
     return page
   }
 }
--- a/packages/decisions/__tests__/freshKnowledge.spec.ts
+++ b/packages/decisions/__tests__/freshKnowledge.spec.ts
@@ -1,11 +1,11 @@
 import { describe, expect, it } from 'vitest'
-import { isTooOld, longestFeedWait, shouldAskPeers } from '@rackwalk/decisions'
+import { confirmationSpan, isTooOld, longestFeedWait, shouldAskPeers } from '@rackwalk/decisions'
 import type { KnownRows, Reachability } from '@rackwalk/decisions'
 
 const NEVER = Number.POSITIVE_INFINITY
 
 function rows(ageMilliseconds: number, more: Partial<KnownRows> = {}): KnownRows {
-  return { ageMilliseconds, boundMilliseconds: 3_000, isConfirmedOld: false, ...more }
+  return { ageMilliseconds, boundMilliseconds: 3_000, confirmedAgoMilliseconds: NEVER, ...more }
 }
 
 function reach(heard: number, answered: number): Reachability {
@@ -19,7 +19,8 @@
       ['a peer is heard, and none answers', {}, reach(500, NEVER)],
       ['the store answers other calls', {}, reach(NEVER, 700)],
       ['all fell silent', {}, reach(1_200, 1_200)],
-      ['a peer knows nothing newer either', { isConfirmedOld: true }, reach(100, 100)],
+      ['a peer knows nothing newer either', { confirmedAgoMilliseconds: 1_200 }, reach(100, 100)],
+      ['a peer knew nothing newer earlier', { confirmedAgoMilliseconds: 1_201 }, reach(100, 100)],
     ]
     const decided = cases.map(([name, more, reachability]) => {
       const refused = ages.filter(age => isTooOld(rows(age, more), reachability))
@@ -31,10 +32,17 @@
         "the store answers other calls: refused at 2701, 8000",
         "all fell silent: refused at none",
         "a peer knows nothing newer either: refused at none",
+        "a peer knew nothing newer earlier: refused at 2701, 8000",
       ]
     `)
   })
 
+  it('are served by the answer of a peer no longer than leaves a change within its bound', () => {
+    // A peer that follows the store may be late itself by a question that waits.
+    const bound = 3_000
+    expect(confirmationSpan(bound) + longestFeedWait(bound)).toBeLessThanOrEqual(0.9 * bound)
+  })
+
   it('are asked of peers before their bound, and not while a question for changes waits', () => {
     const bound = 3_000
     expect(longestFeedWait(bound)).toBe(1_500)
--- a/packages/decisions/src/admitting/freshKnowledge.ts
+++ b/packages/decisions/src/admitting/freshKnowledge.ts
@@ -13,7 +13,9 @@
  * nobody at all is cut off, and serves by what it knows.
  *
  * Limits: the margin covers the way of a request to its endpoint. Peers are asked well before, so that
- * their answer is there when the bound comes.
+ * their answer is there when the bound comes. An answer speaks for the time at which its question was sent, however
+ * late it comes: a full link delays it by more than the peer took, and whoever waits for a prompt one takes a peer
+ * that answers for one that does not.
  */
 
 import type { Milliseconds } from '@rackwalk/shared'
@@ -24,8 +26,8 @@
   readonly ageMilliseconds: Milliseconds
   /** Time after which a change has to be in force; from the settings. */
   readonly boundMilliseconds: Milliseconds
-  /** Whether a peer answered lately that it knows nothing newer either. */
-  readonly isConfirmedOld: boolean
+  /** Time since the newest question was sent that a peer answered with nothing newer; infinite where there is none. */
+  readonly confirmedAgoMilliseconds: Milliseconds
 }
 
 /** Who else is there, as the instance observes it. */
@@ -43,14 +45,20 @@
 const MARGIN_SHARE = 0.1
 /**
  * Part of a bound after which peers are asked. A question for changes waits half a bound at the store and is put again
- * after a quarter of a second, so an active instance asks nobody in calm seconds.
+ * after a quarter of a second, so an active instance asks nobody in calm seconds; what is left until the bound is the
+ * time that answers may take through a full link.
  */
-const ASKING_SHARE = 0.7
+const ASKING_SHARE = 0.64
 /**
  * A word of the store or of a peer within this part of a bound says that this instance is not cut off. A cut that
  * begins while a question waits is older than this when the bound comes.
  */
 const HEARD_SHARE = 0.25
+/**
+ * A peer's answer speaks for this part of a bound, from its question on. A peer that follows the store is itself late by
+ * a question that waits, so both together stay within the bound less its margin.
+ */
+const CONFIRMED_SHARE = 0.4
 /** Part of a bound for which a question for changes may wait, so that the age tells of a silent store. */
 const WAIT_SHARE = 0.5
 
@@ -64,10 +72,16 @@
   return Math.floor(WAIT_SHARE * boundMilliseconds)
 }
 
+/** How long a peer's answer speaks for what is known here, and so how long it is worth waiting for. */
+export function confirmationSpan(boundMilliseconds: Milliseconds): Milliseconds {
+  return CONFIRMED_SHARE * boundMilliseconds
+}
+
 /** Whether requests have to be refused, since these rows may have changed before their bound. */
 export function isTooOld(rows: KnownRows, reachability: Reachability): boolean {
-  const { ageMilliseconds, boundMilliseconds, isConfirmedOld } = rows
-  if (ageMilliseconds <= (1 - MARGIN_SHARE) * boundMilliseconds || isConfirmedOld) return false
+  const { ageMilliseconds, boundMilliseconds, confirmedAgoMilliseconds } = rows
+  if (ageMilliseconds <= (1 - MARGIN_SHARE) * boundMilliseconds) return false
+  if (confirmedAgoMilliseconds <= confirmationSpan(boundMilliseconds)) return false
   const { answeredAgoMilliseconds, heardAgoMilliseconds } = reachability
   const heardAgo = Math.min(answeredAgoMilliseconds, heardAgoMilliseconds)
   return heardAgo <= HEARD_SHARE * boundMilliseconds
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -33,7 +33,12 @@
 } from './admitting/spendingBound.js'
 export { budgetPatience, returnAfterSeconds } from './admitting/budgetPatience.js'
 export { AbandonedWork } from './admitting/abandonedWork.js'
-export { isTooOld, longestFeedWait, shouldAskPeers } from './admitting/freshKnowledge.js'
+export {
+  confirmationSpan,
+  isTooOld,
+  longestFeedWait,
+  shouldAskPeers,
+} from './admitting/freshKnowledge.js'
 export type { KnownRows, Reachability } from './admitting/freshKnowledge.js'
 export { LinkBudget } from './admitting/linkBudget.js'
 export { DELAY_LOOK_MILLISECONDS, ProcessorBudget } from './admitting/processorBudget.js'
