--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -30,7 +30,7 @@
 import { GatewayTelemetry, createGatewayLogger } from './gatewayTelemetry.js'
 import type { GatewaySettings } from './gatewaySettings.js'
 import { ListenerPauses } from './listenerPauses.js'
-import { KnowledgeWatch, watchedTables } from './knowledgeWatch.js'
+import { watchedTables } from './knowledgeWatch.js'
 import { createPeerLoans, createPeerRows } from './peerCalls.js'
 import type { PeerCallSources } from './peerCalls.js'
 import type { PeerLoans } from './peerLoans.js'
@@ -39,6 +39,7 @@
 import { CountedStore } from './countedStore.js'
 import { OpenConnections } from './openConnections.js'
 import { PausableListener } from './pausableListener.js'
+import { InstanceHealth } from './instanceHealth.js'
 import { linkBytesPerSecond } from './instanceCapacity.js'
 import { ownMember } from './ownMember.js'
 import { EndpointKnowledge } from './endpointKnowledge.js'
@@ -78,7 +79,7 @@
   private readonly known: EndpointKnowledge
   private readonly gateway: Gateway
   private readonly mirrors: ReadonlyMap<string, TableMirror>
-  private readonly knowledge: KnowledgeWatch
+  private readonly health: InstanceHealth
   private readonly peerRows: PeerRows
   private readonly peerLoans: PeerLoans
   private readonly callerListener: PausableListener
@@ -117,7 +118,7 @@
     this.gateway = this.createGateway()
     this.peerRows = createPeerRows(this.peerCallSources, this.fleet, this.random)
     this.mirrors = this.createMirrors()
-    this.knowledge = this.createKnowledge()
+    this.health = this.createHealth()
     this.callerListener = this.createCallerListener()
     const { server } = this.callerListener
     this.callerConnections = new OpenConnections(server)
@@ -137,7 +138,7 @@
     })
     for (const mirror of this.mirrors.values()) mirror.start()
     this.ledger.start()
-    this.knowledge.start()
+    this.health.start()
     this.known.start()
     this.pauses.start()
     this.note('instance_started', { callers, incarnation: this.incarnation })
@@ -189,7 +190,7 @@
   /** Stops at once. */
   stop(): void {
     for (const mirror of this.mirrors.values()) mirror.stop()
-    this.knowledge.stop()
+    this.health.stop()
     this.ledger.stop()
     this.members.stop()
     this.store.close()
@@ -317,10 +318,13 @@
       acceptMilliseconds: () => this.acceptProbe.look(),
       linkBytesPerSecond: linkBytesPerSecond(instance.capacity),
       instances: () => this.fleet.cautiousSharers,
-      checkKnowledge: () => this.knowledge.check(),
+      checkKnowledge: () => this.health.checkKnowledge(),
       isDraining: () => this.draining,
       isRefusing: () => this.refusing,
-      onRecord: record => this.telemetry.noteRecord(record),
+      onRecord: record => {
+        this.telemetry.noteRecord(record)
+        this.health.noteRecord(record)
+      },
     })
   }
 
@@ -379,22 +383,22 @@
     })
   }
 
-  private createKnowledge(): KnowledgeWatch {
-    return new KnowledgeWatch({
+  private createHealth(): InstanceHealth {
+    return new InstanceHealth({
       clock: this.clock,
+      telemetry: this.telemetry,
+      gateway: this.gateway,
       tables: watchedTables(this.adapter, this.mirrors, this.settings.freshness),
       reachability: () => ({
         answeredAgoMilliseconds: this.store.answeredAgoMilliseconds,
         heardAgoMilliseconds: this.known.fleetLoad.heardAgoMilliseconds,
       }),
-      onChange: (isRefusing, table, age) =>
-        this.note('knowledge_state', { isRefusing, table, ageMilliseconds: Math.round(age) }),
-      onFault: error => this.noteFault(error),
     })
   }
 
   private createMetrics(): GatewayMetrics {
     const { gateway, members, fleet, ledger, known, configuration, callerConnections } = this
+    const { health } = this
     return this.telemetry.createMetrics(
       gaugesOf({
         gateway,
@@ -403,6 +407,7 @@
         ledger,
         endpoints: known.directory,
         configuration,
+        health,
         crashes: known.crashes.guard,
         advices: known.advice.advices,
         callerConnections,
--- a/packages/daemon/src/gateway/gatewayGauges.ts
+++ b/packages/daemon/src/gateway/gatewayGauges.ts
@@ -5,6 +5,7 @@
 import type { ActiveFleet } from './activeFleet.js'
 import type { ConfigurationInForce } from './configurationInForce.js'
 import type { GatewayGauges } from './gatewayMetrics.js'
+import type { InstanceHealth } from './instanceHealth.js'
 import type { OpenConnections } from './openConnections.js'
 import type { PausableListener } from './pausableListener.js'
 
@@ -22,6 +23,7 @@
   readonly callerListener: PausableListener
   /** Follows the configuration; its age is that of the store's last answer. */
   readonly configurationMirror: TableMirror | undefined
+  readonly health: InstanceHealth
   readonly isReady: () => boolean
 }
 
@@ -35,7 +37,7 @@
     sharers: () => fleet.sharers,
     recordSeconds: () => ledger.recordMilliseconds() / 1000,
     active: () => Number(fleet.isSelfActive),
-    abandonedShare: () => gateway.abandonedShare,
+    abandonedShare: () => gateway.admissionState.abandonedShare,
     refusedShare: () => gateway.refusedShare,
     listening: () => Number(sources.callerListener.isListening),
     endpoints: () => endpoints.size,
@@ -47,6 +49,7 @@
     evacuatedInFlight: () => endpoints.runningInEvacuated,
     configurationVersion: () => configuration.routes?.version ?? 0,
     ready: () => (sources.isReady() ? 1 : 0),
+    starvedTeams: () => sources.health.starvedTeams,
     shortBudgets: () => ledger.shortBudgets,
     callerConnections: () => sources.callerConnections.size,
     storeAge: () => (sources.configurationMirror?.age ?? 0) / 1000,
--- a/packages/daemon/src/gateway/knowledgeWatch.ts
+++ b/packages/daemon/src/gateway/knowledgeWatch.ts
@@ -5,7 +5,7 @@
 
 import { NotRunError, ResultCode } from '@rackwalk/shared'
 import type { Clock, Milliseconds, Timer } from '@rackwalk/shared'
-import { isTooOld, returnAfterSeconds, shouldAskPeers } from '@rackwalk/decisions'
+import { confirmationSpan, isTooOld, returnAfterSeconds, shouldAskPeers } from '@rackwalk/decisions'
 import type { KnownRows, Reachability } from '@rackwalk/decisions'
 import type { TableMirror } from '@rackwalk/coordination'
 import type { GatewaySettings } from './gatewaySettings.js'
@@ -34,6 +34,41 @@
   return new Map(tables)
 }
 
+/** What the instance went by when it began or ceased to refuse. */
+export interface KnowledgeChange {
+  readonly isRefusing: boolean
+  readonly table: string
+  readonly rows: KnownRows
+  readonly reachability: Reachability
+}
+
+/** Fields of the line about such a change; an age that is infinite is left out of its JSON. */
+export function knowledgeFields(change: KnowledgeChange): Readonly<Record<string, unknown>> {
+  const { isRefusing, table, rows, reachability } = change
+  return {
+    isRefusing,
+    table,
+    ageMilliseconds: finite(rows.ageMilliseconds),
+    ...reachabilityFields(reachability),
+    peerConfirmedAgoMilliseconds: finite(rows.confirmedAgoMilliseconds),
+  }
+}
+
+/** Fields of a line about who was heard, and when. */
+export function reachabilityFields({
+  answeredAgoMilliseconds,
+  heardAgoMilliseconds,
+}: Reachability): Readonly<Record<string, unknown>> {
+  return {
+    storeAnsweredAgoMilliseconds: finite(answeredAgoMilliseconds),
+    peerHeardAgoMilliseconds: finite(heardAgoMilliseconds),
+  }
+}
+
+function finite(milliseconds: Milliseconds): Milliseconds | undefined {
+  return Number.isFinite(milliseconds) ? Math.round(milliseconds) : undefined
+}
+
 /** What the watch works with. */
 export interface KnowledgeWatchParts {
   readonly clock: Clock
@@ -41,7 +76,7 @@
   readonly tables: ReadonlyMap<string, WatchedTable>
   readonly reachability: () => Reachability
   /** The instance began to refuse by the age of what it knows, or ceased to. */
-  readonly onChange: (isRefusing: boolean, table: string, age: Milliseconds) => void
+  readonly onChange: (change: KnowledgeChange) => void
   readonly onFault: (error: unknown) => void
 }
 
@@ -49,13 +84,11 @@
 const LOOK_MILLISECONDS = 200
 /** Peers asked at each look: one may be cut off from the store as well. */
 const PEERS_ASKED = 2
-/** An answer of a peer speaks for this part of a bound: two or three looks of one that is asked. */
-const ANSWER_SHARE = 0.25
 
 /** Keeps an instance from serving by rows that are too old through its own fault. */
 export class KnowledgeWatch {
-  private readonly answeredAt = new Map<string, Milliseconds>()
-  private readonly asking = new Set<string>()
+  /** When the newest question was sent that a peer answered, by table. */
+  private readonly confirmedAt = new Map<string, Milliseconds>()
   private timer: Timer | undefined
   private refusedTable: string | undefined
 
@@ -81,7 +114,9 @@
 
   private look(): void {
     for (const [name, watched] of this.parts.tables) {
-      if (watched.mirror.isLoaded && shouldAskPeers(this.known(name, watched))) this.ask(name)
+      if (watched.mirror.isLoaded && shouldAskPeers(this.known(name, watched))) {
+        this.ask(name, watched)
+      }
     }
     this.tell(this.tooOldTable())
   }
@@ -90,23 +125,32 @@
     if (table === this.refusedTable) return
     const name = table ?? this.refusedTable ?? ''
     this.refusedTable = table
-    this.parts.onChange(table !== undefined, name, this.parts.tables.get(name)?.mirror.age ?? 0)
+    const watched = this.parts.tables.get(name)
+    if (watched === undefined) return
+    this.parts.onChange({
+      isRefusing: table !== undefined,
+      table: name,
+      rows: this.known(name, watched),
+      reachability: this.parts.reachability(),
+    })
   }
 
-  private ask(name: string): void {
-    if (this.asking.has(name)) return
-    this.asking.add(name)
-    this.askAll(name)
-      .catch((error: unknown) => this.parts.onFault(error))
-      .finally(() => this.asking.delete(name))
+  /** Questions overlap: one that waits behind a full link must not keep the next from being sent. */
+  private ask(name: string, { mirror, boundMilliseconds }: WatchedTable): void {
+    const sentAt = this.parts.clock.sinceStart()
+    for (let asked = 0; asked < PEERS_ASKED; asked += 1) {
+      mirror
+        .askPeers(confirmationSpan(boundMilliseconds))
+        .then(isAnswered => {
+          if (isAnswered) this.noteConfirmed(name, sentAt)
+        })
+        .catch((error: unknown) => this.parts.onFault(error))
+    }
   }
 
-  private async askAll(name: string): Promise<void> {
-    const mirror = this.parts.tables.get(name)?.mirror
-    if (mirror === undefined) return
-    const questions = Array.from({ length: PEERS_ASKED }, () => mirror.askPeers())
-    const answers = await Promise.all(questions)
-    if (answers.includes(true)) this.answeredAt.set(name, this.parts.clock.sinceStart())
+  private noteConfirmed(name: string, sentAt: Milliseconds): void {
+    const before = this.confirmedAt.get(name) ?? Number.NEGATIVE_INFINITY
+    this.confirmedAt.set(name, Math.max(before, sentAt))
   }
 
   private tooOldTable(): string | undefined {
@@ -120,9 +164,8 @@
   }
 
   private known(name: string, { mirror, boundMilliseconds }: WatchedTable): KnownRows {
-    const answeredAt = this.answeredAt.get(name) ?? Number.NEGATIVE_INFINITY
-    const isConfirmedOld =
-      this.parts.clock.sinceStart() - answeredAt <= ANSWER_SHARE * boundMilliseconds
-    return { ageMilliseconds: mirror.age, boundMilliseconds, isConfirmedOld }
+    const confirmedAt = this.confirmedAt.get(name) ?? Number.NEGATIVE_INFINITY
+    const confirmedAgoMilliseconds = this.parts.clock.sinceStart() - confirmedAt
+    return { ageMilliseconds: mirror.age, boundMilliseconds, confirmedAgoMilliseconds }
   }
 }
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -33,7 +33,12 @@
 } from './admitting/spendingBound.js'
 export { budgetPatience, returnAfterSeconds } from './admitting/budgetPatience.js'
 export { AbandonedWork } from './admitting/abandonedWork.js'
-export { isTooOld, longestFeedWait, shouldAskPeers } from './admitting/freshKnowledge.js'
+export {
+  confirmationSpan,
+  isTooOld,
+  longestFeedWait,
+  shouldAskPeers,
+} from './admitting/freshKnowledge.js'
 export type { KnownRows, Reachability } from './admitting/freshKnowledge.js'
 export { LinkBudget } from './admitting/linkBudget.js'
 export { ListenerPause, listenerWindow } from './admitting/listenerPause.js'
@@ -41,6 +46,8 @@
 export { OwnRefusals } from './admitting/ownRefusals.js'
 export { DELAY_LOOK_MILLISECONDS, ProcessorBudget } from './admitting/processorBudget.js'
 export type { ProcessorLook, WorkRank } from './admitting/processorBudget.js'
+export { StarvedTeams } from './admitting/starvedTeams.js'
+export type { StarvationChange, TeamOutcome } from './admitting/starvedTeams.js'
 export { writtenAhead } from './admitting/writtenAhead.js'
 export { settledCost } from './admitting/settledCost.js'
 
