feat(decisions): what proves an answer whole is one rule

Cause: whether an answer is whole was asked in three places, each of its own evidence (the transport's end, the time, the events), so they could disagree.

Change: answerCompleteness says which end proves each framing, and what becomes of an answer and its request otherwise; answerFraming reads the framing by RFC 9112. Nothing uses them yet.

Ruled out: a second notion of what may be repeated. canRepeat of nextStep is shared, and a test holds the two against each other.

Measured: nothing, no behaviour changes.

--- /dev/null
+++ b/packages/decisions/__tests__/answerCompleteness.spec.ts
@@ -0,0 +1,102 @@
+import { describe, expect, it } from 'vitest'
+import { answerFate, answerFraming, isProvenWhole, nextStep } from '@rackwalk/decisions'
+import type { AnswerEnd, AnswerFate, AnswerFraming } from '@rackwalk/decisions'
+
+/** What becomes of an answer, by its framing, by what it ended with and by what its route allows. */
+
+const FRAMINGS: readonly AnswerFraming[] = ['length', 'chunks', 'connection', 'bodiless']
+const ENDS: readonly AnswerEnd[] = [
+  'complete',
+  'closed',
+  'reset',
+  'silence',
+  'aborted',
+  'deadline',
+  'caller-left',
+  'instance-stopped',
+  'settings-replaced',
+]
+const ONCE = { isIdempotent: false, isStreaming: false, isResumable: false }
+const ROUTES = {
+  'stream that may be resumed': { ...ONCE, isStreaming: true, isResumable: true },
+  'stream that may not': { ...ONCE, isStreaming: true },
+  'other that may run twice': { ...ONCE, isIdempotent: true },
+  'other that may not': ONCE,
+}
+
+type RouteName = keyof typeof ROUTES
+
+const ROWS = FRAMINGS.flatMap(framing => ENDS.map(end => ({ framing, end })))
+const ROUTE_NAMES = Object.keys(ROUTES) as RouteName[]
+
+function fate(
+  row: { framing: AnswerFraming; end: AnswerEnd },
+  name: RouteName,
+  isReplyStarted: boolean,
+  isBodyOpen = false,
+): AnswerFate {
+  return answerFate({ ...row, isBodyOpen }, { route: ROUTES[name], isReplyStarted })
+}
+
+describe('what becomes of an answer', () => {
+  it.each([
+    ['before the caller has anything', false],
+    ['when the caller has its head', true],
+  ])('%s', (_, isReplyStarted) => {
+    const table = ROWS.map(row => {
+      const fates = ROUTE_NAMES.map(name => fate(row, name, isReplyStarted))
+      return `${row.framing}, ${row.end} | ${fates.join(' | ')}`
+    })
+    expect([`framing, end | ${ROUTE_NAMES.join(' | ')}`, ...table]).toMatchSnapshot()
+  })
+
+  it('is never to be framed as complete while its body lacks something', () => {
+    for (const row of ROWS) {
+      expect(isProvenWhole({ ...row, isBodyOpen: true })).toBe(false)
+      for (const name of ROUTE_NAMES) expect(fate(row, name, true, true)).not.toBe('whole')
+    }
+  })
+
+  it('is to be asked for elsewhere only where the rule of retries does the same', () => {
+    for (const row of ROWS) {
+      for (const name of ROUTE_NAMES) {
+        for (const isReplyStarted of [false, true]) {
+          const step = nextStep({
+            route: { ...ROUTES[name], maximumAttempts: 2 },
+            history: [{ kind: 'broke-off', events: 1 }],
+            isReplyStarted,
+            isOver: false,
+            hasUntried: true,
+            takeRetry: () => true,
+          })
+          const asked = ['continued', 'repeated'].includes(fate(row, name, isReplyStarted))
+          if (asked) expect(step).toBe('try-another')
+        }
+      }
+    }
+  })
+})
+
+describe('the framing of an answer', () => {
+  const HEAD = {
+    method: 'GET',
+    status: 200,
+    transferEncoding: undefined,
+    contentLength: undefined,
+  }
+
+  it.each([
+    ['a length', { contentLength: '12' }],
+    ['chunks', { transferEncoding: 'chunked' }],
+    ['a coding, then chunks', { transferEncoding: 'gzip, Chunked' }],
+    ['chunks and a length', { transferEncoding: 'chunked', contentLength: '12' }],
+    ['a coding that is not chunked', { transferEncoding: 'identity' }],
+    ['chunks below another coding', { transferEncoding: 'chunked, gzip' }],
+    ['neither', {}],
+    ['no content', { status: 204 }],
+    ['nothing modified, with a length', { status: 304, contentLength: '12' }],
+    ['the head alone', { method: 'HEAD', contentLength: '12' }],
+  ])('with %s', (_, more) => {
+    expect(answerFraming({ ...HEAD, ...more })).toMatchSnapshot()
+  })
+})
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -68,6 +68,14 @@
 export { recordInterval } from './placing/recordInterval.js'
 export { SilentInstances } from './placing/silentInstances.js'
 
+export { answerFate, isProvenWhole } from './stopping/answerCompleteness.js'
+export type {
+  AnswerEnd,
+  AnswerFate,
+  AnswerFraming,
+  EndedAnswer,
+} from './stopping/answerCompleteness.js'
+export { answerFraming } from './stopping/answerFraming.js'
 export { LINGER_MILLISECONDS, exitTime, isTimeToSettle } from './stopping/drainPhases.js'
 export { finalError, refusedByAll } from './stopping/finalError.js'
 export type { NoChoice } from './stopping/finalError.js'
--- a/packages/decisions/src/retrying/nextStep.ts
+++ b/packages/decisions/src/retrying/nextStep.ts
@@ -12,14 +12,18 @@
 /** What to do after one attempt. */
 export type NextStep = 'pass-on' | 'try-another' | 'give-up'
 
-/** What a route allows. */
-interface RetryRoute {
+/** What a route says of running a request again. */
+export interface RepeatableRoute {
   /** Whether a request may run twice. */
   readonly isIdempotent: boolean
   /** Whether its answers are streams of events. */
   readonly isStreaming: boolean
   /** Whether another endpoint can go on after the last event that the caller has. */
   readonly isResumable: boolean
+}
+
+/** What a route allows. */
+interface RetryRoute extends RepeatableRoute {
   /** Attempts that may reach an endpoint. */
   readonly maximumAttempts: number
 }
@@ -90,7 +94,13 @@
 }
 
 /** Whether the route allows what may have run to run once more. */
-function canRepeat({ route, isReplyStarted }: RetrySituation): boolean {
+export function canRepeat({
+  route,
+  isReplyStarted,
+}: {
+  readonly route: RepeatableRoute
+  readonly isReplyStarted: boolean
+}): boolean {
   if (isReplyStarted) return route.isStreaming && route.isResumable
   return route.isIdempotent || route.isResumable
 }
