feat(router, daemon): a request's line tells how its answer ended and what was withheld

Cause: a short answer framed as complete looked like any other in lines and metrics: outcome status 200, code 0.

Change: attempts tell framing, end, events that came and bytes that were not passed on; two counters do the same. The end of a connection is read from the kernel, since libuv reports a reset in the turn of the last bytes as an end. No decision uses the new fields.

Ruled out: a field for the clock. end complete with withheldBytes over 0 tells the dropped events; end reset beside code 0 tells the reset taken for an end; framing of each attempt tells the mixed ones.

--- a/packages/daemon/src/gateway/gatewayMetrics.ts
+++ b/packages/daemon/src/gateway/gatewayMetrics.ts
@@ -6,7 +6,7 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 import { outcomeLabel } from '@rackwalk/decisions'
 import { RESULT_TABLE, ResultCode, resultName } from '@rackwalk/shared'
-import type { GatewayRecord } from '@rackwalk/router'
+import type { AnswerRecord, GatewayRecord } from '@rackwalk/router'
 
 const FIRST_BYTE_BUCKETS = [0.02, 0.05, 0.1, 0.2, 0.35, 0.5, 0.7, 1, 2, 5, 10]
 const PAUSE_BUCKETS = [0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 5]
@@ -42,6 +42,8 @@
   private readonly teamRequests: Counter
   private readonly lateAnswers: Counter
   private readonly attempts: Counter
+  private readonly answers: Counter
+  private readonly withheldBytes: Counter
   private readonly endpointEnds: Counter
   private readonly reservations: Counter
   private readonly tokens: Counter
@@ -77,6 +79,18 @@
       labelNames: ['service', 'outcome'],
       registers,
     })
+    this.answers = new Counter({
+      name: 'rackwalk_gateway_answers_total',
+      help: 'Answers whose bodies were read for callers, by how they tell their end and by what they ended with.',
+      labelNames: ['framing', 'end'],
+      registers,
+    })
+    this.withheldBytes = new Counter({
+      name: 'rackwalk_gateway_withheld_bytes_total',
+      help: 'Bytes of answers that came and did not go to their callers, by what the answers ended with.',
+      labelNames: ['end'],
+      registers,
+    })
     this.endpointEnds = new Counter({
       name: 'rackwalk_gateway_server_ends_total',
       help: 'Servers that were seen to end unannounced with unanswered requests from here, by service.',
@@ -133,8 +147,9 @@
     const code = record.code ?? ResultCode.Internal
     const route = record.route ?? 'none'
     this.requests.inc({ code: String(code), result: resultName(code), route })
-    for (const { outcome, longestPause } of record.attempts) {
+    for (const { outcome, longestPause, answer } of record.attempts) {
       this.attempts.inc({ service: record.service ?? 'none', outcome: outcomeLabel(outcome) })
+      if (answer !== undefined) this.noteAnswer(answer)
       if (longestPause !== undefined) {
         this.longestPause.observe({ route }, longestPause.milliseconds / 1000)
       }
@@ -147,6 +162,11 @@
     this.total.observe((record.totalMilliseconds ?? 0) / 1000)
   }
 
+  private noteAnswer({ framing, end, withheldBytes }: AnswerRecord): void {
+    this.answers.inc({ framing, end })
+    this.withheldBytes.inc({ end }, withheldBytes)
+  }
+
   private noteTeam({ team, spent, lateness }: GatewayRecord, code: ResultCode): void {
     if (team === undefined) return
     if (lateness !== undefined) this.lateAnswers.inc({ tenant: team, cause: lateness })
--- a/packages/daemon/src/gateway/requestLine.ts
+++ b/packages/daemon/src/gateway/requestLine.ts
@@ -1,25 +1,14 @@
 /** The line of the log that tells of one request, field by field as collectors know it. */
 
 import { outcomeText } from '@rackwalk/decisions'
-import type { GatewayRecord } from '@rackwalk/router'
+import type { AttemptRecord, GatewayRecord } from '@rackwalk/router'
 
 /** Fields of the line; those of which nothing is known are left out of its JSON. */
 export function requestLine(record: GatewayRecord): Readonly<Record<string, unknown>> {
   return {
     request: record.requestId,
     fingerprint: record.fingerprint,
-    attempts: record.attempts.map(attempt => ({
-      server: attempt.endpoint,
-      score: attempt.score,
-      compared: attempt.compared,
-      waitedMilliseconds: attempt.waitedMilliseconds,
-      pendingTokens: attempt.pendingTokens,
-      uncachedTokens: attempt.uncachedTokens,
-      outcome: outcomeText(attempt.outcome),
-      said: attempt.said,
-      longestPauseMilliseconds: rounded(attempt.longestPause?.milliseconds),
-      pausePendingTokens: attempt.longestPause?.pendingTokens,
-    })),
+    attempts: record.attempts.map(attemptFields),
     configurationVersion: record.configurationVersion,
     route: record.route,
     tenant: record.team,
@@ -43,6 +32,25 @@
   }
 }
 
+function attemptFields(attempt: AttemptRecord): Readonly<Record<string, unknown>> {
+  return {
+    server: attempt.endpoint,
+    score: attempt.score,
+    compared: attempt.compared,
+    waitedMilliseconds: attempt.waitedMilliseconds,
+    pendingTokens: attempt.pendingTokens,
+    uncachedTokens: attempt.uncachedTokens,
+    outcome: outcomeText(attempt.outcome),
+    said: attempt.said,
+    framing: attempt.answer?.framing,
+    end: attempt.answer?.end,
+    events: attempt.answer?.events,
+    withheldBytes: attempt.answer?.withheldBytes,
+    longestPauseMilliseconds: rounded(attempt.longestPause?.milliseconds),
+    pausePendingTokens: attempt.longestPause?.pendingTokens,
+  }
+}
+
 function rounded(value: number | undefined): number | undefined {
   return value === undefined ? undefined : Math.round(value)
 }
--- a/packages/router/src/gateway/answerRelay.ts
+++ b/packages/router/src/gateway/answerRelay.ts
@@ -7,6 +7,7 @@
 import type { IncomingMessage } from 'node:http'
 import type { CallerReply } from './callerReply.js'
 import type { EventRelay } from './eventRelay.js'
+import type { AnswerRecord } from './gatewayRecord.js'
 import type { UpstreamExchange } from './upstreamExchange.js'
 
 /** What an answer is passed on with. */
@@ -33,9 +34,23 @@
 export class AnswerRelay {
   private held: Buffer[] = []
   private heldBytes = 0
+  private receivedBytes = 0
+  private passedBytes = 0
+  private eventCount = 0
 
   constructor(private readonly parts: AnswerRelayParts) {}
 
+  /** How the body came; ask it when the answer has ended. */
+  get record(): AnswerRecord {
+    const { framing, answerEnd } = this.parts.exchange
+    return {
+      framing,
+      end: answerEnd,
+      events: this.eventCount,
+      withheldBytes: this.receivedBytes - this.passedBytes,
+    }
+  }
+
   /** Passes whole events on as they come; a rest without its end is never passed on. */
   relayEvents(): Promise<boolean> {
     const { exchange, events, reply } = this.parts
@@ -65,6 +80,7 @@
           const isWhole = isComplete && !isOver()
           if (isWhole) {
             this.start()
+            this.passedBytes += this.heldBytes
             reply.end(this.takeHeld())
           }
           resolve(isWhole)
@@ -75,7 +91,9 @@
 
   private passEvents(chunk: Buffer): void {
     const { events, isOver, onEvents } = this.parts
+    this.receivedBytes += chunk.length
     const whole = events.read(chunk)
+    this.eventCount += whole.length
     if (whole.length === 0 || isOver()) return
     onEvents(whole.length)
     this.start()
@@ -84,6 +102,7 @@
 
   private hold(chunk: Buffer): void {
     this.parts.onBytes()
+    this.receivedBytes += chunk.length
     this.held.push(chunk)
     this.heldBytes += chunk.length
     if (this.heldBytes < MAXIMUM_HELD_BYTES || this.parts.isOver()) return
@@ -108,6 +127,7 @@
   /** A caller that reads slowly slows the endpoint down, not this process's memory. */
   private write(bytes: Buffer): void {
     const { reply, exchange } = this.parts
+    this.passedBytes += bytes.length
     if (!reply.write(bytes, () => exchange.resume())) exchange.pause()
   }
 }
--- a/packages/router/src/gateway/gatewayRecord.ts
+++ b/packages/router/src/gateway/gatewayRecord.ts
@@ -1,13 +1,24 @@
 /** What is kept of one request's decisions; it becomes one line of the log. */
 
-import type { Milliseconds, TokenCount } from '@rackwalk/shared'
-import type { AttemptOutcome } from '@rackwalk/decisions'
+import type { Bytes, Milliseconds, TokenCount } from '@rackwalk/shared'
+import type { AnswerEnd, AnswerFraming, AttemptOutcome } from '@rackwalk/decisions'
 import type { LenderAnswer } from '@rackwalk/coordination'
 import type { Lateness } from './lateness.js'
 import type { StreamPause } from './streamPace.js'
 import type { Execution, RequestFingerprint } from '@rackwalk/shared'
 
-interface AttemptRecord {
+/** How the body of an answer came. */
+export interface AnswerRecord {
+  readonly framing: AnswerFraming
+  readonly end: AnswerEnd
+  /** Whole events that came from the endpoint. */
+  readonly events: number
+  /** Bytes of the body that came and did not go to the caller. */
+  readonly withheldBytes: Bytes
+}
+
+/** One endpoint that a request was sent to. */
+export interface AttemptRecord {
   readonly endpoint: string
   readonly score: number
   /** Endpoints that were compared. */
@@ -21,6 +32,8 @@
   outcome: AttemptOutcome | undefined
   /** What the endpoint said of itself with its answer; undefined where it said nothing. */
   said?: string
+  /** Undefined where no body was read for the caller. */
+  answer?: AnswerRecord
   /** Undefined where no second event came. */
   longestPause: StreamPause | undefined
 }
--- a/packages/router/src/gateway/requestAttempts.ts
+++ b/packages/router/src/gateway/requestAttempts.ts
@@ -101,7 +101,7 @@
   /** Serves the request to its end; the caller has an answer or a refusal when it resolves. */
   async run(): Promise<AttemptsResult> {
     const { reply } = this.request
-    reply.onLeave(() => this.exchange?.abort())
+    reply.onLeave(() => this.exchange?.abort('caller-left'))
     const untilLate = this.lateAt - this.parts.clock.sinceStart()
     const timer = this.parts.clock.after(untilLate, () => this.passDeadline())
     try {
@@ -119,7 +119,7 @@
 
   private passDeadline(): void {
     this.isLate = true
-    this.exchange?.abort()
+    this.exchange?.abort('deadline')
   }
 
   private get isOver(): boolean {
@@ -265,7 +265,7 @@
     // An endpoint that refuses is full, not broken.
     if (outcome.kind !== 'refused') endpoint.noteOutcome(isAnsweredWell(outcome))
     if (isOfFront(status, outcome)) {
-      exchange.abort()
+      exchange.abort('aborted')
       return this.endBroken(endpoint, outcome)
     }
     if (outcome.kind !== 'not-trusted') endpoint.noteHeard()
@@ -328,6 +328,7 @@
     })
     const isStream = this.request.route.isStreaming && response.statusCode === STATUS_OK
     const isWhole = await (isStream ? relay.relayEvents() : relay.relayWhole())
+    this.noteAnswer(relay)
     this.notePause(pace)
     if (isWhole) return 'done'
     if (this.isOver) return 'give-up'
@@ -338,6 +339,11 @@
     return hasBegun ? this.endAttempt(outcome) : this.endBroken(endpoint, outcome)
   }
 
+  private noteAnswer(relay: AnswerRelay): void {
+    const attempt = this.request.record.attempts.at(-1)
+    if (attempt !== undefined) attempt.answer = relay.record
+  }
+
   /** An endpoint has given a part of its answer, so this request does not end what begins to run it. */
   private noteAnswered(): void {
     const { choice } = this
@@ -427,5 +433,5 @@
   if (outcome.kind === 'refused') return exchange.drain()
   if (outcome.kind === 'answered' && step === 'try-another') return exchange.drain()
   const isLeftOpen = outcome.kind === 'answered' && !isPromising(outcome.status)
-  if (!isLeftOpen) exchange.abort()
+  if (!isLeftOpen) exchange.abort('aborted')
 }
--- a/packages/router/src/gateway/upstreamExchange.ts
+++ b/packages/router/src/gateway/upstreamExchange.ts
@@ -5,7 +5,10 @@
 
 import { request as httpRequest } from 'node:http'
 import type { ClientRequest, IncomingMessage } from 'node:http'
+import { answerFraming } from '@rackwalk/decisions'
+import type { AnswerEnd, AnswerFraming } from '@rackwalk/decisions'
 import type { Milliseconds } from '@rackwalk/shared'
+import { ConnectionEnd } from './connectionEnd.js'
 import type { EndpointState } from './endpointState.js'
 
 /** What is sent. */
@@ -33,17 +36,24 @@
   onEnd(isWhole: boolean): void
 }
 
+/** Why an exchange is ended on this side. */
+export type AbortReason = Extract<AnswerEnd, 'aborted' | 'deadline' | 'caller-left'>
+
 /** The exchange, from the sending to the end of the answer. */
 export class UpstreamExchange {
   private readonly call: ClientRequest
   private readonly head: Promise<HeadOutcome>
+  private readonly method: string
   private response: IncomingMessage | undefined
+  private connectionEnd: ConnectionEnd | undefined
+  private abortReason: AbortReason | undefined
   private broken = false
   private connected = false
   private ended = false
 
   constructor(endpoint: EndpointState, request: UpstreamRequest) {
     const [host = '', port = ''] = endpoint.record.address.split(':')
+    this.method = request.method
     this.call = httpRequest({
       host,
       port: Number(port),
@@ -67,6 +77,25 @@
     return headers?.['content-length'] !== undefined || headers?.['transfer-encoding'] !== undefined
   }
 
+  /** How the answer tells where it ends; ask it after the head. */
+  get framing(): AnswerFraming {
+    const headers = this.response?.headers
+    return answerFraming({
+      method: this.method,
+      status: this.response?.statusCode ?? 0,
+      transferEncoding: headers?.['transfer-encoding'],
+      contentLength: headers?.['content-length'],
+    })
+  }
+
+  /** What the reading of the answer ended with; ask it when the body has ended. */
+  get answerEnd(): AnswerEnd {
+    if (this.abortReason !== undefined) return this.abortReason
+    if (this.framing !== 'connection' && this.response?.complete === true) return 'complete'
+    if (this.broken) return 'reset'
+    return this.connectionEnd?.kind ?? 'reset'
+  }
+
   /** Hands the body over as it comes; call it once, after the head. */
   readBody(listener: BodyListener): void {
     const response = this.response
@@ -74,6 +103,7 @@
     const finish = (isWhole: boolean) => {
       if (this.ended) return
       this.ended = true
+      this.connectionEnd?.release()
       listener.onEnd(isWhole)
     }
     response.on('data', (chunk: Buffer) => listener.onData(chunk))
@@ -97,7 +127,8 @@
   }
 
   /** Ends the exchange and its connection; the endpoint drops the request. */
-  abort(): void {
+  abort(reason: AbortReason): void {
+    this.abortReason ??= reason
     this.broken = true
     this.call.destroy()
   }
@@ -113,6 +144,7 @@
       this.call.on('close', () => resolve({ kind: 'failed', reason: 'closed' }))
       this.call.on('response', response => {
         this.response = response
+        this.connectionEnd = new ConnectionEnd(response.socket)
         resolve({ kind: 'head', response })
       })
     })
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -80,7 +80,7 @@
   GatewayService,
   GatewayTeam,
 } from './gateway/gatewayConfiguration.js'
-export type { GatewayRecord } from './gateway/gatewayRecord.js'
+export type { AnswerRecord, AttemptRecord, GatewayRecord } from './gateway/gatewayRecord.js'
 export type {
   Dialect,
   ForwardMetadata,
