fix(router): events that came are passed on whatever the time of day says

What callers saw: a stream with status 200, its endpoint's signature and a proper end, but without its last events; and 504 for plain answers that had come.

Cause: the relay asked isOver for each chunk, by a clock that follows the time of day forward and counts suspensions, and dropped what came; the end asked only the transport, and ended the stream as whole. The timer that aborts an exchange counts by the steady clock and had not fired. Two notions of late, and neither knew of the other's loss.

Change: what came goes to a caller who is there. A deadline is enforced by the abort alone, and whether an answer is whole is asked of answerCompleteness, with what its reading ended with as evidence.

Ruled out: dropping by the clock and cutting the rest. An answer that is ready is delivered, also when late, and a clock that was set says nothing of a caller.

--- a/packages/decisions/__tests__/answerCompleteness.spec.ts
+++ b/packages/decisions/__tests__/answerCompleteness.spec.ts
@@ -1,5 +1,11 @@
 import { describe, expect, it } from 'vitest'
-import { answerFate, answerFraming, isProvenWhole, nextStep } from '@rackwalk/decisions'
+import {
+  answerFate,
+  answerFraming,
+  isEndpointsFailure,
+  isProvenWhole,
+  nextStep,
+} from '@rackwalk/decisions'
 import type { AnswerEnd, AnswerFate, AnswerFraming } from '@rackwalk/decisions'
 
 /** What becomes of an answer, by its framing, by what it ended with and by what its route allows. */
@@ -57,6 +63,13 @@
     }
   })
 
+  it('tells against its endpoint only where the endpoint or the way to it ended it', () => {
+    const blamed = ENDS.filter(end =>
+      isEndpointsFailure({ framing: 'chunks', end, isBodyOpen: true }),
+    )
+    expect(blamed).toEqual(['complete', 'closed', 'reset', 'silence'])
+  })
+
   it('is to be asked for elsewhere only where the rule of retries does the same', () => {
     for (const row of ROWS) {
       for (const name of ROUTE_NAMES) {
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -68,7 +68,7 @@
 export { recordInterval } from './placing/recordInterval.js'
 export { SilentInstances } from './placing/silentInstances.js'
 
-export { answerFate, isProvenWhole } from './stopping/answerCompleteness.js'
+export { answerFate, isEndpointsFailure, isProvenWhole } from './stopping/answerCompleteness.js'
 export type {
   AnswerEnd,
   AnswerFate,
--- a/packages/decisions/src/stopping/answerCompleteness.ts
+++ b/packages/decisions/src/stopping/answerCompleteness.ts
@@ -70,6 +70,20 @@
 /** Ends after which no other endpoint is asked: nobody waits any more, or this instance cannot pass an answer on. */
 const FINAL_ENDS: ReadonlySet<AnswerEnd> = new Set(['deadline', 'caller-left', 'instance-stopped'])
 
+/** Ends that this instance or its caller brought about. */
+const OWN_ENDS: ReadonlySet<AnswerEnd> = new Set([
+  'aborted',
+  'deadline',
+  'caller-left',
+  'instance-stopped',
+  'settings-replaced',
+])
+
+/** Whether an answer that is not whole tells against its endpoint. */
+export function isEndpointsFailure({ end }: EndedAnswer): boolean {
+  return !OWN_ENDS.has(end)
+}
+
 /** Whether an answer may be framed as complete. */
 export function isProvenWhole({ framing, end, isBodyOpen }: EndedAnswer): boolean {
   return end === PROOFS[framing] && !isBodyOpen
--- a/packages/router/src/gateway/answerRelay.ts
+++ b/packages/router/src/gateway/answerRelay.ts
@@ -5,6 +5,8 @@
  */
 
 import type { IncomingMessage } from 'node:http'
+import { isProvenWhole } from '@rackwalk/decisions'
+import type { AnswerEnd, EndedAnswer } from '@rackwalk/decisions'
 import type { CallerReply } from './callerReply.js'
 import type { EventRelay } from './eventRelay.js'
 import type { AnswerRecord } from './gatewayRecord.js'
@@ -17,8 +19,6 @@
   readonly reply: CallerReply
   /** Events of all attempts at the request. */
   readonly events: EventRelay
-  /** Whether the caller has left or the deadline has passed. */
-  readonly isOver: () => boolean
   /** The caller is about to get the first bytes of an answer. */
   readonly onStart: () => void
   /** Whole events have come from the endpoint; the first ones say that its prompt is read. */
@@ -37,64 +37,62 @@
   private receivedBytes = 0
   private passedBytes = 0
   private eventCount = 0
+  private ended: EndedAnswer | undefined
 
   constructor(private readonly parts: AnswerRelayParts) {}
 
-  /** How the body came; ask it when the answer has ended. */
-  get record(): AnswerRecord {
-    const { framing, answerEnd } = this.parts.exchange
-    return {
-      framing,
-      end: answerEnd,
-      events: this.eventCount,
-      withheldBytes: this.receivedBytes - this.passedBytes,
-    }
+  /** How the body came; undefined until it has ended. */
+  get record(): AnswerRecord | undefined {
+    if (this.ended === undefined) return undefined
+    const { framing, end } = this.ended
+    const withheldBytes = this.receivedBytes - this.passedBytes
+    return { framing, end, events: this.eventCount, withheldBytes }
   }
 
   /** Passes whole events on as they come; a rest without its end is never passed on. */
-  relayEvents(): Promise<boolean> {
-    const { exchange, events, reply } = this.parts
+  relayEvents(): Promise<EndedAnswer> {
+    const { events } = this.parts
     events.continueElsewhere()
-    return new Promise(resolve => {
-      exchange.readBody({
-        onData: chunk => this.passEvents(chunk),
-        onEnd: isComplete => {
-          const isWhole = isComplete && !events.isInsideEvent
-          if (isWhole) {
-            this.start()
-            reply.end()
-          }
-          resolve(isWhole)
-        },
-      })
-    })
+    return this.relay(
+      chunk => this.passEvents(chunk),
+      () => events.isInsideEvent,
+    )
   }
 
   /** Keeps an answer until it is whole; a large one is passed on as it comes. */
-  relayWhole(): Promise<boolean> {
-    const { exchange, reply, isOver } = this.parts
+  relayWhole(): Promise<EndedAnswer> {
+    return this.relay(
+      chunk => this.hold(chunk),
+      () => false,
+    )
+  }
+
+  /** Only an answer that is proven whole is ended. */
+  private relay(onData: (chunk: Buffer) => void, isBodyOpen: () => boolean): Promise<EndedAnswer> {
+    const { exchange } = this.parts
     return new Promise(resolve => {
-      exchange.readBody({
-        onData: chunk => this.hold(chunk),
-        onEnd: isComplete => {
-          const isWhole = isComplete && !isOver()
-          if (isWhole) {
-            this.start()
-            this.passedBytes += this.heldBytes
-            reply.end(this.takeHeld())
-          }
-          resolve(isWhole)
-        },
-      })
+      const onEnd = (end: AnswerEnd) => {
+        const ended = { framing: exchange.framing, end, isBodyOpen: isBodyOpen() }
+        if (isProvenWhole(ended)) this.end()
+        this.ended = ended
+        resolve(ended)
+      }
+      exchange.readBody({ onData, onEnd })
     })
   }
 
+  private end(): void {
+    this.start()
+    this.passedBytes += this.heldBytes
+    this.parts.reply.end(this.takeHeld())
+  }
+
   private passEvents(chunk: Buffer): void {
-    const { events, isOver, onEvents } = this.parts
+    const { events, onEvents } = this.parts
     this.receivedBytes += chunk.length
     const whole = events.read(chunk)
+    if (whole.length === 0) return
     this.eventCount += whole.length
-    if (whole.length === 0 || isOver()) return
     onEvents(whole.length)
     this.start()
     this.write(whole.length === 1 ? (whole[0] ?? chunk) : Buffer.concat(whole))
@@ -105,7 +103,7 @@
     this.receivedBytes += chunk.length
     this.held.push(chunk)
     this.heldBytes += chunk.length
-    if (this.heldBytes < MAXIMUM_HELD_BYTES || this.parts.isOver()) return
+    if (this.heldBytes < MAXIMUM_HELD_BYTES) return
     this.start()
     this.write(this.takeHeld())
   }
--- a/packages/router/src/gateway/requestAttempts.ts
+++ b/packages/router/src/gateway/requestAttempts.ts
@@ -8,7 +8,9 @@
 import type { IncomingMessage } from 'node:http'
 import {
   adviceText,
+  answerFate,
   finalError,
+  isEndpointsFailure,
   isMisdirected,
   isPromising,
   isServerError,
@@ -318,7 +320,6 @@
       response,
       reply: this.request.reply,
       events: this.events,
-      isOver: () => this.isOver,
       onStart: () => this.noteStart(),
       onEvents: count => {
         noteBytes()
@@ -327,11 +328,13 @@
       onBytes: noteBytes,
     })
     const isStream = this.request.route.isStreaming && response.statusCode === STATUS_OK
-    const isWhole = await (isStream ? relay.relayEvents() : relay.relayWhole())
+    const answer = await (isStream ? relay.relayEvents() : relay.relayWhole())
     this.noteAnswer(relay)
     this.notePause(pace)
-    if (isWhole) return 'done'
-    if (this.isOver) return 'give-up'
+    const { route, reply } = this.request
+    const fate = answerFate(answer, { route, isReplyStarted: reply.isStarted })
+    if (fate === 'whole') return 'done'
+    if (!isEndpointsFailure(answer)) return 'give-up'
     endpoint.noteOutcome(false)
     // The attempt was noted as answered; now more is known of it.
     this.history.pop()
--- a/packages/router/src/gateway/upstreamExchange.ts
+++ b/packages/router/src/gateway/upstreamExchange.ts
@@ -32,8 +32,8 @@
 /** What becomes of the body of an answer. */
 export interface BodyListener {
   onData(chunk: Buffer): void
-  /** `isWhole` is true only where the answer's own framing says so. */
-  onEnd(isWhole: boolean): void
+  /** What the reading ended with; `complete` and `closed` only after all that came was handed over. */
+  onEnd(end: AnswerEnd): void
 }
 
 /** Why an exchange is ended on this side. */
@@ -88,29 +88,20 @@
     })
   }
 
-  /** What the reading of the answer ended with; ask it when the body has ended. */
-  get answerEnd(): AnswerEnd {
-    if (this.abortReason !== undefined) return this.abortReason
-    if (this.framing !== 'connection' && this.response?.complete === true) return 'complete'
-    if (this.broken) return 'reset'
-    return this.connectionEnd?.kind ?? 'reset'
-  }
-
   /** Hands the body over as it comes; call it once, after the head. */
   readBody(listener: BodyListener): void {
     const response = this.response
     if (response === undefined) return
-    const finish = (isWhole: boolean) => {
+    const finish = (end: AnswerEnd) => {
       if (this.ended) return
       this.ended = true
       this.connectionEnd?.release()
-      listener.onEnd(isWhole)
+      listener.onEnd(this.abortReason ?? end)
     }
     response.on('data', (chunk: Buffer) => listener.onData(chunk))
-    // A reset is reported on the call before the parser ends an answer without a length.
-    response.on('end', () => finish(response.complete && !this.broken))
-    response.on('error', () => finish(false))
-    response.on('close', () => finish(false))
+    response.on('end', () => finish(this.deliveredEnd(response)))
+    response.on('error', () => finish(this.brokenEnd))
+    response.on('close', () => finish(this.brokenEnd))
   }
 
   /** Reads the rest of an answer that nobody wants, so that its connection can be used again. */
@@ -129,10 +120,22 @@
   /** Ends the exchange and its connection; the endpoint drops the request. */
   abort(reason: AbortReason): void {
     this.abortReason ??= reason
-    this.broken = true
     this.call.destroy()
   }
 
+  /** The end of an answer of which all that came was handed over. */
+  private deliveredEnd(response: IncomingMessage): AnswerEnd {
+    if (this.framing !== 'connection') return response.complete ? 'complete' : this.brokenEnd
+    // A reset is reported on the call before the parser ends an answer without a length.
+    return this.broken ? 'reset' : 'closed'
+  }
+
+  /** The end of an answer that may lack something: one that ends with its connection can't be told from a broken one. */
+  private get brokenEnd(): AnswerEnd {
+    const isClosed = this.framing !== 'connection' && this.connectionEnd?.kind === 'closed'
+    return isClosed ? 'closed' : 'reset'
+  }
+
   private awaitHead(connectMilliseconds: Milliseconds): Promise<HeadOutcome> {
     return new Promise(resolve => {
       this.watchConnection(connectMilliseconds)
