fix(router): an answer whose length is not known goes to its caller in chunks

What callers saw: a stream that its endpoint framed by its connection looked whole when its instance stopped in the middle; a stream with a length, continued by an endpoint that worded the rest otherwise, had a length that did not fit.

Cause: the reply took over the framing of the first endpoint's head. The end of a connection also comes when the process ends, and libuv shows a reset that comes with the last bytes as an end to the caller as well. A length holds for one endpoint's answer only.

Change: a reply keeps a length only where one endpoint's answer is passed on as it is; anything else goes in chunks, and ends with the last one. A caller of HTTP/1.0 has its connection closed or reset, as before.

Ruled out: a reset at the instance's end. A process that is killed sends none.

--- a/packages/router/src/gateway/answerRelay.ts
+++ b/packages/router/src/gateway/answerRelay.ts
@@ -6,7 +6,7 @@
 
 import type { IncomingMessage } from 'node:http'
 import { isProvenWhole } from '@rackwalk/decisions'
-import type { AnswerEnd, EndedAnswer } from '@rackwalk/decisions'
+import type { AnswerEnd, AnswerFraming, EndedAnswer } from '@rackwalk/decisions'
 import type { CallerReply } from './callerReply.js'
 import type { EventRelay } from './eventRelay.js'
 import type { AnswerRecord } from './gatewayRecord.js'
@@ -37,6 +37,7 @@
   private receivedBytes = 0
   private passedBytes = 0
   private eventCount = 0
+  private isStream = false
   private ended: EndedAnswer | undefined
 
   constructor(private readonly parts: AnswerRelayParts) {}
@@ -52,6 +53,7 @@
   /** Passes whole events on as they come; a rest without its end is never passed on. */
   relayEvents(): Promise<EndedAnswer> {
     const { events } = this.parts
+    this.isStream = true
     events.continueElsewhere()
     return this.relay(
       chunk => this.passEvents(chunk),
@@ -119,7 +121,13 @@
     const { reply, response, exchange, onStart } = this.parts
     if (reply.isStarted) return
     onStart()
-    reply.start(response, exchange.isFramed)
+    reply.start(response, this.isLengthKnown(exchange.framing))
+  }
+
+  /** Another endpoint may go on with a stream and word the rest otherwise. */
+  private isLengthKnown(framing: AnswerFraming): boolean {
+    if (framing === 'bodiless') return true
+    return framing === 'length' && !this.isStream
   }
 
   /** A caller that reads slowly slows the endpoint down, not this process's memory. */
--- a/packages/router/src/gateway/callerReply.ts
+++ b/packages/router/src/gateway/callerReply.ts
@@ -13,6 +13,8 @@
 export class CallerReply {
   private started = false
   private ended = false
+  /** Whether the caller can tell where the answer ends without the end of the connection. */
+  private isFramed = true
   private hasLeft = false
   private readonly leaveListeners: (() => void)[] = []
 
@@ -40,14 +42,15 @@
   }
 
   /**
-   * Passes on the head of an endpoint's answer. An answer that the endpoint ends with its
-   * connection is passed on in the same way, so that a break never looks like an end.
+   * Passes on the head of an endpoint's answer. One whose length is not known ahead is sent in chunks, however the endpoint
+   * framed it: the end of a connection is no proof, since it also comes when this process ends.
    */
-  start(response: IncomingMessage, isFramed: boolean): void {
+  start(response: IncomingMessage, isLengthKnown: boolean): void {
     this.started = true
-    if (!isFramed) this.response.useChunkedEncodingByDefault = false
+    this.isFramed = isLengthKnown || this.response.useChunkedEncodingByDefault
     this.prepareEnd()
-    const headers = withoutConnectionHeaders(response.rawHeaders)
+    const isDropped = (name: string) => name === 'content-length' && !isLengthKnown
+    const headers = withoutConnectionHeaders(response.rawHeaders, isDropped)
     this.response.writeHead(response.statusCode ?? 0, headers as unknown as Record<string, string>)
   }
 
@@ -69,7 +72,7 @@
     this.ended = true
     const socket = this.response.socket
     if (socket === null) return
-    if (this.response.useChunkedEncodingByDefault) socket.destroy()
+    if (this.isFramed) socket.destroy()
     else socket.resetAndDestroy()
   }
 
--- a/packages/router/src/gateway/upstreamExchange.ts
+++ b/packages/router/src/gateway/upstreamExchange.ts
@@ -71,12 +71,6 @@
     return this.head
   }
 
-  /** Whether the answer tells where it ends; if not, it ends with its connection. */
-  get isFramed(): boolean {
-    const headers = this.response?.headers
-    return headers?.['content-length'] !== undefined || headers?.['transfer-encoding'] !== undefined
-  }
-
   /** How the answer tells where it ends; ask it after the head. */
   get framing(): AnswerFraming {
     const headers = this.response?.headers
