fix(router): a reset that comes with the last bytes is no end of an answer

What callers saw: a stream whose endpoint framed it by its connection, cut within by a reset, framed as complete; plain answers likewise.

Cause: where the last bytes and a reset are read in one turn, libuv takes the partial read with EPOLLHUP for the end of the stream and never reports the error, so node:http ends the answer as complete.

Change: an answer without a length is whole only where its connection was closed in order. Asked at the socket's end, the kernel names the peer of a connection that was closed in order, and none of one that was reset.

Ruled out: reading once more from the handle, which would tell the two apart even after a FIN and a reset behind it, but is no public interface; taking no answer without a length for whole, which loses all of them.

What it costs: an answer whose FIN is followed by a reset in the same turn is taken for broken.

--- a/packages/router/src/gateway/upstreamExchange.ts
+++ b/packages/router/src/gateway/upstreamExchange.ts
@@ -47,7 +47,6 @@
   private response: IncomingMessage | undefined
   private connectionEnd: ConnectionEnd | undefined
   private abortReason: AbortReason | undefined
-  private broken = false
   private connected = false
   private ended = false
 
@@ -120,8 +119,7 @@
   /** The end of an answer of which all that came was handed over. */
   private deliveredEnd(response: IncomingMessage): AnswerEnd {
     if (this.framing !== 'connection') return response.complete ? 'complete' : this.brokenEnd
-    // A reset is reported on the call before the parser ends an answer without a length.
-    return this.broken ? 'reset' : 'closed'
+    return this.connectionEnd?.kind ?? 'reset'
   }
 
   /** The end of an answer that may lack something: one that ends with its connection can't be told from a broken one. */
@@ -134,7 +132,6 @@
     return new Promise(resolve => {
       this.watchConnection(connectMilliseconds)
       this.call.on('error', error => {
-        this.broken = true
         const reason = (error as NodeJS.ErrnoException).code ?? error.message
         resolve({ kind: this.connected ? 'failed' : 'not-sent', reason })
       })
