fix(router): a deadline ends no answer that is all here

What callers saw: a whole answer cut at its deadline while its caller read slowly, with 504 or a broken stream in place of it.

Cause: the deadline's abort destroyed the exchange whatever had come. What had been read of the answer and waited for the caller was thrown away.

Change: the deadline leaves an answer alone whose framing has already said its end; a caller that has left still ends it.

Ruled out: handing out the rest at once. That would hold it in memory for a caller that does not read.

Tests: answerEnds.spec drives a real socket with any split of the bytes, any moment of the end, a slow reader and each reason to give up; for each row that an exchange can come to, a rule that is wrong in it turns the property red.

--- /dev/null
+++ b/packages/router/__tests__/answerEnds.spec.ts
@@ -0,0 +1,130 @@
+import fc from 'fast-check'
+import { afterAll, beforeAll, describe, expect, it } from 'vitest'
+import { isProvenWhole } from '@rackwalk/decisions'
+import type { AnswerEnd, AnswerFraming, EndedAnswer } from '@rackwalk/decisions'
+import { ScriptedEndpoint, wireOf } from './standIns/scriptedAnswer.js'
+import type { AnswerScript, ReadAnswer } from './standIns/scriptedAnswer.js'
+
+/**
+ * Answers of a real socket, cut into writes anywhere and ended at any moment: one that is taken for whole is, and one that
+ * is whole is taken for it.
+ */
+
+type Judge = (answer: EndedAnswer) => boolean
+
+const RUNS = 300
+const SEED = 20_261
+const endpoint = new ScriptedEndpoint()
+
+beforeAll(() => endpoint.start())
+afterAll(() => endpoint.stop())
+
+const scripts: fc.Arbitrary<AnswerScript> = fc.record({
+  framing: fc.constantFrom<AnswerFraming>('length', 'chunks', 'connection', 'bodiless'),
+  pieces: fc.array(fc.string({ minLength: 1, maxLength: 40, unit: 'grapheme-ascii' }), {
+    minLength: 1,
+    maxLength: 4,
+  }),
+  missing: fc.oneof(fc.constant(0), fc.nat({ max: 60 })),
+  splits: fc.array(fc.nat({ max: 200 }), { maxLength: 3 }),
+  ending: fc.constantFrom('stays', 'closes', 'resets'),
+  isReaderSlow: fc.boolean(),
+  abort: fc.constantFrom(undefined, 'deadline', 'caller-left', 'aborted'),
+})
+
+/** What an endpoint that frames its answer by the connection says to be all of it. */
+function bodyOf(script: AnswerScript): string {
+  if (script.framing === 'bodiless') return ''
+  const body = script.pieces.join('')
+  if (script.framing !== 'connection') return body
+  return body.slice(0, Math.max(0, body.length - script.missing))
+}
+
+/** Whether the answer is whole at its reader before anything else happens to it. */
+function mustBeWhole(script: AnswerScript): boolean {
+  const { framing, missing, ending, splits, isReaderSlow, abort } = script
+  if (framing === 'bodiless') return true
+  if (framing === 'connection') return ending === 'closes' && abort === undefined
+  if (missing > 0) return false
+  if (abort === undefined) return true
+  // Bytes that came in one turn are read as one, and a deadline that passes after them is too late.
+  return abort === 'deadline' && isReaderSlow && splits.length === 0
+}
+
+function faultOf(script: AnswerScript, answer: ReadAnswer, judge: Judge): string | undefined {
+  const isWhole = judge({ framing: answer.framing, end: answer.end, isBodyOpen: false })
+  const hasAll = answer.body === bodyOf(script)
+  const isReset = script.framing === 'connection' && script.ending !== 'closes'
+  if (isWhole && (!hasAll || isReset)) return 'taken for whole'
+  if (!isWhole && mustBeWhole(script)) return 'taken for broken'
+  return undefined
+}
+
+async function check(judge: Judge): Promise<fc.RunDetails<[AnswerScript]>> {
+  return fc.check(
+    fc.asyncProperty(scripts, async script => {
+      const answer = await endpoint.read(script)
+      const fault = faultOf(script, answer, judge)
+      if (fault !== undefined) throw new Error(`${fault}: ${JSON.stringify({ script, answer })}`)
+    }),
+    { numRuns: RUNS, seed: SEED, endOnFailure: true },
+  )
+}
+
+/** The rule, wrong in one row. */
+function wrongIn(framing: AnswerFraming, end: AnswerEnd): Judge {
+  return answer => {
+    const isRow = answer.framing === framing && answer.end === end
+    return isRow ? !isProvenWhole(answer) : isProvenWhole(answer)
+  }
+}
+
+describe('an answer that is read from a socket', () => {
+  it('is taken for whole if and only if it is', async () => {
+    const result = await check(isProvenWhole)
+    expect(result.errorInstance ?? undefined).toBeUndefined()
+    expect(result.numRuns).toBe(RUNS)
+  })
+
+  it.each<[AnswerFraming, AnswerEnd]>([
+    ['length', 'complete'],
+    ['length', 'closed'],
+    ['length', 'reset'],
+    ['length', 'aborted'],
+    ['length', 'deadline'],
+    ['length', 'caller-left'],
+    ['chunks', 'complete'],
+    ['chunks', 'closed'],
+    ['chunks', 'reset'],
+    ['chunks', 'aborted'],
+    ['chunks', 'deadline'],
+    ['chunks', 'caller-left'],
+    ['connection', 'closed'],
+    ['connection', 'reset'],
+    ['connection', 'aborted'],
+    ['connection', 'deadline'],
+    ['connection', 'caller-left'],
+    ['bodiless', 'complete'],
+  ])('would be misjudged by a rule that is wrong for %s and %s', async (framing, end) => {
+    const result = await check(wrongIn(framing, end))
+    expect(result.failed).toBe(true)
+  })
+
+  it.each<AnswerFraming>(['length', 'chunks'])(
+    'keeps what came before a deadline that passes while its caller reads slowly (%s)',
+    async framing => {
+      const script: AnswerScript = {
+        framing,
+        pieces: ['first', 'second', 'third'],
+        missing: 0,
+        splits: [],
+        ending: 'stays',
+        isReaderSlow: true,
+        abort: 'deadline',
+      }
+      const answer = await endpoint.read(script)
+      expect(answer).toEqual({ framing, end: 'complete', body: 'firstsecondthird' })
+      expect(wireOf(script)).toContain('third')
+    },
+  )
+})
--- a/packages/router/src/gateway/upstreamExchange.ts
+++ b/packages/router/src/gateway/upstreamExchange.ts
@@ -4,12 +4,18 @@
  */
 
 import { request as httpRequest } from 'node:http'
-import type { ClientRequest, IncomingMessage } from 'node:http'
+import type { Agent, ClientRequest, IncomingMessage } from 'node:http'
 import { answerFraming } from '@rackwalk/decisions'
 import type { AnswerEnd, AnswerFraming } from '@rackwalk/decisions'
 import type { Milliseconds } from '@rackwalk/shared'
 import { ConnectionEnd } from './connectionEnd.js'
-import type { EndpointState } from './endpointState.js'
+
+/** Where a request is sent. */
+export interface ExchangeEndpoint {
+  /** `address` is IP:PORT. */
+  readonly record: { readonly address: string }
+  readonly agent: Agent
+}
 
 /** What is sent. */
 export interface UpstreamRequest {
@@ -50,7 +56,7 @@
   private connected = false
   private ended = false
 
-  constructor(endpoint: EndpointState, request: UpstreamRequest) {
+  constructor(endpoint: ExchangeEndpoint, request: UpstreamRequest) {
     const [host = '', port = ''] = endpoint.record.address.split(':')
     this.method = request.method
     this.call = httpRequest({
@@ -110,12 +116,19 @@
     this.response?.resume()
   }
 
-  /** Ends the exchange and its connection; the endpoint drops the request. */
+  /** Ends the exchange and its connection; the endpoint drops the request. A deadline ends no answer that is all here. */
   abort(reason: AbortReason): void {
+    if (reason === 'deadline' && this.isReceived) return
     this.abortReason ??= reason
     this.call.destroy()
   }
 
+  /** Whether all of the answer has come, though a slow caller may not have been given it yet. */
+  private get isReceived(): boolean {
+    if (this.framing === 'connection') return this.connectionEnd?.kind === 'closed'
+    return this.response?.complete === true
+  }
+
   /** The end of an answer of which all that came was handed over. */
   private deliveredEnd(response: IncomingMessage): AnswerEnd {
     if (this.framing !== 'connection') return response.complete ? 'complete' : this.brokenEnd
