fix(daemon): nothing is written into an answer in progress

What callers saw: where bytes that are no request followed a request on its connection, a 400 in the middle of the answer, counted as a part of its body, and the connection closed in order behind it.

Cause: answerMalformed wrote its refusal on any writable socket. node:http itself looks whether an answer has begun; a listener for clientError must.

Change: refuseMalformed counts the answers in progress of a connection and resets one that has any. All three listeners use it.

Ruled out: the 400 before the head of the answer, as node:http does: the request in progress may have run, and the refusal says not.

--- a/packages/daemon/src/callers/callerServer.ts
+++ b/packages/daemon/src/callers/callerServer.ts
@@ -11,7 +11,7 @@
 import type { AddressAnswer } from '@rackwalk/coordination'
 import type { Catalogue, DecisionRecord, RequestPipeline, Team } from '@rackwalk/router'
 import { listenOn } from '../observe/listenOn.js'
-import { answerError, answerJson, answerMalformed } from '../observe/httpAnswer.js'
+import { answerError, answerJson, refuseMalformed } from '../observe/httpAnswer.js'
 import type { Settings } from '../settings/schema.js'
 import { incomingRequest } from './httpCallerConnection.js'
 
@@ -53,7 +53,7 @@
     )
     this.server.maxConnections = HARD_LIMIT_FACTOR * limits.connections
     this.server.on('connection', socket => this.count(socket))
-    this.server.on('clientError', (error, socket) => answerMalformed(error, socket))
+    refuseMalformed(this.server)
   }
 
   listen(address: string): Promise<number> {
--- a/packages/daemon/src/gateway/gatewayListeners.ts
+++ b/packages/daemon/src/gateway/gatewayListeners.ts
@@ -5,7 +5,7 @@
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { GatewayLimits } from '@rackwalk/router'
-import { answerMalformed } from '../observe/httpAnswer.js'
+import { refuseMalformed } from '../observe/httpAnswer.js'
 import { listenOn } from '../observe/listenOn.js'
 import type { PlainAnswer } from './platformAdapter.js'
 
@@ -21,7 +21,7 @@
   const server = createServer({ maxHeaderSize: LONGEST_HEADER_BYTES, noDelay: true }, handle)
   server.requestTimeout = 0
   server.headersTimeout = HEADER_MILLISECONDS
-  server.on('clientError', answerMalformed)
+  refuseMalformed(server)
   return server
 }
 
--- a/packages/daemon/src/observe/httpAnswer.ts
+++ b/packages/daemon/src/observe/httpAnswer.ts
@@ -1,6 +1,7 @@
 /** Short HTTP answers: JSON, numbered errors, and what is said to bytes that are no request. */
 
-import type { ServerResponse } from 'node:http'
+import type { Server, ServerResponse } from 'node:http'
+import { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
 import { NotRunError, RESULT_TABLE, ResultCode } from '@rackwalk/shared'
 import type { RackwalkError } from '@rackwalk/shared'
@@ -34,8 +35,31 @@
   answerJson(response, RESULT_TABLE[error.code].httpStatus, document, headers)
 }
 
-/** Answers bytes that are not HTTP, or not in time; there is no request to answer. */
-export function answerMalformed(error: NodeJS.ErrnoException, socket: Duplex): void {
+/**
+ * Refuses bytes that are not HTTP, or not in time. A connection with an answer in progress is reset: whatever is sent on
+ * it would be taken for a part of that answer, and its end for the answer's.
+ */
+export function refuseMalformed(server: Server): void {
+  const inProgress = new WeakMap<Duplex, number>()
+  const count = (socket: Duplex, change: number) =>
+    inProgress.set(socket, (inProgress.get(socket) ?? 0) + change)
+  server.prependListener('request', ({ socket }, response) => {
+    count(socket, 1)
+    response.once('close', () => count(socket, -1))
+  })
+  server.on('clientError', (error, socket) => {
+    if ((inProgress.get(socket) ?? 0) > 0) reset(socket)
+    else answerMalformed(error, socket)
+  })
+}
+
+function reset(socket: Duplex): void {
+  if (socket instanceof Socket) socket.resetAndDestroy()
+  else socket.destroy()
+}
+
+/** There is no request to answer. */
+function answerMalformed(error: NodeJS.ErrnoException, socket: Duplex): void {
   if (!socket.writable || error.code === 'ECONNRESET') return void socket.destroy()
   const isSlow = error.code === 'ERR_HTTP_REQUEST_TIMEOUT'
   const code = isSlow ? ResultCode.RequestTimeout : ResultCode.MalformedRequest
--- a/packages/daemon/src/operators/operatorServer.ts
+++ b/packages/daemon/src/operators/operatorServer.ts
@@ -8,7 +8,7 @@
 import { RackwalkError, ResultCode, toRackwalkError } from '@rackwalk/shared'
 import type { Registry } from 'prom-client'
 import { listenOn } from '../observe/listenOn.js'
-import { answerError, answerMalformed } from '../observe/httpAnswer.js'
+import { answerError, refuseMalformed } from '../observe/httpAnswer.js'
 import type { Settings } from '../settings/schema.js'
 import { authenticateOperator } from './operatorAuthentication.js'
 import type { OperatorRoutes } from './operatorRoutes.js'
@@ -29,7 +29,7 @@
 
   constructor(private readonly parts: OperatorServerParts) {
     this.server = createServer((request, response) => void this.handle(request, response))
-    this.server.on('clientError', (error, socket) => answerMalformed(error, socket))
+    refuseMalformed(this.server)
   }
 
   listen(address: string): Promise<number> {
