fix(router): a reply that has ended is not cut

What callers saw: where anything failed behind the end of a whole answer, its rest was thrown away while it waited for a caller that reads slowly.

Cause: cut destroyed the connection whatever the reply had come to.

Change: a reply that has ended stays as it is. callerReply.spec holds what a caller sees of a cut in each state of its connection.

Ruled out: a guard in Gateway.refuse alone. The reply owns how it ends.

Measured: the test failed before (3,919,734 of 20,000,000 bytes, not whole) and passes now, with the three cases that held before.

--- /dev/null
+++ b/packages/router/__tests__/callerReply.spec.ts
@@ -0,0 +1,103 @@
+import { Agent, createServer, request } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { afterEach, describe, expect, it } from 'vitest'
+import { CallerReply } from '@rackwalk/router'
+
+/** What a caller sees of a reply that is broken off, whatever its connection was doing. */
+
+/** More than the buffers of a connection take. */
+const LARGE = Buffer.alloc(20_000_000, 'x')
+const HEAD = { statusCode: 200, rawHeaders: ['Content-Type', 'text/plain'] } as IncomingMessage
+
+let server: Server | undefined
+
+afterEach(() => {
+  server?.closeAllConnections()
+  server?.close()
+})
+
+type Serve = (reply: CallerReply, response: ServerResponse, request: IncomingMessage) => void
+
+async function listen(serve: Serve): Promise<number> {
+  const started = createServer((incoming, response) => {
+    serve(new CallerReply(response, {}, () => false), response, incoming)
+  })
+  server = started
+  await new Promise<void>(resolve => started.listen(0, '127.0.0.1', resolve))
+  return (started.address() as AddressInfo).port
+}
+
+/** Reads an answer; the caller begins to read when `until` is over. */
+function read(port: number, until: Promise<void>): Promise<{ bytes: number; isWhole: boolean }> {
+  return new Promise((resolve, reject) => {
+    const call = request({ port, host: '127.0.0.1', agent: new Agent() })
+    call.on('error', reject)
+    call.on('response', response => {
+      let bytes = 0
+      response.pause()
+      response.on('data', (chunk: Buffer) => (bytes += chunk.length))
+      response.on('error', () => {})
+      response.on('close', () => resolve({ bytes, isWhole: response.complete }))
+      void until.then(() => response.resume())
+    })
+    call.end()
+  })
+}
+
+describe('a reply that is broken off', () => {
+  it('stays whole where it was ended before, though most of it still waits for its caller', async () => {
+    let isCut = () => {}
+    const cut = new Promise<void>(resolve => (isCut = resolve))
+    const port = await listen(reply => {
+      reply.start(HEAD, false)
+      reply.end(LARGE)
+      setTimeout(() => {
+        reply.cut()
+        isCut()
+      }, 20)
+    })
+    expect(await read(port, cut)).toEqual({ bytes: LARGE.length, isWhole: true })
+  })
+
+  it('is not whole while bytes of it wait for their caller', async () => {
+    let isCut = () => {}
+    const cut = new Promise<void>(resolve => (isCut = resolve))
+    const port = await listen(reply => {
+      reply.start(HEAD, false)
+      reply.write(LARGE, () => {})
+      setTimeout(() => {
+        reply.cut()
+        isCut()
+      }, 20)
+    })
+    expect((await read(port, cut)).isWhole).toBe(false)
+  })
+
+  it('is not whole where its caller has all bytes that came', async () => {
+    const port = await listen(reply => {
+      reply.start(HEAD, false)
+      reply.write(Buffer.from('some'), () => {})
+      setTimeout(() => reply.cut(), 20)
+    })
+    expect(await read(port, Promise.resolve())).toEqual({ bytes: 4, isWhole: false })
+  })
+
+  it('does nothing to a connection that has gone', async () => {
+    let cutGone = () => {}
+    const cut = new Promise<void>(resolve => (cutGone = resolve))
+    const port = await listen((reply, response) => {
+      reply.start(HEAD, false)
+      reply.write(Buffer.from('some'), () => {})
+      response.on('close', () => {
+        reply.cut()
+        cutGone()
+      })
+    })
+    const call = request({ port, host: '127.0.0.1', agent: new Agent() })
+    call.on('error', () => {})
+    call.on('response', () => call.destroy())
+    call.end()
+    await cut
+  })
+})
--- a/packages/router/src/gateway/callerReply.ts
+++ b/packages/router/src/gateway/callerReply.ts
@@ -67,8 +67,9 @@
     this.response.end(lastChunk)
   }
 
-  /** Breaks the answer off, so that it cannot be taken for whole. */
+  /** Breaks the answer off, so that it cannot be taken for whole; one that has ended stays as it is. */
   cut(): void {
+    if (this.ended) return
     this.ended = true
     const socket = this.response.socket
     if (socket === null) return
