fix(router): a reply that is cut behind another answer ends its connection

What callers saw: of two requests sent at once on one connection, the second answer broke off at its endpoint, began, and never ended.

Cause: a reply that waits for its turn has no socket yet, and cut did nothing without one.

Change: such a reply is destroyed; node:http ends the connection in its place when its turn comes.

Ruled out: ending the connection at once, which would cut the first answer.

Measured: the test failed before (nothing within 1 s of the first answer's end) and passes now.

--- a/packages/router/__tests__/callerReply.spec.ts
+++ b/packages/router/__tests__/callerReply.spec.ts
@@ -1,6 +1,7 @@
 import { Agent, createServer, request } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
+import { connect } from 'node:net'
 import { afterEach, describe, expect, it } from 'vitest'
 import { CallerReply } from '@rackwalk/router'
 
@@ -45,6 +46,10 @@
   })
 }
 
+function turns(milliseconds: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, milliseconds))
+}
+
 describe('a reply that is broken off', () => {
   it('stays whole where it was ended before, though most of it still waits for its caller', async () => {
     let isCut = () => {}
@@ -83,6 +88,26 @@
     expect(await read(port, Promise.resolve())).toEqual({ bytes: 4, isWhole: false })
   })
 
+  it('ends the connection when its turn comes behind another answer', async () => {
+    const replies: CallerReply[] = []
+    const port = await listen(reply => {
+      reply.start(HEAD, false)
+      reply.write(Buffer.from('some'), () => {})
+      replies.push(reply)
+      if (replies.length < 2) return
+      reply.cut()
+      setTimeout(() => replies[0]?.end(Buffer.from(' more')), 20)
+    })
+    const socket = connect(port, '127.0.0.1')
+    let text = ''
+    socket.on('data', (bytes: Buffer) => (text += bytes.toString()))
+    socket.write('GET / HTTP/1.1\r\nHost: a\r\n\r\n'.repeat(2))
+    const ended = new Promise(resolve => socket.on('close', () => resolve('ended')))
+    expect(await Promise.race([ended, turns(1_000)])).toBe('ended')
+    expect(text).toContain(' more')
+    expect(text.match(/HTTP\/1.1 200/g)).toHaveLength(1)
+  })
+
   it('does nothing to a connection that has gone', async () => {
     let cutGone = () => {}
     const cut = new Promise<void>(resolve => (cutGone = resolve))
--- a/packages/router/src/gateway/callerReply.ts
+++ b/packages/router/src/gateway/callerReply.ts
@@ -72,8 +72,9 @@
     if (this.ended) return
     this.ended = true
     const socket = this.response.socket
-    if (socket === null) return
-    if (this.isFramed) socket.destroy()
+    // An answer that waits behind another one of its connection ends it when its turn comes.
+    if (socket === null) this.response.destroy()
+    else if (this.isFramed) socket.destroy()
     else socket.resetAndDestroy()
   }
 
