--- a/packages/router/__tests__/standIns/scriptedAnswer.ts
+++ b/packages/router/__tests__/standIns/scriptedAnswer.ts
@@ -79,6 +79,8 @@
 
   private serve(socket: Socket): void {
     this.sockets.add(socket)
+    // A reset drops what the socket still holds back to send it with more.
+    socket.setNoDelay(true)
     socket.on('error', () => {})
     socket.on('close', () => this.sockets.delete(socket))
     socket.on('data', () => {
