--- a/packages/router/src/gateway/answerRelay.ts
+++ b/packages/router/src/gateway/answerRelay.ts
@@ -5,8 +5,11 @@
  */
 
 import type { IncomingMessage } from 'node:http'
+import { isProvenWhole } from '@rackwalk/decisions'
+import type { AnswerEnd, AnswerFraming, EndedAnswer } from '@rackwalk/decisions'
 import type { CallerReply } from './callerReply.js'
 import type { EventRelay } from './eventRelay.js'
+import type { AnswerRecord } from './gatewayRecord.js'
 import type { UpstreamExchange } from './upstreamExchange.js'
 
 /** What an answer is passed on with. */
@@ -16,8 +19,6 @@
   readonly reply: CallerReply
   /** Events of all attempts at the request. */
   readonly events: EventRelay
-  /** Whether the caller has left or the deadline has passed. */
-  readonly isOver: () => boolean
   /** The caller is about to get the first bytes of an answer. */
   readonly onStart: () => void
   /** Whole events have come from the endpoint; the first ones say that its prompt is read. */
@@ -33,50 +34,67 @@
 export class AnswerRelay {
   private held: Buffer[] = []
   private heldBytes = 0
+  private receivedBytes = 0
+  private passedBytes = 0
+  private eventCount = 0
+  private isStream = false
+  private ended: EndedAnswer | undefined
 
   constructor(private readonly parts: AnswerRelayParts) {}
 
+  /** How the body came; undefined until it has ended. */
+  get record(): AnswerRecord | undefined {
+    if (this.ended === undefined) return undefined
+    const { framing, end } = this.ended
+    const withheldBytes = this.receivedBytes - this.passedBytes
+    return { framing, end, events: this.eventCount, withheldBytes }
+  }
+
   /** Passes whole events on as they come; a rest without its end is never passed on. */
-  relayEvents(): Promise<boolean> {
-    const { exchange, events, reply } = this.parts
+  relayEvents(): Promise<EndedAnswer> {
+    const { events } = this.parts
+    this.isStream = true
     events.continueElsewhere()
-    return new Promise(resolve => {
-      exchange.readBody({
-        onData: chunk => this.passEvents(chunk),
-        onEnd: isComplete => {
-          const isWhole = isComplete && !events.isInsideEvent
-          if (isWhole) {
-            this.start()
-            reply.end()
-          }
-          resolve(isWhole)
-        },
-      })
-    })
+    return this.relay(
+      chunk => this.passEvents(chunk),
+      () => events.isInsideEvent,
+    )
   }
 
   /** Keeps an answer until it is whole; a large one is passed on as it comes. */
-  relayWhole(): Promise<boolean> {
-    const { exchange, reply, isOver } = this.parts
+  relayWhole(): Promise<EndedAnswer> {
+    return this.relay(
+      chunk => this.hold(chunk),
+      () => false,
+    )
+  }
+
+  /** Only an answer that is proven whole is ended. */
+  private relay(onData: (chunk: Buffer) => void, isBodyOpen: () => boolean): Promise<EndedAnswer> {
+    const { exchange } = this.parts
     return new Promise(resolve => {
-      exchange.readBody({
-        onData: chunk => this.hold(chunk),
-        onEnd: isComplete => {
-          const isWhole = isComplete && !isOver()
-          if (isWhole) {
-            this.start()
-            reply.end(this.takeHeld())
-          }
-          resolve(isWhole)
-        },
-      })
+      const onEnd = (end: AnswerEnd) => {
+        const ended = { framing: exchange.framing, end, isBodyOpen: isBodyOpen() }
+        if (isProvenWhole(ended)) this.end()
+        this.ended = ended
+        resolve(ended)
+      }
+      exchange.readBody({ onData, onEnd })
     })
   }
 
+  private end(): void {
+    this.start()
+    this.passedBytes += this.heldBytes
+    this.parts.reply.end(this.takeHeld())
+  }
+
   private passEvents(chunk: Buffer): void {
-    const { events, isOver, onEvents } = this.parts
+    const { events, onEvents } = this.parts
+    this.receivedBytes += chunk.length
     const whole = events.read(chunk)
-    if (whole.length === 0 || isOver()) return
+    if (whole.length === 0) return
+    this.eventCount += whole.length
     onEvents(whole.length)
     this.start()
     this.write(whole.length === 1 ? (whole[0] ?? chunk) : Buffer.concat(whole))
@@ -84,9 +102,10 @@
 
   private hold(chunk: Buffer): void {
     this.parts.onBytes()
+    this.receivedBytes += chunk.length
     this.held.push(chunk)
     this.heldBytes += chunk.length
-    if (this.heldBytes < MAXIMUM_HELD_BYTES || this.parts.isOver()) return
+    if (this.heldBytes < MAXIMUM_HELD_BYTES) return
     this.start()
     this.write(this.takeHeld())
   }
@@ -102,12 +121,19 @@
     const { reply, response, exchange, onStart } = this.parts
     if (reply.isStarted) return
     onStart()
-    reply.start(response, exchange.isFramed)
+    reply.start(response, this.isLengthKnown(exchange.framing))
+  }
+
+  /** Another endpoint may go on with a stream and word the rest otherwise. */
+  private isLengthKnown(framing: AnswerFraming): boolean {
+    if (framing === 'bodiless') return true
+    return framing === 'length' && !this.isStream
   }
 
   /** A caller that reads slowly slows the endpoint down, not this process's memory. */
   private write(bytes: Buffer): void {
     const { reply, exchange } = this.parts
+    this.passedBytes += bytes.length
     if (!reply.write(bytes, () => exchange.resume())) exchange.pause()
   }
 }
--- a/packages/router/src/gateway/upstreamExchange.ts
+++ b/packages/router/src/gateway/upstreamExchange.ts
@@ -4,9 +4,18 @@
  */
 
 import { request as httpRequest } from 'node:http'
-import type { ClientRequest, IncomingMessage } from 'node:http'
+import type { Agent, ClientRequest, IncomingMessage } from 'node:http'
+import { answerFraming } from '@rackwalk/decisions'
+import type { AnswerEnd, AnswerFraming } from '@rackwalk/decisions'
 import type { Milliseconds } from '@rackwalk/shared'
-import type { EndpointState } from './endpointState.js'
+import { ConnectionEnd } from './connectionEnd.js'
+
+/** Where a request is sent. */
+export interface ExchangeEndpoint {
+  /** `address` is IP:PORT. */
+  readonly record: { readonly address: string }
+  readonly agent: Agent
+}
 
 /** What is sent. */
 export interface UpstreamRequest {
@@ -29,21 +38,27 @@
 /** What becomes of the body of an answer. */
 export interface BodyListener {
   onData(chunk: Buffer): void
-  /** `isWhole` is true only where the answer's own framing says so. */
-  onEnd(isWhole: boolean): void
+  /** What the reading ended with; `complete` and `closed` only after all that came was handed over. */
+  onEnd(end: AnswerEnd): void
 }
 
+/** Why an exchange is ended on this side. */
+export type AbortReason = Extract<AnswerEnd, 'aborted' | 'deadline' | 'caller-left'>
+
 /** The exchange, from the sending to the end of the answer. */
 export class UpstreamExchange {
   private readonly call: ClientRequest
   private readonly head: Promise<HeadOutcome>
+  private readonly method: string
   private response: IncomingMessage | undefined
-  private broken = false
+  private connectionEnd: ConnectionEnd | undefined
+  private abortReason: AbortReason | undefined
   private connected = false
   private ended = false
 
-  constructor(endpoint: EndpointState, request: UpstreamRequest) {
+  constructor(endpoint: ExchangeEndpoint, request: UpstreamRequest) {
     const [host = '', port = ''] = endpoint.record.address.split(':')
+    this.method = request.method
     this.call = httpRequest({
       host,
       port: Number(port),
@@ -61,26 +76,31 @@
     return this.head
   }
 
-  /** Whether the answer tells where it ends; if not, it ends with its connection. */
-  get isFramed(): boolean {
+  /** How the answer tells where it ends; ask it after the head. */
+  get framing(): AnswerFraming {
     const headers = this.response?.headers
-    return headers?.['content-length'] !== undefined || headers?.['transfer-encoding'] !== undefined
+    return answerFraming({
+      method: this.method,
+      status: this.response?.statusCode ?? 0,
+      transferEncoding: headers?.['transfer-encoding'],
+      contentLength: headers?.['content-length'],
+    })
   }
 
   /** Hands the body over as it comes; call it once, after the head. */
   readBody(listener: BodyListener): void {
     const response = this.response
     if (response === undefined) return
-    const finish = (isWhole: boolean) => {
+    const finish = (end: AnswerEnd) => {
       if (this.ended) return
       this.ended = true
-      listener.onEnd(isWhole)
+      this.connectionEnd?.release()
+      listener.onEnd(this.abortReason ?? end)
     }
     response.on('data', (chunk: Buffer) => listener.onData(chunk))
-    // A reset is reported on the call before the parser ends an answer without a length.
-    response.on('end', () => finish(response.complete && !this.broken))
-    response.on('error', () => finish(false))
-    response.on('close', () => finish(false))
+    response.on('end', () => finish(this.deliveredEnd(response)))
+    response.on('error', () => finish(this.brokenEnd))
+    response.on('close', () => finish(this.brokenEnd))
   }
 
   /** Reads the rest of an answer that nobody wants, so that its connection can be used again. */
@@ -96,23 +116,42 @@
     this.response?.resume()
   }
 
-  /** Ends the exchange and its connection; the endpoint drops the request. */
-  abort(): void {
-    this.broken = true
+  /** Ends the exchange and its connection; the endpoint drops the request. A deadline ends no answer that is all here. */
+  abort(reason: AbortReason): void {
+    if (reason === 'deadline' && this.isReceived) return
+    this.abortReason ??= reason
     this.call.destroy()
   }
 
+  /** Whether all of the answer has come, though a slow caller may not have been given it yet. */
+  private get isReceived(): boolean {
+    if (this.framing === 'connection') return this.connectionEnd?.kind === 'closed'
+    return this.response?.complete === true
+  }
+
+  /** The end of an answer of which all that came was handed over. */
+  private deliveredEnd(response: IncomingMessage): AnswerEnd {
+    if (this.framing !== 'connection') return response.complete ? 'complete' : this.brokenEnd
+    return this.connectionEnd?.kind ?? 'reset'
+  }
+
+  /** The end of an answer that may lack something: one that ends with its connection can't be told from a broken one. */
+  private get brokenEnd(): AnswerEnd {
+    const isClosed = this.framing !== 'connection' && this.connectionEnd?.kind === 'closed'
+    return isClosed ? 'closed' : 'reset'
+  }
+
   private awaitHead(connectMilliseconds: Milliseconds): Promise<HeadOutcome> {
     return new Promise(resolve => {
       this.watchConnection(connectMilliseconds)
       this.call.on('error', error => {
-        this.broken = true
         const reason = (error as NodeJS.ErrnoException).code ?? error.message
         resolve({ kind: this.connected ? 'failed' : 'not-sent', reason })
       })
       this.call.on('close', () => resolve({ kind: 'failed', reason: 'closed' }))
       this.call.on('response', response => {
         this.response = response
+        this.connectionEnd = new ConnectionEnd(response.socket)
         resolve({ kind: 'head', response })
       })
     })
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -83,7 +83,7 @@
   GatewayService,
   GatewayTeam,
 } from './gateway/gatewayConfiguration.js'
-export type { GatewayRecord } from './gateway/gatewayRecord.js'
+export type { AnswerRecord, AttemptRecord, GatewayRecord } from './gateway/gatewayRecord.js'
 export type {
   Dialect,
   ForwardMetadata,
@@ -102,6 +102,9 @@
 export { PauseMeter } from './gateway/pauseMeter.js'
 export { ReadingMeter } from './gateway/readingMeter.js'
 export { StreamPace } from './gateway/streamPace.js'
+export { UpstreamExchange } from './gateway/upstreamExchange.js'
+export type { AbortReason } from './gateway/upstreamExchange.js'
+export { CallerReply } from './gateway/callerReply.js'
 export { EventRelay } from './gateway/eventRelay.js'
 export { sharedPartOf, snapshotEndpoint } from './gateway/endpointSnapshots.js'
 export { EndpointDirectory } from './gateway/endpointDirectory.js'
