fix(router): a service's stream that its framing proves whole is not told as broken, and loses no events

What callers saw: an error event behind the last event of a service's stream that its length or last chunk proves whole, unless it ended with [DONE]; events that contain "choices":[] were left out, and what followed the last blank line. Change: a service's stream has a passage of its own: whole by its framing or by [DONE], all of it passed on. One without a length stays as it was, told as broken without [DONE], since nothing proves it. A reader that is full has one wait for the caller, whatever is handed over until then.

--- a/packages/router/src/engine/eventSplitter.ts
+++ b/packages/router/src/engine/eventSplitter.ts
@@ -37,6 +37,11 @@
   get unfinished(): number {
     return this.rest?.length ?? 0
   }
+
+  /** The bytes after the last whole event, where there are any. */
+  get remainder(): Buffer | undefined {
+    return this.rest
+  }
 }
 
 const DONE = Buffer.from('data: [DONE]')
--- a/packages/router/src/filters/relay.ts
+++ b/packages/router/src/filters/relay.ts
@@ -51,7 +51,11 @@
   }
 
   private passageOf(request: DispatchedRequest): Passage {
-    if (isEventStream(request)) return new EventPassage(request, this.parts)
+    if (isEventStream(request)) {
+      return request.call.kind === 'chat'
+        ? new EventPassage(request, this.parts)
+        : new ServiceEventPassage(request)
+    }
     return request.answer.isWhole ? new HeldPassage(request) : new PlainPassage(request)
   }
 
@@ -63,7 +67,7 @@
         isFull: false,
         take: (chunk: Buffer) => {
           try {
-            if (passage.take(chunk)) return
+            if (passage.take(chunk) || consumer.isFull) return
           } catch (thrown) {
             return resolve(thrown as Error)
           }
@@ -122,7 +126,7 @@
   usage(): ReportedUsage
 }
 
-/** A stream of events: keeps back the closing ones and watches the usage reports. */
+/** A chat's stream of events: keeps back the closing ones and watches the usage reports. */
 class EventPassage implements Passage {
   readonly heldBack: Buffer[] = []
   isClosed = false
@@ -190,6 +194,42 @@
   }
 }
 
+/** A service's stream of events: whole where its framing says so, or else by a last event as a chat has it. */
+class ServiceEventPassage implements Passage {
+  isClosed = false
+  private readonly splitter = new EventSplitter()
+  private readonly closing: Buffer[] = []
+
+  constructor(private readonly request: DispatchedRequest) {
+    request.incoming.caller.begin(request.answer.status, answerHeaders(request))
+  }
+
+  get isWhole(): boolean {
+    return this.isClosed || this.request.answer.isDelimited
+  }
+
+  /** What follows the last whole event is a part of a whole answer. */
+  get heldBack(): readonly Buffer[] {
+    const { remainder } = this.splitter
+    return remainder === undefined ? this.closing : [...this.closing, remainder]
+  }
+
+  take(chunk: Buffer): boolean {
+    const passed = this.splitter.split(chunk).filter(event => this.passes(event))
+    return passed.length === 0 || this.request.incoming.caller.write(joined(passed))
+  }
+
+  usage(): ReportedUsage {
+    return NO_USAGE
+  }
+
+  private passes(event: Buffer): boolean {
+    this.isClosed ||= isDoneEvent(event)
+    if (this.isClosed) this.closing.push(Buffer.from(event))
+    return !this.isClosed
+  }
+}
+
 /** Any other answer that is whole: all of it is kept back, its head as well, so that it may still become an error. */
 class HeldPassage implements Passage {
   readonly heldBack: Buffer[] = []
