--- a/packages/router/src/decisionRecord.ts
+++ b/packages/router/src/decisionRecord.ts
@@ -29,7 +29,7 @@
 }
 
 /** How an endpoint's answer was framed, what its reading ended with, and what became of it. */
-export interface AnswerRecord {
+interface AnswerRecord {
   readonly framing: AnswerFraming
   readonly end: AnswerEnd
   readonly fate: AnswerFate
--- a/packages/router/src/engine/endpointConnection.ts
+++ b/packages/router/src/engine/endpointConnection.ts
@@ -26,7 +26,7 @@
 }
 
 /** A connection that was reset. The client treats the system's own error as a proper end. */
-export class ConnectionResetError extends Error {
+class ConnectionResetError extends Error {
   readonly code = 'UND_ERR_SOCKET'
 
   constructor() {
--- a/packages/router/src/engine/endpointExchange.ts
+++ b/packages/router/src/engine/endpointExchange.ts
@@ -5,7 +5,7 @@
 
 import type { Dispatcher } from 'undici'
 import { answerFraming, isProvenWhole } from '@rackwalk/decisions'
-import type { AnswerEnd, AnswerFraming } from '@rackwalk/decisions'
+import type { AnswerEnd, AnswerFraming, EndedAnswer } from '@rackwalk/decisions'
 import { deferred } from '@rackwalk/shared'
 import type { Clock, EndpointId, Timer } from '@rackwalk/shared'
 import type { AnswerConsumer, EndpointAnswer } from '../filters/stages.js'
@@ -144,7 +144,8 @@
   onResponseEnd(): void {
     const end = this.framing === 'connection' ? 'closed' : 'complete'
     const isBodyOpen = this.proof?.state === 'open'
-    if (isProvenWhole({ framing: this.framing, end, isBodyOpen })) this.succeed(end)
+    const answer: EndedAnswer = { framing: this.framing, end, isBodyOpen }
+    if (isProvenWhole(answer)) this.succeed(end)
     else this.fail(end, new UnfinishedError())
   }
 
