--- a/packages/decisions/src/admitting/starvedTeams.ts
+++ b/packages/decisions/src/admitting/starvedTeams.ts
@@ -15,7 +15,7 @@
 import type { Milliseconds, ResultCode, TeamId } from '@rackwalk/shared'
 
 /** How one request of a team ended. */
-export interface TeamOutcome {
+interface TeamOutcome {
   readonly team: TeamId
   readonly code: ResultCode
   readonly isServed: boolean
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -44,7 +44,7 @@
 export { DELAY_LOOK_MILLISECONDS, ProcessorBudget } from './admitting/processorBudget.js'
 export type { ProcessorLook, WorkRank } from './admitting/processorBudget.js'
 export { StarvedTeams } from './admitting/starvedTeams.js'
-export type { StarvationChange, TeamOutcome } from './admitting/starvedTeams.js'
+export type { StarvationChange } from './admitting/starvedTeams.js'
 export { writtenAhead } from './admitting/writtenAhead.js'
 export { settledCost } from './admitting/settledCost.js'
 
