fix(router): a deadline hands over what is left of an answer that is all here

What callers saw: nothing; an instance kept the request of a caller who had stopped reading until that caller left, with its place at the endpoint and its reserved tokens, and a planned stop waited for it. Cause: a deadline ends no answer that is all here, and the reading that the slow caller had paused was never taken up again. Change: at the deadline the rest, which is in the process anyway, goes to the reply, and no pause is honoured any more. Ruled out: cutting it, since it is whole. Measured: answerEnds 'ends at a deadline though its caller never reads on' (chunks) had no end within 10 s before, and passes now. Found by review, by a program of its own (no end 10 s after the deadline).

--- a/packages/router/__tests__/answerEnds.spec.ts
+++ b/packages/router/__tests__/answerEnds.spec.ts
@@ -14,6 +14,8 @@
 
 const RUNS = 300
 const SEED = 20_261
+/** An answer that has not ended by then has no end. */
+const ENDLESS_MILLISECONDS = 10_000
 const endpoint = new ScriptedEndpoint()
 
 beforeAll(() => endpoint.start())
@@ -127,4 +129,23 @@
       expect(wireOf(script)).toContain('third')
     },
   )
+
+  it.each<AnswerFraming>(['length', 'chunks'])(
+    'ends at a deadline though its caller never reads on (%s)',
+    async framing => {
+      const script: AnswerScript = {
+        framing,
+        pieces: ['first', 'second', 'third'],
+        missing: 0,
+        splits: [],
+        ending: 'stays',
+        isReaderSlow: true,
+        isReaderStuck: true,
+        abort: 'deadline',
+      }
+      const answer = await endpoint.read(script)
+      expect(answer).toEqual({ framing, end: 'complete', body: 'firstsecondthird' })
+    },
+    ENDLESS_MILLISECONDS,
+  )
 })
--- a/packages/router/__tests__/standIns/scriptedAnswer.ts
+++ b/packages/router/__tests__/standIns/scriptedAnswer.ts
@@ -17,6 +17,8 @@
   readonly ending: 'stays' | 'closes' | 'resets'
   /** Whether the reader stops at the first bytes until all else has happened. */
   readonly isReaderSlow: boolean
+  /** Whether a reader that stopped never goes on. */
+  readonly isReaderStuck?: boolean
   /** Why the reader gives up after the first bytes, if it does. */
   readonly abort: AbortReason | undefined
 }
@@ -116,7 +118,7 @@
     await turn()
     if (script.abort !== undefined) exchange.abort(script.abort)
     await turn()
-    exchange.resume()
+    if (script.isReaderStuck !== true) exchange.resume()
   }
   return new Promise(resolve => {
     exchange.readBody({
--- a/packages/router/src/gateway/upstreamExchange.ts
+++ b/packages/router/src/gateway/upstreamExchange.ts
@@ -55,6 +55,7 @@
   private abortReason: AbortReason | undefined
   private connected = false
   private ended = false
+  private mustHandOver = false
 
   constructor(endpoint: ExchangeEndpoint, request: UpstreamRequest) {
     const [host = '', port = ''] = endpoint.record.address.split(':')
@@ -108,21 +109,30 @@
     this.readBody({ onData: () => {}, onEnd: () => {} })
   }
 
+  /** Reads no more until it is resumed; has no effect on a rest that is handed over since its time is up. */
   pause(): void {
-    this.response?.pause()
+    if (!this.mustHandOver) this.response?.pause()
   }
 
   resume(): void {
     this.response?.resume()
   }
 
-  /** Ends the exchange and its connection; the endpoint drops the request. A deadline ends no answer that is all here. */
+  /**
+   * Ends the exchange and its connection; the endpoint drops the request. A deadline ends no answer that is all here: what is
+   * left of it is handed over at once, since a caller who reads no more would hold its request for ever.
+   */
   abort(reason: AbortReason): void {
-    if (reason === 'deadline' && this.isReceived) return
+    if (reason === 'deadline' && this.isReceived) return this.handOver()
     this.abortReason ??= reason
     this.call.destroy()
   }
 
+  private handOver(): void {
+    this.mustHandOver = true
+    this.response?.resume()
+  }
+
   /** Whether all of the answer has come, though a slow caller may not have been given it yet. */
   private get isReceived(): boolean {
     if (this.framing === 'connection') return this.connectionEnd?.kind === 'closed'
