refactor(router): how a connection ended is told by one function in both kinds

Cause: the question to the kernel's peer stood twice, and its trap (an address that was asked for before is remembered) nowhere. Change: socketEnd; the OpenAI-style kind's interface of the same name as the gateway's class is ConnectionGuard. No behaviour changed.

--- a/packages/router/src/engine/endpointConnection.ts
+++ b/packages/router/src/engine/endpointConnection.ts
@@ -6,6 +6,7 @@
 import type { Socket } from 'node:net'
 import { Client } from 'undici'
 import type { Dispatcher, buildConnector } from 'undici'
+import { socketEnd } from '../socketEnd.js'
 
 /** Who reads an answer from the connection. */
 export interface ConnectionReader {
@@ -13,7 +14,7 @@
 }
 
 /** What an exchange may ask of its connection. */
-export interface ConnectionEnd {
+export interface ConnectionGuard {
   /** The connection carries the reader's answer from here on. */
   serve(reader: ConnectionReader): void
   /** The reader goes on, and may be told of an end that came meanwhile. */
@@ -22,7 +23,7 @@
 
 /** A request of an exchange that learns how its connection ends. */
 export interface EndpointDispatch extends Dispatcher.DispatchOptions {
-  readonly onConnection?: (end: ConnectionEnd) => void
+  readonly onConnection?: (end: ConnectionGuard) => void
 }
 
 /** A connection that was reset. The client treats the system's own error as a proper end. */
@@ -35,7 +36,7 @@
 }
 
 /** The end of the connection, as the client may be told of it. */
-class GuardedEnd implements ConnectionEnd {
+class GuardedEnd implements ConnectionGuard {
   private reader: ConnectionReader | undefined
   private socket: Socket | undefined
   private deliverLate: (() => void) | undefined
@@ -65,9 +66,8 @@
     socket.emit = guarded as Socket['emit']
   }
 
-  /** The kernel knows the peer of a connection that was closed in order, and none of one that was reset. */
   private noteEnd(socket: Socket, deliver: () => void): boolean {
-    if (socket.remoteAddress === undefined) socket.destroy(new ConnectionResetError())
+    if (socketEnd(socket) === 'reset') socket.destroy(new ConnectionResetError())
     else if (this.reader?.isPaused === true) this.deliverLate = deliver
     else deliver()
     return true
@@ -80,7 +80,7 @@
 
 /** A client of one connection, one request at a time. */
 export class EndpointConnection extends Client {
-  private readonly connectionEnd: ConnectionEnd
+  private readonly connectionEnd: ConnectionGuard
 
   constructor(origin: string | URL, options: Client.Options) {
     const end = new GuardedEnd()
--- a/packages/router/src/engine/endpointExchange.ts
+++ b/packages/router/src/engine/endpointExchange.ts
@@ -14,7 +14,7 @@
 import type { AttemptResult } from './attemptResult.js'
 import { bodyProof } from './bodyProof.js'
 import type { BodyProof } from './bodyProof.js'
-import type { ConnectionEnd, ConnectionReader } from './endpointConnection.js'
+import type { ConnectionGuard, ConnectionReader } from './endpointConnection.js'
 
 // Errors that say the connection was never made.
 const NEVER_CONNECTED = new Set([
@@ -51,7 +51,7 @@
   framing: AnswerFraming = 'connection'
   end: AnswerEnd | undefined
   isPaused = false
-  private connection: ConnectionEnd | undefined
+  private connection: ConnectionGuard | undefined
   private proof: BodyProof | undefined
   private readonly begun = deferred<AttemptResult>()
   readonly endpointId: EndpointId
@@ -70,7 +70,7 @@
   }
 
   /** Its request goes over this connection, once that is free. */
-  readonly noteConnection = (connection: ConnectionEnd): void => {
+  readonly noteConnection = (connection: ConnectionGuard): void => {
     this.connection = connection
   }
 
--- a/packages/router/src/gateway/connectionEnd.ts
+++ b/packages/router/src/gateway/connectionEnd.ts
@@ -3,10 +3,12 @@
  */
 
 import type { Socket } from 'node:net'
+import { socketEnd } from '../socketEnd.js'
+import type { SocketEnd } from '../socketEnd.js'
 
 /** Watches a connection for as long as one answer is read from it. */
 export class ConnectionEnd {
-  private ended: 'closed' | 'reset' | undefined
+  private ended: SocketEnd | undefined
 
   constructor(private readonly socket: Socket) {
     // The client of node:http ends an answer without a length in its own listener, so this one goes first.
@@ -14,7 +16,7 @@
   }
 
   /** Undefined while the endpoint has not ended the connection. */
-  get kind(): 'closed' | 'reset' | undefined {
+  get kind(): SocketEnd | undefined {
     return this.ended
   }
 
@@ -23,11 +25,7 @@
     this.socket.off('end', this.note)
   }
 
-  /**
-   * Where the last bytes and a reset come in one turn of the loop, libuv reports an end and no error. The kernel knows
-   * the peer of a connection that was closed in order, and none of one that was reset.
-   */
   private readonly note = (): void => {
-    this.ended = this.socket.remoteAddress === undefined ? 'reset' : 'closed'
+    this.ended = socketEnd(this.socket)
   }
 }
