--- a/packages/daemon/__tests__/listenerPauses.spec.ts
+++ b/packages/daemon/__tests__/listenerPauses.spec.ts
@@ -4,7 +4,7 @@
 import type { HeardInstances } from '@rackwalk/decisions'
 import { SeededRandom, VirtualClock } from '@rackwalk/shared'
 
-const ROOM: HeardInstances = { count: 7, pressed: 0 }
+const ROOM: HeardInstances = { count: 7, overloaded: 0 }
 
 /** Notes when it is paused and resumed instead of listening. */
 class NotedListener extends PausableListener {
@@ -37,7 +37,7 @@
     refusedShare: () => state.share,
     others: () => state.others,
     isServing: () => state.isServing,
-    tellPressed: () => note('tell'),
+    tellOverload: () => note('tell'),
     onPause: () => {},
     onChange: isPausing => note(isPausing ? 'begin' : 'cease'),
     onFault: () => note('fault'),
@@ -79,7 +79,7 @@
 
   it.each([
     ['it stops', { isServing: false, others: ROOM }],
-    ['it hears nobody', { isServing: true, others: { count: 0, pressed: 0 } }],
+    ['it hears nobody', { isServing: true, others: { count: 0, overloaded: 0 } }],
   ])('do not come while %s', async (_case, change) => {
     const { clock, state, notes } = setUp()
     Object.assign(state, change, { share: 0.9 })
--- a/packages/daemon/src/gateway/endpointKnowledge.ts
+++ b/packages/daemon/src/gateway/endpointKnowledge.ts
@@ -14,7 +14,7 @@
 import { CrashWatch } from './crashWatch.js'
 import type { GatewayTelemetry } from './gatewayTelemetry.js'
 import { LoadExchange, loadPeersOf } from './loadExchange.js'
-import { PressedInstances } from './pressureNews.js'
+import { OverloadedInstances } from './overloadNews.js'
 
 /** What the knowledge rests on. */
 export interface EndpointKnowledgeParts {
@@ -39,14 +39,14 @@
   readonly fleetLoad: FleetLoad
   readonly exchange: LoadExchange | undefined
   /** Other instances that get more than they bear. */
-  readonly pressed: PressedInstances
+  readonly overloaded: OverloadedInstances
 
   constructor(private readonly parts: EndpointKnowledgeParts) {
     this.directory = this.createDirectory()
     this.crashes = this.createCrashes()
     this.advice = this.createAdvice()
     this.fleetLoad = this.createFleetLoad()
-    this.pressed = new PressedInstances(parts.clock)
+    this.overloaded = new OverloadedInstances(parts.clock)
     this.exchange = this.createExchange()
   }
 
@@ -133,7 +133,7 @@
       identity: { instance, incarnation },
       onCrashNews: news => this.crashes.guard.observe(news),
       onAdviceNews: news => this.advice.observe(news),
-      onPressed: instance => this.pressed.note(instance),
+      onOverloaded: instance => this.overloaded.note(instance),
       standingAdvice: () => this.advice.advices.standingNews,
       clock,
       onMalformed: form => telemetry.noteMalformed(form),
--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -348,7 +348,7 @@
       refusedShare: () => this.gateway.refusedShare,
       others: () => this.heardOthers,
       isServing: () => this.isReady,
-      tellPressed: () => this.known.exchange?.tellPressed(),
+      tellOverload: () => this.known.exchange?.tellOverload(),
       onPause: () => this.telemetry.noteListenerPause(),
       onChange: (isPausing, refusedShare, others) =>
         this.note('listener_state', { isPausing, refusedShare, ...others }),
@@ -358,11 +358,11 @@
 
   /** Others to which callers may go. */
   private get heardOthers(): HeardInstances {
-    const { fleetLoad, pressed } = this.known
-    if (fleetLoad.heardAgoMilliseconds > CUT_OFF_MILLISECONDS) return { count: 0, pressed: 0 }
+    const { fleetLoad, overloaded } = this.known
+    if (fleetLoad.heardAgoMilliseconds > CUT_OFF_MILLISECONDS) return { count: 0, overloaded: 0 }
     const heard = this.fleet.activeOthers.filter(({ instance }) => fleetLoad.hears(instance))
-    const pressedOnes = heard.filter(({ instance }) => pressed.has(instance))
-    return { count: heard.length, pressed: pressedOnes.length }
+    const overloadedOnes = heard.filter(({ instance }) => overloaded.has(instance))
+    return { count: heard.length, overloaded: overloadedOnes.length }
   }
 
   private createMirrors(): ReadonlyMap<string, TableMirror> {
--- a/packages/daemon/src/gateway/listenerPauses.ts
+++ b/packages/daemon/src/gateway/listenerPauses.ts
@@ -7,7 +7,7 @@
 import type { HeardInstances } from '@rackwalk/decisions'
 import type { Clock, Milliseconds, RandomSource, Timer } from '@rackwalk/shared'
 import type { PausableListener } from './pausableListener.js'
-import { PRESSED_NEWS_MILLISECONDS } from './pressureNews.js'
+import { OVERLOADED_NEWS_MILLISECONDS } from './overloadNews.js'
 
 /** What the pauses rest on. */
 export interface ListenerPausesParts {
@@ -20,7 +20,7 @@
   /** Whether new requests may begin here. */
   readonly isServing: () => boolean
   /** Tells the others that this instance gets more than it bears. */
-  readonly tellPressed: () => void
+  readonly tellOverload: () => void
   readonly onPause: () => void
   /** The instance began to pause its listener, or ceased to. */
   readonly onChange: (isPausing: boolean, refusedShare: number, others: HeardInstances) => void
@@ -66,9 +66,9 @@
   }
 
   private tell(now: Milliseconds): void {
-    if (!this.rule.isPressed(now) || now - this.toldAt < PRESSED_NEWS_MILLISECONDS) return
+    if (!this.rule.isOverloaded(now) || now - this.toldAt < OVERLOADED_NEWS_MILLISECONDS) return
     this.toldAt = now
-    this.parts.tellPressed()
+    this.parts.tellOverload()
   }
 
   private pause(milliseconds: Milliseconds): void {
--- a/packages/daemon/src/gateway/loadExchange.ts
+++ b/packages/daemon/src/gateway/loadExchange.ts
@@ -16,7 +16,7 @@
 import type { MalformedForm } from '../observe/malformedForms.js'
 import { adviceNewsOf, adviceReportsOf } from './adviceNews.js'
 import { isNews, newsOf, reportsOf } from './crashNews.js'
-import { pressureReports, tellsPressure } from './pressureNews.js'
+import { overloadReports, tellsOverload } from './overloadNews.js'
 
 /** Time between two reports in a small fleet, and of what must be told at once in any. */
 const SHORTEST_INTERVAL_MILLISECONDS = 20
@@ -79,7 +79,7 @@
   /** Another instance told what endpoints say of themselves. */
   readonly onAdviceNews: (news: readonly AdviceNews[]) => void
   /** Another instance told that it gets more than it bears. */
-  readonly onPressed: (instance: string) => void
+  readonly onOverloaded: (instance: string) => void
   /** What holds of endpoints by their own word, for instances that may not have heard it. */
   readonly standingAdvice: () => readonly AdviceNews[]
   readonly clock: Clock
@@ -140,8 +140,8 @@
   }
 
   /** Tells all others that this instance gets more than it bears. */
-  tellPressed(): void {
-    this.tellAll(pressureReports(this.parts.identity))
+  tellOverload(): void {
+    this.tellAll(overloadReports(this.parts.identity))
   }
 
   private tellAll(reports: readonly PeerLoadReport[]): void {
@@ -234,7 +234,7 @@
   private takeNews(report: PeerLoadReport): void {
     this.parts.onCrashNews(newsOf(report))
     this.parts.onAdviceNews(adviceNewsOf(report))
-    if (tellsPressure(report)) this.parts.onPressed(report.instance)
+    if (tellsOverload(report)) this.parts.onOverloaded(report.instance)
   }
 }
 
--- a/packages/daemon/src/gateway/pressureNews.ts
+++ b/packages/daemon/src/gateway/overloadNews.ts
@@ -9,29 +9,29 @@
 import { newsReports } from './crashNews.js'
 
 /** Entries of a report are named for endpoints, and no endpoint has a blank in its id. */
-const PRESSED_ENTRY = 'instance pressed'
-/** Time between two datagrams of an instance that stays pressed. */
-export const PRESSED_NEWS_MILLISECONDS: Milliseconds = 1_000
-/** An instance counts as pressed for so long after its last one: two may be lost. */
+const OVERLOADED_ENTRY = 'instance overloaded'
+/** Time between two datagrams of an instance that stays overloaded. */
+export const OVERLOADED_NEWS_MILLISECONDS: Milliseconds = 1_000
+/** An instance counts as overloaded for so long after its last one: two may be lost. */
 const BELIEVED_MILLISECONDS: Milliseconds = 3_500
 
-/** The reports that tell that this instance is pressed. */
-export function pressureReports(
+/** The reports that tell that this instance is overloaded. */
+export function overloadReports(
   identity: Pick<PeerLoadReport, 'instance' | 'incarnation'>,
 ): readonly PeerLoadReport[] {
   return newsReports(
-    [{ endpoint: PRESSED_ENTRY, running: 0, pendingTokens: 0, parts: [] }],
+    [{ endpoint: OVERLOADED_ENTRY, running: 0, pendingTokens: 0, parts: [] }],
     identity,
   )
 }
 
-/** Whether a report that carries news tells that its instance is pressed. */
-export function tellsPressure({ loads }: PeerLoadReport): boolean {
-  return loads.some(({ endpoint }) => endpoint === PRESSED_ENTRY)
+/** Whether a report that carries news tells that its instance is overloaded. */
+export function tellsOverload({ loads }: PeerLoadReport): boolean {
+  return loads.some(({ endpoint }) => endpoint === OVERLOADED_ENTRY)
 }
 
 /** Instances that said lately that they get more than they bear. */
-export class PressedInstances {
+export class OverloadedInstances {
   private readonly toldAt = new Map<string, Milliseconds>()
 
   constructor(private readonly clock: Clock) {}
--- a/packages/decisions/__tests__/listenerPause.spec.ts
+++ b/packages/decisions/__tests__/listenerPause.spec.ts
@@ -2,11 +2,11 @@
 import { ListenerPause } from '@rackwalk/decisions'
 import type { HeardInstances } from '@rackwalk/decisions'
 
-const ROOM: HeardInstances = { count: 7, pressed: 0 }
+const ROOM: HeardInstances = { count: 7, overloaded: 0 }
 const LOOK_MILLISECONDS = 250
 
-/** A rule that has been pressed for long enough to pause for as long as it ever does. */
-function pressedRule(): ListenerPause {
+/** A rule that has been overloaded for long enough to pause for as long as it ever does. */
+function overloadedRule(): ListenerPause {
   const rule = new ListenerPause()
   for (let now = -3_000; now < 0; now += LOOK_MILLISECONDS) {
     rule.noteRefused(1, now)
@@ -19,7 +19,7 @@
 function pauses(
   shares: readonly number[],
   others: HeardInstances = ROOM,
-  rule = pressedRule(),
+  rule = overloadedRule(),
 ): readonly number[] {
   return shares.map((share, index) => {
     const now = index * LOOK_MILLISECONDS
@@ -78,7 +78,7 @@
     expect(new Set(pauses(shares, ROOM, new ListenerPause()))).toEqual(new Set([0]))
   })
 
-  it('begin when others had time to say that they are pressed too, and grow', () => {
+  it('begin when others had time to say that they are overloaded too, and grow', () => {
     expect(pauses([0, 1, 1, 1, 1, 1, 1, 1], ROOM, new ListenerPause())).toMatchInlineSnapshot(`
       [
         0,
@@ -94,15 +94,15 @@
   })
 
   it.each([
-    ['nobody is heard', { count: 0, pressed: 0 }],
-    ['most of the others are pressed as well', { count: 7, pressed: 4 }],
-    ['the only other one is', { count: 1, pressed: 1 }],
+    ['nobody is heard', { count: 0, overloaded: 0 }],
+    ['most of the others are overloaded as well', { count: 7, overloaded: 4 }],
+    ['the only other one is', { count: 1, overloaded: 1 }],
   ])('do not come where %s', (_case, others) => {
     expect(pauses([0.5, 0.9, 1], others)).toEqual([0, 0, 0])
   })
 
   it('vary, so that instances do not close together', () => {
-    const rule = pressedRule()
+    const rule = overloadedRule()
     rule.noteRefused(0.5, 0)
     const [least, most] = [0, 0.999].map(chance => rule.pauseMilliseconds(ROOM, 0, chance))
     expect([Math.round(least ?? 0), Math.round(most ?? 0)]).toMatchInlineSnapshot(`
--- a/packages/decisions/__tests__/pressedFleet.spec.ts
+++ b/packages/decisions/__tests__/overloadedFleet.spec.ts
@@ -4,7 +4,7 @@
 
 /** All instances of a fleet get more than they bear from the same moment on, and each tells the others once a second. */
 
-const PRESSED_FROM_MILLISECONDS = 1_000
+const OVERLOADED_FROM_MILLISECONDS = 1_000
 const RUN_MILLISECONDS = 10_000
 const TELL_MILLISECONDS = 1_000
 const BELIEVED_MILLISECONDS = 3_500
@@ -15,7 +15,7 @@
   readonly loss: number
 }
 
-class PressedFleet {
+class OverloadedFleet {
   private readonly clock = new VirtualClock()
   private readonly random = new SeededRandom(1)
   /** When each was told by which other one, by both their numbers. */
@@ -48,10 +48,10 @@
 
   private look(instance: number, rule: ListenerPause, toldAt: number): void {
     const now = this.clock.monotonic()
-    rule.noteRefused(now >= PRESSED_FROM_MILLISECONDS ? 1 : 0, now)
-    const mustTell = rule.isPressed(now) && now - toldAt >= TELL_MILLISECONDS
+    rule.noteRefused(now >= OVERLOADED_FROM_MILLISECONDS ? 1 : 0, now)
+    const mustTell = rule.isOverloaded(now) && now - toldAt >= TELL_MILLISECONDS
     if (mustTell) this.tell(instance)
-    const others = { count: this.size - 1, pressed: this.heardPressed(instance, now) }
+    const others = { count: this.size - 1, overloaded: this.heardOverloaded(instance, now) }
     const pause = rule.pauseMilliseconds(others, now, this.random.next())
     const newestTold = mustTell ? now : toldAt
     if (pause === 0) return this.open(instance, rule, newestTold)
@@ -69,24 +69,24 @@
     }
   }
 
-  private heardPressed(instance: number, now: number): number {
+  private heardOverloaded(instance: number, now: number): number {
     const times = [...(this.told[instance]?.values() ?? [])]
     return times.filter(at => now - at < BELIEVED_MILLISECONDS).length
   }
 }
 
-describe.each([2, 7, 20, 75])('%i instances that are pressed at once', size => {
+describe.each([2, 7, 20, 75])('%i instances that are overloaded at once', size => {
   it.each([5, 200])('keep their listeners open where news take %i ms', async delayMilliseconds => {
-    expect(await new PressedFleet(size, { delayMilliseconds, loss: 0 }).run()).toBe(0)
+    expect(await new OverloadedFleet(size, { delayMilliseconds, loss: 0 }).run()).toBe(0)
   })
 })
 
 // Of two instances each is all that the other one hears.
-describe.each([7, 20, 75])('%i instances that are pressed at once', size => {
+describe.each([7, 20, 75])('%i instances that are overloaded at once', size => {
   it.each([
     { delayMilliseconds: 1_500, loss: 0 },
     { delayMilliseconds: 5, loss: 0.5 },
   ])('never all close where news are late or lost (%o)', async news => {
-    expect(await new PressedFleet(size, news).run()).toBeLessThan(size)
+    expect(await new OverloadedFleet(size, news).run()).toBeLessThan(size)
   })
 })
--- a/packages/decisions/src/admitting/listenerPause.ts
+++ b/packages/decisions/src/admitting/listenerPause.ts
@@ -10,7 +10,7 @@
  * refused, the longer the pauses. Open connections are served on.
  *
  * Limits: each pause is far shorter than callers and readiness checks take an instance for lost by; an
- * instance keeps its listener open while it hears nobody, or while half of those whom it hears are pressed
+ * instance keeps its listener open while it hears nobody, or while half of those whom it hears are overloaded
  * themselves, since callers that are turned away there would be served nowhere. It waits until it has heard whether they
  * are, and begins with short pauses; pauses and windows vary. So instances do not all close together.
  */
@@ -18,12 +18,12 @@
 import type { Milliseconds } from '@rackwalk/shared'
 
 /** An instance that refuses this share of the requests gets more than it bears. */
-const PRESSED_SHARE = 0.2
+const OVERLOADED_SHARE = 0.2
 /** Pauses end below this share: hysteresis keeps the listener from closing and opening with each burst. */
 const RELIEVED_SHARE = 0.05
-/** An instance stays pressed for so long after its last sign of it, since a pause relieves it for a moment. */
-const PRESSED_MILLISECONDS: Milliseconds = 2_000
-/** An instance has been pressed for so long before its first pause, so that others who are pressed as well are heard first. */
+/** An instance stays overloaded for so long after its last sign of it, since a pause relieves it for a moment. */
+const OVERLOADED_MILLISECONDS: Milliseconds = 2_000
+/** An instance has been overloaded for so long before its first pause, so that others who are overloaded as well are heard first. */
 const ONSET_MILLISECONDS: Milliseconds = 500
 /** Mean time for which the listener is open between two pauses. */
 const WINDOW_MILLISECONDS: Milliseconds = 250
@@ -33,41 +33,41 @@
 const LONGEST_PAUSE_MILLISECONDS: Milliseconds = 1_000
 /** Windows and pauses are up to this share longer or shorter. */
 const SPREAD = 0.25
-/** The listener stays open where more than this share of the others is pressed too. */
-const LARGEST_PRESSED_FLEET = 0.5
+/** The listener stays open where more than this share of the others is overloaded too. */
+const LARGEST_OVERLOADED_FLEET = 0.5
 
 /** The other instances that take callers and are heard of. */
 export interface HeardInstances {
   readonly count: number
   /** Those that said lately that they get more than they bear. */
-  readonly pressed: number
+  readonly overloaded: number
 }
 
 /** When an instance closes its listener, and for how long. */
 export class ListenerPause {
-  private pressedAt: Milliseconds = Number.NEGATIVE_INFINITY
-  private pressedSince: Milliseconds = Number.POSITIVE_INFINITY
+  private overloadedAt: Milliseconds = Number.NEGATIVE_INFINITY
+  private overloadedSince: Milliseconds = Number.POSITIVE_INFINITY
   private longestPause = SHORTEST_PAUSE_MILLISECONDS
   private share = 0
 
   /** Call it at each look; `share` of the requests is refused, and `now` is monotonic. */
   noteRefused(share: number, now: Milliseconds): void {
-    const wasPressed = this.isPressed(now)
-    const limit = wasPressed ? RELIEVED_SHARE : PRESSED_SHARE
-    if (share >= limit && !wasPressed) this.beginPress(now)
-    if (share >= limit) this.pressedAt = now
+    const wasOverloaded = this.isOverloaded(now)
+    const limit = wasOverloaded ? RELIEVED_SHARE : OVERLOADED_SHARE
+    if (share >= limit && !wasOverloaded) this.beginOverload(now)
+    if (share >= limit) this.overloadedAt = now
     this.share = share
   }
 
   /** Whether this instance gets more than it bears. */
-  isPressed(now: Milliseconds): boolean {
-    return now - this.pressedAt < PRESSED_MILLISECONDS
+  isOverloaded(now: Milliseconds): boolean {
+    return now - this.overloadedAt < OVERLOADED_MILLISECONDS
   }
 
   /** Whether callers who are turned away are served elsewhere. */
-  mayPause({ count, pressed }: HeardInstances, now: Milliseconds): boolean {
-    const isLasting = this.isPressed(now) && now - this.pressedSince >= ONSET_MILLISECONDS
-    return isLasting && count > 0 && pressed <= LARGEST_PRESSED_FLEET * count
+  mayPause({ count, overloaded }: HeardInstances, now: Milliseconds): boolean {
+    const isLasting = this.isOverloaded(now) && now - this.overloadedSince >= ONSET_MILLISECONDS
+    return isLasting && count > 0 && overloaded <= LARGEST_OVERLOADED_FLEET * count
   }
 
   /** How long to close the listener now; 0 where it stays open. `chance` is in [0, 1). */
@@ -84,8 +84,8 @@
     return Math.min(limit, pause)
   }
 
-  private beginPress(now: Milliseconds): void {
-    this.pressedSince = now
+  private beginOverload(now: Milliseconds): void {
+    this.overloadedSince = now
     this.longestPause = SHORTEST_PAUSE_MILLISECONDS
   }
 }
--- a/packages/stand-ins/__tests__/weakProcessor.spec.ts
+++ b/packages/stand-ins/__tests__/weakProcessor.spec.ts
@@ -15,7 +15,7 @@
   seesAbandoned: false,
   confirmsCallers: false,
   pausesListener: false,
-  others: { count: 0, pressed: 0 },
+  others: { count: 0, overloaded: 0 },
 }
 const NOW: WeakProcessorPolicy = {
   seesDelay: true,
@@ -23,10 +23,10 @@
   seesAbandoned: true,
   confirmsCallers: true,
   pausesListener: true,
-  others: { count: 0, pressed: 0 },
+  others: { count: 0, overloaded: 0 },
 }
 
-const BESIDE_OTHERS: WeakProcessorPolicy = { ...NOW, others: { count: 7, pressed: 0 } }
+const BESIDE_OTHERS: WeakProcessorPolicy = { ...NOW, others: { count: 7, overloaded: 0 } }
 
 /** What became of requests at so many times what is borne, summed over seeds. */
 function play(policy: WeakProcessorPolicy, times: number, laterTimes = times, callersMove = true) {
@@ -189,8 +189,8 @@
 
   it('is served as before where nobody else has room', () => {
     const alone = [
-      { ...NOW, others: { count: 0, pressed: 0 } },
-      { ...NOW, others: { count: 7, pressed: 4 } },
+      { ...NOW, others: { count: 0, overloaded: 0 } },
+      { ...NOW, others: { count: 7, overloaded: 4 } },
     ]
     const without = { ...NOW, pausesListener: false }
     for (const policy of alone) {
--- a/packages/stand-ins/src/replay/weakProcessorReplay.ts
+++ b/packages/stand-ins/src/replay/weakProcessorReplay.ts
@@ -26,9 +26,9 @@
   readonly seesAbandoned: boolean
   /** Whether it waits for the word that a caller has left before it sends a request on. */
   readonly confirmsCallers: boolean
-  /** Whether it closes its listener for moments while it is pressed. */
+  /** Whether it closes its listener for moments while it is overloaded. */
   readonly pausesListener: boolean
-  /** Others that take callers; those that are not pressed serve whoever turns to them. */
+  /** Others that take callers; those that are not overloaded serve whoever turns to them. */
   readonly others: HeardInstances
 }
 
