--- a/packages/daemon/src/callers/callerServer.ts
+++ b/packages/daemon/src/callers/callerServer.ts
@@ -7,11 +7,18 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Duplex } from 'node:stream'
 import { NotRunError, ResultCode, asId, toRackwalkError } from '@rackwalk/shared'
-import type { RequestId } from '@rackwalk/shared'
+import type { RackwalkError, RequestId } from '@rackwalk/shared'
 import type { AddressAnswer } from '@rackwalk/coordination'
-import type { Catalogue, DecisionRecord, RequestPipeline, Team } from '@rackwalk/router'
+import { continueWhenRead } from '@rackwalk/router'
+import type {
+  Catalogue,
+  DecisionRecord,
+  RefusedBodies,
+  RequestPipeline,
+  Team,
+} from '@rackwalk/router'
 import { listenOn } from '../observe/listenOn.js'
-import { answerError, answerJson, refuseMalformed } from '../observe/httpAnswer.js'
+import { answerJson, errorAnswer, refuseMalformed } from '../observe/httpAnswer.js'
 import type { Settings } from '../settings/schema.js'
 import { incomingRequest } from './httpCallerConnection.js'
 
@@ -22,6 +29,7 @@
   readonly addresses: () => AddressAnswer
   readonly explain: (requestId: RequestId) => Promise<DecisionRecord | undefined>
   readonly limits: Settings['limits']
+  readonly refusedBodies: RefusedBodies
 }
 
 const BEARER = /^Bearer +(\S+)$/i
@@ -54,6 +62,7 @@
     this.server.maxConnections = HARD_LIMIT_FACTOR * limits.connections
     this.server.on('connection', socket => this.count(socket))
     refuseMalformed(this.server)
+    continueWhenRead(this.server)
   }
 
   listen(address: string): Promise<number> {
@@ -80,20 +89,24 @@
 
   private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     if (this.connections > this.parts.limits.connections) {
-      response.setHeader('connection', 'close')
-      return answerError(response, new NotRunError(ResultCode.TooManyConnections))
+      response.shouldKeepAlive = false
+      return this.refuse(response, new NotRunError(ResultCode.TooManyConnections))
     }
     const [path = '/'] = (request.url ?? '/').split('?')
     if (request.method !== 'GET' || !path.startsWith('/v1/')) return this.serve(request, response)
     try {
       await this.answerQuestion(path, request, response)
     } catch (thrown) {
-      answerError(response, toRackwalkError(thrown))
+      this.refuse(response, toRackwalkError(thrown))
     }
   }
 
+  private refuse(response: ServerResponse, error: RackwalkError): void {
+    this.parts.refusedBodies.refuse(response, leastSeconds => errorAnswer(error, leastSeconds))
+  }
+
   private serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    return this.parts.pipeline.serve(incomingRequest(request, response))
+    return this.parts.pipeline.serve(incomingRequest(request, response, this.parts.refusedBodies))
   }
 
   private async answerQuestion(
--- /dev/null
+++ b/packages/daemon/src/callers/createRefusedBodies.ts
@@ -0,0 +1,17 @@
+/** Refusals of an instance of the OpenAI-style kind, on the link that its settings name. Owns nothing. */
+
+import type { Clock } from '@rackwalk/shared'
+import { LinkBudget } from '@rackwalk/decisions'
+import { RefusedBodies } from '@rackwalk/router'
+import type { RefusedBodyCounters } from '@rackwalk/router'
+import { linkBytesPerSecond } from '../gateway/instanceCapacity.js'
+import type { Settings } from '../settings/schema.js'
+
+/** What the listeners for callers and operators share. */
+export function createRefusedBodies(
+  limits: Settings['limits'],
+  clock: Clock,
+  counters: RefusedBodyCounters,
+): RefusedBodies {
+  return new RefusedBodies({ clock, link: new LinkBudget(linkBytesPerSecond(limits)), counters })
+}
--- a/packages/daemon/src/callers/httpCallerConnection.ts
+++ b/packages/daemon/src/callers/httpCallerConnection.ts
@@ -3,13 +3,21 @@
  */
 
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import type { CallerConnection, IncomingRequest } from '@rackwalk/router'
+import type {
+  CallerConnection,
+  IncomingRequest,
+  RefusalAfter,
+  RefusedBodies,
+} from '@rackwalk/router'
 
 /** The caller's side of one HTTP exchange. */
 class HttpCallerConnection implements CallerConnection {
   private readonly controller = new AbortController()
 
-  constructor(private readonly response: ServerResponse) {
+  constructor(
+    private readonly response: ServerResponse,
+    private readonly refusedBodies: RefusedBodies,
+  ) {
     response.once('close', () => {
       if (!response.writableFinished) this.controller.abort()
     })
@@ -29,6 +37,12 @@
     this.response.writeHead(status, headers)
   }
 
+  refuse(refusal: RefusalAfter): Promise<void> {
+    if (this.response.destroyed) return Promise.resolve()
+    const isEnding = this.refusedBodies.refuse(this.response, refusal) !== 'closed'
+    return isEnding ? this.settled(['finish', 'close']) : Promise.resolve()
+  }
+
   write(chunk: Buffer): boolean {
     // A caller that left takes everything.
     return this.response.destroyed || this.response.write(chunk)
@@ -68,6 +82,7 @@
 export function incomingRequest(
   request: IncomingMessage,
   response: ServerResponse,
+  refusedBodies: RefusedBodies,
 ): IncomingRequest {
   const headers = new Map<string, string>()
   for (const [name, value] of Object.entries(request.headers)) {
@@ -78,6 +93,6 @@
     target: request.url ?? '/',
     headers,
     body: request,
-    caller: new HttpCallerConnection(response),
+    caller: new HttpCallerConnection(response, refusedBodies),
   }
 }
--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -318,6 +318,7 @@
       retryBounds: { ...retries, windowMilliseconds: retries.windowSeconds * 1000 },
       acceptMilliseconds: () => this.acceptProbe.look(),
       linkBytesPerSecond: linkBytesPerSecond(instance.capacity),
+      refusedBodyCounters: this.telemetry,
       instances: () => this.fleet.cautiousSharers,
       checkKnowledge: () => this.health.checkKnowledge(),
       isDraining: () => this.draining,
--- a/packages/daemon/src/gateway/gatewayListeners.ts
+++ b/packages/daemon/src/gateway/gatewayListeners.ts
@@ -4,6 +4,7 @@
 
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import { continueWhenRead } from '@rackwalk/router'
 import type { GatewayLimits } from '@rackwalk/router'
 import { refuseMalformed } from '../observe/httpAnswer.js'
 import { listenOn } from '../observe/listenOn.js'
@@ -22,6 +23,7 @@
   server.requestTimeout = 0
   server.headersTimeout = HEADER_MILLISECONDS
   refuseMalformed(server)
+  continueWhenRead(server)
   return server
 }
 
@@ -33,13 +35,19 @@
 
 /** Longest body of a call to a plain listener. */
 const LONGEST_PLAIN_BODY_BYTES = 64 * 1024
+/** A caller that sends a call more slowly keeps no connection with it. */
+const PLAIN_CALL_MILLISECONDS = 10_000
 
 /** Answers a path; `body` is empty for calls without one. */
 export type PlainAnswerer = (url: string, body: string) => PlainAnswer | Promise<PlainAnswer>
 
 /** A listener that gives plain answers to short calls. */
 export function createPlainListener(answer: PlainAnswerer): Server {
-  return createServer((request, response) => {
+  const limits = {
+    requestTimeout: PLAIN_CALL_MILLISECONDS,
+    headersTimeout: PLAIN_CALL_MILLISECONDS,
+  }
+  return createServer(limits, (request, response) => {
     const chunks: Buffer[] = []
     let size = 0
     request.on('data', (chunk: Buffer) => {
--- a/packages/daemon/src/gateway/gatewayMetrics.ts
+++ b/packages/daemon/src/gateway/gatewayMetrics.ts
@@ -6,8 +6,8 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 import { outcomeLabel } from '@rackwalk/decisions'
 import { RESULT_TABLE, ResultCode, resultName } from '@rackwalk/shared'
-import type { TeamId } from '@rackwalk/shared'
-import type { AnswerRecord, GatewayRecord } from '@rackwalk/router'
+import type { Bytes, TeamId } from '@rackwalk/shared'
+import type { AnswerRecord, GatewayRecord, RefusedBodyOutcome } from '@rackwalk/router'
 
 const FIRST_BYTE_BUCKETS = [0.02, 0.05, 0.1, 0.2, 0.35, 0.5, 0.7, 1, 2, 5, 10]
 const PAUSE_BUCKETS = [0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 5]
@@ -55,6 +55,8 @@
   private readonly events: Counter
   private readonly storeCalls: Counter
   private readonly listenerPauses: Counter
+  private readonly refusedBodies: Counter
+  private readonly bytesInVain: Counter
   private readonly firstByte: Histogram
   private readonly total: Histogram
   private readonly longestPause: Histogram
@@ -138,6 +140,17 @@
       help: 'Times that the listener for callers was closed for a moment, so that callers turn to other instances.',
       registers,
     })
+    this.refusedBodies = new Counter({
+      name: 'rackwalk_gateway_refused_bodies_total',
+      help: 'Bodies of refused requests, by what became of them: read at once, read after a hold, or closed with their connection.',
+      labelNames: ['outcome'],
+      registers,
+    })
+    this.bytesInVain = new Counter({
+      name: 'rackwalk_gateway_refused_body_bytes_total',
+      help: 'Bytes of refused bodies that came over the link.',
+      registers,
+    })
     this.firstByte = new Histogram({
       name: 'rackwalk_gateway_first_byte_seconds',
       help: 'Time from the arrival of a request to the first byte of its answer.',
@@ -196,6 +209,14 @@
     this.starvedRequests.inc({ tenant: team, code: String(code) })
   }
 
+  noteRefusedBody(outcome: RefusedBodyOutcome): void {
+    this.refusedBodies.inc({ outcome })
+  }
+
+  noteBytesInVain(bytes: Bytes): void {
+    this.bytesInVain.inc(bytes)
+  }
+
   noteEndpointEnd(service: string): void {
     this.endpointEnds.inc({ service })
   }
--- a/packages/daemon/src/gateway/gatewayTelemetry.ts
+++ b/packages/daemon/src/gateway/gatewayTelemetry.ts
@@ -4,9 +4,14 @@
  */
 
 import { ResultCode } from '@rackwalk/shared'
-import type { Clock, TeamId } from '@rackwalk/shared'
+import type { Bytes, Clock, TeamId } from '@rackwalk/shared'
 import type { RowAddress } from '@rackwalk/stores'
-import type { EndpointEnd, GatewayRecord } from '@rackwalk/router'
+import type {
+  EndpointEnd,
+  GatewayRecord,
+  RefusedBodyCounters,
+  RefusedBodyOutcome,
+} from '@rackwalk/router'
 import { BoundedLogger } from '../observe/boundedLogger.js'
 import { ChangeBatch } from '../observe/changeBatch.js'
 import { ConsolaLogger } from '../observe/logger.js'
@@ -27,7 +32,7 @@
 }
 
 /** Counts and tells what an instance does and believes. */
-export class GatewayTelemetry {
+export class GatewayTelemetry implements RefusedBodyCounters {
   /** Undefined until all parts that gauges read are there. */
   private gauged: GatewayMetrics | undefined
   private readonly malformed: MalformedForms
@@ -96,6 +101,14 @@
     this.gauged?.noteStarvedRequest(team, code)
   }
 
+  noteRefusedBody(outcome: RefusedBodyOutcome): void {
+    this.gauged?.noteRefusedBody(outcome)
+  }
+
+  noteBytesInVain(bytes: Bytes): void {
+    this.gauged?.noteBytesInVain(bytes)
+  }
+
   noteStoreCall(call: string, table: string, outcome: string): void {
     this.gauged?.noteStoreCall(call, table, outcome)
   }
--- a/packages/daemon/src/gateway/instanceCapacity.ts
+++ b/packages/daemon/src/gateway/instanceCapacity.ts
@@ -16,8 +16,8 @@
 const BYTES_PER_MEGABIT = 125_000
 
 /** Bytes a second that the link takes in one direction. */
-export function linkBytesPerSecond(machine: GatewaySettings['instance']['capacity']): number {
-  return machine.linkMegabits * BYTES_PER_MEGABIT
+export function linkBytesPerSecond({ linkMegabits }: { readonly linkMegabits: number }): number {
+  return linkMegabits * BYTES_PER_MEGABIT
 }
 
 /** Requests a second; at least 1. */
--- a/packages/daemon/src/gateway/requestLine.ts
+++ b/packages/daemon/src/gateway/requestLine.ts
@@ -26,6 +26,7 @@
     code: record.code,
     execution: record.execution,
     detail: record.detail,
+    refusedBody: record.refusedBody,
     firstByteMilliseconds: rounded(record.firstByteMilliseconds),
     lateness: record.lateness,
     totalMilliseconds: rounded(record.totalMilliseconds),
--- a/packages/daemon/src/observe/httpAnswer.ts
+++ b/packages/daemon/src/observe/httpAnswer.ts
@@ -6,6 +6,7 @@
 import { NotRunError, RESULT_TABLE, ResultCode } from '@rackwalk/shared'
 import type { RackwalkError } from '@rackwalk/shared'
 import { errorBody, errorHeaders } from '@rackwalk/router'
+import type { Refusal } from '@rackwalk/router'
 
 /** Answers with a JSON document. */
 export function answerJson(
@@ -14,25 +15,31 @@
   document: unknown,
   headers: Readonly<Record<string, string>> = {},
 ): void {
-  const body = Buffer.from(JSON.stringify(document))
-  response.writeHead(status, {
-    'content-type': 'application/json',
-    'content-length': String(body.length),
-    ...headers,
-  })
-  response.end(body)
+  const answer = jsonAnswer(status, document, headers)
+  response.writeHead(answer.status, answer.headers)
+  response.end(answer.body)
 }
 
-/** Answers with a numbered error and, where there is more to say, its details. */
-export function answerError(
-  response: ServerResponse,
+/** A numbered error with, where there is more to say, its details; see `errorBody` for `leastSeconds`. */
+export function errorAnswer(
   error: RackwalkError,
+  leastSeconds: number,
   details: Readonly<Record<string, unknown>> = {},
-): void {
-  const { error: described } = errorBody(error)
+): Refusal {
+  const { error: described } = errorBody(error, undefined, undefined, leastSeconds)
   const document = { error: { ...described, ...details } }
-  const headers = errorHeaders(error)
-  answerJson(response, RESULT_TABLE[error.code].httpStatus, document, headers)
+  const headers = errorHeaders(error, undefined, undefined, leastSeconds)
+  return jsonAnswer(RESULT_TABLE[error.code].httpStatus, document, headers)
+}
+
+function jsonAnswer(
+  status: number,
+  document: unknown,
+  headers: Readonly<Record<string, string>>,
+): Refusal {
+  const body = Buffer.from(JSON.stringify(document))
+  const framing = { 'content-type': 'application/json', 'content-length': String(body.length) }
+  return { status, headers: { ...framing, ...headers }, body }
 }
 
 /**
--- a/packages/daemon/src/observe/metrics.ts
+++ b/packages/daemon/src/observe/metrics.ts
@@ -5,8 +5,9 @@
 
 import { Counter, Gauge, Histogram, Registry, collectDefaultMetrics } from 'prom-client'
 import { ResultCode, resultName } from '@rackwalk/shared'
+import type { Bytes } from '@rackwalk/shared'
 import type { CounterName, Counters } from '@rackwalk/coordination'
-import type { DecisionRecord } from '@rackwalk/router'
+import type { DecisionRecord, RefusedBodyCounters, RefusedBodyOutcome } from '@rackwalk/router'
 
 const FIRST_BYTE_BUCKETS = [0.02, 0.05, 0.1, 0.2, 0.35, 0.5, 0.69, 1, 2, 5, 10, 30]
 const TOTAL_BUCKETS = [0.05, 0.2, 1, 5, 15, 60, 300, 600]
@@ -23,7 +24,7 @@
 }
 
 /** The metrics of one instance, in a registry of its own. */
-export class Metrics implements Counters {
+export class Metrics implements Counters, RefusedBodyCounters {
   readonly registry = new Registry()
   private readonly coordination: Counter
   private readonly requests: Counter
@@ -32,6 +33,8 @@
   private readonly endpointEnds: Counter
   private readonly tokens: Counter
   private readonly billed: Counter
+  private readonly refusedBodies: Counter
+  private readonly bytesInVain: Counter
   private readonly firstByte: Histogram
   private readonly total: Histogram
 
@@ -76,6 +79,17 @@
       help: 'Tokens billed.',
       registers,
     })
+    this.refusedBodies = new Counter({
+      name: 'rackwalk_refused_bodies_total',
+      help: 'Bodies of refused requests, by what became of them: read at once, read after a hold, or closed with their connection.',
+      labelNames: ['outcome'],
+      registers,
+    })
+    this.bytesInVain = new Counter({
+      name: 'rackwalk_refused_body_bytes_total',
+      help: 'Bytes of refused bodies that came over the link.',
+      registers,
+    })
     this.firstByte = new Histogram({
       name: 'rackwalk_first_byte_seconds',
       help: 'Time from the arrival of a request to the first byte of its answer.',
@@ -98,6 +112,14 @@
     this.endpointEnds.inc()
   }
 
+  noteRefusedBody(outcome: RefusedBodyOutcome): void {
+    this.refusedBodies.inc({ outcome })
+  }
+
+  noteBytesInVain(bytes: Bytes): void {
+    this.bytesInVain.inc(bytes)
+  }
+
   noteRetry(): void {
     this.retries.inc()
   }
--- a/packages/daemon/src/operators/operatorServer.ts
+++ b/packages/daemon/src/operators/operatorServer.ts
@@ -6,9 +6,11 @@
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { RackwalkError, ResultCode, toRackwalkError } from '@rackwalk/shared'
+import { continueWhenRead } from '@rackwalk/router'
+import type { RefusedBodies } from '@rackwalk/router'
 import type { Registry } from 'prom-client'
 import { listenOn } from '../observe/listenOn.js'
-import { answerError, refuseMalformed } from '../observe/httpAnswer.js'
+import { errorAnswer, refuseMalformed } from '../observe/httpAnswer.js'
 import type { Settings } from '../settings/schema.js'
 import { authenticateOperator } from './operatorAuthentication.js'
 import type { OperatorRoutes } from './operatorRoutes.js'
@@ -21,6 +23,7 @@
   readonly registry: Registry
   readonly operators: Settings['operators']
   readonly isServing: () => boolean
+  readonly refusedBodies: RefusedBodies
 }
 
 /** The listener for operators, their tools and the metrics. */
@@ -30,6 +33,7 @@
   constructor(private readonly parts: OperatorServerParts) {
     this.server = createServer((request, response) => void this.handle(request, response))
     refuseMalformed(this.server)
+    continueWhenRead(this.server)
   }
 
   listen(address: string): Promise<number> {
@@ -72,12 +76,14 @@
   private answerFailure(response: ServerResponse, thrown: unknown): void {
     if (response.headersSent) return void response.destroy()
     const error = toRackwalkError(thrown)
-    if (error instanceof InvalidResourceError) {
-      return answerError(response, error, { faults: error.faults })
-    }
-    if (error instanceof VersionConflictError) {
-      return answerError(response, error, { current: error.current })
-    }
-    answerError(response, error)
+    this.parts.refusedBodies.refuse(response, leastSeconds =>
+      errorAnswer(error, leastSeconds, detailsOf(error)),
+    )
   }
 }
+
+function detailsOf(error: RackwalkError): Readonly<Record<string, unknown>> {
+  if (error instanceof InvalidResourceError) return { faults: error.faults }
+  if (error instanceof VersionConflictError) return { current: error.current }
+  return {}
+}
--- a/packages/daemon/src/rackwalkDaemon.ts
+++ b/packages/daemon/src/rackwalkDaemon.ts
@@ -26,8 +26,9 @@
 } from '@rackwalk/coordination'
 import type { NodeIdentity } from '@rackwalk/coordination'
 import { Catalogue, EndpointClient, EndpointTable, FOLLOWED_KINDS } from '@rackwalk/router'
-import type { DecisionRecord } from '@rackwalk/router'
+import type { DecisionRecord, RefusedBodies } from '@rackwalk/router'
 import { CallerServer } from './callers/callerServer.js'
+import { createRefusedBodies } from './callers/createRefusedBodies.js'
 import { Explainer } from './explainer.js'
 import { withPort } from './observe/listenOn.js'
 import { ConsolaLogger } from './observe/logger.js'
@@ -136,8 +137,9 @@
     this.peerServer = new PeerServer(this.node.handlers, this.peerSecret(), form =>
       this.malformed.note(form),
     )
-    this.callerServer = this.createCallerServer()
-    this.operatorServer = this.createOperatorServer()
+    const refusedBodies = createRefusedBodies(settings.limits, this.clock, this.metrics)
+    this.callerServer = this.createCallerServer(refusedBodies)
+    this.operatorServer = this.createOperatorServer(refusedBodies)
     this.observe()
   }
 
@@ -339,17 +341,18 @@
     })
   }
 
-  private createCallerServer(): CallerServer {
+  private createCallerServer(refusedBodies: RefusedBodies): CallerServer {
     return new CallerServer({
       pipeline: this.path.pipeline,
       catalogue: this.catalogue,
       addresses: () => this.addresses(),
       explain: requestId => this.explainer.find(requestId),
       limits: this.settings.limits,
+      refusedBodies,
     })
   }
 
-  private createOperatorServer(): OperatorServer {
+  private createOperatorServer(refusedBodies: RefusedBodies): OperatorServer {
     const store = new ResourceStore(this.table, this.clock, this.random)
     const routes = new OperatorRoutes({
       resources: new ResourceApi(store, this.table, this.random),
@@ -371,6 +374,7 @@
       registry: this.metrics.registry,
       operators: this.settings.operators,
       isServing: () => this.isServing,
+      refusedBodies,
     })
   }
 
--- a/packages/daemon/src/settings/schema.ts
+++ b/packages/daemon/src/settings/schema.ts
@@ -95,6 +95,11 @@
         .positive()
         .default(16 * 1024),
       connections: z.number().int().positive().default(4_096),
+      linkMegabits: z
+        .number()
+        .positive()
+        .default(1_000)
+        .describe('What the link of the instance carries, in megabits a second'),
       bodyMilliseconds: milliseconds.default(10_000),
       headerMilliseconds: milliseconds.default(5_000),
       defaultDeadlineMilliseconds: milliseconds.default(300_000),
--- /dev/null
+++ b/packages/decisions/__tests__/refusedBody.spec.ts
@@ -0,0 +1,83 @@
+import { describe, expect, it } from 'vitest'
+import { LinkBudget, refusedBodyFate } from '@rackwalk/decisions'
+import type { RefusedBody } from '@rackwalk/decisions'
+
+/** Bodies of refused requests on a link of a million bytes a second, of which bodies may take 350,000. */
+
+const LINK = 1_000_000
+const BODY = 35_000
+const ARRIVED: RefusedBody = {
+  endsConnection: false,
+  isPartlyRead: false,
+  isSizeKnown: true,
+  hasArrived: true,
+  isAwaited: false,
+  waitMilliseconds: 0,
+}
+
+/** Callers with kept connections come again as soon as they may, for ten seconds; bytes that came a second. */
+function bytesOfEagerCallers(callers: number): number {
+  const link = new LinkBudget(LINK)
+  const freeAt = Array<number>(callers).fill(0)
+  let bytes = 0
+  for (let now = 0; now < 10_000; now += 10) {
+    for (const [caller, at] of freeAt.entries()) {
+      if (at > now) continue
+      const waitMilliseconds = link.refusedWait(BODY, now)
+      link.noteRefused(BODY, now)
+      bytes += BODY
+      const fate = refusedBodyFate({ ...ARRIVED, waitMilliseconds }, callers)
+      // Who is told to leave needs some time for another connection.
+      freeAt[caller] = now + (fate.kind === 'close' ? 3_000 : fate.holdMilliseconds)
+    }
+  }
+  return bytes / 10
+}
+
+describe('the body of a refused request', () => {
+  it.each([
+    ['arrived, the link free', {}, 0],
+    ['still coming, the link free', { hasArrived: false }, 0],
+    ['arrived, the link owed a second', { waitMilliseconds: 1_000 }, 0],
+    ['arrived, the link owed four seconds', { waitMilliseconds: 4_000 }, 0],
+    ['given up halfway', { hasArrived: false, isPartlyRead: true }, 0],
+    ['still coming in chunks', { hasArrived: false, isSizeKnown: false }, 0],
+    ['sent only when asked for', { hasArrived: false, isAwaited: true }, 0],
+    ['still coming, its connection ends', { hasArrived: false, endsConnection: true }, 0],
+    ['arrived, many others are held', {}, 512],
+    ['still coming, many others are held', { hasArrived: false }, 512],
+  ])('%s', (_, body, unreadBodies) => {
+    expect(refusedBodyFate({ ...ARRIVED, ...body }, unreadBodies)).toMatchSnapshot()
+  })
+
+  it('takes no more of the link than bodies may, however many callers come again at once', () => {
+    const asked = [1, 4, 16].map(bytesOfEagerCallers)
+    for (const bytes of asked) expect(bytes).toBeLessThan(LINK * 0.5)
+  })
+
+  it('takes nothing from admitted bodies', () => {
+    const link = new LinkBudget(LINK)
+    for (let body = 0; body < 100; body += 1) link.noteRefused(BODY, 0)
+    expect([link.take(140_000, 0), link.take(70_000, 200)]).toEqual([0, 0])
+  })
+
+  it('waits behind admitted bodies and earlier refused ones', () => {
+    const link = new LinkBudget(LINK)
+    const waits = [link.refusedWait(BODY, 0)]
+    link.noteRefused(BODY, 0)
+    waits.push(link.refusedWait(BODY, 0))
+    link.take(BODY, 0)
+    waits.push(link.refusedWait(BODY, 100), link.refusedWait(BODY, 200))
+    expect(waits.map(Math.round)).toEqual([100, 200, 200, 100])
+  })
+
+  it('waits for nothing where it fits into a few packets, and counts all the same', () => {
+    const link = new LinkBudget(LINK)
+    const waits = Array.from({ length: 20 }, () => {
+      link.noteRefused(3_500, 0)
+      return link.refusedWait(3_500, 0)
+    })
+    expect(waits).toEqual(Array(20).fill(0))
+    expect(link.refusedWait(BODY, 0)).toBeCloseTo(300)
+  })
+})
--- a/packages/decisions/src/admitting/linkBudget.ts
+++ b/packages/decisions/src/admitting/linkBudget.ts
@@ -8,7 +8,8 @@
  *
  * Limits: part of the link stays free for the store and for other instances; small requests are
  * always taken, since refusing one costs the link as much as taking it, and count against the
- * others; a body larger than the whole budget is taken when the budget is untouched.
+ * others; a body larger than the whole budget is taken when the budget is untouched. Bodies of
+ * requests that are refused unread come behind: they have what admitted ones leave.
  */
 
 import type { Bytes, Milliseconds } from '@rackwalk/shared'
@@ -24,6 +25,8 @@
 const BURST_MILLISECONDS = 400
 /** A body that fits into a few packets costs no more than its refusal. */
 const SMALL_BYTES: Bytes = 4_096
+/** What refused bodies owe beyond this is forgotten, so that a flood isn't paid for long after its end. */
+const LONGEST_OWED_MILLISECONDS: Milliseconds = 4_000
 
 /** Weights of one body in the mean of those that come without a length: some twenty count. */
 const MEAN_WEIGHTS = { above: 0.05, below: 0.05 }
@@ -33,6 +36,8 @@
   private readonly perMillisecond: number
   private readonly most: Bytes
   private left: Bytes
+  /** What bodies of refused requests took and the link's budget has not covered yet. */
+  private owed: Bytes = 0
   private at: Milliseconds = 0
   /** Mean of the bodies that came without a length; undefined before the first. */
   private usualBytes: number | undefined
@@ -66,6 +71,22 @@
     this.usualBytes = trackedValue(this.usualBytes, bytes, MEAN_WEIGHTS)
   }
 
+  /**
+   * The time after which the budget would have covered the body of a request that is refused unread, behind admitted
+   * bodies and earlier refused ones; `now` is monotonic. A small one waits for nothing.
+   */
+  refusedWait(bytes: Bytes, now: Milliseconds): Milliseconds {
+    this.refill(now)
+    if (bytes <= SMALL_BYTES) return 0
+    return (this.owed + bytes) / this.perMillisecond
+  }
+
+  /** So much of the body of a refused request comes over the link. */
+  noteRefused(bytes: Bytes, now: Milliseconds): void {
+    this.refill(now)
+    this.owed = Math.min(this.owed + bytes, this.perMillisecond * LONGEST_OWED_MILLISECONDS)
+  }
+
   /** The part of what bodies may take that is spent, in [0, 1]; `now` is monotonic. */
   usedShare(now: Milliseconds): number {
     this.refill(now)
@@ -77,7 +98,10 @@
   }
 
   private refill(now: Milliseconds): void {
-    this.left = Math.min(this.most, this.left + (now - this.at) * this.perMillisecond)
+    const refilled = this.left + (now - this.at) * this.perMillisecond
+    const surplus = Math.max(0, refilled - this.most)
+    this.left = refilled - surplus
+    this.owed = Math.max(0, this.owed - surplus)
     this.at = now
   }
 }
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -41,6 +41,12 @@
 } from './admitting/freshKnowledge.js'
 export type { KnownRows, Reachability } from './admitting/freshKnowledge.js'
 export { LinkBudget } from './admitting/linkBudget.js'
+export {
+  REFUSED_BODY_BYTES,
+  REFUSED_BODY_MILLISECONDS,
+  refusedBodyFate,
+} from './admitting/refusedBody.js'
+export type { RefusedBody, RefusedBodyFate } from './admitting/refusedBody.js'
 export { ListenerPause, listenerWindow } from './admitting/listenerPause.js'
 export type { HeardInstances } from './admitting/listenerPause.js'
 export { OwnRefusals } from './admitting/ownRefusals.js'
--- a/packages/router/__tests__/callerReply.spec.ts
+++ b/packages/router/__tests__/callerReply.spec.ts
@@ -3,7 +3,9 @@
 import type { AddressInfo } from 'node:net'
 import { connect } from 'node:net'
 import { afterEach, describe, expect, it } from 'vitest'
-import { CallerReply, StandardReturnTime } from '@rackwalk/router'
+import { LinkBudget } from '@rackwalk/decisions'
+import { CallerReply, RefusedBodies, StandardReturnTime } from '@rackwalk/router'
+import { SystemClock } from '@rackwalk/shared'
 
 /** What a caller sees of a reply that is broken off, whatever its connection was doing. */
 
@@ -11,6 +13,12 @@
 const LARGE = Buffer.alloc(20_000_000, 'x')
 const HEAD = { statusCode: 200, rawHeaders: ['Content-Type', 'text/plain'] } as IncomingMessage
 
+const refusedBodies = new RefusedBodies({
+  clock: new SystemClock(),
+  link: new LinkBudget(1_000_000),
+  counters: { noteRefusedBody: () => {}, noteBytesInVain: () => {} },
+})
+
 let server: Server | undefined
 
 afterEach(() => {
@@ -22,7 +30,13 @@
 
 async function listen(serve: Serve): Promise<number> {
   const started = createServer((incoming, response) => {
-    const reply = new CallerReply(response, {}, new StandardReturnTime(), () => false)
+    const reply = new CallerReply(
+      response,
+      {},
+      new StandardReturnTime(),
+      () => false,
+      refusedBodies,
+    )
     serve(reply, response, incoming)
   })
   server = started
--- a/packages/router/src/callerConnection.ts
+++ b/packages/router/src/callerConnection.ts
@@ -4,6 +4,7 @@
  */
 
 import type { Readable } from 'node:stream'
+import type { RefusalAfter } from './refusedBodies.js'
 
 /** A caller's side of one request, whatever carries it. */
 export interface CallerConnection {
@@ -14,7 +15,9 @@
    * nothing says that it is whole.
    */
   begin(status: number, headers: Readonly<Record<string, string>>, isDelimited?: boolean): void
-  /** Whether `begin` was called. */
+  /** Answers without the request's body, of which no more is read than the link bears; resolves as `end` does. */
+  refuse(refusal: RefusalAfter): Promise<void>
+  /** Whether an answer has begun. */
   readonly hasBegun: boolean
   /** Sends bytes; false when the caller's side should first be allowed to drain. */
   write(chunk: Buffer): boolean
--- a/packages/router/src/errorBody.ts
+++ b/packages/router/src/errorBody.ts
@@ -36,11 +36,12 @@
   }
 }
 
-/** Describes an error by its row of the result table. */
+/** Describes an error by its row of the result table; who may come back at all is told to wait for `leastSeconds`. */
 export function errorBody(
   error: RackwalkError,
   requestId?: RequestId,
   earlierAttempts?: 'unknown',
+  leastSeconds = 0,
 ): ErrorBody {
   const row = RESULT_TABLE[error.code]
   return {
@@ -52,7 +53,7 @@
       execution: row.execution,
       earlierAttempts,
       repeatable: row.repeatable,
-      retryAfterSeconds: retryAfterSeconds(error),
+      retryAfterSeconds: retryAfterSeconds(error, leastSeconds),
       requestId,
     },
   }
@@ -63,9 +64,10 @@
   error: RackwalkError,
   requestId?: RequestId,
   returnTime: ReturnTimeSpelling = STANDARD_RETURN_TIME,
+  leastSeconds = 0,
 ): Record<string, string> {
   const headers: Record<string, string> = { 'content-type': 'application/json' }
-  const wait = retryAfterSeconds(error)
+  const wait = retryAfterSeconds(error, leastSeconds)
   if (wait !== undefined) Object.assign(headers, returnTime.returnHeaders(wait))
   if (requestId !== undefined) headers['rackwalk-request-id'] = requestId
   return headers
@@ -76,8 +78,8 @@
   return Buffer.from(`data: ${JSON.stringify(errorBody(error, requestId))}\n\n`)
 }
 
-function retryAfterSeconds(error: RackwalkError): number | undefined {
+function retryAfterSeconds(error: RackwalkError, leastSeconds: number): number | undefined {
   const isTimed = error instanceof NotRunError || error instanceof DispatchedError
-  if (isTimed) return error.retryAfterSeconds
-  return RESULT_TABLE[error.code].retryAfterSeconds
+  const seconds = isTimed ? error.retryAfterSeconds : RESULT_TABLE[error.code].retryAfterSeconds
+  return seconds === undefined ? undefined : Math.max(seconds, leastSeconds)
 }
--- a/packages/router/src/gateway/callerReply.ts
+++ b/packages/router/src/gateway/callerReply.ts
@@ -7,6 +7,7 @@
 import { RESULT_TABLE } from '@rackwalk/shared'
 import type { RackwalkError } from '@rackwalk/shared'
 import { errorBody, errorHeaders } from '../errorBody.js'
+import type { RefusedBodies, RefusedBodyOutcome, Refusal } from '../refusedBodies.js'
 import type { ReturnTimeSpelling } from '../returnTime.js'
 import { withoutConnectionHeaders } from './connectionHeaders.js'
 
@@ -25,6 +26,7 @@
     private readonly returnTime: ReturnTimeSpelling,
     /** Whether the connection ends with this answer. */
     private readonly mustClose: () => boolean,
+    private readonly refusedBodies: RefusedBodies,
   ) {
     response.on('close', () => this.noteClose())
     response.on('error', () => this.noteClose())
@@ -80,18 +82,24 @@
     else socket.resetAndDestroy()
   }
 
-  /** Answers with a numbered error of the gateway's own. */
-  refuse(error: RackwalkError): void {
+  /** Answers with a numbered error of the gateway's own; tells what became of a body that nobody wants. */
+  refuse(error: RackwalkError): RefusedBodyOutcome | undefined {
     this.started = true
     this.ended = true
     this.prepareEnd()
-    const body = Buffer.from(JSON.stringify(errorBody(error)))
-    this.response.writeHead(RESULT_TABLE[error.code].httpStatus, {
+    return this.refusedBodies.refuse(this.response, leastSeconds =>
+      this.refusal(error, leastSeconds),
+    )
+  }
+
+  private refusal(error: RackwalkError, leastSeconds: number): Refusal {
+    const body = Buffer.from(JSON.stringify(errorBody(error, undefined, undefined, leastSeconds)))
+    const headers = {
       ...this.ownHeaders,
-      ...errorHeaders(error, undefined, this.returnTime),
+      ...errorHeaders(error, undefined, this.returnTime, leastSeconds),
       'content-length': String(body.length),
-    })
-    this.response.end(body)
+    }
+    return { status: RESULT_TABLE[error.code].httpStatus, headers, body }
   }
 
   private prepareEnd(): void {
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -5,7 +5,7 @@
 
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { NotRunError, RESULT_TABLE, ResultCode, toRackwalkError } from '@rackwalk/shared'
-import type { Clock, Milliseconds, RandomSource } from '@rackwalk/shared'
+import type { Bytes, Clock, Milliseconds, RandomSource } from '@rackwalk/shared'
 import {
   FleetRetryBudget,
   budgetPatience,
@@ -15,11 +15,13 @@
 import type { RetryBounds, WorkRank } from '@rackwalk/decisions'
 import type { PrepaidLedger, PrepaidReservation, RefusedOutcome } from '@rackwalk/coordination'
 import { readBody } from '../readBody.js'
+import { announcedBytes } from '../refusedBodies.js'
 import { requestFingerprint, requestScope } from '../crashes/requestFingerprint.js'
 import { CallerReply } from './callerReply.js'
 import type { Dialect, RequestMetadata } from './dialect.js'
 import { chooseService } from './gatewayConfiguration.js'
 import type {
+  GatewayLimits,
   GatewayRoute,
   GatewayService,
   GatewayTeam,
@@ -114,13 +116,14 @@
       attempts: [],
     }
     const ownHeaders = dialect.ownHeaders(metadata?.requestId)
-    const reply = new CallerReply(response, ownHeaders, dialect, isDraining)
+    const { refusedBodies } = this.admission
+    const reply = new CallerReply(response, ownHeaders, dialect, isDraining, refusedBodies)
     this.running += 1
     try {
       if (metadata === undefined) throw new NotRunError(ResultCode.MalformedRequest)
       await this.serve(request, metadata, reply, record)
     } catch (thrown) {
-      this.refuse(request, reply, record, thrown)
+      this.refuse(reply, record, thrown)
     } finally {
       this.running -= 1
       this.finishRecord(record, response)
@@ -135,6 +138,7 @@
   ): Promise<void> {
     const identified = this.identify(request, metadata, record)
     const { route, service, team } = identified
+    this.checkSize(request)
     this.admission.admit(request, workRankOf(identified))
     const { clock, instances } = this.parts
     const body = await this.readWhole(request, reply)
@@ -233,12 +237,27 @@
     return { routes, path, route, team }
   }
 
+  private get limits(): GatewayLimits | undefined {
+    return this.parts.routes()?.configuration.limits
+  }
+
+  private get largestBody(): Bytes {
+    return this.limits?.bodyBytes ?? 0
+  }
+
+  /** A body that is told to be too large is not begun. */
+  private checkSize(request: IncomingMessage): void {
+    const isTooLarge = (announcedBytes(request) ?? 0) > this.largestBody
+    if (isTooLarge) throw new NotRunError(ResultCode.BodyTooLarge)
+  }
+
   /** The whole body; the caller still waits when it is there. */
   private async readWhole(request: IncomingMessage, reply: CallerReply): Promise<Buffer> {
-    const limits = this.parts.routes()?.configuration.limits
-    const idle = limits?.idleMilliseconds ?? 0
-    const body = await readBody(request, limits?.bodyBytes ?? 0, idle, this.parts.clock)
-    this.admission.noteBody(request, body.length)
+    const idle = this.limits?.idleMilliseconds ?? 0
+    let bytes: Bytes = 0
+    request.on('data', (chunk: Buffer) => (bytes += chunk.length))
+    const reading = readBody(request, this.largestBody, idle, this.parts.clock)
+    const body = await reading.finally(() => this.admission.noteBody(request, bytes))
     await this.admission.confirmCaller(reply)
     return body
   }
@@ -283,20 +302,13 @@
     this.parts.ledger.settle(reservation, spent)
   }
 
-  private refuse(
-    request: IncomingMessage,
-    reply: CallerReply,
-    record: GatewayRecord,
-    thrown: unknown,
-  ): void {
+  private refuse(reply: CallerReply, record: GatewayRecord, thrown: unknown): void {
     const error = toRackwalkError(thrown)
     record.code = error.code
     record.detail = error.message
     record.execution = RESULT_TABLE[error.code].execution
     if (reply.isStarted) reply.cut()
-    else if (!reply.isLeft) reply.refuse(error)
-    // What is left of a body must not be taken for the next request.
-    if (!request.complete && error.code !== ResultCode.LinkFull) request.resume()
+    else if (!reply.isLeft) record.refusedBody = reply.refuse(error)
   }
 
   private finishRecord(record: GatewayRecord, response: ServerResponse): void {
--- a/packages/router/src/gateway/gatewayRecord.ts
+++ b/packages/router/src/gateway/gatewayRecord.ts
@@ -4,6 +4,7 @@
 import type { AnswerEnd, AnswerFraming, AttemptOutcome } from '@rackwalk/decisions'
 import type { LenderAnswer } from '@rackwalk/coordination'
 import type { Lateness } from './lateness.js'
+import type { RefusedBodyOutcome } from '../refusedBodies.js'
 import type { StreamPause } from './streamPace.js'
 import type { Execution, RequestFingerprint } from '@rackwalk/shared'
 
@@ -64,6 +65,8 @@
   code?: number
   execution?: Execution
   detail?: string
+  /** What became of the body of a refused request; undefined where none was left. */
+  refusedBody?: RefusedBodyOutcome | undefined
   firstByteMilliseconds?: Milliseconds
   /** Why its caller counts a served answer as late. */
   lateness?: Lateness
--- a/packages/router/src/gateway/instanceAdmission.ts
+++ b/packages/router/src/gateway/instanceAdmission.ts
@@ -1,6 +1,6 @@
 /**
- * Refuses at once what this instance itself cannot carry: its link, or its processor; and holds back what nobody may
- * wait for any more. Owns what both still bear, the timer that tells how long ready work waits, and the count of callers
+ * Refuses at once what this instance itself cannot carry: its link, or its processor; holds back what nobody may wait
+ * for any more; and sees to the bodies of refused requests. Owns what both still bear, the timer that tells how long ready work waits, and the count of callers
  * that had left; the rules are in decisions/admitting.
  */
 
@@ -16,6 +16,8 @@
   returnAfterSeconds,
 } from '@rackwalk/decisions'
 import type { WorkRank } from '@rackwalk/decisions'
+import { RefusedBodies, announcedBytes } from '../refusedBodies.js'
+import type { RefusedBodyCounters } from '../refusedBodies.js'
 import type { CallerReply } from './callerReply.js'
 
 /** What the admission works with. */
@@ -26,6 +28,7 @@
   readonly acceptMilliseconds: () => Milliseconds
   /** What the own link carries. */
   readonly linkBytesPerSecond: number
+  readonly refusedBodyCounters: RefusedBodyCounters
 }
 
 /** How much of what the instance bears is in use; each in [0, 1]. */
@@ -43,6 +46,8 @@
 
 /** Takes requests as long as link and processor bear them. */
 export class InstanceAdmission {
+  /** Sends refusals within what the link bears. */
+  readonly refusedBodies: RefusedBodies
   private readonly link: LinkBudget
   private readonly processor = new ProcessorBudget()
   private readonly abandoned = new AbandonedWork()
@@ -54,7 +59,13 @@
     /** Requests in progress. */
     private readonly running: () => number,
   ) {
-    this.link = new LinkBudget(parts.linkBytesPerSecond)
+    const { clock, linkBytesPerSecond, refusedBodyCounters } = parts
+    this.link = new LinkBudget(linkBytesPerSecond)
+    this.refusedBodies = new RefusedBodies({
+      clock,
+      link: this.link,
+      counters: refusedBodyCounters,
+    })
   }
 
   /** Throws where the request cannot be carried; nothing of its body has been read then. */
@@ -86,7 +97,7 @@
     return this.refusals.share(this.parts.clock.monotonic())
   }
 
-  /** A body has been read. */
+  /** So much of a body has been read, to its end or until its reading was given up. */
   noteBody(request: IncomingMessage, bytes: Bytes): void {
     if (announcedBytes(request) !== undefined) return
     this.link.noteRead(bytes, this.parts.clock.monotonic())
@@ -113,20 +124,9 @@
     const now = this.parts.clock.monotonic()
     const wait = this.link.take(announcedBytes(request), now)
     if (wait === 0) return
-    this.postponeBody(request, wait)
     throw new NotRunError(ResultCode.LinkFull, undefined, returnAfterSeconds(wait))
   }
 
-  /**
-   * A body that nobody reads stays with its caller: the rest is read, and thrown away, when the link
-   * has room for it. Until then the refusal reaches the caller, who may close the connection.
-   */
-  private postponeBody(request: IncomingMessage, wait: Milliseconds): void {
-    request.on('data', () => {})
-    request.pause()
-    this.parts.clock.after(wait, () => request.resume())
-  }
-
   /** Looks at the delay while there is work; an idle instance wakes for nothing. */
   private watchDelay(): void {
     if (this.isWatching) return
@@ -145,9 +145,3 @@
     })
   }
 }
-
-/** The size of a body, told ahead; undefined where it comes in chunks. */
-function announcedBytes({ headers }: IncomingMessage): Bytes | undefined {
-  if (headers['transfer-encoding'] !== undefined) return undefined
-  return Number(headers['content-length'] ?? 0)
-}
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -4,6 +4,13 @@
 export { errorBody, errorEvent, errorHeaders } from './errorBody.js'
 export { StandardReturnTime } from './returnTime.js'
 export { readBody } from './readBody.js'
+export { RefusedBodies, continueWhenRead } from './refusedBodies.js'
+export type {
+  Refusal,
+  RefusalAfter,
+  RefusedBodyCounters,
+  RefusedBodyOutcome,
+} from './refusedBodies.js'
 export { RequestPipeline } from './requestPipeline.js'
 
 export { AdmitFilter } from './filters/admit.js'
--- /dev/null
+++ b/packages/router/src/refusedBodies.ts
@@ -0,0 +1,225 @@
+/**
+ * Sends refusals and sees to the bodies of their requests, which nobody wants. Owns which connections are held or read
+ * in vain; the rule is in decisions/admitting.
+ */
+
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+import {
+  REFUSED_BODY_BYTES,
+  REFUSED_BODY_MILLISECONDS,
+  refusedBodyFate,
+  returnAfterSeconds,
+} from '@rackwalk/decisions'
+import type { LinkBudget, RefusedBodyFate } from '@rackwalk/decisions'
+import type { Bytes, Clock, Milliseconds } from '@rackwalk/shared'
+
+/** What became of the body of a refused request: read as it came, read later, or given up with its connection. */
+export type RefusedBodyOutcome = 'read' | 'held' | 'closed'
+
+/** Counts what refused bodies cost. */
+export interface RefusedBodyCounters {
+  noteRefusedBody(outcome: RefusedBodyOutcome): void
+  /** Bytes of refused bodies that came over the link. */
+  noteBytesInVain(bytes: Bytes): void
+}
+
+/** What the refusals of one instance work with. */
+export interface RefusedBodiesParts {
+  readonly clock: Clock
+  /** What the own link carries, shared with the bodies of admitted requests. */
+  readonly link: LinkBudget
+  readonly counters: RefusedBodyCounters
+}
+
+/** The answer to a request whose body nobody wants. */
+export interface Refusal {
+  readonly status: number
+  readonly headers: Readonly<Record<string, string>>
+  readonly body: Buffer
+}
+
+/** Makes a refusal that lets its caller come back after so many seconds at the soonest. */
+export type RefusalAfter = (leastSeconds: number) => Refusal
+
+/** Sends refusals at once, and reads their requests' bodies only as far as the link bears it. */
+export class RefusedBodies {
+  /** Connections that are held or read in vain at present. */
+  private unread = 0
+
+  constructor(private readonly parts: RefusedBodiesParts) {}
+
+  /** Sends the whole refusal; undefined where the request has no body that is left to be seen to. */
+  refuse(response: ServerResponse, refusalAfter: RefusalAfter): RefusedBodyOutcome | undefined {
+    const { req: request } = response
+    if (!hasBody(request) || isUsed(request)) {
+      send(response, refusalAfter(0))
+      return undefined
+    }
+    const fate = this.fateOf(request, response)
+    const outcome = outcomeOf(fate)
+    this.parts.counters.noteRefusedBody(outcome)
+    if (fate.kind === 'close') this.sendAndClose(response, refusalAfter(0))
+    else this.sendAndRead(response, refusalAfter, fate.holdMilliseconds)
+    return outcome
+  }
+
+  private fateOf(request: IncomingMessage, response: ServerResponse): RefusedBodyFate {
+    const { clock, link } = this.parts
+    const body = {
+      endsConnection: !response.shouldKeepAlive,
+      isPartlyRead: request.readableDidRead,
+      isSizeKnown: announcedBytes(request) !== undefined,
+      hasArrived: request.complete,
+      isAwaited: isAwaitingContinue(request),
+      waitMilliseconds: link.refusedWait(sizeOf(request) ?? 0, clock.monotonic()),
+    }
+    return refusedBodyFate(body, this.unread)
+  }
+
+  /** The connection is read again after the hold; its caller may send the next request meanwhile. */
+  private sendAndRead(response: ServerResponse, refusal: RefusalAfter, hold: Milliseconds): void {
+    const { req: request } = response
+    const { socket } = request
+    const size = sizeOf(request)
+    this.charge(size ?? 0)
+    if (request.complete) this.parts.counters.noteBytesInVain(size ?? 0)
+    const isDone = request.complete && hold === 0
+    if (!isDone) {
+      const finish = this.keepUnread(socket, hold + REFUSED_BODY_MILLISECONDS)
+      if (!request.complete) {
+        this.readInVain(request, finish)
+      }
+      holdReading(socket, this.parts.clock, hold, () => {
+        if (request.complete) finish()
+      })
+    }
+    send(response, refusal(returnAfterSeconds(hold)))
+  }
+
+  /**
+   * The caller is told to leave, and has time to take the refusal before the connection ends: a reset that meets bytes
+   * still on their way would take the refusal with it.
+   */
+  private sendAndClose(response: ServerResponse, refusal: Refusal): void {
+    const { req: request } = response
+    const headers = { ...refusal.headers, connection: 'close' }
+    if (request.complete) {
+      const size = sizeOf(request) ?? 0
+      this.charge(size)
+      this.parts.counters.noteBytesInVain(size)
+      send(response, { ...refusal, headers })
+      return
+    }
+    const { socket } = request
+    this.charge(Math.min(sizeOf(request) ?? REFUSED_BODY_BYTES, REFUSED_BODY_BYTES))
+    this.keepUnread(socket, REFUSED_BODY_MILLISECONDS)
+    let bytes: Bytes = 0
+    request.on('data', (chunk: Buffer) => {
+      bytes += chunk.length
+      if (bytes > REFUSED_BODY_BYTES) socket.pause()
+    })
+    this.readInVain(request, () => socket.destroy())
+    // An answer that is ended would take the connection with it at once.
+    response.writeHead(refusal.status, headers)
+    response.write(refusal.body, () => socket.end())
+  }
+
+  private charge(bytes: Bytes): void {
+    const { clock, link } = this.parts
+    link.noteRefused(bytes, clock.monotonic())
+  }
+
+  /** Counts a connection until it ends or `finish` is called; ends it after a time. Gives `finish`. */
+  private keepUnread(socket: Socket, milliseconds: Milliseconds): () => void {
+    this.unread += 1
+    const timer = this.parts.clock.after(milliseconds, () => socket.destroy())
+    let isKept = true
+    const finish = () => {
+      if (!isKept) return
+      isKept = false
+      this.unread -= 1
+      timer.cancel()
+      socket.off('close', finish)
+    }
+    socket.once('close', finish)
+    return finish
+  }
+
+  /** Throws away what comes of a body. */
+  private readInVain(request: IncomingMessage, onEnd: () => void): void {
+    request.on('data', (chunk: Buffer) => this.parts.counters.noteBytesInVain(chunk.length))
+    request.once('end', onEnd)
+    // Node.js would read on without counting where nobody had begun to read before the answer ends.
+    request.read(0)
+    request.resume()
+  }
+}
+
+function send(response: ServerResponse, { status, headers, body }: Refusal): void {
+  response.writeHead(status, headers)
+  response.end(body)
+}
+
+function outcomeOf(fate: RefusedBodyFate): RefusedBodyOutcome {
+  if (fate.kind === 'close') return 'closed'
+  return fate.holdMilliseconds === 0 ? 'read' : 'held'
+}
+
+function hasBody(request: IncomingMessage): boolean {
+  return announcedBytes(request) !== 0
+}
+
+/** Whether all of the body was read for its request. */
+function isUsed(request: IncomingMessage): boolean {
+  return request.readableDidRead && request.readableEnded
+}
+
+/** The size as it was told or, where all is there, as it came; undefined where nobody knows it yet. */
+function sizeOf(request: IncomingMessage): Bytes | undefined {
+  const announced = announcedBytes(request)
+  if (announced !== undefined) return announced
+  return request.complete ? request.readableLength : undefined
+}
+
+function isAwaitingContinue(request: IncomingMessage): boolean {
+  const expects = request.headers.expect?.toLowerCase() === '100-continue'
+  return expects && !request.complete && request.readableLength === 0 && !request.readableDidRead
+}
+
+/** Stops reading a connection for a time. Node.js reads on whenever a message ends, so the pause is renewed until then. */
+function holdReading(
+  socket: Socket,
+  clock: Clock,
+  milliseconds: Milliseconds,
+  onRelease: () => void,
+): void {
+  if (milliseconds === 0) return onRelease()
+  const pause = () => socket.pause()
+  socket.pause()
+  socket.on('resume', pause)
+  clock.after(milliseconds, () => {
+    socket.off('resume', pause)
+    socket.resume()
+    onRelease()
+  })
+}
+
+/** The size of a body, told ahead; undefined where it comes in chunks. */
+export function announcedBytes({ headers }: IncomingMessage): Bytes | undefined {
+  if (headers['transfer-encoding'] !== undefined) return undefined
+  return Number(headers['content-length'] ?? 0)
+}
+
+/**
+ * A caller that waits for `100 Continue` is asked for its body when the body is read, so that one who is refused never
+ * sends it.
+ */
+export function continueWhenRead(server: Server): void {
+  server.on('checkContinue', (request, response) => {
+    request.once('resume', () => {
+      if (!response.headersSent) response.writeContinue()
+    })
+    server.emit('request', request, response)
+  })
+}
--- a/packages/router/src/requestPipeline.ts
+++ b/packages/router/src/requestPipeline.ts
@@ -138,17 +138,15 @@
   ): Promise<void> {
     const { requestId } = record
     const earlier = earlierAttempts(record)
-    const body = Buffer.from(JSON.stringify(errorBody(error, requestId, earlier)))
-    // The rest of a body that nobody reads must not hold the connection.
-    const closing: Record<string, string> = incoming.body.readableEnded
-      ? {}
-      : { connection: 'close' }
-    incoming.caller.begin(RESULT_TABLE[error.code].httpStatus, {
-      ...errorHeaders(error, requestId),
-      ...closing,
-      'content-length': String(body.length),
+    await incoming.caller.refuse(leastSeconds => {
+      const document = errorBody(error, requestId, earlier, leastSeconds)
+      const body = Buffer.from(JSON.stringify(document))
+      const headers = {
+        ...errorHeaders(error, requestId, undefined, leastSeconds),
+        'content-length': String(body.length),
+      }
+      return { status: RESULT_TABLE[error.code].httpStatus, headers, body }
     })
-    await incoming.caller.end(body)
   }
 
   private noteEnd(record: DecisionRecord, code: ResultCode): void {
--- a/packages/stand-ins/src/configuredFleet.ts
+++ b/packages/stand-ins/src/configuredFleet.ts
@@ -7,7 +7,7 @@
 import { EngineStandIn } from './engine/engineStandIn.js'
 import type { EngineOptions } from './engine/engineStandIn.js'
 import { LocalFleet } from './localFleet.js'
-import type { FleetOptions } from './localFleet.js'
+import type { FleetMember, FleetOptions } from './localFleet.js'
 import { LocalPlatform } from './localPlatform.js'
 import type { ResourceDocument } from './operatorClient.js'
 import { ServiceStandIn } from './serviceStandIn.js'
@@ -72,9 +72,11 @@
 
   /** Callers' address of an instance. */
   callers(number = 0): string {
-    const member = this.fleet.members[number]
-    if (member === undefined) throw new Error(`no instance ${number}`)
-    return `http://${member.addresses.callers}`
+    return `http://${this.addresses(number).callers}`
+  }
+
+  operators(number = 0): string {
+    return `http://${this.addresses(number).operators}`
   }
 
   async stop(): Promise<void> {
@@ -84,6 +86,12 @@
     this.platform.stop()
   }
 
+  private addresses(number: number): FleetMember['addresses'] {
+    const member = this.fleet.members[number]
+    if (member === undefined) throw new Error(`no instance ${number}`)
+    return member.addresses
+  }
+
   private async startEndpoints(): Promise<readonly ResourceDocument[]> {
     const documents: ResourceDocument[] = []
     for (let number = 0; number < (this.options.engines ?? 2); number += 1) {
