fix(shared): a time of day that is set forward ages nothing

Cause: sinceStart read suspensions from the time of day, and a time of day that is set forward looks the same. Change: at a jump of the time of day, the time since boot tells whether and how long the machine was suspended. It goes on in a suspension and cannot be set. The stand-ins of clocks tell the time since boot, too; their checks are unchanged. Ruled out: a bound on jumps (steps are of any size); reading the time since boot at each look (a system read some twenty times a request).

--- a/packages/coordination/__tests__/suspension.spec.ts
+++ b/packages/coordination/__tests__/suspension.spec.ts
@@ -13,29 +13,32 @@
 const SUSPENDED_MILLISECONDS = 10_000
 
 describe('the clock of a process', () => {
-  function clockOf(readings: { steady: number; timeOfDay: number }) {
+  function clockOf(readings: { steady: number; timeOfDay: number; sinceBoot: number }) {
     return new SystemClock({
       steady: () => readings.steady,
       timeOfDay: () => readings.timeOfDay,
+      sinceBoot: () => readings.sinceBoot,
     })
   }
 
   it('counts a suspension apart from the time for which the machine ran', () => {
-    const readings = { steady: 1_000, timeOfDay: 1_700_000_000_000 }
+    const readings = { steady: 1_000, timeOfDay: 1_700_000_000_000, sinceBoot: 50_000 }
     const clock = clockOf(readings)
     readings.timeOfDay += SUSPENDED_MILLISECONDS
+    readings.sinceBoot += SUSPENDED_MILLISECONDS
     expect(clock.monotonic()).toBe(1_000)
     expect(clock.sinceStart()).toBe(1_000 + SUSPENDED_MILLISECONDS)
   })
 
   it('never goes back where the time of day is set back, nor counts slewing', () => {
-    const readings = { steady: 1_000, timeOfDay: 1_700_000_000_000 }
+    const readings = { steady: 1_000, timeOfDay: 1_700_000_000_000, sinceBoot: 50_000 }
     const clock = clockOf(readings)
     readings.timeOfDay -= SUSPENDED_MILLISECONDS
     expect(clock.sinceStart()).toBe(1_000)
     for (let step = 0; step < 100; step += 1) {
       readings.steady += 1_000
       readings.timeOfDay += 1_100
+      readings.sinceBoot += 1_000
       clock.sinceStart()
     }
     expect(clock.sinceStart()).toBe(101_000)
--- a/packages/shared/src/clock.ts
+++ b/packages/shared/src/clock.ts
@@ -1,5 +1,6 @@
 /** Time as an interface, so that tests and simulations can drive it. Owns no timers itself. */
 
+import { uptime } from 'node:os'
 import type { Milliseconds } from './quantities.js'
 
 /** A pending timer; cancelling one that fired is harmless. */
@@ -18,8 +19,8 @@
    */
   monotonic(): Milliseconds
   /**
-   * The same with the time of suspensions, and ahead of it where the time of day was set forward. For whatever must not be
-   * believed or awaited for too long: ages of rows, leases, deadlines.
+   * The same with the time of suspensions, whatever is done to the time of day. For whatever must not be believed or
+   * awaited for too long: ages of rows, leases, deadlines.
    */
   sinceStart(): Milliseconds
   /** Milliseconds since 1970, for records that people read. */
@@ -33,11 +34,16 @@
   steady(): Milliseconds
   /** Goes on while the machine is suspended; may be set forward or back. */
   timeOfDay(): Milliseconds
+  /** Goes on while the machine is suspended, and is never set; costs more than the others. */
+  sinceBoot(): Milliseconds
 }
 
+const MILLISECONDS_IN_SECOND = 1_000
+
 const PROCESS_TIME: TimeSources = {
   steady: () => performance.now(),
   timeOfDay: () => Date.now(),
+  sinceBoot: () => uptime() * MILLISECONDS_IN_SECOND,
 }
 
 /**
@@ -47,17 +53,20 @@
 const SUSPENSION_MILLISECONDS: Milliseconds = 500
 
 /**
- * The clock of the process. Node.js gives no clock that counts suspensions, so they are read from the time of day: it goes
- * on, and the steady clock does not. A time of day that is set forward looks the same; what it makes look old is read or
- * taken again within a round trip. One that is set back changes nothing.
+ * The clock of the process. The steady clock of Node.js doesn't count suspensions. The time of day goes on in one, but also
+ * jumps where somebody sets it, so the time since boot tells which of the two it was; it is asked only then, since it is read
+ * from the system.
  */
 export class SystemClock implements Clock {
   private suspended: Milliseconds = 0
   /** The time of day, less the steady clock, at the last look. */
   private lead: Milliseconds
+  /** The time since boot, less the steady clock, at the last jump of the time of day. */
+  private bootLead: Milliseconds
 
   constructor(private readonly sources: TimeSources = PROCESS_TIME) {
     this.lead = sources.timeOfDay() - sources.steady()
+    this.bootLead = sources.sinceBoot() - sources.steady()
   }
 
   monotonic(): Milliseconds {
@@ -68,11 +77,19 @@
     const steady = this.sources.steady()
     const lead = this.sources.timeOfDay() - steady
     const jump = lead - this.lead
-    if (jump >= SUSPENSION_MILLISECONDS) this.suspended += jump
+    if (jump >= SUSPENSION_MILLISECONDS) this.suspended += Math.min(jump, this.suspendedSinceJump())
     this.lead = lead
     return steady + this.suspended
   }
 
+  /** Time for which the machine was suspended since the time of day jumped last. */
+  private suspendedSinceJump(): Milliseconds {
+    const bootLead = this.sources.sinceBoot() - this.sources.steady()
+    const suspended = bootLead - this.bootLead
+    this.bootLead = bootLead
+    return suspended >= SUSPENSION_MILLISECONDS ? suspended : 0
+  }
+
   wallTime(): Milliseconds {
     return this.sources.timeOfDay()
   }
