fix(stores): an object is whole by its length or its last chunk, never by the end of its connection

Cause: the client library reads to the end of the connection where nothing else tells the end, and nobody asked by what the body was whole. Change: a step of the client refuses answers whose framing tells no end, by the rule that judges endpoints' answers; the outcome counts as unknown and is asked again. Ruled out: comparing checksums, which stores send only where they were asked for when the object was written.

--- a/packages/stores/src/awsErrors.ts
+++ b/packages/stores/src/awsErrors.ts
@@ -22,6 +22,7 @@
  * or no knowledge at all (a time limit, a reset, a 5xx).
  */
 export function classifyServiceError(thrown: unknown): RackwalkError {
+  if (thrown instanceof RackwalkError) return thrown
   const failure = thrown as ServiceFailure
   const cause = thrown instanceof Error ? thrown : undefined
   if (THROTTLED.has(failure.name ?? '')) {
--- /dev/null
+++ b/packages/stores/src/framedAnswers.ts
@@ -0,0 +1,39 @@
+/**
+ * Takes no answer of the platform whose own framing doesn't tell its end: where only the end of the connection would, half an
+ * object looks like a whole one.
+ */
+
+import { IncomingMessage } from 'node:http'
+import type { S3Client } from '@aws-sdk/client-s3'
+import { answerFraming } from '@rackwalk/decisions'
+import { RackwalkError, ResultCode } from '@rackwalk/shared'
+
+/** What the client library has of an answer before it reads the body. */
+interface RawAnswer {
+  readonly body?: unknown
+}
+
+/** Lets the client fail on answers without a length or a last chunk. */
+export function refuseUnframedAnswers(client: S3Client): void {
+  client.middlewareStack.add(
+    next => async input => {
+      const output = await next(input)
+      checkFraming(output.response as RawAnswer)
+      return output
+    },
+    { step: 'deserialize', priority: 'low', name: 'refuseUnframedAnswers' },
+  )
+}
+
+function checkFraming({ body }: RawAnswer): void {
+  if (!(body instanceof IncomingMessage)) return
+  const framing = answerFraming({
+    method: 'GET',
+    status: body.statusCode ?? 0,
+    transferEncoding: body.headers['transfer-encoding'],
+    contentLength: body.headers['content-length'],
+  })
+  if (framing !== 'connection') return
+  body.destroy()
+  throw new RackwalkError(ResultCode.PlatformAmbiguous, 'an answer without a length')
+}
--- a/packages/stores/src/s3ObjectStore.ts
+++ b/packages/stores/src/s3ObjectStore.ts
@@ -9,6 +9,7 @@
 } from '@aws-sdk/client-s3'
 import type { Milliseconds } from '@rackwalk/shared'
 import { classifyServiceError } from './awsErrors.js'
+import { refuseUnframedAnswers } from './framedAnswers.js'
 import type { ObjectStore } from './objectStore.js'
 
 /** Where and as whom the bucket is reached. */
@@ -38,6 +39,7 @@
         secretAccessKey: options.secretAccessKey,
       },
     })
+    refuseUnframedAnswers(this.client)
   }
 
   async put(key: string, body: Buffer): Promise<void> {
