fix(daemon): news of overload costs no more in a large fleet than signs of life

Change: the exchange tells it at the interval at which the bytes of signs suffice for all others (a second up to 62 of them, 4.8 s with 299), and it is believed for three and a half intervals. The wire is unchanged. Test: overloadNews.spec, 299 others over 60 s on virtual time: red before with 23,518 bytes a second where 5,000 are allowed; passes now, and the news is believed in every second.

--- a/packages/daemon/__tests__/overloadNews.spec.ts
+++ b/packages/daemon/__tests__/overloadNews.spec.ts
@@ -1,5 +1,8 @@
+import { createSocket } from 'node:dgram'
 import { describe, expect, it } from 'vitest'
+import type { FleetLoad, PeerLoadReport } from '@rackwalk/router'
 import {
+  LoadExchange,
   OverloadedInstances,
   adviceNewsOf,
   decodeReport,
@@ -11,6 +14,13 @@
 import { VirtualClock } from '@rackwalk/shared'
 
 const SENDER = { instance: 'instance-1', incarnation: 'life-1' }
+const NOTHING_NEW: PeerLoadReport = { ...SENDER, sequence: 1, isWhole: true, loads: [] }
+const IDLE_LOAD = {
+  nextReport: () => undefined,
+  wholeReport: () => NOTHING_NEW,
+  sign: () => NOTHING_NEW,
+  expire: () => {},
+}
 
 describe('the news that an instance is overloaded', () => {
   it('has the form of a report that an earlier version drops as too late', () => {
@@ -29,7 +39,7 @@
 
   it('holds through lost datagrams, and passes with time', async () => {
     const clock = new VirtualClock()
-    const overloaded = new OverloadedInstances(clock)
+    const overloaded = new OverloadedInstances(clock, () => 1_000)
     overloaded.note('instance-1')
     await clock.advance(3_000)
     expect([overloaded.has('instance-1'), overloaded.has('instance-2')]).toEqual([true, false])
@@ -37,3 +47,51 @@
     expect(overloaded.has('instance-1')).toBe(false)
   })
 })
+
+describe('the news of overload in a large fleet', () => {
+  const PEERS = 299
+  const SPAN_SECONDS = 60
+  /** What an instance may spend on all that it tells the others beside its reports. */
+  const BYTES_PER_SECOND = 5_000
+  /** Bytes of a datagram's heads. */
+  const HEAD_BYTES = 28
+
+  it('costs each instance no more than its signs of life may, and is believed until the next', async () => {
+    const sink = createSocket('udp4')
+    let bytes = 0
+    sink.on('message', message => (bytes += message.length + HEAD_BYTES))
+    await new Promise<void>(resolve => sink.bind(0, '127.0.0.1', resolve))
+    const clock = new VirtualClock()
+    const address = `127.0.0.1:${sink.address().port}`
+    const peers = Array.from({ length: PEERS }, (_, index) => ({ instance: `i-${index}`, address }))
+    const exchange = new LoadExchange({
+      address: '127.0.0.1:0',
+      usingPeers: () => peers,
+      idlePeers: () => [],
+      fleetLoad: IDLE_LOAD as unknown as FleetLoad,
+      identity: SENDER,
+      onCrashNews: () => {},
+      onAdviceNews: () => {},
+      onOverloaded: () => {},
+      standingAdvice: () => [],
+      clock,
+      onMalformed: () => {},
+    })
+    exchange.start()
+    const overloaded = new OverloadedInstances(clock, () => exchange.overloadNewsMilliseconds)
+    let unbelieved = 0
+    for (let second = 0; second < SPAN_SECONDS; second += 1) {
+      const before = bytes
+      exchange.tellOverload()
+      await new Promise(resolve => setTimeout(resolve, 20))
+      if (bytes > before) overloaded.note(SENDER.instance)
+      if (!overloaded.has(SENDER.instance)) unbelieved += 1
+      await clock.advance(1_000)
+    }
+    exchange.stop()
+    sink.close()
+    expect(bytes).toBeGreaterThan(0)
+    expect(bytes / SPAN_SECONDS).toBeLessThan(BYTES_PER_SECOND)
+    expect(unbelieved).toBe(0)
+  })
+})
--- a/packages/daemon/src/gateway/endpointKnowledge.ts
+++ b/packages/daemon/src/gateway/endpointKnowledge.ts
@@ -13,7 +13,7 @@
 import { AdviceWatch } from './adviceWatch.js'
 import { CrashWatch } from './crashWatch.js'
 import type { GatewayTelemetry } from './gatewayTelemetry.js'
-import { LoadExchange, loadPeersOf } from './loadExchange.js'
+import { LoadExchange, OVERLOAD_NEWS_MILLISECONDS, loadPeersOf } from './loadExchange.js'
 import { OverloadedInstances } from './overloadNews.js'
 
 /** What the knowledge rests on. */
@@ -46,7 +46,10 @@
     this.crashes = this.createCrashes()
     this.advice = this.createAdvice()
     this.fleetLoad = this.createFleetLoad()
-    this.overloaded = new OverloadedInstances(parts.clock)
+    this.overloaded = new OverloadedInstances(
+      parts.clock,
+      () => this.exchange?.overloadNewsMilliseconds ?? OVERLOAD_NEWS_MILLISECONDS,
+    )
     this.exchange = this.createExchange()
   }
 
--- a/packages/daemon/src/gateway/listenerPauses.ts
+++ b/packages/daemon/src/gateway/listenerPauses.ts
@@ -7,7 +7,7 @@
 import type { HeardInstances } from '@rackwalk/decisions'
 import type { Clock, Milliseconds, RandomSource, Timer } from '@rackwalk/shared'
 import type { PausableListener } from './pausableListener.js'
-import { OVERLOADED_NEWS_MILLISECONDS } from './overloadNews.js'
+import { OVERLOAD_NEWS_MILLISECONDS } from './loadExchange.js'
 
 /** What the pauses rest on. */
 export interface ListenerPausesParts {
@@ -66,7 +66,7 @@
   }
 
   private tell(now: Milliseconds): void {
-    if (!this.rule.isOverloaded(now) || now - this.toldAt < OVERLOADED_NEWS_MILLISECONDS) return
+    if (!this.rule.isOverloaded(now) || now - this.toldAt < OVERLOAD_NEWS_MILLISECONDS) return
     this.toldAt = now
     this.parts.tellOverload()
   }
--- a/packages/daemon/src/gateway/loadExchange.ts
+++ b/packages/daemon/src/gateway/loadExchange.ts
@@ -28,6 +28,8 @@
 const REPORT_BYTES = 110
 /** and a sign of life. */
 const SIGN_BYTES = 80
+/** An instance that stays overloaded tells it this often in a small fleet. */
+export const OVERLOAD_NEWS_MILLISECONDS: Milliseconds = 1_000
 /** An instance with nothing new gives a sign of life this often, */
 const SIGN_MILLISECONDS = 250
 /** and counts as silent when this many of them are missing. */
@@ -94,6 +96,7 @@
   private urgentTimer: Timer | undefined
   private sentAt: Milliseconds = Number.NEGATIVE_INFINITY
   private signedAt: Milliseconds = Number.NEGATIVE_INFINITY
+  private overloadToldAt: Milliseconds = Number.NEGATIVE_INFINITY
   /** An instance that is heard of was heard of within this time; reckoned at each report. */
   silenceMilliseconds: Milliseconds = MISSING_SIGNS * SIGN_MILLISECONDS
   /** Addresses to which the last report went. */
@@ -139,11 +142,19 @@
     this.tellAll(adviceReportsOf(news, this.parts.identity))
   }
 
-  /** Tells all others that this instance gets more than it bears. */
+  /** Tells all others that this instance gets more than it bears, unless it did lately. */
   tellOverload(): void {
+    const now = this.parts.clock.monotonic()
+    if (now - this.overloadToldAt < this.overloadNewsMilliseconds) return
+    this.overloadToldAt = now
     this.tellAll(overloadReports(this.parts.identity))
   }
 
+  /** The news grows rarer with the number of instances that get it, as signs of life do: each may cost as much. */
+  get overloadNewsMilliseconds(): Milliseconds {
+    return Math.max(OVERLOAD_NEWS_MILLISECONDS, this.signSpan)
+  }
+
   private tellAll(reports: readonly PeerLoadReport[]): void {
     const peers = [...this.parts.usingPeers(), ...this.parts.idlePeers()]
     for (const report of reports) this.sendTo(peers, report)
@@ -167,9 +178,13 @@
 
   /** All instances know about the same number of others, and so the interval of their signs. */
   private get signInterval(): Milliseconds {
+    return Math.max(SIGN_MILLISECONDS, this.interval, this.signSpan)
+  }
+
+  /** Time in which the bytes for signs suffice for one to each other instance. */
+  private get signSpan(): Milliseconds {
     const peers = this.parts.usingPeers().length + this.parts.idlePeers().length
-    const slowed = (peers * SIGN_BYTES * 1000) / SIGN_BYTES_PER_SECOND
-    return Math.max(SIGN_MILLISECONDS, this.interval, slowed)
+    return (peers * SIGN_BYTES * 1000) / SIGN_BYTES_PER_SECOND
   }
 
   private sendReport(): void {
--- a/packages/daemon/src/gateway/overloadNews.ts
+++ b/packages/daemon/src/gateway/overloadNews.ts
@@ -10,10 +10,8 @@
 
 /** Entries of a report are named for endpoints, and no endpoint has a blank in its id. */
 const OVERLOADED_ENTRY = 'instance overloaded'
-/** Time between two datagrams of an instance that stays overloaded. */
-export const OVERLOADED_NEWS_MILLISECONDS: Milliseconds = 1_000
-/** An instance counts as overloaded for so long after its last one: two may be lost. */
-const BELIEVED_MILLISECONDS: Milliseconds = 3_500
+/** An instance counts as overloaded for so many intervals of its news: two may be lost. */
+const BELIEVED_INTERVALS = 3.5
 
 /** The reports that tell that this instance is overloaded. */
 export function overloadReports(
@@ -34,7 +32,11 @@
 export class OverloadedInstances {
   private readonly toldAt = new Map<string, Milliseconds>()
 
-  constructor(private readonly clock: Clock) {}
+  constructor(
+    private readonly clock: Clock,
+    /** Time between two datagrams of an instance that stays overloaded. */
+    private readonly newsMilliseconds: () => Milliseconds,
+  ) {}
 
   /** An instance told it. */
   note(instance: string): void {
@@ -45,7 +47,8 @@
   has(instance: string): boolean {
     const toldAt = this.toldAt.get(instance)
     if (toldAt === undefined) return false
-    if (this.clock.monotonic() - toldAt < BELIEVED_MILLISECONDS) return true
+    const believed = BELIEVED_INTERVALS * this.newsMilliseconds()
+    if (this.clock.monotonic() - toldAt < believed) return true
     this.toldAt.delete(instance)
     return false
   }
