fix(router, decisions): a request is suspected from the break on, not from the end of the looks on

Evidence: lines of three instances beside 24 busy processes on 8 cores: break at 47 ms, second try sent as any other at 267, looks over at 299, told within 1 to 40 ms. So the looks, 250 to 360 ms there, were late, not the news. Change: a break counts at once on all instances: its request goes to the endpoint of its hash, and waits (3001) while that one is looked at; others go elsewhere meanwhile. Forgotten when the look shows life, or after a second. News of it is a field and an entry that earlier versions pass over. Ruled out: letting the suspected request go on to the next endpoint of its order while its own is looked at (third end of a play beside load).

--- a/packages/daemon/__tests__/crashNews.spec.ts
+++ b/packages/daemon/__tests__/crashNews.spec.ts
@@ -27,6 +27,17 @@
     expect(received(NEWS)).toEqual([NEWS])
   })
 
+  it('tells of requests whose endpoints are looked at, in entries that an earlier version passes over', () => {
+    const suspected = NEWS.marks
+    const news: CrashNews = { marks: [], cleared: [], suspected }
+    expect(received(news)).toEqual([news])
+    const [report] = reportsOf(news, SENDER)
+    expect(report?.loads.map(({ endpoint }) => endpoint)).toEqual([
+      'suspected endpoint-1@17',
+      'suspected endpoint-1@17',
+    ])
+  })
+
   it('has the form of a report that an earlier version reads and drops as too late', () => {
     const [report] = reportsOf(NEWS, SENDER)
     expect(report && encodeReport(report).toString()).toMatchInlineSnapshot(
--- a/packages/daemon/src/gateway/crashNews.ts
+++ b/packages/daemon/src/gateway/crashNews.ts
@@ -11,6 +11,7 @@
 const NEWS_SEQUENCE = 0
 /** Entries of a report are named for endpoints, and no endpoint has a blank in its id. */
 const ENDED_PREFIX = 'ended '
+const SUSPECTED_PREFIX = 'suspected '
 const CLEARED_PREFIX = 'cleared '
 const AWAY_PREFIX = 'away '
 /** Entries in one datagram: it stays under 1,300 bytes with ids of 40 characters. */
@@ -30,7 +31,9 @@
   identity: Pick<PeerLoadReport, 'instance' | 'incarnation'>,
 ): readonly PeerLoadReport[] {
   const away = (news.away ?? []).map(awayEntry)
-  const entries = [...news.marks.map(endedEntry), ...news.cleared.map(clearedEntry), ...away]
+  const suspected = (news.suspected ?? []).map(mark => markEntry(SUSPECTED_PREFIX, mark))
+  const marks = news.marks.map(mark => markEntry(ENDED_PREFIX, mark))
+  const entries = [...marks, ...suspected, ...news.cleared.map(clearedEntry), ...away]
   return newsReports(entries, identity)
 }
 
@@ -50,9 +53,11 @@
 /** What such a report tells; entries of any other kind are passed over. */
 export function newsOf({ loads }: PeerLoadReport): CrashNews {
   const away = loads.flatMap(({ endpoint }) => awayOf(endpoint))
+  const suspected = loads.flatMap(entry => marksOf(SUSPECTED_PREFIX, entry))
   return {
     ...(away.length === 0 ? {} : { away }),
-    marks: loads.flatMap(entry => marksOf(entry)),
+    ...(suspected.length === 0 ? {} : { suspected }),
+    marks: loads.flatMap(entry => marksOf(ENDED_PREFIX, entry)),
     cleared: loads.flatMap(({ endpoint, parts }) => {
       if (!endpoint.startsWith(CLEARED_PREFIX)) return []
       const fingerprint = endpoint.slice(CLEARED_PREFIX.length)
@@ -69,9 +74,9 @@
   return name.startsWith(AWAY_PREFIX) ? [asId(name.slice(AWAY_PREFIX.length))] : []
 }
 
-function endedEntry({ fingerprint, start, wasIsolated }: CrashMark): NewsEntry {
+function markEntry(prefix: string, { fingerprint, start, wasIsolated }: CrashMark): NewsEntry {
   const parts = [{ id: fingerprint, tokens: Number(wasIsolated) }]
-  return { endpoint: `${ENDED_PREFIX}${start}`, running: 0, pendingTokens: 0, parts }
+  return { endpoint: `${prefix}${start}`, running: 0, pendingTokens: 0, parts }
 }
 
 function clearedEntry({ fingerprint, starts }: CrashNews['cleared'][number]): NewsEntry {
@@ -79,8 +84,8 @@
   return { endpoint: `${CLEARED_PREFIX}${fingerprint}`, running: 0, pendingTokens: 0, parts }
 }
 
-function marksOf({ endpoint, parts }: NewsEntry): readonly CrashMark[] {
-  if (!endpoint.startsWith(ENDED_PREFIX)) return []
-  const start = asId<CrashMark['start']>(endpoint.slice(ENDED_PREFIX.length))
+function marksOf(prefix: string, { endpoint, parts }: NewsEntry): readonly CrashMark[] {
+  if (!endpoint.startsWith(prefix)) return []
+  const start = asId<CrashMark['start']>(endpoint.slice(prefix.length))
   return parts.map(({ id, tokens }) => ({ fingerprint: asId(id), start, wasIsolated: tokens > 0 }))
 }
--- a/packages/decisions/src/retrying/crashSuspicion.ts
+++ b/packages/decisions/src/retrying/crashSuspicion.ts
@@ -23,8 +23,8 @@
 
 import type { EndpointStart, RequestFingerprint } from '@rackwalk/shared'
 
-/** What to do with a request. */
-export type CrashVerdict = 'send' | 'isolate' | 'refuse'
+/** What to do with a request; `wait` holds while it is looked at an endpoint that it may have ended. */
+export type CrashVerdict = 'send' | 'isolate' | 'wait' | 'refuse'
 
 /** An endpoint ended while a request was there and had no part of an answer. */
 export interface CrashMark {
@@ -44,6 +44,8 @@
 export interface CrashNews {
   readonly marks: readonly CrashMark[]
   readonly cleared: readonly ClearedRequest[]
+  /** Requests that were broken off by endpoints at which it is looked now. */
+  readonly suspected?: readonly CrashMark[]
   /** Starts behind whose address something listens that did not answer a moment ago. */
   readonly away?: readonly EndpointStart[]
 }
--- /dev/null
+++ b/packages/router/__tests__/crashGuard.spec.ts
@@ -0,0 +1,90 @@
+import { describe, expect, it } from 'vitest'
+import type { CrashNews, EndSign } from '@rackwalk/decisions'
+import { CrashGuard } from '@rackwalk/router'
+import { VirtualClock, deferred, asId, endpointStart } from '@rackwalk/shared'
+import type { Deferred, EndpointId, RequestFingerprint } from '@rackwalk/shared'
+
+/**
+ * A request that ends engines came again while it was looked at the first one, and cost another engine with each try, since it
+ * was suspected only when the look was over.
+ */
+
+const FINGERPRINT = asId<RequestFingerprint>('fingerprint-of-it')
+const SCOPE = FINGERPRINT.slice(0, 6)
+
+/** Two instances that tell each other at once; a look shows what the test decides. */
+function setUp() {
+  const clock = new VirtualClock()
+  const looks: Deferred<EndSign>[] = []
+  const guards: CrashGuard[] = []
+  const createGuard = () =>
+    new CrashGuard({
+      clock,
+      probe: () => {
+        const look = deferred<EndSign>()
+        looks.push(look)
+        return look.promise
+      },
+      onEnd: () => {},
+      onUnreachable: () => {},
+      onNews: (news: CrashNews) => guards[1]?.observe(news),
+      onVerdict: () => {},
+    })
+  guards.push(createGuard(), createGuard())
+  const [first, second] = guards as [CrashGuard, CrashGuard]
+  const breakOff = (id: string, wasIsolated: boolean) => {
+    const endpoint = {
+      id,
+      start: endpointStart(id, 1),
+      service: 'models',
+      address: '127.0.0.1:1',
+      statePath: '/load',
+      leavesAsPlanned: false,
+      hasEnded: false,
+      heardAt: () => Number.NEGATIVE_INFINITY,
+    }
+    return first.noteBroken(endpoint, { fingerprint: FINGERPRINT, wasIsolated })
+  }
+  const verdicts = () => [first.verdict(FINGERPRINT), second.verdict(FINGERPRINT)]
+  return { clock, looks, first, second, breakOff, verdicts }
+}
+
+describe('a request that an endpoint broke off', () => {
+  it('is suspected everywhere from then on, and not from the end of the look on', () => {
+    const { second, breakOff, verdicts } = setUp()
+    expect([verdicts(), second.mayConcern(SCOPE)]).toEqual([['send', 'send'], false])
+    void breakOff('endpoint-1', false)
+    expect([verdicts(), second.mayConcern(SCOPE)]).toEqual([['isolate', 'isolate'], true])
+  })
+
+  it('waits while it is looked at the endpoint that it was sent to as suspected', async () => {
+    const { looks, breakOff, verdicts } = setUp()
+    const isKnown = breakOff('endpoint-1', true)
+    expect(verdicts()).toEqual(['wait', 'wait'])
+    looks[0]?.resolve('nobody-listens')
+    expect(await isKnown).toBe(true)
+    expect(verdicts()).toEqual(['refuse', 'refuse'])
+  })
+
+  it('is like any other when its endpoint lives, at once here and soon elsewhere', async () => {
+    const { clock, looks, breakOff, verdicts } = setUp()
+    const isKnown = breakOff('endpoint-1', true)
+    looks[0]?.resolve('lives')
+    expect(await isKnown).toBe(false)
+    expect(verdicts()[0]).toBe('send')
+    await clock.advance(1_000)
+    expect(verdicts()).toEqual(['send', 'send'])
+  })
+
+  it('leaves others at other endpoints until the look is over', async () => {
+    const { looks, first, second, breakOff } = setUp()
+    const ids = ['endpoint-1', 'endpoint-2'].map(id => asId<EndpointId>(id))
+    const isKnown = breakOff('endpoint-1', false)
+    expect(first.withoutLookedAt(ids, id => id)).toEqual(['endpoint-2'])
+    expect(second.withoutLookedAt(ids, id => id)).toEqual(['endpoint-2'])
+    expect(second.withoutLookedAt(ids.slice(0, 1), id => id)).toEqual(['endpoint-1'])
+    looks[0]?.resolve('lives')
+    await isKnown
+    expect(first.withoutLookedAt(ids, id => id)).toEqual(ids)
+  })
+})
--- a/packages/router/__tests__/endpointEnds.spec.ts
+++ b/packages/router/__tests__/endpointEnds.spec.ts
@@ -39,6 +39,8 @@
     },
     onEnd: end => told.push(end),
     onAway: () => {},
+    onLook: () => {},
+    onLooked: () => {},
   })
   const directory = new EndpointDirectory({
     clock,
--- a/packages/router/src/crashes/crashGuard.ts
+++ b/packages/router/src/crashes/crashGuard.ts
@@ -3,9 +3,9 @@
  * decisions/retrying/crashSuspicion, the search for ends in endpointEnds. Others are told by whoever made the guard.
  */
 
-import { CrashSuspicions } from '@rackwalk/decisions'
+import { CrashSuspicions, UnjudgedBreaks } from '@rackwalk/decisions'
 import type { CrashMark, CrashNews, CrashVerdict, EndSign } from '@rackwalk/decisions'
-import type { Clock, EndpointStart, RequestFingerprint } from '@rackwalk/shared'
+import type { Clock, EndpointId, EndpointStart, RequestFingerprint } from '@rackwalk/shared'
 import { EndpointEnds } from './endpointEnds.js'
 import type { BreakingEndpoint, BrokenRequest, EndpointEnd } from './endpointEnds.js'
 import type { ProbedEndpoint } from './endpointProbe.js'
@@ -27,6 +27,8 @@
 /** What one instance knows of requests that end endpoints. */
 export class CrashGuard {
   private readonly suspicions = new CrashSuspicions()
+  /** What is not known yet: breaks at which it is looked, here or at another instance. */
+  private readonly unjudged = new UnjudgedBreaks()
   private readonly ends: EndpointEnds
 
   constructor(private readonly parts: CrashGuardParts) {
@@ -34,6 +36,8 @@
       ...parts,
       onEnd: end => this.noteEnd(end),
       onAway: start => this.noteAway(start),
+      onLook: (start, request) => this.noteLook({ ...request, start }),
+      onLooked: start => this.unjudged.forget(start),
     })
   }
 
@@ -43,7 +47,22 @@
 
   /** Whether a request may be suspected, by what is known of it without its body. */
   mayConcern(scope: string): boolean {
-    return this.suspicions.mayConcern(scope)
+    const now = this.parts.clock.monotonic()
+    return this.suspicions.mayConcern(scope) || this.unjudged.mayConcern(scope, now)
+  }
+
+  /** Those at which it is not looked whether they ended, or all where there is no other. */
+  withoutLookedAt<Endpoint>(
+    endpoints: readonly Endpoint[],
+    idOf: (endpoint: Endpoint) => EndpointId,
+  ): readonly Endpoint[] {
+    const others = endpoints.filter(endpoint => !this.isLookedAt(idOf(endpoint)))
+    return others.length === 0 ? endpoints : others
+  }
+
+  /** Whether it is looked, here or at another instance, whether an endpoint has ended. */
+  isLookedAt(endpoint: EndpointId): boolean {
+    return this.unjudged.concerns(endpoint, this.parts.clock.monotonic())
   }
 
   /** Requests that are refused. */
@@ -62,7 +81,10 @@
   }
 
   verdict(fingerprint: RequestFingerprint): CrashVerdict {
-    return this.suspicions.verdict(fingerprint)
+    const known = this.suspicions.verdict(fingerprint)
+    if (known === 'refuse') return known
+    const unjudged = this.unjudged.verdict(fingerprint, this.parts.clock.monotonic())
+    return unjudged === 'send' ? known : unjudged
   }
 
   /** An endpoint broke a request off before any part of an answer; resolves with whether it is known to have ended. */
@@ -102,6 +124,10 @@
     return this.marksOf(fingerprint).map(({ start }) => start)
   }
 
+  private noteLook(mark: CrashMark): void {
+    this.share({ marks: [], cleared: [], suspected: [mark] })
+  }
+
   private noteAway(start: EndpointStart): void {
     this.share({ marks: [], cleared: [], away: [start] })
   }
@@ -119,7 +145,10 @@
     this.parts.onNews(news)
   }
 
-  private take({ marks, cleared, away = [] }: CrashNews): void {
+  private take({ marks, cleared, away = [], suspected = [] }: CrashNews): void {
+    const now = this.parts.clock.monotonic()
+    for (const mark of suspected) this.unjudged.note(mark, now)
+    for (const { start } of marks) this.unjudged.forget(start)
     for (const start of away) this.parts.onUnreachable(start)
     for (const mark of marks) {
       this.watchVerdict(mark.fingerprint, () => this.noteMark(mark))
@@ -134,9 +163,9 @@
   }
 
   private watchVerdict(fingerprint: RequestFingerprint, change: () => void): void {
-    const wasRefused = this.verdict(fingerprint) === 'refuse'
+    const wasRefused = this.suspicions.verdict(fingerprint) === 'refuse'
     change()
-    const isRefused = this.verdict(fingerprint) === 'refuse'
+    const isRefused = this.suspicions.verdict(fingerprint) === 'refuse'
     if (isRefused !== wasRefused) this.parts.onVerdict(fingerprint, isRefused)
   }
 }
--- a/packages/router/src/crashes/endpointEnds.ts
+++ b/packages/router/src/crashes/endpointEnds.ts
@@ -47,6 +47,10 @@
   readonly clock: Clock
   readonly probe: (endpoint: ProbedEndpoint) => Promise<EndSign>
   readonly onEnd: (end: EndpointEnd) => void
+  /** A request was broken off, and it is looked whether its endpoint has ended. */
+  readonly onLook: (start: EndpointStart, request: BrokenRequest) => void
+  /** The look is over; `onEnd` was called before where it showed an end. */
+  readonly onLooked: (start: EndpointStart) => void
   /** Something listens where a start has ended, and does not answer; told again for as long as that lasts. */
   readonly onAway: (start: EndpointStart) => void
 }
@@ -98,6 +102,7 @@
       this.tell(breaks)
       return true
     }
+    this.parts.onLook(endpoint.start, request)
     breaks.looking ??= this.beginLook(breaks)
     await breaks.looking
     return breaks.hasEnded
@@ -128,8 +133,10 @@
       verdict = await this.lookOnce(breaks)
     }
     breaks.looking = undefined
-    if (verdict !== 'ended' || breaks.hasEnded) return
-    this.end(breaks)
+    const isEnd = verdict === 'ended' && !breaks.hasEnded
+    if (isEnd) this.end(breaks)
+    this.parts.onLooked(breaks.endpoint.start)
+    if (!isEnd) return
     if (breaks.signs.at(-1) === 'does-not-answer') void this.watchReturn(breaks)
   }
 
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -16,6 +16,7 @@
 import type { PrepaidLedger, PrepaidReservation, RefusedOutcome } from '@rackwalk/coordination'
 import { readBody } from '../readBody.js'
 import { announcedBytes } from '../refusedBodies.js'
+import { crashRefusal } from '../crashes/crashRefusal.js'
 import { requestFingerprint, requestScope } from '../crashes/requestFingerprint.js'
 import { CallerReply } from './callerReply.js'
 import type { Dialect, RequestMetadata } from './dialect.js'
@@ -182,8 +183,8 @@
     const request = { path, team: team?.name, body }
     if (!crashes.mayConcern(requestScope(request))) return
     record.fingerprint = requestFingerprint(request)
-    if (crashes.verdict(record.fingerprint) !== 'refuse') return
-    throw new NotRunError(ResultCode.EndsEndpoints)
+    const refusal = crashRefusal(crashes.verdict(record.fingerprint))
+    if (refusal !== undefined) throw refusal
   }
 
   private noteLateness(route: GatewayRoute, record: GatewayRecord): void {
