--- a/packages/decisions/src/admitting/linkBudget.ts
+++ b/packages/decisions/src/admitting/linkBudget.ts
@@ -17,8 +17,7 @@
 
 /**
  * Part of the link that the bodies of requests may take in: each goes out again to an endpoint, and a
- * third of the link stays for the rest. Measured on a played day: with 0.6 an instance whose callers
- * sent 0.9 of its link refused 15 of some 900 requests, and went on losing connections.
+ * third of the link stays for the rest.
  */
 const LINK_SHARE = 0.35
 /** Bodies that may come at once, as the time in which the budget refills: a burst, no queue. */
