fix(router, decisions): nothing is refused for a break at which it is still looked

A suspected request waited (3001) while its endpoint was looked at, and endpoints that broke something off were left alone meanwhile, though they lived. Like requests of innocent callers were refused for it: gateway.spec "goes once to an address that something else has taken" (6 of 12 sent) and requestPath.spec "gives a leaving engine nothing new" failed; both pass on. Change: a break only makes its request go to the one endpoint that its hash names, at once and on all instances; no `wait`, nobody else kept away. Tries that follow find that endpoint ended and cost no other. Ruled out: keeping `wait` and sending news when a look shows life, since other instances would still delay like requests of innocent callers.

--- a/packages/decisions/src/retrying/crashSuspicion.ts
+++ b/packages/decisions/src/retrying/crashSuspicion.ts
@@ -23,8 +23,8 @@
 
 import type { EndpointStart, RequestFingerprint } from '@rackwalk/shared'
 
-/** What to do with a request; `wait` holds while it is looked at an endpoint that it may have ended. */
-export type CrashVerdict = 'send' | 'isolate' | 'wait' | 'refuse'
+/** What to do with a request. */
+export type CrashVerdict = 'send' | 'isolate' | 'refuse'
 
 /** An endpoint ended while a request was there and had no part of an answer. */
 export interface CrashMark {
--- a/packages/router/src/crashes/crashGuard.ts
+++ b/packages/router/src/crashes/crashGuard.ts
@@ -5,7 +5,7 @@
 
 import { CrashSuspicions, UnjudgedBreaks } from '@rackwalk/decisions'
 import type { CrashMark, CrashNews, CrashVerdict, EndSign } from '@rackwalk/decisions'
-import type { Clock, EndpointId, EndpointStart, RequestFingerprint } from '@rackwalk/shared'
+import type { Clock, EndpointStart, RequestFingerprint } from '@rackwalk/shared'
 import { EndpointEnds } from './endpointEnds.js'
 import type { BreakingEndpoint, BrokenRequest, EndpointEnd } from './endpointEnds.js'
 import type { ProbedEndpoint } from './endpointProbe.js'
@@ -51,20 +51,6 @@
     return this.suspicions.mayConcern(scope) || this.unjudged.mayConcern(scope, now)
   }
 
-  /** Those at which it is not looked whether they ended, or all where there is no other. */
-  withoutLookedAt<Endpoint>(
-    endpoints: readonly Endpoint[],
-    idOf: (endpoint: Endpoint) => EndpointId,
-  ): readonly Endpoint[] {
-    const others = endpoints.filter(endpoint => !this.isLookedAt(idOf(endpoint)))
-    return others.length === 0 ? endpoints : others
-  }
-
-  /** Whether it is looked, here or at another instance, whether an endpoint has ended. */
-  isLookedAt(endpoint: EndpointId): boolean {
-    return this.unjudged.concerns(endpoint, this.parts.clock.monotonic())
-  }
-
   /** Requests that are refused. */
   get refusedCount(): number {
     return this.suspicions.refusedCount
@@ -82,9 +68,9 @@
 
   verdict(fingerprint: RequestFingerprint): CrashVerdict {
     const known = this.suspicions.verdict(fingerprint)
-    if (known === 'refuse') return known
-    const unjudged = this.unjudged.verdict(fingerprint, this.parts.clock.monotonic())
-    return unjudged === 'send' ? known : unjudged
+    if (known !== 'send') return known
+    const isUnjudged = this.unjudged.has(fingerprint, this.parts.clock.monotonic())
+    return isUnjudged ? 'isolate' : known
   }
 
   /** An endpoint broke a request off before any part of an answer; resolves with whether it is known to have ended. */
--- a/packages/router/src/filters/screen.ts
+++ b/packages/router/src/filters/screen.ts
@@ -2,8 +2,8 @@
  * Has this request ended endpoints? One that is known to is refused before a key, a place or tokens are taken for it.
  */
 
+import { NotRunError, ResultCode } from '@rackwalk/shared'
 import type { CrashGuard } from '../crashes/crashGuard.js'
-import { crashRefusal } from '../crashes/crashRefusal.js'
 import type { Filter, ParsedRequest } from './stages.js'
 
 /** Refuses requests that end endpoints. */
@@ -13,8 +13,7 @@
   async apply(request: ParsedRequest): Promise<ParsedRequest> {
     const { crashFingerprint } = request
     if (crashFingerprint === undefined) return request
-    const refusal = crashRefusal(this.crashes.verdict(crashFingerprint))
-    if (refusal !== undefined) throw refusal
-    return request
+    if (this.crashes.verdict(crashFingerprint) !== 'refuse') return request
+    throw new NotRunError(ResultCode.EndsEndpoints)
   }
 }
--- a/packages/router/src/gateway/attemptChoice.ts
+++ b/packages/router/src/gateway/attemptChoice.ts
@@ -5,7 +5,6 @@
 
 import { rankEndpoints, rendezvousChoice, soonestRefusal } from '@rackwalk/decisions'
 import type { CrashVerdict, NoChoice } from '@rackwalk/decisions'
-import { endpointOf } from '@rackwalk/shared'
 import type { Clock, EndpointStart, RandomSource, RequestFingerprint } from '@rackwalk/shared'
 import type { SendPermits } from '../advice/sendPermits.js'
 import type { CrashGuard } from '../crashes/crashGuard.js'
@@ -72,10 +71,12 @@
     const free = available.filter(({ hasRoom, start }) => hasRoom && !this.tried.has(start))
     const open = free.filter(endpoint => this.parts.permits.takes(endpoint))
     this.verdict = this.isSuspect ? this.parts.crashes.verdict(this.fingerprint) : 'send'
-    if (this.verdict === 'refuse' && !mayHaveRun) this.noChoice = { kind: 'crashing' }
-    if (this.verdict === 'refuse' || this.verdict === 'wait') return undefined
-    if (this.verdict === 'isolate' && open.length > 0) return this.chooseIsolated(open)
-    const chosen = this.chooseBest(available, open)
+    if (this.verdict === 'refuse') {
+      if (!mayHaveRun) this.noChoice = { kind: 'crashing' }
+      return undefined
+    }
+    const isIsolated = this.verdict === 'isolate' && open.length > 0
+    const chosen = isIsolated ? this.chooseIsolated(open) : this.chooseBest(available, open)
     const isFirst = this.tried.size === 0
     if (chosen === undefined && isFirst) this.noChoice = this.whyNone(available, free)
     return chosen
@@ -114,10 +115,9 @@
 
   private chooseBest(
     available: readonly EndpointState[],
-    free: readonly EndpointState[],
+    open: readonly EndpointState[],
   ): ChosenEndpoint | undefined {
-    const { fleetLoad, clock, crashes, random, failureDomain } = this.parts
-    const open = crashes.withoutLookedAt(free, ({ start }) => endpointOf(start))
+    const { fleetLoad, clock, random, failureDomain } = this.parts
     const { metadata } = this.request
     const now = clock.monotonic()
     const ranked = rankEndpoints({
@@ -135,17 +135,12 @@
     return { endpoint, score: best.score, compared: ranked.length }
   }
 
-  /** The one among these at which all instances try a suspected request; undefined while it is looked at that one. */
+  /** The one among these at which all instances try a suspected request. */
   private chooseIsolated(open: readonly EndpointState[]): ChosenEndpoint | undefined {
     const ids = open.map(({ record }) => record.id)
     const id = rendezvousChoice(this.fingerprint, ids)
     const endpoint = open.find(({ record }) => record.id === id)
-    if (endpoint === undefined || this.isLookedAt(endpoint)) return undefined
-    return { endpoint, score: 0, compared: open.length }
-  }
-
-  private isLookedAt({ start }: EndpointState): boolean {
-    return this.parts.crashes.isLookedAt(endpointOf(start))
+    return endpoint && { endpoint, score: 0, compared: open.length }
   }
 
   /** Why nothing was open, given the endpoints that are available and those of them that are not full. */
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -16,7 +16,6 @@
 import type { PrepaidLedger, PrepaidReservation, RefusedOutcome } from '@rackwalk/coordination'
 import { readBody } from '../readBody.js'
 import { announcedBytes } from '../refusedBodies.js'
-import { crashRefusal } from '../crashes/crashRefusal.js'
 import { requestFingerprint, requestScope } from '../crashes/requestFingerprint.js'
 import { CallerReply } from './callerReply.js'
 import type { Dialect, RequestMetadata } from './dialect.js'
@@ -183,8 +182,8 @@
     const request = { path, team: team?.name, body }
     if (!crashes.mayConcern(requestScope(request))) return
     record.fingerprint = requestFingerprint(request)
-    const refusal = crashRefusal(crashes.verdict(record.fingerprint))
-    if (refusal !== undefined) throw refusal
+    if (crashes.verdict(record.fingerprint) !== 'refuse') return
+    throw new NotRunError(ResultCode.EndsEndpoints)
   }
 
   private noteLateness(route: GatewayRoute, record: GatewayRecord): void {
--- a/packages/router/src/routing/endpointRouter.ts
+++ b/packages/router/src/routing/endpointRouter.ts
@@ -4,10 +4,10 @@
  */
 
 import { rendezvousChoice } from '@rackwalk/decisions'
-import type { EndpointId, NotRunError, RandomSource } from '@rackwalk/shared'
+import { NotRunError, ResultCode } from '@rackwalk/shared'
+import type { EndpointId, RandomSource } from '@rackwalk/shared'
 import type { RoutingRecord } from '../decisionRecord.js'
 import type { CrashGuard } from '../crashes/crashGuard.js'
-import { crashRefusal, waitingRefusal } from '../crashes/crashRefusal.js'
 import type { ParsedRequest } from '../filters/stages.js'
 import type { Catalogue } from '../resources/catalogue.js'
 import type { EndpointTable } from './endpointTable.js'
@@ -49,8 +49,7 @@
     const isolated = this.isolate(request, untried)
     if (isolated !== undefined) return this.note(request, ISOLATING_POLICY, isolated, hashes)
     const policy = this.policyFor(request)
-    const open = this.parts.crashes.withoutLookedAt(untried, ({ endpointId }) => endpointId)
-    const choice = policy.choose(open, this.demandOf(request), this.parts.random)
+    const choice = policy.choose(untried, this.demandOf(request), this.parts.random)
     if (choice === undefined) throw noCandidateError(this.parts, request)
     return this.note(request, policy.name, choice, hashes)
   }
@@ -58,10 +57,9 @@
   /** Why no endpoint may get the request now, tried or not; undefined where one may, or where there is none. */
   refusal(request: ParsedRequest): NotRunError | undefined {
     const { crashFingerprint } = request
-    const verdict =
-      crashFingerprint === undefined ? 'send' : this.parts.crashes.verdict(crashFingerprint)
-    const crashing = crashRefusal(verdict)
-    if (crashing !== undefined) return crashing
+    const endsEndpoints =
+      crashFingerprint !== undefined && this.parts.crashes.verdict(crashFingerprint) === 'refuse'
+    if (endsEndpoints) return new NotRunError(ResultCode.EndsEndpoints)
     if (this.candidates(request, []).length > 0) return undefined
     return refusalByAdvice(this.parts, request)
   }
@@ -73,15 +71,11 @@
   ): EndpointChoice | undefined {
     if (crashFingerprint === undefined) return undefined
     const verdict = this.parts.crashes.verdict(crashFingerprint)
-    const crashing = crashRefusal(verdict)
-    if (crashing !== undefined) throw crashing
+    if (verdict === 'refuse') throw new NotRunError(ResultCode.EndsEndpoints)
     if (verdict === 'send') return undefined
     const ids = untried.map(({ endpointId }) => endpointId)
     const endpointId = rendezvousChoice(crashFingerprint, ids)
-    if (endpointId === undefined) return undefined
-    // Another one would be lost to it as well.
-    if (this.parts.crashes.isLookedAt(endpointId)) throw waitingRefusal()
-    return { endpointId, compared: [] }
+    return endpointId === undefined ? undefined : { endpointId, compared: [] }
   }
 
   private note(
