fix(router, daemon): bounds of a refused body cut no earlier answer of its connection off

A request that is refused behind another one on its connection began the time for its body at once, and the connection ended after 3 s with the earlier answer still in progress. Change: the bounds begin when the refusal's turn comes; a body that has come to its end closes its connection after what is written, and the OpenAI-style kind waits for the end of every refusal that ends with its answer. Test: refusedBodies.spec "cuts no earlier answer of its connection off", red before (no answer came in 3.0 s). Ruled out: no bound for such connections, which a caller could keep for ever.

--- a/packages/daemon/src/callers/httpCallerConnection.ts
+++ b/packages/daemon/src/callers/httpCallerConnection.ts
@@ -39,8 +39,9 @@
 
   refuse(refusal: RefusalAfter): Promise<void> {
     if (this.response.destroyed) return Promise.resolve()
-    const isEnding = this.refusedBodies.refuse(this.response, refusal) !== 'closed'
-    return isEnding ? this.settled(['finish', 'close']) : Promise.resolve()
+    this.refusedBodies.refuse(this.response, refusal)
+    // One whose body is still coming stays open for a while, and nobody waits for that.
+    return this.response.writableEnded ? this.settled(['finish', 'close']) : Promise.resolve()
   }
 
   write(chunk: Buffer): boolean {
--- a/packages/router/__tests__/refusedBodies.spec.ts
+++ b/packages/router/__tests__/refusedBodies.spec.ts
@@ -12,6 +12,8 @@
 
 const LINK_BYTES_PER_SECOND = 1_000_000
 const REFUSAL = { status: 503, headers: { 'content-length': '2' }, body: Buffer.from('no') }
+/** Longer than a connection with a refused body is kept. */
+const SLOW_MILLISECONDS = 3_500
 /** What a socket and the parser hold of a body that is not read on. */
 const BUFFERED_BYTES = 262_144
 
@@ -36,7 +38,8 @@
   server = createServer((request, response) => {
     const refuse = () => refusedBodies.refuse(response, () => REFUSAL)
     const accept = (body: Buffer) => response.end(`read ${body.length}`)
-    if (request.url === '/refused') refuse()
+    if (request.url === '/slow') setTimeout(accept, SLOW_MILLISECONDS, Buffer.of())
+    else if (request.url === '/refused') refuse()
     else void readBody(request, 100_000, 1_000, clock).then(accept, refuse)
   })
   continueWhenRead(server)
@@ -162,6 +165,17 @@
     expect(bytesInVain).toBeLessThan(BUFFERED_BYTES)
   })
 
+  it('cuts no earlier answer of its connection off', async () => {
+    const connection = new Connection()
+    connection.send(`GET /slow HTTP/1.1\r\nHost: a\r\n\r\n${head('/refused', CHUNKED)}`)
+    const sending = setInterval(() => connection.send(chunk(1_000)), 100)
+    await connection.ended
+    clearInterval(sending)
+    expect(connection.statuses).toEqual(['200', '503'])
+    expect(connection.text).toContain('read 0')
+    expect(connection.text.endsWith('no')).toBe(true)
+  })
+
   it('ends a connection whose body comes a byte at a time', async () => {
     const connection = new Connection()
     connection.send(head('/refused', lengthOf(3_000)))
--- a/packages/router/src/refusedBodies.ts
+++ b/packages/router/src/refusedBodies.ts
@@ -80,23 +80,23 @@
   /** The connection is read again after the hold; its caller may send the next request meanwhile. */
   private sendAndRead(response: ServerResponse, refusal: RefusalAfter, hold: Milliseconds): void {
     const { req: request } = response
-    const { socket } = request
     const size = sizeOf(request)
     this.charge(size ?? 0)
     if (request.complete) this.parts.counters.noteBytesInVain(size ?? 0)
     const isDone = request.complete && hold === 0
-    if (!isDone) {
-      const finish = this.keepUnread(socket, hold + REFUSED_BODY_MILLISECONDS)
-      if (!request.complete) {
-        this.readInVain(request, finish)
-      }
-      holdReading(socket, this.parts.clock, hold, () => {
-        if (request.complete) finish()
-      })
-    }
+    if (!isDone) whenItsTurn(response, () => this.readLater(request, hold))
     send(response, refusal(returnAfterSeconds(hold)))
   }
 
+  private readLater(request: IncomingMessage, hold: Milliseconds): void {
+    const { socket } = request
+    const finish = this.keepUnread(socket, hold + REFUSED_BODY_MILLISECONDS)
+    if (!request.complete) this.readInVain(request, finish)
+    holdReading(socket, this.parts.clock, hold, () => {
+      if (request.complete) finish()
+    })
+  }
+
   /**
    * The caller is told to leave, and has time to take the refusal before the connection ends: a reset that meets bytes
    * still on their way would take the refusal with it.
@@ -111,18 +111,22 @@
       send(response, { ...refusal, headers })
       return
     }
-    const { socket } = request
     this.charge(Math.min(sizeOf(request) ?? REFUSED_BODY_BYTES, REFUSED_BODY_BYTES))
+    whenItsTurn(response, () => this.readSome(request))
+    // An answer that is ended would take the connection with it at once.
+    response.writeHead(refusal.status, headers)
+    response.write(refusal.body, () => request.socket.end())
+  }
+
+  private readSome(request: IncomingMessage): void {
+    const { socket } = request
     this.keepUnread(socket, REFUSED_BODY_MILLISECONDS)
     let bytes: Bytes = 0
     request.on('data', (chunk: Buffer) => {
       bytes += chunk.length
       if (bytes > REFUSED_BODY_BYTES) socket.pause()
     })
-    this.readInVain(request, () => socket.destroy())
-    // An answer that is ended would take the connection with it at once.
-    response.writeHead(refusal.status, headers)
-    response.write(refusal.body, () => socket.end())
+    this.readInVain(request, () => socket.destroySoon())
   }
 
   private charge(bytes: Bytes): void {
@@ -156,6 +160,12 @@
   }
 }
 
+/** Earlier answers of the connection go first, and none is cut off by the bounds of a refused body behind it. */
+function whenItsTurn(response: ServerResponse, run: () => void): void {
+  if (response.socket === null) response.once('socket', run)
+  else run()
+}
+
 function send(response: ServerResponse, { status, headers, body }: Refusal): void {
   response.writeHead(status, headers)
   response.end(body)
