--- a/packages/router/src/gateway/instanceAdmission.ts
+++ b/packages/router/src/gateway/instanceAdmission.ts
@@ -1,7 +1,7 @@
 /**
  * Refuses at once what this instance itself cannot carry: its link, or its processor; holds back what nobody may wait
- * for any more; and sees to the bodies of refused requests. Owns what both still bear, the timer that tells how long ready work waits, and the count of callers
- * that had left; the rules are in decisions/admitting.
+ * for any more; and sees to the bodies of refused requests. Owns what both still bear, the timer that tells how long
+ * ready work waits, and the count of callers that had left; the rules are in decisions/admitting.
  */
 
 import type { IncomingMessage } from 'node:http'
