fix(router, decisions): no refused body is read on and on, whatever the link

What callers could do: a request with a wrong key that announces 200 MB was read to its end (200,000,000 bytes in under two seconds, replayed at the callers' and at the operators' listener). Where the connection ends with the refusal, reading was stopped by pausing the socket, and the request, which was still flowing, resumed it; now the request is paused. Where the connection is kept, the only bound was the link's budget, which covers all of a body where no link is set; now a body over 256 KiB that is still coming ends its connection.

The class: a bound that is kept by one layer and undone by the next, and a bound in time for what costs bytes. Ruled out: the caller's client, which stops by itself only if it ends with the other side; the test leaves its own side open. The test failed before at both listeners (200,000,000 read where 1,000,000 are allowed) and passes now; the tests of refused bodies of both kinds pass.

--- a/packages/decisions/src/admitting/refusedBody.ts
+++ b/packages/decisions/src/admitting/refusedBody.ts
@@ -6,8 +6,8 @@
  *
  * Limits: the refusal itself goes out at once. Its connection is read again when the link's budget has covered the body,
  * which holds back a caller who comes again at once; one who would be held for too long is told to leave the connection
- * instead, so that no answer waits long behind a refused body. A body whose end nobody knows, or that nobody sends before
- * it is asked for, ends its connection.
+ * instead, so that no answer waits long behind a refused body. A body whose end nobody knows, that is larger than a
+ * connection is worth, or that nobody sends before it is asked for, ends its connection.
  */
 
 import type { Bytes, Milliseconds } from '@rackwalk/shared'
@@ -16,6 +16,8 @@
 const LONGEST_HOLD_MILLISECONDS: Milliseconds = 3_000
 /** Connections held or read in vain at a time, so that callers who send slowly can't take all that there are. */
 const MOST_UNREAD_BODIES = 512
+/** Larger bodies that are still coming are not read to keep their connections, however much the link carries. */
+const LARGEST_READ_BYTES: Bytes = 262_144
 
 /** Time within which a refused body has to end, and a caller who was told to leave has to leave. */
 export const REFUSED_BODY_MILLISECONDS: Milliseconds = 3_000
@@ -30,6 +32,8 @@
   readonly endsConnection: boolean
   /** Whether its size was told ahead. */
   readonly isSizeKnown: boolean
+  /** Its size; 0 where it is not known. */
+  readonly bytes: Bytes
   /** Whether all of it has arrived. */
   readonly hasArrived: boolean
   /** Whether its caller sends it only when asked to (`100 Continue`). */
@@ -45,10 +49,15 @@
 /** Decides on one body; `unreadBodies` are those of other connections that are held or read in vain. */
 export function refusedBodyFate(body: RefusedBody, unreadBodies: number): RefusedBodyFate {
   const { hasArrived, waitMilliseconds } = body
-  if (body.endsConnection || body.isPartlyRead || body.isAwaited) return { kind: 'close' }
-  if (!body.isSizeKnown && !hasArrived) return { kind: 'close' }
+  if (body.endsConnection || !isWorthReading(body)) return { kind: 'close' }
   if (waitMilliseconds > LONGEST_HOLD_MILLISECONDS) return { kind: 'close' }
   const isDone = hasArrived && waitMilliseconds === 0
   if (!isDone && unreadBodies >= MOST_UNREAD_BODIES) return { kind: 'close' }
   return { kind: 'read', holdMilliseconds: waitMilliseconds }
 }
+
+/** Whether the rest of the body may be read, so that its connection can go on. */
+function isWorthReading(body: RefusedBody): boolean {
+  if (body.isPartlyRead || body.isAwaited) return false
+  return body.hasArrived || (body.isSizeKnown && body.bytes <= LARGEST_READ_BYTES)
+}
--- a/packages/router/src/refusedBodies.ts
+++ b/packages/router/src/refusedBodies.ts
@@ -66,13 +66,15 @@
 
   private fateOf(request: IncomingMessage, response: ServerResponse): RefusedBodyFate {
     const { clock, link } = this.parts
+    const bytes = sizeOf(request) ?? 0
     const body = {
       endsConnection: !response.shouldKeepAlive,
       isPartlyRead: request.readableDidRead,
       isSizeKnown: announcedBytes(request) !== undefined,
+      bytes,
       hasArrived: request.complete,
       isAwaited: isAwaitingContinue(request),
-      waitMilliseconds: link.refusedWait(sizeOf(request) ?? 0, clock.monotonic()),
+      waitMilliseconds: link.refusedWait(bytes, clock.monotonic()),
     }
     return refusedBodyFate(body, this.unread)
   }
@@ -124,7 +126,8 @@
     let bytes: Bytes = 0
     request.on('data', (chunk: Buffer) => {
       bytes += chunk.length
-      if (bytes > REFUSED_BODY_BYTES) socket.pause()
+      // A socket that is paused alone is read again as soon as the request asks for more.
+      if (bytes > REFUSED_BODY_BYTES) request.pause()
     })
     this.readInVain(request, () => socket.destroySoon())
   }
--- a/packages/stand-ins/__tests__/refusedBodies.spec.ts
+++ b/packages/stand-ins/__tests__/refusedBodies.spec.ts
@@ -19,8 +19,11 @@
   await fleet.stop()
 })
 
-async function startFleet(): Promise<void> {
-  const limits = { linkMegabits: LINK_MEGABITS }
+/** A body of which nobody can wait for the end, and what may be read of one that is refused. */
+const HUGE_BYTES = 200_000_000
+const MOST_READ_BYTES = 1_000_000
+
+async function startFleet(limits: object = { linkMegabits: LINK_MEGABITS }): Promise<void> {
   fleet = await new ConfiguredFleet({ instances: 1, engines: 1, limits }).start()
 }
 
@@ -52,6 +55,31 @@
   return ((answers - CALLERS) * BODY.length * 1_000) / SPAN_MILLISECONDS
 }
 
+/** Sends a body as fast as it is taken, until the connection ends. */
+function sendHugeBody(address: string, path: string): Promise<void> {
+  const { hostname, port } = new URL(address)
+  const chunk = Buffer.alloc(65_536)
+  return new Promise(resolve => {
+    const socket = connect({ port: Number(port), host: hostname, allowHalfOpen: true })
+    const fill = () => {
+      while (socket.writable && socket.bytesWritten < HUGE_BYTES && socket.write(chunk));
+    }
+    socket.on('drain', fill)
+    socket.on('error', () => undefined)
+    socket.on('close', () => resolve())
+    socket.resume()
+    const lines = [`POST ${path} HTTP/1.1`, 'Host: a', `Content-Length: ${HUGE_BYTES}`]
+    socket.write([...lines, 'Authorization: Bearer wrong', '', ''].join('\r\n'), fill)
+  })
+}
+
+/** Bytes of refused bodies that the instance has read. */
+async function bytesRead(): Promise<number> {
+  const response = await fetch(new URL('/metrics', fleet.operators(0)))
+  const text = await response.text()
+  return Number(/^rackwalk_refused_body_bytes_total (\d+)/m.exec(text)?.[1])
+}
+
 describe('bodies of requests with wrong keys', () => {
   it.each([
     ['callers', '/v1/chat/completions'],
@@ -62,6 +90,17 @@
     expect(bytes).toBeLessThan(LINK_BYTES_PER_SECOND)
   })
 
+  it.each([
+    ['callers', '/v1/chat/completions'],
+    ['operators', '/v1/teams'],
+  ] as const)('are not read on and on where no link is set: %s', async (kind, path) => {
+    await startFleet({})
+    const ended = sendHugeBody(fleet[kind](0), path)
+    const timeout = new Promise(resolve => setTimeout(resolve, SPAN_MILLISECONDS))
+    await Promise.race([ended, timeout])
+    expect(await bytesRead()).toBeLessThan(MOST_READ_BYTES)
+  })
+
   it('are not sent where their callers wait to be asked', async () => {
     await startFleet()
     const { hostname, port } = new URL(fleet.callers(0))
