fix(coordination, decisions): a cut allows what callers ask for, and never a whole holding

Cause: whoever is cut off spends by its last row, and after a death all that the row allowed counts as spent, since nobody knows more. The row allowed the whole holding within 8 to 12 s, whether anybody asked for it or not, so a cut of ten seconds and a death took every budget whole. The class: an allowance that grows with what there is instead of with what is asked for.

Now the allowance of a cut is three times the demand at the row and two large requests at once, and runs out towards three quarters of the holding. Stored rows gain cutTokens; rows without it are read as before, and earlier versions that read a row with it assume more, never less.

--- a/packages/coordination/src/prepaid/prepaidRows.ts
+++ b/packages/coordination/src/prepaid/prepaidRows.ts
@@ -50,8 +50,10 @@
   /** after this time, when the store is evidently out of reach, so many at once, */
   readonly cutAfterMilliseconds: Milliseconds
   readonly cutBurst: TokenCount
-  /** and so many a second. */
+  /** and so many a second, */
   readonly cutRate: number
+  /** all together fewer than this. Rows of earlier versions have none, and earlier versions assume more. */
+  readonly cutTokens?: TokenCount | undefined
   /** Tokens a second that its callers ask for; others size their holdings by it. */
   readonly demandPerSecond: number
   /** Tokens that it lacks for a request at hand. */
@@ -120,6 +122,7 @@
   cutAfterMilliseconds: z.number().optional(),
   cutBurst: z.number(),
   cutRate: z.number(),
+  cutTokens: z.number().optional(),
   demandPerSecond: z.number(),
   wanted: z.number(),
 })
@@ -140,6 +143,7 @@
     cutAfterMilliseconds: row.cutAfterMilliseconds,
     cutBurst: row.cutBurst,
     cutRate: row.cutRate,
+    cutTokens: row.cutTokens,
     demandPerSecond: row.demandPerSecond,
     wanted: row.wanted,
   }
--- a/packages/coordination/src/prepaid/writePlan.ts
+++ b/packages/coordination/src/prepaid/writePlan.ts
@@ -5,8 +5,8 @@
 
 import {
   CUT_AFTER_MILLISECONDS,
+  cutAllowance,
   holdingTolerance,
-  plentyOf,
   secondsLeft,
   strictSpan,
   writtenAhead,
@@ -73,19 +73,6 @@
  */
 const LONG_HOLDING_SECONDS = 10
 const SHORT_HOLDING_SECONDS = 2
-/**
- * Times the present spending that a cut allows. Whether a row is old because of a cut or a death
- * cannot be told, so what a cut allows is also what a death loses.
- */
-const CUT_DEMAND_FACTOR = 1
-/**
- * Seconds in which a whole holding could be spent without demand, of a scarce and of a plentiful
- * budget.
- */
-const SCARCE_CUT_SECONDS = 12
-const PLENTY_CUT_SECONDS = 8
-/** Largest requests that may be committed at once in a cut while there is plenty. */
-const PLENTY_BURST_REQUESTS = 0.8
 
 /** The next write, and the requests that it covers. */
 export function planWrite(inputs: WriteInputs): WritePlan {
@@ -186,20 +173,19 @@
 ): HolderRow {
   const { ownDemandPerSecond } = inputs.budgetView
   const unspent = Math.max(0, granted - committed)
-  const plenty = plentyOf(inputs.budgetView)
-  const burst = plenty * PLENTY_BURST_REQUESTS * inputs.budgetView.largestRequest
-  const cutSeconds = SCARCE_CUT_SECONDS + (PLENTY_CUT_SECONDS - SCARCE_CUT_SECONDS) * plenty
+  const strictRate = Math.ceil(STRICT_DEMAND_FACTOR * strictDemand(inputs, unspent))
+  const strictMilliseconds = strictSpan(secondsLeft(inputs.budgetView), inputs.recordMilliseconds)
+  const strictTokens = (strictRate * strictMilliseconds) / 1000
   return {
     incarnation: inputs.incarnation,
     sequence: inputs.sequence,
     granted,
     committed,
     base: inputs.storeTime,
-    strictRate: Math.ceil(STRICT_DEMAND_FACTOR * strictDemand(inputs, unspent)),
-    strictMilliseconds: strictSpan(secondsLeft(inputs.budgetView), inputs.recordMilliseconds),
+    strictRate,
+    strictMilliseconds,
     cutAfterMilliseconds: CUT_AFTER_MILLISECONDS,
-    cutBurst: Math.floor(Math.min(unspent / 2, burst)),
-    cutRate: Math.ceil(CUT_DEMAND_FACTOR * inputs.spendingPerSecond + unspent / cutSeconds),
+    ...cutAllowance(inputs.budgetView, unspent, strictTokens),
     demandPerSecond: Math.round(ownDemandPerSecond),
     wanted,
   }
--- a/packages/decisions/__tests__/spendingBound.spec.ts
+++ b/packages/decisions/__tests__/spendingBound.spec.ts
@@ -69,6 +69,53 @@
   })
 })
 
+describe('the spending bound of a row that names the most a cut allows', () => {
+  const bound = { ...BOUND, cutTokens: 6_000 }
+
+  it('grows ever more slowly and leaves a part, however long the cut', () => {
+    const times = [2_000, 2_001, 3_000, 5_000, 10_000, 60_000]
+    const table = times.map(time => `${time} ms: ${committedBound(bound, time)}`)
+    expect(table).toMatchInlineSnapshot(`
+      [
+        "2000 ms: 1200",
+        "2001 ms: 1680",
+        "3000 ms: 2527",
+        "5000 ms: 3851",
+        "10000 ms: 5744",
+        "60000 ms: 7199",
+      ]
+    `)
+  })
+
+  it('is at no time above that of a row without, which earlier versions assume', () => {
+    const times = fc.integer({ min: 0, max: 100_000 })
+    fc.assert(
+      fc.property(times, time => {
+        expect(committedBound(bound, time)).toBeLessThanOrEqual(committedBound(BOUND, time))
+      }),
+      { seed: 1 },
+    )
+  })
+
+  it('allows a sum at the time that it tells, and not a second before', () => {
+    const sums = fc.integer({ min: 1_001, max: 7_190 })
+    fc.assert(
+      fc.property(sums, sum => {
+        const time = timeOfBound(bound, sum) ?? Number.NaN
+        expect(committedBound(bound, Math.ceil(time) + 1)).toBeGreaterThanOrEqual(sum)
+        expect(committedBound(bound, time - 1_000)).toBeLessThan(sum)
+      }),
+      { seed: 1 },
+    )
+  })
+
+  it('tells that what it leaves may never be committed', () => {
+    expect(timeOfBound(bound, 7_200)).toBeUndefined()
+    expect(timeOfBound({ ...bound, cutTokens: 0 }, 1_201)).toBeUndefined()
+    expect(committedBound({ ...bound, cutTokens: 0 }, 60_000)).toBe(1_200)
+  })
+})
+
 describe('the first time of a row', () => {
   it('is shorter where the budget will soon be used up, and covers the next record', () => {
     const cases = [
--- a/packages/decisions/src/admitting/spendingBound.ts
+++ b/packages/decisions/src/admitting/spendingBound.ts
@@ -27,28 +27,45 @@
   readonly cutAfterMilliseconds: Milliseconds
   /** from then on, so many at once, */
   readonly cutBurst: TokenCount
-  /** and so many a second. */
+  /** and so many a second, */
   readonly cutRate: number
+  /** ever fewer, so that burst and rate never come to this; without it they run on. */
+  readonly cutTokens?: TokenCount | undefined
 }
 
 /** The most that may have been committed, `elapsed` milliseconds after the row's base time. */
 export function committedBound(bound: SpendingBound, elapsed: Milliseconds): TokenCount {
   const strict = Math.max(0, Math.min(elapsed, bound.strictMilliseconds))
-  const cut = Math.max(0, elapsed - bound.cutAfterMilliseconds)
-  const growth = (bound.strictRate * strict + bound.cutRate * cut) / 1000
-  const burst = cut > 0 ? bound.cutBurst : 0
-  return Math.min(bound.granted, Math.floor(bound.committed + burst + growth))
+  const growth = (bound.strictRate * strict) / 1000 + allowedByCut(bound, elapsed)
+  return Math.min(bound.granted, Math.floor(bound.committed + growth))
+}
+
+/** Burst and rate of a cut, which run out towards `cutTokens`. */
+function allowedByCut(bound: SpendingBound, elapsed: Milliseconds): TokenCount {
+  const cut = elapsed - bound.cutAfterMilliseconds
+  if (cut <= 0) return 0
+  const steady = bound.cutBurst + (bound.cutRate * cut) / 1000
+  const { cutTokens } = bound
+  if (cutTokens === undefined) return steady
+  return cutTokens > 0 ? cutTokens * (1 - Math.exp(-steady / cutTokens)) : 0
+}
+
+/** What burst and rate come to without running out when they allow so many tokens; infinite for never. */
+function steadyOf(tokens: TokenCount, cutTokens: TokenCount | undefined): TokenCount {
+  if (cutTokens === undefined) return tokens
+  return tokens < cutTokens ? -cutTokens * Math.log(1 - tokens / cutTokens) : Infinity
 }
 
 /** Time after the row's base time at which the bound reaches `committed`; undefined for never. */
 export function timeOfBound(bound: SpendingBound, committed: TokenCount): Milliseconds | undefined {
   if (committed > bound.granted) return undefined
-  const missing = (committed - bound.committed) * 1000
-  const byStrict = bound.strictRate * bound.strictMilliseconds
-  if (missing <= byStrict) return missing <= 0 ? 0 : missing / bound.strictRate
-  const beyond = missing - byStrict - bound.cutBurst * 1000
+  const missing = committed - bound.committed
+  const byStrict = (bound.strictRate * bound.strictMilliseconds) / 1000
+  if (missing <= byStrict) return missing <= 0 ? 0 : (missing * 1000) / bound.strictRate
+  const beyond = steadyOf(missing - byStrict, bound.cutTokens) - bound.cutBurst
   if (beyond <= 0) return bound.cutAfterMilliseconds + 1
-  return bound.cutRate > 0 ? bound.cutAfterMilliseconds + beyond / bound.cutRate : undefined
+  if (bound.cutRate <= 0 || !Number.isFinite(beyond)) return undefined
+  return bound.cutAfterMilliseconds + (beyond * 1000) / bound.cutRate
 }
 
 /** A row this old says that the store is out of reach: while it answers, no row is older. */
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -31,6 +31,7 @@
   strictSpan,
   timeOfBound,
 } from './admitting/spendingBound.js'
+export { cutAllowance } from './admitting/cutAllowance.js'
 export { budgetPatience, returnAfterSeconds } from './admitting/budgetPatience.js'
 export { AbandonedWork } from './admitting/abandonedWork.js'
 export {
@@ -69,12 +70,7 @@
 export { isMisdirected, isPromising, isServerError, nextStep } from './retrying/nextStep.js'
 export type { NextStep } from './retrying/nextStep.js'
 
-export {
-  DemandHoldingPolicy,
-  EqualHoldingPolicy,
-  plentyOf,
-  secondsLeft,
-} from './placing/holdingPolicy.js'
+export { DemandHoldingPolicy, EqualHoldingPolicy, secondsLeft } from './placing/holdingPolicy.js'
 export { holdingTolerance } from './placing/holdingTolerance.js'
 export type { BudgetView, HoldingPolicy } from './placing/holdingPolicy.js'
 export { askingSince, budgetLenders, budgetSharers } from './placing/budgetSharers.js'
