fix(coordination): bills that wait for the table outlive the death of all who hold them

What could happen: all instances of the OpenAI-style kind die in an outage of the table.

Each copy to peers now goes to the object store too, and the end of an answer waits for both. A sealer reads its target's objects after the holders have refused more, so nothing that was given out is missed. Where the object store fails it is left alone for 5 s, and peers alone count: open is an outage of both stores in which all die. Ruled out: counting a part of each holding as spent, which costs that part at every death of all; bounding by time, since the table names none.

--- a/packages/coordination/src/coordinationNode.ts
+++ b/packages/coordination/src/coordinationNode.ts
@@ -27,6 +27,7 @@
 import { CountingTable } from './countingTable.js'
 import type { Counters } from './counters.js'
 import { CommitJoiner, DomainCommitter } from './journal/domainCommitter.js'
+import { HeldArchive } from './journal/heldArchive.js'
 import { HeldItems } from './journal/heldItems.js'
 import { Journal } from './journal/journal.js'
 import type { JournalLimits } from './journal/journal.js'
@@ -145,7 +146,9 @@
       counters,
       limits: parts.journalLimits,
     })
+    const archive = new HeldArchive({ objects, clock, counters })
     this.peerHold = new PeerHold({
+      archive,
       incarnation,
       failureDomain,
       journal: this.journal,
@@ -197,6 +200,7 @@
       reclaimer: new Reclaimer(table, random, counters),
       createSealer: isKnownGone =>
         new Sealer({
+          archive,
           incarnation,
           table,
           registry: this.registry,
--- a/packages/coordination/src/counters.ts
+++ b/packages/coordination/src/counters.ts
@@ -4,6 +4,8 @@
   | 'journal_flush_retries'
   | 'journal_entries'
   | 'journal_held_entries'
+  | 'held_objects_written'
+  | 'held_objects_failed'
   | 'journal_sealed'
   | 'budget_exchanges'
   | 'budget_exchange_conflicts'
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -38,6 +38,7 @@
 export { DirectCommitter } from './journal/batchCommitter.js'
 export type { BatchCommitter } from './journal/batchCommitter.js'
 export { CommitJoiner, DomainCommitter } from './journal/domainCommitter.js'
+export { HeldArchive } from './journal/heldArchive.js'
 export { HeldItems } from './journal/heldItems.js'
 export { PeerHold } from './journal/peerHold.js'
 export { readJournal } from './journal/journalReader.js'
--- /dev/null
+++ b/packages/coordination/src/journal/heldArchive.ts
@@ -0,0 +1,90 @@
+/**
+ * Journal entries that wait for the table, kept in the object store: what peers hold dies with them where all
+ * instances lose power in an outage of the table. Owns whether the object store lately failed.
+ */
+
+import * as z from 'zod'
+import { RackwalkError, ResultCode } from '@rackwalk/shared'
+import type { Clock, IncarnationId, Milliseconds } from '@rackwalk/shared'
+import { JsonCodec } from '@rackwalk/stores'
+import type { ObjectStore } from '@rackwalk/stores'
+import type { Counters } from '../counters.js'
+import { sameNames } from '../forms.js'
+import { heldItemSchema } from './journalEntry.js'
+import type { HeldItem } from './journalEntry.js'
+
+/** What an archive of held entries works with. */
+export interface HeldArchiveParts {
+  readonly objects: ObjectStore
+  readonly clock: Clock
+  readonly counters: Counters
+}
+
+interface HeldBatch {
+  readonly items: readonly HeldItem[]
+}
+
+const heldBatchCodec = new JsonCodec(
+  sameNames<HeldBatch>(z.object({ items: z.array(heldItemSchema) })),
+)
+
+const PREFIX = 'held'
+/** Digits of an entry's index in a key, so that keys sort as the entries do. */
+const INDEX_DIGITS = 12
+const KEYS_PER_LIST = 1_000
+/** Ends of answers wait for the object store, so one that failed is left alone for so long. */
+const RETRY_MILLISECONDS: Milliseconds = 5_000
+
+/** Writes held entries of one instance, and reads those of any. */
+export class HeldArchive {
+  private failedAt: Milliseconds = Number.NEGATIVE_INFINITY
+
+  constructor(private readonly parts: HeldArchiveParts) {}
+
+  /** Writes the entries as one object; gives up where the store fails, since peers hold them too. */
+  async write(writer: IncarnationId, items: readonly HeldItem[]): Promise<void> {
+    const { objects, clock, counters } = this.parts
+    const first = items[0]?.index
+    if (first === undefined || clock.monotonic() - this.failedAt < RETRY_MILLISECONDS) return
+    try {
+      await objects.put(keyOf(writer, first), Buffer.from(heldBatchCodec.encode({ items })))
+      counters.increment('held_objects_written')
+    } catch (thrown) {
+      if (!(thrown instanceof RackwalkError)) throw thrown
+      this.failedAt = clock.monotonic()
+      counters.increment('held_objects_failed')
+    }
+  }
+
+  /** All entries that were written for this writer; throws where the store does not give them. */
+  async read(writer: IncarnationId): Promise<readonly HeldItem[]> {
+    const items: HeldItem[] = []
+    for (const key of await this.keysOf(writer)) {
+      const body = await this.parts.objects.get(key)
+      if (body === undefined) continue
+      const batch = heldBatchCodec.decode(body.toString('utf8'))
+      if (batch === undefined) {
+        throw new RackwalkError(ResultCode.PlatformUnavailable, `malformed object ${key}`)
+      }
+      items.push(...batch.items)
+    }
+    return items
+  }
+
+  private async keysOf(writer: IncarnationId): Promise<readonly string[]> {
+    const keys: string[] = []
+    for (;;) {
+      const next = await this.parts.objects.list(prefixOf(writer), KEYS_PER_LIST, keys.at(-1))
+      keys.push(...next)
+      if (next.length < KEYS_PER_LIST) return keys
+    }
+  }
+}
+
+function prefixOf(writer: IncarnationId): string {
+  return `${PREFIX}/${writer}/`
+}
+
+function keyOf(writer: IncarnationId, firstIndex: number): string {
+  return `${prefixOf(writer)}${String(firstIndex).padStart(INDEX_DIGITS, '0')}`
+}
--- a/packages/coordination/src/journal/peerHold.ts
+++ b/packages/coordination/src/journal/peerHold.ts
@@ -5,6 +5,7 @@
 
 import type { FailureDomainId, IncarnationId } from '@rackwalk/shared'
 import type { MemberInfo, PeerChannel } from '../peerMessages.js'
+import type { HeldArchive } from './heldArchive.js'
 import type { Journal } from './journal.js'
 import type { HeldItem } from './journalEntry.js'
 
@@ -20,12 +21,14 @@
   /** Registered live members of this region, this instance excluded. */
   readonly candidates: () => readonly MemberInfo[]
   readonly copies: number
+  /** Keeps the entries for the case that all holders die as well. */
+  readonly archive?: HeldArchive
 }
 
 /**
  * Keeps entries alive while the table is out of reach, by copies in the memory of peers of
  * the region. An entry counts as held when `copies` peers have it; it is lost only if this
- * instance and all of them die before the table is back.
+ * instance and all of them die before the table is back, and the object store was away too.
  */
 export class PeerHold {
   private lastReleased = 0
@@ -39,11 +42,13 @@
     if (items.length === 0) return false
     const targets = this.targets()
     if (targets.length < this.parts.copies) return false
+    const archived = this.parts.archive?.write(this.parts.incarnation, items)
     let copies = 0
     for (const target of targets) {
       if (copies >= this.parts.copies) break
       if (await this.sendTo(target.incarnation, items)) copies += 1
     }
+    await archived
     if (copies < this.parts.copies) return false
     this.parts.journal.markHeld(new Set(items.map(item => item.index)))
     return true
--- a/packages/coordination/src/membership/sealer.ts
+++ b/packages/coordination/src/membership/sealer.ts
@@ -7,6 +7,7 @@
 import type { IncarnationId, RandomSource, TransactionId } from '@rackwalk/shared'
 import type { RowWrite, TableService } from '@rackwalk/stores'
 import type { Counters } from '../counters.js'
+import type { HeldArchive } from '../journal/heldArchive.js'
 import type { HeldItem, JournalSlot } from '../journal/journalEntry.js'
 import { journalSlotCodec, lastIndexOf } from '../journal/journalEntry.js'
 import { readJournal } from '../journal/journalReader.js'
@@ -35,6 +36,8 @@
   readonly counters: Counters
   /** Whether the platform has said that this incarnation's machine no longer exists. */
   readonly isKnownGone: (incarnation: IncarnationId) => boolean
+  /** Has entries of writers whose holders may be gone. */
+  readonly archive?: HeldArchive
 }
 
 /**
@@ -88,6 +91,9 @@
       if (items === undefined) return undefined
       for (const item of items) collected.set(item.index, item)
     }
+    // Holders refuse more by now, so nothing that is written later can have been released.
+    const archived = (await this.parts.archive?.read(target.incarnation)) ?? []
+    for (const item of archived) collected.set(item.index, item)
     return [...collected.values()].sort((left, right) => left.index - right.index)
   }
 
--- a/packages/stand-ins/src/replay/escrowRestartReplay.ts
+++ b/packages/stand-ins/src/replay/escrowRestartReplay.ts
@@ -85,6 +85,7 @@
 class EscrowRestartReplay {
   private readonly clock = new VirtualClock()
   private readonly table = new MemoryTable()
+  private readonly objects = new MemoryObjects()
   private readonly network = new SimulatedNetwork(this.clock)
   private readonly list = new LaggingList(this.clock, LIST_LAG_MILLISECONDS)
   private readonly random: RandomSource
@@ -206,7 +207,7 @@
         operatorAddress: address,
       },
       table: new SimulatedTable(this.table, this.clock, () => this.isTableLost),
-      objects: new MemoryObjects(),
+      objects: this.objects,
       instances: this.list,
       peers: this.network.channelOf(incarnation),
       clock: this.clock,
