--- a/packages/decisions/src/admitting/abandonedWork.ts
+++ b/packages/decisions/src/admitting/abandonedWork.ts
@@ -27,7 +27,7 @@
 const SLICES = 10
 /** Fewer requests in that time tell nothing: a collapse takes dozens a second. */
 const LEAST_REQUESTS = 8
-/** Above this share callers are waited for. Chosen, not measured: above those who leave by themselves. */
+/** Above this share callers are waited for: more than those who leave by themselves. */
 const SUSPECT_SHARE = 0.05
 /** The delay that nine in ten leavers stay under: one above it counts nine times as much as one below. */
 const DELAY_WEIGHTS = { above: 0.18, below: 0.02 }
--- a/packages/decisions/src/admitting/processorBudget.ts
+++ b/packages/decisions/src/admitting/processorBudget.ts
@@ -24,13 +24,9 @@
 export const DELAY_LOOK_MILLISECONDS = 50
 /** A queue stands where each of so many looks shows it: a fifth of a second. */
 const STANDING_LOOKS = 4
-/**
- * New connections that wait so long make a queue. Measured (an instance that bears 78 requests a second, replayed, three
- * seeds; served, and callers that got nothing, a second, at 75 and 156 requests): not seen 76, 0 and 20, 143;
- * 40 ms 44, 0 and 26, 0; 200 ms 75, 0 and 29, 0; 500 ms 75, 0 and 32, 0, but 7, 161 at 195 where 200 ms has 14, 35.
- */
+/** New connections that wait so long make a queue; shorter waits come with every burst. */
 const LONGEST_ACCEPT_MILLISECONDS = 200
-/** Above this share of callers that had left a queue stands. Chosen, not measured: above those who leave by themselves. */
+/** Above this share of callers that had left a queue stands: more than those who leave by themselves. */
 const ABANDONED_SHARE = 0.1
 /**
  * A standing queue of this length delays first events noticeably beside the goals of callers, which are
--- a/packages/decisions/src/admitting/settledCost.ts
+++ b/packages/decisions/src/admitting/settledCost.ts
@@ -2,8 +2,7 @@
  * What has a request of the gateway kind cost its team?
  *
  * The prompt, once, and the events that were handed out; nothing where the caller was given no part
- * of an answer, whether or not an endpoint worked on it. Measured on days played with nothing kept
- * back and teams at their limits: docs/design/gateway-routing.md#what-a-request-costs.
+ * of an answer, whether or not an endpoint worked on it: docs/design/gateway-routing.md#what-a-request-costs.
  */
 
 import type { TokenCount } from '@rackwalk/shared'
--- a/packages/decisions/src/admitting/spendingBound.ts
+++ b/packages/decisions/src/admitting/spendingBound.ts
@@ -3,10 +3,11 @@
  *
  * The instance wrote its bound into its row before: a rate for the first time, in which the store
  * normally takes the next row, then a burst and another rate from when the store is evidently out
- * of reach. The first time is shorter where the budget will soon be used up. The instance never goes beyond the bound, counted from before the row
- * was sent. Whether a row is old because its writer was cut off or because it died cannot be told,
- * so what a cut may spend is also what a death loses: the next incarnation counts the bound as
- * spent up to its own start. How the rates are set: coordination/prepaid/writePlan.ts. While the
+ * of reach, which run out before the holding does. The first time is shorter where the budget will
+ * soon be used up. The instance never goes beyond the bound, counted from before the row was sent.
+ * Whether a row is old because its writer was cut off or because it died cannot be told, so what a
+ * cut may spend is also what a death loses: the next incarnation counts the bound as spent up to its
+ * own start. How the rates are set: coordination/prepaid/writePlan.ts and cutAllowance.ts. While the
  * outcome of a write is unknown, the smallest bound of all rows that may be in force holds
  * (coordination/prepaid/holdingState.ts).
  */
--- a/packages/decisions/src/admitting/writtenAhead.ts
+++ b/packages/decisions/src/admitting/writtenAhead.ts
@@ -20,16 +20,9 @@
 import { secondsLeft } from '../placing/holdingPolicy.js'
 import { lastingShare } from './spendingBound.js'
 
-/**
- * Requests that are written ahead. Measured (twelve holders, 0.5 large requests a second each, calls to the store of
- * 0.7 s, replayed, three seeds): 0 served 0.50, 0.58, 0.38, and 1, 2 and 3 served all.
- */
+/** Requests that are written ahead. */
 const REQUESTS_AHEAD = 1
-/**
- * Part of what is unspent that is written ahead at the most. Measured: with 0.1, and parts of requests, a small site
- * whose instances were killed together earned 0.494 instead of 0.531 (means of four plays of one day, seven
- * instances, 80 holdings taken over); with 0.05 and whole requests the replay with slow calls serves all as well.
- */
+/** Part of what is unspent that is written ahead at the most: a death loses it. */
 const LARGEST_SHARE = 0.05
 /** Demand below this, in tokens a second, is nobody's: rows round to whole tokens. */
 const LEAST_DEMAND_PER_SECOND = 1
--- a/packages/stand-ins/src/replay/weakProcessorReplay.ts
+++ b/packages/stand-ins/src/replay/weakProcessorReplay.ts
@@ -60,7 +60,7 @@
 /** Work of 0.324 of a core, as time that it takes: to take a connection, to refuse a request, */
 const ACCEPT_MILLISECONDS: Milliseconds = 0.8
 const REFUSAL_MILLISECONDS: Milliseconds = 1.5
-/** to read a request, choose and send it on, and to pass its answer. Together about what was measured a request. */
+/** to read a request, choose and send it on, and to pass its answer. */
 const REQUEST_MILLISECONDS: Milliseconds = 8
 const ANSWER_MILLISECONDS: Milliseconds = 4
 const ENGINE_MILLISECONDS: Milliseconds = 100
