refactor(stand-ins): replays and specs of a prepaid budget start their ledgers in one place

restartReplay, slowStore and standbyDemand each set up a ledger, its mirror and its loans in the same fifty lines.

--- a/packages/coordination/__tests__/slowStore.spec.ts
+++ b/packages/coordination/__tests__/slowStore.spec.ts
@@ -1,16 +1,8 @@
 import { describe, expect, it } from 'vitest'
-import { SeededRandom, VirtualClock, randomBelow, sleep } from '@rackwalk/shared'
+import { SeededRandom, VirtualClock, randomBelow } from '@rackwalk/shared'
 import type { Milliseconds } from '@rackwalk/shared'
-import {
-  DemandHoldingPolicy,
-  PREPAID_TABLE,
-  PrepaidLedger,
-  StoreClock,
-  TableMirror,
-} from '@rackwalk/coordination'
-import type { LoanChannel } from '@rackwalk/coordination'
-import { MemoryRowStore } from '@rackwalk/stand-ins'
-import type { RowStoreFaults } from '@rackwalk/stand-ins'
+import { MemoryRowStore, loanChannelTo, startPrepaidMember } from '@rackwalk/stand-ins'
+import type { PrepaidMember } from '@rackwalk/stand-ins'
 
 /**
  * Symptom: while calls to the store take 250 to 1,000 ms, callers are refused though 95 in 100 of these
@@ -29,18 +21,15 @@
 const PAUSE_MILLISECONDS = 1_000 / 6
 const SLOW_MILLISECONDS = 700
 /** A question to another instance, one way and back. */
-const PEER_MILLISECONDS = 4
+const LOAN_TIMES = { oneWayMilliseconds: 4, timeoutMilliseconds: 4 }
+const LIMITS = { writesPerSecond: 3_200, partitionWritesPerSecond: 150, reserveShare: 0 }
+const NAMES = Array.from({ length: INSTANCES }, (_, index) => `instance-${index}`)
 
 class Fleet {
   readonly clock = new VirtualClock()
   private readonly random = new SeededRandom(1)
   private readonly rows = new MemoryRowStore(this.clock)
-  private readonly ledgers: PrepaidLedger[] = []
-  private readonly faults: RowStoreFaults[] = []
-
-  constructor() {
-    for (let index = 0; index < INSTANCES; index += 1) this.start(`instance-${index}`)
-  }
+  private readonly members: readonly PrepaidMember[] = NAMES.map(name => this.start(name))
 
   /** Sends requests to instances at random for so long; the share that is served. */
   async ask(milliseconds: Milliseconds): Promise<number> {
@@ -55,11 +44,11 @@
   }
 
   slow(slowMilliseconds: Milliseconds): void {
-    for (const faults of this.faults) faults.slowMilliseconds = slowMilliseconds
+    for (const { faults } of this.members) faults.slowMilliseconds = slowMilliseconds
   }
 
   private async serve(): Promise<boolean> {
-    const ledger = this.ledgers[randomBelow(this.random, INSTANCES)]
+    const ledger = this.members[randomBelow(this.random, INSTANCES)]?.ledger
     const outcome = await ledger?.reserve(BUDGET, REQUEST_TOKENS, PATIENCE_MILLISECONDS)
     if (outcome?.kind !== 'reserved') return false
     this.clock.after(REQUEST_MILLISECONDS, () =>
@@ -68,53 +57,24 @@
     return true
   }
 
-  private loans(): LoanChannel {
-    const reach = async (lender: string): Promise<PrepaidLedger | undefined> => {
-      await sleep(this.clock, PEER_MILLISECONDS)
-      return this.ledgers[Number(lender.replace('instance-', ''))]
-    }
-    return {
-      ask: async (lender, request) => (await reach(lender))?.lender.lend(request),
-      repay: async (lender, repayment) => {
-        const ledger = await reach(lender)
-        ledger?.lender.repay(repayment)
-        return ledger !== undefined
-      },
-    }
-  }
-
-  private start(instance: string): void {
-    const { clock } = this
-    const { store, faults } = this.rows.connect()
-    const others = Array.from({ length: INSTANCES }, (_, index) => `instance-${index}`)
-    const ledger = new PrepaidLedger({
+  private start(instance: string): PrepaidMember {
+    const { clock, rows } = this
+    return startPrepaidMember({
       instance,
       incarnation: 'start-1',
-      store,
-      storeClock: new StoreClock(clock),
       clock,
-      startedAt: clock.monotonic(),
-      policy: new DemandHoldingPolicy(),
-      isActive: () => true,
-      otherInstances: () => others.filter(other => other !== instance),
-      limits: { writesPerSecond: 3_200, partitionWritesPerSecond: 150, reserveShare: 0 },
-      loanChannel: this.loans(),
-      onEvent: () => {},
-      onMalformedRow: () => {},
+      rows,
+      budget: BUDGET,
+      limit: LIMIT,
+      limits: LIMITS,
+      isActive: true,
+      others: () => NAMES.filter(other => other !== instance),
+      loanChannel: loanChannelTo(clock, LOAN_TIMES, lender => this.find(lender)),
     })
-    ledger.configure([{ budget: BUDGET, limit: LIMIT }], 1)
-    ledger.start()
-    new TableMirror({
-      store,
-      table: PREPAID_TABLE,
-      partitions: () => ledger.budgets,
-      clock,
-      listener: { onRows: (rows, isWhole) => ledger.observe(rows, isWhole) },
-      waitMilliseconds: 0,
-      pauseMilliseconds: () => 400,
-    }).start()
-    this.ledgers.push(ledger)
-    this.faults.push(faults)
+  }
+
+  private find(lender: string) {
+    return this.members[NAMES.indexOf(lender)]?.ledger
   }
 }
 
--- a/packages/coordination/__tests__/standbyDemand.spec.ts
+++ b/packages/coordination/__tests__/standbyDemand.spec.ts
@@ -1,15 +1,8 @@
 import { describe, expect, it } from 'vitest'
-import { VirtualClock, sleep } from '@rackwalk/shared'
+import { VirtualClock } from '@rackwalk/shared'
 import type { Milliseconds } from '@rackwalk/shared'
-import {
-  DemandHoldingPolicy,
-  PREPAID_TABLE,
-  PrepaidLedger,
-  StoreClock,
-  TableMirror,
-} from '@rackwalk/coordination'
-import type { LoanChannel } from '@rackwalk/coordination'
-import { MemoryRowStore } from '@rackwalk/stand-ins'
+import type { PrepaidLedger } from '@rackwalk/coordination'
+import { MemoryRowStore, loanChannelTo, startPrepaidMember } from '@rackwalk/stand-ins'
 
 /**
  * Symptom: of one team's requests far too few were served, though nobody else used its budget.
@@ -27,15 +20,13 @@
 const LIMIT = 10_000_000
 const ACTIVE = Array.from({ length: 8 }, (_, index) => `active-${index + 1}`)
 const STANDBY = 'standby-1'
-/** How often an active instance reads the rows of budgets; one that stands by does not follow them. */
-const ACTIVE_READ_MILLISECONDS = 400
 /** After this time the others know that callers come to an instance that stands by. */
 const MEMBERSHIP_MILLISECONDS = 4_400
 const REQUEST_TOKENS = 6_000
 const REQUEST_MILLISECONDS = 300
 const PATIENCE_MILLISECONDS = 100
-const PEER_MILLISECONDS = 2
-const PEER_TIMEOUT_MILLISECONDS = 90
+const LOAN_TIMES = { oneWayMilliseconds: 2, timeoutMilliseconds: 90 }
+const LIMITS = { writesPerSecond: 1_500, partitionWritesPerSecond: 150, reserveShare: 0 }
 /** 30 requests a second. */
 const PAUSE_MILLISECONDS = 1_000 / 30
 
@@ -105,57 +96,27 @@
   }
 
   private start(instance: string): void {
-    const { clock } = this
-    const { store, faults } = this.rows.connect()
-    const startedAt = clock.monotonic()
+    const { clock, rows } = this
     this.starts += 1
-    const isActive = instance !== STANDBY
-    const ledger = new PrepaidLedger({
+    const { ledger, faults } = startPrepaidMember({
       instance,
       incarnation: `start-${this.starts}`,
-      store,
-      storeClock: new StoreClock(clock),
       clock,
-      startedAt,
-      policy: new DemandHoldingPolicy(),
-      isActive: () => isActive,
-      otherInstances: () => this.workingOthers(instance),
-      limits: { writesPerSecond: 1_500, partitionWritesPerSecond: 150, reserveShare: 0 },
-      loanChannel: this.loansOf(instance),
-      onEvent: () => {},
-      onMalformedRow: () => {},
+      rows,
+      budget: BUDGET,
+      limit: LIMIT,
+      limits: LIMITS,
+      isActive: instance !== STANDBY,
+      others: () => this.workingOthers(instance),
+      loanChannel: loanChannelTo(clock, LOAN_TIMES, lender => this.find(instance, lender)),
     })
-    ledger.configure([{ budget: BUDGET, limit: LIMIT }], 1)
-    ledger.start()
-    const mirror = new TableMirror({
-      store,
-      table: PREPAID_TABLE,
-      partitions: () => ledger.budgets,
-      clock,
-      listener: { onRows: (rows, isWhole) => ledger.observe(rows, isWhole) },
-      waitMilliseconds: 0,
-      pauseMilliseconds: () => ACTIVE_READ_MILLISECONDS,
-      isWanted: () => isActive,
-    })
-    mirror.start()
     this.ledgers.set(instance, ledger)
     this.faults.set(instance, faults)
   }
 
-  private loansOf(borrower: string): LoanChannel {
-    const reach = async (lender: string): Promise<PrepaidLedger | undefined> => {
-      const isReached = !this.unreached.has(borrower) && !this.unreached.has(lender)
-      await sleep(this.clock, isReached ? PEER_MILLISECONDS : PEER_TIMEOUT_MILLISECONDS)
-      return isReached ? this.ledgers.get(lender) : undefined
-    }
-    return {
-      ask: async (lender, request) => (await reach(lender))?.lender.lend(request),
-      repay: async (lender, repayment) => {
-        const ledger = await reach(lender)
-        ledger?.lender.repay(repayment)
-        return ledger !== undefined
-      },
-    }
+  private find(borrower: string, lender: string): PrepaidLedger | undefined {
+    const isReached = !this.unreached.has(borrower) && !this.unreached.has(lender)
+    return isReached ? this.ledgers.get(lender) : undefined
   }
 
   /** Others that serve callers, as membership has them. */
--- a/packages/stand-ins/src/replay/restartReplay.ts
+++ b/packages/stand-ins/src/replay/restartReplay.ts
@@ -3,20 +3,12 @@
  * what its callers get during the cut, what of the tokens can be spent again, and what callers get then.
  */
 
-import { SeededRandom, VirtualClock, randomBelow, sleep } from '@rackwalk/shared'
+import { SeededRandom, VirtualClock, randomBelow } from '@rackwalk/shared'
 import type { Milliseconds, RandomSource, TokenCount } from '@rackwalk/shared'
-import {
-  DemandHoldingPolicy,
-  POOL_KEY,
-  PREPAID_TABLE,
-  PrepaidLedger,
-  StoreClock,
-  TableMirror,
-  poolRowCodec,
-} from '@rackwalk/coordination'
-import type { LoanChannel } from '@rackwalk/coordination'
+import { POOL_KEY, PREPAID_TABLE, poolRowCodec } from '@rackwalk/coordination'
 import { MemoryRowStore } from '../platform/memoryRowStore.js'
-import type { RowStoreFaults } from '../platform/memoryRowStore.js'
+import { loanChannelTo, startPrepaidMember } from './prepaidMember.js'
+import type { PrepaidMember } from './prepaidMember.js'
 
 /** What happens to the instances and to the budget. */
 export interface RestartScenario {
@@ -56,14 +48,10 @@
 /** Long enough for each new instance to end its predecessor's holding. */
 const TAKEOVER_MILLISECONDS = 2_000
 const AFTERWARDS_MILLISECONDS = 5_000
-const FEED_MILLISECONDS = 400
-const PEER_MILLISECONDS = 2
-const PEER_TIMEOUT_MILLISECONDS = 90
-
-interface ReplayedInstance {
-  readonly ledger: PrepaidLedger
-  readonly faults: RowStoreFaults
-  readonly mirror: TableMirror
+const LIMITS = { writesPerSecond: 600, partitionWritesPerSecond: 150, reserveShare: 0 }
+const LOAN_TIMES = { oneWayMilliseconds: 2, timeoutMilliseconds: 90 }
+
+interface ReplayedInstance extends PrepaidMember {
   isDead: boolean
 }
 
@@ -158,56 +146,26 @@
   }
 
   private start(index: number): ReplayedInstance {
-    const { clock } = this
-    const { store, faults } = this.rows.connect()
+    const { clock, rows, limit } = this
     this.incarnations += 1
-    const ledger = new PrepaidLedger({
+    const member = startPrepaidMember({
       instance: nameOf(index),
       incarnation: `start-${this.incarnations}`,
-      store,
-      storeClock: new StoreClock(clock),
-      clock,
-      startedAt: clock.monotonic(),
-      policy: new DemandHoldingPolicy(),
-      isActive: () => true,
-      otherInstances: () => NAMES.filter(name => name !== nameOf(index)),
-      limits: { writesPerSecond: 600, partitionWritesPerSecond: 150, reserveShare: 0 },
-      loanChannel: this.loans(),
-      onEvent: () => {},
-      onMalformedRow: ({ key }) => {
-        throw new Error(`malformed row ${key}`)
-      },
-    })
-    ledger.configure([{ budget: BUDGET, limit: this.limit }], 1)
-    ledger.start()
-    const mirror = new TableMirror({
-      store,
-      table: PREPAID_TABLE,
-      partitions: () => ledger.budgets,
       clock,
-      listener: { onRows: (rows, isWhole) => ledger.observe(rows, isWhole) },
-      waitMilliseconds: 0,
-      pauseMilliseconds: () => FEED_MILLISECONDS,
+      rows,
+      budget: BUDGET,
+      limit,
+      limits: LIMITS,
+      isActive: true,
+      others: () => NAMES.filter(name => name !== nameOf(index)),
+      loanChannel: loanChannelTo(clock, LOAN_TIMES, lender => this.find(lender)),
     })
-    mirror.start()
-    return { ledger, faults, mirror, isDead: false }
+    return { ...member, isDead: false }
   }
 
-  private loans(): LoanChannel {
-    const reach = async (lender: string): Promise<PrepaidLedger | undefined> => {
-      const peer = this.instances[NAMES.indexOf(lender)]
-      const isReached = this.arePeersReachable && peer?.isDead === false
-      await sleep(this.clock, isReached ? PEER_MILLISECONDS : PEER_TIMEOUT_MILLISECONDS)
-      return isReached ? peer.ledger : undefined
-    }
-    return {
-      ask: async (lender, request) => (await reach(lender))?.lender.lend(request),
-      repay: async (lender, repayment) => {
-        const ledger = await reach(lender)
-        ledger?.lender.repay(repayment)
-        return ledger !== undefined
-      },
-    }
+  private find(lender: string) {
+    const peer = this.instances[NAMES.indexOf(lender)]
+    return this.arePeersReachable && peer?.isDead === false ? peer.ledger : undefined
   }
 }
 
