test(stand-ins): the explorer lets all nodes but one lose power in an outage of the table

It kept enough nodes alive that no held entry lost all its copies, which is why the lost bills were never seen. Now a script may cut the table off, let the entries be held, and kill all but one; deaths leave one node, not two.

--- a/packages/stand-ins/src/exploration/script.ts
+++ b/packages/stand-ins/src/exploration/script.ts
@@ -9,8 +9,8 @@
 export const NODES = 4
 export const BUDGETS = 2
 const KEYS = 6
-/** Deaths that still leave a copy of every held entry, since two peers hold each. */
-export const MAXIMUM_DEATHS = 2
+/** Deaths that leave somebody to bury the dead; held entries outlive their holders in the object store. */
+export const MAXIMUM_DEATHS = 3
 
 /** One thing that happens in a run. `steps` says how far the run goes on before the next. */
 export type Action =
@@ -25,7 +25,7 @@
       readonly steps: number
     }
   | {
-      readonly kind: 'flush' | 'maintain' | 'kill' | 'pause' | 'resume'
+      readonly kind: 'flush' | 'maintain' | 'kill' | 'losePower' | 'pause' | 'resume'
       readonly node: number
       readonly steps: number
     }
@@ -62,7 +62,7 @@
   steps,
 })
 
-const nodeAction = (kind: 'flush' | 'maintain' | 'kill' | 'pause' | 'resume') =>
+const nodeAction = (kind: 'flush' | 'maintain' | 'kill' | 'losePower' | 'pause' | 'resume') =>
   fc.record({ kind: fc.constant(kind), node, steps }) as fc.Arbitrary<Action>
 
 const tableAction = (kind: 'cutTable' | 'healTable') =>
@@ -79,6 +79,7 @@
   { weight: 8, arbitrary: nodeAction('flush') },
   { weight: 3, arbitrary: nodeAction('maintain') },
   { weight: 1, arbitrary: nodeAction('kill') },
+  { weight: 1, arbitrary: nodeAction('losePower') },
   { weight: 1, arbitrary: nodeAction('pause') },
   { weight: 2, arbitrary: nodeAction('resume') },
   { weight: 2, arbitrary: tableAction('cutTable') },
--- a/packages/stand-ins/src/exploration/variants.ts
+++ b/packages/stand-ins/src/exploration/variants.ts
@@ -12,12 +12,13 @@
   RowWrite,
   TableService,
 } from '@rackwalk/stores'
-import { BudgetLedger, Claims, Journal, Sealer } from '@rackwalk/coordination'
+import { BudgetLedger, Claims, HeldArchive, Journal, Sealer } from '@rackwalk/coordination'
 import type {
   BudgetLedgerParts,
   BudgetRow,
   ClaimResult,
   ClaimsParts,
+  HeldArchiveParts,
   IncarnationRecord,
   JournalParts,
   PeerReply,
@@ -42,6 +43,7 @@
   createLedger(parts: BudgetLedgerParts): BudgetLedger
   createClaims(parts: ClaimsParts): Claims
   createSealer(parts: SealerParts): Sealer
+  createArchive(parts: HeldArchiveParts): HeldArchive
   table(table: TableService): TableService
   /** Whether a request that ran but could not be billed is called not run. */
   readonly refusesUnbilled: boolean
@@ -54,6 +56,7 @@
   createLedger: parts => new BudgetLedger(parts),
   createClaims: parts => new Claims(parts),
   createSealer: parts => new Sealer(parts),
+  createArchive: parts => new HeldArchive(parts),
   table: table => table,
   refusesUnbilled: false,
 }
@@ -148,6 +151,11 @@
   readonly breaks: string
 }
 
+/** Holders that all die take what they held with them. */
+class EmptyArchive extends HeldArchive {
+  override async write(): Promise<void> {}
+}
+
 /** For each checker at least one variant that it must catch. */
 export const BROKEN_VARIANTS: readonly BrokenVariant[] = [
   {
@@ -186,6 +194,12 @@
     breaks: 'billed once',
     createSealer: parts => new ImpatientSealer(parts),
   },
+  {
+    ...SOUND,
+    name: 'keeps held entries in memory only',
+    breaks: 'billed once',
+    createArchive: parts => new EmptyArchive(parts),
+  },
   {
     ...SOUND,
     name: 'trusts lost claims',
--- a/packages/stand-ins/src/exploration/world.ts
+++ b/packages/stand-ins/src/exploration/world.ts
@@ -6,6 +6,7 @@
 import type { JsonValue } from '@rackwalk/stores'
 import { MemoryCounters, createBudget, tableKeys, withLimit } from '@rackwalk/coordination'
 import type { BudgetRow, Claim, ClaimResult, Reservation } from '@rackwalk/coordination'
+import { MemoryObjects } from '../platform/memoryObjects.js'
 import { MemoryTable } from '../platform/memoryTable.js'
 import { checkAlways, checkAtEnd } from './checkers.js'
 import { FaultyNetwork } from './faultyPeers.js'
@@ -23,12 +24,15 @@
 const CLOSING_STEP_MILLISECONDS = 1_000
 /** Scheduled steps that one round may take. */
 const MAXIMUM_STEPS = 5_000
+/** Steps in which entries that wait for the table come to be held. */
+const HOLDING_STEPS = 40
 
 type RequestAction = Extract<Action, { kind: 'request' }>
 
 /** One run: nodes with the real coordination code, driven by a script, watched by checkers. */
 export class World {
   readonly table = new MemoryTable()
+  readonly objects = new MemoryObjects()
   readonly history = new History()
   readonly clock = new VirtualClock()
   readonly counters = new MemoryCounters()
@@ -95,6 +99,7 @@
     return new WorldNode({
       number,
       table: this.table,
+      objects: this.objects,
       network: this.network,
       scheduler: this.scheduler,
       random: this.random,
@@ -120,6 +125,8 @@
         return void this.track(this.nodeAt(action.node).ledger.maintain())
       case 'kill':
         return this.kill(this.nodeAt(action.node))
+      case 'losePower':
+        return this.losePower(this.nodeAt(action.node))
       case 'pause':
         return this.nodeAt(action.node).pause()
       case 'resume':
@@ -226,6 +233,16 @@
     if (this.mayLose(node)) node.kill()
   }
 
+  /** An outage of the table in which all nodes but one lose power, once peers hold what waits. */
+  private async losePower(survivor: WorldNode): Promise<void> {
+    for (const node of this.nodes) {
+      node.tableFaults.isCut = true
+      void this.track(node.flush())
+    }
+    await this.advanceSteps(HOLDING_STEPS)
+    for (const node of this.nodes) if (node !== survivor) this.kill(node)
+  }
+
   private heal(): void {
     this.network.healAll()
     for (const node of this.nodes) node.tableFaults.isCut = false
@@ -239,7 +256,7 @@
     await node.sealer.seal(target.record)
   }
 
-  /** Enough nodes stay that no held entry loses all its copies. */
+  /** Somebody stays to bury the dead; held entries outlive all their holders. */
   private mayLose(node: WorldNode): boolean {
     const survivors = this.survivors()
     return !survivors.includes(node) || survivors.length > NODES - MAXIMUM_DEATHS
--- a/packages/stand-ins/src/exploration/worldNode.ts
+++ b/packages/stand-ins/src/exploration/worldNode.ts
@@ -32,6 +32,7 @@
   Journal,
   Sealer,
 } from '@rackwalk/coordination'
+import type { MemoryObjects } from '../platform/memoryObjects.js'
 import type { MemoryTable } from '../platform/memoryTable.js'
 import type { FaultyNetwork, NetworkNode } from './faultyPeers.js'
 import { FaultyTable } from './faultyTable.js'
@@ -42,6 +43,7 @@
 export interface WorldNodeParts {
   readonly number: number
   readonly table: MemoryTable
+  readonly objects: MemoryObjects
   readonly network: FaultyNetwork
   readonly scheduler: Scheduler
   readonly random: RandomSource
@@ -89,6 +91,7 @@
     const table = variant.table(this.createTable())
     this.peers = parts.network.channelOf(this.incarnation, () => this.gate())
     const { counters } = parts
+    const archive = variant.createArchive({ objects: parts.objects, clock, counters })
     const { incarnation, peers } = this
     this.registry = new IncarnationRegistry(table, random)
     this.journal = variant.createJournal({
@@ -106,6 +109,7 @@
       peers,
       candidates: () => this.others().map(memberInfo),
       copies: HOLD_COPIES,
+      archive,
     })
     this.ledger = variant.createLedger({
       incarnation,
@@ -138,6 +142,7 @@
       random,
       counters,
       isKnownGone: other => this.find(other)?.isDead ?? false,
+      archive,
     })
     this.reclaimer = new Reclaimer(table, random, counters)
     this.handlers = this.createHandlers()
