test(stand-ins): all holders of a prepaid budget lose power at one moment, in a cut or not

The explorer of the gateway kind killed one instance at a time. The script of its runs is a module of its own, as that of the other explorer is.

--- a/packages/stand-ins/src/exploration/prepaidWorld.ts
+++ b/packages/stand-ins/src/exploration/prepaidWorld.ts
@@ -17,27 +17,10 @@
 import { MemoryRowStore } from '../platform/memoryRowStore.js'
 import type { RowStoreFaults } from '../platform/memoryRowStore.js'
 import { PromiseBroken } from './checkers.js'
+import { NODES, prepaidScriptArbitrary } from './prepaidScript.js'
+import type { PeerFault, PrepaidAction, PrepaidFault } from './prepaidScript.js'
 import type { PrepaidVariant } from './prepaidVariants.js'
 
-type PrepaidAction =
-  | { readonly kind: 'reserve'; readonly node: number; readonly tokens: TokenCount }
-  | { readonly kind: 'settle'; readonly node: number; readonly share: number }
-  | { readonly kind: 'kill'; readonly node: number; readonly darkMilliseconds: Milliseconds }
-  | { readonly kind: 'leave'; readonly node: number }
-  | { readonly kind: 'fault'; readonly node: number; readonly fault: PrepaidFault }
-  | { readonly kind: 'peer-fault'; readonly node: number; readonly fault: PeerFault }
-  | { readonly kind: 'turn'; readonly node: number; readonly isActive: boolean }
-  | { readonly kind: 'heal' }
-  | { readonly kind: 'forget' }
-  | { readonly kind: 'raise' }
-  | { readonly kind: 'wait'; readonly milliseconds: Milliseconds }
-
-type PrepaidFault = 'cut' | 'unreachable' | 'turned-away' | 'lost' | 'late'
-
-/** `cut`: no call reaches or leaves the instance; `mute`: calls reach it, answers are lost. */
-type PeerFault = 'none' | 'cut' | 'mute'
-
-const NODES = 3
 const BUDGET = 'team'
 const FIRST_LIMIT: TokenCount = 6_000
 const RAISE: TokenCount = 1_500
@@ -61,67 +44,6 @@
 /** Long enough for every write on its way, every repeat of a repayment and some records. */
 const REST_MILLISECONDS = 6_000
 
-const node = fc.integer({ min: 0, max: NODES - 1 })
-const actionArbitrary: fc.Arbitrary<PrepaidAction> = fc.oneof(
-  {
-    weight: 8,
-    arbitrary: fc.record({
-      kind: fc.constant('reserve' as const),
-      node,
-      tokens: fc.integer({ min: 50, max: 900 }),
-    }),
-  },
-  {
-    weight: 4,
-    arbitrary: fc.record({
-      kind: fc.constant('settle' as const),
-      node,
-      share: fc.double({ min: 0, max: 1, noNaN: true }),
-    }),
-  },
-  {
-    weight: 5,
-    arbitrary: fc.record({
-      kind: fc.constant('wait' as const),
-      milliseconds: fc.integer({ min: 10, max: 1_500 }),
-    }),
-  },
-  {
-    weight: 2,
-    arbitrary: fc.record({
-      kind: fc.constant('fault' as const),
-      node,
-      fault: fc.constantFrom<PrepaidFault>('cut', 'unreachable', 'turned-away', 'lost', 'late'),
-    }),
-  },
-  {
-    weight: 1,
-    arbitrary: fc.record({
-      kind: fc.constant('kill' as const),
-      node,
-      darkMilliseconds: fc.integer({ min: 0, max: 3_000 }),
-    }),
-  },
-  {
-    weight: 1,
-    arbitrary: fc.record({
-      kind: fc.constant('peer-fault' as const),
-      node,
-      fault: fc.constantFrom<PeerFault>('none', 'cut', 'mute'),
-    }),
-  },
-  { weight: 1, arbitrary: fc.record({ kind: fc.constant('leave' as const), node }) },
-  {
-    weight: 1,
-    arbitrary: fc.record({ kind: fc.constant('turn' as const), node, isActive: fc.boolean() }),
-  },
-  { weight: 2, arbitrary: fc.constant({ kind: 'heal' as const }) },
-  { weight: 1, arbitrary: fc.constant({ kind: 'forget' as const }) },
-  { weight: 1, arbitrary: fc.constant({ kind: 'raise' as const }) },
-)
-
-const prepaidScriptArbitrary = fc.array(actionArbitrary, { minLength: 20, maxLength: 70 })
-
 interface WorldNode {
   readonly ledger: PrepaidLedger
   readonly faults: RowStoreFaults
@@ -246,6 +168,8 @@
         return this.settle(action.node, action.share)
       case 'kill':
         return this.kill(action.node, action.darkMilliseconds)
+      case 'lose-power':
+        return this.losePower(action.darkMilliseconds)
       case 'leave':
         return this.leave(action.node)
       case 'fault':
@@ -291,12 +215,23 @@
   }
 
   private async kill(index: number, darkMilliseconds: Milliseconds): Promise<void> {
+    this.stop(index)
+    await this.clock.advance(darkMilliseconds)
+    this.nodes[index] = this.startNode(index)
+  }
+
+  /** All die at one moment, in a cut or not, and nobody is left who knows what was spent. */
+  private async losePower(darkMilliseconds: Milliseconds): Promise<void> {
+    for (let index = 0; index < NODES; index += 1) this.stop(index)
+    await this.clock.advance(darkMilliseconds)
+    for (let index = 0; index < NODES; index += 1) this.nodes[index] = this.startNode(index)
+  }
+
+  private stop(index: number): void {
     const node = this.nodeAt(index)
     node.isDead = true
     node.ledger.stop()
     node.faults.isCut = true
-    await this.clock.advance(darkMilliseconds)
-    this.nodes[index] = this.startNode(index)
   }
 
   private async leave(index: number): Promise<void> {
