--- a/packages/decisions/src/admitting/cutAllowance.ts
+++ b/packages/decisions/src/admitting/cutAllowance.ts
@@ -6,7 +6,7 @@
  * holding within seconds, whoever asks for it, a cut of ten seconds takes every budget whole.
  *
  * So the allowance follows what callers ask for: a rate that is a multiple of the demand, which runs out towards a part
- * of the holding. What is lost is at most as much again as callers asked for, and never the last part.
+ * of the holding. What a death loses follows it, whatever the length of the cut, and never takes the last part.
  *
  * Limits: the multiple covers demand that grows, or comes to another holder, during a cut; a holding without callers has a
  * slow rate of its own, since callers may come to it. The part that no cut allows is left to the store's return: tokens
