fix(daemon): a takeover of a row that holds nonsense throws at no counter

A holder's row may come from another writer. One that says it committed more than it was granted, or reserved less than nothing, gave the new counter of assumed tokens a negative number, at which it throws in the middle of a write's outcome. The counter now takes nothing there; the line still tells the row's figures as they are.

--- a/packages/daemon/src/gateway/gatewayMetrics.ts
+++ b/packages/daemon/src/gateway/gatewayMetrics.ts
@@ -215,7 +215,8 @@
   /** A dead instance may have handed these tokens out, or not. */
   noteTakeover(team: string, { reserved, ahead, allowed }: Takeover): void {
     for (const [part, tokens] of Object.entries({ reserved, ahead, allowed })) {
-      this.assumedTokens.inc({ tenant: team, part }, tokens)
+      // A counter throws at less than nothing, and the row may come from another writer.
+      this.assumedTokens.inc({ tenant: team, part }, Math.max(0, tokens))
     }
   }
 
