--- a/packages/coordination/src/prepaid/storeContact.ts
+++ b/packages/coordination/src/prepaid/storeContact.ts
@@ -11,8 +11,8 @@
 const THROTTLED_MILLISECONDS: Milliseconds = 400
 
 /**
- * A store that failed is told of again only after no call failed for this long. One that turns away every other call is
- * one episode: told with each loss it was 1,261 lines of a played day, some 130 ms apart.
+ * A store that failed is told of again only after no call failed for this long: one that turns away every other call is
+ * one episode, and not a line for each loss.
  */
 const STEADY_MILLISECONDS: Milliseconds = 5_000
 
@@ -48,8 +48,7 @@
 
   /**
    * Whether a call is likely to take longer than this, as the last two did. Waiting for it in vain takes the
-   * time in which other instances can be asked: with calls of 0.7 s, 0.38 of the requests for an ample
-   * budget were served, and without the wait 0.50 (twelve holders, replayed on virtual time).
+   * time in which other instances can be asked.
    */
   isSlowerThan(patience: Milliseconds): boolean {
     return Math.min(...this.lastCalls) > patience
--- a/packages/daemon/src/gateway/acceptProbe.ts
+++ b/packages/daemon/src/gateway/acceptProbe.ts
@@ -46,8 +46,7 @@
     this.madeAt = this.clock.monotonic()
     probe.on('connect', () => this.noteConnected(probe))
     // A listener that is closed, or a queue that is full, says nothing of how long others wait; nor does a probe that ended
-    // unseen: counted as waiting for ever, it made one of seven instances refuse 662 of a day's 4,165 requests (3010, one
-    // played day).
+    // unseen: counted as waiting for ever, it would make an instance with time to spare refuse requests.
     probe.on('error', () => {})
     probe.on('close', () => this.noteClosed(probe))
     probe.unref()
--- a/packages/daemon/src/gateway/followedTables.ts
+++ b/packages/daemon/src/gateway/followedTables.ts
@@ -44,8 +44,8 @@
 const PREPAID_PAUSE_MILLISECONDS = 400
 /**
  * An instance that stands by takes these tables from an active one of its failure domain where what that knows is
- * no older than this: with its own pause the sight of endpoints stays under a second and a half, less than a leaving
- * endpoint is given by any configuration seen (2 s).
+ * no older than this: with its own pause the sight of endpoints stays well under the time that a leaving endpoint is
+ * given.
  */
 const NEAR_ENDPOINT_MILLISECONDS = 600
 const NEAR_MEMBER_MILLISECONDS = 1_500
--- a/packages/daemon/src/gateway/instanceCapacity.ts
+++ b/packages/daemon/src/gateway/instanceCapacity.ts
@@ -5,9 +5,7 @@
 
 import type { GatewaySettings } from './gatewaySettings.js'
 
-/**
- * A request with its events takes some 3 ms of a core: this many leave half of it free.
- */
+/** Leaves half of a core free. */
 const REQUESTS_PER_CORE = 150
 /** Prompt in and out, events in and out, with heads. */
 const BYTES_PER_REQUEST = 50_000
--- a/packages/daemon/src/observe/changeBatch.ts
+++ b/packages/daemon/src/observe/changeBatch.ts
@@ -1,7 +1,6 @@
 /**
  * Lines about changes that come together. A few are told one by one; many, as at a start or after an outage, in one
- * line that counts them: a line for each of hundreds of instances on each of hundreds was two thirds
- * of all lines of a day (97,000 of 146,000, 195 instances).
+ * line that counts them: a line for each of hundreds of instances on each of hundreds would be most of all lines.
  */
 
 /** One change, as a line tells of it. */
--- a/packages/decisions/src/admitting/abandonedWork.ts
+++ b/packages/decisions/src/admitting/abandonedWork.ts
@@ -4,9 +4,8 @@
  * Load pattern: all callers of a busy team stay with one weak instance. Once what they send waits before it for
  * longer than they do, each request is read after its caller has left. Sent on all the same, it takes the
  * processor, the link and an endpoint's time, callers try again, and served work falls while offered work
- * rises: an instance with 0.324 of a core read 150 requests a second for ten seconds and served one of them (75
- * instances, one played day). The word that a caller has left is read a turn of the loop after its request: 13 ms
- * later in the median there.
+ * rises, down to none of a hundred requests a second. The word that a caller has left is read a turn of the loop
+ * after its request.
  *
  * So an instance counts which callers leave within moments of being read. While more than a few do, it waits
  * for that moment before it sends anything on, and takes less (processorBudget).
--- a/packages/decisions/src/admitting/budgetPatience.ts
+++ b/packages/decisions/src/admitting/budgetPatience.ts
@@ -9,7 +9,7 @@
 
 /** Part of a route's goal that may pass before a refusal. */
 const REFUSAL_SHARE = 0.2
-/** The longest wait for the store and for loans: a loan takes 90 ms at most. */
+/** The longest wait for the store and for loans: a loan that comes at all comes within it. */
 const LONGEST_PATIENCE_MILLISECONDS = 120
 /** Where other instances hold the tokens: they may have given some by then. */
 const RETURN_AFTER_SECONDS = 0.25
--- a/packages/decisions/src/admitting/freshKnowledge.ts
+++ b/packages/decisions/src/admitting/freshKnowledge.ts
@@ -3,8 +3,7 @@
  *
  * Load pattern: the callers of a busy team fill the link of a weak instance, or its processor, or its one connection
  * to the store has fallen silent. It goes on serving by a configuration that was replaced seconds ago: by keys that
- * were taken away, by routes that are gone, to endpoints that leave. One was seen to serve for 1.2 s by a
- * configuration whose bound had passed (86 instances, one played day).
+ * were taken away, by routes that are gone, to endpoints that leave.
  *
  * An old age alone proves nothing: while the store is away for all, nobody can know better, and an instance
  * that refused then would refuse for the whole outage. So what decides is who else is there. A peer that answers
@@ -40,7 +39,7 @@
 
 /**
  * Part of a bound that is left when an instance refuses: a request that is taken reaches its endpoint some
- * hundred milliseconds later. Chosen as a tenth; bounds are two seconds and more.
+ * hundred milliseconds later, and bounds are of seconds.
  */
 const MARGIN_SHARE = 0.1
 /**
--- a/packages/decisions/src/admitting/processorBudget.ts
+++ b/packages/decisions/src/admitting/processorBudget.ts
@@ -8,10 +8,9 @@
  *
  * Three signs tell of it. The delay of a timer: work that is ready waits for as long. The wait of new connections: the
  * process takes one in each turn of its loop, after all that is ready on those it has, so callers wait before
- * it unseen, for two seconds where no timer was late by 40 ms (0.324 of a core, 150 requests a second, one played
- * day). And callers that had left before their requests were read. A queue that does not empty
- * for some looks in a row stands, and then a growing part of the requests is refused before anything
- * of them is read: the least urgent first, and of equally urgent ones those with the longest answers,
+ * it unseen, for seconds where no timer is late. And callers that had left before their requests were read. A queue
+ * that does not empty for some looks in a row stands, and then a growing part of the requests is refused before
+ * anything of them is read: the least urgent first, and of equally urgent ones those with the longest answers,
  * which take the most of the processor. The part shrinks again once the queue is gone.
  *
  * Limits: a single long delay, as of a process that was paused, refuses nothing; a part of the most
--- a/packages/decisions/src/admitting/writtenAhead.ts
+++ b/packages/decisions/src/admitting/writtenAhead.ts
@@ -2,10 +2,8 @@
  * How many tokens does a record of a holding count as committed before anybody asks for them?
  *
  * Load pattern: requests are large beside what is spent in a second. A record allows its writer a rate until the next
- * one, and each record begins it anew, so a holding of 267,000 tokens refused a request for 9,180: its newest
- * record was 74 ms old and allowed 2,935. Of the refusals in the first seconds of a played day (75 instances) 114 of
- * 114 asked for less than the refusing instance held. While the store is slow it is worse: with calls of 0.7 s, 0.50
- * of requests that the holdings cover were served.
+ * one, and each record begins it anew, so just after a record a holding would refuse a request of a small part of its
+ * tokens. While the store is slow it is worse: records come rarely, and requests that the holdings cover are refused.
  *
  * So a record counts a few requests of the size that callers make as committed already; they are served at once, and
  * the next record counts anew. It is taken back with the first record after callers have gone. The stored form
--- a/packages/decisions/src/choosing/endpointChoice.ts
+++ b/packages/decisions/src/choosing/endpointChoice.ts
@@ -2,7 +2,7 @@
  * Which endpoint gets a request of the gateway kind?
  *
  * Inputs are snapshots of the endpoints that may take the request: what is in progress there from
- * this instance and, as last told by datagrams (20 ms old in a small fleet), from the others; what
+ * this instance and, as last told by datagrams, from the others; what
  * the endpoint itself said in its newest answer; and how much of this prompt it would have to read.
  * The score is the expected wait, expressed in prompt tokens that are read before the request's
  * turn; the smallest wins. Trials of the weights: docs/design/gateway-routing.md.
@@ -93,8 +93,8 @@
 /** An endpoint that fails more than this share is passed over while another does not. */
 const EJECTED_FAILURE_SHARE = 0.6
 /**
- * What each request costs that would wait for a slot before this one: a slot of twelve comes free
- * about every 200 ms, in which an endpoint reads so much.
+ * What each request costs that would wait for a slot before this one: what an endpoint reads until one of its
+ * slots comes free.
  */
 const SLOT_WAIT_COST: TokenCount = 6_000
 /** A load that an endpoint told counts for this long: loads change within a few events. */
--- a/packages/decisions/src/choosing/rendezvous.ts
+++ b/packages/decisions/src/choosing/rendezvous.ts
@@ -60,10 +60,7 @@
   return best
 }
 
-/**
- * One call instead of a hash object: 98 candidates take 0.07 ms instead of 0.23 (mean of 2,000 keys); with the object
- * they were 0.37 of some 4 ms that a request took of the processor (profile of one instance).
- */
+/** One call is cheaper than a hash object, and each choice weighs all candidates. */
 function weightOf(key: string, candidate: string): string {
   return hash('sha1', `${key}\0${candidate}`, 'hex')
 }
--- a/packages/decisions/src/placing/budgetSharers.ts
+++ b/packages/decisions/src/placing/budgetSharers.ts
@@ -24,7 +24,7 @@
 /**
  * The other instances with which this one shares a budget: those that serve callers, and those whose
  * rows tell of demand. Without the latter a team whose callers all come to an instance that stands by
- * was served 0.10 of its requests in the first five seconds (replayed with virtual time).
+ * would be refused what the others hold.
  */
 export function budgetSharers(
   working: readonly string[],
--- a/packages/decisions/src/placing/fleetSharers.ts
+++ b/packages/decisions/src/placing/fleetSharers.ts
@@ -3,8 +3,8 @@
  *
  * Load pattern: hundreds of instances of which a dozen take callers. Health checks and a plain request
  * now and then come to each of the others, and all callers of a team may stay with one of them. Divided
- * among all to which anything came, connections, records of holdings and reports of load each had a
- * sixteenth of their measure (195 instances, 190 of them counted, twelve active).
+ * among all to which anything came, connections, records of holdings and reports of load would each have
+ * a small part of their measure.
  *
  * So a bound is divided among those that use it: the active instances, and the others that were heard
  * telling of work at endpoints. An instance that uses nothing yet takes the part that it would have if
--- a/packages/decisions/src/placing/holdingTolerance.ts
+++ b/packages/decisions/src/placing/holdingTolerance.ts
@@ -2,8 +2,8 @@
  * By how much may a holding be off its target before tokens are moved?
  *
  * Load pattern: eight instances hold parts of two dozen budgets, and callers' demand shifts a little between them all
- * the time. Each move changes the pool's row, on which every other move of that budget rests, so of 1,067 calls to the
- * store in a calm second 523 were writes that met a conflict (75 instances, one played day).
+ * the time. Each move changes the pool's row, on which every other move of that budget rests, so in calm seconds half
+ * of the calls to the store would be writes that meet a conflict.
  *
  * Where tokens lie matters when a budget is nearly used up, and little while it lasts: each holding then covers
  * what its instance is asked for through a cut. So the more a budget lasts, the less is moved.
--- a/packages/decisions/src/placing/recordInterval.ts
+++ b/packages/decisions/src/placing/recordInterval.ts
@@ -3,9 +3,8 @@
  *
  * Load pattern: hundreds of instances, dozens of budgets, and a dozen instances that hold tokens. What is
  * not recorded is hidden at a death and unknown to the others, so records come as often as the store
- * takes them from all holders together. Reckoned by all instances that serve anybody, a holding was
- * recorded each 7.9 s instead of each 0.5 s (195 instances, 40 budgets), and the tokens that a refused
- * caller wanted lay with others whose rows were up to 4 s old.
+ * takes them from all holders together. Reckoned by all instances that serve anybody, a holding would be
+ * recorded so rarely that the tokens which a refused caller wants lie with others whose rows are seconds old.
  *
  * Limits: all records together take part of the store's writes, those of one budget part of what its
  * partition takes; the rest is for requests that cannot be covered without a write.
--- a/packages/decisions/src/placing/silentInstances.ts
+++ b/packages/decisions/src/placing/silentInstances.ts
@@ -3,8 +3,8 @@
  *
  * Load pattern: all instances lose power and start within a second of each other. In a large fleet a
  * sign of life takes seconds to come round, so each has heard one or two of the others when callers ask
- * it for addresses. Taking all the others for silent, each named itself alone (195 of 195 instances,
- * two seconds after the start), and each of them became a holder of every budget.
+ * it for addresses. Taking all the others for silent, each would name itself alone, and each of them become a
+ * holder of every budget.
  *
  * So an instance counts as silent only after this one has listened for it for as long as silence takes to
  * notice: either it was heard and then no more, or nothing came in all that time.
--- a/packages/router/src/gateway/loadReporter.ts
+++ b/packages/router/src/gateway/loadReporter.ts
@@ -81,8 +81,7 @@
   /**
    * For instances that get no reports: it names one endpoint in use where there is one, and tells so that
    * this instance uses endpoints. Two that stand by and have callers of their own would otherwise never
-   * learn of each other: they made a third of the load, and 9 to 27 in 100 of their prompts were late
-   * where active instances had 1 to 3 (195 instances, one played day).
+   * learn of each other, and their prompts would wait behind each other's.
    */
   sign(): PeerLoadReport {
     const [used] = this.told
--- a/packages/shared/src/errors.ts
+++ b/packages/shared/src/errors.ts
@@ -14,8 +14,8 @@
   constructor(code: ResultCode, detail?: string, cause?: Error) {
     const message = RESULT_TABLE[code].message
     const { stackTraceLimit } = Error
-    // A refusal is an answer: its code says what happened, and an instance at its limit makes hundreds a second. The
-    // trace took a seventh of the processor time of one (0.16 of 1.1 ms, profile of 2,750 refusals).
+    // A refusal is an answer: its code says what happened, and an instance at its limit makes hundreds a second, of which
+    // a trace would take a noticeable part of the processor.
     if (cause === undefined) Error.stackTraceLimit = 0
     super({ name: 'RackwalkError', cause }, '%s', detail ? `${message}: ${detail}` : message)
     Error.stackTraceLimit = stackTraceLimit
