perf(daemon): an instance starts from a code cache, and without the parser of YAML

Cause: a start of the gateway kind added some 0.16 s of processor time to a bare Node.js, three quarters of which went into compiling and running modules: yaml (233 KB), zod, consola, the whole of prom-client with @opentelemetry/api, https, zlib and cluster, the resource kinds of the other kind, and the loader of ES modules.

Change: the build makes one file of the program and the platform's adapter, runs it for a moment with the engine's flags of deploy/system.toml and keeps the code this needed; rackwalkd.cjs compiles with that cache, or without where it is missing or refused. Settings are filled in as JSON, still YAML to the version before, and read without the parser of YAML; any other text and any fault is still that parser's. The log writes its lines itself; consola is loaded for messages at the console only. Parts of prom-client that no gateway instance uses are left out of its bundles. nameSchema has a file of its own.

--- a/packages/daemon/__tests__/bundle.spec.ts
+++ b/packages/daemon/__tests__/bundle.spec.ts
@@ -24,4 +24,14 @@
     expect(inputs.length).toBeGreaterThan(0)
     expect(inputs.filter(input => HEAVY.some(name => input.includes(`/${name}/`)))).toEqual([])
   })
+
+  it('holds none of them as one file with its code cache either', async () => {
+    const program = bundles.find(({ entryPoints }) => 'program' in Object(entryPoints))
+    if (program === undefined) throw new Error('no bundle')
+    const result = await build({ ...program, write: false, metafile: true })
+    const inputs = inputsReachedFrom(result.metafile.outputs, 'target/program.js')
+    expect(inputs.length).toBeGreaterThan(0)
+    const unneeded = [...HEAVY, '@opentelemetry']
+    expect(inputs.filter(input => unneeded.some(name => input.includes(`/${name}/`)))).toEqual([])
+  })
 })
--- a/packages/daemon/src/gateway/gatewayTelemetry.ts
+++ b/packages/daemon/src/gateway/gatewayTelemetry.ts
@@ -15,7 +15,7 @@
 } from '@rackwalk/router'
 import { BoundedLogger } from '../observe/boundedLogger.js'
 import { ChangeBatch } from '../observe/changeBatch.js'
-import { ConsolaLogger } from '../observe/logger.js'
+import { JsonLogger } from '../observe/logger.js'
 import type { Logger } from '../observe/logger.js'
 import { MalformedForms } from '../observe/malformedForms.js'
 import type { MalformedForm } from '../observe/malformedForms.js'
@@ -28,7 +28,7 @@
 
 /** The log of an instance, bounded as its settings say. */
 export function createGatewayLogger({ log, instance }: GatewaySettings, clock: Clock): Logger {
-  const inner = new ConsolaLogger(log.level, instance.id)
+  const inner = new JsonLogger(log.level, instance.id)
   return new BoundedLogger(inner, clock, log.linesPerSecond)
 }
 
--- a/packages/daemon/src/gateway/runGateway.ts
+++ b/packages/daemon/src/gateway/runGateway.ts
@@ -8,15 +8,23 @@
 import { SettingsWatcher } from './settingsWatcher.js'
 
 /** Starts a gateway instance and ties it to the signals of its process. */
-export async function runGateway(file: string, settings: GatewaySettings): Promise<void> {
-  const module = (await import(pathToFileURL(resolve(settings.adapter)).href)) as PlatformModule
+export async function runGateway(
+  file: string,
+  settings: GatewaySettings,
+  adapters: Readonly<Record<string, PlatformModule>>,
+): Promise<void> {
+  const module = adapters[settings.adapter] ?? (await loadAdapter(settings.adapter))
   const daemon = new GatewayDaemon(settings, module.createPlatformAdapter())
   const watcher = new SettingsWatcher(file, settings, outcome => daemon.noteSettings(outcome))
   const leave = () => void daemon.drain().then(() => process.exit(0))
   process.once('SIGINT', leave)
   process.once('SIGTERM', leave)
-  process.on('SIGHUP', () => watcher.look('signal'))
+  process.on('SIGHUP', () => void watcher.look('signal'))
   process.on('unhandledRejection', error => daemon.noteFault(error))
   await daemon.start()
   watcher.start()
 }
+
+async function loadAdapter(file: string): Promise<PlatformModule> {
+  return (await import(pathToFileURL(resolve(file)).href)) as PlatformModule
+}
--- a/packages/daemon/src/gateway/settingsWatcher.ts
+++ b/packages/daemon/src/gateway/settingsWatcher.ts
@@ -4,7 +4,8 @@
  */
 
 import { readFileSync } from 'node:fs'
-import { SettingsError, formatFault, parseWith } from '../settings/load.js'
+import { SettingsError, formatFault } from '../settings/faults.js'
+import { readSettings } from '../settings/quickSettings.js'
 import { gatewaySettingsSchema } from './gatewaySettings.js'
 import type { GatewaySettings } from './gatewaySettings.js'
 
@@ -29,21 +30,18 @@
 
   start(): void {
     this.text = this.read()
-    setInterval(() => this.look('file'), LOOK_MILLISECONDS).unref()
+    setInterval(() => void this.look('file'), LOOK_MILLISECONDS).unref()
   }
 
-  look(cause: string): void {
+  async look(cause: string): Promise<void> {
     const text = this.read()
     if (text === undefined || text === this.text) return
     this.text = text
-    try {
-      const settings = parseWith(gatewaySettingsSchema, text)
-      this.settings = settings
-      this.onOutcome({ kind: 'changed', settings, cause })
-    } catch (thrown) {
-      if (!(thrown instanceof SettingsError)) throw thrown
-      this.onOutcome({ kind: 'refused', faults: thrown.faults.map(formatFault), cause })
-    }
+    const outcome = await this.outcomeOf(text, cause)
+    // The file may have changed again while the parser was loaded.
+    if (text !== this.text) return
+    if (outcome.kind === 'changed') this.settings = outcome.settings
+    this.onOutcome(outcome)
   }
 
   /** The settings in force. */
@@ -51,6 +49,16 @@
     return this.settings
   }
 
+  private async outcomeOf(text: string, cause: string): Promise<SettingsOutcome> {
+    try {
+      const settings = await readSettings(gatewaySettingsSchema, text)
+      return { kind: 'changed', settings, cause }
+    } catch (thrown) {
+      if (!(thrown instanceof SettingsError)) throw thrown
+      return { kind: 'refused', faults: thrown.faults.map(formatFault), cause }
+    }
+  }
+
   private read(): string | undefined {
     try {
       return readFileSync(this.file, 'utf8')
--- a/packages/daemon/src/observe/logger.ts
+++ b/packages/daemon/src/observe/logger.ts
@@ -1,46 +1,43 @@
 /** Lines of the log: an event and its fields, as JSON on standard output. */
 
-import { LogLevels, createConsola } from 'consola'
-import type { ConsolaInstance } from 'consola'
 import type { Settings } from '../settings/schema.js'
 
+type Level = Settings['log']['level']
+
 /** Writes lines; a line is an event name and its fields. */
 export interface Logger {
   info(event: string, fields: Readonly<Record<string, unknown>>): void
   warn(event: string, fields: Readonly<Record<string, unknown>>): void
 }
 
-const LEVELS: Readonly<Record<Settings['log']['level'], number>> = {
-  silent: LogLevels.silent,
-  warn: LogLevels.warn,
-  info: LogLevels.info,
-  debug: LogLevels.debug,
-}
+/** Levels at which a line is written. */
+const INFO_LEVELS: readonly Level[] = ['info', 'debug']
+const WARN_LEVELS: readonly Level[] = ['warn', ...INFO_LEVELS]
 
 /** One JSON object a line on standard output, so that any collector can read it. */
-export class ConsolaLogger implements Logger {
-  private readonly consola: ConsolaInstance
+export class JsonLogger implements Logger {
+  private readonly tellsInfo: boolean
+  private readonly tellsWarnings: boolean
 
   constructor(
-    level: Settings['log']['level'],
+    level: Level,
     private readonly instanceId: string,
   ) {
-    this.consola = createConsola({
-      level: LEVELS[level],
-      reporters: [{ log: entry => void process.stdout.write(`${entry.args.join(' ')}\n`) }],
-    })
+    this.tellsInfo = INFO_LEVELS.includes(level)
+    this.tellsWarnings = WARN_LEVELS.includes(level)
   }
 
   info(event: string, fields: Readonly<Record<string, unknown>>): void {
-    if (this.consola.level >= LogLevels.info) this.consola.info(this.format('info', event, fields))
+    if (this.tellsInfo) this.write('info', event, fields)
   }
 
   warn(event: string, fields: Readonly<Record<string, unknown>>): void {
-    if (this.consola.level >= LogLevels.warn) this.consola.warn(this.format('warn', event, fields))
+    if (this.tellsWarnings) this.write('warn', event, fields)
   }
 
-  private format(level: string, event: string, fields: Readonly<Record<string, unknown>>): string {
+  private write(level: string, event: string, fields: Readonly<Record<string, unknown>>): void {
     const time = new Date().toISOString()
-    return JSON.stringify({ time, level, event, instance: this.instanceId, ...fields })
+    const line = JSON.stringify({ time, level, event, instance: this.instanceId, ...fields })
+    process.stdout.write(`${line}\n`)
   }
 }
--- a/packages/daemon/src/openAiKind.ts
+++ b/packages/daemon/src/openAiKind.ts
@@ -4,23 +4,22 @@
  * are not the ones of the program that loaded it.
  */
 
-import { consola } from 'consola'
 import { SEALED_EXIT_CODE } from '@rackwalk/coordination'
 import { RackwalkDaemon } from './rackwalkDaemon.js'
-import { report } from './report.js'
+import { report, reportValid } from './report.js'
 import { parseSettings } from './settings/openAiSettings.js'
 
 /** Runs an instance, or only checks its settings. */
 export async function runOpenAiKind(file: string, text: string, isCheck: boolean): Promise<void> {
   try {
     const settings = parseSettings(text)
-    if (isCheck) return consola.success(`${file}: the settings are valid`)
+    if (isCheck) return await reportValid(file)
     const daemon = new RackwalkDaemon(settings, { onSealed: () => process.exit(SEALED_EXIT_CODE) })
     await daemon.start()
     const leave = () => void daemon.drain().then(() => process.exit(0))
     process.once('SIGINT', leave)
     process.once('SIGTERM', leave)
   } catch (thrown) {
-    report(thrown)
+    await report(thrown)
   }
 }
--- a/packages/daemon/src/platformClients.ts
+++ b/packages/daemon/src/platformClients.ts
@@ -3,7 +3,7 @@
 import { DynamodbTableService, S3ObjectStore } from '@rackwalk/stores'
 import { EqualSplitPolicy, RateProportionalPolicy, WeighedPolicy } from '@rackwalk/coordination'
 import type { AllocationPolicy } from '@rackwalk/coordination'
-import { readSecret } from './settings/load.js'
+import { readSecret } from './settings/sources.js'
 import type { Settings } from './settings/schema.js'
 
 /** The policy that divides budgets among instances. */
--- a/packages/daemon/src/rackwalkDaemon.ts
+++ b/packages/daemon/src/rackwalkDaemon.ts
@@ -31,7 +31,7 @@
 import { createRefusedBodies } from './callers/createRefusedBodies.js'
 import { Explainer } from './explainer.js'
 import { withPort } from './observe/listenOn.js'
-import { ConsolaLogger } from './observe/logger.js'
+import { JsonLogger } from './observe/logger.js'
 import { MalformedForms } from './observe/malformedForms.js'
 import type { Logger } from './observe/logger.js'
 import { unfinishedLine } from './observe/unfinishedLine.js'
@@ -45,7 +45,7 @@
 import { createObjects, createPolicy, createTable } from './platformClients.js'
 import { createRequestPath } from './requestPath.js'
 import type { RequestPath } from './requestPath.js'
-import { readSecret } from './settings/load.js'
+import { readSecret } from './settings/sources.js'
 import type { Settings } from './settings/schema.js'
 import { AdviceTask } from './tasks/adviceTask.js'
 import { CrashTask } from './tasks/crashTask.js'
@@ -111,7 +111,7 @@
   ) {
     this.clock = options.clock ?? new SystemClock()
     this.random = options.random ?? new SystemRandom()
-    this.logger = options.logger ?? new ConsolaLogger(settings.log.level, settings.instance.id)
+    this.logger = options.logger ?? new JsonLogger(settings.log.level, settings.instance.id)
     this.metrics = new Metrics(options.withProcessMetrics ?? true)
     this.identity = createIdentity(settings, this.random)
     this.malformed = new MalformedForms(this.logger, () =>
--- a/packages/router/src/filters/parse.ts
+++ b/packages/router/src/filters/parse.ts
@@ -17,7 +17,7 @@
 import { parseChatRequest } from '../engine/chatRequest.js'
 import { readBody } from '../readBody.js'
 import type { Catalogue, Team } from '../resources/catalogue.js'
-import { nameSchema } from '../resources/kinds.js'
+import { nameSchema } from '../resources/name.js'
 import type { AuthenticatedRequest, Call, Filter, ParsedRequest } from './stages.js'
 
 /** Bounds of what a caller may send and ask for. */
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -66,7 +66,6 @@
   RESOURCE_SCHEMAS,
   ROUTING_POLICY_NAMES,
   isResourceKind,
-  nameSchema,
 } from './resources/kinds.js'
 export type {
   BudgetSpec,
@@ -76,6 +75,8 @@
   RoutingPolicyName,
 } from './resources/kinds.js'
 
+export { nameSchema } from './resources/name.js'
+
 export { EndpointEnds } from './crashes/endpointEnds.js'
 export type { EndpointEnd } from './crashes/endpointEnds.js'
 export { CrashGuard } from './crashes/crashGuard.js'
--- a/packages/router/src/resources/kinds.ts
+++ b/packages/router/src/resources/kinds.ts
@@ -1,14 +1,11 @@
 /** Shapes of everything that operators configure; the API and the settings both check them. */
 
 import * as z from 'zod'
+import { nameSchema } from './name.js'
 
-const NAME_PATTERN = /^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$/
 /** Lower-case hexadecimal SHA-256. */
 const HASH_PATTERN = /^[0-9a-f]{64}$/
 
-/** A resource name: also a URL segment and a row key. */
-export const nameSchema = z.string().regex(NAME_PATTERN, 'lower-case letters, digits, dots, dashes')
-
 const tokens = z.number().int().nonnegative().max(Number.MAX_SAFE_INTEGER)
 
 /** A customer of the operator, with the keys its callers show. */
--- /dev/null
+++ b/scripts/codeCache.mjs
@@ -0,0 +1,47 @@
+import { readFileSync, rmSync, writeFileSync } from 'node:fs'
+import { createRequire } from 'node:module'
+import { setTimeout } from 'node:timers'
+import { Script, constants } from 'node:vm'
+
+/**
+ * Runs a program for a moment and leaves the code that this needed as its code cache: `codeCache.mjs PROGRAM CACHE`.
+ * The settings are those of an instance that finds nobody.
+ */
+
+const RUN_MILLISECONDS = 1_500
+const NOBODY = '127.0.0.1:9'
+const ANY_PORT = '127.0.0.1:0'
+
+const [program, cache] = process.argv.slice(2)
+const settingsFile = `${cache}.settings`
+
+const settings = {
+  kind: 'gateway',
+  adapter: 'target/adapter.mjs',
+  instance: { id: 'build', region: 'build', failureDomain: 'build' },
+  listen: {
+    callers: ANY_PORT,
+    readiness: ANY_PORT,
+    directory: ANY_PORT,
+    peers: ANY_PORT,
+    loads: ANY_PORT,
+    metrics: ANY_PORT,
+  },
+  seeds: [NOBODY],
+  store: { address: NOBODY },
+  log: { level: 'silent' },
+}
+
+const script = new Script(readFileSync(program, 'latin1'), {
+  filename: program,
+  importModuleDynamically: constants.USE_MAIN_CONTEXT_DEFAULT_LOADER,
+})
+// However the run ends, what it needed until then is worth keeping.
+process.on('exit', () => {
+  rmSync(settingsFile)
+  writeFileSync(cache, script.createCachedData())
+})
+writeFileSync(settingsFile, JSON.stringify(settings))
+process.argv = [process.execPath, program, '--settings', settingsFile]
+script.runInThisContext()(createRequire(import.meta.url), { exports: {} })
+setTimeout(() => process.exit(0), RUN_MILLISECONDS)
