fix(router, decisions): what was sent to the front of an ended endpoint is not held for having ended it

Cause: whatever broke before the look was over was taken for there at the end, with no look at when it had been sent. Change: a request carries the time at which it was sent. One that was sent after the first break of a start that this instance saw, or was told of as `suspected` or `away`, leaves no mark, until the look shows life, the endpoint is back, or nothing is told of it for a second. The rule is pure, in decisions/retrying/brokenStarts. Starts of one endpoint are judged together, since a silent front holds a request beyond the next end. Ruled out: taking marks for news of a break, since they come from week-old records as well. Tests: endpointEnds.spec and crashGuard.spec, one new test each red with the rule taken out; brokenStarts.spec.

--- /dev/null
+++ b/packages/decisions/__tests__/brokenStarts.spec.ts
@@ -0,0 +1,55 @@
+import { describe, expect, it } from 'vitest'
+import { BrokenStarts } from '@rackwalk/decisions'
+import { endpointStart } from '@rackwalk/shared'
+
+/** Requests that met the front of an endpoint that had ended were held for having ended it. */
+
+const START = endpointStart('endpoint-1', 7)
+const NEXT = endpointStart('endpoint-1', 8)
+const OTHER = endpointStart('endpoint-2', 7)
+
+/** Of requests that were sent at these times, those that may have been there at the end. */
+function thereOf(broken: BrokenStarts, start = START): readonly number[] {
+  return [0, 100, 101, 500, 1_099, 1_100, 2_000].filter(sentAt => broken.wasThere(start, sentAt))
+}
+
+describe('a request that an endpoint broke off', () => {
+  it('was there if it was sent before the first break, or after the news of it', () => {
+    const broken = new BrokenStarts()
+    expect(thereOf(broken)).toHaveLength(7)
+    broken.note(START, 100)
+    expect(thereOf(broken)).toEqual([0, 100, 1_100, 2_000])
+    expect(thereOf(broken, OTHER)).toHaveLength(7)
+  })
+
+  it('was not there for as long as breaks and ends are told of', () => {
+    const broken = new BrokenStarts()
+    for (const now of [100, 900, 1_800]) broken.note(START, now)
+    expect(thereOf(broken)).toEqual([0, 100])
+  })
+
+  it('was there in spite of a break that was no end', () => {
+    const broken = new BrokenStarts()
+    broken.note(START, 100)
+    broken.forget(START)
+    expect(thereOf(broken)).toHaveLength(7)
+  })
+
+  it('was there once the endpoint was back, and was not at the next end if it was sent before', () => {
+    const broken = new BrokenStarts()
+    broken.note(START, 100)
+    broken.noteBack(START, 500)
+    broken.note(NEXT, 1_500)
+    expect(thereOf(broken, NEXT)).toEqual([0, 100, 500, 1_099, 1_100])
+  })
+
+  it('is judged by a bounded memory', () => {
+    const broken = new BrokenStarts()
+    broken.note(START, 100)
+    for (let count = 0; count < 1_024; count += 1) broken.note(endpointStart('other', count), 200)
+    expect(thereOf(broken)).toHaveLength(7)
+    broken.note(START, 100)
+    broken.note(OTHER, 40_000)
+    expect(thereOf(broken)).toHaveLength(7)
+  })
+})
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -60,6 +60,7 @@
 
 export { mayHaveRun, outcomeLabel, outcomeText } from './retrying/attemptOutcome.js'
 export type { AttemptOutcome } from './retrying/attemptOutcome.js'
+export { BrokenStarts } from './retrying/brokenStarts.js'
 export { CrashSuspicions, SCOPE_CHARACTERS } from './retrying/crashSuspicion.js'
 export type { CrashMark, CrashNews, CrashVerdict } from './retrying/crashSuspicion.js'
 export { judgeEnd } from './retrying/endSigns.js'
--- /dev/null
+++ b/packages/decisions/src/retrying/brokenStarts.ts
@@ -0,0 +1,76 @@
+/**
+ * Was a request at an endpoint when it ended, or did it only meet what goes on listening there?
+ *
+ * Load pattern: an engine ends behind a front that takes connections on its behalf. Others are sent there until the end is
+ * known, and are broken off like those that were there; each would be held for one that ends endpoints, isolated, and
+ * refused once it met a second front.
+ *
+ * | sent                                                    | held against it                          |
+ * | ------------------------------------------------------- | ---------------------------------------- |
+ * | before the first break that was seen here or told       | yes: it may have been there at the end   |
+ * | after it, while the endpoint is looked at or left alone | no: it met the front                     |
+ * | after the look showed life                              | yes: the break was no end                |
+ * | later than the news last spoke of the break             | yes: an endpoint is back by then         |
+ *
+ * Limits: the first break is seen a while after the end, so what was sent in between is held still. News counts for as long
+ * as an endpoint that has ended is left alone for it; who tells it renews it. Starts of one endpoint are judged together:
+ * a front holds what it was sent beyond the next start's end.
+ */
+
+import { endpointOf } from '@rackwalk/shared'
+import type { EndpointStart, Milliseconds } from '@rackwalk/shared'
+
+/** News of a break, or of an end, speaks of so long. */
+const SPOKEN_MILLISECONDS: Milliseconds = 1_000
+/** A front may hold a request for so long before it breaks it off. */
+const REMEMBERED_MILLISECONDS: Milliseconds = 30_000
+/** Starts that are remembered at a time, so that endpoints that break everything off can't fill the memory. */
+const REMEMBERED_STARTS = 1_024
+
+interface BrokenStart {
+  readonly since: Milliseconds
+  readonly until: Milliseconds
+}
+
+/** Starts of endpoints that broke something off of late. Times are monotonic. */
+export class BrokenStarts {
+  /** The one that was spoken of last stands last. */
+  private readonly starts = new Map<EndpointStart, BrokenStart>()
+
+  /** It broke something off, it is looked at for that, or it is known to have ended: here or by news. */
+  note(start: EndpointStart, now: Milliseconds): void {
+    const known = this.starts.get(start)
+    const since = known !== undefined && now < known.until ? known.since : now
+    this.starts.delete(start)
+    this.forgetOld(now)
+    this.starts.set(start, { since, until: now + SPOKEN_MILLISECONDS })
+  }
+
+  /** The look is over, and showed no end. */
+  forget(start: EndpointStart): void {
+    this.starts.delete(start)
+  }
+
+  /** It had ended, and something answers there again. */
+  noteBack(start: EndpointStart, now: Milliseconds): void {
+    const known = this.starts.get(start)
+    if (known === undefined) return
+    this.starts.set(start, { since: known.since, until: Math.min(known.until, now) })
+  }
+
+  /** Whether what was sent there at this time may have been there when it ended. */
+  wasThere(start: EndpointStart, sentAt: Milliseconds): boolean {
+    const endpoint = endpointOf(start)
+    return ![...this.starts].some(([broken, { since, until }]) => {
+      return endpointOf(broken) === endpoint && sentAt > since && sentAt < until
+    })
+  }
+
+  private forgetOld(now: Milliseconds): void {
+    for (const [start, { until }] of this.starts) {
+      const isOld = until + REMEMBERED_MILLISECONDS <= now
+      if (!isOld && this.starts.size < REMEMBERED_STARTS) return
+      this.starts.delete(start)
+    }
+  }
+}
--- a/packages/router/__tests__/crashGuard.spec.ts
+++ b/packages/router/__tests__/crashGuard.spec.ts
@@ -32,7 +32,11 @@
     })
   guards.push(createGuard(), createGuard())
   const [first, second] = guards as [CrashGuard, CrashGuard]
-  const breakOff = (id: string, wasIsolated: boolean) => {
+  const breakOff = (
+    id: string,
+    wasIsolated: boolean,
+    { guard = 'first' as 'first' | 'second', fingerprint = FINGERPRINT } = {},
+  ) => {
     const endpoint = {
       id,
       start: endpointStart(id, 1),
@@ -43,7 +47,8 @@
       hasEnded: false,
       heardAt: () => Number.NEGATIVE_INFINITY,
     }
-    return first.noteBroken(endpoint, { fingerprint: FINGERPRINT, wasIsolated })
+    const sentAt = clock.monotonic()
+    return { first, second }[guard].noteBroken(endpoint, { fingerprint, wasIsolated, sentAt })
   }
   const verdicts = () => [first.verdict(FINGERPRINT), second.verdict(FINGERPRINT)]
   return { clock, looks, second, breakOff, verdicts }
@@ -76,3 +81,28 @@
     expect(verdicts()).toEqual(['send', 'send'])
   })
 })
+
+describe('a request that was sent after another instance had told of a break there', () => {
+  const innocent = asId<RequestFingerprint>('innocent-of-it')
+
+  it('met the front of the end, so nothing is held against it', async () => {
+    const { clock, looks, second, breakOff } = setUp()
+    void breakOff('endpoint-1', false)
+    await clock.advance(10)
+    const isKnown = breakOff('endpoint-1', false, { guard: 'second', fingerprint: innocent })
+    expect(second.verdict(innocent)).toBe('send')
+    looks[1]?.resolve('nobody-listens')
+    expect(await isKnown).toBe(true)
+    expect(second.marksOf(innocent)).toEqual([])
+  })
+
+  it('is held for it as any other where nothing was told of that for a second', async () => {
+    const { clock, looks, second, breakOff } = setUp()
+    void breakOff('endpoint-1', false)
+    await clock.advance(1_000)
+    const isKnown = breakOff('endpoint-1', false, { guard: 'second', fingerprint: innocent })
+    looks[1]?.resolve('nobody-listens')
+    expect(await isKnown).toBe(true)
+    expect(second.marksOf(innocent)).toHaveLength(1)
+  })
+})
--- a/packages/router/__tests__/endpointEnds.spec.ts
+++ b/packages/router/__tests__/endpointEnds.spec.ts
@@ -1,4 +1,5 @@
 import { describe, expect, it } from 'vitest'
+import { BrokenStarts } from '@rackwalk/decisions'
 import type { EndSign } from '@rackwalk/decisions'
 import { VirtualClock, asId, endpointStart } from '@rackwalk/shared'
 import type { RequestFingerprint } from '@rackwalk/shared'
@@ -10,8 +11,8 @@
 const FIRST = broken('first')
 const SECOND = broken('second')
 
-function broken(fingerprint: string) {
-  return { fingerprint: asId<RequestFingerprint>(fingerprint), wasIsolated: false }
+function broken(fingerprint: string, sentAt = 0) {
+  return { fingerprint: asId<RequestFingerprint>(fingerprint), wasIsolated: false, sentAt }
 }
 
 function recordOf(bornAt?: number): EndpointRecord {
@@ -33,6 +34,7 @@
   let probes = 0
   const ends = new EndpointEnds({
     clock,
+    broken: new BrokenStarts(),
     probe: async () => {
       probes += 1
       return outcome
@@ -72,6 +74,18 @@
     expect(probes()).toBe(1)
   })
 
+  it('has not ended under what was sent after its first break: that met its front', async () => {
+    const { clock, ends, endpoint, unanswered } = watch('nobody-listens')
+    await clock.advance(100)
+    const known = [ends.noteBroken(endpoint(), broken('there', 90))]
+    await clock.advance(10)
+    known.push(ends.noteBroken(endpoint(), broken('sent to its front', 105)))
+    expect(await Promise.all(known)).toEqual([true, true])
+    expect(unanswered()).toEqual([['there']])
+    await ends.noteBroken(endpoint(), broken('at the next end', 108))
+    expect(unanswered()).toEqual([['there']])
+  })
+
   it.each(['lives', 'no-connection'] as const)(
     'has not ended where the look says %s',
     async look => {
--- a/packages/router/src/crashes/crashGuard.ts
+++ b/packages/router/src/crashes/crashGuard.ts
@@ -3,7 +3,7 @@
  * decisions/retrying/crashSuspicion, the search for ends in endpointEnds. Others are told by whoever made the guard.
  */
 
-import { CrashSuspicions, UnjudgedBreaks } from '@rackwalk/decisions'
+import { BrokenStarts, CrashSuspicions, UnjudgedBreaks } from '@rackwalk/decisions'
 import type { CrashMark, CrashNews, CrashVerdict, EndSign } from '@rackwalk/decisions'
 import type { Clock, EndpointStart, RequestFingerprint } from '@rackwalk/shared'
 import { EndpointEnds } from './endpointEnds.js'
@@ -29,14 +29,16 @@
   private readonly suspicions = new CrashSuspicions()
   /** What is not known yet: breaks at which it is looked, here or at another instance. */
   private readonly unjudged = new UnjudgedBreaks()
+  private readonly broken = new BrokenStarts()
   private readonly ends: EndpointEnds
 
   constructor(private readonly parts: CrashGuardParts) {
     this.ends = new EndpointEnds({
       ...parts,
+      broken: this.broken,
       onEnd: end => this.noteEnd(end),
       onAway: start => this.noteAway(start),
-      onLook: (start, request) => this.noteLook({ ...request, start }),
+      onLook: (start, request) => this.noteLook(markOf(start, request)),
       onLooked: start => this.unjudged.forget(start),
     })
   }
@@ -121,7 +123,7 @@
   private noteEnd(end: EndpointEnd): void {
     this.parts.onEnd(end)
     const { start } = end.endpoint
-    const marks = end.unanswered.map(request => ({ ...request, start }))
+    const marks = end.unanswered.map(request => markOf(start, request))
     this.share({ marks, cleared: [] })
   }
 
@@ -133,6 +135,9 @@
 
   private take({ marks, cleared, away = [], suspected = [] }: CrashNews): void {
     const now = this.parts.clock.monotonic()
+    // Marks may be old: they come from records as well.
+    for (const { start } of suspected) this.broken.note(start, now)
+    for (const start of away) this.broken.note(start, now)
     for (const mark of suspected) this.unjudged.note(mark, now)
     for (const { start } of marks) this.unjudged.forget(start)
     for (const start of away) this.parts.onUnreachable(start)
@@ -155,3 +160,8 @@
     if (isRefused !== wasRefused) this.parts.onVerdict(fingerprint, isRefused)
   }
 }
+
+/** What is held against a request that was there when a start ended. */
+function markOf(start: EndpointStart, { fingerprint, wasIsolated }: BrokenRequest): CrashMark {
+  return { fingerprint, start, wasIsolated }
+}
--- a/packages/router/src/crashes/endpointEnds.ts
+++ b/packages/router/src/crashes/endpointEnds.ts
@@ -7,7 +7,7 @@
  */
 
 import { judgeEnd } from '@rackwalk/decisions'
-import type { EndSign, EndVerdict } from '@rackwalk/decisions'
+import type { BrokenStarts, EndSign, EndVerdict } from '@rackwalk/decisions'
 import { sleep } from '@rackwalk/shared'
 import type { Clock, EndpointStart, Milliseconds, RequestFingerprint } from '@rackwalk/shared'
 import type { ProbedEndpoint } from './endpointProbe.js'
@@ -40,12 +40,16 @@
   readonly fingerprint: RequestFingerprint
   /** Whether it was sent there as one that may have ended endpoints. */
   readonly wasIsolated: boolean
+  /** Monotonic time at which it was sent there. */
+  readonly sentAt: Milliseconds
 }
 
 /** What the search for ends works with. */
 export interface EndpointEndsParts {
   readonly clock: Clock
   readonly probe: (endpoint: ProbedEndpoint) => Promise<EndSign>
+  /** What is known here of breaks, by this search and by news. */
+  readonly broken: BrokenStarts
   readonly onEnd: (end: EndpointEnd) => void
   /** A request was broken off, and it is looked whether its endpoint has ended. */
   readonly onLook: (start: EndpointStart, request: BrokenRequest) => void
@@ -97,12 +101,13 @@
     if (endpoint.leavesAsPlanned) return false
     const breaks = this.breaksOf(endpoint)
     if (breaks.hasEnded && this.isFrontOf(breaks)) return true
-    breaks.untold.push(request)
+    const wasThere = this.parts.broken.wasThere(endpoint.start, request.sentAt)
+    if (wasThere) breaks.untold.push(request)
     if (breaks.hasEnded) {
       this.tell(breaks)
       return true
     }
-    this.parts.onLook(endpoint.start, request)
+    if (wasThere) this.parts.onLook(endpoint.start, request)
     breaks.looking ??= this.beginLook(breaks)
     await breaks.looking
     return breaks.hasEnded
@@ -122,6 +127,7 @@
 
   private beginLook(breaks: Breaks): Promise<void> {
     breaks.brokenAt = this.parts.clock.monotonic()
+    this.parts.broken.note(breaks.endpoint.start, breaks.brokenAt)
     breaks.signs = []
     return this.look(breaks)
   }
@@ -135,6 +141,7 @@
     breaks.looking = undefined
     const isEnd = verdict === 'ended' && !breaks.hasEnded
     if (isEnd) this.end(breaks)
+    else if (!breaks.hasEnded) this.parts.broken.forget(breaks.endpoint.start)
     this.parts.onLooked(breaks.endpoint.start)
     if (!isEnd) return
     if (breaks.signs.at(-1) === 'does-not-answer') void this.watchReturn(breaks)
@@ -150,10 +157,12 @@
   private async watchReturn({ endpoint }: Breaks): Promise<void> {
     const { start } = endpoint
     for (let look = 0; look < AWAY_LOOKS && !this.isStopped; look += 1) {
+      this.parts.broken.note(start, this.parts.clock.monotonic())
       this.parts.onAway(start)
       await sleep(this.parts.clock, AWAY_LOOK_MILLISECONDS)
       if ((await this.parts.probe(endpoint)) !== 'does-not-answer') break
     }
+    this.parts.broken.noteBack(start, this.parts.clock.monotonic())
     this.breaks.delete(start)
   }
 
--- a/packages/router/src/filters/dispatch.ts
+++ b/packages/router/src/filters/dispatch.ts
@@ -59,10 +59,17 @@
   'upgrade',
 ])
 
-/** What came of a try, and whether it was sent as one that may end endpoints. */
-interface TriedRequest {
-  readonly result: AttemptResult
+/** How a try is sent. */
+interface SentRequest {
+  /** Whether as one that may end endpoints. */
   readonly wasIsolated: boolean
+  /** Monotonic time. */
+  readonly sentAt: Milliseconds
+}
+
+/** What came of a try. */
+interface TriedRequest extends SentRequest {
+  readonly result: AttemptResult
 }
 
 /** What to do about an attempt that gave no usable answer. */
@@ -88,12 +95,12 @@
     const results: AttemptResult[] = []
     for (let attempt = 1; ; attempt += 1) {
       tried.add(endpointId)
-      const wasIsolated = this.isIsolated(request)
-      const result = await this.attempt(request, endpointId, wasIsolated)
+      const sent = this.describeSend(request)
+      const result = await this.attempt(request, endpointId, sent)
       const answer = acceptedAnswer(result, request)
       if (answer !== undefined) return { ...request, answer }
       results.push(result)
-      const isKnown = this.noteBroken(request, endpointId, { result, wasIsolated })
+      const isKnown = this.noteBroken(request, endpointId, { ...sent, result })
       const verdict = this.judge(request, result, attempt)
       const routing = request.record.routing.at(-1)
       noteFate(routing, result, incoming.caller.left.aborted ? 'dropped' : 'refused')
@@ -109,21 +116,21 @@
   private async attempt(
     request: RoutedRequest,
     endpointId: EndpointId,
-    wasIsolated: boolean,
+    sent: SentRequest,
   ): Promise<AttemptResult> {
     const endpoint = this.parts.catalogue.findEndpoint(endpointId)
     if (endpoint === undefined) return { kind: 'unsent', reason: 'removed' }
     const promptTokens = promptEstimate(request)
     this.parts.endpoints.noteSent(endpointId, promptTokens)
     request.notePlaced()
-    const sent = await this.parts.client.attempt({
+    const answered = await this.parts.client.attempt({
       endpointId,
       address: endpoint.spec.address,
       ...this.exchange(request),
       firstByteMilliseconds: this.parts.firstByteMilliseconds,
       signal: this.signalOf(request),
     })
-    const result = await this.withoutFront(request, endpointId, { result: sent, wasIsolated })
+    const result = await this.withoutFront(request, endpointId, { ...sent, result: answered })
     this.noteResult(request, endpointId, result)
     return result
   }
@@ -132,27 +139,29 @@
   private async withoutFront(
     request: RoutedRequest,
     endpointId: EndpointId,
-    { result, wasIsolated }: TriedRequest,
+    { result, ...sent }: TriedRequest,
   ): Promise<AttemptResult> {
     if (result.kind !== 'answering' || !isServerError(result.answer.status)) return result
     const reason = `status ${result.answer.status} of its front`
     const failed = { kind: 'failed', reason, stalled: false } as const
-    const hasEnded = await this.noteBroken(request, endpointId, { result: failed, wasIsolated })
+    const hasEnded = await this.noteBroken(request, endpointId, { ...sent, result: failed })
     if (!hasEnded) return result
     drop(result.answer)
     return { ...failed, isLookedAt: true }
   }
 
-  private isIsolated({ crashFingerprint }: RoutedRequest): boolean {
-    if (crashFingerprint === undefined) return false
-    return this.parts.crashes.verdict(crashFingerprint) === 'isolate'
+  private describeSend({ crashFingerprint }: RoutedRequest): SentRequest {
+    const { clock, crashes } = this.parts
+    const sentAt = clock.monotonic()
+    if (crashFingerprint === undefined) return { wasIsolated: false, sentAt }
+    return { wasIsolated: crashes.verdict(crashFingerprint) === 'isolate', sentAt }
   }
 
   /** Resolves when it is known whether the endpoint ended as it broke the request off. */
   private async noteBroken(
     request: RoutedRequest,
     endpointId: EndpointId,
-    { result, wasIsolated }: TriedRequest,
+    { result, wasIsolated, sentAt }: TriedRequest,
   ): Promise<boolean> {
     const { crashFingerprint: fingerprint, target } = request
     if (result.kind !== 'failed' || result.stalled || fingerprint === undefined) return false
@@ -172,7 +181,7 @@
       heardAt: () => endpoints.heardAt(endpointId),
       hasEnded: false,
     }
-    return crashes.noteBroken(breaking, { fingerprint, wasIsolated })
+    return crashes.noteBroken(breaking, { fingerprint, wasIsolated, sentAt })
   }
 
   private exchange(request: RoutedRequest) {
--- a/packages/router/src/gateway/requestAttempts.ts
+++ b/packages/router/src/gateway/requestAttempts.ts
@@ -91,6 +91,8 @@
   private exchange: UpstreamExchange | undefined
   private isHandedOut = false
   private isLate = false
+  /** Monotonic time at which the attempt in progress was sent. */
+  private sentAt: Milliseconds = 0
   private readonly choice: AttemptChoice
 
   constructor(
@@ -167,6 +169,7 @@
     const { id } = endpoint.record
     const uncachedTokens = this.uncachedTokens(id)
     const pending = endpoint.beginRequest(uncachedTokens)
+    this.sentAt = this.parts.clock.monotonic()
     this.parts.fleetLoad.noteSent(id, this.request.metadata.promptParts, uncachedTokens)
     this.tried.add(endpoint.record.start)
     try {
@@ -201,14 +204,15 @@
    */
   private async endBroken(endpoint: EndpointState, outcome: AttemptOutcome): Promise<AttemptEnd> {
     const wasIsolated = this.choice.verdict === 'isolate'
-    const { fingerprint } = this.choice
+    const { sentAt, choice } = this
+    const { fingerprint } = choice
     const { record, leavesAsPlanned, hasEnded } = endpoint
     const statePath = this.request.service.engine?.statePath
     const heardAt = () => endpoint.heardAt
     const breaking = { ...record, leavesAsPlanned, hasEnded, statePath, heardAt }
     const isKnown = this.isOver
       ? undefined
-      : this.parts.crashes.noteBroken(breaking, { fingerprint, wasIsolated })
+      : this.parts.crashes.noteBroken(breaking, { fingerprint, wasIsolated, sentAt })
     const end = this.endAttempt(outcome)
     if (end === 'try-another') await isKnown
     return end
