fix(router, decisions): requests at an endpoint that is known to have ended no longer wait for their deadline

What callers saw: an engine ended behind a front that holds connections; all instances knew within 0.3 s, and whoever was there or had been sent there in between was told 504 (4006) after 4,081 ms, at a deadline of 4 s. A resumable stream hung as long.

Cause: what is known of an end keeps new requests away (`noteUnreachable`, `hasEnded`) and reached no open exchange.

Change: EndpointState owns what is open at a start; EndedEndpoints ends it by the rule in decisions/retrying/endedExchange. A new start under the id and a 421 of another server are proofs. News that an engine is away ends nothing by itself (it carries no time, and two looks of 100 ms are a stall or a full server as well): the endpoint is asked for its state here; held for 200 ms ends what may be repeated or resumed, for 500 ms what may run once as well. An exchange that was sent, or had a part, after the question stays; so does all where anything was heard since. Such an exchange ends as `endpoint-ended`: it goes on as a broken one, without a look at the end; the caller of one that may not go on is told 4001, may have run. What was there before the first break is marked as suspect; what was sent to the front after it is not.

Ruled out: closing the endpoint's connections (broke off what a draining endpoint served, and what a slow one ran), row gone, nobody listens, refused connections, reset questions.

--- a/packages/daemon/src/gateway/crashWatch.ts
+++ b/packages/daemon/src/gateway/crashWatch.ts
@@ -53,8 +53,19 @@
     this.guard.stop()
   }
 
+  /** Takes in what another instance found out. */
+  observe(news: CrashNews): void {
+    this.guard.observe(news)
+    this.noteAway(news)
+  }
+
+  private noteAway({ away = [] }: CrashNews): void {
+    for (const start of away) this.parts.directory().noteAway(start)
+  }
+
   private share(news: CrashNews): void {
     this.parts.tell(news)
+    this.noteAway(news)
     if (news.marks.length + news.cleared.length === 0) return
     this.parts.clock.after(REPEAT_MILLISECONDS, () => this.parts.tell(news))
     this.records.record(news.marks)
--- a/packages/daemon/src/gateway/endpointKnowledge.ts
+++ b/packages/daemon/src/gateway/endpointKnowledge.ts
@@ -134,7 +134,7 @@
       idlePeers: () => loadPeersOf(fleet().idleOthers),
       fleetLoad: this.fleetLoad,
       identity: { instance, incarnation },
-      onCrashNews: news => this.crashes.guard.observe(news),
+      onCrashNews: news => this.crashes.observe(news),
       onAdviceNews: news => this.advice.observe(news),
       onOverloaded: instance => this.overloaded.note(instance),
       standingAdvice: () => this.advice.advices.standingNews,
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -64,10 +64,26 @@
 export type { CrashMark, CrashNews, CrashVerdict } from './retrying/crashSuspicion.js'
 export { judgeEnd } from './retrying/endSigns.js'
 export type { EndSign, EndVerdict } from './retrying/endSigns.js'
+export {
+  SILENT_MILLISECONDS,
+  STILL_SILENT_MILLISECONDS,
+  isAsked,
+  isAskedAgain,
+  isEndedBy,
+  signOfQuestions,
+  wasThereAtEnd,
+} from './retrying/endedExchange.js'
+export type { OpenExchange, SignTimes, StartSign, StateSign } from './retrying/endedExchange.js'
 export { UnjudgedBreaks } from './retrying/unjudgedBreaks.js'
 export { FleetRetryBudget } from './retrying/fleetRetryBudget.js'
 export type { RetryBounds } from './retrying/fleetRetryBudget.js'
-export { isMisdirected, isPromising, isServerError, nextStep } from './retrying/nextStep.js'
+export {
+  canRepeat,
+  isMisdirected,
+  isPromising,
+  isServerError,
+  nextStep,
+} from './retrying/nextStep.js'
 export type { NextStep } from './retrying/nextStep.js'
 
 export { DemandHoldingPolicy, EqualHoldingPolicy, secondsLeft } from './placing/holdingPolicy.js'
--- a/packages/decisions/src/stopping/answerCompleteness.ts
+++ b/packages/decisions/src/stopping/answerCompleteness.ts
@@ -29,6 +29,8 @@
   | 'reset'
   /** Nothing came for too long. */
   | 'silence'
+  /** Its endpoint is known to be over, and nothing broke the connection. */
+  | 'endpoint-ended'
   /** Given up here, while the caller waits. */
   | 'aborted'
   | 'deadline'
--- a/packages/router/__tests__/answerEnds.spec.ts
+++ b/packages/router/__tests__/answerEnds.spec.ts
@@ -31,7 +31,7 @@
   splits: fc.array(fc.nat({ max: 200 }), { maxLength: 3 }),
   ending: fc.constantFrom('stays', 'closes', 'resets'),
   isReaderSlow: fc.boolean(),
-  abort: fc.constantFrom(undefined, 'deadline', 'caller-left', 'aborted'),
+  abort: fc.constantFrom(undefined, 'deadline', 'caller-left', 'aborted', 'endpoint-ended'),
 })
 
 /** What an endpoint that frames its answer by the connection says to be all of it. */
@@ -95,17 +95,20 @@
     ['length', 'aborted'],
     ['length', 'deadline'],
     ['length', 'caller-left'],
+    ['length', 'endpoint-ended'],
     ['chunks', 'complete'],
     ['chunks', 'closed'],
     ['chunks', 'reset'],
     ['chunks', 'aborted'],
     ['chunks', 'deadline'],
     ['chunks', 'caller-left'],
+    ['chunks', 'endpoint-ended'],
     ['connection', 'closed'],
     ['connection', 'reset'],
     ['connection', 'aborted'],
     ['connection', 'deadline'],
     ['connection', 'caller-left'],
+    ['connection', 'endpoint-ended'],
     ['bodiless', 'complete'],
   ])('would be misjudged by a rule that is wrong for %s and %s', async (framing, end) => {
     const result = await check(wrongIn(framing, end))
--- /dev/null
+++ b/packages/router/__tests__/endedEndpoints.spec.ts
@@ -0,0 +1,218 @@
+import { describe, expect, it } from 'vitest'
+import { SILENT_MILLISECONDS, STILL_SILENT_MILLISECONDS } from '@rackwalk/decisions'
+import type { StateSign } from '@rackwalk/decisions'
+import { VirtualClock, endpointStart } from '@rackwalk/shared'
+import { EndpointDirectory } from '@rackwalk/router'
+import type { EndpointRecord, EndpointState } from '@rackwalk/router'
+
+/** What is open at an endpoint that is over, or may be, on virtual time. */
+
+const GOES_ON = { mayGoOn: true, isReplyStarted: false }
+const RESUMES = { mayGoOn: true, isReplyStarted: true }
+const ONCE = { mayGoOn: false, isReplyStarted: false }
+const BEGUN = { mayGoOn: false, isReplyStarted: true }
+const KINDS = { again: GOES_ON, resume: RESUMES, once: ONCE, stream: BEGUN }
+const ALL = Object.keys(KINDS)
+const LATE = 10_000
+
+function recordOf(bornAt = 1, isLeaving = false): EndpointRecord {
+  return {
+    id: 'endpoint-1',
+    start: endpointStart('endpoint-1', bornAt),
+    service: 'models',
+    address: '127.0.0.1:1',
+    failureDomain: 'domain-a',
+    slots: 8,
+    isLeaving,
+    coldMilliseconds: 0,
+  }
+}
+
+/** Each question comes to what the endpoint does then, after so long. */
+interface Answer {
+  readonly sign: StateSign
+  readonly after: number
+}
+
+class Place {
+  readonly clock = new VirtualClock()
+  readonly ended: string[] = []
+  readonly suspected: string[] = []
+  questions = 0
+  answer: Answer = { sign: 'held', after: Infinity }
+  readonly directory = new EndpointDirectory({
+    clock: this.clock,
+    instances: () => 1,
+    maximumConnections: () => 8,
+    coldMilliseconds: () => 0,
+    onChange: () => {},
+    ask: () => this.ask(),
+  })
+  readonly endpoint: EndpointState
+
+  constructor() {
+    this.directory.set(recordOf())
+    const [endpoint] = this.directory.available('models')
+    if (endpoint === undefined) throw new Error('not listed')
+    this.endpoint = endpoint
+  }
+
+  send(name: string, kind: { mayGoOn: boolean; isReplyStarted: boolean }): void {
+    const sentAt = this.clock.monotonic()
+    const open = { ...kind, sentAt, quietSince: sentAt, isHeldBack: false }
+    const close = this.endpoint.exchanges.add({
+      open,
+      statePath: '/report',
+      suspect: () => this.suspected.push(name),
+      end: () => {
+        this.ended.push(name)
+        close()
+      },
+    })
+  }
+
+  sendAll(): void {
+    for (const [name, kind] of Object.entries(KINDS)) this.send(name, kind)
+  }
+
+  private ask() {
+    this.questions += 1
+    const { sign, after } = this.answer
+    const isUnsettled = sign === 'held' || sign === 'no-connection'
+    const question = {
+      sign: isUnsettled ? sign : ('held' as StateSign),
+      answered: new Promise<void>(resolve => {
+        if (after === Infinity) return
+        this.clock.after(after, () => {
+          question.sign = sign
+          resolve()
+        })
+      }),
+      readAll: () => Promise.resolve(),
+      withdraw: () => {},
+    }
+    return question
+  }
+}
+
+/** Sent at 0, told at 1,000. */
+async function placeWithAll(): Promise<Place> {
+  const place = new Place()
+  place.sendAll()
+  await place.clock.advance(1_000)
+  return place
+}
+
+describe('what is open at a start whose engine is told to be away', () => {
+  it('ends in two steps, as the question for its state is held', async () => {
+    const place = await placeWithAll()
+    place.directory.noteAway(recordOf().start)
+    await place.clock.advance(SILENT_MILLISECONDS - 1)
+    expect(place.ended).toEqual([])
+    await place.clock.advance(1)
+    expect(place.ended).toEqual(['again', 'resume'])
+    await place.clock.advance(STILL_SILENT_MILLISECONDS - SILENT_MILLISECONDS)
+    expect(place.ended).toEqual(['again', 'resume', 'once'])
+    await place.clock.advance(LATE)
+    expect(place.ended).toEqual(['again', 'resume', 'once'])
+  })
+
+  // A slow engine tells its state later than short looks wait.
+  it('stays if it may run once where the endpoint tells its state slowly', async () => {
+    const place = await placeWithAll()
+    place.answer = { sign: 'lives', after: STILL_SILENT_MILLISECONDS - 1 }
+    place.directory.noteAway(recordOf().start)
+    await place.clock.advance(LATE)
+    expect(place.ended).toEqual(['again', 'resume'])
+  })
+
+  it.each<Answer>([
+    { sign: 'lives', after: 0 },
+    { sign: 'lives', after: SILENT_MILLISECONDS - 1 },
+    { sign: 'turned-away', after: 1 },
+    { sign: 'nobody-listens', after: 1 },
+    { sign: 'no-connection', after: Infinity },
+  ])('stays where the question comes to $sign after $after ms', async answer => {
+    const place = await placeWithAll()
+    place.answer = answer
+    place.directory.noteAway(recordOf().start)
+    await place.clock.advance(LATE)
+    expect(place.ended).toEqual([])
+  })
+
+  // News may come after the engine is back, and after a new request was sent to it.
+  it('stays where it was sent after the question, until the next news', async () => {
+    const place = await placeWithAll()
+    place.directory.noteAway(recordOf().start)
+    await place.clock.advance(1)
+    place.send('later', GOES_ON)
+    await place.clock.advance(LATE)
+    expect(place.ended).not.toContain('later')
+    place.directory.noteAway(recordOf().start)
+    await place.clock.advance(LATE)
+    expect(place.ended).toContain('later')
+  })
+
+  it('stays where the endpoint goes on for others meanwhile', async () => {
+    const place = await placeWithAll()
+    place.directory.noteAway(recordOf().start)
+    await place.clock.advance(1)
+    place.endpoint.noteHeard()
+    await place.clock.advance(LATE)
+    expect(place.ended).toEqual([])
+    expect(place.endpoint.isUnreachable).toBe(false)
+  })
+
+  it('stays where news speaks of another start', async () => {
+    const place = await placeWithAll()
+    place.directory.noteAway(recordOf(2).start)
+    await place.clock.advance(LATE)
+    expect([place.ended, place.questions]).toEqual([[], 0])
+  })
+
+  it('is asked about once at a time, and not at all where nothing could be ended', async () => {
+    const place = await placeWithAll()
+    place.directory.noteAway(recordOf().start)
+    place.directory.noteAway(recordOf().start)
+    await place.clock.advance(LATE)
+    place.directory.noteAway(recordOf().start)
+    await place.clock.advance(LATE)
+    expect(place.questions).toBe(1)
+  })
+
+  // What was sent to the front after the end did not end the engine.
+  it('is suspected only where it was sent before the first break', async () => {
+    const place = await placeWithAll()
+    const now = place.clock.monotonic()
+    place.endpoint.exchanges.noteBroken({ now, heardAt: place.endpoint.heardAt })
+    await place.clock.advance(50)
+    place.send('to the front', GOES_ON)
+    place.endpoint.exchanges.noteBroken({ now: now + 50, heardAt: place.endpoint.heardAt })
+    place.directory.noteAway(recordOf().start)
+    await place.clock.advance(LATE)
+    expect(place.suspected).toEqual(ALL)
+    expect(place.ended).toContain('to the front')
+  })
+})
+
+describe('what is open at a start that is over for certain', () => {
+  it('ends at once when its row tells of a new start', async () => {
+    const place = await placeWithAll()
+    place.directory.set(recordOf(2))
+    expect([place.ended, place.questions]).toEqual([ALL, 0])
+  })
+
+  it('ends at once when another server answers at its address', async () => {
+    const place = await placeWithAll()
+    place.directory.noteEnded(recordOf())
+    expect([place.ended, place.questions]).toEqual([ALL, 0])
+  })
+
+  it('leaves what is open at the start that follows', async () => {
+    const place = await placeWithAll()
+    place.directory.set(recordOf(2))
+    place.directory.noteEnded(recordOf(1))
+    const [next] = place.directory.available('models')
+    expect(next?.start).toBe(recordOf(2).start)
+  })
+})
--- a/packages/router/src/gateway/endpointDirectory.ts
+++ b/packages/router/src/gateway/endpointDirectory.ts
@@ -5,9 +5,12 @@
 
 import { slownessOf, usualPace } from '@rackwalk/decisions'
 import type { Clock, EndpointStart, Milliseconds, Timer } from '@rackwalk/shared'
+import { EndedEndpoints } from './endedEndpoints.js'
 import { EndpointState } from './endpointState.js'
 import type { EndpointRecord } from './endpointState.js'
 import type { InstanceLoad } from './peerLoads.js'
+import { askState } from './stateQuestion.js'
+import type { StateQuestion } from './stateQuestion.js'
 
 /** Share of an endpoint's connections that all instances together use; the rest covers instances
  * that count their number differently for a moment. */
@@ -27,6 +30,8 @@
   readonly onChange: (endpoint: EndpointRecord, change: string) => void
   /** A start of an endpoint is over, since another one is listed under its id. */
   readonly onReplaced?: (start: EndpointStart) => void
+  /** Asks at IP:PORT for the state under a path; over the network unless it is given. */
+  readonly ask?: (address: string, path: string) => StateQuestion
 }
 
 /** The usual pace of a service is reckoned anew after this time: it changes in seconds. */
@@ -47,7 +52,12 @@
   /** Usual paces, by service. */
   private readonly usualPaces = new Map<string, KnownPace>()
 
-  constructor(private readonly parts: EndpointDirectoryParts) {}
+  /** Ends what is open where nobody will answer. */
+  private readonly ends: EndedEndpoints
+
+  constructor(private readonly parts: EndpointDirectoryParts) {
+    this.ends = new EndedEndpoints({ clock: parts.clock, ask: parts.ask ?? askState })
+  }
 
   /** An endpoint was listed, or its record changed. */
   set(record: EndpointRecord): void {
@@ -66,8 +76,9 @@
 
   /** An endpoint started again under its id: nothing that was believed of the start before holds. */
   private replace(known: EndpointState, record: EndpointRecord): void {
-    this.remove(record.id)
+    this.takeOut(record.id)
     known.hasEnded = true
+    this.ends.noteOver(known, 'replaced')
     this.parts.onReplaced?.(known.record.start)
     this.parts.onChange(record, 'started again')
     this.endpoints.set(record.id, this.createState(record))
@@ -112,6 +123,7 @@
     // What an earlier start is told late does not speak of the one that is there now.
     if (known === undefined || known.hasEnded || known.record.start !== start) return
     known.hasEnded = true
+    this.ends.noteOver(known, 'misdirected')
     this.parts.onChange(known.record, 'replaced')
   }
 
@@ -122,15 +134,27 @@
     }
   }
 
+  /** The engine of this start is away while something listens for it, as looks here or elsewhere found. */
+  noteAway(start: EndpointStart): void {
+    for (const endpoint of this.endpoints.values()) {
+      if (endpoint.record.start === start) this.ends.noteSign(endpoint, 'away')
+    }
+  }
+
   /** An endpoint is no longer listed; what runs there may end. */
   remove(id: string): void {
+    this.takeOut(id)
+  }
+
+  private takeOut(id: string): EndpointState | undefined {
     this.endLapse(id)
     const known = this.endpoints.get(id)
-    if (known === undefined) return
+    if (known === undefined) return undefined
     this.endpoints.delete(id)
     known.isListed = false
     this.parts.onChange(known.record, 'gone')
     if (known.running === 0) known.close()
+    return known
   }
 
   /** The entry of an endpoint is missing; unless it is listed again in time, the endpoint is gone. */
--- a/packages/router/src/gateway/endpointState.ts
+++ b/packages/router/src/gateway/endpointState.ts
@@ -9,6 +9,7 @@
 import { RecentSends } from '../advice/recentSends.js'
 import type { EndpointLoad } from './dialect.js'
 import { EndpointAgent } from './endpointAgent.js'
+import { EndpointExchanges } from './endpointExchanges.js'
 
 /** An endpoint as the platform lists it. */
 export interface EndpointRecord {
@@ -56,6 +57,8 @@
   hasEnded = false
   /** Monotonic time at which anything last came from it. */
   heardAt: Milliseconds = Number.NEGATIVE_INFINITY
+  /** What is open there from here. */
+  readonly exchanges = new EndpointExchanges()
   /** False once its entry has gone. */
   isListed = true
   /** By its own word, */
--- a/packages/router/src/gateway/requestAttempts.ts
+++ b/packages/router/src/gateway/requestAttempts.ts
@@ -9,6 +9,7 @@
 import {
   adviceText,
   answerFate,
+  canRepeat,
   finalError,
   isEndpointsFailure,
   isMisdirected,
@@ -18,7 +19,7 @@
   nextStep,
   readAdvice,
 } from '@rackwalk/decisions'
-import type { AttemptOutcome, NextStep } from '@rackwalk/decisions'
+import type { AttemptOutcome, EndedAnswer, NextStep } from '@rackwalk/decisions'
 import { sleep } from '@rackwalk/shared'
 import type { EndpointStart, Milliseconds, TokenCount } from '@rackwalk/shared'
 import { AnswerRelay } from './answerRelay.js'
@@ -30,7 +31,7 @@
 import { EventRelay } from './eventRelay.js'
 import type { EndpointState } from './endpointState.js'
 import { StreamPace } from './streamPace.js'
-import { UpstreamExchange } from './upstreamExchange.js'
+import { ENDPOINT_ENDED, UpstreamExchange } from './upstreamExchange.js'
 import type { HeadOutcome } from './upstreamExchange.js'
 
 /** What the attempts at requests work with. */
@@ -89,6 +90,10 @@
   private readonly events = new EventRelay()
   private readonly history: AttemptOutcome[] = []
   private exchange: UpstreamExchange | undefined
+  /** Monotonic time at which anything last came in the exchange, or at which it began. */
+  private quietSince: Milliseconds = 0
+  /** The exchange is over, whatever is done about it afterwards. */
+  private closeExchange = () => {}
   private isHandedOut = false
   private isLate = false
   private readonly choice: AttemptChoice
@@ -169,24 +174,50 @@
     const pending = endpoint.beginRequest(uncachedTokens)
     this.parts.fleetLoad.noteSent(id, this.request.metadata.promptParts, uncachedTokens)
     this.tried.add(endpoint.record.start)
+    const exchange = this.open(endpoint)
+    this.makeEndable(endpoint, exchange)
     try {
-      const exchange = this.open(endpoint)
       const head = await exchange.awaitAnswer()
       if (head.kind === 'head') {
         return await this.takeAnswer(endpoint, exchange, head.response, pending.noteBegun)
       }
       return await this.endWithoutAnswer(endpoint, head)
     } finally {
+      this.closeExchange()
       pending.end()
       this.exchange = undefined
     }
   }
 
+  /** Lets the end of its endpoint end an exchange, until that is closed. */
+  private makeEndable(endpoint: EndpointState, exchange: UpstreamExchange): void {
+    const { route, reply, service } = this.request
+    const sentAt = this.parts.clock.monotonic()
+    const quietSince = () => this.quietSince
+    this.quietSince = sentAt
+    this.closeExchange = endpoint.exchanges.add({
+      get open() {
+        const isReplyStarted = reply.isStarted
+        return {
+          sentAt,
+          quietSince: quietSince(),
+          mayGoOn: canRepeat({ route, isReplyStarted }),
+          isReplyStarted,
+          isHeldBack: exchange.isPaused,
+        }
+      },
+      statePath: service.engine?.statePath,
+      suspect: () => void this.noteBroken(endpoint),
+      end: () => exchange.abort(ENDPOINT_ENDED),
+    })
+  }
+
   private async endWithoutAnswer(
     endpoint: EndpointState,
     { kind, reason }: Exclude<HeadOutcome, { kind: 'head' }>,
   ): Promise<AttemptEnd> {
     endpoint.noteOutcome(false)
+    if (reason === ENDPOINT_ENDED) return this.endAttempt(withoutAnswer(kind, reason))
     if (kind === 'failed') return this.endBroken(endpoint, { kind, reason })
     if (reason === CONNECTION_REFUSED) endpoint.noteUnreachable()
     const end = this.endAttempt({ kind: 'connect-failed', reason })
@@ -200,18 +231,25 @@
    * whether it ended this one.
    */
   private async endBroken(endpoint: EndpointState, outcome: AttemptOutcome): Promise<AttemptEnd> {
+    const { heardAt } = endpoint
+    this.closeExchange()
+    endpoint.exchanges.noteBroken({ now: this.parts.clock.monotonic(), heardAt })
+    const isKnown = this.noteBroken(endpoint)
+    const end = this.endAttempt(outcome)
+    if (end === 'try-another') await isKnown
+    return end
+  }
+
+  /** It had no part of an answer when its endpoint broke it off or ended; resolves once it is known which. */
+  private noteBroken(endpoint: EndpointState): Promise<boolean> | undefined {
+    if (this.isOver) return undefined
     const wasIsolated = this.choice.verdict === 'isolate'
     const { fingerprint } = this.choice
     const { record, leavesAsPlanned, hasEnded } = endpoint
     const statePath = this.request.service.engine?.statePath
     const heardAt = () => endpoint.heardAt
     const breaking = { ...record, leavesAsPlanned, hasEnded, statePath, heardAt }
-    const isKnown = this.isOver
-      ? undefined
-      : this.parts.crashes.noteBroken(breaking, { fingerprint, wasIsolated })
-    const end = this.endAttempt(outcome)
-    if (end === 'try-another') await isKnown
-    return end
+    return this.parts.crashes.noteBroken(breaking, { fingerprint, wasIsolated })
   }
 
   /** Tokens of the prompt that an endpoint would have to read. */
@@ -257,6 +295,7 @@
     noteBegun: () => void,
   ): Promise<AttemptEnd> {
     const status = response.statusCode ?? 0
+    this.quietSince = this.parts.clock.monotonic()
     const reply = this.parts.dialect.readReply(status, response.headers)
     if (reply.load !== undefined) endpoint.noteLoad(reply.load)
     const outcome = this.judge(status, reply)
@@ -307,18 +346,20 @@
     response: IncomingMessage,
     noteBegun: () => void,
   ): Promise<AttemptEnd> {
+    const { route, reply } = this.request
     const pace = this.startPace(endpoint)
     let hasBegun = false
     const noteBytes = () => {
       noteBegun()
       endpoint.noteHeard()
+      this.quietSince = endpoint.heardAt
       if (!hasBegun) this.noteAnswered()
       hasBegun = true
     }
     const relay = new AnswerRelay({
       exchange,
       response,
-      reply: this.request.reply,
+      reply,
       events: this.events,
       onStart: () => this.noteStart(),
       onEvents: count => {
@@ -327,11 +368,9 @@
       },
       onBytes: noteBytes,
     })
-    const isStream = this.request.route.isStreaming && response.statusCode === STATUS_OK
-    const answer = await (isStream ? relay.relayEvents() : relay.relayWhole())
+    const answer = await this.relay(relay, response)
     this.noteAnswer(relay)
     this.notePause(pace)
-    const { route, reply } = this.request
     const fate = answerFate(answer, { route, isReplyStarted: reply.isStarted })
     if (fate === 'whole') return 'done'
     if (!isEndpointsFailure(answer)) return 'give-up'
@@ -339,9 +378,15 @@
     // The attempt was noted as answered; now more is known of it.
     this.history.pop()
     const outcome = { kind: 'broke-off', events: this.events.events } as const
+    if (answer.end === ENDPOINT_ENDED) return this.endAttempt(outcome)
     return hasBegun ? this.endAttempt(outcome) : this.endBroken(endpoint, outcome)
   }
 
+  private relay(relay: AnswerRelay, { statusCode }: IncomingMessage): Promise<EndedAnswer> {
+    const isStream = this.request.route.isStreaming && statusCode === STATUS_OK
+    return isStream ? relay.relayEvents() : relay.relayWhole()
+  }
+
   private noteAnswer(relay: AnswerRelay): void {
     const attempt = this.request.record.attempts.at(-1)
     if (attempt !== undefined) attempt.answer = relay.record
@@ -431,6 +476,10 @@
   return outcome.kind === 'answered' && !isServerError(outcome.status)
 }
 
+function withoutAnswer(kind: 'failed' | 'not-sent', reason: string): AttemptOutcome {
+  return { kind: kind === 'failed' ? kind : 'connect-failed', reason }
+}
+
 /** Ends an exchange whose answer is not passed on; a connection is kept where that is safe. */
 function discard(exchange: UpstreamExchange, outcome: AttemptOutcome, step: NextStep): void {
   if (outcome.kind === 'refused') return exchange.drain()
--- a/packages/router/src/gateway/upstreamExchange.ts
+++ b/packages/router/src/gateway/upstreamExchange.ts
@@ -43,7 +43,13 @@
 }
 
 /** Why an exchange is ended on this side. */
-export type AbortReason = Extract<AnswerEnd, 'aborted' | 'deadline' | 'caller-left'>
+export type AbortReason = Extract<
+  AnswerEnd,
+  'aborted' | 'deadline' | 'caller-left' | 'endpoint-ended'
+>
+
+/** The reason of an exchange that was ended here since its endpoint is over. */
+export const ENDPOINT_ENDED = 'endpoint-ended'
 
 /** The exchange, from the sending to the end of the answer. */
 export class UpstreamExchange {
@@ -118,12 +124,19 @@
     this.response?.resume()
   }
 
+  /** Whether nothing is read at present. */
+  get isPaused(): boolean {
+    return this.response?.isPaused() === true
+  }
+
   /**
    * Ends the exchange and its connection; the endpoint drops the request. A deadline ends no answer that is all here: what is
-   * left of it is handed over at once, since a caller who reads no more would hold its request for ever.
+   * left of it is handed over at once, since a caller who reads no more would hold its request for ever. The end of its
+   * endpoint does not touch it either.
    */
   abort(reason: AbortReason): void {
     if (reason === 'deadline' && this.isReceived) return this.handOver()
+    if (reason === ENDPOINT_ENDED && this.isReceived) return
     this.abortReason ??= reason
     this.call.destroy()
   }
@@ -156,7 +169,8 @@
       this.watchConnection(connectMilliseconds)
       this.call.on('error', error => {
         const reason = (error as NodeJS.ErrnoException).code ?? error.message
-        resolve({ kind: this.connected ? 'failed' : 'not-sent', reason })
+        const kind = this.connected ? 'failed' : 'not-sent'
+        resolve({ kind, reason: this.abortReason === ENDPOINT_ENDED ? ENDPOINT_ENDED : reason })
       })
       this.call.on('close', () => resolve({ kind: 'failed', reason: 'closed' }))
       this.call.on('response', response => {
