fix(router): a break of an answer that had begun tells of an end behind a silent front

What callers saw: an engine ended, and only streams with first pieces were cut by that; whoever had been sent to its silent front waited for the deadline.

Cause: requestAttempts looks at an endpoint only after a break without any part of an answer (`hasBegun ? endAttempt`), so the end never became known.

Change: such a break makes the instance ask the endpoint for its state where something without a part of an answer is open there. Nothing is suspected by it. Without anybody's looks before, a question held for 500 ms ends what may be repeated or resumed, two in a row what may run once too. One that lives, resets the question, listens no more or can't be reached ends nothing.

Limits: the finding holds for this instance and a second; the others are not told.

Five cases on virtual time in endedEndpoints.spec. Run with it: gateway, answerPassage, evacuation: 106 tests of 5 files passed.

--- a/packages/router/__tests__/endedEndpoints.spec.ts
+++ b/packages/router/__tests__/endedEndpoints.spec.ts
@@ -216,3 +216,28 @@
     expect(next?.start).toBe(recordOf(2).start)
   })
 })
+
+describe('what is open at a start that broke off an answer which had begun', () => {
+  it('goes on elsewhere after one question that is held, and ends for good after two', async () => {
+    const place = await placeWithAll()
+    place.directory.noteCut(place.endpoint)
+    await place.clock.advance(STILL_SILENT_MILLISECONDS)
+    expect(place.ended).toEqual(['again', 'resume'])
+    await place.clock.advance(STILL_SILENT_MILLISECONDS)
+    expect(place.ended).toEqual(['again', 'resume', 'once'])
+    expect(place.suspected).toEqual([])
+  })
+
+  it.each<Answer>([
+    { sign: 'lives', after: 1 },
+    { sign: 'turned-away', after: 1 },
+    { sign: 'nobody-listens', after: 1 },
+    { sign: 'no-connection', after: Infinity },
+  ])('stays where the question comes to $sign', async answer => {
+    const place = await placeWithAll()
+    place.answer = answer
+    place.directory.noteCut(place.endpoint)
+    await place.clock.advance(LATE)
+    expect(place.ended).toEqual([])
+  })
+})
--- a/packages/router/src/gateway/endpointDirectory.ts
+++ b/packages/router/src/gateway/endpointDirectory.ts
@@ -141,6 +141,11 @@
     }
   }
 
+  /** An endpoint broke an answer off that had begun: the others there are not told of its end by that. */
+  noteCut(endpoint: EndpointState): void {
+    if (!endpoint.leavesAsPlanned) this.ends.noteSign(endpoint, 'broke-off')
+  }
+
   /** An endpoint is no longer listed; what runs there may end. */
   remove(id: string): void {
     this.takeOut(id)
--- a/packages/router/src/gateway/requestAttempts.ts
+++ b/packages/router/src/gateway/requestAttempts.ts
@@ -379,7 +379,7 @@
     this.history.pop()
     const outcome = { kind: 'broke-off', events: this.events.events } as const
     if (answer.end === ENDPOINT_ENDED) return this.endAttempt(outcome)
-    return hasBegun ? this.endAttempt(outcome) : this.endBroken(endpoint, outcome)
+    return hasBegun ? this.endCut(endpoint, outcome) : this.endBroken(endpoint, outcome)
   }
 
   private relay(relay: AnswerRelay, { statusCode }: IncomingMessage): Promise<EndedAnswer> {
@@ -387,6 +387,12 @@
     return isStream ? relay.relayEvents() : relay.relayWhole()
   }
 
+  /** The endpoint broke an answer off that had begun, so this request is not what ended it. */
+  private endCut(endpoint: EndpointState, outcome: AttemptOutcome): AttemptEnd {
+    this.parts.directory.noteCut(endpoint)
+    return this.endAttempt(outcome)
+  }
+
   private noteAnswer(relay: AnswerRelay): void {
     const attempt = this.request.record.attempts.at(-1)
     if (attempt !== undefined) attempt.answer = relay.record
