fix(router, decisions, daemon): what left an endpoint before its end does not refute the end

Cause: a load report counted from its arrival, and bytes from when they were read: both may have left before the break. Second, a look's connection was given up by a timer that a busy processor fires late, before what is already there is seen. Change: a report counts from when it was asked for; bytes only where they are read after the first look was over (it goes there and back, and what was buffered is read before it is told); where no look says when, only a second later. A late timer sees the connection that is up first. Ruled out: a longer time for a connection: the timer is late by whatever the processor is busy. What a slow caller holds up can still be read late: stated in endSigns.

--- a/bench/src/capacity/measuredSlopes.ts
+++ b/bench/src/capacity/measuredSlopes.ts
@@ -220,7 +220,7 @@
   )
   const report = { running: 10, waiting: 0, cacheUse: 0, leaving: false, queuedPromptTokens: 0 }
   for (const { endpointId } of endpoints) {
-    table.noteReport(endpointId, report)
+    table.noteReport(endpointId, report, 0)
     for (let prompt = 0; prompt < prompts; prompt += 1) {
       const text = Buffer.alloc(8_192, `prompt ${endpointId} ${prompt} `)
       table.prefixes.assume(endpointId, prefixHashes(text))
--- a/bench/src/routing/routingSimulation.ts
+++ b/bench/src/routing/routingSimulation.ts
@@ -183,7 +183,7 @@
   }
 
   private report(router: RouterInstance, endpointId: EndpointId, reports: EngineReports): void {
-    router.table.noteReport(endpointId, reports.load)
+    router.table.noteReport(endpointId, reports.load, this.clock.monotonic())
     const events = reports.eventsAfter(router.positions.get(endpointId) ?? 0)
     router.table.prefixes.apply(endpointId, events)
     const last = events.at(-1)
--- a/packages/daemon/src/tasks/endpointMonitor.ts
+++ b/packages/daemon/src/tasks/endpointMonitor.ts
@@ -110,11 +110,12 @@
   }
 
   private async askLoad({ endpointId, spec }: ConfiguredEndpoint): Promise<void> {
-    const { client, endpoints } = this.parts
+    const { client, clock, endpoints } = this.parts
+    const askedAt = clock.monotonic()
     const document = await client.fetchJson(spec.address, '/load', REPORT_TIMEOUT_MILLISECONDS)
     const parsed = parseLoadReport(document)
     if (parsed === undefined) return
-    endpoints.noteReport(endpointId, parsed.report)
+    endpoints.noteReport(endpointId, parsed.report, askedAt)
     const loaded = (parsed.loaded ?? []).map(
       ({ model, version }) => [asId<ModelId>(model), version] as const,
     )
--- a/packages/decisions/__tests__/brokenStarts.spec.ts
+++ b/packages/decisions/__tests__/brokenStarts.spec.ts
@@ -35,6 +35,23 @@
     expect(thereOf(broken)).toHaveLength(7)
   })
 
+  it('was there in spite of a break after which the endpoint certainly lived', () => {
+    const broken = new BrokenStarts()
+    broken.note(START, 100)
+    broken.noteLived(START, 100)
+    expect(thereOf(broken)).toEqual([0, 100, 1_100, 2_000])
+    broken.noteLived(START, 101)
+    expect(thereOf(broken)).toHaveLength(7)
+  })
+
+  it('was there after the endpoint was seen to be back from an end', () => {
+    const broken = new BrokenStarts()
+    broken.note(START, 100)
+    broken.noteAway(START, 300)
+    broken.noteLived(START, 600)
+    expect(thereOf(broken)).toEqual([0, 100, 1_099, 1_100, 2_000])
+  })
+
   it('was there once the endpoint was back, and was not at the next end if it was sent before', () => {
     const broken = new BrokenStarts()
     broken.note(START, 100)
--- a/packages/decisions/__tests__/endSigns.spec.ts
+++ b/packages/decisions/__tests__/endSigns.spec.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
-import { judgeEnd } from '@rackwalk/decisions'
+import { hasOutlived, judgeEnd, livedAt } from '@rackwalk/decisions'
 import type { EndSign } from '@rackwalk/decisions'
 
 /** What looks at an endpoint that broke a request off say of it. */
@@ -50,3 +50,26 @@
     )
   })
 })
+
+describe('what came from an endpoint that broke a request off', () => {
+  const never = Number.NEGATIVE_INFINITY
+  const looked = { brokenAt: 100, lookedAt: 130 }
+
+  it('proves life by when it was asked for, or where it was read after a look', () => {
+    const proofs = [100, 101, 130, 131].map(at => [
+      hasOutlived(looked, { askedAt: at, readAt: never }),
+      hasOutlived(looked, { askedAt: never, readAt: at }),
+    ])
+    expect(proofs).toEqual([
+      [false, false],
+      [true, false],
+      [true, false],
+      [true, true],
+    ])
+  })
+
+  it('proves life by reading alone only as of a second before', () => {
+    expect(livedAt({ askedAt: never, readAt: 2_000 })).toBe(1_000)
+    expect(livedAt({ askedAt: 1_500, readAt: 2_000 })).toBe(1_500)
+  })
+})
--- a/packages/decisions/src/retrying/brokenStarts.ts
+++ b/packages/decisions/src/retrying/brokenStarts.ts
@@ -9,7 +9,7 @@
  * | ------------------------------------------------------- | ---------------------------------------- |
  * | before the first break that was seen here or told       | yes: it may have been there at the end   |
  * | after it, while the endpoint is looked at or left alone | no: it met the front                     |
- * | after the look showed life                              | yes: the break was no end                |
+ * | after the look showed life, or something came from it   | yes: the break was no end                |
  * | later than the news last spoke of the break             | yes: an endpoint is back by then         |
  *
  * Limits: the first break is seen a while after the end, so what was sent in between is held still. News counts for as long
@@ -30,6 +30,8 @@
 interface BrokenStart {
   readonly since: Milliseconds
   readonly until: Milliseconds
+  /** Whether it is known to have ended. */
+  readonly hasEnded: boolean
 }
 
 /** Starts of endpoints that broke something off of late. Times are monotonic. */
@@ -37,13 +39,24 @@
   /** The one that was spoken of last stands last. */
   private readonly starts = new Map<EndpointStart, BrokenStart>()
 
-  /** It broke something off, it is looked at for that, or it is known to have ended: here or by news. */
+  /** It broke something off, or it is looked at for that: here or by news. */
   note(start: EndpointStart, now: Milliseconds): void {
+    this.speakOf(start, now, false)
+  }
+
+  /** It is known to have ended, and not to be back. */
+  noteAway(start: EndpointStart, now: Milliseconds): void {
+    this.speakOf(start, now, true)
+  }
+
+  private speakOf(start: EndpointStart, now: Milliseconds, isEnd: boolean): void {
     const known = this.starts.get(start)
-    const since = known !== undefined && now < known.until ? known.since : now
+    const isSpokenOf = known !== undefined && now < known.until
+    const since = isSpokenOf ? known.since : now
+    const hasEnded = isEnd || (isSpokenOf && known.hasEnded)
     this.starts.delete(start)
     this.forgetOld(now)
-    this.starts.set(start, { since, until: now + SPOKEN_MILLISECONDS })
+    this.starts.set(start, { since, until: now + SPOKEN_MILLISECONDS, hasEnded })
   }
 
   /** The look is over, and showed no end. */
@@ -55,7 +68,15 @@
   noteBack(start: EndpointStart, now: Milliseconds): void {
     const known = this.starts.get(start)
     if (known === undefined) return
-    this.starts.set(start, { since: known.since, until: Math.min(known.until, now) })
+    this.starts.set(start, { ...known, until: Math.min(known.until, now) })
+  }
+
+  /** It certainly lived at this time. */
+  noteLived(start: EndpointStart, at: Milliseconds): void {
+    const known = this.starts.get(start)
+    if (known === undefined || at <= known.since) return
+    if (known.hasEnded) this.noteBack(start, at)
+    else this.forget(start)
   }
 
   /** Whether what was sent there at this time may have been there when it ended. */
--- a/packages/decisions/src/retrying/endSigns.ts
+++ b/packages/decisions/src/retrying/endSigns.ts
@@ -10,14 +10,19 @@
  * | ----------------------------------------------------- | ----------------- | -------------- |
  * | nobody listens                                        | an end            |                |
  * | it tells its state                                    |                   | yes            |
- * | other requests from here go on there                  |                   | yes            |
+ * | a report of its state that was asked for after the break |                | yes            |
+ * | other requests' bytes, read after the first look was over |               | yes            |
+ * | the same, read before                                 | nothing           |                |
  * | takes the question and closes, fails, or is silent    | an end, if twice  |                |
  * | no connection comes up: a cut, no power, a full queue | nothing           |                |
  *
  * Limits: two looks in a row must say the same, since one may meet a full endpoint or a lost packet. What is asked takes
- * no slot at an engine, so a full one answers it.
+ * no slot at an engine, so a full one answers it. What left before the end may be read after the break: the first look goes
+ * there and back, which lets it be read before, but not what a caller who reads slowly holds up.
  */
 
+import type { Milliseconds } from '@rackwalk/shared'
+
 /** What one look at an address shows. */
 export type EndSign = 'nobody-listens' | 'lives' | 'does-not-answer' | 'no-connection'
 
@@ -27,6 +32,37 @@
 /** Looks that must say the same before it counts. */
 const LOOKS_THAT_COUNT = 2
 
+/**
+ * What left an endpoint before its end is read within this time, where no look at it says when: a busy processor reads
+ * nothing for a good part of it.
+ */
+const READ_LATE_MILLISECONDS: Milliseconds = 1_000
+
+/** When something last came from an endpoint; monotonic. */
+export interface HeardTimes {
+  /** When the newest report of its state was asked for. */
+  readonly askedAt: Milliseconds
+  /** When bytes of any request were last read. */
+  readonly readAt: Milliseconds
+}
+
+/** A break at which it is looked; monotonic. */
+interface LookedBreak {
+  readonly brokenAt: Milliseconds
+  /** When the first look was over. */
+  readonly lookedAt: Milliseconds
+}
+
+/** Whether what came from an endpoint proves that it lived after a break. */
+export function hasOutlived({ brokenAt, lookedAt }: LookedBreak, heard: HeardTimes): boolean {
+  return heard.askedAt > brokenAt || heard.readAt > lookedAt
+}
+
+/** A time at which an endpoint certainly lived, by what came from it. */
+export function livedAt({ askedAt, readAt }: HeardTimes): Milliseconds {
+  return Math.max(askedAt, readAt - READ_LATE_MILLISECONDS)
+}
+
 /** By the looks so far, the newest last, and whether anything else came from it since the break. */
 export function judgeEnd(looks: readonly EndSign[], wasHeardSince: boolean): EndVerdict {
   const newest = looks.at(-1)
--- a/packages/router/__tests__/crashGuard.spec.ts
+++ b/packages/router/__tests__/crashGuard.spec.ts
@@ -10,6 +10,8 @@
  */
 
 const FINGERPRINT = asId<RequestFingerprint>('fingerprint-of-it')
+/** Nothing ever came from an endpoint. */
+const UNHEARD = { askedAt: Number.NEGATIVE_INFINITY, readAt: Number.NEGATIVE_INFINITY }
 const SCOPE = FINGERPRINT.slice(0, 6)
 
 /** Two instances that tell each other at once; a look shows what the test decides. */
@@ -45,7 +47,7 @@
       statePath: '/load',
       leavesAsPlanned: false,
       hasEnded: false,
-      heardAt: () => Number.NEGATIVE_INFINITY,
+      heard: () => UNHEARD,
     }
     const sentAt = clock.monotonic()
     return { first, second }[guard].noteBroken(endpoint, { fingerprint, wasIsolated, sentAt })
--- a/packages/router/__tests__/endpointEnds.spec.ts
+++ b/packages/router/__tests__/endpointEnds.spec.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest'
 import { BrokenStarts } from '@rackwalk/decisions'
 import type { EndSign } from '@rackwalk/decisions'
-import { VirtualClock, asId, endpointStart } from '@rackwalk/shared'
+import { VirtualClock, asId, endpointStart, sleep } from '@rackwalk/shared'
 import type { RequestFingerprint } from '@rackwalk/shared'
 import { EndpointDirectory, EndpointEnds } from '@rackwalk/router'
 import type { EndpointEnd, EndpointRecord } from '@rackwalk/router'
@@ -9,6 +9,8 @@
 /** When a broken request says that its endpoint has ended, and when it doesn't. */
 
 const FIRST = broken('first')
+/** What a look takes. */
+const LOOK_MILLISECONDS = 10
 const SECOND = broken('second')
 
 function broken(fingerprint: string, sentAt = 0) {
@@ -28,8 +30,9 @@
   }
 }
 
-function watch(outcome: EndSign) {
+function watch(outcome: EndSign, onLooked?: (count: number) => void) {
   const clock = new VirtualClock()
+  const heard = { askedAt: Number.NEGATIVE_INFINITY, readAt: Number.NEGATIVE_INFINITY }
   const told: EndpointEnd[] = []
   let probes = 0
   const ends = new EndpointEnds({
@@ -37,6 +40,10 @@
     broken: new BrokenStarts(),
     probe: async () => {
       probes += 1
+      if (onLooked !== undefined) {
+        await sleep(clock, LOOK_MILLISECONDS)
+        onLooked(probes)
+      }
       return outcome
     },
     onEnd: end => told.push(end),
@@ -57,11 +64,10 @@
   /** The endpoint as it is known when it breaks a request off. */
   const endpoint = () => {
     const { record = recordOf(1), leavesAsPlanned = false, hasEnded = false } = state ?? {}
-    const heardAt = () => Number.NEGATIVE_INFINITY
-    return { ...record, leavesAsPlanned, hasEnded, statePath: undefined, heardAt }
+    return { ...record, leavesAsPlanned, hasEnded, statePath: undefined, heard: () => heard }
   }
   const unanswered = () => told.map(end => end.unanswered.map(request => request.fingerprint))
-  return { clock, ends, directory, endpoint, unanswered, probes: () => probes }
+  return { clock, heard, ends, directory, endpoint, unanswered, probes: () => probes }
 }
 
 describe('an endpoint that breaks requests off', () => {
@@ -114,6 +120,35 @@
   })
 })
 
+describe('an endpoint behind whose address something goes on listening', () => {
+  /** Whether an end is told, where this is heard when the first, second look is over; the break is at 100. */
+  async function isEnd(
+    heardOf: (now: number) => { askedAt?: number; readAt?: number },
+    at: number,
+  ) {
+    const played: ReturnType<typeof watch> = watch('does-not-answer', count => {
+      if (count === at) Object.assign(played.heard, heardOf(played.clock.monotonic()))
+    })
+    await played.clock.advance(100)
+    const known = played.ends.noteBroken(played.endpoint(), broken('there', 90))
+    await played.clock.advance(1_000)
+    return known
+  }
+
+  it.each([
+    ['a report that was asked for before the break and came after it', 99, true],
+    ['a report that was asked for after the break', 101, false],
+  ] as const)('is judged by %s', async (_, askedAt, hasEnded) => {
+    expect(await isEnd(() => ({ askedAt }), 1)).toBe(hasEnded)
+    expect(await isEnd(() => ({ askedAt }), 2)).toBe(hasEnded)
+  })
+
+  it('has ended although bytes that left before are read until the first look is over', async () => {
+    expect(await isEnd(readAt => ({ readAt }), 1)).toBe(true)
+    expect(await isEnd(readAt => ({ readAt }), 2)).toBe(false)
+  })
+})
+
 describe('an endpoint where nobody listens', () => {
   it('is left alone for a second, by whoever saw it or was told', async () => {
     const { directory, endpoint, clock } = watch('nobody-listens')
--- a/packages/router/__tests__/endpointTable.spec.ts
+++ b/packages/router/__tests__/endpointTable.spec.ts
@@ -19,21 +19,31 @@
   it('leaves though reports say that it stays, until none could be fetched or a minute has passed', async () => {
     const { clock, table } = create()
     table.noteLeaving(ENGINE, 'answer')
-    table.noteReport(ENGINE, STAYING)
+    table.noteReport(ENGINE, STAYING, clock.monotonic())
     expect(table.isLeaving(ENGINE)).toBe(true)
     table.noteSilent(ENGINE)
-    table.noteReport(ENGINE, STAYING)
+    table.noteReport(ENGINE, STAYING, clock.monotonic())
     expect(table.isLeaving(ENGINE)).toBe(false)
     table.noteLeaving(ENGINE, 'answer')
     await clock.advance(60_000)
-    table.noteReport(ENGINE, STAYING)
+    table.noteReport(ENGINE, STAYING, clock.monotonic())
     expect(table.isLeaving(ENGINE)).toBe(false)
   })
 
   it('stays by its report where only a list or a heartbeat said so', () => {
-    const { table } = create()
+    const { clock, table } = create()
     table.noteLeaving(ENGINE, 'peer')
-    table.noteReport(ENGINE, STAYING)
+    table.noteReport(ENGINE, STAYING, clock.monotonic())
     expect(table.isLeaving(ENGINE)).toBe(false)
   })
 })
+
+describe('an engine', () => {
+  it('is known to have lived when its newest report was asked for, and not when that came', async () => {
+    const { clock, table } = create()
+    expect(table.heard(ENGINE).askedAt).toBe(Number.NEGATIVE_INFINITY)
+    await clock.advance(500)
+    table.noteReport(ENGINE, STAYING, 100)
+    expect(table.heard(ENGINE).askedAt).toBe(100)
+  })
+})
--- a/packages/router/src/crashes/crashGuard.ts
+++ b/packages/router/src/crashes/crashGuard.ts
@@ -137,7 +137,7 @@
     const now = this.parts.clock.monotonic()
     // Marks may be old: they come from records as well.
     for (const { start } of suspected) this.broken.note(start, now)
-    for (const start of away) this.broken.note(start, now)
+    for (const start of away) this.broken.noteAway(start, now)
     for (const mark of suspected) this.unjudged.note(mark, now)
     for (const { start } of marks) this.unjudged.forget(start)
     for (const start of away) this.parts.onUnreachable(start)
--- a/packages/router/src/crashes/endpointEnds.ts
+++ b/packages/router/src/crashes/endpointEnds.ts
@@ -6,8 +6,8 @@
  * An end that was announced (the endpoint was leaving, or was no longer listed) is none of its business.
  */
 
-import { judgeEnd } from '@rackwalk/decisions'
-import type { BrokenStarts, EndSign, EndVerdict } from '@rackwalk/decisions'
+import { hasOutlived, judgeEnd, livedAt } from '@rackwalk/decisions'
+import type { BrokenStarts, EndSign, EndVerdict, HeardTimes } from '@rackwalk/decisions'
 import { sleep } from '@rackwalk/shared'
 import type { Clock, EndpointStart, Milliseconds, RequestFingerprint } from '@rackwalk/shared'
 import type { ProbedEndpoint } from './endpointProbe.js'
@@ -22,8 +22,8 @@
   readonly leavesAsPlanned: boolean
   /** Whether this start of it is known to be over. */
   readonly hasEnded: boolean
-  /** Monotonic time at which anything last came from it. */
-  readonly heardAt: () => Milliseconds
+  /** When something last came from it. */
+  readonly heard: () => HeardTimes
 }
 
 /** An endpoint ended unannounced. */
@@ -65,6 +65,8 @@
   readonly untold: BrokenRequest[]
   /** Monotonic time of the break for which it is looked. */
   brokenAt: Milliseconds
+  /** Monotonic time at which the first look for it was over. */
+  lookedAt: Milliseconds
   newestAt: Milliseconds
   signs: EndSign[]
   hasEnded: boolean
@@ -101,7 +103,7 @@
     if (endpoint.leavesAsPlanned) return false
     const breaks = this.breaksOf(endpoint)
     if (breaks.hasEnded && this.isFrontOf(breaks)) return true
-    const wasThere = this.parts.broken.wasThere(endpoint.start, request.sentAt)
+    const wasThere = this.wasThere(breaks, request)
     if (wasThere) breaks.untold.push(request)
     if (breaks.hasEnded) {
       this.tell(breaks)
@@ -119,6 +121,12 @@
     if (breaks !== undefined) this.end(breaks)
   }
 
+  private wasThere({ endpoint, looking }: Breaks, { sentAt }: BrokenRequest): boolean {
+    const { broken } = this.parts
+    if (looking === undefined) broken.noteLived(endpoint.start, livedAt(endpoint.heard()))
+    return broken.wasThere(endpoint.start, sentAt)
+  }
+
   /** Whether what is broken off now was sent to whatever listens there after the end. */
   private isFrontOf({ brokenAt, signs }: Breaks): boolean {
     const isFronted = signs.at(-1) === 'does-not-answer'
@@ -128,6 +136,7 @@
   private beginLook(breaks: Breaks): Promise<void> {
     breaks.brokenAt = this.parts.clock.monotonic()
     this.parts.broken.note(breaks.endpoint.start, breaks.brokenAt)
+    breaks.lookedAt = Number.POSITIVE_INFINITY
     breaks.signs = []
     return this.look(breaks)
   }
@@ -148,16 +157,17 @@
   }
 
   private async lookOnce(breaks: Breaks): Promise<EndVerdict> {
-    const { endpoint, signs, brokenAt } = breaks
+    const { endpoint, signs } = breaks
     signs.push(await this.parts.probe(endpoint))
-    return judgeEnd(signs, endpoint.heardAt() > brokenAt)
+    breaks.lookedAt = Math.min(breaks.lookedAt, this.parts.clock.monotonic())
+    return judgeEnd(signs, hasOutlived(breaks, endpoint.heard()))
   }
 
   /** An engine that is back behind its front is used again as soon as it tells its state. */
   private async watchReturn({ endpoint }: Breaks): Promise<void> {
     const { start } = endpoint
     for (let look = 0; look < AWAY_LOOKS && !this.isStopped; look += 1) {
-      this.parts.broken.note(start, this.parts.clock.monotonic())
+      this.parts.broken.noteAway(start, this.parts.clock.monotonic())
       this.parts.onAway(start)
       await sleep(this.parts.clock, AWAY_LOOK_MILLISECONDS)
       if ((await this.parts.probe(endpoint)) !== 'does-not-answer') break
@@ -189,6 +199,7 @@
       endpoint,
       untold: [],
       brokenAt: now,
+      lookedAt: Number.POSITIVE_INFINITY,
       newestAt: now,
       signs: [],
       hasEnded,
--- a/packages/router/src/crashes/endpointProbe.ts
+++ b/packages/router/src/crashes/endpointProbe.ts
@@ -24,13 +24,18 @@
   const [host = '', port = ''] = address.split(':')
   return new Promise(resolve => {
     const socket = connect({ host, port: Number(port) })
-    const timer = setTimeout(() => finish('no-connection'), CONNECT_MILLISECONDS)
+    let isConnected = false
+    // On a busy processor the timer is late, and the connection may be up and wait to be seen: that comes first.
+    const giveUp = () => setImmediate(() => (isConnected ? undefined : finish('no-connection')))
+    const timer = setTimeout(giveUp, CONNECT_MILLISECONDS)
     const finish = (sign: EndSign) => {
       clearTimeout(timer)
       socket.destroy()
-      resolve(sign)
+      // What came from the endpoint before this is read first.
+      setImmediate(() => resolve(sign))
     }
     socket.on('connect', () => {
+      isConnected = true
       clearTimeout(timer)
       // Where there is nothing to ask for, whoever takes connections counts as alive.
       if (statePath === undefined) finish('lives')
--- a/packages/router/src/filters/dispatch.ts
+++ b/packages/router/src/filters/dispatch.ts
@@ -178,7 +178,7 @@
       address: new URL(address).host,
       leavesAsPlanned: endpoints.isLeaving(endpointId),
       statePath: STATE_PATH,
-      heardAt: () => endpoints.heardAt(endpointId),
+      heard: () => endpoints.heard(endpointId),
       hasEnded: false,
     }
     return crashes.noteBroken(breaking, { fingerprint, wasIsolated, sentAt })
--- a/packages/router/src/gateway/requestAttempts.ts
+++ b/packages/router/src/gateway/requestAttempts.ts
@@ -208,8 +208,8 @@
     const { fingerprint } = choice
     const { record, leavesAsPlanned, hasEnded } = endpoint
     const statePath = this.request.service.engine?.statePath
-    const heardAt = () => endpoint.heardAt
-    const breaking = { ...record, leavesAsPlanned, hasEnded, statePath, heardAt }
+    const heard = () => ({ askedAt: Number.NEGATIVE_INFINITY, readAt: endpoint.heardAt })
+    const breaking = { ...record, leavesAsPlanned, hasEnded, statePath, heard }
     const isKnown = this.isOver
       ? undefined
       : this.parts.crashes.noteBroken(breaking, { fingerprint, wasIsolated, sentAt })
--- a/packages/router/src/routing/endpointTable.ts
+++ b/packages/router/src/routing/endpointTable.ts
@@ -4,7 +4,7 @@
  */
 
 import { soonestRefusal } from '@rackwalk/decisions'
-import type { SendRefusal } from '@rackwalk/decisions'
+import type { HeardTimes, SendRefusal } from '@rackwalk/decisions'
 import { endpointStart } from '@rackwalk/shared'
 import type { Clock, EndpointId, Milliseconds, ModelId, TokenCount } from '@rackwalk/shared'
 import { RecentSends } from '../advice/recentSends.js'
@@ -24,6 +24,8 @@
   inFlight: number
   report: LoadReport | undefined
   reportAt: Milliseconds
+  /** Monotonic time at which the newest report was asked for. */
+  reportAskedAt: Milliseconds
   /** What was sent there of late, oldest first. */
   recent: SentRequest[]
   /** Monotonic time until which it is left alone, since it has ended and may not be back. */
@@ -127,9 +129,11 @@
     if (this.ejection.noteFailure(endpointId)) this.onChange(endpointId, 'ejected')
   }
 
-  noteReport(endpointId: EndpointId, report: LoadReport): void {
+  /** A report came that was asked for at this monotonic time. */
+  noteReport(endpointId: EndpointId, report: LoadReport, askedAt: Milliseconds): void {
     const state = this.stateOf(endpointId)
     state.report = report
+    state.reportAskedAt = askedAt
     state.reportAt = this.clock.monotonic()
     // A report tells of some time ago, so what was sent just before it is not in it.
     const asOf = state.reportAt - REPORT_LAG_MILLISECONDS
@@ -231,9 +235,10 @@
     }
   }
 
-  /** Monotonic time at which an endpoint last told its state. */
-  heardAt(endpointId: EndpointId): Milliseconds {
-    return this.states.get(endpointId)?.reportAt ?? Number.NEGATIVE_INFINITY
+  /** When something last came from an endpoint, as far as it is noted: its reports are. */
+  heard(endpointId: EndpointId): HeardTimes {
+    const readAt = Number.NEGATIVE_INFINITY
+    return { askedAt: this.states.get(endpointId)?.reportAskedAt ?? readAt, readAt }
   }
 
   /** Whether it is known that an endpoint takes nothing new since it is about to end. */
@@ -267,6 +272,7 @@
       inFlight: 0,
       report: undefined,
       reportAt: this.clock.monotonic(),
+      reportAskedAt: Number.NEGATIVE_INFINITY,
       recent: [],
       unreachableUntil: Number.NEGATIVE_INFINITY,
       sends: new RecentSends(this.clock),
