--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -63,8 +63,8 @@
 export { BrokenStarts } from './retrying/brokenStarts.js'
 export { CrashSuspicions, SCOPE_CHARACTERS } from './retrying/crashSuspicion.js'
 export type { CrashMark, CrashNews, CrashVerdict } from './retrying/crashSuspicion.js'
-export { judgeEnd } from './retrying/endSigns.js'
-export type { EndSign, EndVerdict } from './retrying/endSigns.js'
+export { hasOutlived, judgeEnd, livedAt } from './retrying/endSigns.js'
+export type { EndSign, EndVerdict, HeardTimes } from './retrying/endSigns.js'
 export {
   SILENT_MILLISECONDS,
   STILL_SILENT_MILLISECONDS,
