fix(router): what waits at an engine that is known to have ended goes on elsewhere at once

Callers saw a chat, streamed or not, or a call to a plain service wait for firstByteMilliseconds (30 s) while another engine was free, though their instance already knew that the engine had ended: a front kept their connection open. A stream that had begun there hung for stallMilliseconds (20 s).

Cause: an end that is known (crashGuard onUnreachable) only took the endpoint out of later choices. An exchange in progress was aborted for its caller or its deadline alone.

Change: the client knows its open exchanges by endpoint; an end that is known gives up those that will not be answered, as a new AnswerEnd 'endpoint-ended' (rule: decisions/retrying/withdrawal). By own looks: what was sent before the newest look began. By news: what was sent half a second before them, unless the engine has told its state since; records from the table, up to a week old, give nothing up. A stream that had begun: where nothing of it came for a second before an own look, and its caller does not read slowly. What was there before the break is marked as what is broken off is, what was sent to the front later is not.

Ruled out: ending by news without a bound of their age (takes work from an engine that is back); ending streams by news or without the second of quiet (an engine whose /load fails while it generates); ending a paused exchange (all of its answer may be in the kernel).

The table of answerCompleteness.spec and its list of ends that tell against an endpoint got the new end.

Limit: an engine that is back before the second look (500 ms) leaves what was sent to its front during the first one waiting.

--- a/packages/daemon/src/rackwalkDaemon.ts
+++ b/packages/daemon/src/rackwalkDaemon.ts
@@ -301,6 +301,7 @@
       logger,
       metrics,
       onUnreachable: endpoint => this.endpoints.noteUnreachable(endpoint),
+      onKnownEnd: (id, end) => this.client.noteEnd(id, end, this.endpoints.heardAt(id)),
       onFault: error => this.noteFault(error),
     })
   }
--- a/packages/daemon/src/tasks/crashTask.ts
+++ b/packages/daemon/src/tasks/crashTask.ts
@@ -4,7 +4,7 @@
  */
 
 import { CrashTable } from '@rackwalk/coordination'
-import type { CrashNews } from '@rackwalk/decisions'
+import type { CrashNews, KnownEnd } from '@rackwalk/decisions'
 import { CrashGuard, probeEndpoint } from '@rackwalk/router'
 import type { Clock, EndpointId, Milliseconds, RandomSource, Task, Timer } from '@rackwalk/shared'
 import { RackwalkError, endpointOf } from '@rackwalk/shared'
@@ -23,6 +23,8 @@
   readonly metrics: Metrics
   /** An endpoint has ended, as this instance saw or was told. */
   readonly onUnreachable: (endpoint: EndpointId) => void
+  /** The same, with how it is known. */
+  readonly onKnownEnd: (endpoint: EndpointId, end: KnownEnd) => void
   readonly onFault: (error: unknown) => void
 }
 
@@ -49,6 +51,7 @@
         logger.warn('endpoint_ended', { endpoint: endpoint.id, signs, unanswered: requests })
       },
       onUnreachable: start => parts.onUnreachable(endpointOf(start)),
+      onKnownEnd: (start, end) => parts.onKnownEnd(endpointOf(start), end),
       onNews: news => this.share(news),
       onVerdict: (fingerprint, isRefused) => {
         const event = isRefused ? 'crashing_request_refused' : 'crashing_request_cleared'
--- a/packages/decisions/__tests__/answerCompleteness.spec.ts
+++ b/packages/decisions/__tests__/answerCompleteness.spec.ts
@@ -16,6 +16,7 @@
   'closed',
   'reset',
   'silence',
+  'endpoint-ended',
   'aborted',
   'deadline',
   'caller-left',
@@ -67,7 +68,7 @@
     const blamed = ENDS.filter(end =>
       isEndpointsFailure({ framing: 'chunks', end, isBodyOpen: true }),
     )
-    expect(blamed).toEqual(['complete', 'closed', 'reset', 'silence'])
+    expect(blamed).toEqual(['complete', 'closed', 'reset', 'silence', 'endpoint-ended'])
   })
 
   it('is to be asked for elsewhere only where the rule of retries does the same', () => {
--- /dev/null
+++ b/packages/decisions/__tests__/withdrawal.spec.ts
@@ -0,0 +1,62 @@
+import { describe, expect, it } from 'vitest'
+import { withdrawal } from '@rackwalk/decisions'
+import type { KnownEnd, OpenAttempt } from '@rackwalk/decisions'
+
+/** Which exchanges are given up when their endpoint is known to have ended, by when they were sent and heard of. */
+
+const BROKEN_AT = 10_000
+const LOOKED_AT = 10_200
+const LOOK: KnownEnd = { source: 'look', brokenAt: BROKEN_AT, lookedAt: LOOKED_AT }
+
+function sent(sentAt: number, part: Partial<OpenAttempt> = {}): OpenAttempt {
+  return { sentAt, heardAt: undefined, isPaused: false, ...part }
+}
+
+function news(toldAt: number, firstToldAt = toldAt): KnownEnd {
+  return { source: 'news', firstToldAt, toldAt }
+}
+
+describe('an exchange without a part of an answer', () => {
+  it.each([
+    ['sent before the break', 9_000, 'was-there'],
+    ['sent after the break and before the look', 10_100, 'sent-later'],
+    ['sent while it was looked', LOOKED_AT, 'none'],
+    ['sent to the endpoint that is back', 12_000, 'none'],
+  ])('by a look of this instance: %s', (_, sentAt, expected) => {
+    expect(withdrawal(sent(sentAt), LOOK, 0)).toBe(expected)
+  })
+
+  it.each([
+    ['sent long before the news', 9_000, news(10_000), 0, 'was-there'],
+    ['sent since the news may have left', 9_600, news(10_000), 0, 'none'],
+    ['sent since, and the news are told again', 9_600, news(10_500, 10_000), 0, 'sent-later'],
+    [
+      'sent before the news, and the endpoint has told its state since',
+      9_000,
+      news(10_000),
+      9_900,
+      'none',
+    ],
+    [
+      'sent before the news, and the endpoint told its state before',
+      9_000,
+      news(10_000),
+      9_400,
+      'was-there',
+    ],
+  ])('by what others tell: %s', (_, sentAt, end, heardAt, expected) => {
+    expect(withdrawal(sent(sentAt), end, heardAt)).toBe(expected)
+  })
+})
+
+describe('an exchange whose answer has begun', () => {
+  it.each([
+    ['nothing came for a while', sent(1_000, { heardAt: 9_000 }), LOOK, 'was-there'],
+    ['pieces came until the break', sent(1_000, { heardAt: 9_900 }), LOOK, 'none'],
+    ['pieces come after the look', sent(1_000, { heardAt: 10_300 }), LOOK, 'none'],
+    ['its caller reads slowly', sent(1_000, { heardAt: 2_000, isPaused: true }), LOOK, 'none'],
+    ['only others tell of the end', sent(1_000, { heardAt: 2_000 }), news(10_000), 'none'],
+  ])('%s', (_, attempt, end, expected) => {
+    expect(withdrawal(attempt, end, 0)).toBe(expected)
+  })
+})
--- a/packages/decisions/src/stopping/answerCompleteness.ts
+++ b/packages/decisions/src/stopping/answerCompleteness.ts
@@ -29,6 +29,8 @@
   | 'reset'
   /** Nothing came for too long. */
   | 'silence'
+  /** Given up here, since the endpoint is known to have ended. */
+  | 'endpoint-ended'
   /** Given up here, while the caller waits. */
   | 'aborted'
   | 'deadline'
--- a/packages/router/src/crashes/crashGuard.ts
+++ b/packages/router/src/crashes/crashGuard.ts
@@ -4,12 +4,15 @@
  */
 
 import { CrashSuspicions, UnjudgedBreaks } from '@rackwalk/decisions'
-import type { CrashMark, CrashNews, CrashVerdict, EndSign } from '@rackwalk/decisions'
-import type { Clock, EndpointStart, RequestFingerprint } from '@rackwalk/shared'
+import type { CrashMark, CrashNews, CrashVerdict, EndSign, KnownEnd } from '@rackwalk/decisions'
+import type { Clock, EndpointStart, Milliseconds, RequestFingerprint } from '@rackwalk/shared'
 import { EndpointEnds } from './endpointEnds.js'
-import type { BreakingEndpoint, BrokenRequest, EndpointEnd } from './endpointEnds.js'
+import type { BreakingEndpoint, BrokenRequest, EndpointEnd, SeenEnd } from './endpointEnds.js'
 import type { ProbedEndpoint } from './endpointProbe.js'
 
+/** Ends told by others that are remembered. */
+const REMEMBERED_NEWS = 1_024
+
 /** What the guard works with. */
 export interface CrashGuardParts {
   readonly clock: Clock
@@ -18,6 +21,8 @@
   readonly onEnd: (end: EndpointEnd) => void
   /** A start of an endpoint has ended, as this instance saw or was told. */
   readonly onUnreachable: (start: EndpointStart) => void
+  /** The same, with how it is known: what waits there may go on elsewhere. Not told of ends that are only on record. */
+  readonly onKnownEnd?: (start: EndpointStart, end: KnownEnd) => void
   /** For all other instances. */
   readonly onNews: (news: CrashNews) => void
   /** A request is refused from now on, or is no longer. */
@@ -30,12 +35,14 @@
   /** What is not known yet: breaks at which it is looked, here or at another instance. */
   private readonly unjudged = new UnjudgedBreaks()
   private readonly ends: EndpointEnds
+  /** When others told first of an end behind something that listens. */
+  private readonly firstTold = new Map<EndpointStart, Milliseconds>()
 
   constructor(private readonly parts: CrashGuardParts) {
     this.ends = new EndpointEnds({
       ...parts,
       onEnd: end => this.noteEnd(end),
-      onAway: start => this.noteAway(start),
+      onAway: (start, seen) => this.noteAway(start, seen),
       onLook: (start, request) => this.noteLook({ ...request, start }),
       onLooked: start => this.unjudged.forget(start),
     })
@@ -99,6 +106,7 @@
   /** Takes in what others found out. */
   observe(news: CrashNews): void {
     this.take(news)
+    for (const start of news.away ?? []) this.noteTold(start)
   }
 
   /** Nothing is held against a request any more: an operator, or another instance, removed its record. */
@@ -114,8 +122,9 @@
     this.share({ marks: [], cleared: [], suspected: [mark] })
   }
 
-  private noteAway(start: EndpointStart): void {
+  private noteAway(start: EndpointStart, seen: SeenEnd): void {
     this.share({ marks: [], cleared: [], away: [start] })
+    this.parts.onKnownEnd?.(start, { source: 'look', ...seen })
   }
 
   private noteEnd(end: EndpointEnd): void {
@@ -123,6 +132,15 @@
     const { start } = end.endpoint
     const marks = end.unanswered.map(request => ({ ...request, start }))
     this.share({ marks, cleared: [] })
+    this.parts.onKnownEnd?.(start, { source: 'look', ...end.seen })
+  }
+
+  private noteTold(start: EndpointStart): void {
+    const toldAt = this.parts.clock.monotonic()
+    const firstToldAt = this.firstTold.get(start) ?? toldAt
+    if (this.firstTold.size >= REMEMBERED_NEWS) this.firstTold.clear()
+    this.firstTold.set(start, firstToldAt)
+    this.parts.onKnownEnd?.(start, { source: 'news', firstToldAt, toldAt })
   }
 
   /** What this instance found out holds here and is told to all others. */
--- a/packages/router/src/crashes/endpointEnds.ts
+++ b/packages/router/src/crashes/endpointEnds.ts
@@ -33,6 +33,15 @@
   readonly signs: readonly EndSign[]
   /** Requests from here that were there and had no part of an answer; each is told once. */
   readonly unanswered: readonly BrokenRequest[]
+  readonly seen: SeenEnd
+}
+
+/** When an end was seen; times are monotonic. */
+export interface SeenEnd {
+  /** When the break was seen for which it was looked. */
+  readonly brokenAt: Milliseconds
+  /** When the newest look began. */
+  readonly lookedAt: Milliseconds
 }
 
 /** A request that an endpoint broke off. */
@@ -52,7 +61,7 @@
   /** The look is over; `onEnd` was called before where it showed an end. */
   readonly onLooked: (start: EndpointStart) => void
   /** Something listens where a start has ended, and does not answer; told again for as long as that lasts. */
-  readonly onAway: (start: EndpointStart) => void
+  readonly onAway: (start: EndpointStart, seen: SeenEnd) => void
 }
 
 /** Requests that one start of an endpoint broke off. */
@@ -61,6 +70,7 @@
   readonly untold: BrokenRequest[]
   /** Monotonic time of the break for which it is looked. */
   brokenAt: Milliseconds
+  lookedAt: Milliseconds
   newestAt: Milliseconds
   signs: EndSign[]
   hasEnded: boolean
@@ -142,16 +152,19 @@
 
   private async lookOnce(breaks: Breaks): Promise<EndVerdict> {
     const { endpoint, signs, brokenAt } = breaks
+    breaks.lookedAt = this.parts.clock.monotonic()
     signs.push(await this.parts.probe(endpoint))
     return judgeEnd(signs, endpoint.heardAt() > brokenAt)
   }
 
   /** An engine that is back behind its front is used again as soon as it tells its state. */
-  private async watchReturn({ endpoint }: Breaks): Promise<void> {
+  private async watchReturn(breaks: Breaks): Promise<void> {
+    const { endpoint } = breaks
     const { start } = endpoint
     for (let look = 0; look < AWAY_LOOKS && !this.isStopped; look += 1) {
-      this.parts.onAway(start)
+      this.parts.onAway(start, seenOf(breaks))
       await sleep(this.parts.clock, AWAY_LOOK_MILLISECONDS)
+      breaks.lookedAt = this.parts.clock.monotonic()
       if ((await this.parts.probe(endpoint)) !== 'does-not-answer') break
     }
     this.breaks.delete(start)
@@ -162,9 +175,11 @@
     this.tell(breaks)
   }
 
-  private tell({ endpoint, signs, untold }: Breaks): void {
+  private tell(breaks: Breaks): void {
+    const { endpoint, signs, untold } = breaks
     if (untold.length === 0) return
-    this.parts.onEnd({ endpoint, signs: [...signs], unanswered: untold.splice(0) })
+    const unanswered = untold.splice(0)
+    this.parts.onEnd({ endpoint, signs: [...signs], unanswered, seen: seenOf(breaks) })
   }
 
   private breaksOf(endpoint: BreakingEndpoint): Breaks {
@@ -180,6 +195,7 @@
       endpoint,
       untold: [],
       brokenAt: now,
+      lookedAt: now,
       newestAt: now,
       signs: [],
       hasEnded,
@@ -195,3 +211,7 @@
     }
   }
 }
+
+function seenOf({ brokenAt, lookedAt }: Breaks): SeenEnd {
+  return { brokenAt, lookedAt }
+}
--- a/packages/router/src/engine/attemptResult.ts
+++ b/packages/router/src/engine/attemptResult.ts
@@ -17,6 +17,6 @@
       readonly end?: AnswerEnd
       /** How an answer was framed that had begun; undefined where no head had come. */
       readonly framing?: AnswerFraming
-      /** Whether the endpoint is already known to have ended. */
+      /** Whether the endpoint is already known to have ended, and whether the request was there is settled. */
       readonly isLookedAt?: boolean
     }
--- a/packages/router/src/engine/endpointClient.ts
+++ b/packages/router/src/engine/endpointClient.ts
@@ -5,6 +5,7 @@
 import { Agent, Pool, request as sendRequest } from 'undici'
 import type { Client } from 'undici'
 import type { Readable } from 'node:stream'
+import type { KnownEnd } from '@rackwalk/decisions'
 import type { Clock, EndpointId, Milliseconds } from '@rackwalk/shared'
 import { HOLD_LIMITS, HoldSpace } from './answerHold.js'
 import type { HoldLimits } from './answerHold.js'
@@ -12,6 +13,7 @@
 import { EndpointConnection } from './endpointConnection.js'
 import type { EndpointDispatch } from './endpointConnection.js'
 import { EndpointExchange, classify } from './endpointExchange.js'
+import { OpenExchanges } from './openExchanges.js'
 
 /** One exchange with an endpoint. */
 export interface EndpointCall {
@@ -40,6 +42,7 @@
   private readonly agent: Agent
 
   private readonly space: HoldSpace
+  private readonly open = new OpenExchanges()
 
   constructor(
     private readonly clock: Clock,
@@ -61,8 +64,8 @@
   attempt(call: EndpointCall): Promise<AttemptResult> {
     if (call.signal.aborted) return Promise.resolve({ kind: 'unsent', reason: 'the caller left' })
     const { endpointId, method, signal } = call
-    const { space, clock } = this
-    const exchange = new EndpointExchange({ endpointId, method, signal, space, clock })
+    const { space, open, clock } = this
+    const exchange = new EndpointExchange({ endpointId, method, signal, space, open, clock })
     const dispatch: EndpointDispatch = {
       origin: call.address,
       path: call.path,
@@ -81,6 +84,11 @@
     return exchange.result
   }
 
+  /** An endpoint has ended: what waits there is given up. */
+  noteEnd(endpointId: EndpointId, end: KnownEnd, endpointHeardAt: Milliseconds): void {
+    this.open.noteEnd(endpointId, end, endpointHeardAt)
+  }
+
   /** Fetches a small JSON document, such as a load report. */
   async fetchJson(address: string, path: string, timeout: Milliseconds): Promise<unknown> {
     const response = await sendRequest(`${address}${path}`, {
--- a/packages/router/src/engine/endpointExchange.ts
+++ b/packages/router/src/engine/endpointExchange.ts
@@ -7,7 +7,7 @@
 import { answerFraming, isProvenWhole } from '@rackwalk/decisions'
 import type { AnswerEnd, AnswerFraming, EndedAnswer } from '@rackwalk/decisions'
 import { deferred } from '@rackwalk/shared'
-import type { Clock, EndpointId, Timer } from '@rackwalk/shared'
+import type { Clock, EndpointId, Milliseconds, Timer } from '@rackwalk/shared'
 import type { AnswerConsumer, EndpointAnswer } from '../filters/stages.js'
 import type { AnswerHold, HoldSpace } from './answerHold.js'
 import { holdKind } from './answerHold.js'
@@ -15,6 +15,7 @@
 import { bodyProof } from './bodyProof.js'
 import type { BodyProof } from './bodyProof.js'
 import type { ConnectionGuard, ConnectionReader } from './endpointConnection.js'
+import type { OpenExchange, OpenExchanges } from './openExchanges.js'
 
 // Errors that say the connection was never made.
 const NEVER_CONNECTED = new Set([
@@ -36,6 +37,8 @@
   /** Aborted when nobody waits any more; its reason says why. */
   readonly signal: AbortSignal
   readonly space: HoldSpace
+  /** Where it is found while it has not ended. */
+  readonly open: OpenExchanges
   readonly clock: Clock
 }
 
@@ -44,13 +47,17 @@
  * relays them: a stream object between the two took a third of the time of each token.
  */
 export class EndpointExchange
-  implements Dispatcher.DispatchHandler, EndpointAnswer, ConnectionReader
+  implements Dispatcher.DispatchHandler, EndpointAnswer, ConnectionReader, OpenExchange
 {
   status = 0
   headers: Readonly<Record<string, string>> = {}
   framing: AnswerFraming = 'connection'
   end: AnswerEnd | undefined
   isPaused = false
+  sentAt: Milliseconds = Number.POSITIVE_INFINITY
+  heardAt: Milliseconds | undefined
+  /** Whether it was there when its endpoint ended; undefined while that is not known to have ended. */
+  private wasThere: boolean | undefined
   private connection: ConnectionGuard | undefined
   private proof: BodyProof | undefined
   private readonly begun = deferred<AttemptResult>()
@@ -114,6 +121,8 @@
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.controller = controller
     this.connection?.serve(this)
+    this.sentAt = this.parts.clock.monotonic()
+    this.parts.open.add(this)
     if (this.parts.signal.aborted) this.abandon()
   }
 
@@ -133,6 +142,7 @@
   }
 
   onResponseData(_: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.heardAt = this.parts.clock.monotonic()
     this.proof?.read(chunk)
     if (this.consumer !== undefined) return this.pass(chunk)
     this.early.push(chunk)
@@ -155,6 +165,12 @@
     else this.fail(endOf(error), error)
   }
 
+  withdraw(wasThere: boolean): void {
+    if (this.isEnded) return
+    this.wasThere = wasThere
+    this.controller?.abort(new CancelledError('endpoint-ended'))
+  }
+
   private succeed(end: AnswerEnd): void {
     this.finish(end)
     this.begin()
@@ -183,8 +199,14 @@
 
   private classified(error: Error): AttemptResult {
     const result = classify(error)
-    if (result.kind !== 'failed' || this.status === 0) return result
-    return { ...result, end: this.end, framing: this.framing }
+    if (result.kind !== 'failed') return result
+    const told = this.wasThere === undefined ? result : { ...result, ...this.withdrawn() }
+    return this.status === 0 ? told : { ...told, end: this.end, framing: this.framing }
+  }
+
+  /** Whether the endpoint ended under it is to be found out only of what was there. */
+  private withdrawn() {
+    return { reason: 'its endpoint has ended', isLookedAt: this.wasThere === false }
   }
 
   private pass(chunk: Buffer): void {
@@ -219,6 +241,7 @@
   private finish(end: AnswerEnd): void {
     this.end = end
     this.isPaused = false
+    this.parts.open.remove(this)
     this.holdTimer?.cancel()
     this.parts.signal.removeEventListener('abort', this.abandon)
   }
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -79,6 +79,7 @@
 export { EndpointEnds } from './crashes/endpointEnds.js'
 export type { EndpointEnd } from './crashes/endpointEnds.js'
 export { CrashGuard } from './crashes/crashGuard.js'
+export { OpenExchanges } from './engine/openExchanges.js'
 export { probeEndpoint } from './crashes/endpointProbe.js'
 
 export { Gateway } from './gateway/gateway.js'
