fix(router): a chat at an engine that is known to have ended is sent again without a retry of the budget

Callers saw 47 of 64 chats lost (4001) that were broken off in one moment by an engine that ended behind a front, though another engine was free and all of them might have run again.

Cause: dispatch judged an attempt before it was known whether its endpoint had ended, and took a saved retry for each: ten are saved at the start, a tenth comes with each request. The budget is there to keep multiplied load from a failing endpoint; one that has ended bears none.

Change: the look is awaited first where the request may be repeated, and an attempt at an endpoint that is known to have ended is free. MAXIMUM_ATTEMPTS and the rule of requests that end endpoints bound it. A request that must not run twice doesn't wait for the look. An endpoint that lives is charged as before, held by a test of its own (more than half of 64 lost, 4001).

Ruled out: more saved retries (any number is too few for a rack, and too many for a grey engine).

--- a/packages/router/src/filters/dispatch.ts
+++ b/packages/router/src/filters/dispatch.ts
@@ -65,6 +65,15 @@
   readonly wasIsolated: boolean
 }
 
+/** An attempt that gave no usable answer. */
+interface FailedAttempt {
+  readonly result: AttemptResult
+  /** Number of the attempt, from one. */
+  readonly attempt: number
+  /** Resolves with whether its endpoint is known to have ended under it. */
+  readonly isKnown: Promise<boolean>
+}
+
 /** What to do about an attempt that gave no usable answer. */
 type Verdict = 'try-another' | 'retry' | 'give-up'
 
@@ -94,10 +103,9 @@
       if (answer !== undefined) return { ...request, answer }
       results.push(result)
       const isKnown = this.noteBroken(request, endpointId, { result, wasIsolated })
-      const verdict = this.judge(request, result, attempt)
+      const verdict = await this.judge(request, { result, attempt, isKnown })
       const routing = request.record.routing.at(-1)
       noteFate(routing, result, incoming.caller.left.aborted ? 'dropped' : 'refused')
-      if (verdict === 'retry') await isKnown
       if (verdict === 'give-up') throw this.failure(request, results)
       // Who asked for rest is not asked again, so there is nothing to wait for.
       if (verdict === 'retry' && !this.isResting(endpointId)) await this.backOff(attempt)
@@ -239,18 +247,30 @@
       this.parts.endpoints.noteFailure(endpointId)
   }
 
-  private judge(request: RoutedRequest, result: AttemptResult, attempt: number): Verdict {
+  private async judge(request: RoutedRequest, failed: FailedAttempt): Promise<Verdict> {
+    const { result, attempt } = failed
     if (this.isOver(request, result) || attempt >= MAXIMUM_ATTEMPTS) return 'give-up'
     // A body that streams through can be sent once.
     const isBodySpent = request.call.kind === 'service' && request.incoming.body.readableDidRead
     if (isBodySpent) return 'give-up'
     if (result.kind === 'unsent') return 'try-another'
     if (!request.repeatable) return 'give-up'
-    if (!this.retries.withdraw()) return 'give-up'
+    const isFree = await this.isFree(failed)
+    if (this.isOver(request, result) || (!isFree && !this.retries.withdraw())) return 'give-up'
     this.parts.onRetry()
     return 'retry'
   }
 
+  /**
+   * Retries are bounded so that a failing endpoint does not have its load multiplied. One that has ended bears no load, and all
+   * that waited there comes in one moment, more than is ever saved up: so what it ran is sent again free. The attempts of a
+   * request are bounded all the same, and what ends endpoints is kept from them by the guard.
+   */
+  private async isFree({ result, isKnown }: FailedAttempt): Promise<boolean> {
+    const hasEnded = await isKnown
+    return hasEnded || (result.kind === 'failed' && result.end === 'endpoint-ended')
+  }
+
   private chooseAnother(
     request: RoutedRequest,
     results: readonly AttemptResult[],
--- a/packages/stand-ins/__tests__/waitsAtEndedEngine.spec.ts
+++ b/packages/stand-ins/__tests__/waitsAtEndedEngine.spec.ts
@@ -23,6 +23,8 @@
 const FIRST_BYTE_MILLISECONDS = 4_000
 const FRONTS: readonly EngineFront[] = ['closes', 'silent', 'answers 500', 'answers 503']
 const STATUSES: Partial<Record<EngineFront, number>> = { 'answers 500': 500, 'answers 503': 503 }
+/** An engine has so many slots by default; all of them may be waiting when it ends. */
+const MANY = 64
 
 interface HeldRequest {
   readonly body: string
@@ -216,6 +218,35 @@
     20_000,
   )
 
+  it.each(FRONTS.filter(front => front !== 'silent'))(
+    'goes on elsewhere with all the others that wait there, however many: %s',
+    async front => {
+      const play = await begin()
+      const answers: Promise<ChatAnswer>[] = []
+      for (let count = 0; count < MANY; count += 1) answers.push(...(await sendThere(play)))
+      await addEngine(play)
+      play.front.end(front)
+      const ended = await Promise.all(answers)
+      const lost = ended.filter(({ isWhole }) => !isWhole)
+      const codes = new Set(lost.map(({ errorCode }) => errorCode))
+      expect({ lost: lost.length, codes: [...codes] }).toEqual({ lost: 0, codes: [] })
+    },
+    20_000,
+  )
+
+  it('goes on with others only as far as retries are saved where the engine lives', async () => {
+    const play = await begin()
+    const answers: Promise<ChatAnswer>[] = []
+    for (let count = 0; count < MANY; count += 1) answers.push(...(await sendThere(play)))
+    await addEngine(play)
+    for (const { response } of play.front.held) response.destroy()
+    const lost = (await Promise.all(answers)).filter(({ isWhole }) => !isWhole)
+    expect(lost.length).toBeGreaterThan(MANY / 2)
+    expect(new Set(lost.map(({ errorCode }) => errorCode))).toEqual(
+      new Set([ResultCode.EndpointFailed]),
+    )
+  }, 20_000)
+
   it.each(FRONTS)(
     'is told at once what is known where it must not run twice: %s',
     async front => {
