fix(router): an endpoint whose row is gone unannounced is asked once, for what waits there

What callers saw: a failure domain without power resets nothing. Its rows lapse, nothing new is sent there, and what was there waits for its deadline.

Cause: a row that is gone proves nothing (an unannounced leaver serves on), so nothing was done about what is open there.

Change: at that moment the endpoint is asked for its state, if it did not say that it leaves and something there could go on. It tells its state: all stays. It listens no more: all stays, a draining endpoint may close its listener. No connection comes up for 500 ms, twice: what may be repeated or resumed goes on elsewhere; what may run once stays, since a cut may heal and the answer with it. The question is held: as in the rule, once and twice.

Evidence: virtual time only: four cases in endedEndpoints.spec, of which the third failed before. No test has a host without power; nothing measured there.

--- a/packages/router/__tests__/endedEndpoints.spec.ts
+++ b/packages/router/__tests__/endedEndpoints.spec.ts
@@ -241,3 +241,42 @@
     expect(place.ended).toEqual([])
   })
 })
+
+describe('what is open at a start whose row is gone', () => {
+  it('stays where the endpoint serves on and tells its state', async () => {
+    const place = await placeWithAll()
+    place.answer = { sign: 'lives', after: 1 }
+    place.directory.remove('endpoint-1')
+    await place.clock.advance(LATE)
+    expect([place.ended, place.questions]).toEqual([[], 1])
+  })
+
+  it('stays where it closes its listener and serves on', async () => {
+    const place = await placeWithAll()
+    place.answer = { sign: 'nobody-listens', after: 1 }
+    place.directory.remove('endpoint-1')
+    await place.clock.advance(LATE)
+    expect(place.ended).toEqual([])
+  })
+
+  // A failure domain without power resets nothing.
+  it('goes on elsewhere where no connection comes up twice, and stays if it may run once', async () => {
+    const place = await placeWithAll()
+    place.answer = { sign: 'no-connection', after: Infinity }
+    place.directory.remove('endpoint-1')
+    await place.clock.advance(STILL_SILENT_MILLISECONDS)
+    expect(place.ended).toEqual([])
+    await place.clock.advance(STILL_SILENT_MILLISECONDS)
+    expect(place.ended).toEqual(['again', 'resume'])
+    await place.clock.advance(LATE)
+    expect(place.ended).toEqual(['again', 'resume'])
+  })
+
+  it('is not asked about where the endpoint said that it leaves', async () => {
+    const place = await placeWithAll()
+    place.directory.set(recordOf(1, true))
+    place.directory.remove('endpoint-1')
+    await place.clock.advance(LATE)
+    expect([place.ended, place.questions]).toEqual([[], 0])
+  })
+})
--- a/packages/router/src/gateway/endpointDirectory.ts
+++ b/packages/router/src/gateway/endpointDirectory.ts
@@ -146,9 +146,10 @@
     if (!endpoint.leavesAsPlanned) this.ends.noteSign(endpoint, 'broke-off')
   }
 
-  /** An endpoint is no longer listed; what runs there may end. */
+  /** An endpoint is no longer listed; what runs there may end, unless nobody is there any more. */
   remove(id: string): void {
-    this.takeOut(id)
+    const known = this.takeOut(id)
+    if (known !== undefined && !known.isLeaving) this.ends.noteSign(known, 'unlisted')
   }
 
   private takeOut(id: string): EndpointState | undefined {
