fix(coordination, daemon): a request asks no lender first that is known to have fallen silent

What callers saw: nothing measured; found by reading. A request that borrows tokens asks lenders in turn, and stops asking after 60 ms (prepaidLedger BORROW_MILLISECONDS). A call to an instance without power lasts 90 ms (peerCalls LOAN_MILLISECONDS). So one dead lender at the head of the order, by a row that stands for seconds, took all of the patience, and the request was refused though others held tokens; again each second and budget, when its rest was over.

Cause: the order of lenders comes from rows; that the instance has fallen silent (activeFleet) was not asked.

Change: those that give no sign of life come last. They are asked all the same where nobody else has enough, since this instance may be the one that hears badly.

--- a/packages/coordination/__tests__/loans.spec.ts
+++ b/packages/coordination/__tests__/loans.spec.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest'
-import { VirtualClock } from '@rackwalk/shared'
+import { VirtualClock, sleep } from '@rackwalk/shared'
 import type { TokenCount } from '@rackwalk/shared'
 import { Borrower, Lender } from '@rackwalk/coordination'
 import type {
@@ -65,15 +65,21 @@
   })
 })
 
-function setUp(held: Readonly<Record<string, TokenCount | 'silent'>>) {
+function setUp(
+  held: Readonly<Record<string, TokenCount | 'silent'>>,
+  isSilent?: (lender: string) => boolean,
+) {
   const clock = new VirtualClock()
   const asked: string[] = []
   const repaid: LoanRepayment[] = []
   const channel: LoanChannel = {
-    ask: (lender, { tokens }) => {
+    isSilent,
+    ask: async (lender, { tokens }) => {
       asked.push(lender)
+      // As long as the call to an instance that is gone lasts.
+      if (held[lender] === 'silent' && isSilent !== undefined) await sleep(clock, 2 * PATIENCE)
       const available = held[lender] ?? 0
-      return Promise.resolve(available === 'silent' ? undefined : Math.min(tokens, available))
+      return available === 'silent' ? undefined : Math.min(tokens, available)
     },
     repay: (_, repayment) => {
       repaid.push(repayment)
@@ -114,6 +120,24 @@
     expect(asked).toEqual(['first', 'second', 'second', 'first', 'second'])
   })
 
+  // An instance without power stays a holder by its row for seconds, and the wait for it used all of the patience.
+  it('asks one that gives no sign of life last', async () => {
+    const { borrow, asked, clock } = setUp(
+      { first: 'silent', second: 500 },
+      lender => lender === 'first',
+    )
+    const loans = borrow(400)
+    await clock.advance(3 * PATIENCE)
+    expect(await loans).toHaveLength(1)
+    expect(asked).toEqual(['second'])
+  })
+
+  it('asks it all the same where nobody else has enough', async () => {
+    const { borrow, asked } = setUp({ first: 300, second: 500 }, lender => lender === 'first')
+    expect(await borrow(700)).toHaveLength(2)
+    expect(asked).toEqual(['second', 'first'])
+  })
+
   it('asks each lender in turn for requests that come together', async () => {
     const { borrow, asked } = setUp({ first: 900, second: 500, third: 300 })
     // One connection to the first lender would make the others wait until they gave up.
--- a/packages/coordination/src/prepaid/borrower.ts
+++ b/packages/coordination/src/prepaid/borrower.ts
@@ -91,7 +91,8 @@
 
   /**
    * In the order given, but for lenders that have not answered other requests yet: requests that
-   * come together would all wait for the first one, and then all take it for silent.
+   * come together would all wait for the first one, and then all take it for silent. Those that give no sign of life come
+   * last: waiting for one of them takes longer than a request may borrow, so that nobody else would be asked.
    */
   private worthAsking(budget: string, lenders: readonly string[]): readonly string[] {
     const now = this.parts.clock.monotonic()
@@ -100,6 +101,7 @@
       .filter(lender => isRested(this.silentUntil.get(lender)))
       .filter(lender => isRested(this.shortUntil.get(`${lender}/${budget}`)))
       .sort((left, right) => this.questionsTo(left) - this.questionsTo(right))
+      .sort((left, right) => Number(this.isSilent(left)) - Number(this.isSilent(right)))
       .slice(0, LENDERS_ASKED)
   }
 
@@ -123,6 +125,10 @@
     return { lender, id, tokens: Math.min(lent, tokens) }
   }
 
+  private isSilent(lender: string): boolean {
+    return this.parts.channel.isSilent?.(lender) === true
+  }
+
   private questionsTo(lender: string): number {
     return this.openQuestions.get(lender) ?? 0
   }
--- a/packages/coordination/src/prepaid/loan.ts
+++ b/packages/coordination/src/prepaid/loan.ts
@@ -38,4 +38,6 @@
   ask(lender: string, request: LoanRequest): Promise<TokenCount | undefined>
   /** True once the lender has taken note. */
   repay(lender: string, repayment: LoanRepayment): Promise<boolean>
+  /** Whether a lender gives no sign of life any more; none does where this is left out. */
+  isSilent?(lender: string): boolean
 }
--- a/packages/daemon/src/gateway/activeFleet.ts
+++ b/packages/daemon/src/gateway/activeFleet.ts
@@ -38,6 +38,8 @@
   readonly activeOthers: readonly MemberRow[]
   readonly usingOthers: readonly MemberRow[]
   readonly idleOthers: readonly MemberRow[]
+  /** Names of those that have fallen silent. */
+  readonly silentOthers: ReadonlySet<string>
 }
 
 /** Age up to which a view of the fleet is used again: members change within seconds. */
@@ -93,6 +95,11 @@
     return this.current().idleOthers
   }
 
+  /** Whether another instance has fallen silent. */
+  isSilent(instance: string): boolean {
+    return this.current().silentOthers.has(instance)
+  }
+
   /** How many instances take callers, this one counted where it does. */
   get activeCount(): number {
     return activeCountOf(this.current())
@@ -164,6 +171,9 @@
       activeOthers,
       usingOthers,
       idleOthers: all.filter(other => !usingOthers.includes(other)),
+      silentOthers: new Set(
+        all.filter(other => !others.includes(other)).map(({ instance }) => instance),
+      ),
     }
   }
 
--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -112,7 +112,7 @@
     this.configuration = this.createConfiguration()
     this.members = this.createMembers()
     this.fleet = this.createFleet()
-    this.peerLoans = createPeerLoans(this.peerCallSources)
+    this.peerLoans = createPeerLoans(this.peerCallSources, this.fleet)
     this.ledger = this.createLedger()
     this.known = this.createKnown()
     this.gateway = this.createGateway()
--- a/packages/daemon/src/gateway/peerCalls.ts
+++ b/packages/daemon/src/gateway/peerCalls.ts
@@ -21,9 +21,13 @@
 }
 
 /** Asks other instances for tokens. */
-export function createPeerLoans({ members, telemetry }: PeerCallSources): PeerLoans {
+export function createPeerLoans(
+  { members, telemetry }: PeerCallSources,
+  fleet: ActiveFleet,
+): PeerLoans {
   return new PeerLoans({
     addressOf: instance => members.others.find(member => member.instance === instance)?.peerAddress,
+    isSilent: instance => fleet.isSilent(instance),
     timeoutMilliseconds: LOAN_MILLISECONDS,
     onMalformed: form => telemetry.noteMalformed(form),
   })
--- a/packages/daemon/src/gateway/peerLoans.ts
+++ b/packages/daemon/src/gateway/peerLoans.ts
@@ -78,6 +78,8 @@
 export interface PeerLoansParts {
   /** IP:PORT at which an instance takes calls from peers; undefined where it is not known. */
   readonly addressOf: (instance: string) => string | undefined
+  /** Whether an instance gives no sign of life any more. */
+  readonly isSilent: (instance: string) => boolean
   readonly timeoutMilliseconds: Milliseconds
   readonly onMalformed: (form: MalformedForm) => void
 }
@@ -101,6 +103,10 @@
     return (await this.post(lender, REPAY_PATH, body)) !== undefined
   }
 
+  isSilent(lender: string): boolean {
+    return this.parts.isSilent(lender)
+  }
+
   close(): void {
     this.agent.destroy()
   }
