fix(router, decisions, daemon): others are kept off an endpoint while it is looked at, and a slow look's break is not forgotten

Beside load a look took up to 4.6 s, its break was forgotten after one, and later tries of the request passed for innocent. Cause: nothing kept others from an endpoint at which it is looked; a break was believed for a second, however long the look took. Change: from the first break on, seen here or told, an endpoint is in doubt: what is not suspected goes to others, as long as one may be asked. No request is refused or waits for it, and a suspected one still goes to the endpoint of its hash.

--- a/packages/coordination/src/peerForms.ts
+++ b/packages/coordination/src/peerForms.ts
@@ -157,6 +157,7 @@
       cleared: z.array(z.object({ fingerprint, starts: z.array(start) })),
       suspected: z.array(z.object({ fingerprint, start, wasIsolated: z.boolean() })).optional(),
       away: z.array(start).optional(),
+      lives: z.array(start).optional(),
     }),
     nothing,
   ),
--- a/packages/daemon/__tests__/crashNews.spec.ts
+++ b/packages/daemon/__tests__/crashNews.spec.ts
@@ -56,6 +56,11 @@
     expect(reports.flatMap(report => newsOf(report).marks)).toEqual(marks)
   })
 
+  it('tells of starts that were looked at and live', () => {
+    const lives = [asId<CrashNews['marks'][number]['start']>('endpoint-1@17')]
+    expect(received({ marks: [], cleared: [], lives })).toEqual([{ marks: [], cleared: [], lives }])
+  })
+
   it('tells of starts behind whose address something listens that does not answer', () => {
     const away = [asId<CrashNews['marks'][number]['start']>('endpoint-1@17')]
     expect(received({ marks: [], cleared: [], away })).toEqual([{ marks: [], cleared: [], away }])
--- a/packages/daemon/src/gateway/crashNews.ts
+++ b/packages/daemon/src/gateway/crashNews.ts
@@ -14,6 +14,7 @@
 const SUSPECTED_PREFIX = 'suspected '
 const CLEARED_PREFIX = 'cleared '
 const AWAY_PREFIX = 'away '
+const LIVES_PREFIX = 'lives '
 /** Entries in one datagram: it stays under 1,300 bytes with ids of 40 characters. */
 const ENTRIES_A_DATAGRAM = 12
 
@@ -30,10 +31,11 @@
   news: CrashNews,
   identity: Pick<PeerLoadReport, 'instance' | 'incarnation'>,
 ): readonly PeerLoadReport[] {
-  const away = (news.away ?? []).map(awayEntry)
+  const away = (news.away ?? []).map(start => startEntry(AWAY_PREFIX, start))
+  const lives = (news.lives ?? []).map(start => startEntry(LIVES_PREFIX, start))
   const suspected = (news.suspected ?? []).map(mark => markEntry(SUSPECTED_PREFIX, mark))
   const marks = news.marks.map(mark => markEntry(ENDED_PREFIX, mark))
-  const entries = [...marks, ...suspected, ...news.cleared.map(clearedEntry), ...away]
+  const entries = [...marks, ...suspected, ...news.cleared.map(clearedEntry), ...away, ...lives]
   return newsReports(entries, identity)
 }
 
@@ -52,10 +54,12 @@
 
 /** What such a report tells; entries of any other kind are passed over. */
 export function newsOf({ loads }: PeerLoadReport): CrashNews {
-  const away = loads.flatMap(({ endpoint }) => awayOf(endpoint))
+  const away = loads.flatMap(({ endpoint }) => startsOf(AWAY_PREFIX, endpoint))
+  const lives = loads.flatMap(({ endpoint }) => startsOf(LIVES_PREFIX, endpoint))
   const suspected = loads.flatMap(entry => marksOf(SUSPECTED_PREFIX, entry))
   return {
     ...(away.length === 0 ? {} : { away }),
+    ...(lives.length === 0 ? {} : { lives }),
     ...(suspected.length === 0 ? {} : { suspected }),
     marks: loads.flatMap(entry => marksOf(ENDED_PREFIX, entry)),
     cleared: loads.flatMap(({ endpoint, parts }) => {
@@ -66,12 +70,12 @@
   }
 }
 
-function awayEntry(start: CrashMark['start']): NewsEntry {
-  return { endpoint: `${AWAY_PREFIX}${start}`, running: 0, pendingTokens: 0, parts: [] }
+function startEntry(prefix: string, start: CrashMark['start']): NewsEntry {
+  return { endpoint: `${prefix}${start}`, running: 0, pendingTokens: 0, parts: [] }
 }
 
-function awayOf(name: string): readonly CrashMark['start'][] {
-  return name.startsWith(AWAY_PREFIX) ? [asId(name.slice(AWAY_PREFIX.length))] : []
+function startsOf(prefix: string, name: string): readonly CrashMark['start'][] {
+  return name.startsWith(prefix) ? [asId(name.slice(prefix.length))] : []
 }
 
 function markEntry(prefix: string, { fingerprint, start, wasIsolated }: CrashMark): NewsEntry {
--- a/packages/decisions/src/retrying/brokenStarts.ts
+++ b/packages/decisions/src/retrying/brokenStarts.ts
@@ -12,13 +12,15 @@
  * | after the look showed life, or something came from it   | yes: the break was no end                |
  * | later than the news last spoke of the break             | yes: an endpoint is back by then         |
  *
+ * Until it is known what a break was, others are not sent there either, as long as another endpoint may be asked.
+ *
  * Limits: the first break is seen a while after the end, so what was sent in between is held still. News counts for as long
  * as an endpoint that has ended is left alone for it; who tells it renews it. Starts of one endpoint are judged together:
  * a front holds what it was sent beyond the next start's end.
  */
 
 import { endpointOf } from '@rackwalk/shared'
-import type { EndpointStart, Milliseconds } from '@rackwalk/shared'
+import type { EndpointId, EndpointStart, Milliseconds } from '@rackwalk/shared'
 
 /** News of a break, or of an end, speaks of so long. */
 const SPOKEN_MILLISECONDS: Milliseconds = 1_000
@@ -87,6 +89,19 @@
     })
   }
 
+  /** Whether it is looked at, or known to have ended a moment ago: others go elsewhere while another may be asked. */
+  isInDoubt(start: EndpointStart, now: Milliseconds): boolean {
+    const known = this.starts.get(start)
+    return known !== undefined && now < known.until
+  }
+
+  /** The same of an endpoint whose platform does not tell its starts. */
+  isEndpointInDoubt(endpoint: EndpointId, now: Milliseconds): boolean {
+    return [...this.starts].some(([start, { until }]) => {
+      return now < until && endpointOf(start) === endpoint
+    })
+  }
+
   private forgetOld(now: Milliseconds): void {
     for (const [start, { until }] of this.starts) {
       const isOld = until + REMEMBERED_MILLISECONDS <= now
--- a/packages/decisions/src/retrying/crashSuspicion.ts
+++ b/packages/decisions/src/retrying/crashSuspicion.ts
@@ -48,6 +48,8 @@
   readonly suspected?: readonly CrashMark[]
   /** Starts behind whose address something listens that did not answer a moment ago. */
   readonly away?: readonly EndpointStart[]
+  /** Starts that were looked at for a break, and live. */
+  readonly lives?: readonly EndpointStart[]
 }
 
 interface Suspicion {
--- a/packages/decisions/src/retrying/unjudgedBreaks.ts
+++ b/packages/decisions/src/retrying/unjudgedBreaks.ts
@@ -7,7 +7,7 @@
  * instances; tries that follow find that one ended, and cost no other.
  *
  * Limits: a break is no proof, so nothing is refused for it, and it counts only until the look has told, and no longer than
- * looks take. Whoever is told of one by another instance forgets it by itself.
+ * looks take: who looks says so again for as long as it does. Whoever is told of one by another instance forgets it by itself.
  */
 
 import type { EndpointStart, Milliseconds, RequestFingerprint } from '@rackwalk/shared'
--- a/packages/router/__tests__/crashGuard.spec.ts
+++ b/packages/router/__tests__/crashGuard.spec.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest'
 import type { CrashNews, EndSign } from '@rackwalk/decisions'
 import { CrashGuard } from '@rackwalk/router'
-import { VirtualClock, deferred, asId, endpointStart } from '@rackwalk/shared'
+import { VirtualClock, deferred, asId, endpointOf, endpointStart } from '@rackwalk/shared'
 import type { Deferred, RequestFingerprint } from '@rackwalk/shared'
 
 /**
@@ -53,7 +53,7 @@
     return { first, second }[guard].noteBroken(endpoint, { fingerprint, wasIsolated, sentAt })
   }
   const verdicts = () => [first.verdict(FINGERPRINT), second.verdict(FINGERPRINT)]
-  return { clock, looks, second, breakOff, verdicts }
+  return { clock, looks, first, second, breakOff, verdicts }
 }
 
 describe('a request that an endpoint broke off', () => {
@@ -73,12 +73,12 @@
     expect(verdicts()).toEqual(['refuse', 'refuse'])
   })
 
-  it('is like any other when its endpoint lives, at once here and soon elsewhere', async () => {
+  it('is like any other when its endpoint lives, at once everywhere', async () => {
     const { clock, looks, breakOff, verdicts } = setUp()
     const isKnown = breakOff('endpoint-1', true)
     looks[0]?.resolve('lives')
     expect(await isKnown).toBe(false)
-    expect(verdicts()[0]).toBe('send')
+    expect(verdicts()).toEqual(['send', 'send'])
     await clock.advance(1_000)
     expect(verdicts()).toEqual(['send', 'send'])
   })
@@ -100,7 +100,9 @@
 
   it('is held for it as any other where nothing was told of that for a second', async () => {
     const { clock, looks, second, breakOff } = setUp()
-    void breakOff('endpoint-1', false)
+    const isUnknown = breakOff('endpoint-1', false)
+    looks[0]?.resolve('no-connection')
+    expect(await isUnknown).toBe(false)
     await clock.advance(1_000)
     const isKnown = breakOff('endpoint-1', false, { guard: 'second', fingerprint: innocent })
     looks[1]?.resolve('nobody-listens')
@@ -108,3 +110,41 @@
     expect(second.marksOf(innocent)).toHaveLength(1)
   })
 })
+
+describe('an endpoint that broke a request off', () => {
+  const start = endpointStart('endpoint-1', 1)
+  const other = endpointStart('endpoint-2', 1)
+  const doubtsOf = ({ first, second }: ReturnType<typeof setUp>) => [
+    first.isInDoubt(start),
+    second.isInDoubt(start),
+    second.isEndpointInDoubt(endpointOf(start)),
+    second.isInDoubt(other),
+  ]
+
+  it('is in doubt everywhere until the look shows life', async () => {
+    const played = setUp()
+    const isKnown = played.breakOff('endpoint-1', false)
+    expect(doubtsOf(played)).toEqual([true, true, true, false])
+    played.looks[0]?.resolve('lives')
+    await isKnown
+    expect(doubtsOf(played)).toEqual([false, false, false, false])
+  })
+
+  it('is in doubt, and its request suspected, for as long as the look takes', async () => {
+    const played = setUp()
+    void played.breakOff('endpoint-1', false)
+    await played.clock.advance(4_600)
+    expect(doubtsOf(played)).toEqual([true, true, true, false])
+    expect(played.verdicts()).toEqual(['isolate', 'isolate'])
+  })
+
+  it('is in doubt no longer than it is told', async () => {
+    const played = setUp()
+    const isKnown = played.breakOff('endpoint-1', false)
+    played.looks[0]?.resolve('nobody-listens')
+    await isKnown
+    expect(doubtsOf(played)).toEqual([true, true, true, false])
+    await played.clock.advance(1_000)
+    expect(doubtsOf(played)).toEqual([false, false, false, false])
+  })
+})
--- a/packages/router/__tests__/endpointEnds.spec.ts
+++ b/packages/router/__tests__/endpointEnds.spec.ts
@@ -50,6 +50,7 @@
     onAway: () => {},
     onLook: () => {},
     onLooked: () => {},
+    onLives: () => {},
   })
   const directory = new EndpointDirectory({
     clock,
--- a/packages/router/src/crashes/crashGuard.ts
+++ b/packages/router/src/crashes/crashGuard.ts
@@ -5,7 +5,7 @@
 
 import { BrokenStarts, CrashSuspicions, UnjudgedBreaks } from '@rackwalk/decisions'
 import type { CrashMark, CrashNews, CrashVerdict, EndSign } from '@rackwalk/decisions'
-import type { Clock, EndpointStart, RequestFingerprint } from '@rackwalk/shared'
+import type { Clock, EndpointId, EndpointStart, RequestFingerprint } from '@rackwalk/shared'
 import { EndpointEnds } from './endpointEnds.js'
 import type { BreakingEndpoint, BrokenRequest, EndpointEnd } from './endpointEnds.js'
 import type { ProbedEndpoint } from './endpointProbe.js'
@@ -40,6 +40,7 @@
       onAway: start => this.noteAway(start),
       onLook: (start, request) => this.noteLook(markOf(start, request)),
       onLooked: start => this.unjudged.forget(start),
+      onLives: start => this.noteLives(start),
     })
   }
 
@@ -75,6 +76,16 @@
     return isUnjudged ? 'isolate' : known
   }
 
+  /** Whether a start broke something off, and may have ended: what is not suspected goes elsewhere while it can. */
+  isInDoubt(start: EndpointStart): boolean {
+    return this.broken.isInDoubt(start, this.parts.clock.monotonic())
+  }
+
+  /** The same of an endpoint whose platform does not tell its starts. */
+  isEndpointInDoubt(endpoint: EndpointId): boolean {
+    return this.broken.isEndpointInDoubt(endpoint, this.parts.clock.monotonic())
+  }
+
   /** An endpoint broke a request off before any part of an answer; resolves with whether it is known to have ended. */
   noteBroken(endpoint: BreakingEndpoint, request: BrokenRequest): Promise<boolean> {
     return this.ends.noteBroken(endpoint, request)
@@ -116,6 +127,10 @@
     this.share({ marks: [], cleared: [], suspected: [mark] })
   }
 
+  private noteLives(start: EndpointStart): void {
+    this.share({ marks: [], cleared: [], lives: [start] })
+  }
+
   private noteAway(start: EndpointStart): void {
     this.share({ marks: [], cleared: [], away: [start] })
   }
@@ -133,13 +148,9 @@
     this.parts.onNews(news)
   }
 
-  private take({ marks, cleared, away = [], suspected = [] }: CrashNews): void {
-    const now = this.parts.clock.monotonic()
-    // Marks may be old: they come from records as well.
-    for (const { start } of suspected) this.broken.note(start, now)
-    for (const start of away) this.broken.noteAway(start, now)
-    for (const mark of suspected) this.unjudged.note(mark, now)
-    for (const { start } of marks) this.unjudged.forget(start)
+  private take(news: CrashNews): void {
+    this.takeBreaks(news)
+    const { marks, cleared, away = [] } = news
     for (const start of away) this.parts.onUnreachable(start)
     for (const mark of marks) {
       this.watchVerdict(mark.fingerprint, () => this.noteMark(mark))
@@ -149,6 +160,20 @@
     }
   }
 
+  /** What is believed of breaks by this news. */
+  private takeBreaks({ marks, away = [], suspected = [], lives = [] }: CrashNews): void {
+    const now = this.parts.clock.monotonic()
+    for (const start of lives) {
+      this.broken.forget(start)
+      this.unjudged.forget(start)
+    }
+    // Marks may be old: they come from records as well.
+    for (const { start } of suspected) this.broken.note(start, now)
+    for (const start of away) this.broken.noteAway(start, now)
+    for (const mark of suspected) this.unjudged.note(mark, now)
+    for (const { start } of marks) this.unjudged.forget(start)
+  }
+
   private noteMark(mark: CrashMark): void {
     if (this.suspicions.note(mark)) this.parts.onUnreachable(mark.start)
   }
--- a/packages/router/src/crashes/endpointEnds.ts
+++ b/packages/router/src/crashes/endpointEnds.ts
@@ -51,10 +51,12 @@
   /** What is known here of breaks, by this search and by news. */
   readonly broken: BrokenStarts
   readonly onEnd: (end: EndpointEnd) => void
-  /** A request was broken off, and it is looked whether its endpoint has ended. */
+  /** A request was broken off, and it is looked whether its endpoint has ended; told again for as long as that lasts. */
   readonly onLook: (start: EndpointStart, request: BrokenRequest) => void
   /** The look is over; `onEnd` was called before where it showed an end. */
   readonly onLooked: (start: EndpointStart) => void
+  /** The look showed that this start lives. */
+  readonly onLives: (start: EndpointStart) => void
   /** Something listens where a start has ended, and does not answer; told again for as long as that lasts. */
   readonly onAway: (start: EndpointStart) => void
 }
@@ -80,6 +82,8 @@
 const REMEMBERED_MILLISECONDS = 5_000
 /** Time between two looks at an endpoint that did not answer the first one. */
 const LOOK_AGAIN_MILLISECONDS: Milliseconds = 25
+/** News of a break at which it is still looked is told again after this time: it is forgotten after twice as long. */
+const RENEWAL_MILLISECONDS: Milliseconds = 500
 /** What was there when an endpoint ended is broken off within this time; what comes later was sent to its front. */
 const TOGETHER_MILLISECONDS: Milliseconds = 400
 /** Time between two looks at one that has ended behind something that listens, */
@@ -138,7 +142,20 @@
     this.parts.broken.note(breaks.endpoint.start, breaks.brokenAt)
     breaks.lookedAt = Number.POSITIVE_INFINITY
     breaks.signs = []
-    return this.look(breaks)
+    const looking = this.look(breaks)
+    this.renewLater(breaks)
+    return looking
+  }
+
+  /** A look may take longer than others believe in its break. */
+  private renewLater(breaks: Breaks): void {
+    const { brokenAt, endpoint, untold } = breaks
+    this.parts.clock.after(RENEWAL_MILLISECONDS, () => {
+      const isOver = breaks.looking === undefined || breaks.brokenAt !== brokenAt
+      if (isOver || breaks.hasEnded || this.isStopped) return
+      for (const request of untold) this.parts.onLook(endpoint.start, request)
+      this.renewLater(breaks)
+    })
   }
 
   private async look(breaks: Breaks): Promise<void> {
@@ -152,6 +169,7 @@
     if (isEnd) this.end(breaks)
     else if (!breaks.hasEnded) this.parts.broken.forget(breaks.endpoint.start)
     this.parts.onLooked(breaks.endpoint.start)
+    if (verdict === 'lives') this.parts.onLives(breaks.endpoint.start)
     if (!isEnd) return
     if (breaks.signs.at(-1) === 'does-not-answer') void this.watchReturn(breaks)
   }
--- a/packages/router/src/gateway/attemptChoice.ts
+++ b/packages/router/src/gateway/attemptChoice.ts
@@ -76,7 +76,9 @@
       return undefined
     }
     const isIsolated = this.verdict === 'isolate' && open.length > 0
-    const chosen = isIsolated ? this.chooseIsolated(open) : this.chooseBest(available, open)
+    const chosen = isIsolated
+      ? this.chooseIsolated(open)
+      : this.chooseBest(available, this.trusted(open))
     const isFirst = this.tried.size === 0
     if (chosen === undefined && isFirst) this.noChoice = this.whyNone(available, free)
     return chosen
@@ -113,6 +115,12 @@
     return record.fingerprint
   }
 
+  /** Without those at which it is looked whether they have ended, where others are left. */
+  private trusted(open: readonly EndpointState[]): readonly EndpointState[] {
+    const trusted = open.filter(({ start }) => !this.parts.crashes.isInDoubt(start))
+    return trusted.length > 0 ? trusted : open
+  }
+
   private chooseBest(
     available: readonly EndpointState[],
     open: readonly EndpointState[],
--- a/packages/router/src/routing/endpointRouter.ts
+++ b/packages/router/src/routing/endpointRouter.ts
@@ -49,7 +49,7 @@
     const isolated = this.isolate(request, untried)
     if (isolated !== undefined) return this.note(request, ISOLATING_POLICY, isolated, hashes)
     const policy = this.policyFor(request)
-    const choice = policy.choose(untried, this.demandOf(request), this.parts.random)
+    const choice = policy.choose(this.trusted(untried), this.demandOf(request), this.parts.random)
     if (choice === undefined) throw noCandidateError(this.parts, request)
     return this.note(request, policy.name, choice, hashes)
   }
@@ -78,6 +78,13 @@
     return endpointId === undefined ? undefined : { endpointId, compared: [] }
   }
 
+  /** Without those at which it is looked whether they have ended, where others are left. */
+  private trusted(untried: readonly EndpointView[]): readonly EndpointView[] {
+    const { crashes } = this.parts
+    const trusted = untried.filter(({ endpointId }) => !crashes.isEndpointInDoubt(endpointId))
+    return trusted.length > 0 ? trusted : untried
+  }
+
   private note(
     request: ParsedRequest,
     policy: string,
