fix(router, decisions): the breaks of one end of an engine belong to one start, in the OpenAI-style kind

What operators and callers saw: one end judged as up to three starts, each with its own looks, marks and news (engine-4 of the trace, three starts within 200 ms), since a break named its start by the second in which it was seen. Change: a first break names the start; later breaks of that engine belong to it here and, by news, at others, until the engine certainly lived again (a report that was asked for after the break), the look showed life, or nothing was told for a second. Of two names all choose the same. Ruled out: a longer step: it would join two ends, and still cut one in two at its edge. Two instances that see a break before the other's news, on both sides of a second's edge, still name two: stated in brokenStarts.

--- a/packages/decisions/__tests__/brokenStarts.spec.ts
+++ b/packages/decisions/__tests__/brokenStarts.spec.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from 'vitest'
 import { BrokenStarts } from '@rackwalk/decisions'
-import { endpointStart } from '@rackwalk/shared'
+import { endpointOf, endpointStart } from '@rackwalk/shared'
 
 /** Requests that met the front of an endpoint that had ended were held for having ended it. */
 
@@ -60,6 +60,15 @@
     expect(thereOf(broken, NEXT)).toEqual([0, 100, 500, 1_099, 1_100])
   })
 
+  it('belongs to the same start on all instances that heard of two', () => {
+    const [one, two] = [new BrokenStarts(), new BrokenStarts()]
+    for (const start of [START, NEXT, OTHER]) one.note(start, 100)
+    for (const start of [NEXT, OTHER, START]) two.note(start, 100)
+    const lived = Number.NEGATIVE_INFINITY
+    const named = [one, two].map(broken => broken.startOf(endpointOf(START), { now: 200, lived }))
+    expect(named).toEqual([START, START])
+  })
+
   it('is judged by a bounded memory', () => {
     const broken = new BrokenStarts()
     broken.note(START, 100)
--- a/packages/decisions/src/retrying/brokenStarts.ts
+++ b/packages/decisions/src/retrying/brokenStarts.ts
@@ -16,7 +16,8 @@
  *
  * Limits: the first break is seen a while after the end, so what was sent in between is held still. News counts for as long
  * as an endpoint that has ended is left alone for it; who tells it renews it. Starts of one endpoint are judged together:
- * a front holds what it was sent beyond the next start's end.
+ * a front holds what it was sent beyond the next start's end. Where the platform does not tell starts, two instances that
+ * see a break before the other's news name two.
  */
 
 import { endpointOf } from '@rackwalk/shared'
@@ -102,6 +103,21 @@
     })
   }
 
+  /**
+   * The start that breaks of an endpoint belong to whose platform does not tell its starts, by what is spoken of; undefined
+   * where nothing is. `lived` is a time at which it certainly did: what was spoken of before is another matter.
+   */
+  startOf(
+    endpoint: EndpointId,
+    { now, lived }: { readonly now: Milliseconds; readonly lived: Milliseconds },
+  ): EndpointStart | undefined {
+    const spoken = [...this.starts].filter(([start, { since, until }]) => {
+      return now < until && lived <= since && endpointOf(start) === endpoint
+    })
+    // All instances that heard of several choose the same one.
+    return spoken.map(([start]) => start).sort()[0]
+  }
+
   private forgetOld(now: Milliseconds): void {
     for (const [start, { until }] of this.starts) {
       const isOld = until + REMEMBERED_MILLISECONDS <= now
--- a/packages/router/__tests__/crashGuard.spec.ts
+++ b/packages/router/__tests__/crashGuard.spec.ts
@@ -2,7 +2,7 @@
 import type { CrashNews, EndSign } from '@rackwalk/decisions'
 import { CrashGuard } from '@rackwalk/router'
 import { VirtualClock, deferred, asId, endpointOf, endpointStart } from '@rackwalk/shared'
-import type { Deferred, RequestFingerprint } from '@rackwalk/shared'
+import type { Deferred, EndpointId, RequestFingerprint } from '@rackwalk/shared'
 
 /**
  * A request that ends engines came again while it was looked at the first one, and cost another engine with each try, since it
@@ -148,3 +148,32 @@
     expect(doubtsOf(played)).toEqual([false, false, false, false])
   })
 })
+
+describe('breaks of an endpoint whose platform does not tell its starts', () => {
+  const endpoint = asId<EndpointId>('endpoint-1')
+  const start = endpointStart(endpoint, 1)
+
+  it('belong to one start everywhere, for as long as it is spoken of', async () => {
+    const { clock, looks, first, second, breakOff } = setUp()
+    const startsOf = () => [first, second].map(guard => guard.startOf(endpoint, UNHEARD))
+    expect(startsOf()).toEqual([undefined, undefined])
+    const isKnown = breakOff(endpoint, false)
+    await clock.advance(1_400)
+    expect(startsOf()).toEqual([start, start])
+    looks[0]?.resolve('nobody-listens')
+    expect(await isKnown).toBe(true)
+    expect(startsOf()).toEqual([start, start])
+    await clock.advance(1_000)
+    expect(startsOf()).toEqual([undefined, undefined])
+  })
+
+  it('belong to a new one once it certainly lived', async () => {
+    const { clock, first, second, breakOff } = setUp()
+    await clock.advance(100)
+    void breakOff(endpoint, false)
+    const heard = { ...UNHEARD, askedAt: 101 }
+    expect(first.startOf(endpoint, heard)).toBeUndefined()
+    expect(second.startOf(endpoint, heard)).toBeUndefined()
+    expect(second.startOf(endpoint, { ...UNHEARD, askedAt: 100 })).toBe(start)
+  })
+})
--- a/packages/router/src/crashes/crashGuard.ts
+++ b/packages/router/src/crashes/crashGuard.ts
@@ -3,8 +3,8 @@
  * decisions/retrying/crashSuspicion, the search for ends in endpointEnds. Others are told by whoever made the guard.
  */
 
-import { BrokenStarts, CrashSuspicions, UnjudgedBreaks } from '@rackwalk/decisions'
-import type { CrashMark, CrashNews, CrashVerdict, EndSign } from '@rackwalk/decisions'
+import { BrokenStarts, CrashSuspicions, UnjudgedBreaks, livedAt } from '@rackwalk/decisions'
+import type { CrashMark, CrashNews, CrashVerdict, EndSign, HeardTimes } from '@rackwalk/decisions'
 import type { Clock, EndpointId, EndpointStart, RequestFingerprint } from '@rackwalk/shared'
 import { EndpointEnds } from './endpointEnds.js'
 import type { BreakingEndpoint, BrokenRequest, EndpointEnd } from './endpointEnds.js'
@@ -86,6 +86,12 @@
     return this.broken.isEndpointInDoubt(endpoint, this.parts.clock.monotonic())
   }
 
+  /** The start that a break belongs to of an endpoint whose platform does not tell its starts; undefined where it is new. */
+  startOf(endpoint: EndpointId, heard: HeardTimes): EndpointStart | undefined {
+    const now = this.parts.clock.monotonic()
+    return this.broken.startOf(endpoint, { now, lived: livedAt(heard) })
+  }
+
   /** An endpoint broke a request off before any part of an answer; resolves with whether it is known to have ended. */
   noteBroken(endpoint: BreakingEndpoint, request: BrokenRequest): Promise<boolean> {
     return this.ends.noteBroken(endpoint, request)
--- a/packages/router/src/filters/dispatch.ts
+++ b/packages/router/src/filters/dispatch.ts
@@ -4,7 +4,7 @@
  */
 
 import { DispatchedError, NotRunError, endpointStart, sleep } from '@rackwalk/shared'
-import type { Clock, EndpointId, Milliseconds, RandomSource } from '@rackwalk/shared'
+import type { Clock, EndpointId, EndpointStart, Milliseconds, RandomSource } from '@rackwalk/shared'
 import { isServerError, readAdvice } from '@rackwalk/decisions'
 import type { AnswerEnd, AnswerFate } from '@rackwalk/decisions'
 import type { EndpointAdvices } from '../advice/endpointAdvices.js'
@@ -37,7 +37,7 @@
 }
 
 const MAXIMUM_ATTEMPTS = 4
-/** Breaks of one endpoint within this time are of one start of it: an engine takes longer to be back. */
+/** A first break names the start that it belongs to by its time in such steps: an engine takes longer to be back. */
 const START_MILLISECONDS = 1_000
 /** Where engines tell their state without using a slot. */
 const STATE_PATH = '/load'
@@ -167,13 +167,12 @@
     if (result.kind !== 'failed' || result.stalled || fingerprint === undefined) return false
     if (result.isLookedAt === true) return true
     if (this.isOver(request, result)) return false
-    const { catalogue, clock, crashes, endpoints } = this.parts
+    const { catalogue, crashes, endpoints } = this.parts
     const address = catalogue.findEndpoint(endpointId)?.spec.address
     if (address === undefined) return false
     const breaking = {
       id: endpointId,
-      // Its platform does not tell one start from the next: the time of the end does.
-      start: endpointStart(endpointId, Math.floor(clock.wallTime() / START_MILLISECONDS)),
+      start: this.startOf(endpointId),
       service: target,
       address: new URL(address).host,
       leavesAsPlanned: endpoints.isLeaving(endpointId),
@@ -184,6 +183,14 @@
     return crashes.noteBroken(breaking, { fingerprint, wasIsolated, sentAt })
   }
 
+  /** Its platform does not tell one start from the next: the time of the first break of an end does, wherever it was seen. */
+  private startOf(endpointId: EndpointId): EndpointStart {
+    const { clock, crashes, endpoints } = this.parts
+    const spoken = crashes.startOf(endpointId, endpoints.heard(endpointId))
+    const second = Math.floor(clock.wallTime() / START_MILLISECONDS)
+    return spoken ?? endpointStart(endpointId, second)
+  }
+
   private exchange(request: RoutedRequest) {
     const { incoming, call, requestId } = request
     const headers = { ...passedHeaders(incoming.headers), 'x-request-id': requestId }
