--- a/packages/decisions/src/retrying/brokenStarts.ts
+++ b/packages/decisions/src/retrying/brokenStarts.ts
@@ -12,13 +12,16 @@
  * | after the look showed life, or something came from it   | yes: the break was no end                |
  * | later than the news last spoke of the break             | yes: an endpoint is back by then         |
  *
+ * Until it is known what a break was, others are not sent there either, as long as another endpoint may be asked.
+ *
  * Limits: the first break is seen a while after the end, so what was sent in between is held still. News counts for as long
  * as an endpoint that has ended is left alone for it; who tells it renews it. Starts of one endpoint are judged together:
- * a front holds what it was sent beyond the next start's end.
+ * a front holds what it was sent beyond the next start's end. Where the platform does not tell starts, two instances that
+ * see a break before the other's news name two.
  */
 
 import { endpointOf } from '@rackwalk/shared'
-import type { EndpointStart, Milliseconds } from '@rackwalk/shared'
+import type { EndpointId, EndpointStart, Milliseconds } from '@rackwalk/shared'
 
 /** News of a break, or of an end, speaks of so long. */
 const SPOKEN_MILLISECONDS: Milliseconds = 1_000
@@ -87,6 +90,34 @@
     })
   }
 
+  /** Whether it is looked at, or known to have ended a moment ago: others go elsewhere while another may be asked. */
+  isInDoubt(start: EndpointStart, now: Milliseconds): boolean {
+    const known = this.starts.get(start)
+    return known !== undefined && now < known.until
+  }
+
+  /** The same of an endpoint whose platform does not tell its starts. */
+  isEndpointInDoubt(endpoint: EndpointId, now: Milliseconds): boolean {
+    return [...this.starts].some(([start, { until }]) => {
+      return now < until && endpointOf(start) === endpoint
+    })
+  }
+
+  /**
+   * The start that breaks of an endpoint belong to whose platform does not tell its starts, by what is spoken of; undefined
+   * where nothing is. `lived` is a time at which it certainly did: what was spoken of before is another matter.
+   */
+  startOf(
+    endpoint: EndpointId,
+    { now, lived }: { readonly now: Milliseconds; readonly lived: Milliseconds },
+  ): EndpointStart | undefined {
+    const spoken = [...this.starts].filter(([start, { since, until }]) => {
+      return now < until && lived <= since && endpointOf(start) === endpoint
+    })
+    // All instances that heard of several choose the same one.
+    return spoken.map(([start]) => start).sort()[0]
+  }
+
   private forgetOld(now: Milliseconds): void {
     for (const [start, { until }] of this.starts) {
       const isOld = until + REMEMBERED_MILLISECONDS <= now
--- a/packages/router/src/crashes/crashGuard.ts
+++ b/packages/router/src/crashes/crashGuard.ts
@@ -3,9 +3,22 @@
  * decisions/retrying/crashSuspicion, the search for ends in endpointEnds. Others are told by whoever made the guard.
  */
 
-import { BrokenStarts, CrashSuspicions, UnjudgedBreaks } from '@rackwalk/decisions'
-import type { CrashMark, CrashNews, CrashVerdict, EndSign, KnownEnd } from '@rackwalk/decisions'
-import type { Clock, EndpointStart, Milliseconds, RequestFingerprint } from '@rackwalk/shared'
+import { BrokenStarts, CrashSuspicions, UnjudgedBreaks, livedAt } from '@rackwalk/decisions'
+import type {
+  CrashMark,
+  CrashNews,
+  CrashVerdict,
+  EndSign,
+  HeardTimes,
+  KnownEnd,
+} from '@rackwalk/decisions'
+import type {
+  Clock,
+  EndpointId,
+  EndpointStart,
+  Milliseconds,
+  RequestFingerprint,
+} from '@rackwalk/shared'
 import { EndpointEnds } from './endpointEnds.js'
 import type { BreakingEndpoint, BrokenRequest, EndpointEnd, SeenEnd } from './endpointEnds.js'
 import type { ProbedEndpoint } from './endpointProbe.js'
@@ -47,6 +60,7 @@
       onAway: (start, seen) => this.noteAway(start, seen),
       onLook: (start, request) => this.noteLook(markOf(start, request)),
       onLooked: start => this.unjudged.forget(start),
+      onLives: start => this.noteLives(start),
     })
   }
 
@@ -82,6 +96,22 @@
     return isUnjudged ? 'isolate' : known
   }
 
+  /** Whether a start broke something off, and may have ended: what is not suspected goes elsewhere while it can. */
+  isInDoubt(start: EndpointStart): boolean {
+    return this.broken.isInDoubt(start, this.parts.clock.monotonic())
+  }
+
+  /** The same of an endpoint whose platform does not tell its starts. */
+  isEndpointInDoubt(endpoint: EndpointId): boolean {
+    return this.broken.isEndpointInDoubt(endpoint, this.parts.clock.monotonic())
+  }
+
+  /** The start that a break belongs to of an endpoint whose platform does not tell its starts; undefined where it is new. */
+  startOf(endpoint: EndpointId, heard: HeardTimes): EndpointStart | undefined {
+    const now = this.parts.clock.monotonic()
+    return this.broken.startOf(endpoint, { now, lived: livedAt(heard) })
+  }
+
   /** An endpoint broke a request off before any part of an answer; resolves with whether it is known to have ended. */
   noteBroken(endpoint: BreakingEndpoint, request: BrokenRequest): Promise<boolean> {
     return this.ends.noteBroken(endpoint, request)
@@ -124,6 +154,10 @@
     this.share({ marks: [], cleared: [], suspected: [mark] })
   }
 
+  private noteLives(start: EndpointStart): void {
+    this.share({ marks: [], cleared: [], lives: [start] })
+  }
+
   private noteAway(start: EndpointStart, seen: SeenEnd): void {
     this.share({ marks: [], cleared: [], away: [start] })
     this.parts.onKnownEnd?.(start, { source: 'look', ...seen })
@@ -151,13 +185,9 @@
     this.parts.onNews(news)
   }
 
-  private take({ marks, cleared, away = [], suspected = [] }: CrashNews): void {
-    const now = this.parts.clock.monotonic()
-    // Marks may be old: they come from records as well.
-    for (const { start } of suspected) this.broken.note(start, now)
-    for (const start of away) this.broken.noteAway(start, now)
-    for (const mark of suspected) this.unjudged.note(mark, now)
-    for (const { start } of marks) this.unjudged.forget(start)
+  private take(news: CrashNews): void {
+    this.takeBreaks(news)
+    const { marks, cleared, away = [] } = news
     for (const start of away) this.parts.onUnreachable(start)
     for (const mark of marks) {
       this.watchVerdict(mark.fingerprint, () => this.noteMark(mark))
@@ -167,6 +197,20 @@
     }
   }
 
+  /** What is believed of breaks by this news. */
+  private takeBreaks({ marks, away = [], suspected = [], lives = [] }: CrashNews): void {
+    const now = this.parts.clock.monotonic()
+    for (const start of lives) {
+      this.broken.forget(start)
+      this.unjudged.forget(start)
+    }
+    // Marks may be old: they come from records as well.
+    for (const { start } of suspected) this.broken.note(start, now)
+    for (const start of away) this.broken.noteAway(start, now)
+    for (const mark of suspected) this.unjudged.note(mark, now)
+    for (const { start } of marks) this.unjudged.forget(start)
+  }
+
   private noteMark(mark: CrashMark): void {
     if (this.suspicions.note(mark)) this.parts.onUnreachable(mark.start)
   }
