fix(daemon): a code cache that was damaged is refused

Cause: the engine compares only versions, flags and lengths: with one byte of the code changed (trial, byte 300,000 of the cache) the process ended in "Fatal error, check failed" before it read its settings, and a cache left from another text of the same length would have been run.

Tests: damaged, cut off, empty, of a text as long, of another engine.

--- a/packages/daemon/__tests__/cachedProgram.spec.ts
+++ b/packages/daemon/__tests__/cachedProgram.spec.ts
@@ -1,3 +1,4 @@
+import { createHash } from 'node:crypto'
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
@@ -9,6 +10,8 @@
   const { basename } = require('node:path')
   module.exports = { ran: basename('/folder/ran') }
 })`
+/** As long as the text. */
+const OTHER = TEXT.replace('/folder/ran', '/folder/not')
 const RAN = { ran: 'ran' }
 
 let folder: string
@@ -20,7 +23,7 @@
   program = join(folder, 'program.js')
   cache = join(folder, 'program.cache')
   writeFileSync(program, TEXT)
-  writeFileSync(cache, new Script(TEXT).createCachedData())
+  writeFileSync(cache, sealed(new Script(TEXT).createCachedData()))
 })
 
 afterEach(() => rmSync(folder, { recursive: true }))
@@ -39,12 +42,15 @@
   })
 
   it.each([
-    ['of another text', () => new Script(`${TEXT};`).createCachedData()],
+    ['of another text', () => sealed(new Script(`${TEXT};`).createCachedData())],
+    ['of a text as long', () => sealed(new Script(OTHER).createCachedData(), OTHER)],
     ['that is empty', () => Buffer.alloc(0)],
-    ['that was cut off', () => readFileSync(cache).subarray(0, 64)],
+    ['that was cut off', () => readFileSync(cache).subarray(0, -64)],
+    ['that was cut off before its code', () => readFileSync(cache).subarray(0, 16)],
+    ['that was damaged', () => flipped(readFileSync(cache), 300)],
     ['that is something else', () => Buffer.from(TEXT)],
-    // The engine's own mark of its version and flags stands behind the first word.
-    ['of another engine', () => flipped(readFileSync(cache), 4)],
+    // The engine's own mark of its version stands behind the first word.
+    ['of another engine', () => sealed(flipped(new Script(TEXT).createCachedData(), 4))],
   ])('is compiled anew with a cache %s', (_, made) => {
     writeFileSync(cache, made())
     const compiled = compileProgram(program, cache)
@@ -53,6 +59,11 @@
   })
 })
 
+/** Code as the build leaves it. */
+function sealed(code: Buffer, text = TEXT): Buffer {
+  return Buffer.concat([createHash('sha256').update(text).update(code).digest(), code])
+}
+
 function flipped(bytes: Buffer, at: number): Buffer {
   const changed = Buffer.from(bytes)
   changed.writeUInt8(changed.readUInt8(at) ^ 0xff, at)
--- a/packages/daemon/src/cachedProgram.ts
+++ b/packages/daemon/src/cachedProgram.ts
@@ -1,12 +1,15 @@
 /**
- * Compiles a program with what an earlier compilation of the same text left. A cache that is missing, broken or of
- * another Node.js costs time and nothing else: the text is compiled anew.
+ * Compiles a program with what an earlier compilation of the same text left. A cache that is missing, broken, of
+ * another text or of another Node.js costs time and nothing else: the text is compiled anew.
  */
 
+import { createHash } from 'node:crypto'
 import { readFileSync } from 'node:fs'
 import { createRequire } from 'node:module'
 import { Script, constants } from 'node:vm'
 
+const DIGEST_BYTES = 32
+
 /** A function whose body is the program. */
 type ProgramBody = (require: NodeJS.Require, module: { exports: unknown }) => void
 
@@ -20,9 +23,10 @@
 
 /** Compiles a file that holds one function of `require` and `module`. */
 export function compileProgram(file: string, cacheFile: string): CompiledProgram {
-  const cachedData = readIfThere(cacheFile)
+  const text = readFileSync(file)
+  const cachedData = readCache(cacheFile, text)
   // The bundler writes no letters beyond these.
-  const script = new Script(readFileSync(file, 'latin1'), {
+  const script = new Script(text.toString('latin1'), {
     filename: file,
     cachedData,
     importModuleDynamically: constants.USE_MAIN_CONTEXT_DEFAULT_LOADER,
@@ -38,6 +42,18 @@
   }
 }
 
+/**
+ * The digest stands first. Of the text the engine compares the length alone, and of the code nothing: a cache
+ * that was damaged would end the process.
+ */
+function readCache(file: string, text: Buffer): Buffer | undefined {
+  const bytes = readIfThere(file)
+  if (bytes === undefined) return undefined
+  const code = bytes.subarray(DIGEST_BYTES)
+  const digest = createHash('sha256').update(text).update(code).digest()
+  return digest.equals(bytes.subarray(0, DIGEST_BYTES)) ? code : undefined
+}
+
 function readIfThere(file: string): Buffer | undefined {
   try {
     return readFileSync(file)
--- a/scripts/codeCache.mjs
+++ b/scripts/codeCache.mjs
@@ -1,3 +1,5 @@
+import { Buffer } from 'node:buffer'
+import { createHash } from 'node:crypto'
 import { readFileSync, rmSync, writeFileSync } from 'node:fs'
 import { createRequire } from 'node:module'
 import { setTimeout } from 'node:timers'
@@ -5,7 +7,7 @@
 
 /**
  * Runs a program for a moment and leaves the code that this needed as its code cache: `codeCache.mjs PROGRAM CACHE`.
- * The settings are those of an instance that finds nobody.
+ * Before the code stands a digest of both. The settings are those of an instance that finds nobody.
  */
 
 const RUN_MILLISECONDS = 1_500
@@ -32,14 +34,17 @@
   log: { level: 'silent' },
 }
 
-const script = new Script(readFileSync(program, 'latin1'), {
+const text = readFileSync(program)
+const script = new Script(text.toString('latin1'), {
   filename: program,
   importModuleDynamically: constants.USE_MAIN_CONTEXT_DEFAULT_LOADER,
 })
 // However the run ends, what it needed until then is worth keeping.
 process.on('exit', () => {
   rmSync(settingsFile)
-  writeFileSync(cache, script.createCachedData())
+  const code = script.createCachedData()
+  const digest = createHash('sha256').update(text).update(code).digest()
+  writeFileSync(cache, Buffer.concat([digest, code]))
 })
 writeFileSync(settingsFile, JSON.stringify(settings))
 process.argv = [process.execPath, program, '--settings', settingsFile]
