fix(router): a request that its front let go of late is held for the end as any other

What callers saw: one more end. A request that ends engines, held by a silent front for more than 0.4 s after the first break was seen (beside load looks and news take as long), counted as sent to the front, left no mark, and its next try went to the next engine as any other.

Cause: what was there at an end was told by how long after the first break it broke off. Since a request carries the time at which it was sent, that time alone tells; the second rule stood beside it and hid what was there.

Change: the rule by the time of the break is gone. Test: endpointEnds.spec, "ended under what was there, however late its front lets go of that", red before (only 'first' was told). Specs of crashGuard, knownEnds, endpointEnds and decisions green.

--- a/packages/router/__tests__/endpointEnds.spec.ts
+++ b/packages/router/__tests__/endpointEnds.spec.ts
@@ -30,10 +30,11 @@
   }
 }
 
-function watch(outcome: EndSign, onLooked?: (count: number) => void) {
+function watch(outcome: EndSign | ((look: number) => EndSign), onLooked?: (count: number) => void) {
   const clock = new VirtualClock()
   const heard = { askedAt: Number.NEGATIVE_INFINITY, readAt: Number.NEGATIVE_INFINITY }
   const told: EndpointEnd[] = []
+  const away: number[] = []
   let probes = 0
   const ends = new EndpointEnds({
     clock,
@@ -44,10 +45,10 @@
         await sleep(clock, LOOK_MILLISECONDS)
         onLooked(probes)
       }
-      return outcome
+      return typeof outcome === 'string' ? outcome : outcome(probes)
     },
     onEnd: end => told.push(end),
-    onAway: () => {},
+    onAway: () => away.push(clock.monotonic()),
     onLook: () => {},
     onLooked: () => {},
     onLives: () => {},
@@ -68,7 +69,7 @@
     return { ...record, leavesAsPlanned, hasEnded, statePath: undefined, heard: () => heard }
   }
   const unanswered = () => told.map(end => end.unanswered.map(request => request.fingerprint))
-  return { clock, heard, ends, directory, endpoint, unanswered, probes: () => probes }
+  return { clock, heard, ends, directory, endpoint, unanswered, away, probes: () => probes }
 }
 
 describe('an endpoint that breaks requests off', () => {
@@ -166,4 +167,17 @@
     directory.noteUnreachable(start)
     expect(directory.available('models')).toHaveLength(1)
   })
+
+  it('ended under what was there, however late its front lets go of that', async () => {
+    const { clock, ends, endpoint, unanswered } = watch('does-not-answer')
+    await clock.advance(100)
+    const known = ends.noteBroken(endpoint(), broken('first', 90))
+    await clock.advance(25)
+    await known
+    await clock.advance(1_000)
+    await ends.noteBroken(endpoint(), broken('held by the front', 95))
+    await ends.noteBroken(endpoint(), broken('sent to the front', 200))
+    ends.stop()
+    expect(unanswered()).toEqual([['first'], ['held by the front']])
+  })
 })
--- a/packages/router/src/crashes/endpointEnds.ts
+++ b/packages/router/src/crashes/endpointEnds.ts
@@ -95,8 +95,6 @@
 const LOOK_AGAIN_MILLISECONDS: Milliseconds = 25
 /** News of a break at which it is still looked is told again after this time: it is forgotten after twice as long. */
 const RENEWAL_MILLISECONDS: Milliseconds = 500
-/** What was there when an endpoint ended is broken off within this time; what comes later was sent to its front. */
-const TOGETHER_MILLISECONDS: Milliseconds = 400
 /** Time between two looks at one that has ended behind something that listens, */
 const AWAY_LOOK_MILLISECONDS: Milliseconds = 500
 /** and how many of them are made: it is tried like any other after that. */
@@ -117,7 +115,6 @@
   async noteBroken(endpoint: BreakingEndpoint, request: BrokenRequest): Promise<boolean> {
     if (endpoint.leavesAsPlanned) return false
     const breaks = this.breaksOf(endpoint)
-    if (breaks.hasEnded && this.isFrontOf(breaks)) return true
     const wasThere = this.wasThere(breaks, request)
     if (wasThere) breaks.untold.push(request)
     if (breaks.hasEnded) {
@@ -142,12 +139,6 @@
     return broken.wasThere(endpoint.start, sentAt)
   }
 
-  /** Whether what is broken off now was sent to whatever listens there after the end. */
-  private isFrontOf({ brokenAt, signs }: Breaks): boolean {
-    const isFronted = signs.at(-1) === 'does-not-answer'
-    return isFronted && this.parts.clock.monotonic() - brokenAt > TOGETHER_MILLISECONDS
-  }
-
   private beginLook(breaks: Breaks): Promise<void> {
     breaks.brokenAt = this.parts.clock.monotonic()
     this.parts.broken.note(breaks.endpoint.start, breaks.brokenAt)
