fix(router): one look without a connection does not end the watch of an endpoint that has ended

What callers saw: a silent front was sent requests again a second after its engine's end was known, and each waited there.

Cause: the watch for the engine's return ended at whatever was no silence; on a busy machine a look finds no connection within its 100 ms, which proves nothing (decisions/retrying/endSigns), and nobody told of the end any more.

Change: only a state that is told, or nobody who listens, ends the watch. Test: endpointEnds.spec, "is not back for a look to which no connection came up", red before.

--- a/packages/router/__tests__/endpointEnds.spec.ts
+++ b/packages/router/__tests__/endpointEnds.spec.ts
@@ -180,4 +180,16 @@
     ends.stop()
     expect(unanswered()).toEqual([['first'], ['held by the front']])
   })
+
+  it('is not back for a look to which no connection came up', async () => {
+    const looks: EndSign[] = ['does-not-answer', 'does-not-answer', 'no-connection', 'lives']
+    const { clock, ends, endpoint, away, probes } = watch(look => looks[look - 1] ?? 'lives')
+    const known = ends.noteBroken(endpoint(), FIRST)
+    await clock.advance(25)
+    await known
+    await clock.advance(2_000)
+    ends.stop()
+    expect(away).toEqual([25, 525])
+    expect(probes()).toBe(4)
+  })
 })
--- a/packages/router/src/crashes/endpointEnds.ts
+++ b/packages/router/src/crashes/endpointEnds.ts
@@ -193,7 +193,7 @@
       this.parts.onAway(start, seenOf(breaks))
       await sleep(this.parts.clock, AWAY_LOOK_MILLISECONDS)
       breaks.lookBeganAt = this.parts.clock.monotonic()
-      if ((await this.parts.probe(endpoint)) !== 'does-not-answer') break
+      if (isReturn(await this.parts.probe(endpoint))) break
     }
     this.parts.broken.noteBack(start, this.parts.clock.monotonic())
     this.breaks.delete(start)
@@ -245,3 +245,8 @@
 function seenOf({ brokenAt, lookBeganAt }: Breaks): SeenEnd {
   return { brokenAt, lookedAt: lookBeganAt }
 }
+
+/** Whether what listened for an endpoint that has ended no longer does, or tells its state. */
+function isReturn(sign: EndSign): boolean {
+  return sign === 'lives' || sign === 'nobody-listens'
+}
