feat(router): a streamed chat that was cut is continued at another engine that can

Cause: the first event ends dispatch; a later break ended in the relay, which had no way back to it.

Change: what the caller has is kept (bounded), and the chat is sent to another engine with that text as last message of the assistant, continue_final_message and add_generation_prompt, and the rest of its limit. Only at engines whose endpoint says continuesAnswers (absent: as before, rows unchanged), and for the chats of docs/design/continued-answers.md. Once a request; four attempts in all; free of the retry budget where the first engine is known to have ended. An end of the second engine before its first piece marks the request as one sent to the test. One bill, one usage, one set of ids; the join is marked for callers, in the record (policy and fate 'continued'), in routing_decision and in rackwalk_continued_answers_total. The rule is pure code (decisions/retrying/continuation).

Ruled out, in the design note: leaving it cut, holding pieces back, beginning anew and skipping, keeping others away.

Not tried: a real engine.

--- a/packages/daemon/src/observe/metrics.ts
+++ b/packages/daemon/src/observe/metrics.ts
@@ -30,6 +30,7 @@
   private readonly requests: Counter
   private readonly answers: Counter
   private readonly retries: Counter
+  private readonly continuations: Counter
   private readonly endpointEnds: Counter
   private readonly tokens: Counter
   private readonly billed: Counter
@@ -64,6 +65,11 @@
       help: 'Attempts made again after one that may have run.',
       registers,
     })
+    this.continuations = new Counter({
+      name: 'rackwalk_continued_answers_total',
+      help: 'Streamed answers that were cut and with which another engine went on.',
+      registers,
+    })
     this.endpointEnds = new Counter({
       name: 'rackwalk_endpoint_ends_total',
       help: 'Endpoints that were seen to end unannounced with unanswered requests from here.',
@@ -124,6 +130,10 @@
     this.retries.inc()
   }
 
+  noteContinuation(): void {
+    this.continuations.inc()
+  }
+
   noteTokens(tokens: number): void {
     this.tokens.inc(tokens)
   }
--- a/packages/daemon/src/requestPath.ts
+++ b/packages/daemon/src/requestPath.ts
@@ -6,12 +6,15 @@
 import { createRequestId, notServingCode } from '@rackwalk/coordination'
 import {
   AdmitFilter,
+  AnswerContinuation,
   AuthenticateFilter,
   ClaimFilter,
   CompleteFilter,
   DeduplicateFilter,
   DispatchFilter,
   EndpointRouter,
+  HOLD_LIMITS,
+  HoldSpace,
   ParseFilter,
   RelayFilter,
   RequestPipeline,
@@ -73,6 +76,26 @@
   })
   const checkServing = () => requireServing(node)
   const admit = new AdmitFilter({ catalogue, endpoints, clock, random, instances, checkServing })
+  const dispatch = new DispatchFilter({
+    catalogue,
+    endpoints,
+    router,
+    client,
+    crashes: parts.crashes,
+    advices: parts.advices,
+    longestRestMilliseconds: limits.longestRestMilliseconds,
+    clock,
+    random,
+    firstByteMilliseconds: limits.firstByteMilliseconds,
+    onRetry: () => metrics.noteRetry(),
+  })
+  const continuation = new AnswerContinuation({
+    dispatch,
+    catalogue,
+    space: new HoldSpace(HOLD_LIMITS),
+    clock,
+    onContinued: () => metrics.noteContinuation(),
+  })
   const filters = {
     authenticate: new AuthenticateFilter(catalogue),
     parse: new ParseFilter(catalogue, clock, {
@@ -87,24 +110,13 @@
     reserve: new ReserveFilter(ledger),
     claim: new ClaimFilter(claims),
     route: new RouteFilter(router),
-    dispatch: new DispatchFilter({
-      catalogue,
-      endpoints,
-      router,
-      client,
-      crashes: parts.crashes,
-      advices: parts.advices,
-      longestRestMilliseconds: limits.longestRestMilliseconds,
-      clock,
-      random,
-      firstByteMilliseconds: limits.firstByteMilliseconds,
-      onRetry: () => metrics.noteRetry(),
-    }),
+    dispatch,
     relay: new RelayFilter({
       ledger,
       endpoints,
       clock,
       onTokens: tokens => metrics.noteTokens(tokens),
+      continuation,
     }),
     settle: new SettleFilter({
       ledger,
--- /dev/null
+++ b/packages/router/__tests__/continuedForms.spec.ts
@@ -0,0 +1,129 @@
+import { describe, expect, it } from 'vitest'
+import { ContinuedEvents, HOLD_LIMITS, HoldSpace, KeptAnswer } from '@rackwalk/router'
+
+/** What is kept of a chat's answer, and how the events of its continuation are made a part of it. */
+
+function event(document: object): Buffer {
+  return Buffer.from(`data: ${JSON.stringify(document)}\n\n`)
+}
+
+function piece(content: string, tokens?: number): Buffer {
+  const usage = tokens === undefined ? undefined : { prompt_tokens: 9, completion_tokens: tokens }
+  return event({ id: 'one', created: 1, choices: [{ index: 0, delta: { content } }], usage })
+}
+
+function keep(limits = HOLD_LIMITS) {
+  const space = new HoldSpace(limits)
+  return { space, kept: new KeptAnswer(space) }
+}
+
+describe('what a caller has of an answer', () => {
+  it('is the text of all pieces, also where they are read some at a time', () => {
+    const { space, kept } = keep()
+    const texts = Array.from({ length: 2_000 }, (_, number) => `w${number} ü`)
+    texts.forEach((text, index) => kept.take(piece(text, index + 1)))
+    const text = texts.join('')
+    expect(kept.isKnown).toBe(true)
+    expect(kept.text).toBe(text)
+    expect(kept.usage).toEqual({ promptTokens: 9, generatedTokens: 2_000 })
+    expect(space.usedBytes).toBe(Buffer.byteLength(text))
+    for (let time = 0; time < 2; time += 1) kept.release()
+    expect(space.usedBytes).toBe(0)
+  })
+
+  it('is not kept where there is no room, and holds nothing then', () => {
+    const { space, kept } = keep({ ...HOLD_LIMITS, totalBytes: 500 })
+    for (let count = 0; count < 20; count += 1) kept.take(piece('word ', count))
+    expect({ isKnown: kept.isKnown, used: space.usedBytes }).toEqual({ isKnown: false, used: 0 })
+  })
+
+  it('does not say how many tokens it has where the newest piece does not', () => {
+    const { kept } = keep()
+    kept.take(piece('a', 1))
+    kept.take(piece('b'))
+    expect(kept.isKnown).toBe(true)
+    expect(kept.usage).toBeUndefined()
+  })
+
+  it.each([
+    ['a call of a tool', { choices: [{ index: 0, delta: { tool_calls: [] } }] }],
+    ['reasoning', { choices: [{ index: 0, delta: { reasoning_content: 'so' } }] }],
+    ['log probabilities', { choices: [{ index: 0, delta: {}, logprobs: { content: [] } }] }],
+    ['another choice', { choices: [{ index: 1, delta: { content: 'a' } }] }],
+    ['an error', { error: { message: 'no' } }],
+  ])('is no plain text with %s', (_, document) => {
+    const { kept } = keep()
+    kept.take(piece('a', 1))
+    kept.take(event(document))
+    expect(kept.isKnown).toBe(false)
+  })
+
+  it('is plain text beside comments and fields without a value', () => {
+    const { kept } = keep()
+    kept.take(Buffer.from(': ping\n\n'))
+    kept.take(event({ choices: [{ index: 0, delta: { content: 'a', tool_calls: null } }] }))
+    expect({ isKnown: kept.isKnown, text: kept.text }).toEqual({ isKnown: true, text: 'a' })
+  })
+})
+
+describe('the events of a continuation', () => {
+  const HEAD = { id: 'one', created: 1 }
+
+  function continued() {
+    const usage = { promptTokens: 9, generatedTokens: 4 }
+    return new ContinuedEvents({ head: HEAD, usage, outputTokenLimit: 6 })
+  }
+
+  function rewrite(events: ContinuedEvents, document: object): unknown {
+    const rewritten = events.rewrite(event({ id: 'two', created: 2, ...document }))
+    const text = rewritten?.toString('utf8')
+    return text === undefined ? undefined : JSON.parse(text.slice('data: '.length))
+  }
+
+  it('have the ids of the first run, and its fields alone', () => {
+    const document = { system_fingerprint: 'b', choices: [{ index: 0, delta: { content: 'a' } }] }
+    const rewritten = rewrite(continued(), document)
+    expect(rewritten).toEqual({
+      ...HEAD,
+      choices: document.choices,
+      rackwalk: { continued: true },
+    })
+  })
+
+  it('begin with the first piece, which is the one that is marked', () => {
+    const events = continued()
+    const opening = { choices: [{ index: 0, delta: { role: 'assistant', content: '' } }] }
+    expect(rewrite(events, opening)).toBeUndefined()
+    expect(events.hasBegun).toBe(false)
+    const first = { choices: [{ index: 0, delta: { role: 'assistant', content: 'a' } }] }
+    expect(rewrite(events, first)).toMatchObject({
+      choices: [{ delta: { content: 'a' } }],
+      rackwalk: { continued: true },
+    })
+    expect(events.hasBegun).toBe(true)
+    expect(rewrite(events, { choices: [{ index: 0, delta: {} }] })).not.toHaveProperty('rackwalk')
+  })
+
+  it('report what both runs cost, and never more than the limit', () => {
+    const events = continued()
+    const counts = [0, 1, 2, 3].map(completion_tokens => {
+      const usage = { prompt_tokens: 13, completion_tokens, total_tokens: 13 + completion_tokens }
+      const choices = [{ index: 0, delta: { content: 'a' } }]
+      return (rewrite(events, { choices, usage }) as { usage: unknown }).usage
+    })
+    expect(counts).toEqual(
+      [4, 5, 6, 6].map(generated => ({
+        prompt_tokens: 9,
+        completion_tokens: generated,
+        total_tokens: 9 + generated,
+      })),
+    )
+  })
+
+  it('are passed on as they are where they are none of a chat', () => {
+    const events = continued()
+    for (const other of [': ping\n\n', 'data: [DONE]\n\n', 'data: {"error":{}}\n\n']) {
+      expect(events.rewrite(Buffer.from(other))?.toString()).toBe(other)
+    }
+  })
+})
--- a/packages/router/src/crashes/crashGuard.ts
+++ b/packages/router/src/crashes/crashGuard.ts
@@ -85,6 +85,11 @@
     return this.ends.noteBroken(endpoint, request)
   }
 
+  /** An endpoint cut what it had begun to answer; resolves with whether it is known to have ended. */
+  noteCut(endpoint: BreakingEndpoint): Promise<boolean> {
+    return this.ends.noteCut(endpoint)
+  }
+
   /** A start of an endpoint is over, by its row. */
   noteReplaced(start: EndpointStart): void {
     this.ends.noteReplaced(start)
--- a/packages/router/src/crashes/endpointEnds.ts
+++ b/packages/router/src/crashes/endpointEnds.ts
@@ -118,6 +118,16 @@
     return breaks.hasEnded
   }
 
+  /** An endpoint cut what it had begun to answer; resolves with whether it is known to have ended. Nothing is marked for it. */
+  async noteCut(endpoint: BreakingEndpoint): Promise<boolean> {
+    if (endpoint.leavesAsPlanned) return false
+    const breaks = this.breaksOf(endpoint)
+    if (breaks.hasEnded) return true
+    breaks.looking ??= this.beginLook(breaks)
+    await breaks.looking
+    return breaks.hasEnded
+  }
+
   /** A start of an endpoint is over, by its row. */
   noteReplaced(start: EndpointStart): void {
     const breaks = this.breaks.get(start)
--- a/packages/router/src/engine/chatRequest.ts
+++ b/packages/router/src/engine/chatRequest.ts
@@ -7,6 +7,7 @@
 import { NotRunError, ResultCode, asId } from '@rackwalk/shared'
 import type { ModelId, TokenCount } from '@rackwalk/shared'
 import type { ModelLimits } from '../resources/catalogue.js'
+import { isContinuableChat } from './continuedChat.js'
 import { promptTokenBound, promptTokenEstimate } from './tokenBound.js'
 
 /** Messages in one request. */
@@ -47,6 +48,8 @@
   readonly promptTokenEstimate: TokenCount
   /** The output limit that the engine is told to enforce. */
   readonly outputTokenLimit: TokenCount
+  /** Whether another engine can go on with its answer. */
+  readonly isContinuable: boolean
   readonly body: Readonly<Record<string, unknown>>
 }
 
@@ -91,6 +94,7 @@
     promptTokenBound: promptTokenBound(prompt.length, body.messages.length),
     promptTokenEstimate: promptTokenEstimate(prompt.length),
     outputTokenLimit,
+    isContinuable: isContinuableChat(body),
     body: engineBody(body, outputTokenLimit),
   }
 }
--- a/packages/router/src/filters/dispatch.ts
+++ b/packages/router/src/filters/dispatch.ts
@@ -41,6 +41,8 @@
 const START_MILLISECONDS = 1_000
 /** Where model engines tell their state without using a slot. */
 const STATE_PATH = '/load'
+const STATUS_OK = 200
+const EVENT_STREAM = 'text/event-stream'
 const REFUSED_STATUS = 503
 const TOO_MANY_STATUS = 429
 /** Request headers that describe the caller's connection or are none of the endpoint's business. */
@@ -84,6 +86,8 @@
  */
 export class DispatchFilter implements Filter<RoutedRequest, DispatchedRequest> {
   private readonly retries: RetryBudget
+  /** What gives back what an answer holds. */
+  private readonly ends = new WeakMap<EndpointAnswer, () => void>()
 
   constructor(private readonly parts: DispatchParts) {
     this.retries = new RetryBudget(parts.clock)
@@ -100,7 +104,7 @@
       const wasIsolated = this.isIsolated(request)
       const result = await this.attempt(request, endpointId, wasIsolated)
       const answer = acceptedAnswer(result, request)
-      if (answer !== undefined) return { ...request, answer }
+      if (answer !== undefined) return { ...request, answer, tried }
       results.push(result)
       const isKnown = this.noteBroken(request, endpointId, { result, wasIsolated })
       const verdict = await this.judge(request, { result, attempt, isKnown })
@@ -114,6 +118,58 @@
     }
   }
 
+  /**
+   * Has another engine go on with an answer that was cut; undefined where none does. Attempts, endpoints and the deadline
+   * are those of the request; only one engine runs it once more, and it is held for one that may have ended the first.
+   */
+  async continueElsewhere(
+    cut: DispatchedRequest,
+    body: Readonly<Record<string, unknown>>,
+  ): Promise<DispatchedRequest | undefined> {
+    const hasEnded = await this.hasEndedUnder(cut)
+    const tried = new Set(cut.tried)
+    let isFree = hasEnded
+    while (tried.size < MAXIMUM_ATTEMPTS && !this.isOver(cut, undefined)) {
+      const endpointId = this.parts.router.chooseToContinue(cut, tried)?.endpointId
+      if (endpointId === undefined || (!isFree && !this.retries.withdraw())) return undefined
+      tried.add(endpointId)
+      const request: RoutedRequest = { ...cut, endpointId, continuedBody: body }
+      const result = await this.attempt(request, endpointId, true)
+      const answer = acceptedAnswer(result, request)
+      if (answer !== undefined) return this.asStream({ ...request, answer, tried })
+      void this.noteBroken(request, endpointId, { result, wasIsolated: true })
+      if (result.kind === 'failed') return undefined
+      isFree = result.kind === 'unsent'
+    }
+    return undefined
+  }
+
+  /** The engine that went on with an answer cut it before any piece: it is held against the request where the engine ended. */
+  noteCutAtJoin(request: DispatchedRequest): void {
+    const { endpointId } = request.answer
+    const result = { kind: 'failed', reason: 'cut', stalled: false } as const
+    void this.noteBroken(request, endpointId, { result, wasIsolated: true })
+  }
+
+  /** What is held of a cut answer is given back at once: the chat may go on for long. */
+  private async hasEndedUnder(cut: DispatchedRequest): Promise<boolean> {
+    const { answer } = cut
+    this.ends.get(answer)?.()
+    if (answer.end === 'endpoint-ended') return true
+    const breaking = this.breakingOf(cut, answer.endpointId)
+    return breaking !== undefined && this.parts.crashes.noteCut(breaking)
+  }
+
+  /** What is no stream of events does not go on with one. */
+  private asStream(request: DispatchedRequest): DispatchedRequest | undefined {
+    const { status, headers } = request.answer
+    const type = headers['content-type'] ?? ''
+    if (status === STATUS_OK && type.startsWith(EVENT_STREAM)) return request
+    request.answer.cancel()
+    this.ends.get(request.answer)?.()
+    return undefined
+  }
+
   private async attempt(
     request: RoutedRequest,
     endpointId: EndpointId,
@@ -162,14 +218,21 @@
     endpointId: EndpointId,
     { result, wasIsolated }: TriedRequest,
   ): Promise<boolean> {
-    const { crashFingerprint: fingerprint, call, target } = request
+    const { crashFingerprint: fingerprint } = request
     if (result.kind !== 'failed' || result.stalled || fingerprint === undefined) return false
     if (result.isLookedAt === true) return true
     if (this.isOver(request, result)) return false
-    const { catalogue, clock, crashes, endpoints } = this.parts
+    const breaking = this.breakingOf(request, endpointId)
+    if (breaking === undefined) return false
+    return this.parts.crashes.noteBroken(breaking, { fingerprint, wasIsolated })
+  }
+
+  /** An endpoint as looks at it need it; undefined where it is no longer configured. */
+  private breakingOf({ call, target }: RoutedRequest, endpointId: EndpointId) {
+    const { catalogue, clock, endpoints } = this.parts
     const address = catalogue.findEndpoint(endpointId)?.spec.address
-    if (address === undefined) return false
-    const breaking = {
+    if (address === undefined) return undefined
+    return {
       id: endpointId,
       // Its platform does not tell one start from the next: the time of the end does.
       start: endpointStart(endpointId, Math.floor(clock.wallTime() / START_MILLISECONDS)),
@@ -181,7 +244,6 @@
       heardAt: () => endpoints.heardAt(endpointId),
       hasEnded: false,
     }
-    return crashes.noteBroken(breaking, { fingerprint, wasIsolated })
   }
 
   private exchange(request: RoutedRequest) {
@@ -193,7 +255,10 @@
       const body = hasBody ? incoming.body : undefined
       return { method: incoming.method, path: call.path, headers, body }
     }
-    const body = JSON.stringify({ ...call.chat.body, priority: -request.priority })
+    const body = JSON.stringify({
+      ...(request.continuedBody ?? call.chat.body),
+      priority: -request.priority,
+    })
     return { method: 'POST', path: '/v1/chat/completions', headers, body }
   }
 
@@ -238,8 +303,7 @@
       const { crashFingerprint } = request
       if (crashFingerprint !== undefined) this.parts.crashes.noteAnswered(crashFingerprint)
       request.scope.commit()
-      request.scope.onEnd(() => this.parts.endpoints.noteEnded(endpointId))
-      if (result.kind === 'answering') request.scope.onEnd(() => result.answer.release())
+      if (result.kind === 'answering') this.holdAnswer(request, result.answer)
       return
     }
     if (result.kind === 'answering') drop(result.answer)
@@ -248,6 +312,18 @@
       this.parts.endpoints.noteFailure(endpointId)
   }
 
+  /** Once, at the end of the request or of the answer. */
+  private holdAnswer({ scope }: RoutedRequest, answer: EndpointAnswer): void {
+    let isHeld = true
+    const end = () => {
+      if (isHeld) this.parts.endpoints.noteEnded(answer.endpointId)
+      isHeld = false
+      answer.release()
+    }
+    this.ends.set(answer, end)
+    scope.onEnd(end)
+  }
+
   private async judge(request: RoutedRequest, failed: FailedAttempt): Promise<Verdict> {
     const { result, attempt } = failed
     if (this.isOver(request, result) || attempt >= MAXIMUM_ATTEMPTS) return 'give-up'
@@ -298,7 +374,7 @@
   }
 
   /** Whether nobody waits for an answer any more. */
-  private isOver(request: RoutedRequest, result: AttemptResult): boolean {
+  private isOver(request: RoutedRequest, result: AttemptResult | undefined): boolean {
     return request.incoming.caller.left.aborted || this.isLate(request, result)
   }
 
--- a/packages/router/src/filters/relay.ts
+++ b/packages/router/src/filters/relay.ts
@@ -6,12 +6,16 @@
 import type { AfterDispatchCode, Clock, TokenCount } from '@rackwalk/shared'
 import type { AnswerFate } from '@rackwalk/decisions'
 import type { BudgetLedger } from '@rackwalk/coordination'
-import { EventSplitter, isDoneEvent, isUsageEvent } from '../engine/eventSplitter.js'
+import { EventSplitter, isDoneEvent } from '../engine/eventSplitter.js'
 import { endOf, isStall } from '../engine/endpointExchange.js'
 import type { ReportedUsage } from '../engine/usage.js'
 import { findUsage } from '../engine/usage.js'
 import type { EndpointTable } from '../routing/endpointTable.js'
 import { answerHeaders } from './answerHeaders.js'
+import type { AnswerContinuation } from './continueAnswer.js'
+import { EventPassage } from './eventPassage.js'
+import type { Passage } from './passage.js'
+import { joined } from './passage.js'
 import type { DispatchedRequest, Filter, RelayedRequest } from './stages.js'
 
 /** Parts that relaying works with. */
@@ -20,12 +24,19 @@
   readonly endpoints: EndpointTable
   readonly clock: Clock
   readonly onTokens: (tokens: number) => void
+  readonly continuation: AnswerContinuation
 }
 
 /** Bytes at the end of a plain answer in which its usage report is looked for. */
 const TAIL_BYTES = 64 * 1024
 const NO_USAGE: ReportedUsage = { promptTokens: 0, generatedTokens: 0 }
 
+/** The run that an answer ended with, and what broke it off. */
+interface PassedRun {
+  readonly request: DispatchedRequest
+  readonly failure: Error | undefined
+}
+
 /** How the passing-on ended. */
 interface RelayEnd {
   readonly code: AfterDispatchCode
@@ -37,24 +48,40 @@
   constructor(private readonly parts: RelayParts) {}
 
   async apply(request: DispatchedRequest): Promise<RelayedRequest> {
-    const { record, receivedAt, answer } = request
+    const { record, receivedAt } = request
     record.firstByteMilliseconds = this.parts.clock.sinceStart() - receivedAt
     const passage = this.passageOf(request)
-    const failure = await this.pass(request, passage)
-    answer.cancel()
-    const end = this.endOf(request, passage, failure)
-    noteFate(request, end)
+    const run = await this.passWithRest(request, passage)
+    run.request.answer.cancel()
+    const end = this.endOf(run.request, passage, run.failure)
+    noteFate(run.request, end)
     const usage = passage.usage()
     const billedTokens = billable(request, end, usage)
     const { code, detail } = end
-    return { ...request, code, detail, heldBack: passage.heldBack, usage, billedTokens }
+    return { ...run.request, code, detail, heldBack: passage.heldBack, usage, billedTokens }
+  }
+
+  /** Passes the answer on, and what another engine goes on with where it is cut. */
+  private async passWithRest(request: DispatchedRequest, passage: Passage): Promise<PassedRun> {
+    const failure = await this.pass(request, passage)
+    const { call } = request
+    const isCut = passage instanceof EventPassage && !passage.isClosed
+    if (!isCut || call.kind !== 'chat') return { request, failure }
+    const { continuation, endpoints } = this.parts
+    const next = await continuation.goOn(request, call.chat, passage)
+    if (next === undefined) return { request, failure }
+    endpoints.noteFailure(request.answer.endpointId)
+    const run = { request: next, failure: await this.pass(next, passage) }
+    if (!passage.isClosed) continuation.noteCut(next, passage)
+    return run
   }
 
   private passageOf(request: DispatchedRequest): Passage {
+    const { call } = request
     if (isEventStream(request)) {
-      return request.call.kind === 'chat'
-        ? new EventPassage(request, this.parts)
-        : new ServiceEventPassage(request)
+      if (call.kind !== 'chat') return new ServiceEventPassage(request)
+      const kept = this.parts.continuation.keep(request, call.chat)
+      return new EventPassage(request, call.chat, this.parts, kept)
     }
     return request.answer.isWhole ? new HeldPassage(request) : new PlainPassage(request)
   }
@@ -115,87 +142,6 @@
   }
 }
 
-/** One answer on its way through. */
-interface Passage {
-  /** False when the caller should first be allowed to drain. */
-  take(chunk: Buffer): boolean
-  /** What must not be passed on before the bill is safe. */
-  readonly heldBack: readonly Buffer[]
-  /** Whether something in the answer says that it is whole. */
-  readonly isClosed: boolean
-  /** Whether it is whole where its framing says so. */
-  readonly isWhole: boolean
-  usage(): ReportedUsage
-}
-
-/** A chat's stream of events: keeps back the closing ones and watches the usage reports. */
-class EventPassage implements Passage {
-  readonly heldBack: Buffer[] = []
-  isClosed = false
-  private readonly splitter = new EventSplitter()
-  private readonly wantsUsage: boolean
-  private lastEvent: Buffer | undefined
-  private events = 0
-  private promptKnown = false
-  private usageEvent: Buffer | undefined
-
-  constructor(
-    private readonly request: DispatchedRequest,
-    private readonly parts: RelayParts,
-  ) {
-    this.wantsUsage = request.call.kind === 'chat' && request.call.chat.wantsUsage
-    // Its last event tells that it is whole, or an error event in place of it.
-    request.incoming.caller.begin(request.answer.status, answerHeaders(request))
-  }
-
-  take(chunk: Buffer): boolean {
-    const events = this.splitter.split(chunk)
-    const passed = events.filter(event => this.passes(event))
-    if (passed.length === 0) return true
-    this.events += passed.length
-    this.lastEvent = passed.at(-1)
-    this.parts.onTokens(passed.length)
-    if (!this.promptKnown) this.shrinkReservation(passed[0])
-    return this.request.incoming.caller.write(joined(passed))
-  }
-
-  get isWhole(): boolean {
-    return this.isClosed
-  }
-
-  usage(): ReportedUsage {
-    const closing = this.heldBack.find(event => isUsageEvent(event)) ?? this.usageEvent
-    const reported = findUsage((closing ?? this.lastEvent)?.toString('utf8') ?? '')
-    if (reported !== undefined) return reported
-    // An engine that reports nothing before the end is counted by what was passed on.
-    const promptTokens =
-      this.request.call.kind === 'chat' ? this.request.call.chat.promptTokenBound : 0
-    return { promptTokens, generatedTokens: this.events }
-  }
-
-  /** False for the events that close the answer; those are kept back or dropped. */
-  private passes(event: Buffer): boolean {
-    if (isDoneEvent(event)) {
-      this.isClosed = true
-      this.heldBack.push(Buffer.from(event))
-      return false
-    }
-    if (!isUsageEvent(event)) return true
-    this.usageEvent = Buffer.from(event)
-    if (this.wantsUsage) this.heldBack.push(this.usageEvent)
-    return false
-  }
-
-  /** The prompt's true count frees what the bound reserved too much. */
-  private shrinkReservation(first: Buffer | undefined): void {
-    this.promptKnown = true
-    const reported = findUsage(first?.toString('utf8') ?? '')
-    if (reported === undefined || this.request.call.kind !== 'chat') return
-    const tokens = reported.promptTokens + this.request.call.chat.outputTokenLimit
-    this.parts.ledger.shrink(this.request.reservation, tokens)
-  }
-}
-
 /** A service's stream of events: whole where its framing says so, or else by a last event as a chat has it. */
 class ServiceEventPassage implements Passage {
   isClosed = false
@@ -312,9 +258,10 @@
 
 /** Notes what became of an answer that was passed on, all or in part. */
 function noteFate(request: DispatchedRequest, { code }: RelayEnd): void {
-  const routing = request.record.routing.at(-1)
+  const { framing, end = 'aborted', endpointId } = request.answer
+  // Whoever was asked to go on after it did not answer.
+  const routing = request.record.routing.findLast(record => record.endpointId === endpointId)
   if (routing === undefined) return
-  const { framing, end = 'aborted' } = request.answer
   routing.answer = { framing, end, fate: fateOf(request, code) }
 }
 
@@ -327,8 +274,3 @@
 function isEventStream({ answer }: DispatchedRequest): boolean {
   return (answer.headers['content-type'] ?? '').startsWith('text/event-stream')
 }
-
-function joined(events: readonly Buffer[]): Buffer {
-  const [only] = events
-  return events.length === 1 && only !== undefined ? only : Buffer.concat(events)
-}
--- a/packages/router/src/filters/stages.ts
+++ b/packages/router/src/filters/stages.ts
@@ -93,6 +93,8 @@
 /** Where the first attempt goes. */
 export interface RoutedRequest extends ClaimedRequest {
   readonly endpointId: EndpointId
+  /** What is sent in place of the chat's own body; undefined where that is sent. */
+  readonly continuedBody?: Readonly<Record<string, unknown>>
 }
 
 /** An endpoint's answer that has begun to arrive. */
@@ -129,6 +131,8 @@
 /** An endpoint has begun to answer it. */
 export interface DispatchedRequest extends RoutedRequest {
   readonly answer: EndpointAnswer
+  /** Endpoints that were tried, in their order. */
+  readonly tried: ReadonlySet<EndpointId>
 }
 
 /** An answer that was passed on but for its end. */
--- a/packages/router/src/resources/kinds.ts
+++ b/packages/router/src/resources/kinds.ts
@@ -42,6 +42,11 @@
     prefillTokensPerSecond: z.number().positive().default(8_000),
     /** Whether the engine compares the epoch of orders; one that does not takes any. */
     checksOrders: z.boolean().default(true),
+    /**
+     * Whether the engine goes on after the last message of a chat when `continue_final_message` says so; one that does not
+     * would begin anew. Without a default, so that rows are as they were.
+     */
+    continuesAnswers: z.boolean().optional(),
   }),
   z.strictObject({
     kind: z.literal('service'),
--- a/packages/router/src/routing/endpointRouter.ts
+++ b/packages/router/src/routing/endpointRouter.ts
@@ -31,6 +31,8 @@
 
 /** Named in the record of a decision where the request may end endpoints. */
 const ISOLATING_POLICY = 'isolated'
+/** Named where an engine is to go on with an answer that another one cut. */
+const CONTINUING_POLICY = 'continued'
 
 type EndpointChoice = Pick<RoutingRecord, 'endpointId' | 'compared'>
 
@@ -54,6 +56,30 @@
     return this.note(request, policy.name, choice, hashes)
   }
 
+  /**
+   * The engine that goes on with an answer, among those that can: the one that the request's hash names, as for a request
+   * that may end endpoints. Undefined where there is none.
+   */
+  chooseToContinue(
+    request: ParsedRequest,
+    tried: ReadonlySet<EndpointId>,
+  ): RoutingRecord | undefined {
+    const { crashFingerprint } = request
+    if (crashFingerprint === undefined) return undefined
+    if (this.parts.crashes.verdict(crashFingerprint) === 'refuse') return undefined
+    const ids = this.candidates(request, [])
+      .map(({ endpointId }) => endpointId)
+      .filter(endpointId => !tried.has(endpointId) && this.continues(endpointId))
+    const endpointId = rendezvousChoice(crashFingerprint, ids)
+    if (endpointId === undefined) return undefined
+    return this.note(request, CONTINUING_POLICY, { endpointId, compared: [] }, [])
+  }
+
+  private continues(endpointId: EndpointId): boolean {
+    const spec = this.parts.catalogue.findEndpoint(endpointId)?.spec
+    return spec?.kind === 'model' && spec.continuesAnswers === true
+  }
+
   /** Why no endpoint may get the request now, tried or not; undefined where one may, or where there is none. */
   refusal(request: ParsedRequest): NotRunError | undefined {
     const { crashFingerprint } = request
--- a/packages/stand-ins/src/configuredFleet.ts
+++ b/packages/stand-ins/src/configuredFleet.ts
@@ -98,7 +98,7 @@
       const engine = new EngineStandIn(this.options.engineOptions)
       this.engines.push(engine)
       const port = await engine.listen()
-      documents.push(endpointDocument(`engine-${number}`, port, { kind: 'model', models: [MODEL] }))
+      documents.push(endpointDocument(`engine-${number}`, port, this.engineSpec()))
     }
     const port = await this.service.listen()
     return [
@@ -107,6 +107,11 @@
     ]
   }
 
+  private engineSpec() {
+    const continuesAnswers = this.options.engineOptions?.continuesAnswers ?? true
+    return { kind: 'model', models: [MODEL], continuesAnswers }
+  }
+
   private teams(): readonly ResourceDocument[] {
     const limit = this.options.budgetTokens ?? DEFAULT_BUDGET
     return [
--- a/packages/stand-ins/src/engine/engineStandIn.ts
+++ b/packages/stand-ins/src/engine/engineStandIn.ts
@@ -26,6 +26,8 @@
   readonly eventGapEvery: number
   readonly defaultAnswerTokens: number
   readonly checksOrders: boolean
+  /** Whether it goes on after the last message of a chat that says so; one that does not begins anew. */
+  readonly continuesAnswers: boolean
 }
 
 /** What an API server or a sidecar does whose engine has ended. */
@@ -41,6 +43,7 @@
   eventGapEvery: 0,
   defaultAnswerTokens: 24,
   checksOrders: true,
+  continuesAnswers: true,
 }
 
 /** Tokens of an answer that its caller has already; generation goes on after them. */
@@ -55,12 +58,15 @@
   stream_options: z.looseObject({ include_usage: z.boolean().optional() }).nullish(),
   max_tokens: z.number().int().positive().nullish(),
   priority: z.number().default(0),
+  continue_final_message: z.boolean().nullish(),
   /** What the stand-in is to answer; a field of its own that the router passes on. */
   stand_in: z
     .looseObject({ tokens: z.number().optional(), word: z.string().optional() })
     .optional(),
 })
 
+type ChatBody = z.infer<typeof bodySchema>
+
 const orderSchema = z.looseObject({
   epoch: z.number().int(),
   action: z.enum(['load', 'unload']),
@@ -69,13 +75,15 @@
 })
 
 interface Job {
-  readonly body: z.infer<typeof bodySchema>
+  readonly body: ChatBody
   readonly response: ServerResponse
   readonly promptTokens: number
   readonly answerTokens: number
   /** Prompt tokens still to be taken in. */
   prefillLeft: number
   sent: number
+  /** Tokens of the answer that were there before. */
+  readonly begun: number
 }
 
 interface Snapshot {
@@ -187,19 +195,29 @@
     const cachedTokens = this.lookUp(prompt)
     const promptTokens = promptTokenEstimate(prompt.length)
     const wished = body.stand_in?.tokens ?? this.options.defaultAnswerTokens
+    const begun = this.wordsToContinue(body)
     const job: Job = {
       body,
       response,
       promptTokens,
-      answerTokens: Math.min(wished, body.max_tokens ?? wished),
+      answerTokens: Math.min(wished, begun + (body.max_tokens ?? wished)),
       prefillLeft: Math.max(1, promptTokens - cachedTokens),
-      sent: Number(request.headers[RESUME_HEADER] ?? 0),
+      sent: begun + Number(request.headers[RESUME_HEADER] ?? 0),
+      begun,
     }
     response.once('close', () => this.forget(job))
     this.waiting.push(job)
     this.waiting.sort((left, right) => left.body.priority - right.body.priority)
   }
 
+  /** Words of the last message where generation is to go on after them. */
+  private wordsToContinue({ continue_final_message, messages }: ChatBody): number {
+    const text = messages.at(-1)?.['content']
+    const isToGoOn = this.options.continuesAnswers && continue_final_message === true
+    if (!isToGoOn || typeof text !== 'string') return 0
+    return text.split(' ').filter(word => word !== '').length
+  }
+
   /** Its process is gone; another one listens at its address after a while. */
   private end(): void {
     this.ends += 1
@@ -363,10 +381,11 @@
 }
 
 function chatDocument(job: Job, choices: readonly unknown[]) {
+  const generated = job.sent - job.begun
   const usage = {
     prompt_tokens: job.promptTokens,
-    completion_tokens: job.sent,
-    total_tokens: job.promptTokens + job.sent,
+    completion_tokens: generated,
+    total_tokens: job.promptTokens + generated,
   }
   return { id: 'stand-in', object: 'chat.completion', model: job.body.model, choices, usage }
 }
