--- a/packages/daemon/src/rackwalkDaemon.ts
+++ b/packages/daemon/src/rackwalkDaemon.ts
@@ -29,9 +29,10 @@
 import type { DecisionRecord, RefusedBodies } from '@rackwalk/router'
 import { CallerServer } from './callers/callerServer.js'
 import { createRefusedBodies } from './callers/createRefusedBodies.js'
+import { createWaitingConnections } from './callers/createWaitingConnections.js'
 import { Explainer } from './explainer.js'
 import { withPort } from './observe/listenOn.js'
-import { ConsolaLogger } from './observe/logger.js'
+import { JsonLogger } from './observe/logger.js'
 import { MalformedForms } from './observe/malformedForms.js'
 import type { Logger } from './observe/logger.js'
 import { unfinishedLine } from './observe/unfinishedLine.js'
@@ -45,7 +46,7 @@
 import { createObjects, createPolicy, createTable } from './platformClients.js'
 import { createRequestPath } from './requestPath.js'
 import type { RequestPath } from './requestPath.js'
-import { readSecret } from './settings/load.js'
+import { readSecret } from './settings/sources.js'
 import type { Settings } from './settings/schema.js'
 import { AdviceTask } from './tasks/adviceTask.js'
 import { CrashTask } from './tasks/crashTask.js'
@@ -111,7 +112,7 @@
   ) {
     this.clock = options.clock ?? new SystemClock()
     this.random = options.random ?? new SystemRandom()
-    this.logger = options.logger ?? new ConsolaLogger(settings.log.level, settings.instance.id)
+    this.logger = options.logger ?? new JsonLogger(settings.log.level, settings.instance.id)
     this.metrics = new Metrics(options.withProcessMetrics ?? true)
     this.identity = createIdentity(settings, this.random)
     this.malformed = new MalformedForms(this.logger, () =>
@@ -301,7 +302,7 @@
       logger,
       metrics,
       onUnreachable: endpoint => this.endpoints.noteUnreachable(endpoint),
-      onKnownEnd: (id, end) => this.client.noteEnd(id, end, this.endpoints.heardAt(id)),
+      onKnownEnd: (id, end) => this.client.noteEnd(id, end, this.endpoints.heard(id).askedAt),
       onFault: error => this.noteFault(error),
     })
   }
@@ -344,6 +345,7 @@
 
   private createCallerServer(refusedBodies: RefusedBodies): CallerServer {
     return new CallerServer({
+      waiting: createWaitingConnections(this.metrics, this.logger),
       pipeline: this.path.pipeline,
       catalogue: this.catalogue,
       addresses: () => this.addresses(),
@@ -389,9 +391,7 @@
       serving: () => (this.isServing ? 1 : 0),
       crashingRequests: () => this.crashes.guard.refusedCount,
     })
-    this.node.configuration.subscribe(() => {
-      void this.node.warm(this.catalogue.teamBudgets)
-    })
+    this.node.configuration.subscribe(() => void this.node.warm(this.catalogue.teamBudgets))
   }
 
   private addresses() {
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -60,10 +60,21 @@
 
 export { mayHaveRun, outcomeLabel, outcomeText } from './retrying/attemptOutcome.js'
 export type { AttemptOutcome } from './retrying/attemptOutcome.js'
+export { BrokenStarts } from './retrying/brokenStarts.js'
 export { CrashSuspicions, SCOPE_CHARACTERS } from './retrying/crashSuspicion.js'
 export type { CrashMark, CrashNews, CrashVerdict } from './retrying/crashSuspicion.js'
-export { judgeEnd } from './retrying/endSigns.js'
-export type { EndSign, EndVerdict } from './retrying/endSigns.js'
+export { hasOutlived, judgeEnd, livedAt } from './retrying/endSigns.js'
+export type { EndSign, EndVerdict, HeardTimes } from './retrying/endSigns.js'
+export {
+  SILENT_MILLISECONDS,
+  STILL_SILENT_MILLISECONDS,
+  isAsked,
+  isAskedAgain,
+  isEndedBy,
+  signOfQuestions,
+  wasThereAtEnd,
+} from './retrying/endedExchange.js'
+export type { OpenExchange, SignTimes, StartSign, StateSign } from './retrying/endedExchange.js'
 export { afterCut, continuedUsage } from './retrying/continuation.js'
 export type { CutAnswer, CutStep } from './retrying/continuation.js'
 export { withdrawal } from './retrying/withdrawal.js'
@@ -71,7 +82,13 @@
 export { UnjudgedBreaks } from './retrying/unjudgedBreaks.js'
 export { FleetRetryBudget } from './retrying/fleetRetryBudget.js'
 export type { RetryBounds } from './retrying/fleetRetryBudget.js'
-export { isMisdirected, isPromising, isServerError, nextStep } from './retrying/nextStep.js'
+export {
+  canRepeat,
+  isMisdirected,
+  isPromising,
+  isServerError,
+  nextStep,
+} from './retrying/nextStep.js'
 export type { NextStep } from './retrying/nextStep.js'
 
 export { DemandHoldingPolicy, EqualHoldingPolicy, secondsLeft } from './placing/holdingPolicy.js'
--- a/packages/decisions/src/stopping/answerCompleteness.ts
+++ b/packages/decisions/src/stopping/answerCompleteness.ts
@@ -29,7 +29,7 @@
   | 'reset'
   /** Nothing came for too long. */
   | 'silence'
-  /** Given up here, since the endpoint is known to have ended. */
+  /** Its endpoint is known to be over, and nothing broke the connection. */
   | 'endpoint-ended'
   /** Given up here, while the caller waits. */
   | 'aborted'
--- a/packages/router/__tests__/crashGuard.spec.ts
+++ b/packages/router/__tests__/crashGuard.spec.ts
@@ -10,6 +10,8 @@
  */
 
 const FINGERPRINT = asId<RequestFingerprint>('fingerprint-of-it')
+/** Nothing ever came from an endpoint. */
+const UNHEARD = { askedAt: Number.NEGATIVE_INFINITY, readAt: Number.NEGATIVE_INFINITY }
 const SCOPE = FINGERPRINT.slice(0, 6)
 
 /** Two instances that tell each other at once; a look shows what the test decides. */
@@ -32,7 +34,11 @@
     })
   guards.push(createGuard(), createGuard())
   const [first, second] = guards as [CrashGuard, CrashGuard]
-  const breakOff = (id: string, wasIsolated: boolean) => {
+  const breakOff = (
+    id: string,
+    wasIsolated: boolean,
+    { guard = 'first' as 'first' | 'second', fingerprint = FINGERPRINT } = {},
+  ) => {
     const endpoint = {
       id,
       start: endpointStart(id, 1),
@@ -41,9 +47,10 @@
       statePath: '/load',
       leavesAsPlanned: false,
       hasEnded: false,
-      heardAt: () => Number.NEGATIVE_INFINITY,
+      heard: () => UNHEARD,
     }
-    return first.noteBroken(endpoint, { fingerprint: FINGERPRINT, wasIsolated })
+    const sentAt = clock.monotonic()
+    return { first, second }[guard].noteBroken(endpoint, { fingerprint, wasIsolated, sentAt })
   }
   const verdicts = () => [first.verdict(FINGERPRINT), second.verdict(FINGERPRINT)]
   return { clock, looks, second, breakOff, verdicts }
@@ -76,3 +83,28 @@
     expect(verdicts()).toEqual(['send', 'send'])
   })
 })
+
+describe('a request that was sent after another instance had told of a break there', () => {
+  const innocent = asId<RequestFingerprint>('innocent-of-it')
+
+  it('met the front of the end, so nothing is held against it', async () => {
+    const { clock, looks, second, breakOff } = setUp()
+    void breakOff('endpoint-1', false)
+    await clock.advance(10)
+    const isKnown = breakOff('endpoint-1', false, { guard: 'second', fingerprint: innocent })
+    expect(second.verdict(innocent)).toBe('send')
+    looks[1]?.resolve('nobody-listens')
+    expect(await isKnown).toBe(true)
+    expect(second.marksOf(innocent)).toEqual([])
+  })
+
+  it('is held for it as any other where nothing was told of that for a second', async () => {
+    const { clock, looks, second, breakOff } = setUp()
+    void breakOff('endpoint-1', false)
+    await clock.advance(1_000)
+    const isKnown = breakOff('endpoint-1', false, { guard: 'second', fingerprint: innocent })
+    looks[1]?.resolve('nobody-listens')
+    expect(await isKnown).toBe(true)
+    expect(second.marksOf(innocent)).toHaveLength(1)
+  })
+})
--- a/packages/router/__tests__/knownEnds.spec.ts
+++ b/packages/router/__tests__/knownEnds.spec.ts
@@ -33,9 +33,9 @@
     statePath: '/load',
     leavesAsPlanned: false,
     hasEnded: false,
-    heardAt: () => 0,
+    heard: () => ({ askedAt: 0, readAt: 0 }),
   }
-  return [endpoint, { fingerprint: FINGERPRINT, wasIsolated: false }] as const
+  return [endpoint, { fingerprint: FINGERPRINT, wasIsolated: false, sentAt: 0 }] as const
 }
 
 describe('an end of an endpoint', () => {
--- a/packages/router/src/crashes/crashGuard.ts
+++ b/packages/router/src/crashes/crashGuard.ts
@@ -3,7 +3,7 @@
  * decisions/retrying/crashSuspicion, the search for ends in endpointEnds. Others are told by whoever made the guard.
  */
 
-import { CrashSuspicions, UnjudgedBreaks } from '@rackwalk/decisions'
+import { BrokenStarts, CrashSuspicions, UnjudgedBreaks } from '@rackwalk/decisions'
 import type { CrashMark, CrashNews, CrashVerdict, EndSign, KnownEnd } from '@rackwalk/decisions'
 import type { Clock, EndpointStart, Milliseconds, RequestFingerprint } from '@rackwalk/shared'
 import { EndpointEnds } from './endpointEnds.js'
@@ -34,6 +34,7 @@
   private readonly suspicions = new CrashSuspicions()
   /** What is not known yet: breaks at which it is looked, here or at another instance. */
   private readonly unjudged = new UnjudgedBreaks()
+  private readonly broken = new BrokenStarts()
   private readonly ends: EndpointEnds
   /** When others told first of an end behind something that listens. */
   private readonly firstTold = new Map<EndpointStart, Milliseconds>()
@@ -41,9 +42,10 @@
   constructor(private readonly parts: CrashGuardParts) {
     this.ends = new EndpointEnds({
       ...parts,
+      broken: this.broken,
       onEnd: end => this.noteEnd(end),
       onAway: (start, seen) => this.noteAway(start, seen),
-      onLook: (start, request) => this.noteLook({ ...request, start }),
+      onLook: (start, request) => this.noteLook(markOf(start, request)),
       onLooked: start => this.unjudged.forget(start),
     })
   }
@@ -135,7 +137,7 @@
   private noteEnd(end: EndpointEnd): void {
     this.parts.onEnd(end)
     const { start } = end.endpoint
-    const marks = end.unanswered.map(request => ({ ...request, start }))
+    const marks = end.unanswered.map(request => markOf(start, request))
     this.share({ marks, cleared: [] })
     this.parts.onKnownEnd?.(start, { source: 'look', ...end.seen })
   }
@@ -156,6 +158,9 @@
 
   private take({ marks, cleared, away = [], suspected = [] }: CrashNews): void {
     const now = this.parts.clock.monotonic()
+    // Marks may be old: they come from records as well.
+    for (const { start } of suspected) this.broken.note(start, now)
+    for (const start of away) this.broken.noteAway(start, now)
     for (const mark of suspected) this.unjudged.note(mark, now)
     for (const { start } of marks) this.unjudged.forget(start)
     for (const start of away) this.parts.onUnreachable(start)
@@ -178,3 +183,8 @@
     if (isRefused !== wasRefused) this.parts.onVerdict(fingerprint, isRefused)
   }
 }
+
+/** What is held against a request that was there when a start ended. */
+function markOf(start: EndpointStart, { fingerprint, wasIsolated }: BrokenRequest): CrashMark {
+  return { fingerprint, start, wasIsolated }
+}
--- a/packages/router/src/crashes/endpointEnds.ts
+++ b/packages/router/src/crashes/endpointEnds.ts
@@ -6,8 +6,8 @@
  * An end that was announced (the endpoint was leaving, or was no longer listed) is none of its business.
  */
 
-import { judgeEnd } from '@rackwalk/decisions'
-import type { EndSign, EndVerdict } from '@rackwalk/decisions'
+import { hasOutlived, judgeEnd, livedAt } from '@rackwalk/decisions'
+import type { BrokenStarts, EndSign, EndVerdict, HeardTimes } from '@rackwalk/decisions'
 import { sleep } from '@rackwalk/shared'
 import type { Clock, EndpointStart, Milliseconds, RequestFingerprint } from '@rackwalk/shared'
 import type { ProbedEndpoint } from './endpointProbe.js'
@@ -22,8 +22,8 @@
   readonly leavesAsPlanned: boolean
   /** Whether this start of it is known to be over. */
   readonly hasEnded: boolean
-  /** Monotonic time at which anything last came from it. */
-  readonly heardAt: () => Milliseconds
+  /** When something last came from it. */
+  readonly heard: () => HeardTimes
 }
 
 /** An endpoint ended unannounced. */
@@ -49,12 +49,16 @@
   readonly fingerprint: RequestFingerprint
   /** Whether it was sent there as one that may have ended endpoints. */
   readonly wasIsolated: boolean
+  /** Monotonic time at which it was sent there. */
+  readonly sentAt: Milliseconds
 }
 
 /** What the search for ends works with. */
 export interface EndpointEndsParts {
   readonly clock: Clock
   readonly probe: (endpoint: ProbedEndpoint) => Promise<EndSign>
+  /** What is known here of breaks, by this search and by news. */
+  readonly broken: BrokenStarts
   readonly onEnd: (end: EndpointEnd) => void
   /** A request was broken off, and it is looked whether its endpoint has ended. */
   readonly onLook: (start: EndpointStart, request: BrokenRequest) => void
@@ -70,7 +74,10 @@
   readonly untold: BrokenRequest[]
   /** Monotonic time of the break for which it is looked. */
   brokenAt: Milliseconds
+  /** Monotonic time at which the first look for it was over. */
   lookedAt: Milliseconds
+  /** Monotonic time at which the newest look began. */
+  lookBeganAt: Milliseconds
   newestAt: Milliseconds
   signs: EndSign[]
   hasEnded: boolean
@@ -107,12 +114,13 @@
     if (endpoint.leavesAsPlanned) return false
     const breaks = this.breaksOf(endpoint)
     if (breaks.hasEnded && this.isFrontOf(breaks)) return true
-    breaks.untold.push(request)
+    const wasThere = this.wasThere(breaks, request)
+    if (wasThere) breaks.untold.push(request)
     if (breaks.hasEnded) {
       this.tell(breaks)
       return true
     }
-    this.parts.onLook(endpoint.start, request)
+    if (wasThere) this.parts.onLook(endpoint.start, request)
     breaks.looking ??= this.beginLook(breaks)
     await breaks.looking
     return breaks.hasEnded
@@ -134,6 +142,12 @@
     if (breaks !== undefined) this.end(breaks)
   }
 
+  private wasThere({ endpoint, looking }: Breaks, { sentAt }: BrokenRequest): boolean {
+    const { broken } = this.parts
+    if (looking === undefined) broken.noteLived(endpoint.start, livedAt(endpoint.heard()))
+    return broken.wasThere(endpoint.start, sentAt)
+  }
+
   /** Whether what is broken off now was sent to whatever listens there after the end. */
   private isFrontOf({ brokenAt, signs }: Breaks): boolean {
     const isFronted = signs.at(-1) === 'does-not-answer'
@@ -142,6 +156,8 @@
 
   private beginLook(breaks: Breaks): Promise<void> {
     breaks.brokenAt = this.parts.clock.monotonic()
+    this.parts.broken.note(breaks.endpoint.start, breaks.brokenAt)
+    breaks.lookedAt = Number.POSITIVE_INFINITY
     breaks.signs = []
     return this.look(breaks)
   }
@@ -155,16 +171,18 @@
     breaks.looking = undefined
     const isEnd = verdict === 'ended' && !breaks.hasEnded
     if (isEnd) this.end(breaks)
+    else if (!breaks.hasEnded) this.parts.broken.forget(breaks.endpoint.start)
     this.parts.onLooked(breaks.endpoint.start)
     if (!isEnd) return
     if (breaks.signs.at(-1) === 'does-not-answer') void this.watchReturn(breaks)
   }
 
   private async lookOnce(breaks: Breaks): Promise<EndVerdict> {
-    const { endpoint, signs, brokenAt } = breaks
-    breaks.lookedAt = this.parts.clock.monotonic()
+    const { endpoint, signs } = breaks
+    breaks.lookBeganAt = this.parts.clock.monotonic()
     signs.push(await this.parts.probe(endpoint))
-    return judgeEnd(signs, endpoint.heardAt() > brokenAt)
+    breaks.lookedAt = Math.min(breaks.lookedAt, this.parts.clock.monotonic())
+    return judgeEnd(signs, hasOutlived(breaks, endpoint.heard()))
   }
 
   /** An engine that is back behind its front is used again as soon as it tells its state. */
@@ -172,11 +190,13 @@
     const { endpoint } = breaks
     const { start } = endpoint
     for (let look = 0; look < AWAY_LOOKS && !this.isStopped; look += 1) {
+      this.parts.broken.noteAway(start, this.parts.clock.monotonic())
       this.parts.onAway(start, seenOf(breaks))
       await sleep(this.parts.clock, AWAY_LOOK_MILLISECONDS)
-      breaks.lookedAt = this.parts.clock.monotonic()
+      breaks.lookBeganAt = this.parts.clock.monotonic()
       if ((await this.parts.probe(endpoint)) !== 'does-not-answer') break
     }
+    this.parts.broken.noteBack(start, this.parts.clock.monotonic())
     this.breaks.delete(start)
   }
 
@@ -205,7 +225,8 @@
       endpoint,
       untold: [],
       brokenAt: now,
-      lookedAt: now,
+      lookedAt: Number.POSITIVE_INFINITY,
+      lookBeganAt: now,
       newestAt: now,
       signs: [],
       hasEnded,
@@ -222,6 +243,6 @@
   }
 }
 
-function seenOf({ brokenAt, lookedAt }: Breaks): SeenEnd {
-  return { brokenAt, lookedAt }
+function seenOf({ brokenAt, lookBeganAt }: Breaks): SeenEnd {
+  return { brokenAt, lookedAt: lookBeganAt }
 }
--- a/packages/router/src/filters/dispatch.ts
+++ b/packages/router/src/filters/dispatch.ts
@@ -61,10 +61,17 @@
   'upgrade',
 ])
 
-/** What came of a try, and whether it was sent as one that may end endpoints. */
-interface TriedRequest {
-  readonly result: AttemptResult
+/** How a try is sent. */
+interface SentRequest {
+  /** Whether as one that may end endpoints. */
   readonly wasIsolated: boolean
+  /** Monotonic time. */
+  readonly sentAt: Milliseconds
+}
+
+/** What came of a try. */
+interface TriedRequest extends SentRequest {
+  readonly result: AttemptResult
 }
 
 /** An attempt that gave no usable answer. */
@@ -88,6 +95,8 @@
   private readonly retries: RetryBudget
   /** What gives back what an answer holds. */
   private readonly ends = new WeakMap<EndpointAnswer, () => void>()
+  /** How the answers were asked for that go on with another one. */
+  private readonly joins = new WeakMap<EndpointAnswer, SentRequest>()
 
   constructor(private readonly parts: DispatchParts) {
     this.retries = new RetryBudget(parts.clock)
@@ -101,12 +110,12 @@
     const results: AttemptResult[] = []
     for (let attempt = 1; ; attempt += 1) {
       tried.add(endpointId)
-      const wasIsolated = this.isIsolated(request)
-      const result = await this.attempt(request, endpointId, wasIsolated)
+      const sent = this.describeSend(request)
+      const result = await this.attempt(request, endpointId, sent)
       const answer = acceptedAnswer(result, request)
       if (answer !== undefined) return { ...request, answer, tried }
       results.push(result)
-      const isKnown = this.noteBroken(request, endpointId, { result, wasIsolated })
+      const isKnown = this.noteBroken(request, endpointId, { ...sent, result })
       const verdict = await this.judge(request, { result, attempt, isKnown })
       const routing = request.record.routing.at(-1)
       noteFate(routing, result, incoming.caller.left.aborted ? 'dropped' : 'refused')
@@ -134,10 +143,14 @@
       if (endpointId === undefined || (!isFree && !this.retries.withdraw())) return undefined
       tried.add(endpointId)
       const request: RoutedRequest = { ...cut, endpointId, continuedBody: body }
-      const result = await this.attempt(request, endpointId, true)
+      const sent = { wasIsolated: true, sentAt: this.parts.clock.monotonic() }
+      const result = await this.attempt(request, endpointId, sent)
       const answer = acceptedAnswer(result, request)
-      if (answer !== undefined) return this.asStream({ ...request, answer, tried })
-      void this.noteBroken(request, endpointId, { result, wasIsolated: true })
+      if (answer !== undefined) {
+        this.joins.set(answer, sent)
+        return this.asStream({ ...request, answer, tried })
+      }
+      void this.noteBroken(request, endpointId, { ...sent, result })
       if (result.kind === 'failed') return undefined
       isFree = result.kind === 'unsent'
     }
@@ -146,9 +159,10 @@
 
   /** The engine that went on with an answer cut it before any piece: it is held against the request where the engine ended. */
   noteCutAtJoin(request: DispatchedRequest): void {
-    const { endpointId } = request.answer
+    const { answer } = request
+    const sent = this.joins.get(answer)
     const result = { kind: 'failed', reason: 'cut', stalled: false } as const
-    void this.noteBroken(request, endpointId, { result, wasIsolated: true })
+    if (sent) void this.noteBroken(request, answer.endpointId, { ...sent, result })
   }
 
   /** What is held of a cut answer is given back at once: the chat may go on for long. */
@@ -173,21 +187,21 @@
   private async attempt(
     request: RoutedRequest,
     endpointId: EndpointId,
-    wasIsolated: boolean,
+    sent: SentRequest,
   ): Promise<AttemptResult> {
     const endpoint = this.parts.catalogue.findEndpoint(endpointId)
     if (endpoint === undefined) return { kind: 'unsent', reason: 'removed' }
     const promptTokens = promptEstimate(request)
     this.parts.endpoints.noteSent(endpointId, promptTokens)
     request.notePlaced()
-    const sent = await this.parts.client.attempt({
+    const answered = await this.parts.client.attempt({
       endpointId,
       address: endpoint.spec.address,
       ...this.exchange(request),
       firstByteMilliseconds: this.parts.firstByteMilliseconds,
       signal: this.signalOf(request),
     })
-    const result = await this.withoutFront(request, endpointId, { result: sent, wasIsolated })
+    const result = await this.withoutFront(request, endpointId, { ...sent, result: answered })
     this.noteResult(request, endpointId, result)
     return result
   }
@@ -196,27 +210,29 @@
   private async withoutFront(
     request: RoutedRequest,
     endpointId: EndpointId,
-    { result, wasIsolated }: TriedRequest,
+    { result, ...sent }: TriedRequest,
   ): Promise<AttemptResult> {
     if (result.kind !== 'answering' || !isServerError(result.answer.status)) return result
     const reason = `status ${result.answer.status} of its front`
     const failed = { kind: 'failed', reason, stalled: false } as const
-    const hasEnded = await this.noteBroken(request, endpointId, { result: failed, wasIsolated })
+    const hasEnded = await this.noteBroken(request, endpointId, { ...sent, result: failed })
     if (!hasEnded) return result
     drop(result.answer)
     return { ...failed, isLookedAt: true }
   }
 
-  private isIsolated({ crashFingerprint }: RoutedRequest): boolean {
-    if (crashFingerprint === undefined) return false
-    return this.parts.crashes.verdict(crashFingerprint) === 'isolate'
+  private describeSend({ crashFingerprint }: RoutedRequest): SentRequest {
+    const { clock, crashes } = this.parts
+    const sentAt = clock.monotonic()
+    if (crashFingerprint === undefined) return { wasIsolated: false, sentAt }
+    return { wasIsolated: crashes.verdict(crashFingerprint) === 'isolate', sentAt }
   }
 
   /** Resolves when it is known whether the endpoint ended as it broke the request off. */
   private async noteBroken(
     request: RoutedRequest,
     endpointId: EndpointId,
-    { result, wasIsolated }: TriedRequest,
+    { result, wasIsolated, sentAt }: TriedRequest,
   ): Promise<boolean> {
     const { crashFingerprint: fingerprint } = request
     if (result.kind !== 'failed' || result.stalled || fingerprint === undefined) return false
@@ -224,7 +240,7 @@
     if (this.isOver(request, result)) return false
     const breaking = this.breakingOf(request, endpointId)
     if (breaking === undefined) return false
-    return this.parts.crashes.noteBroken(breaking, { fingerprint, wasIsolated })
+    return this.parts.crashes.noteBroken(breaking, { fingerprint, wasIsolated, sentAt })
   }
 
   /** An endpoint as looks at it need it; undefined where it is no longer configured. */
@@ -241,7 +257,7 @@
       leavesAsPlanned: endpoints.isLeaving(endpointId),
       // A plain service has no place to ask: a GET there would be a call of it.
       statePath: call.kind === 'chat' ? STATE_PATH : undefined,
-      heardAt: () => endpoints.heardAt(endpointId),
+      heard: () => endpoints.heard(endpointId),
       hasEnded: false,
     }
   }
