--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -75,6 +75,8 @@
   wasThereAtEnd,
 } from './retrying/endedExchange.js'
 export type { OpenExchange, SignTimes, StartSign, StateSign } from './retrying/endedExchange.js'
+export { afterCut, continuedUsage } from './retrying/continuation.js'
+export type { CutAnswer, CutStep } from './retrying/continuation.js'
 export { withdrawal } from './retrying/withdrawal.js'
 export type { KnownEnd, OpenAttempt } from './retrying/withdrawal.js'
 export { UnjudgedBreaks } from './retrying/unjudgedBreaks.js'
