fix(daemon): the deployed program loads the library that takes connections that wait

Seen by callers: at every pause and planned stop of a deployed instance, connections that were up and waited were reset. The line `waiting_connections` gave `NativeSocketsMissing: The argument 'filename' must be a file URL object ...` as the cause. Cause: the bundler empties `import.meta` in a CommonJS program, and warns of it only outside of `try`; a fault of the build looked like a missing package. Change: a program is given its own address beside `require` and `module`, and `import.meta.url` stands for it in the build; the code cache is made with the program's own address and `require` too. An `import.meta` that would be emptied ends the build. One package (consola) asks for `import.meta.env`, which Node.js doesn't have: it is defined as undefined.

Before: of the spec of bundled libraries, 4 of 6 red (the program's two, the build's two; the module's two were green). After: 6 green, with cachedProgram and bundle 18 of 18.

--- a/packages/daemon/src/cachedProgram.ts
+++ b/packages/daemon/src/cachedProgram.ts
@@ -6,12 +6,17 @@
 import { createHash } from 'node:crypto'
 import { readFileSync } from 'node:fs'
 import { createRequire } from 'node:module'
+import { pathToFileURL } from 'node:url'
 import { Script, constants } from 'node:vm'
 
 const DIGEST_BYTES = 32
 
 /** A function whose body is the program. */
-type ProgramBody = (require: NodeJS.Require, module: { exports: unknown }) => void
+type ProgramBody = (
+  require: NodeJS.Require,
+  module: { exports: unknown },
+  programUrl: string,
+) => void
 
 /** A program that is ready to run. */
 export interface CompiledProgram {
@@ -21,7 +26,7 @@
   run(): unknown
 }
 
-/** Compiles a file that holds one function of `require` and `module`. */
+/** Compiles a file that holds one function of `require`, `module` and the address of the file. */
 export function compileProgram(file: string, cacheFile: string): CompiledProgram {
   const text = readFileSync(file)
   const cachedData = readCache(cacheFile, text)
@@ -36,7 +41,7 @@
     run: () => {
       const module = { exports: {} as unknown }
       const body = script.runInThisContext() as ProgramBody
-      body(createRequire(file), module)
+      body(createRequire(file), module, pathToFileURL(file).href)
       return module.exports
     },
   }
--- a/scripts/bundles.mjs
+++ b/scripts/bundles.mjs
@@ -14,6 +14,8 @@
   minifySyntax: true,
   sourcemap: false,
   logLevel: 'warning',
+  // What reads it fails only where it runs, and may take that for something else.
+  logOverride: { 'empty-import-meta': 'error' },
 }
 
 /** Modules that load each other, some of them later. */
@@ -65,7 +67,9 @@
     ...single,
     entryPoints: { program: 'platform/src/main.ts' },
     plugins: [openAiKindApart, unusedMetricsApart],
-    banner: { js: '(function (require, module) {' },
+    // Node.js has no `import.meta.env`; packages for browsers ask for it.
+    define: { 'import.meta.url': 'programUrl', 'import.meta.env': 'undefined' },
+    banner: { js: '(function (require, module, programUrl) {' },
     footer: { js: '})' },
   },
   {
--- a/scripts/codeCache.mjs
+++ b/scripts/codeCache.mjs
@@ -3,6 +3,7 @@
 import { readFileSync, rmSync, writeFileSync } from 'node:fs'
 import { createRequire } from 'node:module'
 import { setTimeout } from 'node:timers'
+import { pathToFileURL } from 'node:url'
 import { Script, constants } from 'node:vm'
 
 /**
@@ -48,5 +49,6 @@
 })
 writeFileSync(settingsFile, JSON.stringify(settings))
 process.argv = [process.execPath, program, '--settings', settingsFile]
-script.runInThisContext()(createRequire(import.meta.url), { exports: {} })
+const programUrl = pathToFileURL(program).href
+script.runInThisContext()(createRequire(programUrl), { exports: {} }, programUrl)
 setTimeout(() => process.exit(0), RUN_MILLISECONDS)
