fix(router): a gateway that was held itself does not take an endpoint for silent

What callers saw: after one stall of a gateway's own loop, sound work at an endpoint that had answered was ended and sent elsewhere.

Cause: the time of a question for the state was nominal: a timer that fired late counted as the whole time without an answer, though the answer waited to be read; and it began before the connection was seen up.

Evidence: endedEndpoints.spec with a clock whose timers fire late, the answer read right after a stall of 250, 400 and 700 ms: what goes on elsewhere was ended each time; with every timer late, also what may run once.

Change: the time counts from the question written on a connection that was seen up. A timer that fires late, or early since it was armed at the end of a long turn, proves nothing and is armed again; after five of these nothing is known and nothing is ended. A start that holds the question on once the loop is free ends as before.

Before: 4 of the new cases red. After: endedEndpoints.spec 29 of 29. Its stand-in of a question tells when it is written; no case that stood was changed.

--- a/packages/router/__tests__/endedEndpoints.spec.ts
+++ b/packages/router/__tests__/endedEndpoints.spec.ts
@@ -34,8 +34,17 @@
   readonly after: number
 }
 
+/** Its timers fire late while the loop is held. */
+class HeldClock extends VirtualClock {
+  heldUntil = 0
+
+  override after(delay: number, run: () => void) {
+    return super.after(Math.max(delay, this.heldUntil - this.monotonic()), run)
+  }
+}
+
 class Place {
-  readonly clock = new VirtualClock()
+  readonly clock = new HeldClock()
   readonly ended: string[] = []
   readonly suspected: string[] = []
   questions = 0
@@ -81,6 +90,7 @@
     const isUnsettled = sign === 'held' || sign === 'no-connection'
     const question = {
       sign: isUnsettled ? sign : ('held' as StateSign),
+      written: sign === 'no-connection' ? new Promise<void>(() => {}) : Promise.resolve(),
       answered: new Promise<void>(resolve => {
         if (after === Infinity) return
         this.clock.after(after, () => {
@@ -195,6 +205,34 @@
   })
 })
 
+describe('what is open at a start that answers while the loop of this instance is held', () => {
+  it.each([250, 400, 700])('stays where the answer is read after %i ms', async held => {
+    const place = await placeWithAll()
+    place.answer = { sign: 'lives', after: held + 1 }
+    place.clock.heldUntil = place.clock.monotonic() + held
+    place.directory.noteAway(recordOf().start)
+    await place.clock.advance(LATE)
+    expect(place.ended).toEqual([])
+  })
+
+  it('stays where the loop is held in every turn', async () => {
+    const place = await placeWithAll()
+    const after = place.clock.after.bind(place.clock)
+    place.clock.after = (delay, run) => after(delay + SILENT_MILLISECONDS, run)
+    place.directory.noteAway(recordOf().start)
+    await place.clock.advance(LATE)
+    expect(place.ended).toEqual([])
+  })
+
+  it('ends where the question is held on once the loop is free', async () => {
+    const place = await placeWithAll()
+    place.clock.heldUntil = place.clock.monotonic() + SILENT_MILLISECONDS * 2
+    place.directory.noteAway(recordOf().start)
+    await place.clock.advance(LATE)
+    expect(place.ended).toEqual(['again', 'resume', 'once'])
+  })
+})
+
 describe('what is open at a start that is over for certain', () => {
   it('ends at once when its row tells of a new start', async () => {
     const place = await placeWithAll()
--- a/packages/router/src/gateway/endedEndpoints.ts
+++ b/packages/router/src/gateway/endedEndpoints.ts
@@ -10,9 +10,9 @@
   signOfQuestions,
 } from '@rackwalk/decisions'
 import type { StartSign, StateSign } from '@rackwalk/decisions'
-import { sleep } from '@rackwalk/shared'
 import type { Clock, Milliseconds } from '@rackwalk/shared'
 import type { EndpointState } from './endpointState.js'
+import { comesWithin } from './stateQuestion.js'
 import type { StateQuestion } from './stateQuestion.js'
 
 /** What the ends are found with. */
@@ -57,40 +57,51 @@
     path: string,
   ): Promise<void> {
     const signs: StateSign[] = []
+    let isKnown = true
     do {
-      await this.askOnce(endpoint, { why, path, signs })
-    } while (isAskedAgain(why, signs))
+      isKnown = await this.askOnce(endpoint, { why, path, signs })
+    } while (isKnown && isAskedAgain(why, signs))
   }
 
+  /** Resolves with whether anything is known by this question. */
   private async askOnce(
     endpoint: EndpointState,
     { why, path, signs }: { why: StartSign; path: string; signs: StateSign[] },
-  ): Promise<void> {
+  ): Promise<boolean> {
     const { clock, ask } = this.parts
     const askedAt = clock.monotonic()
     const question = ask(endpoint.record.address, path)
-    const judge = (elapsed: Milliseconds) => {
+    const isKnown = await this.waitForAnswer(question, elapsed => {
       const sign = signOfQuestions(why, [...signs, question.sign], elapsed)
       if (sign !== undefined) this.act(endpoint, sign, askedAt)
-    }
-    let elapsed = 0
-    for (const bound of TELLING_MILLISECONDS) {
-      const isOpen = await this.isOpenAfter(question, bound - elapsed)
-      elapsed = bound
-      if (isOpen && question.sign === 'held') judge(elapsed)
-      if (!isOpen) break
-    }
-    if (question.sign !== 'held') judge(elapsed)
+    })
     signs.push(question.sign)
     question.withdraw()
+    return isKnown
   }
 
-  private async isOpenAfter(question: StateQuestion, delay: Milliseconds): Promise<boolean> {
-    let isOpen = true
-    const answered = question.answered.then(() => (isOpen = false))
-    await Promise.race([answered, sleep(this.parts.clock, delay)])
-    await question.readAll()
-    return isOpen
+  /** Judges a question at each time at which it says something. */
+  private async waitForAnswer(
+    question: StateQuestion,
+    judge: (elapsed: Milliseconds) => void,
+  ): Promise<boolean> {
+    const { clock } = this.parts
+    const isWritten = await comesWithin(question, question.written, {
+      clock,
+      delay: STILL_SILENT_MILLISECONDS,
+    })
+    if (isWritten === undefined) return false
+    let elapsed = 0
+    for (const bound of isWritten ? TELLING_MILLISECONDS : []) {
+      const delay = bound - elapsed
+      const isAnswered = await comesWithin(question, question.answered, { clock, delay })
+      if (isAnswered === undefined) return false
+      if (isAnswered) break
+      elapsed = bound
+      judge(elapsed)
+    }
+    if (question.sign !== 'held') judge(elapsed)
+    return true
   }
 
   private act(endpoint: EndpointState, sign: StartSign, askedAt: Milliseconds): void {
--- a/packages/router/src/gateway/stateQuestion.ts
+++ b/packages/router/src/gateway/stateQuestion.ts
@@ -3,11 +3,15 @@
 import { request } from 'node:http'
 import { isServerError } from '@rackwalk/decisions'
 import type { StateSign } from '@rackwalk/decisions'
+import { deferred } from '@rackwalk/shared'
+import type { Clock, Milliseconds } from '@rackwalk/shared'
 
 /** A question that is open until it is answered or withdrawn. */
 export interface StateQuestion {
   /** What it has come to so far. */
   readonly sign: StateSign
+  /** Resolves once it is written on a connection that was seen up, or has failed: its time to be answered begins. */
+  readonly written: Promise<void>
   /** Resolves once it is answered or has failed. */
   readonly answered: Promise<void>
   /** On a busy processor an answer may be there and wait to be read: resolves after that. */
@@ -15,17 +19,38 @@
   withdraw(): void
 }
 
+/** Whoever waits takes so many timers that prove nothing, and then knows nothing. */
+const UNPROVEN_WAITS = 5
+/** A timer that fires later than this was held up by its own loop. */
+const LATE_MILLISECONDS: Milliseconds = 25
+/** The timers of Node.js count whole milliseconds, and fire so much early. */
+const EARLY_MILLISECONDS: Milliseconds = 1
+
+/**
+ * Whether a timer that fired after so long says something of who did not answer. One that was late says only that its loop
+ * was held, and one that was armed at the end of a long turn of it fires early.
+ */
+function isTimely(waited: Milliseconds, delay: Milliseconds): boolean {
+  return waited >= delay - EARLY_MILLISECONDS && waited <= delay + LATE_MILLISECONDS
+}
+
 /** Asks at IP:PORT for the state under a path. */
 export function askState(address: string, path: string): StateQuestion {
   const [host, port] = address.split(':')
   const call = request({ host, port: Number(port), path, agent: false })
   let sign: StateSign = 'no-connection'
+  const written = deferred<void>()
   const answered = new Promise<void>(resolve => {
     const finish = (found: StateSign) => {
       sign = found
+      written.resolve()
       resolve()
     }
-    call.on('socket', socket => socket.once('connect', () => (sign = 'held')))
+    const noteConnected = () => {
+      sign = 'held'
+      written.resolve()
+    }
+    call.on('socket', socket => socket.once('connect', noteConnected))
     call.on('response', response => {
       response.resume()
       finish(isServerError(response.statusCode ?? 0) ? 'fails' : 'lives')
@@ -40,8 +65,42 @@
     get sign() {
       return sign
     },
+    written: written.promise,
     answered,
     readAll: () => new Promise(resolve => setImmediate(resolve)),
     withdraw: () => call.destroy(),
   }
 }
+
+/** Whether something comes of a question within a time; undefined where this process was too busy to know. */
+export async function comesWithin(
+  question: StateQuestion,
+  event: Promise<void>,
+  { clock, delay }: { clock: Clock; delay: Milliseconds },
+): Promise<boolean | undefined> {
+  let hasCome = false
+  const coming = event.then(() => {
+    hasCome = true
+  })
+  for (let wait = 0; wait < UNPROVEN_WAITS; wait += 1) {
+    const waited = await waitFor(coming, { clock, delay })
+    // What came while the loop was held is read first.
+    await question.readAll()
+    if (hasCome) return true
+    if (isTimely(waited, delay)) return false
+  }
+  return undefined
+}
+
+/** Resolves with the time that it took. */
+async function waitFor(
+  coming: Promise<void>,
+  { clock, delay }: { clock: Clock; delay: Milliseconds },
+): Promise<Milliseconds> {
+  const armedAt = clock.monotonic()
+  const over = deferred<void>()
+  const timer = clock.after(delay, () => over.resolve())
+  await Promise.race([coming, over.promise])
+  timer.cancel()
+  return clock.monotonic() - armedAt
+}
