fix(router): a busy instance does not take a sound endpoint for ended

What callers saw: after any reset at an instance in long turns, a sound endpoint counted as ended: marks on innocent requests, no more sends from the whole fleet, and work withdrawn.

Cause: the time for the state began before the second connection was seen up; when its timer fired late, one turn sent the question and could not read the answer.

Evidence: endpointProbe.spec, a server in a process of its own that answers at once, the loop held in turns of 120 and 250 ms: 8 looks each did not come out as `lives`; in turns of 60 ms they did.

Limit: an instance whose turns stay long does not find out that an endpoint is silent.

Before: 3 of the new cases red (turns of 120 and 250 ms; an endpoint that holds the question while the loop is always held). After: endpointProbe.spec 6 of 6.

--- a/packages/router/src/crashes/endpointProbe.ts
+++ b/packages/router/src/crashes/endpointProbe.ts
@@ -1,10 +1,11 @@
 /** Looks whether an endpoint is still there. Sends no request that would run. */
 
-import { request } from 'node:http'
 import { connect } from 'node:net'
-import { isServerError } from '@rackwalk/decisions'
 import type { EndSign } from '@rackwalk/decisions'
+import { SystemClock } from '@rackwalk/shared'
 import type { Milliseconds } from '@rackwalk/shared'
+import { askState, comesWithin } from '../gateway/stateQuestion.js'
+import type { StateQuestion } from '../gateway/stateQuestion.js'
 
 /** Where to look. */
 export interface ProbedEndpoint {
@@ -18,6 +19,7 @@
 const CONNECT_MILLISECONDS: Milliseconds = 100
 /** An endpoint that lives tells its state within this time. */
 const STATE_MILLISECONDS: Milliseconds = 100
+const CLOCK = new SystemClock()
 
 /** One look at an endpoint. */
 export function probeEndpoint({ address, statePath }: ProbedEndpoint): Promise<EndSign> {
@@ -39,7 +41,7 @@
       clearTimeout(timer)
       // Where there is nothing to ask for, whoever takes connections counts as alive.
       if (statePath === undefined) finish('lives')
-      else void askState(host, port, statePath).then(finish)
+      else void lookAtState(address, statePath).then(finish)
     })
     socket.on('error', (error: NodeJS.ErrnoException) => {
       finish(error.code === 'ECONNREFUSED' ? 'nobody-listens' : 'no-connection')
@@ -47,22 +49,20 @@
   })
 }
 
-function askState(host: string, port: string, path: string): Promise<EndSign> {
-  return new Promise(resolve => {
-    const call = request({ host, port: Number(port), path, agent: false })
-    // On a busy processor the answer may be there and wait to be read: that comes first.
-    const giveUp = () => setImmediate(() => finish('does-not-answer'))
-    const timer = setTimeout(giveUp, STATE_MILLISECONDS)
-    const finish = (sign: EndSign) => {
-      clearTimeout(timer)
-      call.destroy()
-      resolve(sign)
-    }
-    call.on('response', ({ statusCode = 0 }) => {
-      // What fails at this has no engine behind it.
-      finish(isServerError(statusCode) ? 'does-not-answer' : 'lives')
-    })
-    call.on('error', () => finish('does-not-answer'))
-    call.end()
-  })
+async function lookAtState(address: string, path: string): Promise<EndSign> {
+  const question = askState(address, path)
+  const isAnswered = await isAnsweredInTime(question)
+  question.withdraw()
+  // Whoever was too busy to look knows nothing, nor does whoever could not ask.
+  if (isAnswered === undefined || question.sign === 'no-connection') return 'no-connection'
+  // What fails at this has no engine behind it.
+  return question.sign === 'lives' ? 'lives' : 'does-not-answer'
+}
+
+/** The time for the answer begins once the question is written; undefined where this process was too busy to know. */
+async function isAnsweredInTime(question: StateQuestion): Promise<boolean | undefined> {
+  const forConnection = { clock: CLOCK, delay: CONNECT_MILLISECONDS }
+  const forState = { clock: CLOCK, delay: STATE_MILLISECONDS }
+  const isWritten = await comesWithin(question, question.written, forConnection)
+  return isWritten && comesWithin(question, question.answered, forState)
 }
