fix(router): an answer whose head came counts as begun

What callers saw: a request whose answer had begun, with its body still on the way, was given up as one of which nothing came, and ended with an error where it may not run twice.

Cause: an exchange noted that it was heard at the pieces of the body only, not at the head.

Evidence and change: openExchanges.spec sends to a server that writes the head at once and the body later, with a look in between; the exchange notes the head too, so the time for what has begun applies.

--- a/packages/router/__tests__/openExchanges.spec.ts
+++ b/packages/router/__tests__/openExchanges.spec.ts
@@ -1,8 +1,12 @@
+import { createServer } from 'node:http'
+import type { ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { setTimeout as sleep } from 'node:timers/promises'
 import { describe, expect, it } from 'vitest'
 import type { KnownEnd } from '@rackwalk/decisions'
-import { asId } from '@rackwalk/shared'
+import { SystemClock, asId } from '@rackwalk/shared'
 import type { EndpointId } from '@rackwalk/shared'
-import { OpenExchanges } from '@rackwalk/router'
+import { EndpointClient, OpenExchanges } from '@rackwalk/router'
 
 /** Whom the end of an endpoint reaches. */
 
@@ -47,3 +51,40 @@
     expect(withdrawn).toEqual([])
   })
 })
+
+describe('an exchange of which only the head of the answer came', () => {
+  const clock = new SystemClock()
+  const id = asId<EndpointId>('one')
+
+  async function sendTo(respond: (response: ServerResponse) => void) {
+    const server = createServer((_, response) => respond(response))
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+    const client = new EndpointClient(clock, 5_000)
+    const result = client.attempt({
+      endpointId: id,
+      address: `http://127.0.0.1:${(server.address() as AddressInfo).port}`,
+      method: 'POST',
+      path: '/',
+      headers: {},
+      body: '{}',
+      firstByteMilliseconds: 5_000,
+      signal: new AbortController().signal,
+    })
+    return { server, client, result }
+  }
+
+  it('has been heard, and is not given up by a look right after', async () => {
+    const { server, client, result } = await sendTo(async response => {
+      response.writeHead(200, { 'content-type': 'application/json', 'content-length': 2 })
+      response.flushHeaders()
+      await sleep(600)
+      response.end('{}')
+    })
+    await sleep(300)
+    const now = clock.monotonic()
+    client.noteEnd(id, { source: 'look', brokenAt: now, lookedAt: now }, 0)
+    expect((await result).kind).toBe('answering')
+    await client.close()
+    server.close()
+  })
+})
--- a/packages/router/src/engine/endpointExchange.ts
+++ b/packages/router/src/engine/endpointExchange.ts
@@ -127,6 +127,7 @@
   }
 
   onResponseStart(_: Dispatcher.DispatchController, status: number, headers: Headers): void {
+    this.heardAt = this.parts.clock.monotonic()
     this.status = status
     this.headers = flatHeaders(headers)
     this.framing = answerFraming({
