fix(router, decisions): an end is held against a request although the start before it is still told of

What callers saw: a request that ends engines, sent to an engine that had just been started again, ended that one too, and the next, without end: it stayed isolated and was never refused.

Cause: what was sent to any start of an endpoint was compared with the spoken time of all its starts. The watch of the start before went on (behind a front a look can't tell two ends apart) and renewed that time twice a second, so each later end passed for one that the request only met.

Change: where the platform tells starts, what was sent to one is judged by that one. Otherwise they are judged together as before, but a state that was asked for after an end closes the spoken time of earlier starts. The watch of a start is over once a later one is listed or such a state came; its marks stay, and what its front lets go of late is still held.

--- a/packages/decisions/__tests__/brokenStarts.spec.ts
+++ b/packages/decisions/__tests__/brokenStarts.spec.ts
@@ -60,6 +60,27 @@
     expect(thereOf(broken, NEXT)).toEqual([0, 100, 500, 1_099, 1_100])
   })
 
+  it('is judged by its own start alone where the platform told that', () => {
+    const broken = new BrokenStarts()
+    broken.noteAway(START, 100)
+    const sentAts = [100, 101, 500, 1_099, 1_100]
+    const there = () => sentAts.filter(sentAt => broken.wasAtStart(NEXT, sentAt))
+    expect(there()).toEqual(sentAts)
+    broken.note(NEXT, 500)
+    expect(there()).toEqual([100, 101, 500])
+  })
+
+  it('was there after the endpoint certainly lived, whichever start had ended before', () => {
+    const broken = new BrokenStarts()
+    broken.noteAway(START, 100)
+    broken.noteAway(OTHER, 100)
+    broken.noteEndpointLived(NEXT, 100)
+    expect(thereOf(broken, NEXT)).toEqual([0, 100, 1_100, 2_000])
+    broken.noteEndpointLived(NEXT, 500)
+    expect(thereOf(broken, NEXT)).toEqual([0, 100, 500, 1_099, 1_100, 2_000])
+    expect(thereOf(broken, OTHER)).toEqual([0, 100, 1_100, 2_000])
+  })
+
   it('belongs to the same start on all instances that heard of two', () => {
     const [one, two] = [new BrokenStarts(), new BrokenStarts()]
     for (const start of [START, NEXT, OTHER]) one.note(start, 100)
--- a/packages/decisions/src/retrying/brokenStarts.ts
+++ b/packages/decisions/src/retrying/brokenStarts.ts
@@ -15,9 +15,10 @@
  * Until it is known what a break was, others are not sent there either, as long as another endpoint may be asked.
  *
  * Limits: the first break is seen a while after the end, so what was sent in between is held still. News counts for as long
- * as an endpoint that has ended is left alone for it; who tells it renews it. Starts of one endpoint are judged together:
- * a front holds what it was sent beyond the next start's end. Where the platform does not tell starts, two instances that
- * see a break before the other's news name two.
+ * as an endpoint that has ended is left alone for it; who tells it renews it. Where the platform does not tell starts, those
+ * of one endpoint are judged together, since a front holds what it was sent beyond the next start's end; two instances that
+ * see a break before the other's news name two. Where it tells them, what was sent to one met no other, and each is judged
+ * alone.
  */
 
 import { endpointOf } from '@rackwalk/shared'
@@ -82,7 +83,17 @@
     else this.forget(start)
   }
 
-  /** Whether what was sent there at this time may have been there when it ended. */
+  /** The same of an endpoint whose platform does not tell its starts: those that had ended before are over. */
+  noteEndpointLived(start: EndpointStart, at: Milliseconds): void {
+    const endpoint = endpointOf(start)
+    for (const [broken, { since }] of this.starts) {
+      const isEarlier = broken !== start && endpointOf(broken) === endpoint && at > since
+      if (isEarlier) this.noteBack(broken, at)
+    }
+    this.noteLived(start, at)
+  }
+
+  /** Whether what was sent to an endpoint at this time may have been there when this start ended, by all its starts. */
   wasThere(start: EndpointStart, sentAt: Milliseconds): boolean {
     const endpoint = endpointOf(start)
     return ![...this.starts].some(([broken, { since, until }]) => {
@@ -90,6 +101,12 @@
     })
   }
 
+  /** The same of what was sent to this start and no other, as the platform told it. */
+  wasAtStart(start: EndpointStart, sentAt: Milliseconds): boolean {
+    const known = this.starts.get(start)
+    return known === undefined || sentAt <= known.since || sentAt >= known.until
+  }
+
   /** Whether it is looked at, or known to have ended a moment ago: others go elsewhere while another may be asked. */
   isInDoubt(start: EndpointStart, now: Milliseconds): boolean {
     const known = this.starts.get(start)
--- a/packages/router/src/crashes/endpointEnds.ts
+++ b/packages/router/src/crashes/endpointEnds.ts
@@ -16,6 +16,8 @@
 export interface BreakingEndpoint extends ProbedEndpoint {
   readonly id: string
   readonly start: EndpointStart
+  /** Whether its platform tells each start from the next; otherwise only the time of its break does. */
+  readonly isStartTold?: boolean
   /** Service or model. */
   readonly service: string
   /** Whether its end was announced. */
@@ -83,6 +85,8 @@
   newestAt: Milliseconds
   signs: EndSign[]
   hasEnded: boolean
+  /** Whether a later start is listed in its place. */
+  isReplaced: boolean
   looking: Promise<void> | undefined
 }
 
@@ -140,13 +144,23 @@
   /** A start of an endpoint is over, by its row. */
   noteReplaced(start: EndpointStart): void {
     const breaks = this.breaks.get(start)
-    if (breaks !== undefined) this.end(breaks)
+    if (breaks === undefined) return
+    breaks.isReplaced = true
+    this.end(breaks)
   }
 
   private wasThere({ endpoint, looking }: Breaks, { sentAt }: BrokenRequest): boolean {
     const { broken } = this.parts
-    if (looking === undefined) broken.noteLived(endpoint.start, livedAt(endpoint.heard()))
-    return broken.wasThere(endpoint.start, sentAt)
+    const { start, isStartTold = false } = endpoint
+    if (looking === undefined) this.noteLife(endpoint)
+    return isStartTold ? broken.wasAtStart(start, sentAt) : broken.wasThere(start, sentAt)
+  }
+
+  private noteLife({ start, isStartTold = false, heard }: BreakingEndpoint): void {
+    const { broken } = this.parts
+    const lived = livedAt(heard())
+    if (isStartTold) broken.noteLived(start, lived)
+    else broken.noteEndpointLived(start, lived)
   }
 
   private beginLook(breaks: Breaks): Promise<void> {
@@ -196,19 +210,27 @@
 
   /** An engine that is back behind its front is used again as soon as it tells its state. */
   private async watchReturn(breaks: Breaks): Promise<void> {
-    const { endpoint } = breaks
-    const { start } = endpoint
+    const { start } = breaks.endpoint
     for (let look = 0; look < AWAY_LOOKS && !this.isStopped; look += 1) {
       this.parts.broken.noteAway(start, this.parts.clock.monotonic())
       this.parts.onAway(start, seenOf(breaks))
       await sleep(this.parts.clock, AWAY_LOOK_MILLISECONDS)
-      breaks.lookBeganAt = this.parts.clock.monotonic()
-      if (isReturn(await this.parts.probe(endpoint))) break
+      if (!(await this.isStillAway(breaks))) break
     }
     this.parts.broken.noteBack(start, this.parts.clock.monotonic())
     this.breaks.delete(start)
   }
 
+  /** A later start, or a state that was asked for after the end, says more than a look: that may meet the next end. */
+  private async isStillAway(breaks: Breaks): Promise<boolean> {
+    const { endpoint, brokenAt } = breaks
+    if (breaks.isReplaced) return false
+    breaks.lookBeganAt = this.parts.clock.monotonic()
+    const sign = await this.parts.probe(endpoint)
+    const isBack = isReturn(sign) || endpoint.heard().askedAt > brokenAt
+    return !isBack && !breaks.isReplaced
+  }
+
   private end(breaks: Breaks): void {
     breaks.hasEnded = true
     this.tell(breaks)
@@ -239,6 +261,7 @@
       newestAt: now,
       signs: [],
       hasEnded,
+      isReplaced: false,
       looking: undefined,
     }
     this.breaks.set(start, created)
--- a/packages/router/src/gateway/requestAttempts.ts
+++ b/packages/router/src/gateway/requestAttempts.ts
@@ -252,7 +252,8 @@
     const { record, leavesAsPlanned, hasEnded } = endpoint
     const statePath = this.request.service.engine?.statePath
     const heard = () => ({ askedAt: Number.NEGATIVE_INFINITY, readAt: endpoint.heardAt })
-    const breaking = { ...record, leavesAsPlanned, hasEnded, statePath, heard }
+    const known = { leavesAsPlanned, hasEnded, statePath, heard }
+    const breaking = { ...record, ...known, isStartTold: true }
     return this.parts.crashes.noteBroken(breaking, { fingerprint, wasIsolated, sentAt })
   }
 
