fix(daemon): a failure while connections that wait are taken leaks none, and the listener closes

Seen by callers: nothing so far; found by reading. If a call of the library threw, the listener stayed open and the descriptors taken until then were neither served nor closed. If a listener of 'connection' threw, those behind it were left the same way. Cause: what was taken was known only once all calls had returned, and the loop that hands over ended at the first error. Change: descriptors are noted as they are taken; the listener is closed and they are handed over in any case. A library that fails is told of as one that is missing (`library`), with its error as the detail, and neither a pause nor a stop fails for it. A connection that the server fails with is destroyed, the others are served, then the error is thrown as before.

--- a/packages/daemon/__tests__/waitingConnections.spec.ts
+++ b/packages/daemon/__tests__/waitingConnections.spec.ts
@@ -165,6 +165,50 @@
     ).toThrow(failure)
     expect(told.taken).toEqual([1])
   })
+
+  it.each([
+    ['accept', 1],
+    ['boundQueue', 0],
+  ] as const)('closes and hands over what was taken though %s throws', async (call, count) => {
+    const { server, port } = await listen()
+    const socket = connect(port, '127.0.0.1')
+    ends.push(() => socket.destroy())
+    const told = new Told()
+    const native = loadNativeSockets()
+    let calls = 0
+    const waiting = new WaitingConnections(told, () => ({
+      ...native,
+      [call]: (listener: number) => {
+        if (calls++ < count) return native.accept(listener)
+        throw new Error('no call')
+      },
+    }))
+    await waitingOne()
+    waiting.takeAndClose(server, () => server.close())
+    expect(server.listening).toBe(false)
+    expect([told.taken, told.untaken]).toEqual([count === 1 ? [1] : [], ['library']])
+    expect(told.changes).toEqual([[false, 'Error: no call']])
+  })
+
+  it('serves the others though the server fails with one, and keeps no descriptor of that one', async () => {
+    const { server, port } = await listen()
+    const failure = new Error('no connection')
+    const sockets: Socket[] = []
+    server.prependListener('connection', (socket: Socket) => {
+      sockets.push(socket)
+      if (sockets.length === 1) throw failure
+    })
+    const callers = [1, 2, 3].map(() => connect(port, '127.0.0.1'))
+    ends.push(() => callers.forEach(caller => caller.destroy()))
+    const answers = callers.map(caller => converse(caller).ask())
+    const told = new Told()
+    const waiting = new WaitingConnections(told)
+    await waitingOne()
+    expect(() => waiting.takeAndClose(server, () => server.close())).toThrow(failure)
+    expect([sockets.length, told.taken, waiting.told]).toEqual([3, [2], { taken: 2 }])
+    expect(sockets.map(({ destroyed }) => destroyed)).toEqual([true, false, false])
+    expect((await Promise.all(answers)).sort()).toEqual(['200', '200', 'closed'])
+  })
 })
 
 describe('the calls of the system', () => {
--- a/packages/daemon/src/callers/waitingConnections.ts
+++ b/packages/daemon/src/callers/waitingConnections.ts
@@ -18,7 +18,7 @@
   readonly noteTaken: (count: number) => void
   /**
    * Connections that waited may have been reset, for this cause: the system's word of an error, `library` (there is none to take
-   * with), `many` (more than are taken at a time) or `descriptor` (no socket could be made of one).
+   * with, or it failed), `many` (more than are taken at a time) or `descriptor` (no socket could be made of one).
    */
   readonly noteUntaken: (cause: string) => void
   /** From now on what waits is taken, or is reset for this cause. */
@@ -59,28 +59,34 @@
 
   /** Closes a listener by `close`; what waited before it is served by it as any other connection is. */
   takeAndClose(server: Server, close: () => void): void {
-    const taken = this.take(server)
+    const taken: number[] = []
     // In the same turn and before they are made sockets: whatever comes in between is reset.
     try {
-      close()
+      this.take(server, taken)
     } finally {
-      this.handOverAll(server, taken)
+      try {
+        close()
+      } finally {
+        this.handOverAll(server, taken)
+      }
     }
   }
 
-  private take(server: Server): readonly number[] {
+  private take(server: Server, taken: number[]): void {
     const listener = descriptorOf(server)
-    if (listener === undefined) return []
+    if (listener === undefined) return
     const native = this.findNative()
     if (native === undefined) {
       this.noteOutcome('library', this.missing)
-      return []
+      return
+    }
+    try {
+      const bound = native.boundQueue(listener, 0)
+      if (bound < 0) this.observer.noteUntaken(errorWord(bound))
+      this.noteOutcome(takeAll(native, listener, taken))
+    } catch (error) {
+      this.noteOutcome('library', String(error))
     }
-    const bound = native.boundQueue(listener, 0)
-    if (bound < 0) this.observer.noteUntaken(errorWord(bound))
-    const { taken, cause } = takeAll(native, listener)
-    this.noteOutcome(cause)
-    return taken
   }
 
   private findNative(): NativeSockets | undefined {
@@ -102,24 +108,50 @@
   }
 
   private handOverAll(server: Server, taken: readonly number[]): void {
-    const { length } = taken.filter(descriptor => this.handOver(server, descriptor))
-    this.takenCount += length
-    if (length > 0) this.observer.noteTaken(length)
+    const before = this.takenCount
+    try {
+      this.handOverEach(server, taken.values())
+    } finally {
+      const count = this.takenCount - before
+      if (count > 0) this.observer.noteTaken(count)
+    }
+  }
+
+  /** One that fails keeps none of the others from being served; its error is thrown after them. */
+  private handOverEach(server: Server, left: IterableIterator<number>): void {
+    for (const descriptor of left) {
+      try {
+        this.handOver(server, descriptor)
+      } catch (error) {
+        this.handOverEach(server, left)
+        throw error
+      }
+    }
+  }
+
+  private handOver(server: Server, descriptor: number): void {
+    const socket = this.socketOf(descriptor)
+    if (socket === undefined) return
+    try {
+      socket.setNoDelay(true)
+      server.emit('connection', socket)
+    } catch (error) {
+      // Nobody may have it by now who would end it.
+      socket.destroy()
+      throw error
+    }
+    this.takenCount += 1
   }
 
-  /** Makes it a connection of the server, with the properties that an HTTP server gives its own; tells whether it could. */
-  private handOver(server: Server, descriptor: number): boolean {
-    let socket: Socket
+  /** With the properties that an HTTP server gives its own; closes a descriptor of which none can be made. */
+  private socketOf(descriptor: number): Socket | undefined {
     try {
-      socket = new Socket({ fd: descriptor, allowHalfOpen: true, readable: true, writable: true })
+      return new Socket({ fd: descriptor, allowHalfOpen: true, readable: true, writable: true })
     } catch (error) {
       closeSync(descriptor)
       this.noteOutcome('descriptor', String(error))
-      return false
+      return undefined
     }
-    socket.setNoDelay(true)
-    server.emit('connection', socket)
-    return true
   }
 }
 
@@ -130,21 +162,15 @@
   return descriptor < 0 ? undefined : descriptor
 }
 
-interface Taking {
-  readonly taken: readonly number[]
-  /** Why some may be left. */
-  readonly cause: string | undefined
-}
-
-function takeAll(native: NativeSockets, listener: number): Taking {
-  const taken: number[] = []
+/** Takes until nothing waits; tells why some may be left. */
+function takeAll(native: NativeSockets, listener: number, taken: number[]): string | undefined {
   for (let tries = 0; tries < MOST_TAKEN; tries += 1) {
     const outcome = native.accept(listener)
-    if (outcome === -EAGAIN) return { taken, cause: undefined }
+    if (outcome === -EAGAIN) return undefined
     if (outcome >= 0) taken.push(outcome)
-    else if (!PASSING.has(-outcome)) return { taken, cause: errorWord(outcome) }
+    else if (!PASSING.has(-outcome)) return errorWord(outcome)
   }
-  return { taken, cause: 'many' }
+  return 'many'
 }
 
 function errorWord(outcome: number): string {
