fix(router): what is open at an endpoint that may have ended is told to others together, and once a look

What callers saw: nothing at once; all instances were sent a datagram for each open request, at each time that its endpoint was told of as away, and the more the longer a look took, since each time added the same request once more to the renewals.

Cause: each suspicion of an open exchange was kept and told by itself, whether or not it was known.

Evidence: suspectNews.spec.ts, 30 open exchanges with virtual time.

Change: a request is kept once for a start (once more if it was isolated then), its end is told once, and it is spoken of once a look: the first at once, the others of that moment in one piece, and so are renewals, which name each once. A look that showed no end may still be followed by another: no mark is lost by that.

crashingRequest.spec.ts, "ends three at the most" failed once on a machine at a load of 22 (an answer to the marked request was neither 200 nor 5xx) and passed when it was run again alone; the reason is not known.

--- a/packages/router/src/crashes/crashGuard.ts
+++ b/packages/router/src/crashes/crashGuard.ts
@@ -58,7 +58,7 @@
       broken: this.broken,
       onEnd: end => this.noteEnd(end),
       onAway: (start, seen) => this.noteAway(start, seen),
-      onLook: (start, request) => this.noteLook(markOf(start, request)),
+      onLook: (start, requests) => this.noteLook(requests.map(request => markOf(start, request))),
       onLooked: start => this.unjudged.forget(start),
       onLives: start => this.noteLives(start),
     })
@@ -155,8 +155,8 @@
     return this.marksOf(fingerprint).map(({ start }) => start)
   }
 
-  private noteLook(mark: CrashMark): void {
-    this.share({ marks: [], cleared: [], suspected: [mark] })
+  private noteLook(suspected: readonly CrashMark[]): void {
+    this.share({ marks: [], cleared: [], suspected })
   }
 
   private noteLives(start: EndpointStart): void {
--- a/packages/router/src/crashes/endpointEnds.ts
+++ b/packages/router/src/crashes/endpointEnds.ts
@@ -62,8 +62,8 @@
   /** What is known here of breaks, by this search and by news. */
   readonly broken: BrokenStarts
   readonly onEnd: (end: EndpointEnd) => void
-  /** A request was broken off, and it is looked whether its endpoint has ended; told again for as long as that lasts. */
-  readonly onLook: (start: EndpointStart, request: BrokenRequest) => void
+  /** Requests were broken off, and it is looked whether their endpoint has ended; told again for as long as that lasts. */
+  readonly onLook: (start: EndpointStart, requests: readonly BrokenRequest[]) => void
   /** The look is over; `onEnd` was called before where it showed an end. */
   readonly onLooked: (start: EndpointStart) => void
   /** The look showed that this start lives. */
@@ -76,6 +76,12 @@
 interface Breaks {
   readonly endpoint: BreakingEndpoint
   readonly untold: BrokenRequest[]
+  /** What was told of the end, and what is in `untold`: one that is suspected again adds nothing. */
+  readonly known: Set<string>
+  /** What was told of the look in progress, */
+  readonly spoken: Set<RequestFingerprint>
+  /** and what is told of it next, all at once. */
+  readonly unspoken: BrokenRequest[]
   /** Monotonic time of the break for which it is looked. */
   brokenAt: Milliseconds
   /** Monotonic time at which the first look for it was over. */
@@ -120,17 +126,32 @@
     if (endpoint.leavesAsPlanned) return false
     const breaks = this.breaksOf(endpoint)
     const wasThere = this.wasThere(breaks, request)
-    if (wasThere) breaks.untold.push(request)
+    if (wasThere) addOnce(breaks, request)
     if (breaks.hasEnded) {
       this.tell(breaks)
       return true
     }
-    if (wasThere) this.parts.onLook(endpoint.start, request)
+    if (wasThere) this.speakOf(breaks, request)
     breaks.looking ??= this.beginLook(breaks)
     await breaks.looking
     return breaks.hasEnded
   }
 
+  /** The first of a look is told at once; the others of the same moment go together. */
+  private speakOf(breaks: Breaks, request: BrokenRequest): void {
+    const { spoken, unspoken, endpoint } = breaks
+    if (spoken.has(request.fingerprint)) return
+    spoken.add(request.fingerprint)
+    if (spoken.size === 1) return this.parts.onLook(endpoint.start, [request])
+    unspoken.push(request)
+    if (unspoken.length === 1) queueMicrotask(() => this.speakOfRest(breaks))
+  }
+
+  private speakOfRest(breaks: Breaks): void {
+    const rest = breaks.unspoken.splice(0)
+    if (breaks.looking !== undefined) this.parts.onLook(breaks.endpoint.start, rest)
+  }
+
   /** An endpoint cut what it had begun to answer; resolves with whether it is known to have ended. Nothing is marked for it. */
   async noteCut(endpoint: BreakingEndpoint): Promise<boolean> {
     if (endpoint.leavesAsPlanned) return false
@@ -179,7 +200,7 @@
     this.parts.clock.after(RENEWAL_MILLISECONDS, () => {
       const isOver = breaks.looking === undefined || breaks.brokenAt !== brokenAt
       if (isOver || breaks.hasEnded || this.isStopped) return
-      for (const request of untold) this.parts.onLook(endpoint.start, request)
+      if (untold.length > 0) this.parts.onLook(endpoint.start, onceEach(untold))
       this.renewLater(breaks)
     })
   }
@@ -191,6 +212,7 @@
       verdict = await this.lookOnce(breaks)
     }
     breaks.looking = undefined
+    breaks.spoken.clear()
     const isEnd = verdict === 'ended' && !breaks.hasEnded
     if (isEnd) this.end(breaks)
     else if (!breaks.hasEnded) this.parts.broken.forget(breaks.endpoint.start)
@@ -255,6 +277,9 @@
     const created: Breaks = {
       endpoint,
       untold: [],
+      known: new Set(),
+      spoken: new Set(),
+      unspoken: [],
       brokenAt: now,
       lookedAt: Number.POSITIVE_INFINITY,
       lookBeganAt: now,
@@ -275,6 +300,19 @@
   }
 }
 
+/** A mark is told once; as one that was isolated a request says more. */
+function addOnce({ known, untold }: Breaks, request: BrokenRequest): void {
+  const key = `${request.fingerprint} ${request.wasIsolated}`
+  if (known.has(key)) return
+  known.add(key)
+  untold.push(request)
+}
+
+/** The requests, each fingerprint once. */
+function onceEach(requests: readonly BrokenRequest[]): readonly BrokenRequest[] {
+  return [...new Map(requests.map(request => [request.fingerprint, request])).values()]
+}
+
 function seenOf({ brokenAt, lookBeganAt }: Breaks): SeenEnd {
   return { brokenAt, lookedAt: lookBeganAt }
 }
