--- a/packages/decisions/src/retrying/crashSuspicion.ts
+++ b/packages/decisions/src/retrying/crashSuspicion.ts
@@ -2,8 +2,8 @@
  * Is a request sent that may have ended an endpoint, and where?
  *
  * Load pattern: a caller's request ends whatever begins to run it, and comes again every quarter of a second, each time
- * under a new id and at another instance. Sent on as if it were new it ended eight endpoints of eight in 15 s, and 50 starts
- * in 20 s where they come back after 3 s.
+ * under a new id and at another instance. Sent on as if it were new it would end every endpoint, and each again once that is
+ * back.
  *
  * An endpoint's end has many causes, and many innocent requests run there. So one end only makes suspected what had no
  * part of an answer yet: the request goes on to be served, but at the one endpoint that all instances choose for it by
@@ -65,8 +65,8 @@
  */
 const REMEMBERED_REQUESTS = 4_096
 /**
- * A fingerprint begins with so many characters of what is known without the body. A body of 18 kB takes 107 us to hash (mean of
- * 2,000, busy machine), so only those of paths and teams under suspicion are.
+ * A fingerprint begins with so many characters of what is known without the body: only bodies of paths and teams under
+ * suspicion are worth the time that hashing takes.
  */
 export const SCOPE_CHARACTERS = 6
 /** Ends that are remembered of one request: a proven one has two or three. */
--- a/packages/router/src/gateway/endpointState.ts
+++ b/packages/router/src/gateway/endpointState.ts
@@ -31,9 +31,8 @@
 /** Time in which a failure share halves while nothing is sent there. */
 const FAILURE_HALF_LIFE_MILLISECONDS = 2_500
 /**
- * An endpoint where nobody listened is left alone for this long. Each instance found out with a request of its own, three
- * such endpoints refused 13 requests in two seconds at all three attempts, and their rows stood for 2 to 3.5 s more; one
- * that is back in the meantime is missed for so long at the most.
+ * An endpoint where nobody listened is left alone for this long, since its row may stand for longer and each instance would
+ * find out with requests of its own; one that is back in the meantime is missed for so long at the most.
  */
 const UNREACHABLE_MILLISECONDS = 1_000
 /** A request in progress at an endpoint. */
--- a/packages/router/src/gateway/requestAttempts.ts
+++ b/packages/router/src/gateway/requestAttempts.ts
@@ -75,7 +75,7 @@
 const DEADLINE_SLACK_MILLISECONDS = 80
 /**
  * Where the endpoint of a suspected request refuses the connection, another try of the same request may just have ended it:
- * its news is awaited this long before the next endpoint is put at risk; news takes 25 ms.
+ * its news is awaited this long before the next endpoint is put at risk.
  */
 const NEWS_MILLISECONDS = 100
 /** No process listens at the address. */
