feat(decisions): a rule that what may not be repeated is given up by a second look only

What callers would see: sound work that may not run twice ended with 4003, when two short looks took its slow endpoint for ended.

Cause: the rule of withdrawal did not know what may be repeated.

Change: what may not is doubted first, and given up when the end is known again by a later look or later news, with no state told between. Not yet in effect: nobody tells the exchange whether its request may be repeated (dispatch and endpointClient would), and it counts as repeatable until then.

--- a/packages/decisions/__tests__/withdrawal.spec.ts
+++ b/packages/decisions/__tests__/withdrawal.spec.ts
@@ -9,7 +9,14 @@
 const LOOK: KnownEnd = { source: 'look', brokenAt: BROKEN_AT, lookedAt: LOOKED_AT }
 
 function sent(sentAt: number, part: Partial<OpenAttempt> = {}): OpenAttempt {
-  return { sentAt, heardAt: undefined, isPaused: false, ...part }
+  return {
+    sentAt,
+    heardAt: undefined,
+    isPaused: false,
+    isRepeatable: true,
+    doubtedAt: undefined,
+    ...part,
+  }
 }
 
 function news(toldAt: number, firstToldAt = toldAt): KnownEnd {
@@ -60,3 +67,18 @@
     expect(withdrawal(attempt, end, 0)).toBe(expected)
   })
 })
+
+describe('an exchange that may not be repeated', () => {
+  it.each([
+    ['at the first look', undefined, LOOK, 0, 'doubted'],
+    ['at the same look, told again', LOOKED_AT, LOOK, 0, 'doubted'],
+    ['at the next look', LOOKED_AT - 600, LOOK, 0, 'was-there'],
+    ['at the next look, after a state was told', LOOKED_AT - 600, LOOK, LOOKED_AT - 100, 'doubted'],
+    ['at the first news', undefined, news(10_000), 0, 'doubted'],
+    ['at the same news, told by another', 9_990, news(10_000), 0, 'doubted'],
+    ['at the next news', 9_500, news(10_000), 0, 'was-there'],
+  ])('%s', (_, doubtedAt, end, heardAt, expected) => {
+    const attempt = sent(9_000, { isRepeatable: false, doubtedAt })
+    expect(withdrawal(attempt, end, heardAt)).toBe(expected)
+  })
+})
--- a/packages/router/__tests__/openExchanges.spec.ts
+++ b/packages/router/__tests__/openExchanges.spec.ts
@@ -12,13 +12,15 @@
 
 const END: KnownEnd = { source: 'look', brokenAt: 100, lookedAt: 200 }
 
-function exchange(open: OpenExchanges, endpoint: string, sentAt: number) {
+function exchange(open: OpenExchanges, endpoint: string, sentAt: number, isRepeatable = true) {
   const withdrawn: boolean[] = []
   const entry = {
     endpointId: asId<EndpointId>(endpoint),
     sentAt,
     heardAt: undefined,
     isPaused: false,
+    isRepeatable,
+    doubtedAt: undefined,
     // As an exchange does that ends by it.
     withdraw: (wasThere: boolean) => {
       withdrawn.push(wasThere)
@@ -43,6 +45,19 @@
     expect(elsewhere.withdrawn).toEqual([])
   })
 
+  it('are given up by the second look where they may not be repeated', () => {
+    const open = new OpenExchanges()
+    const { withdrawn } = exchange(open, 'one', 50, false)
+    const look = (lookedAt: number, heardAt: number) =>
+      open.noteEnd(asId<EndpointId>('one'), { source: 'look', brokenAt: 100, lookedAt }, heardAt)
+    look(200, 0)
+    look(200, 0)
+    look(800, 700)
+    expect(withdrawn).toEqual([])
+    look(1_400, 700)
+    expect(withdrawn).toEqual([true])
+  })
+
   it('are not given up once they have ended by themselves', () => {
     const open = new OpenExchanges()
     const { entry, withdrawn } = exchange(open, 'one', 50)
--- a/packages/router/src/engine/endpointExchange.ts
+++ b/packages/router/src/engine/endpointExchange.ts
@@ -34,6 +34,8 @@
 export interface ExchangeParts {
   readonly endpointId: EndpointId
   readonly method: string
+  /** Whether the request may run once more; it may where nothing is told. */
+  readonly isRepeatable?: boolean
   /** Aborted when nobody waits any more; its reason says why. */
   readonly signal: AbortSignal
   readonly space: HoldSpace
@@ -56,6 +58,8 @@
   isPaused = false
   sentAt: Milliseconds = Number.POSITIVE_INFINITY
   heardAt: Milliseconds | undefined
+  doubtedAt: Milliseconds | undefined
+  readonly isRepeatable: boolean
   /** Whether it was there when its endpoint ended; undefined while that is not known to have ended. */
   private wasThere: boolean | undefined
   private connection: ConnectionGuard | undefined
@@ -72,6 +76,7 @@
 
   constructor(private readonly parts: ExchangeParts) {
     this.endpointId = parts.endpointId
+    this.isRepeatable = parts.isRepeatable ?? true
     this.hold = parts.space.open()
     parts.signal.addEventListener('abort', this.abandon, { once: true })
   }
--- a/packages/router/src/engine/openExchanges.ts
+++ b/packages/router/src/engine/openExchanges.ts
@@ -10,6 +10,7 @@
 /** An exchange that can be given up. */
 export interface OpenExchange extends OpenAttempt {
   readonly endpointId: EndpointId
+  doubtedAt: Milliseconds | undefined
   /** Its endpoint has ended; says whether the exchange was there then. */
   withdraw(wasThere: boolean): void
 }
@@ -33,7 +34,15 @@
   noteEnd(endpointId: EndpointId, end: KnownEnd, endpointHeardAt: Milliseconds): void {
     for (const exchange of [...(this.open.get(endpointId) ?? [])]) {
       const fate = withdrawal(exchange, end, endpointHeardAt)
-      if (fate !== 'none') exchange.withdraw(fate === 'was-there')
+      if (fate === 'doubted') noteDoubt(exchange, end, endpointHeardAt)
+      else if (fate !== 'none') exchange.withdraw(fate === 'was-there')
     }
   }
 }
+
+/** A state that was told since an earlier doubt took it away. */
+function noteDoubt(exchange: OpenExchange, end: KnownEnd, endpointHeardAt: Milliseconds): void {
+  const { doubtedAt } = exchange
+  if (doubtedAt !== undefined && endpointHeardAt < doubtedAt) return
+  exchange.doubtedAt = end.source === 'look' ? end.lookedAt : end.toldAt
+}
