fix(router, decisions): what may not be repeated is given up only when an end is known again

What callers saw: an engine of the OpenAI-style kind that reset one connection and told no state for two looks of 100 ms counted as ended, and a call that must not run twice was told 4003 though the engine was at work on it (by reading; found by review).

Cause: one rule for all exchanges. What may be repeated has a second chance, what may not has none.

Change: the rule of (what may not be repeated is doubted first, and given up at a look or news 400 ms or more later with no state told between) is joined and wired: the client is told whether a request may be repeated, and a look that proves nothing is no longer told with its own time. Not tried: a real stall of an engine with such a call.

--- a/packages/router/__tests__/endpointEnds.spec.ts
+++ b/packages/router/__tests__/endpointEnds.spec.ts
@@ -35,6 +35,7 @@
   const heard = { askedAt: Number.NEGATIVE_INFINITY, readAt: Number.NEGATIVE_INFINITY }
   const told: EndpointEnd[] = []
   const away: number[] = []
+  const lookedAts: number[] = []
   let probes = 0
   const ends = new EndpointEnds({
     clock,
@@ -48,7 +49,10 @@
       return typeof outcome === 'string' ? outcome : outcome(probes)
     },
     onEnd: end => told.push(end),
-    onAway: () => away.push(clock.monotonic()),
+    onAway: (_, { lookedAt }) => {
+      away.push(clock.monotonic())
+      lookedAts.push(lookedAt)
+    },
     onLook: () => {},
     onLooked: () => {},
     onLives: () => {},
@@ -69,7 +73,17 @@
     return { ...record, leavesAsPlanned, hasEnded, statePath: undefined, heard: () => heard }
   }
   const unanswered = () => told.map(end => end.unanswered.map(request => request.fingerprint))
-  return { clock, heard, ends, directory, endpoint, unanswered, away, probes: () => probes }
+  return {
+    clock,
+    heard,
+    ends,
+    directory,
+    endpoint,
+    unanswered,
+    away,
+    lookedAts,
+    probes: () => probes,
+  }
 }
 
 describe('an endpoint that breaks requests off', () => {
@@ -183,13 +197,16 @@
 
   it('is not back for a look to which no connection came up', async () => {
     const looks: EndSign[] = ['does-not-answer', 'does-not-answer', 'no-connection', 'lives']
-    const { clock, ends, endpoint, away, probes } = watch(look => looks[look - 1] ?? 'lives')
+    const { clock, ends, endpoint, away, lookedAts, probes } = watch(
+      look => looks[look - 1] ?? 'lives',
+    )
     const known = ends.noteBroken(endpoint(), FIRST)
     await clock.advance(25)
     await known
     await clock.advance(2_000)
     ends.stop()
     expect(away).toEqual([25, 525])
+    expect(lookedAts).toEqual([25, 25])
     expect(probes()).toBe(4)
   })
 })
--- a/packages/router/src/crashes/endpointEnds.ts
+++ b/packages/router/src/crashes/endpointEnds.ts
@@ -247,8 +247,10 @@
   private async isStillAway(breaks: Breaks): Promise<boolean> {
     const { endpoint, brokenAt } = breaks
     if (breaks.isReplaced) return false
-    breaks.lookBeganAt = this.parts.clock.monotonic()
+    const lookBeganAt = this.parts.clock.monotonic()
     const sign = await this.parts.probe(endpoint)
+    // A look that proves nothing is not told as one that shows the end again.
+    if (sign === 'does-not-answer') breaks.lookBeganAt = lookBeganAt
     const isBack = isReturn(sign) || endpoint.heard().askedAt > brokenAt
     return !isBack && !breaks.isReplaced
   }
--- a/packages/router/src/engine/endpointClient.ts
+++ b/packages/router/src/engine/endpointClient.ts
@@ -26,6 +26,8 @@
   readonly body: string | Readable | undefined
   /** Longest wait for the first bytes of the answer. */
   readonly firstByteMilliseconds: Milliseconds
+  /** Whether the request may run once more; it may where nothing is told. */
+  readonly isRepeatable?: boolean
   /** Aborted when the caller left or the deadline passed; its reason says which. */
   readonly signal: AbortSignal
 }
@@ -63,9 +65,17 @@
   /** Sends, and waits until the answer is whole or goes on as it comes. */
   attempt(call: EndpointCall): Promise<AttemptResult> {
     if (call.signal.aborted) return Promise.resolve({ kind: 'unsent', reason: 'the caller left' })
-    const { endpointId, method, signal } = call
+    const { endpointId, method, isRepeatable, signal } = call
     const { space, open, clock } = this
-    const exchange = new EndpointExchange({ endpointId, method, signal, space, open, clock })
+    const exchange = new EndpointExchange({
+      endpointId,
+      method,
+      isRepeatable,
+      signal,
+      space,
+      open,
+      clock,
+    })
     const dispatch: EndpointDispatch = {
       origin: call.address,
       path: call.path,
--- a/packages/router/src/filters/dispatch.ts
+++ b/packages/router/src/filters/dispatch.ts
@@ -198,6 +198,7 @@
       endpointId,
       address: endpoint.spec.address,
       ...this.exchange(request),
+      isRepeatable: request.repeatable,
       firstByteMilliseconds: this.parts.firstByteMilliseconds,
       signal: this.signalOf(request),
     })
