fix(shared): a timer never fires before its delay has passed by the clock

Callers of a chat that was being continued were told 4008 (its endpoint broke it off) where their deadline had passed (4006).

The deadline's timer gave up the second engine, and the relay, which then looked at the clock, found the deadline not yet reached and told the first engine's break instead. Every rule that compares the clock after a timer had the same fault.

Change: a timer of the system's clock that fires early waits for the rest.

Ruled out: no retry left in the budget (ten are saved from the start), no second engine found (other tests of the spec would fail alike).

--- a/packages/router/src/filters/dispatch.ts
+++ b/packages/router/src/filters/dispatch.ts
@@ -402,7 +402,7 @@
     return request.incoming.caller.left.aborted || this.isLate(request, result)
   }
 
-  /** A timer may fire a moment before the clock that it was set by has come so far. */
+  /** An exchange that its deadline ended is late, however the clock rounds. */
   private isLate(request: RoutedRequest, result: AttemptResult | undefined): boolean {
     if (result?.kind === 'failed' && result.end === 'deadline') return true
     return this.parts.clock.sinceStart() >= request.deadline
--- a/packages/shared/__tests__/systemClock.spec.ts
+++ b/packages/shared/__tests__/systemClock.spec.ts
@@ -109,3 +109,28 @@
     `)
   })
 })
+
+/** A deadline that fired early was told as another end, since the clock had not come to it. */
+describe('a timer of the clock of a process', () => {
+  it('does not fire before its delay has passed by that clock', async () => {
+    const clock = new SystemClock()
+    const earliness = await Promise.all(
+      Array.from({ length: 200 }, async (_, index) => {
+        const delay = 5 + index / 7
+        const startedAt = clock.monotonic()
+        await new Promise<void>(resolve => clock.after(delay, resolve))
+        return delay - (clock.monotonic() - startedAt)
+      }),
+    )
+    expect(Math.max(...earliness)).toBeLessThanOrEqual(0)
+  })
+
+  it('does not fire once it is cancelled', async () => {
+    const clock = new SystemClock()
+    let fired = 0
+    const timer = clock.after(5, () => (fired += 1))
+    timer.cancel()
+    await new Promise<void>(resolve => clock.after(20, resolve))
+    expect(fired).toBe(0)
+  })
+})
--- a/packages/shared/src/clock.ts
+++ b/packages/shared/src/clock.ts
@@ -25,6 +25,7 @@
   sinceStart(): Milliseconds
   /** Milliseconds since 1970, for records that people read. */
   wallTime(): Milliseconds
+  /** Runs once the delay has passed by `monotonic`, never earlier. */
   after(delay: Milliseconds, run: () => void): Timer
 }
 
@@ -95,8 +96,41 @@
   }
 
   after(delay: Milliseconds, run: () => void): Timer {
-    const handle = setTimeout(run, delay)
-    return { cancel: () => clearTimeout(handle) }
+    const timer = new SystemTimer(this.sources, this.sources.steady() + delay, run)
+    timer.wait()
+    return timer
+  }
+}
+
+/**
+ * Timers of Node.js count whole milliseconds and may fire up to two early. Whoever then looks at the clock would find that
+ * the time is not over yet, and take an end by its deadline for one by something else.
+ */
+class SystemTimer implements Timer {
+  private handle: NodeJS.Timeout | undefined
+
+  constructor(
+    private readonly sources: TimeSources,
+    /** By the steady clock. */
+    private readonly due: Milliseconds,
+    private readonly run: () => void,
+  ) {}
+
+  cancel(): void {
+    clearTimeout(this.handle)
+  }
+
+  readonly wait = (): void => {
+    this.handle = setTimeout(this.fire, this.remaining())
+  }
+
+  private readonly fire = (): void => {
+    if (this.remaining() > 0) this.wait()
+    else this.run()
+  }
+
+  private remaining(): Milliseconds {
+    return this.due - this.sources.steady()
   }
 }
 
