feat(decisions): a rule for how long a request waits for its budget where nobody lends

Cause: budgetPatience, a fifth of the goal, is the wait after which other instances are asked; it ended the wait for good also where nobody could lend. Change: lastBudgetPatience gives 0.8 of the smaller of goal and time to the deadline; the rest is the answer's. Test: budgetPatience.spec.

--- a/packages/decisions/__tests__/budgetPatience.spec.ts
+++ b/packages/decisions/__tests__/budgetPatience.spec.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest'
-import { budgetPatience, returnAfterSeconds } from '@rackwalk/decisions'
+import { budgetPatience, lastBudgetPatience, returnAfterSeconds } from '@rackwalk/decisions'
 
 describe('the wait for a budget', () => {
   it('is a fifth of the goal, and short at most', () => {
@@ -7,6 +7,13 @@
     expect(goals.map(budgetPatience)).toEqual([20, 100, 120, 120])
   })
 
+  // Guards against refusals of tokens that the next write would cover, and against waits beyond goal or deadline.
+  it('leaves a fifth of goal and deadline to the answer where nobody lends', () => {
+    expect(lastBudgetPatience(500, 4_000)).toBe(400)
+    expect(lastBudgetPatience(5_000, 1_000)).toBe(800)
+    expect(lastBudgetPatience(500, 50)).toBe(100)
+  })
+
   it('ends with a time to come back at, in hundredths of a second', () => {
     const waits = [undefined, 0, 100, 251, 1_234, 60_000]
     expect(waits.map(returnAfterSeconds)).toEqual([0.25, 0.25, 0.25, 0.25, 1.23, 60])
--- a/packages/decisions/src/admitting/budgetPatience.ts
+++ b/packages/decisions/src/admitting/budgetPatience.ts
@@ -11,6 +11,8 @@
 const REFUSAL_SHARE = 0.2
 /** The longest wait for the store and for loans: a loan that comes at all comes within it. */
 const LONGEST_PATIENCE_MILLISECONDS = 120
+/** Part of a route's goal, and of the time to the deadline, that may pass where nobody lends: the rest is the answer's. */
+const LAST_SHARE = 0.8
 /** Where other instances hold the tokens: they may have given some by then. */
 const RETURN_AFTER_SECONDS = 0.25
 /** Callers are told hundredths of a second. */
@@ -21,6 +23,18 @@
   return Math.min(LONGEST_PATIENCE_MILLISECONDS, REFUSAL_SHARE * goalMilliseconds)
 }
 
+/**
+ * The longest time for which a request may wait for a write where the pool has the tokens and nobody lends them: a
+ * refusal sends its caller to others that wait for the same store.
+ */
+export function lastBudgetPatience(
+  goalMilliseconds: Milliseconds,
+  remainingMilliseconds: Milliseconds,
+): Milliseconds {
+  const last = LAST_SHARE * Math.min(goalMilliseconds, remainingMilliseconds)
+  return Math.max(budgetPatience(goalMilliseconds), last)
+}
+
 /**
  * Seconds after which a caller should come back; `waitMilliseconds` is when this instance may spend
  * the tokens by itself, undefined where it cannot tell.
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -32,7 +32,11 @@
   timeOfBound,
 } from './admitting/spendingBound.js'
 export { cutAllowance } from './admitting/cutAllowance.js'
-export { budgetPatience, returnAfterSeconds } from './admitting/budgetPatience.js'
+export {
+  budgetPatience,
+  lastBudgetPatience,
+  returnAfterSeconds,
+} from './admitting/budgetPatience.js'
 export { AbandonedWork } from './admitting/abandonedWork.js'
 export {
   confirmationSpan,
