fix(prepaid, router): a request waits on for a write where nobody lends tokens that the pool has

Beside busy processes one call to the store takes 20 ms and more.

Cause: an instance counts itself as standing by for its first two seconds and holds nothing (no row of the budget 2,006 ms after its start). Its first requests need a read and a write, the write meets those of the other instances and is made again, all within budgetPatience (100 ms of a goal of 500). Afterwards, where calls take longer than 100 ms, isSlowerThan refuses at once. Loans can't help: nobody holds anything, or holds it by rows that allow nothing yet.

Change: the ledger is given lastBudgetPatience. Where there are no lenders the request waits that long at once; where lenders lend nothing it waits on for what is left of it, if the pool has the tokens. A budget that is exhausted and one of which others hold the rest are refused as before, and so is everything when a call to the store fails.

Ruled out: a lost answer and a peer that is silent are not needed for it (the same orders refuse with peers that lend); a retry does not reserve anew; routes and team are read before a request comes to its budget (3005 otherwise).

--- /dev/null
+++ b/packages/coordination/__tests__/firstHolding.spec.ts
@@ -0,0 +1,109 @@
+import { describe, expect, it } from 'vitest'
+import { budgetPatience, lastBudgetPatience } from '@rackwalk/decisions'
+import { VirtualClock } from '@rackwalk/shared'
+import type { Milliseconds } from '@rackwalk/shared'
+import { MemoryRowStore, loanChannelTo, startPrepaidMember } from '@rackwalk/stand-ins'
+import type { PrepaidMember } from '@rackwalk/stand-ins'
+
+const BUDGET = 'team'
+const LIMIT = 10_000_000
+const TOKENS = 18
+const GOAL_MILLISECONDS = 500
+const DEADLINE_MILLISECONDS = 4_000
+const REQUESTS = 50
+const PAUSE_MILLISECONDS = 20
+const NAMES = ['instance-0', 'instance-1', 'instance-2']
+const LOAN_TIMES = { oneWayMilliseconds: 4, timeoutMilliseconds: 45 }
+const LIMITS = { writesPerSecond: 600, partitionWritesPerSecond: 150, reserveShare: 0.002 }
+const PATIENCE = budgetPatience(GOAL_MILLISECONDS)
+const LAST_PATIENCE = lastBudgetPatience(GOAL_MILLISECONDS, DEADLINE_MILLISECONDS)
+
+interface Order {
+  /** Time that each call to the store takes longer. */
+  readonly slow: Milliseconds
+  /** Whether instances know each other as those that take callers. */
+  readonly isActive: boolean
+  /** Whether no instance hears another one's question for a loan. */
+  readonly isMute: boolean
+}
+
+interface Answer {
+  readonly isServed: boolean
+  readonly waited: Milliseconds
+}
+
+class Fleet {
+  readonly clock = new VirtualClock()
+  readonly answers: Answer[] = []
+  readonly members: readonly PrepaidMember[]
+  private readonly rows = new MemoryRowStore(this.clock)
+
+  constructor(private readonly order: Order) {
+    this.members = NAMES.map(name => this.start(name))
+    for (const { faults } of this.members) faults.slowMilliseconds = order.slow
+  }
+
+  /** Requests of the first second, at the instances in turn. */
+  async askInTurn(): Promise<readonly Answer[]> {
+    for (let count = 0; count < REQUESTS; count += 1) {
+      void this.ask(count % NAMES.length)
+      await this.clock.advance(PAUSE_MILLISECONDS)
+    }
+    await this.clock.advance(DEADLINE_MILLISECONDS)
+    return this.answers
+  }
+
+  async ask(index: number): Promise<void> {
+    const ledger = this.members[index]?.ledger
+    const askedAt = this.clock.monotonic()
+    const outcome = await ledger?.reserve(BUDGET, TOKENS, PATIENCE, LAST_PATIENCE)
+    const isServed = outcome?.kind === 'reserved'
+    this.answers.push({ isServed, waited: this.clock.monotonic() - askedAt })
+    if (!isServed) return
+    this.clock.after(PAUSE_MILLISECONDS, () => ledger?.settle(outcome.reservation, TOKENS))
+  }
+
+  private start(instance: string): PrepaidMember {
+    const { clock, rows, order } = this
+    const find = (lender: string) =>
+      order.isMute ? undefined : this.members[NAMES.indexOf(lender)]?.ledger
+    return startPrepaidMember({
+      instance,
+      incarnation: 'start-1',
+      clock,
+      rows,
+      budget: BUDGET,
+      limit: LIMIT,
+      limits: LIMITS,
+      isActive: order.isActive,
+      others: () => (order.isActive ? NAMES.filter(other => other !== instance) : []),
+      loanChannel: loanChannelTo(clock, LOAN_TIMES, find),
+    })
+  }
+}
+
+/** An instance that has just started holds nothing; its first write meets those of the others, and is made again. */
+const ORDERS: readonly Order[] = [20, 40, 60].flatMap(slow => [
+  { slow, isActive: false, isMute: false },
+  { slow, isActive: true, isMute: false },
+  { slow, isActive: true, isMute: true },
+])
+
+describe('an ample budget of which no instance holds anything yet', () => {
+  // Guards against callers of the first second who are refused tokens that nobody has taken.
+  it.each(ORDERS)('is served from in the first second: %o', async order => {
+    const answers = await new Fleet(order).askInTurn()
+    expect(answers).toHaveLength(REQUESTS)
+    expect(answers.filter(({ isServed }) => !isServed)).toEqual([])
+    expect(Math.max(...answers.map(({ waited }) => waited))).toBeLessThan(GOAL_MILLISECONDS)
+  })
+
+  // Guards against callers who are told only after their goal that a store does not answer.
+  it('refuses within the goal where the store is silent', async () => {
+    const fleet = new Fleet({ slow: 0, isActive: true, isMute: true })
+    for (const { faults } of fleet.members) faults.isCut = true
+    const answers = await fleet.askInTurn()
+    expect(answers).toHaveLength(REQUESTS)
+    expect(Math.max(...answers.map(({ waited }) => waited))).toBeLessThan(GOAL_MILLISECONDS)
+  })
+})
--- a/packages/coordination/src/prepaid/prepaidLedger.ts
+++ b/packages/coordination/src/prepaid/prepaidLedger.ts
@@ -114,24 +114,31 @@
     }
   }
 
-  /** Sets tokens aside: from the own holding, by a transaction, or from other instances. */
+  /**
+   * Sets tokens aside: from the own holding, by a transaction, or from other instances. These are asked after `patience`;
+   * where none of them lends, a transaction is awaited until `lastPatience` has passed.
+   */
   async reserve(
     budget: string,
     tokens: TokenCount,
     patience: Milliseconds,
+    lastPatience: Milliseconds = patience,
   ): Promise<PrepaidOutcome> {
     const account = this.accountOf(budget)
-    const endsAt = this.parts.clock.monotonic() + patience
+    const startedAt = this.parts.clock.monotonic()
     if (account.isLikelyToCover(tokens)) {
-      const outcome = await account.reserve(tokens, patience)
+      const hasLenders = account.lenders.length > 0
+      const outcome = await account.reserve(tokens, hasLenders ? patience : lastPatience)
       if (outcome.kind === 'reserved') return outcome
       const { reserved, answers } = await this.borrow(account, budget, tokens)
-      return reserved ?? this.refuse(account, outcome, answers)
+      if (reserved !== undefined) return reserved
+      const last = await this.waitOn(account, tokens, outcome, startedAt + lastPatience)
+      return last.kind === 'reserved' ? last : this.refuse(account, last, answers)
     }
     account.noteDemand(tokens)
     const { reserved, answers } = await this.borrow(account, budget, tokens)
     if (reserved !== undefined) return reserved
-    const left = Math.max(0, endsAt - this.parts.clock.monotonic())
+    const left = Math.max(0, startedAt + patience - this.parts.clock.monotonic())
     const outcome = await account.setAside(tokens, left)
     return outcome.kind === 'reserved' ? outcome : this.refuse(account, outcome, answers)
   }
@@ -200,6 +207,18 @@
     return reservedBy({ budget, tokens, loans }, 'borrowed')
   }
 
+  /** Nobody lends: a write may still cover the tokens, where the pool has them. */
+  private async waitOn(
+    account: PrepaidAccount,
+    tokens: TokenCount,
+    refusal: RefusedOutcome,
+    endsAt: Milliseconds,
+  ): Promise<PrepaidOutcome> {
+    const left = endsAt - this.parts.clock.monotonic()
+    if (refusal.reason === 'exhausted' || left <= 0) return refusal
+    return account.isLikelyToCover(tokens) ? account.setAside(tokens, left) : refusal
+  }
+
   private refuse(
     account: PrepaidAccount,
     outcome: RefusedOutcome,
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -9,6 +9,7 @@
 import {
   FleetRetryBudget,
   budgetPatience,
+  lastBudgetPatience,
   returnAfterSeconds,
   settledCost,
 } from '@rackwalk/decisions'
@@ -264,14 +265,17 @@
 
   /** Sets the largest cost aside where the team has a prepaid budget. */
   private async reserve(
-    { metadata, team, route }: IdentifiedRequest,
+    { metadata, team, route, deadlineAt }: IdentifiedRequest,
     record: GatewayRecord,
   ): Promise<PrepaidReservation | undefined> {
     if (team?.prepaid === undefined || metadata.tokens === undefined) return undefined
     const tokens = metadata.tokens.prompt + metadata.tokens.maximumOutput
     record.tokens = tokens
-    const patience = budgetPatience(route.goalMilliseconds)
-    const outcome = await this.parts.ledger.reserve(team.name, tokens, patience)
+    const { goalMilliseconds } = route
+    const patience = budgetPatience(goalMilliseconds)
+    const remaining = deadlineAt - this.parts.clock.sinceStart()
+    const lastPatience = lastBudgetPatience(goalMilliseconds, remaining)
+    const outcome = await this.parts.ledger.reserve(team.name, tokens, patience, lastPatience)
     if (outcome.kind === 'reserved') {
       record.reservation = outcome.path
       const { loans } = outcome.reservation
