fix(prepaid): who came while a write was on its way is served by its row, not by another write

What callers saw: a request that came just after another one's write was sent waited for the rest of that write and for a whole one of its own, and was refused (2002) where both together took longer than its patience.

Cause: after a write only the requests that it names were answered; the others went into the next one although the new row lets their tokens be committed at once.

Change: after each write that came about, requests that wait and are within the allowance are finished first come first. The bound of the row is kept as for any request that is served from the holding.

Measured: firstHolding "serves who came while a write was on its way": 70 ms before, 20 after, with calls of 50 ms.

--- a/packages/coordination/__tests__/firstHolding.spec.ts
+++ b/packages/coordination/__tests__/firstHolding.spec.ts
@@ -12,6 +12,8 @@
 const DEADLINE_MILLISECONDS = 4_000
 const REQUESTS = 50
 const PAUSE_MILLISECONDS = 20
+/** All hold their parts by then. */
+const SETTLED_MILLISECONDS = 1_000
 const NAMES = ['instance-0', 'instance-1', 'instance-2']
 const LOAN_TIMES = { oneWayMilliseconds: 4, timeoutMilliseconds: 45 }
 const LIMITS = { writesPerSecond: 600, partitionWritesPerSecond: 150, reserveShare: 0.002 }
@@ -98,6 +100,21 @@
     expect(Math.max(...answers.map(({ waited }) => waited))).toBeLessThan(GOAL_MILLISECONDS)
   })
 
+  // Guards against a wait for one more write by requests that the row just written allows.
+  it('serves who came while a write was on its way as soon as its row allows it', async () => {
+    const fleet = new Fleet({ slow: 0, isActive: true, isMute: false })
+    await fleet.clock.advance(SETTLED_MILLISECONDS)
+    for (const { faults } of fleet.members) faults.slowMilliseconds = 45
+    void fleet.ask(0)
+    await fleet.clock.advance(30)
+    void fleet.ask(0)
+    await fleet.clock.advance(DEADLINE_MILLISECONDS)
+    expect(fleet.answers).toEqual([
+      { isServed: true, waited: 50 },
+      { isServed: true, waited: 20 },
+    ])
+  })
+
   // Guards against callers who are told only after their goal that a store does not answer.
   it('refuses within the goal where the store is silent', async () => {
     const fleet = new Fleet({ slow: 0, isActive: true, isMute: true })
--- a/packages/coordination/src/prepaid/prepaidAccount.ts
+++ b/packages/coordination/src/prepaid/prepaidAccount.ts
@@ -333,6 +333,8 @@
     if (outcome.kind === 'done') {
       for (const request of admitted) this.finishWritten(request)
       this.refuseHopeless()
+      // Who came while the write was on its way need not wait for another one.
+      this.waiting.finishAllowed(this.holding, request => this.finishFromHolding(request))
       return true
     }
     for (const request of admitted) this.holding.settle(request.tokens, 0)
--- a/packages/coordination/src/prepaid/waitingRequests.ts
+++ b/packages/coordination/src/prepaid/waitingRequests.ts
@@ -73,6 +73,18 @@
     return taken
   }
 
+  /** Takes out and finishes, first come first, those that may be given tokens; each changes what the next may have. */
+  finishAllowed(
+    holding: { readonly allowance: TokenCount },
+    finish: (request: WaitingRequest) => void,
+  ): void {
+    for (const request of this.requests) {
+      if (request.tokens > holding.allowance) continue
+      this.takeWhere(other => other === request)
+      finish(request)
+    }
+  }
+
   takeAll(): readonly WaitingRequest[] {
     return this.takeWhere(() => true)
   }
