fix(shared): a timer for longer than Node.js can count waits in steps

Found by review of the timers that never fire early: Node.js makes a delay of more than 2^31 - 1 ms one of a millisecond, so such a timer looked at the clock a thousand times a second, with a warning each time. No caller passes such a delay today. The spec was red before: delays of 2^31 ms and more were asked for.

--- a/packages/shared/__tests__/systemClock.spec.ts
+++ b/packages/shared/__tests__/systemClock.spec.ts
@@ -1,4 +1,4 @@
-import { describe, expect, it } from 'vitest'
+import { describe, expect, it, vi } from 'vitest'
 import { SystemClock } from '@rackwalk/shared'
 import type { TimeSources } from '@rackwalk/shared'
 
@@ -125,6 +125,17 @@
     expect(Math.max(...earliness)).toBeLessThanOrEqual(0)
   })
 
+  // Node.js makes a delay that it can't count one millisecond, with a warning each time.
+  it('asks for no longer delay at a time than Node.js can count', () => {
+    const clock = new SystemClock()
+    const asked = vi.spyOn(globalThis, 'setTimeout')
+    const timers = [2 ** 31, Infinity].map(delay => clock.after(delay, () => {}))
+    const delays = asked.mock.calls.map(([, delay]) => delay)
+    asked.mockRestore()
+    for (const timer of timers) timer.cancel()
+    expect(delays).toEqual([2 ** 31 - 1, 2 ** 31 - 1])
+  })
+
   it('does not fire once it is cancelled', async () => {
     const clock = new SystemClock()
     let fired = 0
--- a/packages/shared/src/clock.ts
+++ b/packages/shared/src/clock.ts
@@ -102,6 +102,9 @@
   }
 }
 
+/** Node.js takes a longer time for none. */
+const LONGEST_TIMEOUT_MILLISECONDS: Milliseconds = 2 ** 31 - 1
+
 /**
  * Timers of Node.js count whole milliseconds and may fire up to two early. Whoever then looks at the clock would find that
  * the time is not over yet, and take an end by its deadline for one by something else.
@@ -121,7 +124,7 @@
   }
 
   readonly wait = (): void => {
-    this.handle = setTimeout(this.fire, this.remaining())
+    this.handle = setTimeout(this.fire, Math.min(this.remaining(), LONGEST_TIMEOUT_MILLISECONDS))
   }
 
   private readonly fire = (): void => {
