fix(decisions, coordination): the last wait for a budget ends with the longest call to the store

What callers would have seen: where nobody lent, a refusal came after 0.8 of the goal (up to 490 ms of 500, and 4 s of 5), also from a store that had hung for long. Found by review before it was landed.

Change: the last wait is 300 ms at the most, the time after which a call to the store has failed, and never longer than the deadline. Others are asked after the first patience, as before, whether they were known then or not; the wait that follows takes what is left, so no refusal comes later than the bound.

--- a/packages/coordination/src/prepaid/prepaidLedger.ts
+++ b/packages/coordination/src/prepaid/prepaidLedger.ts
@@ -127,8 +127,7 @@
     const account = this.accountOf(budget)
     const startedAt = this.parts.clock.monotonic()
     if (account.isLikelyToCover(tokens)) {
-      const hasLenders = account.lenders.length > 0
-      const outcome = await account.reserve(tokens, hasLenders ? patience : lastPatience)
+      const outcome = await account.reserve(tokens, patience)
       if (outcome.kind === 'reserved') return outcome
       const { reserved, answers } = await this.borrow(account, budget, tokens)
       if (reserved !== undefined) return reserved
--- a/packages/decisions/__tests__/budgetPatience.spec.ts
+++ b/packages/decisions/__tests__/budgetPatience.spec.ts
@@ -8,10 +8,11 @@
   })
 
   // Guards against refusals of tokens that the next write would cover, and against waits beyond goal or deadline.
-  it('leaves a fifth of goal and deadline to the answer where nobody lends', () => {
-    expect(lastBudgetPatience(500, 4_000)).toBe(400)
-    expect(lastBudgetPatience(5_000, 1_000)).toBe(800)
-    expect(lastBudgetPatience(500, 50)).toBe(100)
+  it('lasts as long as a call to the store where nobody lends, and leaves time for the answer', () => {
+    expect(lastBudgetPatience(500, 4_000)).toBe(300)
+    expect(lastBudgetPatience(5_000, 1_000)).toBe(300)
+    expect(lastBudgetPatience(200, 4_000)).toBe(160)
+    expect(lastBudgetPatience(500, 50)).toBe(50)
   })
 
   it('ends with a time to come back at, in hundredths of a second', () => {
--- a/packages/decisions/src/admitting/budgetPatience.ts
+++ b/packages/decisions/src/admitting/budgetPatience.ts
@@ -13,6 +13,8 @@
 const LONGEST_PATIENCE_MILLISECONDS = 120
 /** Part of a route's goal, and of the time to the deadline, that may pass where nobody lends: the rest is the answer's. */
 const LAST_SHARE = 0.8
+/** The longest wait where nobody lends: a call to the store that takes longer has failed. */
+const LAST_PATIENCE_MILLISECONDS: Milliseconds = 300
 /** Where other instances hold the tokens: they may have given some by then. */
 const RETURN_AFTER_SECONDS = 0.25
 /** Callers are told hundredths of a second. */
@@ -24,15 +26,16 @@
 }
 
 /**
- * The longest time for which a request may wait for a write where the pool has the tokens and nobody lends them: a
- * refusal sends its caller to others that wait for the same store.
+ * The longest time for which a request waits for a write, its patience included, where the pool has the tokens and nobody
+ * lends them: a refusal would send its caller to others that wait for the same store.
  */
 export function lastBudgetPatience(
   goalMilliseconds: Milliseconds,
   remainingMilliseconds: Milliseconds,
 ): Milliseconds {
-  const last = LAST_SHARE * Math.min(goalMilliseconds, remainingMilliseconds)
-  return Math.max(budgetPatience(goalMilliseconds), last)
+  const share = LAST_SHARE * Math.min(goalMilliseconds, remainingMilliseconds)
+  const last = Math.min(LAST_PATIENCE_MILLISECONDS, share)
+  return Math.min(remainingMilliseconds, Math.max(budgetPatience(goalMilliseconds), last))
 }
 
 /**
