--- a/packages/decisions/src/admitting/budgetPatience.ts
+++ b/packages/decisions/src/admitting/budgetPatience.ts
@@ -1,9 +1,11 @@
 /**
  * How long does a request wait for its budget, and when is a refused caller told to come back?
  *
- * A refusal that comes early can still be made good elsewhere; one that comes late costs the caller
- * its goal. So others are asked for a loan after a part of the goal. Load pattern: a fleet has just started, nobody holds
- * anything, and all wait for the same writes; then a refusal is made good nowhere, and a request waits on. Where the budget is used up for good there is no time to come back at.
+ * A refusal that comes early can still be made good elsewhere; one that comes late costs the caller its goal. So others are
+ * asked for a loan after a part of the goal.
+ *
+ * Load pattern: a fleet has just started, nobody holds anything, and all wait for the same writes. A refusal is made good
+ * nowhere then, so a request waits on. Where the budget is used up for good there is no time to come back at.
  */
 
 import type { Milliseconds } from '@rackwalk/shared'
