fix(daemon, decisions, coordination): a newcomer is known at once, and told what holds of breaks and ends

Cause: news goes to members that its teller knows. Members are read each 700 ms, 1,400 ms where an instance stands by; a newcomer sends callers on before that and is told nothing.

Change: a datagram from a life of an instance without a known row has the members read at once, at most three reads together and one a second after that (placing/newcomerReads, pure). The mirror's pause can be ended, not its retries. An instance announces itself once its row is written; a new row renews the view of the fleet. Newcomers, told apart by life, get the breaks that are looked at and the starts that are watched from here. The wire is unchanged, so earlier versions understand all of it. `told` in `server_ended`; rackwalk_gateway_unknown_senders_total.

overloadNews.spec and tableMirror.spec: setups name new parts; what existing tests check is unchanged.

Ruled out: to answer the datagram's address, or to send addresses in datagrams: names are not proved, so anybody could have news sent anywhere, and the latter needs a new form. To read more often: all pay for it always. To tell hearsay to newcomers: it would renew what nobody looks at any more.

--- a/packages/coordination/__tests__/tableMirror.spec.ts
+++ b/packages/coordination/__tests__/tableMirror.spec.ts
@@ -1,4 +1,4 @@
-import { describe, expect, it } from 'vitest'
+import { describe, expect, it, vi } from 'vitest'
 import { VirtualClock } from '@rackwalk/shared'
 import type { ChangedRow } from '@rackwalk/stores'
 import { TableMirror } from '@rackwalk/coordination'
@@ -13,6 +13,7 @@
   clock = new VirtualClock(),
   store = new MemoryRowStore(clock),
   waitMilliseconds = 500,
+  pauseMilliseconds = 20,
 ) {
   const client = store.connect()
   const seen = new Map<string, string | undefined>()
@@ -34,14 +35,54 @@
     askPeers,
     nearPeer,
     waitMilliseconds,
-    pauseMilliseconds: () => 20,
+    pauseMilliseconds: () => pauseMilliseconds,
     isWanted: () => wanted.isWanted,
   })
   mirror.start()
-  return { clock, store, faults: client.faults, seen, mirror, listenerFaults: faults, wanted }
+  const { faults: storeFaults } = client
+  return { clock, store, client, faults: storeFaults, seen, mirror, listenerFaults: faults, wanted }
 }
 
 describe('TableMirror', () => {
+  // Who waits for a row that it has heard of would wait for the pause, or for the next call after the one on its way.
+  it('reads at once where it is hurried, in a pause and during a call, and no more often', async () => {
+    const clock = new VirtualClock()
+    const store = new MemoryRowStore(clock)
+    const { mirror, seen, client } = setUp(undefined, undefined, clock, store, 0, 700)
+    await clock.advance(1_000)
+    const calls = vi.spyOn(client.store, 'readChanges')
+    store.put(TABLE, 'a', '1')
+    mirror.readSoon()
+    mirror.readSoon()
+    await clock.advance(100)
+    expect([...seen]).toEqual([['a', '1']])
+    expect(calls.mock.calls.length).toBe(1)
+    mirror.readSoon()
+    await clock.advance(1)
+    mirror.readSoon()
+    await clock.advance(400)
+    expect(calls.mock.calls.length).toBe(3)
+  })
+
+  // Each newcomer that is heard of would cost a call to a store that is in trouble already.
+  it('is not hurried while the store does not answer', async () => {
+    const callsIn10Seconds = async (isHurried: boolean): Promise<number> => {
+      const { clock, mirror, faults, client } = setUp()
+      await clock.advance(1_000)
+      faults.isCut = true
+      await clock.advance(3_000)
+      const calls = vi.spyOn(client.store, 'readChanges')
+      for (let turn = 0; turn < 1_000; turn += 1) {
+        if (isHurried) mirror.readSoon()
+        await clock.advance(10)
+      }
+      return calls.mock.calls.length
+    }
+    const usual = await callsIn10Seconds(false)
+    expect(usual).toBeGreaterThan(0)
+    expect(await callsIn10Seconds(true)).toBe(usual)
+  })
+
   it('has what was there before it began, and every change since', async () => {
     const { clock, store, seen } = setUp()
     store.put(TABLE, 'a', '1')
--- a/packages/coordination/src/membership/memberDirectory.ts
+++ b/packages/coordination/src/membership/memberDirectory.ts
@@ -33,6 +33,8 @@
   readonly partitionWritesPerSecond: number
   /** An instance appeared, or began to drain. */
   readonly onStateChange: (instance: string, state: MemberState) => void
+  /** The row of a life of an instance stands that did not stand before: this one's, or another's that was read. */
+  readonly onRecorded?: (isSelf: boolean) => void
   /** A row that is no member's; it is left out, and what was known before stays. */
   readonly onMalformedRow: (row: RowAddress) => void
 }
@@ -76,6 +78,7 @@
   private loaded = false
   private startedAt: Milliseconds | undefined
   private timer: Timer | undefined
+  private wasWritten = false
   /**
    * Time during which this instance read the rows without a gap. Silence is counted in it: an
    * instance that was cut off itself must not take everybody else for gone when it is back.
@@ -154,6 +157,11 @@
     }))
   }
 
+  /** Whether there is a row of this life of an instance, whatever its state. */
+  knows(instance: string, incarnation: string): boolean {
+    return this.members.get(instance)?.row.incarnation === incarnation
+  }
+
   /** What this instance tells the others. */
   get self(): MemberRow {
     const state: MemberState = this.draining ? 'draining' : 'serving'
@@ -188,9 +196,14 @@
     const parsed = memberRowCodec.decode(row.value)
     if (parsed === undefined) return this.parts.onMalformedRow(row)
     this.members.set(row.key, { row: parsed, version: row.version, changedAt: this.contactTime })
-    if (known === undefined || known.row.state !== parsed.state) {
-      this.parts.onStateChange(parsed.instance, parsed.state)
-    }
+    this.tellOfChange(known?.row, parsed)
+  }
+
+  private tellOfChange(before: MemberRow | undefined, row: MemberRow): void {
+    const { self, onRecorded, onStateChange } = this.parts
+    const isNew = before?.incarnation !== row.incarnation
+    if (isNew && row.instance !== self.instance) onRecorded?.(false)
+    if (before?.state !== row.state) onStateChange(row.instance, row.state)
   }
 
   private noteOwnRow(rows: readonly ChangedRow[]): void {
@@ -231,6 +244,9 @@
     const outcome = await store.write({ conditions: [], puts, removals: [] })
     if (outcome.kind !== 'done') return
     storeClock.note(outcome.storeTime, sentAt)
+    if (this.wasWritten) return
+    this.wasWritten = true
+    this.parts.onRecorded?.(true)
   }
 
   /** One instance in turn removes rows that nobody renews, so that they do not pile up. */
--- a/packages/coordination/src/rows/tableMirror.ts
+++ b/packages/coordination/src/rows/tableMirror.ts
@@ -99,6 +99,10 @@
   private readonly rows = new Map<string, ChangedRow>()
   /** Changes after this version are all among `rows`. */
   private completeAfter = 0
+  /** Ends the pause between two calls; undefined during a call, and while the store does not answer. */
+  private endPause: (() => void) | undefined
+  /** The table is read again at once after the call on its way: that may have missed what is wanted. */
+  private isHurried = false
   /** Until then the near peer is left alone. */
   private nearPeerRestsUntil: Milliseconds = Number.NEGATIVE_INFINITY
 
@@ -117,6 +121,12 @@
     return this.parts.clock.sinceStart() - this.confirmedAt
   }
 
+  /** Reads the table now and not after the pause; while the store does not answer it is asked as before. */
+  readSoon(): void {
+    this.isHurried = true
+    this.endPause?.()
+  }
+
   get isLoaded(): boolean {
     return this.position !== undefined
   }
@@ -158,8 +168,9 @@
         await sleep(this.parts.clock, UNWANTED_MILLISECONDS)
         continue
       }
+      this.isHurried = false
       if (await this.followNearPeer()) {
-        await sleep(this.parts.clock, this.parts.pauseMilliseconds())
+        await this.pause()
         continue
       }
       const sentAt = this.parts.clock.sinceStart()
@@ -171,10 +182,24 @@
         this.confirmedAt = Math.max(this.confirmedAt, sentAt + this.quietMilliseconds)
         this.parts.listener.onRead?.()
       }
-      await sleep(this.parts.clock, succeeded ? this.parts.pauseMilliseconds() : this.retryDelay())
+      if (succeeded) await this.pause()
+      else await sleep(this.parts.clock, this.retryDelay())
     }
   }
 
+  private async pause(): Promise<void> {
+    if (this.isHurried) return
+    const { clock, pauseMilliseconds } = this.parts
+    await new Promise<void>(resolve => {
+      const timer = clock.after(pauseMilliseconds(), resolve)
+      this.endPause = () => {
+        timer.cancel()
+        resolve()
+      }
+    })
+    this.endPause = undefined
+  }
+
   /** Each partition is read once in any case: it shows what an earlier incarnation left behind. */
   private get isUnwanted(): boolean {
     if (this.parts.isWanted?.() !== false) return false
--- a/packages/daemon/__tests__/overloadNews.spec.ts
+++ b/packages/daemon/__tests__/overloadNews.spec.ts
@@ -64,7 +64,9 @@
     await new Promise<void>(resolve => sink.bind(0, '127.0.0.1', resolve))
     const clock = new VirtualClock()
     const address = `127.0.0.1:${sink.address().port}`
-    const peers = Array.from({ length: PEERS }, (_, index) => ({ instance: `i-${index}`, address }))
+    const peers = Array.from({ length: PEERS }, (_, index) => {
+      return { instance: `i-${index}`, incarnation: 'life', address }
+    })
     const exchange = new LoadExchange({
       address: '127.0.0.1:0',
       usingPeers: () => peers,
@@ -74,7 +76,9 @@
       onCrashNews: () => {},
       onAdviceNews: () => {},
       onOverloaded: () => {},
+      onSender: () => {},
       standingAdvice: () => [],
+      standingCrashes: () => ({ marks: [], cleared: [] }),
       clock,
       onMalformed: () => {},
     })
--- a/packages/daemon/src/gateway/activeFleet.ts
+++ b/packages/daemon/src/gateway/activeFleet.ts
@@ -56,6 +56,8 @@
   private readonly choice: ActiveInstances
   private readonly silent = new SilentInstances()
   private view: FleetView | undefined
+  /** Set where the view lacks somebody who is known by now. */
+  private isOutdated = false
   /** Time at which this instance began to serve. */
   private selfSince: Milliseconds = 0
 
@@ -63,6 +65,11 @@
     this.choice = new ActiveInstances(parts.bounds)
   }
 
+  /** The members have changed: the next question is answered by a new view. */
+  lookAgain(): void {
+    this.isOutdated = true
+  }
+
   /** Whether callers are sent here. */
   get isSelfActive(): boolean {
     return this.current().isSelfActive
@@ -144,7 +151,9 @@
     const isServing = this.parts.isServing()
     const now = this.parts.clock.monotonic()
     const isSame = (before?.self !== undefined) === isServing
-    if (before !== undefined && isSame && now - before.at < VIEW_MILLISECONDS) return before
+    const isFresh = before !== undefined && now - before.at < VIEW_MILLISECONDS
+    if (isFresh && isSame && !this.isOutdated) return before
+    this.isOutdated = false
     if (!isSame) this.selfSince = now
     const view = { at: now, ...this.look(isServing ? this.parts.self() : undefined) }
     this.view = view
--- a/packages/daemon/src/gateway/crashWatch.ts
+++ b/packages/daemon/src/gateway/crashWatch.ts
@@ -18,6 +18,8 @@
   readonly directory: () => EndpointDirectory
   /** Tells all other instances, whether or not they use endpoints. */
   readonly tell: (news: CrashNews) => void
+  /** How many instances that reaches. */
+  readonly listenerCount: () => number
   readonly telemetry: GatewayTelemetry
 }
 
@@ -34,7 +36,7 @@
     this.guard = new CrashGuard({
       clock,
       probe: probeEndpoint,
-      onEnd: end => telemetry.noteEndpointEnd(end),
+      onEnd: end => telemetry.noteEndpointEnd(end, parts.listenerCount()),
       onUnreachable: start => parts.directory().noteUnreachable(start),
       onNews: news => this.share(news),
       onVerdict: (fingerprint, isRefused) => this.noteVerdict(fingerprint, isRefused),
--- a/packages/daemon/src/gateway/endpointKnowledge.ts
+++ b/packages/daemon/src/gateway/endpointKnowledge.ts
@@ -14,6 +14,7 @@
 import { CrashWatch } from './crashWatch.js'
 import type { GatewayTelemetry } from './gatewayTelemetry.js'
 import { LoadExchange, OVERLOAD_NEWS_MILLISECONDS, loadPeersOf } from './loadExchange.js'
+import { NewcomerWatch } from './newcomerWatch.js'
 import { OverloadedInstances } from './overloadNews.js'
 
 /** What the knowledge rests on. */
@@ -27,6 +28,8 @@
   readonly telemetry: GatewayTelemetry
   readonly members: MemberDirectory
   readonly fleet: () => ActiveFleet
+  /** Reads the members without waiting for their time. */
+  readonly readMembers: () => void
   /** By the configuration in force; undefined where it has no such service. */
   readonly service: (name: string) => GatewayService | undefined
 }
@@ -62,6 +65,13 @@
     this.exchange?.stop()
   }
 
+  /** An instance is on record: this one can be known to others now, or another is told what holds. */
+  noteRecorded(isSelf: boolean): void {
+    this.parts.fleet().lookAgain()
+    if (isSelf) this.exchange?.announce()
+    else this.exchange?.noteNewcomer()
+  }
+
   private createDirectory(): EndpointDirectory {
     const { clock, fleet, service } = this.parts
     return new EndpointDirectory({
@@ -92,6 +102,7 @@
       store,
       directory: () => this.directory,
       tell: news => this.exchange?.tellCrashes(news),
+      listenerCount: () => this.exchange?.listenerCount ?? 0,
       telemetry,
     })
   }
@@ -128,6 +139,7 @@
   private createExchange(): LoadExchange | undefined {
     const { loadAddress, instance, incarnation, clock, fleet, telemetry } = this.parts
     if (loadAddress === undefined) return undefined
+    const newcomers = this.createNewcomers()
     return new LoadExchange({
       address: loadAddress,
       usingPeers: () => loadPeersOf(fleet().usingOthers),
@@ -137,9 +149,22 @@
       onCrashNews: news => this.crashes.observe(news),
       onAdviceNews: news => this.advice.observe(news),
       onOverloaded: instance => this.overloaded.note(instance),
+      onSender: sender => newcomers.note(sender),
       standingAdvice: () => this.advice.advices.standingNews,
+      standingCrashes: () => this.crashes.guard.standingNews,
       clock,
       onMalformed: form => telemetry.noteMalformed(form),
     })
   }
+
+  private createNewcomers(): NewcomerWatch {
+    const { instance, members, readMembers, telemetry, clock } = this.parts
+    return new NewcomerWatch({
+      instance,
+      knows: (...life) => members.knows(...life),
+      readMembers,
+      onUnknown: () => telemetry.noteUnknownSender(),
+      clock,
+    })
+  }
 }
--- a/packages/daemon/src/gateway/followedTables.ts
+++ b/packages/daemon/src/gateway/followedTables.ts
@@ -129,6 +129,11 @@
   )
 }
 
+/** Reads the members without waiting for their time. */
+export function readMembersSoon(mirrors: ReadonlyMap<string, TableMirror>): void {
+  mirrors.get(MEMBER_TABLE)?.readSoon()
+}
+
 /** Rows that hardly ever change: instances that are heard tell of the news before the store does. */
 function crashTable({ crashRecords }: FollowedTablesParts): FollowedTable {
   return {
--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -44,7 +44,7 @@
 import { linkBytesPerSecond } from './instanceCapacity.js'
 import { ownMember } from './ownMember.js'
 import { EndpointKnowledge } from './endpointKnowledge.js'
-import { followTables } from './followedTables.js'
+import { followTables, readMembersSoon } from './followedTables.js'
 import { stopAsPlanned } from './plannedStop.js'
 import type { PlatformAdapter } from './platformAdapter.js'
 import type { SettingsOutcome } from './settingsWatcher.js'
@@ -234,8 +234,8 @@
       heartbeatMilliseconds: membership.heartbeatMilliseconds,
       silenceMilliseconds: membership.silenceMilliseconds,
       partitionWritesPerSecond: store.partitionWritesPerSecond,
-      onStateChange: (member, state) =>
-        this.telemetry.noteChange('member_state', state, { member, state }),
+      onStateChange: (member, state) => this.telemetry.noteMemberState(member, state),
+      onRecorded: isSelf => this.known.noteRecorded(isSelf),
       onMalformedRow: row => this.telemetry.noteMalformedRow(row),
     })
   }
@@ -299,6 +299,7 @@
       telemetry,
       members,
       fleet: () => this.fleet,
+      readMembers: () => readMembersSoon(this.mirrors),
       service: name => this.configuration.routes?.service(name),
     })
   }
@@ -403,7 +404,6 @@
 
   private createMetrics(): GatewayMetrics {
     const { gateway, members, fleet, ledger, known, configuration, callerConnections } = this
-    const { health } = this
     return this.telemetry.createMetrics(
       gaugesOf({
         gateway,
@@ -412,7 +412,7 @@
         ledger,
         endpoints: known.directory,
         configuration,
-        health,
+        health: this.health,
         crashes: known.crashes.guard,
         advices: known.advice.advices,
         callerConnections,
--- a/packages/daemon/src/gateway/gatewayMetrics.ts
+++ b/packages/daemon/src/gateway/gatewayMetrics.ts
@@ -59,6 +59,7 @@
   private readonly listenerPauses: Counter
   private readonly takenConnections: Counter
   private readonly untakenConnections: Counter
+  private readonly unknownSenders: Counter
   private readonly refusedBodies: Counter
   private readonly bytesInVain: Counter
   private readonly firstByte: Histogram
@@ -161,6 +162,11 @@
       labelNames: ['cause'],
       registers,
     })
+    this.unknownSenders = new Counter({
+      name: 'rackwalk_gateway_unknown_senders_total',
+      help: 'Datagrams from instances whose rows have not been read here yet.',
+      registers,
+    })
     this.refusedBodies = new Counter({
       name: 'rackwalk_gateway_refused_bodies_total',
       help: 'Bodies of refused requests, by what became of them: read at once, read after a hold, or closed with their connection.',
@@ -266,6 +272,10 @@
     this.untakenConnections.inc({ cause })
   }
 
+  noteUnknownSender(): void {
+    this.unknownSenders.inc()
+  }
+
   noteStoreCall(call: string, table: string, outcome: string): void {
     this.storeCalls.inc({ call, table, outcome })
   }
--- a/packages/daemon/src/gateway/gatewayTelemetry.ts
+++ b/packages/daemon/src/gateway/gatewayTelemetry.ts
@@ -63,6 +63,11 @@
     this.changes.note(event, { kind, fields })
   }
 
+  /** An instance appeared, or began to drain. */
+  noteMemberState(member: string, state: string): void {
+    this.noteChange('member_state', state, { member, state })
+  }
+
   /** The holding of a dead instance was ended. */
   noteTakeover(budget: string, takeover: Takeover): void {
     this.gauged?.noteTakeover(budget, takeover)
@@ -90,12 +95,12 @@
     this.logger[isServed ? 'info' : 'warn']('request', requestLine(record))
   }
 
-  /** An endpoint ended unannounced; each request that it had not begun to answer is named. */
-  noteEndpointEnd({ endpoint, signs, unanswered }: EndpointEnd): void {
+  /** An endpoint ended unannounced; each request that it had not begun to answer is named, and `told` others get to know. */
+  noteEndpointEnd({ endpoint, signs, unanswered }: EndpointEnd, told: number): void {
     const { id, service } = endpoint
     this.gauged?.noteEndpointEnd(service)
     const requests = unanswered.map(({ fingerprint }) => fingerprint)
-    this.logger.warn('server_ended', { server: id, service, signs, unanswered: requests })
+    this.logger.warn('server_ended', { server: id, service, signs, unanswered: requests, told })
   }
 
   /** The listener for callers was closed for a moment. */
@@ -128,6 +133,11 @@
     this.gauged?.noteBytesInVain(bytes)
   }
 
+  /** A datagram came from an instance whose row was not read yet. */
+  noteUnknownSender(): void {
+    this.gauged?.noteUnknownSender()
+  }
+
   noteStoreCall(call: string, table: string, outcome: string): void {
     this.gauged?.noteStoreCall(call, table, outcome)
   }
--- a/packages/daemon/src/gateway/loadExchange.ts
+++ b/packages/daemon/src/gateway/loadExchange.ts
@@ -37,6 +37,7 @@
 /** Another instance, as the exchange reaches it. */
 export interface LoadPeer {
   readonly instance: string
+  readonly incarnation: string
   /** IP:PORT. */
   readonly address: string
 }
@@ -45,7 +46,14 @@
 export function loadPeersOf(members: readonly MemberRow[]): readonly LoadPeer[] {
   return members
     .filter(({ loadAddress }) => loadAddress !== '')
-    .map(({ instance, loadAddress }) => ({ instance, address: loadAddress }))
+    .map(({ instance, incarnation, loadAddress }) => {
+      return { instance, incarnation, address: loadAddress }
+    })
+}
+
+/** Names one life: who starts again at the same address knows nothing of what the one before was told. */
+function lifeOf({ address, incarnation }: LoadPeer): string {
+  return `${address} ${incarnation}`
 }
 
 /** What the exchange works with. */
@@ -65,8 +73,12 @@
   readonly onAdviceNews: (news: readonly AdviceNews[]) => void
   /** Another instance told that it gets more than it bears. */
   readonly onOverloaded: (instance: string) => void
+  /** A datagram came in the name of this instance, which may not be known. */
+  readonly onSender: (sender: Pick<PeerLoadReport, 'instance' | 'incarnation'>) => void
   /** What holds of endpoints by their own word, for instances that may not have heard it. */
   readonly standingAdvice: () => readonly AdviceNews[]
+  /** The same of breaks and ends. */
+  readonly standingCrashes: () => CrashNews
   readonly clock: Clock
   readonly onMalformed: (form: MalformedForm) => void
 }
@@ -77,15 +89,17 @@
   private timer: Timer | undefined
   /** Set while something waits to be told at once. */
   private urgentTimer: Timer | undefined
+  /** Set while newcomers wait to be told what holds. */
+  private newcomerTimer: Timer | undefined
   private sentAt: Milliseconds = Number.NEGATIVE_INFINITY
   private signedAt: Milliseconds = Number.NEGATIVE_INFINITY
   private overloadToldAt: Milliseconds = Number.NEGATIVE_INFINITY
   /** An instance that is heard of was heard of within this time; reckoned at each report. */
   silenceMilliseconds: Milliseconds = MISSING_SIGNS * SIGN_MILLISECONDS
-  /** Addresses to which the last report went. */
+  /** Lives to which the last report went. */
   private told: ReadonlySet<string> = new Set()
-  /** Addresses that were told what holds of endpoints, or were there when it was told to all. */
-  private advised: ReadonlySet<string> = new Set()
+  /** Lives that were told what holds of endpoints, or were there when it was told to all. */
+  private informed: ReadonlySet<string> = new Set()
 
   constructor(private readonly parts: LoadExchangeParts) {}
 
@@ -102,6 +116,7 @@
   stop(): void {
     this.timer?.cancel()
     this.urgentTimer?.cancel()
+    this.newcomerTimer?.cancel()
     this.socket?.close()
     this.socket = undefined
   }
@@ -115,6 +130,26 @@
     })
   }
 
+  /** Others can know of this instance now: those that heard it before could not. */
+  announce(): void {
+    this.told = new Set()
+    this.noteNewcomer()
+  }
+
+  /** Another instance has begun to serve: it is told what holds before the next report. */
+  noteNewcomer(): void {
+    if (this.socket === undefined) return
+    this.newcomerTimer ??= this.parts.clock.after(SHORTEST_INTERVAL_MILLISECONDS, () => {
+      this.newcomerTimer = undefined
+      this.tellNewcomers()
+    })
+  }
+
+  /** Others that are told of news. */
+  get listenerCount(): number {
+    return this.parts.usingPeers().length + this.parts.idlePeers().length
+  }
+
   /** Tells all others of requests that end endpoints, at once. */
   tellCrashes(news: CrashNews): void {
     this.tellAll(reportsOf(news, this.parts.identity))
@@ -166,8 +201,7 @@
 
   /** Time in which the bytes for signs suffice for one to each other instance. */
   private get signSpan(): Milliseconds {
-    const peers = this.parts.usingPeers().length + this.parts.idlePeers().length
-    return (peers * SIGN_BYTES * 1000) / SIGN_BYTES_PER_SECOND
+    return (this.listenerCount * SIGN_BYTES * 1000) / SIGN_BYTES_PER_SECOND
   }
 
   private sendReport(): void {
@@ -191,20 +225,22 @@
   /** Who begins to use endpoints would know only of changes until the next whole report. */
   private tellNewcomers(): void {
     const peers = this.parts.usingPeers()
-    const newcomers = peers.filter(({ address }) => !this.told.has(address))
-    this.told = new Set(peers.map(({ address }) => address))
+    const newcomers = peers.filter(peer => !this.told.has(lifeOf(peer)))
+    this.told = new Set(peers.map(lifeOf))
     if (newcomers.length > 0) this.sendTo(newcomers, this.parts.fleetLoad.wholeReport())
-    this.adviseNewcomers()
+    this.informNewcomers()
   }
 
-  /** Who wasn't there when an endpoint said something would send there until it is told by the endpoint itself. */
-  private adviseNewcomers(): void {
-    const { usingPeers, idlePeers, identity, standingAdvice } = this.parts
+  /** Who wasn't there when an endpoint said something, broke off or ended would send there until it finds out itself. */
+  private informNewcomers(): void {
+    const { usingPeers, idlePeers, identity, standingAdvice, standingCrashes } = this.parts
     const peers = [...usingPeers(), ...idlePeers()]
-    const newcomers = peers.filter(({ address }) => !this.advised.has(address))
-    this.advised = new Set(peers.map(({ address }) => address))
+    const newcomers = peers.filter(peer => !this.informed.has(lifeOf(peer)))
+    this.informed = new Set(peers.map(lifeOf))
     if (newcomers.length === 0) return
-    for (const report of adviceReportsOf(standingAdvice(), identity)) this.sendTo(newcomers, report)
+    const advice = adviceReportsOf(standingAdvice(), identity)
+    const crashes = reportsOf(standingCrashes(), identity)
+    for (const report of [...advice, ...crashes]) this.sendTo(newcomers, report)
   }
 
   private sendSigns(): void {
@@ -224,8 +260,12 @@
 
   private take(bytes: Buffer, source: string): void {
     const report = decodeReport(bytes)
-    if (report === undefined) this.parts.onMalformed({ form: 'load report', source })
-    else if (isNews(report)) this.takeNews(report)
+    if (report === undefined) {
+      this.parts.onMalformed({ form: 'load report', source })
+      return
+    }
+    this.parts.onSender(report)
+    if (isNews(report)) this.takeNews(report)
     else this.parts.fleetLoad.observe(report)
   }
 
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -99,6 +99,7 @@
 export type { ActiveBounds, ActiveCandidate } from './placing/activeInstances.js'
 export { cautiousSharersOf, sharersOf } from './placing/fleetSharers.js'
 export type { FleetUse } from './placing/fleetSharers.js'
+export { NewcomerReads, READS_AHEAD } from './placing/newcomerReads.js'
 export { recordInterval } from './placing/recordInterval.js'
 export { SilentInstances } from './placing/silentInstances.js'
 
--- a/packages/router/src/crashes/crashGuard.ts
+++ b/packages/router/src/crashes/crashGuard.ts
@@ -112,6 +112,16 @@
     return this.broken.startOf(endpoint, { now, lived: livedAt(heard) })
   }
 
+  /** What holds of breaks and ends by looks from here, for an instance that was not there when it was told. */
+  get standingNews(): CrashNews {
+    const { standing } = this.ends
+    const suspected = standing
+      .filter(({ isAway }) => !isAway)
+      .flatMap(({ start, requests }) => requests.map(request => markOf(start, request)))
+    const away = standing.filter(({ isAway }) => isAway).map(({ start }) => start)
+    return { marks: [], cleared: [], suspected, away }
+  }
+
   /** An endpoint broke a request off before any part of an answer; resolves with whether it is known to have ended. */
   noteBroken(endpoint: BreakingEndpoint, request: BrokenRequest): Promise<boolean> {
     return this.ends.noteBroken(endpoint, request)
--- a/packages/router/src/crashes/endpointEnds.ts
+++ b/packages/router/src/crashes/endpointEnds.ts
@@ -55,6 +55,14 @@
   readonly sentAt: Milliseconds
 }
 
+/** What an instance that has just begun to serve should know of breaks: what is looked at, and what has ended. */
+export interface StandingBreak {
+  readonly start: EndpointStart
+  readonly isAway: boolean
+  /** Requests that may have ended it. */
+  readonly requests: readonly BrokenRequest[]
+}
+
 /** What the search for ends works with. */
 export interface EndpointEndsParts {
   readonly clock: Clock
@@ -113,6 +121,8 @@
 /** The endpoints that break requests off, as one instance sees it. */
 export class EndpointEnds {
   private readonly breaks = new Map<EndpointStart, Breaks>()
+  /** Starts that have ended behind something that listens, until they are back. */
+  private readonly watched = new Set<EndpointStart>()
   private isStopped = false
 
   constructor(private readonly parts: EndpointEndsParts) {}
@@ -137,6 +147,17 @@
     return breaks.hasEnded
   }
 
+  /** Breaks at which it is looked from here, and starts that are not back; who else heard of them is not asked. */
+  get standing(): readonly StandingBreak[] {
+    const looked = [...this.breaks.values()].filter(({ looking }) => looking !== undefined)
+    return [
+      ...looked.map(({ endpoint: { start }, untold }) => {
+        return { start, isAway: false, requests: onceEach(untold) }
+      }),
+      ...[...this.watched].map(start => ({ start, isAway: true, requests: [] })),
+    ]
+  }
+
   /** The first of a look is told at once; the others of the same moment go together. */
   private speakOf(breaks: Breaks, request: BrokenRequest): void {
     const { spoken, unspoken, endpoint } = breaks
@@ -233,12 +254,14 @@
   /** An engine that is back behind its front is used again as soon as it tells its state. */
   private async watchReturn(breaks: Breaks): Promise<void> {
     const { start } = breaks.endpoint
+    this.watched.add(start)
     for (let look = 0; look < AWAY_LOOKS && !this.isStopped; look += 1) {
       this.parts.broken.noteAway(start, this.parts.clock.monotonic())
       this.parts.onAway(start, seenOf(breaks))
       await sleep(this.parts.clock, AWAY_LOOK_MILLISECONDS)
       if (!(await this.isStillAway(breaks))) break
     }
+    this.watched.delete(start)
     this.parts.broken.noteBack(start, this.parts.clock.monotonic())
     this.breaks.delete(start)
   }
