fix(decisions, router): a suspected request is refused once its endpoint is known to have ended, without the mark

Callers saw a chat that ends engines behind a front that goes on listening end a third one, and in theory more, beside load.

Cause: a suspected chat ended its hash endpoint at instance X, which told all others of the break. Instance Y met the front, and its own looks (or news) showed the end before X's mark arrived. Y had both facts, drew no conclusion, and forgot the break like a refuted one: the chat went on to the next endpoint of its hash.

Change: what was sent as suspected to a start that is known to have ended stays known as that, and is refused, for a second at the most after it was last told of; `lives` takes it back at once. It is on no record and not counted as refused before its mark is there.

Ruled out by the traced lines: one end told as two starts, a choice made before the wait, suspicion that lapsed, answers of fronts.

Not covered: news of the break that come after the end is known here, and two instances that name two starts.

--- a/packages/decisions/__tests__/unjudgedBreaks.spec.ts
+++ b/packages/decisions/__tests__/unjudgedBreaks.spec.ts
@@ -45,4 +45,31 @@
     }
     expect([breaks.has(FINGERPRINT, 2), breaks.has(OTHER, 2)]).toEqual([false, true])
   })
+
+  it('refuse what was sent as suspected once their start has ended, and nothing else', () => {
+    const breaks = new UnjudgedBreaks()
+    breaks.note({ ...MARK, wasIsolated: true }, 0)
+    breaks.note({ ...MARK, fingerprint: OTHER }, 0)
+    const verdicts = (now: number) => [FINGERPRINT, OTHER].map(one => breaks.verdict(one, now))
+    expect(verdicts(0)).toEqual(['isolate', 'isolate'])
+    breaks.noteEnd(SECOND_START, 1)
+    expect(verdicts(1)).toEqual(['isolate', 'isolate'])
+    breaks.noteEnd(START, 500)
+    expect(verdicts(1_499)).toEqual(['refuse', 'send'])
+    expect(verdicts(1_500)).toEqual(['send', 'send'])
+  })
+
+  it('are refused for as long as they are told of after their end, until they are cleared', () => {
+    const breaks = new UnjudgedBreaks()
+    const suspected = { ...MARK, wasIsolated: true }
+    breaks.note(suspected, 0)
+    breaks.noteEnd(START, 100)
+    breaks.note(suspected, 900)
+    expect(breaks.verdict(FINGERPRINT, 1_800)).toBe('refuse')
+    breaks.clear(OTHER, [START])
+    breaks.clear(FINGERPRINT, [SECOND_START])
+    expect(breaks.verdict(FINGERPRINT, 1_800)).toBe('refuse')
+    breaks.clear(FINGERPRINT, [START])
+    expect(breaks.verdict(FINGERPRINT, 1_800)).toBe('send')
+  })
 })
--- a/packages/decisions/src/retrying/unjudgedBreaks.ts
+++ b/packages/decisions/src/retrying/unjudgedBreaks.ts
@@ -6,13 +6,23 @@
  * try would cost one more endpoint. So it goes to the one endpoint that its hash names from the break on, at all
  * instances; tries that follow find that one ended, and cost no other.
  *
- * Limits: a break is no proof, so nothing is refused for it, and it counts only until the look has told, and no longer than
- * looks take: who looks says so again for as long as it does. Whoever is told of one by another instance forgets it by itself.
+ * Who looks and who told of the break may be two instances, and either may know of the end first. A request that was sent
+ * as suspected is refused from then on, without waiting for the mark: it would go to the next endpoint of its hash.
+ *
+ * | known of the break's start            | sent as suspected | sent as any other    |
+ * | ------------------------------------- | ----------------- | -------------------- |
+ * | nothing yet                           | isolate           | isolate              |
+ * | it has ended, by own looks or by news | refuse            | forgotten: mark told |
+ * | it lives                              | forgotten         | forgotten            |
+ *
+ * Limits: a break is no proof, so nothing is refused for it alone. It counts until the look has told, and no longer than a
+ * second after it was last told of or its end became known: who looks tells it again for as long as it does. A break that
+ * is told only after its end is known here is isolated until the mark comes.
  */
 
 import type { EndpointStart, Milliseconds, RequestFingerprint } from '@rackwalk/shared'
 import { SCOPE_CHARACTERS } from './crashSuspicion.js'
-import type { CrashMark } from './crashSuspicion.js'
+import type { CrashMark, CrashVerdict } from './crashSuspicion.js'
 
 /** A break counts for no longer: two looks take a quarter of it where processors are free. */
 const LOOK_MILLISECONDS: Milliseconds = 1_000
@@ -22,6 +32,8 @@
 interface UnjudgedBreak {
   readonly fingerprint: RequestFingerprint
   readonly start: EndpointStart
+  readonly wasIsolated: boolean
+  readonly hasEnded: boolean
   readonly until: Milliseconds
 }
 
@@ -31,13 +43,27 @@
   private breaks: UnjudgedBreak[] = []
 
   /** A request was broken off, and it is looked whether its endpoint has ended. */
-  note({ fingerprint, start }: CrashMark, now: Milliseconds): void {
+  note({ fingerprint, start, wasIsolated }: CrashMark, now: Milliseconds): void {
     this.forgetOld(now)
     if (this.breaks.length >= REMEMBERED_BREAKS) this.breaks.shift()
-    this.breaks.push({ fingerprint, start, until: now + LOOK_MILLISECONDS })
+    const until = now + LOOK_MILLISECONDS
+    // Who looks renews its news, and may know of the end later than this instance.
+    const hasEnded = this.breaks.some(known => {
+      return known.hasEnded && known.start === start && known.fingerprint === fingerprint
+    })
+    this.breaks.push({ fingerprint, start, wasIsolated, hasEnded, until })
   }
 
-  /** It is known whether a start of an endpoint has ended. */
+  /** A start of an endpoint is known to have ended; the mark of what it broke off may come later than that. */
+  noteEnd(start: EndpointStart, now: Milliseconds): void {
+    const until = now + LOOK_MILLISECONDS
+    this.breaks = this.breaks.flatMap(broken => {
+      if (broken.start !== start || broken.hasEnded) return [broken]
+      return broken.wasIsolated ? [{ ...broken, hasEnded: true, until }] : []
+    })
+  }
+
+  /** A start of an endpoint lives, or nothing is known of it any more. */
   forget(start: EndpointStart): void {
     this.breaks = this.breaks.filter(broken => broken.start !== start)
   }
@@ -48,16 +74,28 @@
     return this.breaks.some(({ fingerprint }) => fingerprint.slice(0, SCOPE_CHARACTERS) === scope)
   }
 
+  /** An answer or an operator cleared a request of these ends, whose marks were known there. */
+  clear(fingerprint: RequestFingerprint, starts: readonly EndpointStart[]): void {
+    this.breaks = this.breaks.filter(broken => {
+      return broken.fingerprint !== fingerprint || !starts.includes(broken.start)
+    })
+  }
+
+  /** What to do with a request by its breaks. */
+  verdict(fingerprint: RequestFingerprint, now: Milliseconds): CrashVerdict {
+    this.forgetOld(now)
+    const breaks = this.breaks.filter(broken => broken.fingerprint === fingerprint)
+    if (breaks.some(({ hasEnded }) => hasEnded)) return 'refuse'
+    return breaks.length > 0 ? 'isolate' : 'send'
+  }
+
   /** Whether a request is one of them. */
   has(fingerprint: RequestFingerprint, now: Milliseconds): boolean {
-    this.forgetOld(now)
-    return this.breaks.some(broken => broken.fingerprint === fingerprint)
+    return this.verdict(fingerprint, now) !== 'send'
   }
 
   private forgetOld(now: Milliseconds): void {
-    if (this.breaks.length === 0) return
-    const fresh = this.breaks.findIndex(({ until }) => until > now)
-    if (fresh === 0) return
-    this.breaks = fresh < 0 ? [] : this.breaks.slice(fresh)
+    if (this.breaks.every(({ until }) => until > now)) return
+    this.breaks = this.breaks.filter(({ until }) => until > now)
   }
 }
--- a/packages/router/src/crashes/crashGuard.ts
+++ b/packages/router/src/crashes/crashGuard.ts
@@ -59,7 +59,7 @@
       onEnd: end => this.noteEnd(end),
       onAway: (start, seen) => this.noteAway(start, seen),
       onLook: (start, requests) => this.noteLook(requests.map(request => markOf(start, request))),
-      onLooked: start => this.unjudged.forget(start),
+      onLooked: (start, hasEnded) => this.noteLooked(start, hasEnded),
       onLives: start => this.noteLives(start),
     })
   }
@@ -74,7 +74,7 @@
     return this.suspicions.mayConcern(scope) || this.unjudged.mayConcern(scope, now)
   }
 
-  /** Requests that are refused. */
+  /** Requests that are refused by a mark; what is refused for a moment until its mark comes is on no record. */
   get refusedCount(): number {
     return this.suspicions.refusedCount
   }
@@ -91,9 +91,10 @@
 
   verdict(fingerprint: RequestFingerprint): CrashVerdict {
     const known = this.suspicions.verdict(fingerprint)
-    if (known !== 'send') return known
-    const isUnjudged = this.unjudged.has(fingerprint, this.parts.clock.monotonic())
-    return isUnjudged ? 'isolate' : known
+    const unjudged = this.unjudged.verdict(fingerprint, this.parts.clock.monotonic())
+    const verdicts = [known, unjudged]
+    if (verdicts.includes('refuse')) return 'refuse'
+    return verdicts.includes('isolate') ? 'isolate' : 'send'
   }
 
   /** Whether a start broke something off, and may have ended: what is not suspected goes elsewhere while it can. */
@@ -159,6 +160,12 @@
     this.share({ marks: [], cleared: [], suspected })
   }
 
+  /** What others told of this start is judged by the look at it as well. */
+  private noteLooked(start: EndpointStart, hasEnded: boolean): void {
+    if (hasEnded) this.unjudged.noteEnd(start, this.parts.clock.monotonic())
+    else this.unjudged.forget(start)
+  }
+
   private noteLives(start: EndpointStart): void {
     this.share({ marks: [], cleared: [], lives: [start] })
   }
@@ -198,6 +205,7 @@
       this.watchVerdict(mark.fingerprint, () => this.noteMark(mark))
     }
     for (const { fingerprint, starts } of cleared) {
+      this.unjudged.clear(fingerprint, starts)
       this.watchVerdict(fingerprint, () => this.suspicions.clear(fingerprint, starts))
     }
   }
@@ -213,7 +221,8 @@
     for (const { start } of suspected) this.broken.note(start, now)
     for (const start of away) this.broken.noteAway(start, now)
     for (const mark of suspected) this.unjudged.note(mark, now)
-    for (const { start } of marks) this.unjudged.forget(start)
+    for (const start of away) this.unjudged.noteEnd(start, now)
+    for (const { start } of marks) this.unjudged.noteEnd(start, now)
   }
 
   private noteMark(mark: CrashMark): void {
--- a/packages/router/src/crashes/endpointEnds.ts
+++ b/packages/router/src/crashes/endpointEnds.ts
@@ -65,7 +65,7 @@
   /** Requests were broken off, and it is looked whether their endpoint has ended; told again for as long as that lasts. */
   readonly onLook: (start: EndpointStart, requests: readonly BrokenRequest[]) => void
   /** The look is over; `onEnd` was called before where it showed an end. */
-  readonly onLooked: (start: EndpointStart) => void
+  readonly onLooked: (start: EndpointStart, hasEnded: boolean) => void
   /** The look showed that this start lives. */
   readonly onLives: (start: EndpointStart) => void
   /** Something listens where a start has ended, and does not answer; told again for as long as that lasts. */
@@ -216,7 +216,7 @@
     const isEnd = verdict === 'ended' && !breaks.hasEnded
     if (isEnd) this.end(breaks)
     else if (!breaks.hasEnded) this.parts.broken.forget(breaks.endpoint.start)
-    this.parts.onLooked(breaks.endpoint.start)
+    this.parts.onLooked(breaks.endpoint.start, breaks.hasEnded)
     if (verdict === 'lives') this.parts.onLives(breaks.endpoint.start)
     if (!isEnd) return
     if (breaks.signs.at(-1) === 'does-not-answer') void this.watchReturn(breaks)
