fix(router): a look that proves nothing takes no suspicion and no doubt away

Callers saw a chat that ends engines behind a front that goes on listening end four or five where three are allowed, beside load.

Cause: a look for which no connection comes up says nothing, but ended the search as if the endpoint lived: break and doubt were forgotten at that instance, no mark was left, and its next tries went elsewhere as any other. Each cost one more engine.

Change: suspicion and doubt go when a look shows life or an end, and otherwise a second after they were last told of. Nobody is refused for them; what is not suspected goes to other endpoints for that second, as long as there is one.

Measured: the new test of crashGuard.spec is red without the change and green with it. The crash specs of router and decisions pass.

--- a/packages/decisions/src/retrying/unjudgedBreaks.ts
+++ b/packages/decisions/src/retrying/unjudgedBreaks.ts
@@ -15,7 +15,7 @@
  * | it has ended, by own looks or by news | refuse            | forgotten: mark told |
  * | it lives                              | forgotten         | forgotten            |
  *
- * Limits: a break is no proof, so nothing is refused for it alone. It counts until the look has told, and no longer than a
+ * Limits: a break is no proof, so nothing is refused for it alone. It counts until a look has proved something, and no longer than a
  * second after it was last told of or its end became known: who looks tells it again for as long as it does. A break that
  * is told only after its end is known here is isolated until the mark comes.
  */
--- a/packages/router/__tests__/crashGuard.spec.ts
+++ b/packages/router/__tests__/crashGuard.spec.ts
@@ -84,6 +84,29 @@
   })
 })
 
+describe('a request whose endpoint could not be judged', () => {
+  const start = endpointStart('endpoint-1', 1)
+
+  // A look without a proof took suspicion and doubt away: the next try went to another endpoint as any other.
+  it('stays suspected, and its endpoint in doubt, for a second after it was last told of', async () => {
+    const { clock, looks, first, second, breakOff, verdicts } = setUp()
+    const isKnown = breakOff('endpoint-1', false)
+    looks[0]?.resolve('no-connection')
+    expect(await isKnown).toBe(false)
+    const doubts = () => [first, second].map(guard => guard.isInDoubt(start))
+    await clock.advance(999)
+    expect([verdicts(), doubts()]).toEqual([
+      ['isolate', 'isolate'],
+      [true, true],
+    ])
+    await clock.advance(1)
+    expect([verdicts(), doubts()]).toEqual([
+      ['send', 'send'],
+      [false, false],
+    ])
+  })
+})
+
 describe('a request that was sent after another instance had told of a break there', () => {
   const innocent = asId<RequestFingerprint>('innocent-of-it')
 
--- a/packages/router/src/crashes/endpointEnds.ts
+++ b/packages/router/src/crashes/endpointEnds.ts
@@ -64,7 +64,7 @@
   readonly onEnd: (end: EndpointEnd) => void
   /** Requests were broken off, and it is looked whether their endpoint has ended; told again for as long as that lasts. */
   readonly onLook: (start: EndpointStart, requests: readonly BrokenRequest[]) => void
-  /** The look is over; `onEnd` was called before where it showed an end. */
+  /** A look showed an end or life; `onEnd` was called before where it showed an end. */
   readonly onLooked: (start: EndpointStart, hasEnded: boolean) => void
   /** The look showed that this start lives. */
   readonly onLives: (start: EndpointStart) => void
@@ -215,13 +215,20 @@
     breaks.spoken.clear()
     const isEnd = verdict === 'ended' && !breaks.hasEnded
     if (isEnd) this.end(breaks)
-    else if (!breaks.hasEnded) this.parts.broken.forget(breaks.endpoint.start)
-    this.parts.onLooked(breaks.endpoint.start, breaks.hasEnded)
-    if (verdict === 'lives') this.parts.onLives(breaks.endpoint.start)
+    this.noteJudged(breaks, verdict)
     if (!isEnd) return
     if (breaks.signs.at(-1) === 'does-not-answer') void this.watchReturn(breaks)
   }
 
+  /** What proves nothing takes no suspicion and no doubt away: each try that passed for innocent would cost an endpoint. */
+  private noteJudged({ endpoint, hasEnded }: Breaks, verdict: EndVerdict): void {
+    const { start } = endpoint
+    if (verdict === 'unknown' && !hasEnded) return
+    if (!hasEnded) this.parts.broken.forget(start)
+    this.parts.onLooked(start, hasEnded)
+    if (verdict === 'lives') this.parts.onLives(start)
+  }
+
   private async lookOnce(breaks: Breaks): Promise<EndVerdict> {
     const { endpoint, signs } = breaks
     breaks.lookBeganAt = this.parts.clock.monotonic()
