fix(router): an error of 500 or more clears no request of the ends that are held against it

Callers saw a chat that ends engines refused, and a moment later sent again: a fourth and a fifth end beside load.

Cause (OpenAI-style kind): a front whose engine has ended answers 500. Where the look before it is passed on proved nothing, or met the engine back, the error was taken for an answer and cleared all marks at all instances, a proven one too.

Change: the error of a live engine is still its caller's, but only an answer below 500 clears what is held against a request. Price: one that ends no engine and only ever gets errors stays suspected for a week: it goes to the endpoint of its hash, and is not refused for that.

--- /dev/null
+++ b/packages/router/__tests__/standIns/markedChats.ts
@@ -0,0 +1,393 @@
+/**
+ * Several instances of the OpenAI-style kind on virtual time that are sent a chat which ends engines behind their fronts: the
+ * real dispatch, choice and guard, with looks, news and held loops as a test orders them.
+ */
+
+import { withdrawal } from '@rackwalk/decisions'
+import type { CrashNews, EndSign, KnownEnd } from '@rackwalk/decisions'
+import { SeededRandom, VirtualClock, asId, endpointOf } from '@rackwalk/shared'
+import type { Clock, EndpointId, Milliseconds, RequestFingerprint, Timer } from '@rackwalk/shared'
+import { CrashGuard, DispatchFilter, EndpointRouter, EndpointTable } from '@rackwalk/router'
+
+export type Front = 'closes' | 'silent' | 'answers 500' | 'answers 503'
+
+/** When one instance does nothing, or sees too little of its looks to know anything. */
+interface Window {
+  readonly instance: number
+  readonly from: Milliseconds
+  readonly until: Milliseconds
+}
+
+/** What is forced on a play. */
+export interface Order {
+  readonly front: Front
+  /** From the question to its answer; of a silent front a look takes 100 ms more. */
+  readonly lookMilliseconds?: readonly Milliseconds[]
+  /** Between any two instances, by the one that tells. */
+  readonly newsMilliseconds?: readonly Milliseconds[]
+  readonly holds?: readonly Window[]
+  /** Looks that begin then prove nothing: their process is too busy to know. */
+  readonly blind?: readonly Window[]
+  readonly markedMilliseconds?: Milliseconds
+  /** Time between two chats of others; none where undefined. */
+  readonly otherMilliseconds?: Milliseconds
+  readonly backMilliseconds?: Milliseconds
+  readonly runMilliseconds?: Milliseconds
+  readonly seed?: number
+}
+
+const INSTANCES = 3
+const ENGINES = 8
+const MARKED = asId<RequestFingerprint>('marked-fingerprint')
+const RUN_MILLISECONDS = 5_000
+const BEGIN_MILLISECONDS = 3
+const BLIND_MILLISECONDS = 500
+const REPORT_MILLISECONDS = 100
+
+interface Exchange {
+  readonly sentAt: Milliseconds
+  fail: (result: object) => void
+}
+
+class Engine {
+  readonly id: EndpointId
+  ends = 0
+  isUp = true
+  open = new Set<Exchange>()
+
+  constructor(number: number) {
+    this.id = asId<EndpointId>(`engine-${number}`)
+  }
+}
+
+/** The clock of a process whose loop is held at times: what falls due then is done at the end of that. */
+class HeldClock implements Clock {
+  constructor(
+    private readonly clock: VirtualClock,
+    private readonly holds: readonly Window[],
+  ) {}
+
+  monotonic(): Milliseconds {
+    return this.clock.monotonic()
+  }
+
+  sinceStart(): Milliseconds {
+    return this.clock.monotonic()
+  }
+
+  wallTime(): Milliseconds {
+    return this.clock.monotonic()
+  }
+
+  after(delay: Milliseconds, run: () => void): Timer {
+    const due = this.clock.monotonic() + Math.max(0, delay)
+    const hold = this.holds.find(({ from, until }) => due >= from && due < until)
+    const at = hold?.until ?? due
+    return this.clock.after(at - this.clock.monotonic(), run)
+  }
+}
+
+class Member {
+  readonly clock: HeldClock
+  readonly guard: CrashGuard
+  readonly endpoints: EndpointTable
+  readonly router: EndpointRouter
+  readonly dispatch: DispatchFilter
+  readonly exchanges = new Map<EndpointId, Set<Exchange>>()
+
+  constructor(
+    private readonly play: MarkedChats,
+    readonly number: number,
+    random: SeededRandom,
+  ) {
+    const { catalogue, order } = play
+    this.clock = new HeldClock(
+      play.clock,
+      (order.holds ?? []).filter(({ instance }) => instance === number),
+    )
+    const { clock } = this
+    this.endpoints = new EndpointTable(
+      catalogue as never,
+      clock,
+      { takes: () => true, refusalOf: () => undefined },
+      () => {},
+    )
+    this.guard = new CrashGuard({
+      clock,
+      probe: ({ address }) => play.look(this, address),
+      onEnd: end => {
+        const { id } = end.endpoint
+        const marks = end.unanswered.filter(({ fingerprint }) => fingerprint === MARKED)
+        play.log(
+          this,
+          `known end of ${id}, ${marks.map(m => (m.wasIsolated ? 'isolated' : 'sent')).join()}`,
+        )
+      },
+      onUnreachable: start => this.endpoints.noteUnreachable(endpointOf(start)),
+      onKnownEnd: (start, end) => this.noteKnownEnd(endpointOf(start), end),
+      onNews: news => play.tell(this, news),
+      onVerdict: (fingerprint, isRefused) => {
+        if (fingerprint === MARKED) play.log(this, isRefused ? 'refused' : 'no longer refused')
+      },
+    })
+    this.router = new EndpointRouter({
+      catalogue: catalogue as never,
+      endpoints: this.endpoints,
+      random,
+      instances: () => INSTANCES,
+      crashes: this.guard,
+      onDecision: () => {},
+    })
+    this.dispatch = new DispatchFilter({
+      catalogue: catalogue as never,
+      endpoints: this.endpoints,
+      router: this.router,
+      client: {
+        attempt: (call: { endpointId: EndpointId; headers: object }) => this.attempt(call),
+      } as never,
+      crashes: this.guard,
+      advices: { of: () => undefined, note: () => {} } as never,
+      longestRestMilliseconds: 0,
+      clock,
+      random,
+      firstByteMilliseconds: 30_000,
+      onRetry: () => {},
+    })
+  }
+
+  private attempt({ endpointId, headers }: { endpointId: EndpointId; headers: object }) {
+    const isMarked = 'x-marked' in headers
+    const engine = this.play.engines.find(({ id }) => id === endpointId) as Engine
+    return new Promise<object>(resolve => {
+      const sentAt = this.clock.monotonic()
+      const exchange: Exchange = {
+        sentAt,
+        fail: result => {
+          engine.open.delete(exchange)
+          this.exchanges.get(endpointId)?.delete(exchange)
+          this.clock.after(1, () => resolve(result))
+        },
+      }
+      const there = this.exchanges.get(endpointId) ?? new Set()
+      this.exchanges.set(endpointId, there.add(exchange))
+      this.play.arrive(this, engine, exchange, isMarked)
+    })
+  }
+
+  private noteKnownEnd(endpointId: EndpointId, end: KnownEnd): void {
+    const { askedAt } = this.endpoints.heard(endpointId)
+    for (const exchange of [...(this.exchanges.get(endpointId) ?? [])]) {
+      const { sentAt } = exchange
+      const open = {
+        sentAt,
+        heardAt: undefined,
+        isPaused: false,
+        isRepeatable: true,
+        doubtedAt: undefined,
+      }
+      const fate = withdrawal(open, end, askedAt)
+      if (fate === 'none' || fate === 'doubted') continue
+      const isLookedAt = fate !== 'was-there'
+      exchange.fail({
+        kind: 'failed',
+        reason: 'ended',
+        stalled: false,
+        end: 'endpoint-ended',
+        isLookedAt,
+      })
+    }
+  }
+
+  /** A caller's chat; refused ones are sent nowhere. */
+  async send(isMarked: boolean, name: string): Promise<boolean> {
+    const fingerprint = isMarked ? MARKED : asId<RequestFingerprint>(name)
+    const verdict = this.guard.verdict(fingerprint)
+    if (isMarked) this.play.log(this, `try: ${verdict}`)
+    if (verdict === 'refuse') return false
+    const request = {
+      incoming: {
+        caller: { left: new AbortController().signal },
+        headers: new Map(isMarked ? [['x-marked', '1']] : []),
+      },
+      call: {
+        kind: 'chat',
+        chat: { modelId: 'model', prompt: Buffer.from(''), promptTokenEstimate: 10, body: {} },
+      },
+      requestId: name,
+      priority: 0,
+      scope: { commit: () => {}, onEnd: () => {} },
+      record: { routing: [] },
+      target: 'model',
+      repeatable: true,
+      deadline: this.clock.sinceStart() + 60_000,
+      crashFingerprint: fingerprint,
+      notePlaced: () => {},
+    }
+    try {
+      const { endpointId } = this.router.choose(request as never, new Set())
+      const { answer } = await this.dispatch.apply({ ...request, endpointId } as never)
+      return answer.status === 200
+    } catch {
+      return false
+    }
+  }
+}
+
+/** One play of an order. */
+export class MarkedChats {
+  readonly clock = new VirtualClock()
+  readonly engines = Array.from({ length: ENGINES }, (_, number) => new Engine(number))
+  readonly lines: string[] = []
+  readonly catalogue: object
+  private readonly members: readonly Member[]
+  private others = 0
+  private served = 0
+
+  constructor(readonly order: Order) {
+    const endpoints = this.engines.map(({ id }) => ({
+      endpointId: id,
+      spec: {
+        kind: 'model',
+        models: ['model'],
+        address: `http://${id}:1`,
+        maximumInFlight: 64,
+        prefillTokensPerSecond: 50_000,
+      },
+    }))
+    this.catalogue = {
+      endpoints,
+      findEndpoint: (wanted: string) => endpoints.find(({ endpointId }) => endpointId === wanted),
+      isEvacuated: () => false,
+      policyFor: () => ({ retryShare: 0.1, policy: 'expected-first-token' }),
+    }
+    const random = new SeededRandom(order.seed ?? 1)
+    this.members = Array.from(
+      { length: INSTANCES },
+      (_, number) => new Member(this, number, random),
+    )
+  }
+
+  log(member: Member | undefined, text: string): void {
+    this.lines.push(
+      `${this.clock.monotonic()} ${member === undefined ? '' : 'ABC'[member.number]} ${text}`,
+    )
+  }
+
+  tell(from: Member, news: CrashNews): void {
+    const delay = this.order.newsMilliseconds?.[from.number] ?? 2
+    for (const member of this.members) {
+      if (member !== from) member.clock.after(delay, () => member.guard.observe(news))
+    }
+  }
+
+  look(member: Member, address: string): Promise<EndSign> {
+    const now = this.clock.monotonic()
+    const engine = this.engines.find(({ id }) => address.startsWith(`${id}:`)) as Engine
+    const blind = this.order.blind?.some(({ instance, from, until }) => {
+      return instance === member.number && now >= from && now < until
+    })
+    const duration = this.order.lookMilliseconds?.[member.number] ?? 4
+    return new Promise(resolve => {
+      if (blind === true)
+        return void member.clock.after(BLIND_MILLISECONDS, () => resolve('no-connection'))
+      // The question is there half way.
+      this.clock.after(duration / 2, () => {
+        const sign = engine.isUp ? 'lives' : 'does-not-answer'
+        const held = !engine.isUp && this.order.front === 'silent' ? 100 : 0
+        member.clock.after(duration / 2 + held, () => {
+          this.log(member, `look at ${engine.id}: ${sign}`)
+          resolve(sign)
+        })
+      })
+    })
+  }
+
+  arrive(member: Member, engine: Engine, exchange: Exchange, isMarked: boolean): void {
+    const { front } = this.order
+    const broken = { kind: 'failed', reason: 'broken off', stalled: false }
+    const reply = (status: number) => ({
+      kind: 'answering',
+      answer: { endpointId: engine.id, status, headers: {}, cancel: () => {}, release: () => {} },
+    })
+    if (isMarked) this.log(member, `sent to ${engine.id}${engine.isUp ? '' : ' (front)'}`)
+    if (engine.isUp) {
+      engine.open.add(exchange)
+      this.clock.after(isMarked ? BEGIN_MILLISECONDS : 20, () => {
+        if (!engine.open.has(exchange)) return
+        if (isMarked) this.end(engine)
+        else exchange.fail(reply(200))
+      })
+    } else if (front === 'closes') exchange.fail(broken)
+    else if (front === 'answers 500') exchange.fail(reply(500))
+    else if (front === 'answers 503') exchange.fail(reply(503))
+  }
+
+  private end(engine: Engine): void {
+    engine.ends += 1
+    this.log(undefined, `END ${this.ends}: ${engine.id}`)
+    engine.isUp = false
+    for (const exchange of [...engine.open]) {
+      exchange.fail({ kind: 'failed', reason: 'broken off', stalled: false })
+    }
+    this.clock.after(this.order.backMilliseconds ?? 2_000, () => {
+      engine.isUp = true
+    })
+  }
+
+  get ends(): number {
+    return this.engines.reduce((sum, { ends }) => sum + ends, 0)
+  }
+
+  /** Ends, and the share of others that were served. */
+  async run(): Promise<{ ends: number; served: number }> {
+    const {
+      markedMilliseconds = 250,
+      otherMilliseconds,
+      runMilliseconds = RUN_MILLISECONDS,
+    } = this.order
+    for (let at = 10, count = 0; at < runMilliseconds; at += markedMilliseconds, count += 1) {
+      this.sendAt(at, count, true)
+    }
+    if (otherMilliseconds !== undefined) {
+      for (let at = 1, count = 0; at < runMilliseconds; at += otherMilliseconds, count += 1) {
+        this.sendAt(at, count, false)
+      }
+    }
+    for (const member of this.members) this.report(member, runMilliseconds)
+    await this.clock.advance(runMilliseconds + 1_000)
+    for (const { guard } of this.members) guard.stop()
+    return { ends: this.ends, served: this.served / Math.max(1, this.others) }
+  }
+
+  private sendAt(at: Milliseconds, count: number, isMarked: boolean): void {
+    const member = this.members[count % INSTANCES] as Member
+    member.clock.after(at, () => {
+      void member.send(isMarked, `${isMarked ? 'marked' : 'other'}-${count}`).then(isServed => {
+        if (isMarked) return
+        this.others += 1
+        if (isServed) this.served += 1
+      })
+    })
+  }
+
+  private report(member: Member, until: Milliseconds): void {
+    const ask = () => {
+      const askedAt = this.clock.monotonic()
+      for (const engine of this.engines) {
+        if (!engine.isUp) continue
+        member.clock.after(2, () => {
+          const report = {
+            running: 0,
+            waiting: 0,
+            cacheUse: 0,
+            leaving: false,
+            queuedPromptTokens: 0,
+          }
+          member.endpoints.noteReport(engine.id, report, askedAt)
+        })
+      }
+      if (askedAt < until) member.clock.after(REPORT_MILLISECONDS, ask)
+    }
+    member.clock.after(0, ask)
+  }
+}
--- a/packages/router/src/filters/dispatch.ts
+++ b/packages/router/src/filters/dispatch.ts
@@ -324,8 +324,7 @@
     if (routing !== undefined) routing.outcome = resultText(result)
     if (result.kind === 'answering') this.noteAdvice(endpointId, result.answer)
     if (acceptedAnswer(result, request) !== undefined) {
-      const { crashFingerprint } = request
-      if (crashFingerprint !== undefined) this.parts.crashes.noteAnswered(crashFingerprint)
+      this.noteHarmless(request, result)
       request.scope.commit()
       if (result.kind === 'answering') this.holdAnswer(request, result.answer)
       return
@@ -336,6 +335,12 @@
       this.parts.endpoints.noteFailure(endpointId)
   }
 
+  /** An error may be that of a front whose engine has ended under the request, so it clears nothing. */
+  private noteHarmless({ crashFingerprint }: RoutedRequest, result: AttemptResult): void {
+    if (crashFingerprint === undefined || result.kind !== 'answering') return
+    if (!isServerError(result.answer.status)) this.parts.crashes.noteAnswered(crashFingerprint)
+  }
+
   /** Once, at the end of the request or of the answer. */
   private holdAnswer({ scope }: RoutedRequest, answer: EndpointAnswer): void {
     let isHeld = true
