fix(decisions, router): what was broken off where looks show nothing is held for an end that another instance tells of

Callers saw a chat that ends engines go on after its second engine: a third and a fourth end beside load.

Cause: an instance sent a suspected chat, the engine ended, and its own looks got no connection. Others saw that end and told that the start is away; the instance took that in and kept its own marks untold. The one that proves the chat lapsed after a second.

Change: told of an end, an instance whose looks showed nothing, and that heard nothing from there since, holds it for ended (a row of endSigns). A look that shows life, or a state that was asked for after the break, still says that it lives.

--- a/packages/decisions/__tests__/endSigns.spec.ts
+++ b/packages/decisions/__tests__/endSigns.spec.ts
@@ -27,6 +27,18 @@
     `)
   })
 
+  // Own marks of an end that another instance saw were never told: a proven request stayed suspected only.
+  it('has ended by what another instance told, where the looks here show nothing and nothing else came', () => {
+    const told = SIGNS.map(sign => `${sign}: ${judgeEnd([sign], false, true)}`)
+    expect(told).toEqual([
+      'nobody-listens: ended',
+      'lives: lives',
+      'does-not-answer: look-again',
+      'no-connection: ended',
+    ])
+    expect(judgeEnd(['no-connection'], true, true)).toBe('lives')
+  })
+
   it('has not ended by looks alone while other requests from here go on there', () => {
     const looks = fc.array(fc.constantFrom(...SIGNS.filter(sign => sign !== 'nobody-listens')))
     fc.assert(
--- a/packages/decisions/src/retrying/endSigns.ts
+++ b/packages/decisions/src/retrying/endSigns.ts
@@ -15,6 +15,7 @@
  * | the same, read before                                 | nothing           |                |
  * | takes the question and closes, fails, or is silent    | an end, if twice  |                |
  * | no connection comes up: a cut, no power, a full queue | nothing           |                |
+ * | the same, and another instance tells of the end       | an end            |                |
  *
  * Limits: two looks in a row must say the same, since one may meet a full endpoint or a lost packet. What is asked takes
  * no slot at an engine, so a full one answers it. What left before the end may be read after the break: the first look goes
@@ -63,12 +64,19 @@
   return Math.max(askedAt, readAt - READ_LATE_MILLISECONDS)
 }
 
-/** By the looks so far, the newest last, and whether anything else came from it since the break. */
-export function judgeEnd(looks: readonly EndSign[], wasHeardSince: boolean): EndVerdict {
+/**
+ * By the looks so far, the newest last, whether anything else came from it since the break, and whether another instance
+ * told that it has ended.
+ */
+export function judgeEnd(
+  looks: readonly EndSign[],
+  wasHeardSince: boolean,
+  wasTold = false,
+): EndVerdict {
   const newest = looks.at(-1)
   if (newest === 'nobody-listens') return 'ended'
   if (newest === 'lives' || wasHeardSince) return 'lives'
-  if (newest === 'no-connection') return 'unknown'
+  if (newest === 'no-connection') return wasTold ? 'ended' : 'unknown'
   const sames = looks.slice(-LOOKS_THAT_COUNT).filter(look => look === 'does-not-answer')
   return sames.length === LOOKS_THAT_COUNT ? 'ended' : 'look-again'
 }
--- a/packages/router/__tests__/endpointEnds.spec.ts
+++ b/packages/router/__tests__/endpointEnds.spec.ts
@@ -165,6 +165,35 @@
   })
 })
 
+describe('an endpoint that another instance tells of as ended', () => {
+  const { start } = recordOf(1)
+
+  // An instance whose looks showed nothing kept its marks untold, and one that proves a request was lost with them.
+  it('has ended under what broke off here, where the look showed nothing before or shows nothing', async () => {
+    const before = watch('no-connection')
+    expect(await before.ends.noteBroken(before.endpoint(), FIRST)).toBe(false)
+    before.ends.noteTold(start)
+    const during: ReturnType<typeof watch> = watch('no-connection', () =>
+      during.ends.noteTold(start),
+    )
+    const isKnown = during.ends.noteBroken(during.endpoint(), FIRST)
+    await during.clock.advance(LOOK_MILLISECONDS)
+    expect(await isKnown).toBe(true)
+    expect([before.unanswered(), during.unanswered()]).toEqual([[['first']], [['first']]])
+  })
+
+  it('has not ended where a look showed life, or it told its state since', async () => {
+    const lives = watch('lives')
+    await lives.ends.noteBroken(lives.endpoint(), FIRST)
+    lives.ends.noteTold(start)
+    const heard = watch('no-connection')
+    await heard.ends.noteBroken(heard.endpoint(), FIRST)
+    heard.heard.askedAt = 1
+    heard.ends.noteTold(start)
+    expect([lives.unanswered(), heard.unanswered()]).toEqual([[], []])
+  })
+})
+
 describe('an endpoint where nobody listens', () => {
   it('is left alone for a second, by whoever saw it or was told', async () => {
     const { directory, endpoint, clock } = watch('nobody-listens')
--- a/packages/router/__tests__/endsByOrder.spec.ts
+++ b/packages/router/__tests__/endsByOrder.spec.ts
@@ -8,7 +8,10 @@
 const SEEDS = [1, 2, 3, 4, 5, 6]
 const MOST_ENDS = 3
 
-it.each([{ from: 30, until: 600, fronts: FRONTS }])(
+it.each([
+  { from: 0, until: 300, fronts: FRONTS },
+  { from: 30, until: 600, fronts: FRONTS },
+])(
   'a marked chat ends three engines at the most where no look proves anything from $from to $until ms',
   async ({ from, until, fronts }) => {
     const blind = [0, 1, 2].map(instance => ({ instance, from, until }))
--- a/packages/router/src/crashes/crashGuard.ts
+++ b/packages/router/src/crashes/crashGuard.ts
@@ -144,7 +144,10 @@
   /** Takes in what others found out. */
   observe(news: CrashNews): void {
     this.take(news)
-    for (const start of news.away ?? []) this.noteTold(start)
+    for (const start of news.away ?? []) {
+      this.ends.noteTold(start)
+      this.noteTold(start)
+    }
   }
 
   /** Nothing is held against a request any more: an operator, or another instance, removed its record. */
--- a/packages/router/src/crashes/endpointEnds.ts
+++ b/packages/router/src/crashes/endpointEnds.ts
@@ -90,6 +90,8 @@
   lookBeganAt: Milliseconds
   newestAt: Milliseconds
   signs: EndSign[]
+  /** Whether another instance told since the break that it has ended. */
+  wasTold: boolean
   hasEnded: boolean
   /** Whether a later start is listed in its place. */
   isReplaced: boolean
@@ -170,6 +172,14 @@
     this.end(breaks)
   }
 
+  /** Another instance saw the end: what was broken off here is held for it, though no look of this one could tell. */
+  noteTold(start: EndpointStart): void {
+    const breaks = this.breaks.get(start)
+    if (breaks === undefined || breaks.hasEnded) return
+    breaks.wasTold = true
+    if (breaks.looking === undefined && this.judge(breaks) === 'ended') this.end(breaks)
+  }
+
   private wasThere({ endpoint, looking }: Breaks, { sentAt }: BrokenRequest): boolean {
     const { broken } = this.parts
     const { start, isStartTold = false } = endpoint
@@ -189,6 +199,7 @@
     this.parts.broken.note(breaks.endpoint.start, breaks.brokenAt)
     breaks.lookedAt = Number.POSITIVE_INFINITY
     breaks.signs = []
+    breaks.wasTold = false
     const looking = this.look(breaks)
     this.renewLater(breaks)
     return looking
@@ -234,7 +245,12 @@
     breaks.lookBeganAt = this.parts.clock.monotonic()
     signs.push(await this.parts.probe(endpoint))
     breaks.lookedAt = Math.min(breaks.lookedAt, this.parts.clock.monotonic())
-    return judgeEnd(signs, hasOutlived(breaks, endpoint.heard()))
+    return this.judge(breaks)
+  }
+
+  private judge(breaks: Breaks): EndVerdict {
+    const { endpoint, signs, wasTold } = breaks
+    return judgeEnd(signs, hasOutlived(breaks, endpoint.heard()), wasTold)
   }
 
   /** An engine that is back behind its front is used again as soon as it tells its state. */
@@ -294,6 +310,7 @@
       lookBeganAt: now,
       newestAt: now,
       signs: [],
+      wasTold: false,
       hasEnded,
       isReplaced: false,
       looking: undefined,
