fix(decisions, router): a suspected request goes to the endpoint of its hash again while nobody knows what became of that

Callers saw one chat that ends engines end one with each of its attempts, beside load.

Cause (OpenAI-style kind): an attempt's endpoint is not asked twice. Where no look could tell whether it had ended, the next attempt went to the next endpoint of the hash order, which no other instance chose. A silent front breaks nothing more off, so nobody looked there again, and the suspicion lapsed.

Change: suspectedChoice leaves out a tried endpoint once it is known to live, and not while it is in doubt. Where a suspected request is sent to one that no look could judge, it is looked at again 100 ms later; that alone renews no doubt. It waits that long since a look that began with the request could show the life that the request ends. Attempts and the deadline bound it as before.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -80,6 +80,7 @@
 export { withdrawal } from './retrying/withdrawal.js'
 export type { KnownEnd, OpenAttempt } from './retrying/withdrawal.js'
 export { UnjudgedBreaks } from './retrying/unjudgedBreaks.js'
+export { suspectedChoice } from './retrying/suspectedChoice.js'
 export { FleetRetryBudget } from './retrying/fleetRetryBudget.js'
 export type { RetryBounds } from './retrying/fleetRetryBudget.js'
 export {
--- /dev/null
+++ b/packages/decisions/src/retrying/suspectedChoice.ts
@@ -0,0 +1,36 @@
+/**
+ * Which endpoint does a request go to that may end endpoints?
+ *
+ * Load pattern: such a request is broken off, and its instance is too busy to find out whether the endpoint has ended. Sent on
+ * to the next one of its order, each of its attempts would cost one more endpoint, and no mark of them would be left.
+ *
+ * | an endpoint                               | may it be chosen?                                    |
+ * | ----------------------------------------- | ---------------------------------------------------- |
+ * | not tried                                 | yes                                                  |
+ * | tried, and nobody knows what became of it | yes: it costs no other one, and is looked at again   |
+ * | tried, and a look showed that it lives    | no: it broke the request off for a reason of its own |
+ * | known to have ended                       | no: it is no candidate                               |
+ *
+ * So attempts that follow choose as all other instances do. Limits: whoever calls bounds the attempts and their time. Behind a
+ * silent front an attempt waits until a look shows the end, or as long as its caller allows.
+ */
+
+import type { RequestFingerprint } from '@rackwalk/shared'
+import { rendezvousChoice } from '../choosing/rendezvous.js'
+
+/** What is known of the endpoints. */
+export interface SuspectedTries<Candidate> {
+  readonly tried: ReadonlySet<Candidate>
+  /** Whether one broke something off, and nobody knows yet whether it has ended. */
+  readonly isInDoubt: (candidate: Candidate) => boolean
+}
+
+/** The one that all instances choose; undefined where there is none. */
+export function suspectedChoice<Candidate extends string>(
+  fingerprint: RequestFingerprint,
+  candidates: readonly Candidate[],
+  { tried, isInDoubt }: SuspectedTries<Candidate>,
+): Candidate | undefined {
+  const open = candidates.filter(candidate => !tried.has(candidate) || isInDoubt(candidate))
+  return rendezvousChoice(fingerprint, open)
+}
--- a/packages/router/__tests__/endpointEnds.spec.ts
+++ b/packages/router/__tests__/endpointEnds.spec.ts
@@ -37,9 +37,10 @@
   const away: number[] = []
   const lookedAts: number[] = []
   let probes = 0
+  const starts = new BrokenStarts()
   const ends = new EndpointEnds({
     clock,
-    broken: new BrokenStarts(),
+    broken: starts,
     probe: async () => {
       probes += 1
       if (onLooked !== undefined) {
@@ -77,6 +78,7 @@
     clock,
     heard,
     ends,
+    broken: starts,
     directory,
     endpoint,
     unanswered,
@@ -165,6 +167,44 @@
   })
 })
 
+describe('an endpoint that no look could judge', () => {
+  const { start } = recordOf(1)
+
+  // A silent front breaks nothing more off, so nobody looked again and the suspicion lapsed.
+  it('is looked at again when a suspected request is sent there', async () => {
+    const { clock, ends, endpoint, unanswered, probes } = watch(look => {
+      return look === 1 ? 'no-connection' : 'nobody-listens'
+    })
+    await ends.noteBroken(endpoint(), FIRST)
+    ends.noteSuspectSent(start)
+    await clock.advance(99)
+    expect([probes(), unanswered()]).toEqual([1, []])
+    await clock.advance(1)
+    expect([probes(), unanswered()]).toEqual([2, [['first']]])
+  })
+
+  it('is in doubt no longer for that, and one that lives or was not looked at is left alone', async () => {
+    const unproven = watch('no-connection', () => {})
+    const isKnown = unproven.ends.noteBroken(unproven.endpoint(), FIRST)
+    await unproven.clock.advance(LOOK_MILLISECONDS)
+    await isKnown
+    for (let time = 0; time < 8; time += 1) {
+      unproven.ends.noteSuspectSent(start)
+      await unproven.clock.advance(120)
+    }
+    const isInDoubt = () => unproven.broken.isInDoubt(start, unproven.clock.monotonic())
+    expect([unproven.probes(), isInDoubt()]).toEqual([9, true])
+    await unproven.clock.advance(30)
+    expect(isInDoubt()).toBe(false)
+    const lives = watch('lives')
+    lives.ends.noteSuspectSent(start)
+    await lives.ends.noteBroken(lives.endpoint(), FIRST)
+    lives.ends.noteSuspectSent(start)
+    await lives.clock.advance(1_000)
+    expect(lives.probes()).toBe(1)
+  })
+})
+
 describe('an endpoint that another instance tells of as ended', () => {
   const { start } = recordOf(1)
 
--- a/packages/router/src/crashes/crashGuard.ts
+++ b/packages/router/src/crashes/crashGuard.ts
@@ -118,6 +118,11 @@
     return this.ends.noteBroken(endpoint, request)
   }
 
+  /** A suspected request is sent to this start of its endpoint. */
+  noteSuspectSent(start: EndpointStart): void {
+    this.ends.noteSuspectSent(start)
+  }
+
   /** An endpoint cut what it had begun to answer; resolves with whether it is known to have ended. */
   noteCut(endpoint: BreakingEndpoint): Promise<boolean> {
     return this.ends.noteCut(endpoint)
--- a/packages/router/src/crashes/endpointEnds.ts
+++ b/packages/router/src/crashes/endpointEnds.ts
@@ -107,6 +107,8 @@
 const LOOK_AGAIN_MILLISECONDS: Milliseconds = 25
 /** News of a break at which it is still looked is told again after this time: it is forgotten after twice as long. */
 const RENEWAL_MILLISECONDS: Milliseconds = 500
+/** A look that began before the break of a request could show the life that the request ends a moment later. */
+const SILENCE_MILLISECONDS: Milliseconds = 100
 /** Time between two looks at one that has ended behind something that listens, */
 const AWAY_LOOK_MILLISECONDS: Milliseconds = 500
 /** and how many of them are made: it is tried like any other after that. */
@@ -180,6 +182,26 @@
     if (breaks.looking === undefined && this.judge(breaks) === 'ended') this.end(breaks)
   }
 
+  /**
+   * A suspected request is sent where something was broken off and no look could tell. A silent front breaks nothing more
+   * off, so it is looked at once more; that alone leaves the endpoint in doubt no longer.
+   */
+  noteSuspectSent(start: EndpointStart): void {
+    const breaks = this.breaks.get(start)
+    if (breaks === undefined || !this.isUnproven(breaks)) return
+    this.parts.clock.after(SILENCE_MILLISECONDS, () => {
+      if (!this.isUnproven(breaks) || this.isStopped) return
+      breaks.signs = []
+      breaks.looking = this.look(breaks)
+    })
+  }
+
+  /** Whether the looks are over and proved nothing, and nothing came from there since. */
+  private isUnproven(breaks: Breaks): boolean {
+    const { hasEnded, looking } = breaks
+    return !hasEnded && looking === undefined && this.judge(breaks) === 'unknown'
+  }
+
   private wasThere({ endpoint, looking }: Breaks, { sentAt }: BrokenRequest): boolean {
     const { broken } = this.parts
     const { start, isStartTold = false } = endpoint
--- a/packages/router/src/filters/dispatch.ts
+++ b/packages/router/src/filters/dispatch.ts
@@ -194,6 +194,7 @@
     const promptTokens = promptEstimate(request)
     this.parts.endpoints.noteSent(endpointId, promptTokens)
     request.notePlaced()
+    if (sent.wasIsolated) this.parts.crashes.noteSuspectSent(this.startOf(endpointId))
     const answered = await this.parts.client.attempt({
       endpointId,
       address: endpoint.spec.address,
--- a/packages/router/src/routing/endpointRouter.ts
+++ b/packages/router/src/routing/endpointRouter.ts
@@ -3,7 +3,7 @@
  * policy and keeps what was compared.
  */
 
-import { rendezvousChoice } from '@rackwalk/decisions'
+import { rendezvousChoice, suspectedChoice } from '@rackwalk/decisions'
 import { NotRunError, ResultCode } from '@rackwalk/shared'
 import type { EndpointId, RandomSource } from '@rackwalk/shared'
 import type { RoutingRecord } from '../decisionRecord.js'
@@ -48,7 +48,7 @@
     const hashes = request.call.kind === 'chat' ? prefixHashes(request.call.chat.prompt) : []
     const candidates = this.candidates(request, hashes)
     const untried = candidates.filter(view => !tried.has(view.endpointId))
-    const isolated = this.isolate(request, untried)
+    const isolated = this.isolate(request, candidates, tried)
     if (isolated !== undefined) return this.note(request, ISOLATING_POLICY, isolated, hashes)
     const policy = this.policyFor(request)
     const choice = policy.choose(this.trusted(untried), this.demandOf(request), this.parts.random)
@@ -93,14 +93,19 @@
   /** The endpoint at which all instances try a request that may end endpoints; refuses one that does. */
   private isolate(
     { crashFingerprint }: ParsedRequest,
-    untried: readonly EndpointView[],
+    candidates: readonly EndpointView[],
+    tried: ReadonlySet<EndpointId>,
   ): EndpointChoice | undefined {
     if (crashFingerprint === undefined) return undefined
     const verdict = this.parts.crashes.verdict(crashFingerprint)
     if (verdict === 'refuse') throw new NotRunError(ResultCode.EndsEndpoints)
     if (verdict === 'send') return undefined
-    const ids = untried.map(({ endpointId }) => endpointId)
-    const endpointId = rendezvousChoice(crashFingerprint, ids)
+    const { crashes } = this.parts
+    const ids = candidates.map(({ endpointId }) => endpointId)
+    const endpointId = suspectedChoice(crashFingerprint, ids, {
+      tried,
+      isInDoubt: candidate => crashes.isEndpointInDoubt(candidate),
+    })
     return endpointId === undefined ? undefined : { endpointId, compared: [] }
   }
 
