--- a/packages/router/__tests__/endpointEnds.spec.ts
+++ b/packages/router/__tests__/endpointEnds.spec.ts
@@ -37,9 +37,10 @@
   const away: number[] = []
   const lookedAts: number[] = []
   let probes = 0
+  const starts = new BrokenStarts()
   const ends = new EndpointEnds({
     clock,
-    broken: new BrokenStarts(),
+    broken: starts,
     probe: async () => {
       probes += 1
       if (onLooked !== undefined) {
@@ -77,6 +78,7 @@
     clock,
     heard,
     ends,
+    broken: starts,
     directory,
     endpoint,
     unanswered,
@@ -165,6 +167,73 @@
   })
 })
 
+describe('an endpoint that no look could judge', () => {
+  const { start } = recordOf(1)
+
+  // A silent front breaks nothing more off, so nobody looked again and the suspicion lapsed.
+  it('is looked at again when a suspected request is sent there', async () => {
+    const { clock, ends, endpoint, unanswered, probes } = watch(look => {
+      return look === 1 ? 'no-connection' : 'nobody-listens'
+    })
+    await ends.noteBroken(endpoint(), FIRST)
+    ends.noteSuspectSent(start)
+    await clock.advance(99)
+    expect([probes(), unanswered()]).toEqual([1, []])
+    await clock.advance(1)
+    expect([probes(), unanswered()]).toEqual([2, [['first']]])
+  })
+
+  it('is in doubt no longer for that, and one that lives or was not looked at is left alone', async () => {
+    const unproven = watch('no-connection', () => {})
+    const isKnown = unproven.ends.noteBroken(unproven.endpoint(), FIRST)
+    await unproven.clock.advance(LOOK_MILLISECONDS)
+    await isKnown
+    for (let time = 0; time < 8; time += 1) {
+      unproven.ends.noteSuspectSent(start)
+      await unproven.clock.advance(120)
+    }
+    const isInDoubt = () => unproven.broken.isInDoubt(start, unproven.clock.monotonic())
+    expect([unproven.probes(), isInDoubt()]).toEqual([9, true])
+    await unproven.clock.advance(30)
+    expect(isInDoubt()).toBe(false)
+    const lives = watch('lives')
+    lives.ends.noteSuspectSent(start)
+    await lives.ends.noteBroken(lives.endpoint(), FIRST)
+    lives.ends.noteSuspectSent(start)
+    await lives.clock.advance(1_000)
+    expect(lives.probes()).toBe(1)
+  })
+})
+
+describe('an endpoint that another instance tells of as ended', () => {
+  const { start } = recordOf(1)
+
+  // An instance whose looks showed nothing kept its marks untold, and one that proves a request was lost with them.
+  it('has ended under what broke off here, where the look showed nothing before or shows nothing', async () => {
+    const before = watch('no-connection')
+    expect(await before.ends.noteBroken(before.endpoint(), FIRST)).toBe(false)
+    before.ends.noteTold(start)
+    const during: ReturnType<typeof watch> = watch('no-connection', () =>
+      during.ends.noteTold(start),
+    )
+    const isKnown = during.ends.noteBroken(during.endpoint(), FIRST)
+    await during.clock.advance(LOOK_MILLISECONDS)
+    expect(await isKnown).toBe(true)
+    expect([before.unanswered(), during.unanswered()]).toEqual([[['first']], [['first']]])
+  })
+
+  it('has not ended where a look showed life, or it told its state since', async () => {
+    const lives = watch('lives')
+    await lives.ends.noteBroken(lives.endpoint(), FIRST)
+    lives.ends.noteTold(start)
+    const heard = watch('no-connection')
+    await heard.ends.noteBroken(heard.endpoint(), FIRST)
+    heard.heard.askedAt = 1
+    heard.ends.noteTold(start)
+    expect([lives.unanswered(), heard.unanswered()]).toEqual([[], []])
+  })
+})
+
 describe('an endpoint where nobody listens', () => {
   it('is left alone for a second, by whoever saw it or was told', async () => {
     const { directory, endpoint, clock } = watch('nobody-listens')
--- a/packages/router/src/crashes/crashGuard.ts
+++ b/packages/router/src/crashes/crashGuard.ts
@@ -59,7 +59,7 @@
       onEnd: end => this.noteEnd(end),
       onAway: (start, seen) => this.noteAway(start, seen),
       onLook: (start, requests) => this.noteLook(requests.map(request => markOf(start, request))),
-      onLooked: start => this.unjudged.forget(start),
+      onLooked: (start, hasEnded) => this.noteLooked(start, hasEnded),
       onLives: start => this.noteLives(start),
     })
   }
@@ -74,7 +74,7 @@
     return this.suspicions.mayConcern(scope) || this.unjudged.mayConcern(scope, now)
   }
 
-  /** Requests that are refused. */
+  /** Requests that are refused by a mark; what is refused for a moment until its mark comes is on no record. */
   get refusedCount(): number {
     return this.suspicions.refusedCount
   }
@@ -91,9 +91,10 @@
 
   verdict(fingerprint: RequestFingerprint): CrashVerdict {
     const known = this.suspicions.verdict(fingerprint)
-    if (known !== 'send') return known
-    const isUnjudged = this.unjudged.has(fingerprint, this.parts.clock.monotonic())
-    return isUnjudged ? 'isolate' : known
+    const unjudged = this.unjudged.verdict(fingerprint, this.parts.clock.monotonic())
+    const verdicts = [known, unjudged]
+    if (verdicts.includes('refuse')) return 'refuse'
+    return verdicts.includes('isolate') ? 'isolate' : 'send'
   }
 
   /** Whether a start broke something off, and may have ended: what is not suspected goes elsewhere while it can. */
@@ -127,6 +128,11 @@
     return this.ends.noteBroken(endpoint, request)
   }
 
+  /** A suspected request is sent to this start of its endpoint. */
+  noteSuspectSent(start: EndpointStart): void {
+    this.ends.noteSuspectSent(start)
+  }
+
   /** An endpoint cut what it had begun to answer; resolves with whether it is known to have ended. */
   noteCut(endpoint: BreakingEndpoint): Promise<boolean> {
     return this.ends.noteCut(endpoint)
@@ -153,7 +159,10 @@
   /** Takes in what others found out. */
   observe(news: CrashNews): void {
     this.take(news)
-    for (const start of news.away ?? []) this.noteTold(start)
+    for (const start of news.away ?? []) {
+      this.ends.noteTold(start)
+      this.noteTold(start)
+    }
   }
 
   /** Nothing is held against a request any more: an operator, or another instance, removed its record. */
@@ -169,6 +178,12 @@
     this.share({ marks: [], cleared: [], suspected })
   }
 
+  /** What others told of this start is judged by the look at it as well. */
+  private noteLooked(start: EndpointStart, hasEnded: boolean): void {
+    if (hasEnded) this.unjudged.noteEnd(start, this.parts.clock.monotonic())
+    else this.unjudged.forget(start)
+  }
+
   private noteLives(start: EndpointStart): void {
     this.share({ marks: [], cleared: [], lives: [start] })
   }
@@ -208,6 +223,7 @@
       this.watchVerdict(mark.fingerprint, () => this.noteMark(mark))
     }
     for (const { fingerprint, starts } of cleared) {
+      this.unjudged.clear(fingerprint, starts)
       this.watchVerdict(fingerprint, () => this.suspicions.clear(fingerprint, starts))
     }
   }
@@ -223,7 +239,8 @@
     for (const { start } of suspected) this.broken.note(start, now)
     for (const start of away) this.broken.noteAway(start, now)
     for (const mark of suspected) this.unjudged.note(mark, now)
-    for (const { start } of marks) this.unjudged.forget(start)
+    for (const start of away) this.unjudged.noteEnd(start, now)
+    for (const { start } of marks) this.unjudged.noteEnd(start, now)
   }
 
   private noteMark(mark: CrashMark): void {
--- a/packages/router/src/crashes/endpointEnds.ts
+++ b/packages/router/src/crashes/endpointEnds.ts
@@ -72,8 +72,8 @@
   readonly onEnd: (end: EndpointEnd) => void
   /** Requests were broken off, and it is looked whether their endpoint has ended; told again for as long as that lasts. */
   readonly onLook: (start: EndpointStart, requests: readonly BrokenRequest[]) => void
-  /** The look is over; `onEnd` was called before where it showed an end. */
-  readonly onLooked: (start: EndpointStart) => void
+  /** A look showed an end or life; `onEnd` was called before where it showed an end. */
+  readonly onLooked: (start: EndpointStart, hasEnded: boolean) => void
   /** The look showed that this start lives. */
   readonly onLives: (start: EndpointStart) => void
   /** Something listens where a start has ended, and does not answer; told again for as long as that lasts. */
@@ -98,6 +98,8 @@
   lookBeganAt: Milliseconds
   newestAt: Milliseconds
   signs: EndSign[]
+  /** Whether another instance told since the break that it has ended. */
+  wasTold: boolean
   hasEnded: boolean
   /** Whether a later start is listed in its place. */
   isReplaced: boolean
@@ -113,6 +115,8 @@
 const LOOK_AGAIN_MILLISECONDS: Milliseconds = 25
 /** News of a break at which it is still looked is told again after this time: it is forgotten after twice as long. */
 const RENEWAL_MILLISECONDS: Milliseconds = 500
+/** A look that began before the break of a request could show the life that the request ends a moment later. */
+const SILENCE_MILLISECONDS: Milliseconds = 100
 /** Time between two looks at one that has ended behind something that listens, */
 const AWAY_LOOK_MILLISECONDS: Milliseconds = 500
 /** and how many of them are made: it is tried like any other after that. */
@@ -191,6 +195,34 @@
     this.end(breaks)
   }
 
+  /** Another instance saw the end: what was broken off here is held for it, though no look of this one could tell. */
+  noteTold(start: EndpointStart): void {
+    const breaks = this.breaks.get(start)
+    if (breaks === undefined || breaks.hasEnded) return
+    breaks.wasTold = true
+    if (breaks.looking === undefined && this.judge(breaks) === 'ended') this.end(breaks)
+  }
+
+  /**
+   * A suspected request is sent where something was broken off and no look could tell. A silent front breaks nothing more
+   * off, so it is looked at once more; that alone leaves the endpoint in doubt no longer.
+   */
+  noteSuspectSent(start: EndpointStart): void {
+    const breaks = this.breaks.get(start)
+    if (breaks === undefined || !this.isUnproven(breaks)) return
+    this.parts.clock.after(SILENCE_MILLISECONDS, () => {
+      if (!this.isUnproven(breaks) || this.isStopped) return
+      breaks.signs = []
+      breaks.looking = this.look(breaks)
+    })
+  }
+
+  /** Whether the looks are over and proved nothing, and nothing came from there since. */
+  private isUnproven(breaks: Breaks): boolean {
+    const { hasEnded, looking } = breaks
+    return !hasEnded && looking === undefined && this.judge(breaks) === 'unknown'
+  }
+
   private wasThere({ endpoint, looking }: Breaks, { sentAt }: BrokenRequest): boolean {
     const { broken } = this.parts
     const { start, isStartTold = false } = endpoint
@@ -210,6 +242,7 @@
     this.parts.broken.note(breaks.endpoint.start, breaks.brokenAt)
     breaks.lookedAt = Number.POSITIVE_INFINITY
     breaks.signs = []
+    breaks.wasTold = false
     const looking = this.look(breaks)
     this.renewLater(breaks)
     return looking
@@ -236,19 +269,31 @@
     breaks.spoken.clear()
     const isEnd = verdict === 'ended' && !breaks.hasEnded
     if (isEnd) this.end(breaks)
-    else if (!breaks.hasEnded) this.parts.broken.forget(breaks.endpoint.start)
-    this.parts.onLooked(breaks.endpoint.start)
-    if (verdict === 'lives') this.parts.onLives(breaks.endpoint.start)
+    this.noteJudged(breaks, verdict)
     if (!isEnd) return
     if (breaks.signs.at(-1) === 'does-not-answer') void this.watchReturn(breaks)
   }
 
+  /** What proves nothing takes no suspicion and no doubt away: each try that passed for innocent would cost an endpoint. */
+  private noteJudged({ endpoint, hasEnded }: Breaks, verdict: EndVerdict): void {
+    const { start } = endpoint
+    if (verdict === 'unknown' && !hasEnded) return
+    if (!hasEnded) this.parts.broken.forget(start)
+    this.parts.onLooked(start, hasEnded)
+    if (verdict === 'lives') this.parts.onLives(start)
+  }
+
   private async lookOnce(breaks: Breaks): Promise<EndVerdict> {
     const { endpoint, signs } = breaks
     breaks.lookBeganAt = this.parts.clock.monotonic()
     signs.push(await this.parts.probe(endpoint))
     breaks.lookedAt = Math.min(breaks.lookedAt, this.parts.clock.monotonic())
-    return judgeEnd(signs, hasOutlived(breaks, endpoint.heard()))
+    return this.judge(breaks)
+  }
+
+  private judge(breaks: Breaks): EndVerdict {
+    const { endpoint, signs, wasTold } = breaks
+    return judgeEnd(signs, hasOutlived(breaks, endpoint.heard()), wasTold)
   }
 
   /** An engine that is back behind its front is used again as soon as it tells its state. */
@@ -310,6 +355,7 @@
       lookBeganAt: now,
       newestAt: now,
       signs: [],
+      wasTold: false,
       hasEnded,
       isReplaced: false,
       looking: undefined,
