test(router): the bound of held connections does not depend on how long they take to arrive

The test wants 45 of 80 callers told to leave, by what the link carries in three seconds. Shown by forcing it: with 100 ms between the first 20 and the rest the test as it was fails with 44; with the clock held it has 45. Checks and bounds are unchanged; it is stricter now, since the time of arrival is no longer left open.

--- a/packages/router/__tests__/refusedBodies.spec.ts
+++ b/packages/router/__tests__/refusedBodies.spec.ts
@@ -7,6 +7,7 @@
 import { RefusedBodies, continueWhenRead, readBody } from '@rackwalk/router'
 import type { RefusedBodyOutcome } from '@rackwalk/router'
 import { SystemClock } from '@rackwalk/shared'
+import type { Milliseconds } from '@rackwalk/shared'
 
 /** What callers see of a refusal, and the link of their bodies, whatever the body, its framing and its caller. */
 
@@ -17,7 +18,16 @@
 /** What a socket and the parser hold of a body that is not read on. */
 const BUFFERED_BYTES = 262_144
 
-const clock = new SystemClock()
+/** The clock of the process; while it is held, the link carries nothing more. */
+class HoldableClock extends SystemClock {
+  heldAt: Milliseconds | undefined
+
+  override monotonic(): Milliseconds {
+    return this.heldAt ?? super.monotonic()
+  }
+}
+
+const clock = new HoldableClock()
 let server: Server
 let sockets: Socket[]
 let outcomes: RefusedBodyOutcome[]
@@ -47,6 +57,7 @@
 })
 
 afterEach(() => {
+  clock.heldAt = undefined
   for (const socket of sockets) socket.destroy()
   server.closeAllConnections()
   server.close()
@@ -187,6 +198,8 @@
   })
 
   it('holds the connections of those who come again at once, and tells the others to leave', async () => {
+    // Each 86 ms in which they arrive would cover one body more.
+    clock.heldAt = clock.monotonic()
     const connections = Array.from({ length: 80 }, () => new Connection())
     for (const connection of connections) {
       connection.send(head('/refused', lengthOf(30_000)) + 'x'.repeat(30_000))
