fix(decisions, router): what is suspected is neither forgotten too early nor held for an end that it had no part in

- A request that was sent as any other, and is still looked at, passed for innocent as soon as another instance told of the end.
It stays isolated until its own mark is there, a second after it was last told of at the most.
- An innocent chat used all four attempts at an endpoint that was cut off, though another was idle: a suspected request goes there again only once, and not where no connection came up.
- A suspected request that a cut had broken off was refused for an end that was told four seconds later: news of an end speaks of breaks of the last second, and breaks that are forgotten are not renewed.
- What a grey endpoint had broken off for a minute was told to each newcomer (6,001 entries): only what is looked at is.
- An error of 500 of an engine that lives cleared nothing, for a week: it clears again where a look showed life.

Not mended: marks of what a grey endpoint broke off are kept for as long as it breaks something off each five seconds (older).

--- a/packages/decisions/__tests__/suspectedChoice.spec.ts
+++ b/packages/decisions/__tests__/suspectedChoice.spec.ts
@@ -14,9 +14,13 @@
   candidates: readonly string[],
   tried: readonly string[],
   doubted: readonly string[],
+  brokeOffOnce = tried,
 ) {
-  const isInDoubt = (candidate: string) => doubted.includes(candidate)
-  return suspectedChoice(FINGERPRINT, candidates, { tried: new Set(tried), isInDoubt })
+  return suspectedChoice(FINGERPRINT, candidates, {
+    tried: new Set(tried),
+    brokeOffOnce: new Set(brokeOffOnce),
+    isInDoubt: candidate => doubted.includes(candidate),
+  })
 }
 
 describe('a request that may end endpoints', () => {
@@ -34,6 +38,11 @@
     expect(chosen(ORDER.slice(1), [first], [first])).toBe(second)
   })
 
+  // An innocent request used all its attempts up at an endpoint that was cut off, while another one was free.
+  it('goes to the next one where no connection came up, or the first one broke it off twice', () => {
+    expect(chosen(IDS, [first], [first], [])).toBe(second)
+  })
+
   it('goes nowhere where all were tried and live', () => {
     expect(chosen(IDS, IDS, [])).toBeUndefined()
     expect(chosen([], [], [])).toBeUndefined()
--- a/packages/decisions/src/retrying/suspectedChoice.ts
+++ b/packages/decisions/src/retrying/suspectedChoice.ts
@@ -4,15 +4,17 @@
  * Load pattern: such a request is broken off, and its instance is too busy to find out whether the endpoint has ended. Sent on
  * to the next one of its order, each of its attempts would cost one more endpoint, and no mark of them would be left.
  *
- * | an endpoint                               | may it be chosen?                                    |
- * | ----------------------------------------- | ---------------------------------------------------- |
- * | not tried                                 | yes                                                  |
- * | tried, and nobody knows what became of it | yes: it costs no other one, and is looked at again   |
- * | tried, and a look showed that it lives    | no: it broke the request off for a reason of its own |
- * | known to have ended                       | no: it is no candidate                               |
+ * | an endpoint                                          | may it be chosen?                                    |
+ * | ---------------------------------------------------- | ---------------------------------------------------- |
+ * | not tried                                            | yes                                                  |
+ * | broke it off once, nobody knows what became of it    | yes: it costs no other one, and is looked at again   |
+ * | the same, twice                                      | no: its caller is to be served while others are free |
+ * | no connection came up                                | no: nothing ran there                                |
+ * | broke it off, and a look showed that it lives        | no: it broke the request off for a reason of its own |
+ * | known to have ended                                  | no: it is no candidate                               |
  *
- * So attempts that follow choose as all other instances do. Limits: whoever calls bounds the attempts and their time. Behind a
- * silent front an attempt waits until a look shows the end, or as long as its caller allows.
+ * So the attempt that follows chooses as all other instances do. Limits: whoever calls bounds the attempts and their time. Behind
+ * a silent front an attempt waits until a look shows the end, or as long as its caller allows.
  */
 
 import type { RequestFingerprint } from '@rackwalk/shared'
@@ -21,6 +23,8 @@
 /** What is known of the endpoints. */
 export interface SuspectedTries<Candidate> {
   readonly tried: ReadonlySet<Candidate>
+  /** Those that broke it off, and only once. */
+  readonly brokeOffOnce: ReadonlySet<Candidate>
   /** Whether one broke something off, and nobody knows yet whether it has ended. */
   readonly isInDoubt: (candidate: Candidate) => boolean
 }
@@ -29,8 +33,10 @@
 export function suspectedChoice<Candidate extends string>(
   fingerprint: RequestFingerprint,
   candidates: readonly Candidate[],
-  { tried, isInDoubt }: SuspectedTries<Candidate>,
+  { tried, brokeOffOnce, isInDoubt }: SuspectedTries<Candidate>,
 ): Candidate | undefined {
-  const open = candidates.filter(candidate => !tried.has(candidate) || isInDoubt(candidate))
+  const open = candidates.filter(candidate => {
+    return !tried.has(candidate) || (brokeOffOnce.has(candidate) && isInDoubt(candidate))
+  })
   return rendezvousChoice(fingerprint, open)
 }
--- a/packages/decisions/src/retrying/unjudgedBreaks.ts
+++ b/packages/decisions/src/retrying/unjudgedBreaks.ts
@@ -9,11 +9,13 @@
  * Who looks and who told of the break may be two instances, and either may know of the end first. A request that was sent
  * as suspected is refused from then on, without waiting for the mark: it would go to the next endpoint of its hash.
  *
- * | known of the break's start            | sent as suspected | sent as any other    |
- * | ------------------------------------- | ----------------- | -------------------- |
- * | nothing yet                           | isolate           | isolate              |
- * | it has ended, by own looks or by news | refuse            | forgotten: mark told |
- * | it lives                              | forgotten         | forgotten            |
+ * | known of the break's start            | sent as suspected | sent as any other |
+ * | ------------------------------------- | ----------------- | ----------------- |
+ * | nothing yet                           | isolate           | isolate           |
+ * | it has ended, by own looks or by news | refuse            | isolate           |
+ * | it lives                              | forgotten         | forgotten         |
+ *
+ * The mark of what was sent as any other comes when its own instance has looked, which may be later than the end is known.
  *
  * Limits: a break is no proof, so nothing is refused for it alone. It counts until a look has proved something, and no longer than a
  * second after it was last told of or its end became known: who looks tells it again for as long as it does. A break that
@@ -56,10 +58,11 @@
 
   /** A start of an endpoint is known to have ended; the mark of what it broke off may come later than that. */
   noteEnd(start: EndpointStart, now: Milliseconds): void {
+    this.forgetOld(now)
     const until = now + LOOK_MILLISECONDS
     this.breaks = this.breaks.flatMap(broken => {
       if (broken.start !== start || broken.hasEnded) return [broken]
-      return broken.wasIsolated ? [{ ...broken, hasEnded: true, until }] : []
+      return broken.wasIsolated ? [{ ...broken, hasEnded: true, until }] : [broken]
     })
   }
 
--- a/packages/router/__tests__/standIns/markedChats.ts
+++ b/packages/router/__tests__/standIns/markedChats.ts
@@ -224,7 +224,7 @@
       notePlaced: () => {},
     }
     try {
-      const { endpointId } = this.router.choose(request as never, new Set())
+      const { endpointId } = this.router.choose(request as never)
       const { answer } = await this.dispatch.apply({ ...request, endpointId } as never)
       return answer.status === 200
     } catch {
--- a/packages/router/src/crashes/endpointEnds.ts
+++ b/packages/router/src/crashes/endpointEnds.ts
@@ -115,6 +115,8 @@
 const LOOK_AGAIN_MILLISECONDS: Milliseconds = 25
 /** News of a break at which it is still looked is told again after this time: it is forgotten after twice as long. */
 const RENEWAL_MILLISECONDS: Milliseconds = 500
+/** News of an end speaks of breaks that are no older than this: what broke off earlier met another trouble. */
+const TOLD_MILLISECONDS: Milliseconds = 1_000
 /** A look that began before the break of a request could show the life that the request ends a moment later. */
 const SILENCE_MILLISECONDS: Milliseconds = 100
 /** Time between two looks at one that has ended behind something that listens, */
@@ -155,8 +157,10 @@
   get standing(): readonly StandingBreak[] {
     const looked = [...this.breaks.values()].filter(({ looking }) => looking !== undefined)
     return [
-      ...looked.map(({ endpoint: { start }, untold }) => {
-        return { start, isAway: false, requests: onceEach(untold) }
+      ...looked.map(({ endpoint: { start }, untold, spoken }) => {
+        // What broke off earlier and is kept for a new row is not looked at any more.
+        const requests = onceEach(untold).filter(({ fingerprint }) => spoken.has(fingerprint))
+        return { start, isAway: false, requests }
       }),
       ...[...this.watched].map(start => ({ start, isAway: true, requests: [] })),
     ]
@@ -199,6 +203,8 @@
   noteTold(start: EndpointStart): void {
     const breaks = this.breaks.get(start)
     if (breaks === undefined || breaks.hasEnded) return
+    const { clock } = this.parts
+    if (clock.monotonic() > breaks.newestAt + TOLD_MILLISECONDS) return
     breaks.wasTold = true
     if (breaks.looking === undefined && this.judge(breaks) === 'ended') this.end(breaks)
   }
--- a/packages/router/src/filters/dispatch.ts
+++ b/packages/router/src/filters/dispatch.ts
@@ -15,7 +15,7 @@
 import type { EndpointClient } from '../engine/endpointClient.js'
 import { RetryBudget, backoffMilliseconds } from '../limits/retryBudget.js'
 import type { Catalogue } from '../resources/catalogue.js'
-import type { EndpointRouter } from '../routing/endpointRouter.js'
+import type { EndpointRouter, EndpointTries } from '../routing/endpointRouter.js'
 import type { EndpointTable } from '../routing/endpointTable.js'
 import { dispatchFailure, resultText } from './dispatchFailure.js'
 import type { DispatchedRequest, EndpointAnswer, Filter, RoutedRequest } from './stages.js'
@@ -106,15 +106,19 @@
     const { incoming } = request
     this.retries.deposit(this.parts.catalogue.policyFor(request.target).retryShare)
     const tried = new Set<EndpointId>()
+    const brokeOffOnce = new Set<EndpointId>()
     let endpointId = request.endpointId
     const results: AttemptResult[] = []
     for (let attempt = 1; ; attempt += 1) {
+      const isFirst = !tried.has(endpointId)
       tried.add(endpointId)
       const sent = this.describeSend(request)
       const result = await this.attempt(request, endpointId, sent)
       const answer = acceptedAnswer(result, request)
       if (answer !== undefined) return { ...request, answer, tried }
       results.push(result)
+      if (isFirst && result.kind === 'failed') brokeOffOnce.add(endpointId)
+      else brokeOffOnce.delete(endpointId)
       const isKnown = this.noteBroken(request, endpointId, { ...sent, result })
       const verdict = await this.judge(request, { result, attempt, isKnown })
       const routing = request.record.routing.at(-1)
@@ -122,7 +126,7 @@
       if (verdict === 'give-up') throw this.failure(request, results)
       // Who asked for rest is not asked again, so there is nothing to wait for.
       if (verdict === 'retry' && !this.isResting(endpointId)) await this.backOff(attempt)
-      endpointId = this.chooseAnother(request, results, tried)
+      endpointId = this.chooseAnother(request, results, { tried, brokeOffOnce })
       noteFate(routing, result, 'repeated')
     }
   }
@@ -336,10 +340,13 @@
       this.parts.endpoints.noteFailure(endpointId)
   }
 
-  /** An error may be that of a front whose engine has ended under the request, so it clears nothing. */
+  /** An error may be that of a front whose engine has ended under the request: it clears nothing until a look shows life. */
   private noteHarmless({ crashFingerprint }: RoutedRequest, result: AttemptResult): void {
     if (crashFingerprint === undefined || result.kind !== 'answering') return
-    if (!isServerError(result.answer.status)) this.parts.crashes.noteAnswered(crashFingerprint)
+    const { crashes } = this.parts
+    const { endpointId, status } = result.answer
+    if (isServerError(status) && crashes.isEndpointInDoubt(endpointId)) return
+    crashes.noteAnswered(crashFingerprint)
   }
 
   /** Once, at the end of the request or of the answer. */
@@ -381,10 +388,10 @@
   private chooseAnother(
     request: RoutedRequest,
     results: readonly AttemptResult[],
-    tried: ReadonlySet<EndpointId>,
+    tries: EndpointTries,
   ): EndpointId {
     try {
-      return this.parts.router.choose(request, tried).endpointId
+      return this.parts.router.choose(request, tries).endpointId
     } catch (thrown) {
       if (thrown instanceof NotRunError) throw this.failure(request, results)
       throw thrown
--- a/packages/router/src/filters/route.ts
+++ b/packages/router/src/filters/route.ts
@@ -11,7 +11,7 @@
   constructor(private readonly router: EndpointRouter) {}
 
   async apply(request: ClaimedRequest): Promise<RoutedRequest> {
-    const { endpointId } = this.router.choose(request, new Set())
+    const { endpointId } = this.router.choose(request)
     return { ...request, endpointId }
   }
 }
--- a/packages/router/src/routing/endpointRouter.ts
+++ b/packages/router/src/routing/endpointRouter.ts
@@ -34,6 +34,15 @@
 /** Named where an engine is to go on with an answer that another one cut. */
 const CONTINUING_POLICY = 'continued'
 
+/** Endpoints that a request was sent to. */
+export interface EndpointTries {
+  readonly tried: ReadonlySet<EndpointId>
+  /** Those that broke it off, and only once. */
+  readonly brokeOffOnce: ReadonlySet<EndpointId>
+}
+
+const NOT_TRIED: EndpointTries = { tried: new Set(), brokeOffOnce: new Set() }
+
 type EndpointChoice = Pick<RoutingRecord, 'endpointId' | 'compared'>
 
 /** Makes the routing decision for each attempt and keeps it in the request's record. */
@@ -44,11 +53,12 @@
   constructor(private readonly parts: EndpointRouterParts) {}
 
   /** Chooses among the endpoints that were not tried yet; refuses when there is none. */
-  choose(request: ParsedRequest, tried: ReadonlySet<EndpointId>): RoutingRecord {
+  choose(request: ParsedRequest, tries: EndpointTries = NOT_TRIED): RoutingRecord {
+    const { tried } = tries
     const hashes = request.call.kind === 'chat' ? prefixHashes(request.call.chat.prompt) : []
     const candidates = this.candidates(request, hashes)
     const untried = candidates.filter(view => !tried.has(view.endpointId))
-    const isolated = this.isolate(request, candidates, tried)
+    const isolated = this.isolate(request, candidates, tries)
     if (isolated !== undefined) return this.note(request, ISOLATING_POLICY, isolated, hashes)
     const policy = this.policyFor(request)
     const choice = policy.choose(this.trusted(untried), this.demandOf(request), this.parts.random)
@@ -94,7 +104,7 @@
   private isolate(
     { crashFingerprint }: ParsedRequest,
     candidates: readonly EndpointView[],
-    tried: ReadonlySet<EndpointId>,
+    tries: EndpointTries,
   ): EndpointChoice | undefined {
     if (crashFingerprint === undefined) return undefined
     const verdict = this.parts.crashes.verdict(crashFingerprint)
@@ -103,7 +113,7 @@
     const { crashes } = this.parts
     const ids = candidates.map(({ endpointId }) => endpointId)
     const endpointId = suspectedChoice(crashFingerprint, ids, {
-      tried,
+      ...tries,
       isInDoubt: candidate => crashes.isEndpointInDoubt(candidate),
     })
     return endpointId === undefined ? undefined : { endpointId, compared: [] }
