--- a/packages/coordination/src/membership/memberRow.ts
+++ b/packages/coordination/src/membership/memberRow.ts
@@ -36,6 +36,8 @@
   readonly heartbeat: number
   /** Time until the next write; silence means nothing before it has passed. */
   readonly renewalMilliseconds: Milliseconds
+  /** Whether it serves requests that other instances hand to its address for peers; earlier versions do not say. */
+  readonly takesRelays?: boolean | undefined
 }
 
 const memberSchema = z.object({
@@ -51,6 +53,7 @@
   state: z.enum(['serving', 'draining']),
   heartbeat: z.number(),
   renewalMilliseconds: z.number(),
+  takesRelays: z.boolean().optional(),
 })
 
 type MemberWire = z.infer<typeof memberSchema>
@@ -69,6 +72,7 @@
     state: row.state,
     heartbeat: row.heartbeat,
     renewalMilliseconds: row.renewalMilliseconds,
+    ...(row.takesRelays === undefined ? {} : { takesRelays: row.takesRelays }),
   }
 }
 
--- a/packages/daemon/__tests__/activeFleet.spec.ts
+++ b/packages/daemon/__tests__/activeFleet.spec.ts
@@ -37,7 +37,7 @@
   const { self, others = OTHERS, silent = [], using = [] } = options
   const clock = new VirtualClock()
   const changes: [boolean, number][] = []
-  const state = { self, silent: new Set(silent) }
+  const state = { self, silent: new Set(silent), cutOff: new Set<string>() }
   const fleet = new ActiveFleet({
     isServing: () => state.self !== undefined,
     self: () => state.self ?? member('a1'),
@@ -45,6 +45,7 @@
     hears: ({ instance }) => !state.silent.has(instance),
     silenceMilliseconds: () => SILENCE_MILLISECONDS,
     isUsing: ({ instance }) => using.includes(instance),
+    isCutOff: ({ instance }) => state.cutOff.has(instance),
     isSelfUsing: () => using.includes('a1'),
     clock,
     bounds: { minimumInDomain: 1, headroom: 2 },
--- a/packages/daemon/__tests__/overloadNews.spec.ts
+++ b/packages/daemon/__tests__/overloadNews.spec.ts
@@ -76,6 +76,7 @@
       onCrashNews: () => {},
       onAdviceNews: () => {},
       onOverloaded: () => {},
+      onCutOff: () => {},
       onSender: () => {},
       standingAdvice: () => [],
       standingCrashes: () => ({ marks: [], cleared: [] }),
--- a/packages/daemon/src/gateway/activeFleet.ts
+++ b/packages/daemon/src/gateway/activeFleet.ts
@@ -24,6 +24,8 @@
   readonly isUsing: (member: MemberRow) => boolean
   /** The same for this instance. */
   readonly isSelfUsing: () => boolean
+  /** Whether an instance, or this one, reaches no endpoint of some service. */
+  readonly isCutOff: (member: MemberRow) => boolean
   readonly clock: Clock
   readonly bounds: ActiveBounds
   /** This instance became active or began to stand by. */
@@ -127,7 +129,18 @@
     const { self, isSelfActive, activeOthers } = this.current()
     const active = isSelfActive && self !== undefined ? [self, ...activeOthers] : activeOthers
     const near = active.filter(member => member.region === region)
-    return (near.length > 0 ? near : active).map(member => member.callerAddress)
+    return this.useful(near.length > 0 ? near : active).map(member => member.callerAddress)
+  }
+
+  /** Those that reach endpoints: the active ones, or else any other; all where nobody says that it does. */
+  private useful(active: readonly MemberRow[]): readonly MemberRow[] {
+    const reaches = (member: MemberRow) => !this.parts.isCutOff(member)
+    const reaching = active.filter(reaches)
+    if (reaching.length > 0) return reaching
+    const standby = this.idleOthers.filter(
+      member => reaches(member) && !this.isSilent(member.instance),
+    )
+    return standby.length > 0 ? standby : active
   }
 
   /** Addresses for peers of the active others in a failure domain. */
--- a/packages/daemon/src/gateway/endpointKnowledge.ts
+++ b/packages/daemon/src/gateway/endpointKnowledge.ts
@@ -4,14 +4,15 @@
  * instances; decides nothing.
  */
 
-import { EndpointDirectory, FleetLoad } from '@rackwalk/router'
+import { EndpointDirectory, FleetLoad, LinkWatch } from '@rackwalk/router'
 import type { EndpointRecord, GatewayService } from '@rackwalk/router'
 import type { MemberDirectory } from '@rackwalk/coordination'
-import type { Clock, EndpointStart } from '@rackwalk/shared'
+import type { Clock, EndpointStart, RandomSource } from '@rackwalk/shared'
 import type { RowStore } from '@rackwalk/stores'
 import type { ActiveFleet } from './activeFleet.js'
 import { AdviceWatch } from './adviceWatch.js'
 import { CrashWatch } from './crashWatch.js'
+import { CutOffInstances } from './cutOffNews.js'
 import type { GatewayTelemetry } from './gatewayTelemetry.js'
 import { LoadExchange, OVERLOAD_NEWS_MILLISECONDS, loadPeersOf } from './loadExchange.js'
 import { NewcomerWatch } from './newcomerWatch.js'
@@ -24,6 +25,7 @@
   /** IP:PORT for datagrams; undefined where this instance takes none. */
   readonly loadAddress: string | undefined
   readonly clock: Clock
+  readonly random: RandomSource
   readonly store: RowStore
   readonly telemetry: GatewayTelemetry
   readonly members: MemberDirectory
@@ -43,9 +45,15 @@
   readonly exchange: LoadExchange | undefined
   /** Other instances that get more than they bear. */
   readonly overloaded: OverloadedInstances
+  /** Which endpoints this instance reaches. */
+  readonly links: LinkWatch
+  /** Instances that reach no endpoint of some service. */
+  readonly cutOff: CutOffInstances
 
   constructor(private readonly parts: EndpointKnowledgeParts) {
     this.directory = this.createDirectory()
+    this.links = this.createLinks()
+    this.cutOff = this.createCutOff()
     this.crashes = this.createCrashes()
     this.advice = this.createAdvice()
     this.fleetLoad = this.createFleetLoad()
@@ -62,6 +70,8 @@
 
   stop(): void {
     this.crashes.stop()
+    this.links.stop()
+    this.cutOff.stop()
     this.exchange?.stop()
   }
 
@@ -85,6 +95,30 @@
     })
   }
 
+  private createLinks(): LinkWatch {
+    const { clock, random, telemetry } = this.parts
+    return new LinkWatch({
+      clock,
+      random,
+      listed: service => this.directory.listed(service),
+      onCutOff: (service, isCutOff) => {
+        telemetry.note('links_state', { service, isCutOff })
+        this.cutOff.noteOwn()
+      },
+    })
+  }
+
+  private createCutOff(): CutOffInstances {
+    const { instance, clock } = this.parts
+    return new CutOffInstances({
+      instance,
+      clock,
+      newsMilliseconds: () => this.exchange?.overloadNewsMilliseconds ?? OVERLOAD_NEWS_MILLISECONDS,
+      ownServices: () => this.links.cutOffServices,
+      tell: services => this.exchange?.tellCutOff(services),
+    })
+  }
+
   private noteChange({ id, service }: EndpointRecord, change: string): void {
     this.parts.telemetry.noteChange('server_state', change, { server: id, service, change })
     if (change === 'gone') this.fleetLoad.forget(id)
@@ -101,6 +135,7 @@
       clock,
       store,
       directory: () => this.directory,
+      links: this.links,
       tell: news => this.exchange?.tellCrashes(news),
       listenerCount: () => this.exchange?.listenerCount ?? 0,
       telemetry,
@@ -149,6 +184,7 @@
       onCrashNews: news => this.crashes.observe(news),
       onAdviceNews: news => this.advice.observe(news),
       onOverloaded: instance => this.overloaded.note(instance),
+      onCutOff: (...told) => this.cutOff.note(...told),
       onSender: sender => newcomers.note(sender),
       standingAdvice: () => this.advice.advices.standingNews,
       standingCrashes: () => this.crashes.guard.standingNews,
--- a/packages/daemon/src/gateway/gatewayAnswers.ts
+++ b/packages/daemon/src/gateway/gatewayAnswers.ts
@@ -12,6 +12,8 @@
 import type { GatewaySettings } from './gatewaySettings.js'
 import { answerLoan } from './peerLoans.js'
 import { answerRows } from './peerRows.js'
+import { createPeerListener } from './peerListener.js'
+import type { RelayHandler } from './peerListener.js'
 import type { PlainAnswer, PlatformAdapter } from './platformAdapter.js'
 
 /** What the answers rest on. */
@@ -22,6 +24,8 @@
   readonly lender: Lender
   readonly mirrors: ReadonlyMap<string, TableMirror>
   readonly metrics: GatewayMetrics
+  /** Serves what another instance hands over. */
+  readonly relayed: RelayHandler
   /** How long callers keep the addresses that they were told, in seconds. */
   readonly addressSeconds: () => number
 }
@@ -41,12 +45,17 @@
     const answerers: readonly [string | undefined, PlainAnswerer][] = [
       [listen.readiness, url => this.readiness(url)],
       [listen.directory, url => this.directory(url)],
-      [listen.peers, (url, body) => this.peer(url, body)],
       [listen.metrics, () => this.metrics()],
     ]
-    return answerers.flatMap(([address, answer]) =>
+    const plain = answerers.flatMap(([address, answer]) =>
       address === undefined ? [] : [{ server: createPlainListener(answer), address }],
     )
+    return listen.peers === undefined ? plain : [...plain, this.peerListener(listen.peers)]
+  }
+
+  private peerListener(address: string): AddressedListener {
+    const answer: PlainAnswerer = (url, body) => this.peer(url, body)
+    return { server: createPeerListener(answer, this.parts.relayed), address }
   }
 
   private readiness(url: string): PlainAnswer {
--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -4,8 +4,7 @@
  */
 
 import { SystemClock, SystemRandom } from '@rackwalk/shared'
-import type { Clock, Milliseconds, RandomSource } from '@rackwalk/shared'
-import type { HeardInstances } from '@rackwalk/decisions'
+import type { Clock, RandomSource } from '@rackwalk/shared'
 import type { RowStore } from '@rackwalk/stores'
 import {
   DEMAND_WINDOW_MILLISECONDS,
@@ -21,7 +20,8 @@
 import type { RouteTable } from '@rackwalk/router'
 import { WaitingConnections } from '../callers/waitingConnections.js'
 import { AcceptProbe } from './acceptProbe.js'
-import { ActiveFleet } from './activeFleet.js'
+import type { ActiveFleet } from './activeFleet.js'
+import { createActiveFleet, heardInstances } from './createActiveFleet.js'
 import type { Logger } from '../observe/logger.js'
 import { GatewayAnswers } from './gatewayAnswers.js'
 import { gaugesOf } from './gatewayGauges.js'
@@ -36,6 +36,8 @@
 import type { PeerCallSources } from './peerCalls.js'
 import type { PeerLoans } from './peerLoans.js'
 import type { PeerRows } from './peerRows.js'
+import { createRelayPeers } from './relayPeers.js'
+import type { FleetRelayPeers } from './relayPeers.js'
 import { ConfigurationInForce } from './configurationInForce.js'
 import { CountedStore } from './countedStore.js'
 import { OpenConnections } from './openConnections.js'
@@ -49,9 +51,6 @@
 import type { PlatformAdapter } from './platformAdapter.js'
 import type { SettingsOutcome } from './settingsWatcher.js'
 
-/** An instance that has heard nobody for this long is cut off from all others. */
-const CUT_OFF_MILLISECONDS: Milliseconds = 1_500
-
 /** What may be replaced in tests and in programs that embed a daemon. */
 export interface GatewayDaemonOptions {
   readonly clock?: Clock
@@ -83,6 +82,7 @@
   private readonly health: InstanceHealth
   private readonly peerRows: PeerRows
   private readonly peerLoans: PeerLoans
+  private readonly relayPeers: FleetRelayPeers
   private readonly waiting: WaitingConnections
   private readonly callerListener: PausableListener
   private readonly pauses: ListenerPauses
@@ -117,6 +117,7 @@
     this.peerLoans = createPeerLoans(this.peerCallSources, this.fleet)
     this.ledger = this.createLedger()
     this.known = this.createKnown()
+    this.relayPeers = createRelayPeers(this.settings, this.known, this.fleet, this.random)
     this.gateway = this.createGateway()
     this.peerRows = createPeerRows(this.peerCallSources, this.fleet, this.random)
     this.mirrors = this.createMirrors()
@@ -199,6 +200,7 @@
     this.members.stop()
     this.store.close()
     this.peerLoans.close()
+    this.relayPeers.close()
     this.known.stop()
     for (const { server } of this.otherListeners) server.close()
     this.pauses.stop()
@@ -241,18 +243,12 @@
   }
 
   private createFleet(): ActiveFleet {
-    const { activeInDomain, headroom } = this.settings.membership
-    return new ActiveFleet({
-      isServing: () => this.isReady && this.members.isKnown,
-      self: () => this.members.self,
-      others: () => this.members.others,
-      hears: ({ instance, loadAddress }) =>
-        loadAddress === '' || this.known.fleetLoad.hears(instance),
-      silenceMilliseconds: () => this.known.exchange?.silenceMilliseconds ?? 0,
-      isUsing: ({ instance }) => this.known.fleetLoad.isUsing(instance),
-      isSelfUsing: () => this.known.fleetLoad.isSelfUsing,
+    return createActiveFleet({
+      settings: this.settings,
+      members: this.members,
+      known: () => this.known,
+      isReady: () => this.isReady,
       clock: this.clock,
-      bounds: { minimumInDomain: activeInDomain, headroom },
       onChange: (isActive, activeInstances) =>
         this.note('active_state', { isActive, activeInstances }),
     })
@@ -289,12 +285,13 @@
   }
 
   private createKnown(): EndpointKnowledge {
-    const { settings, incarnation, clock, store, telemetry, members } = this
+    const { settings, incarnation, clock, random, store, telemetry, members } = this
     return new EndpointKnowledge({
       instance: settings.instance.id,
       incarnation,
       loadAddress: settings.listen.loads,
       clock,
+      random,
       store,
       telemetry,
       members,
@@ -313,6 +310,9 @@
       crashes: this.known.crashes.guard,
       advices: this.known.advice.advices,
       permits: this.known.advice.permits,
+      links: this.known.links,
+      relayPeers: this.relayPeers,
+      instance: instance.id,
       clock: this.clock,
       random: this.random,
       failureDomain: instance.failureDomain,
@@ -351,7 +351,7 @@
       random: this.random,
       listener: this.callerListener,
       refusedShare: () => this.gateway.refusedShare,
-      others: () => this.heardOthers,
+      others: () => heardInstances(this.known, this.fleet.activeOthers),
       isServing: () => this.isReady,
       tellOverload: () => this.known.exchange?.tellOverload(),
       onPause: () => this.telemetry.noteListenerPause(),
@@ -361,15 +361,6 @@
     })
   }
 
-  /** Others to which callers may go. */
-  private get heardOthers(): HeardInstances {
-    const { fleetLoad, overloaded } = this.known
-    if (fleetLoad.heardAgoMilliseconds > CUT_OFF_MILLISECONDS) return { count: 0, overloaded: 0 }
-    const heard = this.fleet.activeOthers.filter(({ instance }) => fleetLoad.hears(instance))
-    const overloadedOnes = heard.filter(({ instance }) => overloaded.has(instance))
-    return { count: heard.length, overloaded: overloadedOnes.length }
-  }
-
   private createMirrors(): ReadonlyMap<string, TableMirror> {
     return followTables({
       store: this.store,
@@ -431,6 +422,8 @@
       lender: this.ledger.lender,
       mirrors: this.mirrors,
       metrics: this.metrics,
+      relayed: (request, response, relayedBy) =>
+        void this.gateway.handle(request, response, relayedBy),
       addressSeconds: () => this.settings.membership.addressSeconds,
     })
     return answers.listeners(this.settings.listen)
--- a/packages/daemon/src/gateway/gatewayListeners.ts
+++ b/packages/daemon/src/gateway/gatewayListeners.ts
@@ -47,18 +47,25 @@
     requestTimeout: PLAIN_CALL_MILLISECONDS,
     headersTimeout: PLAIN_CALL_MILLISECONDS,
   }
-  return createServer(limits, (request, response) => {
-    const chunks: Buffer[] = []
-    let size = 0
-    request.on('data', (chunk: Buffer) => {
-      size += chunk.length
-      if (size > LONGEST_PLAIN_BODY_BYTES) request.destroy()
-      else chunks.push(chunk)
-    })
-    request.on('end', () => {
-      const body = Buffer.concat(chunks).toString('utf8')
-      void Promise.resolve(answer(request.url ?? '/', body)).then(result => write(response, result))
-    })
+  return createServer(limits, (request, response) => answerPlainly(request, response, answer))
+}
+
+/** Reads a short call to its end and answers it. */
+export function answerPlainly(
+  request: IncomingMessage,
+  response: ServerResponse,
+  answer: PlainAnswerer,
+): void {
+  const chunks: Buffer[] = []
+  let size = 0
+  request.on('data', (chunk: Buffer) => {
+    size += chunk.length
+    if (size > LONGEST_PLAIN_BODY_BYTES) request.destroy()
+    else chunks.push(chunk)
+  })
+  request.on('end', () => {
+    const body = Buffer.concat(chunks).toString('utf8')
+    void Promise.resolve(answer(request.url ?? '/', body)).then(result => write(response, result))
   })
 }
 
--- a/packages/daemon/src/gateway/gatewayMetrics.ts
+++ b/packages/daemon/src/gateway/gatewayMetrics.ts
@@ -49,6 +49,7 @@
   private readonly lateAnswers: Counter
   private readonly attempts: Counter
   private readonly answers: Counter
+  private readonly relays: Counter
   private readonly withheldBytes: Counter
   private readonly endpointEnds: Counter
   private readonly reservations: Counter
@@ -104,6 +105,12 @@
       labelNames: ['framing', 'end'],
       registers,
     })
+    this.relays = new Counter({
+      name: 'rackwalk_gateway_relays_total',
+      help: 'Requests handed to other instances since this one reached no server, or taken from others, by direction and outcome.',
+      labelNames: ['direction', 'outcome'],
+      registers,
+    })
     this.withheldBytes = new Counter({
       name: 'rackwalk_gateway_withheld_bytes_total',
       help: 'Bytes of answers that came and did not go to their callers, by what the answers ended with.',
@@ -212,6 +219,7 @@
       }
     }
     if (record.reservation !== undefined) this.reservations.inc({ outcome: record.reservation })
+    this.noteRelays(record, code)
     this.noteTeam(record, code)
     if (record.firstByteMilliseconds !== undefined) {
       this.firstByte.observe(record.firstByteMilliseconds / 1000)
@@ -219,6 +227,13 @@
     this.total.observe((record.totalMilliseconds ?? 0) / 1000)
   }
 
+  private noteRelays({ relays, relayedBy }: GatewayRecord, code: ResultCode): void {
+    for (const { outcome } of relays) {
+      this.relays.inc({ direction: 'handed', outcome: outcome?.kind ?? 'sent' })
+    }
+    if (relayedBy !== undefined) this.relays.inc({ direction: 'taken', outcome: teamOutcome(code) })
+  }
+
   private noteAnswer({ framing, end, withheldBytes }: AnswerRecord): void {
     this.answers.inc({ framing, end })
     this.withheldBytes.inc({ end }, withheldBytes)
--- a/packages/daemon/src/gateway/loadExchange.ts
+++ b/packages/daemon/src/gateway/loadExchange.ts
@@ -14,6 +14,7 @@
 import type { MalformedForm } from '../observe/malformedForms.js'
 import { adviceNewsOf, adviceReportsOf } from './adviceNews.js'
 import { isNews, newsOf, reportsOf } from './crashNews.js'
+import { cutOffReports, cutOffServicesOf } from './cutOffNews.js'
 import { decodeReport, encodeReport } from './loadReport.js'
 import { overloadReports, tellsOverload } from './overloadNews.js'
 
@@ -73,6 +74,8 @@
   readonly onAdviceNews: (news: readonly AdviceNews[]) => void
   /** Another instance told that it gets more than it bears. */
   readonly onOverloaded: (instance: string) => void
+  /** Another instance told from which services it is cut off. */
+  readonly onCutOff: (instance: string, services: readonly string[]) => void
   /** A datagram came in the name of this instance, which may not be known. */
   readonly onSender: (sender: Pick<PeerLoadReport, 'instance' | 'incarnation'>) => void
   /** What holds of endpoints by their own word, for instances that may not have heard it. */
@@ -168,6 +171,11 @@
     this.tellAll(overloadReports(this.parts.identity))
   }
 
+  /** Tells all others from which services this instance is cut off. */
+  tellCutOff(services: readonly string[]): void {
+    this.tellAll(cutOffReports(services, this.parts.identity))
+  }
+
   /** The news grows rarer with the number of instances that get it, as signs of life do: each may cost as much. */
   get overloadNewsMilliseconds(): Milliseconds {
     return Math.max(OVERLOAD_NEWS_MILLISECONDS, this.signSpan)
@@ -273,5 +281,6 @@
     this.parts.onCrashNews(newsOf(report))
     this.parts.onAdviceNews(adviceNewsOf(report))
     if (tellsOverload(report)) this.parts.onOverloaded(report.instance)
+    this.parts.onCutOff(report.instance, cutOffServicesOf(report))
   }
 }
--- a/packages/daemon/src/gateway/ownMember.ts
+++ b/packages/daemon/src/gateway/ownMember.ts
@@ -18,5 +18,6 @@
     peerAddress: listen.peers ?? '',
     loadAddress: listen.loads ?? '',
     capacity: capacityOf(instance.capacity),
+    takesRelays: listen.peers !== undefined,
   }
 }
--- /dev/null
+++ b/packages/daemon/src/gateway/relayPeers.ts
@@ -0,0 +1,83 @@
+/**
+ * The other instances that take requests which this one can't send to any endpoint. Owns the connections to them; the rule
+ * is in decisions/choosing/relayPeer.
+ */
+
+import { chooseRelayPeer } from '@rackwalk/decisions'
+import { EndpointAgent } from '@rackwalk/router'
+import type { RelayPeer, RelayPeers } from '@rackwalk/router'
+import type { MemberRow } from '@rackwalk/coordination'
+import type { RandomSource } from '@rackwalk/shared'
+import type { ActiveFleet } from './activeFleet.js'
+import type { EndpointKnowledge } from './endpointKnowledge.js'
+import type { GatewaySettings } from './gatewaySettings.js'
+
+/** What the choice rests on. */
+export interface FleetRelayPeersParts {
+  readonly failureDomain: string
+  readonly fleet: ActiveFleet
+  readonly random: RandomSource
+  readonly isCutOff: (instance: string, service: string) => boolean
+  readonly isOverloaded: (instance: string) => boolean
+}
+
+/** Connections to one instance: its callers' requests are bounded by what it admits. */
+const MOST_CONNECTIONS = 256
+
+/** The instances of the fleet, as far as they take requests of this one's callers. */
+export class FleetRelayPeers implements RelayPeers {
+  /** By address. */
+  private readonly agents = new Map<string, EndpointAgent>()
+
+  constructor(private readonly parts: FleetRelayPeersParts) {}
+
+  choose(service: string, asked: ReadonlySet<string>): RelayPeer | undefined {
+    const { failureDomain, random, isCutOff, isOverloaded } = this.parts
+    const candidates = this.candidates
+      .filter(({ instance }) => !asked.has(instance))
+      .map(member => ({
+        ...member,
+        isCutOff: isCutOff(member.instance, service),
+        isOverloaded: isOverloaded(member.instance),
+      }))
+    const chosen = chooseRelayPeer(candidates, failureDomain, random.next())
+    if (chosen === undefined) return undefined
+    const { instance, peerAddress } = chosen
+    return { instance, address: peerAddress, agent: this.agentOf(peerAddress) }
+  }
+
+  close(): void {
+    for (const agent of this.agents.values()) agent.destroy()
+  }
+
+  /** Those that take callers, or else those that stand by. */
+  private get candidates(): readonly MemberRow[] {
+    const { fleet } = this.parts
+    const takesRelays = ({ instance, takesRelays, state }: MemberRow) =>
+      takesRelays === true && state === 'serving' && !fleet.isSilent(instance)
+    const active = fleet.activeOthers.filter(takesRelays)
+    return active.length > 0 ? active : fleet.idleOthers.filter(takesRelays)
+  }
+
+  private agentOf(address: string): EndpointAgent {
+    const known = this.agents.get(address) ?? new EndpointAgent(MOST_CONNECTIONS)
+    this.agents.set(address, known)
+    return known
+  }
+}
+
+/** The others of an instance with these settings. */
+export function createRelayPeers(
+  { instance }: GatewaySettings,
+  { cutOff, overloaded }: EndpointKnowledge,
+  fleet: ActiveFleet,
+  random: RandomSource,
+): FleetRelayPeers {
+  return new FleetRelayPeers({
+    failureDomain: instance.failureDomain,
+    fleet,
+    random,
+    isCutOff: (...asked) => cutOff.has(...asked),
+    isOverloaded: other => overloaded.has(other),
+  })
+}
--- a/packages/daemon/src/gateway/requestLine.ts
+++ b/packages/daemon/src/gateway/requestLine.ts
@@ -1,7 +1,7 @@
 /** The line of the log that tells of one request, field by field as collectors know it. */
 
-import { outcomeText } from '@rackwalk/decisions'
-import type { AttemptRecord, GatewayRecord } from '@rackwalk/router'
+import { outcomeText, relayOutcomeText } from '@rackwalk/decisions'
+import type { AttemptRecord, GatewayRecord, RelayRecord } from '@rackwalk/router'
 
 /** Fields of the line; those of which nothing is known are left out of its JSON. */
 export function requestLine(record: GatewayRecord): Readonly<Record<string, unknown>> {
@@ -9,6 +9,8 @@
     request: record.requestId,
     fingerprint: record.fingerprint,
     attempts: record.attempts.map(attemptFields),
+    relays: record.relays.length === 0 ? undefined : record.relays.map(relayFields),
+    relayedBy: record.relayedBy,
     configurationVersion: record.configurationVersion,
     route: record.route,
     tenant: record.team,
@@ -52,6 +54,10 @@
   }
 }
 
+function relayFields({ instance, outcome }: RelayRecord): Readonly<Record<string, unknown>> {
+  return { instance, outcome: relayOutcomeText(outcome) }
+}
+
 function rounded(value: number | undefined): number | undefined {
   return value === undefined ? undefined : Math.round(value)
 }
--- /dev/null
+++ b/packages/decisions/__tests__/endpointReach.spec.ts
@@ -0,0 +1,82 @@
+import { describe, expect, it } from 'vitest'
+import { isCutOff, linksToCheck, unreachedLinks } from '@rackwalk/decisions'
+import type { EndpointLink } from '@rackwalk/decisions'
+
+const NOW = 10_000
+const LONG_AGO = Number.NEGATIVE_INFINITY
+
+/** `+` came up, `-` did not, `.` was never tried; a letter names the failure domain. */
+function linksOf(text: string): readonly (EndpointLink & { name: string })[] {
+  return text.split(' ').map((name, index) => ({
+    name,
+    failureDomain: name.slice(0, 1),
+    connectedAt: name.endsWith('+') ? NOW - 200 + index : LONG_AGO,
+    failedAt: name.endsWith('-') ? NOW - 100 + index : LONG_AGO,
+  }))
+}
+
+function unreachedOf(text: string, now = NOW): string {
+  return [...unreachedLinks(linksOf(text), now)].map(({ name }) => name).join(' ') || 'none'
+}
+
+describe('the links that an instance takes for lost', () => {
+  it('are those of a failure domain or a service to which nothing comes up', () => {
+    const cases = [
+      'a- a. a. b+ b+ c+',
+      'a- a- a. b+ b+ c+',
+      'a- a- a+ b+ b+ c+',
+      'a- b- c+ a. b. c.',
+      'a- b- c- a. b. c.',
+      'a- b- c- a+ b. c.',
+      'a- a- b. b. c. c.',
+      'a- a-',
+      'a- b+',
+      'a-',
+    ]
+    expect(cases.map(text => `${text} => ${unreachedOf(text)}`)).toMatchInlineSnapshot(`
+      [
+        "a- a. a. b+ b+ c+ => none",
+        "a- a- a. b+ b+ c+ => a- a- a.",
+        "a- a- a+ b+ b+ c+ => a- a- a+",
+        "a- b- c+ a. b. c. => none",
+        "a- b- c- a. b. c. => a- b- c- a. b. c.",
+        "a- b- c- a+ b. c. => a- b- c- a+ b. c.",
+        "a- a- b. b. c. c. => a- a-",
+        "a- a- => a- a-",
+        "a- b+ => none",
+        "a- => a-",
+      ]
+    `)
+  })
+
+  it('are forgotten unless a new failure renews the belief', () => {
+    expect(unreachedOf('a- a- a-', NOW + 1_800)).toBe('a- a- a-')
+    expect(unreachedOf('a- a- a-', NOW + 2_000)).toBe('none')
+  })
+
+  it('are none where a connection came up after the failures, whichever endpoint took it', () => {
+    const failed = linksOf('a- b- c-')
+    const recovered = { failureDomain: 'c', connectedAt: NOW, failedAt: LONG_AGO, name: 'c+' }
+    expect(isCutOff(failed, NOW)).toBe(true)
+    expect(isCutOff([...failed, recovered], NOW)).toBe(false)
+  })
+
+  it('are no links where a service has no endpoint', () => {
+    expect(isCutOff([], NOW)).toBe(false)
+    expect(unreachedLinks([], NOW).size).toBe(0)
+  })
+})
+
+describe('the links that are checked after a failure', () => {
+  it('are spread over failure domains, those that did not fail first', () => {
+    const chosen = linksToCheck(linksOf('a- a. a. b. b. c- c.'), NOW, 0)
+    expect(chosen.map(({ name }) => name)).toMatchInlineSnapshot(`
+      [
+        "a.",
+        "b.",
+        "c.",
+        "a.",
+      ]
+    `)
+  })
+})
--- /dev/null
+++ b/packages/decisions/__tests__/relays.spec.ts
@@ -0,0 +1,70 @@
+import { describe, expect, it } from 'vitest'
+import { chooseRelayPeer, relayOutcomeText, relayStep } from '@rackwalk/decisions'
+import type { RelayCandidate, RelayOutcome } from '@rackwalk/decisions'
+
+const SOUND: RelayCandidate = {
+  instance: 'near',
+  failureDomain: 'own',
+  isCutOff: false,
+  isOverloaded: false,
+}
+const FAR = { ...SOUND, instance: 'far', failureDomain: 'other' }
+const BUSY = { ...SOUND, instance: 'busy', isOverloaded: true }
+const CUT = { ...SOUND, instance: 'cut', isCutOff: true }
+
+function chosen(candidates: readonly RelayCandidate[], chance = 0): string | undefined {
+  return chooseRelayPeer(candidates, 'own', chance)?.instance
+}
+
+describe('the instance that takes a request of one that is cut off', () => {
+  it('is near, reaches endpoints, and bears what it gets, as far as there is one', () => {
+    expect(chosen([CUT, BUSY, FAR, SOUND])).toBe('near')
+    expect(chosen([CUT, BUSY, FAR])).toBe('far')
+    expect(chosen([CUT, BUSY])).toBe('busy')
+    expect(chosen([CUT])).toBeUndefined()
+  })
+
+  it('is any of equals', () => {
+    const equals = ['one', 'two'].map(instance => ({ ...SOUND, instance }))
+    expect([0, 0.4, 0.5, 0.99].map(chance => chosen(equals, chance))).toEqual([
+      'one',
+      'one',
+      'two',
+      'two',
+    ])
+  })
+})
+
+const ONCE = { isIdempotent: false, isStreaming: false, isResumable: false }
+const AGAIN = { ...ONCE, isIdempotent: true }
+
+const OUTCOMES: readonly RelayOutcome[] = [
+  { kind: 'not-sent' },
+  { kind: 'refused', status: 503 },
+  { kind: 'refused', status: 402 },
+  { kind: 'answered', status: 500 },
+  { kind: 'failed', reason: 'ECONNRESET' },
+]
+
+describe('after a request was handed to another instance', () => {
+  it('one more is asked only where the request did not run, or may run twice', () => {
+    const rows = OUTCOMES.map(outcome => {
+      const steps = [
+        relayStep([outcome], ONCE, true),
+        relayStep([outcome], AGAIN, true),
+        relayStep([outcome], AGAIN, false),
+        relayStep([{ kind: 'not-sent' }, outcome], AGAIN, true),
+      ]
+      return `${relayOutcomeText(outcome)}: ${steps.join(', ')}`
+    })
+    expect(rows).toMatchInlineSnapshot(`
+      [
+        "not-sent: ask-another, ask-another, give-up, give-up",
+        "not executed 503: ask-another, ask-another, pass-on, pass-on",
+        "not executed 402: pass-on, pass-on, pass-on, pass-on",
+        "status 500: pass-on, pass-on, pass-on, pass-on",
+        "failed ECONNRESET: give-up, ask-another, give-up, give-up",
+      ]
+    `)
+  })
+})
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -12,7 +12,11 @@
 } from './choosing/readingHarm.js'
 export { NO_ADVICE_TEXTS, adviceText, readAdvice } from './choosing/endpointAdvice.js'
 export type { AdviceNews, AdviceTexts, EndpointAdvice } from './choosing/endpointAdvice.js'
+export { isCutOff, linksToCheck, unreachedLinks } from './choosing/endpointReach.js'
+export type { EndpointLink } from './choosing/endpointReach.js'
 export { HomeEndpoints } from './choosing/homeEndpoints.js'
+export { chooseRelayPeer } from './choosing/relayPeer.js'
+export type { RelayCandidate } from './choosing/relayPeer.js'
 export { nextPace, slownessOf, usualPace } from './choosing/slowness.js'
 export { TRIAL_LICENCE, licenceAt, licenceRank, rateShares } from './choosing/rateLicence.js'
 export type {
@@ -95,6 +99,8 @@
   nextStep,
 } from './retrying/nextStep.js'
 export type { NextStep } from './retrying/nextStep.js'
+export { isLeftUnsent, relayOutcomeText, relayStep } from './retrying/relayStep.js'
+export type { RelayOutcome } from './retrying/relayStep.js'
 
 export { DemandHoldingPolicy, EqualHoldingPolicy, secondsLeft } from './placing/holdingPolicy.js'
 export { holdingTolerance } from './placing/holdingTolerance.js'
--- a/packages/router/src/crashes/crashGuard.ts
+++ b/packages/router/src/crashes/crashGuard.ts
@@ -21,7 +21,6 @@
 } from '@rackwalk/shared'
 import { EndpointEnds } from './endpointEnds.js'
 import type { BreakingEndpoint, BrokenRequest, EndpointEnd, SeenEnd } from './endpointEnds.js'
-import type { ProbedEndpoint } from './endpointProbe.js'
 
 /** Ends told by others that are remembered. */
 const REMEMBERED_NEWS = 1_024
@@ -29,7 +28,7 @@
 /** What the guard works with. */
 export interface CrashGuardParts {
   readonly clock: Clock
-  readonly probe: (endpoint: ProbedEndpoint) => Promise<EndSign>
+  readonly probe: (endpoint: BreakingEndpoint) => Promise<EndSign>
   /** An endpoint ended under requests from here. */
   readonly onEnd: (end: EndpointEnd) => void
   /** A start of an endpoint has ended, as this instance saw or was told. */
--- a/packages/router/src/crashes/endpointEnds.ts
+++ b/packages/router/src/crashes/endpointEnds.ts
@@ -66,7 +66,7 @@
 /** What the search for ends works with. */
 export interface EndpointEndsParts {
   readonly clock: Clock
-  readonly probe: (endpoint: ProbedEndpoint) => Promise<EndSign>
+  readonly probe: (endpoint: BreakingEndpoint) => Promise<EndSign>
   /** What is known here of breaks, by this search and by news. */
   readonly broken: BrokenStarts
   readonly onEnd: (end: EndpointEnd) => void
--- a/packages/router/src/gateway/attemptChoice.ts
+++ b/packages/router/src/gateway/attemptChoice.ts
@@ -16,6 +16,7 @@
 import type { FleetLoad } from './fleetLoad.js'
 import type { GatewayRoute, GatewayService } from './gatewayConfiguration.js'
 import type { GatewayRecord } from './gatewayRecord.js'
+import type { LinkWatch } from './linkWatch.js'
 
 /** What a choice rests on. */
 export interface AttemptChoiceParts {
@@ -23,6 +24,7 @@
   readonly fleetLoad: FleetLoad
   readonly permits: SendPermits
   readonly crashes: CrashGuard
+  readonly links: LinkWatch
   readonly clock: Clock
   readonly random: RandomSource
   readonly failureDomain: string
@@ -69,7 +71,7 @@
   choose(mayHaveRun: boolean): ChosenEndpoint | undefined {
     const available = this.parts.directory.available(this.request.service.name)
     const free = available.filter(({ hasRoom, start }) => hasRoom && !this.tried.has(start))
-    const open = free.filter(endpoint => this.parts.permits.takes(endpoint))
+    const open = this.reached(free.filter(endpoint => this.parts.permits.takes(endpoint)))
     this.verdict = this.isSuspect ? this.parts.crashes.verdict(this.fingerprint) : 'send'
     if (this.verdict === 'refuse') {
       if (!mayHaveRun) this.noChoice = { kind: 'crashing' }
@@ -115,6 +117,12 @@
     return record.fingerprint
   }
 
+  /** Without those to which this instance has lost its links. */
+  private reached(open: readonly EndpointState[]): readonly EndpointState[] {
+    const unreached = this.parts.links.unreached(this.request.service.name)
+    return open.filter(endpoint => !unreached.has(endpoint))
+  }
+
   /** Without those at which it is looked whether they have ended, where others are left. */
   private trusted(open: readonly EndpointState[]): readonly EndpointState[] {
     const trusted = open.filter(({ start }) => !this.parts.crashes.isInDoubt(start))
--- a/packages/router/src/gateway/dialect.ts
+++ b/packages/router/src/gateway/dialect.ts
@@ -63,6 +63,8 @@
   readRequest(headers: Headers): RequestMetadata | undefined
   /** Headers for an endpoint, as a flat list of names and values. */
   forwardHeaders(rawHeaders: readonly string[], forward: ForwardMetadata): string[]
+  /** Headers for another instance that serves the request in place of this one, as the caller would have sent them now. */
+  relayHeaders(rawHeaders: readonly string[], remainingMilliseconds: Milliseconds): string[]
   readReply(status: number, headers: Headers): ReplyMetadata
   /** Headers of an answer that the gateway gives itself. */
   ownHeaders(requestId: string | undefined): Readonly<Record<string, string>>
--- a/packages/router/src/gateway/endpointDirectory.ts
+++ b/packages/router/src/gateway/endpointDirectory.ts
@@ -182,10 +182,15 @@
 
   /** Endpoints of a service to which new requests may go. */
   available(service: string): readonly EndpointState[] {
+    return this.listed(service).filter(({ isUnreachable }) => !isUnreachable)
+  }
+
+  /** The same, those included where nobody listened a moment ago. */
+  listed(service: string): readonly EndpointState[] {
     return [...this.endpoints.values()].filter(endpoint => {
-      const { record, hasEnded, isUnreachable } = endpoint
-      if (record.service !== service || endpoint.isLeaving) return false
-      return !hasEnded && !isUnreachable && !this.evacuated.has(record.failureDomain)
+      const { record, hasEnded, isLeaving } = endpoint
+      if (record.service !== service || isLeaving) return false
+      return !hasEnded && !this.evacuated.has(record.failureDomain)
     })
   }
 
--- a/packages/router/src/gateway/endpointState.ts
+++ b/packages/router/src/gateway/endpointState.ts
@@ -4,7 +4,7 @@
  */
 
 import { nextPace } from '@rackwalk/decisions'
-import type { RateLicence } from '@rackwalk/decisions'
+import type { EndpointLink, RateLicence } from '@rackwalk/decisions'
 import type { Clock, EndpointStart, Milliseconds, TokenCount } from '@rackwalk/shared'
 import { RecentSends } from '../advice/recentSends.js'
 import type { EndpointLoad } from './dialect.js'
@@ -68,6 +68,10 @@
   private readonly sends: RecentSends
   /** Nobody listened there a moment ago; until then it is not tried again. */
   private unreachableUntil: Milliseconds = Number.NEGATIVE_INFINITY
+  /** Monotonic time at which a new connection last came up, */
+  private connectedAt: Milliseconds = Number.NEGATIVE_INFINITY
+  /** and at which one last did not. */
+  private failedAt: Milliseconds = Number.NEGATIVE_INFINITY
   private failureShare = 0
   private failureAt: Milliseconds = 0
   private connections: EndpointAgent | undefined
@@ -165,6 +169,22 @@
     return { noteBegun, end }
   }
 
+  /** What new connections from here have shown of the way to it. */
+  get link(): EndpointLink {
+    const { connectedAt, failedAt } = this
+    return { failureDomain: this.record.failureDomain, connectedAt, failedAt }
+  }
+
+  /** A new connection to it came up. */
+  noteConnected(): void {
+    this.connectedAt = this.clock.monotonic()
+  }
+
+  /** A new connection to it did not come up. */
+  noteUnconnected(): void {
+    this.failedAt = this.clock.monotonic()
+  }
+
   /** Something came from it: it lives. */
   noteHeard(): void {
     this.heardAt = this.clock.monotonic()
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -32,11 +32,13 @@
 import { InstanceAdmission } from './instanceAdmission.js'
 import type { AdmissionState, InstanceAdmissionParts } from './instanceAdmission.js'
 import { latenessOf } from './lateness.js'
+import { PeerRelay } from './peerRelay.js'
+import type { PeerRelayParts, RelayableRequest } from './peerRelay.js'
 import { RequestAttempts } from './requestAttempts.js'
 import type { AttemptsParts, AttemptsResult } from './requestAttempts.js'
 
 /** What the gateway works with. */
-export interface GatewayParts extends AttemptsParts, InstanceAdmissionParts {
+export interface GatewayParts extends AttemptsParts, InstanceAdmissionParts, PeerRelayParts {
   readonly dialect: Dialect
   readonly clock: Clock
   readonly random: RandomSource
@@ -74,11 +76,22 @@
   readonly deadlineAt: Milliseconds
 }
 
+/** A request that is read whole. */
+interface ReadRequest extends IdentifiedRequest {
+  readonly method: string
+  readonly path: string
+  readonly rawHeaders: readonly string[]
+  readonly body: Buffer
+  readonly reply: CallerReply
+  readonly record: GatewayRecord
+}
+
 const NOT_RUN: AttemptsResult = {
   mayHaveRun: false,
   isHandedOut: false,
   events: 0,
   isWhole: false,
+  isUnsent: false,
 }
 
 /** Serves requests, each from its arrival to its end. */
@@ -107,14 +120,20 @@
     return this.admission.refusedShare
   }
 
-  /** Serves one request to its end. */
-  async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+  /** Serves one request to its end; `relayedBy` names the instance that handed it over, where one did. */
+  async handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+    relayedBy?: string,
+  ): Promise<void> {
     const { dialect, isDraining } = this.parts
     const metadata = dialect.readRequest(request.headers)
     const record: GatewayRecord = {
       requestId: metadata?.requestId ?? '',
       receivedAt: this.parts.clock.sinceStart(),
       attempts: [],
+      relays: [],
+      ...(relayedBy === undefined ? {} : { relayedBy }),
     }
     const ownHeaders = dialect.ownHeaders(metadata?.requestId)
     const { refusedBodies } = this.admission
@@ -138,38 +157,51 @@
     record: GatewayRecord,
   ): Promise<void> {
     const identified = this.identify(request, metadata, record)
-    const { route, service, team } = identified
     this.checkSize(request)
     this.admission.admit(request, workRankOf(identified))
-    const { clock, instances } = this.parts
     const body = await this.readWhole(request, reply)
     this.refuseCrashing(identified, request.url ?? '/', body, record)
+    const read: ReadRequest = { ...identified, ...sentParts(request), body, reply, record }
+    const mayRelay = record.relayedBy === undefined
+    if (mayRelay && this.parts.links.isCutOff(identified.service.name)) return this.relay(read)
+    const result = await this.attempt(read, mayRelay)
+    if (result.isUnsent) await this.relay(read)
+  }
+
+  /** Sends a request to endpoints, within the budget of its team. */
+  private async attempt(read: ReadRequest, mayRelay: boolean): Promise<AttemptsResult> {
+    const { route, service, team, record } = read
+    const { clock, instances } = this.parts
     const retries = this.retryBudget(service.name)
     retries.noteRequest(clock.monotonic())
-    const reservation = await this.reserve(identified, record)
+    const reservation = await this.reserve(read, record)
     let result: AttemptsResult = NOT_RUN
     try {
       const attempts = new RequestAttempts(this.parts, {
-        metadata,
-        route,
-        service,
+        ...read,
         team: team?.name,
         priority: service.engine === undefined ? undefined : (team?.priority ?? route.priority),
-        method: request.method ?? 'GET',
-        path: request.url ?? '/',
-        rawHeaders: request.rawHeaders,
-        body,
-        deadlineAt: identified.deadlineAt,
-        reply,
-        record,
         takeRetry: () => retries.take(clock.monotonic(), instances()),
+        mayRelay,
       })
       result = await attempts.run()
       record.execution = result.mayHaveRun ? 'ran' : 'not-run'
       this.noteLateness(route, record)
     } finally {
-      this.settle(identified, reservation, result, record)
+      this.settle(read, reservation, result, record)
     }
+    return result
+  }
+
+  /** Another instance serves what this one can't send to any endpoint. */
+  private async relay(read: ReadRequest): Promise<void> {
+    const relayed: RelayableRequest = { ...read, service: read.service.name }
+    const isDone = await new PeerRelay(this.parts, relayed).run()
+    if (isDone) return
+    const { links } = this.parts
+    const isCutOff = links.isCutOff(read.service.name)
+    if (isCutOff) throw new NotRunError(ResultCode.CutOff, read.service.name)
+    throw new NotRunError(ResultCode.NoEndpoint, 'no connection')
   }
 
   /** A request that ends endpoints is refused before tokens are set aside for it. */
@@ -332,6 +364,11 @@
   }
 }
 
+/** What is passed on of a request beside its body. */
+function sentParts({ method = 'GET', url = '/', rawHeaders }: IncomingMessage) {
+  return { method, path: url, rawHeaders }
+}
+
 /** What the caller would lose by a refusal, and what the request takes. */
 function workRankOf({ team, route, metadata }: IdentifiedRequest): WorkRank {
   const priority = team?.priority ?? route.priority
--- a/packages/router/src/gateway/gatewayRecord.ts
+++ b/packages/router/src/gateway/gatewayRecord.ts
@@ -1,7 +1,7 @@
 /** What is kept of one request's decisions; it becomes one line of the log. */
 
 import type { Bytes, Milliseconds, TokenCount } from '@rackwalk/shared'
-import type { AnswerEnd, AnswerFraming, AttemptOutcome } from '@rackwalk/decisions'
+import type { AnswerEnd, AnswerFraming, AttemptOutcome, RelayOutcome } from '@rackwalk/decisions'
 import type { LenderAnswer } from '@rackwalk/coordination'
 import type { Lateness } from './lateness.js'
 import type { RefusedBodyOutcome } from '../refusedBodies.js'
@@ -39,6 +39,13 @@
   longestPause: StreamPause | undefined
 }
 
+/** Another instance that a request was handed to. */
+export interface RelayRecord {
+  readonly instance: string
+  /** Undefined until it is known. */
+  outcome: RelayOutcome | undefined
+}
+
 /** One request, from its arrival to its end. */
 export interface GatewayRecord {
   readonly requestId: string
@@ -60,6 +67,10 @@
   budget?: Readonly<Record<string, unknown>>
   spent?: TokenCount
   attempts: AttemptRecord[]
+  /** Instances that it was handed to, since this one could not send it to any endpoint. */
+  relays: RelayRecord[]
+  /** The instance that handed it to this one. */
+  relayedBy?: string
   status?: number
   /** Numbered result; 0 where the endpoint's own answer was passed on. */
   code?: number
--- /dev/null
+++ b/packages/router/src/gateway/linkWatch.ts
@@ -0,0 +1,151 @@
+/**
+ * Knows which endpoints this instance reaches. Owns the checks of links after a connection that did not come up, and which
+ * services it is cut off from; the rule is in decisions/choosing/endpointReach. Nothing that it finds is told of an endpoint.
+ */
+
+import { connect } from 'node:net'
+import { isCutOff, linksToCheck, unreachedLinks } from '@rackwalk/decisions'
+import type { EndpointLink } from '@rackwalk/decisions'
+import { sleep } from '@rackwalk/shared'
+import type { Clock, Milliseconds, RandomSource } from '@rackwalk/shared'
+import type { EndpointState } from './endpointState.js'
+
+/** What the watch works with. */
+export interface LinkWatchParts {
+  readonly clock: Clock
+  readonly random: RandomSource
+  /** Endpoints of a service that are there, whether or not their links are up. */
+  readonly listed: (service: string) => readonly EndpointState[]
+  /** This instance is cut off from a service, or no longer. */
+  readonly onCutOff: (service: string, isCutOff: boolean) => void
+  /** Whether a connection to IP:PORT comes up; over the network unless it is given. */
+  readonly connects?: (address: string) => Promise<boolean>
+}
+
+/** A connection comes up within this time, or its link is lost: a request may wait for it. */
+const CONNECT_MILLISECONDS: Milliseconds = 150
+/** Links that are lost are checked this often, so that they are used again soon after they are back. */
+const CHECK_MILLISECONDS: Milliseconds = 400
+
+interface LinkedEndpoint extends EndpointLink {
+  readonly endpoint: EndpointState
+}
+
+/** The links from one instance to endpoints. */
+export class LinkWatch {
+  /** Services whose links are checked. */
+  private readonly checked = new Set<string>()
+  private readonly cutOff = new Set<string>()
+  private readonly connects: (address: string) => Promise<boolean>
+  private isStopped = false
+
+  constructor(private readonly parts: LinkWatchParts) {
+    this.connects = parts.connects ?? comesUp
+  }
+
+  stop(): void {
+    this.isStopped = true
+  }
+
+  /** Services of which no endpoint is reached. */
+  get cutOffServices(): readonly string[] {
+    return [...this.cutOff]
+  }
+
+  /** Whether no endpoint of a service is reached. */
+  isCutOff(service: string): boolean {
+    return this.cutOff.has(service)
+  }
+
+  /** Endpoints of a service that are not reached. */
+  unreached(service: string): ReadonlySet<EndpointState> {
+    const unreached = unreachedLinks(this.linksOf(service), this.now)
+    return new Set([...unreached].map(({ endpoint }) => endpoint))
+  }
+
+  /** A new connection to an endpoint did not come up: it is found out whether others do. */
+  noteUnconnected(endpoint: EndpointState): void {
+    endpoint.noteUnconnected()
+    this.judge(endpoint.service)
+    if (this.checked.has(endpoint.service) || this.isStopped) return
+    this.checked.add(endpoint.service)
+    void this.checkUntilReached(endpoint.service).finally(() => {
+      this.checked.delete(endpoint.service)
+    })
+  }
+
+  /**
+   * Whether this instance reaches others than the endpoint at this address. Where it does not, that nobody listens there
+   * tells of the link and not of the endpoint; true where there is no other.
+   */
+  async reachesOthers(address: string, service: string): Promise<boolean> {
+    const others = this.linksOf(service).filter(link => link.endpoint.record.address !== address)
+    if (others.length === 0) return true
+    const chosen = linksToCheck(others, this.now, this.parts.random.next())
+    const reached = await Promise.all(chosen.map(link => this.check(link)))
+    return reached.includes(true)
+  }
+
+  private async checkUntilReached(service: string): Promise<void> {
+    await this.checkOnce(service)
+    while (this.hasLost(service) && !this.isStopped) {
+      await sleep(this.parts.clock, CHECK_MILLISECONDS)
+      await this.checkOnce(service)
+    }
+  }
+
+  private async checkOnce(service: string): Promise<void> {
+    const chosen = linksToCheck(this.linksOf(service), this.now, this.parts.random.next())
+    await Promise.all(chosen.map(link => this.check(link)))
+    this.judge(service)
+  }
+
+  private async check({ endpoint }: LinkedEndpoint): Promise<boolean> {
+    const isUp = await this.connects(endpoint.record.address)
+    if (isUp) endpoint.noteConnected()
+    else endpoint.noteUnconnected()
+    return isUp
+  }
+
+  private hasLost(service: string): boolean {
+    return unreachedLinks(this.linksOf(service), this.now).size > 0
+  }
+
+  private judge(service: string): void {
+    const isLost = isCutOff(this.linksOf(service), this.now)
+    if (isLost === this.cutOff.has(service)) return
+    if (isLost) this.cutOff.add(service)
+    else this.cutOff.delete(service)
+    this.parts.onCutOff(service, isLost)
+  }
+
+  private linksOf(service: string): readonly LinkedEndpoint[] {
+    return this.parts.listed(service).map(endpoint => ({ endpoint, ...endpoint.link }))
+  }
+
+  private get now(): Milliseconds {
+    return this.parts.clock.monotonic()
+  }
+}
+
+/** Whether a connection to IP:PORT comes up in time; nothing is sent on it. */
+function comesUp(address: string): Promise<boolean> {
+  const [host = '', port = ''] = address.split(':')
+  return new Promise(resolve => {
+    const socket = connect({ host, port: Number(port) })
+    const finish = (isUp: boolean) => {
+      clearTimeout(timer)
+      socket.destroy()
+      resolve(isUp)
+    }
+    let isConnected = false
+    // On a busy processor the timer is late, and the connection may be up and wait to be seen: that comes first.
+    const giveUp = () => setImmediate(() => finish(isConnected))
+    const timer = setTimeout(giveUp, CONNECT_MILLISECONDS)
+    socket.on('connect', () => {
+      isConnected = true
+      finish(true)
+    })
+    socket.on('error', () => finish(false))
+  })
+}
--- /dev/null
+++ b/packages/router/src/gateway/peerRelay.ts
@@ -0,0 +1,232 @@
+/**
+ * Hands one request to another instance, which serves it as its own: it admits it, holds its budget and makes the attempts.
+ * Owns the exchange in progress; the rules are in decisions/choosing/relayPeer and decisions/retrying/relayStep.
+ */
+
+import type { Agent, IncomingMessage } from 'node:http'
+import { answerFate, isEndpointsFailure, relayStep } from '@rackwalk/decisions'
+import type { EndedAnswer, RelayOutcome } from '@rackwalk/decisions'
+import { DispatchedError, NotRunError, RESULT_TABLE, ResultCode } from '@rackwalk/shared'
+import type { Clock, Milliseconds, RackwalkError } from '@rackwalk/shared'
+import { AnswerRelay } from './answerRelay.js'
+import type { CallerReply } from './callerReply.js'
+import type { Dialect, RequestMetadata } from './dialect.js'
+import { EventRelay } from './eventRelay.js'
+import type { GatewayRoute } from './gatewayConfiguration.js'
+import type { GatewayRecord, RelayRecord } from './gatewayRecord.js'
+import { UpstreamExchange } from './upstreamExchange.js'
+
+/** Another instance that takes requests of this one's callers. */
+export interface RelayPeer {
+  readonly instance: string
+  /** IP:PORT for peers. */
+  readonly address: string
+  readonly agent: Agent
+}
+
+/** Other instances, as far as they take requests of this one's callers. */
+export interface RelayPeers {
+  /** The one to ask for a service; undefined where there is none beside these. */
+  choose(service: string, asked: ReadonlySet<string>): RelayPeer | undefined
+}
+
+/** What a relay works with. */
+export interface PeerRelayParts {
+  readonly dialect: Dialect
+  readonly clock: Clock
+  readonly relayPeers: RelayPeers
+  /** This instance, as it names itself to the others. */
+  readonly instance: string
+  readonly connectMilliseconds: Milliseconds
+}
+
+/** A request that was read, and that no endpoint was sent. */
+export interface RelayableRequest {
+  readonly metadata: RequestMetadata
+  readonly route: GatewayRoute
+  readonly service: string
+  readonly method: string
+  readonly path: string
+  readonly rawHeaders: readonly string[]
+  readonly body: Buffer
+  /** Time, suspensions included, at which the caller or the route gives up. */
+  readonly deadlineAt: Milliseconds
+  readonly reply: CallerReply
+  readonly record: GatewayRecord
+}
+
+/** Names the instance that relays a request; what carries it is never relayed again. */
+export const RELAYED_BY = 'relayed-by'
+
+/** The other instance refuses at the deadline by itself; its answer is awaited this much longer. */
+const DEADLINE_SLACK_MILLISECONDS: Milliseconds = 120
+const STATUS_OK = 200
+const STATUS_ERROR = 400
+
+/** The way of one request through other instances. */
+export class PeerRelay {
+  private readonly asked = new Set<string>()
+  private readonly outcomes: RelayOutcome[] = []
+  private exchange: UpstreamExchange | undefined
+  private isLate = false
+
+  constructor(
+    private readonly parts: PeerRelayParts,
+    private readonly request: RelayableRequest,
+  ) {}
+
+  /** Whether the caller has an answer; false where nothing was sent to anybody. */
+  async run(): Promise<boolean> {
+    const { reply, deadlineAt } = this.request
+    const { clock } = this.parts
+    reply.onLeave(() => this.exchange?.abort('caller-left'))
+    const untilLate = deadlineAt + DEADLINE_SLACK_MILLISECONDS - clock.sinceStart()
+    const timer = clock.after(untilLate, () => this.passDeadline())
+    try {
+      return await this.askUntilDone()
+    } finally {
+      timer.cancel()
+    }
+  }
+
+  private passDeadline(): void {
+    this.isLate = true
+    this.exchange?.abort('deadline')
+  }
+
+  private get isOver(): boolean {
+    return this.isLate || this.request.reply.isLeft
+  }
+
+  private async askUntilDone(): Promise<boolean> {
+    let peer = this.nextPeer
+    while (peer !== undefined && !this.isOver) {
+      if (await this.ask(peer)) return true
+      const another = this.nextPeer
+      const step = relayStep(this.outcomes, this.request.route, another !== undefined)
+      if (step !== 'ask-another') break
+      peer = another
+    }
+    const wasSent = this.outcomes.some(({ kind }) => kind === 'failed')
+    if (wasSent || this.isOver) this.giveUp()
+    return wasSent || this.isOver
+  }
+
+  private get nextPeer(): RelayPeer | undefined {
+    return this.parts.relayPeers.choose(this.request.service, this.asked)
+  }
+
+  /** Whether the caller was given its answer, or what there is of it. */
+  private async ask(peer: RelayPeer): Promise<boolean> {
+    this.asked.add(peer.instance)
+    const told: RelayRecord = { instance: peer.instance, outcome: undefined }
+    this.request.record.relays.push(told)
+    const exchange = this.open(peer)
+    this.exchange = exchange
+    const head = await exchange.awaitAnswer()
+    const outcome = this.outcomeOf(head)
+    told.outcome = outcome
+    this.outcomes.push(outcome)
+    if (head.kind !== 'head') return false
+    const step = relayStep(this.outcomes, this.request.route, this.nextPeer !== undefined)
+    if (step === 'pass-on') return this.passOn(exchange, head.response, told)
+    if (outcome.kind === 'refused') exchange.drain()
+    else exchange.abort('aborted')
+    return false
+  }
+
+  private outcomeOf(head: Awaited<ReturnType<UpstreamExchange['awaitAnswer']>>): RelayOutcome {
+    if (head.kind === 'not-sent') return { kind: 'not-sent' }
+    if (head.kind === 'failed') return { kind: 'failed', reason: head.reason }
+    const status = head.response.statusCode ?? 0
+    const reply = this.parts.dialect.readReply(status, head.response.headers)
+    if (reply.requestId !== this.request.metadata.requestId) {
+      return { kind: 'failed', reason: 'answer to another request' }
+    }
+    const isOwn = !reply.isSigned && status >= STATUS_ERROR
+    return { kind: isOwn ? 'refused' : 'answered', status }
+  }
+
+  private open(peer: RelayPeer): UpstreamExchange {
+    const { method, path, rawHeaders, body, deadlineAt } = this.request
+    const { clock, dialect, instance, connectMilliseconds } = this.parts
+    const remaining = Math.max(1, Math.floor(deadlineAt - clock.sinceStart()))
+    const headers = dialect.relayHeaders(rawHeaders, remaining)
+    headers.push(RELAYED_BY, instance)
+    if (body.length > 0) headers.push('Content-Length', String(body.length))
+    const endpoint = { record: { address: peer.address }, agent: peer.agent }
+    const sent = { method, path, headers, body, connectMilliseconds }
+    return new UpstreamExchange(endpoint, sent)
+  }
+
+  private async passOn(
+    exchange: UpstreamExchange,
+    response: IncomingMessage,
+    told: RelayRecord,
+  ): Promise<boolean> {
+    const { reply, route, record } = this.request
+    const relay = new AnswerRelay({
+      exchange,
+      response,
+      reply,
+      events: new EventRelay(),
+      onStart: () => this.noteStart(),
+      onEvents: () => {},
+      onBytes: () => {},
+    })
+    const isStream = route.isStreaming && response.statusCode === STATUS_OK
+    const ended = await (isStream ? relay.relayEvents() : relay.relayWhole())
+    const fate = answerFate(ended, { route, isReplyStarted: reply.isStarted })
+    if (fate === 'whole') {
+      noteRefusal(record, told.outcome)
+      return true
+    }
+    return this.endBroken(ended, told)
+  }
+
+  /** The answer broke off: what the caller has of it can't be mended from here. */
+  private endBroken(ended: EndedAnswer, told: RelayRecord): boolean {
+    this.outcomes.pop()
+    const outcome: RelayOutcome = { kind: 'failed', reason: `broke off: ${ended.end}` }
+    told.outcome = outcome
+    this.outcomes.push(outcome)
+    const mayGoOn = isEndpointsFailure(ended) && !this.request.reply.isStarted
+    if (!mayGoOn) this.giveUp()
+    return !mayGoOn
+  }
+
+  private noteStart(): void {
+    const { record } = this.request
+    record.firstByteMilliseconds = this.parts.clock.sinceStart() - record.receivedAt
+    record.execution = 'ran'
+  }
+
+  private giveUp(): void {
+    const { reply, record } = this.request
+    const error = this.finalError
+    record.code = error.code
+    record.detail = error.message
+    record.execution = RESULT_TABLE[error.code].execution
+    if (reply.isLeft) return
+    if (reply.isStarted) reply.cut()
+    else reply.refuse(error)
+  }
+
+  private get finalError(): RackwalkError {
+    const { reply } = this.request
+    if (reply.isLeft) return new DispatchedError(ResultCode.CallerLeft)
+    const wasSent = this.outcomes.some(({ kind }) => kind === 'failed')
+    if (!wasSent) return new NotRunError(ResultCode.DeadlineUnreachable)
+    if (this.isLate) return new DispatchedError(ResultCode.DeadlinePassed)
+    if (reply.isStarted) return new DispatchedError(ResultCode.EndpointBrokeOff)
+    return new DispatchedError(ResultCode.EndpointFailed)
+  }
+}
+
+/** A refusal of the other instance is one to this one's caller as well. */
+function noteRefusal(record: GatewayRecord, outcome: RelayOutcome | undefined): void {
+  if (outcome?.kind !== 'refused') return
+  record.code = ResultCode.RelayRefused
+  record.detail = `status ${outcome.status}`
+  record.execution = 'not-run'
+}
--- a/packages/router/src/gateway/requestAttempts.ts
+++ b/packages/router/src/gateway/requestAttempts.ts
@@ -12,6 +12,7 @@
   canRepeat,
   finalError,
   isEndpointsFailure,
+  isLeftUnsent,
   isMisdirected,
   isPromising,
   isServerError,
@@ -53,6 +54,8 @@
   readonly reply: CallerReply
   /** Takes one retry of the service's budget, if there is one. */
   readonly takeRetry: () => boolean
+  /** Whether another instance may take it where no connection comes up. */
+  readonly mayRelay: boolean
 }
 
 /** How the attempts ended, for the budget and the log. */
@@ -64,6 +67,8 @@
   readonly events: number
   /** Whether the last answer came to its own end. */
   readonly isWhole: boolean
+  /** Whether no connection came up for it, and its caller was told nothing: another instance may take it. */
+  readonly isUnsent: boolean
 }
 
 /** `done`: an answer was passed on whole. */
@@ -96,6 +101,7 @@
   private closeExchange = () => {}
   private isHandedOut = false
   private isLate = false
+  private isUnsent = false
   /** Monotonic time at which the attempt in progress was sent. */
   private sentAt: Milliseconds = 0
   private readonly choice: AttemptChoice
@@ -115,12 +121,9 @@
     const timer = this.parts.clock.after(untilLate, () => this.passDeadline())
     try {
       const isWhole = await this.attemptUntilDone()
-      return {
-        mayHaveRun: this.history.some(mayHaveRun),
-        isHandedOut: this.isHandedOut,
-        events: this.events.events,
-        isWhole,
-      }
+      const { isHandedOut, isUnsent } = this
+      const { events } = this.events
+      return { mayHaveRun: this.history.some(mayHaveRun), isHandedOut, events, isWhole, isUnsent }
     } finally {
       timer.cancel()
     }
@@ -151,10 +154,18 @@
       if (end === 'done') return true
       if (end === 'give-up') break
     }
-    this.giveUp()
+    this.isUnsent = this.mayGoToPeer
+    if (!this.isUnsent) this.giveUp()
     return false
   }
 
+  private get mayGoToPeer(): boolean {
+    const { isOver, history, choice, request } = this
+    const isCutOff = this.parts.links.isCutOff(request.service.name)
+    if (isOver || !request.mayRelay || choice.verdict === 'refuse') return false
+    return isLeftUnsent(history, isCutOff)
+  }
+
   private noteChoice({ endpoint, score, compared }: ChosenEndpoint): void {
     const { record } = this.request
     const { id } = endpoint.record
@@ -223,6 +234,7 @@
     if (reason === ENDPOINT_ENDED) return this.endAttempt(withoutAnswer(kind, reason))
     if (kind === 'failed') return this.endBroken(endpoint, { kind, reason })
     if (reason === CONNECTION_REFUSED) endpoint.noteUnreachable()
+    this.parts.links.noteUnconnected(endpoint)
     const end = this.endAttempt({ kind: 'connect-failed', reason })
     const mayBeNews = end === 'try-another' && this.choice.verdict === 'isolate'
     if (mayBeNews) await sleep(this.parts.clock, NEWS_MILLISECONDS)
--- a/packages/router/src/gateway/upstreamExchange.ts
+++ b/packages/router/src/gateway/upstreamExchange.ts
@@ -15,6 +15,8 @@
   /** `address` is IP:PORT. */
   readonly record: { readonly address: string }
   readonly agent: Agent
+  /** Called once a new connection has come up. */
+  noteConnected?(): void
 }
 
 /** What is sent. */
@@ -63,7 +65,10 @@
   private ended = false
   private mustHandOver = false
 
-  constructor(endpoint: ExchangeEndpoint, request: UpstreamRequest) {
+  constructor(
+    private readonly endpoint: ExchangeEndpoint,
+    request: UpstreamRequest,
+  ) {
     const [host = '', port = ''] = endpoint.record.address.split(':')
     this.method = request.method
     this.call = httpRequest({
@@ -192,6 +197,7 @@
       socket.setNoDelay(true)
       socket.once('connect', () => {
         this.connected = true
+        this.endpoint.noteConnected?.()
         clearTimeout(timer)
       })
       socket.once('close', () => clearTimeout(timer))
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -79,7 +79,7 @@
 export { nameSchema } from './resources/name.js'
 
 export { EndpointEnds } from './crashes/endpointEnds.js'
-export type { EndpointEnd } from './crashes/endpointEnds.js'
+export type { BreakingEndpoint, EndpointEnd } from './crashes/endpointEnds.js'
 export { CrashGuard } from './crashes/crashGuard.js'
 export { ContinuedEvents } from './engine/continuedEvents.js'
 export { KeptAnswer } from './engine/keptAnswer.js'
@@ -87,6 +87,10 @@
 export { probeEndpoint } from './crashes/endpointProbe.js'
 
 export { Gateway } from './gateway/gateway.js'
+export { LinkWatch } from './gateway/linkWatch.js'
+export { EndpointAgent } from './gateway/endpointAgent.js'
+export { RELAYED_BY } from './gateway/peerRelay.js'
+export type { RelayPeer, RelayPeers } from './gateway/peerRelay.js'
 export { RouteTable } from './gateway/gatewayConfiguration.js'
 export type {
   GatewayConfiguration,
@@ -95,7 +99,12 @@
   GatewayService,
   GatewayTeam,
 } from './gateway/gatewayConfiguration.js'
-export type { AnswerRecord, AttemptRecord, GatewayRecord } from './gateway/gatewayRecord.js'
+export type {
+  AnswerRecord,
+  AttemptRecord,
+  GatewayRecord,
+  RelayRecord,
+} from './gateway/gatewayRecord.js'
 export type {
   Dialect,
   ForwardMetadata,
--- a/packages/shared/src/resultCodes.ts
+++ b/packages/shared/src/resultCodes.ts
@@ -39,6 +39,8 @@
   EndsEndpoints = 3014,
   RateNamed = 3015,
   EndpointsResting = 3016,
+  CutOff = 3017,
+  RelayRefused = 3018,
 
   EndpointFailed = 4001,
   EndpointStalled = 4002,
@@ -103,6 +105,8 @@
   | ResultCode.EndsEndpoints
   | ResultCode.RateNamed
   | ResultCode.EndpointsResting
+  | ResultCode.CutOff
+  | ResultCode.RelayRefused
 
 /** Codes for a request that an earlier or this attempt may have run. */
 export type AfterDispatchCode =
@@ -239,6 +243,20 @@
     'every endpoint that is free has turned this instance away and asked for rest',
     1,
   ),
+  [ResultCode.CutOff]: row(
+    503,
+    'not-run',
+    true,
+    'this instance reaches no endpoint, and no other instance takes its requests',
+    1,
+  ),
+  [ResultCode.RelayRefused]: row(
+    503,
+    'not-run',
+    true,
+    'the instance that the request was handed to refused it',
+    1,
+  ),
 
   [ResultCode.EndpointFailed]: row(502, 'unknown', true, 'the endpoint did not answer'),
   [ResultCode.EndpointStalled]: row(504, 'ran', true, 'the endpoint stalled'),
--- a/packages/stand-ins/src/replay/fleetReplay.ts
+++ b/packages/stand-ins/src/replay/fleetReplay.ts
@@ -298,6 +298,7 @@
       hears: ({ instance }) => peers.hears(instance),
       silenceMilliseconds: () => this.silenceMilliseconds,
       isUsing: ({ instance }) => peers.isUsing(instance),
+      isCutOff: () => false,
       isSelfUsing,
       clock: this.clock,
       bounds: { minimumInDomain: 2, headroom: 2 },
