--- a/packages/daemon/src/gateway/crashWatch.ts
+++ b/packages/daemon/src/gateway/crashWatch.ts
@@ -4,9 +4,9 @@
  */
 
 import { CrashRecords } from '@rackwalk/coordination'
-import { CrashGuard, probeEndpoint } from '@rackwalk/router'
-import type { CrashNews, EndSign } from '@rackwalk/decisions'
-import type { BreakingEndpoint, EndpointDirectory, LinkWatch } from '@rackwalk/router'
+import { CrashGuard, probeReached } from '@rackwalk/router'
+import type { CrashNews } from '@rackwalk/decisions'
+import type { EndpointDirectory, EndpointState, LinkWatch } from '@rackwalk/router'
 import type { Clock, Milliseconds, RequestFingerprint } from '@rackwalk/shared'
 import type { RowStore } from '@rackwalk/stores'
 import type { GatewayTelemetry } from './gatewayTelemetry.js'
@@ -16,7 +16,7 @@
   readonly clock: Clock
   readonly store: RowStore
   readonly directory: () => EndpointDirectory
-  readonly links: LinkWatch
+  readonly links: LinkWatch<EndpointState>
   /** Tells all other instances, whether or not they use endpoints. */
   readonly tell: (news: CrashNews) => void
   /** How many instances that reaches. */
@@ -36,7 +36,7 @@
     const { clock, store, telemetry } = parts
     this.guard = new CrashGuard({
       clock,
-      probe: endpoint => this.look(endpoint),
+      probe: endpoint => probeReached(endpoint, parts.links),
       onEnd: end => telemetry.noteEndpointEnd(end, parts.listenerCount()),
       onUnreachable: start => parts.directory().noteUnreachable(start),
       onNews: news => this.share(news),
@@ -62,15 +62,6 @@
     this.noteAway(news)
   }
 
-  /** That nobody listens proves an end only where this instance reaches others: its own link may be lost. */
-  private async look(endpoint: BreakingEndpoint): Promise<EndSign> {
-    const sign = await probeEndpoint(endpoint)
-    if (sign !== 'nobody-listens') return sign
-    const { address, service } = endpoint
-    const isReaching = await this.parts.links.reachesOthers(address, service)
-    return isReaching ? sign : 'no-connection'
-  }
-
   private noteAway({ away = [] }: CrashNews): void {
     for (const start of away) this.parts.directory().noteAway(start)
   }
--- a/packages/daemon/src/gateway/endpointKnowledge.ts
+++ b/packages/daemon/src/gateway/endpointKnowledge.ts
@@ -5,7 +5,7 @@
  */
 
 import { EndpointDirectory, FleetLoad, LinkWatch } from '@rackwalk/router'
-import type { EndpointRecord, GatewayService } from '@rackwalk/router'
+import type { EndpointRecord, EndpointState, GatewayService } from '@rackwalk/router'
 import type { MemberDirectory } from '@rackwalk/coordination'
 import type { Clock, EndpointStart, RandomSource } from '@rackwalk/shared'
 import type { RowStore } from '@rackwalk/stores'
@@ -46,7 +46,7 @@
   /** Other instances that get more than they bear. */
   readonly overloaded: OverloadedInstances
   /** Which endpoints this instance reaches. */
-  readonly links: LinkWatch
+  readonly links: LinkWatch<EndpointState>
   /** Instances that reach no endpoint of some service. */
   readonly cutOff: CutOffInstances
 
@@ -95,7 +95,7 @@
     })
   }
 
-  private createLinks(): LinkWatch {
+  private createLinks(): LinkWatch<EndpointState> {
     const { clock, random, telemetry } = this.parts
     return new LinkWatch({
       clock,
--- a/packages/daemon/src/observe/metrics.ts
+++ b/packages/daemon/src/observe/metrics.ts
@@ -32,6 +32,7 @@
   private readonly retries: Counter
   private readonly continuations: Counter
   private readonly endpointEnds: Counter
+  private readonly handOvers: Counter
   private readonly tokens: Counter
   private readonly billed: Counter
   private readonly refusedBodies: Counter
@@ -72,6 +73,12 @@
       help: 'Streamed answers that were cut and with which another engine went on.',
       registers,
     })
+    this.handOvers = new Counter({
+      name: 'rackwalk_handed_over_total',
+      help: 'Chats handed to other instances since no engine was reached from here, by outcome.',
+      labelNames: ['outcome'],
+      registers,
+    })
     this.endpointEnds = new Counter({
       name: 'rackwalk_endpoint_ends_total',
       help: 'Endpoints that were seen to end unannounced with unanswered requests from here.',
@@ -127,6 +134,10 @@
     this.coordination.inc({ event: name }, amount)
   }
 
+  noteHandOver(outcome: string): void {
+    this.handOvers.inc({ outcome })
+  }
+
   noteEndpointEnd(): void {
     this.endpointEnds.inc()
   }
--- a/packages/daemon/src/platformClients.ts
+++ b/packages/daemon/src/platformClients.ts
@@ -1,8 +1,14 @@
 /** What the settings of an OpenAI-style instance name: the clients of its platform, and how budgets are divided. */
 
 import { DynamodbTableService, S3ObjectStore } from '@rackwalk/stores'
-import { EqualSplitPolicy, RateProportionalPolicy, WeighedPolicy } from '@rackwalk/coordination'
+import {
+  CheckedTable,
+  EqualSplitPolicy,
+  RateProportionalPolicy,
+  WeighedPolicy,
+} from '@rackwalk/coordination'
 import type { AllocationPolicy } from '@rackwalk/coordination'
+import type { MalformedForms } from './observe/malformedForms.js'
 import { readSecret } from './settings/sources.js'
 import type { Settings } from './settings/schema.js'
 
@@ -44,3 +50,13 @@
     timeoutMilliseconds: objects.timeoutMilliseconds,
   })
 }
+
+/** The table as all parts read it: with rows held against their forms. */
+export function createCheckedTable(
+  table: DynamodbTableService,
+  malformed: MalformedForms,
+): CheckedTable {
+  return new CheckedTable(table, ({ partition, sort }) =>
+    malformed.note({ form: 'row', source: `${partition}/${sort}` }),
+  )
+}
--- a/packages/daemon/src/rackwalkDaemon.ts
+++ b/packages/daemon/src/rackwalkDaemon.ts
@@ -3,30 +3,20 @@
  * life; relies on each part for what it does.
  */
 
-import { ResultCode, SystemClock, SystemRandom, asId, sleep } from '@rackwalk/shared'
-import type {
-  Clock,
-  FailureDomainId,
-  IncarnationId,
-  InstanceId,
-  RandomSource,
-  RegionId,
-  Task,
-} from '@rackwalk/shared'
+import { ResultCode, SystemClock, SystemRandom, sleep } from '@rackwalk/shared'
+import type { Clock, IncarnationId, RandomSource, Task } from '@rackwalk/shared'
 import { ObjectStoreInstanceList } from '@rackwalk/stores'
 import type { DynamodbTableService, S3ObjectStore } from '@rackwalk/stores'
 import type { JsonValue, ListedInstance, TableService } from '@rackwalk/stores'
 import {
-  CheckedTable,
   CoordinationNode,
   DEFAULT_JOURNAL_LIMITS,
   Lease,
   ResourceStore,
   chooseAddresses,
 } from '@rackwalk/coordination'
-import type { NodeIdentity } from '@rackwalk/coordination'
 import { Catalogue, EndpointClient, EndpointTable, FOLLOWED_KINDS } from '@rackwalk/router'
-import type { DecisionRecord, RefusedBodies } from '@rackwalk/router'
+import type { ChatHandOver, DecisionRecord, RefusedBodies } from '@rackwalk/router'
 import { CallerServer } from './callers/callerServer.js'
 import { createRefusedBodies } from './callers/createRefusedBodies.js'
 import { createWaitingConnections } from './callers/createWaitingConnections.js'
@@ -43,13 +33,17 @@
 import { ResourceApi } from './operators/resourceApi.js'
 import { GrpcPeerChannel } from './peers/grpcPeerChannel.js'
 import { PeerServer } from './peers/peerServer.js'
-import { createObjects, createPolicy, createTable } from './platformClients.js'
+import { createCheckedTable, createObjects, createPolicy, createTable } from './platformClients.js'
+import { createChatHandOver } from './chatHandOver.js'
+import { createIdentity } from './ownIdentity.js'
+import type { OwnIdentity } from './ownIdentity.js'
 import { createRequestPath } from './requestPath.js'
 import type { RequestPath } from './requestPath.js'
 import { readSecret } from './settings/sources.js'
 import type { Settings } from './settings/schema.js'
 import { AdviceTask } from './tasks/adviceTask.js'
 import { CrashTask } from './tasks/crashTask.js'
+import { EndpointReachTask } from './tasks/endpointReachTask.js'
 import { EndpointMonitor } from './tasks/endpointMonitor.js'
 import { PlacementTask } from './tasks/placementTask.js'
 
@@ -74,9 +68,6 @@
 const PLANNER_LEASE = 'planner'
 const DRAIN_POLL_MILLISECONDS = 20
 
-/** Addresses are filled in when the listeners have their ports. */
-type OwnIdentity = { -readonly [Field in keyof NodeIdentity]: NodeIdentity[Field] }
-
 /** One instance of the fleet: every task, wired together. */
 export class RackwalkDaemon {
   readonly node: CoordinationNode
@@ -98,6 +89,8 @@
   private readonly explainer: Explainer
   private readonly inForce: InForceTracker
   private readonly crashes: CrashTask
+  private readonly reach: EndpointReachTask
+  private readonly handOver: ChatHandOver
   private readonly advice: AdviceTask
   private readonly monitor: EndpointMonitor
   private readonly tasks: readonly Task[]
@@ -115,13 +108,9 @@
     this.logger = options.logger ?? new JsonLogger(settings.log.level, settings.instance.id)
     this.metrics = new Metrics(options.withProcessMetrics ?? true)
     this.identity = createIdentity(settings, this.random)
-    this.malformed = new MalformedForms(this.logger, () =>
-      this.metrics.increment('malformed_forms'),
-    )
+    this.malformed = this.createMalformedForms()
     this.tableClient = createTable(settings)
-    this.table = new CheckedTable(this.tableClient, ({ partition, sort }) =>
-      this.malformed.note({ form: 'row', source: `${partition}/${sort}` }),
-    )
+    this.table = createCheckedTable(this.tableClient, this.malformed)
     this.objects = createObjects(settings)
     this.client = new EndpointClient(this.clock, settings.limits.stallMilliseconds)
     this.peers = this.createPeerChannel()
@@ -129,12 +118,14 @@
     this.catalogue = new Catalogue(this.node.configuration)
     this.advice = this.createAdviceTask()
     this.endpoints = this.createEndpoints()
+    this.reach = this.createReach()
     this.crashes = this.createCrashTask()
+    this.handOver = this.createHandOver()
     this.path = this.createPath()
     this.explainer = new Explainer(this.node, this.peers)
     this.inForce = new InForceTracker(this.node.membership, this.clock)
     this.monitor = this.createMonitor()
-    this.tasks = [this.monitor, this.crashes, this.createPlacementTask()]
+    this.tasks = [this.monitor, this.reach, this.crashes, this.createPlacementTask()]
     this.peerServer = new PeerServer(this.node.handlers, this.peerSecret(), form =>
       this.malformed.note(form),
     )
@@ -187,6 +178,7 @@
     this.operatorServer.stop()
     this.peerServer.stop()
     this.peers.close()
+    this.handOver.close()
     await this.client.close()
     this.tableClient.close()
     this.objects.close()
@@ -272,6 +264,8 @@
       logger: this.logger,
       metrics: this.metrics,
       limits: this.settings.limits,
+      reach: this.reach,
+      handOver: this.handOver,
       onRecord: record => this.keepRecord(record),
       onFault: error => this.noteFault(error),
     })
@@ -297,6 +291,7 @@
       membership: () => this.node.membership,
       peers,
       table,
+      reach: this.reach,
       clock,
       random,
       logger,
@@ -307,12 +302,27 @@
     })
   }
 
+  private createMalformedForms(): MalformedForms {
+    return new MalformedForms(this.logger, () => this.metrics.increment('malformed_forms'))
+  }
+
+  private createHandOver(): ChatHandOver {
+    const { identity, node, clock, random, metrics } = this
+    return createChatHandOver(identity, node, { clock, random, metrics })
+  }
+
+  private createReach(): EndpointReachTask {
+    const { catalogue, clock, random, logger } = this
+    return new EndpointReachTask({ catalogue, clock, random, logger })
+  }
+
   private createMonitor(): EndpointMonitor {
     return new EndpointMonitor({
       catalogue: this.catalogue,
       endpoints: this.endpoints,
       client: this.client,
       admit: this.path.admit,
+      reach: this.reach,
       clock: this.clock,
       periodMilliseconds: this.settings.timings.reportMilliseconds,
       onFault: error => this.noteFault(error),
@@ -457,16 +467,3 @@
     this.logger.warn('fault', { error: text })
   }
 }
-
-function createIdentity(settings: Settings, random: RandomSource): OwnIdentity {
-  const { id, region, failureDomain } = settings.instance
-  return {
-    instanceId: asId<InstanceId>(id),
-    incarnation: asId<IncarnationId>(`${id}-${random.uniqueId().slice(0, 8)}`),
-    region: asId<RegionId>(region),
-    failureDomain: asId<FailureDomainId>(failureDomain),
-    peerAddress: settings.listen.peers,
-    callerAddress: settings.listen.callers,
-    operatorAddress: settings.listen.operators,
-  }
-}
--- a/packages/daemon/src/requestPath.ts
+++ b/packages/daemon/src/requestPath.ts
@@ -25,6 +25,7 @@
 } from '@rackwalk/router'
 import type {
   Catalogue,
+  ChatHandOver,
   CrashGuard,
   DecisionRecord,
   EndpointAdvices,
@@ -34,6 +35,7 @@
   RoutingRecord,
 } from '@rackwalk/router'
 import type { Logger } from './observe/logger.js'
+import type { EndpointReachTask } from './tasks/endpointReachTask.js'
 import type { Metrics } from './observe/metrics.js'
 import type { Settings } from './settings/schema.js'
 
@@ -50,6 +52,8 @@
   readonly logger: Logger
   readonly metrics: Metrics
   readonly limits: Settings['limits']
+  readonly reach: EndpointReachTask
+  readonly handOver: ChatHandOver
   readonly onRecord: (record: DecisionRecord) => void
   readonly onFault: (error: unknown) => void
 }
@@ -74,6 +78,7 @@
     crashes: parts.crashes,
     onDecision: (request, decision) => logDecision(parts.logger, request, decision),
   })
+  const isCutOff = (target: string) => parts.reach.links.isCutOff(target)
   const checkServing = () => requireServing(node)
   const admit = new AdmitFilter({ catalogue, endpoints, clock, random, instances, checkServing })
   const dispatch = new DispatchFilter({
@@ -88,6 +93,8 @@
     random,
     firstByteMilliseconds: limits.firstByteMilliseconds,
     onRetry: () => metrics.noteRetry(),
+    onUnconnected: (...failed) => parts.reach.noteUnconnected(...failed),
+    isCutOff,
   })
   const continuation = new AnswerContinuation({
     dispatch,
@@ -131,6 +138,8 @@
     incarnation,
     clock,
     createRequestId: () => createRequestId(incarnation, clock.wallTime(), (count += 1)),
+    handOver: parts.handOver,
+    isCutOff,
     onRecord: parts.onRecord,
     onFault: parts.onFault,
   })
--- a/packages/daemon/src/tasks/crashTask.ts
+++ b/packages/daemon/src/tasks/crashTask.ts
@@ -5,7 +5,7 @@
 
 import { CrashTable } from '@rackwalk/coordination'
 import type { CrashNews, KnownEnd } from '@rackwalk/decisions'
-import { CrashGuard, probeEndpoint } from '@rackwalk/router'
+import { CrashGuard, probeReached } from '@rackwalk/router'
 import type { Clock, EndpointId, Milliseconds, RandomSource, Task, Timer } from '@rackwalk/shared'
 import { RackwalkError, endpointOf } from '@rackwalk/shared'
 import type { TableService } from '@rackwalk/stores'
@@ -13,10 +13,12 @@
 import type { Metrics } from '../observe/metrics.js'
 import { tellPeers } from './tellPeers.js'
 import type { TellingParts } from './tellPeers.js'
+import type { EndpointReachTask } from './endpointReachTask.js'
 
 /** What the task works with. */
 export interface CrashTaskParts extends TellingParts {
   readonly table: TableService
+  readonly reach: EndpointReachTask
   readonly clock: Clock
   readonly random: RandomSource
   readonly logger: Logger
@@ -44,7 +46,7 @@
     const { clock, table, random, logger, metrics } = parts
     this.guard = new CrashGuard({
       clock,
-      probe: probeEndpoint,
+      probe: endpoint => probeReached(endpoint, parts.reach.links),
       onEnd: ({ endpoint, signs, unanswered }) => {
         metrics.noteEndpointEnd()
         const requests = unanswered.map(({ fingerprint }) => fingerprint)
--- a/packages/daemon/src/tasks/endpointMonitor.ts
+++ b/packages/daemon/src/tasks/endpointMonitor.ts
@@ -8,6 +8,7 @@
 import type { ListedInstance } from '@rackwalk/stores'
 import type { MemberInfo } from '@rackwalk/coordination'
 import { parseCacheEvents, parseLoadReport } from '@rackwalk/router'
+import type { EndpointReachTask } from './endpointReachTask.js'
 import type {
   AdmitFilter,
   Catalogue,
@@ -22,6 +23,7 @@
   readonly endpoints: EndpointTable
   readonly client: EndpointClient
   readonly admit: AdmitFilter
+  readonly reach: EndpointReachTask
   readonly clock: Clock
   readonly periodMilliseconds: Milliseconds
   readonly onFault: (error: unknown) => void
@@ -104,6 +106,7 @@
     } catch {
       // An endpoint that does not report is judged by its requests alone.
       this.parts.endpoints.noteSilent(endpointId)
+      this.parts.reach.noteSilent(endpointId)
     } finally {
       this.asking.delete(endpointId)
     }
--- a/packages/router/__tests__/standIns/markedChats.ts
+++ b/packages/router/__tests__/standIns/markedChats.ts
@@ -152,6 +152,8 @@
       random,
       firstByteMilliseconds: 30_000,
       onRetry: () => {},
+      onUnconnected: () => {},
+      isCutOff: () => false,
     })
   }
 
--- a/packages/router/src/engine/chatRequest.ts
+++ b/packages/router/src/engine/chatRequest.ts
@@ -99,6 +99,15 @@
   }
 }
 
+/** The body as another instance takes it from the caller, with what was added for the engine taken back. */
+export function relayedChatBody({ body, wantsUsage }: ChatRequest): Record<string, unknown> {
+  const options = body['stream_options']
+  if (typeof options !== 'object' || options === null) return body
+  const asked: Record<string, unknown> = { ...options, include_usage: wantsUsage }
+  delete asked['continuous_usage_stats']
+  return { ...body, stream_options: asked }
+}
+
 /** The engine must report usage and enforce the limit, whatever the caller asked for. */
 function engineBody(body: ChatBody, outputTokenLimit: TokenCount): Record<string, unknown> {
   const options = { ...body.stream_options, include_usage: true, continuous_usage_stats: true }
--- a/packages/router/src/filters/dispatch.ts
+++ b/packages/router/src/filters/dispatch.ts
@@ -34,6 +34,10 @@
   readonly random: RandomSource
   readonly firstByteMilliseconds: Milliseconds
   readonly onRetry: () => void
+  /** No connection to an endpoint came up. */
+  readonly onUnconnected: (target: string, endpointId: EndpointId) => void
+  /** Whether no endpoint of a model or service is reached from here. */
+  readonly isCutOff: (target: string) => boolean
 }
 
 const MAXIMUM_ATTEMPTS = 4
@@ -335,6 +339,7 @@
       return
     }
     if (result.kind === 'answering') drop(result.answer)
+    if (result.kind === 'unsent') this.parts.onUnconnected(request.target, endpointId)
     this.parts.endpoints.noteEnded(endpointId)
     if (!this.isOver(request, result) && !this.isResting(endpointId))
       this.parts.endpoints.noteFailure(endpointId)
@@ -367,7 +372,7 @@
     // A body that streams through can be sent once.
     const isBodySpent = request.call.kind === 'service' && request.incoming.body.readableDidRead
     if (isBodySpent) return 'give-up'
-    if (result.kind === 'unsent') return 'try-another'
+    if (result.kind === 'unsent') return this.afterUnsent(request)
     if (!request.repeatable) return 'give-up'
     const isFree = await this.isFree(failed)
     if (this.isOver(request, result) || (!isFree && !this.retries.withdraw())) return 'give-up'
@@ -375,6 +380,11 @@
     return 'retry'
   }
 
+  /** Where nothing is reached from here, another instance is asked and not the next endpoint. */
+  private afterUnsent({ target }: RoutedRequest): Verdict {
+    return this.parts.isCutOff(target) ? 'give-up' : 'try-another'
+  }
+
   /**
    * Retries are bounded so that a failing endpoint does not have its load multiplied. One that has ended bears no load, and all
    * that waited there comes in one moment, more than is ever saved up: so what it ran is sent again free. The attempts of a
--- /dev/null
+++ b/packages/router/src/filters/handOver.ts
@@ -0,0 +1,206 @@
+/**
+ * Hands a chat to another instance where this one reaches no engine. The other one serves it as its own: it admits it, holds
+ * its budget, claims its key and makes the attempts. Owns the exchange in progress and which instances refused lately; the
+ * rules are in decisions/choosing/relayPeer and decisions/retrying/relayStep.
+ */
+
+import { chooseRelayPeer, isProvenWhole, relayStep } from '@rackwalk/decisions'
+import type { AnswerEnd, RelayCandidate, RelayOutcome } from '@rackwalk/decisions'
+import { DispatchedError, ResultCode } from '@rackwalk/shared'
+import type { Clock, IncarnationId, Milliseconds, RandomSource } from '@rackwalk/shared'
+import { relayedChatBody } from '../engine/chatRequest.js'
+import type { ChatRequest } from '../engine/chatRequest.js'
+import { withoutConnectionHeaders } from '../gateway/connectionHeaders.js'
+import { EndpointAgent } from '../gateway/endpointAgent.js'
+import { RELAYED_BY } from '../gateway/peerRelay.js'
+import { UpstreamExchange } from '../gateway/upstreamExchange.js'
+import type { ParsedRequest } from './stages.js'
+
+/** Another instance that serves callers. */
+export interface HandOverPeer {
+  readonly incarnation: IncarnationId
+  readonly failureDomain: string
+  /** IP:PORT for callers. */
+  readonly callerAddress: string
+}
+
+/** What chats are handed over with. */
+export interface HandOverParts {
+  readonly incarnation: IncarnationId
+  readonly failureDomain: string
+  readonly clock: Clock
+  readonly random: RandomSource
+  /** Others that serve callers. */
+  readonly peers: () => readonly HandOverPeer[]
+  readonly onHandedOver: (outcome: RelayOutcome) => void
+}
+
+interface Candidate extends RelayCandidate {
+  readonly peer: HandOverPeer
+}
+
+const CONNECT_MILLISECONDS: Milliseconds = 300
+/** Connections to one instance. */
+const MOST_CONNECTIONS = 256
+/** Who refused as cut off or full is asked last for so long: it says nothing of it by itself. */
+const REFUSAL_MILLISECONDS: Milliseconds = 1_000
+const STATUS_UNAVAILABLE = 503
+/** Headers of one exchange, which the next one has anew. */
+const OWN_HEADERS = new Set(['host', 'content-length', 'rackwalk-deadline-ms'])
+
+/** Hands chats of one instance to others. */
+export class ChatHandOver {
+  private readonly agents = new Map<string, EndpointAgent>()
+  /** Monotonic time at which each refused last. */
+  private readonly refusedAt = new Map<IncarnationId, Milliseconds>()
+
+  constructor(private readonly parts: HandOverParts) {}
+
+  close(): void {
+    for (const agent of this.agents.values()) agent.destroy()
+  }
+
+  /** Whether the request may go to another instance at all. */
+  mayTake({ incoming, call }: ParsedRequest): boolean {
+    return call.kind === 'chat' && !incoming.headers.has(RELAYED_BY)
+  }
+
+  /** What came of it; undefined where nobody was sent it. Throws where it may have run and no answer came. */
+  async run(request: ParsedRequest): Promise<RelayOutcome | undefined> {
+    const { call } = request
+    if (call.kind !== 'chat') return undefined
+    const asked = new Set<IncarnationId>()
+    const outcomes: RelayOutcome[] = []
+    let peer = this.choose(asked)
+    while (peer !== undefined) {
+      asked.add(peer.incarnation)
+      const exchange = this.open(peer, request, call.chat)
+      const next = this.choose(asked)
+      const outcome = await this.pass(exchange, request, outcomes, next !== undefined)
+      this.noteOutcome(peer, outcome)
+      const step = relayStep(outcomes, routeOf(request), next !== undefined)
+      if (step === 'pass-on') return outcome
+      if (step === 'give-up') break
+      peer = next
+    }
+    if (!outcomes.some(({ kind }) => kind === 'failed')) return undefined
+    throw new DispatchedError(ResultCode.EndpointFailed, 'the instance that it was handed to')
+  }
+
+  /** Passes the answer on where there is one to pass on. */
+  private async pass(
+    exchange: UpstreamExchange,
+    request: ParsedRequest,
+    outcomes: RelayOutcome[],
+    hasAnother: boolean,
+  ): Promise<RelayOutcome> {
+    const head = await exchange.awaitAnswer()
+    if (head.kind === 'not-sent') return added(outcomes, { kind: 'not-sent' })
+    if (head.kind === 'failed') return added(outcomes, { kind: 'failed', reason: head.reason })
+    const status = head.response.statusCode ?? 0
+    const kind = status === STATUS_UNAVAILABLE ? 'refused' : 'answered'
+    const outcome = added(outcomes, { kind, status })
+    if (relayStep(outcomes, routeOf(request), hasAnother) !== 'pass-on') {
+      exchange.drain()
+      return outcome
+    }
+    const names = withoutConnectionHeaders(head.response.rawHeaders)
+    const isWhole = await passBody(exchange, request, status, namedHeaders(names))
+    if (isWhole) return outcome
+    request.incoming.caller.destroy()
+    return outcome
+  }
+
+  private noteOutcome({ incarnation }: HandOverPeer, outcome: RelayOutcome): void {
+    if (outcome.kind === 'refused') this.refusedAt.set(incarnation, this.now)
+    this.parts.onHandedOver(outcome)
+  }
+
+  private choose(asked: ReadonlySet<IncarnationId>): HandOverPeer | undefined {
+    const { peers, failureDomain, random } = this.parts
+    const candidates = peers()
+      .filter(({ incarnation }) => !asked.has(incarnation))
+      .map(peer => this.candidateOf(peer))
+    return chooseRelayPeer(candidates, failureDomain, random.next())?.peer
+  }
+
+  private candidateOf(peer: HandOverPeer): Candidate {
+    const { incarnation, failureDomain } = peer
+    const refusedAt = this.refusedAt.get(incarnation) ?? Number.NEGATIVE_INFINITY
+    const isOverloaded = this.now - refusedAt < REFUSAL_MILLISECONDS
+    return { peer, instance: incarnation, failureDomain, isCutOff: false, isOverloaded }
+  }
+
+  private open(peer: HandOverPeer, request: ParsedRequest, chat: ChatRequest): UpstreamExchange {
+    const { incoming, deadline, scope } = request
+    const { clock, incarnation } = this.parts
+    const remaining = Math.max(1, Math.floor(deadline - clock.sinceStart()))
+    const body = Buffer.from(JSON.stringify(relayedChatBody(chat)))
+    const sent = withoutConnectionHeaders([...incoming.headers].flat(), name =>
+      OWN_HEADERS.has(name),
+    )
+    const own = { [RELAYED_BY]: incarnation, 'rackwalk-deadline-ms': String(remaining) }
+    const headers = [...sent, ...Object.entries(own).flat()]
+    headers.push('host', peer.callerAddress, 'content-length', String(body.length))
+    const { method, target: path } = incoming
+    const endpoint = { record: { address: peer.callerAddress }, agent: this.agentOf(peer) }
+    const described = { method, path, headers, body, connectMilliseconds: CONNECT_MILLISECONDS }
+    const exchange = new UpstreamExchange(endpoint, described)
+    const noteLeft = () => exchange.abort('caller-left')
+    incoming.caller.left.addEventListener('abort', noteLeft, { once: true })
+    const timer = clock.after(remaining, () => exchange.abort('deadline'))
+    scope.onEnd(() => timer.cancel())
+    return exchange
+  }
+
+  private agentOf({ callerAddress }: HandOverPeer): EndpointAgent {
+    const known = this.agents.get(callerAddress) ?? new EndpointAgent(MOST_CONNECTIONS)
+    this.agents.set(callerAddress, known)
+    return known
+  }
+
+  private get now(): Milliseconds {
+    return this.parts.clock.monotonic()
+  }
+}
+
+/** Whether all of the answer came and went to the caller, at the caller's pace. */
+function passBody(
+  exchange: UpstreamExchange,
+  { incoming: { caller } }: ParsedRequest,
+  status: number,
+  headers: Readonly<Record<string, string>>,
+): Promise<boolean> {
+  caller.begin(status, headers)
+  return new Promise(resolve => {
+    const onData = (chunk: Buffer) => {
+      if (caller.write(chunk)) return
+      exchange.pause()
+      void caller.drained().then(() => exchange.resume())
+    }
+    const onEnd = (end: AnswerEnd) => {
+      const { framing } = exchange
+      const isWhole = isProvenWhole({ framing, end, isBodyOpen: false })
+      if (isWhole) void caller.end().then(() => resolve(true))
+      else resolve(false)
+    }
+    exchange.readBody({ onData, onEnd })
+  })
+}
+
+function added(outcomes: RelayOutcome[], outcome: RelayOutcome): RelayOutcome {
+  outcomes.push(outcome)
+  return outcome
+}
+
+function routeOf({ repeatable }: ParsedRequest) {
+  return { isIdempotent: repeatable, isStreaming: false, isResumable: false }
+}
+
+function namedHeaders(rawHeaders: readonly string[]): Record<string, string> {
+  const headers: Record<string, string> = {}
+  for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
+    headers[(rawHeaders[index] ?? '').toLowerCase()] = rawHeaders[index + 1] ?? ''
+  }
+  return headers
+}
--- a/packages/router/src/gateway/attemptChoice.ts
+++ b/packages/router/src/gateway/attemptChoice.ts
@@ -16,7 +16,7 @@
 import type { FleetLoad } from './fleetLoad.js'
 import type { GatewayRoute, GatewayService } from './gatewayConfiguration.js'
 import type { GatewayRecord } from './gatewayRecord.js'
-import type { LinkWatch } from './linkWatch.js'
+import type { LinkWatch } from '../routing/linkWatch.js'
 
 /** What a choice rests on. */
 export interface AttemptChoiceParts {
@@ -24,7 +24,7 @@
   readonly fleetLoad: FleetLoad
   readonly permits: SendPermits
   readonly crashes: CrashGuard
-  readonly links: LinkWatch
+  readonly links: LinkWatch<EndpointState>
   readonly clock: Clock
   readonly random: RandomSource
   readonly failureDomain: string
--- a/packages/router/src/gateway/connectionHeaders.ts
+++ b/packages/router/src/gateway/connectionHeaders.ts
@@ -11,6 +11,8 @@
   'transfer-encoding',
   'upgrade',
   'expect',
+  // Between instances only.
+  'rackwalk-relayed-by',
 ])
 
 /** Copies names and values in turn, without what concerns one connection. */
--- a/packages/router/src/gateway/endpointState.ts
+++ b/packages/router/src/gateway/endpointState.ts
@@ -136,6 +136,10 @@
     return this.record.service
   }
 
+  get address(): string {
+    return this.record.address
+  }
+
   /** Time until fewer than so many requests were sent there from here within a window; 0 where that is so now. */
   waitFor(licence: RateLicence): Milliseconds {
     return this.sends.waitFor(licence)
--- a/packages/router/src/gateway/peerRelay.ts
+++ b/packages/router/src/gateway/peerRelay.ts
@@ -56,7 +56,7 @@
 }
 
 /** Names the instance that relays a request; what carries it is never relayed again. */
-export const RELAYED_BY = 'relayed-by'
+export const RELAYED_BY = 'rackwalk-relayed-by'
 
 /** The other instance refuses at the deadline by itself; its answer is awaited this much longer. */
 const DEADLINE_SLACK_MILLISECONDS: Milliseconds = 120
--- a/packages/router/src/requestPipeline.ts
+++ b/packages/router/src/requestPipeline.ts
@@ -3,11 +3,18 @@
  * them throws. Owns nothing but the order.
  */
 
-import { DispatchedError, RESULT_TABLE, ResultCode, toRackwalkError } from '@rackwalk/shared'
+import {
+  DispatchedError,
+  NotRunError,
+  RESULT_TABLE,
+  ResultCode,
+  toRackwalkError,
+} from '@rackwalk/shared'
 import type { Clock, IncarnationId, RackwalkError, RequestId } from '@rackwalk/shared'
 import type { IncomingRequest } from './callerConnection.js'
 import type { DecisionRecord } from './decisionRecord.js'
 import { errorBody, errorHeaders } from './errorBody.js'
+import type { ChatHandOver } from './filters/handOver.js'
 import type { AdmitFilter } from './filters/admit.js'
 import type { AuthenticateFilter } from './filters/authenticate.js'
 import type { ClaimFilter } from './filters/claim.js'
@@ -22,6 +29,7 @@
 import type { SettleFilter } from './filters/settle.js'
 import type {
   DispatchedRequest,
+  ParsedRequest,
   ReceivedRequest,
   RoutedRequest,
   SettledRequest,
@@ -44,8 +52,15 @@
   readonly complete: CompleteFilter
 }
 
+/** Where requests go that this instance can't send to any endpoint. */
+interface PipelineRelief {
+  readonly handOver: ChatHandOver
+  /** Whether no endpoint of a model or service is reached from here. */
+  readonly isCutOff: (target: string) => boolean
+}
+
 /** Parts that the pipeline works with besides its filters. */
-export interface PipelineParts {
+export interface PipelineParts extends PipelineRelief {
   readonly incarnation: IncarnationId
   readonly clock: Clock
   readonly createRequestId: () => RequestId
@@ -84,10 +99,32 @@
     }
   }
 
-  private async run(received: ReceivedRequest): Promise<SettledRequest> {
+  private async run(received: ReceivedRequest): Promise<{ code: ResultCode }> {
     const authenticated = await this.filters.authenticate.apply(received)
     const parsed = await this.filters.parse.apply(authenticated)
     const screened = await this.filters.screen.apply(parsed)
+    return this.serveHere(screened).catch(thrown => this.serveElsewhere(screened, thrown))
+  }
+
+  /** What is known not to have run, and can't be sent from here, is served by another instance. */
+  private async serveElsewhere(
+    request: ParsedRequest,
+    thrown: unknown,
+  ): Promise<{ code: ResultCode }> {
+    const { handOver, isCutOff } = this.parts
+    const mayGo = thrown instanceof NotRunError && isCutOff(request.target)
+    if (!mayGo || !handOver.mayTake(request)) throw thrown
+    // What was set aside for it here is given back first: the other instance sets it aside anew.
+    request.scope.close()
+    const outcome = await handOver.run(request)
+    if (outcome === undefined) throw new NotRunError(ResultCode.CutOff, request.target)
+    return { code: outcome.kind === 'refused' ? ResultCode.RelayRefused : ResultCode.Ok }
+  }
+
+  private async serveHere(screened: ParsedRequest): Promise<SettledRequest> {
+    if (this.parts.isCutOff(screened.target)) {
+      throw new NotRunError(ResultCode.CutOff, screened.target)
+    }
     const deduplicated = await this.filters.deduplicate.apply(screened)
     const admitted = await this.filters.admit.apply(deduplicated)
     const reserved = await this.filters.reserve.apply(admitted)
--- /dev/null
+++ b/packages/router/src/routing/endpointLinks.ts
@@ -0,0 +1,66 @@
+/**
+ * The links to configured endpoints, by what new connections have shown. Owns when a connection to each came up last, and
+ * when one last did not.
+ */
+
+import type { EndpointLink } from '@rackwalk/decisions'
+import type { Clock, EndpointId, Milliseconds } from '@rackwalk/shared'
+import type { Catalogue, ConfiguredEndpoint } from '../resources/catalogue.js'
+import type { WatchedEndpoint } from './linkWatch.js'
+
+interface SeenLink {
+  connectedAt: Milliseconds
+  failedAt: Milliseconds
+}
+
+/** The links of an instance of the OpenAI-style kind. */
+export class EndpointLinks {
+  private readonly seen = new Map<EndpointId, SeenLink>()
+
+  constructor(
+    private readonly catalogue: Pick<Catalogue, 'endpoints' | 'isEvacuated'>,
+    private readonly clock: Clock,
+  ) {}
+
+  /** The endpoints of a model or service. */
+  listed(target: string): readonly WatchedEndpoint[] {
+    const { catalogue } = this
+    const serving = catalogue.endpoints.filter(
+      endpoint => serves(endpoint, target) && !catalogue.isEvacuated(endpoint),
+    )
+    return serving.map(endpoint => this.watched(endpoint, target))
+  }
+
+  /** An endpoint as it is listed for a model or service; undefined where it is not. */
+  find(target: string, endpointId: EndpointId): WatchedEndpoint | undefined {
+    const endpoint = this.catalogue.endpoints.find(other => other.endpointId === endpointId)
+    return endpoint && this.watched(endpoint, target)
+  }
+
+  private watched({ endpointId, spec }: ConfiguredEndpoint, service: string): WatchedEndpoint {
+    const seen = this.seenOf(endpointId)
+    const { clock } = this
+    const link: EndpointLink = { ...seen, failureDomain: spec.failureDomain ?? '' }
+    return {
+      service,
+      address: new URL(spec.address).host,
+      link,
+      noteConnected: () => (seen.connectedAt = clock.monotonic()),
+      noteUnconnected: () => (seen.failedAt = clock.monotonic()),
+    }
+  }
+
+  private seenOf(endpointId: EndpointId): SeenLink {
+    const known = this.seen.get(endpointId)
+    if (known !== undefined) return known
+    const never = Number.NEGATIVE_INFINITY
+    const created = { connectedAt: never, failedAt: never }
+    this.seen.set(endpointId, created)
+    return created
+  }
+}
+
+function serves({ spec }: ConfiguredEndpoint, target: string): boolean {
+  if (spec.kind === 'service') return spec.service === target
+  return (spec.models as readonly string[]).includes(target)
+}
--- a/packages/router/src/routing/linkWatch.ts
+++ b/packages/router/src/routing/linkWatch.ts
@@ -8,14 +8,26 @@
 import type { EndpointLink } from '@rackwalk/decisions'
 import { sleep } from '@rackwalk/shared'
 import type { Clock, Milliseconds, RandomSource } from '@rackwalk/shared'
-import type { EndpointState } from './endpointState.js'
+
+/** An endpoint, as far as the way to it is concerned. */
+export interface WatchedEndpoint {
+  /** Service or model. */
+  readonly service: string
+  /** IP:PORT. */
+  readonly address: string
+  readonly link: EndpointLink
+  /** A new connection to it came up, */
+  noteConnected(): void
+  /** or did not. */
+  noteUnconnected(): void
+}
 
 /** What the watch works with. */
-export interface LinkWatchParts {
+export interface LinkWatchParts<Endpoint extends WatchedEndpoint> {
   readonly clock: Clock
   readonly random: RandomSource
   /** Endpoints of a service that are there, whether or not their links are up. */
-  readonly listed: (service: string) => readonly EndpointState[]
+  readonly listed: (service: string) => readonly Endpoint[]
   /** This instance is cut off from a service, or no longer. */
   readonly onCutOff: (service: string, isCutOff: boolean) => void
   /** Whether a connection to IP:PORT comes up; over the network unless it is given. */
@@ -27,19 +39,19 @@
 /** Links that are lost are checked this often, so that they are used again soon after they are back. */
 const CHECK_MILLISECONDS: Milliseconds = 400
 
-interface LinkedEndpoint extends EndpointLink {
-  readonly endpoint: EndpointState
+interface LinkedEndpoint<Endpoint> extends EndpointLink {
+  readonly endpoint: Endpoint
 }
 
 /** The links from one instance to endpoints. */
-export class LinkWatch {
+export class LinkWatch<Endpoint extends WatchedEndpoint> {
   /** Services whose links are checked. */
   private readonly checked = new Set<string>()
   private readonly cutOff = new Set<string>()
   private readonly connects: (address: string) => Promise<boolean>
   private isStopped = false
 
-  constructor(private readonly parts: LinkWatchParts) {
+  constructor(private readonly parts: LinkWatchParts<Endpoint>) {
     this.connects = parts.connects ?? comesUp
   }
 
@@ -58,19 +70,24 @@
   }
 
   /** Endpoints of a service that are not reached. */
-  unreached(service: string): ReadonlySet<EndpointState> {
+  unreached(service: string): ReadonlySet<Endpoint> {
     const unreached = unreachedLinks(this.linksOf(service), this.now)
     return new Set([...unreached].map(({ endpoint }) => endpoint))
   }
 
   /** A new connection to an endpoint did not come up: it is found out whether others do. */
-  noteUnconnected(endpoint: EndpointState): void {
+  noteUnconnected(endpoint: Endpoint): void {
     endpoint.noteUnconnected()
     this.judge(endpoint.service)
-    if (this.checked.has(endpoint.service) || this.isStopped) return
-    this.checked.add(endpoint.service)
-    void this.checkUntilReached(endpoint.service).finally(() => {
-      this.checked.delete(endpoint.service)
+    this.lookAt(endpoint.service)
+  }
+
+  /** The links to a service are in doubt, and are checked until they are not. */
+  lookAt(service: string): void {
+    if (this.checked.has(service) || this.isStopped) return
+    this.checked.add(service)
+    void this.checkUntilReached(service).finally(() => {
+      this.checked.delete(service)
     })
   }
 
@@ -79,7 +96,7 @@
    * tells of the link and not of the endpoint; true where there is no other.
    */
   async reachesOthers(address: string, service: string): Promise<boolean> {
-    const others = this.linksOf(service).filter(link => link.endpoint.record.address !== address)
+    const others = this.linksOf(service).filter(link => link.endpoint.address !== address)
     if (others.length === 0) return true
     const chosen = linksToCheck(others, this.now, this.parts.random.next())
     const reached = await Promise.all(chosen.map(link => this.check(link)))
@@ -100,8 +117,8 @@
     this.judge(service)
   }
 
-  private async check({ endpoint }: LinkedEndpoint): Promise<boolean> {
-    const isUp = await this.connects(endpoint.record.address)
+  private async check({ endpoint }: LinkedEndpoint<Endpoint>): Promise<boolean> {
+    const isUp = await this.connects(endpoint.address)
     if (isUp) endpoint.noteConnected()
     else endpoint.noteUnconnected()
     return isUp
@@ -119,7 +136,7 @@
     this.parts.onCutOff(service, isLost)
   }
 
-  private linksOf(service: string): readonly LinkedEndpoint[] {
+  private linksOf(service: string): readonly LinkedEndpoint<Endpoint>[] {
     return this.parts.listed(service).map(endpoint => ({ endpoint, ...endpoint.link }))
   }
 
--- /dev/null
+++ b/packages/stand-ins/__tests__/lostLinks.spec.ts
@@ -0,0 +1,90 @@
+import { afterEach, describe, expect, it, vi } from 'vitest'
+import type { Catalogue } from '@rackwalk/router'
+import { ConfiguredFleet, streamChat } from '@rackwalk/stand-ins'
+import type { ChatAnswer } from '@rackwalk/stand-ins'
+import { EndpointLinks } from '../../../platform/__tests__/standIns/endpointLinks.js'
+import type { LinkCut } from '../../../platform/__tests__/standIns/endpointLinks.js'
+
+/** Guards against an instance that refuses its callers while others reach every engine. */
+
+const INSTANCES = 3
+const ENGINES = 4
+/** All instances know of a cut within this time. */
+const CONTACT_MILLISECONDS = 3_000
+const JUDGED_MILLISECONDS = 1_500
+const INTERVAL_MILLISECONDS = 40
+const DEADLINE_MILLISECONDS = 2_000
+const LEAST_SERVED = 2 / 3
+
+let fleet: ConfiguredFleet
+let links: EndpointLinks
+
+/** The first instance reaches engines over links of its own. */
+async function start(): Promise<void> {
+  fleet = await new ConfiguredFleet({ instances: INSTANCES, engines: ENGINES }).start()
+  const catalogue = fleet.fleet.members[0]?.daemon['catalogue'] as Catalogue | undefined
+  if (catalogue === undefined) throw new Error('no instance')
+  const hosts = catalogue.endpoints.map(({ spec }) => new URL(spec.address).host)
+  links = new EndpointLinks(hosts)
+  await links.start()
+  type Configured = (typeof catalogue.endpoints)[number]
+  const linked = (endpoint: Configured): Configured => {
+    const address = `http://${links.addressOf(new URL(endpoint.spec.address).host)}`
+    return { ...endpoint, spec: { ...endpoint.spec, address } }
+  }
+  const endpoints: readonly Configured[] = catalogue.endpoints
+  vi.spyOn(catalogue, 'endpoints', 'get').mockImplementation(() => endpoints.map(linked))
+  vi.spyOn(catalogue, 'findEndpoint').mockImplementation(id => {
+    const found = endpoints.find(({ endpointId }) => endpointId === id)
+    return found && linked(found)
+  })
+}
+
+afterEach(async () => {
+  vi.restoreAllMocks()
+  await links.stop()
+  await fleet.stop()
+})
+
+async function askFor(milliseconds: number, instance = 0): Promise<readonly ChatAnswer[]> {
+  const answers: Promise<ChatAnswer | undefined>[] = []
+  const until = Date.now() + milliseconds
+  while (Date.now() < until) {
+    const headers = { 'rackwalk-deadline-ms': String(DEADLINE_MILLISECONDS) }
+    const demand = { word: 'chat', tokens: 4, prompt: `prompt ${answers.length}`, headers }
+    answers.push(streamChat(fleet.callers(instance), demand).catch(() => undefined))
+    await new Promise(resolve => setTimeout(resolve, INTERVAL_MILLISECONDS))
+  }
+  return (await Promise.all(answers)).flatMap(answer => answer ?? [])
+}
+
+function servedShare(answers: readonly ChatAnswer[]): number {
+  return answers.filter(({ isWhole }) => isWhole).length / answers.length
+}
+
+describe('an instance that has lost its links to all engines', () => {
+  for (const how of ['refused', 'hanging'] satisfies LinkCut[]) {
+    it(`has its chats served through another one while connections are ${how}`, async () => {
+      await start()
+      expect(servedShare(await askFor(400))).toBe(1)
+      links.cut(how)
+      await askFor(CONTACT_MILLISECONDS)
+      const answers = await askFor(JUDGED_MILLISECONDS)
+      expect(servedShare(answers)).toBeGreaterThanOrEqual(LEAST_SERVED)
+    })
+  }
+
+  it('says of no engine that it has ended, and uses them soon after its links are back', async () => {
+    await start()
+    links.cut('refused')
+    await askFor(1_000)
+    expect(fleet.engines.map(({ ends }) => ends)).toEqual(fleet.engines.map(() => 0))
+    for (const { daemon } of fleet.fleet.members) {
+      expect(daemon['crashes'].guard.suspects).toEqual([])
+    }
+    expect(servedShare(await askFor(500, 1))).toBe(1)
+    links.heal()
+    await new Promise(resolve => setTimeout(resolve, 1_500))
+    expect(servedShare(await askFor(500))).toBe(1)
+  })
+})
