--- a/packages/daemon/src/gateway/gatewayTelemetry.ts
+++ b/packages/daemon/src/gateway/gatewayTelemetry.ts
@@ -100,7 +100,9 @@
     const { id, service } = endpoint
     this.gauged?.noteEndpointEnd(service)
     const requests = unanswered.map(({ fingerprint }) => fingerprint)
-    this.logger.warn('server_ended', { server: id, service, signs, unanswered: requests, told })
+    const parts = [...new Set(unanswered.flatMap(request => request.parts ?? []))]
+    const fields = { server: id, service, signs, unanswered: requests, parts, told }
+    this.logger.warn('server_ended', fields)
   }
 
   /** The listener for callers was closed for a moment. */
--- a/packages/router/src/crashes/endpointEnds.ts
+++ b/packages/router/src/crashes/endpointEnds.ts
@@ -9,7 +9,13 @@
 import { hasOutlived, judgeEnd, livedAt } from '@rackwalk/decisions'
 import type { BrokenStarts, EndSign, EndVerdict, HeardTimes } from '@rackwalk/decisions'
 import { sleep } from '@rackwalk/shared'
-import type { Clock, EndpointStart, Milliseconds, RequestFingerprint } from '@rackwalk/shared'
+import type {
+  Clock,
+  EndpointStart,
+  Milliseconds,
+  PromptPartKey,
+  RequestFingerprint,
+} from '@rackwalk/shared'
 import type { ProbedEndpoint } from './endpointProbe.js'
 
 /** An endpoint that broke a request off, as it is known at that moment. */
@@ -53,6 +59,8 @@
   readonly wasIsolated: boolean
   /** Monotonic time at which it was sent there. */
   readonly sentAt: Milliseconds
+  /** The parts of its prompt that other requests may share; absent where nothing is known of them. */
+  readonly parts?: readonly PromptPartKey[]
 }
 
 /** What an instance that has just begun to serve should know of breaks: what is looked at, and what has ended. */
--- a/packages/router/src/gateway/requestAttempts.ts
+++ b/packages/router/src/gateway/requestAttempts.ts
@@ -23,6 +23,7 @@
 import type { AttemptOutcome, EndedAnswer, NextStep } from '@rackwalk/decisions'
 import { sleep } from '@rackwalk/shared'
 import type { EndpointStart, Milliseconds, TokenCount } from '@rackwalk/shared'
+import { promptPartKeys } from '../crashes/promptPartKey.js'
 import { AnswerRelay } from './answerRelay.js'
 import { AttemptChoice } from './attemptChoice.js'
 import type { AttemptChoiceParts, ChoosingRequest, ChosenEndpoint } from './attemptChoice.js'
@@ -262,11 +263,13 @@
     const { sentAt, choice } = this
     const { fingerprint } = choice
     const { record, leavesAsPlanned, hasEnded } = endpoint
-    const statePath = this.request.service.engine?.statePath
+    const { service, metadata } = this.request
+    const { statePath } = service.engine ?? {}
     const heard = () => ({ askedAt: Number.NEGATIVE_INFINITY, readAt: endpoint.heardAt })
     const known = { leavesAsPlanned, hasEnded, statePath, heard }
     const breaking = { ...record, ...known, isStartTold: true }
-    return this.parts.crashes.noteBroken(breaking, { fingerprint, wasIsolated, sentAt })
+    const parts = promptPartKeys(service.name, metadata.promptParts)
+    return this.parts.crashes.noteBroken(breaking, { fingerprint, wasIsolated, sentAt, parts })
   }
 
   /** Tokens of the prompt that an endpoint would have to read. */
--- a/packages/shared/src/ids.ts
+++ b/packages/shared/src/ids.ts
@@ -35,6 +35,8 @@
  * one, under whatever `RequestId`.
  */
 export type RequestFingerprint = Branded<'RequestFingerprint'>
+/** Names a part of prompts to one service or model, as requests that share it do. */
+export type PromptPartKey = Branded<'PromptPartKey'>
 /** Chosen by the caller; with the team it is the identity of a bill. */
 export type IdempotencyKey = Branded<'IdempotencyKey'>
 /** Identifies one conditional write, so that a lost answer can be asked about. */
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -10,6 +10,7 @@
   InstanceId,
   ModelId,
   RegionId,
+  PromptPartKey,
   RequestFingerprint,
   RequestId,
   TeamId,
