--- a/packages/daemon/src/gateway/endpointKnowledge.ts
+++ b/packages/daemon/src/gateway/endpointKnowledge.ts
@@ -101,6 +101,7 @@
       clock,
       random,
       listed: service => this.directory.listed(service),
+      listedElsewhere: service => this.directory.listedElsewhere(service),
       onCutOff: (service, isCutOff) => {
         telemetry.note('links_state', { service, isCutOff })
         this.cutOff.noteOwn()
--- a/packages/daemon/src/tasks/endpointReachTask.ts
+++ b/packages/daemon/src/tasks/endpointReachTask.ts
@@ -25,6 +25,7 @@
       clock,
       random,
       listed: target => this.endpoints.listed(target),
+      listedElsewhere: target => this.endpoints.listedElsewhere(target),
       onCutOff: (target, isCutOff) => logger.warn('links_state', { target, isCutOff }),
     })
   }
--- a/packages/router/src/gateway/endpointDirectory.ts
+++ b/packages/router/src/gateway/endpointDirectory.ts
@@ -194,6 +194,13 @@
     })
   }
 
+  /** Endpoints of all other services. */
+  listedElsewhere(service: string): readonly EndpointState[] {
+    return [...this.endpoints.values()].filter(endpoint => {
+      return endpoint.service !== service && !endpoint.hasEnded
+    })
+  }
+
   /** How many times as long as a usual endpoint of its service one takes for an answer; 1 or more. */
   slownessOf(endpoint: EndpointState): number {
     if (endpoint.pace === undefined) return 1
--- a/packages/router/src/gateway/upstreamExchange.ts
+++ b/packages/router/src/gateway/upstreamExchange.ts
@@ -186,13 +186,18 @@
     })
   }
 
+  private giveUpConnecting(): void {
+    if (!this.connected) this.call.destroy(new Error('no connection in time'))
+  }
+
   private watchConnection(connectMilliseconds: Milliseconds): void {
     this.call.on('socket', socket => {
       if (!socket.connecting) {
         this.connected = true
         return
       }
-      const giveUp = () => this.call.destroy(new Error('no connection in time'))
+      // On a busy processor the timer is late, and the connection may be up and wait to be seen: that comes first.
+      const giveUp = () => setImmediate(() => this.giveUpConnecting())
       const timer = setTimeout(giveUp, connectMilliseconds)
       socket.setNoDelay(true)
       socket.once('connect', () => {
--- a/packages/router/src/routing/endpointLinks.ts
+++ b/packages/router/src/routing/endpointLinks.ts
@@ -31,6 +31,12 @@
     return serving.map(endpoint => this.watched(endpoint, target))
   }
 
+  /** Endpoints of everything else. */
+  listedElsewhere(target: string): readonly WatchedEndpoint[] {
+    const others = this.catalogue.endpoints.filter(endpoint => !serves(endpoint, target))
+    return others.map(endpoint => this.watched(endpoint, target))
+  }
+
   /** An endpoint as it is listed for a model or service; undefined where it is not. */
   find(target: string, endpointId: EndpointId): WatchedEndpoint | undefined {
     const endpoint = this.catalogue.endpoints.find(other => other.endpointId === endpointId)
--- a/packages/router/src/routing/linkWatch.ts
+++ b/packages/router/src/routing/linkWatch.ts
@@ -28,6 +28,8 @@
   readonly random: RandomSource
   /** Endpoints of a service that are there, whether or not their links are up. */
   readonly listed: (service: string) => readonly Endpoint[]
+  /** Endpoints of all other services. */
+  readonly listedElsewhere: (service: string) => readonly Endpoint[]
   /** This instance is cut off from a service, or no longer. */
   readonly onCutOff: (service: string, isCutOff: boolean) => void
   /** Whether a connection to IP:PORT comes up; over the network unless it is given. */
@@ -93,12 +95,19 @@
 
   /**
    * Whether this instance reaches others than the endpoint at this address. Where it does not, that nobody listens there
-   * tells of the link and not of the endpoint; true where there is no other.
+   * tells of the link and not of the endpoint; true where there is no other. Those of other services are asked last: all
+   * of one service may have ended.
    */
   async reachesOthers(address: string, service: string): Promise<boolean> {
-    const others = this.linksOf(service).filter(link => link.endpoint.address !== address)
-    if (others.length === 0) return true
-    const chosen = linksToCheck(others, this.now, this.parts.random.next())
+    const { listed, listedElsewhere } = this.parts
+    const beside = listed(service).filter(endpoint => endpoint.address !== address)
+    const elsewhere = listedElsewhere(service)
+    if (beside.length + elsewhere.length === 0) return true
+    return (await this.reachesAny(beside)) || this.reachesAny(elsewhere)
+  }
+
+  private async reachesAny(endpoints: readonly Endpoint[]): Promise<boolean> {
+    const chosen = linksToCheck(endpoints.map(linked), this.now, this.parts.random.next())
     const reached = await Promise.all(chosen.map(link => this.check(link)))
     return reached.includes(true)
   }
@@ -137,7 +146,7 @@
   }
 
   private linksOf(service: string): readonly LinkedEndpoint<Endpoint>[] {
-    return this.parts.listed(service).map(endpoint => ({ endpoint, ...endpoint.link }))
+    return this.parts.listed(service).map(linked)
   }
 
   private get now(): Milliseconds {
@@ -145,6 +154,10 @@
   }
 }
 
+function linked<Endpoint extends WatchedEndpoint>(endpoint: Endpoint): LinkedEndpoint<Endpoint> {
+  return { endpoint, ...endpoint.link }
+}
+
 /** Whether a connection to IP:PORT comes up in time; nothing is sent on it. */
 function comesUp(address: string): Promise<boolean> {
   const [host = '', port = ''] = address.split(':')
