--- a/packages/daemon/__tests__/crashNews.spec.ts
+++ b/packages/daemon/__tests__/crashNews.spec.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from 'vitest'
 import { decodeReport, encodeReport, newsOf, reportsOf } from '@rackwalk/daemon'
 import { asId } from '@rackwalk/shared'
+import type { EndpointStart, PromptPartKey } from '@rackwalk/shared'
 import type { CrashNews } from '@rackwalk/decisions'
 
 /** News of requests that end endpoints, as they travel beside reports of load. */
@@ -38,6 +39,25 @@
     ])
   })
 
+  it('tells of parts of prompts, with the age of ends, in entries that an earlier version passes over', () => {
+    const parts = Array.from({ length: 10 }, (_, count) => asId<PromptPartKey>(`part-${count}`))
+    const start = asId<EndpointStart>('endpoint-1@17')
+    const partEnds = [{ start, parts: parts.slice(0, 2), ageMilliseconds: 120 }]
+    const news: CrashNews = { marks: [], cleared: [], partEnds, triedParts: parts.slice(0, 1) }
+    expect(received(news)).toEqual([news])
+    const told = received({ marks: [], cleared: [], deadlyParts: parts, soundParts: parts })
+    expect(told.flatMap(({ deadlyParts = [] }) => deadlyParts)).toEqual(parts)
+    expect(told.flatMap(({ soundParts = [] }) => soundParts)).toEqual(parts)
+  })
+
+  it('stays under what a link passes on whole where it tells of many parts', () => {
+    const deadlyParts = Array.from({ length: 200 }, (_, count) => {
+      return asId<PromptPartKey>(`part-${count}`.padEnd(16))
+    })
+    const reports = reportsOf({ marks: [], cleared: [], deadlyParts }, SENDER)
+    expect(Math.max(...reports.map(report => encodeReport(report).length))).toBeLessThan(1_300)
+  })
+
   it('has the form of a report that an earlier version reads and drops as too late', () => {
     const [report] = reportsOf(NEWS, SENDER)
     expect(report && encodeReport(report).toString()).toMatchInlineSnapshot(
--- a/packages/daemon/src/gateway/crashNews.ts
+++ b/packages/daemon/src/gateway/crashNews.ts
@@ -5,6 +5,7 @@
 
 import type { CrashMark, CrashNews } from '@rackwalk/decisions'
 import { asId } from '@rackwalk/shared'
+import type { Milliseconds, PromptPartKey } from '@rackwalk/shared'
 import type { PeerLoadReport } from '@rackwalk/router'
 
 /** Of all reports that tell news; no report of load has it, since their sequences count from 1. */
@@ -15,7 +16,13 @@
 const CLEARED_PREFIX = 'cleared '
 const AWAY_PREFIX = 'away '
 const LIVES_PREFIX = 'lives '
-/** Entries in one datagram: it stays under 1,300 bytes with ids of 40 characters. */
+const PART_END_PREFIX = 'part-ended '
+const DEADLY_PARTS_ENTRY = 'parts deadly'
+const SOUND_PARTS_ENTRY = 'parts sound'
+const TRIED_PARTS_ENTRY = 'parts tried'
+/** Parts in one entry: a prompt may have many. */
+const PARTS_AN_ENTRY = 8
+/** Entries in one datagram, each part beyond the first of one counted as well: it stays under 1,300 bytes with ids of 40 characters. */
 const ENTRIES_A_DATAGRAM = 12
 
 /** One piece of news, in the form of an entry of load. */
@@ -35,7 +42,9 @@
   const lives = (news.lives ?? []).map(start => startEntry(LIVES_PREFIX, start))
   const suspected = (news.suspected ?? []).map(mark => markEntry(SUSPECTED_PREFIX, mark))
   const marks = news.marks.map(mark => markEntry(ENDED_PREFIX, mark))
-  const entries = [...marks, ...suspected, ...news.cleared.map(clearedEntry), ...away, ...lives]
+  const parts = partEntries(news)
+  const cleared = news.cleared.map(clearedEntry)
+  const entries = [...marks, ...suspected, ...cleared, ...away, ...lives, ...parts]
   return newsReports(entries, identity)
 }
 
@@ -44,12 +53,24 @@
   entries: readonly NewsEntry[],
   identity: Pick<PeerLoadReport, 'instance' | 'incarnation'>,
 ): readonly PeerLoadReport[] {
-  const reports: PeerLoadReport[] = []
-  for (let from = 0; from < entries.length; from += ENTRIES_A_DATAGRAM) {
-    const loads = entries.slice(from, from + ENTRIES_A_DATAGRAM)
-    reports.push({ ...identity, sequence: NEWS_SEQUENCE, isWhole: false, loads })
+  return datagramsOf(entries).map(loads => {
+    return { ...identity, sequence: NEWS_SEQUENCE, isWhole: false, loads }
+  })
+}
+
+function datagramsOf(entries: readonly NewsEntry[]): readonly (readonly NewsEntry[])[] {
+  const datagrams: NewsEntry[][] = []
+  let room = 0
+  for (const entry of entries) {
+    const weight = Math.max(1, entry.parts.length)
+    if (weight > room) {
+      datagrams.push([])
+      room = ENTRIES_A_DATAGRAM
+    }
+    datagrams.at(-1)?.push(entry)
+    room -= weight
   }
-  return reports
+  return datagrams
 }
 
 /** What such a report tells; entries of any other kind are passed over. */
@@ -61,6 +82,7 @@
     ...(away.length === 0 ? {} : { away }),
     ...(lives.length === 0 ? {} : { lives }),
     ...(suspected.length === 0 ? {} : { suspected }),
+    ...partNewsOf(loads),
     marks: loads.flatMap(entry => marksOf(ENDED_PREFIX, entry)),
     cleared: loads.flatMap(({ endpoint, parts }) => {
       if (!endpoint.startsWith(CLEARED_PREFIX)) return []
@@ -70,6 +92,55 @@
   }
 }
 
+function partEntries(news: CrashNews): readonly NewsEntry[] {
+  const { partEnds = [], deadlyParts = [], soundParts = [], triedParts = [] } = news
+  return [
+    ...partEnds.flatMap(({ start, parts, ageMilliseconds }) =>
+      keyEntries(`${PART_END_PREFIX}${start}`, parts, Math.round(ageMilliseconds)),
+    ),
+    ...keyEntries(DEADLY_PARTS_ENTRY, deadlyParts),
+    ...keyEntries(SOUND_PARTS_ENTRY, soundParts),
+    ...keyEntries(TRIED_PARTS_ENTRY, triedParts),
+  ]
+}
+
+/** The age stands where a report of load has the tokens that wait. */
+function keyEntries(
+  endpoint: string,
+  keys: readonly PromptPartKey[],
+  ageMilliseconds: Milliseconds = 0,
+): readonly NewsEntry[] {
+  const entries: NewsEntry[] = []
+  for (let from = 0; from < keys.length; from += PARTS_AN_ENTRY) {
+    const parts = keys.slice(from, from + PARTS_AN_ENTRY).map(id => ({ id, tokens: 0 }))
+    entries.push({ endpoint, running: 0, pendingTokens: ageMilliseconds, parts })
+  }
+  return entries
+}
+
+function partNewsOf(loads: PeerLoadReport['loads']): Partial<CrashNews> {
+  const partEnds = loads.flatMap(({ endpoint, pendingTokens, parts }) =>
+    startsOf(PART_END_PREFIX, endpoint).map(start => {
+      return { start, parts: keysOf(parts), ageMilliseconds: pendingTokens }
+    }),
+  )
+  const told = (name: string) =>
+    loads.flatMap(({ endpoint, parts }) => (endpoint === name ? keysOf(parts) : []))
+  const deadlyParts = told(DEADLY_PARTS_ENTRY)
+  const soundParts = told(SOUND_PARTS_ENTRY)
+  const triedParts = told(TRIED_PARTS_ENTRY)
+  return {
+    ...(partEnds.length === 0 ? {} : { partEnds }),
+    ...(deadlyParts.length === 0 ? {} : { deadlyParts }),
+    ...(soundParts.length === 0 ? {} : { soundParts }),
+    ...(triedParts.length === 0 ? {} : { triedParts }),
+  }
+}
+
+function keysOf(parts: NewsEntry['parts']): readonly PromptPartKey[] {
+  return parts.map(({ id }) => asId<PromptPartKey>(id))
+}
+
 function startEntry(prefix: string, start: CrashMark['start']): NewsEntry {
   return { endpoint: `${prefix}${start}`, running: 0, pendingTokens: 0, parts: [] }
 }
--- a/packages/decisions/src/retrying/crashSuspicion.ts
+++ b/packages/decisions/src/retrying/crashSuspicion.ts
@@ -21,11 +21,19 @@
  * and answers in any order believe the same.
  */
 
-import type { EndpointStart, RequestFingerprint } from '@rackwalk/shared'
+import type { EndpointStart, PromptPartKey, RequestFingerprint } from '@rackwalk/shared'
+import type { PartEnd } from './deadlyParts.js'
 
 /** What to do with a request. */
 export type CrashVerdict = 'send' | 'isolate' | 'refuse'
 
+const STRICTNESS: Readonly<Record<CrashVerdict, number>> = { send: 0, isolate: 1, refuse: 2 }
+
+/** Of two verdicts the one that puts fewer endpoints at risk. */
+export function strictest(left: CrashVerdict, right: CrashVerdict): CrashVerdict {
+  return STRICTNESS[left] >= STRICTNESS[right] ? left : right
+}
+
 /** An endpoint ended while a request was there and had no part of an answer. */
 export interface CrashMark {
   readonly fingerprint: RequestFingerprint
@@ -50,6 +58,14 @@
   readonly away?: readonly EndpointStart[]
   /** Starts that were looked at for a break, and live. */
   readonly lives?: readonly EndpointStart[]
+  /** Ends, by the parts of prompts that were there without an answer. */
+  readonly partEnds?: readonly PartEnd[]
+  /** Parts that are refused from now on, */
+  readonly deadlyParts?: readonly PromptPartKey[]
+  /** that had an answer, */
+  readonly soundParts?: readonly PromptPartKey[]
+  /** or of which a request is sent to see whether they still end endpoints. */
+  readonly triedParts?: readonly PromptPartKey[]
 }
 
 interface Suspicion {
--- a/packages/router/src/crashes/crashGuard.ts
+++ b/packages/router/src/crashes/crashGuard.ts
@@ -17,9 +17,11 @@
   EndpointId,
   EndpointStart,
   Milliseconds,
+  PromptPartKey,
   RequestFingerprint,
 } from '@rackwalk/shared'
 import { EndpointEnds } from './endpointEnds.js'
+import { PartGuard } from './partGuard.js'
 import type { BreakingEndpoint, BrokenRequest, EndpointEnd, SeenEnd } from './endpointEnds.js'
 
 /** Ends told by others that are remembered. */
@@ -39,6 +41,8 @@
   readonly onNews: (news: CrashNews) => void
   /** A request is refused from now on, or is no longer. */
   readonly onVerdict: (fingerprint: RequestFingerprint, isRefused: boolean) => void
+  /** The same of a part of prompts, whichever request holds it. */
+  readonly onPart?: (part: PromptPartKey, isRefused: boolean) => void
 }
 
 /** What one instance knows of requests that end endpoints. */
@@ -48,10 +52,14 @@
   private readonly unjudged = new UnjudgedBreaks()
   private readonly broken = new BrokenStarts()
   private readonly ends: EndpointEnds
+  /** Parts of prompts that end endpoints, whatever else the request holds. */
+  readonly promptParts: PartGuard
   /** When others told first of an end behind something that listens. */
   private readonly firstTold = new Map<EndpointStart, Milliseconds>()
 
   constructor(private readonly parts: CrashGuardParts) {
+    const { clock, onNews, onPart = () => {} } = parts
+    this.promptParts = new PartGuard({ clock, onNews, onPart })
     this.ends = new EndpointEnds({
       ...parts,
       broken: this.broken,
@@ -119,7 +127,7 @@
       .filter(({ isAway }) => !isAway)
       .flatMap(({ start, requests }) => requests.map(request => markOf(start, request)))
     const away = standing.filter(({ isAway }) => isAway).map(({ start }) => start)
-    return { marks: [], cleared: [], suspected, away }
+    return { marks: [], cleared: [], suspected, away, ...this.promptParts.standingNews }
   }
 
   /** An endpoint broke a request off before any part of an answer; resolves with whether it is known to have ended. */
@@ -158,6 +166,7 @@
   /** Takes in what others found out. */
   observe(news: CrashNews): void {
     this.take(news)
+    this.promptParts.observe(news)
     for (const start of news.away ?? []) {
       this.ends.noteTold(start)
       this.noteTold(start)
@@ -197,6 +206,7 @@
     const { start } = end.endpoint
     const marks = end.unanswered.map(request => markOf(start, request))
     this.share({ marks, cleared: [] })
+    this.promptParts.noteEnd(start, end.unanswered)
     this.parts.onKnownEnd?.(start, { source: 'look', ...end.seen })
   }
 
--- a/packages/router/src/gateway/attemptChoice.ts
+++ b/packages/router/src/gateway/attemptChoice.ts
@@ -3,9 +3,15 @@
  * and asks the rules. Owns why nothing was chosen, and what was believed of the request at the newest choice.
  */
 
-import { rankEndpoints, rendezvousChoice, soonestRefusal } from '@rackwalk/decisions'
+import { rankEndpoints, rendezvousChoice, soonestRefusal, strictest } from '@rackwalk/decisions'
 import type { CrashVerdict, NoChoice } from '@rackwalk/decisions'
-import type { Clock, EndpointStart, RandomSource, RequestFingerprint } from '@rackwalk/shared'
+import type {
+  Clock,
+  EndpointStart,
+  PromptPartKey,
+  RandomSource,
+  RequestFingerprint,
+} from '@rackwalk/shared'
 import type { SendPermits } from '../advice/sendPermits.js'
 import type { CrashGuard } from '../crashes/crashGuard.js'
 import { requestFingerprint, requestScope } from '../crashes/requestFingerprint.js'
@@ -72,7 +78,7 @@
     const available = this.parts.directory.available(this.request.service.name)
     const free = available.filter(({ hasRoom, start }) => hasRoom && !this.tried.has(start))
     const open = this.reached(free.filter(endpoint => this.parts.permits.takes(endpoint)))
-    this.verdict = this.isSuspect ? this.parts.crashes.verdict(this.fingerprint) : 'send'
+    this.verdict = this.believed
     if (this.verdict === 'refuse') {
       if (!mayHaveRun) this.noChoice = { kind: 'crashing' }
       return undefined
@@ -110,6 +116,20 @@
     return this.parts.crashes.mayConcern(this.scope)
   }
 
+  /** Keys of the parts of its prompt, where anything is held against any part. */
+  get promptPartKeys(): readonly PromptPartKey[] {
+    const { service, metadata } = this.request
+    const { promptParts } = metadata
+    return this.parts.crashes.promptParts.keysOf({ service: service.name, promptParts })
+  }
+
+  /** By the request itself, or by a part of its prompt. */
+  private get believed(): CrashVerdict {
+    const { crashes } = this.parts
+    const ofRequest = this.isSuspect ? crashes.verdict(this.fingerprint) : 'send'
+    return strictest(ofRequest, crashes.promptParts.verdict(this.promptPartKeys))
+  }
+
   /** What the request is, apart from this try of it. */
   get fingerprint(): RequestFingerprint {
     const { path, team, body, record } = this.request
@@ -154,7 +174,9 @@
   /** The one among these at which all instances try a suspected request. */
   private chooseIsolated(open: readonly EndpointState[]): ChosenEndpoint | undefined {
     const ids = open.map(({ record }) => record.id)
-    const id = rendezvousChoice(this.fingerprint, ids)
+    // All requests that hold the same suspected part cost one endpoint together.
+    const part = this.parts.crashes.promptParts.isolatedBy(this.promptPartKeys)
+    const id = rendezvousChoice(part ?? this.fingerprint, ids)
     const endpoint = open.find(({ record }) => record.id === id)
     return endpoint && { endpoint, score: 0, compared: open.length }
   }
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -206,12 +206,16 @@
 
   /** A request that ends endpoints is refused before tokens are set aside for it. */
   private refuseCrashing(
-    { team }: IdentifiedRequest,
+    { team, service, metadata: { promptParts } }: IdentifiedRequest,
     path: string,
     body: Buffer,
     record: GatewayRecord,
   ): void {
     const { crashes } = this.parts
+    const keys = crashes.promptParts.keysOf({ service: service.name, promptParts })
+    if (crashes.promptParts.verdict(keys) === 'refuse') {
+      throw new NotRunError(ResultCode.EndsEndpoints, 'a part of its prompt')
+    }
     const request = { path, team: team?.name, body }
     if (!crashes.mayConcern(requestScope(request))) return
     record.fingerprint = requestFingerprint(request)
--- a/packages/router/src/gateway/requestAttempts.ts
+++ b/packages/router/src/gateway/requestAttempts.ts
@@ -25,6 +25,7 @@
 import type { EndpointStart, Milliseconds, TokenCount } from '@rackwalk/shared'
 import { promptPartKeys } from '../crashes/promptPartKey.js'
 import { AnswerRelay } from './answerRelay.js'
+import { breakingEndpointOf } from './breakingEndpoint.js'
 import { AttemptChoice } from './attemptChoice.js'
 import type { AttemptChoiceParts, ChoosingRequest, ChosenEndpoint } from './attemptChoice.js'
 import type { CallerReply } from './callerReply.js'
@@ -189,6 +190,7 @@
     this.sentAt = this.parts.clock.monotonic()
     this.parts.fleetLoad.noteSent(id, this.request.metadata.promptParts, uncachedTokens)
     this.tried.add(endpoint.record.start)
+    this.parts.crashes.promptParts.noteSent(this.choice.promptPartKeys)
     try {
       const exchange = this.open(endpoint)
       this.makeEndable(endpoint, exchange)
@@ -262,12 +264,8 @@
     const wasIsolated = this.choice.verdict === 'isolate'
     const { sentAt, choice } = this
     const { fingerprint } = choice
-    const { record, leavesAsPlanned, hasEnded } = endpoint
     const { service, metadata } = this.request
-    const { statePath } = service.engine ?? {}
-    const heard = () => ({ askedAt: Number.NEGATIVE_INFINITY, readAt: endpoint.heardAt })
-    const known = { leavesAsPlanned, hasEnded, statePath, heard }
-    const breaking = { ...record, ...known, isStartTold: true }
+    const breaking = breakingEndpointOf(endpoint, service)
     const parts = promptPartKeys(service.name, metadata.promptParts)
     return this.parts.crashes.noteBroken(breaking, { fingerprint, wasIsolated, sentAt, parts })
   }
@@ -421,7 +419,9 @@
   /** An endpoint has given a part of its answer, so this request does not end what begins to run it. */
   private noteAnswered(): void {
     const { choice } = this
-    if (choice.isSuspect) this.parts.crashes.noteAnswered(choice.fingerprint)
+    const { crashes } = this.parts
+    if (choice.isSuspect) crashes.noteAnswered(choice.fingerprint)
+    crashes.promptParts.noteAnswered(choice.promptPartKeys)
   }
 
   private startPace(endpoint: EndpointState): StreamPace {
