--- a/packages/router/src/routing/linkWatch.ts
+++ b/packages/router/src/routing/linkWatch.ts
@@ -50,6 +50,8 @@
   /** Services whose links are checked. */
   private readonly checked = new Set<string>()
   private readonly cutOff = new Set<string>()
+  /** Addresses of endpoints that are not reached, by service, as the newest check showed. */
+  private readonly lost = new Map<string, ReadonlySet<string>>()
   private readonly connects: (address: string) => Promise<boolean>
   private isStopped = false
 
@@ -73,14 +75,14 @@
 
   /** Endpoints of a service that are not reached. */
   unreached(service: string): ReadonlySet<Endpoint> {
-    const unreached = unreachedLinks(this.linksOf(service), this.now)
-    return new Set([...unreached].map(({ endpoint }) => endpoint))
+    const lost = this.lost.get(service)
+    if (lost === undefined) return new Set()
+    return new Set(this.parts.listed(service).filter(({ address }) => lost.has(address)))
   }
 
   /** A new connection to an endpoint did not come up: it is found out whether others do. */
   noteUnconnected(endpoint: Endpoint): void {
     endpoint.noteUnconnected()
-    this.judge(endpoint.service)
     this.lookAt(endpoint.service)
   }
 
@@ -114,7 +116,7 @@
 
   private async checkUntilReached(service: string): Promise<void> {
     await this.checkOnce(service)
-    while (this.hasLost(service) && !this.isStopped) {
+    while (this.lost.has(service) && !this.isStopped) {
       await sleep(this.parts.clock, CHECK_MILLISECONDS)
       await this.checkOnce(service)
     }
@@ -133,12 +135,13 @@
     return isUp
   }
 
-  private hasLost(service: string): boolean {
-    return unreachedLinks(this.linksOf(service), this.now).size > 0
-  }
-
+  /** Only a check tells: endpoints that end one after the other look like a cut to requests, which try those that look idle. */
   private judge(service: string): void {
-    const isLost = isCutOff(this.linksOf(service), this.now)
+    const links = this.linksOf(service)
+    const unreached = [...unreachedLinks(links, this.now)].map(({ endpoint }) => endpoint.address)
+    if (unreached.length > 0) this.lost.set(service, new Set(unreached))
+    else this.lost.delete(service)
+    const isLost = isCutOff(links, this.now)
     if (isLost === this.cutOff.has(service)) return
     if (isLost) this.cutOff.add(service)
     else this.cutOff.delete(service)
