--- a/packages/coordination/src/peerForms.ts
+++ b/packages/coordination/src/peerForms.ts
@@ -12,6 +12,7 @@
   IdempotencyKey,
   IncarnationId,
   InstanceId,
+  PromptPartKey,
   RegionId,
   RequestFingerprint,
   RequestId,
@@ -54,6 +55,7 @@
 const key = idSchema<IdempotencyKey>()
 const fingerprint = idSchema<RequestFingerprint>()
 const start = idSchema<EndpointStart>()
+const promptPart = idSchema<PromptPartKey>()
 
 const memberSchema: z.ZodType<MemberInfo> = z.object({
   instanceId: idSchema<InstanceId>(),
@@ -158,6 +160,19 @@
       suspected: z.array(z.object({ fingerprint, start, wasIsolated: z.boolean() })).optional(),
       away: z.array(start).optional(),
       lives: z.array(start).optional(),
+      partEnds: z
+        .array(
+          z.object({
+            start,
+            parts: z.array(promptPart),
+            wasIsolated: z.boolean().optional(),
+            ageMilliseconds: z.number().nonnegative(),
+          }),
+        )
+        .optional(),
+      deadlyParts: z.array(promptPart).optional(),
+      soundParts: z.array(promptPart).optional(),
+      triedParts: z.array(promptPart).optional(),
     }),
     nothing,
   ),
--- a/packages/daemon/__tests__/crashNews.spec.ts
+++ b/packages/daemon/__tests__/crashNews.spec.ts
@@ -42,7 +42,10 @@
   it('tells of parts of prompts, with the age of ends, in entries that an earlier version passes over', () => {
     const parts = Array.from({ length: 10 }, (_, count) => asId<PromptPartKey>(`part-${count}`))
     const start = asId<EndpointStart>('endpoint-1@17')
-    const partEnds = [{ start, parts: parts.slice(0, 2), ageMilliseconds: 120 }]
+    const partEnds = [
+      { start, parts: parts.slice(0, 2), wasIsolated: false, ageMilliseconds: 120 },
+      { start, parts: parts.slice(2, 3), wasIsolated: true, ageMilliseconds: 0 },
+    ]
     const news: CrashNews = { marks: [], cleared: [], partEnds, triedParts: parts.slice(0, 1) }
     expect(received(news)).toEqual([news])
     const told = received({ marks: [], cleared: [], deadlyParts: parts, soundParts: parts })
--- a/packages/daemon/src/gateway/crashNews.ts
+++ b/packages/daemon/src/gateway/crashNews.ts
@@ -5,7 +5,7 @@
 
 import type { CrashMark, CrashNews } from '@rackwalk/decisions'
 import { asId } from '@rackwalk/shared'
-import type { Milliseconds, PromptPartKey } from '@rackwalk/shared'
+import type { PromptPartKey } from '@rackwalk/shared'
 import type { PeerLoadReport } from '@rackwalk/router'
 
 /** Of all reports that tell news; no report of load has it, since their sequences count from 1. */
@@ -95,8 +95,11 @@
 function partEntries(news: CrashNews): readonly NewsEntry[] {
   const { partEnds = [], deadlyParts = [], soundParts = [], triedParts = [] } = news
   return [
-    ...partEnds.flatMap(({ start, parts, ageMilliseconds }) =>
-      keyEntries(`${PART_END_PREFIX}${start}`, parts, Math.round(ageMilliseconds)),
+    ...partEnds.flatMap(({ start, parts, wasIsolated = false, ageMilliseconds }) =>
+      keyEntries(`${PART_END_PREFIX}${start}`, parts, {
+        running: Number(wasIsolated),
+        pendingTokens: Math.round(ageMilliseconds),
+      }),
     ),
     ...keyEntries(DEADLY_PARTS_ENTRY, deadlyParts),
     ...keyEntries(SOUND_PARTS_ENTRY, soundParts),
@@ -104,24 +107,25 @@
   ]
 }
 
-/** The age stands where a report of load has the tokens that wait. */
+/** That it was sent as suspected stands where a report of load has what is running, and the age where it has the tokens that wait. */
 function keyEntries(
   endpoint: string,
   keys: readonly PromptPartKey[],
-  ageMilliseconds: Milliseconds = 0,
+  load: Pick<NewsEntry, 'running' | 'pendingTokens'> = { running: 0, pendingTokens: 0 },
 ): readonly NewsEntry[] {
   const entries: NewsEntry[] = []
   for (let from = 0; from < keys.length; from += PARTS_AN_ENTRY) {
     const parts = keys.slice(from, from + PARTS_AN_ENTRY).map(id => ({ id, tokens: 0 }))
-    entries.push({ endpoint, running: 0, pendingTokens: ageMilliseconds, parts })
+    entries.push({ endpoint, ...load, parts })
   }
   return entries
 }
 
 function partNewsOf(loads: PeerLoadReport['loads']): Partial<CrashNews> {
-  const partEnds = loads.flatMap(({ endpoint, pendingTokens, parts }) =>
+  const partEnds = loads.flatMap(({ endpoint, running, pendingTokens, parts }) =>
     startsOf(PART_END_PREFIX, endpoint).map(start => {
-      return { start, parts: keysOf(parts), ageMilliseconds: pendingTokens }
+      const wasIsolated = running > 0
+      return { start, parts: keysOf(parts), wasIsolated, ageMilliseconds: pendingTokens }
     }),
   )
   const told = (name: string) =>
--- a/packages/daemon/src/gateway/crashWatch.ts
+++ b/packages/daemon/src/gateway/crashWatch.ts
@@ -4,10 +4,16 @@
  */
 
 import { CrashRecords } from '@rackwalk/coordination'
-import { CrashGuard, probeReached } from '@rackwalk/router'
-import type { CrashMark, CrashNews } from '@rackwalk/decisions'
+import {
+  CrashGuard,
+  forgetRecord,
+  marksOfPart,
+  observeRecords,
+  probeReached,
+  recordKeyOf,
+} from '@rackwalk/router'
+import type { CrashNews } from '@rackwalk/decisions'
 import type { EndpointDirectory, EndpointState, LinkWatch } from '@rackwalk/router'
-import { asId, groupBy } from '@rackwalk/shared'
 import type { Clock, Milliseconds, PromptPartKey, RequestFingerprint } from '@rackwalk/shared'
 import type { RowStore } from '@rackwalk/stores'
 import type { GatewayTelemetry } from './gatewayTelemetry.js'
@@ -47,8 +53,8 @@
     this.records = new CrashRecords({
       store,
       clock,
-      onMarks: marks => this.observeMarks(marks),
-      onCleared: fingerprint => this.noteCleared(fingerprint),
+      onMarks: marks => observeRecords(this.guard, marks),
+      onCleared: key => forgetRecord(this.guard, key),
       onMalformedRow: row => telemetry.noteMalformedRow(row),
     })
   }
@@ -80,35 +86,19 @@
   private repeatParts(news: CrashNews): void {
     const { partEnds, deadlyParts, soundParts } = news
     const isWorthIt = [partEnds, deadlyParts, soundParts].some(told => told !== undefined)
-    if (isWorthIt) this.parts.clock.after(REPEAT_MILLISECONDS, () => this.parts.tell(news))
+    const ends = partEnds?.map(end => {
+      return { ...end, ageMilliseconds: end.ageMilliseconds + REPEAT_MILLISECONDS }
+    })
+    const again = ends === undefined ? news : { ...news, partEnds: ends }
+    if (isWorthIt) this.parts.clock.after(REPEAT_MILLISECONDS, () => this.parts.tell(again))
   }
 
   /** A part that is refused is kept as a request is, under a key that no request has. */
   private notePart(part: PromptPartKey, isRefused: boolean): void {
     const event = isRefused ? 'deadly_prompt_part' : 'sound_prompt_part'
     this.parts.telemetry.note(event, { part })
-    const key = recordKeyOf(part)
-    if (!isRefused) return this.records.remove(key)
-    const starts = this.guard.promptParts.startsOf(part)
-    this.records.record(starts.map(start => ({ fingerprint: key, start, wasIsolated: true })))
-  }
-
-  private observeMarks(marks: readonly CrashMark[]): void {
-    const ofParts = groupBy(marks, ({ fingerprint }) => partOfRecord(fingerprint))
-    for (const [part, own] of ofParts) {
-      if (part === undefined) this.guard.observe({ marks: own, cleared: [] })
-      else
-        this.guard.promptParts.observeRecord(
-          part,
-          own.map(({ start }) => start),
-        )
-    }
-  }
-
-  private noteCleared(fingerprint: RequestFingerprint): void {
-    const part = partOfRecord(fingerprint)
-    if (part === undefined) this.guard.forget(fingerprint)
-    else this.guard.promptParts.forget([part])
+    if (isRefused) this.records.record(marksOfPart(this.guard, part))
+    else this.records.remove(recordKeyOf(part))
   }
 
   private noteVerdict(fingerprint: RequestFingerprint, isRefused: boolean): void {
@@ -116,17 +106,3 @@
     this.parts.telemetry.note(event, { fingerprint })
   }
 }
-
-/** No fingerprint of a request has this in it. */
-const PART_RECORD_PREFIX = 'part:'
-
-/** The key of the record of a part; what lies there is a record of a request to an earlier version, which no request matches. */
-function recordKeyOf(part: PromptPartKey): RequestFingerprint {
-  return asId(`${PART_RECORD_PREFIX}${part}`)
-}
-
-/** The part that a record is of; undefined where it is one of a request. */
-function partOfRecord(key: RequestFingerprint): PromptPartKey | undefined {
-  if (!key.startsWith(PART_RECORD_PREFIX)) return undefined
-  return asId<PromptPartKey>(key.slice(PART_RECORD_PREFIX.length))
-}
--- a/packages/daemon/src/tasks/crashTask.ts
+++ b/packages/daemon/src/tasks/crashTask.ts
@@ -5,8 +5,23 @@
 
 import { CrashTable } from '@rackwalk/coordination'
 import type { CrashNews, KnownEnd } from '@rackwalk/decisions'
-import { CrashGuard, probeReached } from '@rackwalk/router'
-import type { Clock, EndpointId, Milliseconds, RandomSource, Task, Timer } from '@rackwalk/shared'
+import {
+  CrashGuard,
+  forgetRecord,
+  marksOfPart,
+  observeRecords,
+  probeReached,
+  recordKeyOf,
+} from '@rackwalk/router'
+import type {
+  Clock,
+  EndpointId,
+  Milliseconds,
+  PromptPartKey,
+  RandomSource,
+  Task,
+  Timer,
+} from '@rackwalk/shared'
 import { RackwalkError, endpointOf } from '@rackwalk/shared'
 import type { TableService } from '@rackwalk/stores'
 import type { Logger } from '../observe/logger.js'
@@ -59,13 +74,14 @@
         const event = isRefused ? 'crashing_request_refused' : 'crashing_request_cleared'
         logger.warn(event, { fingerprint })
       },
+      onPart: (part, isRefused) => this.notePart(part, isRefused),
     })
     this.records = new CrashTable({
       table,
       clock,
       random,
-      onMarks: marks => this.guard.observe({ marks, cleared: [] }),
-      onCleared: fingerprint => this.guard.forget(fingerprint),
+      onMarks: marks => observeRecords(this.guard, marks),
+      onCleared: key => forgetRecord(this.guard, key),
     })
   }
 
@@ -89,6 +105,14 @@
     void this.work()
   }
 
+  private notePart(part: PromptPartKey, isRefused: boolean): void {
+    const event = isRefused ? 'deadly_prompt_part' : 'sound_prompt_part'
+    this.parts.logger.warn(event, { part })
+    if (isRefused) this.records.record(marksOfPart(this.guard, part))
+    else this.records.remove(recordKeyOf(part))
+    void this.work()
+  }
+
   private share(news: CrashNews): void {
     this.records.record(news.marks)
     this.clear(news.cleared)
--- a/packages/decisions/__tests__/deadlyParts.spec.ts
+++ b/packages/decisions/__tests__/deadlyParts.spec.ts
@@ -68,6 +68,19 @@
     expect(play.verdict('shared topic')).toBe('send')
   })
 
+  it('is refused sooner where it was sent as suspected each time: that went alone', () => {
+    const play = new Play()
+    const isolated = (count: number) => ({
+      start: asId<EndpointStart>(`alone-${count}`),
+      parts: keys('topic'),
+      wasIsolated: true,
+      ageMilliseconds: 0,
+    })
+    play.end('topic', 10).answer('other', 5)
+    for (const count of [1, 2]) play.parts.noteEnd(isolated(count), 20 * count)
+    expect(play.verdict('topic')).toBe('refuse')
+  })
+
   it('is not refused while nothing else is answered either', () => {
     const play = new Play().end('shared').end('shared').end('shared').end('shared')
     expect(play.verdict('shared')).toBe('isolate')
@@ -84,6 +97,15 @@
     expect(play.verdict('topic')).toBe('send')
   })
 
+  it('is not held for ends that were told again, or late, after the part was answered', () => {
+    const play = new Play().end('topic').end('topic').answer('topic')
+    const again = ['start-1', 'start-2'].map(start => asId<EndpointStart>(start))
+    for (const start of again) {
+      play.parts.noteEnd({ start, parts: keys('topic'), ageMilliseconds: 0 }, 10 * SECOND)
+    }
+    expect(play.end('topic').answer('other', 9).verdict('topic')).toBe('send')
+  })
+
   it('is tried where another part, which it lacks, was at all the same ends', () => {
     const play = new Play()
     for (let count = 0; count < 3; count += 1) play.end('deadly beside').answer('other', 2)
--- a/packages/decisions/src/retrying/deadlyParts.ts
+++ b/packages/decisions/src/retrying/deadlyParts.ts
@@ -14,7 +14,8 @@
  * | three, while others are answered                                | refuse  | none, until an answer, or a trial, clears it |
  * | three, each of them also under another such part, which the request lacks | isolate | as above: it may be sound         |
  *
- * Ends of one moment count once: a failure domain without power ends many engines under every part that is in use. While
+ * Ends of one moment count once: a failure domain without power ends many engines under every part that is in use. What was
+ * sent as suspected counts each time, since it went alone to an engine that all instances chose. While
  * nothing else is answered either, the engines have another trouble. What waits for tries at a time goes to one endpoint
  * that all instances choose, so that it costs one end.
  *
@@ -30,13 +31,20 @@
 export interface PartEnd {
   readonly start: EndpointStart
   readonly parts: readonly PromptPartKey[]
+  /** Whether one of these requests was sent there as suspected. */
+  readonly wasIsolated?: boolean | undefined
   /** Time since the end. */
   readonly ageMilliseconds: Milliseconds
 }
 
+interface CountedEnd {
+  /** Monotonic time. */
+  readonly at: Milliseconds
+  readonly wasIsolated: boolean
+}
+
 interface Evidence {
-  /** Ends that count, by start: monotonic times. */
-  readonly ends: Map<EndpointStart, Milliseconds>
+  readonly ends: Map<EndpointStart, CountedEnd>
   /** Answers that others had got here when the first end was noted. */
   readonly answersBefore: number
   /** Whether it is refused, by own evidence or by news. */
@@ -66,6 +74,8 @@
 export class DeadlyParts {
   /** The one that was touched last stands last. */
   private readonly parts = new Map<PromptPartKey, Evidence>()
+  /** Ends of which a part was cleared, by part and start: news of them may come late, or again. The oldest first. */
+  private readonly cleared = new Set<string>()
   /** Answers that began here. */
   private answers = 0
 
@@ -91,26 +101,19 @@
 
   /** All that is held against parts, for an instance that was not there. */
   evidence(now: Milliseconds): readonly PartEnd[] {
-    const ends = new Map<EndpointStart, { parts: PromptPartKey[]; at: Milliseconds }>()
-    for (const [part, evidence] of this.parts) {
-      for (const [start, at] of evidence.ends) {
-        const known = ends.get(start) ?? { parts: [], at }
-        known.parts.push(part)
-        ends.set(start, known)
-      }
-    }
-    return [...ends].map(([start, { parts, at }]) => ({ start, parts, ageMilliseconds: now - at }))
+    return [...this.parts].flatMap(([part, { ends }]) =>
+      [...ends].map(([start, { at, wasIsolated }]) => {
+        return { start, parts: [part], wasIsolated, ageMilliseconds: now - at }
+      }),
+    )
   }
 
   /** An endpoint ended; gives the parts that are refused from now on, by what is known here. */
-  noteEnd({ start, parts, ageMilliseconds }: PartEnd, now: Milliseconds): readonly PromptPartKey[] {
-    const at = now - ageMilliseconds
-    return parts.filter(part => {
+  noteEnd(end: PartEnd, now: Milliseconds): readonly PromptPartKey[] {
+    const held = end.parts.filter(part => !this.cleared.has(pairOf(part, end.start)))
+    return held.filter(part => {
       const evidence = this.touch(part, now)
-      if (!evidence.ends.has(start) && evidence.ends.size < REMEMBERED_ENDS) {
-        evidence.ends.set(start, at)
-        evidence.newestAt = Math.max(evidence.newestAt, at)
-      }
+      countEnd(evidence, end, now)
       return this.judge(evidence)
     })
   }
@@ -124,12 +127,17 @@
   /** An answer began to a request with these parts; gives those that are cleared by it. */
   noteAnswered(parts: readonly PromptPartKey[]): readonly PromptPartKey[] {
     this.answers += 1
-    return parts.filter(part => this.parts.delete(part))
+    const sound = parts.filter(part => this.parts.has(part))
+    this.clear(sound)
+    return sound
   }
 
   /** Another instance says that these parts had an answer. */
   clear(parts: readonly PromptPartKey[]): void {
-    for (const part of parts) this.parts.delete(part)
+    for (const part of parts) {
+      for (const start of this.startsOf(part)) this.noteCleared(part, start)
+      this.parts.delete(part)
+    }
   }
 
   /** What to do with a request that holds these parts. */
@@ -177,6 +185,12 @@
     })
   }
 
+  private noteCleared(part: PromptPartKey, start: EndpointStart): void {
+    const [oldest] = this.cleared
+    if (this.cleared.size >= REMEMBERED_PARTS && oldest !== undefined) this.cleared.delete(oldest)
+    this.cleared.add(pairOf(part, start))
+  }
+
   private touch(part: PromptPartKey, now: Milliseconds): Evidence {
     const known = this.parts.get(part) ?? {
       ends: new Map(),
@@ -198,13 +212,30 @@
   }
 }
 
-/** The times of ends, those of one moment once. */
-function momentsOf({ ends }: Evidence): readonly Milliseconds[] {
-  const times = [...ends.values()].sort((left, right) => left - right)
-  const moments: Milliseconds[] = []
-  for (const time of times) {
-    const newest = moments.at(-1) ?? Number.NEGATIVE_INFINITY
-    if (time - newest >= MOMENT_MILLISECONDS) moments.push(time)
+function pairOf(part: PromptPartKey, start: EndpointStart): string {
+  return `${part} ${start}`
+}
+
+function countEnd(
+  evidence: Evidence,
+  { start, wasIsolated = false, ageMilliseconds }: PartEnd,
+  now: Milliseconds,
+): void {
+  const { ends } = evidence
+  const at = now - ageMilliseconds
+  const known = ends.get(start)
+  if (known === undefined && ends.size >= REMEMBERED_ENDS) return
+  ends.set(start, { at: known?.at ?? at, wasIsolated: wasIsolated || known?.wasIsolated === true })
+  evidence.newestAt = Math.max(evidence.newestAt, at)
+}
+
+/** The ends that count: those of one moment once, but for what was sent as suspected. */
+function momentsOf({ ends }: Evidence): readonly CountedEnd[] {
+  const inOrder = [...ends.values()].sort((left, right) => left.at - right.at)
+  const moments: CountedEnd[] = []
+  for (const end of inOrder) {
+    const newest = moments.at(-1)?.at ?? Number.NEGATIVE_INFINITY
+    if (end.wasIsolated || end.at - newest >= MOMENT_MILLISECONDS) moments.push(end)
   }
   return moments
 }
--- a/packages/decisions/src/retrying/suspectedChoice.ts
+++ b/packages/decisions/src/retrying/suspectedChoice.ts
@@ -17,7 +17,7 @@
  * a silent front an attempt waits until a look shows the end, or as long as its caller allows.
  */
 
-import type { RequestFingerprint } from '@rackwalk/shared'
+import type { PromptPartKey, RequestFingerprint } from '@rackwalk/shared'
 import { rendezvousChoice } from '../choosing/rendezvous.js'
 
 /** What is known of the endpoints. */
@@ -29,14 +29,14 @@
   readonly isInDoubt: (candidate: Candidate) => boolean
 }
 
-/** The one that all instances choose; undefined where there is none. */
+/** The one that all instances choose for a request, or for all that share a part; undefined where there is none. */
 export function suspectedChoice<Candidate extends string>(
-  fingerprint: RequestFingerprint,
+  subject: RequestFingerprint | PromptPartKey,
   candidates: readonly Candidate[],
   { tried, brokeOffOnce, isInDoubt }: SuspectedTries<Candidate>,
 ): Candidate | undefined {
   const open = candidates.filter(candidate => {
     return !tried.has(candidate) || (brokeOffOnce.has(candidate) && isInDoubt(candidate))
   })
-  return rendezvousChoice(fingerprint, open)
+  return rendezvousChoice(subject, open)
 }
--- a/packages/router/src/crashes/partGuard.ts
+++ b/packages/router/src/crashes/partGuard.ts
@@ -33,9 +33,9 @@
   constructor(private readonly parts: PartGuardParts) {}
 
   /** Keys of the parts of a prompt, where anything is held against any part. */
-  keysOf({ service, promptParts }: PartedPrompt): readonly PromptPartKey[] {
-    if (this.deadly.isEmpty || promptParts.length < 2) return NO_KEYS
-    return promptPartKeys(service, promptParts)
+  keysOf(prompt: PartedPrompt): readonly PromptPartKey[] {
+    if (this.deadly.isEmpty) return NO_KEYS
+    return promptPartKeys(prompt.service, prompt.promptParts)
   }
 
   /** What to do with a request that holds these parts. */
@@ -65,12 +65,14 @@
 
   /** An endpoint ended while these requests were there without an answer. */
   noteEnd(start: EndpointStart, unanswered: readonly BrokenRequest[]): void {
-    const parts = [...new Set(unanswered.flatMap(request => request.parts ?? []))]
-    if (parts.length === 0) return
-    const end = { start, parts, ageMilliseconds: 0 }
-    this.parts.onNews({ marks: [], cleared: [], partEnds: [end] })
-    const deadly = this.deadly.noteEnd(end, this.now)
-    this.refuse(deadly)
+    const partEnds = [false, true].flatMap(wasIsolated => {
+      const requests = unanswered.filter(request => request.wasIsolated === wasIsolated)
+      const parts = [...new Set(requests.flatMap(request => request.parts ?? []))]
+      return parts.length === 0 ? [] : [{ start, parts, wasIsolated, ageMilliseconds: 0 }]
+    })
+    if (partEnds.length === 0) return
+    this.parts.onNews({ marks: [], cleared: [], partEnds })
+    for (const end of partEnds) this.refuse(this.deadly.noteEnd(end, this.now))
   }
 
   /** An answer began to a request with these parts. */
@@ -92,10 +94,7 @@
     const { deadly } = this.deadly
     const refused = new Set(deadly)
     const ends = this.deadly.evidence(this.now)
-    const partEnds = ends.flatMap(end => {
-      const parts = end.parts.filter(part => refused.has(part))
-      return parts.length === 0 ? [] : [{ ...end, parts }]
-    })
+    const partEnds = ends.filter(({ parts }) => parts.some(part => refused.has(part)))
     return { partEnds, deadlyParts: deadly }
   }
 
@@ -110,7 +109,8 @@
   /** A record says that a part is refused for these ends. */
   observeRecord(part: PromptPartKey, starts: readonly EndpointStart[]): void {
     for (const start of starts) {
-      this.deadly.noteEnd({ start, parts: [part], ageMilliseconds: 0 }, this.now)
+      const end = { start, parts: [part], wasIsolated: true, ageMilliseconds: 0 }
+      this.deadly.noteEnd(end, this.now)
     }
     this.takeDeadly(part)
   }
--- a/packages/router/src/filters/dispatch.ts
+++ b/packages/router/src/filters/dispatch.ts
@@ -10,6 +10,7 @@
 import type { EndpointAdvices } from '../advice/endpointAdvices.js'
 import { publishedAdvice } from '../advice/publishedAdvice.js'
 import type { CrashGuard } from '../crashes/crashGuard.js'
+import { allMessageKeys, messageKeys, requestVerdict } from '../crashes/requestVerdict.js'
 import type { AttemptResult } from '../engine/attemptResult.js'
 import type { RoutingRecord } from '../decisionRecord.js'
 import type { EndpointClient } from '../engine/endpointClient.js'
@@ -231,11 +232,11 @@
     return { ...failed, isLookedAt: true }
   }
 
-  private describeSend({ crashFingerprint }: RoutedRequest): SentRequest {
+  private describeSend(request: RoutedRequest): SentRequest {
     const { clock, crashes } = this.parts
-    const sentAt = clock.monotonic()
-    if (crashFingerprint === undefined) return { wasIsolated: false, sentAt }
-    return { wasIsolated: crashes.verdict(crashFingerprint) === 'isolate', sentAt }
+    crashes.promptParts.noteSent(messageKeys(crashes, request))
+    const wasIsolated = requestVerdict(crashes, request) === 'isolate'
+    return { wasIsolated, sentAt: clock.monotonic() }
   }
 
   /** Resolves when it is known whether the endpoint ended as it broke the request off. */
@@ -250,7 +251,8 @@
     if (this.isOver(request, result)) return false
     const breaking = this.breakingOf(request, endpointId)
     if (breaking === undefined) return false
-    return this.parts.crashes.noteBroken(breaking, { fingerprint, wasIsolated, sentAt })
+    const parts = allMessageKeys(request)
+    return this.parts.crashes.noteBroken(breaking, { fingerprint, wasIsolated, sentAt, parts })
   }
 
   /** An endpoint as looks at it need it; undefined where it is no longer configured. */
@@ -346,12 +348,14 @@
   }
 
   /** An error may be that of a front whose engine has ended under the request: it clears nothing until a look shows life. */
-  private noteHarmless({ crashFingerprint }: RoutedRequest, result: AttemptResult): void {
+  private noteHarmless(request: RoutedRequest, result: AttemptResult): void {
+    const { crashFingerprint } = request
     if (crashFingerprint === undefined || result.kind !== 'answering') return
     const { crashes } = this.parts
     const { endpointId, status } = result.answer
     if (isServerError(status) && crashes.isEndpointInDoubt(endpointId)) return
     crashes.noteAnswered(crashFingerprint)
+    crashes.promptParts.noteAnswered(messageKeys(crashes, request))
   }
 
   /** Once, at the end of the request or of the answer. */
--- a/packages/router/src/filters/screen.ts
+++ b/packages/router/src/filters/screen.ts
@@ -4,6 +4,7 @@
 
 import { NotRunError, ResultCode } from '@rackwalk/shared'
 import type { CrashGuard } from '../crashes/crashGuard.js'
+import { requestVerdict } from '../crashes/requestVerdict.js'
 import type { Filter, ParsedRequest } from './stages.js'
 
 /** Refuses requests that end endpoints. */
@@ -11,9 +12,7 @@
   constructor(private readonly crashes: CrashGuard) {}
 
   async apply(request: ParsedRequest): Promise<ParsedRequest> {
-    const { crashFingerprint } = request
-    if (crashFingerprint === undefined) return request
-    if (this.crashes.verdict(crashFingerprint) !== 'refuse') return request
+    if (requestVerdict(this.crashes, request) !== 'refuse') return request
     throw new NotRunError(ResultCode.EndsEndpoints)
   }
 }
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -85,6 +85,7 @@
 export { KeptAnswer } from './engine/keptAnswer.js'
 export { OpenExchanges } from './engine/openExchanges.js'
 export { probeEndpoint } from './crashes/endpointProbe.js'
+export { forgetRecord, marksOfPart, observeRecords, recordKeyOf } from './crashes/partRecords.js'
 export { probeReached } from './crashes/reachedProbe.js'
 
 export { Gateway } from './gateway/gateway.js'
--- a/packages/router/src/routing/endpointRouter.ts
+++ b/packages/router/src/routing/endpointRouter.ts
@@ -8,6 +8,7 @@
 import type { EndpointId, RandomSource } from '@rackwalk/shared'
 import type { RoutingRecord } from '../decisionRecord.js'
 import type { CrashGuard } from '../crashes/crashGuard.js'
+import { messageKeys, requestVerdict } from '../crashes/requestVerdict.js'
 import type { ParsedRequest } from '../filters/stages.js'
 import type { Catalogue } from '../resources/catalogue.js'
 import type { EndpointTable } from './endpointTable.js'
@@ -76,7 +77,7 @@
   ): RoutingRecord | undefined {
     const { crashFingerprint } = request
     if (crashFingerprint === undefined) return undefined
-    if (this.parts.crashes.verdict(crashFingerprint) === 'refuse') return undefined
+    if (requestVerdict(this.parts.crashes, request) === 'refuse') return undefined
     const ids = this.candidates(request, [])
       .map(({ endpointId }) => endpointId)
       .filter(endpointId => !tried.has(endpointId) && this.continues(endpointId))
@@ -92,9 +93,7 @@
 
   /** Why no endpoint may get the request now, tried or not; undefined where one may, or where there is none. */
   refusal(request: ParsedRequest): NotRunError | undefined {
-    const { crashFingerprint } = request
-    const endsEndpoints =
-      crashFingerprint !== undefined && this.parts.crashes.verdict(crashFingerprint) === 'refuse'
+    const endsEndpoints = requestVerdict(this.parts.crashes, request) === 'refuse'
     if (endsEndpoints) return new NotRunError(ResultCode.EndsEndpoints)
     if (this.candidates(request, []).length > 0) return undefined
     return refusalByAdvice(this.parts, request)
@@ -102,17 +101,21 @@
 
   /** The endpoint at which all instances try a request that may end endpoints; refuses one that does. */
   private isolate(
-    { crashFingerprint }: ParsedRequest,
+    request: ParsedRequest,
     candidates: readonly EndpointView[],
     tries: EndpointTries,
   ): EndpointChoice | undefined {
-    if (crashFingerprint === undefined) return undefined
-    const verdict = this.parts.crashes.verdict(crashFingerprint)
+    const { crashFingerprint } = request
+    const verdict = requestVerdict(this.parts.crashes, request)
     if (verdict === 'refuse') throw new NotRunError(ResultCode.EndsEndpoints)
     if (verdict === 'send') return undefined
     const { crashes } = this.parts
+    // All chats that hold the same suspected message cost one endpoint together.
+    const subject =
+      crashes.promptParts.isolatedBy(messageKeys(crashes, request)) ?? crashFingerprint
+    if (subject === undefined) return undefined
     const ids = candidates.map(({ endpointId }) => endpointId)
-    const endpointId = suspectedChoice(crashFingerprint, ids, {
+    const endpointId = suspectedChoice(subject, ids, {
       ...tries,
       isInDoubt: candidate => crashes.isEndpointInDoubt(candidate),
     })
--- /dev/null
+++ b/packages/stand-ins/__tests__/deadlyMessages.spec.ts
@@ -0,0 +1,68 @@
+import { afterEach, describe, expect, it } from 'vitest'
+import { ConfiguredFleet, streamChat } from '@rackwalk/stand-ins'
+import type { ChatAnswer } from '@rackwalk/stand-ins'
+
+/** Guards against chats that are all different, and of which one message ends what begins to answer. */
+
+const INSTANCES = 3
+const ENGINES = 8
+const RUN_MILLISECONDS = 6_000
+const DEADLY_INTERVAL_MILLISECONDS = 250
+const SOUND_INTERVAL_MILLISECONDS = 20
+const MOST_ENDS = 4
+const LEAST_SERVED = 0.95
+const TOPICS = 5
+const DEADLY = 'the message that ends engines'
+const SYSTEM = 'you are an assistant'
+
+let fleet: ConfiguredFleet
+
+async function start(): Promise<void> {
+  fleet = await new ConfiguredFleet({ instances: INSTANCES, engines: ENGINES }).start()
+  for (const engine of fleet.engines) engine.endsUnderMessage = DEADLY
+}
+
+afterEach(async () => {
+  await fleet.stop()
+})
+
+async function sendInTurn(
+  interval: number,
+  messagesOf: (count: number) => readonly string[],
+): Promise<readonly ChatAnswer[]> {
+  const answers: Promise<ChatAnswer>[] = []
+  const until = Date.now() + RUN_MILLISECONDS
+  while (Date.now() < until) {
+    const count = answers.length
+    const demand = { word: 'chat', tokens: 4, messages: messagesOf(count) }
+    answers.push(streamChat(fleet.callers(count % INSTANCES), demand))
+    await new Promise(resolve => setTimeout(resolve, interval))
+  }
+  return Promise.all(answers)
+}
+
+const DEADLY_CHATS: Readonly<Record<string, (count: number) => readonly string[]>> = {
+  first: count => [DEADLY, SYSTEM, `topic ${count % TOPICS}`, `question ${count}`],
+  second: count => [SYSTEM, DEADLY, `topic ${count % TOPICS}`, `question ${count}`],
+  'next to last': count => [SYSTEM, `topic ${count % TOPICS}`, DEADLY, `question ${count}`],
+}
+
+const soundChat = (count: number) => [SYSTEM, `topic ${count % TOPICS}`, `other ${count}`]
+
+describe('chats of which one message ends what begins to answer, no two alike', () => {
+  for (const [place, deadlyChat] of Object.entries(DEADLY_CHATS)) {
+    it(`end four engines at the most, and others are served, where that message is ${place}`, async () => {
+      await start()
+      const [deadly, sound] = await Promise.all([
+        sendInTurn(DEADLY_INTERVAL_MILLISECONDS, deadlyChat),
+        sendInTurn(SOUND_INTERVAL_MILLISECONDS, soundChat),
+      ])
+      const ends = fleet.engines.reduce((sum, engine) => sum + engine.ends, 0)
+      expect(ends).toBeGreaterThan(0)
+      expect(ends).toBeLessThanOrEqual(MOST_ENDS)
+      expect(deadly.every(({ isWhole }) => !isWhole)).toBe(true)
+      const served = sound.filter(({ isWhole }) => isWhole)
+      expect(served.length / sound.length).toBeGreaterThanOrEqual(LEAST_SERVED)
+    })
+  }
+})
--- a/packages/stand-ins/src/chatClient.ts
+++ b/packages/stand-ins/src/chatClient.ts
@@ -10,6 +10,8 @@
   readonly key?: string
   readonly headers?: Readonly<Record<string, string>>
   readonly prompt?: string
+  /** Contents of all its messages, in place of a prompt. */
+  readonly messages?: readonly string[]
   readonly maximumTokens?: number
   readonly signal?: AbortSignal
   /** Called for each piece of text as it arrives. */
@@ -84,7 +86,9 @@
   return JSON.stringify({
     model: 'assistant',
     stream,
-    messages: [{ role: 'user', content: demand.prompt ?? 'hello' }],
+    messages: (demand.messages ?? [demand.prompt ?? 'hello']).map(content => {
+      return { role: 'user', content }
+    }),
     max_tokens: demand.maximumTokens ?? demand.tokens,
     stand_in: { word: demand.word, tokens: demand.tokens },
   })
--- a/packages/stand-ins/src/engine/engineStandIn.ts
+++ b/packages/stand-ins/src/engine/engineStandIn.ts
@@ -115,6 +115,8 @@
   cancelled = 0
   /** Ends as it begins to run a request whose answer would have this word, and is back after a while. */
   endsUnderWord: string | undefined
+  /** The same of a chat that holds a message with this content. */
+  endsUnderMessage: string | undefined
   /** Time from such an end to the next start under the same address. */
   backAfterMilliseconds = 1_500
   /** What goes on listening at its address when it has ended so; nothing where undefined. */
@@ -266,14 +268,20 @@
       const next = this.waiting.shift()
       if (next === undefined) return true
       this.running.push(next)
-      const word = next.body.stand_in?.word
-      if (word === undefined || word !== this.endsUnderWord) continue
+      if (!this.endsUnder(next.body)) continue
       this.end()
       return false
     }
     return true
   }
 
+  private endsUnder({ stand_in: wished, messages }: ChatBody): boolean {
+    const { endsUnderWord, endsUnderMessage } = this
+    if (wished?.word !== undefined && wished.word === endsUnderWord) return true
+    if (endsUnderMessage === undefined) return false
+    return JSON.stringify(messages).includes(endsUnderMessage)
+  }
+
   private sendToken(job: Job): void {
     const word = job.body.stand_in?.word ?? 'token'
     job.sent += 1
