--- a/packages/router/__tests__/endpointEnds.spec.ts
+++ b/packages/router/__tests__/endpointEnds.spec.ts
@@ -98,6 +98,19 @@
     expect(probes()).toBe(1)
   })
 
+  it('has not ended under what it broke off long before, however much it breaks off since', async () => {
+    const { clock, ends, endpoint, directory, unanswered } = watch('lives')
+    for (let count = 0; count < 60; count += 1) {
+      await ends.noteBroken(endpoint(), broken(`refuted-${count}`, clock.monotonic()))
+      await clock.advance(500)
+    }
+    directory.set(recordOf(2))
+    const [held = []] = unanswered()
+    expect(held.length).toBeGreaterThan(0)
+    expect(held.length).toBeLessThanOrEqual(11)
+    expect(held).not.toContain('refuted-0')
+  })
+
   it('has not ended under what was sent after its first break: that met its front', async () => {
     const { clock, ends, endpoint, unanswered } = watch('nobody-listens')
     await clock.advance(100)
--- a/packages/router/src/crashes/endpointEnds.ts
+++ b/packages/router/src/crashes/endpointEnds.ts
@@ -88,10 +88,17 @@
   readonly onAway: (start: EndpointStart, seen: SeenEnd) => void
 }
 
+/** A request that was broken off, and of which nothing was told yet. */
+interface UntoldBreak {
+  readonly request: BrokenRequest
+  /** Monotonic time of its break. */
+  readonly at: Milliseconds
+}
+
 /** Requests that one start of an endpoint broke off. */
 interface Breaks {
   readonly endpoint: BreakingEndpoint
-  readonly untold: BrokenRequest[]
+  untold: UntoldBreak[]
   /** What was told of the end, and what is in `untold`: one that is suspected again adds nothing. */
   readonly known: Set<string>
   /** What was told of the look in progress, */
@@ -115,8 +122,8 @@
 }
 
 /**
- * Breaks are kept this long, for an endpoint that is back under its address before anybody looked: its row tells of a
- * new start within a heartbeat and a read.
+ * Each break is kept this long, for an endpoint that is back under its address before anybody looked: its row tells of a
+ * new start within a heartbeat and a read. What broke off earlier had no part in that end, however much breaks off since.
  */
 const REMEMBERED_MILLISECONDS = 5_000
 /** Time between two looks at an endpoint that did not answer the first one. */
@@ -150,7 +157,7 @@
     if (endpoint.leavesAsPlanned) return false
     const breaks = this.breaksOf(endpoint)
     const wasThere = this.wasThere(breaks, request)
-    if (wasThere) addOnce(breaks, request)
+    if (wasThere) addOnce(breaks, request, this.parts.clock.monotonic())
     if (breaks.hasEnded) {
       this.tell(breaks)
       return true
@@ -167,7 +174,9 @@
     return [
       ...looked.map(({ endpoint: { start }, untold, spoken }) => {
         // What broke off earlier and is kept for a new row is not looked at any more.
-        const requests = onceEach(untold).filter(({ fingerprint }) => spoken.has(fingerprint))
+        const requests = onceEach(untold.map(({ request }) => request)).filter(({ fingerprint }) =>
+          spoken.has(fingerprint),
+        )
         return { start, isAway: false, requests }
       }),
       ...[...this.watched].map(start => ({ start, isAway: true, requests: [] })),
@@ -264,11 +273,12 @@
 
   /** A look may take longer than others believe in its break. */
   private renewLater(breaks: Breaks): void {
-    const { brokenAt, endpoint, untold } = breaks
+    const { brokenAt, endpoint } = breaks
     this.parts.clock.after(RENEWAL_MILLISECONDS, () => {
       const isOver = breaks.looking === undefined || breaks.brokenAt !== brokenAt
       if (isOver || breaks.hasEnded || this.isStopped) return
-      if (untold.length > 0) this.parts.onLook(endpoint.start, onceEach(untold))
+      const requests = breaks.untold.map(({ request }) => request)
+      if (requests.length > 0) this.parts.onLook(endpoint.start, onceEach(requests))
       this.renewLater(breaks)
     })
   }
@@ -343,9 +353,11 @@
   }
 
   private tell(breaks: Breaks): void {
-    const { endpoint, signs, untold } = breaks
-    if (untold.length === 0) return
-    const unanswered = untold.splice(0)
+    const { endpoint, signs } = breaks
+    forgetUntold(breaks, this.parts.clock.monotonic() - REMEMBERED_MILLISECONDS)
+    const unanswered = breaks.untold.map(({ request }) => request)
+    if (unanswered.length === 0) return
+    breaks.untold = []
     this.parts.onEnd({ endpoint, signs: [...signs], unanswered, seen: seenOf(breaks) })
   }
 
@@ -354,6 +366,7 @@
     this.forgetOlderThan(now - REMEMBERED_MILLISECONDS)
     const known = this.breaks.get(endpoint.start)
     if (known !== undefined) {
+      forgetUntold(known, now - REMEMBERED_MILLISECONDS)
       known.newestAt = now
       return known
     }
@@ -386,11 +399,22 @@
 }
 
 /** A mark is told once; as one that was isolated a request says more. */
-function addOnce({ known, untold }: Breaks, request: BrokenRequest): void {
-  const key = `${request.fingerprint} ${request.wasIsolated}`
-  if (known.has(key)) return
-  known.add(key)
-  untold.push(request)
+function addOnce(breaks: Breaks, request: BrokenRequest, at: Milliseconds): void {
+  const key = keyOf(request)
+  if (breaks.known.has(key)) return
+  breaks.known.add(key)
+  breaks.untold.push({ request, at })
+}
+
+function keyOf({ fingerprint, wasIsolated }: BrokenRequest): string {
+  return `${fingerprint} ${wasIsolated}`
+}
+
+/** What broke off before a time is held for no end that comes later; it may be broken off anew. */
+function forgetUntold(breaks: Breaks, oldest: Milliseconds): void {
+  if (breaks.untold.every(({ at }) => at >= oldest)) return
+  for (const { request, at } of breaks.untold) if (at < oldest) breaks.known.delete(keyOf(request))
+  breaks.untold = breaks.untold.filter(({ at }) => at >= oldest)
 }
 
 /** The requests, each fingerprint once. */
