--- a/packages/decisions/__tests__/relays.spec.ts
+++ b/packages/decisions/__tests__/relays.spec.ts
@@ -47,6 +47,12 @@
 ]
 
 describe('after a request was handed to another instance', () => {
+  it('nobody says that it has not run where one that it was sent to said nothing', () => {
+    const outcomes = [OUTCOMES[4], OUTCOMES[1]].flatMap(outcome => outcome ?? [])
+    expect(relayStep(outcomes, AGAIN, false)).toBe('give-up')
+    expect(relayStep(outcomes.slice(1), AGAIN, false)).toBe('pass-on')
+  })
+
   it('one more is asked only where the request did not run, or may run twice', () => {
     const rows = OUTCOMES.map(outcome => {
       const steps = [
--- a/packages/decisions/src/retrying/relayStep.ts
+++ b/packages/decisions/src/retrying/relayStep.ts
@@ -4,7 +4,8 @@
  * | what came of it                                     | may it have run | next                                       |
  * | --------------------------------------------------- | --------------- | ------------------------------------------ |
  * | no connection                                       | no              | another instance                           |
- * | the instance refused it as not run (503)            | no              | another instance; else its answer          |
+ * | the instance refused it as not run                  | no              | another instance (503); else its answer    |
+ * | the same, after one that it was sent to said nothing | unknown        | its caller is told that nobody knows       |
  * | an answer                                           | as it says      | it is passed on                            |
  * | nothing, or what is no answer, after it was sent    | unknown         | another instance where it may run twice    |
  *
@@ -46,7 +47,9 @@
   if (newest?.kind === 'answered') return 'pass-on'
   const mayAsk = hasAnother && outcomes.length < MOST_INSTANCES
   if (mayAsk && mayTakeElsewhere(newest, route)) return 'ask-another'
-  return newest?.kind === 'refused' ? 'pass-on' : 'give-up'
+  // Another instance may have run it before this one refused it: nobody says "not run" then.
+  const mayHaveRun = outcomes.some(({ kind }) => kind === 'failed')
+  return newest?.kind === 'refused' && !mayHaveRun ? 'pass-on' : 'give-up'
 }
 
 /** Whether the request has not run, or may run twice. */
--- a/packages/router/src/filters/handOver.ts
+++ b/packages/router/src/filters/handOver.ts
@@ -72,7 +72,7 @@
     const asked = new Set<IncarnationId>()
     const outcomes: RelayOutcome[] = []
     let peer = this.choose(asked)
-    while (peer !== undefined) {
+    while (peer !== undefined && !this.isOver(request)) {
       asked.add(peer.incarnation)
       const exchange = this.open(peer, request, call.chat)
       const next = this.choose(asked)
@@ -87,6 +87,11 @@
     throw new DispatchedError(ResultCode.EndpointFailed, 'the instance that it was handed to')
   }
 
+  /** Whether nobody waits for an answer any more. */
+  private isOver({ incoming, deadline }: ParsedRequest): boolean {
+    return incoming.caller.left.aborted || this.parts.clock.sinceStart() >= deadline
+  }
+
   /** Passes the answer on where there is one to pass on. */
   private async pass(
     exchange: UpstreamExchange,
