--- a/packages/decisions/src/retrying/crashSuspicion.ts
+++ b/packages/decisions/src/retrying/crashSuspicion.ts
@@ -22,18 +22,9 @@
  */
 
 import type { EndpointStart, PromptPartKey, RequestFingerprint } from '@rackwalk/shared'
+import type { CrashVerdict } from './crashVerdict.js'
 import type { PartEnd } from './deadlyParts.js'
 
-/** What to do with a request. */
-export type CrashVerdict = 'send' | 'isolate' | 'refuse'
-
-const STRICTNESS: Readonly<Record<CrashVerdict, number>> = { send: 0, isolate: 1, refuse: 2 }
-
-/** Of two verdicts the one that puts fewer endpoints at risk. */
-export function strictest(left: CrashVerdict, right: CrashVerdict): CrashVerdict {
-  return STRICTNESS[left] >= STRICTNESS[right] ? left : right
-}
-
 /** An endpoint ended while a request was there and had no part of an answer. */
 export interface CrashMark {
   readonly fingerprint: RequestFingerprint
--- a/packages/decisions/src/retrying/deadlyParts.ts
+++ b/packages/decisions/src/retrying/deadlyParts.ts
@@ -25,7 +25,7 @@
  */
 
 import type { EndpointStart, Milliseconds, PromptPartKey } from '@rackwalk/shared'
-import type { CrashVerdict } from './crashSuspicion.js'
+import type { CrashVerdict } from './crashVerdict.js'
 
 /** An endpoint ended while requests with these parts were there without an answer. */
 export interface PartEnd {
--- a/packages/decisions/src/retrying/unjudgedBreaks.ts
+++ b/packages/decisions/src/retrying/unjudgedBreaks.ts
@@ -24,7 +24,8 @@
 
 import type { EndpointStart, Milliseconds, RequestFingerprint } from '@rackwalk/shared'
 import { SCOPE_CHARACTERS } from './crashSuspicion.js'
-import type { CrashMark, CrashVerdict } from './crashSuspicion.js'
+import type { CrashMark } from './crashSuspicion.js'
+import type { CrashVerdict } from './crashVerdict.js'
 
 /** A break counts for no longer: two looks take a quarter of it where processors are free. */
 const LOOK_MILLISECONDS: Milliseconds = 1_000
