feat(router, daemon, platform): lines tell a stream's first try and the software version of each attempt

What callers saw: streams with events of two software versions. The lines could not tell an answer that another endpoint went on with from a caller's own try, nor at which version an attempt was. No choice rests on them yet.

--- a/packages/daemon/__tests__/endpointFollower.spec.ts
+++ b/packages/daemon/__tests__/endpointFollower.spec.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest'
-import { VirtualClock, endpointStart } from '@rackwalk/shared'
+import { UNTOLD_SOFTWARE_VERSION, VirtualClock, endpointStart } from '@rackwalk/shared'
 import { EndpointDirectory } from '@rackwalk/router'
 import type { EndpointRecord } from '@rackwalk/router'
 import { EndpointFollower } from '@rackwalk/daemon'
@@ -22,6 +22,7 @@
     service: SERVICE,
     address: '127.0.0.1:1',
     failureDomain: 'hall-a',
+    softwareVersion: UNTOLD_SOFTWARE_VERSION,
     slots: 8,
     isLeaving: false,
     coldMilliseconds: 0,
--- a/packages/daemon/src/gateway/requestLine.ts
+++ b/packages/daemon/src/gateway/requestLine.ts
@@ -7,6 +7,7 @@
 export function requestLine(record: GatewayRecord): Readonly<Record<string, unknown>> {
   return {
     request: record.requestId,
+    resumes: resumedRequest(record),
     fingerprint: record.fingerprint,
     attempts: record.attempts.map(attemptFields),
     relays: record.relays.length === 0 ? undefined : record.relays.map(relayFields),
@@ -35,9 +36,15 @@
   }
 }
 
+/** The first try of a stream that is taken up again; empty where its caller does not name it. */
+function resumedRequest({ resumption }: GatewayRecord): string | undefined {
+  return resumption === undefined ? undefined : (resumption.firstRequestId ?? '')
+}
+
 function attemptFields(attempt: AttemptRecord): Readonly<Record<string, unknown>> {
   return {
     server: attempt.endpoint,
+    softwareVersion: attempt.softwareVersion || undefined,
     score: attempt.score,
     compared: attempt.compared,
     waitedMilliseconds: attempt.waitedMilliseconds,
--- a/packages/router/__tests__/endedEndpoints.spec.ts
+++ b/packages/router/__tests__/endedEndpoints.spec.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest'
 import { SILENT_MILLISECONDS, STILL_SILENT_MILLISECONDS } from '@rackwalk/decisions'
 import type { StateSign } from '@rackwalk/decisions'
-import { VirtualClock, endpointStart } from '@rackwalk/shared'
+import { UNTOLD_SOFTWARE_VERSION, VirtualClock, endpointStart } from '@rackwalk/shared'
 import { EndpointDirectory } from '@rackwalk/router'
 import type { EndpointRecord, EndpointState } from '@rackwalk/router'
 
@@ -22,6 +22,7 @@
     service: 'models',
     address: '127.0.0.1:1',
     failureDomain: 'domain-a',
+    softwareVersion: UNTOLD_SOFTWARE_VERSION,
     slots: 8,
     isLeaving,
     coldMilliseconds: 0,
--- a/packages/router/__tests__/endpointEnds.spec.ts
+++ b/packages/router/__tests__/endpointEnds.spec.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest'
 import { BrokenStarts } from '@rackwalk/decisions'
 import type { EndSign } from '@rackwalk/decisions'
-import { VirtualClock, asId, endpointStart, sleep } from '@rackwalk/shared'
+import { UNTOLD_SOFTWARE_VERSION, VirtualClock, asId, endpointStart, sleep } from '@rackwalk/shared'
 import type { RequestFingerprint } from '@rackwalk/shared'
 import { EndpointDirectory, EndpointEnds } from '@rackwalk/router'
 import type { EndpointEnd, EndpointRecord } from '@rackwalk/router'
@@ -24,6 +24,7 @@
     service: 'models',
     address: '127.0.0.1:1',
     failureDomain: 'domain-a',
+    softwareVersion: UNTOLD_SOFTWARE_VERSION,
     slots: 8,
     isLeaving: false,
     coldMilliseconds: 0,
--- a/packages/router/__tests__/peerLoads.spec.ts
+++ b/packages/router/__tests__/peerLoads.spec.ts
@@ -1,5 +1,10 @@
 import { describe, expect, it } from 'vitest'
-import { SystemRandom, VirtualClock, endpointStart } from '@rackwalk/shared'
+import {
+  UNTOLD_SOFTWARE_VERSION,
+  SystemRandom,
+  VirtualClock,
+  endpointStart,
+} from '@rackwalk/shared'
 import {
   LoadReporter,
   PeerLoads,
@@ -14,6 +19,7 @@
   service: 'model',
   address: '127.0.0.1:1',
   failureDomain: 'hall-a',
+  softwareVersion: UNTOLD_SOFTWARE_VERSION,
   slots: 8,
   isLeaving: false,
   coldMilliseconds: 0,
--- a/packages/router/__tests__/suspectNews.spec.ts
+++ b/packages/router/__tests__/suspectNews.spec.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest'
 import type { CrashNews, EndSign } from '@rackwalk/decisions'
 import { CrashGuard, EndpointDirectory } from '@rackwalk/router'
-import { VirtualClock, asId, endpointStart, sleep } from '@rackwalk/shared'
+import { UNTOLD_SOFTWARE_VERSION, VirtualClock, asId, endpointStart, sleep } from '@rackwalk/shared'
 import type { RequestFingerprint } from '@rackwalk/shared'
 
 /** All that was open at an endpoint was told to all instances, one by one, as often as the endpoint was told of as away. */
@@ -23,7 +23,13 @@
     onChange: () => {},
   })
   const place = { id: 'endpoint-1', start: START, service: 'models', address: '127.0.0.1:1' }
-  const state = { failureDomain: 'domain-a', slots: 8, isLeaving: false, coldMilliseconds: 0 }
+  const state = {
+    failureDomain: 'domain-a',
+    softwareVersion: UNTOLD_SOFTWARE_VERSION,
+    slots: 8,
+    isLeaving: false,
+    coldMilliseconds: 0,
+  }
   directory.set({ ...place, ...state })
   const [endpoint] = directory.available('models')
   if (endpoint === undefined) throw new Error('not listed')
--- a/packages/router/src/gateway/dialect.ts
+++ b/packages/router/src/gateway/dialect.ts
@@ -22,6 +22,14 @@
   /** Absent where the request asks no model for tokens. */
   readonly tokens: { readonly prompt: TokenCount; readonly maximumOutput: TokenCount } | undefined
   readonly promptParts: readonly PromptPart[]
+  /** Set where the request takes a stream up again. */
+  readonly resumption?: StreamResumption
+}
+
+/** What a caller says of a stream that it takes up again. */
+export interface StreamResumption {
+  /** The try that brought the first event; undefined where the caller does not tell it. */
+  readonly firstRequestId: string | undefined
 }
 
 /** What the gateway tells an endpoint beside what the caller sent. */
--- a/packages/router/src/gateway/endpointState.ts
+++ b/packages/router/src/gateway/endpointState.ts
@@ -5,7 +5,13 @@
 
 import { nextPace } from '@rackwalk/decisions'
 import type { EndpointLink, RateLicence } from '@rackwalk/decisions'
-import type { Clock, EndpointStart, Milliseconds, TokenCount } from '@rackwalk/shared'
+import type {
+  Clock,
+  EndpointStart,
+  Milliseconds,
+  SoftwareVersion,
+  TokenCount,
+} from '@rackwalk/shared'
 import { RecentSends } from '../advice/recentSends.js'
 import type { EndpointLoad } from './dialect.js'
 import { EndpointAgent } from './endpointAgent.js'
@@ -20,6 +26,8 @@
   /** IP:PORT. */
   readonly address: string
   readonly failureDomain: string
+  /** `UNTOLD_SOFTWARE_VERSION` where it tells none. */
+  readonly softwareVersion: SoftwareVersion
   readonly slots: number
   readonly isLeaving: boolean
   /** How much longer it bears only few requests; 0 once it is warm. */
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -131,6 +131,7 @@
     const record: GatewayRecord = {
       requestId: metadata?.requestId ?? '',
       receivedAt: this.parts.clock.sinceStart(),
+      resumption: metadata?.resumption,
       attempts: [],
       relays: [],
       ...(relayedBy === undefined ? {} : { relayedBy }),
--- a/packages/router/src/gateway/gatewayRecord.ts
+++ b/packages/router/src/gateway/gatewayRecord.ts
@@ -3,10 +3,11 @@
 import type { Bytes, Milliseconds, TokenCount } from '@rackwalk/shared'
 import type { AnswerEnd, AnswerFraming, AttemptOutcome, RelayOutcome } from '@rackwalk/decisions'
 import type { LenderAnswer } from '@rackwalk/coordination'
+import type { StreamResumption } from './dialect.js'
 import type { Lateness } from './lateness.js'
 import type { RefusedBodyOutcome } from '../refusedBodies.js'
 import type { StreamPause } from './streamPace.js'
-import type { Execution, RequestFingerprint } from '@rackwalk/shared'
+import type { Execution, RequestFingerprint, SoftwareVersion } from '@rackwalk/shared'
 
 /** How the body of an answer came. */
 export interface AnswerRecord {
@@ -21,6 +22,7 @@
 /** One endpoint that a request was sent to. */
 export interface AttemptRecord {
   readonly endpoint: string
+  readonly softwareVersion: SoftwareVersion
   readonly score: number
   /** Endpoints that were compared. */
   readonly compared: number
@@ -50,6 +52,8 @@
 export interface GatewayRecord {
   readonly requestId: string
   readonly receivedAt: Milliseconds
+  /** Set where it takes a stream up again. */
+  readonly resumption?: StreamResumption | undefined
   /** Undefined where nobody had to tell it from others. */
   fingerprint?: RequestFingerprint
   configurationVersion?: number
--- a/packages/router/src/gateway/requestAttempts.ts
+++ b/packages/router/src/gateway/requestAttempts.ts
@@ -171,9 +171,10 @@
 
   private noteChoice({ endpoint, score, compared }: ChosenEndpoint): void {
     const { record } = this.request
-    const { id } = endpoint.record
+    const { id, softwareVersion } = endpoint.record
     record.attempts.push({
       endpoint: id,
+      softwareVersion,
       score: Math.round(score),
       compared,
       pendingTokens: this.pendingTokens(endpoint),
--- a/packages/shared/src/ids.ts
+++ b/packages/shared/src/ids.ts
@@ -26,6 +26,11 @@
  * nothing of the next.
  */
 export type EndpointStart = Branded<'EndpointStart'>
+/**
+ * Names the software that an endpoint runs; not the weights of a model, which have versions of their own. What two versions
+ * write does not fit together in one stream.
+ */
+export type SoftwareVersion = Branded<'SoftwareVersion'>
 /** Names a model that endpoints load and callers ask for. */
 export type ModelId = Branded<'ModelId'>
 /** Names one request in logs, headers and decision records. */
@@ -44,6 +49,9 @@
 /** Identifies one movement of tokens between two instances. */
 export type TransferId = Branded<'TransferId'>
 
+/** Endpoints that tell no software version count as one version of their own. */
+export const UNTOLD_SOFTWARE_VERSION: SoftwareVersion = asId('')
+
 /** The start of an endpoint at this time; undefined where its platform gives each start an id of its own. */
 export function endpointStart(endpoint: string, bornAt: number | undefined): EndpointStart {
   return asId(bornAt === undefined ? endpoint : `${endpoint}@${bornAt}`)
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -1,5 +1,5 @@
 /** What every package shares: ids, units, result codes, errors, time and chance. */
-export { asId, endpointOf, endpointStart } from './ids.js'
+export { UNTOLD_SOFTWARE_VERSION, asId, endpointOf, endpointStart } from './ids.js'
 export type {
   BudgetId,
   EndpointId,
@@ -13,6 +13,7 @@
   PromptPartKey,
   RequestFingerprint,
   RequestId,
+  SoftwareVersion,
   TeamId,
   TransactionId,
   TransferId,
--- a/packages/stand-ins/src/replay/namedRateReplay.ts
+++ b/packages/stand-ins/src/replay/namedRateReplay.ts
@@ -7,7 +7,13 @@
 import type { AdviceNews, EndpointAdvice, RecordedInstance } from '@rackwalk/decisions'
 import { EndpointAdvices, EndpointDirectory, SendPermits } from '@rackwalk/router'
 import type { EndpointRecord, EndpointState } from '@rackwalk/router'
-import { SeededRandom, VirtualClock, asId, randomBelow } from '@rackwalk/shared'
+import {
+  UNTOLD_SOFTWARE_VERSION,
+  SeededRandom,
+  VirtualClock,
+  asId,
+  randomBelow,
+} from '@rackwalk/shared'
 import type { Clock, EndpointStart, Milliseconds } from '@rackwalk/shared'
 
 /** What an instance does about a rate that an endpoint named. */
@@ -235,6 +241,7 @@
     service: SERVICE,
     address: `10.0.0.${index}:80`,
     failureDomain: 'domain',
+    softwareVersion: UNTOLD_SOFTWARE_VERSION,
     slots: 64,
     isLeaving: false,
     coldMilliseconds: 0,
--- a/packages/stand-ins/src/replay/replay.ts
+++ b/packages/stand-ins/src/replay/replay.ts
@@ -12,7 +12,13 @@
   snapshotEndpoint,
 } from '@rackwalk/router'
 import type { EndpointState } from '@rackwalk/router'
-import { SeededRandom, VirtualClock, asId, endpointStart } from '@rackwalk/shared'
+import {
+  UNTOLD_SOFTWARE_VERSION,
+  SeededRandom,
+  VirtualClock,
+  asId,
+  endpointStart,
+} from '@rackwalk/shared'
 import type { EndpointId, Milliseconds, RandomSource, TokenCount } from '@rackwalk/shared'
 import { EngineModel } from '../engine/engineModel.js'
 import type { EngineCapacity, EnginePromptPart } from '../engine/engineModel.js'
@@ -132,6 +138,7 @@
         service: SERVICE,
         address: '127.0.0.1:1',
         failureDomain: `domain-${position % FAILURE_DOMAINS}`,
+        softwareVersion: UNTOLD_SOFTWARE_VERSION,
         slots: capacity.slots,
         isLeaving: false,
         coldMilliseconds: 0,
