fix(router): an answer goes on only at the software version that wrote its first event

What callers saw: streams with events of two software versions in one answer. The first event binds the answer to the software version of its endpoint; choices after it see the endpoints of that version alone, so none left ends the answer at once. Answers that are no streams may be repeated at any version, as before. What attempts are told moved to attemptedRequest.ts.

--- a/packages/router/src/gateway/attemptChoice.ts
+++ b/packages/router/src/gateway/attemptChoice.ts
@@ -11,6 +11,7 @@
   PromptPartKey,
   RandomSource,
   RequestFingerprint,
+  SoftwareVersion,
 } from '@rackwalk/shared'
 import type { SendPermits } from '../advice/sendPermits.js'
 import type { PressedEndpoint, TurnAwayGuard } from '../advice/turnAwayGuard.js'
@@ -49,6 +50,14 @@
   readonly record: GatewayRecord
 }
 
+/** What the attempts so far leave to choose. */
+export interface ChoiceBounds {
+  /** Starts that the request was sent to. */
+  readonly tried: ReadonlySet<EndpointStart>
+  /** The software version that the answer is bound to; undefined where any may give it. */
+  readonly softwareVersion: SoftwareVersion | undefined
+}
+
 /** The endpoint that was chosen, and how. */
 export interface ChosenEndpoint {
   readonly endpoint: EndpointState
@@ -69,16 +78,16 @@
   constructor(
     private readonly parts: AttemptChoiceParts,
     private readonly request: ChoosingRequest,
-    /** Starts that the request was sent to. */
-    private readonly tried: ReadonlySet<EndpointStart>,
+    private readonly bounds: ChoiceBounds,
   ) {
     this.scope = requestScope(request)
   }
 
   /** The best endpoint, or undefined where none may take the request. */
   choose(mayHaveRun: boolean): ChosenEndpoint | undefined {
-    const available = this.parts.directory.available(this.request.service.name)
-    const free = available.filter(({ hasRoom, start }) => hasRoom && !this.tried.has(start))
+    const { tried } = this.bounds
+    const { available } = this
+    const free = available.filter(({ hasRoom, start }) => hasRoom && !tried.has(start))
     const open = this.reached(free.filter(endpoint => this.takes(endpoint)))
     this.verdict = this.believed
     if (this.verdict === 'refuse') {
@@ -89,14 +98,14 @@
     const chosen = isIsolated
       ? this.chooseIsolated(open)
       : this.chooseBest(available, this.trusted(open))
-    const isFirst = this.tried.size === 0
+    const isFirst = tried.size === 0
     if (chosen === undefined && isFirst) this.noChoice = this.whyNone(available, free)
     return chosen
   }
 
   /** All that it was sent to turned it away: why no other one may be asked, for its caller to know when to return. */
   noteTurnedAway(): void {
-    const available = this.parts.directory.available(this.request.service.name)
+    const { available } = this
     const why = this.whyNone(
       available,
       available.filter(({ hasRoom }) => hasRoom),
@@ -107,10 +116,17 @@
 
   /** Whether an endpoint that was not tried may be sent something now. */
   get hasUntried(): boolean {
-    const { directory } = this.parts
-    return directory
-      .available(this.request.service.name)
-      .some(endpoint => !this.tried.has(endpoint.start) && this.takes(endpoint))
+    return this.available.some(
+      endpoint => !this.bounds.tried.has(endpoint.start) && this.takes(endpoint),
+    )
+  }
+
+  /** Endpoints of the service that may give the answer, or the rest of it. */
+  private get available(): readonly EndpointState[] {
+    const { softwareVersion } = this.bounds
+    const all = this.parts.directory.available(this.request.service.name)
+    if (softwareVersion === undefined) return all
+    return all.filter(({ record }) => record.softwareVersion === softwareVersion)
   }
 
   /** Whether the request may be suspected of ending endpoints, by what is known of it without its body. */
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -35,7 +35,7 @@
 import { PeerRelay } from './peerRelay.js'
 import type { PeerRelayParts, RelayableRequest } from './peerRelay.js'
 import { RequestAttempts } from './requestAttempts.js'
-import type { AttemptsParts, AttemptsResult } from './requestAttempts.js'
+import type { AttemptsParts, AttemptsResult } from './attemptedRequest.js'
 
 /** What the gateway works with. */
 export interface GatewayParts extends AttemptsParts, InstanceAdmissionParts, PeerRelayParts {
--- a/packages/router/src/gateway/requestAttempts.ts
+++ b/packages/router/src/gateway/requestAttempts.ts
@@ -22,58 +22,21 @@
 } from '@rackwalk/decisions'
 import type { AttemptOutcome, EndedAnswer, NextStep } from '@rackwalk/decisions'
 import { sleep } from '@rackwalk/shared'
-import type { EndpointStart, Milliseconds, TokenCount } from '@rackwalk/shared'
+import type { EndpointStart, Milliseconds, SoftwareVersion, TokenCount } from '@rackwalk/shared'
 import { promptPartKeys } from '../crashes/promptPartKey.js'
 import { AnswerRelay } from './answerRelay.js'
 import { breakingEndpointOf } from './breakingEndpoint.js'
 import { isAnsweredWell, isOfFront, withoutAnswer } from './attemptAnswers.js'
 import { AttemptChoice } from './attemptChoice.js'
-import type { AttemptChoiceParts, ChoosingRequest, ChosenEndpoint } from './attemptChoice.js'
-import type { CallerReply } from './callerReply.js'
-import type { Dialect, ReplyMetadata } from './dialect.js'
-import type { EndpointAdvices } from '../advice/endpointAdvices.js'
+import type { ChoiceBounds, ChosenEndpoint } from './attemptChoice.js'
+import type { ReplyMetadata } from './dialect.js'
 import { EventRelay } from './eventRelay.js'
 import type { EndpointState } from './endpointState.js'
+import type { AttemptedRequest, AttemptsParts, AttemptsResult } from './attemptedRequest.js'
 import { StreamPace } from './streamPace.js'
 import { ENDPOINT_ENDED, UpstreamExchange } from './upstreamExchange.js'
 import type { HeadOutcome } from './upstreamExchange.js'
 
-/** What the attempts at requests work with. */
-export interface AttemptsParts extends AttemptChoiceParts {
-  readonly dialect: Dialect
-  readonly advices: EndpointAdvices
-  readonly connectMilliseconds: Milliseconds
-  /** No endpoint is left alone for longer than this by its own word. */
-  readonly longestRestMilliseconds: Milliseconds
-}
-
-/** A request that may be sent: admitted, read and paid for. */
-export interface AttemptedRequest extends ChoosingRequest {
-  readonly priority: number | undefined
-  readonly method: string
-  readonly rawHeaders: readonly string[]
-  /** Time, suspensions included, at which the caller or the route gives up. */
-  readonly deadlineAt: Milliseconds
-  readonly reply: CallerReply
-  /** Takes one retry of the service's budget, if there is one. */
-  readonly takeRetry: () => boolean
-  /** Whether another instance may take it where no connection comes up. */
-  readonly mayRelay: boolean
-}
-
-/** How the attempts ended, for the budget and the log. */
-export interface AttemptsResult {
-  /** Whether an endpoint ran the request, or may have. */
-  readonly mayHaveRun: boolean
-  /** Whether the caller was given any part of an endpoint's answer. */
-  readonly isHandedOut: boolean
-  readonly events: number
-  /** Whether the last answer came to its own end. */
-  readonly isWhole: boolean
-  /** Whether no connection came up for it, and its caller was told nothing: another instance may take it. */
-  readonly isUnsent: boolean
-}
-
 /** `done`: an answer was passed on whole. */
 type AttemptEnd = 'done' | Exclude<NextStep, 'pass-on'>
 
@@ -93,8 +56,10 @@
 const STATUS_REDIRECT = 300
 
 /** The attempts at one request. */
-export class RequestAttempts {
-  private readonly tried = new Set<EndpointStart>()
+export class RequestAttempts implements ChoiceBounds {
+  readonly tried = new Set<EndpointStart>()
+  /** Set with the first event: what two software versions write does not fit together in one stream. */
+  softwareVersion: SoftwareVersion | undefined
   private readonly events = new EventRelay()
   private readonly history: AttemptOutcome[] = []
   private exchange: UpstreamExchange | undefined
@@ -113,7 +78,7 @@
     private readonly parts: AttemptsParts,
     private readonly request: AttemptedRequest,
   ) {
-    this.choice = new AttemptChoice(parts, request, this.tried)
+    this.choice = new AttemptChoice(parts, request, this)
   }
 
   /** Serves the request to its end; the caller has an answer or a refusal when it resolves. */
@@ -386,7 +351,7 @@
       onStart: () => this.noteStart(),
       onEvents: count => {
         noteBytes()
-        pace.noteEvents(count)
+        this.noteEvents(endpoint, pace, count)
       },
       onBytes: noteBytes,
     })
@@ -409,6 +374,12 @@
     return isStream ? relay.relayEvents() : relay.relayWhole()
   }
 
+  /** The rest of a stream comes from the software version that wrote its first event. */
+  private noteEvents({ record }: EndpointState, pace: StreamPace, count: number): void {
+    this.softwareVersion ??= record.softwareVersion
+    pace.noteEvents(count)
+  }
+
   /** The endpoint broke an answer off that had begun, so this request is not what ended it. */
   private endCut(endpoint: EndpointState, outcome: AttemptOutcome): AttemptEnd {
     this.parts.directory.noteCut(endpoint)
