fix(decisions, router, daemon): a stream that its caller takes up goes on at the software version that began it

What callers saw: a stream that its caller took up at another instance went on at another software version. Cause: the header that names the first try was not read, and nothing was remembered of any stream; whoever was asked sent it anywhere. Class: what must hold over a caller's tries was known only within one answer. At its first event, before its caller has it, a stream's version is remembered here and, while several versions serve, told to three instances that rendezvous of the stream's key names, in two failure domains at least. Whoever is asked to go on remembers, or asks those three and then twelve others, 90 ms each; where nobody remembers, it goes on only if all who answer know one version alone. Else it is refused at once as not run (3019), or 3020 where the version has no endpoint. Versions count for 30 s after they went, the first instance that sees a new one tells all, and newcomers are told. While one version serves nothing is told or asked. A row with another version is another start, also where no time of the start is told. Ruled out: the store as the place (each call is priced, and it may be away); telling all (14,000 requests a second over 360 instances are 39 streams a second each, to 359 others). New tables and memories: streamResumption, streamOrigins, streamNews specs.

--- a/packages/daemon/__tests__/overloadNews.spec.ts
+++ b/packages/daemon/__tests__/overloadNews.spec.ts
@@ -80,6 +80,8 @@
       onSender: () => {},
       standingAdvice: () => [],
       standingCrashes: () => ({ marks: [], cleared: [] }),
+      standingVersions: () => [],
+      onStreamNews: () => {},
       clock,
       onMalformed: () => {},
     })
--- /dev/null
+++ b/packages/daemon/__tests__/streamNews.spec.ts
@@ -0,0 +1,61 @@
+import { describe, expect, it } from 'vitest'
+import { asId } from '@rackwalk/shared'
+import type { SoftwareVersion, StreamKey } from '@rackwalk/shared'
+import { begunReports, streamNewsOf, versionReports } from '../src/gateway/streamNews.js'
+import { newsOf } from '../src/gateway/crashNews.js'
+import { decodeReport, encodeReport } from '../src/gateway/loadReport.js'
+
+const IDENTITY = { instance: 'instance-1', incarnation: 'first' }
+const LARGEST_DATAGRAM_BYTES = 1_300
+
+function streams(count: number, version = 'v1.1') {
+  const origin = { service: 'models', softwareVersion: asId<SoftwareVersion>(version) }
+  return Array.from({ length: count }, (_, index) => ({
+    key: asId<StreamKey>(`key-of-stream-${String(index).padStart(3, '0')}`),
+    origin,
+    lifetimeMilliseconds: 4_200,
+  }))
+}
+
+describe('news of streams', () => {
+  it('has a form that an earlier version drops as a report that comes too late', () => {
+    const reports = [
+      ...begunReports(streams(1), IDENTITY),
+      ...versionReports([{ service: 'models', softwareVersion: asId('v 2') }], IDENTITY),
+    ]
+    expect(reports.map(report => encodeReport(report).toString())).toMatchInlineSnapshot(`
+      [
+        "["instance-1","first",0,false,[["streams begun at [\\"models\\",\\"v1.1\\"]",0,0,[["key-of-stream-000",4200]]]]]",
+        "["instance-1","first",0,false,[["version serves [\\"models\\",\\"v 2\\"]",0,0,[]]]]",
+      ]
+    `)
+    expect(reports.map(report => newsOf(report))).toEqual([
+      { marks: [], cleared: [] },
+      { marks: [], cleared: [] },
+    ])
+  })
+
+  it('comes whole, each datagram small', () => {
+    const begun = [...streams(40), ...streams(2, 'v1')]
+    const datagrams = begunReports(begun, IDENTITY).map(report => encodeReport(report))
+    const told = datagrams.flatMap(bytes => {
+      const report = decodeReport(bytes)
+      return report === undefined ? [] : streamNewsOf(report).begun
+    })
+    expect(told).toEqual(begun)
+    expect(Math.max(...datagrams.map(({ length }) => length))).toBeLessThan(LARGEST_DATAGRAM_BYTES)
+  })
+
+  it('passes over what is not of its form', () => {
+    const load = { running: 0, pendingTokens: 0, parts: [{ id: 'key', tokens: 1 }] }
+    const endpoints = [
+      'streams begun at v1',
+      'streams begun at ["models"]',
+      'version serves 3',
+      'i-1',
+    ]
+    const loads = endpoints.map(endpoint => ({ endpoint, ...load }))
+    const news = streamNewsOf({ ...IDENTITY, sequence: 0, isWhole: false, loads })
+    expect(news).toEqual({ begun: [], versions: [] })
+  })
+})
--- a/packages/daemon/src/gateway/crashNews.ts
+++ b/packages/daemon/src/gateway/crashNews.ts
@@ -21,7 +21,7 @@
 const SOUND_PARTS_ENTRY = 'parts sound'
 const TRIED_PARTS_ENTRY = 'parts tried'
 /** Parts in one entry: a prompt may have many. */
-const PARTS_AN_ENTRY = 8
+export const PARTS_AN_ENTRY = 8
 /** Entries in one datagram, each part beyond the first of one counted as well: it stays under 1,300 bytes with ids of 40 characters. */
 const ENTRIES_A_DATAGRAM = 12
 
--- a/packages/daemon/src/gateway/endpointKnowledge.ts
+++ b/packages/daemon/src/gateway/endpointKnowledge.ts
@@ -17,6 +17,7 @@
 import { LoadExchange, OVERLOAD_NEWS_MILLISECONDS, loadPeersOf } from './loadExchange.js'
 import { NewcomerWatch } from './newcomerWatch.js'
 import { OverloadedInstances } from './overloadNews.js'
+import { StreamWatch } from './streamWatch.js'
 
 /** What the knowledge rests on. */
 export interface EndpointKnowledgeParts {
@@ -32,6 +33,8 @@
   readonly fleet: () => ActiveFleet
   /** Reads the members without waiting for their time. */
   readonly readMembers: () => void
+  /** Whether the list of endpoints is as new as it has to be. */
+  readonly isListFresh: () => boolean
   /** By the configuration in force; undefined where it has no such service. */
   readonly service: (name: string) => GatewayService | undefined
 }
@@ -49,9 +52,12 @@
   readonly links: LinkWatch<EndpointState>
   /** Instances that reach no endpoint of some service. */
   readonly cutOff: CutOffInstances
+  /** Where streams began. */
+  readonly streams: StreamWatch
 
   constructor(private readonly parts: EndpointKnowledgeParts) {
     this.directory = this.createDirectory()
+    this.streams = this.createStreams()
     this.links = this.createLinks()
     this.cutOff = this.createCutOff()
     this.crashes = this.createCrashes()
@@ -64,6 +70,22 @@
     this.exchange = this.createExchange()
   }
 
+  /** What the way of a request asks and tells of endpoints. */
+  get ofRequests() {
+    const { directory, fleetLoad, links, crashes, streams, advice } = this
+    const { advices, permits, turnAways } = advice
+    return {
+      directory,
+      fleetLoad,
+      links,
+      crashes: crashes.guard,
+      streams: streams.origins,
+      advices,
+      permits,
+      turnAways,
+    }
+  }
+
   start(): void {
     this.exchange?.start()
   }
@@ -72,6 +94,7 @@
     this.crashes.stop()
     this.links.stop()
     this.cutOff.stop()
+    this.streams.close()
     this.exchange?.stop()
   }
 
@@ -95,6 +118,19 @@
     })
   }
 
+  private createStreams(): StreamWatch {
+    const { instance, incarnation, clock, fleet, telemetry, isListFresh } = this.parts
+    return new StreamWatch({
+      clock,
+      identity: { instance, incarnation },
+      directory: () => this.directory,
+      fleet,
+      exchange: () => this.exchange,
+      isListFresh,
+      telemetry,
+    })
+  }
+
   private createLinks(): LinkWatch<EndpointState> {
     const { clock, random, telemetry } = this.parts
     return new LinkWatch({
@@ -120,8 +156,10 @@
     })
   }
 
-  private noteChange({ id, service }: EndpointRecord, change: string): void {
+  private noteChange(record: EndpointRecord, change: string): void {
+    const { id, service } = record
     this.parts.telemetry.noteChange('server_state', change, { server: id, service, change })
+    this.streams.noteChange(record, change)
     if (change === 'gone') this.fleetLoad.forget(id)
   }
 
@@ -186,9 +224,11 @@
       onAdviceNews: news => this.advice.observe(news),
       onOverloaded: instance => this.overloaded.note(instance),
       onCutOff: (...told) => this.cutOff.note(...told),
+      onStreamNews: news => this.streams.origins.observe(news),
       onSender: sender => newcomers.note(sender),
       standingAdvice: () => this.advice.advices.standingNews,
       standingCrashes: () => this.crashes.guard.standingNews,
+      standingVersions: () => this.streams.origins.standingVersions,
       clock,
       onMalformed: form => telemetry.noteMalformed(form),
     })
--- a/packages/daemon/src/gateway/gatewayAnswers.ts
+++ b/packages/daemon/src/gateway/gatewayAnswers.ts
@@ -5,11 +5,13 @@
 
 import type { Server } from 'node:http'
 import type { Lender, TableMirror } from '@rackwalk/coordination'
+import type { StreamOrigins } from '@rackwalk/router'
 import type { ActiveFleet } from './activeFleet.js'
 import { createPlainListener } from './gatewayListeners.js'
 import type { PlainAnswerer } from './gatewayListeners.js'
 import type { GatewayMetrics } from './gatewayMetrics.js'
 import type { GatewaySettings } from './gatewaySettings.js'
+import { answerOrigin } from './originQuestions.js'
 import { answerLoan } from './peerLoans.js'
 import { answerRows } from './peerRows.js'
 import { createPeerListener } from './peerListener.js'
@@ -22,6 +24,7 @@
   readonly isReady: () => boolean
   readonly fleet: ActiveFleet
   readonly lender: Lender
+  readonly streams: StreamOrigins
   readonly mirrors: ReadonlyMap<string, TableMirror>
   readonly metrics: GatewayMetrics
   /** Serves what another instance hands over. */
@@ -73,8 +76,9 @@
   }
 
   private async peer(url: string, body: string): Promise<PlainAnswer> {
-    const { lender, mirrors } = this.parts
-    return (await answerLoan(url, body, lender)) ?? answerRows(url, mirrors)
+    const { lender, mirrors, streams } = this.parts
+    const loan = await answerLoan(url, body, lender)
+    return loan ?? answerOrigin(url, body, streams) ?? answerRows(url, mirrors)
   }
 
   private async metrics(): Promise<PlainAnswer> {
--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -297,6 +297,7 @@
       members,
       fleet: () => this.fleet,
       readMembers: () => readMembersSoon(this.mirrors),
+      isListFresh: () => this.health.isFresh(this.adapter.endpoints.table),
       service: name => this.configuration.routes?.service(name),
     })
   }
@@ -305,13 +306,7 @@
     const { requests, retries, instance } = this.settings
     return new Gateway({
       dialect: this.adapter.dialect,
-      directory: this.known.directory,
-      fleetLoad: this.known.fleetLoad,
-      crashes: this.known.crashes.guard,
-      advices: this.known.advice.advices,
-      permits: this.known.advice.permits,
-      turnAways: this.known.advice.turnAways,
-      links: this.known.links,
+      ...this.known.ofRequests,
       relayPeers: this.relayPeers,
       instance: instance.id,
       clock: this.clock,
@@ -422,6 +417,7 @@
       isReady: () => this.isReady,
       fleet: this.fleet,
       lender: this.ledger.lender,
+      streams: this.known.streams.origins,
       mirrors: this.mirrors,
       metrics: this.metrics,
       relayed: (request, response, relayedBy) =>
--- a/packages/daemon/src/gateway/gatewayMetrics.ts
+++ b/packages/daemon/src/gateway/gatewayMetrics.ts
@@ -51,6 +51,7 @@
   private readonly attempts: Counter
   private readonly answers: Counter
   private readonly relays: Counter
+  private readonly resumedStreams: Counter
   private readonly withheldBytes: Counter
   private readonly endpointEnds: Counter
   private readonly reservations: Counter
@@ -112,6 +113,12 @@
       labelNames: ['direction', 'outcome'],
       registers,
     })
+    this.resumedStreams = new Counter({
+      name: 'rackwalk_gateway_resumed_streams_total',
+      help: 'Streams that callers took up again, by how it was known where they began.',
+      labelNames: ['origin'],
+      registers,
+    })
     this.withheldBytes = new Counter({
       name: 'rackwalk_gateway_withheld_bytes_total',
       help: 'Bytes of answers that came and did not go to their callers, by what the answers ended with.',
@@ -220,6 +227,7 @@
       }
     }
     if (record.reservation !== undefined) this.reservations.inc({ outcome: record.reservation })
+    this.noteResumption(record)
     this.noteRelays(record, code)
     this.noteTeam(record, code)
     if (record.firstByteMilliseconds !== undefined) {
@@ -228,6 +236,10 @@
     this.total.observe((record.totalMilliseconds ?? 0) / 1000)
   }
 
+  private noteResumption({ originSource }: GatewayRecord): void {
+    if (originSource !== undefined) this.resumedStreams.inc({ origin: originSource })
+  }
+
   private noteRelays({ relays, relayedBy }: GatewayRecord, code: ResultCode): void {
     for (const { outcome } of relays) {
       this.relays.inc({ direction: 'handed', outcome: outcome?.kind ?? 'sent' })
--- a/packages/daemon/src/gateway/instanceHealth.ts
+++ b/packages/daemon/src/gateway/instanceHealth.ts
@@ -58,6 +58,12 @@
     this.knowledge.check()
   }
 
+  /** Whether what is known of a table is as new as it has to be. */
+  isFresh(table: string): boolean {
+    const watched = this.parts.tables.get(table)
+    return watched !== undefined && watched.mirror.age <= watched.boundMilliseconds
+  }
+
   /** A request has ended. */
   noteRecord(record: GatewayRecord): void {
     this.starvation.noteRecord(record)
--- a/packages/daemon/src/gateway/loadExchange.ts
+++ b/packages/daemon/src/gateway/loadExchange.ts
@@ -8,8 +8,8 @@
 import type { Socket } from 'node:dgram'
 import type { Clock, Milliseconds, Timer } from '@rackwalk/shared'
 import type { MemberRow } from '@rackwalk/coordination'
-import type { AdviceNews, CrashNews } from '@rackwalk/decisions'
-import type { FleetLoad, PeerLoadReport } from '@rackwalk/router'
+import type { AdviceNews, CrashNews, StreamOrigin } from '@rackwalk/decisions'
+import type { FleetLoad, PeerLoadReport, StreamNews } from '@rackwalk/router'
 import { parseAddress } from '../observe/listenOn.js'
 import type { MalformedForm } from '../observe/malformedForms.js'
 import { adviceNewsOf, adviceReportsOf } from './adviceNews.js'
@@ -17,6 +17,7 @@
 import { cutOffReports, cutOffServicesOf } from './cutOffNews.js'
 import { decodeReport, encodeReport } from './loadReport.js'
 import { overloadReports, tellsOverload } from './overloadNews.js'
+import { streamNewsOf, versionReports } from './streamNews.js'
 
 /** Time between two reports in a small fleet, and of what must be told at once in any. */
 const SHORTEST_INTERVAL_MILLISECONDS = 20
@@ -72,6 +73,8 @@
   readonly onCrashNews: (news: CrashNews) => void
   /** Another instance told what endpoints say of themselves. */
   readonly onAdviceNews: (news: readonly AdviceNews[]) => void
+  /** Another instance told where streams began, or of software versions. */
+  readonly onStreamNews: (news: StreamNews) => void
   /** Another instance told that it gets more than it bears. */
   readonly onOverloaded: (instance: string) => void
   /** Another instance told from which services it is cut off. */
@@ -80,8 +83,10 @@
   readonly onSender: (sender: Pick<PeerLoadReport, 'instance' | 'incarnation'>) => void
   /** What holds of endpoints by their own word, for instances that may not have heard it. */
   readonly standingAdvice: () => readonly AdviceNews[]
-  /** The same of breaks and ends. */
+  /** The same of breaks and ends, */
   readonly standingCrashes: () => CrashNews
+  /** and of software versions that serve side by side. */
+  readonly standingVersions: () => readonly StreamOrigin[]
   readonly clock: Clock
   readonly onMalformed: (form: MalformedForm) => void
 }
@@ -181,8 +186,13 @@
     return Math.max(OVERLOAD_NEWS_MILLISECONDS, this.signSpan)
   }
 
-  private tellAll(reports: readonly PeerLoadReport[]): void {
-    const peers = [...this.parts.usingPeers(), ...this.parts.idlePeers()]
+  /** Tells all others news, at once. */
+  tellAll(reports: readonly PeerLoadReport[]): void {
+    this.tell([...this.parts.usingPeers(), ...this.parts.idlePeers()], reports)
+  }
+
+  /** Tells these others news, at once. */
+  tell(peers: readonly LoadPeer[], reports: readonly PeerLoadReport[]): void {
     for (const report of reports) this.sendTo(peers, report)
   }
 
@@ -242,13 +252,15 @@
   /** Who wasn't there when an endpoint said something, broke off or ended would send there until it finds out itself. */
   private informNewcomers(): void {
     const { usingPeers, idlePeers, identity, standingAdvice, standingCrashes } = this.parts
+    const { standingVersions } = this.parts
     const peers = [...usingPeers(), ...idlePeers()]
     const newcomers = peers.filter(peer => !this.informed.has(lifeOf(peer)))
     this.informed = new Set(peers.map(lifeOf))
     if (newcomers.length === 0) return
     const advice = adviceReportsOf(standingAdvice(), identity)
     const crashes = reportsOf(standingCrashes(), identity)
-    for (const report of [...advice, ...crashes]) this.sendTo(newcomers, report)
+    const versions = versionReports(standingVersions(), identity)
+    this.tell(newcomers, [...advice, ...crashes, ...versions])
   }
 
   private sendSigns(): void {
@@ -280,6 +292,7 @@
   private takeNews(report: PeerLoadReport): void {
     this.parts.onCrashNews(newsOf(report))
     this.parts.onAdviceNews(adviceNewsOf(report))
+    this.parts.onStreamNews(streamNewsOf(report))
     if (tellsOverload(report)) this.parts.onOverloaded(report.instance)
     this.parts.onCutOff(report.instance, cutOffServicesOf(report))
   }
--- /dev/null
+++ b/packages/daemon/src/gateway/originQuestions.ts
@@ -0,0 +1,128 @@
+/**
+ * Questions between instances about where a stream began, over the listener for peers: first to those that keep it, then to
+ * others. Owns the path and the forms of the messages and the connections to peers.
+ */
+
+import { Agent } from 'node:http'
+import * as z from 'zod'
+import { ORIGIN_KEEPERS, isMixed, originKeepers } from '@rackwalk/decisions'
+import type { MemberRow } from '@rackwalk/coordination'
+import { asId } from '@rackwalk/shared'
+import type { Milliseconds, StreamKey } from '@rackwalk/shared'
+import { JsonCodec } from '@rackwalk/stores'
+import type { OriginAnswer, ResumedStream, StreamOrigins } from '@rackwalk/router'
+import type { MalformedForm } from '../observe/malformedForms.js'
+import { callPeer } from './peerCall.js'
+import type { PlainAnswer } from './platformAdapter.js'
+
+const ORIGIN_PATH = '/streams/origin'
+/** A caller waits for the answers, twice at the most. */
+const ANSWER_MILLISECONDS: Milliseconds = 90
+/** Others that are asked where no keeper knows: the one that served the stream may be among them. */
+const OTHERS_ASKED = 12
+/** Connections to one peer. */
+const MAXIMUM_CONNECTIONS = 4
+
+const questionSchema = z.strictObject({ key: z.string().optional(), service: z.string() })
+
+const questionCodec = new JsonCodec<z.infer<typeof questionSchema>, ResumedStream>({
+  schema: questionSchema,
+  toWire: ({ key, service }) => ({ key, service }),
+  fromWire: ({ key, service }) => ({
+    key: key === undefined ? undefined : asId<StreamKey>(key),
+    service,
+  }),
+})
+
+const answerSchema = z.object({
+  origins: z.array(z.object({ service: z.string(), softwareVersion: z.string() })),
+  versions: z.array(z.string()),
+})
+
+const answerCodec = new JsonCodec<z.infer<typeof answerSchema>, OriginAnswer>({
+  schema: answerSchema,
+  toWire: ({ origins, versions }) => ({
+    origins: origins.map(({ service, softwareVersion }) => ({ service, softwareVersion })),
+    versions: [...versions],
+  }),
+  fromWire: ({ origins, versions }) => ({
+    origins: origins.map(({ service, softwareVersion }) => {
+      return { service, softwareVersion: asId(softwareVersion) }
+    }),
+    versions: versions.map(version => asId(version)),
+  }),
+})
+
+/** Answers a peer that is asked to go on with a stream; undefined where the path is another one. */
+export function answerOrigin(
+  path: string,
+  body: string,
+  streams: StreamOrigins,
+): PlainAnswer | undefined {
+  if (path !== ORIGIN_PATH) return undefined
+  const question = questionCodec.decode(body)
+  if (question === undefined) return { status: 400 }
+  return { status: 200, json: answerCodec.encode(streams.answer(question)) }
+}
+
+/** What the questions work with. */
+export interface OriginQuestionsParts {
+  /** Other instances that are heard of. */
+  readonly others: () => readonly MemberRow[]
+  readonly onMalformed: (form: MalformedForm) => void
+}
+
+/** Asks other instances where streams began. */
+export class OriginQuestions {
+  private readonly agent = new Agent({ keepAlive: true, maxSockets: MAXIMUM_CONNECTIONS })
+
+  constructor(private readonly parts: OriginQuestionsParts) {}
+
+  /** What the others know of a stream; those that do not answer in time are left out. */
+  async ask(stream: ResumedStream): Promise<readonly OriginAnswer[]> {
+    const reached = this.parts.others().filter(({ peerAddress }) => peerAddress !== '')
+    const others = originKeepers(stream.key ?? '', reached)
+    const kept = await this.askAll(others.slice(0, ORIGIN_KEEPERS), stream)
+    if (!isInDoubt(kept)) return kept
+    const more = others.slice(ORIGIN_KEEPERS, ORIGIN_KEEPERS + OTHERS_ASKED)
+    return [...kept, ...(await this.askAll(more, stream))]
+  }
+
+  close(): void {
+    this.agent.destroy()
+  }
+
+  private async askAll(
+    peers: readonly MemberRow[],
+    stream: ResumedStream,
+  ): Promise<readonly OriginAnswer[]> {
+    const answers = await Promise.all(peers.map(peer => this.askOne(peer, stream)))
+    return answers.flatMap(answer => answer ?? [])
+  }
+
+  private async askOne(
+    { instance, peerAddress: address }: MemberRow,
+    stream: ResumedStream,
+  ): Promise<OriginAnswer | undefined> {
+    const text = await callPeer({
+      address,
+      path: ORIGIN_PATH,
+      body: questionCodec.encode(stream),
+      agent: this.agent,
+      timeoutMilliseconds: ANSWER_MILLISECONDS,
+    })
+    if (text === undefined) return undefined
+    const answer = answerCodec.decode(text)
+    if (answer === undefined) {
+      this.parts.onMalformed({ form: 'origin of a stream', source: instance })
+    }
+    return answer
+  }
+}
+
+/** Whether others may know what these do not. */
+function isInDoubt(answers: readonly OriginAnswer[]): boolean {
+  const isKnown = answers.some(({ origins }) => origins.length > 0)
+  const versions = new Set(answers.flatMap(answer => answer.versions))
+  return !isKnown && (answers.length === 0 || isMixed([...versions]))
+}
--- a/packages/daemon/src/gateway/requestLine.ts
+++ b/packages/daemon/src/gateway/requestLine.ts
@@ -8,6 +8,7 @@
   return {
     request: record.requestId,
     resumes: resumedRequest(record),
+    origin: record.originSource,
     fingerprint: record.fingerprint,
     attempts: record.attempts.map(attemptFields),
     relays: record.relays.length === 0 ? undefined : record.relays.map(relayFields),
--- /dev/null
+++ b/packages/daemon/src/gateway/streamNews.ts
@@ -0,0 +1,86 @@
+/**
+ * News of where streams began and of software versions, as datagrams between instances. They travel as news of requests that
+ * end endpoints do: in the form of a load report that comes too late, which an earlier version drops. Owns nothing.
+ */
+
+import { asId, groupBy } from '@rackwalk/shared'
+import type { SoftwareVersion } from '@rackwalk/shared'
+import { parseJson } from '@rackwalk/stores'
+import type { StreamOrigin } from '@rackwalk/decisions'
+import type { BegunStream, PeerLoadReport, StreamNews } from '@rackwalk/router'
+import { PARTS_AN_ENTRY, newsReports } from './crashNews.js'
+import type { NewsEntry } from './crashNews.js'
+
+/** Entries of a report are named for endpoints, and no endpoint has a blank in its id. */
+const BEGUN_PREFIX = 'streams begun at '
+const SERVES_PREFIX = 'version serves '
+
+type Identity = Pick<PeerLoadReport, 'instance' | 'incarnation'>
+
+/** The reports that tell where streams began. */
+export function begunReports(
+  begun: readonly BegunStream[],
+  identity: Identity,
+): readonly PeerLoadReport[] {
+  const byOrigin = groupBy(begun, ({ origin }) => originText(origin))
+  return newsReports(
+    [...byOrigin].flatMap(([origin, streams]) => begunEntries(origin, streams)),
+    identity,
+  )
+}
+
+/** The reports that tell which versions serve. */
+export function versionReports(
+  versions: readonly StreamOrigin[],
+  identity: Identity,
+): readonly PeerLoadReport[] {
+  return newsReports(
+    versions.map(origin => entry(`${SERVES_PREFIX}${originText(origin)}`)),
+    identity,
+  )
+}
+
+/** What such a report tells; entries of any other kind are passed over. */
+export function streamNewsOf({ loads }: PeerLoadReport): StreamNews {
+  return {
+    begun: loads.flatMap(({ endpoint, parts }) => {
+      const origin = originAfter(BEGUN_PREFIX, endpoint)
+      if (origin === undefined) return []
+      return parts.map(({ id, tokens }) => ({
+        key: asId(id),
+        origin,
+        lifetimeMilliseconds: tokens,
+      }))
+    }),
+    versions: loads.flatMap(({ endpoint }) => originAfter(SERVES_PREFIX, endpoint) ?? []),
+  }
+}
+
+/** The lifetime of each stream stands where a report of load has the tokens of a part. */
+function begunEntries(origin: string, streams: readonly BegunStream[]): readonly NewsEntry[] {
+  const entries: NewsEntry[] = []
+  for (let from = 0; from < streams.length; from += PARTS_AN_ENTRY) {
+    const parts = streams.slice(from, from + PARTS_AN_ENTRY).map(stream => {
+      return { id: stream.key, tokens: Math.round(stream.lifetimeMilliseconds) }
+    })
+    entries.push({ ...entry(`${BEGUN_PREFIX}${origin}`), parts })
+  }
+  return entries
+}
+
+function entry(endpoint: string): NewsEntry {
+  return { endpoint, running: 0, pendingTokens: 0, parts: [] }
+}
+
+function originText({ service, softwareVersion }: StreamOrigin): string {
+  return JSON.stringify([service, softwareVersion])
+}
+
+function originAfter(prefix: string, text: string): StreamOrigin | undefined {
+  if (!text.startsWith(prefix)) return undefined
+  const parsed = parseJson(text.slice(prefix.length))
+  if (!Array.isArray(parsed)) return undefined
+  const [service, softwareVersion] = parsed as readonly unknown[]
+  if (typeof service !== 'string' || typeof softwareVersion !== 'string') return undefined
+  return { service, softwareVersion: asId<SoftwareVersion>(softwareVersion) }
+}
--- /dev/null
+++ b/packages/decisions/__tests__/streamResumption.spec.ts
@@ -0,0 +1,100 @@
+import { describe, expect, it } from 'vitest'
+import {
+  LONGEST_STREAM_MILLISECONDS,
+  ORIGIN_KEEPERS,
+  isMixed,
+  isSettled,
+  originKeepers,
+  resumptionOf,
+} from '@rackwalk/decisions'
+import { asId } from '@rackwalk/shared'
+import type { SoftwareVersion } from '@rackwalk/shared'
+
+/** Where a stream goes on that its caller takes up, and who remembers where it began. */
+
+const V1 = asId<SoftwareVersion>('v1')
+const V2 = asId<SoftwareVersion>('v2')
+
+const ORIGINS = {
+  'nobody remembers it': [],
+  'all remember v1': [
+    { service: 'models', softwareVersion: V1 },
+    { service: 'models', softwareVersion: V1 },
+  ],
+  'two remember it differently': [
+    { service: 'models', softwareVersion: V1 },
+    { service: 'models', softwareVersion: V2 },
+  ],
+  'it began at another service of the route': [{ service: 'others', softwareVersion: V1 }],
+}
+const VERSIONS = { none: [], 'v1 alone': [V1, V1], 'v2 alone': [V2], 'v1 and v2': [V1, V2] }
+
+describe('a stream that its caller takes up', () => {
+  it('goes on at the version that began it, or nowhere', () => {
+    const rows = Object.entries(ORIGINS).flatMap(([told, origins]) =>
+      Object.entries(VERSIONS).flatMap(([served, versions]) =>
+        [true, false].map(isConfirmed => {
+          const { origin, source } = resumptionOf('models', { origins, versions, isConfirmed })
+          const where = origin === undefined ? 'nowhere' : Object.values(origin).join(' ')
+          return `${told}; served: ${served}; ${isConfirmed ? 'heard' : 'alone'}: ${where} (${source})`
+        }),
+      ),
+    )
+    expect(rows).toMatchSnapshot()
+  })
+
+  it('needs no question only where one version has served for as long as a caller may come back', () => {
+    const long = LONGEST_STREAM_MILLISECONDS
+    const rows = [[V1], [V1, V2], []].flatMap(versions =>
+      [long, long - 1].flatMap(knownForMilliseconds =>
+        [true, false].map(isFresh => isSettled({ versions, knownForMilliseconds, isFresh })),
+      ),
+    )
+    expect(rows).toEqual([true, ...Array<boolean>(11).fill(false)])
+    expect([[], [V1], [V1, V2]].map(versions => isMixed(versions))).toEqual([false, false, true])
+  })
+})
+
+describe('the instances that keep where a stream began', () => {
+  const fleet = Array.from({ length: 12 }, (_, index) => ({
+    instance: `instance-${index}`,
+    failureDomain: `domain-${index % 3}`,
+  }))
+  const keepersOf = (key: string, candidates = fleet) =>
+    originKeepers(key, candidates)
+      .slice(0, ORIGIN_KEEPERS)
+      .map(({ instance }) => instance)
+
+  it('are found without a word from the one that served it, whoever asks', () => {
+    for (let index = 0; index < 200; index += 1) {
+      const served = fleet.slice(1)
+      const asking = fleet.filter((_, other) => other !== 0 && other !== 1 + (index % 11))
+      const found = keepersOf(`stream-${index}`, asking)
+      const told = keepersOf(`stream-${index}`, served)
+      expect(told.filter(keeper => found.includes(keeper)).length).toBeGreaterThanOrEqual(
+        ORIGIN_KEEPERS - 1,
+      )
+    }
+  })
+
+  it('lie in more than one failure domain where there are several', () => {
+    for (let index = 0; index < 200; index += 1) {
+      const [first, second] = originKeepers(`stream-${index}`, fleet)
+      expect(first?.failureDomain).not.toBe(second?.failureDomain)
+    }
+    expect(originKeepers('stream', fleet.slice(0, 1))).toEqual(fleet.slice(0, 1))
+    expect(originKeepers('stream', [])).toEqual([])
+  })
+
+  it('carry about the same number of streams', () => {
+    const counts = new Map<string, number>()
+    for (let index = 0; index < 2_000; index += 1) {
+      for (const keeper of keepersOf(`stream-${index}`)) {
+        counts.set(keeper, (counts.get(keeper) ?? 0) + 1)
+      }
+    }
+    const mean = (2_000 * ORIGIN_KEEPERS) / fleet.length
+    expect(Math.max(...counts.values())).toBeLessThan(1.3 * mean)
+    expect(Math.min(...counts.values())).toBeGreaterThan(0.7 * mean)
+  })
+})
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -28,6 +28,20 @@
 export { isNearlyFull, readTurnAways, turnAwayLicence } from './choosing/turnAwayRisk.js'
 export { soonestRefusal } from './choosing/sendRefusal.js'
 export type { SendRefusal } from './choosing/sendRefusal.js'
+export { ORIGIN_KEEPERS, originKeepers } from './placing/originKeepers.js'
+export {
+  LONGEST_STREAM_MILLISECONDS,
+  isMixed,
+  isSameOrigin,
+  isSettled,
+  resumptionOf,
+} from './retrying/streamResumption.js'
+export type {
+  OriginSource,
+  Resumption,
+  StreamOrigin,
+  VersionsView,
+} from './retrying/streamResumption.js'
 export { rendezvousChoice, rendezvousOrder } from './choosing/rendezvous.js'
 
 export {
--- /dev/null
+++ b/packages/router/__tests__/streamOrigins.spec.ts
@@ -0,0 +1,170 @@
+import { describe, expect, it } from 'vitest'
+import { LONGEST_STREAM_MILLISECONDS } from '@rackwalk/decisions'
+import type { StreamOrigin } from '@rackwalk/decisions'
+import { StreamMemory, StreamOrigins } from '@rackwalk/router'
+import type { BegunStream, OriginAnswer } from '@rackwalk/router'
+import { VirtualClock, asId } from '@rackwalk/shared'
+import type { SoftwareVersion, StreamKey } from '@rackwalk/shared'
+
+/** What one instance remembers of streams, what it tells of them, and whom it asks. */
+
+const SERVICE = 'models'
+const KEY = asId<StreamKey>('stream')
+const OTHER = asId<StreamKey>('of-another-instance')
+const LATER = asId<StreamKey>('later')
+const LIFETIME = 5_000
+
+function originOf(version: string): StreamOrigin {
+  return { service: SERVICE, softwareVersion: asId<SoftwareVersion>(version) }
+}
+
+function begunAt(version: string, key = KEY): BegunStream {
+  return { key, origin: originOf(version), lifetimeMilliseconds: LIFETIME }
+}
+
+function setUp(answers: readonly OriginAnswer[] = []) {
+  const clock = new VirtualClock()
+  const listed = new Set<SoftwareVersion>()
+  const told: string[] = []
+  const asked: string[] = []
+  let isListFresh = true
+  const origins = new StreamOrigins({
+    clock,
+    listedVersions: () => listed,
+    isListFresh: () => isListFresh,
+    tellKeepers: begun =>
+      told.push(...begun.map(({ key, origin }) => `${key} began at ${origin.softwareVersion}`)),
+    tellVersions: versions =>
+      told.push(versions.map(({ softwareVersion }) => softwareVersion).join(' and ')),
+    ask: async ({ key }) => {
+      asked.push(key ?? 'unnamed')
+      return Promise.resolve(answers)
+    },
+  })
+  const list = (version: string) => {
+    origins.noteListed(originOf(version))
+    listed.add(asId(version))
+  }
+  const drop = (version: string) => {
+    listed.delete(asId(version))
+    origins.noteGone(originOf(version))
+  }
+  const find = async (key: StreamKey | undefined) => {
+    const { origin, source } = await origins.find({ key, service: SERVICE })
+    return `${origin?.softwareVersion ?? 'nowhere'} (${source})`
+  }
+  const cutOff = () => (isListFresh = false)
+  return { clock, origins, told, asked, list, drop, find, cutOff }
+}
+
+function answer(origins: readonly string[], versions: readonly string[]): OriginAnswer {
+  return { origins: origins.map(originOf), versions: versions.map(version => asId(version)) }
+}
+
+describe('an instance', () => {
+  it('tells and asks nothing while one software version serves', async () => {
+    const { clock, origins, told, asked, list, find } = setUp()
+    list('v1')
+    await clock.advance(LONGEST_STREAM_MILLISECONDS)
+    origins.noteBegun(begunAt('v1'))
+    expect(await find(KEY)).toBe('v1 (remembered)')
+    expect(await find(OTHER)).toBe('v1 (only-version)')
+    expect([told, asked]).toEqual([[], []])
+  })
+
+  it('tells keepers of each stream while several serve, and of its own when a second one appears', () => {
+    const { origins, told, list } = setUp()
+    list('v1')
+    origins.noteBegun(begunAt('v1'))
+    list('v1.1')
+    origins.noteBegun(begunAt('v1.1', LATER))
+    expect(told).toEqual(['stream began at v1', 'v1 and v1.1', 'later began at v1.1'])
+  })
+
+  it('learns of a version from another instance before its row comes', () => {
+    const { origins, told, list } = setUp()
+    list('v1')
+    origins.noteBegun(begunAt('v1'))
+    origins.observe({ begun: [], versions: [originOf('v1'), originOf('v1.1')] })
+    expect(told).toEqual(['stream began at v1'])
+    list('v1.1')
+    expect(told).toEqual(['stream began at v1'])
+    expect(origins.standingVersions).toEqual([originOf('v1'), originOf('v1.1')])
+  })
+
+  it('goes on with a stream that it was told of, without a question', async () => {
+    const { origins, asked, list, find } = setUp()
+    list('v1')
+    list('v1.1')
+    origins.observe({ begun: [begunAt('v1.1')], versions: [] })
+    expect(await find(KEY)).toBe('v1.1 (remembered)')
+    expect(asked).toEqual([])
+  })
+
+  it('asks where it does not remember, and refuses where nobody does', async () => {
+    const knowing = setUp([answer([], ['v1', 'v1.1']), answer(['v1'], ['v1', 'v1.1'])])
+    knowing.list('v1')
+    knowing.list('v1.1')
+    expect(await knowing.find(KEY)).toBe('v1 (remembered)')
+    const unknowing = setUp([answer([], ['v1', 'v1.1'])])
+    unknowing.list('v1')
+    expect(await unknowing.find(KEY)).toBe('nowhere (unknown)')
+    const alone = setUp()
+    alone.list('v1')
+    alone.cutOff()
+    expect(await alone.find(KEY)).toBe('nowhere (unknown)')
+  })
+
+  it('goes on at the only version right after its start where the others know no other', async () => {
+    const { asked, list, find } = setUp([answer([], ['v1'])])
+    list('v1')
+    expect([await find(KEY), await find(undefined)]).toEqual([
+      'v1 (only-version)',
+      'v1 (only-version)',
+    ])
+    expect(asked).toEqual(['stream', 'unnamed'])
+  })
+
+  it('does not go on anywhere where two tell it differently', async () => {
+    const { origins, list, find } = setUp()
+    list('v1')
+    list('v1.1')
+    origins.noteBegun(begunAt('v1'))
+    origins.observe({ begun: [begunAt('v1.1')], versions: [] })
+    expect(await find(KEY)).toBe('nowhere (contradictory)')
+  })
+
+  it('counts a version that has gone for as long as its streams may be taken up', async () => {
+    const { clock, list, drop, find } = setUp()
+    list('v1')
+    list('v1.1')
+    await clock.advance(2 * LONGEST_STREAM_MILLISECONDS)
+    drop('v1')
+    expect(await find(KEY)).toBe('nowhere (unknown)')
+    await clock.advance(LONGEST_STREAM_MILLISECONDS + 1)
+    expect(await find(KEY)).toBe('v1.1 (only-version)')
+  })
+})
+
+describe('the memory of streams', () => {
+  it('forgets a stream when its caller can no longer come back', async () => {
+    const clock = new VirtualClock()
+    const memory = new StreamMemory(clock)
+    memory.note(begunAt('v1'), true)
+    await clock.advance(LIFETIME - 1)
+    expect(memory.originsOf(KEY)).toEqual([originOf('v1')])
+    await clock.advance(1)
+    expect([memory.originsOf(KEY), memory.ownOf(SERVICE)]).toEqual([[], []])
+  })
+
+  it('is bounded, and lets the oldest go', () => {
+    const memory = new StreamMemory(new VirtualClock())
+    for (let index = 0; index < 20_000; index += 1) {
+      memory.note(begunAt('v1', asId<StreamKey>(`stream-${index}`)), index % 2 === 0)
+    }
+    expect(memory.size).toBe(16_384)
+    expect(memory.originsOf(asId<StreamKey>('stream-0'))).toEqual([])
+    expect(memory.originsOf(asId<StreamKey>('stream-19999'))).toEqual([originOf('v1')])
+    expect(memory.ownOf(SERVICE).length).toBe(8_192)
+  })
+})
--- a/packages/router/src/gateway/attemptedRequest.ts
+++ b/packages/router/src/gateway/attemptedRequest.ts
@@ -1,7 +1,9 @@
 /** A request that is sent to endpoints: what its attempts work with, what they are told of it, and how they end. */
 
+import type { StreamOrigin } from '@rackwalk/decisions'
 import type { Milliseconds } from '@rackwalk/shared'
 import type { EndpointAdvices } from '../advice/endpointAdvices.js'
+import type { StreamOrigins } from '../streams/streamOrigins.js'
 import type { AttemptChoiceParts, ChoosingRequest } from './attemptChoice.js'
 import type { CallerReply } from './callerReply.js'
 import type { Dialect } from './dialect.js'
@@ -13,6 +15,7 @@
   readonly connectMilliseconds: Milliseconds
   /** No endpoint is left alone for longer than this by its own word. */
   readonly longestRestMilliseconds: Milliseconds
+  readonly streams: StreamOrigins
 }
 
 /** A request that may be sent: admitted, read and paid for. */
@@ -27,6 +30,8 @@
   readonly takeRetry: () => boolean
   /** Whether another instance may take it where no connection comes up. */
   readonly mayRelay: boolean
+  /** Where the stream began that it takes up; undefined where it takes up none. */
+  readonly origin: StreamOrigin | undefined
 }
 
 /** How the attempts ended, for the budget and the log. */
--- a/packages/router/src/gateway/endpointDirectory.ts
+++ b/packages/router/src/gateway/endpointDirectory.ts
@@ -4,7 +4,7 @@
  */
 
 import { slownessOf, usualPace } from '@rackwalk/decisions'
-import type { Clock, EndpointStart, Milliseconds, Timer } from '@rackwalk/shared'
+import type { Clock, EndpointStart, Milliseconds, SoftwareVersion, Timer } from '@rackwalk/shared'
 import { EndedEndpoints } from './endedEndpoints.js'
 import { EndpointState } from './endpointState.js'
 import type { EndpointRecord } from './endpointState.js'
@@ -68,7 +68,7 @@
       this.endpoints.set(record.id, this.createState(record))
       return
     }
-    if (record.start !== known.record.start) return this.replace(known, record)
+    if (isOtherStart(record, known.record)) return this.replace(known, record)
     if (record.isLeaving && !known.record.isLeaving) this.parts.onChange(record, 'leaving')
     if (record.coldMilliseconds > 0 && !known.isCold) this.parts.onChange(record, 'cold')
     known.update(record)
@@ -217,6 +217,15 @@
     return pace
   }
 
+  /** Software versions of the endpoints of a service that are listed, those included that leave. */
+  softwareVersions(service: string): ReadonlySet<SoftwareVersion> {
+    const versions = new Set<SoftwareVersion>()
+    for (const { record } of this.endpoints.values()) {
+      if (record.service === service) versions.add(record.softwareVersion)
+    }
+    return versions
+  }
+
   get size(): number {
     return this.endpoints.size
   }
@@ -253,3 +262,8 @@
     return new EndpointState(record, this.parts.clock, limit, this.parts.saysLeaving)
   }
 }
+
+/** Software does not change while it runs, so another version is another start, also where no time of the start is told. */
+function isOtherStart(left: EndpointRecord, right: EndpointRecord): boolean {
+  return left.start !== right.start || left.softwareVersion !== right.softwareVersion
+}
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -13,7 +13,7 @@
   returnAfterSeconds,
   settledCost,
 } from '@rackwalk/decisions'
-import type { RetryBounds, WorkRank } from '@rackwalk/decisions'
+import type { RetryBounds, StreamOrigin, WorkRank } from '@rackwalk/decisions'
 import type { PrepaidLedger, PrepaidReservation, RefusedOutcome } from '@rackwalk/coordination'
 import { readBody } from '../readBody.js'
 import { announcedBytes } from '../refusedBodies.js'
@@ -35,6 +35,7 @@
 import { PeerRelay } from './peerRelay.js'
 import type { PeerRelayParts, RelayableRequest } from './peerRelay.js'
 import { RequestAttempts } from './requestAttempts.js'
+import { findOrigin } from './resumedStream.js'
 import type { AttemptsParts, AttemptsResult } from './attemptedRequest.js'
 
 /** What the gateway works with. */
@@ -86,6 +87,12 @@
   readonly record: GatewayRecord
 }
 
+/** A request of which it is known where it may go on. */
+interface ResumedRequest extends ReadRequest {
+  /** Undefined where it takes no stream up. */
+  readonly origin: StreamOrigin | undefined
+}
+
 const NOT_RUN: AttemptsResult = {
   mayHaveRun: false,
   isHandedOut: false,
@@ -171,6 +178,18 @@
 
   /** Sends a request to endpoints, within the budget of its team. */
   private async attempt(read: ReadRequest, mayRelay: boolean): Promise<AttemptsResult> {
+    const origin = await findOrigin(this.parts, read)
+    const service = this.serviceOf(origin, read)
+    return this.attemptAt({ ...read, service, origin }, mayRelay)
+  }
+
+  /** A stream goes on at the service that began it, whichever of its route's is chosen for new ones. */
+  private serviceOf(origin: StreamOrigin | undefined, { service }: ReadRequest): GatewayService {
+    if (origin === undefined) return service
+    return this.parts.routes()?.service(origin.service) ?? service
+  }
+
+  private async attemptAt(read: ResumedRequest, mayRelay: boolean): Promise<AttemptsResult> {
     const { route, service, team, record } = read
     const { clock, instances } = this.parts
     const retries = this.retryBudget(service.name)
--- a/packages/router/src/gateway/gatewayRecord.ts
+++ b/packages/router/src/gateway/gatewayRecord.ts
@@ -1,7 +1,13 @@
 /** What is kept of one request's decisions; it becomes one line of the log. */
 
 import type { Bytes, Milliseconds, TokenCount } from '@rackwalk/shared'
-import type { AnswerEnd, AnswerFraming, AttemptOutcome, RelayOutcome } from '@rackwalk/decisions'
+import type {
+  AnswerEnd,
+  AnswerFraming,
+  AttemptOutcome,
+  OriginSource,
+  RelayOutcome,
+} from '@rackwalk/decisions'
 import type { LenderAnswer } from '@rackwalk/coordination'
 import type { StreamResumption } from './dialect.js'
 import type { Lateness } from './lateness.js'
@@ -54,6 +60,8 @@
   readonly receivedAt: Milliseconds
   /** Set where it takes a stream up again. */
   readonly resumption?: StreamResumption | undefined
+  /** How it became known where that stream began, or why it did not. */
+  originSource?: OriginSource
   /** Undefined where nobody had to tell it from others. */
   fingerprint?: RequestFingerprint
   configurationVersion?: number
--- a/packages/router/src/gateway/requestAttempts.ts
+++ b/packages/router/src/gateway/requestAttempts.ts
@@ -31,7 +31,8 @@
 import type { ChoiceBounds, ChosenEndpoint } from './attemptChoice.js'
 import type { ReplyMetadata } from './dialect.js'
 import { EventRelay } from './eventRelay.js'
-import type { EndpointState } from './endpointState.js'
+import type { EndpointRecord, EndpointState } from './endpointState.js'
+import { begunStream } from '../streams/begunStream.js'
 import type { AttemptedRequest, AttemptsParts, AttemptsResult } from './attemptedRequest.js'
 import { StreamPace } from './streamPace.js'
 import { ENDPOINT_ENDED, UpstreamExchange } from './upstreamExchange.js'
@@ -78,6 +79,7 @@
     private readonly parts: AttemptsParts,
     private readonly request: AttemptedRequest,
   ) {
+    this.softwareVersion = request.origin?.softwareVersion
     this.choice = new AttemptChoice(parts, request, this)
   }
 
@@ -376,10 +378,17 @@
 
   /** The rest of a stream comes from the software version that wrote its first event. */
   private noteEvents({ record }: EndpointState, pace: StreamPace, count: number): void {
-    this.softwareVersion ??= record.softwareVersion
+    if (this.events.events === count) this.noteBegun(record)
     pace.noteEvents(count)
   }
 
+  private noteBegun({ softwareVersion }: EndpointRecord): void {
+    const { request, parts } = this
+    this.softwareVersion = softwareVersion
+    const begun = begunStream(request, softwareVersion)
+    if (begun !== undefined) parts.streams.noteBegun(begun)
+  }
+
   /** The endpoint broke an answer off that had begun, so this request is not what ended it. */
   private endCut(endpoint: EndpointState, outcome: AttemptOutcome): AttemptEnd {
     this.parts.directory.noteCut(endpoint)
--- /dev/null
+++ b/packages/router/src/gateway/resumedStream.ts
@@ -0,0 +1,55 @@
+/**
+ * The filter for streams that callers take up again: finds the software version that began one, or refuses the request before
+ * anything is set aside for it. Owns nothing; the rule is in decisions/retrying/streamResumption.
+ */
+
+import type { StreamOrigin } from '@rackwalk/decisions'
+import { NotRunError, ResultCode } from '@rackwalk/shared'
+import { streamKey } from '../streams/streamKey.js'
+import type { StreamOrigins } from '../streams/streamOrigins.js'
+import type { RequestMetadata } from './dialect.js'
+import type { EndpointDirectory } from './endpointDirectory.js'
+import type { GatewayRoute, GatewayTeam } from './gatewayConfiguration.js'
+import type { GatewayRecord } from './gatewayRecord.js'
+
+/** What the filter works with. */
+export interface ResumedStreamParts {
+  readonly streams: StreamOrigins
+  readonly directory: EndpointDirectory
+}
+
+/** A request that may take a stream up. */
+export interface ResumingRequest {
+  readonly metadata: RequestMetadata
+  readonly route: GatewayRoute
+  readonly service: { readonly name: string }
+  readonly team: GatewayTeam | undefined
+  readonly record: GatewayRecord
+}
+
+/** Where the stream goes on; undefined where the request begins one. Throws where it can't go on. */
+export async function findOrigin(
+  { streams, directory }: ResumedStreamParts,
+  { metadata, route, service, team, record }: ResumingRequest,
+): Promise<StreamOrigin | undefined> {
+  const { resumption } = metadata
+  if (resumption === undefined || !route.isResumable) return undefined
+  const { firstRequestId } = resumption
+  const key = firstRequestId === undefined ? undefined : streamKey(team?.name, firstRequestId)
+  const { origin, source } = await streams.find({ key, service: service.name })
+  record.originSource = source
+  if (origin === undefined) throw new NotRunError(ResultCode.OriginUnknown, source)
+  const isRouted = route.targets.some(target => target.service === origin.service)
+  if (isRouted && hasEndpoint(directory, origin)) return origin
+  const { softwareVersion } = origin
+  throw new NotRunError(ResultCode.NoEndpointOfVersion, `${origin.service} ${softwareVersion}`)
+}
+
+function hasEndpoint(
+  directory: EndpointDirectory,
+  { service, softwareVersion }: StreamOrigin,
+): boolean {
+  return directory
+    .available(service)
+    .some(({ record }) => record.softwareVersion === softwareVersion)
+}
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -119,6 +119,10 @@
   EndpointLoad,
 } from './gateway/dialect.js'
 export { withoutConnectionHeaders } from './gateway/connectionHeaders.js'
+export { StreamOrigins } from './streams/streamOrigins.js'
+export type { OriginAnswer, ResumedStream, StreamNews } from './streams/streamOrigins.js'
+export { StreamMemory } from './streams/streamMemory.js'
+export type { BegunStream } from './streams/streamMemory.js'
 export { FleetLoad } from './gateway/fleetLoad.js'
 export { LoadReporter } from './gateway/loadReporter.js'
 export { PeerLoads, USING_MILLISECONDS } from './gateway/peerLoads.js'
--- /dev/null
+++ b/packages/router/src/streams/begunStream.ts
@@ -0,0 +1,33 @@
+/** What is remembered of a stream when its first event is passed on. */
+
+import { LONGEST_STREAM_MILLISECONDS } from '@rackwalk/decisions'
+import type { Milliseconds, SoftwareVersion } from '@rackwalk/shared'
+import type { RequestMetadata } from '../gateway/dialect.js'
+import { streamKey } from './streamKey.js'
+import type { BegunStream } from './streamMemory.js'
+
+/** A caller counts its time from its first try, which it may have sent a little later than it is told here. */
+const SLACK_MILLISECONDS: Milliseconds = 1_000
+
+/** A request, as far as the memory looks at it. */
+interface StreamRequest {
+  readonly metadata: Pick<RequestMetadata, 'requestId' | 'resumption' | 'deadlineMilliseconds'>
+  readonly route: { readonly isResumable: boolean }
+  readonly service: { readonly name: string }
+  readonly team: string | undefined
+}
+
+/** Undefined where its caller can't take it up, or does not name the try that began it. */
+export function begunStream(
+  { metadata, route, service, team }: StreamRequest,
+  softwareVersion: SoftwareVersion,
+): BegunStream | undefined {
+  const { requestId, resumption, deadlineMilliseconds = LONGEST_STREAM_MILLISECONDS } = metadata
+  const first = resumption === undefined ? requestId : resumption.firstRequestId
+  if (!route.isResumable || first === undefined) return undefined
+  return {
+    key: streamKey(team, first),
+    origin: { service: service.name, softwareVersion },
+    lifetimeMilliseconds: deadlineMilliseconds + SLACK_MILLISECONDS,
+  }
+}
--- a/packages/shared/src/ids.ts
+++ b/packages/shared/src/ids.ts
@@ -31,6 +31,8 @@
  * write does not fit together in one stream.
  */
 export type SoftwareVersion = Branded<'SoftwareVersion'>
+/** Names a stream of events by the caller's try that brought its first event. */
+export type StreamKey = Branded<'StreamKey'>
 /** Names a model that endpoints load and callers ask for. */
 export type ModelId = Branded<'ModelId'>
 /** Names one request in logs, headers and decision records. */
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -14,6 +14,7 @@
   RequestFingerprint,
   RequestId,
   SoftwareVersion,
+  StreamKey,
   TeamId,
   TransactionId,
   TransferId,
--- a/packages/shared/src/resultCodes.ts
+++ b/packages/shared/src/resultCodes.ts
@@ -41,6 +41,8 @@
   EndpointsResting = 3016,
   CutOff = 3017,
   RelayRefused = 3018,
+  OriginUnknown = 3019,
+  NoEndpointOfVersion = 3020,
 
   EndpointFailed = 4001,
   EndpointStalled = 4002,
@@ -107,6 +109,8 @@
   | ResultCode.EndpointsResting
   | ResultCode.CutOff
   | ResultCode.RelayRefused
+  | ResultCode.OriginUnknown
+  | ResultCode.NoEndpointOfVersion
 
 /** Codes for a request that an earlier or this attempt may have run. */
 export type AfterDispatchCode =
@@ -258,6 +262,21 @@
     1,
   ),
 
+  [ResultCode.OriginUnknown]: row(
+    503,
+    'not-run',
+    true,
+    'endpoints of several software versions serve, and nobody knows which one began the stream',
+    2,
+  ),
+  [ResultCode.NoEndpointOfVersion]: row(
+    503,
+    'not-run',
+    true,
+    'no endpoint of the software version that began the stream serves',
+    2,
+  ),
+
   [ResultCode.EndpointFailed]: row(502, 'unknown', true, 'the endpoint did not answer'),
   [ResultCode.EndpointStalled]: row(504, 'ran', true, 'the endpoint stalled'),
   [ResultCode.OutcomeUnknown]: row(
