fix(router): another engine goes on with a chat only at the software version that began it

Engines of two versions, templates or weights under one model name word the rest otherwise. A model endpoint's resource may state softwareVersion; a chat is bound to what was stated of its engine when the answer began. Not done: engines' own word of their version (system_fingerprint) is not compared.

--- a/packages/router/__tests__/continuedForms.spec.ts
+++ b/packages/router/__tests__/continuedForms.spec.ts
@@ -1,4 +1,5 @@
 import { describe, expect, it } from 'vitest'
+import { UNTOLD_SOFTWARE_VERSION } from '@rackwalk/shared'
 import { ContinuedEvents, HOLD_LIMITS, HoldSpace, KeptAnswer } from '@rackwalk/router'
 
 /** What is kept of a chat's answer, and how the events of its continuation are made a part of it. */
@@ -14,7 +15,7 @@
 
 function keep(limits = HOLD_LIMITS) {
   const space = new HoldSpace(limits)
-  return { space, kept: new KeptAnswer(space) }
+  return { space, kept: new KeptAnswer(space, UNTOLD_SOFTWARE_VERSION) }
 }
 
 describe('what a caller has of an answer', () => {
--- a/packages/router/src/engine/keptAnswer.ts
+++ b/packages/router/src/engine/keptAnswer.ts
@@ -5,7 +5,7 @@
  */
 
 import * as z from 'zod'
-import type { TokenCount } from '@rackwalk/shared'
+import type { SoftwareVersion, TokenCount } from '@rackwalk/shared'
 import type { HoldSpace } from './answerHold.js'
 import type { ReportedUsage } from './usage.js'
 
@@ -68,7 +68,11 @@
   private newestUsage: ReportedUsage | undefined
   private hasFinish = false
 
-  constructor(private readonly space: HoldSpace) {}
+  constructor(
+    private readonly space: HoldSpace,
+    /** Of the engine that began the answer, as it was stated then. */
+    readonly softwareVersion: SoftwareVersion,
+  ) {}
 
   /** An event is passed on. */
   take(event: Buffer): void {
--- a/packages/router/src/filters/continueAnswer.ts
+++ b/packages/router/src/filters/continueAnswer.ts
@@ -14,7 +14,7 @@
 import type { Catalogue } from '../resources/catalogue.js'
 import type { DispatchFilter } from './dispatch.js'
 import type { EventPassage } from './eventPassage.js'
-import type { DispatchedRequest } from './stages.js'
+import type { DispatchedRequest, RestOfAnswer } from './stages.js'
 
 /** Parts that continuing works with. */
 export interface ContinuationParts {
@@ -42,7 +42,9 @@
   /** Where what the caller has is kept; undefined where no engine could go on with it. */
   keep(request: DispatchedRequest, chat: ChatRequest): KeptAnswer | undefined {
     if (!isContinuable(request, chat) || !this.hasEngine(request, chat)) return undefined
-    const kept = new KeptAnswer(this.parts.space)
+    const { endpointId } = request.answer
+    const softwareVersion = this.parts.catalogue.softwareVersionOf(endpointId)
+    const kept = new KeptAnswer(this.parts.space, softwareVersion)
     request.scope.onEnd(() => kept.release())
     return kept
   }
@@ -62,6 +64,7 @@
     }
     return this.ask(cut, passage, {
       body: bodyOf(chat, kept, step.outputTokens),
+      softwareVersion: kept.softwareVersion,
       usage: kept.usage,
     })
   }
@@ -76,11 +79,11 @@
   private async ask(
     cut: DispatchedRequest,
     passage: EventPassage,
-    rest: { readonly body: Readonly<Record<string, unknown>>; readonly usage: ReportedUsage },
+    rest: RestOfAnswer & { readonly usage: ReportedUsage },
   ): Promise<DispatchedRequest | undefined> {
     const routing = cut.record.routing.at(-1)
     const { framing, end = 'aborted' } = cut.answer
-    const next = await this.parts.dispatch.continueElsewhere(cut, rest.body)
+    const next = await this.parts.dispatch.continueElsewhere(cut, rest)
     if (routing) routing.answer = { framing, end, fate: next === undefined ? 'cut' : 'continued' }
     if (next === undefined) return undefined
     passage.goOn(rest.usage)
@@ -103,11 +106,14 @@
   }
 
   private hasEngine({ answer }: DispatchedRequest, { modelId }: ChatRequest): boolean {
-    return this.parts.catalogue.endpoints.some(
+    const { catalogue } = this.parts
+    const softwareVersion = catalogue.softwareVersionOf(answer.endpointId)
+    return catalogue.endpoints.some(
       ({ endpointId, spec }) =>
         endpointId !== answer.endpointId &&
         spec.kind === 'model' &&
         spec.continuesAnswers === true &&
+        catalogue.softwareVersionOf(endpointId) === softwareVersion &&
         spec.models.includes(modelId),
     )
   }
--- a/packages/router/src/filters/dispatch.ts
+++ b/packages/router/src/filters/dispatch.ts
@@ -19,7 +19,13 @@
 import type { EndpointRouter, EndpointTries } from '../routing/endpointRouter.js'
 import type { EndpointTable } from '../routing/endpointTable.js'
 import { dispatchFailure, resultText } from './dispatchFailure.js'
-import type { DispatchedRequest, EndpointAnswer, Filter, RoutedRequest } from './stages.js'
+import type {
+  DispatchedRequest,
+  EndpointAnswer,
+  Filter,
+  RestOfAnswer,
+  RoutedRequest,
+} from './stages.js'
 
 /** Parts that dispatch works with. */
 export interface DispatchParts {
@@ -142,13 +148,14 @@
    */
   async continueElsewhere(
     cut: DispatchedRequest,
-    body: Readonly<Record<string, unknown>>,
+    { body, softwareVersion }: RestOfAnswer,
   ): Promise<DispatchedRequest | undefined> {
     const hasEnded = await this.hasEndedUnder(cut)
     const tried = new Set(cut.tried)
     let isFree = hasEnded
     while (tried.size < MAXIMUM_ATTEMPTS && !this.isOver(cut, undefined)) {
-      const endpointId = this.parts.router.chooseToContinue(cut, tried)?.endpointId
+      const choice = this.parts.router.chooseToContinue(cut, tried, softwareVersion)
+      const endpointId = choice?.endpointId
       if (endpointId === undefined || (!isFree && !this.retries.withdraw())) return undefined
       tried.add(endpointId)
       const request: RoutedRequest = { ...cut, endpointId, continuedBody: body }
--- a/packages/router/src/filters/stages.ts
+++ b/packages/router/src/filters/stages.ts
@@ -11,6 +11,7 @@
   Milliseconds,
   RequestFingerprint,
   RequestId,
+  SoftwareVersion,
   TokenCount,
 } from '@rackwalk/shared'
 import type { Claim, Reservation } from '@rackwalk/coordination'
@@ -97,6 +98,13 @@
   readonly continuedBody?: Readonly<Record<string, unknown>>
 }
 
+/** What another engine is asked for that goes on with an answer. */
+export interface RestOfAnswer {
+  readonly body: Readonly<Record<string, unknown>>
+  /** Of the engine that began the answer. */
+  readonly softwareVersion: SoftwareVersion
+}
+
 /** An endpoint's answer that has begun to arrive. */
 export interface EndpointAnswer {
   readonly endpointId: EndpointId
--- a/packages/router/src/resources/catalogue.ts
+++ b/packages/router/src/resources/catalogue.ts
@@ -4,8 +4,8 @@
  */
 
 import { createHash } from 'node:crypto'
-import { asId } from '@rackwalk/shared'
-import type { BudgetId, EndpointId, ModelId, TeamId } from '@rackwalk/shared'
+import { UNTOLD_SOFTWARE_VERSION, asId } from '@rackwalk/shared'
+import type { BudgetId, EndpointId, ModelId, SoftwareVersion, TeamId } from '@rackwalk/shared'
 import type { ConfigurationFollower, Resource } from '@rackwalk/coordination'
 import type { EndpointSpec, PlacementSpec, RoutingPolicySpec, TeamSpec } from './kinds.js'
 import { routingPolicySpecSchema } from './kinds.js'
@@ -63,6 +63,13 @@
     return this.endpointsById.get(endpointId)
   }
 
+  /** The software version that the operator states of an engine. */
+  softwareVersionOf(endpointId: EndpointId): SoftwareVersion {
+    const spec = this.findEndpoint(endpointId)?.spec
+    const stated = spec?.kind === 'model' ? spec.softwareVersion : undefined
+    return stated === undefined ? UNTOLD_SOFTWARE_VERSION : asId(stated)
+  }
+
   /** Whether nothing new may be sent to an endpoint, since its failure domain is being emptied. */
   isEvacuated({ spec }: ConfiguredEndpoint): boolean {
     this.refresh()
--- a/packages/router/src/resources/kinds.ts
+++ b/packages/router/src/resources/kinds.ts
@@ -44,6 +44,11 @@
      * would begin anew. Without a default, so that rows are as they were.
      */
     continuesAnswers: z.boolean().optional(),
+    /**
+     * Of the engine's software, templates and weights together: another engine goes on with a chat only at the same one. Engines
+     * of which none is stated count as one version.
+     */
+    softwareVersion: z.string().min(1).max(100).optional(),
   }),
   z.strictObject({
     kind: z.literal('service'),
--- a/packages/router/src/routing/endpointRouter.ts
+++ b/packages/router/src/routing/endpointRouter.ts
@@ -5,7 +5,7 @@
 
 import { rendezvousChoice, suspectedChoice } from '@rackwalk/decisions'
 import { NotRunError, ResultCode } from '@rackwalk/shared'
-import type { EndpointId, RandomSource } from '@rackwalk/shared'
+import type { EndpointId, RandomSource, SoftwareVersion } from '@rackwalk/shared'
 import type { RoutingRecord } from '../decisionRecord.js'
 import type { CrashGuard } from '../crashes/crashGuard.js'
 import { messageKeys, requestVerdict } from '../crashes/requestVerdict.js'
@@ -74,20 +74,24 @@
   chooseToContinue(
     request: ParsedRequest,
     tried: ReadonlySet<EndpointId>,
+    softwareVersion: SoftwareVersion,
   ): RoutingRecord | undefined {
     const { crashFingerprint } = request
     if (crashFingerprint === undefined) return undefined
     if (requestVerdict(this.parts.crashes, request) === 'refuse') return undefined
     const ids = this.candidates(request, [])
       .map(({ endpointId }) => endpointId)
-      .filter(endpointId => !tried.has(endpointId) && this.continues(endpointId))
+      .filter(endpointId => !tried.has(endpointId))
+      .filter(endpointId => this.continues(endpointId, softwareVersion))
     const endpointId = rendezvousChoice(crashFingerprint, ids)
     if (endpointId === undefined) return undefined
     return this.note(request, CONTINUING_POLICY, { endpointId, compared: [] }, [])
   }
 
-  private continues(endpointId: EndpointId): boolean {
-    const spec = this.parts.catalogue.findEndpoint(endpointId)?.spec
+  private continues(endpointId: EndpointId, softwareVersion: SoftwareVersion): boolean {
+    const { catalogue } = this.parts
+    if (catalogue.softwareVersionOf(endpointId) !== softwareVersion) return false
+    const spec = catalogue.findEndpoint(endpointId)?.spec
     return spec?.kind === 'model' && spec.continuesAnswers === true
   }
 
--- a/packages/stand-ins/__tests__/continuedAnswers.spec.ts
+++ b/packages/stand-ins/__tests__/continuedAnswers.spec.ts
@@ -226,6 +226,7 @@
 interface PlayOptions {
   readonly body?: Readonly<Record<string, unknown>>
   readonly headers?: Readonly<Record<string, string>>
+  readonly firstSpec?: object
   readonly secondSpec?: object
   /** Whether the first engine reports tokens with each piece. */
   readonly reportsUsage?: boolean
@@ -241,7 +242,7 @@
   await fleet.start()
   const placement = { model: MODEL, version: '1', replicas: 2, defaultOutputTokens: LIMIT }
   await fleet.apply([{ kind: 'placements', metadata: { name: MODEL }, spec: placement }])
-  const first = await addEngine(fleet, 'first', { continuesAnswers: true })
+  const first = await addEngine(fleet, 'first', options.firstSpec ?? { continuesAnswers: true })
   const sent = send(fleet.callers(), options.body ?? {}, options.headers)
   await expect.poll(() => first.asked.length, { interval: 5 }).toBe(1)
   const second = await addEngine(fleet, 'second', options.secondSpec ?? { continuesAnswers: true })
@@ -392,6 +393,26 @@
   it('where its tokens so far were not reported', () => expectCut({ reportsUsage: false }))
 
   it('where the other engine is not said to continue', () => expectCut({ secondSpec: {} }))
+
+  it('where the other engine runs another software version', () =>
+    expectCut({ secondSpec: { continuesAnswers: true, softwareVersion: '2' } }))
+})
+
+describe('a chat that was begun by one of two software versions', () => {
+  it('goes on at an engine of its own, whatever is stated of the others', async () => {
+    const version = { continuesAnswers: true, softwareVersion: '1' }
+    const play = await begin({ firstSpec: version, secondSpec: version })
+    const others = await Promise.all(
+      ['third', 'fourth', 'fifth'].map(name =>
+        addEngine(play.fleet, name, { ...version, softwareVersion: '2' }),
+      ),
+    )
+    goOn(play, ['a4 ', 'a5 '])
+    await cut(play)
+    const { text, isWhole } = await play.sent.answer
+    expect({ text, isWhole }).toEqual({ text: 'a1 a2 ä3 a4 a5 ', isWhole: true })
+    expect(others.flatMap(({ asked }) => asked)).toEqual([])
+  })
 })
 
 describe('a chat whose second engine does not come to the end either', () => {
