feat(decisions, daemon): more instances remember a stream where few begin

A keeper costs a datagram of some 120 bytes a stream while versions are mixed. So an instance tells as many as 6 KB a second bear, eight at the most and three at the least: at five streams a second eight, at 16 and more three. Who asks follows the same order and need not know the number. Compared: 1, 2, 3, 5 and 8 keepers and the same share for all told.

--- a/packages/daemon/src/gateway/streamWatch.ts
+++ b/packages/daemon/src/gateway/streamWatch.ts
@@ -3,8 +3,9 @@
  * its caller takes up here. Owns the memory and the questions.
  */
 
-import { ORIGIN_KEEPERS, originKeepers } from '@rackwalk/decisions'
+import { DemandMeter } from '@rackwalk/coordination'
 import type { MemberRow } from '@rackwalk/coordination'
+import { originKeeperCount, originKeepers } from '@rackwalk/decisions'
 import { StreamOrigins } from '@rackwalk/router'
 import type {
   BegunStream,
@@ -36,8 +37,11 @@
 export class StreamWatch {
   readonly origins: StreamOrigins
   private readonly questions: OriginQuestions
+  /** Streams of which others are told. */
+  private readonly told: DemandMeter
 
   constructor(private readonly parts: StreamWatchParts) {
+    this.told = new DemandMeter(parts.clock)
     this.questions = new OriginQuestions({
       others: () => this.others,
       onMalformed: form => parts.telemetry.noteMalformed(form),
@@ -72,9 +76,11 @@
   /** Streams for the same keeper share its datagrams. */
   private tellKeepers(begun: readonly BegunStream[]): void {
     const { others } = this
+    this.told.add(begun.length)
+    const count = originKeeperCount(this.told.perSecond)
     const kept = new Map<MemberRow, BegunStream[]>()
     for (const stream of begun) {
-      for (const keeper of originKeepers(stream.key, others).slice(0, ORIGIN_KEEPERS)) {
+      for (const keeper of originKeepers(stream.key, others).slice(0, count)) {
         kept.set(keeper, [...(kept.get(keeper) ?? []), stream])
       }
     }
--- /dev/null
+++ b/packages/decisions/__tests__/originKeepers.spec.ts
@@ -0,0 +1,73 @@
+import { describe, expect, it } from 'vitest'
+import { ORIGIN_KEEPERS, originKeeperCount, originKeepers } from '@rackwalk/decisions'
+import type { OriginKeeper } from '@rackwalk/decisions'
+import { SeededRandom } from '@rackwalk/shared'
+
+/** Who still knows where a stream began after instances ended together, by how many were told of it. */
+
+const STREAMS = 100
+const SEED = 5
+/** Questions that one caller's try may cost, to those that keep it and to others. */
+const QUESTIONS = 15
+
+function fleetOf(size: number): readonly OriginKeeper[] {
+  return Array.from({ length: size }, (_, index) => ({
+    instance: `instance-${index}`,
+    failureDomain: `domain-${index % 3}`,
+  }))
+}
+
+/** The share of streams whose origin is found after the one that served it and a share of the others have ended. */
+function foundShare(size: number, endedShare: number, told: number): number {
+  const random = new SeededRandom(SEED)
+  const [served, ...others] = fleetOf(size)
+  if (served === undefined) return 0
+  let found = 0
+  for (let stream = 0; stream < STREAMS; stream += 1) {
+    const key = `stream-${stream}`
+    const keepers = originKeepers(key, others).slice(0, told)
+    const living = others.filter(() => random.next() >= endedShare)
+    const [asked] = living
+    const asks = originKeepers(
+      key,
+      living.filter(other => other !== asked),
+    ).slice(0, QUESTIONS)
+    const knows = [asked, ...asks].some(other => other !== undefined && keepers.includes(other))
+    if (knows || living.length === 0) found += 1
+  }
+  return Math.round((100 * found) / STREAMS) / 100
+}
+
+describe('streams whose instance ended together with others', () => {
+  it('are found by the more, the more instances were told, whatever the size of the fleet', () => {
+    const rows = [3, 8, 30, 100, 360].flatMap(size =>
+      [0.3, 0.6].map(ended => {
+        const shares = [1, 2, ORIGIN_KEEPERS, 5, 8].map(told => foundShare(size, ended, told))
+        return `${size} instances, ${100 * ended}% ended: ${shares.join(', ')} (1, 2, 3, 5, 8 told)`
+      }),
+    )
+    expect(rows).toMatchSnapshot()
+  })
+
+  it('are told to fewer, the more of them begin in a second', () => {
+    const rates = [0, 1, 5, 7, 10, 16, 40, 1_000]
+    const rows = rates.map(rate => `${rate} streams a second: ${originKeeperCount(rate)}`)
+    expect(rows).toMatchInlineSnapshot(`
+      [
+        "0 streams a second: 8",
+        "1 streams a second: 8",
+        "5 streams a second: 8",
+        "7 streams a second: 7",
+        "10 streams a second: 5",
+        "16 streams a second: 3",
+        "40 streams a second: 3",
+        "1000 streams a second: 3",
+      ]
+    `)
+  })
+
+  it('are found nearly always where a third of the fleet ends at once', () => {
+    const shares = [8, 30, 100, 360].map(size => foundShare(size, 0.3, ORIGIN_KEEPERS))
+    expect(Math.min(...shares)).toBeGreaterThanOrEqual(0.95)
+  })
+})
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -28,7 +28,8 @@
 export { isNearlyFull, readTurnAways, turnAwayLicence } from './choosing/turnAwayRisk.js'
 export { soonestRefusal } from './choosing/sendRefusal.js'
 export type { SendRefusal } from './choosing/sendRefusal.js'
-export { ORIGIN_KEEPERS, originKeepers } from './placing/originKeepers.js'
+export { ORIGIN_KEEPERS, originKeeperCount, originKeepers } from './placing/originKeepers.js'
+export type { OriginKeeper } from './placing/originKeepers.js'
 export {
   LONGEST_STREAM_MILLISECONDS,
   isMixed,
--- a/packages/decisions/src/placing/originKeepers.ts
+++ b/packages/decisions/src/placing/originKeepers.ts
@@ -7,7 +7,8 @@
  * Rendezvous over the stream's key: whoever is asked to go on finds the keepers without a word from the one that has ended, and
  * an instance that comes or goes moves only its own keys. The first two lie in different failure domains where there are two.
  *
- * Limits: three keepers, since each stream costs a datagram for each while versions are mixed.
+ * Limits: each stream costs a datagram for each keeper while versions are mixed, so the number of keepers falls with the streams
+ * that begin here, down to three; who asks need not know it.
  */
 
 import { rendezvousOrder } from '../choosing/rendezvous.js'
@@ -18,8 +19,20 @@
   readonly failureDomain: string
 }
 
-/** Instances that are told of one stream. */
+/** Instances that are told of one stream at least, */
 export const ORIGIN_KEEPERS = 3
+/** and at the most: nearly all streams are found then where most of a fleet ends at once. */
+const MOST_KEEPERS = 8
+/** Bytes a second in which an instance tells more than the least number of keepers. */
+const KEEPER_BYTES_PER_SECOND = 6_000
+/** The news of one stream with the head of its datagram. */
+const NEWS_BYTES = 120
+
+/** How many instances are told of a stream, by the streams that begin here in a second. */
+export function originKeeperCount(streamsPerSecond: number): number {
+  const borne = Math.floor(KEEPER_BYTES_PER_SECOND / (NEWS_BYTES * Math.max(1, streamsPerSecond)))
+  return Math.min(MOST_KEEPERS, Math.max(ORIGIN_KEEPERS, borne))
+}
 
 /** All candidates, those that keep a stream first. */
 export function originKeepers<Candidate extends OriginKeeper>(
