fix(router): a row that tells no software version does not end what runs at its endpoint

Found by reading: a row of another writer that lacks the version, under the id of a living endpoint, would have counted as another start of it, and so ended all requests in progress there; likewise the row that brings the version back. Now only a version that is told and differs is another start, and one that is not told leaves the known one. Test: endpoints.spec (rows with another version, without one, with one of another type); with the rule before it fails at the second case. packages/router and streamsOfTwoVersions: 348 passed.

--- a/packages/router/src/gateway/endpointDirectory.ts
+++ b/packages/router/src/gateway/endpointDirectory.ts
@@ -4,6 +4,7 @@
  */
 
 import { slownessOf, usualPace } from '@rackwalk/decisions'
+import { UNTOLD_SOFTWARE_VERSION } from '@rackwalk/shared'
 import type { Clock, EndpointStart, Milliseconds, SoftwareVersion, Timer } from '@rackwalk/shared'
 import { EndedEndpoints } from './endedEndpoints.js'
 import { EndpointState } from './endpointState.js'
@@ -68,7 +69,7 @@
       this.endpoints.set(record.id, this.createState(record))
       return
     }
-    if (isOtherStart(record, known.record)) return this.replace(known, record)
+    if (isOtherStart(known.record, record)) return this.replace(known, record)
     if (record.isLeaving && !known.record.isLeaving) this.parts.onChange(record, 'leaving')
     if (record.coldMilliseconds > 0 && !known.isCold) this.parts.onChange(record, 'cold')
     known.update(record)
@@ -264,6 +265,9 @@
 }
 
 /** Software does not change while it runs, so another version is another start, also where no time of the start is told. */
-function isOtherStart(left: EndpointRecord, right: EndpointRecord): boolean {
-  return left.start !== right.start || left.softwareVersion !== right.softwareVersion
+function isOtherStart(before: EndpointRecord, after: EndpointRecord): boolean {
+  const versions = [before.softwareVersion, after.softwareVersion]
+  const isVersionTold = !versions.includes(UNTOLD_SOFTWARE_VERSION)
+  const isOtherVersion = isVersionTold && before.softwareVersion !== after.softwareVersion
+  return before.start !== after.start || isOtherVersion
 }
--- a/packages/router/src/gateway/endpointState.ts
+++ b/packages/router/src/gateway/endpointState.ts
@@ -5,6 +5,7 @@
 
 import { nextPace } from '@rackwalk/decisions'
 import type { EndpointLink, RateLicence } from '@rackwalk/decisions'
+import { UNTOLD_SOFTWARE_VERSION } from '@rackwalk/shared'
 import type {
   Clock,
   EndpointStart,
@@ -96,7 +97,7 @@
 
   /** Takes a newer record of the same start in. */
   update(record: EndpointRecord): void {
-    this.record = record
+    this.record = withVersionOf(this.record, record)
     this.coldUntil = this.clock.monotonic() + record.coldMilliseconds
   }
 
@@ -229,3 +230,9 @@
     this.connections?.destroy()
   }
 }
+
+/** A row that tells no version does not take back the one that was told of the same start. */
+function withVersionOf(before: EndpointRecord, after: EndpointRecord): EndpointRecord {
+  if (after.softwareVersion !== UNTOLD_SOFTWARE_VERSION) return after
+  return { ...after, softwareVersion: before.softwareVersion }
+}
