--- /dev/null
+++ b/packages/stand-ins/src/replay/lostLinksReplay.ts
@@ -0,0 +1,472 @@
+/**
+ * Replays, on virtual time, a fleet of which some instances lose their links to all endpoints. Each instance
+ * runs the product's own link monitor, gossip about lost links, choice of active instances and choice of the
+ * instance that takes a relayed request. Links to callers and peers have a rate, connections to endpoints are
+ * pooled. The outcome counts first tries at the instances that lost their links and at the others.
+ */
+
+import { ActiveFleet, CutOffInstances, FleetRelayPeers } from '@rackwalk/daemon'
+import { DemandMeter } from '@rackwalk/coordination'
+import type { MemberRow } from '@rackwalk/coordination'
+import { relayStep, wasNeverSent } from '@rackwalk/decisions'
+import type { AttemptOutcome, RelayOutcome } from '@rackwalk/decisions'
+import { LinkMonitor } from '@rackwalk/router'
+import { SeededRandom, VirtualClock, randomBelow, sleep } from '@rackwalk/shared'
+import type { Milliseconds } from '@rackwalk/shared'
+import { ReplayedEndpoint, ReplayedLink } from './replayedLinks.js'
+
+/** Which instances lose their links. */
+export const LOST_BY = [
+  'a quarter',
+  'a failure domain',
+  'the active instances',
+  'all but a failure domain',
+  'nine in ten',
+  'all but one',
+] as const
+
+/** One of `LOST_BY`. */
+export type LostBy = (typeof LOST_BY)[number]
+
+/** What becomes of connections to endpoints. */
+export const LINK_FAULTS = [
+  /** Open connections and new ones hang. */
+  'silent',
+  /** Open connections are reset, and new ones are refused. */
+  'reset',
+  /** Open connections live on, and new ones are refused. */
+  'refused to new connections',
+] as const
+
+/** One of `LINK_FAULTS`. */
+type LinkFault = (typeof LINK_FAULTS)[number]
+
+/** One replay. */
+export interface LostLinksScenario {
+  readonly seed: number
+  readonly instances: number
+  readonly lostBy: LostBy
+  readonly fault: LinkFault
+}
+
+/** First tries that were sent and served. */
+export interface TryCount {
+  sent: number
+  served: number
+}
+
+/** The outcome of a replay, from the time on by which all instances have to know of the loss. */
+export interface LostLinksOutcome {
+  readonly atCut: TryCount
+  readonly atOthers: TryCount
+  /** Relayed requests that the busiest instance took, as a share of all, in [0, 1]. */
+  readonly busiestShare: number
+}
+
+const FAILURE_DOMAINS = 4
+const ENDPOINTS = 42
+const SERVICE = 'models'
+const REGION = 'region'
+const REQUESTS_PER_SECOND_AND_INSTANCE = 4.7
+const BODY_BYTES = 6_000
+/** Two instances of each failure domain are strong; the others have a small link. */
+const STRONG = { capacity: 100, linkMegabits: 140 }
+const WEAK = { capacity: 10, linkMegabits: 10 }
+const STRONG_IN_DOMAIN = 2
+const ACTIVE_BOUNDS = { minimumInDomain: 2, headroom: 2 }
+/** Share of the callers that stay with one instance, whatever the directory says. */
+const STAYING_SHARE = 0.2
+const ADDRESS_MILLISECONDS: Milliseconds = 5_000
+const ROW_MILLISECONDS: Milliseconds = 1_000
+const GOSSIP_DELAY_MILLISECONDS: Milliseconds = 1
+const GOSSIP_LOSS = 0.01
+const GOSSIP_BYTES = 80
+const GOSSIP_BYTES_PER_SECOND = 5_000
+const SHORTEST_GOSSIP_MILLISECONDS: Milliseconds = 1_000
+const MAXIMUM_ATTEMPTS = 3
+const CONNECT_MILLISECONDS: Milliseconds = 150
+const ANSWER_MILLISECONDS: Milliseconds = 60
+const HOP_MILLISECONDS: Milliseconds = 1
+const DEADLINES: readonly Milliseconds[] = [600, 4_000]
+const WARM_UP_MILLISECONDS: Milliseconds = 6_000
+/** Time by which all instances have to know of the loss. */
+const CONTACT_MILLISECONDS: Milliseconds = 4_000
+const JUDGED_MILLISECONDS: Milliseconds = 6_000
+
+/** How one instance answered a request. */
+type Answer = 'served' | 'refused' | 'failed'
+
+interface SentRequest {
+  readonly deadlineAt: Milliseconds
+}
+
+interface ReplayedInstance {
+  readonly index: number
+  readonly name: string
+  readonly failureDomain: string
+  readonly requestRate: DemandMeter
+  readonly inbound: ReplayedLink
+  readonly outbound: ReplayedLink
+  readonly endpoints: readonly ReplayedEndpoint[]
+  readonly fleet: ActiveFleet
+  readonly relayPeers: FleetRelayPeers
+  readonly cutOff: CutOffInstances
+  readonly monitor: LinkMonitor<ReplayedEndpoint>
+  row: MemberRow
+  hasLostLinks: boolean
+  relaysTaken: number
+}
+
+interface Caller {
+  readonly stayingWith: ReplayedInstance | undefined
+  addresses: readonly string[]
+}
+
+/** Replays the scenario once. The same seed gives the same outcome. */
+export function replayLostLinks(scenario: LostLinksScenario): Promise<LostLinksOutcome> {
+  return new LostLinksReplay(scenario).run()
+}
+
+class LostLinksReplay {
+  private readonly clock = new VirtualClock()
+  private readonly random: SeededRandom
+  private readonly instances: readonly ReplayedInstance[]
+  private readonly byName: ReadonlyMap<string, ReplayedInstance>
+  private readonly callers: readonly Caller[]
+  private readonly atCut: TryCount = { sent: 0, served: 0 }
+  private readonly atOthers: TryCount = { sent: 0, served: 0 }
+  private isJudged = false
+
+  constructor(private readonly scenario: LostLinksScenario) {
+    this.random = new SeededRandom(scenario.seed)
+    this.instances = Array.from({ length: scenario.instances }, (_, index) => this.create(index))
+    this.byName = new Map(this.instances.map(instance => [instance.name, instance]))
+    this.callers = this.instances.map(() => this.createCaller())
+  }
+
+  async run(): Promise<LostLinksOutcome> {
+    this.repeat(ROW_MILLISECONDS, () => this.writeRows())
+    for (const caller of this.callers) this.keepAddresses(caller)
+    const perSecond = REQUESTS_PER_SECOND_AND_INSTANCE * this.instances.length
+    this.repeat(1_000 / perSecond, () => void this.sendRequest())
+    await this.clock.advance(WARM_UP_MILLISECONDS)
+    this.loseLinks()
+    await this.clock.advance(CONTACT_MILLISECONDS)
+    this.isJudged = true
+    await this.clock.advance(JUDGED_MILLISECONDS)
+    this.isJudged = false
+    await this.clock.advance(Math.max(...DEADLINES))
+    return { atCut: this.atCut, atOthers: this.atOthers, busiestShare: this.busiestShare }
+  }
+
+  private get busiestShare(): number {
+    const taken = this.instances.map(({ relaysTaken }) => relaysTaken)
+    const all = taken.reduce((sum, count) => sum + count, 0)
+    return all === 0 ? 0 : Math.max(...taken) / all
+  }
+
+  private loseLinks(): void {
+    for (const instance of this.instances) {
+      instance.hasLostLinks = this.loses(instance)
+      if (!instance.hasLostLinks || this.scenario.fault !== 'reset') continue
+      for (const endpoint of instance.endpoints) endpoint.dropIdle()
+    }
+  }
+
+  private loses({ index, failureDomain, name }: ReplayedInstance): boolean {
+    const [first] = this.instances
+    switch (this.scenario.lostBy) {
+      case 'a quarter':
+        return (index * 7) % 4 === Math.floor(index / FAILURE_DOMAINS) % 4
+      case 'a failure domain':
+        return failureDomain === first?.failureDomain
+      case 'the active instances':
+        return this.activeNames.has(name)
+      case 'all but a failure domain':
+        return failureDomain !== first?.failureDomain
+      case 'nine in ten':
+        return index < 0.9 * this.instances.length
+      case 'all but one':
+        return index !== this.instances.length - 1
+    }
+  }
+
+  private get activeNames(): ReadonlySet<string> {
+    const active = this.instances.filter(({ fleet }) => fleet.isSelfActive)
+    return new Set(active.map(({ name }) => name))
+  }
+
+  private repeat(interval: Milliseconds, act: () => void): void {
+    this.clock.after(interval, () => {
+      act()
+      this.repeat(interval, act)
+    })
+  }
+
+  private writeRows(): void {
+    for (const instance of this.instances) {
+      const requestsPerSecond = instance.requestRate.perSecond
+      instance.row = { ...instance.row, requestsPerSecond, heartbeat: instance.row.heartbeat + 1 }
+    }
+  }
+
+  private createCaller(): Caller {
+    const stays = this.random.next() < STAYING_SHARE
+    const stayingWith = stays ? this.anyInstance : undefined
+    return { stayingWith, addresses: [] }
+  }
+
+  private get anyInstance(): ReplayedInstance | undefined {
+    return this.instances[randomBelow(this.random, this.instances.length)]
+  }
+
+  private keepAddresses(caller: Caller): void {
+    caller.addresses = this.anyInstance?.fleet.addresses(REGION) ?? []
+    const delay = ADDRESS_MILLISECONDS * (0.5 + this.random.next() / 2)
+    this.clock.after(delay, () => this.keepAddresses(caller))
+  }
+
+  private async sendRequest(): Promise<void> {
+    const caller = this.callers[randomBelow(this.random, this.callers.length)]
+    const instance = caller === undefined ? undefined : this.targetOf(caller)
+    if (instance === undefined) return
+    const deadline = DEADLINES[randomBelow(this.random, DEADLINES.length)] ?? 0
+    const deadlineAt = this.clock.monotonic() + deadline
+    const count = instance.hasLostLinks ? this.atCut : this.atOthers
+    const { isJudged } = this
+    if (isJudged) count.sent += 1
+    instance.requestRate.add(1)
+    const answer = await this.serve(instance, { deadlineAt }, false)
+    const isInTime = this.clock.monotonic() <= deadlineAt
+    if (isJudged && answer === 'served' && isInTime) count.served += 1
+  }
+
+  private targetOf({ stayingWith, addresses }: Caller): ReplayedInstance | undefined {
+    if (stayingWith !== undefined) return stayingWith
+    const address = addresses[randomBelow(this.random, addresses.length)]
+    return this.byName.get(address?.split(':')[0] ?? '')
+  }
+
+  /** Serves a request as the gateway does: by endpoints of its own, else through other instances. */
+  private async serve(
+    instance: ReplayedInstance,
+    request: SentRequest,
+    isRelayed: boolean,
+  ): Promise<Answer> {
+    const delay = instance.inbound.carry(BODY_BYTES)
+    if (delay === undefined) return 'refused'
+    await sleep(this.clock, delay)
+    if (!isRelayed && instance.monitor.isCutOff(SERVICE)) return this.relay(instance, request)
+    const result = await this.attempt(instance, request)
+    if (result !== 'unsent') return result
+    return isRelayed ? 'refused' : this.relay(instance, request)
+  }
+
+  private async attempt(
+    instance: ReplayedInstance,
+    request: SentRequest,
+  ): Promise<Answer | 'unsent'> {
+    const tried = new Set<ReplayedEndpoint>()
+    const history: AttemptOutcome[] = []
+    while (tried.size < MAXIMUM_ATTEMPTS) {
+      const endpoint = this.chooseEndpoint(instance, tried)
+      if (endpoint === undefined) break
+      tried.add(endpoint)
+      const answer = await this.sendTo(endpoint, instance, request)
+      if (answer !== undefined) return answer
+      instance.monitor.noteConnectFailed(endpoint)
+      history.push({ kind: 'connect-failed', reason: 'no connection in time' })
+    }
+    return wasNeverSent(history, instance.monitor.isCutOff(SERVICE)) ? 'unsent' : 'refused'
+  }
+
+  private chooseEndpoint(
+    { monitor, endpoints }: ReplayedInstance,
+    tried: ReadonlySet<ReplayedEndpoint>,
+  ): ReplayedEndpoint | undefined {
+    const unreachable = monitor.unreachableEndpoints(SERVICE)
+    const open = endpoints.filter(endpoint => !tried.has(endpoint) && !unreachable.has(endpoint))
+    return open[randomBelow(this.random, open.length)]
+  }
+
+  /** Resolves with the answer; undefined if no connection came up, so that nothing was sent. */
+  private async sendTo(
+    endpoint: ReplayedEndpoint,
+    instance: ReplayedInstance,
+    { deadlineAt }: SentRequest,
+  ): Promise<Answer | undefined> {
+    const isReused = endpoint.takeIdle(this.clock.monotonic())
+    if (!isReused && !(await this.connects(instance))) return undefined
+    if (!isReused) endpoint.noteConnected()
+    if (isReused && instance.hasLostLinks && this.scenario.fault === 'silent') {
+      await sleep(this.clock, deadlineAt - this.clock.monotonic())
+      return 'failed'
+    }
+    const delay = instance.outbound.carry(BODY_BYTES)
+    if (delay === undefined) return 'refused'
+    await sleep(this.clock, delay + ANSWER_MILLISECONDS)
+    endpoint.putIdle(this.clock.monotonic())
+    return 'served'
+  }
+
+  private async connects(instance: ReplayedInstance): Promise<boolean> {
+    if (!instance.hasLostLinks) return true
+    if (this.scenario.fault === 'silent') await sleep(this.clock, CONNECT_MILLISECONDS)
+    return false
+  }
+
+  private async relay(instance: ReplayedInstance, request: SentRequest): Promise<Answer> {
+    const tried = new Set<string>()
+    const outcomes: RelayOutcome[] = []
+    for (;;) {
+      const peer = instance.relayPeers.choose(SERVICE, tried)
+      if (peer === undefined) return 'refused'
+      tried.add(peer.instance)
+      const answer = await this.relayTo(peer.instance, instance, request)
+      outcomes.push(outcomeOf(answer))
+      const hasAnother = instance.relayPeers.choose(SERVICE, tried) !== undefined
+      if (relayStep(outcomes, ONCE, hasAnother) !== 'ask-another') return answer
+    }
+  }
+
+  private async relayTo(
+    name: string,
+    from: ReplayedInstance,
+    request: SentRequest,
+  ): Promise<Answer> {
+    const peer = this.byName.get(name)
+    const delay = from.outbound.carry(BODY_BYTES)
+    if (peer === undefined || delay === undefined) return 'refused'
+    peer.relaysTaken += 1
+    await sleep(this.clock, delay + HOP_MILLISECONDS)
+    return this.serve(peer, request, true)
+  }
+
+  private create(index: number): ReplayedInstance {
+    const { clock, random } = this
+    const name = `instance-${index}`
+    const failureDomain = `domain-${index % FAILURE_DOMAINS}`
+    const isStrong = index < STRONG_IN_DOMAIN * FAILURE_DOMAINS
+    const { linkMegabits } = isStrong ? STRONG : WEAK
+    const endpoints = Array.from(
+      { length: ENDPOINTS },
+      (_, number) => new ReplayedEndpoint(number, `domain-${number % FAILURE_DOMAINS}`, clock),
+    )
+    const monitor = this.createMonitor(index, endpoints)
+    const cutOff = this.createCutOff(name, () => monitor.cutOffServices)
+    const fleet = this.createFleet(index, cutOff)
+    const relayPeers = new FleetRelayPeers({
+      failureDomain,
+      fleet,
+      random,
+      isCutOff: (...query) => cutOff.has(...query),
+      isOverloaded: () => false,
+    })
+    return {
+      index,
+      name,
+      failureDomain,
+      requestRate: new DemandMeter(clock),
+      inbound: new ReplayedLink(linkMegabits, clock),
+      outbound: new ReplayedLink(linkMegabits, clock),
+      endpoints,
+      fleet,
+      relayPeers,
+      cutOff,
+      monitor,
+      row: rowOf(name, failureDomain, isStrong ? STRONG.capacity : WEAK.capacity),
+      hasLostLinks: false,
+      relaysTaken: 0,
+    }
+  }
+
+  private createMonitor(
+    index: number,
+    endpoints: readonly ReplayedEndpoint[],
+  ): LinkMonitor<ReplayedEndpoint> {
+    return new LinkMonitor({
+      clock: this.clock,
+      random: this.random,
+      endpointsOf: () => endpoints,
+      endpointsOfOthers: () => [],
+      onCutOff: () => this.instances[index]?.cutOff.refreshOwn(),
+      connects: async () => {
+        const instance = this.instances[index]
+        return instance !== undefined && this.connects(instance)
+      },
+    })
+  }
+
+  private createCutOff(name: string, ownServices: () => readonly string[]): CutOffInstances {
+    return new CutOffInstances({
+      instance: name,
+      clock: this.clock,
+      gossipMilliseconds: () => this.gossipMilliseconds,
+      ownServices,
+      broadcast: services => this.broadcast(name, services),
+    })
+  }
+
+  private get gossipMilliseconds(): Milliseconds {
+    const others = this.scenario.instances - 1
+    const interval = (others * GOSSIP_BYTES * 1_000) / GOSSIP_BYTES_PER_SECOND
+    return Math.max(SHORTEST_GOSSIP_MILLISECONDS, interval)
+  }
+
+  private broadcast(from: string, services: readonly string[]): void {
+    for (const { name, cutOff } of this.instances) {
+      if (name === from || this.random.next() < GOSSIP_LOSS) continue
+      this.clock.after(GOSSIP_DELAY_MILLISECONDS, () => cutOff.note(from, services))
+    }
+  }
+
+  private createFleet(index: number, cutOff: CutOffInstances): ActiveFleet {
+    return new ActiveFleet({
+      isServing: () => true,
+      self: () => this.rowAt(index),
+      others: () => this.instances.filter(other => other.index !== index).map(({ row }) => row),
+      hasRecentHeartbeat: () => true,
+      silenceMilliseconds: () => SHORTEST_GOSSIP_MILLISECONDS,
+      hasEndpointLoad: () => false,
+      isCutOff: ({ instance }) => cutOff.hasAny(instance),
+      hasOwnEndpointLoad: () => false,
+      clock: this.clock,
+      bounds: ACTIVE_BOUNDS,
+      onChange: () => {},
+    })
+  }
+
+  private rowAt(index: number): MemberRow {
+    const row = this.instances[index]?.row
+    if (row === undefined) throw new Error(`no instance with the index ${index}`)
+    return row
+  }
+}
+
+/** Requests that may run only once: the strictest rule for relays. */
+const ONCE = { isIdempotent: false, isStreaming: false, isResumable: false }
+const STATUS_UNAVAILABLE = 503
+
+function outcomeOf(answer: Answer): RelayOutcome {
+  if (answer === 'served') return { kind: 'answered', status: 200 }
+  if (answer === 'refused') return { kind: 'refused', status: STATUS_UNAVAILABLE }
+  return { kind: 'failed', reason: 'no answer' }
+}
+
+function rowOf(instance: string, failureDomain: string, capacity: number): MemberRow {
+  return {
+    instance,
+    incarnation: 'first',
+    region: REGION,
+    failureDomain,
+    callerAddress: `${instance}:80`,
+    peerAddress: `${instance}:81`,
+    loadAddress: `${instance}:82`,
+    capacity,
+    requestsPerSecond: 0,
+    state: 'serving',
+    heartbeat: 1,
+    renewalMilliseconds: ROW_MILLISECONDS,
+    takesRelays: true,
+  }
+}
