fix(decisions): make standby instances active in place of those that are cut off

Callers saw: first tries at instances without links to endpoints refused (3017) while other instances of the fleet reached every endpoint. Cause: the choice of active instances ignored lost links, and relays go to active instances only. Where all eight active of 73 were cut off, no instance was left to take a request, though up to 65 standby ones could. Class: a rule about a part of the fleet (the active instances) that takes the part for the whole; small fleets have no standby instances, so the earlier spec could not show it. Change: an instance that reports that it is cut off is not active while another of its region isn't; its requests still count as load, so the active ones grow with it. A report's expiry is fixed when it arrives: its length depends on the number of receivers, that on the active instances, and these on the reports (endless recursion in platform/__tests__/lostLinks.spec.ts before).

--- a/packages/daemon/__tests__/activeFleet.spec.ts
+++ b/packages/daemon/__tests__/activeFleet.spec.ts
@@ -72,6 +72,18 @@
     expect(fleet.activeOthers).not.toContain(first)
   })
 
+  it('makes a standby instance active in place of one that is cut off', async () => {
+    const { clock, fleet, state } = setUp({})
+    const [first] = fleet.activeOthers
+    state.cutOff.add(first?.instance ?? '')
+    await clock.advance(1_000)
+    expect(fleet.activeOthers.length).toBe(2)
+    expect(fleet.activeOthers).not.toContain(first)
+    state.cutOff.clear()
+    await clock.advance(1_000)
+    expect(fleet.activeOthers).toContain(first)
+  })
+
   it('relies on the rows while it hears no instance and may be cut off itself', () => {
     const silent = OTHERS.map(({ instance }) => instance)
     const { fleet } = setUp({ self: member('a1'), silent })
--- a/packages/daemon/src/gateway/activeFleet.ts
+++ b/packages/daemon/src/gateway/activeFleet.ts
@@ -190,7 +190,8 @@
     const all = this.parts.others()
     const others = this.reachable(all)
     const candidates = self === undefined ? others : [self, ...others]
-    const active = this.selection.choose(candidates, this.parts.clock.monotonic())
+    const { clock, isCutOff } = this.parts
+    const active = this.selection.choose(candidates, clock.monotonic(), isCutOff)
     const activeOthers = active.filter(member => member !== self)
     const { hasEndpointLoad } = this.parts
     const standbyUsers = others.filter(
--- a/packages/daemon/src/gateway/cutOffGossip.ts
+++ b/packages/daemon/src/gateway/cutOffGossip.ts
@@ -49,8 +49,11 @@
  * this instance included. No message says that endpoints are reached again: the reports expire.
  */
 export class CutOffInstances {
-  /** By instance, then by service: time of the last report. */
-  private readonly reportedAt = new Map<string, Map<string, Milliseconds>>()
+  /**
+   * By instance, then by service: when the last report expires. The time is fixed when the report arrives: the gossip
+   * interval depends on which instances are active, and that on these reports.
+   */
+  private readonly expiresAt = new Map<string, Map<string, Milliseconds>>()
   private timer: Timer | undefined
 
   constructor(private readonly parts: CutOffInstancesParts) {}
@@ -62,15 +65,17 @@
   /** An instance reported that it is cut off from these services. */
   note(instance: string, services: readonly string[]): void {
     if (services.length === 0) return
-    const reports = this.reportedAt.get(instance) ?? new Map<string, Milliseconds>()
-    for (const service of services) reports.set(service, this.parts.clock.monotonic())
-    this.reportedAt.set(instance, reports)
+    const { clock, gossipMilliseconds } = this.parts
+    const expiresAt = clock.monotonic() + EXPIRY_INTERVALS * gossipMilliseconds()
+    const reports = this.expiresAt.get(instance) ?? new Map<string, Milliseconds>()
+    for (const service of services) reports.set(service, expiresAt)
+    this.expiresAt.set(instance, reports)
   }
 
   /** Whether an instance has a report, not yet expired, that it is cut off from a service. */
   has(instance: string, service: string): boolean {
-    const lastReportAt = this.reportedAt.get(instance)?.get(service)
-    return lastReportAt !== undefined && this.isCurrent(lastReportAt)
+    const expiresAt = this.expiresAt.get(instance)?.get(service)
+    return expiresAt !== undefined && this.isCurrent(expiresAt)
   }
 
   /**
@@ -78,10 +83,10 @@
    * another instance.
    */
   hasAny(instance: string): boolean {
-    const reports = this.reportedAt.get(instance)
+    const reports = this.expiresAt.get(instance)
     if (reports === undefined) return false
-    if ([...reports.values()].some(lastReportAt => this.isCurrent(lastReportAt))) return true
-    this.reportedAt.delete(instance)
+    if ([...reports.values()].some(expiresAt => this.isCurrent(expiresAt))) return true
+    this.expiresAt.delete(instance)
     return false
   }
 
@@ -96,8 +101,7 @@
     this.timer = clock.after(gossipMilliseconds(), () => this.refreshOwn())
   }
 
-  private isCurrent(lastReportAt: Milliseconds): boolean {
-    const { clock, gossipMilliseconds } = this.parts
-    return clock.monotonic() - lastReportAt < EXPIRY_INTERVALS * gossipMilliseconds()
+  private isCurrent(expiresAt: Milliseconds): boolean {
+    return this.parts.clock.monotonic() < expiresAt
   }
 }
--- a/packages/decisions/__tests__/activeInstances.spec.ts
+++ b/packages/decisions/__tests__/activeInstances.spec.ts
@@ -49,6 +49,17 @@
     expect(chosen.filter(({ failureDomain }) => failureDomain === 'a').length).toBe(2)
   })
 
+  it('are none that is cut off while others of the region are not', () => {
+    const selection = new ActiveInstances(BOUNDS)
+    const members = fleet(10, { requestsPerSecond: 8 })
+    const before = names(selection.choose(members, 0))
+    const isCutOff = ({ instance }: ActiveCandidate) => before.includes(instance)
+    const instead = names(selection.choose(members, 0, isCutOff))
+    expect(instead.length).toBe(before.length)
+    expect(instead.filter(name => before.includes(name))).toEqual([])
+    expect(names(selection.choose(members, 0, () => true))).toEqual(before)
+  })
+
   it('are not overloaded ones while others have the same capacity', () => {
     const [first = ''] = names(chooseActive(fleet(6), 0, BOUNDS))
     const withOverloaded = fleet(6).map(member =>
--- a/packages/decisions/src/placing/activeInstances.ts
+++ b/packages/decisions/src/placing/activeInstances.ts
@@ -7,12 +7,17 @@
  * instance would see less of the load. So a region uses no more active instances than its load and
  * the least number in each failure domain require.
  *
+ * An instance that is cut off, that is, reaches no endpoint of some service, is not active while
+ * another instance of its region reaches all services. Otherwise a cut of all active instances
+ * would leave nobody to take their callers, although standby instances reach every endpoint. Its
+ * requests still count as load, since others have to take them.
+ *
  * Inputs: what instances publish in their rows, which are up to a second old, those of standby
  * instances up to three seconds: region, failure domain, the requests a second that the instance
- * can take and those that it takes at present; and the bounds from the settings. Each instance
- * decides for itself. Two instances that decide differently do no harm, since a standby instance
- * serves every caller that sends it a request. Alternatives and figures:
- * docs/design/platform-deployment.md#active-instances.
+ * can take and those that it takes at present; which instances report that they are cut off; and
+ * the bounds from the settings. Each instance decides for itself. Two instances that decide
+ * differently do no harm, since a standby instance serves every caller that sends it a request.
+ * Alternatives and figures: docs/design/platform-deployment.md#active-instances.
  */
 
 import { groupBy } from '@rackwalk/shared'
@@ -54,16 +59,22 @@
 
   constructor(private readonly bounds: ActiveBounds) {}
 
-  /** Returns the candidates that are to be active, region by region; `now` is monotonic. */
+  /**
+   * Returns the candidates that are to be active, region by region; `now` is monotonic. `isCutOff`
+   * returns whether a candidate reaches no endpoint of some service.
+   */
   choose<Candidate extends ActiveCandidate>(
     candidates: readonly Candidate[],
     now: Milliseconds,
+    isCutOff: (candidate: Candidate) => boolean = () => false,
   ): readonly Candidate[] {
     const regions = groupBy(candidates, candidate => candidate.region)
     return [...regions].flatMap(([region, members]) => {
       const present = sumOf(members, member => member.requestsPerSecond)
       const load = this.updatePeakLoad(region, present, now)
-      return chooseActive(members, load, this.bounds, this.order)
+      const connected = members.filter(member => !isCutOff(member))
+      const eligible = connected.length > 0 ? connected : members
+      return chooseActive(eligible, load, this.bounds, this.order)
     })
   }
 
