fix(decisions): relay requests by what other instances can still take

Cause: the choice preferred the own failure domain whatever the load. Class: a rule that was right for four instances doesn't know what its load does to the taker. Change: each candidate has room (its capacity less its callers' requests); instances of the own failure domain get as many requests as fit there, others the rest, in proportion to their room. Standby instances are asked where every active one is cut off. The OpenAI-style kind, which knows no loads, counts each instance as one unit and each near one that refused lately as demand.

--- a/packages/daemon/src/gateway/activeFleet.ts
+++ b/packages/daemon/src/gateway/activeFleet.ts
@@ -113,6 +113,11 @@
     return this.currentView().silentOthers.has(instance)
   }
 
+  /** Requests per second that this instance's callers send it. */
+  get ownRequestsPerSecond(): number {
+    return this.parts.self().requestsPerSecond
+  }
+
   /** Number of active instances, this one included if it is active. */
   get activeCount(): number {
     return activeCountOf(this.currentView())
--- a/packages/daemon/src/gateway/relayPeers.ts
+++ b/packages/daemon/src/gateway/relayPeers.ts
@@ -3,7 +3,8 @@
  * them; the rule is in decisions/choosing/relayPeer.
  */
 
-import { chooseRelayPeer } from '@rackwalk/decisions'
+import { chooseRelayPeer, relayRoom } from '@rackwalk/decisions'
+import type { RelayCandidate } from '@rackwalk/decisions'
 import { EndpointAgent } from '@rackwalk/router'
 import type { RelayPeer, RelayPeers } from '@rackwalk/router'
 import type { MemberRow } from '@rackwalk/coordination'
@@ -12,6 +13,8 @@
 import type { EndpointSubsystem } from './endpointSubsystem.js'
 import type { GatewaySettings } from './gatewaySettings.js'
 
+type Candidate = MemberRow & RelayCandidate
+
 /** What the choice needs. */
 export interface FleetRelayPeersParts {
   readonly failureDomain: string
@@ -32,15 +35,10 @@
   constructor(private readonly parts: FleetRelayPeersParts) {}
 
   choose(service: string, tried: ReadonlySet<string>): RelayPeer | undefined {
-    const { failureDomain, random, isCutOff, isOverloaded } = this.parts
-    const candidates = this.candidates
-      .filter(({ instance }) => !tried.has(instance))
-      .map(member => ({
-        ...member,
-        isCutOff: isCutOff(member.instance, service),
-        isOverloaded: isOverloaded(member.instance),
-      }))
-    const chosen = chooseRelayPeer(candidates, failureDomain, random.next())
+    const { failureDomain, random } = this.parts
+    const untried = this.candidates(service).filter(({ instance }) => !tried.has(instance))
+    const origin = { failureDomain, demand: this.demandOf(service) }
+    const chosen = chooseRelayPeer(untried, origin, random.next())
     if (chosen === undefined) return undefined
     const { instance, peerAddress } = chosen
     return { instance, address: peerAddress, agent: this.agentOf(peerAddress) }
@@ -50,13 +48,43 @@
     for (const agent of this.agents.values()) agent.destroy()
   }
 
-  /** The active instances that serve, take relays and are not silent; if there are none, the idle instances that do. */
-  private get candidates(): readonly MemberRow[] {
-    const { fleet } = this.parts
-    const takesRelays = ({ instance, takesRelays, state }: MemberRow) =>
-      takesRelays === true && state === 'serving' && !fleet.isSilent(instance)
-    const active = fleet.activeOthers.filter(takesRelays)
-    return active.length > 0 ? active : fleet.idleOthers.filter(takesRelays)
+  /** The active instances that take relays and reach the service; if there are none, the idle instances that do. */
+  private candidates(service: string): readonly Candidate[] {
+    const { activeOthers, idleOthers } = this.parts.fleet
+    const active = this.takers(activeOthers, service)
+    return active.length > 0 ? active : this.takers(idleOthers, service)
+  }
+
+  private takers(members: readonly MemberRow[], service: string): readonly Candidate[] {
+    return members
+      .filter(member => this.takesRelays(member))
+      .map(member => this.candidateOf(member, service))
+      .filter(({ isCutOff }) => !isCutOff)
+  }
+
+  private takesRelays({ instance, takesRelays, state }: MemberRow): boolean {
+    return takesRelays === true && state === 'serving' && !this.parts.fleet.isSilent(instance)
+  }
+
+  private candidateOf(member: MemberRow, service: string): Candidate {
+    const { isCutOff, isOverloaded } = this.parts
+    const { instance, capacity, requestsPerSecond } = member
+    return {
+      ...member,
+      isCutOff: isCutOff(instance, service),
+      isOverloaded: isOverloaded(instance),
+      room: relayRoom(capacity, requestsPerSecond),
+    }
+  }
+
+  /** Requests per second that the cut-off instances of this failure domain relay, this one included. */
+  private demandOf(service: string): number {
+    const { fleet, failureDomain, isCutOff } = this.parts
+    const near = [...fleet.usingOthers, ...fleet.idleOthers].filter(
+      member => member.failureDomain === failureDomain && isCutOff(member.instance, service),
+    )
+    const own = fleet.ownRequestsPerSecond
+    return near.reduce((sum, { requestsPerSecond }) => sum + requestsPerSecond, own)
   }
 
   private agentOf(address: string): EndpointAgent {
--- a/packages/decisions/__tests__/relays.spec.ts
+++ b/packages/decisions/__tests__/relays.spec.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest'
-import { chooseRelayPeer, relayOutcomeText, relayStep } from '@rackwalk/decisions'
+import { chooseRelayPeer, relayOutcomeText, relayRoom, relayStep } from '@rackwalk/decisions'
 import type { RelayCandidate, RelayOutcome } from '@rackwalk/decisions'
 
 const NEAR: RelayCandidate = {
@@ -7,13 +7,24 @@
   failureDomain: 'own',
   isCutOff: false,
   isOverloaded: false,
+  room: 10,
 }
 const FAR = { ...NEAR, instance: 'far', failureDomain: 'other' }
 const BUSY = { ...NEAR, instance: 'busy', isOverloaded: true }
 const CUT = { ...NEAR, instance: 'cut', isCutOff: true }
 
-function chosen(candidates: readonly RelayCandidate[], chance = 0): string | undefined {
-  return chooseRelayPeer(candidates, 'own', chance)?.instance
+function chosen(candidates: readonly RelayCandidate[], chance = 0, demand = 5): string | undefined {
+  return chooseRelayPeer(candidates, { failureDomain: 'own', demand }, chance)?.instance
+}
+
+/** Counts the choices of each candidate over evenly spread chances. */
+function countChoices(candidates: readonly RelayCandidate[], demand: number) {
+  const counts: Record<string, number> = {}
+  for (let step = 0; step < 100; step += 1) {
+    const name = chosen(candidates, (step + 0.5) / 100, demand) ?? 'none'
+    counts[name] = (counts[name] ?? 0) + 1
+  }
+  return counts
 }
 
 describe('the instance that takes a request of one that is cut off', () => {
@@ -24,6 +35,17 @@
     expect(chosen([CUT])).toBeUndefined()
   })
 
+  it('is in the same failure domain for as many requests as fit there, and else any by its room', () => {
+    const wide = { ...FAR, instance: 'wide', room: 30 }
+    expect(countChoices([NEAR, FAR, wide], 10)).toEqual({ near: 100 })
+    expect(countChoices([NEAR, FAR, wide], 50)).toEqual({ near: 20, far: 20, wide: 60 })
+    expect(countChoices([NEAR], 50)).toEqual({ near: 100 })
+  })
+
+  it('has room for a little even if its callers send more than it can take', () => {
+    expect([relayRoom(10, 3), relayRoom(10, 9.9), relayRoom(10, 50)]).toEqual([7, 0.5, 0.5])
+  })
+
   it('is any of equals', () => {
     const equals = ['one', 'two'].map(instance => ({ ...NEAR, instance }))
     expect([0, 0.4, 0.5, 0.99].map(chance => chosen(equals, chance))).toEqual([
--- a/packages/router/src/filters/chatRelay.ts
+++ b/packages/router/src/filters/chatRelay.ts
@@ -8,7 +8,7 @@
  */
 
 import { chooseRelayPeer, isProvenComplete, relayStep } from '@rackwalk/decisions'
-import type { AnswerEnd, RelayCandidate, RelayOutcome } from '@rackwalk/decisions'
+import type { AnswerEnd, RelayCandidate, RelayOrigin, RelayOutcome } from '@rackwalk/decisions'
 import { DispatchedError, ResultCode } from '@rackwalk/shared'
 import type { Clock, IncarnationId, Milliseconds, RandomSource } from '@rackwalk/shared'
 import { relayedChatBody } from '../engine/chatRequest.js'
@@ -145,14 +145,28 @@
     const candidates = peers()
       .filter(({ incarnation }) => !tried.has(incarnation))
       .map(peer => this.candidateOf(peer))
-    return chooseRelayPeer(candidates, failureDomain, random.next())?.peer
+    return chooseRelayPeer(candidates, this.originIn(failureDomain), random.next())?.peer
+  }
+
+  /**
+   * The load of instances of this kind is not known, so each counts as one unit of room, and each
+   * instance of the failure domain that refused lately as one unit of demand besides this one's.
+   */
+  private originIn(failureDomain: string): RelayOrigin {
+    const near = this.parts.peers().filter(peer => peer.failureDomain === failureDomain)
+    const refusing = near.filter(({ incarnation }) => this.hasRefused(incarnation))
+    return { failureDomain, demand: 1 + refusing.length }
+  }
+
+  private hasRefused(incarnation: IncarnationId): boolean {
+    const refusedAt = this.refusedAt.get(incarnation) ?? Number.NEGATIVE_INFINITY
+    return this.now - refusedAt < REFUSAL_MILLISECONDS
   }
 
   private candidateOf(peer: ChatRelayPeer): Candidate {
     const { incarnation, failureDomain } = peer
-    const refusedAt = this.refusedAt.get(incarnation) ?? Number.NEGATIVE_INFINITY
-    const isOverloaded = this.now - refusedAt < REFUSAL_MILLISECONDS
-    return { peer, instance: incarnation, failureDomain, isCutOff: false, isOverloaded }
+    const isOverloaded = this.hasRefused(incarnation)
+    return { peer, instance: incarnation, failureDomain, isCutOff: false, isOverloaded, room: 1 }
   }
 
   private openExchange(
--- a/packages/stand-ins/__tests__/lostLinksReplay.spec.ts
+++ b/packages/stand-ins/__tests__/lostLinksReplay.spec.ts
@@ -44,4 +44,18 @@
       expect(outcomes.filter(({ atCut }) => servedShare(atCut) < WANTED_SHARE)).toEqual([])
     })
   }
+
+  it('all but one of a failure domain does not send that one most of their requests', async () => {
+    const lostBy = 'all but one of a failure domain'
+    const scenario = {
+      seed: SEED,
+      instances: 73,
+      lostBy,
+      fault: 'silent',
+      stayingShare: 1,
+    } as const
+    const { busiestShare, atOthers } = await replayLostLinks(scenario)
+    expect(busiestShare).toBeLessThan(1 / 2)
+    expect(servedShare(atOthers)).toBe(1)
+  })
 })
--- a/packages/stand-ins/src/replay/lostLinksReplay.ts
+++ b/packages/stand-ins/src/replay/lostLinksReplay.ts
@@ -13,69 +13,23 @@
 import { LinkMonitor } from '@rackwalk/router'
 import { SeededRandom, VirtualClock, randomBelow, sleep } from '@rackwalk/shared'
 import type { Milliseconds } from '@rackwalk/shared'
-import { ReplayedEndpoint, ReplayedLink } from './replayedLinks.js'
-
-/** Which instances lose their links. */
-export const LOST_BY = [
-  'a quarter',
-  'a failure domain',
-  'the active instances',
-  'all but a failure domain',
-  'nine in ten',
-  'all but one',
-] as const
-
-/** One of `LOST_BY`. */
-export type LostBy = (typeof LOST_BY)[number]
-
-/** What becomes of connections to endpoints. */
-export const LINK_FAULTS = [
-  /** Open connections and new ones hang. */
-  'silent',
-  /** Open connections are reset, and new ones are refused. */
-  'reset',
-  /** Open connections live on, and new ones are refused. */
-  'refused to new connections',
-] as const
-
-/** One of `LINK_FAULTS`. */
-type LinkFault = (typeof LINK_FAULTS)[number]
-
-/** One replay. */
-export interface LostLinksScenario {
-  readonly seed: number
-  readonly instances: number
-  readonly lostBy: LostBy
-  readonly fault: LinkFault
-}
-
-/** First tries that were sent and served. */
-export interface TryCount {
-  sent: number
-  served: number
-}
-
-/** The outcome of a replay, from the time on by which all instances have to know of the loss. */
-export interface LostLinksOutcome {
-  readonly atCut: TryCount
-  readonly atOthers: TryCount
-  /** Relayed requests that the busiest instance took, as a share of all, in [0, 1]. */
-  readonly busiestShare: number
-}
+import type { LostBy, LostLinksOutcome, LostLinksScenario, TryCount } from './lostLinksScenario.js'
+import { ReplayedEndpoint, ReplayedResource } from './replayedLinks.js'
 
 const FAILURE_DOMAINS = 4
 const ENDPOINTS = 42
 const SERVICE = 'models'
 const REGION = 'region'
 const REQUESTS_PER_SECOND_AND_INSTANCE = 4.7
-const BODY_BYTES = 6_000
+const BODY_BYTES = 9_000
 /** Two instances of each failure domain are strong; the others have a small link. */
-const STRONG = { capacity: 100, linkMegabits: 140 }
-const WEAK = { capacity: 10, linkMegabits: 10 }
+const STRONG = { capacity: 200, cores: 1.35, linkMegabits: 140 }
+const WEAK = { capacity: 10, cores: 0.324, linkMegabits: 10 }
+const REQUESTS_PER_CORE_MILLISECOND = 0.3
+const BYTES_PER_MEGABIT_MILLISECOND = 125
 const STRONG_IN_DOMAIN = 2
 const ACTIVE_BOUNDS = { minimumInDomain: 2, headroom: 2 }
-/** Share of the callers that stay with one instance, whatever the directory says. */
-const STAYING_SHARE = 0.2
+const DEFAULT_STAYING_SHARE = 0.2
 const ADDRESS_MILLISECONDS: Milliseconds = 5_000
 const ROW_MILLISECONDS: Milliseconds = 1_000
 const GOSSIP_DELAY_MILLISECONDS: Milliseconds = 1
@@ -105,8 +59,9 @@
   readonly name: string
   readonly failureDomain: string
   readonly requestRate: DemandMeter
-  readonly inbound: ReplayedLink
-  readonly outbound: ReplayedLink
+  readonly processor: ReplayedResource
+  readonly inbound: ReplayedResource
+  readonly outbound: ReplayedResource
   readonly endpoints: readonly ReplayedEndpoint[]
   readonly fleet: ActiveFleet
   readonly relayPeers: FleetRelayPeers
@@ -174,21 +129,24 @@
   }
 
   private loses({ index, failureDomain, name }: ReplayedInstance): boolean {
-    const [first] = this.instances
-    switch (this.scenario.lostBy) {
-      case 'a quarter':
-        return (index * 7) % 4 === Math.floor(index / FAILURE_DOMAINS) % 4
-      case 'a failure domain':
-        return failureDomain === first?.failureDomain
-      case 'the active instances':
-        return this.activeNames.has(name)
-      case 'all but a failure domain':
-        return failureDomain !== first?.failureDomain
-      case 'nine in ten':
-        return index < 0.9 * this.instances.length
-      case 'all but one':
-        return index !== this.instances.length - 1
+    const isInFirstDomain = failureDomain === this.instances[0]?.failureDomain
+    const { length } = this.instances
+    const isLost: Readonly<Record<LostBy, boolean>> = {
+      'a quarter': (index * 7) % 4 === Math.floor(index / FAILURE_DOMAINS) % 4,
+      'a failure domain': isInFirstDomain,
+      'all but one of a failure domain': isInFirstDomain && index < this.lastWeakIndex,
+      'the active instances': this.activeNames.has(name),
+      'all but a failure domain': !isInFirstDomain,
+      'nine in ten': index < 0.9 * length,
+      'all but one': index !== length - 1,
     }
+    return isLost[this.scenario.lostBy]
+  }
+
+  /** Index of the last instance of the first one's failure domain. */
+  private get lastWeakIndex(): number {
+    const last = this.instances.length - 1
+    return last - (last % FAILURE_DOMAINS)
   }
 
   private get activeNames(): ReadonlySet<string> {
@@ -211,7 +169,7 @@
   }
 
   private createCaller(): Caller {
-    const stays = this.random.next() < STAYING_SHARE
+    const stays = this.random.next() < (this.scenario.stayingShare ?? DEFAULT_STAYING_SHARE)
     const stayingWith = stays ? this.anyInstance : undefined
     return { stayingWith, addresses: [] }
   }
@@ -253,9 +211,10 @@
     request: SentRequest,
     isRelayed: boolean,
   ): Promise<Answer> {
-    const delay = instance.inbound.carry(BODY_BYTES)
-    if (delay === undefined) return 'refused'
-    await sleep(this.clock, delay)
+    const linkDelay = instance.inbound.take(BODY_BYTES)
+    const processorDelay = instance.processor.take(1)
+    if (linkDelay === undefined || processorDelay === undefined) return 'refused'
+    await sleep(this.clock, linkDelay + processorDelay)
     if (!isRelayed && instance.monitor.isCutOff(SERVICE)) return this.relay(instance, request)
     const result = await this.attempt(instance, request)
     if (result !== 'unsent') return result
@@ -302,7 +261,7 @@
       await sleep(this.clock, deadlineAt - this.clock.monotonic())
       return 'failed'
     }
-    const delay = instance.outbound.carry(BODY_BYTES)
+    const delay = instance.outbound.take(BODY_BYTES)
     if (delay === undefined) return 'refused'
     await sleep(this.clock, delay + ANSWER_MILLISECONDS)
     endpoint.putIdle(this.clock.monotonic())
@@ -335,7 +294,7 @@
     request: SentRequest,
   ): Promise<Answer> {
     const peer = this.byName.get(name)
-    const delay = from.outbound.carry(BODY_BYTES)
+    const delay = from.outbound.take(BODY_BYTES)
     if (peer === undefined || delay === undefined) return 'refused'
     peer.relaysTaken += 1
     await sleep(this.clock, delay + HOP_MILLISECONDS)
@@ -343,43 +302,53 @@
   }
 
   private create(index: number): ReplayedInstance {
-    const { clock, random } = this
+    const { clock } = this
     const name = `instance-${index}`
-    const failureDomain = `domain-${index % FAILURE_DOMAINS}`
-    const isStrong = index < STRONG_IN_DOMAIN * FAILURE_DOMAINS
-    const { linkMegabits } = isStrong ? STRONG : WEAK
-    const endpoints = Array.from(
-      { length: ENDPOINTS },
-      (_, number) => new ReplayedEndpoint(number, `domain-${number % FAILURE_DOMAINS}`, clock),
-    )
+    const failureDomain = domainOf(index)
+    const { cores, linkMegabits, capacity } = isStrong(index) ? STRONG : WEAK
+    const linkRate = linkMegabits * BYTES_PER_MEGABIT_MILLISECOND
+    const endpoints = this.createEndpoints()
     const monitor = this.createMonitor(index, endpoints)
     const cutOff = this.createCutOff(name, () => monitor.cutOffServices)
     const fleet = this.createFleet(index, cutOff)
-    const relayPeers = new FleetRelayPeers({
-      failureDomain,
-      fleet,
-      random,
-      isCutOff: (...query) => cutOff.has(...query),
-      isOverloaded: () => false,
-    })
     return {
       index,
       name,
       failureDomain,
       requestRate: new DemandMeter(clock),
-      inbound: new ReplayedLink(linkMegabits, clock),
-      outbound: new ReplayedLink(linkMegabits, clock),
+      processor: new ReplayedResource(cores * REQUESTS_PER_CORE_MILLISECOND, clock),
+      inbound: new ReplayedResource(linkRate, clock),
+      outbound: new ReplayedResource(linkRate, clock),
       endpoints,
       fleet,
-      relayPeers,
+      relayPeers: this.createRelayPeers(failureDomain, fleet, cutOff),
       cutOff,
       monitor,
-      row: rowOf(name, failureDomain, isStrong ? STRONG.capacity : WEAK.capacity),
+      row: rowOf(name, failureDomain, capacity),
       hasLostLinks: false,
       relaysTaken: 0,
     }
   }
 
+  private createEndpoints(): readonly ReplayedEndpoint[] {
+    const numbers = Array.from({ length: ENDPOINTS }, (_, number) => number)
+    return numbers.map(number => new ReplayedEndpoint(number, domainOf(number), this.clock))
+  }
+
+  private createRelayPeers(
+    failureDomain: string,
+    fleet: ActiveFleet,
+    cutOff: CutOffInstances,
+  ): FleetRelayPeers {
+    return new FleetRelayPeers({
+      failureDomain,
+      fleet,
+      random: this.random,
+      isCutOff: (...query) => cutOff.has(...query),
+      isOverloaded: () => false,
+    })
+  }
+
   private createMonitor(
     index: number,
     endpoints: readonly ReplayedEndpoint[],
@@ -453,6 +422,14 @@
   return { kind: 'failed', reason: 'no answer' }
 }
 
+function domainOf(index: number): string {
+  return `domain-${index % FAILURE_DOMAINS}`
+}
+
+function isStrong(index: number): boolean {
+  return index < STRONG_IN_DOMAIN * FAILURE_DOMAINS
+}
+
 function rowOf(instance: string, failureDomain: string, capacity: number): MemberRow {
   return {
     instance,
--- a/packages/stand-ins/src/replay/replayedLinks.ts
+++ b/packages/stand-ins/src/replay/replayedLinks.ts
@@ -1,30 +1,30 @@
-/** The links of a replayed instance: one with a rate, and the pooled connections to one endpoint. */
+/** What a replayed instance uses up: links and processors with a rate, and pooled connections to endpoints. */
 
 import type { EndpointLink } from '@rackwalk/decisions'
 import type { MonitoredEndpoint } from '@rackwalk/router'
-import type { Bytes, Clock, Milliseconds } from '@rackwalk/shared'
+import type { Clock, Milliseconds } from '@rackwalk/shared'
 
-const BYTES_PER_MEGABIT = 125_000
-/** A request that would wait longer for the link is refused. */
+/** Work that would wait longer than this is refused. */
 const LONGEST_BACKLOG_MILLISECONDS: Milliseconds = 400
 /** An idle connection is kept for this long. */
 const IDLE_MILLISECONDS: Milliseconds = 4_000
 
-/** One direction of an instance's link, which carries bodies one after another. */
-export class ReplayedLink {
+/** A resource that does one piece of work after another: one direction of a link, or a processor. */
+export class ReplayedResource {
   private busyUntil: Milliseconds = 0
 
   constructor(
-    private readonly megabits: number,
+    /** Units of work per millisecond, such as bytes or requests. */
+    private readonly rate: number,
     private readonly clock: Clock,
   ) {}
 
-  /** Carries a body. Returns the time until it has arrived; undefined if the link is too busy. */
-  carry(bytes: Bytes): Milliseconds | undefined {
+  /** Takes on some units of work. Returns the time until they are done; undefined if too much waits. */
+  take(units: number): Milliseconds | undefined {
     const now = this.clock.monotonic()
     const backlog = Math.max(0, this.busyUntil - now)
     if (backlog > LONGEST_BACKLOG_MILLISECONDS) return undefined
-    const delay = backlog + (bytes * 1_000) / (this.megabits * BYTES_PER_MEGABIT)
+    const delay = backlog + units / this.rate
     this.busyUntil = now + delay
     return delay
   }
