fix(router): take an answer on a new connection as the proof of a link, not the connection

Cause: a connect counted as the proof of a link, for requests and for checks, and checks began only after a connect had failed. Class: a sign of the path to a queue taken for a sign of who answers. Change: a check asks endpoints that report their state for it, and any answer counts; a request's new connection proves the link once an answer has begun on it; a request that is silent for half of its time, a second at the most, with nothing heard from its service, starts a check. Services that report no state count as unreached if their requests are silent and no reporting endpoint answers (a health check there waits for a slot).

--- a/packages/daemon/src/gateway/endpointSubsystem.ts
+++ b/packages/daemon/src/gateway/endpointSubsystem.ts
@@ -141,6 +141,7 @@
       random,
       endpointsOf: service => this.directory.listed(service),
       endpointsOfOthers: service => this.directory.listedElsewhere(service),
+      statePathOf: name => this.parts.service(name)?.engine?.statePath,
       onCutOff: (service, isCutOff) => {
         telemetry.note('links_state', { service, isCutOff })
         this.cutOff.refreshOwn()
--- a/packages/daemon/src/tasks/endpointReachabilityTask.ts
+++ b/packages/daemon/src/tasks/endpointReachabilityTask.ts
@@ -29,6 +29,7 @@
       random,
       endpointsOf: target => this.endpoints.endpointsOf(target),
       endpointsOfOthers: target => this.endpoints.endpointsOfOthers(target),
+      statePathOf: target => this.endpoints.statePathOf(target),
       onCutOff: (target, isCutOff) => logger.warn('links_state', { target, isCutOff }),
     })
   }
--- a/packages/decisions/src/choosing/endpointReachability.ts
+++ b/packages/decisions/src/choosing/endpointReachability.ts
@@ -5,7 +5,10 @@
  * Load pattern: an instance loses its links to endpoints while callers, peers and the store still
  * reach it. Each of its requests tries one endpoint after the other and is then refused, although
  * other instances serve the same requests at that moment. Connections that were open before may
- * stay usable, so answers do not show that a link works; only the outcome of a new connection does.
+ * stay usable, so answers on them do not show that a link works; only a new connection does. A new
+ * connection in turn may come up at an accept queue or a proxy while nothing sent on it is answered.
+ * So an endpoint that reports its state has to answer on the new connection, and links are probed
+ * as well once requests have been silent for `silenceMilliseconds`.
  *
  * | newest connections to                                       | unreachable                    |
  * | ----------------------------------------------------------- | ------------------------------ |
@@ -18,7 +21,8 @@
  * service is cut off from the service.
  *
  * Inputs: for each endpoint its failure domain and the monotonic times, in milliseconds, at which a
- * new connection last succeeded and last failed; for the choice of probes a random number.
+ * new connection last succeeded and last failed; for the choice of probes a random number; for the
+ * silence the time that a request has left.
  *
  * Limits: endpoints that are all down look the same to this instance as a lost link. So the result
  * only leads to another instance that may reach the endpoints, and never counts as a sign that an
@@ -52,6 +56,16 @@
 /** Number of links that are probed at once: enough to show that a service is unreachable. */
 const PROBED_LINKS = 4
 
+/** Longest silence of a request, with no answer from any endpoint of its service, before links are probed. */
+const LONGEST_SILENCE_MILLISECONDS: Milliseconds = 1_000
+/** Share of the time to a request's deadline after which its silence leads to probes. */
+const SILENCE_SHARE = 0.5
+
+/** Returns how long a request may be silent before links are probed, from the time until its deadline. */
+export function silenceMilliseconds(remaining: Milliseconds): Milliseconds {
+  return Math.min(LONGEST_SILENCE_MILLISECONDS, SILENCE_SHARE * remaining)
+}
+
 /** Whether the newest connection to an endpoint failed, and that failure still counts. */
 function hasFailed({ connectedAt, failedAt }: EndpointLink, now: Milliseconds): boolean {
   return failedAt > connectedAt && now - failedAt < FAILURE_TTL_MILLISECONDS
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -16,6 +16,7 @@
 export {
   isServiceUnreachable,
   linksToProbe,
+  silenceMilliseconds,
   unreachableLinks,
 } from './choosing/endpointReachability.js'
 export type { EndpointLink } from './choosing/endpointReachability.js'
--- a/packages/router/__tests__/linkMonitor.spec.ts
+++ b/packages/router/__tests__/linkMonitor.spec.ts
@@ -29,7 +29,7 @@
     endpointsOf: () => endpoints,
     endpointsOfOthers: () => [],
     onCutOff: (_, isCutOff) => changes.push(isCutOff),
-    connects: async address => {
+    isLinkUp: async address => {
       checks.push(address)
       return !unreachable.has(address)
     },
--- a/packages/router/src/filters/dispatch.ts
+++ b/packages/router/src/filters/dispatch.ts
@@ -19,6 +19,7 @@
 import type { EndpointClient } from '../engine/endpointClient.js'
 import { RetryBudget, backoffMilliseconds } from '../limits/retryBudget.js'
 import type { Catalogue } from '../resources/catalogue.js'
+import { LOAD_PATH } from '../routing/endpointLinks.js'
 import type { EndpointRouter, AttemptHistory } from '../routing/endpointRouter.js'
 import type { EndpointTable } from '../routing/endpointTable.js'
 import { dispatchFailure, resultText } from './dispatchFailure.js'
@@ -60,8 +61,6 @@
  * An engine takes longer than this to restart, so two starts do not get the same time.
  */
 const START_RESOLUTION_MILLISECONDS = 1_000
-/** Path at which model engines report their state without using a slot. */
-const LOAD_PATH = '/load'
 const STATUS_OK = 200
 const EVENT_STREAM = 'text/event-stream'
 const REFUSED_STATUS = 503
--- a/packages/router/src/gateway/endpointState.ts
+++ b/packages/router/src/gateway/endpointState.ts
@@ -223,12 +223,12 @@
     return { failureDomain: this.record.failureDomain, connectedAt, failedAt }
   }
 
-  /** This instance established a new connection to the endpoint. */
+  /** A new connection of this instance to the endpoint works. */
   noteConnected(): void {
     this.connectedAt = this.clock.monotonic()
   }
 
-  /** This instance could not establish a new connection to the endpoint. */
+  /** A new connection of this instance to the endpoint was not established or is not answered. */
   noteConnectFailed(): void {
     this.failedAt = this.clock.monotonic()
   }
--- a/packages/router/src/gateway/requestAttempts.ts
+++ b/packages/router/src/gateway/requestAttempts.ts
@@ -34,6 +34,7 @@
 import type { EndpointRecord, EndpointState } from './endpointState.js'
 import { startedStreamOf } from '../streams/startedStream.js'
 import type { AttemptedRequest, AttemptsParts, AttemptsResult } from './attemptedRequest.js'
+import { SilenceWatch } from './silenceWatch.js'
 import { StreamPace } from './streamPace.js'
 import { ENDPOINT_ENDED, UpstreamExchange } from './upstreamExchange.js'
 import type { HeadOutcome } from './upstreamExchange.js'
@@ -76,6 +77,7 @@
   /** Monotonic time at which the current attempt was sent. */
   private sentAt: Milliseconds = 0
   private readonly selector: EndpointSelector
+  private readonly silence: SilenceWatch
 
   constructor(
     private readonly parts: AttemptsParts,
@@ -83,6 +85,7 @@
   ) {
     this.softwareVersion = request.origin?.softwareVersion
     this.selector = new EndpointSelector(parts, request, this)
+    this.silence = new SilenceWatch(parts, request)
   }
 
   /**
@@ -171,7 +174,7 @@
     try {
       const exchange = this.open(endpoint)
       this.registerExchange(endpoint, exchange)
-      const head = await exchange.awaitAnswer()
+      const head = await this.silence.whileAwaiting(exchange)
       if (head.kind === 'head') {
         return await this.handleAnswer(endpoint, exchange, head.response, pending.noteBegun)
       }
--- a/packages/router/src/gateway/upstreamExchange.ts
+++ b/packages/router/src/gateway/upstreamExchange.ts
@@ -16,7 +16,7 @@
   /** `address` is IP:PORT. */
   readonly record: { readonly address: string }
   readonly agent: Agent
-  /** Called when a new connection has been established. */
+  /** Called when an answer has begun on a new connection. */
   noteConnected?(): void
 }
 
@@ -63,6 +63,8 @@
   private connectionEnd: ConnectionEnd | undefined
   private abortReason: AbortReason | undefined
   private connected = false
+  /** Whether the connection was opened for this exchange. */
+  private isNewConnection = false
   private ended = false
   private mustFlush = false
 
@@ -189,6 +191,7 @@
       this.call.on('close', () => resolve({ kind: 'failed', reason: 'closed' }))
       this.call.on('response', response => {
         this.response = response
+        if (this.isNewConnection) this.endpoint.noteConnected?.()
         this.connectionEnd = new ConnectionEnd(response.socket)
         resolve({ kind: 'head', response })
       })
@@ -212,7 +215,7 @@
       socket.setNoDelay(true)
       socket.once('connect', () => {
         this.connected = true
-        this.endpoint.noteConnected?.()
+        this.isNewConnection = true
         clearTimeout(timer)
       })
       socket.once('close', () => clearTimeout(timer))
--- a/packages/router/src/routing/endpointLinks.ts
+++ b/packages/router/src/routing/endpointLinks.ts
@@ -8,6 +8,9 @@
 import type { Catalogue, ConfiguredEndpoint } from '../resources/catalogue.js'
 import type { MonitoredEndpoint } from './linkMonitor.js'
 
+/** Path at which engines report their load without using a slot. */
+export const LOAD_PATH = '/load'
+
 /** Monotonic times of connection outcomes; negative infinity if there was none. */
 interface LinkRecord {
   connectedAt: Milliseconds
@@ -38,6 +41,14 @@
     return others.map(endpoint => this.monitored(endpoint, target))
   }
 
+  /** Path at which the endpoints of a model report their load; undefined for a service. */
+  statePathOf(target: string): string | undefined {
+    const isModel = this.catalogue.endpoints.some(
+      endpoint => endpoint.spec.kind === 'model' && serves(endpoint, target),
+    )
+    return isModel ? LOAD_PATH : undefined
+  }
+
   /**
    * Returns an endpoint with the name of the model or service that it is used for; undefined if the
    * catalogue does not list the endpoint. Whether the endpoint serves the target is not checked.
--- a/packages/router/src/routing/linkMonitor.ts
+++ b/packages/router/src/routing/linkMonitor.ts
@@ -6,11 +6,11 @@
  * terminated.
  */
 
-import { connect } from 'node:net'
 import { isServiceUnreachable, linksToProbe, unreachableLinks } from '@rackwalk/decisions'
 import type { EndpointLink } from '@rackwalk/decisions'
 import { sleep } from '@rackwalk/shared'
 import type { Clock, Milliseconds, RandomSource } from '@rackwalk/shared'
+import { isLinkUp } from './linkProbe.js'
 
 /** An endpoint as the link monitor sees it. */
 export interface MonitoredEndpoint {
@@ -19,9 +19,9 @@
   /** IP:PORT. */
   readonly address: string
   readonly link: EndpointLink
-  /** Records that a new connection to the endpoint was established. */
+  /** Records that a new connection to the endpoint works. */
   noteConnected(): void
-  /** Records that a new connection to the endpoint could not be established. */
+  /** Records that a new connection to the endpoint was not established, or that nothing was answered on it. */
   noteConnectFailed(): void
 }
 
@@ -35,15 +35,18 @@
   readonly endpointsOfOthers: (service: string) => readonly Endpoint[]
   /** Called when this instance becomes cut off from a service, and when it no longer is. */
   readonly onCutOff: (service: string, isCutOff: boolean) => void
-  /** Whether a connection to IP:PORT is established in time. Defaults to a real TCP connect. */
-  readonly connects?: (address: string) => Promise<boolean>
+  /**
+   * Path at which the endpoints of a service report their state without using a request slot;
+   * undefined if they do not. Defaults to none.
+   */
+  readonly statePathOf?: (service: string) => string | undefined
+  /**
+   * Whether the link to IP:PORT is up, and the state at the path, if there is one, is answered in
+   * time. Defaults to a real probe.
+   */
+  readonly isLinkUp?: (address: string, statePath: string | undefined) => Promise<boolean>
 }
 
-/**
- * A connection that is not established within this time counts as failed. The time is short because
- * a request may be waiting for the check.
- */
-const CONNECT_MILLISECONDS: Milliseconds = 150
 /** Pause between checks of a service, short so that links are used again soon after a recovery. */
 const CHECK_MILLISECONDS: Milliseconds = 400
 
@@ -56,13 +59,15 @@
   /** Services whose links are being checked repeatedly. */
   private readonly checkedServices = new Set<string>()
   private readonly unreachableServices = new Set<string>()
+  /** Services whose links are doubted although connections come up, until their checks end. */
+  private readonly doubtedServices = new Set<string>()
   /** Addresses of unreachable endpoints by service, as of the latest check. */
   private readonly unreachableAddresses = new Map<string, ReadonlySet<string>>()
-  private readonly connects: (address: string) => Promise<boolean>
+  private readonly isLinkUp: (address: string, statePath: string | undefined) => Promise<boolean>
   private isStopped = false
 
   constructor(private readonly parts: LinkMonitorParts<Endpoint>) {
-    this.connects = parts.connects ?? canConnect
+    this.isLinkUp = parts.isLinkUp ?? isLinkUp
   }
 
   stop(): void {
@@ -95,6 +100,15 @@
     this.startChecking(endpoint.service)
   }
 
+  /**
+   * The links of a service are doubted although connections come up: a request has been silent for
+   * long with no answer from any endpoint, or a near instance has lost its links.
+   */
+  noteDoubted(service: string): void {
+    this.doubtedServices.add(service)
+    this.startChecking(service)
+  }
+
   /**
    * Checks the links of a service at least once, and then repeatedly until none of its endpoints is
    * unreachable.
@@ -104,6 +118,7 @@
     this.checkedServices.add(service)
     void this.checkUntilReached(service).finally(() => {
       this.checkedServices.delete(service)
+      this.doubtedServices.delete(service)
     })
   }
 
@@ -138,17 +153,37 @@
 
   private async checkOnce(service: string): Promise<void> {
     const chosen = linksToProbe(this.linksOf(service), this.now, this.parts.random.next())
-    await Promise.all(chosen.map(link => this.check(link)))
+    if (await this.isUnanswered(service)) {
+      for (const { endpoint } of chosen) endpoint.noteConnectFailed()
+    } else {
+      await Promise.all(chosen.map(link => this.check(link)))
+    }
     this.updateReachability(service)
   }
 
+  /**
+   * Whether the links of a service are doubted whose endpoints do not report their state, and no
+   * endpoint of another service that does answers. A connection proves nothing then.
+   */
+  private async isUnanswered(service: string): Promise<boolean> {
+    if (!this.doubtedServices.has(service) || this.statePathOf(service) !== undefined) return false
+    const reporting = this.parts
+      .endpointsOfOthers(service)
+      .filter(endpoint => this.statePathOf(endpoint.service) !== undefined)
+    return reporting.length > 0 && !(await this.reachesAny(reporting))
+  }
+
   private async check({ endpoint }: LinkedEndpoint<Endpoint>): Promise<boolean> {
-    const isUp = await this.connects(endpoint.address)
+    const isUp = await this.isLinkUp(endpoint.address, this.statePathOf(endpoint.service))
     if (isUp) endpoint.noteConnected()
     else endpoint.noteConnectFailed()
     return isUp
   }
 
+  private statePathOf(service: string): string | undefined {
+    return this.parts.statePathOf?.(service)
+  }
+
   /**
    * Updates the reachability of a service. Runs only after a check, not after the failed connection
    * of a request: requests go to the endpoints that look idle, so without a check of other
@@ -178,26 +213,3 @@
 function linked<Endpoint extends MonitoredEndpoint>(endpoint: Endpoint): LinkedEndpoint<Endpoint> {
   return { endpoint, ...endpoint.link }
 }
-
-/** Whether a TCP connection to IP:PORT is established in time. No data is sent on it. */
-function canConnect(address: string): Promise<boolean> {
-  const [host = '', port = ''] = address.split(':')
-  return new Promise(resolve => {
-    const socket = connect({ host, port: Number(port) })
-    const finish = (isUp: boolean) => {
-      clearTimeout(timer)
-      socket.destroy()
-      resolve(isUp)
-    }
-    let isConnected = false
-    // On a busy CPU the timer may fire late while a `connect` event is already pending.
-    // `setImmediate` lets that event be handled first.
-    const giveUp = () => setImmediate(() => finish(isConnected))
-    const timer = setTimeout(giveUp, CONNECT_MILLISECONDS)
-    socket.on('connect', () => {
-      isConnected = true
-      finish(true)
-    })
-    socket.on('error', () => finish(false))
-  })
-}
--- a/packages/stand-ins/__tests__/lostLinks.spec.ts
+++ b/packages/stand-ins/__tests__/lostLinks.spec.ts
@@ -63,7 +63,7 @@
 }
 
 describe('an instance that has lost its links to all engines', () => {
-  for (const how of ['refused', 'hanging'] satisfies LinkCut[]) {
+  for (const how of ['refused', 'hanging', 'unanswered'] satisfies LinkCut[]) {
     it(`has its chats served through another one while connections are ${how}`, async () => {
       await start()
       expect(servedShare(await sendFor(400))).toBe(1)
--- a/packages/stand-ins/src/replay/lostLinksReplay.ts
+++ b/packages/stand-ins/src/replay/lostLinksReplay.ts
@@ -8,7 +8,7 @@
 import { ActiveFleet, CutOffInstances, FleetRelayPeers } from '@rackwalk/daemon'
 import { DemandMeter } from '@rackwalk/coordination'
 import type { MemberRow } from '@rackwalk/coordination'
-import { relayStep, wasNeverSent } from '@rackwalk/decisions'
+import { relayStep, silenceMilliseconds, wasNeverSent } from '@rackwalk/decisions'
 import type { AttemptOutcome, RelayOutcome } from '@rackwalk/decisions'
 import { LinkMonitor } from '@rackwalk/router'
 import { SeededRandom, VirtualClock, randomBelow, sleep } from '@rackwalk/shared'
@@ -39,6 +39,7 @@
 const SHORTEST_GOSSIP_MILLISECONDS: Milliseconds = 1_000
 const MAXIMUM_ATTEMPTS = 3
 const CONNECT_MILLISECONDS: Milliseconds = 150
+const STATE_MILLISECONDS: Milliseconds = 500
 const ANSWER_MILLISECONDS: Milliseconds = 60
 const HOP_MILLISECONDS: Milliseconds = 1
 const DEADLINES: readonly Milliseconds[] = [600, 4_000]
@@ -256,11 +257,13 @@
   ): Promise<Answer | undefined> {
     const isReused = endpoint.takeIdle(this.clock.monotonic())
     if (!isReused && !(await this.connects(instance))) return undefined
-    if (!isReused) endpoint.noteConnected()
-    if (isReused && instance.hasLostLinks && this.scenario.fault === 'silent') {
-      await sleep(this.clock, deadlineAt - this.clock.monotonic())
+    if (this.isUnanswered(instance, isReused)) {
+      const remaining = deadlineAt - this.clock.monotonic()
+      this.clock.after(silenceMilliseconds(remaining), () => instance.monitor.noteDoubted(SERVICE))
+      await sleep(this.clock, remaining)
       return 'failed'
     }
+    if (!isReused) endpoint.noteConnected()
     const delay = instance.outbound.take(BODY_BYTES)
     if (delay === undefined) return 'refused'
     await sleep(this.clock, delay + ANSWER_MILLISECONDS)
@@ -268,9 +271,24 @@
     return 'served'
   }
 
-  private async connects(instance: ReplayedInstance): Promise<boolean> {
+  /** Whether nothing that an instance sends on a connection is answered. */
+  private isUnanswered({ hasLostLinks }: ReplayedInstance, isReused: boolean): boolean {
+    const { fault } = this.scenario
+    return hasLostLinks && (fault === 'unanswered' || (fault === 'silent' && isReused))
+  }
+
+  private async connects({ hasLostLinks }: ReplayedInstance): Promise<boolean> {
+    const { fault } = this.scenario
+    if (!hasLostLinks || fault === 'unanswered') return true
+    if (fault === 'silent') await sleep(this.clock, CONNECT_MILLISECONDS)
+    return false
+  }
+
+  /** Whether a check finds the links up: an endpoint has to answer on the connection. */
+  private async isLinkUp(instance: ReplayedInstance | undefined): Promise<boolean> {
+    if (instance === undefined || !(await this.connects(instance))) return false
     if (!instance.hasLostLinks) return true
-    if (this.scenario.fault === 'silent') await sleep(this.clock, CONNECT_MILLISECONDS)
+    await sleep(this.clock, STATE_MILLISECONDS)
     return false
   }
 
@@ -359,10 +377,7 @@
       endpointsOf: () => endpoints,
       endpointsOfOthers: () => [],
       onCutOff: () => this.instances[index]?.cutOff.refreshOwn(),
-      connects: async () => {
-        const instance = this.instances[index]
-        return instance !== undefined && this.connects(instance)
-      },
+      isLinkUp: () => this.isLinkUp(this.instances[index]),
     })
   }
 
--- a/packages/stand-ins/src/replay/lostLinksScenario.ts
+++ b/packages/stand-ins/src/replay/lostLinksScenario.ts
@@ -22,6 +22,8 @@
   'reset',
   /** Open connections live on, and new ones are refused. */
   'refused to new connections',
+  /** Connections stay and come up, and nothing that is sent on them is answered. */
+  'unanswered',
 ] as const
 
 /** One of `LINK_FAULTS`. */
