fix(daemon): check links at once when an instance of the same failure domain reports a cut

Callers saw: where a whole failure domain is cut off and nothing is answered, first tries failed on and on at instances that had just become active. Cause: standby instances have few requests, so they learn of a cut by requests that become their first ones when they replace an active instance that reported it; the next one is as ignorant. Class: knowledge that an instance gains only from its own losses. Change: the first report of an instance of the same failure domain starts one check of links here.

--- a/packages/daemon/src/gateway/cutOffGossip.ts
+++ b/packages/daemon/src/gateway/cutOffGossip.ts
@@ -62,14 +62,19 @@
     this.timer?.cancel()
   }
 
-  /** An instance reported that it is cut off from these services. */
-  note(instance: string, services: readonly string[]): void {
-    if (services.length === 0) return
+  /**
+   * An instance reported that it is cut off from these services. Returns those of which it had no report that has not
+   * expired.
+   */
+  note(instance: string, services: readonly string[]): readonly string[] {
+    const newServices = services.filter(service => !this.has(instance, service))
+    if (services.length === 0) return newServices
     const { clock, gossipMilliseconds } = this.parts
     const expiresAt = clock.monotonic() + EXPIRY_INTERVALS * gossipMilliseconds()
     const reports = this.expiresAt.get(instance) ?? new Map<string, Milliseconds>()
     for (const service of services) reports.set(service, expiresAt)
     this.expiresAt.set(instance, reports)
+    return newServices
   }
 
   /** Whether an instance has a report, not yet expired, that it is cut off from a service. */
--- a/packages/daemon/src/gateway/endpointSubsystem.ts
+++ b/packages/daemon/src/gateway/endpointSubsystem.ts
@@ -149,6 +149,18 @@
     })
   }
 
+  /**
+   * Another instance reported that it is cut off. An instance of the same failure domain may have lost its links by the
+   * same fault, so this one checks its own before a request finds out.
+   */
+  private noteCutOff(instance: string, services: readonly string[]): void {
+    const newServices = this.cutOff.note(instance, services)
+    const { self, others } = this.parts.members
+    const reporter = others.find(other => other.instance === instance)
+    if (reporter?.failureDomain !== self.failureDomain) return
+    for (const service of newServices) this.links.noteDoubted(service)
+  }
+
   private createCutOff(): CutOffInstances {
     const { instance, clock } = this.parts
     return new CutOffInstances({
@@ -228,7 +240,7 @@
       onCrashGossip: gossip => this.crashes.observe(gossip),
       onAdviceGossip: gossip => this.advice.observe(gossip),
       onOverloaded: instance => this.overloaded.note(instance),
-      onCutOff: (...report) => this.cutOff.note(...report),
+      onCutOff: (...report) => this.noteCutOff(...report),
       onStreamGossip: gossip => this.streams.origins.observe(gossip),
       onSender: sender => unknownSenders.note(sender),
       standingAdvice: () => this.advice.advices.gossipSnapshot,
--- a/packages/stand-ins/src/replay/lostLinksReplay.ts
+++ b/packages/stand-ins/src/replay/lostLinksReplay.ts
@@ -398,12 +398,22 @@
   }
 
   private broadcast(from: string, services: readonly string[]): void {
-    for (const { name, cutOff } of this.instances) {
-      if (name === from || this.random.next() < GOSSIP_LOSS) continue
-      this.clock.after(GOSSIP_DELAY_MILLISECONDS, () => cutOff.note(from, services))
+    for (const other of this.instances) {
+      if (other.name === from || this.random.next() < GOSSIP_LOSS) continue
+      this.clock.after(GOSSIP_DELAY_MILLISECONDS, () => this.noteCutOff(other, from, services))
     }
   }
 
+  private noteCutOff(
+    { cutOff, failureDomain, monitor }: ReplayedInstance,
+    from: string,
+    services: readonly string[],
+  ): void {
+    const newServices = cutOff.note(from, services)
+    if (this.byName.get(from)?.failureDomain !== failureDomain) return
+    for (const service of newServices) monitor.noteDoubted(service)
+  }
+
   private createFleet(index: number, cutOff: CutOffInstances): ActiveFleet {
     return new ActiveFleet({
       isServing: () => true,
