--- a/packages/stand-ins/src/replay/lostLinksReplay.ts
+++ b/packages/stand-ins/src/replay/lostLinksReplay.ts
@@ -212,10 +212,9 @@
     request: SentRequest,
     isRelayed: boolean,
   ): Promise<Answer> {
-    const linkDelay = instance.inbound.take(BODY_BYTES)
-    const processorDelay = instance.processor.take(1)
-    if (linkDelay === undefined || processorDelay === undefined) return 'refused'
-    await sleep(this.clock, linkDelay + processorDelay)
+    const { inbound, outbound, processor } = instance
+    if (![inbound, outbound, processor].every(({ hasRoom }) => hasRoom)) return 'refused'
+    await sleep(this.clock, inbound.take(BODY_BYTES) + processor.take(1))
     if (!isRelayed && instance.monitor.isCutOff(SERVICE)) return this.relay(instance, request)
     const result = await this.attempt(instance, request)
     if (result !== 'unsent') return result
@@ -265,7 +264,6 @@
     }
     if (!isReused) endpoint.noteConnected()
     const delay = instance.outbound.take(BODY_BYTES)
-    if (delay === undefined) return 'refused'
     await sleep(this.clock, delay + ANSWER_MILLISECONDS)
     endpoint.putIdle(this.clock.monotonic())
     return 'served'
@@ -312,10 +310,9 @@
     request: SentRequest,
   ): Promise<Answer> {
     const peer = this.byName.get(name)
-    const delay = from.outbound.take(BODY_BYTES)
-    if (peer === undefined || delay === undefined) return 'refused'
+    if (peer === undefined) return 'refused'
     peer.relaysTaken += 1
-    await sleep(this.clock, delay + HOP_MILLISECONDS)
+    await sleep(this.clock, from.outbound.take(BODY_BYTES) + HOP_MILLISECONDS)
     return this.serve(peer, request, true)
   }
 
--- a/packages/stand-ins/src/replay/replayedLinks.ts
+++ b/packages/stand-ins/src/replay/replayedLinks.ts
@@ -4,8 +4,8 @@
 import type { MonitoredEndpoint } from '@rackwalk/router'
 import type { Clock, Milliseconds } from '@rackwalk/shared'
 
-/** Work that would wait longer than this is refused. */
-const LONGEST_BACKLOG_MILLISECONDS: Milliseconds = 400
+/** Work that would wait longer than this is refused before it is taken on. */
+const LONGEST_BACKLOG_MILLISECONDS: Milliseconds = 200
 /** An idle connection is kept for this long. */
 const IDLE_MILLISECONDS: Milliseconds = 4_000
 
@@ -19,15 +19,21 @@
     private readonly clock: Clock,
   ) {}
 
-  /** Takes on some units of work. Returns the time until they are done; undefined if too much waits. */
-  take(units: number): Milliseconds | undefined {
-    const now = this.clock.monotonic()
-    const backlog = Math.max(0, this.busyUntil - now)
-    if (backlog > LONGEST_BACKLOG_MILLISECONDS) return undefined
-    const delay = backlog + units / this.rate
-    this.busyUntil = now + delay
+  /** Whether so little work waits that more may be taken on. */
+  get hasRoom(): boolean {
+    return this.backlog <= LONGEST_BACKLOG_MILLISECONDS
+  }
+
+  /** Takes on some units of work. Returns the time until they are done. */
+  take(units: number): Milliseconds {
+    const delay = this.backlog + units / this.rate
+    this.busyUntil = this.clock.monotonic() + delay
     return delay
   }
+
+  private get backlog(): Milliseconds {
+    return Math.max(0, this.busyUntil - this.clock.monotonic())
+  }
 }
 
 /** An endpoint as one instance sees it, with that instance's idle connections to it. */
