--- a/packages/router/__tests__/linkMonitor.spec.ts
+++ b/packages/router/__tests__/linkMonitor.spec.ts
@@ -98,3 +98,62 @@
     expect(checks.length).toBeLessThanOrEqual(4)
   })
 })
+
+/** Endpoints of a service that reports no state and of one that does, behind links on which connections come up. */
+function setUpSilence(isAnswered: boolean) {
+  const clock = new VirtualClock()
+  const endpointsOf = (service: string) =>
+    Array.from({ length: 4 }, (_, index): MonitoredEndpoint => {
+      const seen = { connectedAt: LONG_AGO, failedAt: LONG_AGO }
+      return {
+        service,
+        address: `${service}-${index}`,
+        get link() {
+          return { failureDomain: 'a', ...seen }
+        },
+        noteConnected: () => (seen.connectedAt = clock.monotonic()),
+        noteConnectFailed: () => (seen.failedAt = clock.monotonic()),
+      }
+    })
+  const plain = endpointsOf('plain')
+  const models = endpointsOf('models')
+  return new LinkMonitor({
+    clock,
+    random: new SeededRandom(1),
+    endpointsOf: service => (service === 'plain' ? plain : models),
+    endpointsOfOthers: service => (service === 'plain' ? models : plain),
+    statePathOf: service => (service === 'models' ? '/state' : undefined),
+    onCutOff: () => {},
+    isLinkUp: async (_, statePath) => statePath === undefined || isAnswered,
+  })
+}
+
+async function settle(): Promise<void> {
+  for (let turn = 0; turn < 200; turn += 1) await Promise.resolve()
+}
+
+describe('an instance whose connections come up', () => {
+  it('is cut off from doubted services of which nothing answers, whether or not they report their state', async () => {
+    const monitor = setUpSilence(false)
+    for (const service of ['plain', 'models']) monitor.noteDoubted(service)
+    await settle()
+    expect(['plain', 'models'].map(service => monitor.isCutOff(service))).toEqual([true, true])
+    monitor.stop()
+  })
+
+  it('is not cut off where a reporting endpoint answers', async () => {
+    const monitor = setUpSilence(true)
+    for (const service of ['plain', 'models']) monitor.noteDoubted(service)
+    await settle()
+    expect(['plain', 'models'].map(service => monitor.isCutOff(service))).toEqual([false, false])
+    monitor.stop()
+  })
+
+  it('is not cut off from a service without reports because one of its connections failed', async () => {
+    const monitor = setUpSilence(false)
+    monitor.startChecking('plain')
+    await settle()
+    expect(monitor.isCutOff('plain')).toBe(false)
+    monitor.stop()
+  })
+})
