fix(router): ask for a connection only where a refusal has to be told from a cut

Read in the code: a refused connection proves an end only while another endpoint is reached, and since links are proved by answers, that waited up to 650 ms for a state report, which a busy process gets late. Class: one check for two questions. Change: there a connection is enough, as before; lost links are still proved by answers.

--- a/packages/router/src/routing/linkMonitor.ts
+++ b/packages/router/src/routing/linkMonitor.ts
@@ -134,15 +134,29 @@
     const sameService = endpointsOf(service).filter(endpoint => endpoint.address !== address)
     const otherServices = endpointsOfOthers(service)
     if (sameService.length + otherServices.length === 0) return true
-    return (await this.reachesAny(sameService)) || this.reachesAny(otherServices)
+    return (await this.connectsToAny(sameService)) || this.connectsToAny(otherServices)
+  }
+
+  /**
+   * Whether any of the endpoints takes a connection. No answer is awaited: a path that takes
+   * connections elsewhere is enough to tell an endpoint that refuses one from a cut.
+   */
+  private async connectsToAny(endpoints: readonly Endpoint[]): Promise<boolean> {
+    const connected = await Promise.all(
+      this.probed(endpoints).map(({ endpoint }) => this.isLinkUp(endpoint.address, undefined)),
+    )
+    return connected.includes(true)
   }
 
   private async reachesAny(endpoints: readonly Endpoint[]): Promise<boolean> {
-    const chosen = linksToProbe(endpoints.map(linked), this.now, this.parts.random.next())
-    const reached = await Promise.all(chosen.map(link => this.check(link)))
+    const reached = await Promise.all(this.probed(endpoints).map(link => this.check(link)))
     return reached.includes(true)
   }
 
+  private probed(endpoints: readonly Endpoint[]): readonly LinkedEndpoint<Endpoint>[] {
+    return linksToProbe(endpoints.map(linked), this.now, this.parts.random.next())
+  }
+
   private async checkUntilReached(service: string): Promise<void> {
     await this.checkOnce(service)
     while (this.unreachableAddresses.has(service) && !this.isStopped) {
@@ -152,7 +166,7 @@
   }
 
   private async checkOnce(service: string): Promise<void> {
-    const chosen = linksToProbe(this.linksOf(service), this.now, this.parts.random.next())
+    const chosen = this.probed(this.parts.endpointsOf(service))
     if (await this.isUnanswered(service)) {
       for (const { endpoint } of chosen) endpoint.noteConnectFailed()
     } else {
