--- a/packages/stand-ins/src/replay/replayedLinks.ts
+++ b/packages/stand-ins/src/replay/replayedLinks.ts
@@ -5,7 +5,7 @@
 import type { Clock, Milliseconds } from '@rackwalk/shared'
 
 /** Work that would wait longer than this is refused before it is taken on. */
-const LONGEST_BACKLOG_MILLISECONDS: Milliseconds = 200
+const LONGEST_BACKLOG_MILLISECONDS: Milliseconds = 400
 /** An idle connection is kept for this long. */
 const IDLE_MILLISECONDS: Milliseconds = 4_000
 
