fix(router): isolated chats wait for news of a crash before they go to the next engine

What callers saw: where a chat that crashes engines came at several instances within milliseconds, each copy whose engine refused the connection went on to the next engine at once and crashed that one too, just before the probe of the first was done. One engine more than needed was lost, with all that ran on it.

Cause: the gateway kind waits 100 ms for news there, the OpenAI-style kind did not: the rule stood in one kind's code. It is a rule of packages/decisions now (retrying/crashGossipWait), and both kinds use it.

The gateway kind does what it did.

--- a/packages/router/__tests__/standIns/markedChats.ts
+++ b/packages/router/__tests__/standIns/markedChats.ts
@@ -10,7 +10,8 @@
 import type { Clock, EndpointId, Milliseconds, RequestFingerprint, Timer } from '@rackwalk/shared'
 import { CrashGuard, DispatchFilter, EndpointRouter, EndpointTable } from '@rackwalk/router'
 
-export type Front = 'closes' | 'silent' | 'answers 500' | 'answers 503'
+/** What answers at the address of an engine that has crashed; `none` refuses connections. */
+export type Front = 'closes' | 'silent' | 'answers 500' | 'answers 503' | 'none'
 
 /** A time during which one instance's event loop is blocked, or its probes are inconclusive. */
 interface Window {
@@ -300,7 +301,7 @@
         return void member.clock.after(INCONCLUSIVE_MILLISECONDS, () => resolve('no-connection'))
       // The probe request arrives after half of the time.
       this.clock.after(duration / 2, () => {
-        const result = engine.isUp ? 'lives' : 'does-not-answer'
+        const result = engine.isUp ? 'lives' : this.signOfCrash
         const held = !engine.isUp && this.scenario.front === 'silent' ? 100 : 0
         member.clock.after(duration / 2 + held, () => {
           this.log(member, `probe of ${engine.id}: ${result}`)
@@ -310,6 +311,10 @@
     })
   }
 
+  private get signOfCrash(): ProbeResult {
+    return this.scenario.front === 'none' ? 'nobody-listens' : 'does-not-answer'
+  }
+
   arrive(member: Member, engine: Engine, exchange: Exchange, isMarked: boolean): void {
     const { front } = this.scenario
     const broken = { kind: 'failed', reason: 'broken off', stalled: false }
@@ -331,7 +336,8 @@
         if (isMarked) this.crash(engine)
         else exchange.fail(reply(200))
       })
-    } else if (front === 'closes') exchange.fail(broken)
+    } else if (front === 'none') exchange.fail({ kind: 'unsent', reason: 'ECONNREFUSED' })
+    else if (front === 'closes') exchange.fail(broken)
     else if (front === 'answers 500') exchange.fail(reply(500))
     else if (front === 'answers 503') exchange.fail(reply(503))
   }
--- a/packages/router/src/filters/dispatch.ts
+++ b/packages/router/src/filters/dispatch.ts
@@ -8,7 +8,7 @@
 
 import { DispatchedError, NotRunError, endpointStart, sleep } from '@rackwalk/shared'
 import type { Clock, EndpointId, EndpointStart, Milliseconds, RandomSource } from '@rackwalk/shared'
-import { isServerError, parseAdvice } from '@rackwalk/decisions'
+import { crashGossipWait, isServerError, parseAdvice } from '@rackwalk/decisions'
 import type { AnswerEnd, AnswerDisposition } from '@rackwalk/decisions'
 import type { EndpointAdviceStore } from '../advice/endpointAdviceStore.js'
 import { adviceFromHeaders } from '../advice/adviceFromHeaders.js'
@@ -445,10 +445,14 @@
 
   /**
    * If this instance reaches no endpoint of the target, dispatch gives up, so that the request is
-   * relayed to another instance instead of tried at the next endpoint.
+   * relayed to another instance instead of tried at the next endpoint. An isolated request waits
+   * for news of a crash before the next endpoint is put at risk.
    */
-  private afterUnsent({ target }: RoutedRequest): NextStep {
-    return this.parts.isCutOff(target) ? 'give-up' : 'try-another'
+  private async afterUnsent(request: RoutedRequest): Promise<NextStep> {
+    if (this.parts.isCutOff(request.target)) return 'give-up'
+    const wait = crashGossipWait(requestVerdict(this.parts.crashes, request))
+    if (wait > 0) await sleep(this.parts.clock, wait)
+    return this.isOver(request, undefined) ? 'give-up' : 'try-another'
   }
 
   /**
--- a/packages/router/src/gateway/requestAttempts.ts
+++ b/packages/router/src/gateway/requestAttempts.ts
@@ -10,6 +10,7 @@
   adviceText,
   answerDisposition,
   canRepeat,
+  crashGossipWait,
   finalError,
   isEndpointFailure,
   wasNeverSent,
@@ -44,12 +45,6 @@
 
 /** Endpoints enforce the deadline themselves, so an answer is awaited for this long after the deadline. */
 const DEADLINE_SLACK_MILLISECONDS = 80
-/**
- * If the endpoint of an isolated request refuses the connection, another try of the same request may just
- * have crashed it. The message with which another instance reports that crash (gossip) is awaited for this
- * long before the next endpoint is put at risk.
- */
-const GOSSIP_WAIT_MILLISECONDS = 100
 /** No process listens at the address. */
 const CONNECTION_REFUSED = 'ECONNREFUSED'
 const STATUS_OK = 200
@@ -219,11 +214,16 @@
     if (reason === CONNECTION_REFUSED) endpoint.noteUnreachable()
     this.parts.links.noteConnectFailed(endpoint)
     const end = this.endAttempt({ kind: 'connect-failed', reason })
-    const isGossipExpected = end === 'try-another' && this.selector.verdict === 'isolate'
-    if (isGossipExpected) await sleep(this.parts.clock, GOSSIP_WAIT_MILLISECONDS)
+    if (end === 'try-another') await this.waitForCrashGossip()
     return end
   }
 
+  /** Before the next endpoint is put at risk, it must be known whether another try has just crashed this one. */
+  private async waitForCrashGossip(): Promise<void> {
+    const wait = crashGossipWait(this.selector.verdict)
+    if (wait > 0) await sleep(this.parts.clock, wait)
+  }
+
   /**
    * The endpoint reset the request before the first event of its answer (the first bytes of an answer that is
    * no stream), or a proxy or load balancer in front of the engine answered with an error. Before the request
