fix(router): charge events that a caller has although a fault ended the request (gateway kind)

What callers and operators saw: where anything of this product threw within an attempt (forced: the platform's dialect on the second attempt of a resumed stream), the caller kept the events of the first attempt and the team was charged 0 of 50 tokens; the request's line had no execution, whether or not an endpoint had run it, and the exchange with the endpoint was left open.

Now the result can be read at any time: what was sent within a fault may have run, what was delivered is charged, the exchange is aborted. The attempts are made before the tokens are reserved, so that nothing that throws lies between the reservation and its settlement.

Ruled out by reading each place that throws: "not run" was never said, since no code of that kind is thrown within the attempts; the caller was and is told 9001, without a promise.

What decides a request without a fault is unchanged: outcomeOfHead is the old method, moved.

--- a/packages/router/src/gateway/attemptOutcomes.ts
+++ b/packages/router/src/gateway/attemptOutcomes.ts
@@ -1,10 +1,14 @@
 /**
- * Decides what the outcome of an attempt says about its endpoint: success, proxy error or termination. Owns
- * nothing.
+ * Decides what the head of an answer means for its attempt, and what the outcome of an attempt says about its
+ * endpoint: success, proxy error or termination. Owns nothing.
  */
 
 import { isServerError } from '@rackwalk/decisions'
 import type { AttemptOutcome } from '@rackwalk/decisions'
+import type { ReplyMetadata } from './dialect.js'
+
+/** An answer with a status below this one is trusted only if its endpoint signed it. */
+const STATUS_REDIRECT = 300
 
 /**
  * Whether a proxy or load balancer in front of the engine gave the answer: a server error that is unsigned or
@@ -23,3 +27,19 @@
 export function terminatedOutcome(kind: 'failed' | 'not-sent', reason: string): AttemptOutcome {
   return { kind: kind === 'failed' ? kind : 'connect-failed', reason }
 }
+
+/**
+ * Returns the outcome of an attempt whose endpoint sent the head of an answer to the request with this id.
+ */
+export function outcomeOfHead(
+  status: number,
+  reply: ReplyMetadata,
+  requestId: string,
+): AttemptOutcome {
+  if (reply.isNotExecuted) return { kind: 'refused', status }
+  if (reply.requestId !== requestId)
+    return { kind: 'not-trusted', problem: 'answer to another request' }
+  if (status < STATUS_REDIRECT && !reply.isSigned)
+    return { kind: 'not-trusted', problem: 'unsigned answer' }
+  return { kind: 'answered', status }
+}
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -96,15 +96,6 @@
   readonly origin: StreamOrigin | undefined
 }
 
-/** Result of attempts that threw before an outcome was known; the reservation is settled by it. */
-const NOT_RUN: AttemptsResult = {
-  mayHaveRun: false,
-  hasDelivered: false,
-  events: 0,
-  isWhole: false,
-  isUnsent: false,
-}
-
 /** Serves requests, each from its arrival to its end. */
 export class Gateway {
   /** By service name. */
@@ -201,23 +192,23 @@
     const { clock, instances } = this.parts
     const retries = this.retryBudget(service.name)
     retries.noteRequest(clock.monotonic())
+    const attempts = new RequestAttempts(this.parts, {
+      ...read,
+      team: team?.name,
+      priority: service.engine === undefined ? undefined : (team?.priority ?? route.priority),
+      takeRetry: () => retries.take(clock.monotonic(), instances()),
+      mayRelay,
+    })
     const reservation = await this.reserve(read, record)
-    let result: AttemptsResult = NOT_RUN
     try {
-      const attempts = new RequestAttempts(this.parts, {
-        ...read,
-        team: team?.name,
-        priority: service.engine === undefined ? undefined : (team?.priority ?? route.priority),
-        takeRetry: () => retries.take(clock.monotonic(), instances()),
-        mayRelay,
-      })
-      result = await attempts.run()
-      record.execution = result.mayHaveRun ? 'ran' : 'not-run'
+      await attempts.run()
       this.noteLateness(route, record)
     } finally {
-      this.settle(read, reservation, result, record)
+      // A fault within an attempt costs the team what the caller was given until then.
+      record.execution = attempts.result.mayHaveRun ? 'ran' : 'not-run'
+      this.settle(read, reservation, attempts.result, record)
     }
-    return result
+    return attempts.result
   }
 
   /** Relays a request that this instance can't send to any endpoint. */
@@ -382,7 +373,7 @@
     const error = toRackwalkError(thrown)
     record.code = error.code
     record.detail = error.message
-    record.execution = RESULT_TABLE[error.code].execution
+    record.execution = RESULT_TABLE[error.code].execution ?? record.execution
     if (reply.isStarted) reply.abort()
     else if (!reply.isCallerGone) record.refusedBody = reply.refuse(error)
   }
--- a/packages/router/src/gateway/requestAttempts.ts
+++ b/packages/router/src/gateway/requestAttempts.ts
@@ -27,7 +27,7 @@
 import { promptPartKeys } from '../crashes/promptPartKey.js'
 import { GatewayAnswerDelivery } from './gatewayAnswerDelivery.js'
 import { suspectEndpointOf } from './suspectEndpoint.js'
-import { isSuccessful, isProxyError, terminatedOutcome } from './attemptOutcomes.js'
+import { isSuccessful, isProxyError, outcomeOfHead, terminatedOutcome } from './attemptOutcomes.js'
 import { EndpointSelector } from './endpointSelector.js'
 import type { SelectionConstraints, ChosenEndpoint } from './endpointSelector.js'
 import type { ReplyMetadata } from './dialect.js'
@@ -48,8 +48,6 @@
 /** No process listens at the address. */
 const CONNECTION_REFUSED = 'ECONNREFUSED'
 const STATUS_OK = 200
-/** An answer with a status below this one is trusted only if its endpoint signed it. */
-const STATUS_REDIRECT = 300
 
 /** The attempts at one request. */
 export class RequestAttempts implements SelectionConstraints {
@@ -69,6 +67,8 @@
   private hasDelivered = false
   private isDeadlinePassed = false
   private isUnsent = false
+  /** Whether the caller has a complete answer. */
+  private isWhole = false
   /** Monotonic time at which the current attempt was sent. */
   private sentAt: Milliseconds = 0
   private readonly selector: EndpointSelector
@@ -88,21 +88,25 @@
    * one or a refusal, or has left. Only if the result is `isUnsent`, the caller has nothing yet and the
    * request is to be relayed.
    */
-  async run(): Promise<AttemptsResult> {
+  async run(): Promise<void> {
     const { reply } = this.request
     reply.onLeave(() => this.exchange?.abort('caller-left'))
     const untilAbort = this.abortAt - this.parts.clock.sinceStart()
     const timer = this.parts.clock.after(untilAbort, () => this.passDeadline())
     try {
-      const isWhole = await this.attemptUntilDone()
-      const { hasDelivered, isUnsent } = this
-      const { events } = this.events
-      return { mayHaveRun: this.history.some(mayHaveRun), hasDelivered, events, isWhole, isUnsent }
+      this.isWhole = await this.attemptUntilDone()
     } finally {
       timer.cancel()
     }
   }
 
+  /** The result so far. It is also valid after `run` has thrown. */
+  get result(): AttemptsResult {
+    const { hasDelivered, isWhole, isUnsent } = this
+    const { events } = this.events
+    return { mayHaveRun: this.history.some(mayHaveRun), hasDelivered, events, isWhole, isUnsent }
+  }
+
   private passDeadline(): void {
     this.isDeadlinePassed = true
     this.exchange?.abort('deadline')
@@ -174,6 +178,9 @@
         return await this.handleAnswer(endpoint, exchange, head.response, pending.noteBegun)
       }
       return await this.endWithoutAnswer(endpoint, head)
+    } catch (thrown) {
+      this.abortAfterFault()
+      throw thrown
     } finally {
       this.closeExchange()
       pending.end()
@@ -181,6 +188,13 @@
     }
   }
 
+  /** Ends an attempt within which something threw. The endpoint may have run what was sent to it. */
+  private abortAfterFault(): void {
+    if (this.exchange === undefined) return
+    this.exchange.abort('aborted')
+    this.history.push({ kind: 'failed', reason: 'internal fault' })
+  }
+
   /** Registers an exchange with its endpoint, so that a termination of the endpoint ends the exchange. */
   private registerExchange(endpoint: EndpointState, exchange: UpstreamExchange): void {
     const { route, reply, service } = this.request
@@ -301,7 +315,7 @@
     const reply = this.parts.dialect.readReply(status, response.headers)
     if (reply.load !== undefined) endpoint.noteLoad(reply.load)
     this.parts.turnAways.note(endpoint.service, parseRejectionLimit(reply.rejectionLimit))
-    const outcome = this.judge(status, reply)
+    const outcome = outcomeOfHead(status, reply, this.request.metadata.requestId)
     this.noteAdvice(endpoint, reply, outcome)
     if (outcome.kind === 'refused' && isMisdirected(status)) {
       this.parts.directory.noteEnded(endpoint.record)
@@ -335,17 +349,6 @@
     advices.note(endpoint.start, parsedAdvice, kind === 'answered')
   }
 
-  private judge(status: number, reply: ReplyMetadata): AttemptOutcome {
-    if (reply.isNotExecuted) return { kind: 'refused', status }
-    if (reply.requestId !== this.request.metadata.requestId) {
-      return { kind: 'not-trusted', problem: 'answer to another request' }
-    }
-    if (status < STATUS_REDIRECT && !reply.isSigned) {
-      return { kind: 'not-trusted', problem: 'unsigned answer' }
-    }
-    return { kind: 'answered', status }
-  }
-
   private async deliver(
     endpoint: EndpointState,
     exchange: UpstreamExchange,
