fix(router): a fault after dispatch keeps the claim of its key (OpenAI-style kind)

Now every error but NotRunError keeps the claim and is recorded as 4003; the caller is told 9001 as before. The same holds while the answer is delivered. Such a request costs nothing, as each answer that the fleet fails to complete does.

Test: faultAfterDispatch, the real pipeline with filters that throw: the claim was released in both stages before (and the third case, a request that may have run, relied on the dispatch filter alone to keep it); four of four after. requestPath, answerEnds, continuedAnswers: 46 green.

--- a/packages/router/src/requestPipeline.ts
+++ b/packages/router/src/requestPipeline.ts
@@ -29,7 +29,7 @@
 import type { CrashScreenFilter } from './filters/crashScreen.js'
 import type { SettleFilter } from './filters/settle.js'
 import type {
-  DispatchedRequest,
+  DeliveredRequest,
   ParsedRequest,
   ReceivedRequest,
   RoutedRequest,
@@ -135,21 +135,25 @@
     const reserved = await this.filters.reserve.apply(admitted)
     const claimed = await this.filters.claim.apply(reserved)
     const routed = await this.filters.route.apply(claimed)
-    const dispatched = await this.dispatch(routed)
-    const relayed = await this.filters.delivery.apply(dispatched)
-    const settled = await this.filters.settle.apply(relayed)
+    const delivered = await this.dispatch(routed)
+    const settled = await this.filters.settle.apply(delivered)
     return this.filters.complete.apply(settled)
   }
 
   /**
-   * Dispatches the request. The end of a request that may have run but got no answer is recorded in
-   * the journal.
+   * Dispatches the request and delivers its answer. The end of a request that may have run but got
+   * no answer is recorded in the journal. A fault of the program may come after an endpoint ran the
+   * request, so it keeps the claim, too.
    */
-  private async dispatch(routed: RoutedRequest): Promise<DispatchedRequest> {
+  private async dispatch(routed: RoutedRequest): Promise<DeliveredRequest> {
+    const { dispatch, delivery, settle } = this.filters
     try {
-      return await this.filters.dispatch.apply(routed)
+      return await delivery.apply(await dispatch.apply(routed))
     } catch (thrown) {
-      if (thrown instanceof DispatchedError) this.filters.settle.noteFailure(routed, thrown.code)
+      if (thrown instanceof NotRunError) throw thrown
+      routed.scope.commit()
+      const isKnown = thrown instanceof DispatchedError
+      settle.noteFailure(routed, isKnown ? thrown.code : ResultCode.OutcomeUnknown)
       throw thrown
     }
   }
