fix(router): abort an answer that is given up, so that its connection is free (gateway kind)

Which statuses reach it was traced: a request whose caller has nothing yet gets such an answer passed on, so only continued streams are concerned. Ruled out: that the answer is still needed; its caller has been cut off by then.

--- a/packages/router/src/gateway/requestAttempts.ts
+++ b/packages/router/src/gateway/requestAttempts.ts
@@ -15,7 +15,6 @@
   isEndpointFailure,
   wasNeverSent,
   isMisdirected,
-  claimsNotExecuted,
   mayHaveRun,
   retryStep,
   parseAdvice,
@@ -507,13 +506,11 @@
 /**
  * Ends an exchange whose answer is not delivered. The answer is read to its end, so that the connection
  * can be reused, if the endpoint rejected the request, or answered it and another endpoint is tried.
- * Otherwise the exchange is aborted, except for an answer that is given up for another reason than its
- * status of "not executed", such as the wrong status for the rest of a stream: its exchange is left as it
- * is.
+ * Otherwise the exchange is aborted, since the endpoint may hold the end of its answer back.
  */
 function discard(exchange: UpstreamExchange, outcome: AttemptOutcome, step: RetryStep): void {
-  if (outcome.kind === 'refused') return exchange.drain()
-  if (outcome.kind === 'answered' && step === 'try-another') return exchange.drain()
-  const isLeftOpen = outcome.kind === 'answered' && !claimsNotExecuted(outcome.status)
-  if (!isLeftOpen) exchange.abort('aborted')
+  const isRead =
+    outcome.kind === 'refused' || (outcome.kind === 'answered' && step === 'try-another')
+  if (isRead) exchange.drain()
+  else exchange.abort('aborted')
 }
