fix(router): relays end at the deadline after a suspension; a caller that left unsent was not run

What was seen (forced): a machine suspended for 10 s while its first relay broke off sent the request, whose caller had given up 6 s before, to a second instance; and a caller that left before anything was relayed was recorded as 4001 ("may have run") where 3xxx ("not run") is true.

The chat relay of the other kind was looked at: it reads the clock and tells a caller that left nothing.

--- a/packages/router/src/gateway/peerRelay.ts
+++ b/packages/router/src/gateway/peerRelay.ts
@@ -87,11 +87,10 @@
    * yet and none of the other instances can have run the request.
    */
   async run(): Promise<boolean> {
-    const { reply, deadlineAt } = this.request
+    const { reply } = this.request
     const { clock } = this.parts
     reply.onLeave(() => this.exchange?.abort('caller-left'))
-    const untilAbort = deadlineAt + DEADLINE_SLACK_MILLISECONDS - clock.sinceStart()
-    const timer = clock.after(untilAbort, () => this.passDeadline())
+    const timer = clock.after(this.abortAt - clock.sinceStart(), () => this.passDeadline())
     try {
       return await this.relayUntilDone()
     } finally {
@@ -105,9 +104,15 @@
   }
 
   private get isOver(): boolean {
+    // The timer stands still while the host is suspended; `sinceStart` does not.
+    this.isDeadlinePassed ||= this.parts.clock.sinceStart() >= this.abortAt
     return this.isDeadlinePassed || this.request.reply.isCallerGone
   }
 
+  private get abortAt(): Milliseconds {
+    return this.request.deadlineAt + DEADLINE_SLACK_MILLISECONDS
+  }
+
   private async relayUntilDone(): Promise<boolean> {
     let peer = this.nextPeer
     while (peer !== undefined && !this.isOver) {
@@ -231,13 +236,21 @@
 
   private get finalError(): RackwalkError {
     const { reply } = this.request
-    if (reply.isCallerGone) return new DispatchedError(ResultCode.CallerLeft)
     const wasSent = this.outcomes.some(({ kind }) => kind === 'failed')
-    if (!wasSent) return new NotRunError(ResultCode.DeadlineUnreachable)
+    if (!wasSent) return this.unsentError
+    if (reply.isCallerGone) return new DispatchedError(ResultCode.CallerLeft)
     if (this.isDeadlinePassed) return new DispatchedError(ResultCode.DeadlinePassed)
     if (reply.isStarted) return new DispatchedError(ResultCode.EndpointBrokeOff)
     return new DispatchedError(ResultCode.EndpointFailed)
   }
+
+  /** The error of a request that no other instance can have run. */
+  private get unsentError(): NotRunError {
+    const { isCallerGone } = this.request.reply
+    return new NotRunError(
+      isCallerGone ? ResultCode.CallerLeftUnsent : ResultCode.DeadlineUnreachable,
+    )
+  }
 }
 
 /** Records a refusal by the other instance, which was passed on to this instance's caller. */
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -100,7 +100,7 @@
 export { isLinkUp } from './routing/linkProbe.js'
 export { LinkMonitor } from './routing/linkMonitor.js'
 export { EndpointAgent } from './gateway/endpointAgent.js'
-export { RELAYED_BY } from './gateway/peerRelay.js'
+export { PeerRelay, RELAYED_BY } from './gateway/peerRelay.js'
 export type { RelayPeer, RelayPeers } from './gateway/peerRelay.js'
 export { RouteTable } from './gateway/gatewayConfiguration.js'
 export type {
