fix(coordination): a rejected call to the store is no longer in progress

By reading, no caller met it: both pass calls that resolve with an outcome. The call's end and duration are now recorded however it ends. Test: storeHealth, red before; prepaidLedger 15 of 15.

--- a/packages/coordination/src/prepaid/storeHealth.ts
+++ b/packages/coordination/src/prepaid/storeHealth.ts
@@ -64,23 +64,22 @@
     return Math.min(...this.lastDurations) > patience
   }
 
-  /**
-   * Age of the call in progress; undefined if there is none. A call that rejects stays in progress
-   * until the next call starts.
-   */
+  /** Age of the call in progress; undefined if there is none. */
   get callAge(): Milliseconds | undefined {
     if (this.callStartedAt === undefined) return undefined
     return this.clock.monotonic() - this.callStartedAt
   }
 
-  /** Awaits a call and records its duration. */
+  /** Awaits a call and records its duration, also if the call rejects. */
   async timed<Outcome>(call: Promise<Outcome>): Promise<Outcome> {
     this.callStartedAt = this.clock.monotonic()
     const startedAt = this.clock.monotonic()
-    const outcome = await call
-    this.lastDurations = [this.lastDurations[1], this.clock.monotonic() - startedAt]
-    this.callStartedAt = undefined
-    return outcome
+    try {
+      return await call
+    } finally {
+      this.lastDurations = [this.lastDurations[1], this.clock.monotonic() - startedAt]
+      this.callStartedAt = undefined
+    }
   }
 
   recordSuccess(): void {
