--- a/packages/router/src/engine/endpointClient.ts
+++ b/packages/router/src/engine/endpointClient.ts
@@ -6,7 +6,7 @@
 import { Agent, Pool, request as sendRequest } from 'undici'
 import type { Client } from 'undici'
 import type { Readable } from 'node:stream'
-import type { KnownTermination } from '@rackwalk/decisions'
+import type { AnswerEnd, KnownTermination } from '@rackwalk/decisions'
 import type { Clock, EndpointId, Milliseconds } from '@rackwalk/shared'
 import { ANSWER_BUFFER_LIMITS, AnswerBufferPool } from './answerBuffer.js'
 import type { AnswerBufferLimits } from './answerBuffer.js'
@@ -72,7 +72,7 @@
    * attempt has failed; never rejects.
    */
   attempt(call: EndpointRequest): Promise<AttemptResult> {
-    if (call.signal.aborted) return Promise.resolve({ kind: 'unsent', reason: 'the caller left' })
+    if (call.signal.aborted) return Promise.resolve(unsentAfter(call.signal.reason))
     const { endpointId, method, isRepeatable, signal } = call
     const { bufferPool, inFlight, clock } = this
     const exchange = new EndpointExchange({
@@ -141,3 +141,9 @@
     await this.agent.destroy()
   }
 }
+
+/** Returns the result of a request that was over before it was sent. */
+function unsentAfter(end: AnswerEnd): AttemptResult {
+  const reason = end === 'deadline' ? 'the deadline passed' : 'the caller left'
+  return { kind: 'unsent', reason }
+}
