fix(decisions): a request cleared of 16 crashes can still be marked

What callers would have seen: a request that is sent for weeks beside crashes it did not cause is cleared of each by its next answer; after sixteen of them no further mark was taken, so that the same request, once it does crash engines (a new engine version), would have crashed one after another without ever being isolated or refused.

Now the crash that was cleared first makes room; uncleared ones are never dropped, and the bound holds (property over marks and clearances in any order). A late mark of a forgotten clearance isolates the request until its next answer.

--- a/packages/decisions/__tests__/requestQuarantine.spec.ts
+++ b/packages/decisions/__tests__/requestQuarantine.spec.ts
@@ -150,3 +150,43 @@
     expect(quarantine.hasSuspectsInScope(scope)).toBe(false)
   })
 })
+
+describe('a request that was cleared of many crashes', () => {
+  const MANY = 40
+  const MAXIMUM_HELD = 16
+
+  function clearedOf(crashes: number): RequestQuarantine {
+    const quarantine = new RequestQuarantine()
+    for (let number = 0; number < crashes; number += 1) {
+      receive([crash(`earlier-${number}`, false), clear(`earlier-${number}`)], quarantine)
+    }
+    return quarantine
+  }
+
+  it('is cleared of each of them', () => {
+    for (let crashes = 0; crashes < MANY; crashes += 1) {
+      expect(clearedOf(crashes).verdict(REQUEST), `${crashes} crashes`).toBe('send')
+    }
+  })
+
+  it('is still refused after it has crashed an engine in isolation', () => {
+    for (let crashes = 0; crashes < MANY; crashes += 1) {
+      const quarantine = receive([crash('new', true)], clearedOf(crashes))
+      expect(quarantine.verdict(REQUEST), `${crashes} earlier crashes`).toBe('refuse')
+    }
+  })
+
+  it('holds a bounded number of crashes, whatever the order of marks and clearances', () => {
+    const names = fc.constantFrom(...Array.from({ length: MANY }, (_, number) => `s-${number}`))
+    const gossip = fc.oneof(
+      names.map(name => crash(name, false)),
+      names.map(name => clear(name)),
+    )
+    fc.assert(
+      fc.property(fc.array(gossip, { maxLength: 200 }), items => {
+        const marks = receive(items).unclearedMarksOf(REQUEST)
+        expect(marks.length).toBeLessThanOrEqual(MAXIMUM_HELD)
+      }),
+    )
+  })
+})
--- a/packages/decisions/src/retrying/requestQuarantine.ts
+++ b/packages/decisions/src/retrying/requestQuarantine.ts
@@ -85,8 +85,8 @@
  */
 export const SCOPE_PREFIX_LENGTH = 6
 /**
- * Maximum number of crashes held per request, and of clearances. A refused request usually has two or three crashes. Cleared
- * crashes are included: a request with this many crashes takes no mark of a further start.
+ * Maximum number of crashes held per request, and of clearances. A refused request usually has two or three crashes. Beyond
+ * it the crash that was cleared first is forgotten, so that a request that was harmless for long can still be marked.
  */
 const MAXIMUM_CRASHES = 16
 
@@ -128,13 +128,14 @@
 
   /**
    * Records a crash mark. Marks may arrive in any order. Returns false if the mark is known already, says less than a known
-   * one, or exceeds the maximum number of crashes.
+   * one, or exceeds the maximum number of uncleared crashes.
    */
   noteMark({ fingerprint, start, wasIsolated }: CrashMark): boolean {
-    const { crashes } = this.touch(fingerprint)
+    const suspect = this.touch(fingerprint)
+    const { crashes } = suspect
     const known = crashes.get(start)
     if (known === true || known === wasIsolated) return false
-    if (known === undefined && crashes.size >= MAXIMUM_CRASHES) return false
+    if (known === undefined && !makeRoom(suspect)) return false
     crashes.set(start, wasIsolated)
     this.updateScope(fingerprint)
     return true
@@ -142,8 +143,11 @@
 
   /** Clears a request of the crashes of these starts, because its answer has begun or an operator cleared the request. */
   clear(fingerprint: RequestFingerprint, starts: readonly EndpointStart[]): void {
-    const { cleared } = this.touch(fingerprint)
-    for (const start of starts) if (cleared.size < MAXIMUM_CRASHES) cleared.add(start)
+    const suspect = this.touch(fingerprint)
+    for (const start of starts) {
+      if (suspect.cleared.size >= MAXIMUM_CRASHES) forgetFirstCleared(suspect)
+      suspect.cleared.add(start)
+    }
     this.updateScope(fingerprint)
   }
 
@@ -182,3 +186,20 @@
     this.updateScope(oldest)
   }
 }
+
+/** Makes room for one more crash. Returns false if none of the crashes held is cleared. */
+function makeRoom(suspect: SuspectRequest): boolean {
+  while (suspect.crashes.size >= MAXIMUM_CRASHES) {
+    if (!forgetFirstCleared(suspect)) return false
+  }
+  return true
+}
+
+/** Forgets the crash that was cleared first, with its clearance. Returns false if none is cleared. */
+function forgetFirstCleared({ crashes, cleared }: SuspectRequest): boolean {
+  const [first] = cleared
+  if (first === undefined) return false
+  cleared.delete(first)
+  crashes.delete(first)
+  return true
+}
