--- a/review/common/deployment.ts
+++ b/review/common/deployment.ts
@@ -59,6 +59,9 @@
 
   constructor(private readonly recordFile: string) {
     writeFileSync(recordFile, '')
+    // No process outlives the script, however the script ends.
+    process.once('exit', () => this.killAll())
+    for (const signal of ['SIGTERM', 'SIGINT'] as const) process.once(signal, () => process.exit(2))
   }
 
   /** Milliseconds since the start of the script. */
@@ -83,12 +86,16 @@
   }
 
   stop(): void {
-    this.isStopping = true
-    for (const { process } of this.machines) process.kill('SIGKILL')
+    this.killAll()
     this.store.stop()
     rmSync(this.folder, { recursive: true, force: true })
   }
 
+  private killAll(): void {
+    this.isStopping = true
+    for (const machine of this.machines) machine.process.kill('SIGKILL')
+  }
+
   private startMachine(
     node: string,
     zone: string,
