fix(coordination): a mirror forgets rows that are missing from a whole read

Cause: TableMirror only ever added to the rows from which it answers peers.

Change: rows of partitions that were received whole, from the store or a peer, replace those kept before.

Ruled out: answering peers from the listener's own state; it has no versions.

--- a/packages/coordination/__tests__/tableMirror.spec.ts
+++ b/packages/coordination/__tests__/tableMirror.spec.ts
@@ -240,4 +240,27 @@
     await source.clock.advance(700)
     expect([follower.seen.get('b'), asked()]).toEqual(['2', before])
   })
+
+  // A standby instance sent requests to an endpoint that was gone, since its peer still sent the endpoint's row.
+  it.each(['the store', 'a peer'])(
+    'sends no row that was removed in a gap of the history and read whole from %s',
+    async source => {
+      const { source: first, follower } = await setUpTwo()
+      const { store, clock } = first
+      if (source === 'a peer') follower.faults.isCut = true
+      first.faults.isCut = true
+      await clock.advance(10)
+      store.remove(TABLE, 'a')
+      store.put(TABLE, 'b', '2')
+      store.forgetHistory()
+      first.faults.isCut = false
+      await clock.advance(5_000)
+      expect([...follower.seen].filter(([, value]) => value !== undefined)).toEqual([['b', '2']])
+      for (const { mirror } of [first, follower]) {
+        const page = mirror.since(0)
+        expect(page?.isWhole).toBe(true)
+        expect(page?.rows.map(({ key }) => key)).toEqual(['b'])
+      }
+    },
+  )
 })
--- a/packages/coordination/src/rows/tableMirror.ts
+++ b/packages/coordination/src/rows/tableMirror.ts
@@ -316,10 +316,22 @@
     if (page.version <= (this.position ?? -1)) return
     if (page.isWhole || this.position === undefined) this.completeAfter = page.version
     this.position = page.version
-    for (const partition of this.parts.partitions()) this.readPartitions.add(partition)
+    const partitions = this.parts.partitions()
+    for (const partition of partitions) this.readPartitions.add(partition)
+    if (page.isWhole) this.forgetRows(partitions)
     this.applyRows(page.rows, page.isWhole)
   }
 
+  /**
+   * Forgets the rows of partitions that are about to be received completely. A row that was removed while the store
+   * dropped its history is missing from them, and must not be sent to peers any more.
+   */
+  private forgetRows(partitions: readonly string[]): void {
+    for (const [key, { partition }] of this.rows) {
+      if (partitions.includes(partition)) this.rows.delete(key)
+    }
+  }
+
   private applyRows(rows: readonly ChangedRow[], isWhole: boolean): void {
     for (const row of rows) this.rows.set(`${row.partition}/${row.key}`, row)
     if (rows.length === 0 && !isWhole) return
@@ -341,9 +353,11 @@
     const versions: number[] = this.position === undefined ? [] : [this.position]
     for (const [index, outcome] of outcomes.entries()) {
       if (outcome.kind === 'failed') return false
-      this.readPartitions.add(partitions[index] ?? '')
-      this.everRead.add(partitions[index] ?? '')
+      const partition = partitions[index] ?? ''
+      this.readPartitions.add(partition)
+      this.everRead.add(partition)
       versions.push(outcome.version)
+      this.forgetRows([partition])
       this.completeAfter = Math.max(this.completeAfter, outcome.version)
       this.applyRows(outcome.rows, true)
     }
