fix(router, daemon): no answer of an endpoint ends the process

Cause: an answer with a status below 100 was passed on, and writeHead threw in the listener of the answer's end, outside the attempt's handling of faults; an event of more than 1 MiB without its end threw in the listener of its data. An answer that is read only for its connection was read without a bound.

What a listener of an answer throws ends its own attempt; an oversized event counts as a reset. An answer that is discarded is read for one second and 64 KiB at most. A target that is no path is answered with 400, and an uncaught exception is logged and counted like an unhandled rejection.

Ruled out: only the handler for uncaught exceptions, since the request would stay without an answer until its deadline.

--- a/packages/daemon/src/gateway/gatewayListeners.ts
+++ b/packages/daemon/src/gateway/gatewayListeners.ts
@@ -42,6 +42,10 @@
 /** A caller that takes longer to send a call is disconnected. */
 const PLAIN_CALL_MILLISECONDS = 10_000
 
+/** Base for parsing a request's target; the host is ignored. */
+const ANY_ORIGIN = 'http://localhost'
+const BAD_REQUEST: PlainAnswer = { status: 400 }
+
 /** Answers a path; `body` is empty for calls without one. */
 export type PlainHandler = (url: string, body: string) => PlainAnswer | Promise<PlainAnswer>
 
@@ -69,10 +73,17 @@
   })
   request.on('end', () => {
     const body = Buffer.concat(chunks).toString('utf8')
-    void Promise.resolve(answer(request.url ?? '/', body)).then(result => write(response, result))
+    const target = request.url ?? '/'
+    const answered = isValidTarget(target) ? answer(target, body) : BAD_REQUEST
+    void Promise.resolve(answered).then(result => write(response, result))
   })
 }
 
+/** Whether a request's target can be parsed as a path with a query; `//`, for example, can't. */
+function isValidTarget(target: string): boolean {
+  return URL.canParse(target, ANY_ORIGIN)
+}
+
 /** Listens at all addresses; rejects with `CannotListen` if one cannot be bound. */
 export async function listenAll(
   listeners: readonly { readonly server: Server; readonly address: string }[],
--- a/packages/daemon/src/gateway/runGateway.ts
+++ b/packages/daemon/src/gateway/runGateway.ts
@@ -21,6 +21,8 @@
   process.once('SIGTERM', drainAndExit)
   process.on('SIGHUP', () => void watcher.reload('signal'))
   process.on('unhandledRejection', error => daemon.noteFault(error))
+  // A fault in a listener concerns one request or connection; the end of the process would interrupt all others.
+  process.on('uncaughtException', error => daemon.noteFault(error))
   await daemon.start()
   watcher.start()
 }
--- a/packages/decisions/src/retrying/attemptOutcome.ts
+++ b/packages/decisions/src/retrying/attemptOutcome.ts
@@ -13,10 +13,13 @@
   | { readonly kind: 'refused'; readonly status: number }
   /** A connection was established, so the request may have been sent, and no answer arrived. The request may have run. */
   | { readonly kind: 'failed'; readonly reason: string }
-  /** The answer belongs to another request or lacks its endpoint's signature, so the request may have run. */
+  /**
+   * The answer belongs to another request, lacks its endpoint's signature or has a status that is none of HTTP's, so the
+   * request may have run.
+   */
   | {
       readonly kind: 'not-trusted'
-      readonly problem: 'answer to another request' | 'unsigned answer'
+      readonly problem: 'answer to another request' | 'unsigned answer' | 'invalid status'
     }
   /** The endpoint answered. With a status of 500 or more, the request is taken to have run and failed. */
   | { readonly kind: 'answered'; readonly status: number }
@@ -63,7 +66,7 @@
     case 'failed':
       return `failed ${firstWord(outcome.reason)}`
     case 'not-trusted':
-      return outcome.problem === 'unsigned answer' ? 'unsigned answer' : 'answer to'
+      return outcome.problem === 'answer to another request' ? 'answer to' : outcome.problem
     case 'answered':
       return `status ${outcome.status}`
     case 'broke-off':
--- a/packages/router/src/engine/eventSplitter.ts
+++ b/packages/router/src/engine/eventSplitter.ts
@@ -10,7 +10,7 @@
 const MAXIMUM_EVENT_BYTES = 1024 * 1024
 
 /** Thrown if an incomplete event exceeds the maximum size. */
-class OversizedEventError extends Error {}
+export class OversizedEventError extends Error {}
 
 /**
  * Splits a stream of server-sent events. The returned slices share the memory of the chunks; only
--- a/packages/router/src/gateway/gatewayAnswerDelivery.ts
+++ b/packages/router/src/gateway/gatewayAnswerDelivery.ts
@@ -8,6 +8,7 @@
 import type { IncomingMessage } from 'node:http'
 import { isProvenComplete } from '@rackwalk/decisions'
 import type { AnswerEnd, AnswerFraming, EndedAnswer } from '@rackwalk/decisions'
+import { OversizedEventError } from '../engine/eventSplitter.js'
 import type { CallerReply } from './callerReply.js'
 import type { EventDelivery } from './eventDelivery.js'
 import type { AnswerRecord } from './gatewayRecord.js'
@@ -73,20 +74,29 @@
     )
   }
 
-  /** Reads the body. Ends the caller's answer only if the endpoint's answer is proven complete. */
+  /**
+   * Reads the body. Ends the caller's answer only if the endpoint's answer is proven complete. Whatever the listeners
+   * throw rejects the returned promise: out of a socket's listener it would end the process with all its requests.
+   */
   private readBody(
     onData: (chunk: Buffer) => void,
     isBodyOpen: () => boolean,
   ): Promise<EndedAnswer> {
     const { exchange } = this.parts
-    return new Promise(resolve => {
-      const onEnd = (end: AnswerEnd) => {
+    return new Promise((resolve, reject) => {
+      const finish = (end: AnswerEnd) => {
+        if (this.ended !== undefined) return
         const ended = { framing: exchange.framing, end, isBodyTruncated: isBodyOpen() }
         if (isProvenComplete(ended)) this.end()
         this.ended = ended
         resolve(ended)
       }
-      exchange.readBody({ onData, onEnd })
+      const fail = (thrown: unknown) => {
+        exchange.abort('aborted')
+        if (thrown instanceof OversizedEventError) finish('reset')
+        else reject(thrown as Error)
+      }
+      exchange.readBody({ onData: guarded(onData, fail), onEnd: guarded(finish, fail) })
     })
   }
 
@@ -149,3 +159,20 @@
     if (!reply.write(bytes, () => exchange.resume())) exchange.pause()
   }
 }
+
+/** Returns the listener with a handler for what it throws. After the first throw, the listener is not called again. */
+function guarded<Argument>(
+  listener: (argument: Argument) => void,
+  onThrow: (thrown: unknown) => void,
+): (argument: Argument) => void {
+  let hasThrown = false
+  return argument => {
+    if (hasThrown) return
+    try {
+      listener(argument)
+    } catch (thrown) {
+      hasThrown = true
+      onThrow(thrown)
+    }
+  }
+}
--- a/packages/router/src/gateway/upstreamExchange.ts
+++ b/packages/router/src/gateway/upstreamExchange.ts
@@ -45,6 +45,11 @@
   onEnd(end: AnswerEnd): void
 }
 
+/** An answer that is not delivered is read up to this size, so that its connection can be reused. */
+const MAXIMUM_DRAINED_BYTES = 64 * 1024
+/** Time within which such an answer has to end; an answer without an end would occupy its connection forever. */
+const DRAIN_MILLISECONDS = 1_000
+
 /** Why this instance ended an exchange. */
 export type AbortReason = Extract<
   AnswerEnd,
@@ -119,9 +124,18 @@
     response.on('close', () => finish(this.brokenEnd))
   }
 
-  /** Reads and discards the rest of an answer so that its connection can be reused. */
+  /**
+   * Reads and discards the rest of an answer so that its connection can be reused. An answer that is long or does not
+   * end in time is aborted.
+   */
   drain(): void {
-    this.readBody({ onData: () => {}, onEnd: () => {} })
+    let bytes = 0
+    const timer = setTimeout(() => this.abort('aborted'), DRAIN_MILLISECONDS)
+    const onData = (chunk: Buffer) => {
+      bytes += chunk.length
+      if (bytes > MAXIMUM_DRAINED_BYTES) this.abort('aborted')
+    }
+    this.readBody({ onData, onEnd: () => clearTimeout(timer) })
   }
 
   /**
