test: KNOWN-RED.txt takes cases of the review as lines of their own

A line that begins with review/N is printed, counts towards the limit and is a fault where its folder is gone.

--- a/scripts/__tests__/knownRed.spec.ts
+++ b/scripts/__tests__/knownRed.spec.ts
@@ -37,4 +37,13 @@
     const verdict = judgeRun(new Map(), [{ status: 'failed', assertionResults: [] }])
     expect(verdict).toMatchObject({ unexpected: 1, faults: 1 })
   })
+
+  it.each([
+    ['is there', true],
+    ['is gone', false],
+  ])('prints a case of the review whose folder %s', (_, isThere) => {
+    const known = readKnownRed('review/7 | `bash review/7/run.sh`: seen | 3')
+    const { faults, messages } = judgeRun(known, [], () => isThere)
+    expect({ faults, messages }).toMatchSnapshot()
+  })
 })
--- a/scripts/knownRed.d.mts
+++ b/scripts/knownRed.d.mts
@@ -20,4 +20,5 @@
 export function judgeRun(
   known: ReadonlyMap<string, KnownRed>,
   files: readonly TestFileResult[],
+  exists?: (folder: string) => boolean,
 ): RunVerdict
