fix(router): a pause of the listener spares urgent requests, and departed callers are noticed at once

Cause: refused long prompts counted towards the pause of the listener, which turns away urgent chats as well. And within the first second of an overload, requests were sent although their callers had left while the requests waited to be read.

Change: the share that brings about a pause is that of the most urgent requests present. While the event loop is late, a request is sent only after the loop has polled its sockets again, since the end of a connection is read in the turn after its last data.

Ruled out: no pauses at all; the replay of a weak instance collapses without them at twice its load. Waiting a fixed time for every request: it delays all callers.

Measured: departedCallers.spec fails before (six of six requests were sent) and is green; weakProcessor and listenerPauses unchanged.

--- a/packages/decisions/src/admitting/localRefusals.ts
+++ b/packages/decisions/src/admitting/localRefusals.ts
@@ -7,11 +7,16 @@
  * the same requests. Without this share the instance could not decide to make callers connect
  * elsewhere (`ListenerPause`).
  *
- * Inputs: the result code of each request that ended, with a monotonic time in milliseconds.
+ * A closed listener turns away urgent requests like all others, while refusals with a status spare
+ * them. So the share is that of the most urgent requests only: as long as it is enough to refuse
+ * less urgent ones, the listener stays open.
+ *
+ * Inputs: the result code of each request that ended and its priority, with a monotonic time in
+ * milliseconds.
  *
  * Limits: refusals that any other instance would give as well, such as for a used-up budget or a
- * service without room, count as requests that were not refused. The share is 0 while fewer than
- * `MINIMUM_REQUESTS` are in the window.
+ * service without room, count as requests that were not refused. A priority counts as present while
+ * at least `MINIMUM_REQUESTS` of it are in the window; the share is 0 while none is.
  */
 
 import { ResultCode } from '@rackwalk/shared'
@@ -34,19 +39,32 @@
 ])
 
 /**
- * Measures the share of requests that an instance refused because it could not serve them itself.
+ * Measures the share of the most urgent requests that an instance refused because it could not
+ * serve them itself.
  */
 export class LocalRefusals {
-  private readonly requests = new SlidingShare(WINDOW_MILLISECONDS, WINDOW_PARTS, MINIMUM_REQUESTS)
+  /** By priority; smaller numbers are more urgent. */
+  private readonly requests = new Map<number, SlidingShare>()
 
-  /** Counts a request that ended with this code; `now` is monotonic. */
-  noteEnd(code: ResultCode, now: Milliseconds): void {
-    this.requests.note(now)
-    if (LOCAL_REFUSAL_CODES.has(code)) this.requests.noteCounted(now)
+  /** Counts a request of this priority that ended with this code; `now` is monotonic. */
+  noteEnd(code: ResultCode, priority: number, now: Milliseconds): void {
+    const share = this.requests.get(priority) ?? newShare()
+    this.requests.set(priority, share)
+    share.note(now)
+    if (LOCAL_REFUSAL_CODES.has(code)) share.noteCounted(now)
   }
 
-  /** Returns the share of these refusals among the requests of the last second, in [0, 1]. */
+  /**
+   * Returns the share of these refusals among the most urgent requests of the last second, in
+   * [0, 1].
+   */
   share(now: Milliseconds): number {
-    return this.requests.at(now)
+    const present = [...this.requests].filter(([, share]) => share.hasEnough(now))
+    const [mostUrgent] = present.sort(([left], [right]) => left - right)
+    return mostUrgent?.[1].at(now) ?? 0
   }
 }
+
+function newShare(): SlidingShare {
+  return new SlidingShare(WINDOW_MILLISECONDS, WINDOW_PARTS, MINIMUM_REQUESTS)
+}
--- a/packages/decisions/src/slidingCount.ts
+++ b/packages/decisions/src/slidingCount.ts
@@ -68,9 +68,13 @@
     this.counted.add(now)
   }
 
+  /** Whether the window has enough events for the share to be more than chance. */
+  hasEnough(now: Milliseconds): boolean {
+    return this.all.at(now) >= this.minimumEvents
+  }
+
   /** Returns the share of counted events, in [0, 1]; 0 if the window has too few events. */
   at(now: Milliseconds): number {
-    const all = this.all.at(now)
-    return all < this.minimumEvents ? 0 : Math.min(1, this.counted.at(now) / all)
+    return this.hasEnough(now) ? Math.min(1, this.counted.at(now) / this.all.at(now)) : 0
   }
 }
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -71,6 +71,9 @@
   readonly team: GatewayTeam | undefined
 }
 
+/** Stands for the priority of a request that matches no route. */
+const LEAST_URGENT = Number.POSITIVE_INFINITY
+
 /** A request whose route and team are known. */
 interface IdentifiedRequest {
   readonly metadata: RequestMetadata
@@ -294,6 +297,7 @@
     record.configurationVersion = routes.version
     record.route = route?.name
     record.team = team?.name
+    record.priority = team?.priority ?? route?.priority
     return { routes, path, route, team }
   }
 
@@ -381,7 +385,7 @@
   private finishRecord(record: GatewayRecord, response: ServerResponse): void {
     record.status = response.headersSent ? response.statusCode : 0
     record.code ??= ResultCode.Ok
-    this.admission.noteEnd(record.code)
+    this.admission.noteEnd(record.code, record.priority ?? LEAST_URGENT)
     record.totalMilliseconds = this.parts.clock.sinceStart() - record.receivedAt
     this.parts.onRecord(record)
   }
--- a/packages/router/src/gateway/gatewayRecord.ts
+++ b/packages/router/src/gateway/gatewayRecord.ts
@@ -68,6 +68,8 @@
   configurationVersion?: number
   route?: string
   team?: string
+  /** Priority of the team, or else of the route; 0 is the most urgent. */
+  priority?: number | undefined
   service?: string
   /** Largest possible cost. */
   tokens?: TokenCount
--- a/packages/router/src/gateway/instanceAdmission.ts
+++ b/packages/router/src/gateway/instanceAdmission.ts
@@ -7,6 +7,7 @@
  */
 
 import type { IncomingMessage } from 'node:http'
+import { setImmediate } from 'node:timers/promises'
 import { NotRunError, ResultCode, sleep } from '@rackwalk/shared'
 import type { Bytes, Clock, Milliseconds, RandomSource } from '@rackwalk/shared'
 import {
@@ -52,6 +53,12 @@
  */
 const MINIMUM_SAMPLED_REQUESTS = 8
 
+/**
+ * From this delay of the event loop on, a request is sent only after the events that are pending on its
+ * connection: its caller may have left while the request waited to be read.
+ */
+const LATE_LOOP_MILLISECONDS: Milliseconds = 20
+
 /** Admits requests within the capacity of link and processor. */
 export class InstanceAdmission {
   /** Sends refusals and reads the bodies of refused requests within the link's capacity. */
@@ -61,6 +68,8 @@
   private readonly abandoned = new AbandonedRequests()
   private readonly refusals = new LocalRefusals()
   private isSampling = false
+  /** Whether the newest sample showed that ready events wait for long. */
+  private isLoopLate = false
 
   constructor(
     private readonly parts: InstanceAdmissionParts,
@@ -95,12 +104,15 @@
     }
   }
 
-  /** A request has ended with this result code. */
-  noteEnd(code: ResultCode): void {
-    this.refusals.noteEnd(code, this.parts.clock.monotonic())
+  /** A request of this priority has ended with this result code. */
+  noteEnd(code: ResultCode, priority: number): void {
+    this.refusals.noteEnd(code, priority, this.parts.clock.monotonic())
   }
 
-  /** Share of recently ended requests that were refused because of this instance's own limits, in [0, 1]. */
+  /**
+   * Share of the most urgent of the recently ended requests that were refused because of this instance's own
+   * limits, in [0, 1].
+   */
   get refusedShare(): number {
     return this.refusals.share(this.parts.clock.monotonic())
   }
@@ -129,6 +141,7 @@
     })
     const wait = this.abandoned.leaveNoticeMilliseconds(readAt)
     if (wait > 0) await sleep(clock, wait)
+    else if (this.isLoopLate) await afterPendingEvents()
     if (reply.isCallerGone) throw new NotRunError(ResultCode.CallerLeftUnsent)
   }
 
@@ -151,8 +164,10 @@
     clock.after(SAMPLE_INTERVAL_MILLISECONDS, () => {
       this.isSampling = false
       const now = clock.monotonic()
+      const delayMilliseconds = Math.max(0, now - dueAt)
+      this.isLoopLate = delayMilliseconds >= LATE_LOOP_MILLISECONDS
       this.processor.noteSample({
-        delayMilliseconds: Math.max(0, now - dueAt),
+        delayMilliseconds,
         acceptMilliseconds:
           this.running() < MINIMUM_SAMPLED_REQUESTS ? 0 : this.parts.acceptMilliseconds(),
         abandonedShare: this.abandoned.share(now),
@@ -161,3 +176,12 @@
     })
   }
 }
+
+/**
+ * Resolves after the event loop has polled its sockets once more, so that a caller that has already left is
+ * noticed: the end of a connection is read in the turn after its last data.
+ */
+async function afterPendingEvents(): Promise<void> {
+  await setImmediate()
+  await setImmediate()
+}
--- a/packages/stand-ins/src/replay/weakProcessorReplay.ts
+++ b/packages/stand-ins/src/replay/weakProcessorReplay.ts
@@ -294,7 +294,7 @@
   private confirm(attempt: CallerAttempt): void {
     if (!attempt.hasLeft) return this.forward(attempt)
     this.spend(REFUSAL_MILLISECONDS)
-    this.refusals.noteEnd(ResultCode.CallerLeftUnsent, this.now)
+    this.refusals.noteEnd(ResultCode.CallerLeftUnsent, RANK.priority, this.now)
   }
 
   private forward(attempt: CallerAttempt): void {
@@ -306,14 +306,14 @@
   private answer(attempt: CallerAttempt): void {
     if (attempt.hasLeft) return
     this.spend(ANSWER_MILLISECONDS)
-    this.refusals.noteEnd(ResultCode.Ok, this.now)
+    this.refusals.noteEnd(ResultCode.Ok, RANK.priority, this.now)
     attempt.isOver = true
     this.count('served')
   }
 
   private refuse(attempt: CallerAttempt): void {
     this.spend(REFUSAL_MILLISECONDS)
-    this.refusals.noteEnd(ResultCode.ProcessorFull, this.now)
+    this.refusals.noteEnd(ResultCode.ProcessorFull, RANK.priority, this.now)
     if (attempt.hasLeft) return
     attempt.isOver = true
     this.count('refused')
