refactor(router): one function records what a request was matched to

Cause: the lint rule on complexity; recording the priority made matchRequest branch too often.

Change: noteMatch records version, route, team and priority. No change of behaviour.

--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -294,10 +294,7 @@
     const key = metadata.credential
     const isKeyed = route !== undefined && !route.isAnonymous && key !== undefined
     const team = isKeyed ? routes.teamOf(key) : undefined
-    record.configurationVersion = routes.version
-    record.route = route?.name
-    record.team = team?.name
-    record.priority = team?.priority ?? route?.priority
+    noteMatch(record, { routes, path, route, team })
     return { routes, path, route, team }
   }
 
@@ -404,6 +401,13 @@
   return { method, path: url, rawHeaders }
 }
 
+function noteMatch(record: GatewayRecord, { routes, route, team }: MatchedRequest): void {
+  record.configurationVersion = routes.version
+  record.route = route?.name
+  record.team = team?.name
+  record.priority = team?.priority ?? route?.priority
+}
+
 /** The rank that load shedding gives a request: its priority and the number of answer tokens it may take. */
 function workRankOf({ team, route, metadata }: IdentifiedRequest): ShedRank {
   const priority = team?.priority ?? route.priority
