fix(router): a refusal without a request id is still a refusal

Cause: since the id is compared first, a 421 of a server that had taken over an endpoint's address and sent no id was not trusted, so the endpoint was tried again (gateway.spec, three tries instead of one).

Change: only an id of another request makes a refusal untrusted. Surplus answers of endpoints carry the id of their request.

Measured: gateway.spec and garbledAnswers.spec green.

--- a/packages/router/src/gateway/attemptOutcomes.ts
+++ b/packages/router/src/gateway/attemptOutcomes.ts
@@ -34,7 +34,8 @@
 
 /**
  * Returns the outcome of an attempt whose endpoint sent the head of an answer to the request with this id. The id is
- * compared first: a surplus refusal of an earlier request says nothing about whether this one runs.
+ * compared first: a surplus refusal of an earlier request says nothing about whether this one runs. A refusal without an
+ * id is trusted, since whatever has taken over the address of an endpoint may send none.
  */
 export function outcomeOfHead(
   status: number,
@@ -42,9 +43,10 @@
   requestId: string,
 ): AttemptOutcome {
   if (!isFinalStatus(status)) return { kind: 'not-trusted', problem: 'invalid status' }
+  const isForOther = reply.requestId !== undefined && reply.requestId !== requestId
+  if (reply.isNotExecuted && !isForOther) return { kind: 'refused', status }
   if (reply.requestId !== requestId)
     return { kind: 'not-trusted', problem: 'answer to another request' }
-  if (reply.isNotExecuted) return { kind: 'refused', status }
   if (status < STATUS_REDIRECT && !reply.isSigned)
     return { kind: 'not-trusted', problem: 'unsigned answer' }
   return { kind: 'answered', status }
