feat(decisions, router): callers that were refused and come back as told go before new ones

Cause: load shedding picked at random among requests of a priority, so that some callers were refused twice while new ones were served.

Change: an instance remembers refused requests by team, path, token counts and prompt parts; one that comes back no earlier than told is refused after new requests of its priority. Callers that repeat at once gain nothing.

Ruled out: a mark in the refusal that callers send back; they pass none on.

--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -327,6 +327,7 @@
       acceptMilliseconds: () => this.acceptProbe.measure(),
       linkBytesPerSecond: linkBytesPerSecond(instance.capacity),
       refusedBodyCounters: this.telemetry,
+      onReturned: () => this.telemetry.noteReturned(),
       instances: () => this.fleet.worstCaseSharers,
       checkStaleness: () => this.health.checkStaleness(),
       isDraining: () => this.isDrainStarted,
--- a/packages/daemon/src/gateway/gatewayMetrics.ts
+++ b/packages/daemon/src/gateway/gatewayMetrics.ts
@@ -63,6 +63,7 @@
   private readonly events: Counter
   private readonly storeCalls: Counter
   private readonly listenerPauses: Counter
+  private readonly returnedRequests: Counter
   private readonly acceptedConnections: Counter
   private readonly unacceptedConnections: Counter
   private readonly unknownSenders: Counter
@@ -169,6 +170,11 @@
       help: 'Times that the listener for callers was closed for a moment, so that callers turn to other instances.',
       registers,
     })
+    this.returnedRequests = new Counter({
+      name: 'rackwalk_gateway_returned_requests_total',
+      help: 'Requests that this instance had refused and whose callers came back when they were told to.',
+      registers,
+    })
     this.acceptedConnections = new Counter({
       name: 'rackwalk_gateway_taken_connections_total',
       help: 'Connections that waited before the listener for callers as it closed, and were taken and served.',
@@ -291,6 +297,10 @@
     this.events.inc({ event })
   }
 
+  noteReturned(): void {
+    this.returnedRequests.inc()
+  }
+
   noteListenerPause(): void {
     this.listenerPauses.inc()
   }
--- a/packages/daemon/src/gateway/gatewayTelemetry.ts
+++ b/packages/daemon/src/gateway/gatewayTelemetry.ts
@@ -110,6 +110,10 @@
   }
 
   /** The listener for callers was paused. */
+  noteReturned(): void {
+    this.metrics?.noteReturned()
+  }
+
   noteListenerPause(): void {
     this.metrics?.noteListenerPause()
   }
--- a/packages/decisions/src/admitting/processorLoadShedder.ts
+++ b/packages/decisions/src/admitting/processorLoadShedder.ts
@@ -17,8 +17,9 @@
  *
  * The queue is standing where each of the last `STANDING_QUEUE_SAMPLES` samples shows one. While it
  * stands, a growing part of the requests is refused before any of their content is read: the least
- * urgent first, and among equally urgent ones those with the longest answers, which take the most
- * processor time. The part shrinks again once the queue is gone.
+ * urgent first, among equally urgent ones new requests before those that were refused before, and
+ * among these the ones with the longest answers, which take the most processor time. The part
+ * shrinks again once the queue is gone.
  *
  * Inputs: one `ProcessorSample` every `SAMPLE_INTERVAL_MILLISECONDS`; for each request its
  * priority, the length of its answer in tokens and a random number.
@@ -67,6 +68,8 @@
   readonly priority: number
   /** Expected length of the answer. */
   readonly answerTokens: TokenCount
+  /** Whether it was refused before and came back as its caller was told; `false` by default. */
+  readonly isReturning?: boolean
 }
 
 /** One sample of the process. */
@@ -141,5 +144,9 @@
 
 /** Returns a negative number where `left` is refused first, 0 for equal ranks. */
 function compareRanks(left: ShedRank, right: ShedRank): number {
-  return right.priority - left.priority || right.answerTokens - left.answerTokens
+  return (
+    right.priority - left.priority ||
+    Number(left.isReturning ?? false) - Number(right.isReturning ?? false) ||
+    right.answerTokens - left.answerTokens
+  )
 }
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -80,6 +80,7 @@
 export { ListenerPause, listenerOpenMilliseconds } from './admitting/listenerPause.js'
 export type { PeerOverload } from './admitting/listenerPause.js'
 export { LocalRefusals } from './admitting/localRefusals.js'
+export { ReturningRequests } from './admitting/returningRequests.js'
 export {
   SAMPLE_INTERVAL_MILLISECONDS,
   ProcessorLoadShedder,
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -83,6 +83,14 @@
   readonly deadlineAt: Milliseconds
 }
 
+/** The answer to a request and what is known of it besides its contents. */
+interface ServedRequest {
+  readonly reply: CallerReply
+  readonly record: GatewayRecord
+  /** The same whenever a caller sends the same request; undefined if it can't be told from others. */
+  readonly returnKey: string | undefined
+}
+
 /** A request whose body was read completely. */
 interface ReadRequest extends IdentifiedRequest {
   readonly method: string
@@ -163,8 +171,24 @@
     record: GatewayRecord,
   ): Promise<void> {
     const identified = this.identify(request, metadata, record)
+    const returnKey = returnKeyOf(identified, request.url ?? '/')
+    try {
+      await this.serveIdentified(request, identified, { reply, record, returnKey })
+    } catch (thrown) {
+      const remaining = identified.deadlineAt - this.parts.clock.sinceStart()
+      const isRefused = returnKey !== undefined && thrown instanceof NotRunError
+      if (isRefused) this.admission.noteRefused(returnKey, thrown, remaining)
+      throw thrown
+    }
+  }
+
+  private async serveIdentified(
+    request: IncomingMessage,
+    identified: IdentifiedRequest,
+    { reply, record, returnKey }: ServedRequest,
+  ): Promise<void> {
     this.checkSize(request)
-    this.admission.admit(request, workRankOf(identified))
+    this.admission.admit(request, workRankOf(identified), returnKey)
     const body = await this.readFully(request, reply)
     this.refuseCrashing(identified, request.url ?? '/', body, record)
     const read: ReadRequest = { ...identified, ...forwardedParts(request), body, reply, record }
@@ -413,3 +437,14 @@
   const priority = team?.priority ?? route.priority
   return { priority, answerTokens: metadata.tokens?.maximumOutput ?? 0 }
 }
+
+/**
+ * Returns a key that is the same whenever a caller sends the same request, from what is known before its body
+ * is read. Undefined for requests without a prompt, since many of them are alike.
+ */
+function returnKeyOf({ metadata, team }: IdentifiedRequest, path: string): string | undefined {
+  const { tokens, promptParts } = metadata
+  if (tokens === undefined || promptParts.length === 0) return undefined
+  const parts = promptParts.map(({ id }) => id).join(' ')
+  return [team?.name, path, tokens.prompt, tokens.maximumOutput, parts].join(' ')
+}
--- a/packages/router/src/gateway/instanceAdmission.ts
+++ b/packages/router/src/gateway/instanceAdmission.ts
@@ -16,6 +16,7 @@
   LinkBandwidthBudget,
   LocalRefusals,
   ProcessorLoadShedder,
+  ReturningRequests,
   toRetryAfterSeconds,
 } from '@rackwalk/decisions'
 import type { ShedRank } from '@rackwalk/decisions'
@@ -35,6 +36,8 @@
   /** Capacity of this instance's link. */
   readonly linkBytesPerSecond: number
   readonly refusedBodyCounters: RefusedBodyCounters
+  /** A request that was refused before came back when its caller was told to. */
+  readonly onReturned: () => void
 }
 
 /** Shares of this instance's processor and link capacity that are used or refused; each is in [0, 1]. */
@@ -67,6 +70,7 @@
   private readonly processor = new ProcessorLoadShedder()
   private readonly abandoned = new AbandonedRequests()
   private readonly refusals = new LocalRefusals()
+  private readonly returning = new ReturningRequests()
   private isSampling = false
   /** Whether the newest sample showed that ready events wait for long. */
   private isLoopLate = false
@@ -85,9 +89,13 @@
     })
   }
 
-  /** Throws if the request exceeds the capacity. Called before any of its body is read. */
-  admit(request: IncomingMessage, rank: ShedRank): void {
+  /**
+   * Throws if the request exceeds the capacity. Called before any of its body is read. `returnKey` is the same
+   * whenever a caller sends the same request; undefined for a request that can't be told from others.
+   */
+  admit(request: IncomingMessage, ownRank: ShedRank, returnKey: string | undefined): void {
     this.scheduleSample()
+    const rank = { ...ownRank, isReturning: this.isReturning(returnKey) }
     if (!this.processor.admits(rank, this.parts.random.next())) {
       const wait = this.processor.recoveryMilliseconds
       throw new NotRunError(ResultCode.ProcessorFull, undefined, toRetryAfterSeconds(wait))
@@ -95,6 +103,21 @@
     this.takeFromLink(request)
   }
 
+  /** A request was refused with a time to come back, and its caller had `remaining` left. */
+  noteRefused(returnKey: string, error: NotRunError, remaining: Milliseconds): void {
+    const { retryAfterSeconds } = error
+    if (retryAfterSeconds === undefined) return
+    const wait = retryAfterSeconds * 1000
+    this.returning.noteRefused(returnKey, { wait, remaining }, this.parts.clock.monotonic())
+  }
+
+  private isReturning(returnKey: string | undefined): boolean {
+    if (returnKey === undefined) return false
+    const isReturning = this.returning.takeReturning(returnKey, this.parts.clock.monotonic())
+    if (isReturning) this.parts.onReturned()
+    return isReturning
+  }
+
   get state(): AdmissionState {
     const now = this.parts.clock.monotonic()
     return {
