refactor(router): one set of counters for the admission

Change: AdmissionCounters adds returned requests to the counters of refused bodies. No change of behaviour.

Measured: types and lint only.

--- a/packages/router/src/gateway/instanceAdmission.ts
+++ b/packages/router/src/gateway/instanceAdmission.ts
@@ -24,6 +24,12 @@
 import type { RefusedBodyCounters } from '../refusedBodyHandler.js'
 import type { CallerReply } from './callerReply.js'
 
+/** Counts what the admission sees. */
+interface AdmissionCounters extends RefusedBodyCounters {
+  /** A request that was refused before came back when its caller was told to. */
+  noteReturned(): void
+}
+
 /** Dependencies of the admission. */
 export interface InstanceAdmissionParts {
   readonly clock: Clock
@@ -35,9 +41,7 @@
   readonly acceptMilliseconds: () => Milliseconds
   /** Capacity of this instance's link. */
   readonly linkBytesPerSecond: number
-  readonly refusedBodyCounters: RefusedBodyCounters
-  /** A request that was refused before came back when its caller was told to. */
-  readonly onReturned: () => void
+  readonly admissionCounters: AdmissionCounters
 }
 
 /** Shares of this instance's processor and link capacity that are used or refused; each is in [0, 1]. */
@@ -80,12 +84,12 @@
     /** Requests in progress. */
     private readonly running: () => number,
   ) {
-    const { clock, linkBytesPerSecond, refusedBodyCounters } = parts
+    const { clock, linkBytesPerSecond, admissionCounters } = parts
     this.link = new LinkBandwidthBudget(linkBytesPerSecond)
     this.refusedBodies = new RefusedBodyHandler({
       clock,
       link: this.link,
-      counters: refusedBodyCounters,
+      counters: admissionCounters,
     })
   }
 
@@ -114,7 +118,7 @@
   private isReturning(returnKey: string | undefined): boolean {
     if (returnKey === undefined) return false
     const isReturning = this.returning.takeReturning(returnKey, this.parts.clock.monotonic())
-    if (isReturning) this.parts.onReturned()
+    if (isReturning) this.parts.admissionCounters.noteReturned()
     return isReturning
   }
 
