feat(daemon): directory answers name instances in proportion to their capacity

Cause: callers pick an address of their answer with equal chances, so a weak instance that stands in for a restarting strong one got as many new callers as each strong one.

Change: the new rule callerAddresses selects, with one random number for each answer, which active instances the answer names. Each answer names every instance whose capacity reaches a random threshold; the part of the strongest capacities that would leave one instance alone is covered by pairs. The expected shares are then proportional to capacity, and two instances are named where two serve. An instance above its capacity counts with its capacity divided by that excess. Answers are as before where all capacities are equal, where a capacity is invalid, and while no other instance is heard. The replays draw the answers from a random source of their own, so that their other draws stay the same.

Ruled out: repeated addresses, which callers may drop; answers of one fixed size, which are exact but shorter for all callers as soon as one instance is a little smaller; less for an overloaded instance among equal capacities, since the answer there has to stay the same. An instance with more than half of all capacity gets half: one more than two named instances would bring it further from its proportion.

In a region where one instance has more than half of the capacity, the others still take more than theirs.

--- a/packages/daemon/__tests__/activeFleet.spec.ts
+++ b/packages/daemon/__tests__/activeFleet.spec.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest'
-import { VirtualClock } from '@rackwalk/shared'
+import { SeededRandom, VirtualClock, randomBelow } from '@rackwalk/shared'
 import type { MemberRow } from '@rackwalk/coordination'
 import { ActiveFleet } from '@rackwalk/daemon'
 
@@ -31,10 +31,12 @@
   readonly silent?: string[]
   /** Instances that have work at endpoints. */
   readonly using?: string[]
+  /** Seed of the choice of the instances that an answer names. */
+  readonly seed?: number
 }
 
 function setUp(options: SetUpOptions) {
-  const { self, others = OTHERS, silent = [], using = [] } = options
+  const { self, others = OTHERS, silent = [], using = [], seed = 1 } = options
   const clock = new VirtualClock()
   const changes: [boolean, number][] = []
   const state = { self, silent: new Set(silent), cutOff: new Set<string>() }
@@ -48,6 +50,7 @@
     isCutOff: ({ instance }) => state.cutOff.has(instance),
     hasOwnEndpointLoad: () => using.includes('a1'),
     clock,
+    random: new SeededRandom(seed),
     bounds: { minimumInDomain: 1, headroom: 2 },
     onChange: (isActive, count) => changes.push([isActive, count]),
   })
@@ -184,3 +187,89 @@
     expect(names.some(name => lost.includes(name))).toBe(false)
   })
 })
+
+describe('the addresses of instances of two sizes', () => {
+  const STRONG_CAPACITY = 140
+  const WEAK_CAPACITY = 7
+  const ADDRESS_LIFETIME_MILLISECONDS = 5_000
+  /** Callers keep an answer for three times its lifetime. */
+  const ANSWER_MILLISECONDS = 3 * ADDRESS_LIFETIME_MILLISECONDS
+  const RESTART = { from: 20_000, until: 50_000 }
+  const END_MILLISECONDS = 80_000
+  const STEP_MILLISECONDS = 100
+  const CALLERS = 2_000
+
+  /** Six instances, two in each of three failure domains, are twenty times as strong as the other 54. */
+  function fleetRows(): MemberRow[] {
+    return Array.from({ length: 60 }, (_, index) => {
+      const isStrong = index < 6
+      return member(`${'abc'[index % 3]}${index}`, {
+        capacity: isStrong ? STRONG_CAPACITY : WEAK_CAPACITY,
+        requestsPerSecond: isStrong ? 60 : 0,
+      })
+    })
+  }
+
+  /**
+   * Returns the share of all connections during the restart of one strong instance that reached a weak one, and
+   * how many weak ones were reached. Each caller connects once in each step, to any address of its answer that is
+   * not restarting.
+   */
+  async function weakShare(seed: number, addressesOf: (fleet: ActiveFleet) => readonly string[]) {
+    const rows = fleetRows()
+    const [lost] = rows
+    const { clock, fleet, state } = setUp({ others: rows, seed })
+    const random = new SeededRandom(100 + seed)
+    const weak = new Set(
+      rows.filter(row => row.capacity < STRONG_CAPACITY).map(row => row.callerAddress),
+    )
+    const callers = Array.from({ length: CALLERS }, () => ({
+      answer: [] as readonly string[],
+      until: random.next() * ANSWER_MILLISECONDS,
+    }))
+    const connections = new Map<string, number>()
+    while (clock.monotonic() < END_MILLISECONDS) {
+      const now = clock.monotonic()
+      const isRestarting = now >= RESTART.from && now < RESTART.until
+      if (isRestarting) state.silent.add(lost?.instance ?? '')
+      else state.silent.clear()
+      for (const caller of callers) {
+        if (caller.answer.length === 0 || now >= caller.until) {
+          caller.answer = addressesOf(fleet)
+          caller.until = now + ANSWER_MILLISECONDS
+        }
+        const open = caller.answer.filter(name => !isRestarting || name !== lost?.callerAddress)
+        const address = open[randomBelow(random, open.length)] ?? ''
+        connections.set(address, (connections.get(address) ?? 0) + 1)
+      }
+      await clock.advance(STEP_MILLISECONDS)
+    }
+    const total = [...connections.values()].reduce((sum, count) => sum + count, 0)
+    const atWeak = [...connections].filter(([address]) => weak.has(address))
+    const most = Math.max(0, ...atWeak.map(([, count]) => count))
+    return { share: most / total, reached: atWeak.length }
+  }
+
+  /** The answers before capacities counted: all active instances. */
+  const allActive = (fleet: ActiveFleet) => fleet.activeOthers.map(row => row.callerAddress)
+
+  // Guards against a weak instance that stands in for a strong one and is overrun: named in every answer, it got as
+  // many callers as a strong one.
+  it.each([1, 2, 3])('give a weak stand-in no more than its proportion, seed %i', async seed => {
+    // About 240 answers name the weak one, with a standard deviation of 6%.
+    const proportion = WEAK_CAPACITY / (5 * STRONG_CAPACITY + WEAK_CAPACITY)
+    const share = (RESTART.until - RESTART.from) / END_MILLISECONDS
+    const weighted = await weakShare(seed, fleet => fleet.addresses('near'))
+    const before = await weakShare(seed, allActive)
+    expect(weighted.reached).toBe(1)
+    expect(weighted.share).toBeLessThan(1.3 * proportion * share)
+    expect(before.share).toBeGreaterThan(10 * proportion * share)
+  })
+
+  it('name all active instances while no other instance is heard', () => {
+    const rows = fleetRows().slice(3, 9)
+    const { fleet } = setUp({ others: rows, silent: rows.map(({ instance }) => instance) })
+    const answers = Array.from({ length: 200 }, () => fleet.addresses('near').length)
+    expect(new Set(answers)).toEqual(new Set([fleet.activeCount]))
+  })
+})
--- a/packages/daemon/src/gateway/activeFleet.ts
+++ b/packages/daemon/src/gateway/activeFleet.ts
@@ -2,18 +2,20 @@
  * What this instance currently knows of the fleet: which instances serve, which of them are active (the directory
  * sends callers to them) or on standby, which are silent (no heartbeat lately), how many share a fleet-wide bound, and
  * which addresses a caller gets. Owns a short-lived view, since the view is read for many decisions on a request;
- * relies on the member rows, on the load datagrams for heartbeats, and on decisions/placing/activeInstances.
+ * relies on the member rows, on the load datagrams for heartbeats, and on decisions/placing/activeInstances and
+ * callerAddresses.
  */
 
 import {
   ActiveInstances,
   SilenceDetector,
+  callerAddresses,
   partitionSafeShareCount,
   fleetShareCount,
 } from '@rackwalk/decisions'
 import type { ActiveBounds, FleetUsage } from '@rackwalk/decisions'
 import type { MemberRow } from '@rackwalk/coordination'
-import type { Clock, Milliseconds } from '@rackwalk/shared'
+import type { Clock, Milliseconds, RandomSource } from '@rackwalk/shared'
 
 /** Inputs of the fleet view. */
 export interface ActiveFleetParts {
@@ -33,6 +35,8 @@
   /** Whether an instance (this one included) reaches no endpoint of some service. */
   readonly isCutOff: (member: MemberRow) => boolean
   readonly clock: Clock
+  /** Decides which of the active instances an answer to a caller names. */
+  readonly random: RandomSource
   readonly bounds: ActiveBounds
   /** This instance became active or went on standby. */
   readonly onChange: (isActive: boolean, activeInstances: number) => void
@@ -48,6 +52,8 @@
   readonly idleOthers: readonly MemberRow[]
   /** Names of the silent instances; empty while this instance hears no other instance. */
   readonly silentOthers: ReadonlySet<string>
+  /** Whether this instance hears another one. */
+  readonly isHearing: boolean
 }
 
 /** Age up to which a view of the fleet is reused: members change within seconds. */
@@ -133,12 +139,18 @@
     return partitionSafeShareCount(this.usage)
   }
 
-  /** Returns addresses for a caller of a region; those of all regions if the region has no active instance. */
+  /**
+   * Returns addresses for a caller of a region; those of all regions if the region has no active instance. Each
+   * answer names instances in proportion to their capacity. While this instance hears no other, it knows only rows
+   * that may be out of date, and names all.
+   */
   addresses(region: string | undefined): readonly string[] {
-    const { self, isSelfActive, activeOthers } = this.currentView()
+    const { self, isSelfActive, activeOthers, isHearing } = this.currentView()
     const active = isSelfActive && self !== undefined ? [self, ...activeOthers] : activeOthers
     const near = active.filter(member => member.region === region)
-    return this.preferReaching(near.length > 0 ? near : active).map(member => member.callerAddress)
+    const reaching = this.preferReaching(near.length > 0 ? near : active)
+    const named = isHearing ? callerAddresses(reaching, this.parts.random.next()) : reaching
+    return named.map(member => member.callerAddress)
   }
 
   /**
@@ -193,7 +205,8 @@
 
   private computeView(self: MemberRow | undefined): Omit<FleetView, 'at'> {
     const all = this.parts.others()
-    const others = this.reachable(all)
+    const isHearing = all.some(other => this.parts.hasRecentHeartbeat(other))
+    const others = this.reachable(all, isHearing)
     const candidates = self === undefined ? others : [self, ...others]
     const { clock, isCutOff } = this.parts
     const active = this.selection.choose(candidates, clock.monotonic(), isCutOff)
@@ -212,6 +225,7 @@
       silentOthers: new Set(
         all.filter(other => !others.includes(other)).map(({ instance }) => instance),
       ),
+      isHearing,
     }
   }
 
@@ -220,7 +234,7 @@
    * instance has terminated. All instances are returned if this instance hears none of them, since this instance may
    * itself be the one without a connection.
    */
-  private reachable(others: readonly MemberRow[]): readonly MemberRow[] {
+  private reachable(others: readonly MemberRow[], isHearing: boolean): readonly MemberRow[] {
     const { hasRecentHeartbeat, clock, silenceMilliseconds } = this.parts
     const now = clock.monotonic()
     const nonSilent = this.silent.selectNonSilent(
@@ -229,6 +243,6 @@
       now,
       silenceMilliseconds(),
     )
-    return others.some(member => hasRecentHeartbeat(member)) ? nonSilent : others
+    return isHearing ? nonSilent : others
   }
 }
--- a/packages/daemon/src/gateway/createActiveFleet.ts
+++ b/packages/daemon/src/gateway/createActiveFleet.ts
@@ -2,7 +2,7 @@
 
 import type { MemberDirectory, MemberRow } from '@rackwalk/coordination'
 import type { PeerOverload } from '@rackwalk/decisions'
-import type { Clock, Milliseconds } from '@rackwalk/shared'
+import type { Clock, Milliseconds, RandomSource } from '@rackwalk/shared'
 import { ActiveFleet } from './activeFleet.js'
 import type { ActiveFleetParts } from './activeFleet.js'
 import type { EndpointSubsystem } from './endpointSubsystem.js'
@@ -15,6 +15,7 @@
   readonly endpoints: () => EndpointSubsystem
   readonly isReady: () => boolean
   readonly clock: Clock
+  readonly random: RandomSource
 }
 
 /** Time without a message of any other instance after which this instance counts as cut off from all of them. */
@@ -22,7 +23,7 @@
 
 /** Creates the fleet view of this instance. */
 export function createActiveFleet(sources: ActiveFleetSources): ActiveFleet {
-  const { settings, members, endpoints, isReady, clock, onChange } = sources
+  const { settings, members, endpoints, isReady, clock, random, onChange } = sources
   const { activeInDomain, headroom } = settings.membership
   return new ActiveFleet({
     isServing: () => isReady() && members.isInitialized,
@@ -35,6 +36,7 @@
     hasOwnEndpointLoad: () => endpoints().fleetLoad.isSelfUsing,
     isCutOff: ({ instance }) => endpoints().cutOff.hasAny(instance),
     clock,
+    random,
     bounds: { minimumInDomain: activeInDomain, headroom },
     onChange,
   })
--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -251,12 +251,11 @@
   }
 
   private createFleet(): ActiveFleet {
+    const { settings, members, clock, random } = this
     return createActiveFleet({
-      settings: this.settings,
-      members: this.members,
+      ...{ settings, members, clock, random },
       endpoints: () => this.endpoints,
       isReady: () => this.isReady,
-      clock: this.clock,
       onChange: (isActive, activeInstances) =>
         this.note('active_state', { isActive, activeInstances }),
     })
--- a/packages/stand-ins/src/replay/fleetReplay.ts
+++ b/packages/stand-ins/src/replay/fleetReplay.ts
@@ -93,6 +93,8 @@
   /** Number of calls to the store since the last `run` began. */
   storeCalls = 0
   private readonly random: SeededRandom
+  /** Draws which instances a directory answer names, so that the other draws do not depend on them. */
+  private readonly answerRandom: SeededRandom
   private readonly store = new MemoryRowStore(this.clock)
   private members: Member[] = []
   private starts = 0
@@ -104,6 +106,7 @@
     seed: number,
   ) {
     this.random = new SeededRandom(seed)
+    this.answerRandom = new SeededRandom(seed + 1)
     this.members = Array.from({ length: shape.instances }, (_, index) => this.start(index))
   }
 
@@ -308,6 +311,7 @@
       isCutOff: () => false,
       hasOwnEndpointLoad,
       clock: this.clock,
+      random: this.answerRandom,
       bounds: { minimumInDomain: 2, headroom: 2 },
       onChange: () => {},
     })
--- a/packages/stand-ins/src/replay/lostLinksReplay.ts
+++ b/packages/stand-ins/src/replay/lostLinksReplay.ts
@@ -86,6 +86,8 @@
 class LostLinksReplay {
   private readonly clock = new VirtualClock()
   private readonly random: SeededRandom
+  /** Draws which instances a directory answer names, so that the other draws do not depend on them. */
+  private readonly answerRandom: SeededRandom
   private readonly instances: readonly ReplayedInstance[]
   private readonly byName: ReadonlyMap<string, ReplayedInstance>
   private readonly callers: readonly Caller[]
@@ -95,6 +97,7 @@
 
   constructor(private readonly scenario: LostLinksScenario) {
     this.random = new SeededRandom(scenario.seed)
+    this.answerRandom = new SeededRandom(scenario.seed + 1)
     this.instances = Array.from({ length: scenario.instances }, (_, index) => this.create(index))
     this.byName = new Map(this.instances.map(instance => [instance.name, instance]))
     this.callers = this.instances.map(() => this.createCaller())
@@ -422,6 +425,7 @@
       isCutOff: ({ instance }) => cutOff.hasAny(instance),
       hasOwnEndpointLoad: () => false,
       clock: this.clock,
+      random: this.answerRandom,
       bounds: ACTIVE_BOUNDS,
       onChange: () => {},
     })
