fix(router): a late timer does not cut the check for departed callers short

Cause: while many callers leave, a request waits some milliseconds for the notice that its caller has left.

Change: after the wait, and whenever the loop is late, the sockets are polled once more before the request is sent.

Measured: departedCallers.spec and abandonedRequests.spec green.

--- a/packages/router/src/gateway/instanceAdmission.ts
+++ b/packages/router/src/gateway/instanceAdmission.ts
@@ -168,7 +168,8 @@
     })
     const wait = this.abandoned.leaveNoticeMilliseconds(readAt)
     if (wait > 0) await sleep(clock, wait)
-    else if (this.isLoopLate) await afterPendingEvents()
+    // A timer that is late fires before the sockets are polled, so the wait alone proves nothing.
+    if (wait > 0 || this.isLoopLate) await afterPendingEvents()
     if (reply.isCallerGone) throw new NotRunError(ResultCode.CallerLeftUnsent)
   }
 
