perf(daemon): queries for rows of near instances use kept connections

Cause: an instance on standby queries an active one of its failure domain about twice a second, over a new connection each time. Both instances paid for it: a connection costs far more than the query.

Change: these queries use an agent that keeps connections, as the queries for loans and for origins of streams do. A query that fails because the peer closed the kept connection is sent again on a new one, once; it would otherwise lead to two seconds of calls to the store. Queries while the store is silent go to random instances over new connections as before.

Ruled out: fewer queries, since their interval is the age of the rows.

--- a/packages/daemon/src/gateway/peerCall.ts
+++ b/packages/daemon/src/gateway/peerCall.ts
@@ -13,7 +13,7 @@
   /** JSON to send; without it, the call is a `GET`. */
   readonly body?: string
   /** Keeps connections alive; without it, each call opens its own. */
-  readonly agent?: Agent
+  readonly agent?: Agent | undefined
   /** Maximum time from the call to the end of its answer. */
   readonly timeoutMilliseconds: Milliseconds
 }
@@ -23,7 +23,8 @@
 
 /**
  * Returns the text of a complete answer with status 200; undefined if none arrived in time, the call failed, the status
- * is another one, or the answer is too large.
+ * is another one, or the answer is too large. A `GET` on a kept connection that the peer has closed meanwhile is sent
+ * again on a new one.
  */
 export function callPeer(call: PeerCall): Promise<string | undefined> {
   const { address, path, body, agent = false, timeoutMilliseconds } = call
@@ -45,12 +46,19 @@
       })
     })
     const timer = setTimeout(() => sent.destroy(), timeoutMilliseconds)
-    const finish = (text: string | undefined) => {
+    const finish = (text: string | undefined | Promise<string | undefined>) => {
       clearTimeout(timer)
       resolve(text)
     }
-    sent.on('error', () => finish(undefined))
+    sent.on('error', error => {
+      const isStale = sent.reusedSocket && isReset(error) && body === undefined
+      finish(isStale ? callPeer({ ...call, agent: undefined }) : undefined)
+    })
     sent.on('close', () => finish(undefined))
     sent.end(body)
   })
 }
+
+function isReset(error: NodeJS.ErrnoException): boolean {
+  return error.code === 'ECONNRESET' || error.code === 'EPIPE'
+}
--- a/packages/daemon/src/gateway/peerRowClient.ts
+++ b/packages/daemon/src/gateway/peerRowClient.ts
@@ -5,6 +5,7 @@
  * handler that answers it. Owns the path and the encoding of an answer; relies on the mirrors for the rows.
  */
 
+import { Agent } from 'node:http'
 import * as z from 'zod'
 import { randomBelow } from '@rackwalk/shared'
 import type { Milliseconds, RandomSource } from '@rackwalk/shared'
@@ -15,6 +16,8 @@
 import type { PlainAnswer } from './platformAdapter.js'
 
 const ROWS_PATH = '/rows/'
+/** Connections to one near instance; an instance on standby follows two tables from it. */
+const MAXIMUM_CONNECTIONS = 2
 /** Base for parsing a request's path as a URL; the host is ignored. */
 const ANY_ORIGIN = 'http://localhost'
 
@@ -97,10 +100,17 @@
   /** Version up to which the rows are known already. */
   readonly after: number
   readonly timeoutMilliseconds: Milliseconds
+  /** Keeps connections alive; without it, the query opens its own. */
+  readonly agent?: Agent | undefined
 }
 
 /** Queries other instances for newer rows. */
 export class PeerRowClient {
+  /**
+   * Keeps the connections to near instances, which a standby instance queries about twice a second. Queries while the
+   * store is silent go to random instances over new connections, since a kept one may have failed with the store's.
+   */
+  private readonly nearAgent = new Agent({ keepAlive: true, maxSockets: MAXIMUM_CONNECTIONS })
   private lastAskedAddress: string | undefined
 
   constructor(private readonly parts: PeerRowClientParts) {}
@@ -127,7 +137,12 @@
   askNear(table: string, after: number): Promise<MirrorPage | undefined> {
     const timeoutMilliseconds = this.parts.timeoutMilliseconds
     const address = this.choose(this.parts.nearAddresses())
-    return this.askAt(address, { table, after, timeoutMilliseconds })
+    return this.askAt(address, { table, after, timeoutMilliseconds, agent: this.nearAgent })
+  }
+
+  /** Closes the kept connections. */
+  close(): void {
+    this.nearAgent.destroy()
   }
 
   private get addresses(): readonly string[] {
@@ -142,11 +157,11 @@
 
   private async askAt(
     address: string | undefined,
-    { table, after, timeoutMilliseconds }: RowsQuery,
+    { table, after, timeoutMilliseconds, agent }: RowsQuery,
   ): Promise<MirrorPage | undefined> {
     if (address === undefined) return undefined
     const path = `${ROWS_PATH}${encodeURIComponent(table)}?after=${after}`
-    const text = await callPeer({ address, path, timeoutMilliseconds })
+    const text = await callPeer({ address, path, timeoutMilliseconds, agent })
     if (text === undefined) return undefined
     const page = pageCodec.decode(text)
     if (page === undefined) this.parts.onMalformed({ form: 'rows of a peer', source: address })
