feat(router): the choice of an endpoint counts the pace that endpoints report

Cause: endpoints whose speed changes several times a second were chosen like fast ones while they were slow, since the intervals between events show a change only after seconds.

The choice adds up to 800 tokens to be read, times what the estimate exceeds the measured slowness by.

Ruled out: the pace as part of slownessOf. Paces in the load reports between instances are not built.

--- a/packages/decisions/__tests__/endpointChoice.spec.ts
+++ b/packages/decisions/__tests__/endpointChoice.spec.ts
@@ -13,6 +13,7 @@
   uncachedTokens: 1_000,
   recentTokens: 0,
   slowness: 1,
+  reportedSlowness: 1,
   reported: undefined,
   failureShare: 0,
   isInSubset: true,
--- a/packages/decisions/__tests__/endpointSubsets.spec.ts
+++ b/packages/decisions/__tests__/endpointSubsets.spec.ts
@@ -50,6 +50,7 @@
     uncachedTokens: 1_000,
     recentTokens: 0,
     slowness: 1,
+    reportedSlowness: 1,
     reported: undefined,
     failureShare: 0,
     isInSubset: false,
--- a/packages/decisions/src/choosing/endpointChoice.ts
+++ b/packages/decisions/src/choosing/endpointChoice.ts
@@ -42,6 +42,11 @@
    * service (`slowness.ts`); 1 or more.
    */
   readonly slowness: number
+  /**
+   * Time that work currently takes at the endpoint by its own reports, relative to normal
+   * (`slowness.ts`); 1 or more, and 1 where the endpoint reports none.
+   */
+  readonly reportedSlowness: number
   /** The load in the endpoint's newest answer; undefined where the endpoint never reported any. */
   readonly reported: ReportedLoad | undefined
   /** Share of recent requests that failed at the endpoint, in [0, 1]. */
@@ -105,6 +110,12 @@
  * so even short prompts do harm at a slow endpoint.
  */
 const SLOWNESS_EXPONENT = 4
+/**
+ * Most tokens that the slowness which an endpoint reports delays. The speed changes again while a
+ * long prompt is read, and without the bound long prompts gather at the endpoints that were fast
+ * last, where they delay short ones.
+ */
+const SLOW_PHASE_TOKENS: TokenCount = 800
 /**
  * Bonus that makes instances send a shared prompt to the same endpoint without communicating. The
  * bonus is small, since too much affinity overloads an endpoint, which costs far more than reading
@@ -186,7 +197,13 @@
 ): TokenCount {
   const tokens = endpoint.pendingTokens + PREFILL_WEIGHT * endpoint.uncachedTokens
   const exponent = 1 + stretch * room * (SLOWNESS_EXPONENT - 1)
-  return tokens * endpoint.slowness ** exponent
+  return tokens * endpoint.slowness ** exponent + reportedDelay(endpoint)
+}
+
+/** Returns the cost of reading at an endpoint that reports to be slower than its answers show. */
+function reportedDelay(endpoint: EndpointSnapshot): TokenCount {
+  const tokens = Math.min(SLOW_PHASE_TOKENS, endpoint.pendingTokens + endpoint.uncachedTokens)
+  return tokens * Math.max(0, endpoint.reportedSlowness - endpoint.slowness)
 }
 
 function recentReport({ reported }: EndpointSnapshot): ReportedLoad | undefined {
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -23,7 +23,14 @@
 export { EndpointSubsets } from './choosing/endpointSubsets.js'
 export { chooseRelayPeer, relayRoom } from './choosing/relayPeer.js'
 export type { RelayCandidate, RelayOrigin } from './choosing/relayPeer.js'
-export { nextEventInterval, slownessFactor, baselineEventInterval } from './choosing/slowness.js'
+export {
+  baselineEventInterval,
+  nextEventInterval,
+  nextPace,
+  paceSlowness,
+  slownessFactor,
+} from './choosing/slowness.js'
+export type { PaceEstimate } from './choosing/slowness.js'
 export { RECOVERY_QUOTA, quotaAtRank, quotaRank, divideRate } from './choosing/rateQuota.js'
 export type { RateQuota, RateShares, RecordedInstance, WarmUpBounds } from './choosing/rateQuota.js'
 export { isNearlyFull, parseRejectionLimit, rejectionQuota } from './choosing/rejectionQuota.js'
--- a/packages/router/__tests__/peerLoads.spec.ts
+++ b/packages/router/__tests__/peerLoads.spec.ts
@@ -40,8 +40,12 @@
 }
 
 function directoryOf(...ids: string[]): EndpointDirectory {
+  return directoryAt(new VirtualClock(), ...ids)
+}
+
+function directoryAt(clock: VirtualClock, ...ids: string[]): EndpointDirectory {
   const directory = new EndpointDirectory({
-    clock: new VirtualClock(),
+    clock,
     instances: () => 1,
     maximumConnections: () => 100,
     coldMilliseconds: () => 0,
@@ -244,6 +248,56 @@
     peers.observe({ ...report(1, 9), instance: 'other', loads: [load('s2')] })
     expect(choose()).toBe('s1')
   })
+
+  const FLEET = {
+    ofPeers: () => ({ running: 0, pendingTokens: 0 }),
+    recentTokens: () => 0,
+    slowness: () => 1,
+    isInSubset: () => true,
+    uncachedTokens: () => 500,
+  }
+  const PROMPT = { tokens: { prompt: 500, maximumOutput: 100 }, promptParts: [] }
+  const LOAD = { running: 1, waiting: 0, slots: 8 }
+
+  function scoresAfter(clock: VirtualClock, directory: EndpointDirectory): readonly number[] {
+    const available = directory.available('model')
+    const ranked = rankEndpoints({
+      open: available.map(endpoint => snapshotEndpoint(endpoint, FLEET, PROMPT, clock.monotonic())),
+      serviceIds: available.map(({ record }) => record.id),
+      sharedPartId: undefined,
+      answerTokens: 100,
+      pauseStretch: 0,
+      failureDomain: 'hall-a',
+      chance: 0,
+    })
+    return available.map(({ record }) => ranked.find(({ id }) => id === record.id)?.score ?? 0)
+  }
+
+  // Guards against a slow endpoint that is chosen like a fast one, and against one that is avoided for ever.
+  it('avoids an endpoint that reports to be slow, until the report is old', async () => {
+    const clock = new VirtualClock()
+    const directory = directoryAt(clock, 's1', 's2')
+    const [slow, usual] = directory.available('model')
+    slow?.noteLoad({ ...LOAD, pace: 300 })
+    usual?.noteLoad({ ...LOAD, pace: 100 })
+    const [slowScore = 0, usualScore = 0] = scoresAfter(clock, directory)
+    expect(slowScore).toBe(usualScore + 1_000)
+    await clock.advance(10_000)
+    const [laterScore = 0, laterUsualScore = 0] = scoresAfter(clock, directory)
+    expect(laterScore - laterUsualScore).toBeLessThan(1)
+  })
+
+  // Guards against another choice among endpoints that report no pace.
+  it('is the same for endpoints that report three figures or a normal pace', () => {
+    const clock = new VirtualClock()
+    const directory = directoryAt(clock, 's1', 's2')
+    const [first, second] = directory.available('model')
+    first?.noteLoad(LOAD)
+    second?.noteLoad({ ...LOAD, pace: 100 })
+    expect(first?.reportedSlowness).toBe(1)
+    const [firstScore, secondScore] = scoresAfter(clock, directory)
+    expect(firstScore).toBe(secondScore)
+  })
 })
 
 function load(endpoint: string) {
--- a/packages/router/src/gateway/dialect.ts
+++ b/packages/router/src/gateway/dialect.ts
@@ -52,6 +52,8 @@
   readonly running: number
   readonly waiting: number
   readonly slots: number
+  /** Time that work currently takes there, in percent of the normal time; not all endpoints report it. */
+  readonly pace?: number
 }
 
 /** Metadata that an endpoint sends with its answer. */
--- a/packages/router/src/gateway/endpointSnapshots.ts
+++ b/packages/router/src/gateway/endpointSnapshots.ts
@@ -48,6 +48,7 @@
     uncachedTokens: fleet.uncachedTokens(id, prompt.tokens?.prompt ?? 0, prompt.promptParts),
     recentTokens: fleet.recentTokens(id),
     slowness: fleet.slowness(endpoint),
+    reportedSlowness: endpoint.reportedSlowness,
     reported: endpoint.load && {
       running: endpoint.load.running,
       waiting: endpoint.load.waiting,
--- a/packages/router/src/gateway/endpointState.ts
+++ b/packages/router/src/gateway/endpointState.ts
@@ -6,8 +6,8 @@
  * over to it.
  */
 
-import { nextEventInterval } from '@rackwalk/decisions'
-import type { EndpointLink, RateQuota } from '@rackwalk/decisions'
+import { nextEventInterval, nextPace, paceSlowness } from '@rackwalk/decisions'
+import type { EndpointLink, PaceEstimate, RateQuota } from '@rackwalk/decisions'
 import { UNKNOWN_SOFTWARE_VERSION } from '@rackwalk/shared'
 import type {
   Clock,
@@ -75,6 +75,8 @@
   loadAt: Milliseconds = Number.NEGATIVE_INFINITY
   /** Estimated milliseconds per event of its answers, near the shortest intervals; undefined until timed. */
   eventIntervalMilliseconds: Milliseconds | undefined
+  /** Estimate from the paces that the endpoint reported; undefined if it never reported one. */
+  private pace: PaceEstimate | undefined
   /**
    * Whether another endpoint answered at the endpoint's address or another start replaced this one. Either
    * proves that this start has terminated, whatever its row says.
@@ -249,6 +251,12 @@
   noteLoad(load: EndpointLoad): void {
     this.load = load
     this.loadAt = this.clock.monotonic()
+    if (load.pace !== undefined) this.pace = nextPace(this.pace, load.pace, this.loadAt)
+  }
+
+  /** Factor by which work takes longer than normal by the endpoint's own reports; at least 1. */
+  get reportedSlowness(): number {
+    return paceSlowness(this.pace, this.clock.monotonic())
   }
 
   /** Records whether an attempt at the endpoint succeeded. */
--- a/packages/stand-ins/src/engine/engineModel.ts
+++ b/packages/stand-ins/src/engine/engineModel.ts
@@ -22,6 +22,8 @@
   readonly millionPairsMilliseconds: Milliseconds
   /** Number of prompt tokens that the prefix cache holds. */
   readonly cacheTokens: TokenCount
+  /** Factor on the duration of the steps that begin at a time; 1 by default. */
+  readonly slowdown?: (now: Milliseconds) => number
 }
 
 /** A part of a prompt that engines cache under its id. */
@@ -103,7 +105,8 @@
     this.isStepping = this.runs.length > 0
     if (!this.isStepping) return
     const generating = this.runs.filter(isPrefilled)
-    const duration = this.generationTime() + this.prefillPiece()
+    const slowdown = this.capacity.slowdown?.(this.clock.monotonic()) ?? 1
+    const duration = slowdown * (this.generationTime() + this.prefillPiece())
     this.clock.after(duration, () => {
       const isFirst = (run: Run) => isPrefilled(run) && run.generatedTokens === 0
       for (const run of [...generating, ...this.runs.filter(isFirst)]) this.generateToken(run)
--- a/packages/stand-ins/src/replay/replay.ts
+++ b/packages/stand-ins/src/replay/replay.ts
@@ -52,6 +52,23 @@
   readonly milliseconds: Milliseconds
   /** Engines, by index, that receive no more requests from the given time on. */
   readonly losses: readonly { readonly engine: number; readonly at: Milliseconds }[]
+  /** Which load engines report; none by default. */
+  readonly loadReports?: LoadReports
+}
+
+/** How engines report their load. */
+interface LoadReports {
+  /**
+   * Time between two reports of each engine to each instance, as with frequent answers. Without it, an instance gets
+   * a report as an answer to one of its requests begins.
+   */
+  readonly everyMilliseconds?: Milliseconds
+  /** Largest age of a reported pace when an instance receives it. */
+  readonly ageMilliseconds: Milliseconds
+  /** Whether a report says how long work takes at the engine. */
+  readonly hasPace: boolean
+  /** Largest relative error of a reported pace. */
+  readonly paceNoise: number
 }
 
 /** The outcome of the requests of one kind. */
@@ -81,6 +98,8 @@
 export class Replay {
   private readonly clock = new VirtualClock()
   private readonly random: SeededRandom
+  /** Draws ages and errors of reports, so that the requests do not depend on them. */
+  private readonly reportRandom: SeededRandom
   private readonly engines: readonly EngineModel[]
   private readonly instances: readonly ReplayedInstance[]
   private readonly kinds = new Map<string, KindOutcome>()
@@ -91,6 +110,7 @@
     seed: number,
   ) {
     this.random = new SeededRandom(seed)
+    this.reportRandom = new SeededRandom(seed + 1)
     this.engines = load.engines.map(
       (capacity, index) => new EngineModel(engineId(index), capacity, this.clock),
     )
@@ -104,6 +124,7 @@
       const phase = this.random.next() * this.load.reportMilliseconds
       this.clock.after(phase, () => this.scheduleReport(instance))
       this.scheduleUrgent(instance)
+      this.scheduleLoadReports(instance)
     }
     for (const { engine, at } of this.load.losses)
       this.clock.after(at, () => this.removeEngine(engine))
@@ -253,12 +274,15 @@
       onPace: milliseconds => endpoint.noteEventInterval(milliseconds),
     })
     const monitor = new StreamMonitor(kind, this.load.tokensPerEvent, this.clock)
+    let hasBegun = false
     engine.submit({
       parts: parts.slice(0, -1),
       promptTokens: prompt,
       answerTokens,
       onToken: () => {
         if (!monitor.noteToken()) return
+        if (!hasBegun) this.reportLoad(endpoint, engine)
+        hasBegun = true
         progress.noteBegun()
         pace.noteEvents(1)
       },
@@ -272,6 +296,35 @@
     })
   }
 
+  /** The instance receives the load that the engine reports with an answer. */
+  private reportLoad(endpoint: EndpointState, engine: EngineModel): void {
+    const reports = this.load.loadReports
+    if (reports === undefined) return
+    const { slots, slowdown } = engine.capacity
+    const at = this.clock.monotonic() - this.reportRandom.next() * reports.ageMilliseconds
+    const error = 1 + reports.paceNoise * (2 * this.reportRandom.next() - 1)
+    const pace = Math.max(1, Math.round(100 * (slowdown?.(at) ?? 1) * error))
+    endpoint.noteLoad({
+      running: engine.runningRequests,
+      waiting: engine.waitingRequests,
+      slots,
+      ...(reports.hasPace ? { pace } : {}),
+    })
+  }
+
+  private scheduleLoadReports({ directory }: ReplayedInstance): void {
+    const every = this.load.loadReports?.everyMilliseconds
+    if (every === undefined) return
+    for (const endpoint of directory.available(SERVICE)) {
+      const engine = this.engines.find(({ endpointId }) => endpointId === endpoint.record.id)
+      const report = () => {
+        if (engine !== undefined) this.reportLoad(endpoint, engine)
+        this.clock.after(every, report)
+      }
+      this.clock.after(this.reportRandom.next() * every, report)
+    }
+  }
+
   private recordOutcome({ name }: ReplayedKind, monitor: StreamMonitor): void {
     const known = this.kinds.get(name) ?? emptyOutcome()
     this.kinds.set(name, known)
