--- a/packages/decisions/__tests__/endpointSubsets.spec.ts
+++ b/packages/decisions/__tests__/endpointSubsets.spec.ts
@@ -54,6 +54,7 @@
     reported: undefined,
     failureShare: 0,
     isInSubset: false,
+    hasIdleConnection: true,
     ...more,
   })
 
