refactor(router): takeReturning says that it forgets the refusal

Cause: a method named like a question changed what it was asked about.

Change: its name and a comment.

--- a/packages/router/src/gateway/instanceAdmission.ts
+++ b/packages/router/src/gateway/instanceAdmission.ts
@@ -99,7 +99,7 @@
    */
   admit(request: IncomingMessage, ownRank: ShedRank, returnKey: string | undefined): void {
     this.scheduleSample()
-    const rank = { ...ownRank, isReturning: this.isReturning(returnKey) }
+    const rank = { ...ownRank, isReturning: this.takeReturning(returnKey) }
     if (!this.processor.admits(rank, this.parts.random.next())) {
       const wait = this.processor.recoveryMilliseconds
       throw new NotRunError(ResultCode.ProcessorFull, undefined, toRetryAfterSeconds(wait))
@@ -115,7 +115,8 @@
     this.returning.noteRefused(returnKey, { wait, remaining }, this.parts.clock.monotonic())
   }
 
-  private isReturning(returnKey: string | undefined): boolean {
+  /** Returns whether a request came back as its caller was told, and counts it. */
+  private takeReturning(returnKey: string | undefined): boolean {
     if (returnKey === undefined) return false
     const isReturning = this.returning.takeReturning(returnKey, this.parts.clock.monotonic())
     if (isReturning) this.parts.admissionCounters.noteReturned()
