revert: the choice of an endpoint prefers one with a kept connection

Cause: requests that come one after the other all go to the endpoint with an idle connection.

Change: the cost of a new connection is taken out again.

--- a/packages/decisions/src/choosing/endpointChoice.ts
+++ b/packages/decisions/src/choosing/endpointChoice.ts
@@ -56,8 +56,6 @@
    * others send to the endpoint.
    */
   readonly isInSubset: boolean
-  /** Whether this instance has a connection to the endpoint that no request uses. */
-  readonly hasIdleConnection: boolean
 }
 
 /** Load as an endpoint reported it with an answer. */
@@ -131,11 +129,6 @@
 const SAME_DOMAIN_BONUS: TokenCount = 60
 /** Cost of an endpoint where all recent requests failed; falls with the square of their share. */
 const FAILURE_COST: TokenCount = 12_000
-/**
- * Cost of an endpoint to which the request would open a connection. It is less than the cost of one
- * more request in progress, so that it decides only among endpoints of nearly equal load.
- */
-const NEW_CONNECTION_COST: TokenCount = 30
 /** An endpoint where this share of requests or more fails is left out while others fail less. */
 const EJECTED_FAILURE_SHARE = 0.6
 /**
@@ -194,9 +187,7 @@
   const affinity = endpoint.id === context.affinityEndpoint ? AFFINITY_BONUS : 0
   const near = endpoint.failureDomain === context.failureDomain ? SAME_DOMAIN_BONUS : 0
   const outside = endpoint.isInSubset ? 0 : OUTSIDE_SUBSET_COST
-  const connecting = endpoint.hasIdleConnection ? 0 : NEW_CONNECTION_COST
-  const costs = load + harm + failing + outside + connecting
-  return prefillCost(endpoint, context.weights) + costs - affinity - near
+  return prefillCost(endpoint, context.weights) + load + harm + failing + outside - affinity - near
 }
 
 /** Returns the cost of the prompts that are read before the answer begins, this one included. */
--- a/packages/router/src/gateway/endpointAgent.ts
+++ b/packages/router/src/gateway/endpointAgent.ts
@@ -23,13 +23,6 @@
     super({ keepAlive: true, maxSockets: maximumConnections, scheduling: 'lifo' })
   }
 
-  /** Whether a connection waits for a request. */
-  get hasIdleConnection(): boolean {
-    return Object.values(this.freeSockets).some(sockets =>
-      sockets?.some(socket => !socket.destroyed),
-    )
-  }
-
   override keepSocketAlive(stream: Duplex): boolean {
     const socket = stream as Socket & { _httpMessage?: { res?: IncomingMessage } }
     const keepAliveHeader = socket._httpMessage?.res?.headers['keep-alive']
--- a/packages/router/src/gateway/endpointSnapshots.ts
+++ b/packages/router/src/gateway/endpointSnapshots.ts
@@ -58,7 +58,6 @@
     // The load that the endpoint itself reports covers a request without a prompt, so no urgent reports of
     // peers are needed and any endpoint counts as part of the subset.
     isInSubset: prompt.tokens === undefined || fleet.isInSubset(id),
-    hasIdleConnection: endpoint.hasIdleConnection,
   }
 }
 
--- a/packages/router/src/gateway/endpointState.ts
+++ b/packages/router/src/gateway/endpointState.ts
@@ -195,11 +195,6 @@
     return this.ownAgent
   }
 
-  /** Whether this instance has a connection to the endpoint that no request uses. */
-  get hasIdleConnection(): boolean {
-    return this.ownAgent?.hasIdleConnection ?? false
-  }
-
   /** Whether this instance may open one more connection to the endpoint. */
   get hasRoom(): boolean {
     return this.running < this.connectionLimit()
