fix(router): a caller that ends its connection is noticed in the same turn

Cause: a departed caller was noticed as its response closed, which is one or more turns of the event loop after the end of its connection was read.

Change: the end of the caller's connection counts. The server ends such a connection anyway, so no answer could be delivered.

Ruled out: the events of the request; a request that was read completely has none left.

--- a/packages/router/__tests__/callerReply.spec.ts
+++ b/packages/router/__tests__/callerReply.spec.ts
@@ -141,3 +141,39 @@
     await aborted
   })
 })
+
+describe('a caller that ends its connection', () => {
+  // On a loaded instance the turns until the response closes were long enough to send its request all the same.
+  it('has left at once, before the response closes, and only once', async () => {
+    const events: string[] = []
+    const port = await listen((reply, response, incoming) => {
+      reply.onLeave(() => events.push('left'))
+      incoming.socket.once('end', () => setImmediate(() => events.push('next turn')))
+      response.once('close', () => events.push('response closed'))
+    })
+    const socket = connect(port, '127.0.0.1')
+    socket.write('GET / HTTP/1.1\r\nHost: a\r\n\r\n', () => socket.end())
+    await expect.poll(() => events.length).toBe(3)
+    expect(events).toEqual(['left', 'next turn', 'response closed'])
+  })
+
+  it('leaves no listeners on a kept connection', async () => {
+    const counts: number[] = []
+    const port = await listen((reply, response, incoming) => {
+      counts.push(incoming.socket.listenerCount('end'))
+      response.writeHead(200)
+      reply.end()
+    })
+    const agent = new Agent({ keepAlive: true, maxSockets: 1 })
+    for (let round = 0; round < 5; round += 1) {
+      await new Promise<void>(resolve => {
+        const call = request({ port, host: '127.0.0.1', agent }, answer =>
+          answer.resume().on('end', () => resolve()),
+        )
+        call.end()
+      })
+    }
+    agent.destroy()
+    expect(new Set(counts).size).toBe(1)
+  })
+})
--- a/packages/router/src/gateway/callerReply.ts
+++ b/packages/router/src/gateway/callerReply.ts
@@ -33,6 +33,7 @@
   ) {
     response.on('close', () => this.noteClose())
     response.on('error', () => this.noteClose())
+    this.watchConnection()
   }
 
   /** Whether the head of an answer or a refusal was sent. */
@@ -113,6 +114,17 @@
     if (this.mustClose()) this.response.shouldKeepAlive = false
   }
 
+  /**
+   * The server ends a connection that its caller has ended, so the caller gets no answer. The response closes only some
+   * turns of the event loop later, in which a loaded instance would still send the request.
+   */
+  private watchConnection(): void {
+    const { socket } = this.response
+    const noteEnd = () => this.noteClose()
+    socket?.once('end', noteEnd)
+    this.response.once('close', () => socket?.off('end', noteEnd))
+  }
+
   private noteClose(): void {
     if (this.ended || this.hasLeft) return
     this.hasLeft = true
