fix(router): both kinds of daemon refuse statuses that HTTP does not define

Cause: a status of 600 or 999 reached callers of the OpenAI-style kind as their answer; the rule stood in the gateway kind only.

Change: isDefinedStatus in packages/decisions serves both kinds; such an answer counts as broken.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -132,7 +132,13 @@
 export { chooseIsolationEndpoint } from './retrying/isolationEndpoint.js'
 export { FleetRetryBudget } from './retrying/fleetRetryBudget.js'
 export type { RetryBounds } from './retrying/fleetRetryBudget.js'
-export { canRepeat, isMisdirected, isServerError, retryStep } from './retrying/retryStep.js'
+export {
+  canRepeat,
+  isMisdirected,
+  isDefinedStatus,
+  isServerError,
+  retryStep,
+} from './retrying/retryStep.js'
 export type { RetryStep } from './retrying/retryStep.js'
 export { wasNeverSent, relayOutcomeText, relayStep } from './retrying/relayStep.js'
 export type { RelayOutcome } from './retrying/relayStep.js'
--- a/packages/decisions/src/retrying/retryStep.ts
+++ b/packages/decisions/src/retrying/retryStep.ts
@@ -78,6 +78,9 @@
 const STATUS_OK = 200
 /** Lowest status that reports a failure of the endpoint. */
 const STATUS_SERVER_ERROR = 500
+/** Range of the statuses that HTTP defines. */
+const LOWEST_STATUS = 100
+const HIGHEST_STATUS = 599
 
 /**
  * Whether a status promises that the request did not run. An answer that has such a status and is not marked as not
@@ -92,6 +95,14 @@
   return status === STATUS_MISDIRECTED
 }
 
+/**
+ * Whether HTTP defines the status. Parsers accept any three digits, while an answer with another status can't be sent to a
+ * caller, or means nothing to it.
+ */
+export function isDefinedStatus(status: number): boolean {
+  return status >= LOWEST_STATUS && status <= HIGHEST_STATUS
+}
+
 /** Whether the status reports a failure of the endpoint. */
 export function isServerError(status: number): boolean {
   return status >= STATUS_SERVER_ERROR
--- a/packages/router/src/engine/endpointExchange.ts
+++ b/packages/router/src/engine/endpointExchange.ts
@@ -6,7 +6,7 @@
  */
 
 import type { Dispatcher } from 'undici'
-import { answerFraming, isProvenComplete } from '@rackwalk/decisions'
+import { answerFraming, isDefinedStatus, isProvenComplete } from '@rackwalk/decisions'
 import type { AnswerEnd, AnswerFraming, EndedAnswer } from '@rackwalk/decisions'
 import { deferred } from '@rackwalk/shared'
 import type { Clock, EndpointId, Milliseconds, Timer } from '@rackwalk/shared'
@@ -144,8 +144,13 @@
     if (this.parts.signal.aborted) this.abandon()
   }
 
-  onResponseStart(_: Dispatcher.DispatchController, status: number, headers: Headers): void {
+  onResponseStart(
+    controller: Dispatcher.DispatchController,
+    status: number,
+    headers: Headers,
+  ): void {
     this.heardAt = this.parts.clock.monotonic()
+    if (!isDefinedStatus(status)) return controller.abort(new InvalidStatusError(status))
     this.status = status
     this.headers = flatHeaders(headers)
     this.framing = answerFraming({
@@ -289,6 +294,15 @@
   }
 }
 
+/** The error for an answer with a status that HTTP does not define. */
+class InvalidStatusError extends Error {
+  readonly code = 'INVALID_STATUS'
+
+  constructor(status: number) {
+    super(`the answer has the status ${status}`)
+  }
+}
+
 /** The error for an answer whose end is missing. */
 class UnfinishedError extends Error {
   readonly code = 'UNFINISHED'
--- a/packages/router/src/gateway/attemptOutcomes.ts
+++ b/packages/router/src/gateway/attemptOutcomes.ts
@@ -3,23 +3,19 @@
  * endpoint: success, proxy error or termination. Owns nothing.
  */
 
-import { isServerError } from '@rackwalk/decisions'
+import { isDefinedStatus, isServerError } from '@rackwalk/decisions'
 import type { AttemptOutcome } from '@rackwalk/decisions'
 import type { ReplyMetadata } from './dialect.js'
 
-/** Lowest status of a final answer. */
-const STATUS_OK = 200
 /** An answer with a status below this one is trusted only if its endpoint signed it. */
 const STATUS_REDIRECT = 300
-/** Highest status that HTTP defines. */
-const HIGHEST_STATUS = 599
 
 /**
  * Whether a proxy or load balancer in front of the engine gave the answer: a server error that is unsigned or
  * belongs to another request. The endpoint may have terminated.
  */
 export function isProxyError(status: number, { kind }: AttemptOutcome): boolean {
-  return kind === 'not-trusted' && isServerError(status) && isFinalStatus(status)
+  return kind === 'not-trusted' && isServerError(status) && isDefinedStatus(status)
 }
 
 /** Whether the endpoint answered without an error of its own. */
@@ -42,7 +38,7 @@
   reply: ReplyMetadata,
   requestId: string,
 ): AttemptOutcome {
-  if (!isFinalStatus(status)) return { kind: 'not-trusted', problem: 'invalid status' }
+  if (!isDefinedStatus(status)) return { kind: 'not-trusted', problem: 'invalid status' }
   const isForOther = reply.requestId !== undefined && reply.requestId !== requestId
   if (reply.isNotExecuted && !isForOther) return { kind: 'refused', status }
   if (reply.requestId !== requestId)
@@ -51,8 +47,3 @@
     return { kind: 'not-trusted', problem: 'unsigned answer' }
   return { kind: 'answered', status }
 }
-
-/** Whether an answer may have this status. Node.js accepts any three digits but refuses to send some of them. */
-function isFinalStatus(status: number): boolean {
-  return status >= STATUS_OK && status <= HIGHEST_STATUS
-}
