refactor(build, daemon): the run for the code cache is a training run

Cause: "rehearsal" is no term of the field, and a spread of four properties hid what the fleet view is made of.

Change: names only; the deploy file's build and its cache are as before.

Measured: bundle, cachedProgram, activeFleet, names and invalidStatuses specs green; the cache is written.

--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -250,9 +250,11 @@
   }
 
   private createFleet(): ActiveFleet {
-    const { settings, members, clock, random } = this
     return createActiveFleet({
-      ...{ settings, members, clock, random },
+      settings: this.settings,
+      members: this.members,
+      clock: this.clock,
+      random: this.random,
       endpoints: () => this.endpoints,
       isReady: () => this.isReady,
       onChange: (isActive, activeInstances) =>
--- a/scripts/codeCache.mjs
+++ b/scripts/codeCache.mjs
@@ -6,16 +6,16 @@
 import { setTimeout } from 'node:timers'
 import { pathToFileURL } from 'node:url'
 import { Script, constants } from 'node:vm'
-import { sendRequests, startPlatform } from '../platform/rehearsal/rehearsal.mjs'
+import { sendRequests, startPlatform } from '../platform/trainingRun/trainingRun.mjs'
 
 /**
  * `codeCache.mjs PROGRAM CACHE`: runs a program for a short time and writes the code that V8 compiled
  * in it as the program's code cache. The cache file begins with a SHA-256 digest of the program and
  * the code. The program runs as an instance that serves requests, with a store and an endpoint of the
- * rehearsal.
+ * training run.
  */
 
-/** The run ends after this time, even if not all requests of the rehearsal were answered. */
+/** The run ends after this time, even if not all requests of the training run were answered. */
 const LONGEST_RUN_MILLISECONDS = 15_000
 /** Time after the last answer in which the instance settles what the requests cost. */
 const SETTLE_MILLISECONDS = 700
