fix(router): a surplus refusal without a readable id is not the answer to the next request

What callers saw: "not run" (503, 429 or 421) for a request that its endpoint ran. A 421 besides made the instance send nothing more to a sound endpoint.

Cause: a refusal without a request id was trusted wherever it came, for the sake of a server that takes over an endpoint's address and refuses without an id. A surplus refusal whose id is lost or whose header's name is spoiled looks the same when it arrives on a kept connection in place of the next answer.

Change: a refusal without an id is trusted only on a connection that has carried no other request, where nothing can be left over. On a kept one the request may have run: its caller gets 502, or another endpoint runs it where the route allows that, the connection is closed, and the endpoint stays listed. A server that took over an address is met over new connections.

Ruled out: trusting no refusal without an id (gateway.spec, "goes at most once to an address ...": three tries instead of one); the name of who answers (X-Rackwalk-Instance-Id), which servers that refuse need not send. Not fixed: a front that keeps connections while a server behind it is replaced costs one request per kept connection a 502 where it got a refusal.

--- a/packages/router/src/gateway/attemptOutcomes.ts
+++ b/packages/router/src/gateway/attemptOutcomes.ts
@@ -28,22 +28,34 @@
   return { kind: kind === 'failed' ? kind : 'connect-failed', reason }
 }
 
+/** The head of an answer, with what shows whose answer it is. */
+export interface AnswerHead {
+  readonly status: number
+  readonly reply: ReplyMetadata
+  /** Whether the connection has carried no other request, so that no answer can be left over on it. */
+  readonly isFirstOnConnection: boolean
+}
+
 /**
- * Returns the outcome of an attempt whose endpoint sent the head of an answer to the request with this id. The id is
- * compared first: a surplus refusal of an earlier request says nothing about whether this one runs. A refusal without an
- * id is trusted, since whatever has taken over the address of an endpoint may send none.
+ * Returns the outcome of an attempt whose endpoint sent this head in answer to the request with this id. Whose answer it is
+ * is decided first: a surplus refusal of an earlier request says nothing about whether this one runs.
  */
-export function outcomeOfHead(
-  status: number,
-  reply: ReplyMetadata,
-  requestId: string,
-): AttemptOutcome {
+export function outcomeOfHead(head: AnswerHead, requestId: string): AttemptOutcome {
+  const { status, reply } = head
   if (!isDefinedStatus(status)) return { kind: 'not-trusted', problem: 'invalid status' }
-  const isForOther = reply.requestId !== undefined && reply.requestId !== requestId
-  if (reply.isNotExecuted && !isForOther) return { kind: 'refused', status }
-  if (reply.requestId !== requestId)
+  if (!isAnswerTo(head, requestId))
     return { kind: 'not-trusted', problem: 'answer to another request' }
+  if (reply.isNotExecuted) return { kind: 'refused', status }
   if (status < STATUS_REDIRECT && !reply.isSigned)
     return { kind: 'not-trusted', problem: 'unsigned answer' }
   return { kind: 'answered', status }
 }
+
+/**
+ * Whether an answer is shown to belong to the request with this id. Endpoints return the id, but another server that took
+ * over an endpoint's address may refuse without one; only on a new connection can such a refusal be no other request's.
+ */
+function isAnswerTo({ reply, isFirstOnConnection }: AnswerHead, requestId: string): boolean {
+  if (reply.requestId !== undefined) return reply.requestId === requestId
+  return reply.isNotExecuted && isFirstOnConnection
+}
--- a/packages/router/src/gateway/requestAttempts.ts
+++ b/packages/router/src/gateway/requestAttempts.ts
@@ -314,7 +314,9 @@
     const reply = this.parts.dialect.readReply(status, response.headers)
     if (reply.load !== undefined) endpoint.noteLoad(reply.load)
     this.parts.turnAways.note(endpoint.service, parseRejectionLimit(reply.rejectionLimit))
-    const outcome = outcomeOfHead(status, reply, this.request.metadata.requestId)
+    const { isFirstOnConnection } = exchange
+    const head = { status, reply, isFirstOnConnection }
+    const outcome = outcomeOfHead(head, this.request.metadata.requestId)
     this.noteAdvice(endpoint, reply, outcome)
     if (outcome.kind === 'refused' && isMisdirected(status)) {
       this.parts.directory.noteEnded(endpoint.record)
--- a/packages/router/src/gateway/upstreamExchange.ts
+++ b/packages/router/src/gateway/upstreamExchange.ts
@@ -68,7 +68,6 @@
   private connectionEnd: ConnectionEnd | undefined
   private abortReason: AbortReason | undefined
   private connected = false
-  /** Whether the connection was opened for this exchange. */
   private isNewConnection = false
   private ended = false
   private mustFlush = false
@@ -97,6 +96,11 @@
     return this.head
   }
 
+  /** Whether the connection was opened for this exchange, so that it has carried no other answer. */
+  get isFirstOnConnection(): boolean {
+    return this.isNewConnection
+  }
+
   /** How the answer marks its end; valid only after the head. */
   get framing(): AnswerFraming {
     const headers = this.response?.headers
