fix(router): an interim head does not count as the begin of an answer (OpenAI-style kind)

What callers saw: "the endpoint broke off its answer" with the execution "ran" (4008) for a request of whose answer nothing but an interim head (such as 103) had arrived, so that nobody knows whether it ran.

Cause: the HTTP client passes on the heads of interim answers like those of final ones, and the exchange took the status, the headers and the framing of each for those of the answer. Found when looking for the cause of the garbled statuses elsewhere.

Change: an exchange notes that it heard from its endpoint and awaits the final head.

Ruled out: the gateway kind, whose client (node:http) drops interim heads but 101.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -136,6 +136,7 @@
   canRepeat,
   isMisdirected,
   isDefinedStatus,
+  isInterimStatus,
   isServerError,
   retryStep,
 } from './retrying/retryStep.js'
--- a/packages/decisions/src/retrying/retryStep.ts
+++ b/packages/decisions/src/retrying/retryStep.ts
@@ -95,6 +95,11 @@
   return status === STATUS_MISDIRECTED
 }
 
+/** Whether a head with this status precedes the head of the final answer, which alone says what became of the request. */
+export function isInterimStatus(status: number): boolean {
+  return status >= LOWEST_STATUS && status < STATUS_OK
+}
+
 /**
  * Whether HTTP defines the status. Parsers accept any three digits, while an answer with another status can't be sent to a
  * caller, or means nothing to it.
--- a/packages/router/src/engine/endpointExchange.ts
+++ b/packages/router/src/engine/endpointExchange.ts
@@ -6,7 +6,12 @@
  */
 
 import type { Dispatcher } from 'undici'
-import { answerFraming, isDefinedStatus, isProvenComplete } from '@rackwalk/decisions'
+import {
+  answerFraming,
+  isDefinedStatus,
+  isInterimStatus,
+  isProvenComplete,
+} from '@rackwalk/decisions'
 import type { AnswerEnd, AnswerFraming, EndedAnswer } from '@rackwalk/decisions'
 import { deferred } from '@rackwalk/shared'
 import type { Clock, EndpointId, Milliseconds, Timer } from '@rackwalk/shared'
@@ -150,6 +155,7 @@
     headers: Headers,
   ): void {
     this.heardAt = this.parts.clock.monotonic()
+    if (isInterimStatus(status)) return
     if (!isDefinedStatus(status)) return controller.abort(new InvalidStatusError(status))
     this.status = status
     this.headers = flatHeaders(headers)
