fix(router): a status below 200 is no answer for a caller of the gateway kind

What callers saw: the status 101 as their answer, without the body; one spoiled byte makes a 201 of it.

Cause: made one rule of the statuses for both kinds of daemon and set its lowest status from 200 to 100. node:http drops interim heads except 101, which it takes for a final answer without a body. Neither spec had a row between 100 and 199.

Change: isFinalStatus (200 to 599) takes the place of isDefinedStatus in both kinds. The relay judges the status of another instance's answer too: a version that runs beside this one in a rolling restart may pass a 101 on.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -135,7 +135,7 @@
 export {
   canRepeat,
   isMisdirected,
-  isDefinedStatus,
+  isFinalStatus,
   isInterimStatus,
   isServerError,
   retryStep,
--- a/packages/decisions/src/retrying/attemptOutcome.ts
+++ b/packages/decisions/src/retrying/attemptOutcome.ts
@@ -14,7 +14,7 @@
   /** A connection was established, so the request may have been sent, and no answer arrived. The request may have run. */
   | { readonly kind: 'failed'; readonly reason: string }
   /**
-   * The answer belongs to another request, lacks its endpoint's signature or has a status that is none of HTTP's, so the
+   * The answer belongs to another request, lacks its endpoint's signature or has a status that no final answer has, so the
    * request may have run.
    */
   | {
--- a/packages/decisions/src/retrying/retryStep.ts
+++ b/packages/decisions/src/retrying/retryStep.ts
@@ -78,8 +78,9 @@
 const STATUS_OK = 200
 /** Lowest status that reports a failure of the endpoint. */
 const STATUS_SERVER_ERROR = 500
-/** Range of the statuses that HTTP defines. */
-const LOWEST_STATUS = 100
+/** Lowest status of an interim answer, which precedes the final one. */
+const LOWEST_INTERIM_STATUS = 100
+/** Highest status that HTTP defines. */
 const HIGHEST_STATUS = 599
 
 /**
@@ -97,15 +98,15 @@
 
 /** Whether a head with this status precedes the head of the final answer, which alone says what became of the request. */
 export function isInterimStatus(status: number): boolean {
-  return status >= LOWEST_STATUS && status < STATUS_OK
+  return status >= LOWEST_INTERIM_STATUS && status < STATUS_OK
 }
 
 /**
- * Whether HTTP defines the status. Parsers accept any three digits, while an answer with another status can't be sent to a
- * caller, or means nothing to it.
+ * Whether a final answer may have the status. Parsers accept any three digits, while an answer with another status can't be
+ * sent to a caller, loses its body (101), or means nothing to it.
  */
-export function isDefinedStatus(status: number): boolean {
-  return status >= LOWEST_STATUS && status <= HIGHEST_STATUS
+export function isFinalStatus(status: number): boolean {
+  return status >= STATUS_OK && status <= HIGHEST_STATUS
 }
 
 /** Whether the status reports a failure of the endpoint. */
--- a/packages/router/__tests__/peerRelay.spec.ts
+++ b/packages/router/__tests__/peerRelay.spec.ts
@@ -76,7 +76,10 @@
     abort: () => {},
   }
   const parts = {
-    dialect: { relayHeaders: () => ['Host', 'app.example'] },
+    dialect: {
+      relayHeaders: () => ['Host', 'app.example'],
+      readReply: () => ({ requestId: 'request-1', isSigned: true }),
+    },
     clock,
     relayPeers: {
       choose: (_service: string, asked: ReadonlySet<string>) =>
@@ -113,6 +116,14 @@
   expect(record.code).toBe(ResultCode.DeadlinePassed)
 })
 
+// A version that runs beside this one in a rolling restart may pass on such an answer of an endpoint.
+it('does not pass on an answer of another instance without a final status', async () => {
+  onRequest = socket => socket.write('HTTP/1.1 101 Switching Protocols\r\n\r\n')
+  const { record } = await relay(() => false)
+  expect(reached).toEqual([1, 1])
+  expect(record.code).toBe(ResultCode.EndpointFailed)
+})
+
 it('relays to another instance while there is time', async () => {
   await relay(() => false)
   expect(reached).toEqual([1, 1])
--- a/packages/router/src/engine/endpointExchange.ts
+++ b/packages/router/src/engine/endpointExchange.ts
@@ -8,7 +8,7 @@
 import type { Dispatcher } from 'undici'
 import {
   answerFraming,
-  isDefinedStatus,
+  isFinalStatus,
   isInterimStatus,
   isProvenComplete,
 } from '@rackwalk/decisions'
@@ -156,7 +156,7 @@
   ): void {
     this.heardAt = this.parts.clock.monotonic()
     if (isInterimStatus(status)) return
-    if (!isDefinedStatus(status)) return controller.abort(new InvalidStatusError(status))
+    if (!isFinalStatus(status)) return controller.abort(new InvalidStatusError(status))
     this.status = status
     this.headers = flatHeaders(headers)
     this.framing = answerFraming({
--- a/packages/router/src/gateway/attemptOutcomes.ts
+++ b/packages/router/src/gateway/attemptOutcomes.ts
@@ -3,7 +3,7 @@
  * endpoint: success, proxy error or termination. Owns nothing.
  */
 
-import { isDefinedStatus, isServerError } from '@rackwalk/decisions'
+import { isFinalStatus, isServerError } from '@rackwalk/decisions'
 import type { AttemptOutcome } from '@rackwalk/decisions'
 import type { ReplyMetadata } from './dialect.js'
 
@@ -15,7 +15,7 @@
  * belongs to another request. The endpoint may have terminated.
  */
 export function isProxyError(status: number, { kind }: AttemptOutcome): boolean {
-  return kind === 'not-trusted' && isServerError(status) && isDefinedStatus(status)
+  return kind === 'not-trusted' && isServerError(status) && isFinalStatus(status)
 }
 
 /** Whether the endpoint answered without an error of its own. */
@@ -42,7 +42,7 @@
  */
 export function outcomeOfHead(head: AnswerHead, requestId: string): AttemptOutcome {
   const { status, reply } = head
-  if (!isDefinedStatus(status)) return { kind: 'not-trusted', problem: 'invalid status' }
+  if (!isFinalStatus(status)) return { kind: 'not-trusted', problem: 'invalid status' }
   if (!isAnswerTo(head, requestId))
     return { kind: 'not-trusted', problem: 'answer to another request' }
   if (reply.isNotExecuted) return { kind: 'refused', status }
--- a/packages/router/src/gateway/peerRelay.ts
+++ b/packages/router/src/gateway/peerRelay.ts
@@ -7,7 +7,7 @@
  */
 
 import type { Agent, IncomingMessage } from 'node:http'
-import { answerDisposition, isEndpointFailure, relayStep } from '@rackwalk/decisions'
+import { answerDisposition, isEndpointFailure, isFinalStatus, relayStep } from '@rackwalk/decisions'
 import type { EndedAnswer, RelayOutcome } from '@rackwalk/decisions'
 import { DispatchedError, NotRunError, RESULT_TABLE, ResultCode } from '@rackwalk/shared'
 import type { Clock, Milliseconds, RackwalkError } from '@rackwalk/shared'
@@ -158,6 +158,7 @@
     if (head.kind === 'not-sent') return { kind: 'not-sent' }
     if (head.kind === 'failed') return { kind: 'failed', reason: head.reason }
     const status = head.response.statusCode ?? 0
+    if (!isFinalStatus(status)) return { kind: 'failed', reason: 'invalid status' }
     const reply = this.parts.dialect.readReply(status, head.response.headers)
     if (reply.requestId !== this.request.metadata.requestId) {
       return { kind: 'failed', reason: 'answer to another request' }
