fix(router): an answer to another request says nothing of the endpoint

What callers saw: one answer that belonged to no request of theirs (of an earlier request, without an id, or unsigned) and said that its sender leaves took a sound endpoint out of service, at all instances, since this news is broadcast; one that named a low rate held requests back for seconds. The requests were refused (503).

Cause: an attempt applied the load, the tolerated rejections and the advice of an answer before it knew whose answer it was.

Change: what an answer says of its sender is applied only if the endpoint itself answered this request; also not from a 421, which another server gave. The application moves to endpointStatements.ts.

Ruled out: the relay to another instance, which reads no statements; answers to state probes, which travel on connections of their own. The class of an unsigned answer is the same: it may come from a proxy.

--- a/packages/router/src/gateway/attemptOutcomes.ts
+++ b/packages/router/src/gateway/attemptOutcomes.ts
@@ -3,7 +3,7 @@
  * endpoint: success, proxy error or termination. Owns nothing.
  */
 
-import { isFinalStatus, isServerError } from '@rackwalk/decisions'
+import { isFinalStatus, isMisdirected, isServerError } from '@rackwalk/decisions'
 import type { AttemptOutcome } from '@rackwalk/decisions'
 import type { ReplyMetadata } from './dialect.js'
 
@@ -23,6 +23,15 @@
   return outcome.kind === 'answered' && !isServerError(outcome.status)
 }
 
+/**
+ * Whether the endpoint itself gave this answer to this request, so that it applies to the endpoint what the answer says of
+ * its sender. An answer to another request may be another server's, and a misdirected one shows that it is.
+ */
+export function isOwnAnswer(status: number, { kind }: AttemptOutcome): boolean {
+  if (kind === 'refused') return !isMisdirected(status)
+  return kind === 'answered'
+}
+
 /** Returns the outcome of an exchange that was ended because its endpoint terminated. */
 export function terminatedOutcome(kind: 'failed' | 'not-sent', reason: string): AttemptOutcome {
   return { kind: kind === 'failed' ? kind : 'connect-failed', reason }
--- a/packages/router/src/gateway/requestAttempts.ts
+++ b/packages/router/src/gateway/requestAttempts.ts
@@ -7,7 +7,6 @@
 
 import type { IncomingMessage } from 'node:http'
 import {
-  adviceText,
   answerDisposition,
   canRepeat,
   crashGossipWait,
@@ -17,8 +16,6 @@
   isMisdirected,
   mayHaveRun,
   retryStep,
-  parseAdvice,
-  parseRejectionLimit,
 } from '@rackwalk/decisions'
 import type { AttemptOutcome, EndedAnswer, RetryStep } from '@rackwalk/decisions'
 import { sleep } from '@rackwalk/shared'
@@ -26,10 +23,17 @@
 import { promptPartKeys } from '../crashes/promptPartKey.js'
 import { GatewayAnswerDelivery } from './gatewayAnswerDelivery.js'
 import { suspectEndpointOf } from './suspectEndpoint.js'
-import { isSuccessful, isProxyError, outcomeOfHead, terminatedOutcome } from './attemptOutcomes.js'
+import {
+  isOwnAnswer,
+  isSuccessful,
+  isProxyError,
+  outcomeOfHead,
+  terminatedOutcome,
+} from './attemptOutcomes.js'
 import { EndpointSelector } from './endpointSelector.js'
 import type { SelectionConstraints, ChosenEndpoint } from './endpointSelector.js'
 import type { ReplyMetadata } from './dialect.js'
+import { applyStatements } from './endpointStatements.js'
 import { EventDelivery } from './eventDelivery.js'
 import type { EndpointRecord, EndpointState } from './endpointState.js'
 import { startedStreamOf } from '../streams/startedStream.js'
@@ -312,12 +316,10 @@
     const status = response.statusCode ?? 0
     this.lastReceivedAt = this.parts.clock.monotonic()
     const reply = this.parts.dialect.readReply(status, response.headers)
-    if (reply.load !== undefined) endpoint.noteLoad(reply.load)
-    this.parts.turnAways.note(endpoint.service, parseRejectionLimit(reply.rejectionLimit))
     const { isFirstOnConnection } = exchange
     const head = { status, reply, isFirstOnConnection }
     const outcome = outcomeOfHead(head, this.request.metadata.requestId)
-    this.noteAdvice(endpoint, reply, outcome)
+    if (isOwnAnswer(status, outcome)) this.noteStatements(endpoint, reply, outcome)
     if (outcome.kind === 'refused' && isMisdirected(status)) {
       this.parts.directory.noteEnded(endpoint.record)
     }
@@ -334,20 +336,15 @@
     return step
   }
 
-  /** Stores the advice that the endpoint gave with this answer. */
-  private noteAdvice(
+  /** Applies what the endpoint says of itself in this answer. */
+  private noteStatements(
     endpoint: EndpointState,
-    { advice }: ReplyMetadata,
+    reply: ReplyMetadata,
     { kind }: AttemptOutcome,
   ): void {
-    const { clock, longestRestMilliseconds, advices } = this.parts
-    const parsedAdvice = parseAdvice(advice, {
-      wallTime: clock.wallTime(),
-      longestRestMilliseconds,
-    })
+    const said = applyStatements(this.parts, endpoint, { reply, isAnswered: kind === 'answered' })
     const attempt = this.request.record.attempts.at(-1)
-    if (attempt !== undefined) attempt.said = adviceText(parsedAdvice)
-    advices.note(endpoint.start, parsedAdvice, kind === 'answered')
+    if (attempt !== undefined) attempt.said = said
   }
 
   private async deliver(
