fix(router): a single refusal with the status 421 takes no sound endpoint out

What callers saw: after one 421 that named no other server, the instance ended all its requests at the endpoint, begun streams too, and sent it nothing more until it restarted; with no other endpoint, callers got 503.

Cause: each trusted 421 counted as the proof that another server has taken over the address. One spoiled digit makes it of the 429 of a full endpoint.

Change: provesTakeover in packages/decisions: a 421 proves it if it names another server (X-Rackwalk-Instance-Id, which the platform's servers send), else only if the answer before it at that address was one as well. The request itself counts as refused, as before. What an instance heard from another server no longer counts as heard from the endpoint.

Ruled out: a state probe before the proof, which plain services don't have; ignoring 421s that name nobody, since servers at a reused address would get requests for as long as the store is away.

--- a/packages/router/src/gateway/dialect.ts
+++ b/packages/router/src/gateway/dialect.ts
@@ -4,7 +4,7 @@
  */
 
 import type { AdviceHeaders } from '@rackwalk/decisions'
-import type { Milliseconds, TokenCount } from '@rackwalk/shared'
+import type { EndpointId, Milliseconds, TokenCount } from '@rackwalk/shared'
 import type { RetryAfterFormat } from '../retryAfter.js'
 
 /** A part of a prompt that several requests may contain. */
@@ -63,6 +63,8 @@
   readonly isSigned: boolean
   /** Whether the endpoint states that it did not run the request and never will. */
   readonly isNotExecuted: boolean
+  /** Id of the server that refused the request; undefined if the answer does not name it. */
+  readonly refusedBy?: EndpointId | undefined
   readonly load: EndpointLoad | undefined
   /**
    * Unparsed number of rejections per second that the endpoint tolerates; undefined if the answer names
--- a/packages/router/src/gateway/endpointDirectory.ts
+++ b/packages/router/src/gateway/endpointDirectory.ts
@@ -4,9 +4,16 @@
  * requests), and the timers of lapsed entries: entries that are missing from the list and may reappear.
  */
 
-import { slownessFactor, baselineEventInterval } from '@rackwalk/decisions'
-import { UNKNOWN_SOFTWARE_VERSION } from '@rackwalk/shared'
-import type { Clock, EndpointStart, Milliseconds, SoftwareVersion, Timer } from '@rackwalk/shared'
+import { baselineEventInterval, provesTakeover, slownessFactor } from '@rackwalk/decisions'
+import { UNKNOWN_SOFTWARE_VERSION, asId } from '@rackwalk/shared'
+import type {
+  Clock,
+  EndpointId,
+  EndpointStart,
+  Milliseconds,
+  SoftwareVersion,
+  Timer,
+} from '@rackwalk/shared'
 import { ExchangeTerminator } from './exchangeTerminator.js'
 import { EndpointState } from './endpointState.js'
 import type { EndpointRecord } from './endpointState.js'
@@ -123,6 +130,17 @@
     return [...this.endpoints.values()].filter(({ isCold }) => isCold).length
   }
 
+  /**
+   * The endpoint's address refused a request as misdirected. `refusedBy` is the id of the server that did, if
+   * it names itself.
+   */
+  noteMisdirected(endpoint: EndpointState, refusedBy: EndpointId | undefined): void {
+    const { record, wasMisdirected } = endpoint
+    endpoint.wasMisdirected = true
+    const id = asId<EndpointId>(record.id)
+    if (provesTakeover({ refusedBy, endpoint: id, wasMisdirected })) this.noteEnded(record)
+  }
+
   /**
    * Another endpoint answers at this endpoint's address, so this start has terminated and gets no further
    * request. While the store is unreachable, the list shows the termination only seconds later.
--- a/packages/router/src/gateway/endpointState.ts
+++ b/packages/router/src/gateway/endpointState.ts
@@ -82,6 +82,8 @@
    * proves that this start has terminated, whatever its row says.
    */
   hasEnded = false
+  /** Whether the last answer from the endpoint's address refused its request as misdirected. */
+  wasMisdirected = false
   /** Monotonic time at which this instance last received data from the endpoint. */
   heardAt: Milliseconds = Number.NEGATIVE_INFINITY
   /** Open exchanges of this instance with the endpoint. */
@@ -238,6 +240,7 @@
   /** This instance received data from the endpoint, so the endpoint is alive. */
   noteHeard(): void {
     this.heardAt = this.clock.monotonic()
+    this.wasMisdirected = false
   }
 
   /**
--- a/packages/router/src/gateway/requestAttempts.ts
+++ b/packages/router/src/gateway/requestAttempts.ts
@@ -13,7 +13,6 @@
   finalError,
   isEndpointFailure,
   wasNeverSent,
-  isMisdirected,
   mayHaveRun,
   retryStep,
 } from '@rackwalk/decisions'
@@ -320,8 +319,8 @@
     const head = { status, reply, isFirstOnConnection }
     const outcome = outcomeOfHead(head, this.request.metadata.requestId)
     if (isOwnAnswer(status, outcome)) this.noteStatements(endpoint, reply, outcome)
-    if (outcome.kind === 'refused' && isMisdirected(status)) {
-      this.parts.directory.noteEnded(endpoint.record)
+    else if (outcome.kind === 'refused') {
+      this.parts.directory.noteMisdirected(endpoint, reply.refusedBy)
     }
     // An endpoint that rejects a request without running it is full, not failing.
     if (outcome.kind !== 'refused') endpoint.noteOutcome(isSuccessful(outcome))
@@ -329,19 +328,19 @@
       exchange.abort('aborted')
       return this.endReset(endpoint, outcome)
     }
-    if (outcome.kind !== 'not-trusted') endpoint.noteHeard()
     const step = this.note(outcome)
     if (step === 'pass-on') return this.deliver(endpoint, exchange, response, noteBegun)
     discard(exchange, outcome, step)
     return step
   }
 
-  /** Applies what the endpoint says of itself in this answer. */
+  /** Notes that the endpoint answered, and applies what it says of itself. */
   private noteStatements(
     endpoint: EndpointState,
     reply: ReplyMetadata,
     { kind }: AttemptOutcome,
   ): void {
+    endpoint.noteHeard()
     const said = applyStatements(this.parts, endpoint, { reply, isAnswered: kind === 'answered' })
     const attempt = this.request.record.attempts.at(-1)
     if (attempt !== undefined) attempt.said = said
