fix(daemon): a fault in a listener ends no process of the OpenAI-style kind

What callers would see: all streams of an instance cut off by a fault that concerns one connection.

Cause: the way out of the process that the garbled status took in the gateway kind (an exception in a socket's listener) was closed there with a handler for uncaught exceptions. The OpenAI-style kind had none, nor one for unhandled rejections.

Change: reportUnhandledFaults, used by both kinds: the fault is logged and the process goes on.

The guard is for what nobody foresaw.

--- a/packages/daemon/src/gateway/runGateway.ts
+++ b/packages/daemon/src/gateway/runGateway.ts
@@ -2,6 +2,7 @@
 
 import { resolve } from 'node:path'
 import { pathToFileURL } from 'node:url'
+import { reportUnhandledFaults } from '../observe/unhandledFaults.js'
 import { GatewayDaemon } from './gatewayDaemon.js'
 import type { GatewaySettings } from './gatewaySettings.js'
 import type { PlatformModule } from './platformAdapter.js'
@@ -20,9 +21,7 @@
   process.once('SIGINT', drainAndExit)
   process.once('SIGTERM', drainAndExit)
   process.on('SIGHUP', () => void watcher.reload('signal'))
-  process.on('unhandledRejection', error => daemon.noteFault(error))
-  // A fault in a listener concerns one request or connection; the end of the process would interrupt all others.
-  process.on('uncaughtException', error => daemon.noteFault(error))
+  reportUnhandledFaults(error => daemon.noteFault(error))
   await daemon.start()
   watcher.start()
 }
--- a/packages/daemon/src/openAiKind.ts
+++ b/packages/daemon/src/openAiKind.ts
@@ -6,6 +6,7 @@
 
 import { SEALED_EXIT_CODE } from '@rackwalk/coordination'
 import { RackwalkDaemon } from './rackwalkDaemon.js'
+import { reportUnhandledFaults } from './observe/unhandledFaults.js'
 import { reportStartError, reportValid } from './startReport.js'
 import { parseSettings } from './settings/openAiSettings.js'
 
@@ -19,6 +20,7 @@
     const drainAndExit = () => void daemon.drain().then(() => process.exit(0))
     process.once('SIGINT', drainAndExit)
     process.once('SIGTERM', drainAndExit)
+    reportUnhandledFaults(error => daemon.noteFault(error))
   } catch (thrown) {
     await reportStartError(thrown)
   }
--- a/packages/daemon/src/rackwalkDaemon.ts
+++ b/packages/daemon/src/rackwalkDaemon.ts
@@ -463,7 +463,8 @@
     this.options.onSealed?.()
   }
 
-  private noteFault(error: unknown): void {
+  /** Reports an internal error: the operation that failed is abandoned and the process continues. */
+  noteFault(error: unknown): void {
     const text = error instanceof Error ? (error.stack ?? error.message) : String(error)
     this.logger.warn('fault', { error: text })
   }
--- a/packages/stand-ins/__tests__/processes.spec.ts
+++ b/packages/stand-ins/__tests__/processes.spec.ts
@@ -23,6 +23,9 @@
 /** Checks bills and budgets when real `rackwalkd` processes are killed or frozen while they serve. */
 
 const PROGRAM = new URL('../../daemon/dist/main.js', import.meta.url).pathname
+/** Loaded before the program: throws in a listener at a signal. */
+const FAULT_ON_SIGNAL =
+  'data:text/javascript,process.on("SIGUSR2",()=>{throw new Error("a fault in a listener")})'
 const TOKEN = 'operator-token'
 const LIMIT = 400_000
 const INSTANCES = 3
@@ -86,10 +89,14 @@
   writeFileSync(file, stringify(settings))
   const log = join(folder, `${name}.log`)
   const output = openSync(log, 'a')
-  const child = spawn(process.execPath, [PROGRAM, '--settings', file], {
-    env: { ...process.env, STAND_IN_SECRET: 'stand-in' },
-    stdio: ['ignore', output, output],
-  })
+  const child = spawn(
+    process.execPath,
+    ['--import', FAULT_ON_SIGNAL, PROGRAM, '--settings', file],
+    {
+      env: { ...process.env, STAND_IN_SECRET: 'stand-in' },
+      stdio: ['ignore', output, output],
+    },
+  )
   const { callerAddress, operatorAddress, peerAddress } = await waitForStartedLine(name, child, log)
   return {
     name,
@@ -266,6 +273,19 @@
     await checkBills(whole)
   })
 
+  // A fault in a listener ended the process, and with it all requests of other callers.
+  it('go on with their open streams after a fault in a listener, which they log', async () => {
+    const [instance] = instances as [Instance]
+    const open = sendMany(instance, 10)
+    await new Promise(resolve => setTimeout(resolve, 100))
+    instance.process.kill('SIGUSR2')
+    const whole = wholeAnswers(await open)
+    expect(whole).toHaveLength(10)
+    expect(instance.process.exitCode).toBeNull()
+    expect(readFileSync(instance.log, 'utf8')).toMatch(/"event":"fault".*a fault in a listener/)
+    await checkBills(whole)
+  })
+
   it('fence one that was frozen and declared dead: it stops and bills nothing more', async () => {
     const [frozen, second, third] = instances as [Instance, Instance, Instance]
     const exit = new Promise<number | null>(resolve => frozen.process.once('exit', resolve))
