--- a/packages/stand-ins/__tests__/spoiledAnswers.spec.ts
+++ b/packages/stand-ins/__tests__/spoiledAnswers.spec.ts
@@ -37,6 +37,7 @@
 }
 
 let fleet: ConfiguredFleet
+/** Changes an answer before it is sent; undefined for a sound one. */
 let spoilByte: ((bytes: Buffer) => void) | undefined
 const faults: unknown[] = []
 const noteFault = (fault: unknown) => void faults.push(fault)
@@ -46,6 +47,7 @@
   return `HTTP/1.1 200 OK\r\n${headers}x-ratelimit-limit-requests: 6000\r\n\r\n${body}`
 }
 
+/** Bytes that follow each answer at once. */
 let surplus = ''
 
 function answer(call: Call, socket: Socket): void {
