fix(coordination): one member row with an unusable address ends no exchange of an instance

What callers saw: none of the sound instances heard each other any more, and, once the store had failed to answer for a moment, an instance followed no table again: a server that was listed later got no requests, and callers got 503 for rows that are too old.

Cause: the address of a member row was any text. A socket of Node.js throws for a port out of range (ERR_SOCKET_BAD_PORT) where its other failures are events. In the exchange of datagrams it was thrown between two reports, before the next one was scheduled, so that no heartbeat was sent any more. In a call to a peer it rejected the promise that the loop of a table's mirror awaits, so that the loop ended. Rates of 1e308 made sums infinite, and an infinite highest load never decays.

Other rows are malformed, as before: counted, logged once, and the last valid row stays.

Ruled out: a process that ends. The handlers of uncaught exceptions keep it running, which is why the loops were lost without an end of the process.

--- a/packages/coordination/src/membership/memberDirectory.ts
+++ b/packages/coordination/src/membership/memberDirectory.ts
@@ -225,7 +225,8 @@
     }
     if (known?.version === row.version) return
     const parsed = memberRowCodec.decode(row.value)
-    if (parsed === undefined) return this.parts.onMalformedRow(row)
+    // A row under another instance's key would be taken for a second row of that instance.
+    if (parsed?.instance !== row.key) return this.parts.onMalformedRow(row)
     this.members.set(row.key, { row: parsed, version: row.version, changedAt: this.observedTime })
     this.notifyChange(known?.row, parsed)
   }
--- a/packages/coordination/src/membership/memberRow.ts
+++ b/packages/coordination/src/membership/memberRow.ts
@@ -4,6 +4,7 @@
  */
 
 import * as z from 'zod'
+import { isSocketAddress } from '@rackwalk/shared'
 import type { Milliseconds } from '@rackwalk/shared'
 import { JsonCodec } from '@rackwalk/stores'
 
@@ -47,19 +48,31 @@
   readonly takesRelays?: boolean | undefined
 }
 
+/**
+ * Largest rate of requests per second that a row may contain; no instance comes near it. Sums over
+ * the rows of a fleet stay exact below it.
+ */
+const LARGEST_RATE = 1e9
+/** Longest time between two writes of a row; the row of a terminated instance is trusted longer. */
+const LONGEST_RENEWAL_MILLISECONDS: Milliseconds = 24 * 3_600_000
+
+const address = z.string().refine(isSocketAddress)
+const optionalAddress = z.string().refine(text => text === '' || isSocketAddress(text))
+const rate = z.number().nonnegative().max(LARGEST_RATE)
+
 const memberSchema = z.object({
   instance: z.string(),
   incarnation: z.string(),
   region: z.string(),
   failureDomain: z.string(),
-  callerAddress: z.string(),
-  peerAddress: z.string(),
-  loadAddress: z.string(),
-  capacity: z.number(),
-  requestsPerSecond: z.number(),
+  callerAddress: address,
+  peerAddress: optionalAddress,
+  loadAddress: optionalAddress,
+  capacity: rate,
+  requestsPerSecond: rate,
   state: z.enum(['serving', 'draining']),
   heartbeat: z.number(),
-  renewalMilliseconds: z.number(),
+  renewalMilliseconds: z.number().positive().max(LONGEST_RENEWAL_MILLISECONDS),
   takesRelays: z.boolean().optional(),
 })
 
