fix(coordination): following a table survives a fault of a read, of its listener, or of one row

Cause: the loop of a mirror awaited reads of the store and of peers, and called its listener, without a handler; its promise is not awaited by anybody. An exception within a page of rows was caught for the page as a whole, after the position in the feed had been moved.

Rows with which a listener throws are given to it again one by one. A query to a peer fails at an address that no socket accepts, as its doc comment says, instead of being rejected.

--- a/packages/coordination/__tests__/tableMirror.spec.ts
+++ b/packages/coordination/__tests__/tableMirror.spec.ts
@@ -2,7 +2,7 @@
 import { VirtualClock } from '@rackwalk/shared'
 import type { ChangedRow } from '@rackwalk/stores'
 import { TableMirror } from '@rackwalk/coordination'
-import type { MirrorPage, UpstreamPeer } from '@rackwalk/coordination'
+import type { MirrorListener, MirrorPage, UpstreamPeer } from '@rackwalk/coordination'
 import { MemoryRowStore } from '@rackwalk/stand-ins'
 
 const TABLE = 'things'
@@ -26,12 +26,16 @@
     }
   }
   const wanted = { isWanted: true, partitions: [''] }
+  const listener: { -readonly [Name in keyof MirrorListener]: MirrorListener[Name] } = {
+    onRows,
+    onFault: error => faults.push(error),
+  }
   const mirror = new TableMirror({
     store: client.store,
     table: TABLE,
     partitions: () => wanted.partitions,
     clock,
-    listener: { onRows, onFault: error => faults.push(error) },
+    listener,
     askPeers,
     upstreamPeer,
     waitMilliseconds,
@@ -40,7 +44,18 @@
   })
   mirror.start()
   const { faults: storeFaults } = client
-  return { clock, store, client, faults: storeFaults, seen, mirror, listenerFaults: faults, wanted }
+  const listenerFaults = faults
+  return {
+    clock,
+    store,
+    client,
+    faults: storeFaults,
+    seen,
+    mirror,
+    listenerFaults,
+    listener,
+    wanted,
+  }
 }
 
 describe('TableMirror', () => {
@@ -145,6 +160,63 @@
     expect(seen.get('b')).toBe('2')
   })
 
+  // A row that could not be read kept the others of its page from the listener.
+  it.each(['a page of changes', 'the whole table'])(
+    'has the sound rows before and after one that its listener cannot read, in %s',
+    async page => {
+      const { clock, store, seen, faults, listenerFaults } = setUp()
+      const isWhole = page === 'the whole table'
+      if (!isWhole) await clock.advance(1_000)
+      faults.isCut = true
+      await clock.advance(3_000)
+      const rows = [
+        { key: 'a', value: '1' },
+        { key: 'b', value: 'poison' },
+        { key: 'c', value: '3' },
+      ]
+      for (const { key, value } of rows) store.put(TABLE, key, value)
+      faults.isCut = false
+      await clock.advance(3_000)
+      expect([...seen]).toEqual([
+        ['a', '1'],
+        ['c', '3'],
+      ])
+      expect(listenerFaults.length).toBeGreaterThan(0)
+    },
+  )
+
+  // A rejected query ended the loop, so that the table was never read again.
+  it.each(['a query to the store', 'a query to a peer', 'its listener'])(
+    'continues after a fault of %s',
+    async source => {
+      let isFaulty = false
+      const throwIf = (name: string) => {
+        if (isFaulty && source === name) throw new RangeError('port out of range')
+      }
+      const { clock, store, seen, faults, client, listenerFaults, listener } = setUp(async () => {
+        throwIf('a query to a peer')
+        return undefined
+      })
+      const readChanges = client.store.readChanges.bind(client.store)
+      vi.spyOn(client.store, 'readChanges').mockImplementation(async (...query) => {
+        throwIf('a query to the store')
+        return readChanges(...query)
+      })
+      listener.onRead = () => throwIf('its listener')
+      await clock.advance(1_000)
+      isFaulty = true
+      faults.isCut = source === 'a query to a peer'
+      await clock.advance(5_000)
+      expect(listenerFaults.length).toBeGreaterThan(0)
+      expect(listenerFaults.length).toBeLessThan(50)
+      isFaulty = false
+      faults.isCut = false
+      store.put(TABLE, 'a', '1')
+      await clock.advance(3_000)
+      expect([...seen]).toEqual([['a', '1']])
+    },
+  )
+
   it('reads nothing while changes are not wanted, and the whole table when they are again', async () => {
     const { clock, store, seen, wanted } = setUp()
     store.put(TABLE, 'a', '1')
--- a/packages/coordination/src/rows/tableMirror.ts
+++ b/packages/coordination/src/rows/tableMirror.ts
@@ -23,7 +23,8 @@
    */
   onRead?(): void
   /**
-   * Called when `onRows` has thrown; the mirror continues with the next rows.
+   * Called when this listener or a read has thrown; the mirror continues. Rows with which `onRows`
+   * has thrown are given to it again one by one, and those that it still rejects are left out.
    */
   onFault?(error: unknown): void
   /**
@@ -206,30 +207,38 @@
 
   private async follow(): Promise<void> {
     while (!this.stopped) {
-      if (this.isUnwanted) {
-        this.forgetPosition()
-        await sleep(this.parts.clock, UNWANTED_POLL_MILLISECONDS)
-        continue
+      try {
+        await this.followOnce()
+      } catch (error) {
+        // Without this, the table would never be read again.
+        this.failures += 1
+        this.parts.listener.onFault?.(error)
+        await sleep(this.parts.clock, this.retryDelay())
       }
-      this.isReadRequested = false
-      if (await this.readFromUpstream()) {
-        await this.pause()
-        continue
-      }
-      const sentAt = this.parts.clock.sinceStart()
-      const succeeded = await this.step()
-      if (this.stopped) return
-      this.noteReachable(succeeded)
-      if (!succeeded) await this.askPeers()
-      if (succeeded) {
-        this.confirmedAt = Math.max(this.confirmedAt, sentAt + this.quietMilliseconds)
-        this.parts.listener.onRead?.()
-      }
-      if (succeeded) await this.pause()
-      else await sleep(this.parts.clock, this.retryDelay())
     }
   }
 
+  /** Reads once, from the upstream peer or the store, and waits until the next read is due. */
+  private async followOnce(): Promise<void> {
+    if (this.isUnwanted) {
+      this.forgetPosition()
+      return sleep(this.parts.clock, UNWANTED_POLL_MILLISECONDS)
+    }
+    this.isReadRequested = false
+    if (await this.readFromUpstream()) return this.pause()
+    const sentAt = this.parts.clock.sinceStart()
+    const succeeded = await this.step()
+    if (this.stopped) return
+    this.noteReachable(succeeded)
+    if (!succeeded) {
+      await this.askPeers()
+      return sleep(this.parts.clock, this.retryDelay())
+    }
+    this.confirmedAt = Math.max(this.confirmedAt, sentAt + this.quietMilliseconds)
+    this.parts.listener.onRead?.()
+    await this.pause()
+  }
+
   private async pause(): Promise<void> {
     if (this.isReadRequested) return
     const { clock, pauseMilliseconds } = this.parts
@@ -335,10 +344,20 @@
   private applyRows(rows: readonly ChangedRow[], isWhole: boolean): void {
     for (const row of rows) this.rows.set(`${row.partition}/${row.key}`, row)
     if (rows.length === 0 && !isWhole) return
+    if (this.notifyRows(rows, isWhole) || rows.length === 1) return
+    // One row must not keep the others of its page from the listener, since they are not read again.
+    const applied = rows.filter(row => this.notifyRows([row], false))
+    if (isWhole) this.notifyRows(applied, true)
+  }
+
+  /** Returns whether the listener has applied the rows; a fault of the listener is reported. */
+  private notifyRows(rows: readonly ChangedRow[], isWhole: boolean): boolean {
     try {
       this.parts.listener.onRows(rows, isWhole)
+      return true
     } catch (error) {
       this.parts.listener.onFault?.(error)
+      return false
     }
   }
 
--- a/packages/daemon/__tests__/peerRowClient.spec.ts
+++ b/packages/daemon/__tests__/peerRowClient.spec.ts
@@ -80,3 +80,28 @@
     expect(connections()).toBe(2)
   })
 })
+
+describe('a query to an address that no socket accepts', () => {
+  // It was rejected instead of failing, which its callers do not expect.
+  it.each([
+    '127.0.0.1:99999',
+    '127.0.0.1:0',
+    '127.0.0.1:-1',
+    '127.0.0.1:x',
+    'nowhere',
+    'a\r\nb:80',
+  ])('fails: %j', async address => {
+    const client = new PeerRowClient({
+      own: undefined,
+      seeds: [],
+      knownAddresses: () => [address],
+      nearAddresses: () => [address],
+      random: new SystemRandom(),
+      timeoutMilliseconds: 5_000,
+      onMalformed: ({ form }) => expect.unreachable(form),
+    })
+    stops.push(() => client.close())
+    expect(await client.ask(TABLE, 0)).toBeUndefined()
+    expect(await client.askNear(TABLE, 0)).toBeUndefined()
+  })
+})
--- a/packages/daemon/src/gateway/peerCall.ts
+++ b/packages/daemon/src/gateway/peerCall.ts
@@ -2,6 +2,7 @@
 
 import { request } from 'node:http'
 import type { Agent } from 'node:http'
+import { isSocketAddress } from '@rackwalk/shared'
 import type { Milliseconds } from '@rackwalk/shared'
 import { parseAddress } from '../observe/listenOn.js'
 
@@ -28,6 +29,8 @@
  */
 export function callPeer(call: PeerCall): Promise<string | undefined> {
   const { address, path, body, agent = false, timeoutMilliseconds } = call
+  // `request` throws for such an address, while it reports all other failures by events.
+  if (!isSocketAddress(address)) return Promise.resolve(undefined)
   const { host, port } = parseAddress(address)
   const method = body === undefined ? 'GET' : 'POST'
   return new Promise(resolve => {
