feat(router): the line of an attempt tells the size of the body that came

Cause: an answer without a length has the framing connection and the end closed in its line, whether all of its body came, a part of it or nothing, so a truncated head could not be told from a sound answer (docs/incidents/truncated-heads.md).

Change: attempts of a request line carry bodyBytes beside withheldBytes.

--- a/packages/daemon/src/gateway/requestLogFields.ts
+++ b/packages/daemon/src/gateway/requestLogFields.ts
@@ -59,6 +59,7 @@
     framing: attempt.answer?.framing,
     end: attempt.answer?.end,
     events: attempt.answer?.events,
+    bodyBytes: attempt.answer?.bodyBytes,
     withheldBytes: attempt.answer?.withheldBytes,
     longestPauseMilliseconds: rounded(attempt.longestPause?.milliseconds),
     pausePendingTokens: attempt.longestPause?.pendingTokens,
--- a/packages/router/src/gateway/gatewayAnswerDelivery.ts
+++ b/packages/router/src/gateway/gatewayAnswerDelivery.ts
@@ -51,8 +51,9 @@
   get record(): AnswerRecord | undefined {
     if (this.ended === undefined) return undefined
     const { framing, end } = this.ended
-    const withheldBytes = this.receivedBytes - this.deliveredBytes
-    return { framing, end, events: this.eventCount, withheldBytes }
+    const bodyBytes = this.receivedBytes
+    const withheldBytes = bodyBytes - this.deliveredBytes
+    return { framing, end, events: this.eventCount, bodyBytes, withheldBytes }
   }
 
   /** Delivers complete events as they arrive; an incomplete event at the end is never delivered. */
--- a/packages/router/src/gateway/gatewayRecord.ts
+++ b/packages/router/src/gateway/gatewayRecord.ts
@@ -21,6 +21,8 @@
   readonly end: AnswerEnd
   /** Complete events received from the endpoint. */
   readonly events: number
+  /** Bytes of the body that were received from the endpoint. */
+  readonly bodyBytes: Bytes
   /** Bytes of the body that were received and not delivered to the caller. */
   readonly withheldBytes: Bytes
 }
