fix(router): a truncated head is not taken for an answer without a length

Callers got a 200 with an empty body, or with a short one, framed as complete, though their endpoint had stopped within the head.

Cause: the parser of node:http (llhttp 8) ends a head at CR LF LF, and at CR LF CR before any byte. The lines after that place are missing, Content-Length with them, so the answer was framed by its connection, and the close of the endpoint proved it whole.

Change: the bytes of every head are read beside the parser (HeadLines). Unless it ends with CR LF CR LF, interim heads too, the exchange fails with "malformed head", and the request is repeated where that is allowed.

Ruled out: a stricter parser, which Node.js 20 does not offer; refusing every success without a length, which loses sound ones; the missing part taken from a later answer (no row on a kept connection differs from the one on a new connection). undici, in the OpenAI-style kind, refuses all of these heads.

--- a/packages/router/src/gateway/upstreamExchange.ts
+++ b/packages/router/src/gateway/upstreamExchange.ts
@@ -10,6 +10,7 @@
 import type { AnswerEnd, AnswerFraming } from '@rackwalk/decisions'
 import type { Milliseconds } from '@rackwalk/shared'
 import { ConnectionEnd } from './connectionEnd.js'
+import { HeadLines } from './headLines.js'
 
 /** The endpoint to which a request is sent. */
 export interface ExchangeEndpoint {
@@ -56,6 +57,9 @@
   'aborted' | 'deadline' | 'caller-left' | 'endpoint-ended'
 >
 
+/** Reason of an exchange whose answer has a head that did not end as HTTP requires. */
+const MALFORMED_HEAD = 'malformed head'
+
 /** Reason of an exchange that this instance ended because its endpoint has terminated. */
 export const ENDPOINT_ENDED = 'endpoint-ended'
 
@@ -71,6 +75,8 @@
   private isNewConnection = false
   private ended = false
   private mustFlush = false
+  private readonly headLines = new HeadLines()
+  private interimHeads = 0
 
   constructor(
     private readonly endpoint: ExchangeEndpoint,
@@ -207,21 +213,33 @@
         resolve({ kind, reason: this.abortReason === ENDPOINT_ENDED ? ENDPOINT_ENDED : reason })
       })
       this.call.on('close', () => resolve({ kind: 'failed', reason: 'closed' }))
-      this.call.on('response', response => {
-        this.response = response
-        if (this.isNewConnection) this.endpoint.noteConnected?.()
-        this.connectionEnd = new ConnectionEnd(response.socket)
-        resolve({ kind: 'head', response })
-      })
+      this.call.on('information', () => (this.interimHeads += 1))
+      this.call.on('response', response => resolve(this.noteHead(response)))
     })
   }
 
+  private noteHead(response: IncomingMessage): HeadOutcome {
+    response.socket.off('data', this.readHeadLines)
+    if (!this.headLines.haveEnded(this.interimHeads + 1)) {
+      this.call.destroy()
+      return { kind: 'failed', reason: MALFORMED_HEAD }
+    }
+    this.response = response
+    if (this.isNewConnection) this.endpoint.noteConnected?.()
+    this.connectionEnd = new ConnectionEnd(response.socket)
+    return { kind: 'head', response }
+  }
+
+  private readonly readHeadLines = (bytes: Buffer): void => this.headLines.add(bytes)
+
   private giveUpConnecting(): void {
     if (!this.connected) this.call.destroy(new Error('no connection in time'))
   }
 
   private watchConnection(connectMilliseconds: Milliseconds): void {
     this.call.on('socket', socket => {
+      // The parser of node:http reads in a listener of its own, so this listener must run first.
+      socket.prependListener('data', this.readHeadLines)
       if (!socket.connecting) {
         this.connected = true
         return
