fix(router): a 204 that declares a body is answered by its head

Callers of a 204 with a length or chunks waited until their deadline and got no answer, got a 502, or got a 204 that declares a body, with that body behind it, which is no answer in the protocol.

Cause: the rule says that a 204 ends with its head, but the exchange ended every answer with the end of the parser's body, and node:http reads a body after a 204 that declares one. The length was passed on to the caller.

Change: an answer without a body ends as complete with its head. If a 204 declares a body (declaresForbiddenBody), the connection to the endpoint is closed: whether bytes of it are left cannot be known, and they belong to no request. A caller's 204 has no length.

Ruled out: reading such a body for a while to keep the connection, since its bytes may as well be the next answer. 304 and HEAD, whose length is no body's, were not affected; nor were bytes behind them, which end the connection.

--- a/packages/decisions/__tests__/answerCompleteness.spec.ts
+++ b/packages/decisions/__tests__/answerCompleteness.spec.ts
@@ -2,6 +2,7 @@
 import {
   answerDisposition,
   answerFraming,
+  declaresForbiddenBody,
   isEndpointFailure,
   isProvenComplete,
   retryStep,
@@ -116,4 +117,15 @@
   ])('with %s', (_, more) => {
     expect(answerFraming({ ...HEAD, ...more })).toMatchSnapshot()
   })
+
+  it.each([
+    ['a 204 without a length', { status: 204 }, false],
+    ['a 204 with the length 0', { status: 204, contentLength: '0' }, false],
+    ['a 204 with a length', { status: 204, contentLength: '12' }, true],
+    ['a 204 in chunks', { status: 204, transferEncoding: 'chunked' }, true],
+    ['a 304 with a length', { status: 304, contentLength: '12' }, false],
+    ['a 200 with a length', { contentLength: '12' }, false],
+  ])('of %s may declare a body that cannot be there', (_, more, isDeclared) => {
+    expect(declaresForbiddenBody({ ...HEAD, ...more })).toBe(isDeclared)
+  })
 })
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -173,7 +173,8 @@
   AnswerFraming,
   EndedAnswer,
 } from './stopping/answerCompleteness.js'
-export { answerFraming } from './stopping/answerFraming.js'
+export { answerFraming, declaresForbiddenBody } from './stopping/answerFraming.js'
+export type { AnswerHead } from './stopping/answerFraming.js'
 export { LINGER_MILLISECONDS, exitDelay, shouldSettle } from './stopping/drainPhases.js'
 export { finalError, allRefusedError } from './stopping/finalError.js'
 export type { NoEndpointReason } from './stopping/finalError.js'
--- a/packages/decisions/src/stopping/answerFraming.ts
+++ b/packages/decisions/src/stopping/answerFraming.ts
@@ -38,6 +38,16 @@
   return contentLength === undefined ? 'connection' : 'length'
 }
 
+/**
+ * Whether the head declares a body that its status rules out (RFC 9110, section 8.6, and RFC 9112, section 6.1). Whether one
+ * follows can't be known, so nothing else can be read from the connection. A length of 0 declares none.
+ */
+export function declaresForbiddenBody(head: Omit<AnswerHead, 'method'>): boolean {
+  const { status, transferEncoding, contentLength = '0' } = head
+  if (status !== STATUS_NO_CONTENT) return false
+  return transferEncoding !== undefined || contentLength !== '0'
+}
+
 /** Whether no body follows: after HEAD, and for status 204, 304 or one below 200. */
 function isBodiless({ method, status }: AnswerHead): boolean {
   if (method === 'HEAD' || status < STATUS_OK) return true
--- a/packages/router/src/gateway/callerReply.ts
+++ b/packages/router/src/gateway/callerReply.ts
@@ -11,6 +11,9 @@
 import type { RetryAfterFormat } from '../retryAfter.js'
 import { withoutConnectionHeaders } from './connectionHeaders.js'
 
+/** An answer with this status must not declare a length; callers would wait for the body. */
+const STATUS_NO_CONTENT = 204
+
 /** The answer to one caller. */
 export class CallerReply {
   private started = false
@@ -60,7 +63,8 @@
     this.started = true
     this.isFramed = isLengthKnown || this.response.useChunkedEncodingByDefault
     this.prepareEnd()
-    const isDropped = (name: string) => name === 'content-length' && !isLengthKnown
+    const mayDeclareLength = isLengthKnown && response.statusCode !== STATUS_NO_CONTENT
+    const isDropped = (name: string) => name === 'content-length' && !mayDeclareLength
     const headers = withoutConnectionHeaders(response.rawHeaders, isDropped)
     this.response.writeHead(response.statusCode ?? 0, headers as unknown as Record<string, string>)
   }
--- a/packages/router/src/gateway/upstreamExchange.ts
+++ b/packages/router/src/gateway/upstreamExchange.ts
@@ -6,8 +6,8 @@
 
 import { request as httpRequest } from 'node:http'
 import type { Agent, ClientRequest, IncomingMessage } from 'node:http'
-import { answerFraming } from '@rackwalk/decisions'
-import type { AnswerEnd, AnswerFraming } from '@rackwalk/decisions'
+import { answerFraming, declaresForbiddenBody } from '@rackwalk/decisions'
+import type { AnswerEnd, AnswerFraming, AnswerHead } from '@rackwalk/decisions'
 import type { Milliseconds } from '@rackwalk/shared'
 import { ConnectionEnd } from './connectionEnd.js'
 import { HeadLines } from './headLines.js'
@@ -109,13 +109,17 @@
 
   /** How the answer marks its end; valid only after the head. */
   get framing(): AnswerFraming {
+    return answerFraming(this.answerHead)
+  }
+
+  private get answerHead(): AnswerHead {
     const headers = this.response?.headers
-    return answerFraming({
+    return {
       method: this.method,
       status: this.response?.statusCode ?? 0,
       transferEncoding: headers?.['transfer-encoding'],
       contentLength: headers?.['content-length'],
-    })
+    }
   }
 
   /** Passes the body to a listener as it arrives; call it once, after the head. */
@@ -128,12 +132,24 @@
       this.connectionEnd?.release()
       listener.onEnd(this.abortReason ?? end)
     }
+    if (this.framing === 'bodiless') {
+      this.leaveBodiless(response)
+      finish('complete')
+      return
+    }
     response.on('data', (chunk: Buffer) => listener.onData(chunk))
     response.on('end', () => finish(this.deliveredEnd(response)))
     response.on('error', () => finish(this.brokenEnd))
     response.on('close', () => finish(this.brokenEnd))
   }
 
+  /** Frees the connection of an answer that ends with its head, or closes it if other bytes may be left on it. */
+  private leaveBodiless(response: IncomingMessage): void {
+    response.on('error', () => {})
+    if (declaresForbiddenBody(this.answerHead)) this.call.destroy()
+    else response.resume()
+  }
+
   /**
    * Reads and discards the rest of an answer so that its connection can be reused. An answer that is long or does not
    * end in time is aborted.
@@ -185,8 +201,10 @@
 
   /** Whether the complete answer was received, even if a slow caller does not have all of it yet. */
   private get isReceived(): boolean {
+    if (this.response === undefined) return false
+    if (this.framing === 'bodiless') return true
     if (this.framing === 'connection') return this.connectionEnd?.kind === 'closed'
-    return this.response?.complete === true
+    return this.response.complete
   }
 
   /** The end of an answer whose received data was all passed on. */
