--- a/packages/coordination/__tests__/tableMirror.spec.ts
+++ b/packages/coordination/__tests__/tableMirror.spec.ts
@@ -185,6 +185,19 @@
     },
   )
 
+  // A version that the store never reached was the position for good.
+  it('reads the whole table again after a version that is larger than a later one', async () => {
+    const { clock, store, seen, client } = setUp()
+    await clock.advance(1_000)
+    vi.spyOn(client.store, 'readChanges').mockImplementationOnce(async () => {
+      return { kind: 'changes', rows: [], version: 2 ** 50, storeTime: 1 }
+    })
+    await clock.advance(1_000)
+    store.put(TABLE, 'a', '1')
+    await clock.advance(3_000)
+    expect([...seen]).toEqual([['a', '1']])
+  })
+
   // A rejected query ended the loop, so that the table was never read again.
   it.each(['a query to the store', 'a query to a peer', 'its listener'])(
     'continues after a fault of %s',
--- a/packages/coordination/src/rows/tableMirror.ts
+++ b/packages/coordination/src/rows/tableMirror.ts
@@ -289,6 +289,11 @@
       this.forgetPosition()
       return true
     }
+    if (outcome.version < (this.position ?? 0)) {
+      // Versions never decrease, so the position was never one of the store.
+      this.forgetPosition()
+      return true
+    }
     // The store answers before the wait has passed only if something changed.
     if (outcome.rows.length === 0) this.quietMilliseconds = Math.min(waitMilliseconds, duration)
     this.position = outcome.version
