fix(daemon): a datagram with an absurd load leaves no sum over the instances wrong

What callers saw: after one datagram with a load of 1e17 or more for an endpoint, the instances that got it added it to those of the others and subtracted it again, which leaves 0 or less of what the others have in progress there, or infinity, until the endpoint is gone; one with the sequence 1e308 made all later reports of its sender count as outdated, so that the sender fell silent.

Cause: the numbers of a report were checked for being finite alone.

--- a/packages/daemon/__tests__/loadExchange.spec.ts
+++ b/packages/daemon/__tests__/loadExchange.spec.ts
@@ -73,6 +73,33 @@
     expect(decodeReport(Buffer.from('["a","b",1e999,true,[]]'))).toBeUndefined()
   })
 
+  // One report of an absurd load left the sums over all instances wrong for good.
+  it.each(['1e308', '1e17', '1e13', '1e999', '-1e308'])(
+    'that report a load of %s are ignored',
+    amount => {
+      for (const load of [`${amount},0,[]`, `0,${amount},[]`, `0,0,[["a",${amount}]]`]) {
+        const text = `["peer","first",1,true,[["s1",${load}]]]`
+        expect(decodeReport(Buffer.from(text))).toBeUndefined()
+      }
+    },
+  )
+
+  // Later reports would be taken for outdated ones.
+  it.each(['1e308', '9007199254740994', '-1e308', '1e999'])(
+    'with the sequence %s are ignored',
+    sequence => {
+      expect(decodeReport(Buffer.from(`["peer","first",${sequence},true,[]]`))).toBeUndefined()
+    },
+  )
+
+  it('that are nested deeply or very long are ignored', () => {
+    const deep = '['.repeat(20_000) + ']'.repeat(20_000)
+    for (const text of [deep, `["a","b",1,true,${deep}]`, `["a","b",1,true,[["s",1,0,${deep}]]]`]) {
+      expect(decodeReport(Buffer.from(text))).toBeUndefined()
+    }
+    expect(decodeReport(Buffer.from(`["${'a'.repeat(60_000)}"`))).toBeUndefined()
+  })
+
   it('carry a report unchanged', () => {
     fc.assert(
       fc.property(reports, report => {
--- a/packages/daemon/src/gateway/loadReport.ts
+++ b/packages/daemon/src/gateway/loadReport.ts
@@ -42,7 +42,7 @@
   if (!isList(value) || value.length !== 5) return false
   const [instance, incarnation, sequence, isWhole, loads] = value
   const isNamed = typeof instance === 'string' && typeof incarnation === 'string'
-  return isNamed && isNumber(sequence) && typeof isWhole === 'boolean' && isListOf(loads, isLoad)
+  return isNamed && isSequence(sequence) && typeof isWhole === 'boolean' && isListOf(loads, isLoad)
 }
 
 function isLoad(value: unknown): value is WireLoad {
@@ -68,10 +68,16 @@
   return Array.isArray(value)
 }
 
-function isNumber(value: unknown): value is number {
-  return Number.isFinite(value)
+function isSequence(value: unknown): value is number {
+  return typeof value === 'number' && Math.abs(value) <= Number.MAX_SAFE_INTEGER
 }
 
+/**
+ * Amounts of several instances are added up and subtracted again. Above this one, which no instance reports, a sum
+ * would lose the amounts of the others, or become infinite and remain so.
+ */
+const LARGEST_AMOUNT = 1e12
+
 function isAmount(value: unknown): value is number {
-  return isNumber(value) && value >= 0
+  return typeof value === 'number' && value >= 0 && value <= LARGEST_AMOUNT
 }
