fix(daemon): calls of peers that cannot be decoded are answered, and absurd loans refused

What callers saw: nothing. A peer, or whoever reaches its listener, got no answer to a path like /rows/%ff and held the connection for as long as it liked; each such call was an unhandled error. A loan of 1e308 tokens was waited for and told to all holders of the budget as wanted, which makes them give back half of what they hold.

Cause: a short call awaited its answer without a handler, and the path was decoded within it; the numbers of a loan were only checked for not being negative.

Change: a target whose path cannot be decoded is answered with 400; a fault within an answer ends its connection at once and is still reported. Loans are at most 1e12 tokens, patience ten minutes.

--- a/packages/daemon/src/gateway/gatewayListeners.ts
+++ b/packages/daemon/src/gateway/gatewayListeners.ts
@@ -74,14 +74,33 @@
   request.on('end', () => {
     const body = Buffer.concat(chunks).toString('utf8')
     const target = request.url ?? '/'
-    const answered = isValidTarget(target) ? answer(target, body) : BAD_REQUEST
-    void Promise.resolve(answered).then(result => write(response, result))
+    void respond(response, async () => (isValidTarget(target) ? answer(target, body) : BAD_REQUEST))
   })
 }
 
-/** Whether a request's target can be parsed as a path with a query; `//`, for example, can't. */
+/** Sends an answer. If there is none because of a fault, its caller is not kept waiting. */
+async function respond(
+  response: ServerResponse,
+  answer: () => Promise<PlainAnswer>,
+): Promise<void> {
+  try {
+    write(response, await answer())
+  } catch (error) {
+    response.destroy()
+    throw error
+  }
+}
+
+/** Whether a request's target can be parsed as a path with a query; `//` and `/%ff`, for example, can't. */
 function isValidTarget(target: string): boolean {
-  return URL.canParse(target, ANY_ORIGIN)
+  if (!URL.canParse(target, ANY_ORIGIN)) return false
+  try {
+    decodeURIComponent(new URL(target, ANY_ORIGIN).pathname)
+    return true
+  } catch {
+    // An escape sequence that is no UTF-8 is an expected result.
+    return false
+  }
 }
 
 /** Listens at all addresses; rejects with `CannotListen` if one cannot be bound. */
--- a/packages/daemon/src/gateway/peerLoanClient.ts
+++ b/packages/daemon/src/gateway/peerLoanClient.ts
@@ -17,11 +17,18 @@
 /** Connections to one peer. */
 const MAXIMUM_CONNECTIONS = 4
 
+/** Far more tokens than any request has; a lender tells others how many it lacks. */
+const LARGEST_LOAN: TokenCount = 1e12
+/** Far longer than any request waits for a loan. */
+const LONGEST_PATIENCE_MILLISECONDS: Milliseconds = 600_000
+
+const loanTokens = z.number().nonnegative().max(LARGEST_LOAN)
+
 const requestSchema = z.strictObject({
   id: z.string(),
   budget: z.string(),
-  tokens: z.number().nonnegative(),
-  patienceMilliseconds: z.number().nonnegative(),
+  tokens: loanTokens,
+  patienceMilliseconds: z.number().nonnegative().max(LONGEST_PATIENCE_MILLISECONDS),
 })
 
 const requestCodec = new JsonCodec<z.infer<typeof requestSchema>, LoanRequest>({
@@ -38,7 +45,7 @@
 const repaymentSchema = z.strictObject({
   id: z.string(),
   budget: z.string(),
-  spent: z.number().nonnegative(),
+  spent: loanTokens,
 })
 
 const repaymentCodec = new JsonCodec<z.infer<typeof repaymentSchema>, LoanRepayment>({
@@ -47,7 +54,7 @@
   fromWire: wire => wire,
 })
 
-const answerSchema = z.object({ lent: z.number().nonnegative() })
+const answerSchema = z.object({ lent: loanTokens })
 
 /** The number of tokens that a lender lends. */
 const answerCodec = new JsonCodec<z.infer<typeof answerSchema>, TokenCount>({
