fix(decisions): a close right behind its head does not prove an empty success

Callers got a 200 with an empty body, framed as complete, of an endpoint that stopped after its head; a stream that another endpoint continued was ended as whole though none of its later events had come.

Cause: an answer without a length was proven by a connection that is closed in order. The system closes the connections of a process that ends in the same way, so where nothing but the head has come the close says nothing. RFC 9110, section 15.3.1, expects content of a 200 unless its framing says that there is none.

Change: isBodyMissing is the rule for both kinds of daemon and for relays: a 200, 203 or 206 without a length and without a byte of body is not whole. It is repeated where that is allowed, else refused or cut. Other statuses are told by their head and stay whole, as do answers without a length that have a body.

Ruled out: the same for every status (loses redirects, errors, 201, 202, 205); an exception for heads that announce the close.

--- a/packages/decisions/__tests__/answerCompleteness.spec.ts
+++ b/packages/decisions/__tests__/answerCompleteness.spec.ts
@@ -3,6 +3,7 @@
   answerDisposition,
   answerFraming,
   declaresForbiddenBody,
+  isBodyMissing,
   isEndpointFailure,
   isProvenComplete,
   retryStep,
@@ -68,6 +69,19 @@
     }
   })
 
+  it('lacks its body only if a success that has content ends with its connection right after its head', () => {
+    const statuses = [200, 201, 202, 203, 204, 205, 206, 301, 304, 400, 404, 500, 503]
+    const lacking = FRAMINGS.flatMap(framing =>
+      statuses
+        .filter(status => isBodyMissing(framing, { status, hasBody: false }))
+        .map(status => `${framing} ${status}`),
+    )
+    expect(lacking).toEqual(['connection 200', 'connection 203', 'connection 206'])
+    for (const framing of FRAMINGS) {
+      expect(statuses.some(status => isBodyMissing(framing, { status, hasBody: true }))).toBe(false)
+    }
+  })
+
   it('counts as a failure of its endpoint only if the endpoint or the connection to it ended it', () => {
     const failures = ENDS.filter(end =>
       isEndpointFailure({ framing: 'chunks', end, isBodyTruncated: true }),
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -165,6 +165,7 @@
 export {
   answerDisposition,
   isEndpointFailure,
+  isBodyMissing,
   isProvenComplete,
 } from './stopping/answerCompleteness.js'
 export type {
--- a/packages/decisions/src/stopping/answerCompleteness.ts
+++ b/packages/decisions/src/stopping/answerCompleteness.ts
@@ -2,7 +2,7 @@
  * Decides whether an endpoint's answer is proven complete, what becomes of an answer that is not, and whether the end of an
  * incomplete answer counts as a failure of its endpoint.
  *
- * Inputs: how the answer is framed, how reading it ended, whether its body is truncated, whether the route allows the
+ * Inputs: how the answer is framed, how reading it ended, whether its body is truncated or missing, whether the route allows the
  * request to run again, and whether the caller has a part of the answer.
  *
  * An answer is complete only if its own framing says so and its body is not truncated, and never merely because reading it
@@ -51,7 +51,10 @@
 export interface EndedAnswer {
   readonly framing: AnswerFraming
   readonly end: AnswerEnd
-  /** Whether a body of events is incomplete: the end of an event, or the event that closes the stream, is missing. */
+  /**
+   * Whether the body shows that it is incomplete: it is missing (see `isBodyMissing`), or the end of an event, or the event
+   * that closes the stream, is.
+   */
   readonly isBodyTruncated: boolean
 }
 
@@ -78,6 +81,12 @@
   bodiless: 'complete',
 }
 
+/**
+ * Statuses of answers that have content unless their framing says that it is empty (RFC 9110, sections 15.3.1, 15.3.4 and
+ * 15.3.7): 200, 203 and 206.
+ */
+const STATUSES_WITH_CONTENT: ReadonlySet<number> = new Set([200, 203, 206])
+
 /** Ends after which no other endpoint is tried, since no caller waits any more or this instance cannot deliver an answer. */
 const FINAL_ENDS: ReadonlySet<AnswerEnd> = new Set(['deadline', 'caller-left', 'instance-stopped'])
 
@@ -90,6 +99,17 @@
   'settings-replaced',
 ])
 
+/**
+ * Whether nothing came of a body that the status lets expect. The system also closes the connections of a process that has
+ * ended, so a close directly after the head does not show that the body is empty. Other framings tell that by themselves.
+ */
+export function isBodyMissing(
+  framing: AnswerFraming,
+  { status, hasBody }: { readonly status: number; readonly hasBody: boolean },
+): boolean {
+  return framing === 'connection' && !hasBody && STATUSES_WITH_CONTENT.has(status)
+}
+
 /** Whether the end of an incomplete answer counts as a failure of its endpoint. */
 export function isEndpointFailure({ end }: EndedAnswer): boolean {
   return !LOCAL_ENDS.has(end)
--- a/packages/router/src/engine/endpointExchange.ts
+++ b/packages/router/src/engine/endpointExchange.ts
@@ -8,6 +8,7 @@
 import type { Dispatcher } from 'undici'
 import {
   answerFraming,
+  isBodyMissing,
   isFinalStatus,
   isInterimStatus,
   isProvenComplete,
@@ -83,6 +84,7 @@
   private controller: Dispatcher.DispatchController | undefined
   private consumer: AnswerConsumer | undefined
   private hasBegun = false
+  private hasBody = false
   private failure: Error | undefined
 
   constructor(private readonly parts: ExchangeParts) {
@@ -173,6 +175,7 @@
 
   onResponseData(_: Dispatcher.DispatchController, chunk: Buffer): void {
     this.heardAt = this.parts.clock.monotonic()
+    this.hasBody = true
     this.bodyCheck?.read(chunk)
     if (this.consumer !== undefined) return this.forward(chunk)
     this.bufferedChunks.push(chunk)
@@ -183,7 +186,9 @@
 
   onResponseEnd(): void {
     const end = this.framing === 'connection' ? 'closed' : 'complete'
-    const isBodyTruncated = this.bodyCheck?.state === 'open'
+    const { status, hasBody } = this
+    const isBodyTruncated =
+      this.bodyCheck?.state === 'open' || isBodyMissing(this.framing, { status, hasBody })
     const answer: EndedAnswer = { framing: this.framing, end, isBodyTruncated }
     if (isProvenComplete(answer)) this.succeed(end)
     else this.fail(end, new UnfinishedError())
--- a/packages/router/src/filters/chatRelay.ts
+++ b/packages/router/src/filters/chatRelay.ts
@@ -7,7 +7,7 @@
  * decisions/retrying/relayStep.
  */
 
-import { chooseRelayPeer, isProvenComplete, relayStep } from '@rackwalk/decisions'
+import { chooseRelayPeer, isBodyMissing, isProvenComplete, relayStep } from '@rackwalk/decisions'
 import type { AnswerEnd, RelayCandidate, RelayOrigin, RelayOutcome } from '@rackwalk/decisions'
 import { DispatchedError, ResultCode } from '@rackwalk/shared'
 import type { Clock, IncarnationId, Milliseconds, RandomSource } from '@rackwalk/shared'
@@ -218,14 +218,17 @@
 ): Promise<boolean> {
   caller.writeHead(status, headers)
   return new Promise(resolve => {
+    let hasBody = false
     const onData = (chunk: Buffer) => {
+      hasBody = true
       if (caller.write(chunk)) return
       exchange.pause()
       void caller.waitForDrain().then(() => exchange.resume())
     }
     const onEnd = (end: AnswerEnd) => {
       const { framing } = exchange
-      const isComplete = isProvenComplete({ framing, end, isBodyTruncated: false })
+      const isBodyTruncated = isBodyMissing(framing, { status, hasBody })
+      const isComplete = isProvenComplete({ framing, end, isBodyTruncated })
       if (isComplete) void caller.end().then(() => resolve(true))
       else resolve(false)
     }
--- a/packages/router/src/gateway/gatewayAnswerDelivery.ts
+++ b/packages/router/src/gateway/gatewayAnswerDelivery.ts
@@ -6,7 +6,7 @@
  */
 
 import type { IncomingMessage } from 'node:http'
-import { isProvenComplete } from '@rackwalk/decisions'
+import { isBodyMissing, isProvenComplete } from '@rackwalk/decisions'
 import type { AnswerEnd, AnswerFraming, EndedAnswer } from '@rackwalk/decisions'
 import { OversizedEventError } from '../engine/eventSplitter.js'
 import type { CallerReply } from './callerReply.js'
@@ -87,7 +87,9 @@
     return new Promise((resolve, reject) => {
       const finish = (end: AnswerEnd) => {
         if (this.ended !== undefined) return
-        const ended = { framing: exchange.framing, end, isBodyTruncated: isBodyOpen() }
+        const { framing } = exchange
+        const isBodyTruncated = isBodyOpen() || this.isBodyMissing(framing)
+        const ended = { framing, end, isBodyTruncated }
         if (isProvenComplete(ended)) this.end()
         this.ended = ended
         resolve(ended)
@@ -101,6 +103,11 @@
     })
   }
 
+  private isBodyMissing(framing: AnswerFraming): boolean {
+    const { statusCode: status = 0 } = this.parts.response
+    return isBodyMissing(framing, { status, hasBody: this.receivedBytes > 0 })
+  }
+
   private end(): void {
     this.start()
     this.deliveredBytes += this.heldBytes
--- a/packages/stand-ins/__tests__/answerEnds.spec.ts
+++ b/packages/stand-ins/__tests__/answerEnds.spec.ts
@@ -174,7 +174,10 @@
 /** Whether a reading violates the guarantee. */
 function violatesGuarantee(play: Play, { kind, body, isDelimited }: Reading): boolean {
   const { text } = BODIES[play.body]
-  const provesNothing = play.framing === 'connection' && play.body === 'text'
+  const isUnframed = play.framing === 'connection'
+  // A close directly after the head does not show that a 200 has an empty body.
+  if (isUnframed && bytesOf(play) === '') return kind === 'whole'
+  const provesNothing = isUnframed && play.body === 'text'
   if (kind === 'broken') {
     // A reset may discard bytes that a paused reader has not yet read; an orderly end never does.
     return play.end === 'closed' && (play.isWhole || provesNothing)
