feat(observe): the line of a resumed stream says what its origin rests on

Callers saw streams joined from two software versions after a death of all instances. The request's line had the origin's source and no word on how long the service had been known, whether the list was fresh, and how many instances answered, so it couldn't tell a version taken for the only one from a wrongly remembered origin. Added: originKnownMilliseconds, originListFresh, originAnswers. No decision is changed.

--- a/packages/daemon/src/gateway/requestLogFields.ts
+++ b/packages/daemon/src/gateway/requestLogFields.ts
@@ -9,6 +9,7 @@
     request: record.requestId,
     resumes: resumedRequest(record),
     origin: record.originSource,
+    ...originFields(record),
     fingerprint: record.fingerprint,
     attempts: record.attempts.map(attemptFields),
     relays: record.relays.length === 0 ? undefined : record.relays.map(relayFields),
@@ -45,6 +46,15 @@
   return resumption === undefined ? undefined : (resumption.firstRequestId ?? '')
 }
 
+/** What the origin of a resumed stream, or that it is unknown, rests on. */
+function originFields({ originEvidence }: GatewayRecord): Readonly<Record<string, unknown>> {
+  return {
+    originKnownMilliseconds: rounded(originEvidence?.knownForMilliseconds),
+    originListFresh: originEvidence?.isListFresh,
+    originAnswers: originEvidence?.answers,
+  }
+}
+
 function attemptFields(attempt: AttemptRecord): Readonly<Record<string, unknown>> {
   return {
     server: attempt.endpoint,
--- a/packages/router/src/gateway/findStreamOrigin.ts
+++ b/packages/router/src/gateway/findStreamOrigin.ts
@@ -41,8 +41,9 @@
   if (resumption === undefined || !route.isResumable) return undefined
   const { firstRequestId } = resumption
   const key = firstRequestId === undefined ? undefined : streamKey(team?.name, firstRequestId)
-  const { origin, source } = await streams.find({ key, service: service.name })
+  const { origin, source, evidence } = await streams.find({ key, service: service.name })
   record.originSource = source
+  record.originEvidence = evidence
   if (origin === undefined) throw new NotRunError(ResultCode.OriginUnknown, source)
   const isRouted = route.targets.some(target => target.service === origin.service)
   if (isRouted && hasEndpoint(directory, origin)) return origin
--- a/packages/router/src/gateway/gatewayRecord.ts
+++ b/packages/router/src/gateway/gatewayRecord.ts
@@ -12,6 +12,7 @@
 import type { StreamResumption } from './dialect.js'
 import type { Lateness } from './lateness.js'
 import type { RefusedBodyOutcome } from '../refusedBodyHandler.js'
+import type { OriginEvidence } from '../streams/streamOrigins.js'
 import type { StreamPause } from './streamPace.js'
 import type { Execution, RequestFingerprint, SoftwareVersion } from '@rackwalk/shared'
 
@@ -65,6 +66,8 @@
   readonly resumption?: StreamResumption | undefined
   /** How the origin of that stream was determined, or why it was not. */
   originSource?: OriginSource
+  /** What this rests on. */
+  originEvidence?: OriginEvidence
   /** Undefined if no decision needed the fingerprint. */
   fingerprint?: RequestFingerprint
   configurationVersion?: number
--- a/packages/router/src/streams/streamOrigins.ts
+++ b/packages/router/src/streams/streamOrigins.ts
@@ -8,7 +8,7 @@
 
 import { hasMixedVersions, hasSingleVersion, resolveResumption } from '@rackwalk/decisions'
 import type { Resumption, StreamOrigin, ServiceVersions } from '@rackwalk/decisions'
-import type { Clock, SoftwareVersion, StreamKey } from '@rackwalk/shared'
+import type { Clock, Milliseconds, SoftwareVersion, StreamKey } from '@rackwalk/shared'
 import { StreamOriginCache } from './streamOriginCache.js'
 import type { StartedStream } from './streamOriginCache.js'
 import { RecentVersions } from './recentVersions.js'
@@ -34,6 +34,21 @@
   readonly service: string
 }
 
+/** What the answer to where a stream began rests on. */
+export interface OriginEvidence {
+  /** Time for which this instance had known the service. */
+  readonly knownForMilliseconds: Milliseconds
+  /** Whether the list of endpoints was recently read from the store. */
+  readonly isListFresh: boolean
+  /** Number of other instances that answered. */
+  readonly answers: number
+}
+
+/** Where a stream is resumed, and what this rests on. */
+export interface FoundOrigin extends Resumption {
+  readonly evidence: OriginEvidence
+}
+
 /** Dependencies and callbacks of `StreamOrigins`. */
 export interface StreamOriginsParts {
   readonly clock: Clock
@@ -111,18 +126,20 @@
    * Determines where a stream continues that a caller resumes at this instance. Other instances are queried
    * only if this instance remembers no origin and can't rely on the service having a single version.
    */
-  async find(stream: ResumedStream): Promise<Resumption> {
+  async find(stream: ResumedStream): Promise<FoundOrigin> {
     const { service } = stream
     const own = this.answer(stream)
-    const { isFresh, versions } = this.view(service)
+    const { isFresh, versions, knownForMilliseconds } = this.view(service)
     const isKnown = own.origins.length > 0 || hasSingleVersion(this.view(service))
     const answers = isKnown ? [] : await this.parts.ask(stream)
     const all = [own, ...answers]
-    return resolveResumption(service, {
+    const resumption = resolveResumption(service, {
       origins: all.flatMap(answer => answer.origins),
       versions: [...versions, ...answers.flatMap(answer => answer.versions)],
       isConfirmed: isFresh || answers.length > 0,
     })
+    const evidence = { knownForMilliseconds, isListFresh: isFresh, answers: answers.length }
+    return { ...resumption, evidence }
   }
 
   private view(service: string): ServiceVersions {
