fix(streams): resume at the only version only where it is known to have served all along

Callers saw: after a death of all instances while two software versions were in service, or the older one had just left, resumed streams were answered 200 with text joined from two versions.

Cause: resolveResumption took "one version, confirmed by the store or a peer" for proof. A list that is read now, or a peer that is as new as the reader, says nothing of what served when the stream began. Three ways: all died and the peers that answer are as new; one died alone and is cut off from its peers; all died, the store is silent and one new peer answers.

Change: what confirms must have known all versions for the 30 s for which a caller may come back. A version that is recorded as listed counts as seen when the row is read. Without a row only a fleet that starts for the first time proves it: the first write of a member's row is conditional until an earlier incarnation's row was seen or ruled out. Else 3019, origin `unproven`.

Ruled out: a refusal for 30 s after each start (all streams of services with one version would be lost), versions in members' rows (own rows are replaced before others read them, seen in the test), endpoints' start times (nothing of those that left).

--- a/packages/coordination/__tests__/memberDirectory.spec.ts
+++ b/packages/coordination/__tests__/memberDirectory.spec.ts
@@ -5,16 +5,23 @@
 
 const READ_MILLISECONDS = 700
 
+interface StartOptions {
+  readonly isCut?: boolean
+  readonly incarnation?: string
+  readonly readsAfterMilliseconds?: number
+}
+
 function setUp() {
   const clock = new VirtualClock()
   const rows = new MemoryRowStore(clock)
-  const start = (instance: string, isActive: boolean, isCut = false) => {
+  const start = (instance: string, isActive: boolean, options: StartOptions = {}) => {
+    const { isCut = false, incarnation = 'first', readsAfterMilliseconds = 0 } = options
     const { store, faults } = rows.connect()
     faults.isCut = isCut
     const directory = new MemberDirectory({
       self: {
         instance,
-        incarnation: 'first',
+        incarnation,
         region: 'region',
         failureDomain: 'domain',
         callerAddress: `${instance}:80`,
@@ -44,7 +51,8 @@
       })
       clock.after(READ_MILLISECONDS, read)
     }
-    read()
+    if (readsAfterMilliseconds === 0) read()
+    else clock.after(readsAfterMilliseconds, read)
     directory.start()
     return { directory, faults, reads: () => reads }
   }
@@ -97,11 +105,48 @@
   it('is initialized once the rows were read, or after a timeout', async () => {
     const { clock, start } = setUp()
     const reached = start('reached', true)
-    const cut = start('cut', true, true)
+    const cut = start('cut', true, { isCut: true })
     expect([reached.directory.isInitialized, cut.directory.isInitialized]).toEqual([false, false])
     await clock.advance(100)
     expect([reached.directory.isInitialized, cut.directory.isInitialized]).toEqual([true, false])
     await clock.advance(1_500)
     expect(cut.directory.isInitialized).toBe(true)
   })
+
+  it('knows a fleet that starts from one of which instances ran before', async () => {
+    const { clock, start } = setUp()
+    const first = start('first', true)
+    expect(first.directory.isFleetNew).toBe(false)
+    await clock.advance(10)
+    const second = start('second', true)
+    await clock.advance(1_000)
+    expect([first.directory.isFleetNew, second.directory.isFleetNew]).toEqual([true, true])
+    first.directory.stop()
+    second.directory.stop()
+    const again = start('first', true, { incarnation: 'again' })
+    await clock.advance(1_000)
+    expect([again.directory.isFleetNew, again.directory.others]).toMatchObject([false, [{}]])
+    await clock.advance(5_000)
+    const late = start('third', true)
+    await clock.advance(1_000)
+    expect(late.directory.isFleetNew).toBe(false)
+  })
+
+  it('knows that it ran before although its own row replaces the earlier one before any read', async () => {
+    const { clock, start } = setUp()
+    const first = start('first', true)
+    await clock.advance(1_000)
+    first.directory.stop()
+    const again = start('first', true, { incarnation: 'again', readsAfterMilliseconds: 900 })
+    await clock.advance(2_000)
+    expect(again.directory.isFleetNew).toBe(false)
+    expect(again.directory.hasIncarnation('first', 'again')).toBe(true)
+  })
+
+  it('takes its own row for no earlier one', async () => {
+    const { clock, start } = setUp()
+    const first = start('first', true, { readsAfterMilliseconds: 900 })
+    await clock.advance(2_000)
+    expect(first.directory.isFleetNew).toBe(true)
+  })
 })
--- a/packages/coordination/src/membership/memberDirectory.ts
+++ b/packages/coordination/src/membership/memberDirectory.ts
@@ -9,7 +9,7 @@
 
 import type { RecordedInstance } from '@rackwalk/decisions'
 import type { Clock, Milliseconds, RandomSource, Timer } from '@rackwalk/shared'
-import type { ChangedRow, RowAddress, RowStore } from '@rackwalk/stores'
+import type { ChangedRow, RowAddress, RowStore, StoredRow } from '@rackwalk/stores'
 import type { StoreClock } from '../rows/storeClock.js'
 import { MEMBER_PARTITION, MEMBER_TABLE, memberRowCodec } from './memberRow.js'
 import type { MemberRow, MemberState } from './memberRow.js'
@@ -69,6 +69,8 @@
  * Factor on the time between two heartbeats of a standby instance, to which no callers are sent.
  */
 const STANDBY_FACTOR = 3
+/** Heartbeats by which an instance that started together with this one may be ahead. */
+const NEWCOMER_HEARTBEATS = 3
 /** A row that was not renewed for more than this many silence timeouts is removed. */
 const REMOVE_AFTER_SILENCES = 20
 
@@ -97,6 +99,10 @@
   private renewalMilliseconds: Milliseconds
   private draining = false
   private loaded = false
+  /** Whether the first read of all rows showed other instances that had run for a while; undefined before it. */
+  private hadElders: boolean | undefined
+  /** Whether an earlier incarnation of this instance left its row; undefined while it is not known. */
+  private hadPredecessor: boolean | undefined
   private startedAt: Milliseconds | undefined
   private timer: Timer | undefined
   private wasWritten = false
@@ -145,6 +151,7 @@
     this.noteOwnRow(rows)
     if (!isWhole) return
     this.loaded = true
+    this.noteEarlierInstances(rows)
     const present = new Set(rows.map(row => row.key))
     for (const key of this.members.keys()) if (!present.has(key)) this.members.delete(key)
   }
@@ -185,6 +192,14 @@
     }))
   }
 
+  /**
+   * Whether all instances of the fleet started together with this one and none had run before, as far as rows tell; false
+   * until that is known.
+   */
+  get isFleetNew(): boolean {
+    return this.hadElders === false && this.hadPredecessor === false
+  }
+
   /** Whether a row of this incarnation of an instance exists, in any state. */
   hasIncarnation(instance: string, incarnation: string): boolean {
     return this.members.get(instance)?.row.incarnation === incarnation
@@ -216,6 +231,17 @@
     return Math.max(1, perSecond / (HEARTBEAT_SHARE * partitionWritesPerSecond))
   }
 
+  /** Notes which instances had run before this one, when all rows were received for the first time. */
+  private noteEarlierInstances(rows: readonly ChangedRow[]): void {
+    if (this.hadElders !== undefined) return
+    const { instance, incarnation } = this.parts.self
+    this.hadElders = [...this.members.values()].some(({ row }) => {
+      return row.instance !== instance && row.heartbeat > NEWCOMER_HEARTBEATS
+    })
+    if (!rows.some(({ key }) => key === instance)) this.hadPredecessor ??= false
+    else if (!this.hasIncarnation(instance, incarnation)) this.hadPredecessor = true
+  }
+
   private observeRow(row: ChangedRow): void {
     const known = this.members.get(row.key)
     if (known !== undefined && known.version > row.version) return
@@ -275,15 +301,26 @@
     this.renewalMilliseconds = heartbeatMilliseconds * this.heartbeatSlowdown * factor
     const value = memberRowCodec.encode(this.self)
     const sentAt = clock.monotonic()
-    const puts = [{ ...this.address(), value }]
-    const outcome = await store.write({ conditions: [], puts, removals: [] })
+    const address = this.address()
+    // The row of an earlier incarnation is replaced only once it was noticed.
+    const conditions = this.hadPredecessor === undefined ? [{ ...address, version: 0 }] : []
+    const outcome = await store.write({ conditions, puts: [{ ...address, value }], removals: [] })
+    if (outcome.kind === 'conflict') return this.replaceRow(outcome.rows)
     if (outcome.kind !== 'done') return
+    this.hadPredecessor ??= false
     storeClock.recordAnswer(outcome.storeTime, sentAt)
     if (this.wasWritten) return
     this.wasWritten = true
     this.parts.onRegistered?.(true)
   }
 
+  private async replaceRow(rows: readonly StoredRow[]): Promise<void> {
+    const parsed = rows.map(({ value }) => memberRowCodec.decode(value))
+    const isOwn = parsed.some(row => row?.incarnation === this.parts.self.incarnation)
+    this.hadPredecessor ??= !isOwn
+    await this.write()
+  }
+
   /** Removes one row that is no longer renewed, if any, so that such rows do not accumulate. */
   private async removeStaleRow(): Promise<void> {
     const stale = [...this.members].find(
--- a/packages/daemon/src/gateway/endpointSubsystem.ts
+++ b/packages/daemon/src/gateway/endpointSubsystem.ts
@@ -6,7 +6,7 @@
 
 import { EndpointDirectory, FleetLoad, LinkMonitor } from '@rackwalk/router'
 import type { EndpointRecord, EndpointState, GatewayService } from '@rackwalk/router'
-import type { MemberDirectory } from '@rackwalk/coordination'
+import type { MemberDirectory, StoreClock } from '@rackwalk/coordination'
 import type { Clock, EndpointStart, RandomSource } from '@rackwalk/shared'
 import type { RowStore } from '@rackwalk/stores'
 import type { ActiveFleet } from './activeFleet.js'
@@ -28,6 +28,7 @@
   readonly clock: Clock
   readonly random: RandomSource
   readonly store: RowStore
+  readonly storeClock: StoreClock
   readonly telemetry: GatewayTelemetry
   readonly members: MemberDirectory
   readonly fleet: () => ActiveFleet
@@ -87,6 +88,7 @@
   }
 
   start(): void {
+    this.streams.start()
     this.exchange?.start()
   }
 
@@ -122,14 +124,19 @@
   }
 
   private createStreams(): StreamCoordinator {
-    const { instance, incarnation, clock, fleet, telemetry, isListFresh } = this.parts
+    const { instance, incarnation, clock, store, storeClock, members } = this.parts
+    const { fleet, telemetry, isListFresh, service } = this.parts
     return new StreamCoordinator({
       clock,
+      store,
+      storeClock,
+      members,
       identity: { instance, incarnation },
       directory: () => this.directory,
       fleet,
       exchange: () => this.exchange,
       isListFresh,
+      isConfigured: name => service(name) !== undefined,
       telemetry,
     })
   }
--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -203,9 +203,7 @@
   /** Stops immediately: requests in progress are broken off and no holding is settled. */
   stop(): void {
     for (const mirror of this.mirrors.values()) mirror.stop()
-    this.health.stop()
-    this.ledger.stop()
-    this.members.stop()
+    for (const part of [this.health, this.ledger, this.members]) part.stop()
     this.store.close()
     for (const client of [this.peerLoans, this.peerRows, this.relayPeers]) client.close()
     this.endpoints.stop()
@@ -293,7 +291,7 @@
   }
 
   private createEndpoints(): EndpointSubsystem {
-    const { settings, incarnation, clock, random, store, telemetry, members } = this
+    const { settings, incarnation, clock, random, store, storeClock, telemetry, members } = this
     return new EndpointSubsystem({
       instance: settings.instance.id,
       incarnation,
@@ -301,6 +299,7 @@
       clock,
       random,
       store,
+      storeClock,
       telemetry,
       members,
       fleet: () => this.fleet,
--- a/packages/daemon/src/gateway/streamCoordinator.ts
+++ b/packages/daemon/src/gateway/streamCoordinator.ts
@@ -6,8 +6,8 @@
  * stream. Owns the records and the client for the queries.
  */
 
-import { DemandMeter } from '@rackwalk/coordination'
-import type { MemberRow } from '@rackwalk/coordination'
+import { DemandMeter, VersionRecorder } from '@rackwalk/coordination'
+import type { MemberDirectory, MemberRow, StoreClock } from '@rackwalk/coordination'
 import { originReplicaCount, rankOriginReplicas } from '@rackwalk/decisions'
 import { StreamOrigins } from '@rackwalk/router'
 import type {
@@ -16,7 +16,8 @@
   EndpointRecord,
   PeerLoadReport,
 } from '@rackwalk/router'
-import type { Clock } from '@rackwalk/shared'
+import type { Clock, Milliseconds } from '@rackwalk/shared'
+import type { RowStore } from '@rackwalk/stores'
 import type { ActiveFleet } from './activeFleet.js'
 import type { GatewayTelemetry } from './gatewayTelemetry.js'
 import { loadPeersOf } from './loadExchange.js'
@@ -24,15 +25,23 @@
 import { StreamOriginClient } from './streamOriginClient.js'
 import { encodeStreamStarts, encodeVersionGossip } from './streamGossip.js'
 
+/** Longest time that a resumed stream waits for the records of the versions that served before this instance started. */
+const HISTORY_MILLISECONDS: Milliseconds = 200
+
 /** What the coordinator needs. */
 export interface StreamCoordinatorParts {
   readonly clock: Clock
+  readonly store: RowStore
+  readonly storeClock: StoreClock
+  readonly members: MemberDirectory
   readonly identity: Pick<PeerLoadReport, 'instance' | 'incarnation'>
   readonly directory: () => EndpointDirectory
   readonly fleet: () => ActiveFleet
   readonly exchange: () => LoadExchange | undefined
   /** Whether the list of endpoints is within its staleness bound. */
   readonly isListFresh: () => boolean
+  /** Whether the configuration in force has the service. */
+  readonly isConfigured: (service: string) => boolean
   readonly telemetry: GatewayTelemetry
 }
 
@@ -40,6 +49,7 @@
 export class StreamCoordinator {
   readonly origins: StreamOrigins
   private readonly originClient: StreamOriginClient
+  private readonly recorder: VersionRecorder
   /** Rate of the streams whose origins this instance replicates; the number of replicas depends on it. */
   private readonly announcedStreams: DemandMeter
 
@@ -49,10 +59,27 @@
       others: () => this.others,
       onMalformed: input => parts.telemetry.noteMalformed(input),
     })
-    this.origins = new StreamOrigins({
+    this.origins = this.createOrigins()
+    this.recorder = this.createRecorder()
+  }
+
+  start(): void {
+    this.recorder.start()
+  }
+
+  close(): void {
+    this.recorder.stop()
+    this.originClient.close()
+  }
+
+  private createOrigins(): StreamOrigins {
+    const { parts } = this
+    return new StreamOrigins({
       clock: parts.clock,
       listedVersions: service => parts.directory().softwareVersions(service),
       isListFresh: parts.isListFresh,
+      untilHistoryRead: () => this.recorder.untilRead(HISTORY_MILLISECONDS),
+      isFleetNew: () => parts.members.isFleetNew,
       replicateStreams: started => this.replicate(started),
       broadcastVersions: versions =>
         parts.exchange()?.broadcast(encodeVersionGossip(versions, parts.identity)),
@@ -60,14 +87,35 @@
     })
   }
 
-  close(): void {
-    this.originClient.close()
+  private createRecorder(): VersionRecorder {
+    const { clock, store, storeClock, isListFresh, isConfigured, telemetry } = this.parts
+    return new VersionRecorder({
+      clock,
+      store,
+      storeClock,
+      isListFresh,
+      services: () => this.origins.services.filter(isConfigured),
+      versionsOf: service => this.origins.listedVersions(service),
+      rank: service => this.rankOf(service),
+      onHistory: histories => this.origins.restore(histories),
+      onMalformedRow: row => telemetry.noteMalformedRow(row),
+    })
+  }
+
+  /** Rank of this instance among those that may write the record of a service. */
+  private rankOf(service: string): number | undefined {
+    const { members } = this.parts
+    if (!members.isInitialized) return undefined
+    const { self } = members
+    const ranked = rankOriginReplicas(service, [self, ...this.others])
+    return ranked.findIndex(({ instance }) => instance === self.instance)
   }
 
   /** An endpoint is gone, or its entry in the list changed in another way. */
   noteChange(record: EndpointRecord, change: string): void {
     if (change === 'gone') this.origins.noteUnlisted(record)
     else this.origins.noteListed(record)
+    this.recorder.noteChange()
   }
 
   /** Other instances that are not silent. */
--- a/packages/daemon/src/gateway/streamOriginClient.ts
+++ b/packages/daemon/src/gateway/streamOriginClient.ts
@@ -1,13 +1,18 @@
 /**
  * Queries between instances for the origin of a stream (the service and endpoint software version that began it), over
  * the listener for peers. The first queries go to the replicas, the instances that are chosen to keep the origin. If no
- * replica knows it, further instances are queried, provided that no replica answered or that the answers name more than
- * one software version. Owns the path, the encodings of the messages and the connections to peers.
+ * replica knows it, further instances are queried, provided that the answers name more than one software version, or that
+ * no replica has known the service for as long as a caller may come back. Owns the path, the encodings of the messages and the connections to peers.
  */
 
 import { Agent } from 'node:http'
 import * as z from 'zod'
-import { MINIMUM_ORIGIN_REPLICAS, hasMixedVersions, rankOriginReplicas } from '@rackwalk/decisions'
+import {
+  MINIMUM_ORIGIN_REPLICAS,
+  coversWindow,
+  hasMixedVersions,
+  rankOriginReplicas,
+} from '@rackwalk/decisions'
 import type { MemberRow } from '@rackwalk/coordination'
 import { asId } from '@rackwalk/shared'
 import type { Milliseconds, StreamKey } from '@rackwalk/shared'
@@ -42,19 +47,23 @@
 const answerSchema = z.object({
   origins: z.array(z.object({ service: z.string(), softwareVersion: z.string() })),
   versions: z.array(z.string()),
+  /** Earlier releases omit it: they do not tell for how long they know the service. */
+  knownForMilliseconds: z.number().default(0),
 })
 
 const answerCodec = new JsonCodec<z.infer<typeof answerSchema>, OriginAnswer>({
   schema: answerSchema,
-  toWire: ({ origins, versions }) => ({
+  toWire: ({ origins, versions, knownForMilliseconds }) => ({
     origins: origins.map(({ service, softwareVersion }) => ({ service, softwareVersion })),
     versions: [...versions],
+    knownForMilliseconds: Math.floor(knownForMilliseconds),
   }),
-  fromWire: ({ origins, versions }) => ({
+  fromWire: ({ origins, versions, knownForMilliseconds }) => ({
     origins: origins.map(({ service, softwareVersion }) => {
       return { service, softwareVersion: asId(softwareVersion) }
     }),
     versions: versions.map(version => asId(version)),
+    knownForMilliseconds,
   }),
 })
 
@@ -74,6 +83,8 @@
 export interface StreamOriginClientParts {
   /** Other instances that are not silent. */
   readonly others: () => readonly MemberRow[]
+  /** Timeout of one query; `ANSWER_MILLISECONDS` if absent. */
+  readonly timeoutMilliseconds?: Milliseconds
   readonly onMalformed: (input: MalformedInput) => void
 }
 
@@ -117,7 +128,7 @@
       path: ORIGIN_PATH,
       body: questionCodec.encode(stream),
       agent: this.agent,
-      timeoutMilliseconds: ANSWER_MILLISECONDS,
+      timeoutMilliseconds: this.parts.timeoutMilliseconds ?? ANSWER_MILLISECONDS,
     })
     if (text === undefined) return undefined
     const answer = answerCodec.decode(text)
@@ -129,11 +140,12 @@
 }
 
 /**
- * Whether instances other than the replicas may know the origin: no answer names an origin, and either there is no
- * answer or software versions are mixed.
+ * Whether instances other than the replicas may know the origin: no answer names an origin, and either software versions
+ * are mixed, or nobody who answered has known the service for as long as a caller may come back.
  */
 function mayOthersKnow(answers: readonly OriginAnswer[]): boolean {
   const isKnown = answers.some(({ origins }) => origins.length > 0)
   const versions = new Set(answers.flatMap(answer => answer.versions))
-  return !isKnown && (answers.length === 0 || hasMixedVersions([...versions]))
+  const isProven = answers.some(({ knownForMilliseconds }) => coversWindow(knownForMilliseconds))
+  return !isKnown && (!isProven || hasMixedVersions([...versions]))
 }
--- a/packages/decisions/__tests__/streamResumption.spec.ts
+++ b/packages/decisions/__tests__/streamResumption.spec.ts
@@ -30,20 +30,37 @@
   ],
   'it began at another service of the route': [{ service: 'others', softwareVersion: V1 }],
 }
+const KNOWN = {
+  'for as long as a caller may come back': RESUMPTION_WINDOW_MILLISECONDS,
+  'for a shorter time': RESUMPTION_WINDOW_MILLISECONDS - 1,
+}
 const VERSIONS = { none: [], 'v1 alone': [V1, V1], 'v2 alone': [V2], 'v1 and v2': [V1, V2] }
 
 describe('a stream that its caller takes up', () => {
   it('goes on at the version that began it, or nowhere', () => {
-    const rows = Object.entries(ORIGINS).flatMap(([remembered, origins]) =>
-      Object.entries(VERSIONS).flatMap(([served, versions]) =>
-        [true, false].map(isConfirmed => {
-          const { origin, source } = resolveResumption('models', { origins, versions, isConfirmed })
-          const where = origin === undefined ? 'nowhere' : Object.values(origin).join(' ')
-          return `${remembered}; served: ${served}; ${isConfirmed ? 'heard' : 'alone'}: ${where} (${source})`
-        }),
-      ),
-    )
-    expect(rows).toMatchSnapshot()
+    for (const [known, knownForMilliseconds] of Object.entries(KNOWN)) {
+      const rows = Object.entries(ORIGINS).flatMap(([remembered, origins]) =>
+        Object.entries(VERSIONS).flatMap(([served, versions]) =>
+          [true, false].map(isConfirmed => {
+            const knowledge = { origins, versions, isConfirmed, knownForMilliseconds }
+            const { origin, source } = resolveResumption('models', knowledge)
+            const where = origin === undefined ? 'nowhere' : Object.values(origin).join(' ')
+            return `${remembered}; served: ${served}; ${isConfirmed ? 'heard' : 'alone'}: ${where} (${source})`
+          }),
+        ),
+      )
+      expect(rows).toMatchSnapshot(`a service that is known ${known}`)
+    }
+  })
+
+  it('is not resumed at the only version of a service that nobody has known for as long as a caller may come back', () => {
+    const { origin, source } = resolveResumption('models', {
+      origins: [],
+      versions: [V2],
+      isConfirmed: true,
+      knownForMilliseconds: RESUMPTION_WINDOW_MILLISECONDS - 1,
+    })
+    expect([origin, source]).toEqual([undefined, 'unproven'])
   })
 
   it('is resumed without asking other instances only if one version has served for as long as a caller may come back', () => {
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -46,6 +46,7 @@
   RESUMPTION_WINDOW_MILLISECONDS,
   hasMixedVersions,
   isSameOrigin,
+  coversWindow,
   hasSingleVersion,
   resolveResumption,
 } from './retrying/streamResumption.js'
@@ -55,6 +56,18 @@
   StreamOrigin,
   ServiceVersions,
 } from './retrying/streamResumption.js'
+export {
+  historyOf,
+  nextVersionRecord,
+  recordChange,
+  recordingDelay,
+} from './retrying/versionRecord.js'
+export type {
+  RecordChange,
+  ServiceHistory,
+  VersionRecord,
+  VersionView,
+} from './retrying/versionRecord.js'
 export { rendezvousChoice, rendezvousOrder } from './choosing/rendezvous.js'
 
 export {
--- a/packages/decisions/src/retrying/streamResumption.ts
+++ b/packages/decisions/src/retrying/streamResumption.ts
@@ -7,20 +7,24 @@
  * versions does not fit together, so a stream resumed at the wrong version would be corrupt.
  *
  * Inputs: the origins of the stream (service and software version where the stream began) that this instance and its peers
- * remember, the versions that served recently, and whether the store or a peer has confirmed these versions.
+ * remember, the versions that served recently, whether the store or a peer has confirmed these versions, and for how long
+ * the service is known: from the record of its versions, or because this instance or a peer that answered has listed its
+ * endpoints for so long.
  *
- * | remembered origins         | versions that served recently | confirmed by   | the stream is resumed at |
- * | -------------------------- | ----------------------------- | -------------- | ------------------------ |
- * | one version of one service | any                           | any or none    | that version             |
- * | several different ones     | any                           | any or none    | nowhere                  |
- * | none                       | one                           | store or peers | that version             |
- * | none                       | one                           | none           | nowhere                  |
- * | none                       | several                       | any or none    | nowhere                  |
- * | none                       | none                          | any or none    | nowhere                  |
+ * | remembered origins         | versions that served recently | confirmed by   | known for the window | the stream is resumed at |
+ * | -------------------------- | ----------------------------- | -------------- | -------------------- | ------------------------ |
+ * | one version of one service | any                           | any or none    | yes or no            | that version             |
+ * | several different ones     | any                           | any or none    | yes or no            | nowhere                  |
+ * | none                       | one                           | store or peers | yes                  | that version             |
+ * | none                       | one                           | store or peers | no                   | nowhere                  |
+ * | none                       | one                           | none           | yes or no            | nowhere                  |
+ * | none                       | several                       | any or none    | yes or no            | nowhere                  |
+ * | none                       | none                          | any or none    | yes or no            | nowhere                  |
  *
  * Limits: an instance that hears from neither the store nor its peers does not know which versions were added since its
  * last contact, so it resumes only streams whose origin it remembers itself. A version counts as recent for as long as a
- * caller may come back to a stream.
+ * caller may come back to a stream (the window). A list that was read after the stream had begun does not show which
+ * versions served then, so a service that nobody has known for the window has no single version.
  */
 
 import type { Milliseconds, SoftwareVersion } from '@rackwalk/shared'
@@ -39,6 +43,8 @@
   readonly versions: readonly SoftwareVersion[]
   /** Whether this instance read the list of endpoints from the store a moment ago, or another instance answered it. */
   readonly isConfirmed: boolean
+  /** Longest time for which this instance or a peer that answered knows all versions of the service. */
+  readonly knownForMilliseconds: Milliseconds
 }
 
 /** How the origin became known, or why it is unknown. */
@@ -51,6 +57,8 @@
   | 'contradictory'
   /** No origin is remembered, and no single confirmed version is known. */
   | 'unknown'
+  /** No origin is remembered. One version is known, but not for as long as a caller may come back. */
+  | 'unproven'
 
 /** Where a stream is resumed. A stream whose origin is undefined is not resumed. */
 export interface Resumption {
@@ -62,7 +70,7 @@
 export interface ServiceVersions {
   /** The versions that served recently, each once. */
   readonly versions: readonly SoftwareVersion[]
-  /** Time since this instance first learned of the service. */
+  /** Time for which this instance knows all versions of the service. */
   readonly knownForMilliseconds: Milliseconds
   /** Whether this instance read the list of endpoints from the store a moment ago. */
   readonly isFresh: boolean
@@ -73,13 +81,14 @@
 
 /** Returns where a stream of a service is resumed, according to the table in the module head. */
 export function resolveResumption(service: string, knowledge: ResumptionKnowledge): Resumption {
-  const { versions, isConfirmed } = knowledge
+  const { versions, isConfirmed, knownForMilliseconds } = knowledge
   const [origin, other] = differentOrigins(knowledge.origins)
   if (other !== undefined) return { origin: undefined, source: 'contradictory' }
   if (origin !== undefined) return { origin, source: 'remembered' }
   const [softwareVersion, second] = [...new Set(versions)]
   const isSingle = softwareVersion !== undefined && second === undefined
   if (!isSingle || !isConfirmed) return { origin: undefined, source: 'unknown' }
+  if (!coversWindow(knownForMilliseconds)) return { origin: undefined, source: 'unproven' }
   return { origin: { service, softwareVersion }, source: 'only-version' }
 }
 
@@ -93,7 +102,12 @@
   knownForMilliseconds,
   isFresh,
 }: ServiceVersions): boolean {
-  return versions.length === 1 && isFresh && knownForMilliseconds >= RESUMPTION_WINDOW_MILLISECONDS
+  return versions.length === 1 && isFresh && coversWindow(knownForMilliseconds)
+}
+
+/** Whether a service that is known for this long was known when any stream began that may still be resumed. */
+export function coversWindow(knownForMilliseconds: Milliseconds): boolean {
+  return knownForMilliseconds >= RESUMPTION_WINDOW_MILLISECONDS
 }
 
 /** Whether several versions have served recently, so that other instances must remember at which one a stream began. */
--- a/packages/router/__tests__/streamOrigins.spec.ts
+++ b/packages/router/__tests__/streamOrigins.spec.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from 'vitest'
 import { RESUMPTION_WINDOW_MILLISECONDS } from '@rackwalk/decisions'
-import type { StreamOrigin } from '@rackwalk/decisions'
+import type { ServiceHistory, StreamOrigin } from '@rackwalk/decisions'
 import { StreamOriginCache, StreamOrigins } from '@rackwalk/router'
 import type { StartedStream, OriginAnswer } from '@rackwalk/router'
 import { VirtualClock, asId } from '@rackwalk/shared'
@@ -28,6 +28,8 @@
   const sent: string[] = []
   const asked: string[] = []
   let isListFresh = true
+  let isFleetNew = true
+  let readHistory = () => {}
   const origins = new StreamOrigins({
     clock,
     listedVersions: () => listed,
@@ -36,6 +38,8 @@
       sent.push(...begun.map(({ key, origin }) => `${key} began at ${origin.softwareVersion}`)),
     broadcastVersions: versions =>
       sent.push(versions.map(({ softwareVersion }) => softwareVersion).join(' and ')),
+    untilHistoryRead: async () => Promise.resolve(readHistory()),
+    isFleetNew: () => isFleetNew,
     ask: async ({ key }) => {
       asked.push(key ?? 'unnamed')
       return Promise.resolve(answers)
@@ -54,11 +58,35 @@
     return `${origin?.softwareVersion ?? 'nowhere'} (${source})`
   }
   const cutOff = () => (isListFresh = false)
-  return { clock, origins, sent, asked, list, drop, find, cutOff }
+  const noteEarlierInstances = () => (isFleetNew = false)
+  const readLate = (history: readonly ServiceHistory[]) => {
+    readHistory = () => origins.restore(history)
+  }
+  const toldBy = { clock, origins, sent, asked, list, drop, find }
+  return { ...toldBy, cutOff, noteEarlierInstances, readLate }
+}
+
+function answer(
+  origins: readonly string[],
+  versions: readonly string[],
+  knownForMilliseconds = RESUMPTION_WINDOW_MILLISECONDS,
+): OriginAnswer {
+  return {
+    origins: origins.map(originOf),
+    versions: versions.map(version => asId(version)),
+    knownForMilliseconds,
+  }
 }
 
-function answer(origins: readonly string[], versions: readonly string[]): OriginAnswer {
-  return { origins: origins.map(originOf), versions: versions.map(version => asId(version)) }
+/** What the store says of the service: each version with the time since it was last listed. */
+function recorded(
+  versions: Readonly<Record<string, number>>,
+  knownForMilliseconds = RESUMPTION_WINDOW_MILLISECONDS,
+): readonly ServiceHistory[] {
+  const seen = Object.entries(versions).map(([version, seenAgoMilliseconds]) => {
+    return { softwareVersion: asId<SoftwareVersion>(version), seenAgoMilliseconds }
+  })
+  return [{ service: SERVICE, knownForMilliseconds, versions: seen }]
 }
 
 describe('an instance', () => {
@@ -146,6 +174,109 @@
   })
 })
 
+describe('an instance that starts where the older of two software versions has gone', () => {
+  it('does not resume a stream of that version at the newer one where its peers are as new', async () => {
+    const { list, find, asked } = setUp([answer([], ['v2'], 900), answer([], ['v2'], 400)])
+    list('v2')
+    expect(await find(KEY)).toBe('nowhere (unproven)')
+    expect(asked).toEqual(['stream'])
+  })
+
+  it('does not resume it at the newer one where no peer answers', async () => {
+    const { clock, list, find } = setUp()
+    list('v2')
+    expect(await find(KEY)).toBe('nowhere (unproven)')
+    await clock.advance(RESUMPTION_WINDOW_MILLISECONDS)
+    expect(await find(KEY)).toBe('v2 (only-version)')
+  })
+
+  it('does not resume it at the newer one where the store is silent and one new peer answers', async () => {
+    const { list, find, cutOff } = setUp([answer([], ['v2'], 1_000)])
+    list('v2')
+    cutOff()
+    expect(await find(KEY)).toBe('nowhere (unproven)')
+  })
+
+  it('does not take the word of a peer that tells no time', async () => {
+    const { list, find } = setUp([answer([], ['v2'], 0)])
+    list('v2')
+    expect(await find(KEY)).toBe('nowhere (unproven)')
+  })
+
+  it('does not resume it at the newer one if the record names the older one', async () => {
+    const { clock, origins, list, find } = setUp()
+    list('v2')
+    origins.restore(recorded({ v1: 0, v2: 0 }))
+    expect(await find(KEY)).toBe('nowhere (unknown)')
+    await clock.advance(RESUMPTION_WINDOW_MILLISECONDS + 1)
+    expect(await find(KEY)).toBe('v2 (only-version)')
+  })
+
+  it('counts the time since the older one was last listed', async () => {
+    const { clock, origins, list, find } = setUp()
+    list('v2')
+    origins.restore(recorded({ v1: RESUMPTION_WINDOW_MILLISECONDS - 100, v2: 0 }))
+    expect(await find(KEY)).toBe('nowhere (unknown)')
+    await clock.advance(101)
+    expect(await find(KEY)).toBe('v2 (only-version)')
+  })
+})
+
+describe('an instance that starts where one software version has served all the time', () => {
+  it('resumes streams at once if the record says so, and asks nobody', async () => {
+    const { origins, list, find, asked, sent } = setUp()
+    origins.restore(recorded({ v1: 0 }))
+    list('v1')
+    expect(await find(KEY)).toBe('v1 (only-version)')
+    expect([asked, sent]).toEqual([[], []])
+  })
+
+  it('waits for the record with the first stream that needs it', async () => {
+    const { list, find, readLate } = setUp()
+    list('v1')
+    readLate(recorded({ v1: 0 }))
+    expect(await find(KEY)).toBe('v1 (only-version)')
+  })
+
+  it('resumes streams of a service that has no record if no instance ran before', async () => {
+    const { origins, list, find } = setUp()
+    origins.restore([])
+    list('v1')
+    expect(await find(KEY)).toBe('v1 (only-version)')
+  })
+
+  it('takes the word of peers alone if there is no record although instances ran before', async () => {
+    const knowing = setUp([answer([], ['v1'])])
+    const unknowing = setUp([answer([], ['v1'], 1_000)])
+    for (const { origins, list, noteEarlierInstances } of [knowing, unknowing]) {
+      origins.restore([])
+      list('v1')
+      noteEarlierInstances()
+    }
+    expect(await knowing.find(KEY)).toBe('v1 (only-version)')
+    expect(await unknowing.find(KEY)).toBe('nowhere (unproven)')
+  })
+
+  it('does not resume streams that began before the record did', async () => {
+    const { clock, origins, list, find } = setUp()
+    origins.restore(recorded({ v1: 0 }, RESUMPTION_WINDOW_MILLISECONDS - 100))
+    list('v1')
+    expect(await find(KEY)).toBe('nowhere (unproven)')
+    await clock.advance(100)
+    expect(await find(KEY)).toBe('v1 (only-version)')
+  })
+
+  it('tells peers for how long the service is known', async () => {
+    const { clock, origins, list } = setUp()
+    const known = () => origins.answer({ key: KEY, service: SERVICE }).knownForMilliseconds
+    list('v1')
+    await clock.advance(700)
+    expect(known()).toBe(700)
+    origins.restore(recorded({ v1: 0 }, 8_000))
+    expect(known()).toBe(8_000)
+  })
+})
+
 describe('the cache of stream origins', () => {
   it('forgets a stream when its caller can no longer resume it', async () => {
     const clock = new VirtualClock()
--- a/packages/router/src/streams/streamOrigins.ts
+++ b/packages/router/src/streams/streamOrigins.ts
@@ -7,7 +7,7 @@
  */
 
 import { hasMixedVersions, hasSingleVersion, resolveResumption } from '@rackwalk/decisions'
-import type { Resumption, StreamOrigin, ServiceVersions } from '@rackwalk/decisions'
+import type { Resumption, ServiceHistory, ServiceVersions, StreamOrigin } from '@rackwalk/decisions'
 import type { Clock, Milliseconds, SoftwareVersion, StreamKey } from '@rackwalk/shared'
 import { StreamOriginCache } from './streamOriginCache.js'
 import type { StartedStream } from './streamOriginCache.js'
@@ -25,6 +25,17 @@
   readonly origins: readonly StreamOrigin[]
   /** Versions of the service that served recently. */
   readonly versions: readonly SoftwareVersion[]
+  /** Time for which that instance knows all versions of the service; 0 if it does not tell. */
+  readonly knownForMilliseconds: Milliseconds
+}
+
+/** What one instance lists of a service, and the versions that left. */
+export interface ListedVersions {
+  readonly listed: readonly SoftwareVersion[]
+  /** Versions that left within the resumption window, with the monotonic times at which each was last seen. */
+  readonly unlisted: ReadonlyMap<SoftwareVersion, Milliseconds>
+  /** Time for which all versions of the service are known. */
+  readonly knownForMilliseconds: Milliseconds
 }
 
 /** A stream that a caller resumes. */
@@ -36,7 +47,7 @@
 
 /** What the answer to where a stream began rests on. */
 export interface OriginEvidence {
-  /** Time for which this instance had known the service. */
+  /** Longest time for which this instance or one that answered knows all versions of the service. */
   readonly knownForMilliseconds: Milliseconds
   /** Whether the list of endpoints was recently read from the store. */
   readonly isListFresh: boolean
@@ -56,6 +67,12 @@
   readonly listedVersions: (service: string) => ReadonlySet<SoftwareVersion>
   /** Whether the list of endpoints was recently read from the store. */
   readonly isListFresh: () => boolean
+  /**
+   * Resolves when the records of the versions that served earlier were read, or could not be read in time.
+   */
+  readonly untilHistoryRead: () => Promise<void>
+  /** Whether no instance ran before those that are starting now. */
+  readonly isFleetNew: () => boolean
   /** Sends the streams to the instances that keep a replica of each. */
   readonly replicateStreams: (begun: readonly StartedStream[]) => void
   /** Sends versions to all other instances. */
@@ -71,7 +88,8 @@
 
   constructor(private readonly parts: StreamOriginsParts) {
     this.cache = new StreamOriginCache(parts.clock)
-    this.versions = new RecentVersions(parts.clock, parts.listedVersions)
+    const { clock, listedVersions: listed, isFleetNew } = parts
+    this.versions = new RecentVersions({ clock, listed, isFleetNew })
   }
 
   /** Number of streams remembered here. */
@@ -91,7 +109,9 @@
 
   /** An endpoint with this version is listed. */
   noteListed(origin: StreamOrigin): void {
-    const isNew = this.noteVersion(origin)
+    const isNew = this.noteVersion(origin, () =>
+      this.versions.noteListed(origin.service, origin.softwareVersion),
+    )
     if (isNew) this.parts.broadcastVersions(this.versionsOf(origin.service))
   }
 
@@ -109,6 +129,29 @@
     for (const origin of versions) this.noteVersion(origin)
   }
 
+  /** Applies the records of the versions that served before this instance started; once, with all records. */
+  restore(histories: readonly ServiceHistory[]): void {
+    const before = new Map(
+      histories.map(({ service }) => [service, this.versions.recentVersions(service)]),
+    )
+    this.versions.restore(histories)
+    for (const [service, known] of before) this.replicateIfMixedSince(service, known)
+  }
+
+  /** Services of which a version is known. */
+  get services(): readonly string[] {
+    return this.versions.services
+  }
+
+  /** What this instance lists of a service. */
+  listedVersions(service: string): ListedVersions {
+    return {
+      listed: [...this.parts.listedVersions(service)],
+      unlisted: this.versions.unlistedVersions(service),
+      knownForMilliseconds: this.versions.knownFor(service),
+    }
+  }
+
   /** Recent versions of services that have several, for a newly started instance. */
   get versionsSnapshot(): readonly StreamOrigin[] {
     return this.versions.services
@@ -119,7 +162,11 @@
 
   /** The answer to another instance that asks about a stream. */
   answer({ key, service }: ResumedStream): OriginAnswer {
-    return { origins: this.remembered(key), versions: this.versions.recentVersions(service) }
+    return {
+      origins: this.remembered(key),
+      versions: this.versions.recentVersions(service),
+      knownForMilliseconds: this.versions.knownFor(service),
+    }
   }
 
   /**
@@ -127,21 +174,26 @@
    * only if this instance remembers no origin and can't rely on the service having a single version.
    */
   async find(stream: ResumedStream): Promise<FoundOrigin> {
+    if (!this.isKnownHere(stream)) await this.parts.untilHistoryRead()
+    const answers = this.isKnownHere(stream) ? [] : await this.parts.ask(stream)
     const { service } = stream
-    const own = this.answer(stream)
-    const { isFresh, versions, knownForMilliseconds } = this.view(service)
-    const isKnown = own.origins.length > 0 || hasSingleVersion(this.view(service))
-    const answers = isKnown ? [] : await this.parts.ask(stream)
-    const all = [own, ...answers]
+    const { isFresh } = this.view(service)
+    const all = [this.answer(stream), ...answers]
+    const knownForMilliseconds = Math.max(...all.map(answer => answer.knownForMilliseconds))
     const resumption = resolveResumption(service, {
       origins: all.flatMap(answer => answer.origins),
-      versions: [...versions, ...answers.flatMap(answer => answer.versions)],
+      versions: all.flatMap(answer => answer.versions),
       isConfirmed: isFresh || answers.length > 0,
+      knownForMilliseconds,
     })
     const evidence = { knownForMilliseconds, isListFresh: isFresh, answers: answers.length }
     return { ...resumption, evidence }
   }
 
+  private isKnownHere({ key, service }: ResumedStream): boolean {
+    return this.remembered(key).length > 0 || hasSingleVersion(this.view(service))
+  }
+
   private view(service: string): ServiceVersions {
     return {
       versions: this.versions.recentVersions(service),
@@ -161,14 +213,25 @@
   }
 
   /**
-   * Notes a version. Returns whether it is new to a service that already had one. When a second version
-   * appears, the streams that this instance served at the only earlier one are replicated.
+   * Notes a version. Returns whether it is new to a service that already had one.
    */
-  private noteVersion({ service, softwareVersion }: StreamOrigin): boolean {
+  private noteVersion(
+    { service, softwareVersion }: StreamOrigin,
+    note = () => this.versions.note(service, softwareVersion),
+  ): boolean {
     const before = this.versions.recentVersions(service)
-    this.versions.note(service, softwareVersion)
-    const isNew = before.length > 0 && !before.includes(softwareVersion)
-    if (isNew && before.length === 1) this.parts.replicateStreams(this.cache.servedLocally(service))
-    return isNew
+    note()
+    this.replicateIfMixedSince(service, before)
+    return before.length > 0 && !before.includes(softwareVersion)
+  }
+
+  /**
+   * When a second version appears, the streams that this instance served at the only earlier one are
+   * replicated.
+   */
+  private replicateIfMixedSince(service: string, before: readonly SoftwareVersion[]): void {
+    const isMixed = hasMixedVersions(this.versions.recentVersions(service))
+    if (isMixed && before.length === 1)
+      this.parts.replicateStreams(this.cache.servedLocally(service))
   }
 }
--- a/packages/shared/src/resultCodes.ts
+++ b/packages/shared/src/resultCodes.ts
@@ -273,7 +273,7 @@
     503,
     'not-run',
     true,
-    'endpoints of several software versions serve, and nobody knows which one began the stream',
+    'several software versions may have served, and nobody knows which one began the stream',
     2,
   ),
   [ResultCode.NoEndpointOfVersion]: row(
