feat(observe): each answer "not run" is one count and one line with its cause

What callers saw: requests that were answered 408, 421, 429 or 503 and ran, and no line of any instance named them. What the logs and metrics could not tell:

- answers written outside the request path (408 for a head that came too late) left neither a line nor a count, in both kinds of daemon;
- a line of a refused request did not say why the refusal was believed;
- lines of served requests (level info) used up the bound on lines a second, so that warnings were dropped; the number of dropped lines was in the next line only, without saying which they were;
- refusals beyond the limit on connections (OpenAI-style kind) had no count.

Change, without a change of decisions: rackwalk_gateway_not_run_answers_total and rackwalk_not_run_answers_total count each such answer once, by cause; the line has the cause (notRun) and, per attempt, whether the refusal named the request and whether its connection was new; "unparsed_request" is the line of a 408 without a request, with address and port of the caller. The cause "contradictory" is an alarm: an attempt may have run the request after all.

Ruled out by reading: the id in a line is the caller's own, as it was sent. Lines are written synchronously after the answer, so a killed process loses only lines of requests that it had not answered.

What a line costs was not measured.

--- a/packages/daemon/src/callers/callerServer.ts
+++ b/packages/daemon/src/callers/callerServer.ts
@@ -22,6 +22,7 @@
 import type { Settings } from '../settings/schema.js'
 import { incomingRequest } from './httpCallerConnection.js'
 import type { AcceptQueue } from './acceptQueue.js'
+import type { UnservedObserver } from './unservedCallers.js'
 
 /** What the listener for callers needs. */
 export interface CallerServerParts {
@@ -32,6 +33,7 @@
   readonly limits: Settings['limits']
   readonly refusedBodies: RefusedBodyHandler
   readonly acceptQueue: AcceptQueue
+  readonly unserved: UnservedObserver
 }
 
 const BEARER = /^Bearer +(\S+)$/i
@@ -66,7 +68,7 @@
     )
     this.server.maxConnections = HARD_LIMIT_FACTOR * limits.connections
     this.server.on('connection', socket => this.count(socket))
-    refuseMalformed(this.server)
+    refuseMalformed(this.server, parts.unserved.noteUnparsed)
     sendContinueOnRead(this.server)
   }
 
@@ -98,6 +100,7 @@
   private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     if (this.connections > this.parts.limits.connections) {
       response.shouldKeepAlive = false
+      this.parts.unserved.noteTooManyConnections()
       return this.refuse(response, new NotRunError(ResultCode.TooManyConnections))
     }
     const [path = '/'] = (request.url ?? '/').split('?')
--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -29,7 +29,8 @@
 import type { AddressedListener } from './auxiliaryListeners.js'
 import { applyLimits, createCallerListener, listenAll } from './gatewayListeners.js'
 import type { GatewayMetrics } from './gatewayMetrics.js'
-import { GatewayTelemetry, createGatewayLogger } from './gatewayTelemetry.js'
+import { createTelemetry } from './gatewayTelemetry.js'
+import type { GatewayTelemetry } from './gatewayTelemetry.js'
 import type { GatewaySettings } from './gatewaySettings.js'
 import { ListenerPauses } from './listenerPauses.js'
 import { monitoredTables } from './stalenessMonitor.js'
@@ -102,8 +103,7 @@
   ) {
     this.clock = options.clock ?? new SystemClock()
     this.random = options.random ?? new SystemRandom()
-    const logger = options.logger ?? createGatewayLogger(settings, this.clock)
-    this.telemetry = new GatewayTelemetry(logger)
+    this.telemetry = createTelemetry(settings, this.clock, options.logger)
     const store = options.store ?? this.createStore()
     this.store = new MeteredStore(store, this.clock, (call, table, outcome) =>
       this.telemetry.noteStoreCall(call, table, outcome),
@@ -338,7 +338,7 @@
   }
 
   private createCallerListener(): PausableListener {
-    const server = createCallerListener((request, response) => {
+    const server = createCallerListener(this.telemetry, (request, response) => {
       this.requestRate.add(1)
       void this.gateway.handle(request, response)
     })
--- a/packages/daemon/src/gateway/gatewayListeners.ts
+++ b/packages/daemon/src/gateway/gatewayListeners.ts
@@ -7,6 +7,7 @@
 import { sendContinueOnRead } from '@rackwalk/router'
 import type { GatewayLimits } from '@rackwalk/router'
 import { refuseMalformed } from '../observe/httpAnswer.js'
+import type { UnparsedRefusal } from '../observe/httpAnswer.js'
 import { listenOn } from '../observe/listenOn.js'
 import type { PlainAnswer } from './platformAdapter.js'
 
@@ -21,12 +22,13 @@
 
 /** Creates the listener for callers; a configuration changes its limits. */
 export function createCallerListener(
+  observer: { noteUnparsed(refusal: UnparsedRefusal): void },
   handle: (request: IncomingMessage, response: ServerResponse) => void,
 ): Server {
   const server = createServer({ maxHeaderSize: LONGEST_HEADER_BYTES, noDelay: true }, handle)
   server.requestTimeout = 0
   server.headersTimeout = HEADER_MILLISECONDS
-  refuseMalformed(server)
+  refuseMalformed(server, refusal => observer.noteUnparsed(refusal))
   sendContinueOnRead(server)
   return server
 }
--- a/packages/daemon/src/gateway/gatewayMetrics.ts
+++ b/packages/daemon/src/gateway/gatewayMetrics.ts
@@ -8,7 +8,7 @@
 import { RESULT_TABLE, ResultCode, resultName } from '@rackwalk/shared'
 import type { Bytes, TeamId } from '@rackwalk/shared'
 import type { Takeover } from '@rackwalk/coordination'
-import type { AnswerRecord, GatewayRecord, RefusedBodyOutcome } from '@rackwalk/router'
+import type { AnswerRecord, GatewayRecord, NotRunCause, RefusedBodyOutcome } from '@rackwalk/router'
 
 /** Upper bounds of histogram buckets for the time to the first byte of an answer, in seconds. */
 const FIRST_BYTE_BUCKETS = [0.02, 0.05, 0.1, 0.2, 0.35, 0.5, 0.7, 1, 2, 5, 10]
@@ -49,6 +49,8 @@
   readonly registry = new Registry()
   private readonly requests: Counter
   private readonly teamRequests: Counter
+  private readonly notRunAnswers: Counter
+  private readonly droppedLines: Counter
   private readonly starvedRequests: Counter
   private readonly lateAnswers: Counter
   private readonly attempts: Counter
@@ -202,6 +204,18 @@
       help: 'Bytes of refused bodies that came over the link.',
       registers,
     })
+    this.notRunAnswers = new Counter({
+      name: 'rackwalk_gateway_not_run_answers_total',
+      help: 'Answers that told a caller that its request has not run (408, 421, 429 or 503), by why that was known.',
+      labelNames: ['cause'],
+      registers,
+    })
+    this.droppedLines = new Counter({
+      name: 'rackwalk_gateway_dropped_lines_total',
+      help: 'Log lines dropped by the bound on lines a second, by event, and whether a caller was told "not run".',
+      labelNames: ['event', 'notRun'],
+      registers,
+    })
     this.firstByte = new Histogram({
       name: 'rackwalk_gateway_first_byte_seconds',
       help: 'Time from the arrival of a request to the first byte of its answer.',
@@ -276,6 +290,15 @@
     }
   }
 
+  /** A caller was told that its request has not run. */
+  noteNotRun(cause: NotRunCause | 'not-parsed'): void {
+    this.notRunAnswers.inc({ cause })
+  }
+
+  noteDroppedLine(event: string, isNotRun: boolean): void {
+    this.droppedLines.inc({ event, notRun: isNotRun ? 'yes' : 'no' })
+  }
+
   /** A request of a team that counts as starved (served almost nothing) was not served. */
   noteStarvedRequest(team: TeamId, code: ResultCode): void {
     this.starvedRequests.inc({ tenant: team, code: String(code) })
--- a/packages/daemon/src/gateway/gatewayTelemetry.ts
+++ b/packages/daemon/src/gateway/gatewayTelemetry.ts
@@ -4,7 +4,7 @@
  * exist, the metrics. Events before that are logged but not counted.
  */
 
-import { ResultCode } from '@rackwalk/shared'
+import { RESULT_TABLE, ResultCode } from '@rackwalk/shared'
 import type { Bytes, Clock, TeamId } from '@rackwalk/shared'
 import type { Takeover } from '@rackwalk/coordination'
 import type { RowAddress } from '@rackwalk/stores'
@@ -16,7 +16,9 @@
 } from '@rackwalk/router'
 import type { AcceptQueueObserver } from '../callers/acceptQueue.js'
 import { BoundedLogger } from '../observe/boundedLogger.js'
+import type { DroppedLine } from '../observe/boundedLogger.js'
 import { ChangeBatch } from '../observe/changeBatch.js'
+import type { UnparsedRefusal } from '../observe/httpAnswer.js'
 import { JsonLogger } from '../observe/logger.js'
 import type { Logger } from '../observe/logger.js'
 import { MalformedInputLog } from '../observe/malformedInputLog.js'
@@ -24,14 +26,23 @@
 import { GatewayMetrics } from './gatewayMetrics.js'
 import type { GatewayGauges } from './gatewayMetrics.js'
 import type { GatewaySettings } from './gatewaySettings.js'
+import { claimsNotExecuted } from '@rackwalk/decisions'
+import { notRunCause } from '@rackwalk/router'
 import { requestLogFields } from './requestLogFields.js'
 
 type Fields = Readonly<Record<string, unknown>>
 
-/** Creates the log of an instance, with the rate limit of its settings. */
-export function createGatewayLogger({ log, instance }: GatewaySettings, clock: Clock): Logger {
+/** Creates the telemetry of an instance; without a logger, with a log that has the rate limit of the settings. */
+export function createTelemetry(
+  { log, instance }: GatewaySettings,
+  clock: Clock,
+  logger?: Logger,
+): GatewayTelemetry {
   const inner = new JsonLogger(log.level, instance.id)
-  return new BoundedLogger(inner, clock, log.linesPerSecond)
+  const onDropped: DroppedLine = (event, fields) => telemetry.noteDroppedLine(event, fields)
+  const bounded = new BoundedLogger(inner, clock, log.linesPerSecond, onDropped)
+  const telemetry: GatewayTelemetry = new GatewayTelemetry(logger ?? bounded)
+  return telemetry
 }
 
 /** Counts and logs what an instance does and detects. */
@@ -93,7 +104,22 @@
   noteRecord(record: GatewayRecord): void {
     this.metrics?.noteRecord(record)
     const isServed = record.code === ResultCode.Ok
-    this.logger[isServed ? 'info' : 'warn']('request', requestLogFields(record))
+    const notRun = notRunCause(record)
+    if (notRun !== undefined) this.metrics?.noteNotRun(notRun)
+    this.logger[isServed ? 'info' : 'warn']('request', { ...requestLogFields(record), notRun })
+  }
+
+  /** A connection was refused on which no request was parsed. */
+  noteUnparsed({ code, cause, caller }: UnparsedRefusal): void {
+    const status = RESULT_TABLE[code].httpStatus
+    if (!claimsNotExecuted(status)) return
+    this.metrics?.noteNotRun('not-parsed')
+    this.logger.warn('unparsed_request', { status, code, cause, caller, notRun: 'not-parsed' })
+  }
+
+  /** A line was dropped because of the limit on lines per second. */
+  noteDroppedLine(event: string, { notRun }: Fields): void {
+    this.metrics?.noteDroppedLine(event, notRun !== undefined)
   }
 
   /**
--- a/packages/daemon/src/gateway/requestLogFields.ts
+++ b/packages/daemon/src/gateway/requestLogFields.ts
@@ -65,6 +65,7 @@
     pendingTokens: attempt.pendingTokens,
     uncachedTokens: attempt.uncachedTokens,
     outcome: outcomeText(attempt.outcome),
+    refusal: attempt.refusal,
     said: attempt.said,
     framing: attempt.answer?.framing,
     end: attempt.answer?.end,
--- a/packages/daemon/src/observe/httpAnswer.ts
+++ b/packages/daemon/src/observe/httpAnswer.ts
@@ -42,11 +42,23 @@
   return { status, headers: { ...framing, ...headers }, body }
 }
 
+/** An answer to a connection on which no request was parsed, so that no request's record tells of it. */
+export interface UnparsedRefusal {
+  readonly code: ResultCode
+  /** The parser's code of the error. */
+  readonly cause: string
+  /** IP:PORT of the caller. */
+  readonly caller: string
+}
+
 /**
  * Refuses bytes that are not HTTP or that arrive too late. A connection with an answer in progress is reset: bytes
  * sent on it would be taken for a part of that answer, and an orderly close for the end of the answer.
  */
-export function refuseMalformed(server: Server): void {
+export function refuseMalformed(
+  server: Server,
+  onRefused: (refusal: UnparsedRefusal) => void = () => {},
+): void {
   const inProgress = new WeakMap<Duplex, number>()
   const count = (socket: Duplex, change: number) =>
     inProgress.set(socket, (inProgress.get(socket) ?? 0) + change)
@@ -56,7 +68,7 @@
   })
   server.on('clientError', (error, socket) => {
     if ((inProgress.get(socket) ?? 0) > 0) reset(socket)
-    else answerMalformed(error, socket)
+    else answerMalformed(error, socket, onRefused)
   })
 }
 
@@ -66,11 +78,16 @@
 }
 
 /** Answers a connection on which no request was parsed. */
-function answerMalformed(error: NodeJS.ErrnoException, socket: Duplex): void {
+function answerMalformed(
+  error: NodeJS.ErrnoException,
+  socket: Duplex,
+  onRefused: (refusal: UnparsedRefusal) => void,
+): void {
   if (!socket.writable || error.code === 'ECONNRESET') return void socket.destroy()
   const isSlow = error.code === 'ERR_HTTP_REQUEST_TIMEOUT'
   const code = isSlow ? ResultCode.RequestTimeout : ResultCode.MalformedRequest
   const refusal = new NotRunError(code, error.code)
+  onRefused({ code, cause: error.code ?? 'unknown', caller: addressOf(socket) })
   const { httpStatus, message } = RESULT_TABLE[code]
   const body = JSON.stringify(errorBody(refusal))
   socket.end(
@@ -78,3 +95,8 @@
       `content-type: application/json\r\ncontent-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`,
   )
 }
+
+function addressOf(socket: Duplex): string {
+  if (!(socket instanceof Socket)) return ''
+  return `${socket.remoteAddress ?? ''}:${socket.remotePort ?? ''}`
+}
--- a/packages/daemon/src/observe/metrics.ts
+++ b/packages/daemon/src/observe/metrics.ts
@@ -4,7 +4,8 @@
  */
 
 import { Counter, Gauge, Histogram, Registry, collectDefaultMetrics } from 'prom-client'
-import { ResultCode, resultName } from '@rackwalk/shared'
+import { claimsNotExecuted } from '@rackwalk/decisions'
+import { RESULT_TABLE, ResultCode, resultName } from '@rackwalk/shared'
 import type { Bytes } from '@rackwalk/shared'
 import type { CounterName, Counters } from '@rackwalk/coordination'
 import type { DecisionRecord, RefusedBodyCounters, RefusedBodyOutcome } from '@rackwalk/router'
@@ -12,6 +13,12 @@
 const FIRST_BYTE_BUCKETS = [0.02, 0.05, 0.1, 0.2, 0.35, 0.5, 0.69, 1, 2, 5, 10, 30]
 const TOTAL_BUCKETS = [0.05, 0.2, 1, 5, 15, 60, 300, 600]
 
+/**
+ * Why a caller was told that its request has not run: no request was parsed in time, too many connections were open, the
+ * request was refused before any attempt, or its attempts got no connection or a refusal.
+ */
+type NotRunCause = 'not-parsed' | 'too-many-connections' | 'not-attempted' | 'attempts'
+
 /** Values that are read when the metrics are scraped. */
 export interface GaugeSources {
   readonly inFlight: () => number
@@ -29,6 +36,7 @@
   private readonly coordination: Counter
   private readonly requests: Counter
   private readonly answers: Counter
+  private readonly notRunAnswers: Counter
   private readonly retries: Counter
   private readonly continuations: Counter
   private readonly endpointCrashes: Counter
@@ -57,6 +65,12 @@
       labelNames: ['code', 'result', 'execution'],
       registers,
     })
+    this.notRunAnswers = new Counter({
+      name: 'rackwalk_not_run_answers_total',
+      help: 'Answers that told a caller that its request has not run, by why that was known.',
+      labelNames: ['cause'],
+      registers,
+    })
     this.answers = new Counter({
       name: 'rackwalk_endpoint_answers_total',
       help: 'Answers of endpoints, by framing, by what their reading ended with and by what became of them.',
@@ -170,10 +184,18 @@
     this.tokens.inc(tokens)
   }
 
+  /** A caller was told that its request has not run. */
+  noteNotRun(cause: NotRunCause): void {
+    this.notRunAnswers.inc({ cause })
+  }
+
   noteRecord(record: DecisionRecord): void {
     const code = record.code ?? ResultCode.Internal
     const execution = record.execution ?? 'unknown'
     this.requests.inc({ code: String(code), result: resultName(code), execution })
+    if (isNotRunAnswer(code)) {
+      this.noteNotRun(record.routing.length === 0 ? 'not-attempted' : 'attempts')
+    }
     for (const { answer } of record.routing) {
       if (answer !== undefined) this.answers.inc({ ...answer })
     }
@@ -220,3 +242,9 @@
     })
   }
 }
+
+/** Whether the error with this code tells its caller that the request has not run. */
+function isNotRunAnswer(code: ResultCode): boolean {
+  const { execution, httpStatus } = RESULT_TABLE[code]
+  return execution === 'not-run' && claimsNotExecuted(httpStatus)
+}
--- a/packages/daemon/src/rackwalkDaemon.ts
+++ b/packages/daemon/src/rackwalkDaemon.ts
@@ -19,6 +19,7 @@
 import type { ChatRelay, DecisionRecord, RefusedBodyHandler } from '@rackwalk/router'
 import { CallerServer } from './callers/callerServer.js'
 import { createRefusedBodies } from './callers/createRefusedBodies.js'
+import { unservedObserver } from './callers/unservedCallers.js'
 import { createAcceptQueue } from './callers/createAcceptQueue.js'
 import { DecisionRecordFinder } from './decisionRecordFinder.js'
 import { withPort } from './observe/listenOn.js'
@@ -363,6 +364,7 @@
       explain: requestId => this.recordFinder.find(requestId),
       limits: this.settings.limits,
       refusedBodies,
+      unserved: unservedObserver(this.metrics, this.logger),
     })
   }
 
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -152,6 +152,7 @@
   isFinalStatus,
   isInterimStatus,
   isServerError,
+  claimsNotExecuted,
   retryStep,
 } from './retrying/retryStep.js'
 export type { RetryStep } from './retrying/retryStep.js'
--- a/packages/router/src/gateway/attemptOutcomes.ts
+++ b/packages/router/src/gateway/attemptOutcomes.ts
@@ -60,6 +60,30 @@
   return { kind: 'answered', status }
 }
 
+/** Why a refusal was believed to be the answer to its request. */
+export type RefusalProof =
+  /** It names the request. */
+  | 'id'
+  /** It names no request and came on a connection that had carried no other. */
+  | 'new-connection'
+
+/** What showed that a refusal was the answer to its request. */
+export interface RefusalRecord {
+  readonly proof: RefusalProof
+  /** Whether the connection had carried other requests. */
+  readonly connection: 'new' | 'kept'
+}
+
+/** Returns why the head was believed to refuse its request; undefined for another outcome. */
+export function refusalRecord(
+  { reply, isFirstOnConnection }: AnswerHead,
+  { kind }: AttemptOutcome,
+): RefusalRecord | undefined {
+  if (kind !== 'refused') return undefined
+  const proof = reply.requestId === undefined ? 'new-connection' : 'id'
+  return { proof, connection: isFirstOnConnection ? 'new' : 'kept' }
+}
+
 /**
  * Whether an answer is shown to belong to the request with this id. Endpoints return the id, but another server that took
  * over an endpoint's address may refuse without one; only on a new connection can such a refusal be no other request's.
--- a/packages/router/src/gateway/gatewayRecord.ts
+++ b/packages/router/src/gateway/gatewayRecord.ts
@@ -11,6 +11,7 @@
 import type { LenderAnswer } from '@rackwalk/coordination'
 import type { StreamResumption } from './dialect.js'
 import type { Lateness } from './lateness.js'
+import type { RefusalRecord } from './attemptOutcomes.js'
 import type { RefusedBodyOutcome } from '../refusedBodyHandler.js'
 import type { OriginEvidence } from '../streams/streamOrigins.js'
 import type { StreamPause } from './streamPace.js'
@@ -43,6 +44,8 @@
   readonly uncachedTokens: TokenCount
   /** Undefined until the attempt has ended. */
   outcome: AttemptOutcome | undefined
+  /** Undefined unless the endpoint refused the request. */
+  refusal?: RefusalRecord | undefined
   /** Advice that the endpoint gave with its answer; undefined if it gave none. */
   said?: string
   /** Undefined if no body was read for the caller. */
--- a/packages/router/src/gateway/requestAttempts.ts
+++ b/packages/router/src/gateway/requestAttempts.ts
@@ -27,8 +27,10 @@
   isSuccessful,
   isProxyError,
   outcomeOfHead,
+  refusalRecord,
   terminatedOutcome,
 } from './attemptOutcomes.js'
+import type { RefusalRecord } from './attemptOutcomes.js'
 import { EndpointSelector } from './endpointSelector.js'
 import type { SelectionConstraints, ChosenEndpoint } from './endpointSelector.js'
 import type { ReplyMetadata } from './dialect.js'
@@ -328,7 +330,7 @@
       exchange.abort('aborted')
       return this.endReset(endpoint, outcome)
     }
-    const step = this.note(outcome)
+    const step = this.note(outcome, refusalRecord(head, outcome))
     if (step === 'pass-on') return this.deliver(endpoint, exchange, response, noteBegun)
     discard(exchange, outcome, step)
     return step
@@ -455,11 +457,11 @@
   }
 
   /** Records the outcome of the current attempt and determines the next step. */
-  private note(outcome: AttemptOutcome): RetryStep {
+  private note(outcome: AttemptOutcome, refusal?: RefusalRecord): RetryStep {
     const { route, reply, record, takeRetry } = this.request
     this.history.push(outcome)
     const attempt = record.attempts.at(-1)
-    if (attempt !== undefined) attempt.outcome = outcome
+    if (attempt !== undefined) Object.assign(attempt, { outcome, refusal })
     return retryStep({
       route,
       history: this.history,
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -110,6 +110,8 @@
   GatewayService,
   GatewayTeam,
 } from './gateway/gatewayConfiguration.js'
+export { notRunCause } from './gateway/notRunCause.js'
+export type { NotRunCause } from './gateway/notRunCause.js'
 export type {
   AnswerRecord,
   AttemptRecord,
