fix(daemon): a request is not served after its connection was answered 408

What callers saw: 408 ("not run") for a connection whose head was not there in time, and an endpoint ran the request all the same. A caller that comes back, as 408 allows, has its work done twice. No `request` line told of the 408.

Cause: the answer ended only this instance's side of the connection. The parser went on reading, so that a request whose head was completed afterwards, or that crossed the answer on a connection without data so far, was dispatched. After a pause of the process the same happens to requests that arrived in time: timers run before sockets are read. Callers who left their side open also kept the connection open without end.

Change: a connection that is answered outside the request path is no longer read and is closed a second later.

Ruled out: destroying the connection with the answer, since a reset takes the answer from the caller; ignoring requests in the handler, since the parser had several listeners to pass. Bytes that are not HTTP (400) were never dispatched: the parser stays in its error.

--- a/packages/daemon/src/observe/httpAnswer.ts
+++ b/packages/daemon/src/observe/httpAnswer.ts
@@ -8,6 +8,12 @@
 import { errorBody, errorHeaders } from '@rackwalk/router'
 import type { Refusal } from '@rackwalk/router'
 
+/**
+ * Time in which a caller can read the answer to a connection on which no request was parsed. Closing a connection with
+ * unread bytes resets it, and the caller's system would discard the answer.
+ */
+const LINGER_MILLISECONDS = 1_000
+
 /** Answers with a JSON document. */
 export function answerJson(
   response: ServerResponse,
@@ -90,12 +96,21 @@
   onRefused({ code, cause: error.code ?? 'unknown', caller: addressOf(socket) })
   const { httpStatus, message } = RESULT_TABLE[code]
   const body = JSON.stringify(errorBody(refusal))
+  // The parser goes on after a time-out: it would dispatch a request whose head is completed after this answer.
+  socket.pause()
+  closeLater(socket)
   socket.end(
     `HTTP/1.1 ${httpStatus} ${message}\r\nconnection: close\r\n` +
       `content-type: application/json\r\ncontent-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`,
   )
 }
 
+/** Closes a connection that is no longer read, and on which the end of the caller's side therefore goes unnoticed. */
+function closeLater(socket: Duplex): void {
+  const timer = setTimeout(() => socket.destroy(), LINGER_MILLISECONDS)
+  socket.once('close', () => clearTimeout(timer))
+}
+
 function addressOf(socket: Duplex): string {
   if (!(socket instanceof Socket)) return ''
   return `${socket.remoteAddress ?? ''}:${socket.remotePort ?? ''}`
