fix(router): a sent request counts as one that may have run, whatever error ends it

What callers saw: "not run" (503, execution `not-run`) for a request that an engine had received and run, if its connection ended because the route to the engine was lost. The request could also be sent once more, although it may run only once.

Cause: whether a request was sent was concluded from the code of the error. The system ends an established connection whose peer has become unreachable with EHOSTUNREACH or ENETUNREACH instead of a time-out, and these codes were taken for a connection that never came up.

Change: once the request was handed to its connection, no error says that it was not sent. The gateway kind notes the connection itself and was not concerned.

Test before the change: sentAttempts.spec, 2 of 2 failed × a request whose connection ends with EHOSTUNREACH may have run expected { kind: 'unsent' } to match object { kind: 'failed' } × a request whose connection ends with ENETUNREACH may have run (the same) After: 2 passed; endpointClient and dispatchFailure specs green. The test ends the connection with the error that the system would report; a lost route itself was not produced.

--- a/packages/router/src/engine/endpointClient.ts
+++ b/packages/router/src/engine/endpointClient.ts
@@ -97,7 +97,7 @@
     try {
       this.agent.dispatch(dispatch, exchange)
     } catch (thrown) {
-      return Promise.resolve(classifyAttemptError(thrown))
+      return Promise.resolve(classifyAttemptError(thrown, false))
     }
     return exchange.result
   }
--- a/packages/router/src/engine/endpointExchange.ts
+++ b/packages/router/src/engine/endpointExchange.ts
@@ -25,7 +25,7 @@
 import type { ConnectionEndGuard, ConnectionReader } from './endpointConnection.js'
 import type { InFlightExchange, InFlightExchanges } from './inFlightExchanges.js'
 
-// Error codes that show that no connection was established.
+// Error codes that show that no connection was established, unless the request was sent.
 const NEVER_CONNECTED = new Set([
   'ECONNREFUSED',
   'EHOSTUNREACH',
@@ -232,8 +232,12 @@
     if (!this.isEnded) this.controller?.abort(new CancelledError(end))
   }
 
+  private get isSent(): boolean {
+    return this.sentAt < Number.POSITIVE_INFINITY
+  }
+
   private classified(error: Error): AttemptResult {
-    const result = classifyAttemptError(error)
+    const result = classifyAttemptError(error, this.isSent)
     if (result.kind !== 'failed') return result
     const described =
       this.wasInFlightAtTermination === undefined
@@ -323,10 +327,13 @@
   }
 }
 
-/** Classifies an error that ended an attempt before any of its answer was passed on. */
-export function classifyAttemptError(thrown: unknown): AttemptResult {
+/**
+ * Classifies an error that ended an attempt before any of its answer was passed on. Once the request was sent, no error
+ * shows that it did not run: a lost route ends an established connection with the code of one that was never established.
+ */
+export function classifyAttemptError(thrown: unknown, isSent: boolean): AttemptResult {
   const code = errorCode(thrown)
-  if (NEVER_CONNECTED.has(code)) return { kind: 'unsent', reason: code }
+  if (!isSent && NEVER_CONNECTED.has(code)) return { kind: 'unsent', reason: code }
   return { kind: 'failed', reason: code, stalled: STALLED.has(code), end: answerEndOf(thrown) }
 }
 
