fix(daemon): a request that arrived in time is not refused because the process was busy

What callers saw: 408 after a pause of the process (frozen, or its processor taken) for a request that had arrived whole and in time.

Cause: after a pause the loop runs its timers before it reads its sockets. The check of heads found connections without one whose requests waited to be read.

Change: the answer 408 waits until the sockets were polled once more, and is not given if a request was parsed meanwhile. Both kinds of daemon share the code.

Test before the change: lateRequests.spec × a request that arrived in time while the process was busy is served expected 'HTTP/1.1 408 …' to match /^HTTP\/1.1 200 / After: 4 passed.

--- a/packages/daemon/__tests__/lateRequests.spec.ts
+++ b/packages/daemon/__tests__/lateRequests.spec.ts
@@ -6,7 +6,10 @@
 import { refuseMalformed } from '@rackwalk/daemon'
 import type { UnparsedRefusal } from '@rackwalk/daemon'
 
-/** Guards against requests that are served although their callers were told that they arrived too slowly. */
+/**
+ * Guards against requests that are served although their callers were told that they arrived too slowly, and against that
+ * answer to requests that arrived in time.
+ */
 
 vi.setConfig({ testTimeout: 10_000 })
 
@@ -92,3 +95,16 @@
   await untilRefused()
   while ((await openConnections()) > 0) await pause(5)
 })
+
+it('a request that arrived in time while the process was busy is served', async () => {
+  await listen()
+  const { text } = await call('')
+  while ((await openConnections()) === 0) await pause(5)
+  caller.write('GET /in-time HTTP/1.1\r\nHost: a\r\n\r\n')
+  const busyUntil = Date.now() + 2 * HEAD_MILLISECONDS
+  while (Date.now() < busyUntil);
+  await pause(AFTERMATH_MILLISECONDS)
+  expect(text()).toMatch(/^HTTP\/1.1 200 /)
+  expect(served).toEqual(['/in-time'])
+  expect(refused).toEqual([])
+})
--- a/packages/daemon/src/observe/httpAnswer.ts
+++ b/packages/daemon/src/observe/httpAnswer.ts
@@ -14,6 +14,9 @@
  */
 const LINGER_MILLISECONDS = 1_000
 
+/** The code of the error for a head that was not received in time. */
+const HEAD_TIMEOUT = 'ERR_HTTP_REQUEST_TIMEOUT'
+
 /** Answers with a JSON document. */
 export function answerJson(
   response: ServerResponse,
@@ -68,13 +71,24 @@
   const inProgress = new WeakMap<Duplex, number>()
   const count = (socket: Duplex, change: number) =>
     inProgress.set(socket, (inProgress.get(socket) ?? 0) + change)
+  /** Sockets whose head is late, until a request is parsed on them. */
+  const late = new WeakSet<Duplex>()
   server.prependListener('request', ({ socket }, response) => {
+    late.delete(socket)
     count(socket, 1)
     response.once('close', () => count(socket, -1))
   })
-  server.on('clientError', (error, socket) => {
-    if ((inProgress.get(socket) ?? 0) > 0) reset(socket)
-    else answerMalformed(error, socket, onRefused)
+  server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+    if ((inProgress.get(socket) ?? 0) > 0) return reset(socket)
+    if (error.code !== HEAD_TIMEOUT) {
+      late.delete(socket)
+      return answerMalformed(error, socket, onRefused)
+    }
+    // On a busy processor the check is late, and the request may wait to be read: sockets are polled first.
+    late.add(socket)
+    setImmediate(() => {
+      if (late.delete(socket)) answerMalformed(error, socket, onRefused)
+    })
   })
 }
 
@@ -90,7 +104,7 @@
   onRefused: (refusal: UnparsedRefusal) => void,
 ): void {
   if (!socket.writable || error.code === 'ECONNRESET') return void socket.destroy()
-  const isSlow = error.code === 'ERR_HTTP_REQUEST_TIMEOUT'
+  const isSlow = error.code === HEAD_TIMEOUT
   const code = isSlow ? ResultCode.RequestTimeout : ResultCode.MalformedRequest
   const refusal = new NotRunError(code, error.code)
   onRefused({ code, cause: error.code ?? 'unknown', caller: addressOf(socket) })
