fix(stores): an empty answer of the table service is no committed transaction

An answer of the table service that stopped right behind its head, or within it after CR LF LF, and was closed in order, said that a transaction is committed, that a row does not exist and that a list is empty.

Cause: the close was the only proof that the answer is whole, and the client library takes an empty body for a document without fields. Only the object store's client refused answers without a length.

Change: refuseUnframedAnswers is middleware of both clients. The service's protocol always sends a length.

--- a/packages/stand-ins/__tests__/objectWhole.spec.ts
+++ b/packages/stand-ins/__tests__/objectWhole.spec.ts
@@ -64,6 +64,7 @@
     ['shorter than its length', length(OBJECT), HALF, closeOrderly],
     ['in chunks without the last one', CHUNKED, chunk(HALF), closeOrderly],
     ['up to an orderly end', '', HALF, closeOrderly],
+    ['behind a head that ends in CR LF LF', 'x: y\r\n\n', OBJECT, closeOrderly],
     ['up to a reset', '', HALF, resetLater],
   ])('is not accepted %s', async (_, head, body, end) => {
     await startStore(head, body, end)
--- a/packages/stores/src/dynamodbTableService.ts
+++ b/packages/stores/src/dynamodbTableService.ts
@@ -11,6 +11,7 @@
 import { RackwalkError, ResultCode, asId } from '@rackwalk/shared'
 import type { Milliseconds, TransactionId } from '@rackwalk/shared'
 import { classifyServiceError } from './awsErrors.js'
+import { FRAMING_CHECK, refuseUnframedAnswers } from './framedAnswers.js'
 import type {
   TransactionWrites,
   JsonValue,
@@ -54,6 +55,7 @@
       // lost, a second attempt would report a conflict although the write took effect.
       maxAttempts: 1,
     })
+    this.client.middlewareStack.add(refuseUnframedAnswers, FRAMING_CHECK)
   }
 
   async get(key: RowKey): Promise<Row | undefined> {
--- a/packages/stores/src/framedAnswers.ts
+++ b/packages/stores/src/framedAnswers.ts
@@ -1,10 +1,10 @@
 /**
- * Rejects answers of the object store whose framing does not mark their end. If only the end of the
- * connection marks the end of an answer, a truncated object looks like a complete one.
+ * Rejects answers of the platform's services whose framing does not mark their end. If only the end of
+ * the connection marks the end of an answer, a truncated object looks like a complete one, and an answer
+ * of the table service without its document like an empty list or a committed transaction.
  */
 
 import { IncomingMessage } from 'node:http'
-import type { S3Client } from '@aws-sdk/client-s3'
 import { answerFraming } from '@rackwalk/decisions'
 import { RackwalkError, ResultCode } from '@rackwalk/shared'
 
@@ -13,16 +13,22 @@
   readonly body?: unknown
 }
 
-/** Makes the client reject answers that have neither a length nor chunked encoding. */
-export function refuseUnframedAnswers(client: S3Client): void {
-  client.middlewareStack.add(
-    next => async input => {
-      const output = await next(input)
-      checkFraming(output.response as RawAnswer)
-      return output
-    },
-    { step: 'deserialize', priority: 'low', name: 'refuseUnframedAnswers' },
-  )
+/** Where `refuseUnframedAnswers` belongs among a client's middleware. */
+export const FRAMING_CHECK = {
+  step: 'deserialize',
+  priority: 'low',
+  name: 'refuseUnframedAnswers',
+} as const
+
+/** Middleware of a client that rejects answers that have neither a length nor chunked encoding. */
+export function refuseUnframedAnswers<Input, Output extends { readonly response: unknown }>(
+  next: (input: Input) => Promise<Output>,
+): (input: Input) => Promise<Output> {
+  return async input => {
+    const output = await next(input)
+    checkFraming(output.response as RawAnswer)
+    return output
+  }
 }
 
 function checkFraming({ body }: RawAnswer): void {
--- a/packages/stores/src/s3ObjectStore.ts
+++ b/packages/stores/src/s3ObjectStore.ts
@@ -9,7 +9,7 @@
 } from '@aws-sdk/client-s3'
 import type { Milliseconds } from '@rackwalk/shared'
 import { classifyServiceError } from './awsErrors.js'
-import { refuseUnframedAnswers } from './framedAnswers.js'
+import { FRAMING_CHECK, refuseUnframedAnswers } from './framedAnswers.js'
 import type { ObjectStore } from './objectStore.js'
 
 /** Address of the bucket and the credentials for it. */
@@ -39,7 +39,7 @@
         secretAccessKey: options.secretAccessKey,
       },
     })
-    refuseUnframedAnswers(this.client)
+    this.client.middlewareStack.add(refuseUnframedAnswers, FRAMING_CHECK)
   }
 
   async put(key: string, body: Buffer): Promise<void> {
