--- a/packages/daemon/src/gateway/gatewayListeners.ts
+++ b/packages/daemon/src/gateway/gatewayListeners.ts
@@ -6,6 +6,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { sendContinueOnRead } from '@rackwalk/router'
 import type { GatewayLimits } from '@rackwalk/router'
+import type { Milliseconds } from '@rackwalk/shared'
 import { refuseMalformed } from '../observe/httpAnswer.js'
 import type { UnparsedRefusal } from '../observe/httpAnswer.js'
 import { listenOn } from '../observe/listenOn.js'
@@ -35,8 +36,15 @@
 
 /** Sets the time limits of a configuration for idle connections and for headers. */
 export function applyLimits(server: Server, limits: GatewayLimits): void {
-  server.keepAliveTimeout = limits.idleMilliseconds + IDLE_SLACK_MILLISECONDS
-  server.headersTimeout = limits.headerMilliseconds + IDLE_SLACK_MILLISECONDS
+  server.keepAliveTimeout = timeoutOf(limits.idleMilliseconds)
+  server.headersTimeout = timeoutOf(limits.headerMilliseconds)
+}
+
+/** Longest time that Node.js accepts; a longer one would be cut to 32 bits, and could so become very short. */
+const LONGEST_TIMEOUT_MILLISECONDS = 2 ** 31 - 1
+
+function timeoutOf(limit: Milliseconds): Milliseconds {
+  return Math.min(LONGEST_TIMEOUT_MILLISECONDS, Math.ceil(limit) + IDLE_SLACK_MILLISECONDS)
 }
 
 /** Maximum size of the body of a short call; a caller that sends more is disconnected. */
