fix(router): one resource whose spec cannot be read keeps no other one from being in force

What callers saw (OpenAI-style kind): with one team, endpoint, placement or routing policy of another writer whose spec lacks a field or holds another type, the first request after each change failed with a TypeError, and from then on all indexes stayed as they were before: endpoints that were added later got no requests, evacuations were not in force. An endpoint whose address is no URL threw for each request that considered it.

Cause: specs of stored resources were cast to their types, without a check, while the indexes were rebuilt; the API checks only what is written through it.

Change: the catalogue leaves out a resource whose known fields do not match its schema, counts it and logs it once for each state; fields that only a newer release knows are ignored. Of an evacuation the name alone counts. The planner reads placements from the catalogue.

--- a/packages/daemon/src/rackwalkDaemon.ts
+++ b/packages/daemon/src/rackwalkDaemon.ts
@@ -116,7 +116,9 @@
     this.client = new EndpointClient(this.clock, settings.limits.stallMilliseconds)
     this.peers = this.createPeerChannel()
     this.node = this.createNode()
-    this.catalogue = new Catalogue(this.node.configuration)
+    this.catalogue = new Catalogue(this.node.configuration, ({ kind, metadata }) =>
+      this.malformed.note({ form: 'resource', source: `${kind}/${metadata.name}` }),
+    )
     this.advice = this.createAdviceTask()
     this.endpoints = this.createEndpoints()
     this.reachability = this.createReachability()
@@ -343,7 +345,6 @@
     })
     return new PlacementTask({
       catalogue: this.catalogue,
-      configuration: this.node.configuration,
       endpoints: this.endpoints,
       client: this.client,
       lease,
--- a/packages/daemon/src/tasks/placementTask.ts
+++ b/packages/daemon/src/tasks/placementTask.ts
@@ -4,7 +4,7 @@
  */
 
 import type { Clock, EndpointId, Milliseconds, ModelId, Task, Timer } from '@rackwalk/shared'
-import type { ConfigurationFollower, Lease } from '@rackwalk/coordination'
+import type { Lease } from '@rackwalk/coordination'
 import { planPlacements } from '@rackwalk/router'
 import type {
   Catalogue,
@@ -12,14 +12,12 @@
   EndpointTable,
   PlannerEndpoint,
   PlacementOrder,
-  PlacementSpec,
 } from '@rackwalk/router'
 import type { Logger } from '../observe/logger.js'
 
 /** What the planner needs. */
 export interface PlacementTaskParts {
   readonly catalogue: Catalogue
-  readonly configuration: ConfigurationFollower
   readonly endpoints: EndpointTable
   readonly client: EndpointClient
   readonly lease: Lease
@@ -69,7 +67,9 @@
     if (epoch === undefined) return
     this.forgetSettledLoads()
     const maximumLoads = Math.max(0, this.parts.maximumLoads - this.pendingLoads.size)
-    const orders = planPlacements(this.placements(), this.plannerEndpoints(), { maximumLoads })
+    const orders = planPlacements(this.parts.catalogue.placements, this.plannerEndpoints(), {
+      maximumLoads,
+    })
     const due = orders.filter(order => !this.pendingLoads.has(orderKey(order)))
     await Promise.all(due.map(order => this.sendOrder(order)))
   }
@@ -84,11 +84,6 @@
     })
   }
 
-  private placements(): readonly PlacementSpec[] {
-    const resources = this.parts.configuration.list('placements')
-    return resources.map(resource => resource.spec as unknown as PlacementSpec)
-  }
-
   private plannerEndpoints(): readonly PlannerEndpoint[] {
     const leaving = new Set(this.parts.endpoints.leaving)
     return this.parts.catalogue.endpoints.flatMap(({ endpointId, spec }) => {
--- a/packages/router/src/resources/catalogue.ts
+++ b/packages/router/src/resources/catalogue.ts
@@ -7,8 +7,15 @@
 import { UNKNOWN_SOFTWARE_VERSION, asId } from '@rackwalk/shared'
 import type { BudgetId, EndpointId, ModelId, SoftwareVersion, TeamId } from '@rackwalk/shared'
 import type { ConfigurationFollower, Resource } from '@rackwalk/coordination'
-import type { EndpointSpec, PlacementSpec, RoutingPolicySpec, TeamSpec } from './kinds.js'
+import type {
+  EndpointSpec,
+  PlacementSpec,
+  ResourceKind,
+  RoutingPolicySpec,
+  TeamSpec,
+} from './kinds.js'
 import { routingPolicySpecSchema } from './kinds.js'
+import { ReadableResources } from './readableResources.js'
 
 /** A team as the request path needs it. */
 export interface Team {
@@ -39,9 +46,16 @@
   private limitsByModel = new Map<ModelId, ModelLimits>()
   private evacuatedDomains: ReadonlySet<string> = new Set()
   private policiesByTarget = new Map<string, RoutingPolicySpec>()
+  private placementSpecs: readonly PlacementSpec[] = []
   private isStale = true
-
-  constructor(private readonly configuration: ConfigurationFollower) {
+  private readonly readable: ReadableResources
+
+  /** `onMalformed` is called for a resource that is left out because its spec cannot be read. */
+  constructor(
+    private readonly configuration: Pick<ConfigurationFollower, 'list' | 'subscribe'>,
+    onMalformed: (resource: Resource) => void,
+  ) {
+    this.readable = new ReadableResources(onMalformed)
     configuration.subscribe(() => {
       this.isStale = true
     })
@@ -79,6 +93,12 @@
     return spec.failureDomain !== undefined && this.evacuatedDomains.has(spec.failureDomain)
   }
 
+  /** Which endpoints should have which models loaded. */
+  get placements(): readonly PlacementSpec[] {
+    this.refresh()
+    return this.placementSpecs
+  }
+
   /** Models that have a placement. */
   get models(): readonly ModelLimits[] {
     this.refresh()
@@ -109,12 +129,20 @@
   private refresh(): void {
     if (!this.isStale) return
     this.isStale = false
-    this.teamsByKeyHash = indexTeams(this.configuration.list('teams'))
-    this.endpointsById = indexEndpoints(this.configuration.list('endpoints'))
-    this.limitsByModel = indexModels(this.configuration.list('placements'))
+    this.teamsByKeyHash = indexTeams(this.list('teams'))
+    this.endpointsById = indexEndpoints(this.list('endpoints'))
+    this.placementSpecs = this.list('placements').map(
+      ({ spec }) => spec as unknown as PlacementSpec,
+    )
+    this.limitsByModel = indexModels(this.placementSpecs)
+    // Only the names of evacuations count, so that one whose spec cannot be read is in force as well.
     const evacuations = this.configuration.list('evacuations')
     this.evacuatedDomains = new Set(evacuations.map(({ metadata }) => metadata.name))
-    this.policiesByTarget = indexPolicies(this.configuration.list('routing-policies'))
+    this.policiesByTarget = indexPolicies(this.list('routing-policies'))
+  }
+
+  private list(kind: ResourceKind): readonly Resource[] {
+    return this.readable.of(kind, this.configuration.list(kind))
   }
 }
 
@@ -141,10 +169,9 @@
   )
 }
 
-function indexModels(resources: readonly Resource[]): Map<ModelId, ModelLimits> {
+function indexModels(placements: readonly PlacementSpec[]): Map<ModelId, ModelLimits> {
   return new Map(
-    resources.map(resource => {
-      const spec = resource.spec as unknown as PlacementSpec
+    placements.map(spec => {
       const modelId = asId<ModelId>(spec.model)
       const { maximumOutputTokens, defaultOutputTokens } = spec
       return [modelId, { modelId, maximumOutputTokens, defaultOutputTokens }] as const
