fix(stores): a row nested more deeply than the stack is malformed, not a fault

What callers saw (OpenAI-style kind): with one resource or change whose spec is nested some thousands deep, reading the configuration ended with a RangeError in each period, which is no error of the platform, so that peers were not asked either.

Cause: the schema of any JSON is recursive; its RangeError passed through the codec.

Change: the codec takes such a value as malformed; the row is counted and logged, and peers are asked.

Red before: 2 of 19 in validatingTable.spec.ts; the other seven tables passed at once, as their schemas do not recurse. Green: 48 tests in 4 specs.

--- a/packages/coordination/__tests__/validatingTable.spec.ts
+++ b/packages/coordination/__tests__/validatingTable.spec.ts
@@ -59,3 +59,38 @@
     expect(malformed).toEqual([])
   })
 })
+
+describe('a row that is nested more deeply than the stack is', () => {
+  const DEEP = JSON.parse('['.repeat(50_000) + ']'.repeat(50_000)) as JsonValue
+  const TEAM = { kind: 'teams', metadata: { name: 'row', version: 1, labels: {}, createdAt: 0 } }
+
+  // It counted as a fault of the instance, not as a row of another writer.
+  it.each<readonly [string, JsonValue]>([
+    ['resources/teams', { ...TEAM, spec: DEEP }],
+    ['resources/teams', DEEP],
+    ['changes', { ...CHANGE, resource: { ...TEAM, spec: DEEP } }],
+    ['budgets', { budgetId: DEEP, holders: DEEP }],
+    ['claim/team', { state: DEEP, requestId: DEEP }],
+    ['journal/first', { kind: 'entries', entries: DEEP }],
+    ['crashes', { ends: DEEP, at: 0 }],
+    ['leases', { holder: DEEP, epoch: DEEP }],
+    ['incarnations', DEEP],
+  ])('is malformed in %s', async (partition, value) => {
+    const key = { partition, sort: 'row' }
+    const row = { key, value, version: 1, writtenBy: asId<TransactionId>('writer') }
+    const unused = () => Promise.reject(new Error('not called'))
+    const malformed: string[] = []
+    const table = new ValidatingTable(
+      {
+        get: () => Promise.resolve(row),
+        query: () => Promise.resolve([row]),
+        transact: unused,
+        transactMany: unused,
+      },
+      ({ sort }) => malformed.push(sort),
+    )
+    expect(await codeOf(table.get(key))).toBe(ResultCode.PlatformUnavailable)
+    expect(await codeOf(table.query(partition))).toBe(ResultCode.PlatformUnavailable)
+    expect(malformed).toEqual(['row', 'row'])
+  })
+})
--- a/packages/stores/src/jsonCodec.ts
+++ b/packages/stores/src/jsonCodec.ts
@@ -42,9 +42,19 @@
 
   /** Decodes a JSON value. Returns undefined if the JSON value does not match the format. */
   fromJson(json: unknown): Value | undefined {
-    const wire = this.format.schema.safeParse(json).data
+    const wire = this.parse(json)
     return wire === undefined ? undefined : this.format.fromWire(wire)
   }
+
+  private parse(json: unknown): Wire | undefined {
+    try {
+      return this.format.schema.safeParse(json).data
+    } catch (error) {
+      // A schema of any JSON is recursive, and JSON may be nested more deeply than the stack is.
+      if (error instanceof RangeError) return undefined
+      throw error
+    }
+  }
 }
 
 /**
