fix(coordination): a malformed holder row under an instance's own key is replaced

What callers saw: 429 for each request of that team at that instance, for as long as the row was there, also over restarts; nobody else writes under that key.

Cause: a malformed row was left out of the view with its version, so that each write was conditional on there being no row, or on the one before, and conflicted (13 calls a second, no spin).

Change: the view keeps the version of a malformed row under the own key, so that the next write replaces it. What the lost row granted stays allocated in the pool: stranded, never spent twice. A running instance keeps its last valid row as its bound.

Open: a malformed pool row. It holds what the whole fleet has spent, so it can't be written anew from what one instance knows; the budget is refused until an operator restores it.

--- a/packages/coordination/src/prepaid/partitionView.ts
+++ b/packages/coordination/src/prepaid/partitionView.ts
@@ -21,6 +21,8 @@
   /** Undefined if the row was removed. */
   readonly row: Row | undefined
   readonly version: number
+  /** Whether the store has a malformed row at this version; `row` is then the last valid one, if any. */
+  readonly isMalformed?: boolean
 }
 
 const ABSENT = { row: undefined, version: 0 }
@@ -34,7 +36,7 @@
 
   constructor(
     private readonly instance: string,
-    /** Called with the key of a malformed row; the last valid version is kept. */
+    /** Called with the key of a malformed row; the last valid row is kept. */
     private readonly onMalformed: (key: string) => void,
   ) {}
 
@@ -179,11 +181,23 @@
     const instance = instanceOfKey(key)
     if (instance === undefined) return false
     const row = value === undefined ? undefined : holderRowCodec.decode(value)
-    if (value !== undefined && row === undefined) return this.rejectMalformed(key)
+    if (value !== undefined && row === undefined) {
+      if (instance === this.instance) this.noteOwnMalformed(version)
+      return this.rejectMalformed(key)
+    }
     this.setHolder(instance, { row, version })
     return true
   }
 
+  /**
+   * This instance's next write has to replace the malformed row: every other one would conflict with
+   * it. What an unknown row granted stays allocated in the pool, so that it can't be spent twice.
+   */
+  private noteOwnMalformed(version: number): void {
+    const row = this.ownHolder
+    this.setHolder(this.instance, { row, version, isMalformed: true })
+  }
+
   private rejectMalformed(key: string): false {
     this.onMalformed(key)
     return false
@@ -203,6 +217,6 @@
   return Math.max(0, granted - committed)
 }
 
-function conditionVersion({ row, version }: KnownRow<unknown>): number {
-  return row === undefined ? 0 : version
+function conditionVersion({ row, version, isMalformed = false }: KnownRow<unknown>): number {
+  return row === undefined && !isMalformed ? 0 : version
 }
