fix(router): a 304 with a length is answered by its head in the OpenAI-style kind

Callers of a 304 with the length of what it stands for, which is a sound answer, and of a 204 that declares a length got an error (4003, outcome unknown; 4008 where the request may be repeated), and their endpoint counted as failing.

Cause: the client library (undici) compares the length with the bytes of the body also where the status rules a body out, and reports an error after the head. The exchange took it for an answer that broke off, though the rule says that such an answer ends with its head.

Change: an error after the head of an answer without a body leaves the answer whole. The library has closed the connection by then.

Ruled out: answers to HEAD and 204 in chunks, which the library treats right.

--- a/packages/router/src/engine/endpointExchange.ts
+++ b/packages/router/src/engine/endpointExchange.ts
@@ -195,8 +195,10 @@
   }
 
   onResponseError(_: Dispatcher.DispatchController, error: Error): void {
+    // The client rejects a length that no body follows, also where the status or the method rules a body out.
+    if (this.framing === 'bodiless') this.succeed('complete')
     // An answer whose body proves it complete is complete, however its connection ended.
-    if (this.bodyCheck?.state === 'closed') this.succeed(answerEndOf(error))
+    else if (this.bodyCheck?.state === 'closed') this.succeed(answerEndOf(error))
     else this.fail(answerEndOf(error), error)
   }
 
