fix(router): a relayed answer without a length is not passed on

Callers of an instance without links to endpoints got the part of an answer that had come, framed as complete, when the instance that served them closed its connection within the answer and its head had lost the length.

Cause: a relay judged answers of instances as those of endpoints, which may end with their connection. Instances never send such answers, and a process that ends closes its connections in order.

Change: an answer of another instance that is framed by its connection is invalid: relayed once more where the request may run twice, else refused as unknown.

Ruled out: the store's and the peers' own calls, whose documents have required fields.

Red run, code before, packages/router/__tests__/peerRelay.spec.ts: 1 of 7 failed, "without a length": passed on as complete.

--- a/packages/router/__tests__/peerRelay.spec.ts
+++ b/packages/router/__tests__/peerRelay.spec.ts
@@ -73,6 +73,8 @@
     },
     onLeave: () => {},
     refuse: (error: RackwalkError) => void told.push(error),
+    start: () => {},
+    end: () => {},
     abort: () => {},
   }
   const parts = {
@@ -124,6 +126,17 @@
   expect(record.code).toBe(ResultCode.EndpointFailed)
 })
 
+// An instance always tells the length of an answer or sends it in chunks, so its end proves nothing here.
+it.each([
+  ['without a length', 'HTTP/1.1 200 OK\r\n\r\nhalf'],
+  ['whose head ends in CR LF LF', 'HTTP/1.1 200 OK\r\n\nhalf'],
+])('does not pass on an answer of another instance %s', async (_, answer) => {
+  onRequest = socket => socket.end(answer)
+  const { record } = await relay(() => false)
+  expect(reached).toEqual([1, 1])
+  expect(record.code).toBe(ResultCode.EndpointFailed)
+})
+
 it('relays to another instance while there is time', async () => {
   await relay(() => false)
   expect(reached).toEqual([1, 1])
--- a/packages/router/src/gateway/peerRelay.ts
+++ b/packages/router/src/gateway/peerRelay.ts
@@ -18,6 +18,7 @@
 import type { GatewayRoute } from './gatewayConfiguration.js'
 import type { GatewayRecord, RelayRecord } from './gatewayRecord.js'
 import { UpstreamExchange } from './upstreamExchange.js'
+import type { HeadOutcome } from './upstreamExchange.js'
 
 /** Another instance that serves requests of this instance's callers. */
 export interface RelayPeer {
@@ -143,7 +144,7 @@
     const exchange = this.open(peer)
     this.exchange = exchange
     const head = await exchange.awaitAnswer()
-    const outcome = this.outcomeOf(head)
+    const outcome = this.outcomeOf(head, exchange)
     relayRecord.outcome = outcome
     this.outcomes.push(outcome)
     if (head.kind !== 'head') return false
@@ -154,11 +155,13 @@
     return false
   }
 
-  private outcomeOf(head: Awaited<ReturnType<UpstreamExchange['awaitAnswer']>>): RelayOutcome {
+  private outcomeOf(head: HeadOutcome, { framing }: UpstreamExchange): RelayOutcome {
     if (head.kind === 'not-sent') return { kind: 'not-sent' }
     if (head.kind === 'failed') return { kind: 'failed', reason: head.reason }
     const status = head.response.statusCode ?? 0
     if (!isFinalStatus(status)) return { kind: 'failed', reason: 'invalid status' }
+    // Instances frame all of their answers, so this one lacks a part of its head.
+    if (framing === 'connection') return { kind: 'failed', reason: 'answer without a length' }
     const reply = this.parts.dialect.readReply(status, head.response.headers)
     if (reply.requestId !== this.request.metadata.requestId) {
       return { kind: 'failed', reason: 'answer to another request' }
