fix(router): a relayed chat that ends with its connection is not framed as complete

An answer of an engine without a length, whose end cannot be told from an interruption, goes to callers with its connection closed at its end. A caller whose chat was relayed got the same answer in chunks, with the last chunk, as complete.

Cause: the relay sent each head as that of a delimited answer.

Change: the head tells whether the answer is delimited, as on the way without a relay.

Red run, code before, packages/router/__tests__/chatRelay.spec.ts: 2 of 6 failed, "without a length" and "with neither a length nor a body": delimited. Green: 6 of 6; faultAfterDispatch, lostLinks of the stand-ins green.

--- a/packages/router/src/filters/chatRelay.ts
+++ b/packages/router/src/filters/chatRelay.ts
@@ -207,8 +207,9 @@
 }
 
 /**
- * Forwards the answer at the caller's pace. Resolves with whether the answer is proven complete; if
- * so, after the caller's connection has taken all of it.
+ * Forwards the answer at the caller's pace. An answer that ends with its connection does so for the
+ * caller too. Resolves with whether the answer is proven complete; if so, after the caller's
+ * connection has taken all of it.
  */
 function forwardBody(
   exchange: UpstreamExchange,
@@ -216,7 +217,7 @@
   status: number,
   headers: Readonly<Record<string, string>>,
 ): Promise<boolean> {
-  caller.writeHead(status, headers)
+  caller.writeHead(status, headers, exchange.framing !== 'connection')
   return new Promise(resolve => {
     let hasBody = false
     const onData = (chunk: Buffer) => {
