--- a/packages/router/src/gateway/headLines.ts
+++ b/packages/router/src/gateway/headLines.ts
@@ -52,12 +52,20 @@
   private read(heads: number): void {
     let offset = 0
     while (offset < this.newest.length && this.heads < heads) {
+      if (this.position === 'in-line') offset = this.beforeNextFeed(offset)
       this.advance(this.newest[offset] ?? 0)
       offset += 1
     }
     this.newest = this.newest.subarray(offset)
   }
 
+  /** Returns the offset of the byte before the next LF, or of the last byte: how a line ends is all that matters of it. */
+  private beforeNextFeed(offset: number): number {
+    const feed = this.newest.indexOf(LINE_FEED, offset)
+    const end = feed < 0 ? this.newest.length : feed
+    return Math.max(offset, end - 1)
+  }
+
   private advance(byte: number): void {
     const [afterReturn, afterFeed, afterOther] = NEXT_POSITIONS[this.position]
     const wasInHeadEnd = this.position === 'in-head-end'
