fix(router): a relayed request that may have run is not recorded as not run

What operators saw: the line of a request that was relayed to another instance, and whose caller got that instance's 502 or 504, said code 3018 and execution `not-run`, and its team's counter said "refused". The caller's answer was right.

Cause: each error of the other instance's own was recorded as a refusal, whatever its status.

Change: a server error other than 503 is recorded as 4001 with execution `unknown`.

Test before the change: relayedRequests.spec × is not recorded as not run if it may have run expected { request: 'reset', …(25) } to match object { status: 502, execution: 'unknown' }; received execution "not-run" After: passed, beside "is not answered as not run if it may have run". Both runs on a busy machine (load about 80); the other six cases of the file were not rerun.

--- a/packages/router/src/gateway/peerRelay.ts
+++ b/packages/router/src/gateway/peerRelay.ts
@@ -7,7 +7,14 @@
  */
 
 import type { Agent, IncomingMessage } from 'node:http'
-import { answerDisposition, isEndpointFailure, isFinalStatus, relayStep } from '@rackwalk/decisions'
+import {
+  answerDisposition,
+  claimsNotExecuted,
+  isEndpointFailure,
+  isFinalStatus,
+  isServerError,
+  relayStep,
+} from '@rackwalk/decisions'
 import type { EndedAnswer, RelayOutcome } from '@rackwalk/decisions'
 import { DispatchedError, NotRunError, RESULT_TABLE, ResultCode } from '@rackwalk/shared'
 import type { Clock, Milliseconds, RackwalkError } from '@rackwalk/shared'
@@ -257,10 +264,16 @@
   }
 }
 
-/** Records a refusal by the other instance, which was passed on to this instance's caller. */
+/**
+ * Records an error of the other instance, which was passed on to this instance's caller. Its server errors, other than the
+ * one that says "not run", tell of a request that it may have sent to an endpoint.
+ */
 function noteRefusal(record: GatewayRecord, outcome: RelayOutcome | undefined): void {
   if (outcome?.kind !== 'refused') return
-  record.code = ResultCode.RelayRefused
-  record.detail = `status ${outcome.status}`
-  record.execution = 'not-run'
+  const { status } = outcome
+  const mayHaveRun = isServerError(status) && !claimsNotExecuted(status)
+  const code = mayHaveRun ? ResultCode.EndpointFailed : ResultCode.RelayRefused
+  record.code = code
+  record.detail = `status ${status}`
+  record.execution = RESULT_TABLE[code].execution
 }
