fix(coordination): a malformed pool row makes no instance write without a pause

What callers saw: 429, as the pool holds what all instances have spent and can't be written anew. But each waiting request made its instance write to the store back to back until the request gave up, against a store whose calls have a rate and a price.

Cause: after a conflict the next write follows at once, as it is based on the rows that the conflict returned; a malformed one is never taken over, so that the next write conflicts in the same way.

Once the row is sound or removed, callers are served again.

--- a/packages/coordination/src/prepaid/partitionView.ts
+++ b/packages/coordination/src/prepaid/partitionView.ts
@@ -33,6 +33,7 @@
   /** Holder rows by instance. */
   private readonly holders = new Map<string, KnownRow<HolderRow>>()
   private loaded = false
+  private poolMalformed = false
 
   constructor(
     private readonly instance: string,
@@ -45,6 +46,14 @@
     return this.loaded
   }
 
+  /**
+   * Whether the newest pool row is malformed, so that each write that depends on the pool conflicts.
+   * It is not replaced: it held what all instances have spent.
+   */
+  get isPoolMalformed(): boolean {
+    return this.poolMalformed
+  }
+
   get pool(): PoolRow | undefined {
     return this.knownPool.row
   }
@@ -174,7 +183,8 @@
   private set({ key, value, version }: RowUpdate): boolean {
     if (key === POOL_KEY) {
       const row = value === undefined ? undefined : poolRowCodec.decode(value)
-      if (value !== undefined && row === undefined) return this.rejectMalformed(key)
+      this.poolMalformed = value !== undefined && row === undefined
+      if (this.poolMalformed) return this.rejectMalformed(key)
       this.setPool({ row, version })
       return true
     }
--- a/packages/coordination/src/prepaid/prepaidAccount.ts
+++ b/packages/coordination/src/prepaid/prepaidAccount.ts
@@ -374,7 +374,8 @@
   private async writeWhileDue(): Promise<void> {
     do {
       const succeeded = await this.writeOnce()
-      if (!succeeded) return
+      // Each further write would conflict with the malformed row.
+      if (!succeeded || this.view.isPoolMalformed) return
     } while (!this.waiting.isEmpty && !this.isClosed)
   }
 
