--- a/packages/coordination/__tests__/tableMirror.spec.ts
+++ b/packages/coordination/__tests__/tableMirror.spec.ts
@@ -190,10 +190,9 @@
     const { clock, store, seen, client } = setUp()
     await clock.advance(1_000)
     vi.spyOn(client.store, 'readChanges').mockImplementationOnce(async () => {
+      store.put(TABLE, 'a', '1')
       return { kind: 'changes', rows: [], version: 2 ** 50, storeTime: 1 }
     })
-    await clock.advance(1_000)
-    store.put(TABLE, 'a', '1')
     await clock.advance(3_000)
     expect([...seen]).toEqual([['a', '1']])
   })
