--- a/packages/router/__tests__/catalogue.spec.ts
+++ b/packages/router/__tests__/catalogue.spec.ts
@@ -1,8 +1,9 @@
 import { describe, expect, it } from 'vitest'
 import type { Resource } from '@rackwalk/coordination'
-import type { JsonValue } from '@rackwalk/stores'
 import { Catalogue, hashApiKey } from '@rackwalk/router'
 
+type JsonValue = Resource['spec']
+
 /** One resource that cannot be read keeps no other one from being in force. */
 
 const DEEP = JSON.parse('['.repeat(50_000) + ']'.repeat(50_000)) as JsonValue
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -71,7 +71,6 @@
 export type {
   BudgetSpec,
   ModelEndpointSpec,
-  PlacementSpec,
   ResourceKind,
   RoutingPolicyName,
 } from './resources/kinds.js'
