--- a/packages/daemon/__tests__/resetsAtClose.spec.ts
+++ b/packages/daemon/__tests__/resetsAtClose.spec.ts
@@ -146,6 +146,7 @@
     limits,
     addresses,
     acceptQueue,
+    unserved: { noteUnparsed: () => {}, noteTooManyConnections: () => {} },
   } as unknown as CallerServerParts)
   const port = await server.listen('127.0.0.1:0')
   cleanups.push(() => server.stop())
--- a/packages/daemon/src/observe/malformedInputLog.ts
+++ b/packages/daemon/src/observe/malformedInputLog.ts
@@ -4,6 +4,7 @@
  * reader ignores the input.
  */
 
+import type { Resource } from '@rackwalk/coordination'
 import type { Logger } from './logger.js'
 
 /** What was expected, and where the input came from. */
@@ -33,4 +34,9 @@
     this.loggedSources.add(name)
     this.logger.warn('malformed_form', { form, source })
   }
+
+  /** Notes a resource whose spec cannot be read. */
+  readonly noteResource = ({ kind, metadata }: Resource): void => {
+    this.note({ form: 'resource', source: `${kind}/${metadata.name}` })
+  }
 }
--- a/packages/daemon/src/rackwalkDaemon.ts
+++ b/packages/daemon/src/rackwalkDaemon.ts
@@ -116,9 +116,7 @@
     this.client = new EndpointClient(this.clock, settings.limits.stallMilliseconds)
     this.peers = this.createPeerChannel()
     this.node = this.createNode()
-    this.catalogue = new Catalogue(this.node.configuration, ({ kind, metadata }) =>
-      this.malformed.note({ form: 'resource', source: `${kind}/${metadata.name}` }),
-    )
+    this.catalogue = new Catalogue(this.node.configuration, this.malformed.noteResource)
     this.advice = this.createAdviceTask()
     this.endpoints = this.createEndpoints()
     this.reachability = this.createReachability()
