fix(daemon): the end of a hold does not resume a connection that was answered 408

What callers saw: 429 and then 408 on one connection with two requests, and the second one ran all the same.

Cause: reading was stopped by one pause, which whoever owns another pause of the connection undoes.

Change: such a connection is paused again whenever it is resumed.

Red before, lateRequests.spec: "is not served after the answer 408 although a hold of its connection ends", expected [ '/late' ] to deeply equal [].

Not covered: the rest of a head that arrives in time while this process holds the connection unread is still answered 408.

--- a/packages/daemon/__tests__/lateRequests.spec.ts
+++ b/packages/daemon/__tests__/lateRequests.spec.ts
@@ -108,3 +108,15 @@
   expect(served).toEqual(['/in-time'])
   expect(refused).toEqual([])
 })
+
+it('a request is not served after the answer 408 although a hold of its connection ends', async () => {
+  await listen()
+  const held: Socket[] = []
+  server.on('connection', socket => held.push(socket))
+  await call('GET /late HTTP/1.1\r\nHost: a\r\n')
+  await untilRefused()
+  caller.write('X: y\r\n\r\n')
+  for (const socket of held) socket.resume()
+  await pause(AFTERMATH_MILLISECONDS)
+  expect(served).toEqual([])
+})
--- a/packages/daemon/src/observe/httpAnswer.ts
+++ b/packages/daemon/src/observe/httpAnswer.ts
@@ -111,7 +111,7 @@
   const { httpStatus, message } = RESULT_TABLE[code]
   const body = JSON.stringify(errorBody(refusal))
   // The parser goes on after a time-out: it would dispatch a request whose head is completed after this answer.
-  socket.pause()
+  stopReading(socket)
   closeLater(socket)
   socket.end(
     `HTTP/1.1 ${httpStatus} ${message}\r\nconnection: close\r\n` +
@@ -119,6 +119,12 @@
   )
 }
 
+/** Stops reading for good: the end of a hold of the connection, which resumes it, must not undo this. */
+function stopReading(socket: Duplex): void {
+  socket.pause()
+  socket.on('resume', () => socket.pause())
+}
+
 /** Closes a connection that is no longer read, and on which the end of the caller's side therefore goes unnoticed. */
 function closeLater(socket: Duplex): void {
   const timer = setTimeout(() => socket.destroy(), LINGER_MILLISECONDS)
