--- a/packages/coordination/__tests__/versionRecorder.spec.ts
+++ b/packages/coordination/__tests__/versionRecorder.spec.ts
@@ -5,6 +5,7 @@
   VERSION_TABLE,
   VersionRecorder,
 } from '@rackwalk/coordination'
+import type { WrittenRecord } from '@rackwalk/coordination'
 import type { ServiceHistory } from '@rackwalk/decisions'
 import { RESUMPTION_WINDOW_MILLISECONDS } from '@rackwalk/decisions'
 import { VirtualClock, asId } from '@rackwalk/shared'
@@ -23,6 +24,13 @@
   const listed = new Set<SoftwareVersion>()
   const unlisted = new Map<SoftwareVersion, number>()
   let calls = 0
+  let reads = 0
+  let isGossipLost = false
+  const recorders: VersionRecorder[] = []
+  const gossip = (record: WrittenRecord) => {
+    if (!isGossipLost) for (const recorder of recorders) recorder.noteWritten(record)
+  }
+  const loseGossip = () => (isGossipLost = true)
   const startInstance = (rank: number, initialFaults: Partial<Faults> = {}) => {
     const { store: client, faults } = store.connect()
     Object.assign(faults, initialFaults)
@@ -31,7 +39,10 @@
     const recorder = new VersionRecorder({
       store: {
         ...client,
-        readPartition: (...address) => client.readPartition(...address),
+        readPartition: (...address) => {
+          reads += 1
+          return client.readPartition(...address)
+        },
         readChanges: (...address) => client.readChanges(...address),
         close: () => client.close(),
         write: transaction => {
@@ -50,8 +61,11 @@
       isListFresh: () => true,
       rank: () => rank,
       onHistory: histories => told.push(histories),
+      recordsOfPeers: () => Promise.resolve(recorders[0]?.knownRecords ?? []),
+      onWritten: gossip,
       onMalformedRow: ({ key }) => malformed.push(key),
     })
+    recorders.push(recorder)
     recorder.start()
     return { recorder, told, malformed, faults }
   }
@@ -65,11 +79,13 @@
     listed.delete(asId(version))
     unlisted.set(asId(version), clock.monotonic())
   }
-  return { clock, startInstance, row, put, list, drop, calls: () => calls }
+  const counts = { calls: () => calls, reads: () => reads }
+  return { clock, startInstance, row, put, list, drop, loseGossip, ...counts }
 }
 
-async function startFleet(size: number) {
+async function startFleet(size: number, isGossipLost = false) {
   const fleet = setUp()
+  if (isGossipLost) fleet.loseGossip()
   await fleet.clock.advance(50_000)
   const instances = Array.from({ length: size }, (_, rank) => fleet.startInstance(rank))
   fleet.list('v1')
@@ -81,8 +97,12 @@
 }
 
 describe('the recorder of software versions', () => {
-  it('writes each change of a release once, and calls the store three times for it at the most', async () => {
-    const { clock, list, drop, row, calls, noteChange } = await startFleet(12)
+  it.each([
+    ['once, where the others hear of it', false, 1],
+    ['three times at the most, where nobody hears of it', true, 3],
+  ])('writes each change of a release %s', async (_, isGossipLost, most) => {
+    const fleet = await startFleet(12, isGossipLost)
+    const { clock, list, drop, row, calls, noteChange } = fleet
     const rows = [row()]
     const changes = [() => list('v2'), () => drop('v1')]
     const counts = [calls()]
@@ -93,14 +113,12 @@
       rows.push(row())
       counts.push(calls())
     }
-    expect(rows).toMatchInlineSnapshot(`
-      [
-        "{"knownSince":72055,"versions":[{"softwareVersion":"v1"}]}",
-        "{"knownSince":72055,"versions":[{"softwareVersion":"v1"},{"softwareVersion":"v2"}]}",
-        "{"knownSince":72055,"versions":[{"softwareVersion":"v2"},{"softwareVersion":"v1","unlistedAt":120000}]}",
-      ]
-    `)
-    expect(counts).toEqual([3, 6, 9])
+    expect(rows).toEqual([
+      '{"knownSince":72055,"versions":[{"softwareVersion":"v1"}]}',
+      '{"knownSince":72055,"versions":[{"softwareVersion":"v1"},{"softwareVersion":"v2"}]}',
+      '{"knownSince":72055,"versions":[{"softwareVersion":"v2"},{"softwareVersion":"v1","unlistedAt":120000}]}',
+    ])
+    expect(counts).toEqual([most, 2 * most, 3 * most])
   })
 
   it('calls the store for nothing but its read while no version changes', async () => {
@@ -150,23 +168,102 @@
     }
   })
 
-  it('lets a stream wait for its first read, but not for a store that is silent', async () => {
+  it('reads for a stream only after it was asked, once for all streams that wait', async () => {
+    const { clock, startInstance, put, reads } = setUp()
+    await clock.advance(50_000)
+    const { recorder } = startInstance(5)
+    await clock.advance(100)
+    const before = reads()
+    const seen = async () => (await recorder.readRecords())?.get(SERVICE)?.versions.length ?? 0
+    const first = seen()
+    await clock.advance(0)
+    put(JSON.stringify({ knownSince: 0, versions: [{ softwareVersion: 'v1' }] }))
+    const others = [seen(), seen(), seen()]
+    await clock.advance(100)
+    // A read that is under way does not count for a stream that comes meanwhile.
+    expect(await Promise.all([first, ...others])).toEqual([0, 1, 1, 1])
+    expect(reads() - before).toBe(2)
+  })
+
+  it('tells that a store that does not answer was not read', async () => {
     const { clock, startInstance } = setUp()
     const { recorder, faults, told } = startInstance(0, { isCut: true })
-    let waited = 0
-    const wait = () => recorder.untilRead(200).then(() => (waited += 1))
-    void wait()
-    await clock.advance(199)
-    expect([waited, told]).toEqual([0, []])
-    await clock.advance(1)
-    expect([waited, told]).toEqual([1, []])
-    faults.isCut = false
+    const read = recorder.readRecords()
     await clock.advance(5_000)
+    expect([await read, told]).toEqual([undefined, []])
+    faults.isCut = false
+    await clock.advance(30_000)
     expect(told).toEqual([[]])
-    const answering = startInstance(0)
-    void answering.recorder.untilRead(200).then(() => (waited += 1))
-    await clock.advance(20)
-    expect([waited, answering.told]).toEqual([2, [[]]])
+  })
+
+  it('knows a version as recorded when its write is done, there and at instances that are told', async () => {
+    const { clock, startInstance, list } = setUp()
+    await clock.advance(50_000)
+    const [writing, told] = [startInstance(0), startInstance(7)]
+    await clock.advance(100)
+    const recorded = () => {
+      return [writing, told].map(({ recorder }) => recorder.recordedVersions(SERVICE))
+    }
+    list('v1')
+    for (const { recorder } of [writing, told]) recorder.noteChange()
+    expect(recorded()).toEqual([undefined, undefined])
+    await clock.advance(5_000)
+    expect(recorded()).toEqual([['v1'], ['v1']])
+    list('v2')
+    for (const { recorder } of [writing, told]) recorder.noteChange()
+    expect(recorded()).toEqual([['v1'], ['v1']])
+    await clock.advance(100)
+    expect(recorded()).toEqual([
+      ['v1', 'v2'],
+      ['v1', 'v2'],
+    ])
+  })
+
+  it('learns from another instance which versions are recorded if it starts while the store is silent', async () => {
+    const { clock, startInstance, list } = setUp()
+    await clock.advance(50_000)
+    startInstance(0)
+    list('v1')
+    await clock.advance(5_000)
+    const { recorder, told } = startInstance(7, { isCut: true })
+    expect(recorder.recordedVersions(SERVICE)).toEqual([])
+    await clock.advance(5_000)
+    expect([recorder.recordedVersions(SERVICE), told]).toEqual([['v1'], []])
+  })
+
+  it('learns of a change that nobody told it by a read, without a write', async () => {
+    const { clock, startInstance, list, loseGossip, calls } = setUp()
+    await clock.advance(50_000)
+    loseGossip()
+    const [, untold] = [startInstance(0), startInstance(7)]
+    list('v1')
+    await clock.advance(5_000)
+    expect([untold.recorder.recordedVersions(SERVICE), calls()]).toEqual([undefined, 1])
+    await clock.advance(10_000)
+    expect([untold.recorder.recordedVersions(SERVICE), calls()]).toEqual([['v1'], 1])
+  })
+
+  it('writes a change at once where a stream waits for it, whosever turn it is', async () => {
+    const { clock, startInstance, list } = setUp()
+    await clock.advance(50_000)
+    const { recorder } = startInstance(7)
+    await clock.advance(100)
+    list('v1')
+    let isOver = false
+    void recorder.untilRecordChanges(SERVICE, 100).then(() => (isOver = true))
+    await clock.advance(50)
+    expect([isOver, recorder.recordedVersions(SERVICE)]).toEqual([true, ['v1']])
+  })
+
+  it('does not go back to an older row that arrives late', async () => {
+    const { clock, startInstance, list } = setUp()
+    await clock.advance(50_000)
+    list('v1')
+    const { recorder } = startInstance(0)
+    await clock.advance(5_000)
+    recorder.noteWritten({ service: SERVICE, version: 0, value: '{"knownSince":0,"versions":[]}' })
+    recorder.noteWritten({ service: SERVICE, version: 1_000, value: 'malformed' })
+    expect(recorder.recordedVersions(SERVICE)).toEqual(['v1'])
   })
 
   it('writes a change that could not be written as soon as the store takes it', async () => {
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -145,7 +145,12 @@
 export { CrashRecordStore } from './crashes/crashRecordStore.js'
 export type { CrashRecordStoreParts } from './crashes/crashRecordStore.js'
 export { VersionRecorder } from './versions/versionRecorder.js'
-export type { ListedServiceVersions, VersionRecorderParts } from './versions/versionRecorder.js'
+export type {
+  Histories,
+  ListedServiceVersions,
+  VersionRecorderParts,
+  WrittenRecord,
+} from './versions/versionRecorder.js'
 export { VERSION_PARTITION, VERSION_TABLE, versionRecordCodec } from './versions/versionRow.js'
 export { TableMirror } from './rows/tableMirror.js'
 export type {
--- a/packages/coordination/src/versions/versionRecorder.ts
+++ b/packages/coordination/src/versions/versionRecorder.ts
@@ -1,25 +1,21 @@
 /**
  * Keeps the records of the software versions of services, one row for each service, written when a version appears or
- * leaves. An instance reads them when it starts. Without them, an instance that starts after all others have crashed would
- * not know the versions that began the streams of its callers. Owns the rows as last read or written, and the changes that
- * are still to be written; the rules are in decisions/retrying/versionRecord.
+ * leaves. No stream begins at a version before that version is in the record, and who resumes a stream reads the record
+ * afterwards. Without them, an instance that has missed a release, or that starts after all others have crashed, would not
+ * know the versions that began the streams of its callers. Owns the rows as last read, written or told by another
+ * instance, and the changes that are still to be written; the rules are in decisions/retrying/versionRecord.
  *
  * Each write is conditional on the versions of its rows, so that an instance that has not seen the newest row learns it
  * instead of replacing it.
  */
 
-import {
-  RESUMPTION_WINDOW_MILLISECONDS,
-  historyOf,
-  nextVersionRecord,
-  recordChange,
-  recordingDelay,
-} from '@rackwalk/decisions'
+import { historyOf, nextVersionRecord, recordChange, recordingDelay } from '@rackwalk/decisions'
 import type { RecordChange, ServiceHistory, VersionRecord, VersionView } from '@rackwalk/decisions'
 import { sleep } from '@rackwalk/shared'
 import type { Clock, Milliseconds, SoftwareVersion, Timer } from '@rackwalk/shared'
 import type { RowAddress, RowStore, StoredRow } from '@rackwalk/stores'
 import type { StoreClock } from '../rows/storeClock.js'
+import { SharedRead } from './sharedRead.js'
 import { VERSION_PARTITION, VERSION_TABLE, versionRecordCodec } from './versionRow.js'
 
 /** What an instance currently lists of a service. */
@@ -43,14 +39,31 @@
   readonly isListFresh: () => boolean
   /** Rank of this instance among those that may write the record of a service; undefined while it is not known. */
   readonly rank: (service: string) => number | undefined
-  /** Called once, with all records. A malformed one is reported as known for no time. */
+  /**
+   * Called with all records when they were first read, and again when the store is back in contact. A malformed one is
+   * reported as known for no time.
+   */
   readonly onHistory: (histories: readonly ServiceHistory[]) => void
+  /** The records that another instance knows; empty if none answers. */
+  readonly recordsOfPeers: () => Promise<readonly WrittenRecord[]>
+  /** The record of a service was written here; other instances need not read it then. */
+  readonly onWritten: (record: WrittenRecord) => void
   readonly onMalformedRow: (row: RowAddress) => void
 }
 
+/** A row that an instance has written, as it tells the others. */
+export interface WrittenRecord {
+  readonly service: string
+  /** The stored form of the record. */
+  readonly value: string
+  /** Version of the row. */
+  readonly version: number
+}
+
 interface KnownRow {
   /** Undefined if the row is malformed. */
   readonly record: VersionRecord | undefined
+  readonly value: string
   readonly version: number
 }
 
@@ -70,6 +83,12 @@
 const GATHER_MILLISECONDS: Milliseconds = 50
 /** Time between two looks whether it is this instance's turn to write. */
 const CHECK_MILLISECONDS: Milliseconds = 1_000
+/** Least time between two failed writes that streams wait for. */
+const DEMANDED_RETRY_MILLISECONDS: Milliseconds = 1_000
+/** Least time between two reads for resumed streams; all streams that wait share a read. */
+const READ_GAP_MILLISECONDS: Milliseconds = 25
+/** An instance that leaves a change to others reads the records if nobody has told it of the change for this long. */
+const UNTOLD_MILLISECONDS: Milliseconds = 10_000
 /**
  * The delay after the n-th consecutive failed call is 2^n times this, but at most `LONGEST_RETRY_MILLISECONDS`: each call
  * has a price, and a row may be one that the store never takes.
@@ -81,30 +100,68 @@
 export class VersionRecorder {
   private readonly rows = new Map<string, KnownRow>()
   private readonly pending = new Map<string, PendingChange>()
+  /** Services of which a stream waits for the record of a version. */
+  private readonly demanded = new Set<string>()
+  private readonly waiting = new Set<() => void>()
+  private readonly reads: SharedRead<Histories | undefined>
   private hasRead = false
-  private isFirstReadOver = false
   private isWriting = false
+  /** Whether a look was asked for while records were being written. */
+  private isCheckWanted = false
   private isStopped = false
   /** Number of consecutive failed calls. */
   private failures = 0
+  /** Monotonic time of the newest write. */
+  private wroteAt = Number.NEGATIVE_INFINITY
   private timer: Timer | undefined
-  private firstRead: Promise<void> = Promise.resolve()
+  private restoreTimer: Timer | undefined
 
-  constructor(private readonly parts: VersionRecorderParts) {}
+  constructor(private readonly parts: VersionRecorderParts) {
+    this.reads = new SharedRead(parts.clock, READ_GAP_MILLISECONDS, () => this.read())
+  }
 
   start(): void {
-    this.firstRead = this.read()
+    void this.restore()
   }
 
   stop(): void {
     this.isStopped = true
     this.timer?.cancel()
+    this.restoreTimer?.cancel()
+    this.wakeWaiting()
+  }
+
+  /**
+   * Reads all records from the store, beginning after this call. Resolves with them by service, or with undefined if the
+   * store did not answer.
+   */
+  readRecords(): Promise<Histories | undefined> {
+    return this.reads.begin()
+  }
+
+  /**
+   * The versions that are recorded as serving, as far as this instance has heard; undefined if the service has no record.
+   */
+  recordedVersions(service: string): readonly SoftwareVersion[] | undefined {
+    const known = this.rows.get(service)
+    if (known === undefined) return this.hasRead ? undefined : []
+    return servingVersions(known.record)
   }
 
-  /** Resolves when the first read has ended, whether or not the store answered, or after the limit. */
-  async untilRead(limitMilliseconds: Milliseconds): Promise<void> {
-    if (this.isFirstReadOver) return
-    await Promise.race([this.firstRead, sleep(this.parts.clock, limitMilliseconds)])
+  /**
+   * A stream waits until a version of this service is recorded, so that the change is not left to another instance.
+   * Resolves when a record has changed, or after the limit.
+   */
+  async untilRecordChanges(service: string, limitMilliseconds: Milliseconds): Promise<void> {
+    const { clock } = this.parts
+    this.demanded.add(service)
+    const isDue = clock.monotonic() - this.wroteAt >= DEMANDED_RETRY_MILLISECONDS
+    if (this.failures === 0 || isDue) this.checkNow()
+    let wake = () => {}
+    const changed = new Promise<void>(resolve => (wake = resolve))
+    this.waiting.add(wake)
+    await Promise.race([changed, sleep(clock, limitMilliseconds)])
+    this.waiting.delete(wake)
   }
 
   /** The list of endpoints changed. */
@@ -112,26 +169,70 @@
     if (this.hasRead) this.checkAfter(GATHER_MILLISECONDS)
   }
 
-  private async read(): Promise<void> {
-    const { store, clock, storeClock, onHistory } = this.parts
-    const sentAt = clock.monotonic()
-    const outcome = await store.readPartition(VERSION_TABLE, VERSION_PARTITION)
-    this.isFirstReadOver = true
+  /** The newest records that this instance knows. */
+  get knownRecords(): readonly WrittenRecord[] {
+    return [...this.rows].map(([service, { value, version }]) => ({ service, value, version }))
+  }
+
+  /** Another instance has written a record, or knows it from the store. */
+  noteWritten({ service, value, version }: WrittenRecord): void {
+    if (version <= (this.rows.get(service)?.version ?? 0)) return
+    if (versionRecordCodec.decode(value) === undefined) return
+    this.noteRow({ ...addressOf(service), value, version })
+    this.noteChange()
+  }
+
+  /** The store answers again after a loss of contact: versions may have come and left meanwhile. */
+  noteStoreReached(): void {
+    this.failures = 0
+    void this.restore()
+  }
+
+  /** Reads the records until the store answers, and reports them. */
+  private async restore(): Promise<void> {
+    this.restoreTimer?.cancel()
+    const histories = await this.readRecords()
     if (this.isStopped) return
-    this.noteAnswered(outcome.kind === 'rows')
-    if (outcome.kind === 'failed') {
-      this.timer = clock.after(this.retryDelay, () => void this.read())
+    if (histories === undefined) {
+      void this.learnFromPeers()
+      this.restoreTimer = this.parts.clock.after(this.retryDelay, () => void this.restore())
       return
     }
-    storeClock.recordAnswer(outcome.storeTime, sentAt)
-    for (const row of outcome.rows) this.noteRow(row)
-    this.hasRead = true
-    const { storeTime } = outcome
-    onHistory([...this.rows].map(([service, { record }]) => history(service, record, storeTime)))
+    this.parts.onHistory([...histories.values()])
+    this.timer?.cancel()
     this.timer = undefined
     this.checkAfter(GATHER_MILLISECONDS)
   }
 
+  /**
+   * While the store does not answer, an instance that starts learns from others at which versions streams may begin.
+   * That a version is recorded stays true while it serves, so that their knowledge may be older.
+   */
+  private async learnFromPeers(): Promise<void> {
+    if (this.hasRead) return
+    for (const record of await this.parts.recordsOfPeers()) this.noteWritten(record)
+  }
+
+  private async read(): Promise<Histories | undefined> {
+    const { store, clock, storeClock } = this.parts
+    const sentAt = clock.monotonic()
+    const outcome = await store.readPartition(VERSION_TABLE, VERSION_PARTITION)
+    if (this.isStopped) return undefined
+    this.noteAnswered(outcome.kind === 'rows')
+    if (outcome.kind === 'failed') return undefined
+    const { rows, storeTime } = outcome
+    storeClock.recordAnswer(storeTime, sentAt)
+    for (const row of rows) this.noteRow(row)
+    this.hasRead = true
+    this.wakeWaiting()
+    this.noteChange()
+    return new Map(
+      rows.map(({ key: service, value }) => {
+        return [service, history(service, versionRecordCodec.decode(value), storeTime)]
+      }),
+    )
+  }
+
   private noteAnswered(isAnswered: boolean): void {
     this.failures = isAnswered ? 0 : this.failures + 1
   }
@@ -141,10 +242,24 @@
     return Math.min(LONGEST_RETRY_MILLISECONDS, delay)
   }
 
+  /** Answers may overtake each other, so an older row does not replace a newer one. */
   private noteRow(row: StoredRow): void {
+    if (row.version < (this.rows.get(row.key)?.version ?? 0)) return
     const record = versionRecordCodec.decode(row.value)
     if (record === undefined) this.parts.onMalformedRow(row)
-    this.rows.set(row.key, { record, version: row.version })
+    this.rows.set(row.key, { record, value: row.value, version: row.version })
+    this.wakeWaiting()
+  }
+
+  private wakeWaiting(): void {
+    for (const wake of this.waiting) wake()
+    this.waiting.clear()
+  }
+
+  private checkNow(): void {
+    this.timer?.cancel()
+    this.timer = undefined
+    void this.check()
   }
 
   private checkAfter(delay: Milliseconds): void {
@@ -157,16 +272,22 @@
 
   /** Writes the changes that are due, and looks again while there are others. */
   private async check(): Promise<void> {
-    if (this.isWriting) return this.checkAfter(CHECK_MILLISECONDS)
+    if (this.isWriting) {
+      this.isCheckWanted = true
+      return
+    }
     const at = this.parts.storeClock.upperBoundAt(this.parts.clock.monotonic())
     if (at !== undefined && this.parts.isListFresh()) {
       const due = this.parts.services().flatMap(service => this.dueUpdate(service, at) ?? [])
       this.isWriting = true
       for (const update of due) await this.write(update)
       this.isWriting = false
+      if (this.takeUntold()) await this.readRecords()
     }
     const delay = this.failures === 0 ? CHECK_MILLISECONDS : this.retryDelay
-    if (this.pending.size > 0) this.checkAfter(delay)
+    if (this.isCheckWanted) this.checkAfter(0)
+    else if (this.pending.size > 0) this.checkAfter(delay)
+    this.isCheckWanted = false
   }
 
   /** Returns the record to be written; undefined if the stored one is right, or another instance is to write it. */
@@ -176,16 +297,24 @@
     const change = recordChange(known, view)
     if (change === undefined) {
       this.pending.delete(service)
+      this.demanded.delete(service)
       return undefined
     }
     const record = nextVersionRecord(known, view)
     const now = this.parts.clock.monotonic()
     const { since } = this.notePending(service, change, now)
+    if (this.demanded.has(service)) return { service, record }
     const rank = this.parts.rank(service)
     const delay = rank === undefined ? undefined : recordingDelay(change, rank)
-    if (delay !== undefined) return now - since >= delay ? { service, record } : undefined
-    if (now - since >= RESUMPTION_WINDOW_MILLISECONDS) this.leaveToOthers(service, record)
-    return undefined
+    return delay !== undefined && now - since >= delay ? { service, record } : undefined
+  }
+
+  /** Whether a change has waited for so long that another instance must have written it; its wait begins anew. */
+  private takeUntold(): boolean {
+    const now = this.parts.clock.monotonic()
+    const untold = [...this.pending].filter(([, { since }]) => now - since >= UNTOLD_MILLISECONDS)
+    for (const [service, { change }] of untold) this.pending.set(service, { change, since: now })
+    return untold.length > 0
   }
 
   private notePending(service: string, change: RecordChange, now: Milliseconds): PendingChange {
@@ -196,12 +325,6 @@
     return pending
   }
 
-  /** The change is taken for written by the instances whose turn it was; the version of the row is an earlier one then. */
-  private leaveToOthers(service: string, record: VersionRecord): void {
-    this.rows.set(service, { record, version: this.rows.get(service)?.version ?? 0 })
-    this.pending.delete(service)
-  }
-
   private viewOf(service: string, at: Milliseconds): VersionView {
     const { listed, unlisted, knownForMilliseconds } = this.parts.versionsOf(service)
     const offset = at - this.parts.clock.monotonic()
@@ -215,9 +338,11 @@
 
   private async write({ service, record }: RecordUpdate): Promise<void> {
     const address = addressOf(service)
+    const value = versionRecordCodec.encode(record)
+    this.wroteAt = this.parts.clock.monotonic()
     const outcome = await this.parts.store.write({
       conditions: [{ ...address, version: this.rows.get(service)?.version ?? 0 }],
-      puts: [{ ...address, value: versionRecordCodec.encode(record) }],
+      puts: [{ ...address, value }],
       removals: [],
     })
     this.noteAnswered(outcome.kind === 'done' || outcome.kind === 'conflict')
@@ -226,11 +351,24 @@
       for (const row of outcome.rows) this.noteRow(row)
     }
     if (outcome.kind !== 'done') return
-    this.rows.set(service, { record, version: outcome.version })
+    const { version } = outcome
+    this.noteRow({ ...address, value, version })
     this.pending.delete(service)
+    this.demanded.delete(service)
+    this.parts.onWritten({ service, value, version })
   }
 }
 
+/** The records as read, by service. */
+export type Histories = ReadonlyMap<string, ServiceHistory>
+
+function servingVersions(record: VersionRecord | undefined): readonly SoftwareVersion[] {
+  const versions = record?.versions ?? []
+  return versions.flatMap(({ softwareVersion, unlistedAt }) => {
+    return unlistedAt === undefined ? [softwareVersion] : []
+  })
+}
+
 function history(
   service: string,
   record: VersionRecord | undefined,
--- a/packages/daemon/__tests__/streamGossip.spec.ts
+++ b/packages/daemon/__tests__/streamGossip.spec.ts
@@ -2,8 +2,10 @@
 import { asId } from '@rackwalk/shared'
 import type { SoftwareVersion, StreamKey } from '@rackwalk/shared'
 import {
-  encodeStreamStarts,
+  decodeRecordGossip,
   decodeStreamGossip,
+  encodeRecordGossip,
+  encodeStreamStarts,
   encodeVersionGossip,
 } from '../src/gateway/streamGossip.js'
 import { decodeCrashGossip } from '../src/gateway/crashGossip.js'
@@ -50,6 +52,32 @@
     expect(Math.max(...datagrams.map(({ length }) => length))).toBeLessThan(LARGEST_DATAGRAM_BYTES)
   })
 
+  it('tells records of versions in the same way, one a datagram, and leaves out what is too long for one', () => {
+    const record = { service: 'models', version: 12, value: '{"knownSince":1,"versions":[]}' }
+    const long = { ...record, value: 'x'.repeat(1_000) }
+    const reports = encodeRecordGossip([record, record, long], IDENTITY)
+    expect(reports.map(report => encodeReport(report).toString())).toMatchInlineSnapshot(`
+      [
+        "["instance-1","first",0,false,[["versions recorded [\\"models\\",12,\\"{\\\\\\"knownSince\\\\\\":1,\\\\\\"versions\\\\\\":[]}\\"]",0,0,[]]]]",
+        "["instance-1","first",0,false,[["versions recorded [\\"models\\",12,\\"{\\\\\\"knownSince\\\\\\":1,\\\\\\"versions\\\\\\":[]}\\"]",0,0,[]]]]",
+      ]
+    `)
+    expect(reports.flatMap(decodeRecordGossip)).toEqual([record, record])
+    expect(reports.map(decodeStreamGossip)).toEqual([
+      { begun: [], versions: [] },
+      { begun: [], versions: [] },
+    ])
+  })
+
+  it('ignores malformed records', () => {
+    const texts = ['', '{}', '["models"]', '["models","1","{}"]', '["models",1.5,"{}"]', '[3,1,""]']
+    const loads = texts.map(text => {
+      return { endpoint: `versions recorded ${text}`, running: 0, pendingTokens: 0, parts: [] }
+    })
+    const report = { ...IDENTITY, sequence: 0, isWhole: false, loads }
+    expect(decodeRecordGossip(report)).toEqual([])
+  })
+
   it('ignores malformed entries', () => {
     const load = { running: 0, pendingTokens: 0, parts: [{ id: 'key', tokens: 1 }] }
     const endpoints = [
--- a/packages/daemon/__tests__/streamOriginClient.spec.ts
+++ b/packages/daemon/__tests__/streamOriginClient.spec.ts
@@ -10,6 +10,7 @@
 const OF_AN_EARLIER_RELEASE = { origins: [], versions: ['v1'] }
 const OF_A_NEWCOMER = { ...OF_AN_EARLIER_RELEASE, knownForMilliseconds: 800 }
 const PROVING = { ...OF_AN_EARLIER_RELEASE, knownForMilliseconds: RESUMPTION_WINDOW_MILLISECONDS }
+const REMEMBERING = { ...OF_A_NEWCOMER, origins: [{ service: 'models', softwareVersion: 'v1' }] }
 
 const stops: (() => void)[] = []
 afterEach(() => {
@@ -52,11 +53,13 @@
     expect([await ask(), malformed]).toEqual([[0, 0, 0, 0, 0, 0], []])
   })
 
-  it('goes on to others while nobody who answered knows the service for long enough', async () => {
+  it('goes on to others while nobody who answered remembers the stream', async () => {
     const newcomers = await setUp(OF_A_NEWCOMER)
     expect(await newcomers.ask()).toHaveLength(6)
     const proving = await setUp(OF_A_NEWCOMER, PROVING, OF_A_NEWCOMER)
-    expect(await proving.ask()).toHaveLength(3)
+    expect(await proving.ask()).toHaveLength(6)
+    const remembering = await setUp(OF_A_NEWCOMER, REMEMBERING, OF_A_NEWCOMER)
+    expect(await remembering.ask()).toHaveLength(3)
   })
 
   it('leaves out an answer whose time is none', async () => {
--- a/packages/daemon/src/gateway/auxiliaryListeners.ts
+++ b/packages/daemon/src/gateway/auxiliaryListeners.ts
@@ -6,13 +6,14 @@
 
 import type { Server } from 'node:http'
 import type { Lender, TableMirror } from '@rackwalk/coordination'
-import type { StreamOrigins } from '@rackwalk/router'
 import type { ActiveFleet } from './activeFleet.js'
 import { createPlainListener } from './gatewayListeners.js'
 import type { PlainHandler } from './gatewayListeners.js'
 import type { GatewayMetrics } from './gatewayMetrics.js'
 import type { GatewaySettings } from './gatewaySettings.js'
+import type { StreamCoordinator } from './streamCoordinator.js'
 import { handleOriginRequest } from './streamOriginClient.js'
+import { handleRecordRequest } from './versionRecordClient.js'
 import { handleLoanRequest } from './peerLoanClient.js'
 import { handleRowsRequest } from './peerRowClient.js'
 import { createPeerListener } from './peerListener.js'
@@ -25,7 +26,7 @@
   readonly isReady: () => boolean
   readonly fleet: ActiveFleet
   readonly lender: Lender
-  readonly streams: StreamOrigins
+  readonly streams: Pick<StreamCoordinator, 'origins' | 'readRecords' | 'knownRecords'>
   readonly mirrors: ReadonlyMap<string, TableMirror>
   readonly metrics: GatewayMetrics
   /** Serves a request that another instance relays. */
@@ -79,7 +80,9 @@
   private async peer(url: string, body: string): Promise<PlainAnswer> {
     const { lender, mirrors, streams } = this.parts
     const loan = await handleLoanRequest(url, body, lender)
-    return loan ?? handleOriginRequest(url, body, streams) ?? handleRowsRequest(url, mirrors)
+    const records = loan ?? (await handleRecordRequest(url, body, streams))
+    const origin = records ?? handleOriginRequest(url, body, streams.origins)
+    return origin ?? handleRowsRequest(url, mirrors)
   }
 
   private async metrics(): Promise<PlainAnswer> {
--- a/packages/daemon/src/gateway/endpointSubsystem.ts
+++ b/packages/daemon/src/gateway/endpointSubsystem.ts
@@ -7,7 +7,7 @@
 import { EndpointDirectory, FleetLoad, LinkMonitor } from '@rackwalk/router'
 import type { EndpointRecord, EndpointState, GatewayService } from '@rackwalk/router'
 import type { MemberDirectory, StoreClock } from '@rackwalk/coordination'
-import type { Clock, EndpointStart, RandomSource } from '@rackwalk/shared'
+import type { Clock, EndpointStart, RandomSource, Milliseconds } from '@rackwalk/shared'
 import type { RowStore } from '@rackwalk/stores'
 import type { ActiveFleet } from './activeFleet.js'
 import { AdviceCoordinator } from './adviceCoordinator.js'
@@ -36,6 +36,8 @@
   readonly readMembers: () => void
   /** Whether the list of endpoints is within its staleness bound. */
   readonly isListFresh: () => boolean
+  /** Time since the list of endpoints was read from the store. */
+  readonly listAge: () => Milliseconds
   /** The service in the configuration in force; undefined when it has no such service. */
   readonly service: (name: string) => GatewayService | undefined
 }
@@ -110,6 +112,12 @@
     else this.exchange?.noteNewInstance()
   }
 
+  /** The store was lost or answers again. */
+  noteStoreContact(isReachable: boolean): void {
+    this.parts.telemetry.note('store_contact', { isReachable })
+    this.streams.noteStoreContact(isReachable)
+  }
+
   private createDirectory(): EndpointDirectory {
     const { clock, fleet, service } = this.parts
     return new EndpointDirectory({
@@ -125,7 +133,7 @@
 
   private createStreams(): StreamCoordinator {
     const { instance, incarnation, clock, store, storeClock, members } = this.parts
-    const { fleet, telemetry, isListFresh, service } = this.parts
+    const { fleet, telemetry, isListFresh, listAge, service } = this.parts
     return new StreamCoordinator({
       clock,
       store,
@@ -136,6 +144,7 @@
       fleet,
       exchange: () => this.exchange,
       isListFresh,
+      listAge,
       isConfigured: name => service(name) !== undefined,
       telemetry,
     })
@@ -250,7 +259,7 @@
       onAdviceGossip: gossip => this.advice.observe(gossip),
       onOverloaded: instance => this.overloaded.note(instance),
       onCutOff: (...report) => this.noteCutOff(...report),
-      onStreamGossip: gossip => this.streams.origins.observe(gossip),
+      onStreamGossip: report => this.streams.observe(report),
       onSender: sender => unknownSenders.note(sender),
       standingAdvice: () => this.advice.advices.gossipSnapshot,
       standingCrashes: () => this.crashes.guard.gossipSnapshot,
--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -305,6 +305,7 @@
       fleet: () => this.fleet,
       readMembers: () => readMembersSoon(this.mirrors),
       isListFresh: () => this.health.isFresh(this.adapter.endpoints.table),
+      listAge: () => this.health.age(this.adapter.endpoints.table),
       service: name => this.configuration.routes?.service(name),
     })
   }
@@ -382,7 +383,7 @@
       freshness: this.settings.freshness,
       onConfiguration: (rows, isWhole) => this.configuration.observe(rows, isWhole),
       isActive: () => this.fleet.isSelfActive,
-      onStoreReachability: isReachable => this.note('store_contact', { isReachable }),
+      onStoreReachability: isReachable => this.endpoints.noteStoreContact(isReachable),
       onFault: error => this.noteFault(error),
       onMalformedRow: row => this.telemetry.noteMalformedRow(row),
     })
@@ -429,7 +430,7 @@
       isReady: () => this.isReady,
       fleet: this.fleet,
       lender: this.ledger.lender,
-      streams: this.endpoints.streams.origins,
+      streams: this.endpoints.streams,
       mirrors: this.mirrors,
       metrics: this.metrics,
       relayed: (request, response, relayedBy) =>
--- a/packages/daemon/src/gateway/instanceHealth.ts
+++ b/packages/daemon/src/gateway/instanceHealth.ts
@@ -3,7 +3,7 @@
  * nothing. Owns both monitors; reports their changes to the telemetry.
  */
 
-import type { Clock } from '@rackwalk/shared'
+import type { Clock, Milliseconds } from '@rackwalk/shared'
 import type { ContactAges } from '@rackwalk/decisions'
 import type { Gateway, GatewayRecord } from '@rackwalk/router'
 import type { GatewayTelemetry } from './gatewayTelemetry.js'
@@ -61,7 +61,12 @@
   /** Whether the age of a table's rows is within its staleness bound; false for a table without a bound. */
   isFresh(table: string): boolean {
     const monitored = this.parts.tables.get(table)
-    return monitored !== undefined && monitored.mirror.age <= monitored.boundMilliseconds
+    return monitored !== undefined && this.age(table) <= monitored.boundMilliseconds
+  }
+
+  /** Age of a table's rows; infinite for a table without a staleness bound. */
+  age(table: string): Milliseconds {
+    return this.parts.tables.get(table)?.mirror.age ?? Number.POSITIVE_INFINITY
   }
 
   /** A request has ended. */
--- a/packages/daemon/src/gateway/loadExchange.ts
+++ b/packages/daemon/src/gateway/loadExchange.ts
@@ -15,7 +15,7 @@
 import type { Clock, Milliseconds, Timer } from '@rackwalk/shared'
 import type { MemberRow } from '@rackwalk/coordination'
 import type { AdviceGossip, CrashGossip, StreamOrigin } from '@rackwalk/decisions'
-import type { FleetLoad, PeerLoadReport, StreamGossip } from '@rackwalk/router'
+import type { FleetLoad, PeerLoadReport } from '@rackwalk/router'
 import { parseAddress } from '../observe/listenOn.js'
 import type { MalformedInput } from '../observe/malformedInputLog.js'
 import { decodeAdviceGossip, encodeAdviceGossip } from './adviceGossip.js'
@@ -23,7 +23,7 @@
 import { encodeCutOffGossip, decodeCutOffGossip } from './cutOffGossip.js'
 import { decodeReport, encodeReport } from './loadReport.js'
 import { encodeOverloadGossip, reportsOverload } from './overloadGossip.js'
-import { decodeStreamGossip, encodeVersionGossip } from './streamGossip.js'
+import { encodeVersionGossip } from './streamGossip.js'
 
 /**
  * Time between two reports in a small fleet. In any fleet, the delay before an urgent report and before a new instance
@@ -128,8 +128,8 @@
   readonly onCrashGossip: (gossip: CrashGossip) => void
   /** Another instance reported the advice of endpoints. */
   readonly onAdviceGossip: (gossip: readonly AdviceGossip[]) => void
-  /** Another instance reported the origins of streams, or software versions. */
-  readonly onStreamGossip: (gossip: StreamGossip) => void
+  /** Another instance reported the origins of streams, software versions or their records. */
+  readonly onStreamGossip: (report: PeerLoadReport) => void
   /** Another instance reported that it is overloaded. */
   readonly onOverloaded: (instance: string) => void
   /** Another instance reported the services from which it is cut off. */
@@ -378,7 +378,7 @@
   private receiveGossip(report: PeerLoadReport): void {
     this.parts.onCrashGossip(decodeCrashGossip(report))
     this.parts.onAdviceGossip(decodeAdviceGossip(report))
-    this.parts.onStreamGossip(decodeStreamGossip(report))
+    this.parts.onStreamGossip(report)
     if (reportsOverload(report)) this.parts.onOverloaded(report.instance)
     this.parts.onCutOff(report.instance, decodeCutOffGossip(report))
   }
--- a/packages/daemon/src/gateway/requestLogFields.ts
+++ b/packages/daemon/src/gateway/requestLogFields.ts
@@ -51,6 +51,8 @@
   return {
     originKnownMilliseconds: rounded(originEvidence?.knownForMilliseconds),
     originListFresh: originEvidence?.isListFresh,
+    originListMilliseconds: finite(originEvidence?.listAgeMilliseconds),
+    originRecordReader: originEvidence?.recordReader,
     originAnswers: originEvidence?.answers,
   }
 }
@@ -81,6 +83,11 @@
   return { instance, outcome: relayOutcomeText(outcome) }
 }
 
+/** An age without a first contact is infinite, which JSON cannot express. */
+function finite(value: number | undefined): number | undefined {
+  return Number.isFinite(value) ? rounded(value) : undefined
+}
+
 function rounded(value: number | undefined): number | undefined {
   return value === undefined ? undefined : Math.round(value)
 }
--- a/packages/daemon/src/gateway/streamCoordinator.ts
+++ b/packages/daemon/src/gateway/streamCoordinator.ts
@@ -7,26 +7,40 @@
  */
 
 import { DemandMeter, VersionRecorder } from '@rackwalk/coordination'
-import type { MemberDirectory, MemberRow, StoreClock } from '@rackwalk/coordination'
+import type { MemberDirectory, MemberRow, StoreClock, WrittenRecord } from '@rackwalk/coordination'
 import { originReplicaCount, rankOriginReplicas } from '@rackwalk/decisions'
 import { StreamOrigins } from '@rackwalk/router'
 import type {
+  RecordRead,
   StartedStream,
   EndpointDirectory,
   EndpointRecord,
   PeerLoadReport,
 } from '@rackwalk/router'
+import { sleep } from '@rackwalk/shared'
 import type { Clock, Milliseconds } from '@rackwalk/shared'
 import type { RowStore } from '@rackwalk/stores'
 import type { ActiveFleet } from './activeFleet.js'
 import type { GatewayTelemetry } from './gatewayTelemetry.js'
+import { firstDefined } from './firstDefined.js'
 import { loadPeersOf } from './loadExchange.js'
 import type { LoadExchange } from './loadExchange.js'
 import { StreamOriginClient } from './streamOriginClient.js'
-import { encodeStreamStarts, encodeVersionGossip } from './streamGossip.js'
+import {
+  decodeRecordGossip,
+  decodeStreamGossip,
+  encodeRecordGossip,
+  encodeStreamStarts,
+  encodeVersionGossip,
+} from './streamGossip.js'
+import { VersionRecordClient } from './versionRecordClient.js'
 
-/** Longest time that a resumed stream waits for the records of the versions that served before this instance started. */
-const HISTORY_MILLISECONDS: Milliseconds = 200
+/** A peer is asked for the record as well if the store has not answered for this long. */
+const OWN_READ_MILLISECONDS: Milliseconds = 80
+/** Longest time that a resumed stream waits for the record of its service. */
+const RECORD_MILLISECONDS: Milliseconds = 500
+/** Longest time that a new stream waits until a version of its service is recorded. */
+const RECORD_CHANGE_MILLISECONDS: Milliseconds = 200
 
 /** What the coordinator needs. */
 export interface StreamCoordinatorParts {
@@ -40,6 +54,8 @@
   readonly exchange: () => LoadExchange | undefined
   /** Whether the list of endpoints is within its staleness bound. */
   readonly isListFresh: () => boolean
+  /** Time since the list of endpoints was read from the store. */
+  readonly listAge: () => Milliseconds
   /** Whether the configuration in force has the service. */
   readonly isConfigured: (service: string) => boolean
   readonly telemetry: GatewayTelemetry
@@ -49,6 +65,7 @@
 export class StreamCoordinator {
   readonly origins: StreamOrigins
   private readonly originClient: StreamOriginClient
+  private readonly recordClient: VersionRecordClient
   private readonly recorder: VersionRecorder
   /** Rate of the streams whose origins this instance replicates; the number of replicas depends on it. */
   private readonly announcedStreams: DemandMeter
@@ -59,6 +76,10 @@
       others: () => this.others,
       onMalformed: input => parts.telemetry.noteMalformed(input),
     })
+    this.recordClient = new VersionRecordClient({
+      others: () => this.others,
+      onMalformed: input => parts.telemetry.noteMalformed(input),
+    })
     this.origins = this.createOrigins()
     this.recorder = this.createRecorder()
   }
@@ -70,6 +91,7 @@
   close(): void {
     this.recorder.stop()
     this.originClient.close()
+    this.recordClient.close()
   }
 
   private createOrigins(): StreamOrigins {
@@ -78,7 +100,11 @@
       clock: parts.clock,
       listedVersions: service => parts.directory().softwareVersions(service),
       isListFresh: parts.isListFresh,
-      untilHistoryRead: () => this.recorder.untilRead(HISTORY_MILLISECONDS),
+      listAge: parts.listAge,
+      readRecord: service => this.readRecord(service),
+      recordedVersions: service => this.recorder.recordedVersions(service),
+      untilRecordChanges: service =>
+        this.recorder.untilRecordChanges(service, RECORD_CHANGE_MILLISECONDS),
       isFleetNew: () => parts.members.isFleetNew,
       replicateStreams: started => this.replicate(started),
       broadcastVersions: versions =>
@@ -98,10 +124,61 @@
       versionsOf: service => this.origins.listedVersions(service),
       rank: service => this.rankOf(service),
       onHistory: histories => this.origins.restore(histories),
+      recordsOfPeers: () => this.recordClient.knownRecords(),
+      onWritten: record => this.gossipRecord(record),
       onMalformedRow: row => telemetry.noteMalformedRow(row),
     })
   }
 
+  /** Reads all records from the store, beginning after the call; undefined if the store does not answer. */
+  readRecords = () => this.recorder.readRecords()
+
+  /** The newest records of versions that this instance knows. */
+  get knownRecords(): readonly WrittenRecord[] {
+    return this.recorder.knownRecords
+  }
+
+  /** The store was lost or answers again. */
+  noteStoreContact(isReached: boolean): void {
+    this.origins.noteStoreContact(isReached)
+    if (isReached) this.recorder.noteStoreReached()
+  }
+
+  /** Another instance told of streams, versions or records. */
+  observe(report: PeerLoadReport): void {
+    this.origins.observe(decodeStreamGossip(report))
+    for (const record of decodeRecordGossip(report)) this.recorder.noteWritten(record)
+  }
+
+  private gossipRecord(record: WrittenRecord): void {
+    const { exchange, identity } = this.parts
+    exchange()?.broadcast(encodeRecordGossip([record], identity))
+  }
+
+  /** Reads the record of a service, through another instance if the store does not answer this one soon. */
+  private async readRecord(service: string): Promise<RecordRead | undefined> {
+    const { clock } = this.parts
+    const own = this.readOwn(service)
+    const early = await Promise.race([own, sleep(clock, OWN_READ_MILLISECONDS)])
+    if (early !== undefined) return early
+    const late = sleep(clock, RECORD_MILLISECONDS - OWN_READ_MILLISECONDS)
+    return Promise.race([firstDefined([own, this.readThroughPeer(service)]), late]).then(
+      read => read ?? undefined,
+    )
+  }
+
+  private async readOwn(service: string): Promise<RecordRead | undefined> {
+    const records = await this.readRecords()
+    return records && { reader: 'this-instance', history: records.get(service) }
+  }
+
+  private async readThroughPeer(service: string): Promise<RecordRead | undefined> {
+    const read = await this.recordClient.read(service)
+    return (
+      read && { reader: 'other-instance', history: read.history && { service, ...read.history } }
+    )
+  }
+
   /** Rank of this instance among those that may write the record of a service. */
   private rankOf(service: string): number | undefined {
     const { members } = this.parts
--- a/packages/daemon/src/gateway/streamGossip.ts
+++ b/packages/daemon/src/gateway/streamGossip.ts
@@ -1,9 +1,10 @@
 /**
- * Gossip about the origins of streams (the service and endpoint software version that began each) and about the
- * versions that serve, as datagrams between instances. The messages are encoded like crash gossip: as outdated load
+ * Gossip about the origins of streams (the service and endpoint software version that began each), about the versions
+ * that serve and about the records of versions that were written, as datagrams between instances. The messages are encoded like crash gossip: as outdated load
  * reports, which earlier versions drop. Owns nothing.
  */
 
+import type { WrittenRecord } from '@rackwalk/coordination'
 import { asId, groupBy } from '@rackwalk/shared'
 import type { SoftwareVersion } from '@rackwalk/shared'
 import { parseJson } from '@rackwalk/stores'
@@ -15,6 +16,10 @@
 /** Prefixes of an entry's endpoint field; they cannot clash with an endpoint id, since no id contains a space. */
 const BEGUN_PREFIX = 'streams begun at '
 const SERVES_PREFIX = 'version serves '
+const RECORD_PREFIX = 'versions recorded '
+
+/** Maximum length of a told record, so that a datagram stays small; a longer one is read from the store. */
+const LONGEST_RECORD_TEXT = 1_000
 
 type Identity = Pick<PeerLoadReport, 'instance' | 'incarnation'>
 
@@ -41,6 +46,31 @@
   )
 }
 
+/** Encodes records that were written as gossip reports, one each; long ones are left out. */
+export function encodeRecordGossip(
+  records: readonly WrittenRecord[],
+  identity: Identity,
+): readonly PeerLoadReport[] {
+  return records.flatMap(({ service, version, value }) => {
+    const text = JSON.stringify([service, version, value])
+    if (text.length > LONGEST_RECORD_TEXT) return []
+    return gossipReports([entry(`${RECORD_PREFIX}${text}`)], identity)
+  })
+}
+
+/** Decodes the records that were written; entries of other kinds are ignored. */
+export function decodeRecordGossip({ loads }: PeerLoadReport): readonly WrittenRecord[] {
+  return loads.flatMap(({ endpoint }) => {
+    if (!endpoint.startsWith(RECORD_PREFIX)) return []
+    const parsed = parseJson(endpoint.slice(RECORD_PREFIX.length))
+    if (!Array.isArray(parsed)) return []
+    const [service, version, value] = parsed as readonly unknown[]
+    if (typeof service !== 'string' || typeof value !== 'string') return []
+    if (typeof version !== 'number' || !Number.isSafeInteger(version)) return []
+    return [{ service, version, value }]
+  })
+}
+
 /** Decodes stream gossip; entries of other kinds are ignored. */
 export function decodeStreamGossip({ loads }: PeerLoadReport): StreamGossip {
   return {
--- a/packages/daemon/src/gateway/streamOriginClient.ts
+++ b/packages/daemon/src/gateway/streamOriginClient.ts
@@ -1,18 +1,13 @@
 /**
  * Queries between instances for the origin of a stream (the service and endpoint software version that began it), over
  * the listener for peers. The first queries go to the replicas, the instances that are chosen to keep the origin. If no
- * replica knows it, further instances are queried, provided that the answers name more than one software version, or that
- * no replica has known the service for as long as a caller may come back. Owns the path, the encodings of the messages and the connections to peers.
+ * replica knows it, further instances are queried. Owns the path, the encodings of the messages and the connections to
+ * peers.
  */
 
 import { Agent } from 'node:http'
 import * as z from 'zod'
-import {
-  MINIMUM_ORIGIN_REPLICAS,
-  coversWindow,
-  hasMixedVersions,
-  rankOriginReplicas,
-} from '@rackwalk/decisions'
+import { MINIMUM_ORIGIN_REPLICAS, rankOriginReplicas } from '@rackwalk/decisions'
 import type { MemberRow } from '@rackwalk/coordination'
 import { asId } from '@rackwalk/shared'
 import type { Milliseconds, StreamKey } from '@rackwalk/shared'
@@ -99,7 +94,7 @@
     const reachable = this.parts.others().filter(({ peerAddress }) => peerAddress !== '')
     const others = rankOriginReplicas(stream.key ?? '', reachable)
     const replicaAnswers = await this.askAll(others.slice(0, MINIMUM_ORIGIN_REPLICAS), stream)
-    if (!mayOthersKnow(replicaAnswers)) return replicaAnswers
+    if (replicaAnswers.some(({ origins }) => origins.length > 0)) return replicaAnswers
     const fallbackPeers = others.slice(
       MINIMUM_ORIGIN_REPLICAS,
       MINIMUM_ORIGIN_REPLICAS + FALLBACK_PEERS,
@@ -138,14 +133,3 @@
     return answer
   }
 }
-
-/**
- * Whether instances other than the replicas may know the origin: no answer names an origin, and either software versions
- * are mixed, or nobody who answered has known the service for as long as a caller may come back.
- */
-function mayOthersKnow(answers: readonly OriginAnswer[]): boolean {
-  const isKnown = answers.some(({ origins }) => origins.length > 0)
-  const versions = new Set(answers.flatMap(answer => answer.versions))
-  const isProven = answers.some(({ knownForMilliseconds }) => coversWindow(knownForMilliseconds))
-  return !isKnown && (!isProven || hasMixedVersions([...versions]))
-}
--- a/packages/decisions/__tests__/streamResumption.spec.ts
+++ b/packages/decisions/__tests__/streamResumption.spec.ts
@@ -2,10 +2,11 @@
 import {
   RESUMPTION_WINDOW_MILLISECONDS,
   MINIMUM_ORIGIN_REPLICAS,
+  canBeginStream,
   hasMixedVersions,
-  hasSingleVersion,
   rankOriginReplicas,
   resolveResumption,
+  resumptionDelay,
 } from '@rackwalk/decisions'
 import { asId } from '@rackwalk/shared'
 import type { SoftwareVersion } from '@rackwalk/shared'
@@ -30,52 +31,62 @@
   ],
   'it began at another service of the route': [{ service: 'others', softwareVersion: V1 }],
 }
-const KNOWN = {
-  'for as long as a caller may come back': RESUMPTION_WINDOW_MILLISECONDS,
-  'for a shorter time': RESUMPTION_WINDOW_MILLISECONDS - 1,
+const WINDOW = RESUMPTION_WINDOW_MILLISECONDS
+const RECORDS = {
+  'not read': undefined,
+  empty: { versions: [], knownForMilliseconds: WINDOW },
+  v1: { versions: [V1], knownForMilliseconds: WINDOW },
+  'v1, incomplete': { versions: [V1], knownForMilliseconds: WINDOW - 1 },
+  'v1 and v2': { versions: [V1, V2], knownForMilliseconds: WINDOW },
 }
 const VERSIONS = { none: [], 'v1 alone': [V1, V1], 'v2 alone': [V2], 'v1 and v2': [V1, V2] }
 
 describe('a stream that its caller takes up', () => {
   it('goes on at the version that began it, or nowhere', () => {
-    for (const [known, knownForMilliseconds] of Object.entries(KNOWN)) {
+    for (const [read, record] of Object.entries(RECORDS)) {
       const rows = Object.entries(ORIGINS).flatMap(([remembered, origins]) =>
-        Object.entries(VERSIONS).flatMap(([served, versions]) =>
-          [true, false].map(isConfirmed => {
-            const knowledge = { origins, versions, isConfirmed, knownForMilliseconds }
-            const { origin, source } = resolveResumption('models', knowledge)
-            const where = origin === undefined ? 'nowhere' : Object.values(origin).join(' ')
-            return `${remembered}; served: ${served}; ${isConfirmed ? 'heard' : 'alone'}: ${where} (${source})`
-          }),
-        ),
+        Object.entries(VERSIONS).map(([seen, versions]) => {
+          const { origin, source } = resolveResumption('models', { origins, versions, record })
+          const where = origin === undefined ? 'nowhere' : Object.values(origin).join(' ')
+          return `${remembered}; seen: ${seen}: ${where} (${source})`
+        }),
       )
-      expect(rows).toMatchSnapshot(`a service that is known ${known}`)
+      expect(rows).toMatchSnapshot(`the record is: ${read}`)
     }
   })
 
-  it('is not resumed at the only version of a service that nobody has known for as long as a caller may come back', () => {
-    const { origin, source } = resolveResumption('models', {
-      origins: [],
-      versions: [V2],
-      isConfirmed: true,
-      knownForMilliseconds: RESUMPTION_WINDOW_MILLISECONDS - 1,
-    })
-    expect([origin, source]).toEqual([undefined, 'unproven'])
+  it('is not resumed at the only version of a service whose record does not cover the time for which a caller may come back', () => {
+    const record = { versions: [V2], knownForMilliseconds: WINDOW - 1 }
+    const resumption = resolveResumption('models', { origins: [], versions: [V2], record })
+    expect([resumption.origin, resumption.source]).toEqual([undefined, 'unproven'])
+    expect(resumptionDelay(resumption, record)).toBe(1)
   })
 
-  it('is resumed without asking other instances only if one version has served for as long as a caller may come back', () => {
-    const long = RESUMPTION_WINDOW_MILLISECONDS
-    const rows = [[V1], [V1, V2], []].flatMap(versions =>
-      [long, long - 1].flatMap(knownForMilliseconds =>
-        [true, false].map(isFresh => hasSingleVersion({ versions, knownForMilliseconds, isFresh })),
-      ),
+  it('is not resumed at the only version that is known if the record was not read since the caller returned', () => {
+    const knowledge = { origins: [], versions: [V1, V1], record: undefined }
+    const resumption = resolveResumption('models', knowledge)
+    expect([resumption.origin, resumption.source]).toEqual([undefined, 'unread'])
+    expect(resumptionDelay(resumption, undefined)).toBeUndefined()
+  })
+})
+
+describe('a stream that may be resumed', () => {
+  it('begins only at a recorded version, or at the first version of a service', () => {
+    const recorded = { none: undefined, empty: [], v1: [V1], 'v1 and v2': [V1, V2] }
+    const rows = Object.entries(recorded).flatMap(([record, versions]) =>
+      Object.entries(VERSIONS).map(([seen, recent]) => {
+        const startable = [V1, V2].filter(version => {
+          return canBeginStream(version, { recorded: versions, recent })
+        })
+        return `record: ${record}; seen: ${seen}: ${startable.join(' and ') || 'nowhere'}`
+      }),
     )
-    expect(rows).toEqual([true, ...Array<boolean>(11).fill(false)])
-    expect([[], [V1], [V1, V2]].map(versions => hasMixedVersions(versions))).toEqual([
-      false,
-      false,
-      true,
-    ])
+    expect(rows).toMatchSnapshot()
+  })
+
+  it('is remembered by other instances while several versions serve', () => {
+    const mixed = [[], [V1], [V1, V2]].map(versions => hasMixedVersions(versions))
+    expect(mixed).toEqual([false, false, true])
   })
 })
 
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -46,15 +46,15 @@
   RESUMPTION_WINDOW_MILLISECONDS,
   hasMixedVersions,
   isSameOrigin,
-  coversWindow,
-  hasSingleVersion,
+  canBeginStream,
   resolveResumption,
+  resumptionDelay,
 } from './retrying/streamResumption.js'
 export type {
   OriginSource,
+  RecordedVersions,
   Resumption,
   StreamOrigin,
-  ServiceVersions,
 } from './retrying/streamResumption.js'
 export {
   historyOf,
--- a/packages/decisions/src/retrying/streamResumption.ts
+++ b/packages/decisions/src/retrying/streamResumption.ts
@@ -1,30 +1,33 @@
 /**
- * Decides at which software version a stream is resumed when its caller reconnects. Also decides whether other instances
- * must be asked for that version, and whether they must remember it.
+ * Decides at which software version a stream is resumed when its caller reconnects. Also decides at which versions a
+ * stream may begin, and whether other instances must remember where it began.
  *
  * Load pattern: a new version of the endpoints' software is rolled out through a service while endpoints and instances
- * terminate under their streams. Callers reconnect at any instance, mostly not the one that served them. The output of two
- * versions does not fit together, so a stream resumed at the wrong version would be corrupt.
+ * terminate under their streams, and while single instances are cut off or stand still. Callers reconnect at any instance,
+ * mostly not the one that served them. The output of two versions does not fit together, so a stream resumed at the wrong
+ * version would be corrupt.
  *
  * Inputs: the origins of the stream (service and software version where the stream began) that this instance and its peers
- * remember, the versions that served recently, whether the store or a peer has confirmed these versions, and for how long
- * the service is known: from the record of its versions, or because this instance or a peer that answered has listed its
- * endpoints for so long.
+ * remember, the versions that served recently, and the record of the service as read from the store after the caller had
+ * reconnected.
  *
- * | remembered origins         | versions that served recently | confirmed by   | known for the window | the stream is resumed at |
- * | -------------------------- | ----------------------------- | -------------- | -------------------- | ------------------------ |
- * | one version of one service | any                           | any or none    | yes or no            | that version             |
- * | several different ones     | any                           | any or none    | yes or no            | nowhere                  |
- * | none                       | one                           | store or peers | yes                  | that version             |
- * | none                       | one                           | store or peers | no                   | nowhere                  |
- * | none                       | one                           | none           | yes or no            | nowhere                  |
- * | none                       | several                       | any or none    | yes or no            | nowhere                  |
- * | none                       | none                          | any or none    | yes or no            | nowhere                  |
+ * | remembered origins         | record, read after the caller reconnected      | versions, recorded or seen | the stream is resumed at |
+ * | -------------------------- | ---------------------------------------------- | -------------------------- | ------------------------ |
+ * | one version of one service | any or none                                    | any                        | that version             |
+ * | several different ones     | any or none                                    | any                        | nowhere                  |
+ * | none                       | none                                           | any                        | nowhere                  |
+ * | none                       | complete for the window                        | one                        | that version             |
+ * | none                       | complete for a shorter time                    | one                        | nowhere                  |
+ * | none                       | any                                            | none or several            | nowhere                  |
  *
- * Limits: an instance that hears from neither the store nor its peers does not know which versions were added since its
- * last contact, so it resumes only streams whose origin it remembers itself. A version counts as recent for as long as a
- * caller may come back to a stream (the window). A list that was read after the stream had begun does not show which
- * versions served then, so a service that nobody has known for the window has no single version.
+ * A version begins no stream before it is in the record of its service, so a read that began after the caller had
+ * reconnected shows each version at which the stream may have begun. An older read or list does not, however recent it is:
+ * nothing tells an instance what happened since. A service without a record has had one version at the most, and its
+ * streams began there.
+ *
+ * Limits: one read of the store for a resumed stream whose origin is not remembered, shared by all streams that wait for
+ * it. While the store is not reached, directly or through a peer, only streams of remembered origin go on. A version counts
+ * as recent for as long as a caller may come back to a stream (the window).
  */
 
 import type { Milliseconds, SoftwareVersion } from '@rackwalk/shared'
@@ -41,9 +44,14 @@
   readonly origins: readonly StreamOrigin[]
   /** Software versions of the service that served recently, possibly the same one several times. */
   readonly versions: readonly SoftwareVersion[]
-  /** Whether this instance read the list of endpoints from the store a moment ago, or another instance answered it. */
-  readonly isConfirmed: boolean
-  /** Longest time for which this instance or a peer that answered knows all versions of the service. */
+  /** The record as read from the store after the caller had reconnected; undefined if it was not read. */
+  readonly record: RecordedVersions | undefined
+}
+
+/** What the record of a service tells about the versions that served recently. */
+export interface RecordedVersions {
+  readonly versions: readonly SoftwareVersion[]
+  /** Time for which all versions of the service are recorded. */
   readonly knownForMilliseconds: Milliseconds
 }
 
@@ -55,10 +63,12 @@
   | 'only-version'
   /** Several different origins are remembered. */
   | 'contradictory'
-  /** No origin is remembered, and no single confirmed version is known. */
+  /** No origin is remembered, and several versions served recently, or none is known. */
   | 'unknown'
-  /** No origin is remembered. One version is known, but not for as long as a caller may come back. */
+  /** No origin is remembered. One version is known, but the record does not cover as long as a caller may come back. */
   | 'unproven'
+  /** No origin is remembered, and the record could not be read: a version may have come without this instance knowing. */
+  | 'unread'
 
 /** Where a stream is resumed. A stream whose origin is undefined is not resumed. */
 export interface Resumption {
@@ -66,47 +76,56 @@
   readonly source: OriginSource
 }
 
-/** What one instance knows about the software versions of a service. */
-export interface ServiceVersions {
-  /** The versions that served recently, each once. */
-  readonly versions: readonly SoftwareVersion[]
-  /** Time for which this instance knows all versions of the service. */
-  readonly knownForMilliseconds: Milliseconds
-  /** Whether this instance read the list of endpoints from the store a moment ago. */
-  readonly isFresh: boolean
-}
-
 /** Time for which a caller may come back to a stream after its connection broke. Versions count as recent for this time. */
 export const RESUMPTION_WINDOW_MILLISECONDS: Milliseconds = 30_000
 
 /** Returns where a stream of a service is resumed, according to the table in the module head. */
 export function resolveResumption(service: string, knowledge: ResumptionKnowledge): Resumption {
-  const { versions, isConfirmed, knownForMilliseconds } = knowledge
+  const { record } = knowledge
   const [origin, other] = differentOrigins(knowledge.origins)
   if (other !== undefined) return { origin: undefined, source: 'contradictory' }
   if (origin !== undefined) return { origin, source: 'remembered' }
-  const [softwareVersion, second] = [...new Set(versions)]
-  const isSingle = softwareVersion !== undefined && second === undefined
-  if (!isSingle || !isConfirmed) return { origin: undefined, source: 'unknown' }
-  if (!coversWindow(knownForMilliseconds)) return { origin: undefined, source: 'unproven' }
+  const versions = new Set([...knowledge.versions, ...(record?.versions ?? [])])
+  const [softwareVersion] = versions
+  if (softwareVersion === undefined || versions.size > 1) {
+    return { origin: undefined, source: 'unknown' }
+  }
+  if (record === undefined) return { origin: undefined, source: 'unread' }
+  if (!coversWindow(record.knownForMilliseconds)) return { origin: undefined, source: 'unproven' }
   return { origin: { service, softwareVersion }, source: 'only-version' }
 }
 
+/** Returns how long a caller waits at least until its stream may be resumed; undefined if that is not known. */
+export function resumptionDelay(
+  { source }: Resumption,
+  record: RecordedVersions | undefined,
+): Milliseconds | undefined {
+  if (source !== 'unproven' || record === undefined) return undefined
+  return RESUMPTION_WINDOW_MILLISECONDS - record.knownForMilliseconds
+}
+
+/** The versions of a service as one instance knows them. */
+export interface StartableVersions {
+  /** Versions that are recorded as serving; undefined if the service has no record. */
+  readonly recorded: readonly SoftwareVersion[] | undefined
+  /** Versions that served recently, each once. */
+  readonly recent: readonly SoftwareVersion[]
+}
+
 /**
- * Whether all resumable streams of a service must have begun at the same software version, so that no other instance need
- * be asked. The one version must be confirmed by the store, and the service must have been known for longer than a caller
- * may come back to a stream.
+ * Whether a stream that may be resumed can begin at a version: only a recorded version is seen by whoever reads the record
+ * for a resumed stream. The first version of a service needs no record, since without one no other version has begun any.
  */
-export function hasSingleVersion({
-  versions,
-  knownForMilliseconds,
-  isFresh,
-}: ServiceVersions): boolean {
-  return versions.length === 1 && isFresh && coversWindow(knownForMilliseconds)
+export function canBeginStream(
+  version: SoftwareVersion,
+  { recorded, recent }: StartableVersions,
+): boolean {
+  if (recorded !== undefined) return recorded.includes(version)
+  return recent.every(other => other === version)
 }
 
 /** Whether a service that is known for this long was known when any stream began that may still be resumed. */
-export function coversWindow(knownForMilliseconds: Milliseconds): boolean {
+function coversWindow(knownForMilliseconds: Milliseconds): boolean {
   return knownForMilliseconds >= RESUMPTION_WINDOW_MILLISECONDS
 }
 
--- a/packages/router/__tests__/streamOrigins.spec.ts
+++ b/packages/router/__tests__/streamOrigins.spec.ts
@@ -29,7 +29,11 @@
   const asked: string[] = []
   let isListFresh = true
   let isFleetNew = true
-  let readHistory = () => {}
+  let isStoreSilent = false
+  /** The record of the service in the store, with the time at which it was written. */
+  let record: { readonly history: ServiceHistory; readonly at: number } | undefined
+  const reads: string[] = []
+  let onRead = () => {}
   const origins = new StreamOrigins({
     clock,
     listedVersions: () => listed,
@@ -38,7 +42,17 @@
       sent.push(...begun.map(({ key, origin }) => `${key} began at ${origin.softwareVersion}`)),
     broadcastVersions: versions =>
       sent.push(versions.map(({ softwareVersion }) => softwareVersion).join(' and ')),
-    untilHistoryRead: async () => Promise.resolve(readHistory()),
+    listAge: () => (isListFresh ? 0 : Number.POSITIVE_INFINITY),
+    readRecord: async service => {
+      reads.push(service)
+      await Promise.resolve()
+      onRead()
+      if (isStoreSilent) return undefined
+      const history = record && aged(record.history, clock.monotonic() - record.at)
+      return { reader: 'this-instance', history }
+    },
+    recordedVersions: () => record?.history.versions.map(({ softwareVersion }) => softwareVersion),
+    untilRecordChanges: () => Promise.resolve(),
     isFleetNew: () => isFleetNew,
     ask: async ({ key }) => {
       asked.push(key ?? 'unnamed')
@@ -57,13 +71,32 @@
     const { origin, source } = await origins.find({ key, service: SERVICE })
     return `${origin?.softwareVersion ?? 'nowhere'} (${source})`
   }
-  const cutOff = () => (isListFresh = false)
+  const cutOff = () => {
+    isListFresh = false
+    isStoreSilent = true
+  }
+  const silenceStore = () => (isStoreSilent = true)
   const noteEarlierInstances = () => (isFleetNew = false)
-  const readLate = (history: readonly ServiceHistory[]) => {
-    readHistory = () => origins.restore(history)
+  const write = (versions: Readonly<Record<string, number>>, knownForMilliseconds?: number) => {
+    const [history] = recorded(versions, knownForMilliseconds)
+    record = history && { history, at: clock.monotonic() }
   }
-  const toldBy = { clock, origins, sent, asked, list, drop, find }
-  return { ...toldBy, cutOff, noteEarlierInstances, readLate }
+  const whileReading = (action: () => void) => (onRead = action)
+  const toldBy = { clock, origins, sent, asked, reads, list, drop, find, write, whileReading }
+  return { ...toldBy, cutOff, silenceStore, noteEarlierInstances }
+}
+
+/** What the record tells some time after it was written. */
+function aged(history: ServiceHistory, milliseconds: number): ServiceHistory {
+  const { service, knownForMilliseconds, versions } = history
+  const recent = versions.flatMap(({ softwareVersion, seenAgoMilliseconds }) => {
+    // A version that is still listed was seen just now.
+    const ago = seenAgoMilliseconds === 0 ? 0 : seenAgoMilliseconds + milliseconds
+    return ago > RESUMPTION_WINDOW_MILLISECONDS
+      ? []
+      : [{ softwareVersion, seenAgoMilliseconds: ago }]
+  })
+  return { service, knownForMilliseconds: knownForMilliseconds + milliseconds, versions: recent }
 }
 
 function answer(
@@ -90,14 +123,27 @@
 }
 
 describe('an instance', () => {
-  it('sends and asks nothing while only one software version serves', async () => {
-    const { clock, origins, sent, asked, list, find } = setUp()
+  it('sends and asks nothing while only one software version serves, and reads the record once for a stream', async () => {
+    const { clock, origins, sent, asked, reads, list, find, write } = setUp()
     list('v1')
+    write({ v1: 0 })
     await clock.advance(RESUMPTION_WINDOW_MILLISECONDS)
     origins.noteStarted(begunAt('v1'))
     expect(await find(KEY)).toBe('v1 (remembered)')
+    expect(reads).toEqual([])
     expect(await find(OTHER)).toBe('v1 (only-version)')
-    expect([sent, asked]).toEqual([[], []])
+    expect([sent, asked, reads]).toEqual([[], [], [SERVICE]])
+  })
+
+  it('replicates streams while the store is out of contact, and those that began before', () => {
+    const { origins, sent, list } = setUp()
+    list('v1')
+    origins.noteStarted(begunAt('v1'))
+    origins.noteStoreContact(false)
+    origins.noteStarted(begunAt('v1', LATER))
+    origins.noteStoreContact(true)
+    origins.noteStarted(begunAt('v1', OTHER))
+    expect(sent).toEqual(['stream began at v1', 'later began at v1'])
   })
 
   it('replicates each stream while several versions serve, and its own earlier ones when a second version appears', () => {
@@ -134,23 +180,22 @@
     knowing.list('v1')
     knowing.list('v1.1')
     expect(await knowing.find(KEY)).toBe('v1 (remembered)')
+    expect(knowing.reads).toEqual([])
     const unknowing = setUp([answer([], ['v1', 'v1.1'])])
     unknowing.list('v1')
+    unknowing.silenceStore()
     expect(await unknowing.find(KEY)).toBe('nowhere (unknown)')
     const alone = setUp()
     alone.list('v1')
     alone.cutOff()
-    expect(await alone.find(KEY)).toBe('nowhere (unknown)')
+    expect(await alone.find(KEY)).toBe('nowhere (unread)')
   })
 
-  it('continues at the only version right after its start if the others know no other', async () => {
-    const { asked, list, find } = setUp([answer([], ['v1'])])
+  it('asks others for a stream where the store is silent, although one version is known', async () => {
+    const { list, find, silenceStore } = setUp([answer(['v1'], ['v1'])])
     list('v1')
-    expect([await find(KEY), await find(undefined)]).toEqual([
-      'v1 (only-version)',
-      'v1 (only-version)',
-    ])
-    expect(asked).toEqual(['stream', 'unnamed'])
+    silenceStore()
+    expect(await find(KEY)).toBe('v1 (remembered)')
   })
 
   it('continues nowhere if two instances report different origins', async () => {
@@ -172,50 +217,113 @@
     await clock.advance(RESUMPTION_WINDOW_MILLISECONDS + 1)
     expect(await find(KEY)).toBe('v1.1 (only-version)')
   })
+
+  it('begins streams at a recorded version alone, and at the first version of a service without a record', () => {
+    const { origins, list, write } = setUp()
+    const startable = () => ['v1', 'v2'].filter(version => origins.canBegin(originOf(version)))
+    list('v1')
+    const began = [startable()]
+    list('v2')
+    began.push(startable())
+    write({ v1: 0 })
+    began.push(startable())
+    write({ v1: 0, v2: 0 })
+    began.push(startable())
+    expect(began).toEqual([['v1'], [], ['v1'], ['v1', 'v2']])
+  })
+})
+
+describe('an instance that has missed a software version', () => {
+  it('does not resume a stream of that version at the only one that it lists', async () => {
+    const { list, find, write } = setUp()
+    list('v1')
+    write({ v1: 0, v2: 0 })
+    expect(await find(KEY)).toBe('nowhere (unknown)')
+  })
+
+  it('does not resume it there where peers have missed the version as well', async () => {
+    const { list, find, cutOff } = setUp([answer([], ['v1']), answer([], ['v1'])])
+    list('v1')
+    cutOff()
+    expect(await find(KEY)).toBe('nowhere (unread)')
+  })
+
+  it('does not resume it there although its list is within the staleness bound', async () => {
+    const { list, find, silenceStore } = setUp()
+    list('v1')
+    silenceStore()
+    expect(await find(KEY)).toBe('nowhere (unread)')
+  })
+
+  it('resumes it at that version once it has heard where it began, also while it reads the record', async () => {
+    const { origins, list, find, write, whileReading } = setUp()
+    list('v1')
+    write({ v1: 0, v2: 0 })
+    whileReading(() => origins.observe({ begun: [begunAt('v2')], versions: [] }))
+    expect(await find(KEY)).toBe('v2 (remembered)')
+  })
+
+  it('does not vouch for the time in which it heard of no change', async () => {
+    const { clock, origins, list } = setUp()
+    const known = () => origins.answer({ key: KEY, service: SERVICE }).knownForMilliseconds
+    list('v1')
+    origins.restore(recorded({ v1: 0 }))
+    origins.noteStoreContact(false)
+    await clock.advance(5_000)
+    expect(known()).toBe(RESUMPTION_WINDOW_MILLISECONDS)
+    origins.noteStoreContact(true)
+    await clock.advance(700)
+    expect(known()).toBe(700)
+    origins.restore(recorded({ v1: 0 }))
+    expect(known()).toBe(RESUMPTION_WINDOW_MILLISECONDS)
+  })
 })
 
 describe('an instance that starts where the older of two software versions has gone', () => {
   it('does not resume a stream of that version at the newer one where its peers are as new', async () => {
-    const { list, find, asked } = setUp([answer([], ['v2'], 900), answer([], ['v2'], 400)])
+    const { list, find, asked, noteEarlierInstances } = setUp([answer([], ['v2'], 900)])
     list('v2')
+    noteEarlierInstances()
     expect(await find(KEY)).toBe('nowhere (unproven)')
     expect(asked).toEqual(['stream'])
   })
 
   it('does not resume it at the newer one where no peer answers', async () => {
-    const { clock, list, find } = setUp()
+    const { clock, list, find, noteEarlierInstances, write } = setUp()
     list('v2')
+    noteEarlierInstances()
+    expect(await find(KEY)).toBe('nowhere (unproven)')
+    write({ v2: 0 }, 0)
     expect(await find(KEY)).toBe('nowhere (unproven)')
     await clock.advance(RESUMPTION_WINDOW_MILLISECONDS)
     expect(await find(KEY)).toBe('v2 (only-version)')
   })
 
-  it('does not resume it at the newer one where the store is silent and one new peer answers', async () => {
-    const { list, find, cutOff } = setUp([answer([], ['v2'], 1_000)])
-    list('v2')
-    cutOff()
-    expect(await find(KEY)).toBe('nowhere (unproven)')
-  })
-
-  it('does not take the word of a peer that tells no time', async () => {
-    const { list, find } = setUp([answer([], ['v2'], 0)])
-    list('v2')
-    expect(await find(KEY)).toBe('nowhere (unproven)')
+  it('does not resume it at the newer one where the store is silent and a peer answers', async () => {
+    const knownFor = [0, 1_000, RESUMPTION_WINDOW_MILLISECONDS]
+    for (const milliseconds of knownFor) {
+      const { list, find, cutOff } = setUp([answer([], ['v2'], milliseconds)])
+      list('v2')
+      cutOff()
+      expect(await find(KEY)).toBe('nowhere (unread)')
+    }
   })
 
   it('does not resume it at the newer one if the record names the older one', async () => {
-    const { clock, origins, list, find } = setUp()
+    const { clock, list, find, write } = setUp()
     list('v2')
-    origins.restore(recorded({ v1: 0, v2: 0 }))
+    write({ v1: 1, v2: 0 })
     expect(await find(KEY)).toBe('nowhere (unknown)')
     await clock.advance(RESUMPTION_WINDOW_MILLISECONDS + 1)
     expect(await find(KEY)).toBe('v2 (only-version)')
   })
 
   it('counts the time since the older one was last listed', async () => {
-    const { clock, origins, list, find } = setUp()
+    const { clock, origins, list, find, write } = setUp()
     list('v2')
-    origins.restore(recorded({ v1: RESUMPTION_WINDOW_MILLISECONDS - 100, v2: 0 }))
+    const versions = { v1: RESUMPTION_WINDOW_MILLISECONDS - 100, v2: 0 }
+    write(versions)
+    origins.restore(recorded(versions))
     expect(await find(KEY)).toBe('nowhere (unknown)')
     await clock.advance(101)
     expect(await find(KEY)).toBe('v2 (only-version)')
@@ -224,42 +332,29 @@
 
 describe('an instance that starts where one software version has served all the time', () => {
   it('resumes streams at once if the record says so, and asks nobody', async () => {
-    const { origins, list, find, asked, sent } = setUp()
-    origins.restore(recorded({ v1: 0 }))
+    const { list, find, write, asked, sent } = setUp()
+    write({ v1: 0 })
     list('v1')
     expect(await find(KEY)).toBe('v1 (only-version)')
     expect([asked, sent]).toEqual([[], []])
   })
 
-  it('waits for the record with the first stream that needs it', async () => {
-    const { list, find, readLate } = setUp()
-    list('v1')
-    readLate(recorded({ v1: 0 }))
-    expect(await find(KEY)).toBe('v1 (only-version)')
-  })
-
   it('resumes streams of a service that has no record if no instance ran before', async () => {
-    const { origins, list, find } = setUp()
-    origins.restore([])
+    const { list, find } = setUp()
     list('v1')
     expect(await find(KEY)).toBe('v1 (only-version)')
   })
 
-  it('takes the word of peers alone if there is no record although instances ran before', async () => {
-    const knowing = setUp([answer([], ['v1'])])
-    const unknowing = setUp([answer([], ['v1'], 1_000)])
-    for (const { origins, list, noteEarlierInstances } of [knowing, unknowing]) {
-      origins.restore([])
-      list('v1')
-      noteEarlierInstances()
-    }
-    expect(await knowing.find(KEY)).toBe('v1 (only-version)')
-    expect(await unknowing.find(KEY)).toBe('nowhere (unproven)')
+  it('does not take the word of peers if there is no record although instances ran before', async () => {
+    const { list, find, noteEarlierInstances } = setUp([answer([], ['v1'])])
+    list('v1')
+    noteEarlierInstances()
+    expect(await find(KEY)).toBe('nowhere (unproven)')
   })
 
   it('does not resume streams that began before the record did', async () => {
-    const { clock, origins, list, find } = setUp()
-    origins.restore(recorded({ v1: 0 }, RESUMPTION_WINDOW_MILLISECONDS - 100))
+    const { clock, list, find, write } = setUp()
+    write({ v1: 0 }, RESUMPTION_WINDOW_MILLISECONDS - 100)
     list('v1')
     expect(await find(KEY)).toBe('nowhere (unproven)')
     await clock.advance(100)
--- a/packages/router/src/gateway/attemptedRequest.ts
+++ b/packages/router/src/gateway/attemptedRequest.ts
@@ -6,7 +6,6 @@
 import type { StreamOrigin } from '@rackwalk/decisions'
 import type { Milliseconds } from '@rackwalk/shared'
 import type { EndpointAdviceStore } from '../advice/endpointAdviceStore.js'
-import type { StreamOrigins } from '../streams/streamOrigins.js'
 import type { EndpointSelectorParts, ChoosingRequest } from './endpointSelector.js'
 import type { CallerReply } from './callerReply.js'
 import type { Dialect } from './dialect.js'
@@ -18,7 +17,6 @@
   readonly connectMilliseconds: Milliseconds
   /** Upper limit of the backoff that an endpoint may ask for. */
   readonly longestRestMilliseconds: Milliseconds
-  readonly streams: StreamOrigins
 }
 
 /** An admitted request that has been read and whose tokens are reserved. */
--- a/packages/router/src/gateway/endpointSelector.ts
+++ b/packages/router/src/gateway/endpointSelector.ts
@@ -33,6 +33,8 @@
 import type { GatewayRoute, GatewayService } from './gatewayConfiguration.js'
 import type { GatewayRecord } from './gatewayRecord.js'
 import type { LinkMonitor } from '../routing/linkMonitor.js'
+import type { StreamOrigins } from '../streams/streamOrigins.js'
+import { startableEndpoints } from './streamStart.js'
 
 /** Dependencies of a selector. */
 export interface EndpointSelectorParts {
@@ -42,6 +44,7 @@
   readonly crashes: CrashGuard
   readonly links: LinkMonitor<EndpointState>
   readonly turnAways: RejectionGuard
+  readonly streams: StreamOrigins
   readonly clock: Clock
   readonly random: RandomSource
   readonly failureDomain: string
@@ -143,12 +146,15 @@
 
   /**
    * Available endpoints of the service. Once an answer has begun, only those of the software version that
-   * began it.
+   * began it; before, a stream that may be resumed can only begin at some of them.
    */
   private get available(): readonly EndpointState[] {
     const { softwareVersion } = this.constraints
-    const all = this.parts.directory.available(this.request.service.name)
-    if (softwareVersion === undefined) return all
+    const { route, service } = this.request
+    const all = this.parts.directory.available(service.name)
+    if (softwareVersion === undefined) {
+      return route.isResumable ? startableEndpoints(this.parts.streams, all) : all
+    }
     return all.filter(({ record }) => record.softwareVersion === softwareVersion)
   }
 
--- a/packages/router/src/gateway/findStreamOrigin.ts
+++ b/packages/router/src/gateway/findStreamOrigin.ts
@@ -4,8 +4,10 @@
  * the rule is in decisions/retrying/streamResumption.
  */
 
+import { toRetryAfterSeconds } from '@rackwalk/decisions'
 import type { StreamOrigin } from '@rackwalk/decisions'
 import { NotRunError, ResultCode } from '@rackwalk/shared'
+import type { Milliseconds } from '@rackwalk/shared'
 import { streamKey } from '../streams/streamKey.js'
 import type { StreamOrigins } from '../streams/streamOrigins.js'
 import type { RequestMetadata } from './dialect.js'
@@ -41,16 +43,23 @@
   if (resumption === undefined || !route.isResumable) return undefined
   const { firstRequestId } = resumption
   const key = firstRequestId === undefined ? undefined : streamKey(team?.name, firstRequestId)
-  const { origin, source, evidence } = await streams.find({ key, service: service.name })
+  const found = await streams.find({ key, service: service.name })
+  const { origin, source, evidence, delayMilliseconds } = found
   record.originSource = source
   record.originEvidence = evidence
-  if (origin === undefined) throw new NotRunError(ResultCode.OriginUnknown, source)
+  if (origin === undefined) throw unknownOrigin(source, delayMilliseconds)
   const isRouted = route.targets.some(target => target.service === origin.service)
   if (isRouted && hasEndpoint(directory, origin)) return origin
   const { softwareVersion } = origin
   throw new NotRunError(ResultCode.NoEndpointOfVersion, `${origin.service} ${softwareVersion}`)
 }
 
+/** The caller is told to come back when the stream may be resumed, if that is known. */
+function unknownOrigin(source: string, delay: Milliseconds | undefined): NotRunError {
+  if (delay === undefined) return new NotRunError(ResultCode.OriginUnknown, source)
+  return new NotRunError(ResultCode.OriginUnknown, source, toRetryAfterSeconds(delay))
+}
+
 function hasEndpoint(
   directory: EndpointDirectory,
   { service, softwareVersion }: StreamOrigin,
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -39,6 +39,7 @@
 import type { PeerRelayParts, RelayableRequest } from './peerRelay.js'
 import { RequestAttempts } from './requestAttempts.js'
 import { findStreamOrigin } from './findStreamOrigin.js'
+import { untilStreamCanBegin } from './streamStart.js'
 import type { AttemptsParts, AttemptsResult } from './attemptedRequest.js'
 
 /** Dependencies and callbacks of the gateway. */
@@ -201,6 +202,7 @@
   /** Sends a request to endpoints, within the budget of its team. */
   private async attempt(read: ReadRequest, mayRelay: boolean): Promise<AttemptsResult> {
     const origin = await findStreamOrigin(this.parts, read)
+    if (origin === undefined) await untilStreamCanBegin(this.parts, read)
     const service = this.serviceOf(origin, read)
     return this.attemptAt({ ...read, service, origin }, mayRelay)
   }
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -127,7 +127,12 @@
 } from './gateway/dialect.js'
 export { withoutConnectionHeaders } from './gateway/connectionHeaders.js'
 export { StreamOrigins } from './streams/streamOrigins.js'
-export type { OriginAnswer, ResumedStream, StreamGossip } from './streams/streamOrigins.js'
+export type {
+  OriginAnswer,
+  RecordRead,
+  ResumedStream,
+  StreamGossip,
+} from './streams/streamOrigins.js'
 export { StreamOriginCache } from './streams/streamOriginCache.js'
 export type { StartedStream } from './streams/streamOriginCache.js'
 export { FleetLoad } from './gateway/fleetLoad.js'
--- a/packages/router/src/streams/recentVersions.ts
+++ b/packages/router/src/streams/recentVersions.ts
@@ -25,7 +25,7 @@
   private readonly seenAt: SeenVersions = new Map()
   /** What is recorded of the time before this instance listed endpoints. */
   private readonly recordedAt: SeenVersions = new Map()
-  /** Monotonic time at which this instance first listed an endpoint; it has seen all versions since. */
+  /** Monotonic time since which this instance has listed endpoints without a gap; it has seen all versions since. */
   private listingSince: Milliseconds | undefined
   /** By recorded service: monotonic time since which all versions are known; undefined before the records were read. */
   private recordedSince: ReadonlyMap<string, Milliseconds> | undefined
@@ -43,6 +43,12 @@
     noteSeenAt(this.seenAt, service, version, this.parts.clock.monotonic())
   }
 
+  /** Versions may have come and left unseen until now; what is recorded of that time is not read yet. */
+  noteGap(): void {
+    if (this.listingSince !== undefined) this.listingSince = this.parts.clock.monotonic()
+    this.recordedSince = undefined
+  }
+
   /** Applies what is recorded of the time before this instance listed endpoints. */
   restore(histories: readonly ServiceHistory[]): void {
     const now = this.parts.clock.monotonic()
--- a/packages/router/src/streams/streamOrigins.ts
+++ b/packages/router/src/streams/streamOrigins.ts
@@ -1,13 +1,25 @@
 /**
  * Remembers at which service and software version each stream began (its origin), and determines where a
- * resumed stream continues. Without it, a resumed stream could mix the output of two versions. While a
- * service has several versions, origins are copied to the instances that keep replicas of them. Owns the
- * origins that this instance remembers and the versions that it has seen. Relies on its dependencies to send
- * to and query other instances; the rule is in decisions/retrying/streamResumption.
+ * resumed stream continues and at which versions a stream may begin. Without it, a resumed stream could mix
+ * the output of two versions. While a service has several versions, or the store is out of contact, origins
+ * are copied to the instances that keep replicas of them. Owns the origins that this instance remembers and
+ * the versions that it has seen. Relies on its dependencies to send to and query other instances, and to read
+ * and write the records of versions; the rule is in decisions/retrying/streamResumption.
  */
 
-import { hasMixedVersions, hasSingleVersion, resolveResumption } from '@rackwalk/decisions'
-import type { Resumption, ServiceHistory, ServiceVersions, StreamOrigin } from '@rackwalk/decisions'
+import {
+  RESUMPTION_WINDOW_MILLISECONDS,
+  canBeginStream,
+  hasMixedVersions,
+  resolveResumption,
+  resumptionDelay,
+} from '@rackwalk/decisions'
+import type {
+  RecordedVersions,
+  Resumption,
+  ServiceHistory,
+  StreamOrigin,
+} from '@rackwalk/decisions'
 import type { Clock, Milliseconds, SoftwareVersion, StreamKey } from '@rackwalk/shared'
 import { StreamOriginCache } from './streamOriginCache.js'
 import type { StartedStream } from './streamOriginCache.js'
@@ -45,12 +57,26 @@
   readonly service: string
 }
 
+/** Who has read the record of a service. */
+type RecordReader = 'this-instance' | 'other-instance'
+
+/** The record of a service, as read from the store after the read was asked for. */
+export interface RecordRead {
+  readonly reader: RecordReader
+  /** Undefined if the service has no record. */
+  readonly history: ServiceHistory | undefined
+}
+
 /** What the answer to where a stream began rests on. */
 export interface OriginEvidence {
-  /** Longest time for which this instance or one that answered knows all versions of the service. */
+  /** Time for which the record covers all versions of the service; 0 if it was not read. */
   readonly knownForMilliseconds: Milliseconds
   /** Whether the list of endpoints was recently read from the store. */
   readonly isListFresh: boolean
+  /** Time since the list of endpoints was read from the store. */
+  readonly listAgeMilliseconds: Milliseconds
+  /** Who read the record for this stream; undefined if it was not needed or could not be read. */
+  readonly recordReader: RecordReader | undefined
   /** Number of other instances that answered. */
   readonly answers: number
 }
@@ -58,6 +84,8 @@
 /** Where a stream is resumed, and what this rests on. */
 export interface FoundOrigin extends Resumption {
   readonly evidence: OriginEvidence
+  /** Least time after which the stream may be resumed, if it is not and that is known. */
+  readonly delayMilliseconds: Milliseconds | undefined
 }
 
 /** Dependencies and callbacks of `StreamOrigins`. */
@@ -67,10 +95,16 @@
   readonly listedVersions: (service: string) => ReadonlySet<SoftwareVersion>
   /** Whether the list of endpoints was recently read from the store. */
   readonly isListFresh: () => boolean
+  readonly listAge: () => Milliseconds
   /**
-   * Resolves when the records of the versions that served earlier were read, or could not be read in time.
+   * Reads the record of a service from the store, beginning after the call. Resolves with undefined if it
+   * could not be read in time.
    */
-  readonly untilHistoryRead: () => Promise<void>
+  readonly readRecord: (service: string) => Promise<RecordRead | undefined>
+  /** Versions that are recorded as serving; undefined if the service has no record. */
+  readonly recordedVersions: (service: string) => readonly SoftwareVersion[] | undefined
+  /** Resolves when the record of the service has changed, or could not be changed in time. */
+  readonly untilRecordChanges: (service: string) => Promise<void>
   /** Whether no instance ran before those that are starting now. */
   readonly isFleetNew: () => boolean
   /** Sends the streams to the instances that keep a replica of each. */
@@ -85,6 +119,7 @@
 export class StreamOrigins {
   private readonly cache: StreamOriginCache
   private readonly versions: RecentVersions
+  private isStoreReached = true
 
   constructor(private readonly parts: StreamOriginsParts) {
     this.cache = new StreamOriginCache(parts.clock)
@@ -98,13 +133,35 @@
   }
 
   /**
-   * The first event of a stream is about to be delivered. If the service has several versions, replicas are
-   * sent before the caller has any part of the answer.
+   * The first event of a stream is about to be delivered. If the service has several versions, or nobody may
+   * be able to read its record, replicas are sent before the caller has any part of the answer.
    */
   noteStarted(stream: StartedStream): void {
     this.cache.note(stream, true)
-    if (hasMixedVersions(this.versions.recentVersions(stream.origin.service)))
-      this.parts.replicateStreams([stream])
+    const isMixed = hasMixedVersions(this.versions.recentVersions(stream.origin.service))
+    if (isMixed || !this.isStoreReached) this.parts.replicateStreams([stream])
+  }
+
+  /** Whether a stream that may be resumed can begin at a version now. */
+  canBegin({ service, softwareVersion }: StreamOrigin): boolean {
+    const recorded = this.parts.recordedVersions(service)
+    const recent = recorded === undefined ? this.versions.recentVersions(service) : []
+    return canBeginStream(softwareVersion, { recorded, recent })
+  }
+
+  /** Resolves when streams may be able to begin at other versions of a service, or after a short wait. */
+  async untilVersionsChange(service: string): Promise<void> {
+    await this.parts.untilRecordChanges(service)
+  }
+
+  /** The store was lost or answers again. */
+  noteStoreContact(isReached: boolean): void {
+    if (isReached === this.isStoreReached) return
+    this.isStoreReached = isReached
+    if (isReached) return this.versions.noteGap()
+    for (const service of this.versions.services) {
+      this.parts.replicateStreams(this.cache.servedLocally(service))
+    }
   }
 
   /** An endpoint with this version is listed. */
@@ -129,7 +186,7 @@
     for (const origin of versions) this.noteVersion(origin)
   }
 
-  /** Applies the records of the versions that served before this instance started; once, with all records. */
+  /** Applies the records of the versions that served before this instance listed endpoints; with all records. */
   restore(histories: readonly ServiceHistory[]): void {
     const before = new Map(
       histories.map(({ service }) => [service, this.versions.recentVersions(service)]),
@@ -170,36 +227,53 @@
   }
 
   /**
-   * Determines where a stream continues that a caller resumes at this instance. Other instances are queried
-   * only if this instance remembers no origin and can't rely on the service having a single version.
+   * Determines where a stream continues that a caller resumes at this instance. If this instance remembers no
+   * origin, the record shows whether there was another version than the one known here; other instances are
+   * queried only if it does not show that there was none.
    */
   async find(stream: ResumedStream): Promise<FoundOrigin> {
-    if (!this.isKnownHere(stream)) await this.parts.untilHistoryRead()
-    const answers = this.isKnownHere(stream) ? [] : await this.parts.ask(stream)
+    if (this.remembered(stream.key).length > 0) return this.resolve(stream, {})
+    const isMixed = hasMixedVersions(this.versions.recentVersions(stream.service))
+    const record = isMixed ? undefined : await this.parts.readRecord(stream.service)
+    const found = this.resolve(stream, { record })
+    if (found.origin !== undefined) return found
+    const answers = await this.parts.ask(stream)
+    return this.resolve(stream, { record, answers })
+  }
+
+  private resolve(
+    stream: ResumedStream,
+    {
+      record: read,
+      answers = [],
+    }: { record?: RecordRead | undefined; answers?: readonly OriginAnswer[] },
+  ): FoundOrigin {
     const { service } = stream
-    const { isFresh } = this.view(service)
+    const record = read && this.recorded(read)
     const all = [this.answer(stream), ...answers]
-    const knownForMilliseconds = Math.max(...all.map(answer => answer.knownForMilliseconds))
     const resumption = resolveResumption(service, {
       origins: all.flatMap(answer => answer.origins),
       versions: all.flatMap(answer => answer.versions),
-      isConfirmed: isFresh || answers.length > 0,
-      knownForMilliseconds,
+      record,
     })
-    const evidence = { knownForMilliseconds, isListFresh: isFresh, answers: answers.length }
-    return { ...resumption, evidence }
-  }
-
-  private isKnownHere({ key, service }: ResumedStream): boolean {
-    return this.remembered(key).length > 0 || hasSingleVersion(this.view(service))
+    const evidence = {
+      knownForMilliseconds: record?.knownForMilliseconds ?? 0,
+      isListFresh: this.parts.isListFresh(),
+      listAgeMilliseconds: this.parts.listAge(),
+      recordReader: read?.reader,
+      answers: answers.length,
+    }
+    return { ...resumption, evidence, delayMilliseconds: resumptionDelay(resumption, record) }
   }
 
-  private view(service: string): ServiceVersions {
-    return {
-      versions: this.versions.recentVersions(service),
-      knownForMilliseconds: this.versions.knownFor(service),
-      isFresh: this.parts.isListFresh(),
+  /** A fleet without any past has had no version but those that it lists, before their record is written. */
+  private recorded({ history }: RecordRead): RecordedVersions {
+    if (history === undefined) {
+      const knownFor = this.parts.isFleetNew() ? RESUMPTION_WINDOW_MILLISECONDS : 0
+      return { versions: [], knownForMilliseconds: knownFor }
     }
+    const versions = history.versions.map(({ softwareVersion }) => softwareVersion)
+    return { versions, knownForMilliseconds: history.knownForMilliseconds }
   }
 
   private remembered(key: StreamKey | undefined): readonly StreamOrigin[] {
--- a/packages/shared/src/resultCodes.ts
+++ b/packages/shared/src/resultCodes.ts
@@ -43,6 +43,7 @@
   RelayRefused = 3018,
   OriginUnknown = 3019,
   NoEndpointOfVersion = 3020,
+  VersionUnrecorded = 3021,
 
   EndpointFailed = 4001,
   EndpointStalled = 4002,
@@ -114,6 +115,7 @@
   | ResultCode.RelayRefused
   | ResultCode.OriginUnknown
   | ResultCode.NoEndpointOfVersion
+  | ResultCode.VersionUnrecorded
 
 /** Codes of requests that this or an earlier attempt ran or may have run. */
 export type DispatchedCode =
@@ -283,6 +285,13 @@
     'no endpoint of the software version that began the stream serves',
     2,
   ),
+  [ResultCode.VersionUnrecorded]: row(
+    503,
+    'not-run',
+    true,
+    'no stream can begin before a software version of the endpoints is recorded',
+    1,
+  ),
 
   [ResultCode.EndpointFailed]: row(502, 'unknown', true, 'the endpoint did not answer'),
   [ResultCode.EndpointStalled]: row(504, 'ran', true, 'the endpoint stalled'),
