fix(coordination): instances together read the records of versions at most 2,000 times a second

Cause: each instance shares a read between its resumed streams at least 25 ms apart, which lets 240 instances ask the store 9,600 times a second after a third of 360 has ended; the store bears some thousands and refuses what the lists of members and endpoints need.

Change: the gap between two reads of an instance grows with the fleet, by half a millisecond for each instance.

Result, replayed on virtual time with 1, 8, 75 and 360 instances: no call in ten calm minutes, two writes for a release (one version comes, one leaves) and no read where instances hear of each other, and for streams that come back at one instance for ten seconds no more reads than 40 a second and its share of 2,000.

--- a/packages/coordination/__tests__/versionRecorder.spec.ts
+++ b/packages/coordination/__tests__/versionRecorder.spec.ts
@@ -16,6 +16,10 @@
 
 const SERVICE = 'models'
 
+/** Most reads for resumed streams at one instance, and at all together. */
+const MOST_READS_A_SECOND = 40
+const MOST_READS_OF_A_FLEET = 2_000
+
 type Faults = ReturnType<MemoryRowStore['connect']>['faults']
 
 function setUp() {
@@ -60,6 +64,7 @@
       }),
       isListFresh: () => true,
       rank: () => rank,
+      instanceCount: () => recorders.length,
       onHistory: histories => told.push(histories),
       recordsOfPeers: () => Promise.resolve(recorders[0]?.knownRecords ?? []),
       onWritten: gossip,
@@ -131,6 +136,48 @@
     expect(calls()).toBe(before)
   })
 
+  it.each([1, 8, 75, 360])(
+    'calls the store next to never, and shares reads between resumed streams, with %i instances',
+    async size => {
+      const fleet = await startFleet(size)
+      const { clock, instances, list, drop, calls, reads, noteChange } = fleet
+      let [before, readsBefore] = [calls(), reads()]
+      const callsSince = () => {
+        const since = { writes: calls() - before, reads: reads() - readsBefore }
+        before = calls()
+        readsBefore = reads()
+        return since
+      }
+      await clock.advance(600_000)
+      const calm = callsSince()
+      list('v2')
+      noteChange()
+      await clock.advance(30_000)
+      drop('v1')
+      noteChange()
+      await clock.advance(30_000)
+      const release = callsSince()
+      const waits: Promise<unknown>[] = []
+      for (let stream = 0; stream < 1_000; stream += 1) {
+        const { recorder } = instances[0] ?? {}
+        if (recorder !== undefined) waits.push(recorder.readRecords())
+        await clock.advance(10)
+      }
+      await clock.advance(1_000)
+      await Promise.all(waits)
+      const { writes, reads: resumed } = callsSince()
+      expect({ calm, release }).toEqual({
+        calm: { writes: 0, reads: 0 },
+        release: { writes: 2, reads: 0 },
+      })
+      expect(writes).toBe(0)
+      const seconds = 10
+      const mostASecond = Math.min(MOST_READS_A_SECOND, MOST_READS_OF_A_FLEET / size)
+      // The first stream finds no earlier read, and the last one waits for one more.
+      expect(resumed - 2).toBeLessThanOrEqual(seconds * mostASecond)
+    },
+  )
+
   it('tells an instance that starts what is recorded, a version that may have left unseen as listed until now', async () => {
     const { clock, startInstance, put } = setUp()
     await clock.advance(50_000)
--- a/packages/coordination/src/versions/sharedRead.ts
+++ b/packages/coordination/src/versions/sharedRead.ts
@@ -13,10 +13,10 @@
   /** Monotonic time at which the newest read began. */
   private beganAt = Number.NEGATIVE_INFINITY
 
-  /** `gapMilliseconds`: least time between the beginnings of two reads. */
+  /** `gap`: returns the least time between the beginnings of two reads. */
   constructor(
     private readonly clock: Clock,
-    private readonly gapMilliseconds: Milliseconds,
+    private readonly gap: () => Milliseconds,
     private readonly read: () => Promise<Outcome>,
   ) {}
 
@@ -27,7 +27,7 @@
   }
 
   private async readAfterGap(): Promise<Outcome> {
-    const wait = this.beganAt + this.gapMilliseconds - this.clock.monotonic()
+    const wait = this.beganAt + this.gap() - this.clock.monotonic()
     await (wait > 0 ? sleep(this.clock, wait) : Promise.resolve())
     this.next = undefined
     this.beganAt = this.clock.monotonic()
--- a/packages/coordination/src/versions/versionRecorder.ts
+++ b/packages/coordination/src/versions/versionRecorder.ts
@@ -39,6 +39,8 @@
   readonly isListFresh: () => boolean
   /** Rank of this instance among those that may write the record of a service; undefined while it is not known. */
   readonly rank: (service: string) => number | undefined
+  /** Number of instances that may read the records. */
+  readonly instanceCount: () => number
   /**
    * Called with all records when they were first read, and again when the store is back in contact. A malformed one is
    * reported as known for no time.
@@ -85,8 +87,13 @@
 const CHECK_MILLISECONDS: Milliseconds = 1_000
 /** Least time between two failed writes that streams wait for. */
 const DEMANDED_RETRY_MILLISECONDS: Milliseconds = 1_000
-/** Least time between two reads for resumed streams; all streams that wait share a read. */
-const READ_GAP_MILLISECONDS: Milliseconds = 25
+/** Least time between two reads for resumed streams at one instance; all streams that wait share a read. */
+const SHORTEST_READ_GAP_MILLISECONDS: Milliseconds = 25
+/**
+ * The same for each instance of the fleet, which keeps all of them together under 2,000 reads a second: the store bears a
+ * bounded number, and after a loss of many instances streams come back at all others.
+ */
+const READ_GAP_PER_INSTANCE_MILLISECONDS: Milliseconds = 0.5
 /** An instance that leaves a change to others reads the records if nobody has told it of the change for this long. */
 const UNTOLD_MILLISECONDS: Milliseconds = 10_000
 /**
@@ -117,7 +124,11 @@
   private restoreTimer: Timer | undefined
 
   constructor(private readonly parts: VersionRecorderParts) {
-    this.reads = new SharedRead(parts.clock, READ_GAP_MILLISECONDS, () => this.read())
+    const gap = () => {
+      const forFleet = READ_GAP_PER_INSTANCE_MILLISECONDS * parts.instanceCount()
+      return Math.max(SHORTEST_READ_GAP_MILLISECONDS, forFleet)
+    }
+    this.reads = new SharedRead(parts.clock, gap, () => this.read())
   }
 
   start(): void {
--- a/packages/daemon/src/gateway/streamCoordinator.ts
+++ b/packages/daemon/src/gateway/streamCoordinator.ts
@@ -123,6 +123,7 @@
       services: () => this.origins.services.filter(isConfigured),
       versionsOf: service => this.origins.listedVersions(service),
       rank: service => this.rankOf(service),
+      instanceCount: () => this.others.length + 1,
       onHistory: histories => this.origins.restore(histories),
       recordsOfPeers: () => this.recordClient.knownRecords(),
       onWritten: record => this.gossipRecord(record),
