fix(coordination): a record that nobody told of is read after five seconds, and told to the others

Cause: where the news of a record are lost, or the writer is an instance of an earlier release, others learned of it after ten seconds, and a new version began no resumable streams there until then.

Change: five seconds, and an instance that finds the record written when its own turn comes tells the others.

Ruled out: a read by every instance at each change, which costs a call for each instance of the fleet at every release.

--- a/packages/coordination/__tests__/versionRecorder.spec.ts
+++ b/packages/coordination/__tests__/versionRecorder.spec.ts
@@ -284,12 +284,24 @@
     loseGossip()
     const [, untold] = [startInstance(0), startInstance(7)]
     list('v1')
-    await clock.advance(5_000)
+    await clock.advance(4_000)
     expect([untold.recorder.recordedVersions(SERVICE), calls()]).toEqual([undefined, 1])
     await clock.advance(10_000)
     expect([untold.recorder.recordedVersions(SERVICE), calls()]).toEqual([['v1'], 1])
   })
 
+  it('tells the others what it finds written, since they may have missed it as well', async () => {
+    const { clock, startInstance, list, put } = setUp()
+    await clock.advance(50_000)
+    const [, writer, other] = [startInstance(5), startInstance(1), startInstance(7)]
+    list('v1')
+    await clock.advance(2_500)
+    put(JSON.stringify({ knownSince: 0, versions: [{ softwareVersion: 'v1' }] }))
+    await clock.advance(1_000)
+    const known = [writer, other].map(({ recorder }) => recorder.recordedVersions(SERVICE))
+    expect(known).toEqual([['v1'], ['v1']])
+  })
+
   it('writes a change at once where a stream waits for it, whosever turn it is', async () => {
     const { clock, startInstance, list } = setUp()
     await clock.advance(50_000)
--- a/packages/coordination/src/versions/versionRecorder.ts
+++ b/packages/coordination/src/versions/versionRecorder.ts
@@ -48,7 +48,10 @@
   readonly onHistory: (histories: readonly ServiceHistory[]) => void
   /** The records that another instance knows; empty if none answers. */
   readonly recordsOfPeers: () => Promise<readonly WrittenRecord[]>
-  /** The record of a service was written here; other instances need not read it then. */
+  /**
+   * The record of a service was written here, or found written when nobody had told this instance; other instances need
+   * not read it then.
+   */
   readonly onWritten: (record: WrittenRecord) => void
   readonly onMalformedRow: (row: RowAddress) => void
 }
@@ -95,7 +98,7 @@
  */
 const READ_GAP_PER_INSTANCE_MILLISECONDS: Milliseconds = 0.5
 /** An instance that leaves a change to others reads the records if nobody has told it of the change for this long. */
-const UNTOLD_MILLISECONDS: Milliseconds = 10_000
+const UNTOLD_MILLISECONDS: Milliseconds = 5_000
 /**
  * The delay after the n-th consecutive failed call is 2^n times this, but at most `LONGEST_RETRY_MILLISECONDS`: each call
  * has a price, and a row may be one that the store never takes.
@@ -360,13 +363,20 @@
     if (outcome.kind === 'conflict') {
       this.rows.delete(service)
       for (const row of outcome.rows) this.noteRow(row)
+      this.tell(service)
     }
     if (outcome.kind !== 'done') return
-    const { version } = outcome
-    this.noteRow({ ...address, value, version })
+    this.noteRow({ ...address, value, version: outcome.version })
     this.pending.delete(service)
     this.demanded.delete(service)
-    this.parts.onWritten({ service, value, version })
+    this.tell(service)
+  }
+
+  private tell(service: string): void {
+    const known = this.rows.get(service)
+    if (known !== undefined) {
+      this.parts.onWritten({ service, value: known.value, version: known.version })
+    }
   }
 }
 
--- a/packages/decisions/src/retrying/versionRecord.ts
+++ b/packages/decisions/src/retrying/versionRecord.ts
@@ -1,10 +1,11 @@
 /**
  * Decides what the fleet stores about the software versions of a service, which instance writes it and when, and what an
- * instance learns from it when it starts.
+ * instance learns from it when it starts or resumes a stream.
  *
- * Load pattern: all instances crash at once while a new version of the endpoints' software is rolled out. Callers come
- * back to their streams at instances that have just started, and endpoints of the version that began a stream may be gone.
- * Without a record, such an instance would take the version that is listed now for the one that began the stream.
+ * Load pattern: instances crash, are cut off or stand still while a new version of the endpoints' software is rolled out.
+ * Callers come back to their streams at instances that have just started or have missed the release, and endpoints of the
+ * version that began a stream may be gone. Without a record, such an instance would take the version that it lists for
+ * the one that began the stream.
  *
  * Inputs: the stored record, what this instance lists, the versions that it saw leave, and its rank among the instances of
  * the fleet. All times are those of the store's clock, which all instances share.
@@ -17,9 +18,9 @@
  * | any, still not in the store                             | those of ranks 1 and 2   | 1 s more for each   |
  * | none                                                    | nobody                   |                     |
  *
- * Limits: one call to the store for each change, and up to two more that find the record written. A removal that is not
- * written does no harm: an instance that starts counts the version as listed until then. A version that comes and leaves
- * while nobody can write is not recorded.
+ * Limits: one call to the store for each change, and up to two more that find the record written where the others were
+ * not told. A removal that is not written does no harm: a reader counts the version as listed until then. A version that
+ * comes and leaves while nobody can write is not recorded, and begins no stream.
  */
 
 import type { Milliseconds, SoftwareVersion } from '@rackwalk/shared'
