fix(coordination): the record of a service keeps a version that is told while another record is written

A version that began streams could vanish from the record of its service, so that a stream of it could go on at another one.

Cause: a look at the records computed the updates of all services first and then wrote them one after the other. What another instance had recorded and told meanwhile raised the version that the condition of a later write names, but not the contents of that write, so it replaced the newer row.

Change: the update of each service is computed just before its write.

Ruled out: the version of the row kept with the update (the write would fail with a conflict and cost a second call).

Result: versionRecorderRaces.spec, before: the row held v1 and v1.1, and not v2, which the other instance had recorded and could begin streams at (1 of 1 red). After: the row holds it; versionRecorder specs 18 of 18 green.

--- a/packages/coordination/src/versions/versionRecorder.ts
+++ b/packages/coordination/src/versions/versionRecorder.ts
@@ -290,11 +290,9 @@
       this.isCheckWanted = true
       return
     }
-    const at = this.parts.storeClock.upperBoundAt(this.parts.clock.monotonic())
-    if (at !== undefined && this.parts.isListFresh()) {
-      const due = this.parts.services().flatMap(service => this.dueUpdate(service, at) ?? [])
+    if (this.storeTime !== undefined && this.parts.isListFresh()) {
       this.isWriting = true
-      for (const update of due) await this.write(update)
+      for (const service of this.parts.services()) await this.writeIfDue(service)
       this.isWriting = false
       if (this.takeUntold()) await this.readRecords()
     }
@@ -304,6 +302,23 @@
     this.isCheckWanted = false
   }
 
+  /**
+   * Writes the record of a service if it is due. The update is made just before its write: another instance may have told
+   * of a newer row while the record of the service before was written, and must not lose its versions.
+   */
+  private async writeIfDue(service: string): Promise<void> {
+    const { storeTime } = this
+    if (storeTime === undefined || !this.parts.isListFresh()) return
+    const update = this.dueUpdate(service, storeTime)
+    if (update !== undefined) await this.write(update)
+  }
+
+  /** Upper bound of the store's time; undefined before its first answer. */
+  private get storeTime(): Milliseconds | undefined {
+    const { storeClock, clock } = this.parts
+    return storeClock.upperBoundAt(clock.monotonic())
+  }
+
   /** Returns the record to be written; undefined if the stored one is right, or another instance is to write it. */
   private dueUpdate(service: string, at: Milliseconds): RecordUpdate | undefined {
     const view = this.viewOf(service, at)
