fix(coordination): a version that is listed again stays in the record although an earlier write is done late

A version could begin streams while its record said that it had left, so that after the window a stream of it could go on at another one.

Cause: the removal of a version whose write got no answer was forgotten as soon as the version was listed again, since the row, as far as known, was right. The store may do such a write seconds later if the row has not changed, and nobody reads the row again.

Change: an instance that has no answer to its write of a record, and has nothing to change any more, writes the same record again, so that the earlier write no longer finds the row that it names.

Ruled out: a read instead of the write (the write may be done after the read).

One write more for each write without an answer whose change is over, none else. Not covered: an instance that ends before it writes again.

--- a/packages/coordination/__tests__/versionRecorderRaces.spec.ts
+++ b/packages/coordination/__tests__/versionRecorderRaces.spec.ts
@@ -105,4 +105,19 @@
     await fleet.clock.advance(300)
     expect(fleet.storedVersions(OTHER_SERVICE)).toEqual(['v1', 'v1.1', 'v2 (left)'])
   })
+
+  it('keeps a version that is listed again before a write that removes it takes effect', async () => {
+    const fleet = new RecordingFleet()
+    await fleet.start()
+    const { faults, list, drop } = fleet.startInstance(0)
+    for (const version of ['v1', 'v2']) list(version)
+    await fleet.clock.advance(5_000)
+    faults.lateMilliseconds = 4_000
+    drop('v1')
+    await fleet.clock.advance(2_500)
+    faults.lateMilliseconds = 0
+    list('v1')
+    await fleet.clock.advance(60_000)
+    expect(fleet.storedVersions()).toEqual(['v1', 'v2'])
+  })
 })
--- a/packages/coordination/src/versions/versionRecorder.ts
+++ b/packages/coordination/src/versions/versionRecorder.ts
@@ -13,7 +13,7 @@
 import type { RecordChange, ServiceHistory, VersionRecord, VersionView } from '@rackwalk/decisions'
 import { sleep } from '@rackwalk/shared'
 import type { Clock, Milliseconds, SoftwareVersion, Timer } from '@rackwalk/shared'
-import type { RowAddress, RowStore, StoredRow } from '@rackwalk/stores'
+import type { RowAddress, RowStore, RowWriteOutcome, StoredRow } from '@rackwalk/stores'
 import type { StoreClock } from '../rows/storeClock.js'
 import { SharedRead } from './sharedRead.js'
 import { VERSION_PARTITION, VERSION_TABLE, versionRecordCodec } from './versionRow.js'
@@ -110,6 +110,8 @@
 export class VersionRecorder {
   private readonly rows = new Map<string, KnownRow>()
   private readonly pending = new Map<string, PendingChange>()
+  /** Services of which the newest write has no answer: the store may do it later, if the row stays as it is. */
+  private readonly unanswered = new Set<string>()
   /** Services of which a stream waits for the record of a version. */
   private readonly demanded = new Set<string>()
   private readonly waiting = new Set<() => void>()
@@ -298,7 +300,7 @@
     }
     const delay = this.failures === 0 ? CHECK_MILLISECONDS : this.retryDelay
     if (this.isCheckWanted) this.checkAfter(0)
-    else if (this.pending.size > 0) this.checkAfter(delay)
+    else if (this.pending.size + this.unanswered.size > 0) this.checkAfter(delay)
     this.isCheckWanted = false
   }
 
@@ -327,7 +329,7 @@
     if (change === undefined) {
       this.pending.delete(service)
       this.demanded.delete(service)
-      return undefined
+      return this.unanswered.has(service) ? this.sameRecord(service) : undefined
     }
     const record = nextVersionRecord(known, view)
     const now = this.parts.clock.monotonic()
@@ -338,6 +340,12 @@
     return delay !== undefined && now - since >= delay ? { service, record } : undefined
   }
 
+  /** The known record, written again so that an unanswered write whose change is over finds another row. */
+  private sameRecord(service: string): RecordUpdate | undefined {
+    const record = this.rows.get(service)?.record
+    return record && { service, record }
+  }
+
   /** Whether a change has waited for so long that another instance must have written it; its wait begins anew. */
   private takeUntold(): boolean {
     const now = this.parts.clock.monotonic()
@@ -374,7 +382,7 @@
       puts: [{ ...address, value }],
       removals: [],
     })
-    this.noteAnswered(outcome.kind === 'done' || outcome.kind === 'conflict')
+    this.noteOutcome(service, outcome.kind)
     if (outcome.kind === 'conflict') {
       this.rows.delete(service)
       for (const row of outcome.rows) this.noteRow(row)
@@ -393,6 +401,14 @@
       this.parts.onWritten({ service, value: known.value, version: known.version })
     }
   }
+
+  private noteOutcome(service: string, kind: RowWriteOutcome['kind']): void {
+    const isAnswered = kind === 'done' || kind === 'conflict'
+    this.noteAnswered(isAnswered)
+    if (isAnswered) this.unanswered.delete(service)
+    const isReplacing = this.rows.get(service)?.record !== undefined
+    if (kind === 'unknown' && isReplacing) this.unanswered.add(service)
+  }
 }
 
 /** The records as read, by service. */
