fix(coordination): resumed streams do not delay an instance that learns records from its peers

An instance that started while the store was silent refused new streams for up to 30 s after its peers could have told it at which versions streams may begin.

Cause: each failed read for a resumed stream counted as a failed call of the retry at the start, whose delay doubles with each. Some streams a second brought it to its limit of 30 s within a second, and peers are asked only at that retry.

Change: only the retries themselves and failed writes lengthen the delay; any read that succeeds ends it, as before.

--- a/packages/coordination/__tests__/versionRecorderRaces.spec.ts
+++ b/packages/coordination/__tests__/versionRecorderRaces.spec.ts
@@ -121,3 +121,22 @@
     expect(fleet.storedVersions()).toEqual(['v1', 'v2'])
   })
 })
+
+describe('an instance that starts while the store is silent', () => {
+  it('learns the records from peers soon after it knows some, also while streams are resumed there', async () => {
+    const fleet = new RecordingFleet()
+    await fleet.start()
+    const { written, list } = fleet.startInstance(0)
+    list('v1')
+    await fleet.clock.advance(5_000)
+    const { recorder, faults, peers } = fleet.startInstance(7)
+    faults.isCut = true
+    for (let stream = 0; stream < 40; stream += 1) {
+      void recorder.readRecords()
+      await fleet.clock.advance(100)
+    }
+    peers.records = written
+    await fleet.clock.advance(5_000)
+    expect(recorder.recordedVersions(SERVICE)).toEqual(['v1'])
+  })
+})
--- a/packages/coordination/src/versions/versionRecorder.ts
+++ b/packages/coordination/src/versions/versionRecorder.ts
@@ -210,6 +210,7 @@
     const histories = await this.readRecords()
     if (this.isStopped) return
     if (histories === undefined) {
+      this.failures += 1
       void this.learnFromPeers()
       this.restoreTimer = this.parts.clock.after(this.retryDelay, () => void this.restore())
       return
@@ -234,8 +235,8 @@
     const sentAt = clock.monotonic()
     const outcome = await store.readPartition(VERSION_TABLE, VERSION_PARTITION)
     if (this.isStopped) return undefined
-    this.noteAnswered(outcome.kind === 'rows')
     if (outcome.kind === 'failed') return undefined
+    this.failures = 0
     const { rows, storeTime } = outcome
     storeClock.recordAnswer(storeTime, sentAt)
     for (const row of rows) this.noteRow(row)
