fix(router): a blocked event loop no longer starts the wait for a state probe again

Cause: a state probe waits up to 200 or 500 ms for an answer. A timer that fired more than 25 ms late started all of that wait again, and after five late timers the probe was given up as inconclusive.

Change: the endpoint has all of the wait to answer, whether or not this process runs; only the end of the wait needs a free loop, to read what arrived. After a late timer the wait goes on for 25 ms. After a block that is longer than the wait, when the machine may have been suspended, all of it starts again as before. A probe is inconclusive after five late timers and five times its delay, never earlier than before.

Ruled out: parts of 25 ms of which only timely ones count; they end the probe later where blocks are short.

--- a/packages/router/__tests__/exchangeTerminator.spec.ts
+++ b/packages/router/__tests__/exchangeTerminator.spec.ts
@@ -44,23 +44,38 @@
   }
 }
 
-class Setup {
-  readonly clock = new HeldClock()
+/** A clock whose timers fire late while the event loop is blocked for a part of each period. */
+class InterruptedClock extends VirtualClock {
+  constructor(
+    private readonly period: number,
+    private readonly blocked: number,
+  ) {
+    super()
+  }
+
+  override after(delay: number, run: () => void) {
+    const phase = (this.monotonic() + delay) % this.period
+    return super.after(delay + Math.max(0, this.blocked - phase), run)
+  }
+}
+
+class Setup<C extends VirtualClock = HeldClock> {
   readonly ended: string[] = []
   readonly suspected: string[] = []
   probes = 0
   answer: ProbeAnswer = { result: 'held', after: Infinity }
-  readonly directory = new EndpointDirectory({
-    clock: this.clock,
-    instances: () => 1,
-    maximumConnections: () => 8,
-    coldMilliseconds: () => 0,
-    onChange: () => {},
-    ask: () => this.ask(),
-  })
+  readonly directory: EndpointDirectory
   readonly endpoint: EndpointState
 
-  constructor() {
+  constructor(readonly clock: C) {
+    this.directory = new EndpointDirectory({
+      clock,
+      instances: () => 1,
+      maximumConnections: () => 8,
+      coldMilliseconds: () => 0,
+      onChange: () => {},
+      ask: () => this.ask(),
+    })
     this.directory.set(recordOf())
     const [endpoint] = this.directory.available('models')
     if (endpoint === undefined) throw new Error('not listed')
@@ -107,8 +122,10 @@
 }
 
 /** One exchange of each kind, sent at 0; returns at 1,000. */
-async function setUpWithAll(): Promise<Setup> {
-  const setup = new Setup()
+async function setUpWithAll(): Promise<Setup>
+async function setUpWithAll<C extends VirtualClock>(clock: C): Promise<Setup<C>>
+async function setUpWithAll(clock: VirtualClock = new HeldClock()): Promise<Setup<VirtualClock>> {
+  const setup = new Setup(clock)
   setup.sendAll()
   await setup.clock.advance(1_000)
   return setup
@@ -225,6 +242,44 @@
     expect(setup.ended).toEqual([])
   })
 
+  // The fault: each block of the event loop started the wait again, so that the probe was never conclusive.
+  it.each([
+    [130, 70],
+    [110, 60],
+    [90, 40],
+  ])('end if in each %i ms it is blocked for %i ms only', async (period, blocked) => {
+    const setup = await setUpWithAll(new InterruptedClock(period, blocked))
+    setup.directory.noteUnresponsive(recordOf().start)
+    await setup.clock.advance(LONG_PROBE_TIMEOUT_MILLISECONDS * 3)
+    expect(setup.ended).toEqual(['again', 'resume', 'once'])
+  })
+
+  it.each([
+    [130, 70],
+    [110, 60],
+    [90, 40],
+  ])(
+    'stay open if in each %i ms it is blocked for %i ms, and the answer comes in time',
+    async (period, blocked) => {
+      const setup = await setUpWithAll(new InterruptedClock(period, blocked))
+      setup.answer = { result: 'lives', after: PROBE_TIMEOUT_MILLISECONDS }
+      setup.directory.noteUnresponsive(recordOf().start)
+      await setup.clock.advance(LATE)
+      expect(setup.ended).toEqual([])
+    },
+  )
+
+  // What was sent to a machine that was suspended arrives some time after the suspension.
+  it('stay open if it is blocked for longer than the wait, and the answer is read within a wait after that', async () => {
+    const blocked = PROBE_TIMEOUT_MILLISECONDS + 100
+    const setup = await setUpWithAll(new InterruptedClock(1_200, blocked))
+    const almost = PROBE_TIMEOUT_MILLISECONDS - 10
+    setup.answer = { result: 'lives', after: PROBE_TIMEOUT_MILLISECONDS + blocked + almost }
+    setup.directory.noteUnresponsive(recordOf().start)
+    await setup.clock.advance(LATE)
+    expect(setup.ended).toEqual([])
+  })
+
   it('end if the probe is still unanswered once the event loop is free', async () => {
     const setup = await setUpWithAll()
     setup.clock.heldUntil = setup.clock.monotonic() + PROBE_TIMEOUT_MILLISECONDS * 2
--- a/packages/router/src/gateway/stateProbe.ts
+++ b/packages/router/src/gateway/stateProbe.ts
@@ -29,20 +29,55 @@
   cancel(): void
 }
 
-/** After this many timers that fired at the wrong time, a wait is inconclusive. */
+/** A wait is inconclusive after this many late timers and this many times its delay. */
 const MAXIMUM_INCONCLUSIVE_WAITS = 5
 /** A timer that fires more than this late was delayed by this process's own event loop. */
 const LATE_MILLISECONDS: Milliseconds = 25
 /** Node.js timers count whole milliseconds and may fire this much early. */
 const EARLY_MILLISECONDS: Milliseconds = 1
+/** After a late timer, a wait goes on for this long, so that an answer can be read. */
+const READ_MILLISECONDS: Milliseconds = 25
 
 /**
- * Whether a timer of `delay` that fired after `waited` proves that the other side did not answer. A late
- * timer only shows that this process's event loop was blocked, and a timer armed at the end of a long turn
- * of the loop fires early.
+ * The end of a wait for an answer. The other side has all of the wait to answer, but only an event loop that is
+ * free at its end has read the answer: a late timer only shows that the loop was blocked.
  */
-function isTimely(waited: Milliseconds, delay: Milliseconds): boolean {
-  return waited >= delay - EARLY_MILLISECONDS && waited <= delay + LATE_MILLISECONDS
+class WaitEnd {
+  private readonly startedAt: Milliseconds
+  private endsAt: Milliseconds
+  private lateTimers = 0
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly delay: Milliseconds,
+  ) {
+    this.startedAt = clock.monotonic()
+    this.endsAt = this.startedAt + delay
+  }
+
+  /** Time to the end; 0 if the wait is over. */
+  get remaining(): Milliseconds {
+    const remaining = this.endsAt - this.clock.monotonic()
+    return remaining <= EARLY_MILLISECONDS ? 0 : remaining
+  }
+
+  /** Whether the event loop was blocked too often to tell. */
+  get isInconclusive(): boolean {
+    const elapsed = this.clock.monotonic() - this.startedAt
+    return (
+      this.lateTimers >= MAXIMUM_INCONCLUSIVE_WAITS &&
+      elapsed >= MAXIMUM_INCONCLUSIVE_WAITS * this.delay
+    )
+  }
+
+  /** A timer fired this long after it was due. */
+  noteTimer(late: Milliseconds): void {
+    if (late <= LATE_MILLISECONDS) return
+    this.lateTimers += 1
+    // The whole machine may have been suspended, and what was sent to it meanwhile is yet to arrive.
+    const rest = late > this.delay ? this.delay : Math.min(READ_MILLISECONDS, this.delay)
+    this.endsAt = Math.max(this.endsAt, this.clock.monotonic() + rest)
+  }
 }
 
 /** Requests the state at IP:PORT and a path. */
@@ -93,12 +128,15 @@
   const settling = event.then(() => {
     hasSettled = true
   })
-  for (let wait = 0; wait < MAXIMUM_INCONCLUSIVE_WAITS; wait += 1) {
-    const waited = await waitFor(settling, { clock, delay })
+  const wait = new WaitEnd(clock, delay)
+  while (!wait.isInconclusive) {
+    const { remaining } = wait
+    if (remaining === 0) return false
+    const waited = await waitFor(settling, { clock, delay: remaining })
     // Input that arrived while the event loop was blocked is read first.
     await probe.readAll()
     if (hasSettled) return true
-    if (isTimely(waited, delay)) return false
+    wait.noteTimer(waited - remaining)
   }
   return undefined
 }
