fix(coordination, daemon, platform): answers that arrived during a block of the event loop are read, not given up

Cause: Node.js fires due timers before it reads its sockets. After a block of the event loop, the time limits of a call to a peer (90 ms for a loan), of a call to the store and of a request that waits for a write of its budget fired although the answer had arrived.

Change: `limitAnswer` in `shared` is the time limit of these three. If its timer is more than 25 ms late, it reads the sockets first and waits once for 25 ms more, in which a connection that was established meanwhile gets its call answered. A timely timer expires as before, so a silent store or peer is given up as early as before.

Ruled out: longer limits, which hold callers at a silent store; reading the sockets alone, which does not help a call whose connection is established but on which nothing is sent yet.

--- a/packages/coordination/src/prepaid/waitingRequests.ts
+++ b/packages/coordination/src/prepaid/waitingRequests.ts
@@ -3,6 +3,7 @@
  * arrival. Each request has a timer, so that it is answered in time even if the write hangs.
  */
 
+import { limitAnswer } from '@rackwalk/shared'
 import type { Clock, Milliseconds, Timer, TokenCount } from '@rackwalk/shared'
 import type { PrepaidOutcome } from './prepaidOutcome.js'
 
@@ -22,7 +23,7 @@
   }
 
   expireAfter(clock: Clock, patience: Milliseconds, onExpired: () => void): void {
-    this.timer = clock.after(patience, onExpired)
+    this.timer = limitAnswer(clock, patience, onExpired)
   }
 
   finish(outcome: PrepaidOutcome): void {
--- a/packages/daemon/src/gateway/peerCall.ts
+++ b/packages/daemon/src/gateway/peerCall.ts
@@ -2,7 +2,7 @@
 
 import { request } from 'node:http'
 import type { Agent } from 'node:http'
-import { isSocketAddress } from '@rackwalk/shared'
+import { SystemClock, isSocketAddress, limitAnswer } from '@rackwalk/shared'
 import type { Milliseconds } from '@rackwalk/shared'
 import { parseAddress } from '../observe/listenOn.js'
 
@@ -15,12 +15,13 @@
   readonly body?: string
   /** Keeps connections alive; without it, each call opens its own. */
   readonly agent?: Agent | undefined
-  /** Maximum time from the call to the end of its answer. */
+  /** Maximum time from the call to the end of its answer, as far as this process was able to read it. */
   readonly timeoutMilliseconds: Milliseconds
 }
 
 /** Maximum size of an answer, which limits the memory that a peer's answer can take. */
 const LONGEST_ANSWER_BYTES = 8 * 1024 * 1024
+const CLOCK = new SystemClock()
 
 /**
  * Returns the text of a complete answer with status 200; undefined if none arrived in time, the call failed, the status
@@ -48,9 +49,9 @@
         finish(isGood ? Buffer.concat(chunks).toString('utf8') : undefined)
       })
     })
-    const timer = setTimeout(() => sent.destroy(), timeoutMilliseconds)
+    const timer = limitAnswer(CLOCK, timeoutMilliseconds, () => sent.destroy())
     const finish = (text: string | undefined | Promise<string | undefined>) => {
-      clearTimeout(timer)
+      timer.cancel()
       resolve(text)
     }
     sent.on('error', error => {
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -20,6 +20,7 @@
   TransferId,
 } from './ids.js'
 export type { Bytes, Milliseconds, TokenCount, Version } from './quantities.js'
+export { limitAnswer } from './answerTimeout.js'
 export { SystemClock, sleep } from './clock.js'
 export type { Clock, TimeSources, Timer } from './clock.js'
 export { repeat } from './repeat.js'
