fix(continuation): no text of an engine that was restarted with other software

A streamed chat that was cut went on at an engine whose resource states the software version of the engine that began, although that engine had been restarted at its address with other software and its resource had not been changed yet: 200, whole, billed, text of two versions.

Cause: the version in the resource is knowledge of some age and was taken for what serves now. What engines state in each chunk (`system_fingerprint`) was replaced by the first run's and never compared.

Change: `areJoinable` in decisions/retrying/continuation.ts. Where both runs state a fingerprint and they differ, the rewriter rejects the second run from its first chunk on, its end marker as well; the chat stays cut (4008), is not billed, and the engine that answered is not suspected.

Ruled out: refusing where one side states none (most engines state none, so hardly any chat would go on); probing the engine before it is asked (the state path tells nothing of the software); a third engine (an answer is continued once).

Red first: `npx vitest run packages/stand-ins/__tests__/continuedAnswers.spec.ts`, 1 failed, 29 passed: text 'a1 a2 ä3 b4 b5 ', isWhole true, billed 16. With the change, with continuedForms.spec: 44 of 44 passed. The engine that holds chats moved to a file of its own, unchanged but for the port and fingerprint.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -135,7 +135,7 @@
   TerminationSign,
   StateProbeResult,
 } from './retrying/terminationSigns.js'
-export { continuationStep, continuedUsage } from './retrying/continuation.js'
+export { areJoinable, continuationStep, continuedUsage } from './retrying/continuation.js'
 export type { InterruptedAnswer, ContinuationStep } from './retrying/continuation.js'
 export { judgeWithdrawal } from './retrying/withdrawal.js'
 export type { KnownTermination, InFlightAttempt } from './retrying/withdrawal.js'
--- a/packages/decisions/src/retrying/continuation.ts
+++ b/packages/decisions/src/retrying/continuation.ts
@@ -12,6 +12,11 @@
  * the prompt and both parts of the answer stay within the reserved tokens. An answer whose text or token count is unknown
  * is not continued.
  *
+ * The configured software version of an engine may be out of date: an engine that was restarted at its address with other
+ * software is listed with the earlier version until the operator changes its resource. What an engine states of itself in
+ * its answers (OpenAI's `system_fingerprint`) is current, so a continuation whose engine states another fingerprint than
+ * the engine that began is not joined. A fingerprint that only one of them states proves nothing.
+ *
  * Limits: a chat may crash engines after some of its tokens, so its answer is continued at most once. An answer that is
  * interrupted again after its continuation ends incomplete, even if only its closing events are missing.
  */
@@ -64,6 +69,14 @@
     : { kind: 'close', finishReason: 'length' }
 }
 
+/**
+ * Whether the output of two runs may be joined, by the fingerprint that the engine of each run states of itself; undefined if
+ * it states none.
+ */
+export function areJoinable(first: string | undefined, second: string | undefined): boolean {
+  return first === undefined || second === undefined || first === second
+}
+
 /**
  * Returns the tokens that both runs cost the caller: the prompt of the first run, and the generated tokens of both runs, at
  * most `outputTokenLimit`.
--- a/packages/router/__tests__/continuedForms.spec.ts
+++ b/packages/router/__tests__/continuedForms.spec.ts
@@ -2,6 +2,7 @@
 import { UNKNOWN_SOFTWARE_VERSION } from '@rackwalk/shared'
 import {
   ContinuationRewriter,
+  FingerprintMismatchError,
   ANSWER_BUFFER_LIMITS,
   AnswerBufferPool,
   DeliveredChat,
@@ -84,9 +85,9 @@
 describe('the events of a continuation', () => {
   const HEAD = { id: 'one', created: 1 }
 
-  function continued() {
+  function continued(head: object = HEAD) {
     const usage = { promptTokens: 9, generatedTokens: 4 }
-    return new ContinuationRewriter({ head: HEAD, usage, outputTokenLimit: 6 })
+    return new ContinuationRewriter({ head: { ...head }, usage, outputTokenLimit: 6 })
   }
 
   function rewrite(events: ContinuationRewriter, document: object): unknown {
@@ -105,6 +106,18 @@
     })
   })
 
+  it('are rejected to the end from the first chunk of other software on', () => {
+    const events = continued({ ...HEAD, system_fingerprint: 'build-1' })
+    const choices = [{ index: 0, delta: { content: 'a' } }]
+    const outcomes = ['build-1', undefined, null, '', 'build-2', 'build-1'].map(stated => {
+      return () => rewrite(events, { system_fingerprint: stated, choices })
+    })
+    for (const accepted of outcomes.slice(0, 4)) expect(accepted).not.toThrow()
+    for (const rejected of outcomes.slice(4)) expect(rejected).toThrow(FingerprintMismatchError)
+    const end = Buffer.from('data: [DONE]\n\n')
+    expect(() => events.rewrite(end)).toThrow(FingerprintMismatchError)
+  })
+
   it('begin with the first piece, which is the one that is marked', () => {
     const events = continued()
     const opening = { choices: [{ index: 0, delta: { role: 'assistant', content: '' } }] }
--- a/packages/router/src/engine/continuationRewriter.ts
+++ b/packages/router/src/engine/continuationRewriter.ts
@@ -2,12 +2,13 @@
  * Rewrites the events of an engine that continues another engine's answer, so that the caller gets
  * one consistent stream: the events get the id and the other common fields of the first engine's
  * answer, and their usage reports cover both runs. The first chunk with output is marked, so that
- * the caller can see where the continuation begins.
+ * the caller can see where the continuation begins. The output of an engine that turns out to run
+ * other software than the first one is rejected.
  */
 
-import { continuedUsage } from '@rackwalk/decisions'
+import { areJoinable, continuedUsage } from '@rackwalk/decisions'
 import type { TokenCount } from '@rackwalk/shared'
-import { chunkEvent, chunkMetadataOf, parseChunk } from './deliveredChat.js'
+import { chunkEvent, chunkMetadataOf, fingerprintOf, parseChunk } from './deliveredChat.js'
 import type { ChunkMetadata } from './deliveredChat.js'
 import type { ReportedUsage } from './usage.js'
 
@@ -28,23 +29,36 @@
 /** Field that is added to the first chunk of the continuation. */
 const CONTINUED_MARKER = { rackwalk: { continued: true } }
 
+/** The continuing engine states another fingerprint than the engine that began the answer. */
+export class FingerprintMismatchError extends Error {
+  readonly code = 'FINGERPRINT_MISMATCH'
+
+  constructor() {
+    super('the continuing engine runs other software')
+  }
+}
+
 /** Rewrites the events of one continuation. */
 export class ContinuationRewriter {
   private outputChunks = 0
+  private isRejected = false
 
   constructor(private readonly prefix: DeliveredPrefix) {}
 
-  /** Whether any output of the second engine has arrived. */
+  /** Whether any output of the second engine has arrived, be it output that was rejected. */
   get hasBegun(): boolean {
-    return this.outputChunks > 0
+    return this.outputChunks > 0 || this.isRejected
   }
 
   /**
    * Returns the event for the caller; undefined for a chunk that only opens an answer, which the
-   * caller already has. An event that is no chunk is returned unchanged.
+   * caller already has. An event that is no chunk is returned unchanged. Throws a
+   * `FingerprintMismatchError` from the first chunk of another software on, so that no later event,
+   * such as the end marker, makes the answer look complete.
    */
   rewrite(event: Buffer): Buffer | undefined {
     const chunk = parseChunk(event.toString('utf8'))
+    this.checkFingerprint(chunk)
     const choices = chunk?.['choices']
     if (chunk === undefined || !Array.isArray(choices)) return event
     const rewritten = this.withUsage({ ...withoutMetadata(chunk), ...this.prefix.head })
@@ -65,6 +79,11 @@
     return continuedUsage(usage, generatedTokens, outputTokenLimit)
   }
 
+  private checkFingerprint(chunk: Chunk = {}): void {
+    this.isRejected ||= !areJoinable(fingerprintOf(this.prefix.head), fingerprintOf(chunk))
+    if (this.isRejected) throw new FingerprintMismatchError()
+  }
+
   private withUsage(chunk: Chunk): Chunk {
     const reported = chunk['usage'] as { readonly completion_tokens?: unknown } | null | undefined
     const generated = reported?.completion_tokens
--- a/packages/router/src/engine/deliveredChat.ts
+++ b/packages/router/src/engine/deliveredChat.ts
@@ -40,6 +40,11 @@
   )
 }
 
+/** Returns the fingerprint that an engine states of its software; undefined if it states none. */
+export function fingerprintOf({ system_fingerprint: stated }: ChunkMetadata): string | undefined {
+  return typeof stated === 'string' && stated !== '' ? stated : undefined
+}
+
 /** Parses an event of the answer as a chunk; undefined if the event holds no JSON object. */
 export function parseChunk(event: string): Record<string, unknown> | undefined {
   if (!event.startsWith(DATA)) return undefined
--- a/packages/stand-ins/__tests__/continuedAnswers.spec.ts
+++ b/packages/stand-ins/__tests__/continuedAnswers.spec.ts
@@ -1,9 +1,8 @@
-import { createServer } from 'node:http'
-import type { Server, ServerResponse } from 'node:http'
-import type { AddressInfo } from 'node:net'
 import { afterEach, describe, expect, it } from 'vitest'
 import { ResultCode } from '@rackwalk/shared'
 import { ConfiguredFleet, MODEL, TEAM_KEY } from '@rackwalk/stand-ins'
+import { HeldEngine, Writer } from './standIns/heldEngine.js'
+import type { HeldChat, Usage } from './standIns/heldEngine.js'
 
 /**
  * Guards against chats that are interrupted although another engine can continue them: an engine terminated after the first
@@ -11,12 +10,6 @@
  * when it terminates.
  */
 
-interface Usage {
-  readonly prompt_tokens: number
-  readonly completion_tokens: number
-  readonly total_tokens: number
-}
-
 interface Chunk {
   readonly id?: string
   readonly created?: number
@@ -30,110 +23,12 @@
   readonly error?: { readonly code: number }
 }
 
-interface HeldChat {
-  readonly body: Readonly<Record<string, unknown>>
-  readonly response: ServerResponse
-}
-
 const FIRST_PROMPT = 11
 const SECOND_PROMPT = 17
 const LIMIT = 5
 const QUESTION = [{ role: 'user', content: 'hello' }]
 const WITH_USAGE = { stream_options: { include_usage: true } }
 
-/** An engine that holds each chat until the test answers it. */
-class HeldEngine {
-  readonly chats: HeldChat[] = []
-  onChat: ((chat: HeldChat) => void) | undefined
-  private readonly server: Server = createServer((request, response) => {
-    const chunks: Buffer[] = []
-    request.on('data', (chunk: Buffer) => chunks.push(chunk))
-    request.on('end', () => this.take(String(request.url), Buffer.concat(chunks), response))
-  })
-
-  async listen(): Promise<string> {
-    await new Promise<void>(resolve => this.server.listen(0, '127.0.0.1', resolve))
-    return `http://127.0.0.1:${(this.server.address() as AddressInfo).port}`
-  }
-
-  /** Terminates the engine: closes its listener and all connections. */
-  stop(): void {
-    this.server.close()
-    this.server.closeAllConnections()
-  }
-
-  private take(path: string, raw: Buffer, response: ServerResponse): void {
-    if (!path.startsWith('/v1/chat')) {
-      response.writeHead(200, { 'content-type': 'application/json' })
-      response.end(JSON.stringify({ running: 0, waiting: 0, events: [] }))
-      return
-    }
-    const body = JSON.parse(raw.toString('utf8')) as Record<string, unknown>
-    this.chats.push({ body, response })
-    this.onChat?.({ body, response })
-  }
-}
-
-/** Writes the events of one streamed answer in the engines' format. */
-class Writer {
-  private tokens = 0
-
-  constructor(
-    private readonly response: ServerResponse,
-    private readonly promptTokens: number,
-    private readonly id: string,
-    private readonly reportsUsage = true,
-  ) {
-    response.writeHead(200, { 'content-type': 'text/event-stream' })
-    this.send({ delta: { role: 'assistant', content: '' }, finish_reason: null })
-  }
-
-  pieces(...texts: readonly string[]): this {
-    for (const content of texts) this.piece({ content })
-    return this
-  }
-
-  piece(delta: Readonly<Record<string, unknown>>): this {
-    this.tokens += 1
-    return this.send({ delta, finish_reason: null })
-  }
-
-  finish(reason: string): this {
-    return this.send({ delta: {}, finish_reason: reason })
-  }
-
-  end(): void {
-    this.write({ choices: [], usage: this.usage() })
-    this.response.end('data: [DONE]\n\n')
-  }
-
-  /** Writes the beginning of an event that is never completed. */
-  incompleteEvent(): this {
-    this.response.write('data: {"id":"half","choices":[{"index":0,"delta":{"content":"lost')
-    return this
-  }
-
-  private send(choice: object): this {
-    const usage = this.reportsUsage ? this.usage() : undefined
-    this.write({ choices: [{ index: 0, ...choice }], usage })
-    return this
-  }
-
-  private write(document: object): void {
-    const head = { id: this.id, created: this.promptTokens, model: MODEL }
-    this.response.write(`data: ${JSON.stringify({ ...head, ...document })}\n\n`)
-  }
-
-  private usage(): Usage {
-    const { promptTokens, tokens } = this
-    return {
-      prompt_tokens: promptTokens,
-      completion_tokens: tokens,
-      total_tokens: promptTokens + tokens,
-    }
-  }
-}
-
 const stops: (() => unknown)[] = []
 
 afterEach(async () => {
@@ -234,6 +129,8 @@
   /** Writes further events of the first engine after its pieces. */
   readonly first?: (run: Writer) => unknown
   readonly thirdSpec?: object
+  /** What the first engine states as its `system_fingerprint`. */
+  readonly fingerprint?: string
 }
 
 /** Starts a fleet whose only engine has received a chat, and then adds a second engine. */
@@ -255,7 +152,8 @@
 /** Lets the first engine send three pieces and then terminates it. */
 async function terminateFirst(play: Play, options: PlayOptions = {}): Promise<void> {
   const [{ response } = failWithoutChat()] = play.first.chats
-  const run = new Writer(response, FIRST_PROMPT, 'first', options.reportsUsage ?? true)
+  const { reportsUsage = true, fingerprint } = options
+  const run = new Writer(response, FIRST_PROMPT, 'first', reportsUsage, fingerprint)
   run.pieces('a1 ', 'a2 ', 'ä3 ')
   options.first?.(run)
   await expect.poll(() => play.sent.texts.join(''), { interval: 5 }).toContain('a1 a2 ä3 ')
@@ -417,6 +315,61 @@
   })
 })
 
+/** Replaces the second engine at once by another one that listens at the same address. */
+async function restartSecond(play: Play): Promise<HeldEngine> {
+  play.second.stop()
+  const restarted = new HeldEngine()
+  stops.push(() => restarted.stop())
+  await restarted.listen(play.second.port)
+  return restarted
+}
+
+/** Continues a chat at the second engine, which was restarted and states this fingerprint. */
+async function continueAtRestarted(fingerprints: {
+  readonly first: string | undefined
+  readonly second: string | undefined
+}) {
+  const version = { continuesAnswers: true, softwareVersion: '1' }
+  const play = await begin({ firstSpec: version, secondSpec: version })
+  const restarted = await restartSecond(play)
+  restarted.onChat = ({ response }) => {
+    new Writer(response, SECOND_PROMPT, 'second', true, fingerprints.second)
+      .pieces('b4 ', 'b5 ')
+      .finish('stop')
+      .end()
+  }
+  await terminateFirst(play, { fingerprint: fingerprints.first })
+  const { text, isWhole, code } = await play.sent.answer
+  const { billedTokens } = await recordOf(play)
+  return { text, isWhole, code, billedTokens, asked: restarted.chats.length }
+}
+
+describe('a chat whose second engine was restarted at its address with other software', () => {
+  it('is interrupted, not billed, and gets no text of that engine', async () => {
+    expect(await continueAtRestarted({ first: 'build-1', second: 'build-2' })).toEqual({
+      text: 'a1 a2 ä3 ',
+      isWhole: false,
+      code: ResultCode.EndpointBrokeOff,
+      billedTokens: 0,
+      asked: 1,
+    })
+  })
+
+  it.each([
+    ['states the fingerprint of the first', { first: 'build-1', second: 'build-1' }],
+    ['states none', { first: 'build-1', second: undefined }],
+    ['states one where the first stated none', { first: undefined, second: 'build-2' }],
+  ])('is continued where the engine %s', async (_, fingerprints) => {
+    expect(await continueAtRestarted(fingerprints)).toEqual({
+      text: 'a1 a2 ä3 b4 b5 ',
+      isWhole: true,
+      code: undefined,
+      billedTokens: FIRST_PROMPT + LIMIT,
+      asked: 1,
+    })
+  })
+})
+
 describe('a chat whose second engine does not complete it either', () => {
   it('is interrupted, not billed and not sent to a third engine, and is refused if the second terminated before a piece', async () => {
     const play = await begin()
