fix(routing): a plain service that was restarted is used again after it said that it leaves

In the OpenAI-style kind a plain service that announced in an answer that it is leaving, and was restarted at its address under its id, got no request of any instance any more.

Cause: what one start said was believed of all later ones. Starts are not told apart there; leaving ends with a report or a failed one, and plain services have none. A limit of a minute stood in the design, but only reports were held to it, and instances that tell each other with each heartbeat would renew it for ever.

Change: an endpoint without reports leaves for that minute from each time that an answer or the list of instances says so. A peer's word does not begin another minute.

--- a/packages/router/src/routing/endpointTable.ts
+++ b/packages/router/src/routing/endpointTable.ts
@@ -45,8 +45,8 @@
   /** Times of this instance's sends to the endpoint, as the quotas of send licences count them. */
   readonly sends: SendHistory
   /**
-   * Monotonic time at which any source first said that the endpoint is leaving; undefined if the
-   * endpoint is not leaving.
+   * Monotonic time at which any source first said that the endpoint is leaving; undefined if none
+   * has, or if a report has ended the leaving.
    */
   leavingSince: Milliseconds | undefined
   /**
@@ -74,7 +74,8 @@
 /**
  * Time since the first sign of leaving for which an endpoint that announced in an answer that it is
  * leaving gets no requests, although its reports say that it stays. A report after this time ends
- * the leaving. Without the limit, an endpoint that restarted between two reports would stay unused.
+ * the leaving; for an endpoint without reports, the time itself does. Without the limit, an endpoint
+ * that restarted between two reports, or that sends none, would stay unused.
  */
 const LONGEST_LEAVING_MILLISECONDS = 60_000
 /**
@@ -186,20 +187,22 @@
   }
 
   /**
-   * Records that the endpoint is leaving. Only a load report ends the leaving, so an endpoint of a
-   * plain service, which reports nothing, stays leaving until its state is pruned.
+   * Records that the endpoint is leaving. A load report ends the leaving. An endpoint of a plain
+   * service, which reports nothing, leaves for `LONGEST_LEAVING_MILLISECONDS`; a peer's word does
+   * not renew that, since the peer may have it from this instance.
    */
   noteLeaving(endpointId: EndpointId, source: LeavingSource): void {
     const state = this.stateOf(endpointId)
     state.hasAnnouncedLeaving ||= source === 'answer'
-    if (state.leavingSince !== undefined) return
+    if (this.isLeaving(endpointId)) return
+    if (source === 'peer' && state.leavingSince !== undefined) return
     state.leavingSince = this.clock.monotonic()
     this.onChange(endpointId, `leaving (${source})`)
   }
 
   /** Ids of the endpoints known to be leaving, which this instance sends to its peers. */
   get leaving(): readonly EndpointId[] {
-    return [...this.states].flatMap(([id, state]) => (state.leavingSince === undefined ? [] : [id]))
+    return [...this.states.keys()].filter(endpointId => this.isLeaving(endpointId))
   }
 
   /** Number of this instance's requests in progress at all endpoints. */
@@ -244,8 +247,7 @@
   }
 
   private isStillLeaving({ hasAnnouncedLeaving, leavingSince = 0 }: EndpointState): boolean {
-    const age = this.clock.monotonic() - leavingSince
-    return hasAnnouncedLeaving && age < LONGEST_LEAVING_MILLISECONDS
+    return hasAnnouncedLeaving && this.isLeavingRecent(leavingSince)
   }
 
   private noteStaying(endpointId: EndpointId): void {
@@ -309,7 +311,17 @@
 
   /** Whether the endpoint is known to accept no new requests because it is about to terminate. */
   isLeaving(endpointId: EndpointId): boolean {
-    return this.states.get(endpointId)?.leavingSince !== undefined
+    const leavingSince = this.states.get(endpointId)?.leavingSince
+    if (leavingSince === undefined) return false
+    return this.sendsReports(endpointId) || this.isLeavingRecent(leavingSince)
+  }
+
+  private isLeavingRecent(leavingSince: Milliseconds): boolean {
+    return this.clock.monotonic() - leavingSince < LONGEST_LEAVING_MILLISECONDS
+  }
+
+  private sendsReports(endpointId: EndpointId): boolean {
+    return this.catalogue.findEndpoint(endpointId)?.spec.kind !== 'service'
   }
 
   private viewOf(
