fix(membership): instances that lost the store keep their part of the fleet's retries

While some instances were cut off from the store, the fleet made more retries than its bound: those that still reached the store took the others for gone and used their part as well.

Cause: a row that is not renewed for the silence timeout was taken for the end of its instance. It proves that the instance does not write; an instance that lost the store alone serves its callers, counts itself among all, and spends its part. Its heartbeats arrived all the while.

Change: an instance that is heard although its row is not renewed counts where bounds are shared (retries, connections), not where callers are sent. An instance that ended is heard no more after a second, so that its part is free as soon as before.

Ruled out: counting all rows until they are removed (70 s; the retries of those that ended would be lacking right after their end); at least half of the rows, as before (one of four then uses half, and the other three theirs). Instances that neither write nor are heard stay uncounted.

--- a/packages/coordination/__tests__/memberDirectory.spec.ts
+++ b/packages/coordination/__tests__/memberDirectory.spec.ts
@@ -85,6 +85,7 @@
     standby.directory.stop()
     await clock.advance(6_000)
     expect(names(observer.directory)).toEqual(['standby'])
+    expect(observer.directory.unrenewedOthers.map(({ instance }) => instance)).toEqual(['active'])
     await clock.advance(10_000)
     expect(names(observer.directory)).toEqual([])
   })
--- a/packages/coordination/src/membership/memberDirectory.ts
+++ b/packages/coordination/src/membership/memberDirectory.ts
@@ -221,6 +221,15 @@
       .map(member => member.row)
   }
 
+  /** Other instances whose rows say that they serve, and have not been renewed in time. */
+  get unrenewedOthers(): readonly MemberRow[] {
+    const { instance } = this.parts.self
+    return [...this.members.values()]
+      .filter(({ row }) => row.instance !== instance && row.state === 'serving')
+      .filter(member => !this.isServing(member))
+      .map(member => member.row)
+  }
+
   /**
    * Factor by which heartbeats are slower than in a small fleet, to stay within the store's write
    * rate.
--- a/packages/daemon/__tests__/activeFleet.spec.ts
+++ b/packages/daemon/__tests__/activeFleet.spec.ts
@@ -29,6 +29,8 @@
   readonly self?: MemberRow
   readonly others?: MemberRow[]
   readonly silent?: string[]
+  /** Instances that are heard although their rows are not renewed. */
+  readonly disconnected?: string[]
   /** Instances that have work at endpoints. */
   readonly using?: string[]
   /** Seed of the choice of the instances that an answer names. */
@@ -37,6 +39,7 @@
 
 function setUp(options: SetUpOptions) {
   const { self, others = OTHERS, silent = [], using = [], seed = 1 } = options
+  const { disconnected = [] } = options
   const clock = new VirtualClock()
   const changes: [boolean, number][] = []
   const state = { self, silent: new Set(silent), cutOff: new Set<string>() }
@@ -44,6 +47,7 @@
     isServing: () => state.self !== undefined,
     self: () => state.self ?? member('a1'),
     others: () => others,
+    disconnectedOthers: () => disconnected.map(name => member(name)),
     hasRecentHeartbeat: ({ instance }) => !state.silent.has(instance),
     silenceMilliseconds: () => SILENCE_MILLISECONDS,
     hasEndpointLoad: ({ instance }) => using.includes(instance),
@@ -140,6 +144,12 @@
     expect(setUp({ self: strong }).fleet.worstCaseSharers).toBe(3)
   })
 
+  it('shares bounds with instances that are heard although their rows are not renewed', () => {
+    const { fleet } = setUp({ self: member('a1'), others: [], disconnected: ['a2', 'b1', 'b2'] })
+    expect([fleet.sharers, fleet.worstCaseSharers]).toEqual([4, 4])
+    expect(fleet.activeCount).toBe(1)
+  })
+
   it('shares bounds as a user if it has work while on standby', () => {
     const weak = member('a1', { capacity: 1 })
     expect(setUp({ self: weak, using: ['a1'] }).fleet.sharers).toBe(3)
--- a/packages/daemon/src/gateway/activeFleet.ts
+++ b/packages/daemon/src/gateway/activeFleet.ts
@@ -24,6 +24,11 @@
   readonly self: () => MemberRow
   /** Other instances that serve, by their rows in the store. */
   readonly others: () => readonly MemberRow[]
+  /**
+   * Other instances that are heard although their rows are not renewed: they are disconnected from the store, and use
+   * their share of the fleet's bounds.
+   */
+  readonly disconnectedOthers: () => readonly MemberRow[]
   /** Whether an instance sent a heartbeat recently; true for an instance that sends no datagrams. */
   readonly hasRecentHeartbeat: (member: MemberRow) => boolean
   /** How long this instance waits for the first heartbeat of another one before that one counts as silent. */
@@ -50,6 +55,8 @@
   readonly activeOthers: readonly MemberRow[]
   readonly usingOthers: readonly MemberRow[]
   readonly idleOthers: readonly MemberRow[]
+  /** Number of other instances that are disconnected from the store and heard. */
+  readonly disconnectedOthers: number
   /** Names of the silent instances; empty while this instance hears no other instance. */
   readonly silentOthers: ReadonlySet<string>
   /** Whether this instance hears another one. */
@@ -176,11 +183,12 @@
 
   /** The numbers of instances from which the shares of a fleet-wide bound are computed. */
   private get usage(): FleetUsage {
-    const { isSelfActive, usingOthers, idleOthers } = this.currentView()
+    const { isSelfActive, usingOthers, idleOthers, disconnectedOthers } = this.currentView()
+    const usingCount = usingOthers.length + disconnectedOthers
     return {
       isSelfUsing: isSelfActive || this.parts.hasOwnEndpointLoad(),
-      usingOthers: usingOthers.length,
-      others: usingOthers.length + idleOthers.length,
+      usingOthers: usingCount,
+      others: usingCount + idleOthers.length,
     }
   }
 
@@ -222,6 +230,7 @@
       activeOthers,
       usingOthers,
       idleOthers: all.filter(other => !usingOthers.includes(other)),
+      disconnectedOthers: this.parts.disconnectedOthers().length,
       silentOthers: new Set(
         all.filter(other => !others.includes(other)).map(({ instance }) => instance),
       ),
--- a/packages/daemon/src/gateway/createActiveFleet.ts
+++ b/packages/daemon/src/gateway/createActiveFleet.ts
@@ -29,6 +29,10 @@
     isServing: () => isReady() && members.isInitialized,
     self: () => members.self,
     others: () => members.others,
+    disconnectedOthers: () =>
+      members.unrenewedOthers.filter(({ instance }) =>
+        endpoints().fleetLoad.hasRecentHeartbeat(instance),
+      ),
     hasRecentHeartbeat: ({ instance, loadAddress }) =>
       loadAddress === '' || endpoints().fleetLoad.hasRecentHeartbeat(instance),
     silenceMilliseconds: () => endpoints().exchange?.silenceMilliseconds ?? 0,
--- a/packages/stand-ins/src/replay/fleetReplay.ts
+++ b/packages/stand-ins/src/replay/fleetReplay.ts
@@ -305,6 +305,8 @@
       isServing: () => members.isInitialized,
       self: () => members.self,
       others: () => members.others,
+      disconnectedOthers: () =>
+        members.unrenewedOthers.filter(({ instance }) => peers.hasRecentReport(instance)),
       hasRecentHeartbeat: ({ instance }) => peers.hasRecentReport(instance),
       silenceMilliseconds: () => this.silenceMilliseconds,
       hasEndpointLoad: ({ instance }) => peers.isUsing(instance),
--- a/packages/stand-ins/src/replay/lostLinksReplay.ts
+++ b/packages/stand-ins/src/replay/lostLinksReplay.ts
@@ -419,6 +419,7 @@
       isServing: () => true,
       self: () => this.rowAt(index),
       others: () => this.instances.filter(other => other.index !== index).map(({ row }) => row),
+      disconnectedOthers: () => [],
       hasRecentHeartbeat: () => true,
       silenceMilliseconds: () => SHORTEST_GOSSIP_MILLISECONDS,
       hasEndpointLoad: () => false,
