fix(daemon): the record that was read while the event loop was blocked counts for the streams that wait

Cause: the time limits of the wait for a record were plain timers, which fire before the sockets are read after a block of the event loop, so that streams were refused (3019, unread) although the answer had arrived.

Seen before: one of five runs of streamsAtInstancesOutOfStep beside load 35 had 0 of 10 streams go on at an instance without the store that reaches another one; whether this was the cause is not shown.

--- a/packages/daemon/src/gateway/streamCoordinator.ts
+++ b/packages/daemon/src/gateway/streamCoordinator.ts
@@ -17,12 +17,11 @@
   EndpointRecord,
   PeerLoadReport,
 } from '@rackwalk/router'
-import { sleep } from '@rackwalk/shared'
 import type { Clock, Milliseconds } from '@rackwalk/shared'
 import type { RowStore } from '@rackwalk/stores'
 import type { ActiveFleet } from './activeFleet.js'
 import type { GatewayTelemetry } from './gatewayTelemetry.js'
-import { firstDefined } from './firstDefined.js'
+import { firstDefined, withinLimit } from './outcomes.js'
 import { loadPeersOf } from './loadExchange.js'
 import type { LoadExchange } from './loadExchange.js'
 import { StreamOriginClient } from './streamOriginClient.js'
@@ -156,16 +155,14 @@
     exchange()?.broadcast(encodeRecordGossip([record], identity))
   }
 
-  /** Reads the record of a service, through another instance if the store does not answer this one soon. */
+  /** Reads the record of a service, through another instance as well if the store does not answer this one soon. */
   private async readRecord(service: string): Promise<RecordRead | undefined> {
     const { clock } = this.parts
     const own = this.readOwn(service)
-    const early = await Promise.race([own, sleep(clock, OWN_READ_MILLISECONDS)])
+    const early = await withinLimit(clock, own, OWN_READ_MILLISECONDS)
     if (early !== undefined) return early
-    const late = sleep(clock, RECORD_MILLISECONDS - OWN_READ_MILLISECONDS)
-    return Promise.race([firstDefined([own, this.readThroughPeer(service)]), late]).then(
-      read => read ?? undefined,
-    )
+    const any = firstDefined([own, this.readThroughPeer(service)])
+    return withinLimit(clock, any, RECORD_MILLISECONDS - OWN_READ_MILLISECONDS)
   }
 
   private async readOwn(service: string): Promise<RecordRead | undefined> {
--- a/packages/daemon/src/gateway/versionRecordClient.ts
+++ b/packages/daemon/src/gateway/versionRecordClient.ts
@@ -15,7 +15,7 @@
 import type { Milliseconds } from '@rackwalk/shared'
 import { JsonCodec } from '@rackwalk/stores'
 import type { MalformedInput } from '../observe/malformedInputLog.js'
-import { firstDefined } from './firstDefined.js'
+import { firstDefined } from './outcomes.js'
 import { callPeer } from './peerCall.js'
 import type { PlainAnswer } from './platformAdapter.js'
 
