fix(router): events that do not follow those that the caller has are withheld

Cause: whatever arrived in a body of a stream counted as the stream's next events. Bytes that a server sends besides the due answer can't be told from a body that its length or its connection frames, and a server that begins anew a stream that it was asked to continue was believed. The caller got pieces twice, pieces of another request's stream, or a status line as a piece, with status 200 and a proper end; streams that may not be resumed as well.

Change: an event is stray if it begins with the status line of an answer, or if its id is a number and does not rise above the last one that the caller has, from this request or, where the route is resumable, by its Last-Event-Id. It and what follows it in its answer are withheld, and the answer counts as broken off: continued elsewhere where that is allowed, else cut.

Ruled out: a gap between ids as a sign (they need not be consecutive); the request id (it is in the head, and these bytes come behind it); closing connections after streams (the bytes come within an answer).

--- a/packages/router/__tests__/eventDelivery.spec.ts
+++ b/packages/router/__tests__/eventDelivery.spec.ts
@@ -20,4 +20,21 @@
     expect(passed.map(String)).toEqual([event(2)])
     expect(delivery.events).toBe(2)
   })
+
+  it('withholds a stray event and all that follow it in the same answer', () => {
+    const delivery = new EventDelivery()
+    const copy = `HTTP/1.1 200 OK\r\n\r\n${event(1)}${event(2)}`
+    const passed = delivery.read(Buffer.from(`${event(1)}${copy}${event(3)}`))
+    expect(passed.map(String)).toEqual([event(1)])
+    expect(delivery.read(Buffer.from(event(4)))).toEqual([])
+    expect(delivery).toMatchObject({ events: 1, lastEventId: '1', hasStrayEvent: true })
+  })
+
+  it('takes the events of the next answer after a stray one', () => {
+    const delivery = new EventDelivery('2')
+    expect(delivery.read(Buffer.from(event(2)))).toEqual([])
+    delivery.continueElsewhere()
+    expect(delivery.read(Buffer.from(event(3))).map(String)).toEqual([event(3)])
+    expect(delivery).toMatchObject({ events: 1, lastEventId: '3', hasStrayEvent: false })
+  })
 })
--- a/packages/router/src/gateway/dialect.ts
+++ b/packages/router/src/gateway/dialect.ts
@@ -30,6 +30,8 @@
 export interface StreamResumption {
   /** Id of the try that brought the first event; undefined if the caller does not name it. */
   readonly firstRequestId: string | undefined
+  /** Id of the last event that the caller has; undefined if the caller does not name it. */
+  readonly lastEventId?: string | undefined
 }
 
 /** Metadata that the gateway adds to a caller's headers for an endpoint. */
--- a/packages/router/src/gateway/gatewayAnswerDelivery.ts
+++ b/packages/router/src/gateway/gatewayAnswerDelivery.ts
@@ -35,6 +35,9 @@
  */
 const MAXIMUM_HELD_BYTES = 256 * 1024
 
+/** Thrown if an answer holds an event that does not follow those that its caller has. */
+class StrayEventError extends Error {}
+
 /** Delivers one answer to its caller. */
 export class GatewayAnswerDelivery {
   private held: Buffer[] = []
@@ -96,7 +99,7 @@
       }
       const fail = (thrown: unknown) => {
         exchange.abort('aborted')
-        if (thrown instanceof OversizedEventError) finish('reset')
+        if (isInvalidBody(thrown)) finish('reset')
         else reject(thrown as Error)
       }
       exchange.readBody({ onData: guarded(onData, fail), onEnd: guarded(finish, fail) })
@@ -115,14 +118,19 @@
   }
 
   private writeEvents(chunk: Buffer): void {
-    const { events, onEvents } = this.parts
+    const { events } = this.parts
     this.receivedBytes += chunk.length
     const whole = events.read(chunk)
-    if (whole.length === 0) return
+    if (whole.length > 0) this.writeWhole(whole)
+    if (events.hasStrayEvent) throw new StrayEventError()
+  }
+
+  private writeWhole(whole: readonly Buffer[]): void {
     this.eventCount += whole.length
-    onEvents(whole.length)
+    this.parts.onEvents(whole.length)
     this.start()
-    this.write(whole.length === 1 ? (whole[0] ?? chunk) : Buffer.concat(whole))
+    const [first] = whole
+    this.write(whole.length === 1 && first !== undefined ? first : Buffer.concat(whole))
   }
 
   private hold(chunk: Buffer): void {
@@ -168,6 +176,10 @@
   }
 }
 
+function isInvalidBody(thrown: unknown): boolean {
+  return thrown instanceof OversizedEventError || thrown instanceof StrayEventError
+}
+
 /** Returns the listener with a handler for what it throws. After the first throw, the listener is not called again. */
 function guarded<Argument>(
   listener: (argument: Argument) => void,
--- a/packages/router/src/gateway/peerRelay.ts
+++ b/packages/router/src/gateway/peerRelay.ts
@@ -21,7 +21,7 @@
 import { GatewayAnswerDelivery } from './gatewayAnswerDelivery.js'
 import type { CallerReply } from './callerReply.js'
 import type { Dialect, RequestMetadata } from './dialect.js'
-import { EventDelivery } from './eventDelivery.js'
+import { eventDeliveryOf } from './eventDelivery.js'
 import type { GatewayRoute } from './gatewayConfiguration.js'
 import type { GatewayRecord, RelayRecord } from './gatewayRecord.js'
 import { UpstreamExchange } from './upstreamExchange.js'
@@ -199,7 +199,7 @@
       exchange,
       response,
       reply,
-      events: new EventDelivery(),
+      events: eventDeliveryOf(this.request),
       onStart: () => this.noteFirstByte(),
       onEvents: () => {},
       onBytes: () => {},
--- a/packages/router/src/gateway/requestAttempts.ts
+++ b/packages/router/src/gateway/requestAttempts.ts
@@ -35,7 +35,8 @@
 import type { SelectionConstraints, ChosenEndpoint } from './endpointSelector.js'
 import type { ReplyMetadata } from './dialect.js'
 import { applyStatements } from './endpointStatements.js'
-import { EventDelivery } from './eventDelivery.js'
+import { eventDeliveryOf } from './eventDelivery.js'
+import type { EventDelivery } from './eventDelivery.js'
 import type { EndpointRecord, EndpointState } from './endpointState.js'
 import { startedStreamOf } from '../streams/startedStream.js'
 import type { AttemptedRequest, AttemptsParts, AttemptsResult } from './attemptedRequest.js'
@@ -61,7 +62,7 @@
    * the origin of a resumed stream or with the first event.
    */
   softwareVersion: SoftwareVersion | undefined
-  private readonly events = new EventDelivery()
+  private readonly events: EventDelivery
   private readonly history: AttemptOutcome[] = []
   private exchange: UpstreamExchange | undefined
   /** Monotonic time at which data was last received in the exchange, or at which the exchange began. */
@@ -82,6 +83,7 @@
     private readonly parts: AttemptsParts,
     private readonly request: AttemptedRequest,
   ) {
+    this.events = eventDeliveryOf(request)
     this.softwareVersion = request.origin?.softwareVersion
     this.selector = new EndpointSelector(parts, request, this)
     this.silence = new SilenceWatch(parts, request)
