fix(streams): a stream that cannot begin is refused after one wait for a record, not three

Callers of a stream that may be resumed waited 600 ms for the refusal with 3021, longer than a quarter of their objective.

Cause: the wait is repeated up to three times because a change may be that of another service, but it was repeated as well where nothing had changed within its 200 ms.

Change: the wait tells whether a record has changed, and the stream is refused if none has.

--- a/packages/coordination/src/versions/versionRecorder.ts
+++ b/packages/coordination/src/versions/versionRecorder.ts
@@ -166,18 +166,20 @@
 
   /**
    * A stream waits until a version of this service is recorded, so that the change is not left to another instance.
-   * Resolves when a record has changed, or after the limit.
+   * Resolves with true when a record has changed, and with false after the limit.
    */
-  async untilRecordChanges(service: string, limitMilliseconds: Milliseconds): Promise<void> {
+  async untilRecordChanges(service: string, limitMilliseconds: Milliseconds): Promise<boolean> {
     const { clock } = this.parts
     this.demanded.add(service)
     const isDue = clock.monotonic() - this.wroteAt >= DEMANDED_RETRY_MILLISECONDS
     if (this.failures === 0 || isDue) this.checkNow()
     let wake = () => {}
-    const changed = new Promise<void>(resolve => (wake = resolve))
+    const changed = new Promise<boolean>(resolve => (wake = () => resolve(true)))
     this.waiting.add(wake)
-    await Promise.race([changed, sleep(clock, limitMilliseconds)])
+    const unchanged = sleep(clock, limitMilliseconds).then(() => false)
+    const isChanged = await Promise.race([changed, unchanged])
     this.waiting.delete(wake)
+    return isChanged
   }
 
   /** The list of endpoints changed. */
--- a/packages/router/__tests__/streamOrigins.spec.ts
+++ b/packages/router/__tests__/streamOrigins.spec.ts
@@ -52,7 +52,7 @@
       return { reader: 'this-instance', history }
     },
     recordedVersions: () => record?.history.versions.map(({ softwareVersion }) => softwareVersion),
-    untilRecordChanges: () => Promise.resolve(),
+    untilRecordChanges: () => Promise.resolve(false),
     isFleetNew: () => isFleetNew,
     ask: async ({ key }) => {
       asked.push(key ?? 'unnamed')
--- a/packages/router/src/gateway/streamStart.ts
+++ b/packages/router/src/gateway/streamStart.ts
@@ -40,7 +40,7 @@
     return available.length === 0 || startableEndpoints(streams, available).length > 0
   }
   for (let changes = 0; !canBegin() && changes < MAXIMUM_CHANGES; changes += 1) {
-    await streams.untilVersionsChange(service.name)
+    if (!(await streams.untilVersionsChange(service.name))) break
   }
   if (!canBegin()) throw new NotRunError(ResultCode.VersionUnrecorded, service.name)
 }
--- a/packages/router/src/streams/streamOrigins.ts
+++ b/packages/router/src/streams/streamOrigins.ts
@@ -103,8 +103,8 @@
   readonly readRecord: (service: string) => Promise<RecordRead | undefined>
   /** Versions that are recorded as serving; undefined if the service has no record. */
   readonly recordedVersions: (service: string) => readonly SoftwareVersion[] | undefined
-  /** Resolves when the record of the service has changed, or could not be changed in time. */
-  readonly untilRecordChanges: (service: string) => Promise<void>
+  /** Resolves with true when a record has changed, and with false if none could be changed in time. */
+  readonly untilRecordChanges: (service: string) => Promise<boolean>
   /** Whether no instance ran before those that are starting now. */
   readonly isFleetNew: () => boolean
   /** Sends the streams to the instances that keep a replica of each. */
@@ -149,9 +149,12 @@
     return canBeginStream(softwareVersion, { recorded, recent })
   }
 
-  /** Resolves when streams may be able to begin at other versions of a service, or after a short wait. */
-  async untilVersionsChange(service: string): Promise<void> {
-    await this.parts.untilRecordChanges(service)
+  /**
+   * Resolves when streams may be able to begin at other versions of a service, or after a short wait. Returns whether
+   * anything changed.
+   */
+  untilVersionsChange(service: string): Promise<boolean> {
+    return this.parts.untilRecordChanges(service)
   }
 
   /** The store was lost or answers again. */
