fix(gossip): instances that lost the store are told what the others learn

An instance that lost the store alone got no gossip once its row was not renewed for the silence timeout: no leaving endpoints, crashes, versions of services or overload, though it served callers and its peers heard it.

Cause: who is told is taken from the rows that are renewed. The row's age was taken for the end of the instance.

Change: heartbeats and gossip also go to instances that are heard although their rows are not renewed (`ActiveFleet.heartbeatOthers`). Callers, relays and load reports are not sent there.

Ruled out: asking peers for such news (no row holds them); telling all rows until they are removed (datagrams to every instance that ended).

Cost: one datagram a heartbeat for each such instance; none otherwise.

The share of origins that streams find at such instances was not measured.

--- a/packages/daemon/__tests__/activeFleet.spec.ts
+++ b/packages/daemon/__tests__/activeFleet.spec.ts
@@ -148,6 +148,7 @@
     const { fleet } = setUp({ self: member('a1'), others: [], disconnected: ['a2', 'b1', 'b2'] })
     expect([fleet.sharers, fleet.worstCaseSharers]).toEqual([4, 4])
     expect(fleet.activeCount).toBe(1)
+    expect(fleet.heartbeatOthers.map(({ instance }) => instance)).toEqual(['a2', 'b1', 'b2'])
   })
 
   it('shares bounds as a user if it has work while on standby', () => {
--- a/packages/daemon/src/gateway/activeFleet.ts
+++ b/packages/daemon/src/gateway/activeFleet.ts
@@ -55,8 +55,8 @@
   readonly activeOthers: readonly MemberRow[]
   readonly usingOthers: readonly MemberRow[]
   readonly idleOthers: readonly MemberRow[]
-  /** Number of other instances that are disconnected from the store and heard. */
-  readonly disconnectedOthers: number
+  readonly disconnectedOthers: readonly MemberRow[]
+  readonly heartbeatOthers: readonly MemberRow[]
   /** Names of the silent instances; empty while this instance hears no other instance. */
   readonly silentOthers: ReadonlySet<string>
   /** Whether this instance hears another one. */
@@ -121,6 +121,14 @@
     return this.currentView().idleOthers
   }
 
+  /**
+   * The other instances that get heartbeats and gossip but no load reports: those of `idleOthers`, and those that are
+   * heard although their rows are not renewed. The latter serve callers too, and gossip is all that reaches them.
+   */
+  get heartbeatOthers(): readonly MemberRow[] {
+    return this.currentView().heartbeatOthers
+  }
+
   /** Whether another instance is silent. */
   isSilent(instance: string): boolean {
     return this.currentView().silentOthers.has(instance)
@@ -184,7 +192,7 @@
   /** The numbers of instances from which the shares of a fleet-wide bound are computed. */
   private get usage(): FleetUsage {
     const { isSelfActive, usingOthers, idleOthers, disconnectedOthers } = this.currentView()
-    const usingCount = usingOthers.length + disconnectedOthers
+    const usingCount = usingOthers.length + disconnectedOthers.length
     return {
       isSelfUsing: isSelfActive || this.parts.hasOwnEndpointLoad(),
       usingOthers: usingCount,
@@ -224,13 +232,16 @@
       other => hasEndpointLoad(other) && !activeOthers.includes(other),
     )
     const usingOthers = [...activeOthers, ...standbyUsers]
+    const idleOthers = all.filter(other => !usingOthers.includes(other))
+    const disconnectedOthers = this.parts.disconnectedOthers()
     return {
       self,
       isSelfActive: active.some(member => member === self),
       activeOthers,
       usingOthers,
-      idleOthers: all.filter(other => !usingOthers.includes(other)),
-      disconnectedOthers: this.parts.disconnectedOthers().length,
+      idleOthers,
+      disconnectedOthers,
+      heartbeatOthers: [...idleOthers, ...disconnectedOthers],
       silentOthers: new Set(
         all.filter(other => !others.includes(other)).map(({ instance }) => instance),
       ),
--- a/packages/daemon/src/gateway/endpointSubsystem.ts
+++ b/packages/daemon/src/gateway/endpointSubsystem.ts
@@ -252,7 +252,7 @@
     return new LoadExchange({
       address: loadAddress,
       reportPeers: () => reportPeers.of(fleet().usingOthers),
-      heartbeatPeers: () => heartbeatPeers.of(fleet().idleOthers),
+      heartbeatPeers: () => heartbeatPeers.of(fleet().heartbeatOthers),
       fleetLoad: this.fleetLoad,
       identity: { instance, incarnation },
       onCrashGossip: gossip => this.crashes.observe(gossip),
