fix(daemon): streams that wait for a record share the question to a peer

Callers at an instance without the store were refused (3019, unread) although a peer could have read the record for them.

Cause: each resumed stream asked both peers by itself, over four connections to each; the questions waited for each other and for the peer's shared reads, and the later ones ran out of time on a busy machine.

Change: streams that wait share a question, which begins after each of them has come, as they share a read of the store.

Result: versionRecordClient.spec, before: 42 questions for 42 streams of two services; after: 3.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -144,6 +144,7 @@
 export type { CrashTableSyncParts } from './crashes/crashTableSync.js'
 export { CrashRecordStore } from './crashes/crashRecordStore.js'
 export type { CrashRecordStoreParts } from './crashes/crashRecordStore.js'
+export { SharedRead } from './versions/sharedRead.js'
 export { VersionRecorder } from './versions/versionRecorder.js'
 export type {
   Histories,
--- a/packages/daemon/__tests__/versionRecordClient.spec.ts
+++ b/packages/daemon/__tests__/versionRecordClient.spec.ts
@@ -3,7 +3,7 @@
 import { afterEach, describe, expect, it } from 'vitest'
 import type { MemberRow } from '@rackwalk/coordination'
 import type { ServiceHistory } from '@rackwalk/decisions'
-import { asId } from '@rackwalk/shared'
+import { SystemClock, asId } from '@rackwalk/shared'
 import { VersionRecordClient, handleRecordRequest } from '../src/gateway/versionRecordClient.js'
 
 /** Reads of the records of versions through another instance. */
@@ -16,8 +16,11 @@
 
 const KNOWN = { service: 'models', value: '{"knownSince":1,"versions":[]}', version: 7 }
 
+/** Number of questions that peers got. */
+let questions = 0
 const stops: (() => void)[] = []
 afterEach(() => {
+  questions = 0
   for (const stop of stops.splice(0)) stop()
 })
 
@@ -28,6 +31,7 @@
 ): Promise<MemberRow> {
   const byService = records && new Map(records.map(history => [history.service, history]))
   const server = createServer((request, response) => {
+    questions += 1
     let body = ''
     request.on('data', bytes => (body += String(bytes)))
     request.on('end', () => {
@@ -55,7 +59,8 @@
 function clientOf(others: readonly MemberRow[]) {
   const malformed: string[] = []
   const onMalformed = ({ form }: { readonly form: string }) => malformed.push(form)
-  const client = new VersionRecordClient({ others: () => others, onMalformed })
+  const clock = new SystemClock()
+  const client = new VersionRecordClient({ clock, others: () => others, onMalformed })
   stops.push(() => client.close())
   return { client, malformed }
 }
@@ -85,6 +90,17 @@
     if (raw !== undefined) expect(await client.knownRecords()).toEqual([])
   })
 
+  it('is shared by all streams that wait, and begins after each of them has asked', async () => {
+    const peer = await startPeer([HISTORY])
+    const { client } = clientOf([peer])
+    const early = client.read('models')
+    await new Promise(resolve => setImmediate(resolve))
+    const late = Array.from({ length: 40 }, () => client.read('models'))
+    const reads = await Promise.all([early, ...late, client.read('others')])
+    expect(reads.filter(read => read === undefined)).toEqual([])
+    expect(questions).toBe(3)
+  })
+
   it('gives what a peer remembers while no store answers, if that is asked for', async () => {
     const { client } = clientOf([await startPeer(undefined)])
     expect(await client.knownRecords()).toEqual([KNOWN])
--- a/packages/daemon/src/gateway/streamCoordinator.ts
+++ b/packages/daemon/src/gateway/streamCoordinator.ts
@@ -76,6 +76,7 @@
       onMalformed: input => parts.telemetry.noteMalformed(input),
     })
     this.recordClient = new VersionRecordClient({
+      clock: parts.clock,
       others: () => this.others,
       onMalformed: input => parts.telemetry.noteMalformed(input),
     })
--- a/packages/daemon/src/gateway/versionRecordClient.ts
+++ b/packages/daemon/src/gateway/versionRecordClient.ts
@@ -8,11 +8,12 @@
 
 import { Agent } from 'node:http'
 import * as z from 'zod'
+import { SharedRead } from '@rackwalk/coordination'
 import type { MemberRow, WrittenRecord } from '@rackwalk/coordination'
 import { rankOriginReplicas } from '@rackwalk/decisions'
 import type { ServiceHistory } from '@rackwalk/decisions'
 import { asId } from '@rackwalk/shared'
-import type { Milliseconds } from '@rackwalk/shared'
+import type { Clock, Milliseconds } from '@rackwalk/shared'
 import { JsonCodec } from '@rackwalk/stores'
 import type { MalformedInput } from '../observe/malformedInputLog.js'
 import { firstDefined } from './outcomes.js'
@@ -25,6 +26,8 @@
 const ANSWER_MILLISECONDS: Milliseconds = 250
 /** Number of peers that are asked at once: one of them may be out of contact as well. */
 const PEERS_PER_QUESTION = 2
+/** Least time between two questions for the same record; all streams that wait share a question. */
+const QUESTION_GAP_MILLISECONDS: Milliseconds = 25
 /** Connections to one peer. */
 const MAXIMUM_CONNECTIONS = 4
 
@@ -117,6 +120,7 @@
 
 /** What the client needs. */
 export interface VersionRecordClientParts {
+  readonly clock: Clock
   /** Other instances that are not silent. */
   readonly others: () => readonly MemberRow[]
   readonly onMalformed: (input: MalformedInput) => void
@@ -125,11 +129,21 @@
 /** Asks other instances for the records of services. */
 export class VersionRecordClient {
   private readonly agent = new Agent({ keepAlive: true, maxSockets: MAXIMUM_CONNECTIONS })
+  private readonly reads = new Map<string, SharedRead<PeerRecord | undefined>>()
 
   constructor(private readonly parts: VersionRecordClientParts) {}
 
-  /** Returns the first record that a peer has read from the store for this call; undefined if none could. */
-  async read(service: string): Promise<PeerRecord | undefined> {
+  /** Returns the first record that a peer has read from the store after this call; undefined if none could. */
+  read(service: string): Promise<PeerRecord | undefined> {
+    const { clock } = this.parts
+    const ask = () => this.ask(service)
+    const reads =
+      this.reads.get(service) ?? new SharedRead(clock, () => QUESTION_GAP_MILLISECONDS, ask)
+    this.reads.set(service, reads)
+    return reads.begin()
+  }
+
+  private async ask(service: string): Promise<PeerRecord | undefined> {
     const body = questionCodec.encode({ service })
     return this.askPeers(service, {
       path: RECORD_PATH,
@@ -155,10 +169,10 @@
   ): Promise<Answer | undefined> {
     const reachable = this.parts.others().filter(({ peerAddress }) => peerAddress !== '')
     const peers = rankOriginReplicas(key, reachable).slice(0, PEERS_PER_QUESTION)
-    return firstDefined(peers.map(peer => this.ask(peer, question)))
+    return firstDefined(peers.map(peer => this.askPeer(peer, question)))
   }
 
-  private async ask<Answer>(
+  private async askPeer<Answer>(
     { instance, peerAddress: address }: MemberRow,
     { path, body, decode }: RecordQuestion<Answer>,
   ): Promise<Answer | undefined> {
