fix(streams): the first version of a service begins no stream before it is recorded

A stream of a new service could go on at another software version than the one that began it, with status 200 and complete.

Cause: the first version of a service was let begin streams without a record, on the belief that no other version can have begun any. Two instances may each know another version as the first; who resumed read "no record" in a fleet that counts as new for the life of its processes, and took its own version for the only one.

Change: no exception. Where a stream waits, the record is written at once, by the instances in the order of their rank 5 ms apart, so that the others hear of it instead of writing as well. A stream of a service without a record is resumed nowhere.

Not covered: an instance that reaches neither the store nor others for 30 s goes on beginning streams at a version that its record no longer holds.

--- a/packages/coordination/__tests__/versionRecorder.spec.ts
+++ b/packages/coordination/__tests__/versionRecorder.spec.ts
@@ -253,7 +253,7 @@
     }
     list('v1')
     for (const { recorder } of [writing, told]) recorder.noteChange()
-    expect(recorded()).toEqual([undefined, undefined])
+    expect(recorded()).toEqual([[], []])
     await clock.advance(5_000)
     expect(recorded()).toEqual([['v1'], ['v1']])
     list('v2')
@@ -285,7 +285,7 @@
     const [, untold] = [startInstance(0), startInstance(7)]
     list('v1')
     await clock.advance(4_000)
-    expect([untold.recorder.recordedVersions(SERVICE), calls()]).toEqual([undefined, 1])
+    expect([untold.recorder.recordedVersions(SERVICE), calls()]).toEqual([[], 1])
     await clock.advance(10_000)
     expect([untold.recorder.recordedVersions(SERVICE), calls()]).toEqual([['v1'], 1])
   })
--- a/packages/coordination/src/versions/versionRecorder.ts
+++ b/packages/coordination/src/versions/versionRecorder.ts
@@ -88,6 +88,12 @@
 const GATHER_MILLISECONDS: Milliseconds = 50
 /** Time between two looks whether it is this instance's turn to write. */
 const CHECK_MILLISECONDS: Milliseconds = 1_000
+/**
+ * Delay of a write that streams wait for, for each instance that is ranked before this one: the others hear of the first
+ * write instead of writing as well.
+ */
+const DEMANDED_RANK_MILLISECONDS: Milliseconds = 5
+const LONGEST_DEMANDED_MILLISECONDS: Milliseconds = 100
 /** Least time between two failed writes that streams wait for. */
 const DEMANDED_RETRY_MILLISECONDS: Milliseconds = 1_000
 /** Least time between two reads for resumed streams at one instance; all streams that wait share a read. */
@@ -155,13 +161,9 @@
     return this.reads.begin()
   }
 
-  /**
-   * The versions that are recorded as serving, as far as this instance has heard; undefined if the service has no record.
-   */
-  recordedVersions(service: string): readonly SoftwareVersion[] | undefined {
-    const known = this.rows.get(service)
-    if (known === undefined) return this.hasRead ? undefined : []
-    return servingVersions(known.record)
+  /** The versions that are recorded as serving, as far as this instance has heard. */
+  recordedVersions(service: string): readonly SoftwareVersion[] {
+    return servingVersions(this.rows.get(service)?.record)
   }
 
   /**
@@ -301,7 +303,9 @@
       this.isWriting = false
       if (this.takeUntold()) await this.readRecords()
     }
-    const delay = this.failures === 0 ? CHECK_MILLISECONDS : this.retryDelay
+    const isDemanded = this.demanded.size > 0 && this.parts.isListFresh()
+    const checkDelay = isDemanded ? DEMANDED_RANK_MILLISECONDS : CHECK_MILLISECONDS
+    const delay = this.failures === 0 ? checkDelay : this.retryDelay
     if (this.isCheckWanted) this.checkAfter(0)
     else if (this.pending.size + this.unanswered.size > 0) this.checkAfter(delay)
     this.isCheckWanted = false
@@ -337,9 +341,8 @@
     const record = nextVersionRecord(known, view)
     const now = this.parts.clock.monotonic()
     const { since } = this.notePending(service, change, now)
-    if (this.demanded.has(service)) return { service, record }
     const rank = this.parts.rank(service)
-    const delay = rank === undefined ? undefined : recordingDelay(change, rank)
+    const delay = this.demanded.has(service) ? demandedDelay(rank) : recordingDelay(change, rank)
     return delay !== undefined && now - since >= delay ? { service, record } : undefined
   }
 
@@ -417,6 +420,11 @@
 /** The records as read, by service. */
 export type Histories = ReadonlyMap<string, ServiceHistory>
 
+/** Returns how long after it saw a change an instance writes it if a stream waits; the longest if its rank is unknown. */
+function demandedDelay(rank = Number.POSITIVE_INFINITY): Milliseconds {
+  return Math.min(LONGEST_DEMANDED_MILLISECONDS, rank * DEMANDED_RANK_MILLISECONDS)
+}
+
 function servingVersions(record: VersionRecord | undefined): readonly SoftwareVersion[] {
   const versions = record?.versions ?? []
   return versions.flatMap(({ softwareVersion, unlistedAt }) => {
--- a/packages/decisions/__tests__/streamResumption.spec.ts
+++ b/packages/decisions/__tests__/streamResumption.spec.ts
@@ -71,17 +71,19 @@
 })
 
 describe('a stream that may be resumed', () => {
-  it('begins only at a recorded version, or at the first version of a service', () => {
-    const recorded = { none: undefined, empty: [], v1: [V1], 'v1 and v2': [V1, V2] }
-    const rows = Object.entries(recorded).flatMap(([record, versions]) =>
-      Object.entries(VERSIONS).map(([seen, recent]) => {
-        const startable = [V1, V2].filter(version => {
-          return canBeginStream(version, { recorded: versions, recent })
-        })
-        return `record: ${record}; seen: ${seen}: ${startable.join(' and ') || 'nowhere'}`
-      }),
-    )
-    expect(rows).toMatchSnapshot()
+  it('begins only at a recorded version', () => {
+    const recorded = { nothing: [], v1: [V1], 'v1 and v2': [V1, V2] }
+    const rows = Object.entries(recorded).map(([record, versions]) => {
+      const startable = [V1, V2].filter(version => canBeginStream(version, versions))
+      return `${record} recorded: ${startable.join(' and ') || 'nowhere'}`
+    })
+    expect(rows).toMatchInlineSnapshot(`
+      [
+        "nothing recorded: nowhere",
+        "v1 recorded: v1",
+        "v1 and v2 recorded: v1 and v2",
+      ]
+    `)
   })
 
   it('is remembered by other instances while several versions serve', () => {
--- a/packages/decisions/src/retrying/streamResumption.ts
+++ b/packages/decisions/src/retrying/streamResumption.ts
@@ -22,8 +22,7 @@
  *
  * A version begins no stream before it is in the record of its service, so a read that began after the caller had
  * reconnected shows each version at which the stream may have begun. An older read or list does not, however recent it is:
- * nothing tells an instance what happened since. A service without a record has had one version at the most, and its
- * streams began there.
+ * nothing tells an instance what happened since.
  *
  * Limits: one read of the store for a resumed stream whose origin is not remembered, shared by all streams that wait for
  * it. While the store is not reached, directly or through a peer, only streams of remembered origin go on. A version counts
@@ -104,24 +103,16 @@
   return RESUMPTION_WINDOW_MILLISECONDS - record.knownForMilliseconds
 }
 
-/** The versions of a service as one instance knows them. */
-export interface StartableVersions {
-  /** Versions that are recorded as serving; undefined if the service has no record. */
-  readonly recorded: readonly SoftwareVersion[] | undefined
-  /** Versions that served recently, each once. */
-  readonly recent: readonly SoftwareVersion[]
-}
-
 /**
- * Whether a stream that may be resumed can begin at a version: only a recorded version is seen by whoever reads the record
- * for a resumed stream. The first version of a service needs no record, since without one no other version has begun any.
+ * Whether a stream that may be resumed can begin at a version, given those that are recorded as serving: whoever reads the
+ * record for a resumed stream sees no other version. The first version of a service is no exception, since another
+ * instance may know another one as the first.
  */
 export function canBeginStream(
   version: SoftwareVersion,
-  { recorded, recent }: StartableVersions,
+  recorded: readonly SoftwareVersion[],
 ): boolean {
-  if (recorded !== undefined) return recorded.includes(version)
-  return recent.every(other => other === version)
+  return recorded.includes(version)
 }
 
 /** Whether a service that is known for this long was known when any stream began that may still be resumed. */
--- a/packages/decisions/src/retrying/versionRecord.ts
+++ b/packages/decisions/src/retrying/versionRecord.ts
@@ -138,11 +138,14 @@
 }
 
 /**
- * Returns how long after it saw a change the instance of this rank writes it; undefined if it leaves that to others. The
- * instance of rank 0 is the first one.
+ * Returns how long after it saw a change the instance of this rank writes it; undefined if it leaves that to others, or
+ * while its rank is unknown. The instance of rank 0 is the first one.
  */
-export function recordingDelay(change: RecordChange, rank: number): Milliseconds | undefined {
-  if (rank >= RECORDERS) return undefined
+export function recordingDelay(
+  change: RecordChange,
+  rank: number | undefined,
+): Milliseconds | undefined {
+  if (rank === undefined || rank >= RECORDERS) return undefined
   const delay = change === 'addition' ? 0 : UNHURRIED_MILLISECONDS
   return delay + rank * RECORDER_MILLISECONDS
 }
--- a/packages/router/__tests__/streamOrigins.spec.ts
+++ b/packages/router/__tests__/streamOrigins.spec.ts
@@ -51,7 +51,8 @@
       const history = record && aged(record.history, clock.monotonic() - record.at)
       return { reader: 'this-instance', history }
     },
-    recordedVersions: () => record?.history.versions.map(({ softwareVersion }) => softwareVersion),
+    recordedVersions: () =>
+      record?.history.versions.map(({ softwareVersion }) => softwareVersion) ?? [],
     untilRecordChanges: () => Promise.resolve(false),
     isFleetNew: () => isFleetNew,
     ask: async ({ key }) => {
@@ -208,17 +209,18 @@
   })
 
   it('counts a removed version for as long as its streams may be resumed', async () => {
-    const { clock, list, drop, find } = setUp()
+    const { clock, list, drop, find, write } = setUp()
     list('v1')
     list('v1.1')
     await clock.advance(2 * RESUMPTION_WINDOW_MILLISECONDS)
     drop('v1')
+    write({ v1: 1, 'v1.1': 0 })
     expect(await find(KEY)).toBe('nowhere (unknown)')
     await clock.advance(RESUMPTION_WINDOW_MILLISECONDS + 1)
     expect(await find(KEY)).toBe('v1.1 (only-version)')
   })
 
-  it('begins streams at a recorded version alone, and at the first version of a service without a record', () => {
+  it('begins streams at a recorded version alone, also at the first version of a service', () => {
     const { origins, list, write } = setUp()
     const startable = () => ['v1', 'v2'].filter(version => origins.canBegin(originOf(version)))
     list('v1')
@@ -229,7 +231,7 @@
     began.push(startable())
     write({ v1: 0, v2: 0 })
     began.push(startable())
-    expect(began).toEqual([['v1'], [], ['v1'], ['v1', 'v2']])
+    expect(began).toEqual([[], [], ['v1'], ['v1', 'v2']])
   })
 })
 
@@ -339,10 +341,10 @@
     expect([asked, sent]).toEqual([[], []])
   })
 
-  it('resumes streams of a service that has no record if no instance ran before', async () => {
+  it('resumes no stream of a service that has no record, although no instance ran before', async () => {
     const { list, find } = setUp()
     list('v1')
-    expect(await find(KEY)).toBe('v1 (only-version)')
+    expect(await find(KEY)).toBe('nowhere (unproven)')
   })
 
   it('does not take the word of peers if there is no record although instances ran before', async () => {
--- a/packages/router/src/streams/streamOrigins.ts
+++ b/packages/router/src/streams/streamOrigins.ts
@@ -8,7 +8,6 @@
  */
 
 import {
-  RESUMPTION_WINDOW_MILLISECONDS,
   canBeginStream,
   hasMixedVersions,
   resolveResumption,
@@ -101,8 +100,8 @@
    * could not be read in time.
    */
   readonly readRecord: (service: string) => Promise<RecordRead | undefined>
-  /** Versions that are recorded as serving; undefined if the service has no record. */
-  readonly recordedVersions: (service: string) => readonly SoftwareVersion[] | undefined
+  /** Versions that are recorded as serving, as far as this instance has heard. */
+  readonly recordedVersions: (service: string) => readonly SoftwareVersion[]
   /** Resolves with true when a record has changed, and with false if none could be changed in time. */
   readonly untilRecordChanges: (service: string) => Promise<boolean>
   /** Whether no instance ran before those that are starting now. */
@@ -144,9 +143,7 @@
 
   /** Whether a stream that may be resumed can begin at a version now. */
   canBegin({ service, softwareVersion }: StreamOrigin): boolean {
-    const recorded = this.parts.recordedVersions(service)
-    const recent = recorded === undefined ? this.versions.recentVersions(service) : []
-    return canBeginStream(softwareVersion, { recorded, recent })
+    return canBeginStream(softwareVersion, this.parts.recordedVersions(service))
   }
 
   /**
@@ -252,7 +249,7 @@
     }: { record?: RecordRead | undefined; answers?: readonly OriginAnswer[] },
   ): FoundOrigin {
     const { service } = stream
-    const record = read && this.recorded(read)
+    const record = read && recordedIn(read)
     const all = [this.answer(stream), ...answers]
     const resumption = resolveResumption(service, {
       origins: all.flatMap(answer => answer.origins),
@@ -266,17 +263,9 @@
       recordReader: read?.reader,
       answers: answers.length,
     }
-    return { ...resumption, evidence, delayMilliseconds: resumptionDelay(resumption, record) }
-  }
-
-  /** A fleet without any past has had no version but those that it lists, before their record is written. */
-  private recorded({ history }: RecordRead): RecordedVersions {
-    if (history === undefined) {
-      const knownFor = this.parts.isFleetNew() ? RESUMPTION_WINDOW_MILLISECONDS : 0
-      return { versions: [], knownForMilliseconds: knownFor }
-    }
-    const versions = history.versions.map(({ softwareVersion }) => softwareVersion)
-    return { versions, knownForMilliseconds: history.knownForMilliseconds }
+    const isRecorded = read?.history !== undefined
+    const delayMilliseconds = isRecorded ? resumptionDelay(resumption, record) : undefined
+    return { ...resumption, evidence, delayMilliseconds }
   }
 
   private remembered(key: StreamKey | undefined): readonly StreamOrigin[] {
@@ -312,3 +301,10 @@
       this.parts.replicateStreams(this.cache.servedLocally(service))
   }
 }
+
+/** Without a record no stream of the service can have begun here, and nothing is known of an earlier release. */
+function recordedIn({ history }: RecordRead): RecordedVersions {
+  if (history === undefined) return { versions: [], knownForMilliseconds: 0 }
+  const versions = history.versions.map(({ softwareVersion }) => softwareVersion)
+  return { versions, knownForMilliseconds: history.knownForMilliseconds }
+}
