feat(observe): the line of an attempt tells which events of a stream its caller got of it

The lines of two tries did not tell which part of a stream each gave: a missing, a repeated and a joined piece looked alike. Each attempt has firstEventId, lastEventId and strayEvent now, and a request that takes a stream up resumesAfter.

--- a/packages/daemon/src/gateway/requestLogFields.ts
+++ b/packages/daemon/src/gateway/requestLogFields.ts
@@ -1,13 +1,14 @@
 /** The log line of a request, with field names that log collectors rely on. */
 
 import { outcomeText, relayOutcomeText } from '@rackwalk/decisions'
-import type { AttemptRecord, GatewayRecord, RelayRecord } from '@rackwalk/router'
+import type { AnswerRecord, AttemptRecord, GatewayRecord, RelayRecord } from '@rackwalk/router'
 
 /** Returns the fields of the line; undefined fields are omitted from its JSON. */
 export function requestLogFields(record: GatewayRecord): Readonly<Record<string, unknown>> {
   return {
     request: record.requestId,
     resumes: resumedRequest(record),
+    resumesAfter: record.resumption?.lastEventId,
     origin: record.originSource,
     ...originFields(record),
     fingerprint: record.fingerprint,
@@ -69,16 +70,18 @@
     outcome: outcomeText(attempt.outcome),
     refusal: attempt.refusal,
     said: attempt.said,
-    framing: attempt.answer?.framing,
-    end: attempt.answer?.end,
-    events: attempt.answer?.events,
-    bodyBytes: attempt.answer?.bodyBytes,
-    withheldBytes: attempt.answer?.withheldBytes,
+    ...(attempt.answer === undefined ? {} : answerFields(attempt.answer)),
     longestPauseMilliseconds: rounded(attempt.longestPause?.milliseconds),
     pausePendingTokens: attempt.longestPause?.pendingTokens,
   }
 }
 
+/** How the body of an answer arrived, and which part of its stream it gave. */
+function answerFields(answer: AnswerRecord): Readonly<Record<string, unknown>> {
+  const { hasStrayEvent, ...others } = answer
+  return { ...others, strayEvent: hasStrayEvent || undefined }
+}
+
 function relayFields({ instance, outcome }: RelayRecord): Readonly<Record<string, unknown>> {
   return { instance, outcome: relayOutcomeText(outcome) }
 }
--- a/packages/router/__tests__/eventDelivery.spec.ts
+++ b/packages/router/__tests__/eventDelivery.spec.ts
@@ -37,4 +37,14 @@
     expect(delivery.read(Buffer.from(event(3))).map(String)).toEqual([event(3)])
     expect(delivery).toMatchObject({ events: 1, lastEventId: '3', hasStrayEvent: false })
   })
+
+  it('tells the ids of the first and the last event of each answer', () => {
+    const delivery = new EventDelivery()
+    delivery.read(Buffer.from(`${event(1)}${event(2)}`))
+    expect(delivery.idsOfAnswer).toEqual({ first: '1', last: '2' })
+    delivery.continueElsewhere()
+    expect(delivery.idsOfAnswer).toEqual({ first: undefined, last: undefined })
+    delivery.read(Buffer.from(event(3)))
+    expect(delivery.idsOfAnswer).toEqual({ first: '3', last: '3' })
+  })
 })
--- a/packages/router/src/gateway/eventDelivery.ts
+++ b/packages/router/src/gateway/eventDelivery.ts
@@ -16,6 +16,8 @@
   private splitter = new EventSplitter()
   private count = 0
   private lastId: string | undefined
+  private firstIdOfAnswer: string | undefined
+  private lastIdOfAnswer: string | undefined
   private isStray = false
 
   /** `resumedAfter`: id of the last event that the caller has from its earlier requests, if it resumes a stream. */
@@ -39,6 +41,8 @@
    */
   continueElsewhere(): void {
     this.splitter = new EventSplitter()
+    this.firstIdOfAnswer = undefined
+    this.lastIdOfAnswer = undefined
     this.isStray = false
   }
 
@@ -57,6 +61,11 @@
     return this.splitter.remainderBytes > 0
   }
 
+  /** Ids of the first and the last complete event of the current answer, among those that have one. */
+  get idsOfAnswer(): { readonly first: string | undefined; readonly last: string | undefined } {
+    return { first: this.firstIdOfAnswer, last: this.lastIdOfAnswer }
+  }
+
   /** Whether the current answer holds an event that does not follow those that the caller has. */
   get hasStrayEvent(): boolean {
     return this.isStray
@@ -70,9 +79,15 @@
     this.isStray ||= isStrayEvent(received, this.lastId ?? this.resumedAfter)
     if (this.isStray) return false
     this.count += 1
-    if (id !== undefined) this.lastId = id
+    if (id !== undefined) this.noteId(id)
     return true
   }
+
+  private noteId(id: string): void {
+    this.lastId = id
+    this.lastIdOfAnswer = id
+    this.firstIdOfAnswer ??= id
+  }
 }
 
 /**
--- a/packages/router/src/gateway/gatewayAnswerDelivery.ts
+++ b/packages/router/src/gateway/gatewayAnswerDelivery.ts
@@ -56,7 +56,15 @@
     const { framing, end } = this.ended
     const bodyBytes = this.receivedBytes
     const withheldBytes = bodyBytes - this.deliveredBytes
-    return { framing, end, events: this.eventCount, bodyBytes, withheldBytes }
+    const bytes = { bodyBytes, withheldBytes }
+    return { framing, end, events: this.eventCount, ...bytes, ...this.order }
+  }
+
+  /** Which part of the stream this answer gave; empty for an answer that is no stream. */
+  private get order(): Pick<AnswerRecord, 'firstEventId' | 'lastEventId' | 'hasStrayEvent'> {
+    const { idsOfAnswer, hasStrayEvent } = this.parts.events
+    const ids = this.isStream ? idsOfAnswer : { first: undefined, last: undefined }
+    return { firstEventId: ids.first, lastEventId: ids.last, hasStrayEvent }
   }
 
   /** Delivers complete events as they arrive; an incomplete event at the end is never delivered. */
--- a/packages/router/src/gateway/gatewayRecord.ts
+++ b/packages/router/src/gateway/gatewayRecord.ts
@@ -27,6 +27,11 @@
   readonly bodyBytes: Bytes
   /** Bytes of the body that were received and not delivered to the caller. */
   readonly withheldBytes: Bytes
+  /** Ids of the first and the last delivered event of this answer; undefined unless these events have ids. */
+  readonly firstEventId: string | undefined
+  readonly lastEventId: string | undefined
+  /** Whether the answer was given up at an event that did not follow those that the caller has. */
+  readonly hasStrayEvent: boolean
 }
 
 /** One attempt: an endpoint to which the request was sent. */
