--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -192,6 +192,5 @@
 export type { AnswerHead } from './stopping/answerFraming.js'
 export { LINGER_MILLISECONDS, exitDelay, shouldSettle } from './stopping/drainPhases.js'
 export { isStrayEvent } from './stopping/strayEvent.js'
-export type { ReceivedEvent } from './stopping/strayEvent.js'
 export { finalError, allRefusedError } from './stopping/finalError.js'
 export type { NoEndpointReason } from './stopping/finalError.js'
