--- a/packages/coordination/src/versions/versionRecorder.ts
+++ b/packages/coordination/src/versions/versionRecorder.ts
@@ -303,14 +303,18 @@
       this.isWriting = false
       if (this.takeUntold()) await this.readRecords()
     }
-    const isDemanded = this.demanded.size > 0 && this.parts.isListFresh()
-    const checkDelay = isDemanded ? DEMANDED_RANK_MILLISECONDS : CHECK_MILLISECONDS
-    const delay = this.failures === 0 ? checkDelay : this.retryDelay
     if (this.isCheckWanted) this.checkAfter(0)
-    else if (this.pending.size + this.unanswered.size > 0) this.checkAfter(delay)
+    else if (this.pending.size + this.unanswered.size > 0) this.checkAfter(this.checkDelay)
     this.isCheckWanted = false
   }
 
+  /** Time until the next look while changes are left. */
+  private get checkDelay(): Milliseconds {
+    if (this.failures > 0) return this.retryDelay
+    const isDemanded = this.demanded.size > 0 && this.parts.isListFresh()
+    return isDemanded ? DEMANDED_RANK_MILLISECONDS : CHECK_MILLISECONDS
+  }
+
   /**
    * Writes the record of a service if it is due. The update is made just before its write: another instance may have told
    * of a newer row while the record of the service before was written, and must not lose its versions.
