fix(coordination): a service that is configured no more leaves no quick looks at its record behind

A stream that waits makes the recorder look each few milliseconds until the change is written; a service that left the configuration meanwhile would never be written and keep it at that while any other change waits. Found by reading.

--- a/packages/coordination/src/versions/versionRecorder.ts
+++ b/packages/coordination/src/versions/versionRecorder.ts
@@ -311,8 +311,8 @@
   /** Time until the next look while changes are left. */
   private get checkDelay(): Milliseconds {
     if (this.failures > 0) return this.retryDelay
-    const isDemanded = this.demanded.size > 0 && this.parts.isListFresh()
-    return isDemanded ? DEMANDED_RANK_MILLISECONDS : CHECK_MILLISECONDS
+    const isDemanded = this.parts.services().some(service => this.demanded.has(service))
+    return isDemanded && this.parts.isListFresh() ? DEMANDED_RANK_MILLISECONDS : CHECK_MILLISECONDS
   }
 
   /**
