feat(observe): refusals for a route, key or budget tell what they were concluded from

Cause: a 401 or 404 told its version only: not how long that version had been known, nor whether the versions beside it allow the request. A 402 did not tell what of the budget was handed out for certain, so that a true one and a false one look alike.

Change: VersionedDenials compares each refusal with the version before and the one that takes effect within 10 s; a contradiction is a line and a count (denial_contradicted). 401 and 404 have configurationAge; budget lines have provenSpent and reserved; the lines of the OpenAI-style kind have the revision that was read. No decision uses any of it.

--- a/packages/coordination/src/prepaid/accountReport.ts
+++ b/packages/coordination/src/prepaid/accountReport.ts
@@ -70,6 +70,8 @@
       recordAge: Math.round(holding.recordAge),
       free: view.pool === undefined ? undefined : freeInPool(view.pool),
       assumedSpent: view.pool?.assumedSpent ?? 0,
+      provenSpent: view.provenSpent,
+      reserved: holding.reserved,
       othersUnspent: view.unspentOf(others),
       demand: Math.round(demandPerSecond()),
       toldDemand: view.totalDemandPerSecond,
--- a/packages/coordination/src/prepaid/partitionView.ts
+++ b/packages/coordination/src/prepaid/partitionView.ts
@@ -7,6 +7,7 @@
 import type { Milliseconds, TokenCount } from '@rackwalk/shared'
 import { POOL_KEY, holderKey, holderRowCodec, instanceOfKey, poolRowCodec } from './prepaidRows.js'
 import type { HolderRow, PoolRow } from './prepaidRows.js'
+import { provenSpending } from './provenSpending.js'
 
 /** A row as received from a read, a feed or a rejected transaction. */
 export interface RowUpdate {
@@ -123,6 +124,12 @@
     return this.othersOf(instances).reduce((sum, other) => sum + other.unspent, 0)
   }
 
+  /** Tokens that all holders, past and present, have handed out for certain. */
+  get provenSpent(): TokenCount {
+    const rows = [...this.holders.values()].flatMap(({ row }) => row ?? [])
+    return provenSpending(this.pool, rows)
+  }
+
   /** Tokens per second that callers of all holders request, according to their rows. */
   get totalDemandPerSecond(): number {
     let demand = 0
--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -331,6 +331,7 @@
       checkStaleness: () => this.health.checkStaleness(),
       isDraining: () => this.isDrainStarted,
       isRefusing: () => this.isRefusing,
+      onContradictedDenial: denial => this.note('denial_contradicted', { ...denial }),
       onRecord: record => {
         this.telemetry.noteRecord(record)
         this.health.noteRecord(record)
--- a/packages/daemon/src/observe/failedRequestFields.ts
+++ b/packages/daemon/src/observe/failedRequestFields.ts
@@ -8,6 +8,7 @@
 export function failedRequestFields(record: DecisionRecord): Readonly<Record<string, unknown>> {
   return {
     request: record.requestId,
+    configurationRevision: record.configurationRevision,
     team: record.teamId,
     code: record.code,
     execution: record.execution,
--- a/packages/daemon/src/requestPath.ts
+++ b/packages/daemon/src/requestPath.ts
@@ -138,6 +138,7 @@
     incarnation,
     clock,
     createRequestId: () => createRequestId(incarnation, clock.wallTime(), (count += 1)),
+    configurationRevision: () => node.configuration.revision,
     chatRelay: parts.chatRelay,
     isCutOff,
     onRecord: parts.onRecord,
--- a/packages/router/__tests__/faultAfterDispatch.spec.ts
+++ b/packages/router/__tests__/faultAfterDispatch.spec.ts
@@ -54,6 +54,7 @@
     createRequestId: () => asId<RequestId>('request-1'),
     onRecord: (record: DecisionRecord) => (ends.code = record.code),
     onFault: () => {},
+    configurationRevision: () => 0,
     chatRelay: { canRelay: () => false } as never,
     isCutOff: () => false,
   })
--- a/packages/router/src/decisionRecord.ts
+++ b/packages/router/src/decisionRecord.ts
@@ -12,6 +12,7 @@
   ResultCode,
   TeamId,
   TokenCount,
+  Version,
 } from '@rackwalk/shared'
 import type { AllocationView } from '@rackwalk/coordination'
 import type { AnswerEnd, AnswerDisposition, AnswerFraming } from '@rackwalk/decisions'
@@ -41,6 +42,8 @@
   readonly instanceId: string
   /** Wall time in milliseconds. */
   readonly receivedAt: Milliseconds
+  /** Revision of the configuration that this instance had read when the request arrived; 0 before the first one. */
+  readonly configurationRevision: Version
   teamId?: TeamId
   target?: string
   key?: IdempotencyKey
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -40,6 +40,8 @@
 import { RequestAttempts } from './requestAttempts.js'
 import { findStreamOrigin } from './findStreamOrigin.js'
 import { untilStreamCanBegin } from './streamStart.js'
+import { VersionedDenials } from './versionedDenials.js'
+import type { ContradictedDenial } from './versionedDenials.js'
 import type { AttemptsParts, AttemptsResult } from './attemptedRequest.js'
 
 /** Dependencies and callbacks of the gateway. */
@@ -60,11 +62,14 @@
   readonly isRefusing: () => boolean
   readonly defaultDeadlineMilliseconds: Milliseconds
   readonly onRecord: (record: GatewayRecord) => void
+  /** A neighbouring version of the configuration allows a request that was refused for its route or key. */
+  readonly onContradictedDenial: (denial: ContradictedDenial) => void
 }
 
 /** The route and team of a request according to the known routes. */
 interface MatchedRequest {
   readonly routes: RouteTable
+  readonly host: string
   readonly path: string
   /** Undefined if no route matches the path. */
   readonly route: GatewayRoute | undefined
@@ -113,10 +118,12 @@
   /** By service name. */
   private readonly retryBudgets = new Map<string, FleetRetryBudget>()
   private readonly admission: InstanceAdmission
+  private readonly denials: VersionedDenials
   private running = 0
 
   constructor(private readonly parts: GatewayParts) {
     this.admission = new InstanceAdmission(parts, () => this.running)
+    this.denials = new VersionedDenials(parts.clock, parts.onContradictedDenial)
   }
 
   /** Requests in progress. */
@@ -292,8 +299,9 @@
     this.parts.checkStaleness()
     if (matched === undefined) throw new NotRunError(ResultCode.InstanceNotReady)
     const { routes, path, route, team } = matched
-    if (route === undefined) throw new NotRunError(ResultCode.NotFound, path)
-    if (team === undefined && !route.isAnonymous) throw new NotRunError(ResultCode.UnknownKey)
+    if (route === undefined || (team === undefined && !route.isAnonymous)) {
+      throw this.denial(matched, metadata, record)
+    }
     const serviceName = chooseService(route, this.parts.random.next())
     const service = serviceName === undefined ? undefined : routes.service(serviceName)
     if (service === undefined) throw new NotRunError(ResultCode.NoEndpoint, serviceName)
@@ -303,6 +311,18 @@
     return { metadata, route, service, team, deadlineAt }
   }
 
+  /** The error of a request whose route or key the configuration does not contain. */
+  private denial(
+    { host, path, route }: MatchedRequest,
+    { requestId, credential: key }: RequestMetadata,
+    record: GatewayRecord,
+  ): NotRunError {
+    record.configurationAge = this.denials.versionAge
+    this.denials.note({ requestId, host, path, key })
+    if (route === undefined) return new NotRunError(ResultCode.NotFound, path)
+    return new NotRunError(ResultCode.UnknownKey)
+  }
+
   /**
    * Matches a request against the known routes; undefined if no configuration is known. The match is recorded
    * before the request may be refused, so that a team whose requests are all refused shows up in its own
@@ -315,13 +335,16 @@
   ): MatchedRequest | undefined {
     const routes = this.parts.routes()
     if (routes === undefined) return undefined
+    this.denials.observe(routes)
     const path = (request.url ?? '/').split('?')[0] ?? '/'
-    const route = routes.match(request.headers.host ?? '', path)
+    const host = request.headers.host ?? ''
+    const route = routes.match(host, path)
     const key = metadata.credential
     const isKeyed = route !== undefined && !route.isAnonymous && key !== undefined
     const team = isKeyed ? routes.teamOf(key) : undefined
-    noteMatch(record, { routes, path, route, team })
-    return { routes, path, route, team }
+    const matched = { routes, host, path, route, team }
+    noteMatch(record, matched)
+    return matched
   }
 
   private get limits(): GatewayLimits | undefined {
--- a/packages/router/src/gateway/gatewayRecord.ts
+++ b/packages/router/src/gateway/gatewayRecord.ts
@@ -79,6 +79,8 @@
   /** Undefined if no decision needed the fingerprint. */
   fingerprint?: RequestFingerprint
   configurationVersion?: number
+  /** Time since this version took effect here; set if the request was refused for its route or key. */
+  configurationAge?: Milliseconds | undefined
   route?: string
   team?: string
   /** Priority of the team, or else of the route; 0 is the most urgent. */
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -102,6 +102,8 @@
 export { PeerRelay, RELAYED_BY } from './gateway/peerRelay.js'
 export type { RelayPeer, RelayPeers } from './gateway/peerRelay.js'
 export { RouteTable } from './gateway/gatewayConfiguration.js'
+export { VersionedDenials } from './gateway/versionedDenials.js'
+export type { ContradictedDenial } from './gateway/versionedDenials.js'
 export type {
   GatewayConfiguration,
   GatewayLimits,
--- a/packages/router/src/requestPipeline.ts
+++ b/packages/router/src/requestPipeline.ts
@@ -11,7 +11,7 @@
   ResultCode,
   toRackwalkError,
 } from '@rackwalk/shared'
-import type { Clock, IncarnationId, RackwalkError, RequestId } from '@rackwalk/shared'
+import type { Clock, IncarnationId, RackwalkError, RequestId, Version } from '@rackwalk/shared'
 import type { IncomingRequest } from './callerConnection.js'
 import type { DecisionRecord } from './decisionRecord.js'
 import { errorBody, errorHeaders } from './errorBody.js'
@@ -65,6 +65,8 @@
   readonly incarnation: IncarnationId
   readonly clock: Clock
   readonly createRequestId: () => RequestId
+  /** Revision of the configuration in force. */
+  readonly configurationRevision: () => Version
   /** Stores, counts and logs the decision record. */
   readonly onRecord: (record: DecisionRecord) => void
   /** Reports an error that is a fault of the program. */
@@ -164,6 +166,7 @@
       requestId,
       instanceId: this.parts.incarnation,
       receivedAt: this.parts.clock.wallTime(),
+      configurationRevision: this.parts.configurationRevision(),
       routing: [],
     }
     const receivedAt = this.parts.clock.sinceStart()
