fix(coordination): a budget is called used up only if no event but a higher limit makes room

What callers saw: a final 402 (2001) while the budget had room: while running requests reserved tokens that came back, while an idle or dead instance held them, and after a raise of the limit that the pool row did not show yet. Callers do not come back after it.

Cause: 'exhausted' was concluded from what this instance believes to be free or unspent at instances that take callers. Class: what is known to be within reach now was taken for all that there will be.

Change: 402 is concluded from provenSpending, which only grows: what ended holders and present ones have handed out, from rows of one moment, so that old rows prove less and never too much. All else is 429 (2002) with a time to come back.

Evidence: prepaidLedger.spec, four of five new tests red before (reason 'exhausted' where 'unavailable' is due), the fifth (402 if it is true) green on both; gateway.spec 'is not called used up while a request in progress reserves tokens' red before with 402. gateway.spec 'is never overspent' wanted 402 for requests refused while others were running, of which it was not known to be true; it now wants 402 once nothing runs, after the rest was spent, and the same bound on what is served.

--- a/packages/coordination/__tests__/prepaidLedger.spec.ts
+++ b/packages/coordination/__tests__/prepaidLedger.spec.ts
@@ -183,6 +183,76 @@
   })
 })
 
+describe('PrepaidLedger calls a budget exhausted', () => {
+  it('not while running requests reserve tokens that come back', async () => {
+    const { clock, start } = setUp()
+    const node = start('first', 0)
+    await clock.advance(1_000)
+    const running = await ask(clock, node, 90_000)
+    const refused = await ask(clock, node, 30_000)
+    expect(refused).toMatchObject({ kind: 'refused', reason: 'unavailable' })
+    if (running.kind === 'reserved') node.ledger.settle(running.reservation, 1_000)
+    expect((await ask(clock, node, 30_000)).kind).toBe('reserved')
+  })
+
+  it('not while an idle or terminated instance holds unspent tokens', async () => {
+    const { clock, rows, start } = setUp()
+    const idle = {
+      ...EMPTY_HOLDER,
+      granted: LIMIT - 1_000,
+      committed: 2_000,
+      reserved: 0,
+      ahead: 0,
+    }
+    const pool = { limit: LIMIT, configurationVersion: 1, settled: 0, allocated: idle.granted }
+    rows.put(PREPAID_TABLE, holderKey('node-2'), holderRowCodec.encode(idle), BUDGET)
+    rows.put(PREPAID_TABLE, POOL_KEY, poolRowCodec.encode(pool), BUDGET)
+    const node = start('first', 0)
+    await clock.advance(1_000)
+    expect(await ask(clock, node, 30_000)).toMatchObject({ reason: 'unavailable' })
+  })
+
+  it('not while a raised limit is not yet in the pool row', async () => {
+    const { clock, start } = setUp()
+    const node = start('first', 0)
+    await clock.advance(1_000)
+    const spent = await ask(clock, node, 90_000)
+    if (spent.kind === 'reserved') node.ledger.settle(spent.reservation, 90_000)
+    await clock.advance(1_000)
+    node.faults.isCut = true
+    node.ledger.configure([{ budget: BUDGET, limit: 2 * LIMIT }], 2)
+    expect(await ask(clock, node, 30_000)).toMatchObject({ reason: 'unavailable' })
+  })
+
+  it('if less than the request needs was not handed out', async () => {
+    const { clock, start } = setUp()
+    const node = start('first', 0)
+    await clock.advance(1_000)
+    const spent = await ask(clock, node, 90_000)
+    if (spent.kind === 'reserved') node.ledger.settle(spent.reservation, 90_000)
+    expect(await ask(clock, node, 10_001)).toMatchObject({ reason: 'exhausted' })
+    expect((await ask(clock, node, 9_000)).kind).toBe('reserved')
+  })
+
+  it('not by a holding that counts twice, in its own row and in a newer pool row', async () => {
+    const { clock, rows, start } = setUp()
+    const ended = { ...EMPTY_HOLDER, granted: 60_000, committed: 60_000, reserved: 0, ahead: 0 }
+    const pool = { limit: LIMIT, configurationVersion: 1, settled: 0, allocated: 60_000 }
+    rows.put(PREPAID_TABLE, holderKey('node-2'), holderRowCodec.encode(ended), BUDGET)
+    rows.put(PREPAID_TABLE, POOL_KEY, poolRowCodec.encode(pool), BUDGET)
+    const node = start('first', 0)
+    await clock.advance(1_000)
+    const running = await ask(clock, node, 20_000)
+    // A feed brings the change of the pool before the removal of the holder's row.
+    const later = { limit: LIMIT, configurationVersion: 1, settled: 60_000, allocated: 40_000 }
+    const value = poolRowCodec.encode(later)
+    const change = { table: PREPAID_TABLE, partition: BUDGET, key: POOL_KEY, value }
+    node.ledger.observe([{ ...change, version: 1_000_000 }], false)
+    expect(await ask(clock, node, 30_000)).toMatchObject({ reason: 'unavailable' })
+    expect(running.kind).toBe('reserved')
+  })
+})
+
 describe('PrepaidLedger on a standby instance', () => {
   it('writes nothing and holds nothing until a caller arrives', async () => {
     const { clock, start, state, rowKeys, pool } = setUp()
--- a/packages/coordination/src/prepaid/holdingState.ts
+++ b/packages/coordination/src/prepaid/holdingState.ts
@@ -45,6 +45,11 @@
     return this.reservedTokens
   }
 
+  /** The part of the committed tokens that callers got. */
+  get handedOut(): TokenCount {
+    return this.committedTokens - this.reservedTokens
+  }
+
   /** Tokens granted to this incarnation, by the smallest grant of the rows that may be in force. */
   get granted(): TokenCount {
     const rows = this.possibleRows()
--- a/packages/coordination/src/prepaid/prepaidAccount.ts
+++ b/packages/coordination/src/prepaid/prepaidAccount.ts
@@ -29,6 +29,7 @@
   poolRowCodec,
 } from './prepaidRows.js'
 import type { PoolRow } from './prepaidRows.js'
+import { handedOut } from './provenSpending.js'
 import { StoreHealth } from './storeHealth.js'
 import type { PrepaidOutcome, RefusedOutcome, ReservedOutcome } from './prepaidOutcome.js'
 import { PartitionView } from './partitionView.js'
@@ -518,6 +519,21 @@
     return pool === undefined ? Math.max(this.limit ?? 0, 0) : freeInPool(pool)
   }
 
+  /** The limit by the newest configuration that this instance or the writer of the pool row knows. */
+  private get newestLimit(): TokenCount {
+    const { pool } = this.view
+    const isInPool = pool !== undefined && pool.configurationVersion > this.configurationVersion
+    return isInPool ? pool.limit : (this.limit ?? 0)
+  }
+
+  /** Tokens handed out for certain, including those that this instance has not recorded yet. */
+  private get provenSpent(): TokenCount {
+    const own = this.view.ownHolder
+    const isOwn = own !== undefined && own.incarnation === this.parts.incarnation
+    const unrecorded = isOwn ? this.holding.handedOut - handedOut(own) : 0
+    return this.view.provenSpent + Math.max(0, unrecorded)
+  }
+
   private budgetView(): BudgetView {
     return {
       free: this.free,
@@ -609,9 +625,9 @@
   }
 
   private refused(tokens: TokenCount): RefusedOutcome {
-    const left = Math.max(0, this.free) + this.holding.unspent + this.view.unspentOf(this.others)
     const isKnown = this.view.isLoaded && !this.storeHealth.isUnavailable
-    const reason = isKnown && tokens > left ? 'exhausted' : 'unavailable'
+    const isExhausted = isKnown && tokens > this.newestLimit - this.provenSpent
+    const reason = isExhausted ? 'exhausted' : 'unavailable'
     const waitMilliseconds = this.holding.waitFor(tokens)
     return { kind: 'refused', reason, waitMilliseconds, lenders: [] }
   }
--- a/packages/coordination/src/prepaid/prepaidOutcome.ts
+++ b/packages/coordination/src/prepaid/prepaidOutcome.ts
@@ -13,8 +13,9 @@
 }
 
 /**
- * `exhausted`: by the known rows, pool and holdings together contain fewer tokens than requested;
- * `unavailable`: other instances hold the tokens, or the store's rows are not known or not current.
+ * `exhausted`: so much of the budget was handed out that only a higher limit can cover the request;
+ * `unavailable`: requests in progress or other instances, also terminated ones, hold the tokens, or the
+ * store's rows are not known.
  */
 export type PrepaidRefusal = 'exhausted' | 'unavailable'
 
--- a/packages/coordination/src/prepaid/provenSpending.ts
+++ b/packages/coordination/src/prepaid/provenSpending.ts
@@ -19,8 +19,11 @@
   return holders.reduce((sum, holder) => sum + handedOut(holder), pool.settled)
 }
 
-/** Rows of earlier software versions do not tell which committed tokens are only reserved. */
-function handedOut({ committed, reserved, ahead }: HolderRow): TokenCount {
+/**
+ * Returns the tokens that callers of a holder got when its row was written; 0 for rows of earlier software versions,
+ * which do not tell which committed tokens are only reserved.
+ */
+export function handedOut({ committed, reserved, ahead }: HolderRow): TokenCount {
   if (reserved === undefined || ahead === undefined) return 0
   return Math.max(0, committed - reserved - ahead)
 }
