fix(router): an instance that has read no configuration refuses no key for good

What callers saw: 401 (1003) for a valid key from an instance of the OpenAI-style kind between its start and its first read of the configuration; while the table does not answer and no peer is known, for as long as that lasts.

Cause: the listener opens before the first read, and the key was looked up among the resources read so far, none. The check whether the instance serves comes two filters later. Class: nothing known was taken for knowing that there is nothing.

Change: looking up a key throws 'not ready' (503, 3005) until a configuration was read, for chats, services and queries alike.

--- a/packages/router/__tests__/catalogue.spec.ts
+++ b/packages/router/__tests__/catalogue.spec.ts
@@ -74,6 +74,7 @@
   ]
   const catalogue = new Catalogue(
     {
+      isLoaded: true,
       list: kind => resources.filter(candidate => candidate.kind === kind),
       subscribe: () => () => {},
     },
--- a/packages/router/src/resources/catalogue.ts
+++ b/packages/router/src/resources/catalogue.ts
@@ -4,7 +4,7 @@
  */
 
 import { createHash } from 'node:crypto'
-import { UNKNOWN_SOFTWARE_VERSION, asId } from '@rackwalk/shared'
+import { NotRunError, ResultCode, UNKNOWN_SOFTWARE_VERSION, asId } from '@rackwalk/shared'
 import type { BudgetId, EndpointId, ModelId, SoftwareVersion, TeamId } from '@rackwalk/shared'
 import type { ConfigurationFollower, Resource } from '@rackwalk/coordination'
 import type {
@@ -52,7 +52,7 @@
 
   /** `onMalformed` is called for a resource that is left out because its spec cannot be read. */
   constructor(
-    private readonly configuration: Pick<ConfigurationFollower, 'list' | 'subscribe'>,
+    private readonly configuration: Pick<ConfigurationFollower, 'isLoaded' | 'list' | 'subscribe'>,
     onMalformed: (resource: Resource) => void,
   ) {
     this.readable = new ReadableResources(onMalformed)
@@ -61,8 +61,12 @@
     })
   }
 
-  /** Returns the team that a caller's key belongs to. */
+  /**
+   * Returns the team that a caller's key belongs to. Throws if no configuration was read yet, since an unknown key is
+   * refused for good.
+   */
   findTeamByKey(key: string): Team | undefined {
+    if (!this.configuration.isLoaded) throw new NotRunError(ResultCode.InstanceNotReady)
     this.refresh()
     return this.teamsByKeyHash.get(hashApiKey(key))
   }
