fix(coordination): lent tokens do not count as spent in a refusal for good (OpenAI-style kind)

What callers saw: 402 (2004, 'may need more tokens than the budget has left'), which is final, while another instance had borrowed the tokens and could give them back. Seen where the table does not take the loan: a lender counts it until it is folded.

The class is that of the gateway kind's 402.

Change: only spent tokens are subtracted.

Evidence: budgetLedger.spec red before (2004 where 2002 is due); exploration green.

--- a/packages/coordination/src/budget/allocation.ts
+++ b/packages/coordination/src/budget/allocation.ts
@@ -77,6 +77,11 @@
     return this.unfolded.reduce((sum, spending) => sum + spending.tokens, 0)
   }
 
+  /** Spent tokens that the row does not include yet; lent ones, which may come back, are left out. */
+  get unfoldedSpending(): TokenCount {
+    return spentTokens(this.unfolded)
+  }
+
   /** All tokens that this incarnation could still spend. */
   get spendable(): TokenCount {
     return this.availableTokens + this.reservedTokens
--- a/packages/coordination/src/budget/budgetLedger.ts
+++ b/packages/coordination/src/budget/budgetLedger.ts
@@ -459,8 +459,7 @@
   private leftInBudget(state: BudgetState): TokenCount {
     const { row, allocation } = state
     if (row === undefined || row.deleted) return 0
-    const ownSpending = allocation.unfoldedTokens
-    return Math.max(0, row.limit - row.settled - ownSpending)
+    return Math.max(0, row.limit - row.settled - allocation.unfoldedSpending)
   }
 
   private refuseWaiters(state: BudgetState): void {
