fix(daemon): targets in absolute form and hosts with a final dot are matched as the same request in origin form

What callers saw: 404 (1006) for 'POST http://host/path', which a server must accept (RFC 9112, 3.2.2), for 'host.', which names the same host, and for 'host:' with an empty port (RFC 3986, 3.2.3); in both kinds of daemon for the first.

Change: such a target is rewritten to origin form before any listener sees it; its host replaces that of the header, also in what is forwarded, as the RFC demands. Matching drops an empty port and one final dot.

Decided otherwise: a caller that shuts its sending side after a whole request is still taken for one that left. Node.js tells no difference, a FIN is how leaving callers are noticed, and their requests must not go on.

--- a/packages/daemon/src/callers/callerServer.ts
+++ b/packages/daemon/src/callers/callerServer.ts
@@ -20,6 +20,7 @@
 import { listenOn } from '../observe/listenOn.js'
 import { answerJson, errorAnswer, refuseMalformed } from '../observe/httpAnswer.js'
 import type { Settings } from '../settings/schema.js'
+import { acceptAbsoluteTargets } from './absoluteTargets.js'
 import { incomingRequest } from './httpCallerConnection.js'
 import type { AcceptQueue } from './acceptQueue.js'
 import type { UnservedObserver } from './unservedCallers.js'
@@ -68,6 +69,7 @@
     )
     this.server.maxConnections = HARD_LIMIT_FACTOR * limits.connections
     this.server.on('connection', socket => this.count(socket))
+    acceptAbsoluteTargets(this.server)
     refuseMalformed(this.server, parts.unserved.noteUnparsed)
     sendContinueOnRead(this.server)
   }
--- a/packages/daemon/src/gateway/gatewayListeners.ts
+++ b/packages/daemon/src/gateway/gatewayListeners.ts
@@ -7,6 +7,7 @@
 import { sendContinueOnRead } from '@rackwalk/router'
 import type { GatewayLimits } from '@rackwalk/router'
 import type { Milliseconds } from '@rackwalk/shared'
+import { acceptAbsoluteTargets } from '../callers/absoluteTargets.js'
 import { refuseMalformed } from '../observe/httpAnswer.js'
 import type { UnparsedRefusal } from '../observe/httpAnswer.js'
 import { listenOn } from '../observe/listenOn.js'
@@ -29,6 +30,7 @@
   const server = createServer({ maxHeaderSize: LONGEST_HEADER_BYTES, noDelay: true }, handle)
   server.requestTimeout = 0
   server.headersTimeout = HEADER_MILLISECONDS
+  acceptAbsoluteTargets(server)
   refuseMalformed(server, refusal => observer.noteUnparsed(refusal))
   sendContinueOnRead(server)
   return server
--- a/packages/router/src/gateway/gatewayConfiguration.ts
+++ b/packages/router/src/gateway/gatewayConfiguration.ts
@@ -106,9 +106,9 @@
     return this.configuration.version
   }
 
-  /** Returns the host's route with the longest prefix of the path; `host` may contain a port. */
+  /** Returns the host's route with the longest prefix of the path; `host` may contain a port and end in a dot. */
   match(host: string, path: string): GatewayRoute | undefined {
-    const name = host.toLowerCase().replace(/:\d+$/, '')
+    const name = hostName(host)
     return this.routesByHost.get(name)?.find(route => path.startsWith(route.pathPrefix))
   }
 
@@ -132,6 +132,11 @@
   return route.targets.at(-1)?.service
 }
 
+/** Returns the name without a port; one with a final dot, which marks it as complete, is the same host. */
+function hostName(host: string): string {
+  return host.toLowerCase().replace(/:\d*$/, '').replace(/\.$/, '')
+}
+
 function byLongestPrefix(left: GatewayRoute, right: GatewayRoute): number {
   return right.pathPrefix.length - left.pathPrefix.length
 }
