fix(router, decisions): what another instance denies is not passed on where the configuration here allows it

What callers saw: a final 400, 401, 403, 404, 413 or 431 from an instance that reaches no endpoint and had relayed the request, although its own configuration allows it: the instance that took it had an older version (or a newer one), within its bound. A caller whose route had been served here before saw a configuration go back.

Cause: each refusal of another instance but 503 was passed on as its answer. Class: freshness within a bound taken for proof, here that of another instance, with the loss of what this one knows.

Change: such a denial is answered by asking another instance, and else by 503, not run, in both kinds of daemon. 402 and 429 are passed on as before: the budget is one for all.

Evidence: peerRelay.spec (six statuses) and chatRelay.spec (two) red before, green now; relayedRequests.spec green.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -156,7 +156,7 @@
   retryStep,
 } from './retrying/retryStep.js'
 export type { RetryStep } from './retrying/retryStep.js'
-export { wasNeverSent, relayOutcomeText, relayStep } from './retrying/relayStep.js'
+export { isDenial, wasNeverSent, relayOutcomeText, relayStep } from './retrying/relayStep.js'
 export type { RelayOutcome } from './retrying/relayStep.js'
 
 export {
--- a/packages/decisions/src/retrying/relayStep.ts
+++ b/packages/decisions/src/retrying/relayStep.ts
@@ -10,12 +10,14 @@
  * | ------------------------------------------------------- | ------------ | --------------------------------------------- |
  * | no connection                                           | no           | another instance                              |
  * | the instance refused the request as not run             | no           | another instance (503), else its answer       |
+ * | the instance denied its route, key, form or size        | no           | another instance, else an error: not run      |
  * | the same, after an earlier instance did not answer      | unknown      | an error: it is unknown whether it ran        |
  * | an answer                                               | as it says   | the answer is passed on                       |
  * | no answer or an invalid one, after the request was sent | unknown      | another instance if the request may run twice |
  *
  * If no other instance may be tried, the refusal of the second row is passed on, and any other missing answer becomes an
- * error.
+ * error. A denial is never passed on: the relaying instance's own configuration allows the request, so that the other one
+ * has an older or a newer version of it, and the caller would take the denial for final.
  *
  * Limits: a request is relayed to at most two instances, since each costs the caller time. The instance that takes the
  * request holds the budget and makes the attempts, so a second relay takes no retry from the fleet's retry budget here.
@@ -48,6 +50,8 @@
 /** Maximum number of instances that one request is relayed to, since each costs the caller time. */
 const MAXIMUM_RELAYS = 2
 const STATUS_UNAVAILABLE = 503
+/** Statuses with which an instance denies what its configuration does not allow. */
+const DENIALS: ReadonlySet<number> = new Set([400, 401, 403, 404, 413, 431])
 
 /**
  * Whether this instance could not connect to any endpoint for a request, so that no endpoint can have run the request and
@@ -74,16 +78,24 @@
   if (mayAsk && mayRelayAgain(newest, route)) return 'ask-another'
   // Another instance may have run the request before the newest one refused it, so "not run" must not be passed on.
   const mayHaveRun = outcomes.some(({ kind }) => kind === 'failed')
-  return newest?.kind === 'refused' && !mayHaveRun ? 'pass-on' : 'give-up'
+  const isPassedOn = newest?.kind === 'refused' && !isDenial(newest)
+  return isPassedOn && !mayHaveRun ? 'pass-on' : 'give-up'
 }
 
 /** Whether the newest outcome allows one more relay, because the request has not run there or may run twice. */
 function mayRelayAgain(outcome: RelayOutcome | undefined, route: RepeatableRoute): boolean {
-  if (outcome?.kind === 'refused') return outcome.status === STATUS_UNAVAILABLE
+  if (outcome?.kind === 'refused') {
+    return outcome.status === STATUS_UNAVAILABLE || isDenial(outcome)
+  }
   if (outcome?.kind === 'failed') return canRepeat({ route, isReplyStarted: false })
   return true
 }
 
+/** Whether an instance denied a request that the relaying instance's configuration allows. */
+export function isDenial({ status }: { readonly status: number }): boolean {
+  return DENIALS.has(status)
+}
+
 /** Returns the outcome as written to the request's log line. The outcome is undefined while the relay is in progress. */
 export function relayOutcomeText(outcome: RelayOutcome | undefined): string {
   switch (outcome?.kind) {
--- a/packages/router/__tests__/chatRelay.spec.ts
+++ b/packages/router/__tests__/chatRelay.spec.ts
@@ -73,6 +73,8 @@
     ['with neither a length nor a body', `${HEAD}\r\n`, '"", until the close, cut'],
     ['whose head ends in CR LF LF', `${HEAD}\nbody`, 'no answer'],
     ['within its head', HEAD, 'no answer'],
+    ['that denies the key', 'HTTP/1.1 401 Denied\r\ncontent-length: 0\r\n\r\n', 'no answer'],
+    ['that denies the model', 'HTTP/1.1 404 Denied\r\ncontent-length: 0\r\n\r\n', 'no answer'],
   ])('%s that is closed in order is told as it is', async (_, wire, told) => {
     expect(await relay(socket => socket.end(wire))).toBe(told)
   })
--- a/packages/router/__tests__/peerRelay.spec.ts
+++ b/packages/router/__tests__/peerRelay.spec.ts
@@ -28,11 +28,14 @@
 let reached: number[]
 let peers: RelayPeer[]
 let onRequest: (socket: Socket) => void
+/** Whether the answers of the other instances are signed by an endpoint. */
+let isSigned: boolean
 
 beforeEach(async () => {
   clock = new SuspendableClock()
   reached = [0, 0]
   onRequest = socket => socket.resetAndDestroy()
+  isSigned = true
   servers = reached.map((_, index) =>
     createServer(socket => {
       socket.on('error', () => {})
@@ -80,7 +83,7 @@
   const parts = {
     dialect: {
       relayHeaders: () => ['Host', 'app.example'],
-      readReply: () => ({ requestId: 'request-1', isSigned: true }),
+      readReply: () => ({ requestId: 'request-1', isSigned }),
     },
     clock,
     relayPeers: {
@@ -137,6 +140,17 @@
   expect(record.code).toBe(ResultCode.EndpointFailed)
 })
 
+// The other instance has another version of the configuration.
+it.each([400, 401, 403, 404, 413, 431])(
+  'does not pass on that another instance denies what the configuration here allows: %i',
+  async status => {
+    isSigned = false
+    onRequest = socket => socket.write(`HTTP/1.1 ${status} Denied\r\ncontent-length: 0\r\n\r\n`)
+    const { isDone } = await relay(() => false)
+    expect({ reached, isDone }).toEqual({ reached: [1, 1], isDone: false })
+  },
+)
+
 it('relays to another instance while there is time', async () => {
   await relay(() => false)
   expect(reached).toEqual([1, 1])
--- a/packages/router/src/filters/chatRelay.ts
+++ b/packages/router/src/filters/chatRelay.ts
@@ -7,7 +7,13 @@
  * decisions/retrying/relayStep.
  */
 
-import { chooseRelayPeer, isBodyMissing, isProvenComplete, relayStep } from '@rackwalk/decisions'
+import {
+  chooseRelayPeer,
+  isBodyMissing,
+  isDenial,
+  isProvenComplete,
+  relayStep,
+} from '@rackwalk/decisions'
 import type { AnswerEnd, RelayCandidate, RelayOrigin, RelayOutcome } from '@rackwalk/decisions'
 import { DispatchedError, ResultCode } from '@rackwalk/shared'
 import type { Clock, IncarnationId, Milliseconds, RandomSource } from '@rackwalk/shared'
@@ -122,7 +128,8 @@
     if (head.kind === 'not-sent') return appended(outcomes, { kind: 'not-sent' })
     if (head.kind === 'failed') return appended(outcomes, { kind: 'failed', reason: head.reason })
     const status = head.response.statusCode ?? 0
-    const kind = status === STATUS_UNAVAILABLE ? 'refused' : 'answered'
+    const isRefused = status === STATUS_UNAVAILABLE || isDenial({ status })
+    const kind = isRefused ? 'refused' : 'answered'
     const outcome = appended(outcomes, { kind, status })
     if (relayStep(outcomes, routeOf(request), hasAnother) !== 'pass-on') {
       exchange.drain()
