--- a/packages/coordination/src/prepaid/partitionView.ts
+++ b/packages/coordination/src/prepaid/partitionView.ts
@@ -7,7 +7,7 @@
 import type { Milliseconds, TokenCount } from '@rackwalk/shared'
 import { POOL_KEY, holderKey, holderRowCodec, instanceOfKey, poolRowCodec } from './prepaidRows.js'
 import type { HolderRow, PoolRow } from './prepaidRows.js'
-import { provenSpending } from './provenSpending.js'
+import { handedOut, provenSpending } from './provenSpending.js'
 
 /** A row as received from a read, a feed or a rejected transaction. */
 export interface RowUpdate {
@@ -130,6 +130,15 @@
     return provenSpending(this.pool, rows)
   }
 
+  /**
+   * The same with what this instance's incarnation has handed out by now, which its row may not contain yet.
+   */
+  provenSpentBy(incarnation: string, handedOutHere: TokenCount): TokenCount {
+    const own = this.ownHolder
+    const unrecorded = own?.incarnation === incarnation ? handedOutHere - handedOut(own) : 0
+    return this.provenSpent + Math.max(0, unrecorded)
+  }
+
   /** Tokens per second that callers of all holders request, according to their rows. */
   get totalDemandPerSecond(): number {
     let demand = 0
--- a/packages/coordination/src/prepaid/prepaidAccount.ts
+++ b/packages/coordination/src/prepaid/prepaidAccount.ts
@@ -29,7 +29,7 @@
   poolRowCodec,
 } from './prepaidRows.js'
 import type { PoolRow } from './prepaidRows.js'
-import { handedOut } from './provenSpending.js'
+import { newestLimit } from './provenSpending.js'
 import { StoreHealth } from './storeHealth.js'
 import type { PrepaidOutcome, RefusedOutcome, ReservedOutcome } from './prepaidOutcome.js'
 import { PartitionView } from './partitionView.js'
@@ -374,9 +374,8 @@
 
   private async writeWhileDue(): Promise<void> {
     do {
-      const succeeded = await this.writeOnce()
-      // Each further write would conflict with the malformed row.
-      if (!succeeded || this.view.isPoolMalformed) return
+      // Each further write would conflict with a malformed row.
+      if (!(await this.writeOnce()) || this.view.isPoolMalformed) return
     } while (!this.waiting.isEmpty && !this.isClosed)
   }
 
@@ -519,21 +518,6 @@
     return pool === undefined ? Math.max(this.limit ?? 0, 0) : freeInPool(pool)
   }
 
-  /** The limit by the newest configuration that this instance or the writer of the pool row knows. */
-  private get newestLimit(): TokenCount {
-    const { pool } = this.view
-    const isInPool = pool !== undefined && pool.configurationVersion > this.configurationVersion
-    return isInPool ? pool.limit : (this.limit ?? 0)
-  }
-
-  /** Tokens handed out for certain, including those that this instance has not recorded yet. */
-  private get provenSpent(): TokenCount {
-    const own = this.view.ownHolder
-    const isOwn = own !== undefined && own.incarnation === this.parts.incarnation
-    const unrecorded = isOwn ? this.holding.handedOut - handedOut(own) : 0
-    return this.view.provenSpent + Math.max(0, unrecorded)
-  }
-
   private budgetView(): BudgetView {
     return {
       free: this.free,
@@ -626,10 +610,10 @@
 
   private refused(tokens: TokenCount): RefusedOutcome {
     const isKnown = this.view.isLoaded && !this.storeHealth.isUnavailable
-    const isExhausted = isKnown && tokens > this.newestLimit - this.provenSpent
-    const reason = isExhausted ? 'exhausted' : 'unavailable'
-    const waitMilliseconds = this.holding.waitFor(tokens)
-    return { kind: 'refused', reason, waitMilliseconds, lenders: [] }
+    const spent = this.view.provenSpentBy(this.parts.incarnation, this.holding.handedOut)
+    const left = newestLimit(this.view.pool, this.limit, this.configurationVersion) - spent
+    const reason = isKnown && tokens > left ? 'exhausted' : 'unavailable'
+    return { kind: 'refused', reason, waitMilliseconds: this.holding.waitFor(tokens), lenders: [] }
   }
 }
 
--- a/packages/coordination/src/prepaid/provenSpending.ts
+++ b/packages/coordination/src/prepaid/provenSpending.ts
@@ -27,3 +27,16 @@
   if (reserved === undefined || ahead === undefined) return 0
   return Math.max(0, committed - reserved - ahead)
 }
+
+/**
+ * Returns the limit by the newest configuration that this instance, whose limit is `limit`, or the writer of the pool row
+ * knew; 0 if neither knows one.
+ */
+export function newestLimit(
+  pool: PoolRow | undefined,
+  limit: TokenCount | undefined,
+  configurationVersion: number,
+): TokenCount {
+  const isInPool = pool !== undefined && pool.configurationVersion > configurationVersion
+  return isInPool ? pool.limit : (limit ?? 0)
+}
