fix(router, daemon): bodies of requests occupy a bounded memory, however they are sent

What operators saw: processes that ran out of memory and ended, with the requests of all callers, under legal bodies that are sent many at once, in very small chunks, or short of their end.

Cause: each chunk of a body was kept as a buffer of its own, some hundred bytes for a chunk of one byte, and each kept the block that it was read in; so one legal body of 4 MiB in such chunks ended a process. Bodies without a length cost nothing until they had been read, and nothing bounded what all bodies hold. The listeners for readiness, directory, peers and metrics kept chunks likewise.

Change: BodyMemory copies bodies into blocks that are used again, and counts them from the first byte to the end of the request. When limits.bodyMemoryMegabytes (16) are in use, the oldest bodies that are still arriving are given up (503, 3022, not run), so that a crowd that stops cannot hold it; a body that is alone is always read. Rule: decisions/admitting/bodyEviction. Chats and operators' documents use the same memory, the short calls 2 MiB a listener. The gateway kind closes connections beyond limits.connections (3000), as the other kind does.

Tests: hostileClients.isolated.spec, real processes with the deploy file's bundle, heap 64 MB, machine 160 MB, 60 connections.

Ruled out: one growing buffer a body (192 MB: buffers left to the garbage collector outpace it).

--- a/packages/daemon/src/gateway/auxiliaryListeners.ts
+++ b/packages/daemon/src/gateway/auxiliaryListeners.ts
@@ -6,6 +6,7 @@
 
 import type { Server } from 'node:http'
 import type { Lender, TableMirror } from '@rackwalk/coordination'
+import type { Clock } from '@rackwalk/shared'
 import type { ActiveFleet } from './activeFleet.js'
 import { createPlainListener } from './gatewayListeners.js'
 import type { PlainHandler } from './gatewayListeners.js'
@@ -23,6 +24,7 @@
 /** What the answers are built from. */
 export interface AuxiliaryListenersParts {
   readonly adapter: PlatformAdapter
+  readonly clock: Clock
   readonly isReady: () => boolean
   readonly fleet: ActiveFleet
   readonly lender: Lender
@@ -53,14 +55,16 @@
       [listen.metrics, () => this.metrics()],
     ]
     const plain = answerers.flatMap(([address, answer]) =>
-      address === undefined ? [] : [{ server: createPlainListener(answer), address }],
+      address === undefined
+        ? []
+        : [{ server: createPlainListener(answer, this.parts.clock), address }],
     )
     return listen.peers === undefined ? plain : [...plain, this.peerListener(listen.peers)]
   }
 
   private peerListener(address: string): AddressedListener {
     const answer: PlainHandler = (url, body) => this.peer(url, body)
-    return { server: createPeerListener(answer, this.parts.relayed), address }
+    return { server: createPeerListener(answer, this.parts.relayed, this.parts.clock), address }
   }
 
   private readiness(url: string): PlainAnswer {
--- a/packages/daemon/src/gateway/gatewayDaemon.ts
+++ b/packages/daemon/src/gateway/gatewayDaemon.ts
@@ -9,19 +9,17 @@
 import type { RowStore } from '@rackwalk/stores'
 import {
   DEMAND_WINDOW_MILLISECONDS,
-  DemandHoldingPolicy,
   DemandMeter,
-  EqualHoldingPolicy,
   MemberDirectory,
-  PrepaidLedger,
   StoreClock,
 } from '@rackwalk/coordination'
-import type { TableMirror } from '@rackwalk/coordination'
-import { Gateway } from '@rackwalk/router'
+import type { PrepaidLedger, TableMirror } from '@rackwalk/coordination'
+import { BodyMemory, Gateway } from '@rackwalk/router'
 import type { RouteTable } from '@rackwalk/router'
 import { AcceptQueue } from '../callers/acceptQueue.js'
 import { AcceptProbe } from './acceptProbe.js'
 import type { ActiveFleet } from './activeFleet.js'
+import { createLedger } from './createLedger.js'
 import { createActiveFleet, heardInstances } from './createActiveFleet.js'
 import type { Logger } from '../observe/logger.js'
 import { AuxiliaryListeners } from './auxiliaryListeners.js'
@@ -51,6 +49,7 @@
 import { followTables, readMembersSoon } from './followedTables.js'
 import { shutDownGracefully } from './gracefulShutdown.js'
 import type { PlatformAdapter } from './platformAdapter.js'
+import { bodyMemoryBytes } from '../settings/bodyMemorySetting.js'
 import type { SettingsOutcome } from './settingsWatcher.js'
 
 /** What tests and embedding programs may replace. */
@@ -261,27 +260,17 @@
   }
 
   private createLedger(): PrepaidLedger {
-    const { instance, store, budgets } = this.settings
-    return new PrepaidLedger({
-      instance: instance.id,
-      incarnation: this.incarnation,
-      store: this.store,
-      storeClock: this.storeClock,
-      clock: this.clock,
-      // The clock starts at 0 with the process, and the previous incarnation had terminated by then.
-      startedAt: 0,
-      policy: budgets.policy === 'equal' ? new EqualHoldingPolicy() : new DemandHoldingPolicy(),
-      isActive: () => this.fleet.isSelfSettled,
-      otherInstances: () => this.fleet.activeOthers.map(member => member.instance),
-      limits: {
-        writesPerSecond: store.writesPerSecond,
-        partitionWritesPerSecond: store.partitionWritesPerSecond,
-        reserveShare: budgets.reserveShare,
-      },
-      loanChannel: this.peerLoans,
-      onEvent: (event, fields) => this.note(event, fields),
-      onTakeover: (budget, takeover) => this.telemetry.noteTakeover(budget, takeover),
-      onMalformedRow: row => this.telemetry.noteMalformedRow(row),
+    const { settings, incarnation, store, storeClock, clock, fleet, telemetry } = this
+    const loanChannel = this.peerLoans
+    return createLedger({
+      settings,
+      incarnation,
+      store,
+      storeClock,
+      clock,
+      fleet,
+      telemetry,
+      loanChannel,
     })
   }
 
@@ -311,7 +300,7 @@
   }
 
   private createGateway(): Gateway {
-    const { requests, retries, instance } = this.settings
+    const { requests, retries, instance, limits } = this.settings
     return new Gateway({
       dialect: this.adapter.dialect,
       ...this.endpoints.gatewayParts,
@@ -324,6 +313,7 @@
       ledger: this.ledger,
       routes: () => this.configuration.routes,
       retryBounds: { ...retries, windowMilliseconds: retries.windowSeconds * 1000 },
+      bodies: new BodyMemory(bodyMemoryBytes(limits.bodyMemoryMegabytes)),
       acceptMilliseconds: () => this.acceptProbe.measure(),
       linkBytesPerSecond: linkBytesPerSecond(instance.capacity),
       admissionCounters: this.telemetry,
@@ -344,6 +334,7 @@
       this.requestRate.add(1)
       void this.gateway.handle(request, response)
     })
+    server.maxConnections = this.settings.limits.connections
     const { callers } = this.settings.listen
     const onAddressTaken = (error: unknown) =>
       this.note('listener_address_taken', { detail: String(error) })
@@ -428,6 +419,7 @@
   private createOtherListeners(): readonly AddressedListener[] {
     const answers = new AuxiliaryListeners({
       adapter: this.adapter,
+      clock: this.clock,
       isReady: () => this.isReady,
       fleet: this.fleet,
       lender: this.ledger.lender,
--- a/packages/daemon/src/gateway/gatewayListeners.ts
+++ b/packages/daemon/src/gateway/gatewayListeners.ts
@@ -4,9 +4,10 @@
 
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
-import { sendContinueOnRead } from '@rackwalk/router'
-import type { GatewayLimits } from '@rackwalk/router'
-import type { Milliseconds } from '@rackwalk/shared'
+import { BodyMemory, readBody, sendContinueOnRead } from '@rackwalk/router'
+import type { BodyLease, GatewayLimits } from '@rackwalk/router'
+import { NotRunError } from '@rackwalk/shared'
+import type { Clock, Milliseconds } from '@rackwalk/shared'
 import { acceptAbsoluteTargets } from '../callers/absoluteTargets.js'
 import { refuseMalformed } from '../observe/httpAnswer.js'
 import type { UnparsedRefusal } from '../observe/httpAnswer.js'
@@ -27,7 +28,10 @@
   observer: { noteUnparsed(refusal: UnparsedRefusal): void },
   handle: (request: IncomingMessage, response: ServerResponse) => void,
 ): Server {
-  const server = createServer({ maxHeaderSize: LONGEST_HEADER_BYTES, noDelay: true }, handle)
+  const server = createServer(
+    { maxHeaderSize: LONGEST_HEADER_BYTES, noDelay: true },
+    handle,
+  )
   server.requestTimeout = 0
   server.headersTimeout = HEADER_MILLISECONDS
   acceptAbsoluteTargets(server)
@@ -61,33 +65,51 @@
 /** Answers a path; `body` is empty for calls without one. */
 export type PlainHandler = (url: string, body: string) => PlainAnswer | Promise<PlainAnswer>
 
+/** Memory for the bodies of short calls at one listener; calls of peers are far smaller than the longest body. */
+const PLAIN_BODY_MEMORY_BYTES = 2 * 1024 * 1024
+
 /** Creates a listener that gives plain answers to short calls. */
-export function createPlainListener(answer: PlainHandler): Server {
+export function createPlainListener(answer: PlainHandler, clock: Clock): Server {
   const limits = {
     requestTimeout: PLAIN_CALL_MILLISECONDS,
     headersTimeout: PLAIN_CALL_MILLISECONDS,
   }
-  return createServer(limits, (request, response) => handlePlainRequest(request, response, answer))
+  return createServer(limits, new PlainCalls(answer, clock).handle)
 }
 
-/** Reads the whole body of a short call and answers it. */
-export function handlePlainRequest(
-  request: IncomingMessage,
-  response: ServerResponse,
-  answer: PlainHandler,
-): void {
-  const chunks: Buffer[] = []
-  let size = 0
-  request.on('data', (chunk: Buffer) => {
-    size += chunk.length
-    if (size > LONGEST_PLAIN_BODY_BYTES) request.destroy()
-    else chunks.push(chunk)
-  })
-  request.on('end', () => {
-    const body = Buffer.concat(chunks).toString('utf8')
-    const target = request.url ?? '/'
-    void respond(response, async () => (isValidTarget(target) ? answer(target, body) : BAD_REQUEST))
-  })
+/** Reads short calls as a whole and answers them. Owns the memory for their bodies. */
+export class PlainCalls {
+  private readonly bodies = new BodyMemory(PLAIN_BODY_MEMORY_BYTES)
+
+  constructor(
+    private readonly answer: PlainHandler,
+    private readonly clock: Clock,
+  ) {}
+
+  readonly handle = (request: IncomingMessage, response: ServerResponse): void => {
+    void this.serve(request, response)
+  }
+
+  private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const memory = this.bodies.open()
+    try {
+      const body = await this.read(request, memory)
+      const target = request.url ?? '/'
+      const answer = () => (isValidTarget(target) ? this.answer(target, body) : BAD_REQUEST)
+      await respond(response, async () => answer())
+    } catch (thrown) {
+      if (!(thrown instanceof NotRunError)) throw thrown
+      // A body that is too large, too slow, broken off or given up: its sender is disconnected.
+      request.destroy()
+    } finally {
+      memory.release()
+    }
+  }
+
+  private async read(request: IncomingMessage, memory: BodyLease): Promise<string> {
+    const limits = { bytes: LONGEST_PLAIN_BODY_BYTES, timeout: PLAIN_CALL_MILLISECONDS, memory }
+    return (await readBody(request, limits, this.clock)).toString('utf8')
+  }
 }
 
 /** Sends an answer. If there is none because of a fault, its caller is not kept waiting. */
--- a/packages/daemon/src/gateway/gatewaySettings.ts
+++ b/packages/daemon/src/gateway/gatewaySettings.ts
@@ -4,6 +4,7 @@
  */
 
 import * as z from 'zod'
+import { bodyMemoryMegabytes } from '../settings/bodyMemorySetting.js'
 import { nameSchema } from '@rackwalk/router'
 
 const ADDRESS_PATTERN = /^[0-9.]+:\d{1,5}$/
@@ -69,6 +70,18 @@
     })
     .prefault({})
     .describe('Bounds on one request'),
+  limits: z
+    .strictObject({
+      bodyMemoryMegabytes,
+      connections: z
+        .number()
+        .int()
+        .positive()
+        .default(3_000)
+        .describe('Connections of callers; further ones are closed'),
+    })
+    .prefault({})
+    .describe('Bounds that protect the instance from its callers'),
   retries: z
     .strictObject({
       ratio: z
--- a/packages/daemon/src/gateway/peerListener.ts
+++ b/packages/daemon/src/gateway/peerListener.ts
@@ -6,7 +6,8 @@
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { RELAYED_BY } from '@rackwalk/router'
-import { handlePlainRequest } from './gatewayListeners.js'
+import type { Clock } from '@rackwalk/shared'
+import { PlainCalls } from './gatewayListeners.js'
 import type { PlainHandler } from './gatewayListeners.js'
 
 /** Serves a request that was relayed by the instance of this name. */
@@ -22,16 +23,22 @@
 const LONGEST_HEADER_BYTES = 64 * 1024
 
 /** Creates a listener that answers peers' calls and serves the requests that they relay. */
-export function createPeerListener(answer: PlainHandler, relayed: RelayHandler): Server {
+export function createPeerListener(
+  answer: PlainHandler,
+  relayed: RelayHandler,
+  clock: Clock,
+): Server {
   const limits = {
     requestTimeout: CALL_MILLISECONDS,
     headersTimeout: CALL_MILLISECONDS,
     maxHeaderSize: LONGEST_HEADER_BYTES,
     noDelay: true,
   }
-  return createServer(limits, (request, response) => {
+  const calls = new PlainCalls(answer, clock)
+  const handle = (request: IncomingMessage, response: ServerResponse) => {
     const relayedBy = request.headers[RELAYED_BY]
     if (typeof relayedBy === 'string') relayed(request, response, relayedBy)
-    else handlePlainRequest(request, response, answer)
-  })
+    else calls.handle(request, response)
+  }
+  return createServer(limits, handle)
 }
--- a/packages/daemon/src/operators/operatorRoutes.ts
+++ b/packages/daemon/src/operators/operatorRoutes.ts
@@ -34,6 +34,7 @@
   ResourceStore,
 } from '@rackwalk/coordination'
 import { RESOURCE_KINDS, isResourceKind, readBody } from '@rackwalk/router'
+import type { BodyMemory } from '@rackwalk/router'
 import type { CrashGuard, DecisionRecord, ResourceKind } from '@rackwalk/router'
 import { answerJson } from '../observe/httpAnswer.js'
 import type { RolloutTracker } from './rolloutTracker.js'
@@ -57,6 +58,8 @@
   readonly drainHere: () => Promise<void>
   readonly status: () => JsonValue
   readonly crashes: CrashGuard
+  /** Memory for the bodies of all requests. */
+  readonly bodies: BodyMemory
 }
 
 const MAXIMUM_BODY_BYTES = 1024 * 1024
@@ -286,12 +289,14 @@
   }
 
   private async readDocument({ request }: OperatorRequest): Promise<JsonValue> {
-    const { clock } = this.parts
-    const body = await readBody(request, MAXIMUM_BODY_BYTES, BODY_MILLISECONDS, clock)
+    const { clock, bodies } = this.parts
+    const memory = bodies.open()
+    const limits = { bytes: MAXIMUM_BODY_BYTES, timeout: BODY_MILLISECONDS, memory }
     try {
-      return JSON.parse(body.toString('utf8')) as JsonValue
-    } catch {
-      throw new RackwalkError(ResultCode.InvalidResource, 'not JSON')
+      const body = await readBody(request, limits, clock)
+      return parseDocument(body)
+    } finally {
+      memory.release()
     }
   }
 
@@ -366,3 +371,11 @@
   if (Number.isNaN(time)) throw new RackwalkError(ResultCode.InvalidResource, `query ${name}`)
   return time
 }
+
+function parseDocument(body: Buffer): JsonValue {
+  try {
+    return JSON.parse(body.toString('utf8')) as JsonValue
+  } catch {
+    throw new RackwalkError(ResultCode.InvalidResource, 'not JSON')
+  }
+}
--- a/packages/daemon/src/rackwalkDaemon.ts
+++ b/packages/daemon/src/rackwalkDaemon.ts
@@ -11,11 +11,16 @@
 import {
   CoordinationNode,
   DEFAULT_JOURNAL_LIMITS,
-  Lease,
   ResourceStore,
   chooseAddresses,
 } from '@rackwalk/coordination'
-import { Catalogue, EndpointClient, EndpointTable, FOLLOWED_KINDS } from '@rackwalk/router'
+import {
+  BodyMemory,
+  Catalogue,
+  EndpointClient,
+  EndpointTable,
+  FOLLOWED_KINDS,
+} from '@rackwalk/router'
 import type { ChatRelay, DecisionRecord, RefusedBodyHandler } from '@rackwalk/router'
 import { CallerServer } from './callers/callerServer.js'
 import { createRefusedBodies } from './callers/createRefusedBodies.js'
@@ -41,12 +46,14 @@
 import { createRequestPath } from './requestPath.js'
 import type { RequestPath } from './requestPath.js'
 import { readSecret } from './settings/sources.js'
+import { bodyMemoryBytes } from './settings/bodyMemorySetting.js'
 import type { Settings } from './settings/schema.js'
 import { AdviceTask } from './tasks/adviceTask.js'
 import { CrashTask } from './tasks/crashTask.js'
 import { EndpointReachabilityTask } from './tasks/endpointReachabilityTask.js'
 import { EndpointMonitor } from './tasks/endpointMonitor.js'
-import { PlacementTask } from './tasks/placementTask.js'
+import { createPlacementTask } from './tasks/createPlacementTask.js'
+import type { PlacementTask } from './tasks/placementTask.js'
 
 /** What tests and embedding programs may replace. */
 export interface DaemonOptions {
@@ -66,7 +73,6 @@
   readonly peers: string
 }
 
-const PLANNER_LEASE = 'planner'
 const DRAIN_POLL_MILLISECONDS = 20
 
 /** One instance of the fleet, with all its tasks. */
@@ -98,6 +104,7 @@
   private readonly peerServer: PeerServer
   private readonly callerServer: CallerServer
   private readonly operatorServer: OperatorServer
+  private readonly bodies: BodyMemory
   private drained: Promise<void> | undefined
 
   constructor(
@@ -122,6 +129,7 @@
     this.reachability = this.createReachability()
     this.crashes = this.createCrashTask()
     this.chatRelay = this.createRelay()
+    this.bodies = new BodyMemory(bodyMemoryBytes(settings.limits.bodyMemoryMegabytes))
     this.path = this.createPath()
     this.recordFinder = new DecisionRecordFinder(this.node, this.peers)
     this.rollouts = new RolloutTracker(this.node.membership, this.clock)
@@ -265,6 +273,7 @@
       logger: this.logger,
       metrics: this.metrics,
       limits: this.settings.limits,
+      bodies: this.bodies,
       reachability: this.reachability,
       chatRelay: this.chatRelay,
       onRecord: record => this.archiveRecord(record),
@@ -332,23 +341,11 @@
   }
 
   private createPlacementTask(): PlacementTask {
-    const { placement } = this.settings
-    const lease = new Lease({
-      name: PLANNER_LEASE,
-      incarnation: this.identity.incarnation,
-      table: this.table,
-      clock: this.clock,
-      random: this.random,
-      durationMilliseconds: placement.leaseMilliseconds,
-    })
-    return new PlacementTask({
-      catalogue: this.catalogue,
-      endpoints: this.endpoints,
-      client: this.client,
-      lease,
-      clock: this.clock,
-      logger: this.logger,
-      maximumLoads: placement.maximumLoads,
+    const { settings, identity, table, clock, random, catalogue, endpoints, client, logger } = this
+    return createPlacementTask({
+      ...{ table, clock, random, catalogue, endpoints, client, logger },
+      ...settings.placement,
+      incarnation: identity.incarnation,
       loadedModels: endpointId => this.monitor.loadedModels(endpointId),
       onFault: error => this.noteFault(error),
     })
@@ -383,6 +380,7 @@
       drainHere: () => this.node.drain(),
       status: () => this.status(),
       crashes: this.crashes.guard,
+      bodies: this.bodies,
     })
     return new OperatorServer({
       routes,
--- a/packages/daemon/src/requestPath.ts
+++ b/packages/daemon/src/requestPath.ts
@@ -4,6 +4,7 @@
 import { NotRunError, ResultCode } from '@rackwalk/shared'
 import type { CoordinationNode } from '@rackwalk/coordination'
 import { createRequestId, notServingCode } from '@rackwalk/coordination'
+import type { BodyMemory } from '@rackwalk/router'
 import {
   AdmitFilter,
   AnswerContinuation,
@@ -52,6 +53,8 @@
   readonly logger: Logger
   readonly metrics: Metrics
   readonly limits: Settings['limits']
+  /** Memory for the bodies of chats. */
+  readonly bodies: BodyMemory
   readonly reachability: EndpointReachabilityTask
   readonly chatRelay: ChatRelay
   readonly onRecord: (record: DecisionRecord) => void
@@ -105,12 +108,17 @@
   })
   const filters = {
     authenticate: new AuthenticateFilter(catalogue),
-    parse: new ParseFilter(catalogue, clock, {
-      maximumBodyBytes: limits.bodyBytes,
-      bodyTimeoutMilliseconds: limits.bodyMilliseconds,
-      defaultDeadlineMilliseconds: limits.defaultDeadlineMilliseconds,
-      longestDeadlineMilliseconds: limits.longestRequestMilliseconds,
-    }),
+    parse: new ParseFilter(
+      catalogue,
+      clock,
+      {
+        maximumBodyBytes: limits.bodyBytes,
+        bodyTimeoutMilliseconds: limits.bodyMilliseconds,
+        defaultDeadlineMilliseconds: limits.defaultDeadlineMilliseconds,
+        longestDeadlineMilliseconds: limits.longestRequestMilliseconds,
+      },
+      parts.bodies,
+    ),
     screen: new CrashScreenFilter(parts.crashes),
     deduplicate: new DeduplicateFilter(keys, incarnation),
     admit,
--- a/packages/daemon/src/settings/schema.ts
+++ b/packages/daemon/src/settings/schema.ts
@@ -4,6 +4,7 @@
  */
 
 import * as z from 'zod'
+import { bodyMemoryMegabytes } from './bodyMemorySetting.js'
 import { nameSchema } from '@rackwalk/router'
 
 const ADDRESS_PATTERN = /^(\[[0-9a-fA-F:]+\]|[0-9.]+):\d{1,5}$/
@@ -96,6 +97,7 @@
         .positive()
         .default(16 * 1024),
       connections: z.number().int().positive().default(4_096),
+      bodyMemoryMegabytes: bodyMemoryMegabytes,
       linkMegabits: z
         .number()
         .positive()
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -77,6 +77,8 @@
   timeUntilCommitted,
 } from './admitting/spendingBound.js'
 export { disconnectedAllowance } from './admitting/disconnectedAllowance.js'
+export { bodiesToGiveUp } from './admitting/bodyEviction.js'
+export type { HeldBody } from './admitting/bodyEviction.js'
 export {
   budgetWaitLimit,
   extendedBudgetWaitLimit,
--- a/packages/router/__tests__/refusedBodyHandler.spec.ts
+++ b/packages/router/__tests__/refusedBodyHandler.spec.ts
@@ -4,7 +4,7 @@
 import type { AddressInfo, Socket } from 'node:net'
 import { afterEach, beforeEach, describe, expect, it } from 'vitest'
 import { LinkBandwidthBudget } from '@rackwalk/decisions'
-import { RefusedBodyHandler, sendContinueOnRead, readBody } from '@rackwalk/router'
+import { RefusedBodyHandler, sendContinueOnRead, BodyMemory, readBody } from '@rackwalk/router'
 import type { RefusedBodyOutcome } from '@rackwalk/router'
 import { SystemClock } from '@rackwalk/shared'
 import type { Milliseconds } from '@rackwalk/shared'
@@ -49,11 +49,13 @@
     },
   })
   server = createServer((request, response) => {
+    const memory = new BodyMemory(1_000_000).open()
+    const limits = { bytes: 100_000, timeout: 1_000, memory }
     const refuse = () => refusedBodies.refuse(response, () => REFUSAL)
     const accept = (body: Buffer) => response.end(`read ${body.length}`)
     if (request.url === '/slow') setTimeout(accept, SLOW_MILLISECONDS, Buffer.of())
     else if (request.url === '/refused') refuse()
-    else void readBody(request, 100_000, 1_000, clock).then(accept, refuse)
+    else void readBody(request, limits, clock).then(accept, refuse)
   })
   sendContinueOnRead(server)
   await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
--- a/packages/router/src/filters/parse.ts
+++ b/packages/router/src/filters/parse.ts
@@ -15,7 +15,8 @@
 } from '@rackwalk/shared'
 import { requestFingerprint } from '../crashes/requestFingerprint.js'
 import { parseChatRequest } from '../engine/chatRequest.js'
-import { readBody } from '../readBody.js'
+import type { BodyMemory } from '../bodies/bodyMemory.js'
+import { readBody } from '../bodies/readBody.js'
 import type { Catalogue, Team } from '../resources/catalogue.js'
 import { nameSchema } from '../resources/name.js'
 import type { AuthenticatedRequest, Call, Filter, ParsedRequest } from './stages.js'
@@ -40,6 +41,7 @@
     private readonly catalogue: Catalogue,
     private readonly clock: Clock,
     private readonly limits: CallerLimits,
+    private readonly bodies: BodyMemory,
   ) {}
 
   async apply(request: AuthenticatedRequest): Promise<ParsedRequest> {
@@ -74,8 +76,10 @@
     const { method, requestTarget, body } = request.incoming
     const [path = ''] = requestTarget.split('?')
     if (path === CHAT_PATH && method === 'POST') {
-      const { maximumBodyBytes, bodyTimeoutMilliseconds } = this.limits
-      const raw = await readBody(body, maximumBodyBytes, bodyTimeoutMilliseconds, this.clock)
+      const { maximumBodyBytes: bytes, bodyTimeoutMilliseconds: timeout } = this.limits
+      const memory = this.bodies.open()
+      request.scope.onEnd(() => memory.release())
+      const raw = await readBody(body, { bytes, timeout, memory }, this.clock)
       const chat = parseChatRequest(raw, modelId => this.catalogue.findModel(modelId))
       checkModel(request.team, chat.modelId)
       return { kind: 'chat', chat }
--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -18,7 +18,8 @@
 } from '@rackwalk/decisions'
 import type { RetryBounds, StreamOrigin, ShedRank } from '@rackwalk/decisions'
 import type { PrepaidLedger, PrepaidReservation, RefusedOutcome } from '@rackwalk/coordination'
-import { readBody } from '../readBody.js'
+import type { BodyLease, BodyMemory } from '../bodies/bodyMemory.js'
+import { readBody } from '../bodies/readBody.js'
 import { declaredBodyBytes } from '../refusedBodyHandler.js'
 import { requestFingerprint, requestScope } from '../crashes/requestFingerprint.js'
 import { CallerReply } from './callerReply.js'
@@ -53,6 +54,8 @@
   /** The configuration in force; undefined until one is loaded. */
   readonly routes: () => RouteTable | undefined
   readonly retryBounds: RetryBounds
+  /** Memory for the bodies of all requests. */
+  readonly bodies: BodyMemory
   readonly instances: () => number
   /** Throws if this instance's knowledge is too stale to serve requests. */
   readonly checkStaleness: () => void
@@ -197,11 +200,26 @@
   ): Promise<void> {
     this.checkSize(request)
     this.admission.admit(request, workRankOf(identified), returnKey)
-    const body = await this.readFully(request, reply)
-    this.refuseCrashing(identified, request.url ?? '/', body, record)
-    const read: ReadRequest = { ...identified, ...forwardedParts(request), body, reply, record }
+    const memory = this.parts.bodies.open(declaredBodyBytes(request))
+    try {
+      const body = await this.readFully(request, reply, memory)
+      await this.serveRead(request, {
+        ...identified,
+        ...forwardedParts(request),
+        body,
+        reply,
+        record,
+      })
+    } finally {
+      memory.release()
+    }
+  }
+
+  private async serveRead(request: IncomingMessage, read: ReadRequest): Promise<void> {
+    const { record } = read
+    this.refuseCrashing(read, request.url ?? '/', read.body, record)
     const mayRelay = record.relayedBy === undefined
-    if (mayRelay && this.parts.links.isCutOff(identified.service.name)) return this.relay(read)
+    if (mayRelay && this.parts.links.isCutOff(read.service.name)) return this.relay(read)
     const result = await this.attempt(read, mayRelay)
     if (result.isUnsent) await this.relay(read)
   }
@@ -298,7 +316,7 @@
     if (this.parts.isRefusing()) throw new NotRunError(ResultCode.InstanceDraining)
     this.parts.checkStaleness()
     if (matched === undefined) throw new NotRunError(ResultCode.InstanceNotReady)
-    const { routes, path, route, team } = matched
+    const { routes, route, team } = matched
     if (route === undefined || (team === undefined && !route.isAnonymous)) {
       throw this.denial(matched, metadata, record)
     }
@@ -362,11 +380,16 @@
   }
 
   /** Reads the complete body, and confirms that the caller has not left meanwhile. */
-  private async readFully(request: IncomingMessage, reply: CallerReply): Promise<Buffer> {
-    const idle = this.limits?.idleMilliseconds ?? 0
+  private async readFully(
+    request: IncomingMessage,
+    reply: CallerReply,
+    memory: BodyLease,
+  ): Promise<Buffer> {
+    const timeout = this.limits?.idleMilliseconds ?? 0
+    const limits = { bytes: this.largestBody, timeout, memory }
     let bytes: Bytes = 0
     request.on('data', (chunk: Buffer) => (bytes += chunk.length))
-    const reading = readBody(request, this.largestBody, idle, this.parts.clock)
+    const reading = readBody(request, limits, this.parts.clock)
     const body = await reading.finally(() => this.admission.noteBody(request, bytes))
     await this.admission.confirmCaller(reply)
     return body
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -3,7 +3,9 @@
 export type { DecisionRecord, RoutingRecord } from './decisionRecord.js'
 export { errorBody, errorEvent, errorHeaders } from './errorBody.js'
 export { StandardRetryAfter } from './retryAfter.js'
-export { readBody } from './readBody.js'
+export { BodyMemory } from './bodies/bodyMemory.js'
+export type { BodyLease } from './bodies/bodyMemory.js'
+export { readBody } from './bodies/readBody.js'
 export { RefusedBodyHandler, sendContinueOnRead } from './refusedBodyHandler.js'
 export type {
   Refusal,
--- a/packages/shared/src/resultCodes.ts
+++ b/packages/shared/src/resultCodes.ts
@@ -44,6 +44,7 @@
   OriginUnknown = 3019,
   NoEndpointOfVersion = 3020,
   VersionUnrecorded = 3021,
+  BodyMemoryFull = 3022,
 
   EndpointFailed = 4001,
   EndpointStalled = 4002,
@@ -116,6 +117,7 @@
   | ResultCode.OriginUnknown
   | ResultCode.NoEndpointOfVersion
   | ResultCode.VersionUnrecorded
+  | ResultCode.BodyMemoryFull
 
 /** Codes of requests that this or an earlier attempt ran or may have run. */
 export type DispatchedCode =
@@ -293,6 +295,14 @@
     1,
   ),
 
+  [ResultCode.BodyMemoryFull]: row(
+    503,
+    'not-run',
+    true,
+    'the memory of this instance for bodies of requests is in use',
+    1,
+  ),
+
   [ResultCode.EndpointFailed]: row(502, 'unknown', true, 'the endpoint did not answer'),
   [ResultCode.EndpointStalled]: row(504, 'ran', true, 'the endpoint stalled'),
   [ResultCode.OutcomeUnknown]: row(
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -1,4 +1,4 @@
-import { defineConfig } from 'vitest/config'
+import { configDefaults, defineConfig } from 'vitest/config'
 
 const PACKAGES = [
   'shared',
@@ -11,6 +11,9 @@
   'stand-ins',
 ]
 
+/** Specs that run one at a time, by `vitest.isolated.config.ts`. */
+export const ISOLATED = '**/*.isolated.spec.ts'
+
 export default defineConfig({
   resolve: {
     alias: [
@@ -27,6 +30,8 @@
       'platform/__tests__/**/*.spec.ts',
       'scripts/__tests__/**/*.spec.ts',
     ],
+    // They measure the memory of processes, so nothing may run beside them.
+    exclude: [...configDefaults.exclude, ISOLATED],
     testTimeout: 600_000,
     hookTimeout: 600_000,
     maxWorkers: 4,
