fix(daemon): a connection has at most 16 requests in progress

What operators saw: a process that ended under small legal requests, sent by the hundred at once on each of its connections.

Cause: Node.js parses each request that was sent ahead (pipelining) while the first is answered, and hands all of them over.

Change: a connection with more than 16 requests in progress is reset, at all listeners of both kinds (not gRPC). No client of the pages sends a second request before the first is answered.

Ruled out: a queue a connection (the heads of one block of 64 KiB are parsed before anything can be paused).

--- a/packages/daemon/src/callers/callerServer.ts
+++ b/packages/daemon/src/callers/callerServer.ts
@@ -23,6 +23,7 @@
 import { acceptAbsoluteTargets } from './absoluteTargets.js'
 import { incomingRequest } from './httpCallerConnection.js'
 import type { AcceptQueue } from './acceptQueue.js'
+import { limitPipelining } from './pipelining.js'
 import type { UnservedObserver } from './unservedCallers.js'
 
 /** What the listener for callers needs. */
@@ -65,7 +66,7 @@
         connectionsCheckingInterval: Math.max(100, Math.floor(limits.headerMilliseconds / 4)),
         noDelay: true,
       },
-      (request, response) => void this.handle(request, response),
+      limitPipelining((request, response) => void this.handle(request, response)),
     )
     this.server.maxConnections = HARD_LIMIT_FACTOR * limits.connections
     this.server.on('connection', socket => this.count(socket))
--- a/packages/daemon/src/gateway/gatewayListeners.ts
+++ b/packages/daemon/src/gateway/gatewayListeners.ts
@@ -9,6 +9,7 @@
 import { NotRunError } from '@rackwalk/shared'
 import type { Clock, Milliseconds } from '@rackwalk/shared'
 import { acceptAbsoluteTargets } from '../callers/absoluteTargets.js'
+import { limitPipelining } from '../callers/pipelining.js'
 import { refuseMalformed } from '../observe/httpAnswer.js'
 import type { UnparsedRefusal } from '../observe/httpAnswer.js'
 import { listenOn } from '../observe/listenOn.js'
@@ -30,7 +31,7 @@
 ): Server {
   const server = createServer(
     { maxHeaderSize: LONGEST_HEADER_BYTES, noDelay: true },
-    handle,
+    limitPipelining(handle),
   )
   server.requestTimeout = 0
   server.headersTimeout = HEADER_MILLISECONDS
@@ -74,7 +75,7 @@
     requestTimeout: PLAIN_CALL_MILLISECONDS,
     headersTimeout: PLAIN_CALL_MILLISECONDS,
   }
-  return createServer(limits, new PlainCalls(answer, clock).handle)
+  return createServer(limits, limitPipelining(new PlainCalls(answer, clock).handle))
 }
 
 /** Reads short calls as a whole and answers them. Owns the memory for their bodies. */
--- a/packages/daemon/src/gateway/peerListener.ts
+++ b/packages/daemon/src/gateway/peerListener.ts
@@ -7,6 +7,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { RELAYED_BY } from '@rackwalk/router'
 import type { Clock } from '@rackwalk/shared'
+import { limitPipelining } from '../callers/pipelining.js'
 import { PlainCalls } from './gatewayListeners.js'
 import type { PlainHandler } from './gatewayListeners.js'
 
@@ -35,10 +36,10 @@
     noDelay: true,
   }
   const calls = new PlainCalls(answer, clock)
-  const handle = (request: IncomingMessage, response: ServerResponse) => {
+  const handle = limitPipelining((request, response) => {
     const relayedBy = request.headers[RELAYED_BY]
     if (typeof relayedBy === 'string') relayed(request, response, relayedBy)
     else calls.handle(request, response)
-  }
+  })
   return createServer(limits, handle)
 }
--- a/packages/daemon/src/operators/operatorServer.ts
+++ b/packages/daemon/src/operators/operatorServer.ts
@@ -8,6 +8,7 @@
 import { sendContinueOnRead } from '@rackwalk/router'
 import type { RefusedBodyHandler } from '@rackwalk/router'
 import type { Registry } from 'prom-client'
+import { limitPipelining } from '../callers/pipelining.js'
 import { listenOn } from '../observe/listenOn.js'
 import { errorAnswer, refuseMalformed } from '../observe/httpAnswer.js'
 import type { Settings } from '../settings/schema.js'
@@ -30,7 +31,9 @@
   private readonly server: Server
 
   constructor(private readonly parts: OperatorServerParts) {
-    this.server = createServer((request, response) => void this.handle(request, response))
+    this.server = createServer(
+      limitPipelining((request, response) => void this.handle(request, response)),
+    )
     refuseMalformed(this.server)
     sendContinueOnRead(this.server)
   }
