fix(router): answers in very small chunks are collected in one buffer

Report: a faulty server that sends without end ended the instance that read it. Here: an answer in chunks of one byte ended the process with eight callers, and a stream in such chunks without the end of an event blocked its loop (each chunk copied the whole unfinished event, up to 1 MiB: quadratic).

Change: HeldBytes collects what is held of an answer, and the unfinished event of a stream, in a buffer that doubles; the end of an event is searched for in what is new. The bounds (256 KiB held, 1 MiB an event) are as before.

--- a/packages/router/src/engine/eventSplitter.ts
+++ b/packages/router/src/engine/eventSplitter.ts
@@ -3,6 +3,8 @@
  * withholds: the usage report and the end marker.
  */
 
+import { HeldBytes } from './heldBytes.js'
+
 const EVENT_END = Buffer.from('\n\n')
 /**
  * Maximum size of an incomplete event, which bounds the memory. Engines send only shorter events.
@@ -17,35 +19,45 @@
  * an event that spans chunks is copied.
  */
 export class EventSplitter {
-  private incomplete: Buffer | undefined
+  /** The bytes after the last complete event. */
+  private readonly incomplete = new HeldBytes(MAXIMUM_EVENT_BYTES)
 
   /**
    * Returns the events that the chunk completes, one slice each, including the blank line at the
    * end. Keeps the bytes of an incomplete event for the next call.
    */
   split(chunk: Buffer): readonly Buffer[] {
-    const data = this.incomplete === undefined ? chunk : Buffer.concat([this.incomplete, chunk])
-    const events: Buffer[] = []
-    let start = 0
-    for (;;) {
-      const end = data.indexOf(EVENT_END, start)
-      if (end < 0) break
-      events.push(data.subarray(start, end + EVENT_END.length))
-      start = end + EVENT_END.length
-    }
-    this.incomplete = start < data.length ? data.subarray(start) : undefined
-    if ((this.incomplete?.length ?? 0) > MAXIMUM_EVENT_BYTES) throw new OversizedEventError()
+    // Only the last of the earlier bytes can belong to the blank line that ends the event.
+    const searched = Math.max(0, this.incomplete.length - EVENT_END.length + 1)
+    this.incomplete.append(chunk)
+    const isComplete = this.incomplete.bytes.includes(EVENT_END, searched)
+    const events = isComplete ? this.takeEvents() : []
+    if (this.incomplete.length > MAXIMUM_EVENT_BYTES) throw new OversizedEventError()
     return events
   }
 
   /** Number of bytes after the last complete event. */
   get remainderBytes(): number {
-    return this.incomplete?.length ?? 0
+    return this.incomplete.length
   }
 
   /** The bytes after the last complete event; undefined if there are none. */
   get remainder(): Buffer | undefined {
-    return this.incomplete
+    return this.incomplete.length === 0 ? undefined : this.incomplete.bytes
+  }
+
+  private takeEvents(): readonly Buffer[] {
+    const data = this.incomplete.take()
+    const events: Buffer[] = []
+    let start = 0
+    for (;;) {
+      const end = data.indexOf(EVENT_END, start)
+      if (end < 0) break
+      events.push(data.subarray(start, end + EVENT_END.length))
+      start = end + EVENT_END.length
+    }
+    if (start < data.length) this.incomplete.append(data.subarray(start))
+    return events
   }
 }
 
--- a/packages/router/src/gateway/gatewayAnswerDelivery.ts
+++ b/packages/router/src/gateway/gatewayAnswerDelivery.ts
@@ -9,6 +9,7 @@
 import { isBodyMissing, isProvenComplete } from '@rackwalk/decisions'
 import type { AnswerEnd, AnswerFraming, EndedAnswer } from '@rackwalk/decisions'
 import { OversizedEventError } from '../engine/eventSplitter.js'
+import { HeldBytes } from '../engine/heldBytes.js'
 import type { CallerReply } from './callerReply.js'
 import type { EventDelivery } from './eventDelivery.js'
 import type { AnswerRecord } from './gatewayRecord.js'
@@ -40,8 +41,7 @@
 
 /** Delivers one answer to its caller. */
 export class GatewayAnswerDelivery {
-  private held: Buffer[] = []
-  private heldBytes = 0
+  private readonly held = new HeldBytes(MAXIMUM_HELD_BYTES)
   private receivedBytes = 0
   private deliveredBytes = 0
   private eventCount = 0
@@ -121,8 +121,8 @@
 
   private end(): void {
     this.start()
-    this.deliveredBytes += this.heldBytes
-    this.parts.reply.end(this.takeHeld())
+    this.deliveredBytes += this.held.length
+    this.parts.reply.end(this.held.take())
   }
 
   private writeEvents(chunk: Buffer): void {
@@ -144,18 +144,10 @@
   private hold(chunk: Buffer): void {
     this.parts.onBytes()
     this.receivedBytes += chunk.length
-    this.held.push(chunk)
-    this.heldBytes += chunk.length
-    if (this.heldBytes < MAXIMUM_HELD_BYTES) return
+    this.held.append(chunk)
+    if (this.held.length < MAXIMUM_HELD_BYTES) return
     this.start()
-    this.write(this.takeHeld())
-  }
-
-  private takeHeld(): Buffer {
-    const bytes = Buffer.concat(this.held)
-    this.held = []
-    this.heldBytes = 0
-    return bytes
+    this.write(this.held.take())
   }
 
   private start(): void {
