fix(router): nothing that waited is passed on once a planned stop has begun to refuse

Report: requests that came late in the grace of a planned stop were passed on and cut at its end without an answer.

Cause here: a request was refused for the stop only as it arrived. One whose body ended late, or that waited for tokens, for the record of a stream or for another instance, was passed on 2.6 s after SIGTERM or later, and cut 7.1 s after it.

Change: the same check follows each wait: after the body, and after the reservation, which is given back. The caller is told at once that it has not run (503, 3004, Retry-After 0).

The OpenAI-style kind checks after the body already; requests in its queue were not tried.

--- a/packages/router/src/gateway/gateway.ts
+++ b/packages/router/src/gateway/gateway.ts
@@ -217,6 +217,7 @@
 
   private async serveRead(request: IncomingMessage, read: ReadRequest): Promise<void> {
     const { record } = read
+    this.refuseIfDraining()
     this.refuseCrashing(read, request.url ?? '/', read.body, record)
     const mayRelay = record.relayedBy === undefined
     if (mayRelay && this.parts.links.isCutOff(read.service.name)) return this.relay(read)
@@ -255,6 +256,7 @@
     })
     const reservation = await this.reserve(read, record)
     try {
+      this.refuseIfDraining()
       await attempts.run()
       this.noteLateness(route, record)
     } finally {
@@ -313,7 +315,7 @@
     record: GatewayRecord,
   ): IdentifiedRequest {
     const matched = this.matchRequest(request, metadata, record)
-    if (this.parts.isRefusing()) throw new NotRunError(ResultCode.InstanceDraining)
+    this.refuseIfDraining()
     this.parts.checkStaleness()
     if (matched === undefined) throw new NotRunError(ResultCode.InstanceNotReady)
     const { routes, route, team } = matched
@@ -329,6 +331,14 @@
     return { metadata, route, service, team, deadlineAt }
   }
 
+  /**
+   * Throws if this instance is about to stop: what is sent to an endpoint from now on could be cut off at the end of the
+   * grace time. Called before each step that a wait precedes.
+   */
+  private refuseIfDraining(): void {
+    if (this.parts.isRefusing()) throw new NotRunError(ResultCode.InstanceDraining)
+  }
+
   /** The error of a request whose route or key the configuration does not contain. */
   private denial(
     { host, path, route }: MatchedRequest,
