--- a/packages/daemon/src/gateway/peerCall.ts
+++ b/packages/daemon/src/gateway/peerCall.ts
@@ -2,6 +2,7 @@
 
 import { request } from 'node:http'
 import type { Agent } from 'node:http'
+import { HeldBytes } from '@rackwalk/router'
 import { SystemClock, isSocketAddress, limitAnswer } from '@rackwalk/shared'
 import type { Milliseconds } from '@rackwalk/shared'
 import { parseAddress } from '../observe/listenOn.js'
@@ -36,17 +37,15 @@
   const method = body === undefined ? 'GET' : 'POST'
   return new Promise(resolve => {
     const sent = request({ host, port, path, method, agent }, response => {
-      const chunks: Buffer[] = []
-      let size = 0
+      const answer = new HeldBytes(LONGEST_ANSWER_BYTES)
       response.on('data', (chunk: Buffer) => {
-        size += chunk.length
-        if (size > LONGEST_ANSWER_BYTES) sent.destroy()
-        chunks.push(chunk)
+        answer.append(chunk)
+        if (answer.length > LONGEST_ANSWER_BYTES) sent.destroy()
       })
       response.on('error', () => finish(undefined))
       response.on('end', () => {
         const isGood = response.statusCode === 200 && response.complete
-        finish(isGood ? Buffer.concat(chunks).toString('utf8') : undefined)
+        finish(isGood ? answer.take().toString('utf8') : undefined)
       })
     })
     const timer = limitAnswer(CLOCK, timeoutMilliseconds, () => sent.destroy())
--- a/packages/router/src/engine/endpointExchange.ts
+++ b/packages/router/src/engine/endpointExchange.ts
@@ -18,11 +18,12 @@
 import type { Clock, EndpointId, Milliseconds, Timer } from '@rackwalk/shared'
 import type { AnswerConsumer, EndpointAnswer } from '../filters/stages.js'
 import type { BufferReservation, AnswerBufferPool } from './answerBuffer.js'
-import { bufferingModeOf } from './answerBuffer.js'
+import { ANSWER_BUFFER_LIMITS, bufferingModeOf } from './answerBuffer.js'
 import type { AttemptResult } from './attemptResult.js'
 import { createCompletenessCheck } from './bodyCompleteness.js'
 import type { CompletenessCheck } from './bodyCompleteness.js'
 import type { ConnectionEndGuard, ConnectionReader } from './endpointConnection.js'
+import { HeldBytes } from './heldBytes.js'
 import type { InFlightExchange, InFlightExchanges } from './inFlightExchanges.js'
 
 // Error codes that show that no connection was established, unless the request was sent.
@@ -78,7 +79,10 @@
   private bodyCheck: CompletenessCheck | undefined
   private readonly attemptResult = deferred<AttemptResult>()
   readonly endpointId: EndpointId
-  private readonly bufferedChunks: Buffer[] = []
+  /** All buffered chunks but the last. */
+  private readonly buffered = new HeldBytes(ANSWER_BUFFER_LIMITS.maximumAnswerBytes)
+  /** Kept apart, since the consumer withholds the last chunk that it has got. */
+  private lastBuffered: Buffer | undefined
   private readonly reservation: BufferReservation
   private bufferTimer: Timer | undefined
   private controller: Dispatcher.DispatchController | undefined
@@ -130,7 +134,9 @@
    */
   startReading(consumer: AnswerConsumer): void {
     this.consumer = consumer
-    for (const chunk of this.bufferedChunks.splice(0)) this.forward(chunk)
+    if (this.buffered.length > 0) this.forward(this.buffered.take())
+    if (this.lastBuffered !== undefined) this.forward(this.lastBuffered)
+    this.lastBuffered = undefined
     if (this.failure !== undefined) consumer.fail(this.failure)
     else if (this.isEnded) consumer.end()
     else if (!consumer.isFull) this.resume()
@@ -178,7 +184,8 @@
     this.hasBody = true
     this.bodyCheck?.read(chunk)
     if (this.consumer !== undefined) return this.forward(chunk)
-    this.bufferedChunks.push(chunk)
+    if (this.lastBuffered !== undefined) this.buffered.append(this.lastBuffered)
+    this.lastBuffered = chunk
     if (this.reservation.reserve(chunk.length)) return
     this.pause()
     this.begin()
@@ -280,7 +287,7 @@
     const { clock, bufferPool } = this.parts
     this.bufferTimer = clock.after(bufferPool.limits.maximumUnsizedMilliseconds, () => {
       this.reservation.close()
-      if (this.bufferedChunks.length === 0) return
+      if (this.lastBuffered === undefined) return
       this.pause()
       this.begin()
     })
