fix(router): small bodies of unknown size take little of the memory for bodies

Change: the first block is as large as the declared length or the first part, the further ones double up to 64 KiB.

--- a/packages/router/src/bodies/bodyMemory.ts
+++ b/packages/router/src/bodies/bodyMemory.ts
@@ -9,6 +9,9 @@
 import type { Bytes } from '@rackwalk/shared'
 import { BLOCK_BYTES, BlockPool } from './blockPool.js'
 
+/** Size of the first block of a body whose size is not known, unless more arrives at once. */
+const LEAST_BLOCK_BYTES: Bytes = 1_024
+
 /** One body in this memory. */
 export interface BodyLease {
   /** Called once if the body is given up. */
@@ -34,7 +37,7 @@
 
   /** Begins to count a body, which occupies nothing yet. `declaredBytes` is undefined if its size is not known. */
   open(declaredBytes?: Bytes): BodyLease {
-    const body: Body = new Body(this.blocks, declaredBytes ?? BLOCK_BYTES, {
+    const body: Body = new Body(this.blocks, declaredBytes ?? 0, {
       reserve: bytes => this.reserve(body, bytes),
       release: () => this.release(body),
     })
@@ -119,7 +122,7 @@
   freeBlocks(): void {
     const [, ...others] = this.parts
     // A request in progress may still use the first block, which can be the whole body.
-    for (const block of others) this.blocks.giveBack(block)
+    for (const block of others) if (block.length === BLOCK_BYTES) this.blocks.giveBack(block)
     this.parts = []
   }
 
@@ -127,17 +130,20 @@
   private blockWithRoom(bytes: Bytes): Buffer | undefined {
     const last = this.parts.at(-1)
     if (last !== undefined && this.filled < last.length) return last
-    const size = this.parts.length === 0 ? this.firstBytes(bytes) : BLOCK_BYTES
+    const size =
+      last === undefined ? this.firstBytes(bytes) : Math.min(2 * last.length, BLOCK_BYTES)
     if (!this.owner.reserve(size)) return undefined
-    const block = this.parts.length === 0 ? Buffer.allocUnsafeSlow(size) : this.blocks.take()
+    const isPooled = last !== undefined && size === BLOCK_BYTES
+    const block = isPooled ? this.blocks.take() : Buffer.allocUnsafeSlow(size)
     this.parts.push(block)
     this.filled = 0
     return block
   }
 
-  /** Size of the first block: most bodies fit into one that is no larger than they are. */
+  /** Size of the first block: most bodies fit into one that is no larger than they are. Further ones double. */
   private firstBytes(bytes: Bytes): Bytes {
-    return Math.min(BLOCK_BYTES, Math.max(bytes, this.expectedBytes))
+    const expected = this.expectedBytes > 0 ? this.expectedBytes : LEAST_BLOCK_BYTES
+    return Math.min(BLOCK_BYTES, Math.max(bytes, expected))
   }
 
   private copyTo(whole: Buffer): void {
